--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# make demo  builds everything and shows the main job on embedded stand-ins
+# make test  runs every check and every test
+.PHONY: demo test check unit fuzz generate bench-convergence bench-recovery bench-requests scale
+
+GO ?= go
+
+demo:
+	bash scripts/demo.sh
+
+test: check unit
+
+check:
+	@unformatted=$$(gofmt -l api cmd internal); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+unit:
+	$(GO) test -race -count=1 ./...
+
+# Ten seconds for each decoder that reads bytes from outside.
+fuzz:
+	bash scripts/fuzz.sh
+
+# Needs buf and is not part of the build: the generated code is committed.
+generate:
+	$(GO) run github.com/bufbuild/buf/cmd/buf@v1.71.0 generate
+	$(GO) run ./cmd/lapislab error-table > docs/ERRORS.md
+
+bench-convergence:
+	$(GO) run ./cmd/lapislab convergence
+
+bench-recovery:
+	$(GO) run ./cmd/lapislab recovery
+
+bench-requests:
+	$(GO) run ./cmd/lapislab requests
--- /dev/null
+++ b/cmd/lapisctl/main.go
@@ -0,0 +1,10 @@
+// Command lapisctl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/lapisvane/lapisvane/internal/ctl"
+)
+
+func main() { os.Exit(ctl.Main(os.Args[1:])) }
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,448 @@
+// Package admission decides which call may use a back end's slots next. Slots
+// are shared between groups by weighted fair queueing over the time that
+// calls occupy them: the waiting group that has used the least for its weight
+// goes first. Unused shares are lent; a group that returns is served before
+// the borrowers as soon as a slot is free. Within a group interactive calls go
+// before background ones, and uploads never take all slots while others wait.
+package admission
+
+import (
+	"container/list"
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Tunables of a queue.
+const (
+	// usageHalfLife is how fast past use of slots is forgotten.
+	usageHalfLife = 500 * time.Millisecond
+	// defaultWeight is the weight of a group without a declared share, in
+	// percent.
+	defaultWeight = 1
+	// increaseAfter is the number of calls done without shedding after which
+	// a lowered limit grows by one.
+	increaseAfter = 20
+	// minRetryAfter is the least time named in a refusal.
+	minRetryAfter = 50 * time.Millisecond
+	// serviceSmoothing weighs the newest call in the mean service time.
+	serviceSmoothing = 0.1
+)
+
+// Limits bound a queue.
+type Limits struct {
+	// Slots is the number of calls at once.
+	Slots int
+	// QueueLength is the number of waiting calls of each group.
+	QueueLength int
+	// QueueTime is the longest wait of an interactive call; background calls
+	// may wait BackgroundFactor times as long.
+	QueueTime time.Duration
+}
+
+// BackgroundFactor is how much longer background calls may wait.
+const BackgroundFactor = 8
+
+// Request describes a call that wants a slot.
+type Request struct {
+	Group      string
+	Background bool
+	Upload     bool
+	// StartBy is the time after which the call must not start; zero for none.
+	StartBy time.Time
+}
+
+// Queue admits calls to one back end. It is safe for concurrent use.
+type Queue struct {
+	now func() time.Time
+
+	// mutex protects everything below.
+	mutex   sync.Mutex
+	limits  Limits
+	weights map[string]uint32
+	groups  map[string]*group
+	running int
+	uploads int
+	// limit is the adaptive number of slots, at most limits.Slots.
+	limit       int
+	successes   int
+	meanService time.Duration
+	closed      *result.Error
+	idle        chan struct{}
+}
+
+// group is the state of one group.
+type group struct {
+	name string
+	// usage is the decayed slot time used, at usageAt.
+	usage       float64
+	usageAt     time.Time
+	running     int
+	interactive *list.List
+	background  *list.List
+}
+
+// waiter is a call in the queue. Exactly one of granted or refused happens.
+type waiter struct {
+	request  Request
+	queued   time.Time
+	deadline time.Time
+	granted  chan error
+	element  *list.Element
+	list     *list.List
+}
+
+// Slot is the right to use the back end; Release must be called once.
+type Slot struct {
+	queue   *Queue
+	group   *group
+	upload  bool
+	started time.Time
+	once    sync.Once
+}
+
+// NewQueue returns a queue; now gives the time.
+func NewQueue(limits Limits, now func() time.Time) *Queue {
+	return &Queue{
+		now: now, limits: limits, limit: limits.Slots,
+		weights: map[string]uint32{}, groups: map[string]*group{},
+	}
+}
+
+// Configure replaces the number of slots and the groups' shares in percent.
+func (q *Queue) Configure(slots int, weights map[string]uint32) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if slots != q.limits.Slots {
+		q.limits.Slots = slots
+		q.limit = slots
+	}
+	q.weights = weights
+	q.dispatch()
+}
+
+// Close refuses all waiting and later calls with reason. Running calls are not
+// touched.
+func (q *Queue) Close(reason *result.Error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.closed = reason
+	for _, g := range q.groups {
+		refuseAll(g.interactive, reason)
+		refuseAll(g.background, reason)
+	}
+}
+
+// Reopen lets calls in again after Close.
+func (q *Queue) Reopen() {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.closed = nil
+}
+
+func refuseAll(waiting *list.List, reason error) {
+	for element := waiting.Front(); element != nil; element = waiting.Front() {
+		waiting.Remove(element)
+		element.Value.(*waiter).granted <- reason
+	}
+}
+
+// Acquire waits for a slot. Errors, all proving that the call did not start:
+// CallNotRunOverloaded, CallNotRunExpired, the reason given to Close.
+func (q *Queue) Acquire(ctx context.Context, request Request) (*Slot, error) {
+	waiting, slot, err := q.enter(request)
+	if err != nil || slot != nil {
+		return slot, err
+	}
+	timer := time.NewTimer(waiting.deadline.Sub(waiting.queued))
+	defer timer.Stop()
+	select {
+	case err = <-waiting.granted:
+	case <-timer.C:
+		err = q.abandon(waiting, q.overloaded("the wait was too long"))
+	case <-ctx.Done():
+		err = q.abandon(waiting, result.Errorf(result.CallNotRunExpired, "the caller went away"))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return q.slotFor(waiting), nil
+}
+
+// enter grants a slot at once, queues the call or refuses it.
+func (q *Queue) enter(request Request) (*waiter, *Slot, error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := q.now()
+	if q.closed != nil {
+		return nil, nil, q.closed
+	}
+	if !request.StartBy.IsZero() && !now.Before(request.StartBy) {
+		return nil, nil, result.Errorf(result.CallNotRunExpired, "the time to start has passed")
+	}
+	g := q.groupOf(request.Group)
+	if q.mayRun(request) && !q.anyWaiting() {
+		return nil, q.start(g, request, now), nil
+	}
+	waiting := g.interactive
+	limit := q.limits.QueueTime
+	if request.Background {
+		waiting = g.background
+		limit *= BackgroundFactor
+	}
+	expected := q.expectedWait(g, waiting.Len())
+	if waiting.Len() >= q.limits.QueueLength || expected > limit {
+		return nil, nil, q.overloadedFor(expected, "the queue of group "+request.Group+" is full")
+	}
+	deadline := now.Add(limit)
+	if !request.StartBy.IsZero() && request.StartBy.Before(deadline) {
+		deadline = request.StartBy
+	}
+	entered := &waiter{request: request, queued: now, deadline: deadline, granted: make(chan error, 1), list: waiting}
+	entered.element = waiting.PushBack(entered)
+	q.dispatch()
+	return entered, nil, nil
+}
+
+// expectedWait estimates how long a call behind ahead others of its group
+// waits, from the mean service time and the group's part of the slots.
+func (q *Queue) expectedWait(g *group, ahead int) time.Duration {
+	part := float64(q.limit) * q.shareOf(g)
+	return time.Duration(float64(q.meanService) * float64(ahead) / math.Max(part, 0.5))
+}
+
+// shareOf returns the group's part among the groups that are active now.
+func (q *Queue) shareOf(g *group) float64 {
+	total := 0.0
+	for _, other := range q.groups {
+		if other == g || other.running > 0 || other.interactive.Len() > 0 || other.background.Len() > 0 {
+			total += q.weightOf(other.name)
+		}
+	}
+	return q.weightOf(g.name) / total
+}
+
+func (q *Queue) weightOf(name string) float64 {
+	if weight, ok := q.weights[name]; ok {
+		return float64(weight)
+	}
+	return defaultWeight
+}
+
+func (q *Queue) overloaded(detail string) error {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.overloadedFor(q.meanService, detail)
+}
+
+func (q *Queue) overloadedFor(expected time.Duration, detail string) *result.Error {
+	refusal := result.Errorf(result.CallNotRunOverloaded, "%s", detail)
+	refusal.RetryAfter = max(expected, minRetryAfter)
+	return refusal
+}
+
+// abandon takes a waiter out of the queue; if it was granted or refused in the
+// same moment, that stands.
+func (q *Queue) abandon(waiting *waiter, reason error) error {
+	q.mutex.Lock()
+	select {
+	case err := <-waiting.granted:
+		q.mutex.Unlock()
+		if err == nil {
+			q.slotFor(waiting).Release(false)
+		}
+		return reason
+	default:
+	}
+	waiting.list.Remove(waiting.element)
+	q.mutex.Unlock()
+	return reason
+}
+
+func (q *Queue) slotFor(waiting *waiter) *Slot {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return &Slot{queue: q, group: q.groupOf(waiting.request.Group), upload: waiting.request.Upload, started: q.now()}
+}
+
+func (q *Queue) groupOf(name string) *group {
+	g, ok := q.groups[name]
+	if !ok {
+		g = &group{name: name, usageAt: q.now(), interactive: list.New(), background: list.New()}
+		q.groups[name] = g
+	}
+	return g
+}
+
+// mayRun reports whether a free slot may be given to request.
+func (q *Queue) mayRun(request Request) bool {
+	if q.running >= q.limit {
+		return false
+	}
+	return !request.Upload || q.uploads < q.uploadLimit()
+}
+
+// uploadLimit keeps a slot for other calls when there are several.
+func (q *Queue) uploadLimit() int { return max(1, q.limit-max(1, q.limit/3)) }
+
+func (q *Queue) anyWaiting() bool {
+	for _, g := range q.groups {
+		if g.interactive.Len()+g.background.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Queue) start(g *group, request Request, now time.Time) *Slot {
+	g.decay(now)
+	g.running++
+	q.running++
+	if request.Upload {
+		q.uploads++
+	}
+	return &Slot{queue: q, group: g, upload: request.Upload, started: now}
+}
+
+// dispatch gives free slots to waiting calls; the caller holds mutex.
+func (q *Queue) dispatch() {
+	for {
+		next := q.next()
+		if next == nil {
+			return
+		}
+		next.list.Remove(next.element)
+		q.start(q.groupOf(next.request.Group), next.request, q.now())
+		next.granted <- nil
+	}
+}
+
+// next returns the first runnable call of the group that has used the least
+// for its weight.
+func (q *Queue) next() *waiter {
+	var best *waiter
+	bestScore := math.Inf(1)
+	now := q.now()
+	for _, g := range q.groups {
+		candidate := q.firstRunnable(g)
+		if candidate == nil {
+			continue
+		}
+		g.decay(now)
+		score := g.usage / q.weightOf(g.name)
+		if score < bestScore || (score == bestScore && g.name < best.request.Group) {
+			best = candidate
+			bestScore = score
+		}
+	}
+	return best
+}
+
+func (q *Queue) firstRunnable(g *group) *waiter {
+	for _, waiting := range []*list.List{g.interactive, g.background} {
+		for element := waiting.Front(); element != nil; element = element.Next() {
+			candidate := element.Value.(*waiter)
+			if q.mayRun(candidate.request) {
+				return candidate
+			}
+		}
+	}
+	return nil
+}
+
+// decay brings usage up to now: it forgets with usageHalfLife and adds the time
+// of the running calls, in slot seconds.
+func (g *group) decay(now time.Time) {
+	elapsed := now.Sub(g.usageAt)
+	if elapsed <= 0 {
+		return
+	}
+	factor := math.Exp2(-float64(elapsed) / float64(usageHalfLife))
+	g.usage = g.usage*factor + float64(g.running)*elapsed.Seconds()
+	g.usageAt = now
+}
+
+// Release gives the slot back. shed tells that the back end refused the call
+// for overload, which lowers the limit.
+func (s *Slot) Release(shed bool) {
+	s.once.Do(func() { s.queue.release(s, shed) })
+}
+
+func (q *Queue) release(slot *Slot, shed bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	now := q.now()
+	slot.group.decay(now)
+	slot.group.running--
+	q.running--
+	if slot.upload {
+		q.uploads--
+	} else {
+		q.noteService(now.Sub(slot.started))
+	}
+	q.adapt(shed)
+	q.dispatch()
+	if q.running == 0 && q.idle != nil {
+		close(q.idle)
+		q.idle = nil
+	}
+}
+
+func (q *Queue) noteService(taken time.Duration) {
+	if q.meanService == 0 {
+		q.meanService = taken
+		return
+	}
+	q.meanService += time.Duration(serviceSmoothing * float64(taken-q.meanService))
+}
+
+// adapt lowers the limit by one at each shed call and raises it by one after
+// increaseAfter calls without.
+func (q *Queue) adapt(shed bool) {
+	if shed {
+		q.limit = max(1, min(q.limit, q.running+1)-1)
+		q.successes = 0
+		return
+	}
+	q.successes++
+	if q.successes >= increaseAfter && q.limit < q.limits.Slots {
+		q.limit++
+		q.successes = 0
+	}
+}
+
+// Load returns the running and waiting calls per slot.
+func (q *Queue) Load() float32 {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	waiting := 0
+	for _, g := range q.groups {
+		waiting += g.interactive.Len() + g.background.Len()
+	}
+	return float32(q.running+waiting) / float32(max(q.limits.Slots, 1))
+}
+
+// Running returns the calls that hold a slot.
+func (q *Queue) Running() int {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.running
+}
+
+// Idle returns a channel that is closed once no call runs.
+func (q *Queue) Idle() <-chan struct{} {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.running == 0 {
+		done := make(chan struct{})
+		close(done)
+		return done
+	}
+	if q.idle == nil {
+		q.idle = make(chan struct{})
+	}
+	return q.idle
+}
--- /dev/null
+++ b/internal/backendstub/ledger.go
@@ -0,0 +1,71 @@
+package backendstub
+
+import "sync"
+
+// Execution is one run of a call at a back end.
+type Execution struct {
+	Call     string
+	Instance string
+}
+
+// Ledger notes every execution. It is safe for concurrent use; the zero value
+// is ready.
+type Ledger struct {
+	mutex      sync.Mutex
+	executions map[string][]Execution
+	cancelled  int
+}
+
+// run notes that call began to run at instance.
+func (l *Ledger) run(call, instance string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.executions == nil {
+		l.executions = map[string][]Execution{}
+	}
+	l.executions[call] = append(l.executions[call], Execution{Call: call, Instance: instance})
+}
+
+func (l *Ledger) cancel() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.cancelled++
+}
+
+// Runs returns the executions of call.
+func (l *Ledger) Runs(call string) []Execution {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Execution(nil), l.executions[call]...)
+}
+
+// Cancelled returns the number of executions that saw their caller leave.
+func (l *Ledger) Cancelled() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.cancelled
+}
+
+// Total returns the number of executions of all calls.
+func (l *Ledger) Total() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	total := 0
+	for _, runs := range l.executions {
+		total += len(runs)
+	}
+	return total
+}
+
+// Doubled returns the calls that ran more than once.
+func (l *Ledger) Doubled() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var doubled []string
+	for call, runs := range l.executions {
+		if len(runs) > 1 {
+			doubled = append(doubled, call)
+		}
+	}
+	return doubled
+}
--- /dev/null
+++ b/internal/backendstub/server.go
@@ -0,0 +1,351 @@
+package backendstub
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Names of header fields between the lab's callers and back ends.
+const (
+	// HeaderCall names the call in the ledger.
+	HeaderCall = "Lab-Call"
+	// HeaderWork overrides the service time, in microseconds.
+	HeaderWork = "Lab-Work-Us"
+	// HeaderAnswerBytes asks for an answer of that size.
+	HeaderAnswerBytes = "Lab-Answer-Bytes"
+	// HeaderDepth asks the back end to call on through its own daemon so many
+	// more times.
+	HeaderDepth = "Lab-Depth"
+	// HeaderInstance names the answering instance.
+	HeaderInstance = "Lab-Instance"
+	// HeaderBodyDigest is the SHA-256 of the request body.
+	HeaderBodyDigest = "Lab-Body-Sha256"
+)
+
+// Behaviour is what can be changed while the stand-in runs.
+type Behaviour struct {
+	// ServiceTime is how long a call takes while it holds a slot.
+	ServiceTime time.Duration
+	// ResetBeforePercent of the calls lose their connection before they run,
+	// ResetAfterPercent after they ran, TruncatePercent within the answer.
+	ResetBeforePercent, ResetAfterPercent, TruncatePercent int
+	// ShedAbove refuses calls while more than so many run; 0 for never. A
+	// refusal states that the call did not run.
+	ShedAbove int
+	// StatedLoad is what the load endpoint says, whatever the truth; negative
+	// for the truth.
+	StatedLoad float64
+	// StatedHealthy is what the health endpoint says, whatever the truth.
+	StatedHealthy bool
+}
+
+// Options configure a Server.
+type Options struct {
+	Address  string
+	Instance string
+	Slots    int
+	// ConnectionLimit refuses further connections; 0 for none.
+	ConnectionLimit int
+	// ConnectionCost is the time that accepting a connection takes.
+	ConnectionCost time.Duration
+	// ColdStart is the time after the start in which calls take ColdFactor
+	// times as long.
+	ColdStart  time.Duration
+	ColdFactor int
+	Behaviour  Behaviour
+	Ledger     *Ledger
+	// Next is the caller address of the daemon beside the back end, for calls
+	// with a depth.
+	Next string
+	Seed uint64
+}
+
+// Server is the stand-in.
+type Server struct {
+	options  Options
+	listener net.Listener
+	http     *http.Server
+	slots    chan struct{}
+	started  time.Time
+	client   *http.Client
+	// Connections counts accepted connections.
+	Connections atomic.Int64
+	open        atomic.Int64
+	running     atomic.Int64
+	peakRunning atomic.Int64
+	lastNew     atomic.Int64
+	// Rejected counts connections beyond the limit.
+	Rejected atomic.Int64
+
+	mutex     sync.Mutex
+	behaviour Behaviour
+	random    *rand.Rand
+	next      string
+}
+
+// Start opens the listener and serves in the background.
+func Start(options Options) (*Server, error) {
+	listener, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		return nil, result.Wrap(result.SettingsBadAddress, err, "listening on %s", options.Address)
+	}
+	if options.Ledger == nil {
+		options.Ledger = &Ledger{}
+	}
+	server := &Server{
+		options: options, started: time.Now(), slots: make(chan struct{}, max(options.Slots, 1)),
+		behaviour: options.Behaviour, random: rand.New(rand.NewPCG(options.Seed, 2)), next: options.Next,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 10 * time.Second}},
+	}
+	server.listener = &limitedListener{Listener: listener, server: server}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/healthz", server.serveHealth)
+	mux.HandleFunc("/load", server.serveLoad)
+	mux.HandleFunc("/", server.serveCall)
+	server.http = &http.Server{Handler: mux, ReadHeaderTimeout: 30 * time.Second}
+	go func() { _ = server.http.Serve(server.listener) }()
+	return server, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the server and cuts its connections.
+func (s *Server) Close() {
+	_ = s.http.Close()
+	s.client.CloseIdleConnections()
+}
+
+// SetBehaviour replaces the behaviour.
+func (s *Server) SetBehaviour(behaviour Behaviour) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.behaviour = behaviour
+}
+
+// SetNext sets the caller address of the daemon beside the back end.
+func (s *Server) SetNext(address string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.next = address
+}
+
+// PeakRunning returns the most calls that ran at once.
+func (s *Server) PeakRunning() int64 { return s.peakRunning.Load() }
+
+// LastNewWork returns when the last call began to run.
+func (s *Server) LastNewWork() time.Time { return time.Unix(0, s.lastNew.Load()) }
+
+// plan is what happens to one call, drawn once.
+type plan struct {
+	behaviour                         Behaviour
+	resetBefore, resetAfter, truncate bool
+}
+
+func (s *Server) draw() plan {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	percent := func(bound int) bool { return s.random.IntN(100) < bound }
+	return plan{
+		behaviour: s.behaviour, resetBefore: percent(s.behaviour.ResetBeforePercent),
+		resetAfter: percent(s.behaviour.ResetAfterPercent), truncate: percent(s.behaviour.TruncatePercent),
+	}
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if !s.draw().behaviour.StatedHealthy {
+		http.Error(w, "unhealthy", http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	load := s.draw().behaviour.StatedLoad
+	if load < 0 {
+		load = float64(s.running.Load()) / float64(cap(s.slots))
+	}
+	_, _ = fmt.Fprintf(w, "%.3f\n", load)
+}
+
+// serveCall runs one call: it waits for a slot, works, and answers with the
+// call's name, its own name and the digest of what it received.
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
+	planned := s.draw()
+	if planned.resetBefore {
+		panic(http.ErrAbortHandler)
+	}
+	running := s.running.Add(1)
+	defer s.running.Add(-1)
+	for peak := s.peakRunning.Load(); running > peak && !s.peakRunning.CompareAndSwap(peak, running); {
+		peak = s.peakRunning.Load()
+	}
+	if above := planned.behaviour.ShedAbove; above > 0 && running > int64(above) {
+		w.Header().Set(callapi.HeaderNotRun, "1")
+		http.Error(w, "shed", http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	case <-r.Context().Done():
+		return
+	}
+	s.lastNew.Store(time.Now().UnixNano())
+	s.options.Ledger.run(r.Header.Get(HeaderCall), s.options.Instance)
+	digest, err := s.work(r, planned)
+	if err != nil {
+		s.options.Ledger.cancel()
+		return
+	}
+	if planned.resetAfter {
+		panic(http.ErrAbortHandler)
+	}
+	s.answer(w, r, planned, digest)
+}
+
+// work reads the body, takes the service time and calls on if asked.
+func (s *Server) work(r *http.Request, planned plan) (digest string, err error) {
+	hasher := sha256.New()
+	if _, err := io.Copy(hasher, r.Body); err != nil {
+		return "", err
+	}
+	duration := planned.behaviour.ServiceTime
+	if micros, err := strconv.Atoi(r.Header.Get(HeaderWork)); err == nil {
+		duration = time.Duration(micros) * time.Microsecond
+	}
+	if s.options.ColdFactor > 1 && time.Since(s.started) < s.options.ColdStart {
+		duration *= time.Duration(s.options.ColdFactor)
+	}
+	if duration > 0 {
+		timer := time.NewTimer(duration)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-r.Context().Done():
+			return "", r.Context().Err()
+		}
+	}
+	if err := s.callOn(r); err != nil {
+		return "", err
+	}
+	return hex.EncodeToString(hasher.Sum(nil)), nil
+}
+
+// callOn makes the next call of a chain through the daemon beside the back end
+// and passes on the deadline and the attempt count, as a service should.
+func (s *Server) callOn(r *http.Request) error {
+	depth, err := strconv.Atoi(r.Header.Get(HeaderDepth))
+	if err != nil || depth <= 0 {
+		return nil
+	}
+	s.mutex.Lock()
+	next := s.next
+	s.mutex.Unlock()
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+next+r.URL.RequestURI(), nil)
+	if err != nil {
+		return err
+	}
+	request.Host = r.Host
+	for _, name := range []string{callapi.HeaderDeadline, callapi.HeaderAttempt, HeaderWork} {
+		if value := r.Header.Get(name); value != "" {
+			request.Header.Set(name, value)
+		}
+	}
+	request.Header.Set(HeaderDepth, strconv.Itoa(depth-1))
+	request.Header.Set(HeaderCall, fmt.Sprintf("%s.%d", r.Header.Get(HeaderCall), depth))
+	response, err := s.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
+// AnswerLine is the first line of every answer.
+func AnswerLine(call, instance, digest string) string {
+	return fmt.Sprintf("call=%s instance=%s body=%s\n", call, instance, digest)
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, planned plan, digest string) {
+	line := AnswerLine(r.Header.Get(HeaderCall), s.options.Instance, digest)
+	w.Header().Set(HeaderInstance, s.options.Instance)
+	w.Header().Set(HeaderBodyDigest, digest)
+	size, _ := strconv.Atoi(r.Header.Get(HeaderAnswerBytes))
+	total := max(size, len(line))
+	if planned.truncate {
+		w.Header().Set("Content-Length", strconv.Itoa(total+1))
+		_, _ = io.WriteString(w, line)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(total))
+	_, _ = io.WriteString(w, line)
+	filler := make([]byte, 32<<10)
+	for written := len(line); written < total; {
+		count, err := w.Write(filler[:min(len(filler), total-written)])
+		if err != nil {
+			return
+		}
+		written += count
+	}
+}
+
+// limitedListener applies the connection limit and cost.
+type limitedListener struct {
+	net.Listener
+	server *Server
+}
+
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		limit := int64(l.server.options.ConnectionLimit)
+		if limit > 0 && l.server.open.Load() >= limit {
+			l.server.Rejected.Add(1)
+			_ = conn.Close()
+			continue
+		}
+		l.server.open.Add(1)
+		l.server.Connections.Add(1)
+		sleepFor(context.Background(), l.server.options.ConnectionCost)
+		return &countedConn{Conn: conn, open: &l.server.open}, nil
+	}
+}
+
+func sleepFor(ctx context.Context, duration time.Duration) {
+	if duration <= 0 {
+		return
+	}
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
+
+// countedConn counts itself out when it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/balance/balancer.go
@@ -0,0 +1,302 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/snapshot"
+)
+
+// Tunables of balancing.
+const (
+	// SubsetSize is the number of instances of one service that a daemon uses,
+	// so that its connections stay few.
+	SubsetSize = 8
+	// zonePenalty is how many more calls per slot an instance of the own zone
+	// may have than one of another zone before the other is preferred.
+	zonePenalty = 0.75
+	// slowStart is how long a new instance gets a growing part of the calls.
+	slowStart = 10 * time.Second
+	// coldWeight is the part of the calls that a new instance gets at first.
+	coldWeight = 0.1
+	// ejectAfter is the number of failures in a row that eject an instance.
+	ejectAfter = 3
+	// ejectBase and ejectMax bound the time of an ejection, which doubles with
+	// each further failure.
+	ejectBase = time.Second
+	ejectMax  = 30 * time.Second
+	// reportLifetime is how long a reported load counts.
+	reportLifetime = 2 * time.Second
+	// reportWeight is the weight of reported load against calls in flight from
+	// here, which are certain.
+	reportWeight = 0.5
+)
+
+// Target is one instance with what this daemon observed of it.
+type Target struct {
+	Endpoint *lapisv1.Endpoint
+
+	firstSeen time.Time
+	inFlight  atomic.Int64
+
+	// mutex protects everything below.
+	mutex        sync.Mutex
+	failures     int
+	ejectedUntil time.Time
+	reported     float64
+	reportedAt   time.Time
+}
+
+// Balancer chooses among the instances of all services. It is safe for
+// concurrent use.
+type Balancer struct {
+	node string
+	zone string
+	now  func() time.Time
+
+	// mutex protects services; the slices in it are replaced, not changed.
+	mutex    sync.RWMutex
+	services map[string][]*Target
+	created  time.Time
+}
+
+// New returns a balancer for the daemon node in zone.
+func New(node, zone string, now func() time.Time) *Balancer {
+	return &Balancer{node: node, zone: zone, now: now, services: map[string][]*Target{}, created: now()}
+}
+
+// Update replaces the instances of a service; observations of instances that
+// stay are kept.
+func (b *Balancer) Update(service string, endpoints []*lapisv1.Endpoint) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	previous := map[string]*Target{}
+	for _, target := range b.services[service] {
+		previous[target.Endpoint.GetInstance()] = target
+	}
+	now := b.now()
+	targets := make([]*Target, 0, len(endpoints))
+	for _, endpoint := range endpoints {
+		if endpoint.GetState() == lapisv1.Endpoint_STATE_GONE {
+			continue
+		}
+		targets = append(targets, b.renew(previous[endpoint.GetInstance()], endpoint, now))
+	}
+	b.services[service] = targets
+}
+
+// renew keeps the observations of an instance while its address stays.
+func (b *Balancer) renew(known *Target, endpoint *lapisv1.Endpoint, now time.Time) *Target {
+	target := &Target{Endpoint: endpoint, firstSeen: now}
+	if now.Sub(b.created) < slowStart {
+		// What is there when this daemon starts is taken as warm.
+		target.firstSeen = now.Add(-slowStart)
+	}
+	if known == nil {
+		return target
+	}
+	if known.Endpoint == endpoint {
+		return known
+	}
+	target.firstSeen = known.firstSeen
+	if known.Endpoint.GetIncarnation() == endpoint.GetIncarnation() {
+		target.inFlight.Store(known.inFlight.Load())
+		known.mutex.Lock()
+		target.failures, target.ejectedUntil = known.failures, known.ejectedUntil
+		target.reported, target.reportedAt = known.reported, known.reportedAt
+		known.mutex.Unlock()
+	}
+	return target
+}
+
+// Targets returns the instances of a service.
+func (b *Balancer) Targets(service string) []*Target {
+	b.mutex.RLock()
+	defer b.mutex.RUnlock()
+	return b.services[service]
+}
+
+// Pick chooses an instance that is not in exclude. A call with an idempotency
+// key goes to the instance that ranks first for the key, so that repetitions
+// meet. Errors: CallNoEndpoint.
+func (b *Balancer) Pick(service *snapshot.Service, exclude []*Target, key string) (*Target, error) {
+	name := service.Bundle.GetPool().GetName()
+	candidates := b.candidates(service, b.Targets(name), exclude)
+	if len(candidates) == 0 {
+		refusal := result.Errorf(result.CallNoEndpoint, "no instance of %s may take the call", name)
+		refusal.RetryAfter = time.Second
+		return nil, refusal
+	}
+	if key != "" {
+		return rankFirst(candidates, key), nil
+	}
+	slots := float64(max(service.Bundle.GetPool().GetSlots(), 1))
+	return b.leastLoaded(b.subset(candidates), slots), nil
+}
+
+// candidates returns the instances that may take work: the healthy ones, else
+// the ejected and suspect ones, so that a pool is never emptied by suspicion.
+func (b *Balancer) candidates(service *snapshot.Service, targets, exclude []*Target) []*Target {
+	now := b.now()
+	healthy := make([]*Target, 0, len(targets))
+	var doubtful []*Target
+	for _, target := range targets {
+		state := target.Endpoint.GetState()
+		if !service.TakesNewWork(target.Endpoint.GetInstance()) || state == lapisv1.Endpoint_STATE_DRAINING || slices.Contains(exclude, target) {
+			continue
+		}
+		if state == lapisv1.Endpoint_STATE_SUSPECT || target.ejected(now) {
+			doubtful = append(doubtful, target)
+			continue
+		}
+		healthy = append(healthy, target)
+	}
+	if len(healthy) > 0 {
+		return healthy
+	}
+	return doubtful
+}
+
+func rankFirst(candidates []*Target, key string) *Target {
+	return slices.MaxFunc(candidates, func(a, b *Target) int {
+		scoreA := xxhash.Sum64String(key + "|" + a.Endpoint.GetInstance())
+		scoreB := xxhash.Sum64String(key + "|" + b.Endpoint.GetInstance())
+		switch {
+		case scoreA < scoreB:
+			return -1
+		case scoreA > scoreB:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
+
+// subset returns at most SubsetSize candidates, chosen by a hash of this
+// daemon and the instance, so that daemons spread evenly and a change of one
+// instance changes little. Instances of the own zone come first, but at least
+// a quarter of the subset is from elsewhere, for spill-over.
+func (b *Balancer) subset(candidates []*Target) []*Target {
+	if len(candidates) <= SubsetSize {
+		return candidates
+	}
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(x, y *Target) int {
+		scoreX := xxhash.Sum64String(b.node + "|" + x.Endpoint.GetInstance())
+		scoreY := xxhash.Sum64String(b.node + "|" + y.Endpoint.GetInstance())
+		if scoreX < scoreY {
+			return -1
+		}
+		return 1
+	})
+	const localPart = SubsetSize * 3 / 4
+	chosen := make([]*Target, 0, SubsetSize)
+	var rest []*Target
+	for _, target := range ranked {
+		if target.Endpoint.GetZone() == b.zone && len(chosen) < localPart {
+			chosen = append(chosen, target)
+			continue
+		}
+		rest = append(rest, target)
+	}
+	return append(chosen, rest[:SubsetSize-len(chosen)]...)
+}
+
+// leastLoaded takes the better of two random instances of the own zone and of
+// two of the others, and the local one unless it is clearly more loaded.
+func (b *Balancer) leastLoaded(candidates []*Target, slots float64) *Target {
+	now := b.now()
+	var local, remote []*Target
+	for _, target := range candidates {
+		if target.Endpoint.GetZone() == b.zone {
+			local = append(local, target)
+		} else {
+			remote = append(remote, target)
+		}
+	}
+	bestLocal, localScore := betterOfTwo(local, slots, now)
+	bestRemote, remoteScore := betterOfTwo(remote, slots, now)
+	if bestRemote == nil || (bestLocal != nil && localScore <= remoteScore+zonePenalty) {
+		return bestLocal
+	}
+	return bestRemote
+}
+
+func betterOfTwo(targets []*Target, slots float64, now time.Time) (*Target, float64) {
+	if len(targets) == 0 {
+		return nil, math.Inf(1)
+	}
+	first := rand.IntN(len(targets))
+	best, bestScore := targets[first], targets[first].score(slots, now)
+	if len(targets) == 1 {
+		return best, bestScore
+	}
+	second := (first + 1 + rand.IntN(len(targets)-1)) % len(targets)
+	if score := targets[second].score(slots, now); score < bestScore {
+		return targets[second], score
+	}
+	return best, bestScore
+}
+
+// score is the expected load per slot after one more call.
+func (t *Target) score(slots float64, now time.Time) float64 {
+	load := float64(t.inFlight.Load()+1) / slots
+	t.mutex.Lock()
+	if now.Sub(t.reportedAt) < reportLifetime {
+		load += reportWeight * t.reported
+	}
+	t.mutex.Unlock()
+	age := now.Sub(t.firstSeen)
+	if age < slowStart {
+		load /= coldWeight + (1-coldWeight)*float64(age)/float64(slowStart)
+	}
+	return load
+}
+
+func (t *Target) ejected(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return now.Before(t.ejectedUntil)
+}
+
+// Begin notes that a call is handed to the instance.
+func (t *Target) Begin() { t.inFlight.Add(1) }
+
+// End notes that a call begun with Begin is over.
+func (t *Target) End() { t.inFlight.Add(-1) }
+
+// Reported notes the load that the instance's daemon stated.
+func (t *Target) Reported(load float32, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.reported = float64(load)
+	t.reportedAt = now
+}
+
+// Succeeded notes that the instance gave an answer.
+func (t *Target) Succeeded() {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.failures = 0
+}
+
+// Failed notes that the instance could not be reached or broke off; repeated
+// failures eject it for a time.
+func (t *Target) Failed(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.failures++
+	if t.failures < ejectAfter {
+		return
+	}
+	pause := min(ejectBase<<min(t.failures-ejectAfter, 10), ejectMax)
+	t.ejectedUntil = now.Add(pause)
+}
--- /dev/null
+++ b/internal/callmux/server.go
@@ -0,0 +1,130 @@
+package callmux
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/wire"
+)
+
+// maxStreams bounds the calls at once on one connection.
+const maxStreams = 8192
+
+// Origin is what a Server hands calls to.
+type Origin interface {
+	callapi.Handler
+	// Fence makes sure that an attempt does not start any more and reports
+	// whether it did before.
+	Fence(attempt string) (started bool)
+}
+
+// Server serves the calls of other daemons.
+type Server struct {
+	Node        string
+	Incarnation uint64
+	Origin      Origin
+	// Counters receive the traffic of calls.
+	Counters *wire.Counters
+}
+
+// Serve speaks the protocol on a greeted connection until it ends.
+func (s *Server) Serve(ctx context.Context, conn *wire.Conn, _ *lapisv1.Hello) error {
+	if s.Counters != nil {
+		conn.UseCounters(s.Counters)
+	}
+	welcome := &lapisv1.Welcome{Node: s.Node, Incarnation: s.Incarnation}
+	if err := conn.Send(&lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Welcome{Welcome: welcome}}); err != nil {
+		return err
+	}
+	session := newSession(conn, 0)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go session.keepAlive()
+	return session.receive(func(frame *lapisv1.CallFrame) error {
+		return s.accept(ctx, session, frame)
+	})
+}
+
+func (s *Server) accept(ctx context.Context, session *session, frame *lapisv1.CallFrame) error {
+	if fence := frame.GetFence(); fence != nil {
+		answer := &lapisv1.CallFenced{
+			AttemptId: fence.GetAttemptId(), Started: s.Origin.Fence(fence.GetAttemptId()), Incarnation: s.Incarnation,
+		}
+		return session.send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Fenced{Fenced: answer}})
+	}
+	if session.find(frame.GetCall()) != nil {
+		return result.Errorf(result.ProtocolUnexpected, "call %d was opened twice", frame.GetCall())
+	}
+	if session.active() >= maxStreams {
+		return session.send(resetOf(frame.GetCall(), result.Errorf(result.CallNotRunOverloaded, "too many calls on one connection")))
+	}
+	stream := newStream(frame.GetCall(), session)
+	stream.allowance = BufferedBodyBytes
+	stream.credit = windowBytes
+	stream.lazyGrant = true
+	if err := session.add(stream); err != nil {
+		return err
+	}
+	go s.run(ctx, session, stream, frame.GetOpen())
+	return nil
+}
+
+// run carries out one call and sends its answer.
+func (s *Server) run(ctx context.Context, session *session, stream *stream, open *lapisv1.CallOpen) {
+	defer session.remove(stream.id)
+	ctx, cancel := contextFor(ctx, open)
+	defer cancel()
+	go func() {
+		select {
+		case <-stream.done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	call := &callapi.Call{Open: open}
+	if open.GetContentLength() != 0 {
+		call.Body = stream
+		call.Trailers = stream.endTrailers
+	}
+	answer, err := s.Origin.Handle(ctx, call)
+	if err == nil {
+		defer func() { _ = answer.Body.Close() }()
+		err = sendAnswer(ctx, session, stream, answer)
+	}
+	if err != nil {
+		_ = session.send(resetOf(stream.id, err))
+	}
+}
+
+func contextFor(ctx context.Context, open *lapisv1.CallOpen) (context.Context, context.CancelFunc) {
+	if open.GetDeadlineMillis() == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(open.GetDeadlineMillis())*time.Millisecond)
+}
+
+// sendAnswer sends the head and the body. A small body of known length goes
+// out in one write with its head.
+func sendAnswer(ctx context.Context, session *session, stream *stream, answer *callapi.Answer) error {
+	head := &lapisv1.CallFrame{Call: stream.id, Body: &lapisv1.CallFrame_Head{Head: answer.Head}}
+	length := answer.Head.GetContentLength()
+	if length < 0 || length > chunkBytes {
+		if err := session.send(head); err != nil {
+			return err
+		}
+		return stream.sendBody(ctx, answer.Body, answer.Trailers)
+	}
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	data := &lapisv1.CallData{Data: body, End: true, Trailers: answer.Trailers()}
+	frames := []proto.Message{head, &lapisv1.CallFrame{Call: stream.id, Body: &lapisv1.CallFrame_Data{Data: data}}}
+	return session.send(frames...)
+}
--- /dev/null
+++ b/internal/callmux/session.go
@@ -0,0 +1,236 @@
+package callmux
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/wire"
+)
+
+// Times of a session.
+const (
+	keepAliveInterval = 4 * time.Second
+	// sessionSilence is the time without any frame after which a session is
+	// taken as lost.
+	sessionSilence = 12 * time.Second
+	writeTimeout   = 10 * time.Second
+)
+
+// session is one connection that carries calls.
+type session struct {
+	conn *wire.Conn
+	// incarnation is that of the peer daemon.
+	incarnation uint64
+	closed      chan struct{}
+
+	// mutex protects everything below.
+	mutex   sync.Mutex
+	streams map[uint64]*stream
+	fences  map[string]chan *lapisv1.CallFenced
+	next    uint64
+	err     error
+}
+
+func newSession(conn *wire.Conn, incarnation uint64) *session {
+	return &session{
+		conn: conn, incarnation: incarnation, closed: make(chan struct{}),
+		streams: map[uint64]*stream{}, fences: map[string]chan *lapisv1.CallFenced{},
+	}
+}
+
+func (s *session) send(frames ...proto.Message) error {
+	_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	err := s.conn.SendAll(frames...)
+	if err != nil {
+		s.close(err)
+	}
+	return err
+}
+
+// close ends the session and all its streams.
+func (s *session) close(cause error) {
+	s.mutex.Lock()
+	if s.err != nil {
+		s.mutex.Unlock()
+		return
+	}
+	s.err = cause
+	streams := s.streams
+	s.streams = map[uint64]*stream{}
+	s.mutex.Unlock()
+	close(s.closed)
+	_ = s.conn.Close()
+	lost := result.Wrap(result.CallUnknownOutcome, cause, "the connection between the daemons was lost")
+	for _, stream := range streams {
+		stream.fail(lost)
+	}
+}
+
+func (s *session) isClosed() bool {
+	select {
+	case <-s.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// add registers a stream of the given id; it fails when the session is closed.
+func (s *session) add(stream *stream) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.err != nil {
+		return s.err
+	}
+	s.streams[stream.id] = stream
+	return nil
+}
+
+func (s *session) nextID() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.next++
+	return s.next
+}
+
+func (s *session) find(id uint64) *stream {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.streams[id]
+}
+
+func (s *session) remove(id uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.streams, id)
+}
+
+func (s *session) active() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.streams)
+}
+
+// receive reads frames until the session ends; accept handles opening and
+// fence frames and may be nil.
+func (s *session) receive(accept func(*lapisv1.CallFrame) error) error {
+	for {
+		_ = s.conn.SetReadDeadline(time.Now().Add(sessionSilence))
+		frame := &lapisv1.CallFrame{}
+		err := s.conn.Receive(frame)
+		if err == nil {
+			err = s.handle(frame, accept)
+		}
+		if err != nil {
+			s.close(err)
+			return err
+		}
+	}
+}
+
+func (s *session) handle(frame *lapisv1.CallFrame, accept func(*lapisv1.CallFrame) error) error {
+	switch body := frame.GetBody().(type) {
+	case nil:
+		return nil
+	case *lapisv1.CallFrame_Fenced:
+		s.fenced(body.Fenced)
+		return nil
+	case *lapisv1.CallFrame_Open, *lapisv1.CallFrame_Fence:
+		if accept == nil {
+			return result.Errorf(result.ProtocolUnexpected, "frame %T on the calling side", body)
+		}
+		return accept(frame)
+	}
+	stream := s.find(frame.GetCall())
+	if stream == nil {
+		// A late frame of a call that is over.
+		return nil
+	}
+	switch body := frame.GetBody().(type) {
+	case *lapisv1.CallFrame_Data:
+		return stream.receive(body.Data)
+	case *lapisv1.CallFrame_Credit:
+		stream.addCredit(body.Credit.GetBytes())
+	case *lapisv1.CallFrame_Reset_:
+		stream.fail(errorOf(body.Reset_))
+	case *lapisv1.CallFrame_Head:
+		select {
+		case stream.head <- body.Head:
+		default:
+			return result.Errorf(result.ProtocolUnexpected, "a second answer to call %d", frame.GetCall())
+		}
+	}
+	return nil
+}
+
+func (s *session) fenced(answer *lapisv1.CallFenced) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if waiting, ok := s.fences[answer.GetAttemptId()]; ok {
+		delete(s.fences, answer.GetAttemptId())
+		waiting <- answer
+	}
+}
+
+// fence asks the peer to make sure that an attempt does not start any more.
+func (s *session) fence(ctx context.Context, attempt string) (*lapisv1.CallFenced, error) {
+	waiting := make(chan *lapisv1.CallFenced, 1)
+	s.mutex.Lock()
+	s.fences[attempt] = waiting
+	s.mutex.Unlock()
+	if err := s.send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Fence{Fence: &lapisv1.CallFence{AttemptId: attempt}}}); err != nil {
+		return nil, err
+	}
+	select {
+	case answer := <-waiting:
+		return answer, nil
+	case <-s.closed:
+		return nil, result.Errorf(result.CallUnknownOutcome, "the connection was lost again")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// keepAlive sends empty frames so that silence means loss.
+func (s *session) keepAlive() {
+	ticker := time.NewTicker(keepAliveInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.closed:
+			return
+		case <-ticker.C:
+			_ = s.send(&lapisv1.CallFrame{})
+		}
+	}
+}
+
+// errorOf converts a reset into an error.
+func errorOf(reset *lapisv1.CallReset) error {
+	code := result.Code(reset.GetCode())
+	if code.NotRun() && !reset.GetNotRun() {
+		code = result.CallUnknownOutcome
+	}
+	converted := result.Errorf(code, "%s", reset.GetReason())
+	converted.RetryAfter = time.Duration(reset.GetRetryAfterMillis()) * time.Millisecond
+	return converted
+}
+
+// resetOf converts an error into a reset.
+func resetOf(id uint64, err error) *lapisv1.CallFrame {
+	code, ok := result.CodeOf(err)
+	if !ok {
+		code = result.CallUnknownOutcome
+	}
+	reset := &lapisv1.CallReset{Code: uint32(code), Reason: err.Error(), NotRun: code.NotRun()}
+	if coded, ok := err.(*result.Error); ok {
+		reset.Reason = coded.Detail
+		reset.RetryAfterMillis = uint32(coded.RetryAfter.Milliseconds())
+	}
+	return &lapisv1.CallFrame{Call: id, Body: &lapisv1.CallFrame_Reset_{Reset_: reset}}
+}
--- /dev/null
+++ b/internal/changelog/accept.go
@@ -0,0 +1,190 @@
+package changelog
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Bounds of an accept.
+const (
+	// maxAcceptAttempts bounds the compare-and-swap attempts of one accept.
+	maxAcceptAttempts = 50
+	// acceptBackoff is the longest wait between two attempts.
+	acceptBackoff = 100 * time.Millisecond
+)
+
+// Propose stores a proposal under its operation id. Storing the same content
+// again is no error. Errors: OperatorOperationReused when the id was used for
+// other content, OperatorOutcomeUnknown when the platform did not answer.
+func (l *Log) Propose(ctx context.Context, proposal *lapisv1.Proposal) error {
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(proposal)
+	if err != nil {
+		return result.Wrap(result.OperatorRequestMalformed, err, "encoding the proposal")
+	}
+	key := proposalKey(proposal.GetOperationId())
+	_, err = l.store.Put(ctx, key, encoded, platform.VersionAbsent)
+	if err == nil {
+		return nil
+	}
+	present, getErr := l.store.Get(ctx, key)
+	switch {
+	case getErr == nil && bytes.Equal(present.Value, encoded):
+		return nil
+	case getErr == nil:
+		return result.Errorf(result.OperatorOperationReused, "%s", proposal.GetOperationId())
+	case result.Is(err, result.PlatformUnavailable):
+		return result.Wrap(result.OperatorOutcomeUnknown, err, "storing proposal %s", proposal.GetOperationId())
+	default:
+		return err
+	}
+}
+
+// Proposal reads a stored proposal. Errors: OperatorUnknownProposal.
+func (l *Log) Proposal(ctx context.Context, operation string) (*lapisv1.Proposal, error) {
+	object, err := l.store.Get(ctx, proposalKey(operation))
+	if result.Is(err, result.PlatformNotFound) {
+		return nil, result.Errorf(result.OperatorUnknownProposal, "%s", operation)
+	}
+	if err != nil {
+		return nil, err
+	}
+	proposal := &lapisv1.Proposal{}
+	return proposal, result.Wrap(result.PlatformBadAnswer, proto.Unmarshal(object.Value, proposal), "decoding %s", object.Key)
+}
+
+// Proposals lists the stored proposals that were not accepted yet.
+func (l *Log) Proposals(ctx context.Context) ([]*lapisv1.Proposal, error) {
+	list, err := l.store.List(ctx, proposalPrefix, "", 0)
+	if err != nil {
+		return nil, err
+	}
+	state := l.State()
+	var open []*lapisv1.Proposal
+	for _, object := range list.Objects {
+		proposal := &lapisv1.Proposal{}
+		if err := proto.Unmarshal(object.Value, proposal); err != nil {
+			return nil, result.Wrap(result.PlatformBadAnswer, err, "decoding %s", object.Key)
+		}
+		if _, accepted := state.Operations[proposal.GetOperationId()]; !accepted {
+			open = append(open, proposal)
+		}
+	}
+	return open, nil
+}
+
+// Accept makes proposal the next revision and returns its number. The
+// proposal's operation id makes it take effect once, however often it is
+// called; an answer that the platform lost is settled by reading the register
+// again. Errors: OperatorConflict naming the other change, a *result.List of
+// validation faults, OperatorStaleProposal, OperatorOutcomeUnknown.
+func (l *Log) Accept(ctx context.Context, proposal *lapisv1.Proposal) (uint64, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	uncertain := false
+	var lastErr error
+	for attempt := 0; attempt < maxAcceptAttempts; attempt++ {
+		if attempt > 0 && !pause(ctx) {
+			break
+		}
+		number, written, err := l.acceptOnce(ctx, proposal)
+		if err == nil {
+			return number, nil
+		}
+		lastErr = err
+		uncertain = uncertain || written
+		if !retryable(err) {
+			return 0, err
+		}
+	}
+	if uncertain {
+		return 0, result.Wrap(result.OperatorOutcomeUnknown, lastErr, "accepting %s", proposal.GetOperationId())
+	}
+	return 0, lastErr
+}
+
+func retryable(err error) bool {
+	return result.Is(err, result.PlatformUnavailable) || result.Is(err, result.PlatformConflict)
+}
+
+func pause(ctx context.Context) bool {
+	select {
+	case <-time.After(time.Duration(rand.Int64N(int64(acceptBackoff)))):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// acceptOnce makes one attempt; written tells whether the register may have
+// been written although err is set.
+func (l *Log) acceptOnce(ctx context.Context, proposal *lapisv1.Proposal) (number uint64, written bool, err error) {
+	state, err := l.refreshLocked(ctx)
+	if err != nil {
+		return 0, false, err
+	}
+	if accepted, ok := state.Operations[proposal.GetOperationId()]; ok {
+		return accepted, false, nil
+	}
+	if conflict, ok := state.FindConflict(proposal); ok {
+		return 0, false, l.conflictError(ctx, conflict)
+	}
+	revision, next, err := state.Accept(proposal, l.now())
+	if err != nil {
+		return 0, false, err
+	}
+	if err := l.archiveHead(ctx); err != nil {
+		return 0, false, err
+	}
+	encoded, err := proto.Marshal(revision)
+	if err != nil {
+		return 0, false, result.Wrap(result.DistributionBadBundle, err, "encoding revision %d", revision.GetNumber())
+	}
+	version, err := l.store.Put(ctx, HeadKey, encoded, l.headVersion)
+	if err != nil {
+		return 0, true, err
+	}
+	l.state = next
+	l.head = revision
+	l.headVersion = version
+	return revision.GetNumber(), true, nil
+}
+
+// archiveHead stores the present head before it is replaced, so that the
+// archive has every revision below head.
+func (l *Log) archiveHead(ctx context.Context) error {
+	if l.head == nil {
+		return nil
+	}
+	encoded, err := proto.Marshal(l.head)
+	if err != nil {
+		return result.Wrap(result.DistributionBadBundle, err, "encoding revision %d", l.head.GetNumber())
+	}
+	_, err = l.store.Put(ctx, revisionKey(l.head.GetNumber()), encoded, platform.VersionAbsent)
+	if result.Is(err, result.PlatformConflict) {
+		return nil
+	}
+	return err
+}
+
+// conflictError names the accepted change that the proposal collides with.
+func (l *Log) conflictError(ctx context.Context, conflict meshconfig.Conflict) error {
+	other := l.head
+	if other.GetNumber() != conflict.Revision {
+		object, err := l.store.Get(ctx, revisionKey(conflict.Revision))
+		if err == nil {
+			other = &lapisv1.Revision{}
+			_ = proto.Unmarshal(object.Value, other)
+		}
+	}
+	return result.Errorf(result.OperatorConflict, "%s was changed by revision %d (operation %s by %s)",
+		conflict.Key, conflict.Revision, other.GetProposal().GetOperationId(), other.GetProposal().GetAuthor())
+}
--- /dev/null
+++ b/internal/changelog/log.go
@@ -0,0 +1,191 @@
+package changelog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// listPage bounds one list request for archived revisions.
+const listPage = 500
+
+// Log reads and extends the log of accepted configurations. It is safe for
+// concurrent use; it keeps the newest state it has read.
+type Log struct {
+	store platform.Store
+	now   func() time.Time
+
+	// mutex protects the cache. The cached revision never decreases.
+	mutex       sync.Mutex
+	state       *meshconfig.State
+	head        *lapisv1.Revision
+	headVersion int64
+}
+
+// New returns a log over store; now gives the time written into revisions.
+func New(store platform.Store, now func() time.Time) *Log {
+	return &Log{store: store, now: now, state: meshconfig.NewState()}
+}
+
+// State returns the newest state read so far without any request.
+func (l *Log) State() *meshconfig.State {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.state
+}
+
+// Refresh reads the accept register and returns the state that was in it at
+// some moment after the call began.
+func (l *Log) Refresh(ctx context.Context) (*meshconfig.State, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.refreshLocked(ctx)
+}
+
+func (l *Log) refreshLocked(ctx context.Context) (*meshconfig.State, error) {
+	object, err := l.store.Get(ctx, HeadKey)
+	if result.Is(err, result.PlatformNotFound) {
+		if l.state.Revision > 0 {
+			return nil, result.Errorf(result.PlatformBadAnswer, "the accept register vanished at revision %d", l.state.Revision)
+		}
+		return l.state, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return l.adoptHead(ctx, object)
+}
+
+// Observe takes in a watch event of the accept register and returns the newest
+// state. Events may come late, twice or crossed.
+func (l *Log) Observe(ctx context.Context, object platform.Object) (*meshconfig.State, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.adoptHead(ctx, object)
+}
+
+// adoptHead moves the cache to the revision in object; older ones are ignored.
+func (l *Log) adoptHead(ctx context.Context, object platform.Object) (*meshconfig.State, error) {
+	head := &lapisv1.Revision{}
+	if err := proto.Unmarshal(object.Value, head); err != nil {
+		return nil, result.Wrap(result.PlatformBadAnswer, err, "decoding the accept register")
+	}
+	if head.GetNumber() <= l.state.Revision {
+		if head.GetNumber() == l.state.Revision {
+			l.head = head
+			l.headVersion = object.Version
+		}
+		return l.state, nil
+	}
+	state, err := l.catchUp(ctx, l.state, head)
+	if err != nil {
+		return nil, err
+	}
+	l.state = state
+	l.head = head
+	l.headVersion = object.Version
+	return state, nil
+}
+
+// catchUp advances state to head by archived revisions, starting from a stored
+// snapshot when the archive no longer reaches back to state.
+func (l *Log) catchUp(ctx context.Context, state *meshconfig.State, head *lapisv1.Revision) (*meshconfig.State, error) {
+	if head.GetNumber() == state.Revision+1 {
+		return state.Advance(head)
+	}
+	caught, err := l.replay(ctx, state, head.GetNumber())
+	if result.Is(err, result.DistributionWrongBase) {
+		state, err = l.loadSnapshot(ctx)
+		if err != nil {
+			return nil, err
+		}
+		caught, err = l.replay(ctx, state, head.GetNumber())
+	}
+	if err != nil || caught.Revision >= head.GetNumber() {
+		return caught, err
+	}
+	return caught.Advance(head)
+}
+
+// replay applies archived revisions after state and below limit. It returns
+// DistributionWrongBase when the archive has a gap.
+func (l *Log) replay(ctx context.Context, state *meshconfig.State, limit uint64) (*meshconfig.State, error) {
+	for state.Revision+1 < limit {
+		list, err := l.store.List(ctx, revisionPrefix, revisionKey(state.Revision+1), listPage)
+		if err != nil {
+			return nil, err
+		}
+		reached, err := advanceAll(state, list.Objects, limit)
+		if err != nil {
+			return nil, err
+		}
+		if reached.Revision == state.Revision {
+			return nil, result.Errorf(result.DistributionWrongBase, "revision %d is not archived", state.Revision+1)
+		}
+		state = reached
+	}
+	return state, nil
+}
+
+func advanceAll(state *meshconfig.State, objects []platform.Object, limit uint64) (*meshconfig.State, error) {
+	for _, object := range objects {
+		revision := &lapisv1.Revision{}
+		if err := proto.Unmarshal(object.Value, revision); err != nil {
+			return nil, result.Wrap(result.PlatformBadAnswer, err, "decoding %s", object.Key)
+		}
+		if revision.GetNumber() >= limit {
+			return state, nil
+		}
+		next, err := state.Advance(revision)
+		if err != nil {
+			return nil, err
+		}
+		state = next
+	}
+	return state, nil
+}
+
+// loadSnapshot reads the newest stored snapshot, the empty state when there is
+// none.
+func (l *Log) loadSnapshot(ctx context.Context) (*meshconfig.State, error) {
+	list, err := l.store.List(ctx, snapshotPrefix, "", 0)
+	if err != nil {
+		return nil, err
+	}
+	if len(list.Objects) == 0 {
+		return meshconfig.NewState(), nil
+	}
+	newest := list.Objects[len(list.Objects)-1]
+	stored := &lapisv1.StoredSnapshot{}
+	if err := proto.Unmarshal(newest.Value, stored); err != nil {
+		return nil, result.Wrap(result.PlatformBadAnswer, err, "decoding %s", newest.Key)
+	}
+	return meshconfig.FromStored(stored)
+}
+
+// Revision reads one accepted revision. Errors: OperatorUnknownRevision when it
+// does not exist or is no longer kept.
+func (l *Log) Revision(ctx context.Context, number uint64) (*lapisv1.Revision, error) {
+	l.mutex.Lock()
+	head := l.head
+	l.mutex.Unlock()
+	if head.GetNumber() == number && number > 0 {
+		return head, nil
+	}
+	object, err := l.store.Get(ctx, revisionKey(number))
+	if result.Is(err, result.PlatformNotFound) {
+		return nil, result.Errorf(result.OperatorUnknownRevision, "revision %d", number)
+	}
+	if err != nil {
+		return nil, err
+	}
+	revision := &lapisv1.Revision{}
+	return revision, result.Wrap(result.PlatformBadAnswer, proto.Unmarshal(object.Value, revision), "decoding %s", object.Key)
+}
--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,182 @@
+// Package ctl is the operators' client: it runs commands of the query language
+// against a daemon and prints the answers.
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/opapi"
+	"github.com/lapisvane/lapisvane/internal/query"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Times of the client.
+const (
+	requestTimeout = 30 * time.Second
+	defaultWait    = 30 * time.Second
+	// attempts bounds how often a change is sent whose answer was lost; its
+	// operation id makes it take effect once.
+	attempts = 3
+)
+
+// Client talks to the operators' interface of one daemon.
+type Client struct {
+	Address string
+	Token   string
+	HTTP    *http.Client
+}
+
+// NewClient returns a client of the daemon at address.
+func NewClient(address, token string) *Client {
+	return &Client{Address: address, Token: token, HTTP: &http.Client{}}
+}
+
+// Run carries out one command. file reads a proposal file.
+func (c *Client) Run(ctx context.Context, command *query.Command) (*opapi.Table, error) {
+	switch {
+	case command.Show != nil:
+		return c.show(ctx, command.Show)
+	case command.Propose != nil:
+		return c.propose(ctx, opapi.PathPropose, command.Propose.Path)
+	case command.Validate != nil:
+		return c.propose(ctx, opapi.PathValidate, command.Validate.Path)
+	case command.Diff != nil:
+		return c.diff(ctx, command.Diff)
+	case command.Accept != nil:
+		return c.change(ctx, opapi.PathAccept, opapi.AcceptRequest{Proposal: command.Accept.Proposal})
+	case command.Backend != nil:
+		return c.change(ctx, opapi.PathBackend, opapi.BackendRequest{
+			OperationID: newOperationID(), Action: opapi.Action(command.Backend.Action), Backend: command.Backend.Backend,
+		})
+	case command.Wait != nil:
+		return c.wait(ctx, command.Wait)
+	default:
+		return &opapi.Table{Notes: []string{query.HelpText}}, nil
+	}
+}
+
+// newOperationID returns an identifier for one intent of the operator.
+func newOperationID() string { return "p-" + rand.Text()[:12] }
+
+func (c *Client) show(ctx context.Context, show *query.Show) (*opapi.Table, error) {
+	table := &opapi.Table{}
+	if err := c.exchange(ctx, http.MethodGet, opapi.PathShow, url.Values{"what": {show.Kind}}, nil, table); err != nil {
+		return nil, err
+	}
+	return query.Filter(table, show.Conditions)
+}
+
+func (c *Client) diff(ctx context.Context, diff *query.Diff) (*opapi.Table, error) {
+	values := url.Values{"from": {strconv.FormatUint(diff.From, 10)}, "to": {strconv.FormatUint(diff.To, 10)}}
+	table := &opapi.Table{}
+	return table, c.exchange(ctx, http.MethodGet, opapi.PathDiff, values, nil, table)
+}
+
+func (c *Client) wait(ctx context.Context, wait *query.WaitFor) (*opapi.Table, error) {
+	limit := defaultWait
+	if wait.Limit != "" {
+		parsed, err := time.ParseDuration(wait.Limit)
+		if err != nil {
+			return nil, result.Wrap(result.OperatorBadCommand, err, "the duration")
+		}
+		limit = parsed
+	}
+	values := url.Values{"revision": {strconv.FormatUint(wait.Revision, 10)}, "timeout": {limit.String()}}
+	ctx, cancel := context.WithTimeout(ctx, limit+requestTimeout)
+	defer cancel()
+	table := &opapi.Table{}
+	return table, c.exchange(ctx, http.MethodGet, opapi.PathWait, values, nil, table)
+}
+
+func (c *Client) propose(ctx context.Context, path, file string) (*opapi.Table, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil, result.Wrap(result.ConfigUnreadable, err, "reading the proposal")
+	}
+	answer := &opapi.ProposeAnswer{}
+	request := opapi.ProposeRequest{OperationID: newOperationID(), File: string(content)}
+	if path == opapi.PathValidate {
+		request.OperationID = ""
+	}
+	if err := c.repeat(ctx, path, request, answer); err != nil {
+		return nil, err
+	}
+	return &opapi.Table{
+		Columns: []opapi.Column{{Name: "proposal"}, {Name: "base_revision", Numeric: true}, {Name: "changes", Numeric: true}},
+		Rows:    [][]string{{answer.Proposal, strconv.FormatUint(answer.BaseRevision, 10), strconv.Itoa(answer.Changes)}},
+	}, nil
+}
+
+func (c *Client) change(ctx context.Context, path string, request any) (*opapi.Table, error) {
+	answer := &opapi.AcceptAnswer{}
+	if err := c.repeat(ctx, path, request, answer); err != nil {
+		return nil, err
+	}
+	return &opapi.Table{
+		Columns: []opapi.Column{{Name: "revision", Numeric: true}},
+		Rows:    [][]string{{strconv.FormatUint(answer.Revision, 10)}},
+	}, nil
+}
+
+// repeat sends a change again while its outcome is unknown.
+func (c *Client) repeat(ctx context.Context, path string, request, answer any) error {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return result.Wrap(result.OperatorRequestMalformed, err, "encoding the request")
+	}
+	for attempt := 1; ; attempt++ {
+		err = c.exchange(ctx, http.MethodPost, path, nil, body, answer)
+		unknown := result.Is(err, result.OperatorOutcomeUnknown) || result.Is(err, result.PlatformUnavailable)
+		if !unknown || attempt == attempts || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// exchange sends one request. A failure answer becomes a *result.List.
+func (c *Client) exchange(ctx context.Context, method, path string, values url.Values, body []byte, answer any) error {
+	if _, bounded := ctx.Deadline(); !bounded {
+		bound, cancel := context.WithTimeout(ctx, requestTimeout)
+		defer cancel()
+		ctx = bound
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path+"?"+values.Encode(), bytes.NewReader(body))
+	if err != nil {
+		return result.Wrap(result.OperatorRequestMalformed, err, "building the request")
+	}
+	request.Header.Set("Authorization", "Bearer "+c.Token)
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return result.Wrap(result.OperatorOutcomeUnknown, err, "no answer from %s", c.Address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	if err != nil {
+		return result.Wrap(result.OperatorOutcomeUnknown, err, "reading the answer of %s", c.Address)
+	}
+	if response.StatusCode == http.StatusOK {
+		return result.Wrap(result.OperatorRequestMalformed, json.Unmarshal(content, answer), "decoding the answer")
+	}
+	return failureOf(response.StatusCode, content)
+}
+
+func failureOf(status int, content []byte) error {
+	var failure opapi.Failure
+	if json.Unmarshal(content, &failure) != nil || len(failure.Faults) == 0 {
+		return result.Errorf(result.OperatorRequestMalformed, "the daemon answered status %d", status)
+	}
+	faults := &result.List{}
+	for _, fault := range failure.Faults {
+		faults.Add(result.Code(fault.Code), "%s", fault.Detail)
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,344 @@
+// Package daemon puts the parts of lapisvaned together: its place in the
+// distribution, the request path, the operators' interface and the metrics.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/balance"
+	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/gateway"
+	"github.com/lapisvane/lapisvane/internal/holdings"
+	"github.com/lapisvane/lapisvane/internal/metrics"
+	"github.com/lapisvane/lapisvane/internal/operator"
+	"github.com/lapisvane/lapisvane/internal/origin"
+	"github.com/lapisvane/lapisvane/internal/peer"
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/settings"
+	"github.com/lapisvane/lapisvane/internal/snapshot"
+	"github.com/lapisvane/lapisvane/internal/tlssetup"
+	"github.com/lapisvane/lapisvane/internal/tree"
+	"github.com/lapisvane/lapisvane/internal/wire"
+)
+
+// Times of the daemon.
+const (
+	// leaveNotice is how long a stopping daemon goes on answering new calls
+	// with a refusal, while the news of its leaving spreads.
+	leaveNotice      = 500 * time.Millisecond
+	inFlightPoll     = 20 * time.Millisecond
+	idleLinkLifetime = time.Minute
+)
+
+// Daemon is one running lapisvaned.
+type Daemon struct {
+	settings *settings.Daemon
+	logger   logr.Logger
+	registry *prometheus.Registry
+	counters *wire.Counters
+	// callCounters count the calls' traffic apart from that of control.
+	callCounters *wire.Counters
+	network      wire.Network
+	store        *platform.Client
+	snapshots    *snapshot.Store
+	balancer     *balance.Balancer
+	origin       *origin.Origin
+	calls        *callmux.Client
+	gateway      *gateway.Gateway
+	node         *tree.Node
+	incarnation  uint64
+
+	listeners listeners
+	running   sync.WaitGroup
+}
+
+// listeners are the open listening sockets; those not configured are nil.
+type listeners struct {
+	peer, caller, callerTLS, operator, metrics net.Listener
+}
+
+// Options are what a Daemon needs besides its settings.
+type Options struct {
+	Logger logr.Logger
+	// Network overrides the network between daemons; nil for the settings'.
+	Network wire.Network
+	// PlatformDial overrides how the platform is dialed; nil for plain TCP.
+	PlatformDial platform.DialFunc
+}
+
+// New prepares a daemon and opens its listeners. Errors name the setting.
+func New(config *settings.Daemon, options Options) (*Daemon, error) {
+	network := options.Network
+	if network == nil {
+		var err error
+		network, err = tlssetup.Network(config.PeerTLS.Certificate, config.PeerTLS.Key, config.PeerTLS.Authority)
+		if err != nil {
+			return nil, err
+		}
+	}
+	d := &Daemon{
+		settings: config, logger: options.Logger.WithValues("node", config.Node),
+		registry: prometheus.NewRegistry(), counters: &wire.Counters{}, callCounters: &wire.Counters{},
+		network: network, snapshots: &snapshot.Store{},
+		store:       platform.NewClient(config.Platform.Addresses, config.Platform.Token, options.PlatformDial),
+		balancer:    balance.New(config.Node, config.Zone, time.Now),
+		incarnation: uint64(time.Now().UnixNano()),
+	}
+	if err := d.listen(); err != nil {
+		d.listeners.close()
+		return nil, err
+	}
+	d.buildRequestPath()
+	d.buildNode()
+	metrics.Register(d.registry, metrics.Sources{
+		Node: d.node, Counters: d.counters, CallCounters: d.callCounters,
+		Store: d.store, Origin: d.origin, Calls: d.calls,
+	})
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.listeners.peer, err = d.network.Listen(d.settings.PeerAddress); err != nil {
+		return err
+	}
+	plain := []struct {
+		key, address string
+		listener     *net.Listener
+	}{
+		{"caller_address", d.settings.CallerAddress, &d.listeners.caller},
+		{"caller_tls_address", d.settings.CallerTLSAddress, &d.listeners.callerTLS},
+		{"operator_address", d.settings.OperatorAddress, &d.listeners.operator},
+		{"metrics_address", d.settings.MetricsAddress, &d.listeners.metrics},
+	}
+	for _, entry := range plain {
+		if entry.address == "" {
+			continue
+		}
+		if *entry.listener, err = net.Listen("tcp", entry.address); err != nil {
+			return result.Wrap(result.SettingsBadAddress, err, "%s", entry.key)
+		}
+	}
+	return nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.peer, l.caller, l.callerTLS, l.operator, l.metrics} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+func (d *Daemon) buildRequestPath() {
+	backends := make([]origin.BackendConfig, 0, len(d.settings.Backends))
+	for _, backend := range d.settings.Backends {
+		backends = append(backends, origin.BackendConfig{Service: backend.Service, Instance: backend.Instance, Address: backend.Address})
+	}
+	d.origin = origin.New(origin.Config{
+		Incarnation: d.incarnation, Backends: backends,
+		QueueLength: d.settings.Calls.QueueLength, QueueTime: d.settings.Calls.QueueTime.Get(),
+		Changed: d.announce,
+	})
+	d.calls = &callmux.Client{
+		Network: d.network, Counters: d.callCounters,
+		Hello: &lapisv1.Hello{
+			ProtocolVersion: wire.ProtocolVersion, Purpose: lapisv1.Hello_PURPOSE_CALLS,
+			Node: d.settings.Node, Incarnation: d.incarnation, Zone: d.settings.Zone, Region: d.settings.Region,
+		},
+	}
+	d.gateway = gateway.New(gateway.Config{
+		Node: d.settings.Node, Incarnation: d.incarnation, Snapshots: d.snapshots, Balancer: d.balancer,
+		Local: d.origin, Remote: d.calls, DefaultDeadline: d.settings.Calls.DefaultDeadline.Get(),
+		Logger: d.logger, Registry: d.registry,
+	})
+}
+
+func (d *Daemon) buildNode() {
+	services := append([]string(nil), d.settings.Services...)
+	for _, backend := range d.settings.Backends {
+		services = append(services, backend.Service)
+	}
+	d.node = tree.New(tree.Config{
+		Node: d.settings.Node, Incarnation: d.incarnation, Zone: d.settings.Zone, Region: d.settings.Region,
+		Address: d.listeners.peer.Addr().String(), Seeds: d.settings.Seeds,
+		Interest: holdings.NewInterest(services...), Tunables: d.settings.Tunables(),
+		Network: d.network, Store: d.store, Counters: d.counters,
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Logger: d.logger, Observer: d, NoSeat: d.settings.NoSeat,
+	})
+}
+
+// announce tells the distribution about the instances beside the daemon.
+func (d *Daemon) announce() { d.node.SetLocalEndpoints(d.origin.Advertised()) }
+
+// Apply implements tree.Observer.
+func (d *Daemon) Apply(applied tree.Applied) {
+	if err := d.snapshots.Replace(applied.Revision, applied.AcceptedUnixMillis, applied.Bundles); err != nil {
+		d.logger.Error(err, "snapshot.refused", "revision", applied.Revision)
+		return
+	}
+	d.origin.Configure(d.snapshots.Current())
+	d.logger.V(1).Info("snapshot.in_force", "revision", applied.Revision, "services", len(applied.Bundles))
+}
+
+// Endpoints implements tree.Observer.
+func (d *Daemon) Endpoints(service string, endpoints []*lapisv1.Endpoint) {
+	d.balancer.Update(service, endpoints)
+	d.origin.FollowMachineList(service, endpoints, d.settings.Node)
+}
+
+// Addresses returns where the daemon listens, which matters when a port was
+// chosen by the system.
+type Addresses struct {
+	Peer, Caller, CallerTLS, Operator, Metrics string
+}
+
+// Addresses returns where the daemon listens.
+func (d *Daemon) Addresses() Addresses {
+	address := func(listener net.Listener) string {
+		if listener == nil {
+			return ""
+		}
+		return listener.Addr().String()
+	}
+	return Addresses{
+		Peer: address(d.listeners.peer), Caller: address(d.listeners.caller), CallerTLS: address(d.listeners.callerTLS),
+		Operator: address(d.listeners.operator), Metrics: address(d.listeners.metrics),
+	}
+}
+
+// Info returns the condition of the daemon's part in the distribution.
+func (d *Daemon) Info() tree.Info { return d.node.Info() }
+
+// Counters returns the control traffic.
+func (d *Daemon) Counters() *wire.Counters { return d.counters }
+
+// Run serves until stop is closed, then stops as planned: it refuses new work,
+// lets the calls in flight finish, and hands its children over. Closing force,
+// or the end of StopLimit, cuts what is still in flight. It returns the number
+// of calls that were cut.
+func (d *Daemon) Run(stop, force <-chan struct{}) (cut int64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.start(ctx)
+	d.logger.Info("daemon.started", "zone", d.settings.Zone, "peer", d.Addresses().Peer, "caller", d.Addresses().Caller)
+	select {
+	case <-stop:
+	case <-force:
+	}
+	d.logger.Info("daemon.stopping", "in_flight", d.inFlight())
+	cut = d.drain(force)
+	cancel()
+	d.listeners.close()
+	d.calls.Close()
+	d.gateway.Cut()
+	d.running.Wait()
+	d.store.Close()
+	d.logger.Info("daemon.stopped", "cut", cut)
+	return cut
+}
+
+func (d *Daemon) start(ctx context.Context) {
+	server := &peer.Server{Node: d.settings.Node, Logger: d.logger, Counters: d.counters, Handlers: d.handlers()}
+	d.running.Go(func() { server.Serve(ctx, d.listeners.peer) })
+	d.running.Go(func() { d.node.Run(ctx) })
+	d.running.Go(func() { d.origin.Run(ctx) })
+	d.running.Go(func() { d.closeIdleLinks(ctx) })
+	if d.listeners.caller != nil {
+		d.running.Go(func() { d.gateway.Serve(ctx, d.listeners.caller, nil) })
+	}
+	if d.listeners.callerTLS != nil {
+		d.running.Go(func() { d.gateway.Serve(ctx, d.listeners.callerTLS, d.gateway.TLSConfig()) })
+	}
+	if d.listeners.operator != nil {
+		api := operator.New(operator.Config{Store: d.store, Logger: d.logger, Endpoints: d.node})
+		d.running.Go(func() { api.Serve(ctx, d.listeners.operator) })
+	}
+	if d.listeners.metrics != nil {
+		d.running.Go(func() { metrics.Serve(ctx, d.listeners.metrics, d.registry) })
+	}
+}
+
+func (d *Daemon) handlers() map[lapisv1.Hello_Purpose]peer.Handler {
+	calls := &callmux.Server{Node: d.settings.Node, Incarnation: d.incarnation, Origin: d.origin, Counters: d.callCounters}
+	return map[lapisv1.Hello_Purpose]peer.Handler{
+		lapisv1.Hello_PURPOSE_CHILD:  d.node.ServeChild,
+		lapisv1.Hello_PURPOSE_READER: d.node.ServeReader,
+		lapisv1.Hello_PURPOSE_CALLS:  calls.Serve,
+	}
+}
+
+func (d *Daemon) closeIdleLinks(ctx context.Context) {
+	ticker := time.NewTicker(idleLinkLifetime / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.calls.CloseIdle(now.Add(-idleLinkLifetime))
+		}
+	}
+}
+
+func (d *Daemon) inFlight() int64 {
+	return d.gateway.InFlight() + int64(d.origin.InFlight())
+}
+
+// drain refuses new work and waits until nothing is in flight. It returns what
+// was still in flight when force or the limit ended the wait.
+func (d *Daemon) drain(force <-chan struct{}) (cut int64) {
+	d.gateway.Stop()
+	d.origin.Stop()
+	d.announce()
+	d.node.Leave()
+	limit := time.NewTimer(d.settings.StopLimit.Get())
+	defer limit.Stop()
+	notice := time.NewTimer(leaveNotice)
+	defer notice.Stop()
+	noticed := false
+	poll := time.NewTicker(inFlightPoll)
+	defer poll.Stop()
+	for {
+		select {
+		case <-force:
+			return d.reportCut("a second signal")
+		case <-limit.C:
+			return d.reportCut(fmt.Sprintf("stop_limit %s", d.settings.StopLimit.Get()))
+		case <-notice.C:
+			noticed = true
+		case <-poll.C:
+			if noticed && d.inFlight() == 0 {
+				return 0
+			}
+		}
+	}
+}
+
+func (d *Daemon) reportCut(cause string) int64 {
+	cut := d.inFlight()
+	d.logger.Info("daemon.calls_cut", "calls", cut, "cause", cause)
+	return cut
+}
+
+// ReadyEndpoints returns the number of ready instances of a service that the
+// daemon knows.
+func (d *Daemon) ReadyEndpoints(service string) int {
+	ready := 0
+	for _, endpoint := range d.node.Endpoints(service) {
+		if endpoint.GetState() == lapisv1.Endpoint_STATE_READY {
+			ready++
+		}
+	}
+	return ready
+}
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"io"
+	"os"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/lapisvane/lapisvane/internal/cli"
+	"github.com/lapisvane/lapisvane/internal/logging"
+	"github.com/lapisvane/lapisvane/internal/settings"
+)
+
+// flagsOfDaemon are the command line options; they win over the file.
+type flagsOfDaemon struct {
+	Settings         string   `short:"s" long:"settings" description:"settings file (YAML)"`
+	Node             string   `long:"node" description:"the machine's stable name"`
+	Zone             string   `long:"zone" description:"the machine's zone"`
+	Region           string   `long:"region" description:"the machine's region"`
+	PeerAddress      string   `long:"peer-address" description:"IP:port where other daemons connect"`
+	CallerAddress    string   `long:"caller-address" description:"IP:port where callers connect over HTTP"`
+	CallerTLSAddress string   `long:"caller-tls-address" description:"IP:port where callers connect over HTTPS"`
+	OperatorAddress  string   `long:"operator-address" description:"IP:port where lapisctl connects"`
+	MetricsAddress   string   `long:"metrics-address" description:"IP:port of the Prometheus endpoint"`
+	Platform         []string `long:"platform" description:"IP:port of the platform; may be given several times"`
+	Seeds            []string `long:"seed" description:"peer address of another daemon; may be given several times"`
+	Services         []string `long:"service" description:"service that callers here use, '*' for all; may be given several times"`
+	Profile          string   `long:"profile" description:"tunables of distribution" choice:"convergence" choice:"bytes"`
+	Verbosity        *int     `short:"v" long:"verbosity" description:"0 events, 1 debugging"`
+	CheckOnly        bool     `long:"check" description:"check the settings and exit"`
+}
+
+// apply puts the given flags over the settings.
+func (f *flagsOfDaemon) apply(target *settings.Daemon) {
+	texts := []struct {
+		value string
+		field *string
+	}{
+		{f.Node, &target.Node}, {f.Zone, &target.Zone}, {f.Region, &target.Region},
+		{f.PeerAddress, &target.PeerAddress}, {f.CallerAddress, &target.CallerAddress},
+		{f.CallerTLSAddress, &target.CallerTLSAddress}, {f.OperatorAddress, &target.OperatorAddress},
+		{f.MetricsAddress, &target.MetricsAddress}, {f.Profile, &target.Profile},
+	}
+	for _, text := range texts {
+		if text.value != "" {
+			*text.field = text.value
+		}
+	}
+	lists := []struct {
+		values []string
+		field  *[]string
+	}{{f.Platform, &target.Platform.Addresses}, {f.Seeds, &target.Seeds}, {f.Services, &target.Services}}
+	for _, list := range lists {
+		if len(list.values) > 0 {
+			*list.field = list.values
+		}
+	}
+	if f.Verbosity != nil {
+		target.Verbosity = *f.Verbosity
+	}
+}
+
+// Main runs the program and returns its exit code: 0 after a planned stop that
+// cut nothing, 1 when calls were cut, 2 when the settings cannot be used.
+func Main(arguments []string) int {
+	options := &flagsOfDaemon{}
+	parser := flags.NewNamedParser("lapisvaned", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "The daemon beside back ends and callers: proxy on the request path, and relay or reader in the distribution of configuration. Flags win over the settings file. SIGTERM stops as planned; a second one cuts what is in flight."
+	if _, err := parser.AddGroup("Options", "", options); err != nil {
+		return cli.Fail(os.Stderr, err, cli.ExitUsage)
+	}
+	if _, code, done := cli.Parse(parser, arguments); done {
+		return code
+	}
+	config, err := settings.ReadDaemon(options.Settings, options.apply)
+	if err != nil {
+		return cli.Fail(os.Stderr, err, cli.ExitUsage)
+	}
+	if options.CheckOnly {
+		return cli.ExitOK
+	}
+	QuietHTTPLibrary()
+	running, err := New(config, Options{Logger: logging.New(os.Stderr, config.Verbosity)})
+	if err != nil {
+		return cli.Fail(os.Stderr, err, cli.ExitUsage)
+	}
+	if cut := running.Run(cli.Signals()); cut > 0 {
+		return cli.ExitFailed
+	}
+	return cli.ExitOK
+}
+
+// QuietHTTPLibrary keeps the HTTP library from writing log lines of its own
+// form; what matters of them is counted and logged as events.
+func QuietHTTPLibrary() { hlog.SetOutput(io.Discard) }
--- /dev/null
+++ b/internal/floor/broker.go
@@ -0,0 +1,93 @@
+// Package floor decides which revision a starting daemon may apply at the
+// least. Machines keep nothing, so a daemon that was replaced cannot know what
+// it had in force before; it asks for a floor: a revision not older than any
+// accepted before the question. A reader answers from the accept register; one
+// read answers all questions that came before it began.
+package floor
+
+import "github.com/lapisvane/lapisvane/api/lapisv1"
+
+// Waiter receives one answer.
+type Waiter func(*lapisv1.FloorReply)
+
+// Broker merges floor requests so that at most one is under way. It is not
+// safe for concurrent use. The caller starts a read whenever Ask or Answer
+// returns true, and reports the outcome with Answer.
+type Broker struct {
+	// waiting came after the read under way began and must not be answered
+	// by it.
+	waiting []Waiter
+	// reading is answered by the read under way.
+	reading []Waiter
+	busy    bool
+}
+
+// Ask adds a waiter and reports whether a read must be started.
+func (b *Broker) Ask(waiter Waiter) (start bool) {
+	b.waiting = append(b.waiting, waiter)
+	return b.begin()
+}
+
+// Answer gives reply to all whose question came before the read began, and
+// reports whether another read must be started.
+func (b *Broker) Answer(reply *lapisv1.FloorReply) (start bool) {
+	answered := b.reading
+	b.reading = nil
+	b.busy = false
+	for _, waiter := range answered {
+		waiter(reply)
+	}
+	return b.begin()
+}
+
+// Abort puts the waiters of the read under way back, because its outcome will
+// not come, and reports whether another read must be started.
+func (b *Broker) Abort() (start bool) {
+	b.waiting = append(b.reading, b.waiting...)
+	b.reading = nil
+	b.busy = false
+	return b.begin()
+}
+
+// Pending reports whether a read is wanted or under way.
+func (b *Broker) Pending() bool { return b.busy }
+
+func (b *Broker) begin() bool {
+	if b.busy || len(b.waiting) == 0 {
+		return false
+	}
+	b.busy = true
+	b.reading = b.waiting
+	b.waiting = nil
+	return true
+}
+
+// ReaderView is what a reader knows when the accept register cannot be read.
+type ReaderView struct {
+	// Head is the reader's own newest revision.
+	Head uint64
+	// SubtreeHighest is the highest revision reported from below.
+	SubtreeHighest uint64
+	// PeerHeads are the newest revisions of the other readers in contact.
+	PeerHeads []uint64
+	// KnownReaders is the number of readers last seen in the seats, this one
+	// included.
+	KnownReaders int
+}
+
+// DuringOutage decides the floor while the accept register cannot be read:
+// nothing can be accepted then, and every revision that any daemon has in
+// force came through a reader, so the highest revision among a majority of the
+// readers and all that hang below them is a floor. Without a majority nobody
+// vouches.
+func DuringOutage(view ReaderView) *lapisv1.FloorReply {
+	inContact := 1 + len(view.PeerHeads)
+	if 2*inContact <= view.KnownReaders {
+		return &lapisv1.FloorReply{Unavailable: true}
+	}
+	highest := max(view.Head, view.SubtreeHighest)
+	for _, head := range view.PeerHeads {
+		highest = max(highest, head)
+	}
+	return &lapisv1.FloorReply{Revision: highest, Authority: lapisv1.FloorReply_AUTHORITY_READERS}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,316 @@
+package gateway
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/balance"
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/snapshot"
+)
+
+// Bounds of the callers' side.
+const (
+	maxHeaderBytes = 64 << 10
+	callerIdle     = 75 * time.Second
+	headerTimeout  = 30 * time.Second
+	// lingerTime is how long what a caller still sends is read after an early
+	// answer.
+	lingerTime = time.Second
+)
+
+// Config configures a Gateway.
+type Config struct {
+	Node        string
+	Incarnation uint64
+	Snapshots   *snapshot.Store
+	Balancer    *balance.Balancer
+	// Local serves calls for instances beside this daemon.
+	Local  callapi.Handler
+	Remote Remote
+	// DefaultDeadline bounds calls whose route names none.
+	DefaultDeadline time.Duration
+	Logger          logr.Logger
+	Registry        prometheus.Registerer
+}
+
+// Gateway serves callers. Create it with New, serve with Serve.
+type Gateway struct {
+	config        Config
+	balancer      *balance.Balancer
+	budget        *retryBudget
+	metrics       gatewayMetrics
+	attemptPrefix string
+	attempts      atomic.Uint64
+
+	// inFlight counts the calls in flight.
+	inFlight atomic.Int64
+	stopping atomic.Bool
+	// force is cancelled to cut the calls in flight.
+	force    context.Context
+	forceAll context.CancelFunc
+}
+
+type gatewayMetrics struct {
+	calls   *prometheus.CounterVec
+	retries prometheus.Counter
+	latency prometheus.Histogram
+}
+
+// New returns a gateway.
+func New(config Config) *Gateway {
+	gateway := &Gateway{
+		config: config, balancer: config.Balancer, budget: newRetryBudget(),
+		attemptPrefix: fmt.Sprintf("%s/%x/", config.Node, config.Incarnation),
+		metrics: gatewayMetrics{
+			calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+				Name: "lapisvane_calls_total", Help: "Calls by route and numbered result.",
+			}, []string{"route", "result"}),
+			retries: prometheus.NewCounter(prometheus.CounterOpts{
+				Name: "lapisvane_call_retries_total", Help: "Attempts after the first of a call.",
+			}),
+			latency: prometheus.NewHistogram(prometheus.HistogramOpts{
+				Name: "lapisvane_call_seconds", Help: "Time from a request's head to its answer's head.",
+				Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+			}),
+		},
+	}
+	gateway.force, gateway.forceAll = context.WithCancel(context.Background())
+	if config.Registry != nil {
+		config.Registry.MustRegister(gateway.metrics.calls, gateway.metrics.retries, gateway.metrics.latency)
+	}
+	return gateway
+}
+
+// connKey is the context key under which a request's connection is found.
+type connKey struct{}
+
+// Serve serves callers on listener until ctx ends; with a TLS configuration it
+// speaks HTTPS. It returns when the listener is closed; calls in flight go on.
+func (g *Gateway) Serve(ctx context.Context, listener net.Listener, tlsConfig *tls.Config) {
+	options := []config.Option{
+		server.WithListener(callerListener{listener}),
+		server.WithTransport(standard.NewTransporter),
+		server.WithStreamBody(true),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithMaxRequestBodySize(1 << 30),
+		server.WithIdleTimeout(callerIdle),
+		server.WithReadTimeout(headerTimeout),
+		server.WithDisablePrintRoute(true),
+		server.WithDisableDefaultDate(true),
+		server.WithDisableDefaultContentType(true),
+		server.WithHandleMethodNotAllowed(false),
+		server.WithRedirectTrailingSlash(false),
+		server.WithExitWaitTime(0),
+		server.WithOnAccept(func(conn net.Conn) context.Context {
+			return context.WithValue(context.Background(), connKey{}, conn)
+		}),
+		{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
+	}
+	if tlsConfig != nil {
+		options = append(options, server.WithTLS(tlsConfig))
+	}
+	engine := server.New(options...)
+	engine.NoRoute(g.serve)
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	_ = engine.Run()
+}
+
+// TLSConfig returns the configuration towards callers: each handshake uses the
+// key pair in force at that moment, so that rotation cuts no connection.
+func (g *Gateway) TLSConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		NextProtos: []string{"http/1.1"},
+		GetCertificate: func(hello *tls.ClientHelloInfo) (*tls.Certificate, error) {
+			current := g.config.Snapshots.Current()
+			if current == nil {
+				return nil, result.Errorf(result.CallNotReady, "no configuration yet")
+			}
+			if certificate := current.Certificate(strings.ToLower(hello.ServerName)); certificate != nil {
+				return certificate, nil
+			}
+			return nil, result.Errorf(result.CallNoRoute, "no certificate for %q", hello.ServerName)
+		},
+	}
+}
+
+// Stop makes the gateway refuse new calls; those in flight go on.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// InFlight returns the number of calls in flight.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Cut ends the calls in flight.
+func (g *Gateway) Cut() { g.forceAll() }
+
+// serve handles one request.
+func (g *Gateway) serve(ctx context.Context, rc *app.RequestContext) {
+	started := time.Now()
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	conn, _ := ctx.Value(connKey{}).(*callerConn)
+	if g.stopping.Load() {
+		rc.SetConnectionClose()
+	}
+	route, err := g.handle(ctx, rc, conn, started)
+	code, _ := result.CodeOf(err)
+	g.metrics.calls.WithLabelValues(route.GetName(), code.String()).Inc()
+	if err == nil || rc.Response.GetHijackWriter() != nil {
+		return
+	}
+	writeFailure(rc, err)
+	if g.stopping.Load() || result.Is(err, result.CallBadRequest) {
+		rc.SetConnectionClose()
+	}
+}
+
+// handle sees a request through. An error is answered by the caller unless the
+// answer has begun.
+func (g *Gateway) handle(ctx context.Context, rc *app.RequestContext, conn *callerConn, started time.Time) (*lapisv1.Route, error) {
+	if err := checkFraming(rc.Request.Header.RawHeaders(), rc.Request.Header.IsHTTP11()); err != nil {
+		return nil, err
+	}
+	method := string(rc.Request.Header.Method())
+	if method == http.MethodConnect || conn == nil {
+		return nil, result.Errorf(result.CallBadRequest, "method %s is not served", method)
+	}
+	if g.stopping.Load() {
+		return nil, result.Errorf(result.CallNotRunStopping, "the daemon is stopping")
+	}
+	current := g.config.Snapshots.Current()
+	if current == nil {
+		return nil, result.Errorf(result.CallNotReady, "no configuration yet")
+	}
+	path := string(rc.Request.URI().Path())
+	route := current.Match(hostOf(rc), path, method)
+	if route == nil {
+		return nil, result.Errorf(result.CallNoRoute, "%s %s", method, path)
+	}
+	service, _ := current.Service(route.GetPool())
+	callCtx, cancel := deadlineOf(ctx, rc, route.GetCallClass(), g.config.DefaultDeadline)
+	defer cancel()
+	stopForce := context.AfterFunc(g.force, cancel)
+	defer stopForce()
+	body, err := readBody(rc, conn)
+	if err != nil {
+		return route, err
+	}
+	watchCaller(conn, body, cancel)
+	defer g.releaseCaller(rc, conn, body)
+	attempt := &attempter{
+		gateway: g, service: service, route: route, body: body,
+		open:   g.openOf(rc, route, current.Revision, method, body),
+		attach: func(call *callapi.Call) { body.attach(call, rc) },
+	}
+	return route, g.finish(callCtx, rc, attempt, started)
+}
+
+// finish runs the attempts and passes the answer on.
+func (g *Gateway) finish(ctx context.Context, rc *app.RequestContext, attempt *attempter, started time.Time) error {
+	for tries := range maxAttempts {
+		done, err := attempt.run(ctx)
+		if err != nil {
+			return err
+		}
+		g.metrics.latency.Observe(time.Since(started).Seconds())
+		err = g.deliver(ctx, rc, attempt, done)
+		brokeOff := err != nil && rc.Response.GetHijackWriter() == nil
+		if !brokeOff || tries == maxAttempts-1 || !attempt.mayRetry(ctx, err) {
+			return err
+		}
+	}
+	return nil
+}
+
+// deliver passes one answer on to the caller.
+func (g *Gateway) deliver(ctx context.Context, rc *app.RequestContext, attempt *attempter, done outcome) error {
+	defer done.target.End()
+	defer func() { _ = done.answer.Body.Close() }()
+	head := done.answer.Head
+	method := attempt.open.GetMethod()
+	if hasNoBody(method, head.GetStatus()) {
+		_, _ = readWhole(done.answer)
+		writeHead(rc, head)
+		if method == http.MethodHead && head.GetContentLength() >= 0 {
+			rc.Response.Header.SetContentLength(int(head.GetContentLength()))
+			rc.Response.SkipBody = true
+		}
+		return nil
+	}
+	if length := head.GetContentLength(); length >= 0 && length <= wholeAnswerBytes {
+		content, err := readWhole(done.answer)
+		if err != nil {
+			g.observe(done.target, err)
+			return err
+		}
+		writeHead(rc, head)
+		rc.Response.SetBodyRaw(content)
+		return nil
+	}
+	writeHead(rc, head)
+	err := streamAnswer(ctx, rc, done.answer)
+	if err != nil {
+		g.observe(done.target, err)
+	}
+	return err
+}
+
+// openOf returns the opening common to all attempts at a call.
+func (g *Gateway) openOf(rc *app.RequestContext, route *lapisv1.Route, revision uint64, method string, body *requestBody) *lapisv1.CallOpen {
+	class := route.GetCallClass()
+	return &lapisv1.CallOpen{
+		Service: route.GetPool(), Group: route.GetGroup(),
+		Method: method, Target: string(rc.Request.Header.RequestURI()), Host: string(rc.Request.Host()),
+		Headers: headersOf(rc), Repeatable: class.GetRepeatable(), Background: class.GetBackground(),
+		Upload: class.GetUpload(), Attempt: chainAttempt(rc), ContentLength: body.length,
+		RouteRevision:  revision,
+		IdempotencyKey: string(rc.Request.Header.Peek(callapi.HeaderIdempotencyKey)),
+	}
+}
+
+// hostOf returns the request's host in lower case and without port.
+func hostOf(rc *app.RequestContext) string {
+	host := strings.ToLower(string(rc.Request.Host()))
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// watchCaller cancels the call when its caller hangs up, from the moment the
+// request has been read.
+func watchCaller(conn *callerConn, body *requestBody, hangUp context.CancelFunc) {
+	if body.streamed == nil {
+		conn.watch(hangUp)
+		return
+	}
+	body.streamed.onEnd = func() { conn.watch(hangUp) }
+}
+
+// releaseCaller gives the connection back to the HTTP library.
+func (g *Gateway) releaseCaller(rc *app.RequestContext, conn *callerConn, body *requestBody) {
+	unfinished := body.stop()
+	conn.unwatch()
+	if unfinished {
+		rc.SetConnectionClose()
+		conn.linger(lingerTime)
+	}
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,298 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// bodyIdle is how long a caller may pause within its request body.
+const bodyIdle = time.Minute
+
+// hopByHop names the fields that concern one connection only (RFC 9110,
+// section 7.6.1), in lower case.
+var hopByHop = map[string]bool{
+	"connection": true, "keep-alive": true, "proxy-connection": true, "te": true,
+	"transfer-encoding": true, "upgrade": true, "proxy-authenticate": true, "proxy-authorization": true,
+	"content-length": true, "host": true, "expect": true,
+}
+
+// checkFraming refuses requests whose framing two HTTP implementations may
+// read differently. The HTTP library has parsed the head already; what it
+// tolerates is looked for in the raw lines. Errors: CallBadRequest.
+func checkFraming(raw []byte, http11 bool) error {
+	lengths, encodings, hosts := 0, 0, 0
+	for len(raw) > 0 {
+		end := bytes.IndexByte(raw, '\n')
+		if end < 0 {
+			end = len(raw) - 1
+		}
+		line := raw[:end+1]
+		raw = raw[end+1:]
+		if !bytes.HasSuffix(line, []byte("\r\n")) {
+			return result.Errorf(result.CallBadRequest, "a header line does not end in CRLF")
+		}
+		line = line[:len(line)-2]
+		if len(line) == 0 {
+			break
+		}
+		if line[0] == ' ' || line[0] == '\t' {
+			return result.Errorf(result.CallBadRequest, "a header line is folded")
+		}
+		if bytes.IndexByte(line, '\r') >= 0 || bytes.IndexByte(line, 0) >= 0 {
+			return result.Errorf(result.CallBadRequest, "a header line has a control character")
+		}
+		name, value, found := bytes.Cut(line, []byte(":"))
+		if !found || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+			return result.Errorf(result.CallBadRequest, "a header line has no proper name")
+		}
+		value = bytes.TrimSpace(value)
+		switch strings.ToLower(string(name)) {
+		case "content-length":
+			lengths++
+			if _, err := strconv.ParseUint(string(value), 10, 63); err != nil || value[0] == '+' {
+				return result.Errorf(result.CallBadRequest, "the content length is not a number")
+			}
+		case "transfer-encoding":
+			encodings++
+			if !strings.EqualFold(string(value), "chunked") {
+				return result.Errorf(result.CallBadRequest, "the transfer encoding is not chunked")
+			}
+		case "host":
+			hosts++
+		}
+	}
+	switch {
+	case lengths+encodings > 1:
+		return result.Errorf(result.CallBadRequest, "the body's length is stated more than once")
+	case encodings > 0 && !http11:
+		return result.Errorf(result.CallBadRequest, "a transfer encoding needs HTTP/1.1")
+	case hosts > 1 || (http11 && hosts == 0):
+		return result.Errorf(result.CallBadRequest, "there must be one Host")
+	default:
+		return nil
+	}
+}
+
+// headersOf returns the end-to-end header fields of a request.
+func headersOf(rc *app.RequestContext) []*lapisv1.HeaderField {
+	dropped := map[string]bool{}
+	for _, name := range strings.Split(string(rc.Request.Header.Peek("Connection")), ",") {
+		dropped[strings.ToLower(strings.TrimSpace(name))] = true
+	}
+	var fields []*lapisv1.HeaderField
+	rc.Request.Header.VisitAll(func(key, value []byte) {
+		name := strings.ToLower(string(key))
+		if hopByHop[name] || dropped[name] || strings.HasPrefix(name, "lapisvane-") || name == "trailer" {
+			return
+		}
+		fields = append(fields, &lapisv1.HeaderField{Name: string(key), Value: string(value)})
+	})
+	for _, name := range trailerNames(rc) {
+		fields = append(fields, &lapisv1.HeaderField{Name: "Trailer", Value: name})
+	}
+	fields = append(fields, &lapisv1.HeaderField{Name: "Via", Value: "1.1 lapisvane"})
+	return fields
+}
+
+func trailerNames(rc *app.RequestContext) []string {
+	var names []string
+	rc.Request.Header.Trailer().VisitAll(func(key, _ []byte) { names = append(names, string(key)) })
+	return names
+}
+
+// requestBody is a caller's body. It is either at hand, and can be sent again,
+// or streamed once.
+type requestBody struct {
+	content  []byte
+	streamed *streamedBody
+	length   int64
+}
+
+// readBody takes in a small body whole, so that the call can be repeated, and
+// prepares a larger one for streaming. Errors: CallBadRequest.
+func readBody(rc *app.RequestContext, conn *callerConn) (*requestBody, error) {
+	length := int64(rc.Request.Header.ContentLength())
+	if length == -2 {
+		length = 0
+	}
+	stream := rc.RequestBodyStream()
+	if length == 0 || stream == nil {
+		return &requestBody{}, nil
+	}
+	if length > 0 && length <= callmux.BufferedBodyBytes {
+		content := make([]byte, length)
+		if _, err := io.ReadFull(stream, content); err != nil {
+			return nil, result.Wrap(result.CallBadRequest, err, "reading the request body")
+		}
+		return &requestBody{content: content, length: length}, nil
+	}
+	remaining := length
+	if length < 0 {
+		remaining = 1 << 62
+	}
+	return &requestBody{length: length, streamed: &streamedBody{stream: stream, remaining: remaining, conn: conn}}, nil
+}
+
+// attach gives the body to an attempt.
+func (b *requestBody) attach(call *callapi.Call, rc *app.RequestContext) {
+	switch {
+	case b.streamed != nil:
+		call.Body = b.streamed
+		call.Trailers = func() []*lapisv1.HeaderField { return trailersOf(rc) }
+	case len(b.content) > 0:
+		call.Body = bytes.NewReader(b.content)
+		call.Buffered = true
+	}
+}
+
+// replayable reports whether another attempt can send the whole body.
+func (b *requestBody) replayable() bool { return b.streamed == nil || !b.streamed.touched() }
+
+// stop ends the use of the caller's body. It reports whether the caller had not
+// sent all of it.
+func (b *requestBody) stop() (unfinished bool) {
+	if b.streamed == nil {
+		return false
+	}
+	return b.streamed.stop()
+}
+
+func trailersOf(rc *app.RequestContext) []*lapisv1.HeaderField {
+	var fields []*lapisv1.HeaderField
+	rc.Request.Header.Trailer().VisitAll(func(key, value []byte) {
+		fields = append(fields, &lapisv1.HeaderField{Name: string(key), Value: string(value)})
+	})
+	return fields
+}
+
+// streamedBody reads a caller's body once. The reader may outlive the request,
+// so it can be stopped: afterwards it no longer touches the connection.
+type streamedBody struct {
+	conn *callerConn
+
+	// reading is held during a read of the connection.
+	reading sync.Mutex
+	stream  io.Reader
+	// remaining is the number of bytes that belong to the body; the library's
+	// reader does not stop there by itself.
+	remaining int64
+
+	// mutex protects everything below.
+	mutex   sync.Mutex
+	started bool
+	ended   bool
+	stopped bool
+	// onEnd is called when the body was read to its end.
+	onEnd func()
+}
+
+// Read implements io.Reader.
+func (s *streamedBody) Read(buffer []byte) (int, error) {
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	if err := s.begin(); err != nil {
+		return 0, err
+	}
+	if int64(len(buffer)) > s.remaining {
+		buffer = buffer[:s.remaining]
+	}
+	count, err := s.stream.Read(buffer)
+	s.remaining -= int64(count)
+	if s.remaining == 0 && err == nil {
+		err = io.EOF
+	}
+	if err == io.EOF {
+		s.finish()
+	}
+	return count, err
+}
+
+// begin checks that a read may happen and bounds it. The bound is set under
+// mutex, so that an interrupt by stop always comes after it.
+func (s *streamedBody) begin() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.started = true
+	if s.stopped {
+		return result.Errorf(result.CallCancelled, "the request is over")
+	}
+	if s.ended {
+		return io.EOF
+	}
+	s.conn.linger(bodyIdle)
+	return nil
+}
+
+// finish notes the end of the body; the caller's connection is watched from
+// then on, unless the request is over.
+func (s *streamedBody) finish() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ended = true
+	if s.onEnd != nil && !s.stopped {
+		s.onEnd()
+	}
+}
+
+func (s *streamedBody) touched() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.started
+}
+
+func (s *streamedBody) stop() (unfinished bool) {
+	s.mutex.Lock()
+	s.stopped = true
+	ended := s.ended
+	s.mutex.Unlock()
+	if ended {
+		return false
+	}
+	s.conn.interrupt()
+	s.reading.Lock()
+	defer s.reading.Unlock()
+	return true
+}
+
+// deadlineOf returns the context for a call: the route's bound or the one that
+// came along the chain of calls, whichever is sooner. Uploads have only the
+// latter.
+func deadlineOf(ctx context.Context, rc *app.RequestContext, class *lapisv1.CallClass, fallback time.Duration) (context.Context, context.CancelFunc) {
+	bound := time.Duration(class.GetDeadlineMillis()) * time.Millisecond
+	if bound == 0 && !class.GetUpload() {
+		bound = fallback
+	}
+	chained, err := strconv.ParseInt(string(rc.Request.Header.Peek(callapi.HeaderDeadline)), 10, 64)
+	if err == nil {
+		remaining := time.Duration(max(chained, 0)) * time.Millisecond
+		if bound == 0 || remaining < bound {
+			bound = remaining
+		}
+	}
+	if bound == 0 && err != nil {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, bound)
+}
+
+// chainAttempt returns the number of retries made so far along the chain.
+func chainAttempt(rc *app.RequestContext) uint32 {
+	const maxChainAttempt = 1000
+	attempt, err := strconv.ParseUint(string(rc.Request.Header.Peek(callapi.HeaderAttempt)), 10, 32)
+	if err != nil {
+		return 0
+	}
+	return uint32(min(attempt, maxChainAttempt))
+}
--- /dev/null
+++ b/internal/holdings/interest.go
@@ -0,0 +1,106 @@
+package holdings
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+)
+
+// Interest is a set of services. The zero value is the empty set.
+type Interest struct {
+	// All is true for every service; Services is then unused.
+	All      bool
+	Services map[string]struct{}
+}
+
+// NewInterest returns the set of the given services; "*" means all.
+func NewInterest(services ...string) Interest {
+	interest := Interest{Services: make(map[string]struct{}, len(services))}
+	for _, service := range services {
+		if service == "*" {
+			return Interest{All: true}
+		}
+		interest.Services[service] = struct{}{}
+	}
+	return interest
+}
+
+// FromSubscription returns the set that a subscription names.
+func FromSubscription(subscription *lapisv1.Subscription) Interest {
+	if subscription.GetAll() {
+		return Interest{All: true}
+	}
+	return NewInterest(subscription.GetServices()...)
+}
+
+// Subscription returns the set as it is sent, in a stable order.
+func (i Interest) Subscription(version uint64) *lapisv1.Subscription {
+	return &lapisv1.Subscription{
+		Version:  version,
+		All:      i.All,
+		Services: slices.Sorted(maps.Keys(i.Services)),
+	}
+}
+
+// Has reports whether service is in the set.
+func (i Interest) Has(service string) bool {
+	if i.All {
+		return true
+	}
+	_, ok := i.Services[service]
+	return ok
+}
+
+// Covers reports whether every service of other is in the set.
+func (i Interest) Covers(other Interest) bool {
+	if i.All {
+		return true
+	}
+	if other.All {
+		return false
+	}
+	for service := range other.Services {
+		if !i.Has(service) {
+			return false
+		}
+	}
+	return true
+}
+
+// Union returns the services in either set.
+func (i Interest) Union(other Interest) Interest {
+	if i.All || other.All {
+		return Interest{All: true}
+	}
+	union := Interest{Services: make(map[string]struct{}, len(i.Services)+len(other.Services))}
+	maps.Copy(union.Services, i.Services)
+	maps.Copy(union.Services, other.Services)
+	return union
+}
+
+// Minus returns the services of i that other lacks. When i is all and other is
+// not, the result is all, because the difference cannot be listed.
+func (i Interest) Minus(other Interest) Interest {
+	if other.All {
+		return Interest{}
+	}
+	if i.All {
+		return Interest{All: true}
+	}
+	difference := Interest{Services: map[string]struct{}{}}
+	for service := range i.Services {
+		if !other.Has(service) {
+			difference.Services[service] = struct{}{}
+		}
+	}
+	return difference
+}
+
+// Empty reports whether the set has no service.
+func (i Interest) Empty() bool { return !i.All && len(i.Services) == 0 }
+
+// Equal reports whether both sets have the same services.
+func (i Interest) Equal(other Interest) bool {
+	return i.All == other.All && (i.All || maps.Equal(i.Services, other.Services))
+}
--- /dev/null
+++ b/internal/lab/calls.go
@@ -0,0 +1,48 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// callsCommand makes calls and checks their answers.
+type callsCommand struct {
+	Target   string        `long:"target" description:"caller address of a daemon" required:"true"`
+	Host     string        `long:"host" description:"Host of the requests" default:"lab.example"`
+	Path     string        `long:"path" description:"path of the requests" default:"/"`
+	Method   string        `long:"method" description:"method of the requests" default:"GET"`
+	Workers  int           `long:"workers" description:"callers at once" default:"8"`
+	Rate     float64       `long:"rate" description:"calls per second in all; 0 for as fast as possible" default:"200"`
+	Duration time.Duration `long:"duration" description:"how long to call" default:"2s"`
+	Name     string        `long:"name" description:"prefix of the calls' names" default:"calls"`
+	AllDone  bool          `long:"all-done" description:"fail unless every call was answered"`
+}
+
+// maxRunTime bounds every experiment of the lab.
+const maxRunTime = 30 * time.Minute
+
+// Execute implements flags.Commander.
+func (c *callsCommand) Execute([]string) error {
+	if c.Duration <= 0 || c.Duration > maxRunTime || c.Workers <= 0 || c.Rate < 0 {
+		return fmt.Errorf("workers and duration must be above 0, duration at most %s", maxRunTime)
+	}
+	load := Load{
+		Caller: &Caller{
+			Target: c.Target, Host: c.Host, Path: c.Path, Method: c.Method,
+			Client: NewHTTPClient(c.Workers), Header: http.Header{},
+		},
+		Workers: c.Workers, Rate: c.Rate, Duration: c.Duration, Name: c.Name,
+	}
+	tally := load.Run(context.Background())
+	results.Info("calls.finished", "calls", tally.Total(), "done", tally.Done, "not_run", tally.NotRun,
+		"unknown", tally.Unknown, "wrong", tally.Wrong, "instances", len(tally.ByInstance),
+		"p50_ms", millis(tally.Latency.ValueAtQuantile(50)), "p99_ms", millis(tally.Latency.ValueAtQuantile(99)))
+	if tally.Wrong > 0 || tally.Done == 0 || (c.AllDone && tally.Done != tally.Total()) {
+		return fmt.Errorf("not every call was answered well: %v", tally.Results)
+	}
+	return nil
+}
+
+func millis(micros int64) float64 { return float64(micros) / 1000 }
--- /dev/null
+++ b/internal/lab/main.go
@@ -0,0 +1,55 @@
+package lab
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/lapisvane/lapisvane/internal/cli"
+	"github.com/lapisvane/lapisvane/internal/logging"
+)
+
+// results prints the outcome of experiments, one event a line.
+var results = logging.NewPlain(os.Stdout)
+
+// Main runs the program and returns its exit code: 0 when all that was checked
+// held, 1 when a check failed, 2 for a wrong command line.
+func Main(arguments []string) int {
+	parser := flags.NewNamedParser("lapislab", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Stand-ins for the platform, back ends and callers, and experiments over them. All load goes to loopback addresses."
+	commands := []struct {
+		name, short string
+		command     flags.Commander
+	}{
+		{"platform", "run the platform stand-in", &platformCommand{}},
+		{"backend", "run a back-end stand-in", &backendCommand{}},
+		{"calls", "make calls and check their answers", &callsCommand{}},
+		{"token", "print the stored form of an operator's token", &tokenCommand{}},
+		{"peer-keys", "write keys for mutual TLS between daemons, for trials", &peerKeysCommand{}},
+		{"error-table", "print the page of result codes", &errorTableCommand{}},
+		{"fault", "switch faults of a running platform stand-in", &faultCommand{}},
+	}
+	for _, entry := range commands {
+		if _, err := parser.AddCommand(entry.name, entry.short, entry.short, entry.command); err != nil {
+			return cli.Fail(os.Stderr, err, cli.ExitUsage)
+		}
+	}
+	failure := &failedCheck{}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		if command == nil {
+			return nil
+		}
+		failure.err = command.Execute(rest)
+		return nil
+	}
+	if _, code, done := cli.Parse(parser, arguments); done {
+		return code
+	}
+	if failure.err != nil {
+		return cli.Fail(os.Stderr, failure.err, cli.ExitFailed)
+	}
+	return cli.ExitOK
+}
+
+// failedCheck keeps a command's own failure apart from a wrong command line.
+type failedCheck struct{ err error }
--- /dev/null
+++ b/internal/lab/site.go
@@ -0,0 +1,229 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/lapisvane/lapisvane/internal/backendstub"
+	"github.com/lapisvane/lapisvane/internal/changelog"
+	"github.com/lapisvane/lapisvane/internal/ctl"
+	"github.com/lapisvane/lapisvane/internal/daemon"
+	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/opapi"
+	"github.com/lapisvane/lapisvane/internal/operator"
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/query"
+	"github.com/lapisvane/lapisvane/internal/settings"
+)
+
+// loopback lets the system choose a port.
+const loopback = "127.0.0.1:0"
+
+// Tokens of the lab's operators.
+const (
+	AdminToken = "lab-admin-token"
+	labAdmin   = "lab-admin"
+)
+
+// Site is a platform stand-in with daemons and back ends around it, all in
+// this process. It is not safe for concurrent changes.
+type Site struct {
+	Platform *platformstub.Server
+	Store    *platform.Client
+	Ledger   *backendstub.Ledger
+	Daemons  map[string]*Member
+	Backends map[string]*backendstub.Server
+	logger   logr.Logger
+	profile  Profile
+}
+
+// Member is one daemon of a Site.
+type Member struct {
+	Daemon   *daemon.Daemon
+	Settings *settings.Daemon
+	stop     chan struct{}
+	force    chan struct{}
+	done     chan struct{}
+	once     sync.Once
+	// Cut is the number of calls cut at the end, valid after Stop.
+	Cut int64
+}
+
+// NewSite starts the platform stand-in.
+func NewSite(profile Profile, logger logr.Logger) (*Site, error) {
+	daemon.QuietHTTPLibrary()
+	stub, err := platformstub.Start(platformstub.Options{Address: loopback, MachineLag: profile.MachineLag, Seed: profile.Seed})
+	if err != nil {
+		return nil, err
+	}
+	site := &Site{
+		Platform: stub, Store: platform.NewClient([]string{stub.Address()}, "", nil), Ledger: &backendstub.Ledger{},
+		Daemons: map[string]*Member{}, Backends: map[string]*backendstub.Server{}, logger: logger, profile: profile,
+	}
+	operators, _ := json.Marshal([]operator.Operator{
+		{Name: labAdmin, Group: operator.AdminGroup, TokenSHA256: operator.HashToken(AdminToken)},
+	})
+	_, err = site.Store.Put(context.Background(), operator.TokensKey, operators, platform.VersionAny)
+	return site, err
+}
+
+// AddBackend starts a back-end stand-in of the profile's kind.
+func (s *Site) AddBackend(service, instance string) (*backendstub.Server, error) {
+	backend, err := backendstub.Start(backendstub.Options{
+		Address: loopback, Instance: instance, Slots: s.profile.Slots, ConnectionLimit: s.profile.Connections,
+		ConnectionCost: s.profile.ConnectionCost, Ledger: s.Ledger, Seed: s.profile.Seed,
+		Behaviour: backendstub.Behaviour{ServiceTime: s.profile.ServiceTime, StatedLoad: -1, StatedHealthy: true},
+	})
+	if err == nil {
+		s.Backends[service+"/"+instance] = backend
+	}
+	return backend, err
+}
+
+// StartDaemon runs a daemon in zone beside the given back ends
+// ("service/instance").
+func (s *Site) StartDaemon(node, zone string, services []string, backends ...string) (*Member, error) {
+	config := settings.DefaultDaemon()
+	config.Node, config.Zone, config.Region = node, zone, s.profile.Name
+	config.PeerAddress, config.CallerAddress, config.OperatorAddress = loopback, loopback, loopback
+	config.Platform.Addresses = []string{s.Platform.Address()}
+	config.Services = services
+	config.Profile = s.profile.Distribution
+	config.Distribution = json.RawMessage(`{"first_source_ask": "100ms"}`)
+	config.StopLimit = s.profile.StopLimit
+	for _, name := range backends {
+		service, instance := splitBackend(name)
+		config.Backends = append(config.Backends, settings.Backend{Service: service, Instance: instance, Address: s.Backends[name].Address()})
+	}
+	return s.startWith(&config)
+}
+
+func (s *Site) startWith(config *settings.Daemon) (*Member, error) {
+	if err := config.Check(); err != nil {
+		return nil, err
+	}
+	running, err := daemon.New(config, daemon.Options{Logger: s.logger})
+	if err != nil {
+		return nil, err
+	}
+	member := &Member{
+		Daemon: running, Settings: config,
+		stop: make(chan struct{}), force: make(chan struct{}), done: make(chan struct{}),
+	}
+	go func() {
+		defer close(member.done)
+		member.Cut = running.Run(member.stop, member.force)
+	}()
+	addresses := running.Addresses()
+	for _, backend := range config.Backends {
+		s.Backends[backend.Service+"/"+backend.Instance].SetNext(addresses.Caller)
+	}
+	s.Platform.SetMachine(platform.Machine{
+		Node: config.Node, Address: addresses.Peer, Zone: config.Zone, Region: config.Region, State: platform.MachineLive,
+	})
+	s.Daemons[config.Node] = member
+	return member, nil
+}
+
+// Stop stops the daemon as planned and waits for it.
+func (m *Member) Stop() {
+	m.once.Do(func() { close(m.stop) })
+	<-m.done
+}
+
+// Kill ends the daemon without letting anything finish.
+func (m *Member) Kill() {
+	m.once.Do(func() { close(m.stop) })
+	select {
+	case <-m.force:
+	default:
+		close(m.force)
+	}
+	<-m.done
+}
+
+// Close ends everything.
+func (s *Site) Close() {
+	var ending sync.WaitGroup
+	for _, member := range s.Daemons {
+		ending.Go(member.Kill)
+	}
+	ending.Wait()
+	for _, backend := range s.Backends {
+		backend.Close()
+	}
+	s.Store.Close()
+	s.Platform.Close()
+}
+
+// Control returns an operators' client of a daemon.
+func (s *Site) Control(node string) *ctl.Client {
+	return ctl.NewClient(s.Daemons[node].Daemon.Addresses().Operator, AdminToken)
+}
+
+// Command runs one command of the operators' language at a daemon.
+func (s *Site) Command(ctx context.Context, node, line string) (*opapi.Table, error) {
+	command, err := query.Parse(line)
+	if err != nil {
+		return nil, err
+	}
+	return s.Control(node).Run(ctx, command)
+}
+
+// Accept makes changes the next revision without an operator's interface.
+func (s *Site) Accept(ctx context.Context, operation string, file meshconfig.File) (uint64, error) {
+	changes, err := file.Changes()
+	if err != nil {
+		return 0, err
+	}
+	return acceptChanges(ctx, s.Store, operation, changes)
+}
+
+// WaitInForce waits until every daemon has revision in force.
+func (s *Site) WaitInForce(ctx context.Context, revision uint64) error {
+	for {
+		behind := ""
+		for name, member := range s.Daemons {
+			if member.Daemon.Info().InForce < revision {
+				behind = name
+			}
+		}
+		if behind == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s does not have revision %d in force: %w", behind, revision, ctx.Err())
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// WaitEndpoints waits until every daemon knows count ready instances of
+// service.
+func (s *Site) WaitEndpoints(ctx context.Context, service string, count int) error {
+	for {
+		complete := true
+		for _, member := range s.Daemons {
+			if member.Daemon.ReadyEndpoints(service) < count {
+				complete = false
+			}
+		}
+		if complete {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("not all %d instances of %s are known everywhere: %w", count, service, ctx.Err())
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func newLog(store platform.Store) *changelog.Log { return changelog.New(store, time.Now) }
--- /dev/null
+++ b/internal/lab/standins.go
@@ -0,0 +1,155 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/backendstub"
+	"github.com/lapisvane/lapisvane/internal/cli"
+	"github.com/lapisvane/lapisvane/internal/operator"
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// platformCommand runs the platform stand-in until a signal.
+type platformCommand struct {
+	Address   string        `long:"address" description:"IP:port to listen on" default:"127.0.0.1:7000"`
+	Token     string        `long:"token" description:"token required from clients"`
+	WatchCap  int           `long:"watch-cap" description:"concurrent watches allowed" default:"40"`
+	Lag       time.Duration `long:"machine-lag" description:"lag of the machine list" default:"2s"`
+	Operators string        `long:"operators" description:"JSON file with the operators to load"`
+	Machines  string        `long:"machines" description:"JSON file with the machine list to load"`
+}
+
+// Execute implements flags.Commander.
+func (c *platformCommand) Execute([]string) error {
+	stub, err := platformstub.Start(platformstub.Options{
+		Address: c.Address, Token: c.Token, WatchCap: c.WatchCap, MachineLag: c.Lag, Seed: uint64(time.Now().UnixNano()),
+	})
+	if err != nil {
+		return err
+	}
+	defer stub.Close()
+	if err := c.load(stub); err != nil {
+		return err
+	}
+	results.Info("platform.started", "address", stub.Address())
+	stop, _ := cli.Signals()
+	<-stop
+	load := stub.Load()
+	results.Info("platform.stopped", "requests", load.Requests, "peak_watchers", load.PeakWatchers, "refused_watches", load.RefusedWatches)
+	return nil
+}
+
+func (c *platformCommand) load(stub *platformstub.Server) error {
+	if c.Operators != "" {
+		content, err := os.ReadFile(c.Operators)
+		if err != nil {
+			return result.Wrap(result.SettingsUnreadable, err, "reading the operators")
+		}
+		client := platform.NewClient([]string{stub.Address()}, c.Token, nil)
+		if _, err := client.Put(context.Background(), operator.TokensKey, content, platform.VersionAny); err != nil {
+			return err
+		}
+	}
+	if c.Machines == "" {
+		return nil
+	}
+	content, err := os.ReadFile(c.Machines)
+	if err != nil {
+		return result.Wrap(result.SettingsUnreadable, err, "reading the machines")
+	}
+	var machines []platform.Machine
+	if err := json.Unmarshal(content, &machines); err != nil {
+		return result.Wrap(result.SettingsUnreadable, err, "decoding the machines")
+	}
+	for _, machine := range machines {
+		stub.SetMachine(machine)
+	}
+	return nil
+}
+
+// backendCommand runs a back-end stand-in until a signal.
+type backendCommand struct {
+	Address        string        `long:"address" description:"IP:port to listen on" required:"true"`
+	Instance       string        `long:"instance" description:"name of the instance" required:"true"`
+	Slots          int           `long:"slots" description:"calls at once" default:"6"`
+	Connections    int           `long:"connections" description:"connections at once" default:"130"`
+	ConnectionCost time.Duration `long:"connection-cost" description:"time to accept a connection" default:"1ms"`
+	ServiceTime    time.Duration `long:"service-time" description:"time a call takes" default:"5ms"`
+	ColdStart      time.Duration `long:"cold-start" description:"time in which calls take ten times as long"`
+	ShedAbove      int           `long:"shed-above" description:"refuse calls while more than so many run"`
+	Next           string        `long:"next" description:"caller address of the daemon beside it, for chains of calls"`
+}
+
+// Execute implements flags.Commander.
+func (c *backendCommand) Execute([]string) error {
+	backend, err := backendstub.Start(backendstub.Options{
+		Address: c.Address, Instance: c.Instance, Slots: c.Slots, ConnectionLimit: c.Connections,
+		ConnectionCost: c.ConnectionCost, ColdStart: c.ColdStart, ColdFactor: 10, Next: c.Next,
+		Behaviour: backendstub.Behaviour{ServiceTime: c.ServiceTime, ShedAbove: c.ShedAbove, StatedLoad: -1, StatedHealthy: true},
+	})
+	if err != nil {
+		return err
+	}
+	defer backend.Close()
+	results.Info("backend.started", "instance", c.Instance, "address", backend.Address())
+	stop, _ := cli.Signals()
+	<-stop
+	results.Info("backend.stopped", "instance", c.Instance, "peak_running", backend.PeakRunning(), "connections", backend.Connections.Load())
+	return nil
+}
+
+// tokenCommand prints what the platform stores of an operator's token.
+type tokenCommand struct {
+	Name  string `long:"name" description:"the operator's name" required:"true"`
+	Group string `long:"group" description:"the operator's group, '*' for all" required:"true"`
+	Token string `long:"token" description:"the token" required:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *tokenCommand) Execute([]string) error {
+	encoder := json.NewEncoder(os.Stdout)
+	return encoder.Encode([]operator.Operator{{Name: c.Name, Group: c.Group, TokenSHA256: operator.HashToken(c.Token)}})
+}
+
+// faultCommand switches faults of a running platform stand-in.
+type faultCommand struct {
+	Platform     string `long:"platform" description:"IP:port of the platform stand-in" default:"127.0.0.1:7000"`
+	Down         bool   `long:"down" description:"answer every request with a failure"`
+	Delay        int    `long:"delay-millis" description:"delay every answer"`
+	LoseAnswers  int    `long:"lose-answer-percent" description:"lose answers to writes that took effect"`
+	EventDelay   int    `long:"event-delay-millis" description:"hold watch events back"`
+	CrossEvents  bool   `long:"cross-events" description:"send events of a burst in reverse order"`
+	FreezeListed bool   `long:"freeze-machines" description:"stop the machine list from following reality"`
+}
+
+// Execute implements flags.Commander.
+func (c *faultCommand) Execute([]string) error {
+	body, err := json.Marshal(platformstub.Faults{
+		Down: c.Down, DelayMillis: c.Delay, LoseAnswerPercent: c.LoseAnswers,
+		EventDelayMillis: c.EventDelay, CrossEvents: c.CrossEvents, FreezeMachines: c.FreezeListed,
+	})
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+c.Platform+"/lab/faults", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("the platform answered %s", response.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/membership/candidates.go
@@ -0,0 +1,195 @@
+// Package membership decides, from partial and lagging knowledge, which daemon
+// to take as parent and which machines may become readers. Its decisions are
+// pure: the clock and the randomness are passed in.
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/platform"
+)
+
+// Bounds of what is remembered.
+const (
+	maxKnown       = 64
+	failurePenalty = 3 * time.Second
+	maxPenalty     = 60 * time.Second
+)
+
+// candidate is a daemon that may serve as parent.
+type candidate struct {
+	address   string
+	node      string
+	zone      string
+	failures  int
+	notBefore time.Time
+	// lastNamed orders candidates for forgetting.
+	lastNamed time.Time
+}
+
+// Candidates remembers daemons that may serve as parent. It is not safe for
+// concurrent use.
+type Candidates struct {
+	zone   string
+	self   string
+	known  map[string]*candidate
+	random *rand.Rand
+	// redirects are addresses to try first, once.
+	redirects []string
+}
+
+// NewCandidates returns the knowledge of a daemon at address self in zone,
+// started from the configured seeds.
+func NewCandidates(self, zone string, seeds []string, random *rand.Rand) *Candidates {
+	candidates := &Candidates{zone: zone, self: self, known: map[string]*candidate{}, random: random}
+	for _, seed := range seeds {
+		candidates.remember("", seed, zone, time.Time{})
+	}
+	return candidates
+}
+
+// Learn adds daemons named by others.
+func (c *Candidates) Learn(peers []*lapisv1.PeerAddress, now time.Time) {
+	for _, peer := range peers {
+		c.remember(peer.GetNode(), peer.GetAddress(), peer.GetZone(), now)
+	}
+	c.forgetExcess()
+}
+
+// Redirect adds daemons to try first.
+func (c *Candidates) Redirect(peers []*lapisv1.PeerAddress, now time.Time) {
+	c.Learn(peers, now)
+	for _, peer := range peers {
+		if peer.GetAddress() != c.self {
+			c.redirects = append(c.redirects, peer.GetAddress())
+		}
+	}
+}
+
+func (c *Candidates) remember(node, address, zone string, now time.Time) {
+	if address == c.self || address == "" {
+		return
+	}
+	known, ok := c.known[address]
+	if !ok {
+		known = &candidate{address: address}
+		c.known[address] = known
+	}
+	known.lastNamed = now
+	if node != "" {
+		known.node = node
+	}
+	if zone != "" {
+		known.zone = zone
+	}
+}
+
+// forgetExcess drops the candidates named longest ago.
+func (c *Candidates) forgetExcess() {
+	for len(c.known) > maxKnown {
+		var oldest *candidate
+		for _, known := range c.known {
+			if oldest == nil || known.lastNamed.Before(oldest.lastNamed) {
+				oldest = known
+			}
+		}
+		delete(c.known, oldest.address)
+	}
+}
+
+// Failed notes that address did not accept; it is avoided for a growing time.
+func (c *Candidates) Failed(address string, now time.Time) {
+	known, ok := c.known[address]
+	if !ok {
+		return
+	}
+	known.failures++
+	penalty := min(failurePenalty<<min(known.failures-1, 6), maxPenalty)
+	known.notBefore = now.Add(penalty/2 + time.Duration(c.random.Int64N(int64(penalty/2))))
+}
+
+// Postponed notes that address is alive but asked to come back later.
+func (c *Candidates) Postponed(address string, wait time.Duration, now time.Time) {
+	if known, ok := c.known[address]; ok {
+		known.notBefore = now.Add(wait)
+	}
+}
+
+// Succeeded notes that address accepted.
+func (c *Candidates) Succeeded(address string) {
+	c.redirects = nil
+	if known, ok := c.known[address]; ok {
+		known.failures = 0
+		known.notBefore = time.Time{}
+	}
+}
+
+// Next returns the address to try now: a redirect first, then a random
+// daemon of the own zone, then one of another zone. ok is false when none may
+// be tried now.
+func (c *Candidates) Next(now time.Time) (address string, ok bool) {
+	if len(c.redirects) > 0 {
+		address = c.redirects[0]
+		c.redirects = c.redirects[1:]
+		return address, true
+	}
+	var local, remote []string
+	for _, known := range c.known {
+		switch {
+		case now.Before(known.notBefore):
+		case known.zone == c.zone:
+			local = append(local, known.address)
+		default:
+			remote = append(remote, known.address)
+		}
+	}
+	if len(local) > 0 {
+		return c.pick(local), true
+	}
+	if len(remote) > 0 {
+		return c.pick(remote), true
+	}
+	return "", false
+}
+
+// pick chooses at random among addresses; sorting first makes a seeded run
+// repeatable.
+func (c *Candidates) pick(addresses []string) string {
+	slices.Sort(addresses)
+	return addresses[c.random.IntN(len(addresses))]
+}
+
+// Rank returns the position of node among the live machines of its zone in the
+// order in which they may become readers of seat, and the number of machines.
+// All daemons with the same list compute the same order.
+func Rank(machines []platform.Machine, node, seat string) (rank, total int) {
+	own := seatScore(node, seat)
+	for _, machine := range machines {
+		if machine.State != platform.MachineLive {
+			continue
+		}
+		total++
+		if machine.Node != node && seatScore(machine.Node, seat) > own {
+			rank++
+		}
+	}
+	return rank, total
+}
+
+// seatScore is a rendezvous hash.
+func seatScore(node, seat string) uint64 { return xxhash.Sum64String(seat + "|" + node) }
+
+// MayTakeSeat reports whether a daemon of the given rank may try for a seat
+// after so many rounds without a parent. The window doubles each round, so
+// that a list full of dead machines delays the takeover only a little while
+// thousands of daemons never try at once.
+func MayTakeSeat(rank, rounds int) bool {
+	const firstWindow = 3
+	const maxDoublings = 16
+	return rank < firstWindow<<min(rounds, maxDoublings)
+}
--- /dev/null
+++ b/internal/meshconfig/file.go
@@ -0,0 +1,130 @@
+package meshconfig
+
+import (
+	"sigs.k8s.io/yaml"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// MaxProposalBytes bounds a proposal file.
+const MaxProposalBytes = 4 << 20
+
+// File is the form in which operators write a proposal.
+type File struct {
+	Pools   []PoolFile   `json:"pools,omitempty"`
+	Routes  []RouteFile  `json:"routes,omitempty"`
+	Secrets []SecretFile `json:"secrets,omitempty"`
+	Shares  []ShareFile  `json:"shares,omitempty"`
+	Remove  []RemoveFile `json:"remove,omitempty"`
+}
+
+// PoolFile is one pool in a proposal file.
+type PoolFile struct {
+	Name            string   `json:"name"`
+	Group           string   `json:"group"`
+	Slots           uint32   `json:"slots"`
+	ConnectionLimit uint32   `json:"connection_limit"`
+	Drained         []string `json:"drained,omitempty"`
+	Retired         []string `json:"retired,omitempty"`
+}
+
+// RouteFile is one route in a proposal file.
+type RouteFile struct {
+	Name           string   `json:"name"`
+	Group          string   `json:"group"`
+	Pool           string   `json:"pool"`
+	Host           string   `json:"host,omitempty"`
+	PathPrefix     string   `json:"path_prefix"`
+	Methods        []string `json:"methods,omitempty"`
+	Secret         string   `json:"secret,omitempty"`
+	Repeatable     bool     `json:"repeatable,omitempty"`
+	Background     bool     `json:"background,omitempty"`
+	Upload         bool     `json:"upload,omitempty"`
+	DeadlineMillis uint32   `json:"deadline_millis,omitempty"`
+}
+
+// SecretFile is one TLS key pair in a proposal file.
+type SecretFile struct {
+	Name           string `json:"name"`
+	Group          string `json:"group"`
+	CertificatePEM string `json:"certificate_pem"`
+	PrivateKeyPEM  string `json:"private_key_pem"`
+}
+
+// ShareFile is one share in a proposal file.
+type ShareFile struct {
+	Name    string `json:"name"`
+	Group   string `json:"group"`
+	Pool    string `json:"pool"`
+	Percent uint32 `json:"percent"`
+}
+
+// RemoveFile names an object to remove.
+type RemoveFile struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// ParseFile reads a proposal file strictly. Errors: ConfigUnreadable.
+func ParseFile(content []byte) ([]*lapisv1.Change, error) {
+	if len(content) > MaxProposalBytes {
+		return nil, result.Errorf(result.ConfigUnreadable, "the file is larger than %d bytes", MaxProposalBytes)
+	}
+	var file File
+	if err := yaml.UnmarshalStrict(content, &file); err != nil {
+		return nil, result.Wrap(result.ConfigUnreadable, err, "parsing the proposal")
+	}
+	return file.Changes()
+}
+
+// Changes converts the file's objects. Errors: ConfigUnreadable for a removal
+// of an unknown kind.
+func (f *File) Changes() ([]*lapisv1.Change, error) {
+	var changes []*lapisv1.Change
+	for _, pool := range f.Pools {
+		changes = append(changes, ChangeOfPool(&lapisv1.Pool{
+			Name: pool.Name, Group: pool.Group, Slots: pool.Slots, ConnectionLimit: pool.ConnectionLimit,
+			Drained: pool.Drained, Retired: pool.Retired,
+		}))
+	}
+	for _, route := range f.Routes {
+		changes = append(changes, &lapisv1.Change{Object: &lapisv1.Change_Route{Route: route.message()}})
+	}
+	for _, secret := range f.Secrets {
+		changes = append(changes, &lapisv1.Change{Object: &lapisv1.Change_Secret{Secret: &lapisv1.Secret{
+			Name: secret.Name, Group: secret.Group,
+			CertificatePem: []byte(secret.CertificatePEM), PrivateKeyPem: []byte(secret.PrivateKeyPEM),
+		}}})
+	}
+	for _, share := range f.Shares {
+		changes = append(changes, &lapisv1.Change{Object: &lapisv1.Change_Share{Share: &lapisv1.Share{
+			Name: share.Name, Group: share.Group, Pool: share.Pool, Percent: share.Percent,
+		}}})
+	}
+	for _, removal := range f.Remove {
+		switch removal.Kind {
+		case KindPool, KindRoute, KindSecret, KindShare:
+			changes = append(changes, &lapisv1.Change{RemovedKind: string(removal.Kind), RemovedName: removal.Name})
+		default:
+			return nil, result.Errorf(result.ConfigUnreadable, "remove: unknown kind %q", removal.Kind)
+		}
+	}
+	return changes, nil
+}
+
+// ChangeOfPool returns the change that replaces a pool.
+func ChangeOfPool(pool *lapisv1.Pool) *lapisv1.Change {
+	return &lapisv1.Change{Object: &lapisv1.Change_Pool{Pool: pool}}
+}
+
+func (r RouteFile) message() *lapisv1.Route {
+	return &lapisv1.Route{
+		Name: r.Name, Group: r.Group, Pool: r.Pool, Host: r.Host,
+		PathPrefix: r.PathPrefix, Methods: r.Methods, Secret: r.Secret,
+		CallClass: &lapisv1.CallClass{
+			Repeatable: r.Repeatable, Background: r.Background, Upload: r.Upload,
+			DeadlineMillis: r.DeadlineMillis,
+		},
+	}
+}
--- /dev/null
+++ b/internal/meshconfig/validate.go
@@ -0,0 +1,167 @@
+package meshconfig
+
+import (
+	"crypto/tls"
+	"maps"
+	"path"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Limits of configuration values.
+const (
+	maxNameLength      = 63
+	maxSlots           = 4096
+	maxConnectionLimit = 65535
+	maxSharePercent    = 100
+	maxDeadlineMillis  = 24 * 60 * 60 * 1000
+)
+
+var (
+	namePattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+	hostPattern   = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]*[a-z0-9])?(\.[a-z0-9]([a-z0-9-]*[a-z0-9])?)*$`)
+	methodPattern = regexp.MustCompile(`^[A-Z]{1,20}$`)
+)
+
+// Validate checks the whole configuration, with the costly checks limited to
+// what touches the affected services. It returns a *result.List with every
+// fault found, in a stable order.
+func (s *State) Validate(affected map[string]bool) error {
+	faults := &result.List{}
+	for _, name := range slices.Sorted(maps.Keys(s.Pools)) {
+		if affected == nil || affected[name] {
+			validatePool(faults, s.Pools[name])
+		}
+	}
+	s.validateRoutes(faults)
+	s.validateSecrets(faults)
+	s.validateShares(faults)
+	return faults.Err()
+}
+
+func validateName(faults *result.List, kind Kind, name string) {
+	if len(name) > maxNameLength || !namePattern.MatchString(name) {
+		faults.Add(result.ConfigBadName, "%s %q", kind, name)
+	}
+}
+
+func validateGroup(faults *result.List, kind Kind, name, group string) {
+	if len(group) > maxNameLength || !namePattern.MatchString(group) {
+		faults.Add(result.ConfigBadName, "group %q of %s %q", group, kind, name)
+	}
+}
+
+func validatePool(faults *result.List, pool *lapisv1.Pool) {
+	validateName(faults, KindPool, pool.GetName())
+	validateGroup(faults, KindPool, pool.GetName(), pool.GetGroup())
+	if pool.GetSlots() == 0 || pool.GetSlots() > maxSlots {
+		faults.Add(result.ConfigBadLimit, "slots %d of pool %s", pool.GetSlots(), pool.GetName())
+	}
+	if pool.GetConnectionLimit() == 0 || pool.GetConnectionLimit() > maxConnectionLimit {
+		faults.Add(result.ConfigBadLimit, "connection_limit %d of pool %s", pool.GetConnectionLimit(), pool.GetName())
+	}
+}
+
+func (s *State) validateRoutes(faults *result.List) {
+	matches := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(s.Routes)) {
+		route := s.Routes[name]
+		validateName(faults, KindRoute, name)
+		validateGroup(faults, KindRoute, name, route.GetGroup())
+		validateMatch(faults, route)
+		if _, ok := s.Pools[route.GetPool()]; !ok {
+			faults.Add(result.ConfigUnknownPool, "route %s refers to pool %q", name, route.GetPool())
+		}
+		s.validateRouteSecret(faults, route)
+		for _, key := range matchKeys(route) {
+			if other, taken := matches[key]; taken {
+				faults.Add(result.ConfigDuplicateRoute, "routes %s and %s both match %s", other, name, key)
+			}
+			matches[key] = name
+		}
+	}
+}
+
+func (s *State) validateRouteSecret(faults *result.List, route *lapisv1.Route) {
+	if route.GetSecret() == "" {
+		return
+	}
+	secret, ok := s.Secrets[route.GetSecret()]
+	switch {
+	case !ok:
+		faults.Add(result.ConfigUnknownSecret, "route %s refers to secret %q", route.GetName(), route.GetSecret())
+	case secret.GetGroup() != route.GetGroup():
+		faults.Add(result.ConfigForeignSecret, "route %s refers to secret %q", route.GetName(), route.GetSecret())
+	}
+}
+
+func validateMatch(faults *result.List, route *lapisv1.Route) {
+	prefix := route.GetPathPrefix()
+	if !strings.HasPrefix(prefix, "/") || (path.Clean(prefix) != prefix) {
+		faults.Add(result.ConfigBadPath, "path_prefix %q of route %s", prefix, route.GetName())
+	}
+	if route.GetHost() != "" && !hostPattern.MatchString(route.GetHost()) {
+		faults.Add(result.ConfigBadHost, "host %q of route %s", route.GetHost(), route.GetName())
+	}
+	for _, method := range route.GetMethods() {
+		if !methodPattern.MatchString(method) {
+			faults.Add(result.ConfigBadMethod, "method %q of route %s", method, route.GetName())
+		}
+	}
+	if route.GetCallClass().GetDeadlineMillis() > maxDeadlineMillis {
+		faults.Add(result.ConfigBadLimit, "deadline_millis of route %s", route.GetName())
+	}
+}
+
+func matchKeys(route *lapisv1.Route) []string {
+	methods := route.GetMethods()
+	if len(methods) == 0 {
+		methods = []string{"*"}
+	}
+	keys := make([]string, 0, len(methods))
+	for _, method := range methods {
+		keys = append(keys, method+" "+route.GetHost()+route.GetPathPrefix())
+	}
+	return keys
+}
+
+func (s *State) validateSecrets(faults *result.List) {
+	for _, name := range slices.Sorted(maps.Keys(s.Secrets)) {
+		if s.ObjectRevisions[KeyOf(KindSecret, name)] != s.Revision {
+			continue
+		}
+		secret := s.Secrets[name]
+		validateName(faults, KindSecret, name)
+		validateGroup(faults, KindSecret, name, secret.GetGroup())
+		// The parser's message may quote the input, so it is left out.
+		if _, err := tls.X509KeyPair(secret.GetCertificatePem(), secret.GetPrivateKeyPem()); err != nil {
+			faults.Add(result.ConfigBadKeyPair, "secret %s", name)
+		}
+	}
+}
+
+func (s *State) validateShares(faults *result.List) {
+	sums := map[string]uint32{}
+	for _, name := range slices.Sorted(maps.Keys(s.Shares)) {
+		share := s.Shares[name]
+		validateName(faults, KindShare, name)
+		validateGroup(faults, KindShare, name, share.GetGroup())
+		if _, ok := s.Pools[share.GetPool()]; !ok {
+			faults.Add(result.ConfigUnknownPool, "share %s refers to pool %q", name, share.GetPool())
+		}
+		if share.GetPercent() == 0 || share.GetPercent() > maxSharePercent {
+			faults.Add(result.ConfigBadLimit, "percent %d of share %s", share.GetPercent(), name)
+			continue
+		}
+		sums[share.GetPool()] += share.GetPercent()
+	}
+	for _, pool := range slices.Sorted(maps.Keys(sums)) {
+		if sums[pool] > maxSharePercent {
+			faults.Add(result.ConfigShareOverflow, "the shares of pool %s sum to %d percent", pool, sums[pool])
+		}
+	}
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,104 @@
+// Package metrics exposes a daemon's condition to Prometheus.
+package metrics
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/origin"
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/tree"
+	"github.com/lapisvane/lapisvane/internal/wire"
+)
+
+// Sources are the parts of a daemon that are measured.
+type Sources struct {
+	Node         *tree.Node
+	Counters     *wire.Counters
+	CallCounters *wire.Counters
+	Store        *platform.Client
+	Origin       *origin.Origin
+	Calls        *callmux.Client
+}
+
+// Register adds the daemon's metrics to registry.
+func Register(registry *prometheus.Registry, sources Sources) {
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	node := sources.Node
+	gauge(registry, "lapisvane_revision_in_force", "Revision in force, 0 before the first.",
+		func() float64 { return float64(node.Info().InForce) })
+	gauge(registry, "lapisvane_revision_held", "Newest revision held.",
+		func() float64 { return float64(node.Info().Revision) })
+	gauge(registry, "lapisvane_floor_known", "1 once the daemon knows which version it may apply.",
+		func() float64 { return truth(node.Info().FloorKnown) })
+	gauge(registry, "lapisvane_tree_rooted", "1 while there is a way to a reader.",
+		func() float64 { return truth(node.Info().Rooted) })
+	gauge(registry, "lapisvane_tree_children", "Children in the distribution tree.",
+		func() float64 { return float64(node.Info().Children) })
+	gauge(registry, "lapisvane_tree_depth", "Levels from the reader, 1 for a reader.",
+		func() float64 { return float64(node.Info().Depth) })
+	gauge(registry, "lapisvane_reader", "1 while the daemon holds a reader seat.",
+		func() float64 { return truth(node.Info().Role == tree.RoleReader) })
+	gauge(registry, "lapisvane_reader_suspended", "1 while the seat's lease could not be renewed.",
+		func() float64 { return truth(node.Info().SeatState == "suspended") })
+	gauge(registry, "lapisvane_endpoints", "Back-end instances known.",
+		func() float64 { return float64(node.Info().Endpoints) })
+	gauge(registry, "lapisvane_call_links", "Open connections to other daemons for calls.",
+		func() float64 { return float64(sources.Calls.Links()) })
+	counter(registry, "lapisvane_tree_joins_total", "Parents that accepted this daemon.",
+		func() float64 { return float64(node.Info().Joins) })
+	counter(registry, "lapisvane_tree_joins_served_total", "Children admitted.",
+		func() float64 { return float64(node.Info().JoinsServed) })
+	counter(registry, "lapisvane_tree_joins_refused_total", "Children turned away or redirected.",
+		func() float64 { return float64(node.Info().JoinsRefused) })
+	counter(registry, "lapisvane_tree_resyncs_total", "Versions refused and asked for again in full.",
+		func() float64 { return float64(node.Info().Resyncs) })
+	counter(registry, "lapisvane_control_bytes_in_total", "Bytes of control received from daemons.",
+		func() float64 { return float64(sources.Counters.BytesIn.Load()) })
+	counter(registry, "lapisvane_control_bytes_out_total", "Bytes of control sent to daemons.",
+		func() float64 { return float64(sources.Counters.BytesOut.Load()) })
+	counter(registry, "lapisvane_source_requests_total", "Requests sent to the platform.",
+		func() float64 { return float64(sources.Store.Requests.Load()) })
+	counter(registry, "lapisvane_source_bytes_in_total", "Bytes received from the platform.",
+		func() float64 { return float64(sources.Store.BytesIn.Load()) })
+	counter(registry, "lapisvane_origin_handed_over_total", "Calls handed to back ends beside the daemon.",
+		func() float64 { return float64(sources.Origin.Counts().HandedOver) })
+	counter(registry, "lapisvane_origin_refused_total", "Calls refused before they ran.",
+		func() float64 { return float64(sources.Origin.Counts().Refused) })
+	counter(registry, "lapisvane_origin_duplicates_total", "Copies of calls that were kept from running.",
+		func() float64 { return float64(sources.Origin.Counts().Duplicates) })
+	counter(registry, "lapisvane_origin_unknown_total", "Calls handed over whose answer was lost.",
+		func() float64 { return float64(sources.Origin.Counts().Broken) })
+}
+
+func gauge(registry *prometheus.Registry, name, help string, value func() float64) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+}
+
+func counter(registry *prometheus.Registry, name, help string, value func() float64) {
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+}
+
+func truth(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// Serve answers GET /metrics on listener until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, registry *prometheus.Registry) {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	_ = server.Serve(listener)
+}
--- /dev/null
+++ b/internal/opapi/opapi.go
@@ -0,0 +1,85 @@
+// Package opapi defines the requests and answers between lapisctl and the
+// operators' interface of a daemon. They are JSON over HTTP.
+package opapi
+
+// Paths of the interface.
+const (
+	PathShow     = "/v1/show"
+	PathPropose  = "/v1/propose"
+	PathValidate = "/v1/validate"
+	PathAccept   = "/v1/accept"
+	PathDiff     = "/v1/diff"
+	PathBackend  = "/v1/backend"
+	PathWait     = "/v1/wait"
+)
+
+// MaxRequestBytes bounds a request body.
+const MaxRequestBytes = 8 << 20
+
+// Column describes one column of a table.
+type Column struct {
+	Name string `json:"name"`
+	// Numeric columns compare as numbers.
+	Numeric bool `json:"numeric,omitempty"`
+}
+
+// Table is the answer to a query.
+type Table struct {
+	Columns []Column   `json:"columns"`
+	Rows    [][]string `json:"rows"`
+	// Notes are remarks on the whole, such as what is not covered.
+	Notes []string `json:"notes,omitempty"`
+}
+
+// ProposeRequest proposes or validates the content of a proposal file.
+type ProposeRequest struct {
+	OperationID string `json:"operation_id,omitempty"`
+	File        string `json:"file"`
+}
+
+// ProposeAnswer tells what was proposed.
+type ProposeAnswer struct {
+	Proposal     string `json:"proposal,omitempty"`
+	BaseRevision uint64 `json:"base_revision"`
+	Changes      int    `json:"changes"`
+}
+
+// AcceptRequest accepts a stored proposal.
+type AcceptRequest struct {
+	Proposal string `json:"proposal"`
+}
+
+// AcceptAnswer tells the revision that a change became.
+type AcceptAnswer struct {
+	Revision uint64 `json:"revision"`
+}
+
+// Action is what to do with a back end.
+type Action string
+
+// Actions on back ends.
+const (
+	ActionDrain   Action = "drain"
+	ActionUndrain Action = "undrain"
+	ActionRetire  Action = "retire"
+)
+
+// BackendRequest drains, undrains or retires a back end.
+type BackendRequest struct {
+	OperationID string `json:"operation_id"`
+	Action      Action `json:"action"`
+	// Backend is "pool/instance", or the instance alone where it is unique.
+	Backend string `json:"backend"`
+}
+
+// Failure is the answer to a request that was refused.
+type Failure struct {
+	Faults []Fault `json:"faults"`
+}
+
+// Fault is one numbered reason.
+type Fault struct {
+	Code   uint32 `json:"code"`
+	Name   string `json:"name"`
+	Detail string `json:"detail"`
+}
--- /dev/null
+++ b/internal/operator/auth.go
@@ -0,0 +1,150 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// TokensKey is the object that holds the operators.
+const TokensKey = "operators/tokens"
+
+// AdminGroup may change the objects of every group.
+const AdminGroup = "*"
+
+// tokensLifetime is how long read tokens are used before they are read again.
+const tokensLifetime = 5 * time.Second
+
+// Operator is one operator as kept in the platform.
+type Operator struct {
+	Name  string `json:"name"`
+	Group string `json:"group"`
+	// TokenSHA256 is the hexadecimal SHA-256 of the token.
+	TokenSHA256 string `json:"token_sha256"`
+}
+
+// HashToken returns what Operator.TokenSHA256 holds for token.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// authenticator finds the operator of a token.
+type authenticator struct {
+	store platform.Store
+
+	mutex     sync.Mutex
+	operators []Operator
+	readAt    time.Time
+}
+
+// identify returns the operator of token. Errors: OperatorUnauthenticated,
+// platform codes.
+func (a *authenticator) identify(ctx context.Context, token string) (Operator, error) {
+	operators, err := a.current(ctx)
+	if err != nil {
+		return Operator{}, err
+	}
+	hashed := []byte(HashToken(token))
+	for _, operator := range operators {
+		if subtle.ConstantTimeCompare(hashed, []byte(operator.TokenSHA256)) == 1 {
+			return operator, nil
+		}
+	}
+	return Operator{}, result.Errorf(result.OperatorUnauthenticated, "unknown token")
+}
+
+func (a *authenticator) current(ctx context.Context) ([]Operator, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if time.Since(a.readAt) < tokensLifetime {
+		return a.operators, nil
+	}
+	object, err := a.store.Get(ctx, TokensKey)
+	if result.Is(err, result.PlatformNotFound) {
+		return nil, result.Errorf(result.OperatorUnauthenticated, "the platform holds no operators")
+	}
+	if err != nil {
+		return nil, err
+	}
+	var operators []Operator
+	if err := json.Unmarshal(object.Value, &operators); err != nil {
+		return nil, result.Wrap(result.PlatformBadAnswer, err, "decoding %s", TokensKey)
+	}
+	a.operators = operators
+	a.readAt = time.Now()
+	return operators, nil
+}
+
+// authorize checks that every change touches only objects of the operator's
+// group. A share belongs to the group that owns the pool it divides, so that
+// no group can raise its own share. Errors: a *result.List of
+// OperatorForbidden.
+func authorize(operator Operator, state *meshconfig.State, changes []*lapisv1.Change) error {
+	if operator.Group == AdminGroup {
+		return nil
+	}
+	faults := &result.List{}
+	proposedPools := map[string]string{}
+	for _, change := range changes {
+		if pool := change.GetPool(); pool != nil {
+			proposedPools[pool.GetName()] = pool.GetGroup()
+		}
+	}
+	for _, change := range changes {
+		key := meshconfig.ChangeKey(change)
+		for _, owner := range owners(state, proposedPools, change) {
+			if owner != operator.Group {
+				faults.Add(result.OperatorForbidden, "%s belongs to group %s", key, owner)
+				break
+			}
+		}
+	}
+	return faults.Err()
+}
+
+// owners returns the groups that must agree to a change: those of the object
+// before and after it.
+func owners(state *meshconfig.State, proposedPools map[string]string, change *lapisv1.Change) []string {
+	var groups []string
+	key := meshconfig.ChangeKey(change)
+	share := change.GetShare()
+	previous, existed := state.Shares[key.Name()]
+	if share != nil || (key.Kind() == meshconfig.KindShare && existed) {
+		for _, pool := range []string{share.GetPool(), previous.GetPool()} {
+			groups = append(groups, poolOwner(state, proposedPools, pool)...)
+		}
+		return groups
+	}
+	if group, ok := state.GroupOf(key); ok {
+		groups = append(groups, group)
+	}
+	switch object := change.GetObject().(type) {
+	case *lapisv1.Change_Pool:
+		groups = append(groups, object.Pool.GetGroup())
+	case *lapisv1.Change_Route:
+		groups = append(groups, object.Route.GetGroup())
+	case *lapisv1.Change_Secret:
+		groups = append(groups, object.Secret.GetGroup())
+	}
+	return groups
+}
+
+func poolOwner(state *meshconfig.State, proposed map[string]string, pool string) []string {
+	if present, ok := state.Pools[pool]; ok {
+		return []string{present.GetGroup()}
+	}
+	if group, ok := proposed[pool]; ok {
+		return []string{group}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/origin/origin.go
@@ -0,0 +1,290 @@
+package origin
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/admission"
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/snapshot"
+)
+
+// BackendConfig names one back end beside the daemon.
+type BackendConfig struct {
+	Service  string
+	Instance string
+	Address  string
+}
+
+// Config configures an Origin.
+type Config struct {
+	Incarnation uint64
+	Backends    []BackendConfig
+	// QueueLength and QueueTime bound the waiting calls of each group.
+	QueueLength int
+	QueueTime   time.Duration
+	// Changed is called when the state of an instance changed.
+	Changed func()
+}
+
+// instanceKey names an instance.
+type instanceKey struct{ service, instance string }
+
+// Origin serves calls for the back ends beside the daemon.
+type Origin struct {
+	config    Config
+	instances map[instanceKey]*Instance
+	attempts  *memory
+	keys      *memory
+	running   sync.WaitGroup
+	counts    Counts
+	countLock sync.Mutex
+}
+
+// Counts are totals since the start.
+type Counts struct {
+	HandedOver, Refused, Duplicates, Broken int64
+}
+
+// New returns an origin for the configured back ends.
+func New(config Config) *Origin {
+	origin := &Origin{
+		config: config, instances: map[instanceKey]*Instance{},
+		attempts: newMemory(attemptMemory, time.Now), keys: newMemory(keyMemory, time.Now),
+	}
+	limits := admission.Limits{Slots: DefaultSlots, QueueLength: config.QueueLength, QueueTime: config.QueueTime}
+	for _, backend := range config.Backends {
+		key := instanceKey{backend.Service, backend.Instance}
+		origin.instances[key] = newInstance(backend.Service, backend.Instance, backend.Address, limits, DefaultConnections)
+	}
+	return origin
+}
+
+// Run follows the back ends' state until ctx ends.
+func (o *Origin) Run(ctx context.Context) {
+	for _, instance := range o.instances {
+		o.running.Go(func() { instance.watch(ctx, o.config.Changed) })
+	}
+	o.running.Wait()
+}
+
+// Instances returns the instances beside the daemon.
+func (o *Origin) Instances() []*Instance {
+	instances := make([]*Instance, 0, len(o.instances))
+	for _, instance := range o.instances {
+		instances = append(instances, instance)
+	}
+	return instances
+}
+
+// Advertised returns the endpoints to announce.
+func (o *Origin) Advertised() []*lapisv1.Endpoint {
+	endpoints := make([]*lapisv1.Endpoint, 0, len(o.instances))
+	for _, instance := range o.instances {
+		endpoints = append(endpoints, &lapisv1.Endpoint{
+			Service: instance.Service, Instance: instance.Name,
+			State: instance.advertised(), StartedUnixMillis: instance.started.UnixMilli(),
+		})
+	}
+	return endpoints
+}
+
+// Configure takes limits, shares and drains from a snapshot.
+func (o *Origin) Configure(current *snapshot.Snapshot) {
+	for _, instance := range o.instances {
+		service, ok := current.Service(instance.Service)
+		if !ok {
+			continue
+		}
+		instance.queue.Configure(int(service.Bundle.GetPool().GetSlots()), service.Shares)
+		switch {
+		case service.Retired[instance.Name]:
+			instance.Retire()
+		case service.Drained[instance.Name]:
+			instance.Drain(DrainOperator)
+		default:
+			instance.Resume(DrainOperator)
+		}
+	}
+}
+
+// FollowMachineList drains or resumes the instances that the endpoints show as
+// draining although this daemon did not say so.
+func (o *Origin) FollowMachineList(service string, endpoints []*lapisv1.Endpoint, node string) {
+	for _, statement := range endpoints {
+		instance, ok := o.instances[instanceKey{service, statement.GetInstance()}]
+		if !ok || statement.GetNode() != node {
+			continue
+		}
+		if statement.GetState() == lapisv1.Endpoint_STATE_DRAINING && instance.State() == StateReady {
+			instance.Drain(DrainMachineList)
+		}
+		if statement.GetState() == lapisv1.Endpoint_STATE_READY {
+			instance.Resume(DrainMachineList)
+		}
+	}
+}
+
+// Stop drains all instances because the daemon is stopping.
+func (o *Origin) Stop() {
+	for _, instance := range o.instances {
+		instance.Drain(DrainStop)
+	}
+}
+
+// InFlight returns the number of calls that hold a slot.
+func (o *Origin) InFlight() int {
+	total := 0
+	for _, instance := range o.instances {
+		total += instance.queue.Running()
+	}
+	return total
+}
+
+// Counts returns the totals.
+func (o *Origin) Counts() Counts {
+	o.countLock.Lock()
+	defer o.countLock.Unlock()
+	return o.counts
+}
+
+func (o *Origin) count(change func(*Counts)) {
+	o.countLock.Lock()
+	defer o.countLock.Unlock()
+	change(&o.counts)
+}
+
+// Fence makes sure that an attempt is not started from now on, and reports
+// whether it was started before.
+func (o *Origin) Fence(attempt string) (started bool) { return o.attempts.Fence(attempt) }
+
+// Handle implements callapi.Handler.
+func (o *Origin) Handle(ctx context.Context, call *callapi.Call) (*callapi.Answer, error) {
+	answer, err := o.handle(ctx, call)
+	if callapi.OutcomeOf(err) == callapi.OutcomeNotRun {
+		o.count(func(c *Counts) { c.Refused++ })
+	}
+	return answer, err
+}
+
+func (o *Origin) handle(ctx context.Context, call *callapi.Call) (*callapi.Answer, error) {
+	open := call.Open
+	instance, ok := o.instances[instanceKey{open.GetService(), open.GetInstance()}]
+	if !ok {
+		return nil, result.Errorf(result.CallNotRunUnknownHere, "no instance %s/%s here", open.GetService(), open.GetInstance())
+	}
+	if _, known := o.attempts.Claim(open.GetAttemptId(), attemptWaiting); known {
+		o.count(func(c *Counts) { c.Duplicates++ })
+		return nil, result.Errorf(result.CallNotRunDuplicate, "attempt %s came before", open.GetAttemptId())
+	}
+	release, err := o.claimKey(open)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := o.admitAndRun(ctx, instance, call)
+	if callapi.OutcomeOf(err) == callapi.OutcomeNotRun {
+		release()
+	}
+	return answer, err
+}
+
+// claimKey refuses a call whose idempotency key was seen here. release forgets
+// the key again when the call did not run.
+func (o *Origin) claimKey(open *lapisv1.CallOpen) (release func(), err error) {
+	if open.GetIdempotencyKey() == "" {
+		return func() {}, nil
+	}
+	key := open.GetService() + "\x00" + open.GetGroup() + "\x00" + open.GetIdempotencyKey()
+	if _, known := o.keys.Claim(key, attemptStarted); known {
+		o.count(func(c *Counts) { c.Duplicates++ })
+		return nil, result.Errorf(result.CallNotRunDuplicate, "the idempotency key was used before")
+	}
+	return func() { o.keys.Forget(key) }, nil
+}
+
+func (o *Origin) admitAndRun(ctx context.Context, instance *Instance, call *callapi.Call) (*callapi.Answer, error) {
+	open := call.Open
+	request := admission.Request{Group: open.GetGroup(), Background: open.GetBackground(), Upload: open.GetUpload()}
+	if open.GetExpiresAfterMillis() > 0 {
+		request.StartBy = time.Now().Add(time.Duration(open.GetExpiresAfterMillis()) * time.Millisecond)
+	}
+	slot, err := instance.queue.Acquire(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	if !o.attempts.Start(open.GetAttemptId()) {
+		slot.Release(false)
+		return nil, result.Errorf(result.CallNotRunDuplicate, "attempt %s was fenced", open.GetAttemptId())
+	}
+	return o.run(ctx, instance, slot, call)
+}
+
+func (o *Origin) run(ctx context.Context, instance *Instance, slot *admission.Slot, call *callapi.Call) (*callapi.Answer, error) {
+	response, err := instance.backend.roundTrip(ctx, call)
+	if err != nil {
+		instance.noteConnection(!result.Is(err, result.CallNotRunUnreachable))
+		slot.Release(false)
+		if callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
+			o.count(func(c *Counts) { c.HandedOver++; c.Broken++ })
+		}
+		return nil, err
+	}
+	o.count(func(c *Counts) { c.HandedOver++ })
+	instance.noteConnection(true)
+	if refusesWork(response) {
+		_ = response.Body.Close()
+		slot.Release(true)
+		return nil, shedError(response)
+	}
+	head := headOf(response)
+	head.Load = instance.queue.Load()
+	body := &answerBody{ctx: ctx, body: response.Body, slot: slot}
+	return &callapi.Answer{
+		Head: head, Body: body,
+		Trailers: func() []*lapisv1.HeaderField { return fieldsOf(response.Trailer) },
+	}, nil
+}
+
+// refusesWork reports whether the back end states that it did not run the
+// request.
+func refusesWork(response *http.Response) bool {
+	overloaded := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
+	return overloaded && response.Header.Get(callapi.HeaderNotRun) != ""
+}
+
+func shedError(response *http.Response) error {
+	refusal := result.Errorf(result.CallNotRunShed, "the back end answered %d", response.StatusCode)
+	if seconds, err := time.ParseDuration(response.Header.Get("Retry-After") + "s"); err == nil {
+		refusal.RetryAfter = seconds
+	}
+	return refusal
+}
+
+// answerBody gives the slot back when the answer has been read.
+type answerBody struct {
+	ctx  context.Context
+	body io.ReadCloser
+	slot *admission.Slot
+}
+
+func (a *answerBody) Read(buffer []byte) (int, error) {
+	count, err := a.body.Read(buffer)
+	if err != nil {
+		a.slot.Release(false)
+	}
+	if err != nil && err != io.EOF {
+		err = result.Wrap(result.CallTruncated, err, "the answer broke off")
+	}
+	return count, err
+}
+
+func (a *answerBody) Close() error {
+	err := a.body.Close()
+	a.slot.Release(false)
+	return err
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,213 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Bounds of the client.
+const (
+	// RequestTimeout bounds one request that is not a watch.
+	RequestTimeout = 5 * time.Second
+	// WatchSilence is the time without event or bookmark after which a watch
+	// is taken as broken. The platform sends bookmarks every second.
+	WatchSilence = 10 * time.Second
+
+	maxAnswerBytes  = 64 << 20
+	idleConnections = 4
+)
+
+// Client speaks the object API's HTTP/JSON protocol. It tries the configured
+// addresses in turn and is safe for concurrent use.
+type Client struct {
+	addresses []string
+	token     string
+	http      *http.Client
+	next      atomic.Uint32
+	// Requests counts the requests sent; BytesIn and BytesOut the payloads.
+	Requests, BytesIn, BytesOut atomic.Int64
+}
+
+// DialFunc opens a connection; experiments put delays behind it.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client of the platform at addresses ("ip:port"); token
+// may be empty and dial nil.
+func NewClient(addresses []string, token string, dial DialFunc) *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     30 * time.Second,
+		DialContext:         dial,
+	}
+	return &Client{addresses: addresses, token: token, http: &http.Client{Transport: transport}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) request(ctx context.Context, method, path string, query url.Values, body []byte) (*http.Response, error) {
+	if len(c.addresses) == 0 {
+		return nil, result.Errorf(result.PlatformUnavailable, "no platform address is set")
+	}
+	address := c.addresses[int(c.next.Load())%len(c.addresses)]
+	target := "http://" + address + path + "?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, result.Wrap(result.PlatformBadAnswer, err, "building a request")
+	}
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	c.Requests.Add(1)
+	c.BytesOut.Add(int64(len(body)))
+	response, err := c.http.Do(request)
+	if err != nil {
+		c.next.Add(1)
+		return nil, result.Wrap(result.PlatformUnavailable, err, "%s %s", method, path)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	detail, _ := io.ReadAll(io.LimitReader(response.Body, 512))
+	return nil, statusError(response.StatusCode, string(detail))
+}
+
+func statusError(status int, detail string) error {
+	switch status {
+	case http.StatusNotFound:
+		return result.Errorf(result.PlatformNotFound, "%s", detail)
+	case http.StatusConflict:
+		return result.Errorf(result.PlatformConflict, "%s", detail)
+	case http.StatusGone:
+		return result.Errorf(result.PlatformCompacted, "%s", detail)
+	case http.StatusTooManyRequests:
+		return result.Errorf(result.PlatformTooManyWatch, "%s", detail)
+	default:
+		return result.Errorf(result.PlatformUnavailable, "status %d: %s", status, detail)
+	}
+}
+
+// exchange sends a bounded request and decodes the JSON answer into answer,
+// which may be nil.
+func (c *Client) exchange(ctx context.Context, method, path string, query url.Values, body []byte, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
+	defer cancel()
+	response, err := c.request(ctx, method, path, query, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return result.Wrap(result.PlatformUnavailable, err, "reading the answer to %s %s", method, path)
+	}
+	c.BytesIn.Add(int64(len(content)))
+	if answer == nil {
+		return nil
+	}
+	return result.Wrap(result.PlatformBadAnswer, json.Unmarshal(content, answer), "decoding the answer to %s", path)
+}
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, key string) (Object, error) {
+	var object Object
+	err := c.exchange(ctx, http.MethodGet, "/v1/object", url.Values{"key": {key}}, nil, &object)
+	return object, err
+}
+
+type versionAnswer struct {
+	Version int64 `json:"version"`
+}
+
+func keyAndVersion(key string, expected int64) url.Values {
+	return url.Values{"key": {key}, "version": {strconv.FormatInt(expected, 10)}}
+}
+
+// Put implements Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	var answer versionAnswer
+	err := c.exchange(ctx, http.MethodPut, "/v1/object", keyAndVersion(key, expected), value, &answer)
+	return answer.Version, err
+}
+
+// PutStatus implements Store.
+func (c *Client) PutStatus(ctx context.Context, key string, status []byte, expected int64) error {
+	return c.exchange(ctx, http.MethodPut, "/v1/status", keyAndVersion(key, expected), status, nil)
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, key string, expected int64) error {
+	return c.exchange(ctx, http.MethodDelete, "/v1/object", keyAndVersion(key, expected), nil, nil)
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, prefix, start string, limit int) (ListResult, error) {
+	query := url.Values{"prefix": {prefix}, "start": {start}, "limit": {strconv.Itoa(limit)}}
+	var list ListResult
+	err := c.exchange(ctx, http.MethodGet, "/v1/list", query, nil, &list)
+	return list, err
+}
+
+// Machines implements Store.
+func (c *Client) Machines(ctx context.Context, zone string) ([]Machine, error) {
+	var machines []Machine
+	err := c.exchange(ctx, http.MethodGet, "/v1/machines", url.Values{"zone": {zone}}, nil, &machines)
+	return machines, err
+}
+
+// Watch implements Store.
+func (c *Client) Watch(ctx context.Context, prefixes []string, version int64) (Watch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	query := url.Values{"prefix": prefixes, "version": {strconv.FormatInt(version, 10)}}
+	opening := time.AfterFunc(RequestTimeout, cancel)
+	response, err := c.request(ctx, http.MethodGet, "/v1/watch", query, nil)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	opening.Stop()
+	return &clientWatch{
+		client:  c,
+		body:    response.Body,
+		decoder: json.NewDecoder(response.Body),
+		cancel:  cancel,
+	}, nil
+}
+
+// clientWatch reads the events of one streaming answer.
+type clientWatch struct {
+	client  *Client
+	body    io.ReadCloser
+	decoder *json.Decoder
+	cancel  context.CancelFunc
+}
+
+// Next implements Watch.
+func (w *clientWatch) Next() (Event, error) {
+	silence := time.AfterFunc(WatchSilence, w.cancel)
+	defer silence.Stop()
+	before := w.decoder.InputOffset()
+	var event Event
+	if err := w.decoder.Decode(&event); err != nil {
+		return Event{}, result.Wrap(result.PlatformUnavailable, err, "the watch ended")
+	}
+	w.client.BytesIn.Add(w.decoder.InputOffset() - before)
+	return event, nil
+}
+
+// Close implements Watch.
+func (w *clientWatch) Close() {
+	w.cancel()
+	_ = w.body.Close()
+}
--- /dev/null
+++ b/internal/platformstub/machines.go
@@ -0,0 +1,80 @@
+package platformstub
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/platform"
+)
+
+// machineChange is a change that the list shows from visibleAt on.
+type machineChange struct {
+	visibleAt time.Time
+	machine   platform.Machine
+	removed   bool
+}
+
+// machineList shows changes only after a lag.
+type machineList struct {
+	mutex   sync.Mutex
+	lag     time.Duration
+	frozen  bool
+	pending []machineChange
+	visible map[string]platform.Machine
+}
+
+func newMachineList(lag time.Duration) *machineList {
+	return &machineList{lag: lag, visible: map[string]platform.Machine{}}
+}
+
+func (l *machineList) set(machine platform.Machine) {
+	l.add(machineChange{machine: machine})
+}
+
+func (l *machineList) remove(node string) {
+	l.add(machineChange{machine: platform.Machine{Node: node}, removed: true})
+}
+
+func (l *machineList) add(change machineChange) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	change.visibleAt = time.Now().Add(l.lag)
+	l.pending = append(l.pending, change)
+}
+
+func (l *machineList) setFrozen(frozen bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.frozen = frozen
+}
+
+func (l *machineList) list(zone string) []platform.Machine {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.revealPending(time.Now())
+	machines := []platform.Machine{}
+	for _, machine := range l.visible {
+		if zone == "" || machine.Zone == zone {
+			machines = append(machines, machine)
+		}
+	}
+	sort.Slice(machines, func(i, j int) bool { return machines[i].Node < machines[j].Node })
+	return machines
+}
+
+// revealPending makes due changes visible; the caller holds mutex.
+func (l *machineList) revealPending(now time.Time) {
+	if l.frozen {
+		return
+	}
+	for len(l.pending) > 0 && !l.pending[0].visibleAt.After(now) {
+		change := l.pending[0]
+		l.pending = l.pending[1:]
+		if change.removed {
+			delete(l.visible, change.machine.Node)
+			continue
+		}
+		l.visible[change.machine.Node] = change.machine
+	}
+}
--- /dev/null
+++ b/internal/platformstub/server.go
@@ -0,0 +1,364 @@
+package platformstub
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// DefaultWatchCap is the number of concurrent watches that the object API
+// bears, unless told otherwise.
+const DefaultWatchCap = 40
+
+const (
+	bookmarkInterval = time.Second
+	maxBodyBytes     = 32 << 20
+)
+
+// Faults are the disturbances that can be switched on at run time. The zero
+// value is a healthy platform.
+type Faults struct {
+	// Down answers every request with 503 and breaks watches.
+	Down bool `json:"down"`
+	// DelayMillis slows every answer.
+	DelayMillis int `json:"delay_millis"`
+	// LoseAnswerPercent of the writes take effect and then lose the answer.
+	LoseAnswerPercent int `json:"lose_answer_percent"`
+	// EventDelayMillis holds watch events back.
+	EventDelayMillis int `json:"event_delay_millis"`
+	// CrossEvents sends the events of one burst in reverse order.
+	CrossEvents bool `json:"cross_events"`
+	// FreezeMachines stops the machine list from following reality.
+	FreezeMachines bool `json:"freeze_machines"`
+}
+
+// Server is the stand-in. Create it with Start and end it with Close.
+type Server struct {
+	store    *store
+	machines *machineList
+	listener net.Listener
+	http     *http.Server
+	token    string
+	watchCap int
+
+	mutex  sync.Mutex
+	faults Faults
+	random *rand.Rand
+	// broken is closed when running watches must end.
+	broken chan struct{}
+
+	watchers     atomic.Int64
+	peakWatchers atomic.Int64
+	requests     atomic.Int64
+	refused      atomic.Int64
+}
+
+// Options configure a Server.
+type Options struct {
+	// Address is where to listen; "127.0.0.1:0" picks a port.
+	Address string
+	// Token is required from clients when not empty.
+	Token string
+	// WatchCap bounds concurrent watches; 0 means DefaultWatchCap.
+	WatchCap int
+	// MachineLag is how far the machine list lags behind reality.
+	MachineLag time.Duration
+	// Seed seeds the faults' randomness.
+	Seed uint64
+}
+
+// Start opens the listener and serves in the background.
+func Start(options Options) (*Server, error) {
+	listener, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		return nil, result.Wrap(result.SettingsBadAddress, err, "listening on %s", options.Address)
+	}
+	server := &Server{
+		store:    newStore(),
+		machines: newMachineList(options.MachineLag),
+		listener: listener,
+		token:    options.Token,
+		watchCap: options.WatchCap,
+		random:   rand.New(rand.NewPCG(options.Seed, 1)),
+		broken:   make(chan struct{}),
+	}
+	if server.watchCap == 0 {
+		server.watchCap = DefaultWatchCap
+	}
+	server.http = &http.Server{Handler: server.routes(), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = server.http.Serve(listener) }()
+	return server, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the server and all watches.
+func (s *Server) Close() { _ = s.http.Close() }
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(faults Faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if faults.Down && !s.faults.Down {
+		close(s.broken)
+		s.broken = make(chan struct{})
+	}
+	s.faults = faults
+	s.machines.setFrozen(faults.FreezeMachines)
+}
+
+// Compact drops the kept events, so that watches must list again.
+func (s *Server) Compact() { s.store.compact() }
+
+// SetMachine adds or changes a machine; the list shows it after its lag.
+func (s *Server) SetMachine(machine platform.Machine) { s.machines.set(machine) }
+
+// RemoveMachine removes a machine; the list shows it after its lag.
+func (s *Server) RemoveMachine(node string) { s.machines.remove(node) }
+
+// Load is what the stand-in bore.
+type Load struct {
+	Requests, RefusedWatches, PeakWatchers, Watchers int64
+}
+
+// Load returns the totals since the start.
+func (s *Server) Load() Load {
+	return Load{
+		Requests:       s.requests.Load(),
+		RefusedWatches: s.refused.Load(),
+		PeakWatchers:   s.peakWatchers.Load(),
+		Watchers:       s.watchers.Load(),
+	}
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/object", s.admit(s.serveGet))
+	mux.HandleFunc("PUT /v1/object", s.admit(s.servePut))
+	mux.HandleFunc("DELETE /v1/object", s.admit(s.serveDelete))
+	mux.HandleFunc("PUT /v1/status", s.admit(s.servePutStatus))
+	mux.HandleFunc("GET /v1/list", s.admit(s.serveList))
+	mux.HandleFunc("GET /v1/watch", s.admit(s.serveWatch))
+	mux.HandleFunc("GET /v1/machines", s.admit(s.serveMachines))
+	mux.HandleFunc("PUT /lab/faults", s.serveFaults)
+	mux.HandleFunc("PUT /lab/machine", s.serveSetMachine)
+	return mux
+}
+
+// admit counts a request, checks the token and applies the faults down and
+// slow.
+func (s *Server) admit(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.requests.Add(1)
+		faults := s.currentFaults()
+		if faults.Down {
+			http.Error(w, "the store is down", http.StatusServiceUnavailable)
+			return
+		}
+		if s.token != "" && r.Header.Get("Authorization") != "Bearer "+s.token {
+			http.Error(w, "unknown token", http.StatusUnauthorized)
+			return
+		}
+		if !sleep(r.Context(), time.Duration(faults.DelayMillis)*time.Millisecond) {
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) currentFaults() Faults {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults
+}
+
+// dropsAnswer decides whether the answer to a write is lost.
+func (s *Server) dropsAnswer() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.random.IntN(100) < s.faults.LoseAnswerPercent
+}
+
+func sleep(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return true
+	}
+	select {
+	case <-time.After(duration):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
+	object, err := s.store.get(r.URL.Query().Get("key"))
+	answer(w, object, err)
+}
+
+func (s *Server) serveList(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit, _ := strconv.Atoi(query.Get("limit"))
+	answer(w, s.store.list(query.Get("prefix"), query.Get("start"), limit), nil)
+}
+
+func (s *Server) serveMachines(w http.ResponseWriter, r *http.Request) {
+	answer(w, s.machines.list(r.URL.Query().Get("zone")), nil)
+}
+
+// write reads the common parts of a write, applies it and may lose the answer.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, apply func(key string, body []byte, expected int64) (int64, error)) {
+	expected, err := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad version", http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "bad body", http.StatusBadRequest)
+		return
+	}
+	version, err := apply(r.URL.Query().Get("key"), body, expected)
+	if err == nil && s.dropsAnswer() {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, map[string]int64{"version": version}, err)
+}
+
+func (s *Server) servePut(w http.ResponseWriter, r *http.Request) { s.write(w, r, s.store.put) }
+
+func (s *Server) servePutStatus(w http.ResponseWriter, r *http.Request) {
+	s.write(w, r, func(key string, body []byte, expected int64) (int64, error) {
+		return expected, s.store.putStatus(key, body, expected)
+	})
+}
+
+func (s *Server) serveDelete(w http.ResponseWriter, r *http.Request) {
+	s.write(w, r, func(key string, _ []byte, expected int64) (int64, error) {
+		return 0, s.store.remove(key, expected)
+	})
+}
+
+func (s *Server) serveWatch(w http.ResponseWriter, r *http.Request) {
+	running := s.watchers.Add(1)
+	defer s.watchers.Add(-1)
+	if running > int64(s.watchCap) {
+		s.refused.Add(1)
+		http.Error(w, "too many watches", http.StatusTooManyRequests)
+		return
+	}
+	for peak := s.peakWatchers.Load(); running > peak && !s.peakWatchers.CompareAndSwap(peak, running); {
+		peak = s.peakWatchers.Load()
+	}
+	version, err := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad version", http.StatusBadRequest)
+		return
+	}
+	s.stream(w, r, version)
+}
+
+// stream sends events until the caller leaves, the store compacts past the
+// watch, or the fault down is switched on.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, version int64) {
+	prefixes := r.URL.Query()["prefix"]
+	s.mutex.Lock()
+	broken := s.broken
+	s.mutex.Unlock()
+	encoder := json.NewEncoder(w)
+	bookmark := time.NewTicker(bookmarkInterval)
+	defer bookmark.Stop()
+	started := false
+	for {
+		events, reached, changed, err := s.store.eventsAfter(version, prefixes)
+		if err != nil {
+			if !started {
+				answer(w, nil, err)
+			}
+			return
+		}
+		if !s.sendEvents(r.Context(), encoder, events) {
+			return
+		}
+		if !started {
+			started = true
+			_ = encoder.Encode(platform.Event{Type: platform.EventBookmark, Version: reached})
+		}
+		version = reached
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-changed:
+		case <-bookmark.C:
+			_ = encoder.Encode(platform.Event{Type: platform.EventBookmark, Version: version})
+		case <-broken:
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) sendEvents(ctx context.Context, encoder *json.Encoder, events []platform.Event) bool {
+	faults := s.currentFaults()
+	if len(events) > 0 && !sleep(ctx, time.Duration(faults.EventDelayMillis)*time.Millisecond) {
+		return false
+	}
+	for index := range events {
+		event := events[index]
+		if faults.CrossEvents {
+			event = events[len(events)-1-index]
+		}
+		if err := encoder.Encode(event); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(faults)
+}
+
+func (s *Server) serveSetMachine(w http.ResponseWriter, r *http.Request) {
+	var machine platform.Machine
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&machine); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetMachine(machine)
+}
+
+func answer(w http.ResponseWriter, value any, err error) {
+	if err == nil {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(value)
+		return
+	}
+	code, _ := result.CodeOf(err)
+	switch code {
+	case result.PlatformNotFound:
+		http.Error(w, err.Error(), http.StatusNotFound)
+	case result.PlatformConflict:
+		http.Error(w, err.Error(), http.StatusConflict)
+	case result.PlatformCompacted:
+		http.Error(w, err.Error(), http.StatusGone)
+	default:
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
--- /dev/null
+++ b/internal/platformstub/store.go
@@ -0,0 +1,151 @@
+package platformstub
+
+import (
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// keptEvents is the number of events kept for watches that start late.
+const keptEvents = 20000
+
+// store is the object store in memory.
+type store struct {
+	mutex   sync.Mutex
+	version int64
+	objects map[string]platform.Object
+	// events holds the latest changes in order; compacted is the version up
+	// to which events were dropped.
+	events    []platform.Event
+	compacted int64
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+func newStore() *store {
+	return &store{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+}
+
+func (s *store) get(key string) (platform.Object, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	object, ok := s.objects[key]
+	if !ok {
+		return platform.Object{}, result.Errorf(result.PlatformNotFound, "%s", key)
+	}
+	return object, nil
+}
+
+func (s *store) put(key string, value []byte, expected int64) (int64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	object := s.objects[key]
+	if expected != platform.VersionAny && object.Version != expected {
+		return 0, result.Errorf(result.PlatformConflict, "%s has version %d, not %d", key, object.Version, expected)
+	}
+	s.version++
+	object.Key = key
+	object.Version = s.version
+	object.Value = value
+	s.objects[key] = object
+	s.record(platform.EventPut, object)
+	return s.version, nil
+}
+
+func (s *store) putStatus(key string, status []byte, expected int64) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	object, ok := s.objects[key]
+	if !ok {
+		return result.Errorf(result.PlatformNotFound, "%s", key)
+	}
+	if expected != platform.VersionAny && object.Version != expected {
+		return result.Errorf(result.PlatformConflict, "%s has version %d, not %d", key, object.Version, expected)
+	}
+	object.Status = status
+	s.objects[key] = object
+	return nil
+}
+
+func (s *store) remove(key string, expected int64) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	object, ok := s.objects[key]
+	if !ok {
+		return result.Errorf(result.PlatformNotFound, "%s", key)
+	}
+	if expected != platform.VersionAny && object.Version != expected {
+		return result.Errorf(result.PlatformConflict, "%s has version %d, not %d", key, object.Version, expected)
+	}
+	s.version++
+	delete(s.objects, key)
+	s.record(platform.EventDelete, platform.Object{Key: key, Version: s.version})
+	return nil
+}
+
+// record appends an event; the caller holds mutex.
+func (s *store) record(eventType platform.EventType, object platform.Object) {
+	object.Status = nil
+	s.events = append(s.events, platform.Event{Type: eventType, Object: object, Version: s.version})
+	if len(s.events) > keptEvents {
+		dropped := len(s.events) - keptEvents/2
+		s.compacted = s.events[dropped-1].Version
+		s.events = append([]platform.Event(nil), s.events[dropped:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// compact drops all kept events, so that older watches fail.
+func (s *store) compact() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.compacted = s.version
+	s.events = nil
+}
+
+func (s *store) list(prefix, start string, limit int) platform.ListResult {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	list := platform.ListResult{Version: s.version, Objects: []platform.Object{}}
+	for key, object := range s.objects {
+		if strings.HasPrefix(key, prefix) && key >= start {
+			list.Objects = append(list.Objects, object)
+		}
+	}
+	sort.Slice(list.Objects, func(i, j int) bool { return list.Objects[i].Key < list.Objects[j].Key })
+	if limit > 0 && len(list.Objects) > limit {
+		list.Objects = list.Objects[:limit]
+		list.More = true
+	}
+	return list
+}
+
+// eventsAfter returns the events after version for the prefixes, the version
+// reached, and a channel that is closed at the next change.
+func (s *store) eventsAfter(version int64, prefixes []string) (events []platform.Event, reached int64, changed <-chan struct{}, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if version < s.compacted {
+		return nil, 0, nil, result.Errorf(result.PlatformCompacted, "events up to %d are gone", s.compacted)
+	}
+	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Version > version })
+	for _, event := range s.events[first:] {
+		if hasAnyPrefix(event.Object.Key, prefixes) {
+			events = append(events, event)
+		}
+	}
+	return events, s.version, s.changed, nil
+}
+
+func hasAnyPrefix(key string, prefixes []string) bool {
+	for _, prefix := range prefixes {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/result/error.go
@@ -0,0 +1,100 @@
+package result
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Error is a failure with a result code.
+type Error struct {
+	Code   Code
+	Detail string
+	// Cause is the underlying error; nil when there is none.
+	Cause error
+	// RetryAfter tells when trying again makes sense; 0 when not known.
+	RetryAfter time.Duration
+}
+
+// Error renders the code's number and name before the detail.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%d %s: %s", e.Code, e.Code, e.Detail)
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Errorf returns an Error with a formatted detail.
+func Errorf(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an Error that keeps cause; it returns nil for a nil cause.
+func Wrap(code Code, cause error, format string, args ...any) error {
+	if cause == nil {
+		return nil
+	}
+	return &Error{Code: code, Detail: fmt.Sprintf(format, args...), Cause: cause}
+}
+
+// CodeOf returns the code of the first Error in err's chain, OK for nil, and
+// otherwise 0 with ok false.
+func CodeOf(err error) (code Code, ok bool) {
+	if err == nil {
+		return OK, true
+	}
+	var coded *Error
+	if errors.As(err, &coded) {
+		return coded.Code, true
+	}
+	return 0, false
+}
+
+// Is reports whether err carries code.
+func Is(err error, code Code) bool {
+	found, ok := CodeOf(err)
+	return ok && found == code && err != nil
+}
+
+// List is a set of faults found together, such as by the validation of a
+// proposal. An empty list is no error.
+type List struct {
+	Faults []*Error
+}
+
+// Add appends a fault.
+func (l *List) Add(code Code, format string, args ...any) {
+	l.Faults = append(l.Faults, Errorf(code, format, args...))
+}
+
+// Err returns the list as an error, nil when it is empty.
+func (l *List) Err() error {
+	if len(l.Faults) == 0 {
+		return nil
+	}
+	return l
+}
+
+// Error renders one fault a line.
+func (l *List) Error() string {
+	lines := make([]string, 0, len(l.Faults))
+	for _, fault := range l.Faults {
+		lines = append(lines, fault.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults, so that CodeOf gives the code of the first.
+func (l *List) Unwrap() []error {
+	faults := make([]error, 0, len(l.Faults))
+	for _, fault := range l.Faults {
+		faults = append(faults, fault)
+	}
+	return faults
+}
--- /dev/null
+++ b/internal/seat/lease.go
@@ -0,0 +1,114 @@
+package seat
+
+import (
+	"context"
+	"time"
+
+	"github.com/qmuntal/stateless"
+)
+
+// State is the state of a daemon with regard to one seat.
+type State string
+
+// States of a lease.
+const (
+	// StateIdle holds no seat.
+	StateIdle State = "idle"
+	// StateHolding holds the seat; the lease has not lapsed.
+	StateHolding State = "holding"
+	// StateSuspended could not renew in time. It still serves its children but
+	// writes nothing until a renewal succeeds.
+	StateSuspended State = "suspended"
+	// StateLost was taken over by another daemon.
+	StateLost State = "lost"
+)
+
+type trigger string
+
+const (
+	triggerAcquired trigger = "acquired"
+	triggerRenewed  trigger = "renewed"
+	triggerLapsed   trigger = "lapsed"
+	triggerTaken    trigger = "taken"
+	triggerReleased trigger = "released"
+)
+
+// Lease is the holder's view of its seat. It is not safe for concurrent use.
+type Lease struct {
+	machine  *stateless.StateMachine
+	duration time.Duration
+	// deadline is when the lease lapses on this machine's clock.
+	deadline time.Time
+	// version is the object's version of the last renewal; it fences writes.
+	version int64
+}
+
+// NewLease returns an idle lease of the given length.
+func NewLease(duration time.Duration) *Lease {
+	machine := stateless.NewStateMachine(StateIdle)
+	machine.Configure(StateIdle).
+		Permit(triggerAcquired, StateHolding).
+		Ignore(triggerLapsed).Ignore(triggerTaken).Ignore(triggerReleased)
+	machine.Configure(StateHolding).
+		PermitReentry(triggerRenewed).
+		Permit(triggerLapsed, StateSuspended).
+		Permit(triggerTaken, StateLost).
+		Permit(triggerReleased, StateIdle)
+	machine.Configure(StateSuspended).
+		Permit(triggerRenewed, StateHolding).
+		Permit(triggerTaken, StateLost).
+		Permit(triggerReleased, StateIdle).
+		Ignore(triggerLapsed)
+	machine.Configure(StateLost).
+		Permit(triggerAcquired, StateHolding).
+		Ignore(triggerLapsed).Ignore(triggerTaken).Ignore(triggerReleased)
+	return &Lease{machine: machine, duration: duration}
+}
+
+// State returns the state at now; a lease whose deadline passed unnoticed, as
+// after a pause, is suspended first.
+func (l *Lease) State(now time.Time) State {
+	if l.current() == StateHolding && !now.Before(l.deadline) {
+		l.fire(triggerLapsed)
+	}
+	return l.current()
+}
+
+func (l *Lease) current() State { return l.machine.MustState().(State) }
+
+func (l *Lease) fire(event trigger) {
+	// Every trigger is permitted or ignored in every state that can see it.
+	_ = l.machine.FireCtx(context.Background(), event)
+}
+
+// Acquired notes that the write sent at sentAt took the seat with version.
+func (l *Lease) Acquired(sentAt time.Time, version int64) {
+	l.fire(triggerAcquired)
+	l.deadline = sentAt.Add(l.duration)
+	l.version = version
+}
+
+// Renewed notes that the renewal sent at sentAt succeeded with version.
+func (l *Lease) Renewed(sentAt time.Time, version int64) {
+	if l.current() != StateHolding && l.current() != StateSuspended {
+		return
+	}
+	l.fire(triggerRenewed)
+	l.deadline = sentAt.Add(l.duration)
+	l.version = version
+}
+
+// Taken notes that another daemon holds the seat.
+func (l *Lease) Taken() { l.fire(triggerTaken) }
+
+// Released notes that the seat was given back.
+func (l *Lease) Released() { l.fire(triggerReleased) }
+
+// MayWrite reports whether the holder may write to the platform at now, and
+// the version that its write must name.
+func (l *Lease) MayWrite(now time.Time) (version int64, ok bool) {
+	return l.version, l.State(now) == StateHolding
+}
+
+// Version returns the version of the last renewal.
+func (l *Lease) Version() int64 { return l.version }
