--- /dev/null
+++ b/internal/settings/daemon.go
@@ -0,0 +1,192 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/features"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Daemon holds the settings of lapisvaned.
+type Daemon struct {
+	// Node is the machine's stable name.
+	Node   string `json:"node"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// PeerAddress is where other daemons connect.
+	PeerAddress string `json:"peer_address"`
+	// CallerAddress is where callers connect over HTTP.
+	CallerAddress string `json:"caller_address"`
+	// CallerTLSAddress is where callers connect over HTTPS; empty for none.
+	CallerTLSAddress string `json:"caller_tls_address"`
+	// OperatorAddress is where lapisctl connects; empty for none.
+	OperatorAddress string `json:"operator_address"`
+	// MetricsAddress serves Prometheus metrics; empty for none.
+	MetricsAddress string   `json:"metrics_address"`
+	Platform       Platform `json:"platform"`
+	// Seeds are peer addresses of other daemons.
+	Seeds []string `json:"seeds"`
+	// Services are the services that callers beside this daemon use; "*" for
+	// all.
+	Services []string  `json:"services"`
+	Backends []Backend `json:"backends"`
+	PeerTLS  PeerTLS   `json:"peer_tls"`
+	Calls    Calls     `json:"calls"`
+	// Profile chooses the tunables of distribution: convergence or bytes.
+	Profile string `json:"profile"`
+	// Distribution overrides single tunables of the profile.
+	Distribution json.RawMessage `json:"distribution"`
+	// NoSeat keeps the daemon from becoming a reader.
+	NoSeat bool `json:"no_seat"`
+	// StopLimit bounds the wait for calls in flight at a planned stop.
+	StopLimit features.Duration `json:"stop_limit"`
+	// Verbosity of the log: 0 events, 1 debugging.
+	Verbosity int `json:"verbosity"`
+
+	tunables features.Distribution
+}
+
+// Platform tells where the platform is.
+type Platform struct {
+	Addresses []string `json:"addresses"`
+	Token     string   `json:"token"`
+}
+
+// Backend is one back end beside the daemon.
+type Backend struct {
+	Service  string `json:"service"`
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+}
+
+// PeerTLS names the files for mutual TLS between daemons; all empty for plain
+// TCP.
+type PeerTLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+// Calls bounds the request path.
+type Calls struct {
+	DefaultDeadline features.Duration `json:"default_deadline"`
+	QueueLength     int               `json:"queue_length"`
+	QueueTime       features.Duration `json:"queue_time"`
+}
+
+// Profiles of distribution.
+const (
+	ProfileConvergence = "convergence"
+	ProfileBytes       = "bytes"
+)
+
+// DefaultDaemon returns the settings that hold where a file says nothing.
+func DefaultDaemon() Daemon {
+	return Daemon{
+		Profile: ProfileConvergence,
+		Calls: Calls{
+			DefaultDeadline: features.Duration(10 * time.Second),
+			QueueLength:     64,
+			QueueTime:       features.Duration(250 * time.Millisecond),
+		},
+		StopLimit: features.Duration(10 * time.Minute),
+	}
+}
+
+// ReadDaemon reads path over the defaults; override then applies flags, which
+// win. Errors: a *result.List or an error that names the key.
+func ReadDaemon(path string, override func(*Daemon)) (*Daemon, error) {
+	daemon := DefaultDaemon()
+	if path != "" {
+		if err := readStrict(path, &daemon); err != nil {
+			return nil, err
+		}
+	}
+	override(&daemon)
+	return &daemon, daemon.Check()
+}
+
+// Check reports every fault in the settings and prepares the tunables.
+func (d *Daemon) Check() error {
+	check := &checker{}
+	check.required("node", d.Node)
+	check.required("zone", d.Zone)
+	check.address("peer_address", d.PeerAddress, true)
+	check.address("caller_address", d.CallerAddress, false)
+	check.address("caller_tls_address", d.CallerTLSAddress, false)
+	check.address("operator_address", d.OperatorAddress, false)
+	check.address("metrics_address", d.MetricsAddress, false)
+	if len(d.Platform.Addresses) == 0 {
+		check.faults.Add(result.SettingsMissing, "platform.addresses")
+	}
+	for index, address := range d.Platform.Addresses {
+		check.address(fmt.Sprintf("platform.addresses[%d]", index), address, true)
+	}
+	for index, address := range d.Seeds {
+		check.address(fmt.Sprintf("seeds[%d]", index), address, true)
+	}
+	for index, backend := range d.Backends {
+		key := fmt.Sprintf("backends[%d]", index)
+		check.required(key+".service", backend.Service)
+		check.required(key+".instance", backend.Instance)
+		check.address(key+".address", backend.Address, true)
+	}
+	check.together("peer_tls", d.PeerTLS.Certificate, d.PeerTLS.Key, d.PeerTLS.Authority)
+	check.positive("calls.default_deadline", float64(d.Calls.DefaultDeadline))
+	check.positive("calls.queue_length", float64(d.Calls.QueueLength))
+	check.positive("calls.queue_time", float64(d.Calls.QueueTime))
+	check.positive("stop_limit", float64(d.StopLimit))
+	if d.Verbosity < 0 {
+		check.faults.Add(result.SettingsBadNumber, "verbosity: %d is negative", d.Verbosity)
+	}
+	d.checkDistribution(check)
+	return check.Err()
+}
+
+func (d *Daemon) checkDistribution(check *checker) {
+	switch d.Profile {
+	case ProfileConvergence:
+		d.tunables = features.Convergence()
+	case ProfileBytes:
+		d.tunables = features.Bytes()
+	default:
+		check.faults.Add(result.SettingsBadNumber, "profile: %q is neither convergence nor bytes", d.Profile)
+		return
+	}
+	if len(d.Distribution) > 0 {
+		if err := parseStrict(d.Distribution, &d.tunables); err != nil {
+			code, _ := result.CodeOf(err)
+			check.faults.Add(code, "distribution: %v", err)
+		}
+	}
+	checkTunables(check, d.tunables)
+}
+
+func checkTunables(check *checker, tunables features.Distribution) {
+	check.positive("distribution.fanout", float64(tunables.Fanout))
+	check.positive("distribution.max_depth", float64(tunables.MaxDepth))
+	check.positive("distribution.seats_per_zone", float64(tunables.SeatsPerZone))
+	check.positive("distribution.seat_lease", float64(tunables.SeatLease))
+	check.positive("distribution.heartbeat_interval", float64(tunables.HeartbeatInterval))
+	check.positive("distribution.status_interval", float64(tunables.StatusInterval))
+	check.positive("distribution.joins_per_second", tunables.JoinsPerSecond-0.999)
+	check.positive("distribution.catch_up_bytes_per_second", tunables.CatchUpBytesPerSecond)
+	check.positive("distribution.catch_up_burst_bytes", float64(tunables.CatchUpBurstBytes))
+	check.positive("distribution.machines_interval", float64(tunables.MachinesInterval))
+	check.positive("distribution.join_backoff_min", float64(tunables.JoinBackoffMin))
+	check.positive("distribution.first_source_ask", float64(tunables.FirstSourceAsk))
+	if tunables.LinkSilence < 2*tunables.HeartbeatInterval {
+		check.faults.Add(result.SettingsBadNumber, "distribution.link_silence must be at least twice heartbeat_interval")
+	}
+	if tunables.StatusInterval > tunables.LinkSilence/2 {
+		check.faults.Add(result.SettingsBadNumber, "distribution.status_interval must be at most half of link_silence")
+	}
+	if tunables.DebounceQuiet < 0 || tunables.DebounceMax < tunables.DebounceQuiet {
+		check.faults.Add(result.SettingsBadNumber, "distribution.debounce_quiet must be between 0 and debounce_max")
+	}
+}
+
+// Tunables returns the tunables of distribution after Check.
+func (d *Daemon) Tunables() features.Distribution { return d.tunables }
--- /dev/null
+++ b/internal/snapshot/snapshot.go
@@ -0,0 +1,187 @@
+// Package snapshot holds the configuration in force on a daemon: an immutable
+// Snapshot, prepared for routing, that is replaced by one atomic swap.
+package snapshot
+
+import (
+	"crypto/tls"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Service is one pool with its routes and shares.
+type Service struct {
+	Bundle *lapisv1.Bundle
+	// Drained and Retired are the pool's instances that take no new work.
+	Drained map[string]bool
+	Retired map[string]bool
+	// Shares gives the percentage of each group.
+	Shares map[string]uint32
+	// source is the bundle that the service was decoded from.
+	source *lapisv1.EncodedBundle
+	// certificates holds the parsed secrets by name.
+	certificates map[string]*tls.Certificate
+}
+
+// Snapshot is an immutable configuration version.
+type Snapshot struct {
+	Revision           uint64
+	AcceptedUnixMillis int64
+	services           map[string]*Service
+	// routes is sorted by descending specificity.
+	routes       []*lapisv1.Route
+	certificates map[string]*tls.Certificate
+}
+
+// Build decodes and checks bundles into a snapshot; what did not change is
+// taken from previous, which may be nil. Errors: DistributionDigestMismatch,
+// DistributionBadBundle, DistributionNotClosed.
+func Build(revision uint64, acceptedUnixMillis int64, bundles map[string]*lapisv1.EncodedBundle, previous *Snapshot) (*Snapshot, error) {
+	next := &Snapshot{
+		Revision: revision, AcceptedUnixMillis: acceptedUnixMillis,
+		services:     make(map[string]*Service, len(bundles)),
+		certificates: map[string]*tls.Certificate{},
+	}
+	changed := previous == nil || len(previous.services) != len(bundles)
+	for name, encoded := range bundles {
+		if previous != nil {
+			if service, ok := previous.services[name]; ok && service.source == encoded {
+				next.services[name] = service
+				continue
+			}
+		}
+		service, err := buildService(encoded)
+		if err != nil {
+			return nil, err
+		}
+		next.services[name] = service
+		changed = true
+	}
+	if !changed {
+		next.routes = previous.routes
+		next.certificates = previous.certificates
+		return next, nil
+	}
+	next.index()
+	return next, nil
+}
+
+func buildService(encoded *lapisv1.EncodedBundle) (*Service, error) {
+	bundle, err := meshconfig.DecodeBundle(encoded)
+	if err != nil {
+		return nil, err
+	}
+	service := &Service{
+		Bundle: bundle, source: encoded,
+		Drained: toSet(bundle.GetPool().GetDrained()), Retired: toSet(bundle.GetPool().GetRetired()),
+		Shares: map[string]uint32{}, certificates: map[string]*tls.Certificate{},
+	}
+	for _, share := range bundle.GetShares() {
+		service.Shares[share.GetGroup()] += share.GetPercent()
+	}
+	for _, secret := range bundle.GetSecrets() {
+		pair, err := tls.X509KeyPair(secret.GetCertificatePem(), secret.GetPrivateKeyPem())
+		if err != nil {
+			return nil, result.Errorf(result.DistributionBadBundle, "secret %s has no usable key pair", secret.GetName())
+		}
+		service.certificates[secret.GetName()] = &pair
+	}
+	return service, nil
+}
+
+func toSet(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, name := range names {
+		set[name] = true
+	}
+	return set
+}
+
+// index sorts the routes and maps hosts to certificates.
+func (s *Snapshot) index() {
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		service := s.services[name]
+		for _, route := range service.Bundle.GetRoutes() {
+			s.routes = append(s.routes, route)
+			if certificate, ok := service.certificates[route.GetSecret()]; ok {
+				s.certificates[route.GetHost()] = certificate
+			}
+		}
+	}
+	slices.SortStableFunc(s.routes, compareSpecificity)
+}
+
+// compareSpecificity puts a route with host before one without, a longer
+// prefix before a shorter one and one with methods before one without.
+func compareSpecificity(a, b *lapisv1.Route) int {
+	if hostA, hostB := a.GetHost() != "", b.GetHost() != ""; hostA != hostB {
+		if hostA {
+			return -1
+		}
+		return 1
+	}
+	if difference := len(b.GetPathPrefix()) - len(a.GetPathPrefix()); difference != 0 {
+		return difference
+	}
+	if methodsA, methodsB := len(a.GetMethods()) > 0, len(b.GetMethods()) > 0; methodsA != methodsB {
+		if methodsA {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(a.GetName(), b.GetName())
+}
+
+// Match returns the route for a request, nil when there is none. host has no
+// port and is in lower case.
+func (s *Snapshot) Match(host, path, method string) *lapisv1.Route {
+	for _, route := range s.routes {
+		if route.GetHost() != "" && route.GetHost() != host {
+			continue
+		}
+		if !pathHasPrefix(path, route.GetPathPrefix()) {
+			continue
+		}
+		if len(route.GetMethods()) > 0 && !slices.Contains(route.GetMethods(), method) {
+			continue
+		}
+		return route
+	}
+	return nil
+}
+
+// pathHasPrefix matches whole segments: /dock matches /dock and /dock/1 but
+// not /docks.
+func pathHasPrefix(path, prefix string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+// Service returns a service; ok is false when the daemon does not hold it.
+func (s *Snapshot) Service(name string) (service *Service, ok bool) {
+	service, ok = s.services[name]
+	return service, ok
+}
+
+// Services returns the names of the services held, in order.
+func (s *Snapshot) Services() []string { return slices.Sorted(maps.Keys(s.services)) }
+
+// Certificate returns the key pair for a host, falling back to that of routes
+// without a host; nil when there is none.
+func (s *Snapshot) Certificate(host string) *tls.Certificate {
+	if certificate, ok := s.certificates[host]; ok {
+		return certificate
+	}
+	return s.certificates[""]
+}
+
+// TakesNewWork reports whether operators let an instance take new work.
+func (s *Service) TakesNewWork(instance string) bool {
+	return !s.Drained[instance] && !s.Retired[instance]
+}
--- /dev/null
+++ b/internal/snapshot/store.go
@@ -0,0 +1,33 @@
+package snapshot
+
+import (
+	"sync/atomic"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Store holds the snapshot in force. Readers take it without a lock; only one
+// goroutine may call Replace.
+type Store struct {
+	current atomic.Pointer[Snapshot]
+}
+
+// Current returns the snapshot in force, nil before the first.
+func (s *Store) Current() *Snapshot { return s.current.Load() }
+
+// Replace puts a version in force, whole or not at all. Errors:
+// DistributionBelowFloor for a revision not above the one in force, and those
+// of Build.
+func (s *Store) Replace(revision uint64, acceptedUnixMillis int64, bundles map[string]*lapisv1.EncodedBundle) error {
+	previous := s.current.Load()
+	if previous != nil && revision <= previous.Revision {
+		return result.Errorf(result.DistributionBelowFloor, "revision %d after %d", revision, previous.Revision)
+	}
+	next, err := Build(revision, acceptedUnixMillis, bundles, previous)
+	if err != nil {
+		return err
+	}
+	s.current.Store(next)
+	return nil
+}
--- /dev/null
+++ b/internal/tree/endpoints.go
@@ -0,0 +1,147 @@
+package tree
+
+import (
+	"time"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+)
+
+// SetLocalEndpoints announces the instances beside this daemon. Node, address,
+// zone and order are filled in by the node. An instance left out is announced
+// as gone.
+func (n *Node) SetLocalEndpoints(endpoints []*lapisv1.Endpoint) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	present := map[string]bool{}
+	for _, statement := range endpoints {
+		present[statement.GetService()+"/"+statement.GetInstance()] = true
+	}
+	for _, previous := range n.local {
+		if !present[previous.GetService()+"/"+previous.GetInstance()] && previous.GetState() != lapisv1.Endpoint_STATE_GONE {
+			endpoints = append(endpoints, &lapisv1.Endpoint{
+				Service: previous.GetService(), Instance: previous.GetInstance(), State: lapisv1.Endpoint_STATE_GONE,
+			})
+		}
+	}
+	n.local = endpoints
+	n.announce()
+}
+
+// announce states all local endpoints anew; the caller holds mutex.
+func (n *Node) announce() {
+	now := time.Now()
+	for _, statement := range n.local {
+		n.sequence++
+		n.merge(&lapisv1.Endpoint{
+			Service: statement.GetService(), Instance: statement.GetInstance(),
+			Node: n.config.Node, Address: n.config.Address, Zone: n.config.Zone,
+			Incarnation: n.config.Incarnation, Sequence: n.sequence,
+			State: statement.GetState(), StartedUnixMillis: statement.GetStartedUnixMillis(),
+		}, "", now)
+	}
+}
+
+// mergeEndpoints takes in statements that came through a child, "" for other
+// ways; the caller holds mutex.
+func (n *Node) mergeEndpoints(endpoints []*lapisv1.Endpoint, via string) {
+	now := time.Now()
+	refute := false
+	for _, statement := range endpoints {
+		if n.contradicted(statement) {
+			refute = true
+			continue
+		}
+		n.merge(statement, via, now)
+	}
+	if refute {
+		n.announce()
+	}
+}
+
+// contradicted reports whether another daemon suspects an instance beside this
+// one, or an older process here announced it.
+func (n *Node) contradicted(statement *lapisv1.Endpoint) bool {
+	if statement.GetNode() != n.config.Node {
+		return false
+	}
+	if statement.GetIncarnation() > n.config.Incarnation {
+		return false
+	}
+	for _, own := range n.local {
+		if own.GetService() == statement.GetService() && own.GetInstance() == statement.GetInstance() {
+			return statement.GetState() >= lapisv1.Endpoint_STATE_SUSPECT && own.GetState() < lapisv1.Endpoint_STATE_SUSPECT
+		}
+	}
+	return false
+}
+
+func (n *Node) merge(statement *lapisv1.Endpoint, via string, now time.Time) {
+	if !n.registry.Merge(statement, via, now) {
+		return
+	}
+	n.believeDrain(statement)
+	n.endpointChanged(statement.GetService())
+	n.drainLeaving(statement, now)
+}
+
+// endpointChanged tells the observer and schedules sending; the caller holds
+// mutex.
+func (n *Node) endpointChanged(service string) {
+	if n.config.Interest.Has(service) {
+		n.config.Observer.Endpoints(service, n.registry.Service(service))
+	}
+	n.scheduleFlush()
+}
+
+// scheduleFlush sends endpoint changes after EndpointDebounce; the caller
+// holds mutex.
+func (n *Node) scheduleFlush() {
+	if n.flushScheduled {
+		return
+	}
+	n.flushScheduled = true
+	time.AfterFunc(n.config.Tunables.EndpointDebounce.Get(), func() {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		n.flushScheduled = false
+		n.flushed = n.registry.Change()
+		n.wakeChildren()
+		if n.up != nil {
+			n.up.signal()
+		}
+		for _, link := range n.mesh {
+			link.signal()
+		}
+	})
+}
+
+// completeServices drops entries that the parent no longer knows; the caller
+// holds mutex.
+func (n *Node) completeServices(batch *lapisv1.EndpointBatch) {
+	for _, service := range batch.GetCompleteServices() {
+		before := n.registry.ServiceChange(service)
+		n.registry.Keep(service, n.config.Node, batch.GetEndpoints())
+		if n.registry.ServiceChange(service) != before {
+			n.endpointChanged(service)
+		}
+	}
+}
+
+// suspectNow marks lost endpoints of which nothing newer was heard; the caller
+// holds mutex.
+func (n *Node) suspectNow(lost []lostEndpoint) {
+	now := time.Now()
+	for _, candidate := range lost {
+		if !n.registry.Suspect(candidate.key, candidate.incarnation, candidate.sequence, now) {
+			continue
+		}
+		n.endpointChanged(candidate.key.Service)
+	}
+}
+
+// Endpoints returns what the node knows of a service's instances.
+func (n *Node) Endpoints(service string) []*lapisv1.Endpoint {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.registry.Service(service)
+}
--- /dev/null
+++ b/internal/tree/node_test.go
@@ -0,0 +1,218 @@
+package tree_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/changelog"
+	"github.com/lapisvane/lapisvane/internal/features"
+	"github.com/lapisvane/lapisvane/internal/holdings"
+	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/peer"
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/tree"
+	"github.com/lapisvane/lapisvane/internal/wire"
+)
+
+// settled bounds how long a cluster may take to reach a stated condition; it
+// is generous because it only ends a test that would fail anyway.
+const settled = 40 * time.Second
+
+// recorder keeps the versions that a node put in force.
+type recorder struct {
+	mutex   sync.Mutex
+	applied []tree.Applied
+}
+
+func (r *recorder) Apply(applied tree.Applied) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.applied = append(r.applied, applied)
+}
+
+func (r *recorder) Endpoints(string, []*lapisv1.Endpoint) {}
+
+func (r *recorder) history() []tree.Applied {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]tree.Applied(nil), r.applied...)
+}
+
+// member is one running node of a test cluster.
+type member struct {
+	node     *tree.Node
+	recorder *recorder
+	cancel   context.CancelFunc
+	done     chan struct{}
+	address  string
+}
+
+func (m *member) kill() {
+	m.cancel()
+	<-m.done
+}
+
+// cluster is a platform stand-in with nodes around it.
+type cluster struct {
+	t        *testing.T
+	stub     *platformstub.Server
+	store    *platform.Client
+	tunables features.Distribution
+	members  map[string]*member
+	started  uint64
+}
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	stub, err := platformstub.Start(platformstub.Options{Address: "127.0.0.1:0", Seed: 1})
+	assert.NilError(t, err)
+	tunables := features.Convergence()
+	tunables.Fanout = 3
+	tunables.FirstSourceAsk = features.Duration(100 * time.Millisecond)
+	tunables.SeatLease = features.Duration(2 * time.Second)
+	tunables.StatusInterval = features.Duration(200 * time.Millisecond)
+	c := &cluster{
+		t: t, stub: stub, tunables: tunables, members: map[string]*member{},
+		store: platform.NewClient([]string{stub.Address()}, "", nil),
+	}
+	t.Cleanup(func() {
+		for _, m := range c.members {
+			m.cancel()
+		}
+		for _, m := range c.members {
+			<-m.done
+		}
+		c.store.Close()
+		stub.Close()
+	})
+	return c
+}
+
+// start runs a node; a node of the same name that was killed is replaced by a
+// new process that knows nothing.
+func (c *cluster) start(name, zone string, services ...string) *member {
+	c.t.Helper()
+	network := wire.TCP{}
+	listener, err := network.Listen("127.0.0.1:0")
+	assert.NilError(c.t, err)
+	c.started++
+	m := &member{recorder: &recorder{}, done: make(chan struct{}), address: listener.Addr().String()}
+	counters := &wire.Counters{}
+	m.node = tree.New(tree.Config{
+		Node: name, Incarnation: c.started, Zone: zone, Region: "r", Address: m.address,
+		Interest: holdings.NewInterest(services...), Tunables: c.tunables, Network: network,
+		Store: c.store, Counters: counters, Random: rand.New(rand.NewPCG(c.started, 7)),
+		Logger: logr.Discard(), Observer: m.recorder,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	server := &peer.Server{Node: name, Logger: logr.Discard(), Counters: counters, Handlers: map[lapisv1.Hello_Purpose]peer.Handler{
+		lapisv1.Hello_PURPOSE_CHILD:  m.node.ServeChild,
+		lapisv1.Hello_PURPOSE_READER: m.node.ServeReader,
+	}}
+	var running sync.WaitGroup
+	running.Go(func() { server.Serve(ctx, listener) })
+	running.Go(func() { m.node.Run(ctx) })
+	go func() {
+		running.Wait()
+		close(m.done)
+	}()
+	c.stub.SetMachine(platform.Machine{Node: name, Address: m.address, Zone: zone, State: platform.MachineLive})
+	c.members[name] = m
+	return m
+}
+
+// accept makes changes the next revision.
+func (c *cluster) accept(operation string, changes ...*lapisv1.Change) uint64 {
+	c.t.Helper()
+	log := changelog.New(c.store, time.Now)
+	state, err := log.Refresh(context.Background())
+	assert.NilError(c.t, err)
+	number, err := log.Accept(context.Background(), &lapisv1.Proposal{
+		OperationId: operation, Author: "test", BaseRevision: state.Revision, Changes: changes,
+	})
+	assert.NilError(c.t, err)
+	return number
+}
+
+// service returns the changes that create a pool with one route.
+func service(name string, slots uint32) []*lapisv1.Change {
+	file := meshconfig.File{
+		Pools:  []meshconfig.PoolFile{{Name: name, Group: "g", Slots: slots, ConnectionLimit: 130}},
+		Routes: []meshconfig.RouteFile{{Name: name, Group: "g", Pool: name, PathPrefix: "/" + name}},
+	}
+	changes, _ := file.Changes()
+	return changes
+}
+
+// waitInForce waits until every member has revision in force.
+func (c *cluster) waitInForce(revision uint64) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		for name, m := range c.members {
+			if info := m.node.Info(); info.InForce < revision {
+				return poll.Continue("%s has %d in force, wanted %d (%+v)", name, info.InForce, revision, info)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(settled), poll.WithDelay(20*time.Millisecond))
+}
+
+// checkHistories fails when a node ever went back.
+func (c *cluster) checkHistories() {
+	c.t.Helper()
+	for name, m := range c.members {
+		last := uint64(0)
+		for _, applied := range m.recorder.history() {
+			assert.Assert(c.t, applied.Revision > last, "%s applied %d after %d", name, applied.Revision, last)
+			last = applied.Revision
+		}
+	}
+}
+
+func TestAcceptedRevisionReachesEveryNode(t *testing.T) {
+	c := newCluster(t)
+	for index := range 12 {
+		c.start(fmt.Sprintf("n%02d", index), fmt.Sprintf("z%d", index%2), "a", "b")
+	}
+	first := c.accept("op-1", append(service("a", 6), service("b", 6)...)...)
+	c.waitInForce(first)
+	second := c.accept("op-2", service("c", 6)...)
+	third := c.accept("op-3", service("a", 7)...)
+	c.waitInForce(third)
+	c.checkHistories()
+	assert.Assert(t, third == second+1)
+	for _, m := range c.members {
+		history := m.recorder.history()
+		last := history[len(history)-1]
+		assert.Equal(t, len(last.Bundles), 2)
+		bundle, err := meshconfig.DecodeBundle(last.Bundles["a"])
+		assert.NilError(t, err)
+		assert.Equal(t, bundle.GetPool().GetSlots(), uint32(7))
+	}
+}
+
+func TestReplacedNodeNeverGoesBack(t *testing.T) {
+	c := newCluster(t)
+	for index := range 6 {
+		c.start(fmt.Sprintf("n%d", index), "z", "a")
+	}
+	c.waitInForce(c.accept("op-1", service("a", 6)...))
+	last := c.accept("op-2", service("a", 7)...)
+	c.waitInForce(last)
+	c.members["n3"].kill()
+	replaced := c.start("n3", "z", "a")
+	c.waitInForce(last)
+	assert.Assert(t, replaced.recorder.history()[0].Revision >= last)
+	c.checkHistories()
+}
--- /dev/null
+++ b/internal/wire/conn.go
@@ -0,0 +1,178 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// ProtocolVersion is the version that Hello carries.
+const ProtocolVersion = 1
+
+// MaxFrameBytes bounds one frame in either direction.
+const MaxFrameBytes = 8 << 20
+
+// preface starts every connection, so that another protocol is recognised
+// before any frame is read.
+var preface = []byte("LPSV1\n")
+
+// Counters counts the bytes and frames of one node. It is safe for concurrent
+// use; the zero value is ready.
+type Counters struct {
+	BytesIn, BytesOut   atomic.Int64
+	FramesIn, FramesOut atomic.Int64
+}
+
+// Conn is a connection that carries frames. Send may be called from several
+// goroutines, Receive from one.
+type Conn struct {
+	raw      net.Conn
+	reader   *bufio.Reader
+	counted  *countingConn
+	counters *Counters
+	maxFrame int64
+
+	// writeMutex protects writer.
+	writeMutex sync.Mutex
+	writer     *bufio.Writer
+	closeOnce  sync.Once
+}
+
+// bufferBytes is small because a node may hold hundreds of connections.
+const bufferBytes = 4 << 10
+
+// NewConn wraps raw; counters may be shared by all connections of a node.
+func NewConn(raw net.Conn, counters *Counters) *Conn {
+	if counters == nil {
+		counters = &Counters{}
+	}
+	counted := &countingConn{Conn: raw, counters: counters}
+	return &Conn{
+		raw:      raw,
+		counted:  counted,
+		reader:   bufio.NewReaderSize(counted, bufferBytes),
+		writer:   bufio.NewWriterSize(counted, bufferBytes),
+		counters: counters,
+		maxFrame: MaxFrameBytes,
+	}
+}
+
+// UseCounters counts the coming traffic elsewhere, once the greeting has told
+// what the connection carries. No other method may run at the same time.
+func (c *Conn) UseCounters(counters *Counters) {
+	c.counters = counters
+	c.counted.counters = counters
+}
+
+// WritePreface sends the fixed start of a connection; the dialer calls it.
+func (c *Conn) WritePreface() error {
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	if _, err := c.writer.Write(preface); err != nil {
+		return result.Wrap(result.ProtocolTimeout, err, "writing the preface")
+	}
+	return nil
+}
+
+// ReadPreface checks the fixed start of a connection; the accepting side calls
+// it. Errors: ProtocolBadVersion, ProtocolBadFrame.
+func (c *Conn) ReadPreface() error {
+	received := make([]byte, len(preface))
+	if _, err := io.ReadFull(c.reader, received); err != nil {
+		return result.Wrap(result.ProtocolBadFrame, err, "reading the preface")
+	}
+	if !bytes.Equal(received, preface) {
+		return result.Errorf(result.ProtocolBadVersion, "the connection starts with %q", received)
+	}
+	return nil
+}
+
+// Send writes one frame and flushes it.
+func (c *Conn) Send(frame proto.Message) error {
+	return c.SendAll(frame)
+}
+
+// SendAll writes several frames with one flush.
+func (c *Conn) SendAll(frames ...proto.Message) error {
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	for _, frame := range frames {
+		if _, err := protodelim.MarshalTo(c.writer, frame); err != nil {
+			return result.Wrap(result.ProtocolTimeout, err, "writing a frame")
+		}
+		c.counters.FramesOut.Add(1)
+	}
+	return result.Wrap(result.ProtocolTimeout, c.writer.Flush(), "flushing")
+}
+
+// Receive reads the next frame. io.EOF is returned unwrapped when the peer
+// closed between frames. Errors: ProtocolTooLarge, ProtocolBadFrame,
+// ProtocolTimeout.
+func (c *Conn) Receive(frame proto.Message) error {
+	options := protodelim.UnmarshalOptions{MaxSize: c.maxFrame}
+	err := options.UnmarshalFrom(c.reader, frame)
+	if err == nil {
+		c.counters.FramesIn.Add(1)
+		return nil
+	}
+	return classify(err)
+}
+
+func classify(err error) error {
+	var tooLarge *protodelim.SizeTooLargeError
+	var network net.Error
+	switch {
+	case errors.Is(err, io.EOF):
+		return io.EOF
+	case errors.As(err, &tooLarge):
+		return result.Wrap(result.ProtocolTooLarge, err, "receiving a frame")
+	case errors.As(err, &network) && network.Timeout():
+		return result.Wrap(result.ProtocolTimeout, err, "receiving a frame")
+	default:
+		return result.Wrap(result.ProtocolBadFrame, err, "receiving a frame")
+	}
+}
+
+// SetReadDeadline bounds the next Receive.
+func (c *Conn) SetReadDeadline(deadline time.Time) error { return c.raw.SetReadDeadline(deadline) }
+
+// SetWriteDeadline bounds the next Send.
+func (c *Conn) SetWriteDeadline(deadline time.Time) error { return c.raw.SetWriteDeadline(deadline) }
+
+// RemoteAddr returns the peer's address.
+func (c *Conn) RemoteAddr() net.Addr { return c.raw.RemoteAddr() }
+
+// Close closes the connection; it may be called several times.
+func (c *Conn) Close() error {
+	var err error
+	c.closeOnce.Do(func() { err = c.raw.Close() })
+	return err
+}
+
+// countingConn counts the bytes that pass.
+type countingConn struct {
+	net.Conn
+	counters *Counters
+}
+
+func (c *countingConn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.counters.BytesIn.Add(int64(count))
+	return count, err
+}
+
+func (c *countingConn) Write(buffer []byte) (int, error) {
+	count, err := c.Conn.Write(buffer)
+	c.counters.BytesOut.Add(int64(count))
+	return count, err
+}
