Take in nodes of a zone that lost its readers, and keep a killed reader's seat

Ruled out: slow detection (a killed daemon's connections end at once).

Change: readers name readers of other zones, those of the region first; a daemon that meets three daemons without a way tries them; only readers take in children of other zones, a few beyond their fan-out, offer them the vacant seats of their zone, and send them home once it has a reader.

--- /dev/null
+++ b/internal/lab/delay.go
@@ -0,0 +1,323 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/wire"
+)
+
+// errCut is the failure of a connection across a cut.
+var errCut = errors.New("the network between the zones is cut")
+
+// Topology knows in which zone each address is, how far zones are apart and
+// which of them cannot reach each other now. It is safe for concurrent use.
+type Topology struct {
+	// Delay returns the one-way delay between two zones.
+	Delay func(from, to string) time.Duration
+
+	// CutWithinZones makes it possible to cut off single nodes; every
+	// connection is then followed, at some cost.
+	CutWithinZones bool
+
+	mutex  sync.Mutex
+	places map[string]place
+	// isolated zones reach only themselves, isolated nodes nobody.
+	isolated map[string]bool
+	links    map[*delayedConn]struct{}
+	// BetweenZones counts bytes that crossed from one zone to another.
+	BetweenZones atomic.Int64
+}
+
+// place is where an address is.
+type place struct{ zone, node string }
+
+// NewTopology returns a topology with a fixed delay between different zones.
+func NewTopology(between time.Duration) *Topology {
+	return &Topology{
+		Delay: func(from, to string) time.Duration {
+			if from == to {
+				return 0
+			}
+			return between
+		},
+		places: map[string]place{}, isolated: map[string]bool{}, links: map[*delayedConn]struct{}{},
+	}
+}
+
+// Place notes that address belongs to node in zone.
+func (t *Topology) Place(address, zone, node string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.places[address] = place{zone, node}
+}
+
+// Isolate cuts the given zones or nodes off from all others, or joins them
+// again. Open connections across the cut go silent, as they do when a link
+// fails.
+func (t *Topology) Isolate(cut bool, names ...string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, name := range names {
+		t.isolated[name] = cut
+	}
+	for link := range t.links {
+		link.silent.Store(t.isCut(link.from, link.to))
+	}
+}
+
+// isCut reports whether two places cannot reach each other; the caller holds
+// mutex.
+func (t *Topology) isCut(from, to place) bool {
+	if from.zone != to.zone && (t.isolated[from.zone] || t.isolated[to.zone]) {
+		return true
+	}
+	return from.node != to.node && (t.isolated[from.node] || t.isolated[to.node])
+}
+
+// Network returns the network as seen from node in zone.
+func (t *Topology) Network(zone, node string) wire.Network {
+	return &placedNetwork{topology: t, place: place{zone, node}}
+}
+
+// DialFrom returns a dialer as seen from node in zone.
+func (t *Topology) DialFrom(zone, node string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		return t.dial(ctx, place{zone, node}, address)
+	}
+}
+
+func (t *Topology) dial(ctx context.Context, from place, address string) (net.Conn, error) {
+	t.mutex.Lock()
+	to := t.places[address]
+	cut := t.isCut(from, to)
+	t.mutex.Unlock()
+	if cut {
+		// A cut looks like silence, not like a refusal.
+		timer := time.NewTimer(wire.DialTimeout)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		return nil, errCut
+	}
+	raw, err := wire.TCP{}.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	if from.zone == to.zone && !t.CutWithinZones {
+		return raw, nil
+	}
+	return t.newDelayedConn(raw, from, to), nil
+}
+
+// placedNetwork is the network as seen from one place.
+type placedNetwork struct {
+	topology *Topology
+	place    place
+}
+
+func (p *placedNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return p.topology.dial(ctx, p.place, address)
+}
+
+func (p *placedNetwork) Listen(address string) (net.Listener, error) {
+	listener, err := wire.TCP{}.Listen(address)
+	if err == nil {
+		p.topology.Place(listener.Addr().String(), p.place.zone, p.place.node)
+	}
+	return listener, err
+}
+
+// delayed is a piece of data that may be passed on from due on.
+type delayed struct {
+	data []byte
+	due  time.Time
+	err  error
+}
+
+// delayQueue bounds the pieces under way in one direction.
+const delayQueue = 256
+
+// delayedConn delays both directions of a connection, and passes nothing on
+// while it is silent.
+type delayedConn struct {
+	net.Conn
+	topology *Topology
+	from, to place
+	delay    time.Duration
+	silent   atomic.Bool
+	outbound chan delayed
+	inbound  chan delayed
+	closed   chan struct{}
+	once     sync.Once
+
+	// readMutex protects rest and readErr.
+	readMutex sync.Mutex
+	rest      []byte
+	readErr   error
+	deadline  atomic.Int64
+}
+
+func (t *Topology) newDelayedConn(raw net.Conn, from, to place) *delayedConn {
+	conn := &delayedConn{
+		Conn: raw, topology: t, from: from, to: to, delay: t.Delay(from.zone, to.zone),
+		outbound: make(chan delayed, delayQueue), inbound: make(chan delayed, delayQueue), closed: make(chan struct{}),
+	}
+	t.mutex.Lock()
+	t.links[conn] = struct{}{}
+	t.mutex.Unlock()
+	go conn.pumpOut()
+	go conn.pumpIn()
+	return conn
+}
+
+func (c *delayedConn) count(bytes int) {
+	if c.from.zone != c.to.zone {
+		c.topology.BetweenZones.Add(int64(bytes))
+	}
+}
+
+func (c *delayedConn) pumpOut() {
+	for {
+		select {
+		case <-c.closed:
+			return
+		case piece := <-c.outbound:
+			if !c.waitUntil(piece.due) {
+				return
+			}
+			if _, err := c.Conn.Write(piece.data); err != nil {
+				_ = c.Close()
+				return
+			}
+		}
+	}
+}
+
+// waitUntil waits until due and until the connection is not silent.
+func (c *delayedConn) waitUntil(due time.Time) bool {
+	const silentPoll = 50 * time.Millisecond
+	wait := time.Until(due)
+	for {
+		if wait > 0 {
+			timer := time.NewTimer(wait)
+			select {
+			case <-timer.C:
+			case <-c.closed:
+				timer.Stop()
+				return false
+			}
+		}
+		if !c.silent.Load() {
+			return true
+		}
+		wait = silentPoll
+	}
+}
+
+func (c *delayedConn) pumpIn() {
+	for {
+		buffer := make([]byte, 8<<10)
+		count, err := c.Conn.Read(buffer)
+		c.count(count)
+		select {
+		case c.inbound <- delayed{data: buffer[:count], due: time.Now().Add(c.delay), err: err}:
+		case <-c.closed:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Read implements net.Conn.
+func (c *delayedConn) Read(buffer []byte) (int, error) {
+	c.readMutex.Lock()
+	defer c.readMutex.Unlock()
+	for len(c.rest) == 0 {
+		if c.readErr != nil {
+			return 0, c.readErr
+		}
+		if err := c.nextPiece(); err != nil {
+			return 0, err
+		}
+	}
+	count := copy(buffer, c.rest)
+	c.rest = c.rest[count:]
+	return count, nil
+}
+
+func (c *delayedConn) nextPiece() error {
+	var expired <-chan time.Time
+	if deadline := c.deadline.Load(); deadline != 0 {
+		timer := time.NewTimer(time.Until(time.Unix(0, deadline)))
+		defer timer.Stop()
+		expired = timer.C
+	}
+	select {
+	case piece := <-c.inbound:
+		if !c.waitUntil(piece.due) {
+			return net.ErrClosed
+		}
+		c.rest = piece.data
+		c.readErr = piece.err
+		return nil
+	case <-expired:
+		return timeoutError{}
+	case <-c.closed:
+		return net.ErrClosed
+	}
+}
+
+// Write implements net.Conn.
+func (c *delayedConn) Write(data []byte) (int, error) {
+	c.count(len(data))
+	piece := delayed{data: append([]byte(nil), data...), due: time.Now().Add(c.delay)}
+	select {
+	case c.outbound <- piece:
+		return len(data), nil
+	case <-c.closed:
+		return 0, net.ErrClosed
+	}
+}
+
+// SetReadDeadline implements net.Conn for the delayed side.
+func (c *delayedConn) SetReadDeadline(deadline time.Time) error {
+	if deadline.IsZero() {
+		c.deadline.Store(0)
+		return nil
+	}
+	c.deadline.Store(deadline.UnixNano())
+	return nil
+}
+
+// SetDeadline implements net.Conn.
+func (c *delayedConn) SetDeadline(deadline time.Time) error {
+	_ = c.Conn.SetWriteDeadline(deadline)
+	return c.SetReadDeadline(deadline)
+}
+
+// Close implements net.Conn.
+func (c *delayedConn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.topology.mutex.Lock()
+		delete(c.topology.links, c)
+		c.topology.mutex.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// timeoutError is the expiry of a read deadline.
+type timeoutError struct{}
+
+func (timeoutError) Error() string   { return "read deadline passed" }
+func (timeoutError) Timeout() bool   { return true }
+func (timeoutError) Temporary() bool { return true }
--- /dev/null
+++ b/internal/lab/fleet.go
@@ -0,0 +1,385 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/changelog"
+	"github.com/lapisvane/lapisvane/internal/features"
+	"github.com/lapisvane/lapisvane/internal/holdings"
+	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/peer"
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/tree"
+	"github.com/lapisvane/lapisvane/internal/wire"
+)
+
+// FleetShape is the shape of a fleet of hollow daemons.
+type FleetShape struct {
+	Proxies int
+	Zones   []string
+	// Services is the number of services in the configuration, PerProxy the
+	// number that each proxy uses.
+	Services, PerProxy int
+	Tunables           features.Distribution
+	ZoneDelay          time.Duration
+	Seed               uint64
+	// CutWithinZones makes it possible to cut off single daemons.
+	CutWithinZones bool
+	// Seeds is the number of other daemons that each one is told of.
+	Seeds int
+}
+
+// Fleet is a platform stand-in with hollow daemons: each has the real
+// distribution code on real sockets, but no request path.
+type Fleet struct {
+	shape    FleetShape
+	Platform *platformstub.Server
+	topology *Topology
+	oracle   *oracle
+	store    *platform.Client
+	log      *changelog.Log
+	random   *rand.Rand
+
+	// mutex protects members; the slice's length never changes after Start.
+	mutex   sync.Mutex
+	members []*hollow
+	changes int
+}
+
+// hollow is one hollow daemon. A restart replaces everything but its place in
+// the fleet.
+type hollow struct {
+	fleet       *Fleet
+	name        string
+	zone        string
+	interest    holdings.Interest
+	service     string
+	counters    *wire.Counters
+	client      *platform.Client
+	node        *tree.Node
+	listener    string
+	incarnation uint64
+	cancel      context.CancelFunc
+	done        chan struct{}
+
+	mutex   sync.Mutex
+	inForce uint64
+	// down is true while the daemon is dead and not replaced.
+	down bool
+	// pastBytesIn and pastBytesOut are the platform traffic of dead processes.
+	pastBytesIn, pastBytesOut int64
+}
+
+// Apply implements tree.Observer.
+func (h *hollow) Apply(applied tree.Applied) {
+	h.mutex.Lock()
+	previous := h.inForce
+	h.inForce = applied.Revision
+	h.mutex.Unlock()
+	h.fleet.oracle.judge(h.name, h.interest, previous, applied)
+}
+
+// Endpoints implements tree.Observer.
+func (h *hollow) Endpoints(string, []*lapisv1.Endpoint) {}
+
+// NewFleet starts the platform stand-in and accepts the first configuration.
+func NewFleet(shape FleetShape) (*Fleet, error) {
+	stub, err := platformstub.Start(platformstub.Options{Address: loopback, Seed: shape.Seed, MachineLag: time.Second})
+	if err != nil {
+		return nil, err
+	}
+	topology := NewTopology(shape.ZoneDelay)
+	topology.Place(stub.Address(), shape.Zones[0], platformPlace)
+	topology.CutWithinZones = shape.CutWithinZones
+	fleet := &Fleet{
+		shape: shape, Platform: stub, topology: topology, oracle: newOracle(),
+		store:  platform.NewClient([]string{stub.Address()}, "", nil),
+		random: rand.New(rand.NewPCG(shape.Seed, 3)),
+	}
+	fleet.log = changelog.New(&stampingStore{Store: fleet.store, fleet: fleet}, time.Now)
+	if err := fleet.acceptFirst(); err != nil {
+		fleet.Close()
+		return nil, err
+	}
+	return fleet, nil
+}
+
+// stampingStore tells the oracle of each accept at the moment the accepting
+// write is sent.
+type stampingStore struct {
+	platform.Store
+	fleet *Fleet
+}
+
+// Put implements platform.Store.
+func (s *stampingStore) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	if key != changelog.HeadKey {
+		return s.Store.Put(ctx, key, value, expected)
+	}
+	revision := &lapisv1.Revision{}
+	if err := proto.Unmarshal(value, revision); err == nil {
+		s.fleet.oracle.accepting(revision, time.Now())
+	}
+	return s.Store.Put(ctx, key, value, expected)
+}
+
+// platformPlace is the platform's name in the topology.
+const platformPlace = "platform"
+
+func serviceName(index int) string { return fmt.Sprintf("service-%04d", index) }
+
+// acceptFirst accepts a configuration with all services.
+func (f *Fleet) acceptFirst() error {
+	file := meshconfig.File{}
+	for index := range f.shape.Services {
+		name := serviceName(index)
+		file.Pools = append(file.Pools, meshconfig.PoolFile{Name: name, Group: "group-a", Slots: 6, ConnectionLimit: 130})
+		for _, kind := range []string{"read", "write"} {
+			file.Routes = append(file.Routes, meshconfig.RouteFile{
+				Name: name + "-" + kind, Group: "group-a", Pool: name, Host: name + ".mesh.example",
+				PathPrefix: "/" + kind, Repeatable: kind == "read", DeadlineMillis: 2000,
+			})
+		}
+		for _, group := range []string{"group-a", "group-b", "group-c"} {
+			file.Shares = append(file.Shares, meshconfig.ShareFile{Name: name + "-" + group, Group: group, Pool: name, Percent: 30})
+		}
+	}
+	if err := f.accept(file); err != nil {
+		return err
+	}
+	// The accept register holds the newest revision; a second, small one keeps
+	// the first from being read again by everyone who looks at the register.
+	return f.Change()
+}
+
+// Change changes one service's configuration, as an operator would.
+func (f *Fleet) Change() error {
+	f.changes++
+	name := serviceName(f.random.IntN(f.shape.Services))
+	return f.accept(meshconfig.File{Routes: []meshconfig.RouteFile{{
+		Name: name + "-read", Group: "group-a", Pool: name, Host: name + ".mesh.example",
+		PathPrefix: "/read", Repeatable: true, DeadlineMillis: uint32(1000 + f.changes),
+	}}})
+}
+
+func (f *Fleet) accept(file meshconfig.File) error {
+	changes, err := file.Changes()
+	if err != nil {
+		return err
+	}
+	state, err := f.log.Refresh(context.Background())
+	if err != nil {
+		return err
+	}
+	_, err = f.log.Accept(context.Background(), &lapisv1.Proposal{
+		OperationId: fmt.Sprintf("lab-%d-%d", f.shape.Seed, f.changes), Author: labAdmin, BaseRevision: state.Revision, Changes: changes,
+	})
+	return err
+}
+
+// Revision returns the newest accepted revision.
+func (f *Fleet) Revision() uint64 { return f.log.State().Revision }
+
+// Start starts all hollow daemons at once.
+func (f *Fleet) Start() error {
+	for index := range f.shape.Proxies {
+		zone := f.shape.Zones[index%len(f.shape.Zones)]
+		member := &hollow{
+			fleet: f, name: fmt.Sprintf("hollow-%05d", index), zone: zone,
+			counters: &wire.Counters{},
+			service:  serviceName(index % f.shape.Services), interest: f.drawInterest(index),
+		}
+		f.members = append(f.members, member)
+	}
+	listeners := make([]func() error, 0, len(f.members))
+	for _, member := range f.members {
+		run, err := member.open()
+		if err != nil {
+			return err
+		}
+		listeners = append(listeners, run)
+	}
+	for _, run := range listeners {
+		if err := run(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drawInterest returns the services of a proxy: its own and random others.
+func (f *Fleet) drawInterest(index int) holdings.Interest {
+	names := []string{serviceName(index % f.shape.Services)}
+	for len(names) < min(f.shape.PerProxy, f.shape.Services) {
+		names = append(names, serviceName(f.random.IntN(f.shape.Services)))
+	}
+	return holdings.NewInterest(names...)
+}
+
+// open takes a port, so that others can be told of it before the daemon runs.
+func (h *hollow) open() (run func() error, err error) {
+	network := h.fleet.topology.Network(h.zone, h.name)
+	listener, err := network.Listen(loopback)
+	if err != nil {
+		return nil, err
+	}
+	h.listener = listener.Addr().String()
+	h.fleet.Platform.SetMachine(platform.Machine{Node: h.name, Address: h.listener, Zone: h.zone, State: platform.MachineLive})
+	return func() error {
+		h.incarnation++
+		client := platform.NewClient([]string{h.fleet.Platform.Address()}, "", h.fleet.topology.DialFrom(h.zone, h.name))
+		node := tree.New(tree.Config{
+			Node: h.name, Incarnation: h.incarnation, Zone: h.zone, Region: "lab", Address: h.listener,
+			Seeds: h.fleet.drawSeeds(h), Interest: h.interest, Tunables: h.fleet.shape.Tunables,
+			Network: network, Store: client, Counters: h.counters,
+			Random: rand.New(rand.NewPCG(h.fleet.shape.Seed, rand.Uint64())), Logger: logr.Discard(), Observer: h,
+		})
+		h.mutex.Lock()
+		h.node = node
+		h.client = client
+		h.inForce = 0
+		h.down = false
+		h.mutex.Unlock()
+		ctx, cancel := context.WithCancel(context.Background())
+		h.cancel = cancel
+		h.done = make(chan struct{})
+		server := &peer.Server{Node: h.name, Logger: logr.Discard(), Counters: h.counters, Handlers: map[lapisv1.Hello_Purpose]peer.Handler{
+			lapisv1.Hello_PURPOSE_CHILD: node.ServeChild, lapisv1.Hello_PURPOSE_READER: node.ServeReader,
+		}}
+		node.SetLocalEndpoints([]*lapisv1.Endpoint{{Service: h.service, Instance: h.name, State: lapisv1.Endpoint_STATE_READY}})
+		var running sync.WaitGroup
+		running.Go(func() { server.Serve(ctx, listener) })
+		running.Go(func() { node.Run(ctx) })
+		done := h.done
+		go func() {
+			running.Wait()
+			close(done)
+		}()
+		return nil
+	}, nil
+}
+
+// drawSeeds returns addresses of random daemons of the same zone.
+func (f *Fleet) drawSeeds(member *hollow) []string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var seeds []string
+	for range f.shape.Seeds * len(f.shape.Zones) * 2 {
+		other := f.members[f.random.IntN(len(f.members))]
+		if other.zone == member.zone && other != member && len(seeds) < f.shape.Seeds {
+			seeds = append(seeds, other.listener)
+		}
+	}
+	return seeds
+}
+
+// kill ends a hollow daemon without notice.
+func (h *hollow) kill() {
+	h.cancel()
+	<-h.done
+	h.client.Close()
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if !h.down {
+		h.down = true
+		h.pastBytesIn += h.client.BytesIn.Load()
+		h.pastBytesOut += h.client.BytesOut.Load()
+		h.client = platform.NewClient(nil, "", nil)
+	}
+}
+
+func (h *hollow) isDown() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.down
+}
+
+// restart replaces a killed daemon by one that knows nothing.
+func (h *hollow) restart() error {
+	run, err := h.open()
+	if err != nil {
+		return err
+	}
+	return run()
+}
+
+func (h *hollow) revision() uint64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.inForce
+}
+
+// bytesIn and bytesOut return the control traffic so far, that of processes
+// replaced included.
+func (h *hollow) bytesIn() int64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.counters.BytesIn.Load() + h.pastBytesIn + h.client.BytesIn.Load()
+}
+
+func (h *hollow) bytesOut() int64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.counters.BytesOut.Load() + h.pastBytesOut + h.client.BytesOut.Load()
+}
+
+// WaitInForce waits until all of the members have revision in force.
+func (f *Fleet) WaitInForce(revision uint64, limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	for {
+		behind := f.behind(revision)
+		if len(behind) == 0 {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			first := behind[0]
+			return fmt.Errorf("%d of %d proxies lack revision %d, such as %+v", len(behind), len(f.members), revision, first.node.Info())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (f *Fleet) behind(revision uint64) []*hollow {
+	var behind []*hollow
+	for _, member := range f.members {
+		if !member.isDown() && member.revision() < revision {
+			behind = append(behind, member)
+		}
+	}
+	return behind
+}
+
+// ChurnEndpoints lets one random daemon state a change of its instance.
+func (f *Fleet) ChurnEndpoints() {
+	member := f.members[f.random.IntN(len(f.members))]
+	if member.isDown() {
+		return
+	}
+	state := lapisv1.Endpoint_STATE_READY
+	if f.random.IntN(2) == 0 {
+		state = lapisv1.Endpoint_STATE_DRAINING
+	}
+	member.node.SetLocalEndpoints([]*lapisv1.Endpoint{{Service: member.service, Instance: member.name, State: state}})
+}
+
+// Close ends all daemons and the platform.
+func (f *Fleet) Close() {
+	var ending sync.WaitGroup
+	for _, member := range f.members {
+		if member.cancel != nil {
+			ending.Go(member.kill)
+		}
+	}
+	ending.Wait()
+	f.store.Close()
+	f.Platform.Close()
+}
--- a/internal/lab/main.go
+++ b/internal/lab/main.go
@@ -26,6 +26,8 @@
 		{"calls", "make calls and check their answers", &callsCommand{}},
 		{"token", "print the stored form of an operator's token", &tokenCommand{}},
 		{"peer-keys", "write keys for mutual TLS between daemons, for trials", &peerKeysCommand{}},
+		{"convergence", "measure convergence and control bytes of each strategy", &convergenceCommand{}},
+		{"recovery", "measure recovery from each kind of fault", &recoveryCommand{}},
 		{"error-table", "print the page of result codes", &errorTableCommand{}},
 		{"fault", "switch faults of a running platform stand-in", &faultCommand{}},
 	}
--- a/internal/membership/candidates.go
+++ b/internal/membership/candidates.go
@@ -26,6 +26,7 @@
 	address   string
 	node      string
 	zone      string
+	region    string
 	failures  int
 	notBefore time.Time
 	// lastNamed orders candidates for forgetting.
@@ -36,19 +37,27 @@
 // concurrent use.
 type Candidates struct {
 	zone   string
+	region string
 	self   string
 	known  map[string]*candidate
 	random *rand.Rand
 	// redirects are addresses to try first, once.
 	redirects []string
+	// detached counts the daemons that had no way to a reader themselves since
+	// the last success.
+	detached int
 }
 
-// NewCandidates returns the knowledge of a daemon at address self in zone,
-// started from the configured seeds.
-func NewCandidates(self, zone string, seeds []string, random *rand.Rand) *Candidates {
-	candidates := &Candidates{zone: zone, self: self, known: map[string]*candidate{}, random: random}
+// remoteAfter is the number of daemons without a way to a reader after which
+// other zones are tried: then it is likely the zone that has lost its readers.
+const remoteAfter = 3
+
+// NewCandidates returns the knowledge of a daemon at address self, started from
+// the configured seeds, which are taken to be of the own zone.
+func NewCandidates(self, zone, region string, seeds []string, random *rand.Rand) *Candidates {
+	candidates := &Candidates{zone: zone, region: region, self: self, known: map[string]*candidate{}, random: random}
 	for _, seed := range seeds {
-		candidates.remember("", seed, zone, time.Time{})
+		candidates.remember(&lapisv1.PeerAddress{Address: seed, Zone: zone, Region: region}, time.Time{})
 	}
 	return candidates
 }
@@ -56,7 +65,7 @@
 // Learn adds daemons named by others.
 func (c *Candidates) Learn(peers []*lapisv1.PeerAddress, now time.Time) {
 	for _, peer := range peers {
-		c.remember(peer.GetNode(), peer.GetAddress(), peer.GetZone(), now)
+		c.remember(peer, now)
 	}
 	c.forgetExcess()
 }
@@ -71,7 +80,8 @@
 	}
 }
 
-func (c *Candidates) remember(node, address, zone string, now time.Time) {
+func (c *Candidates) remember(peer *lapisv1.PeerAddress, now time.Time) {
+	address := peer.GetAddress()
 	if address == c.self || address == "" {
 		return
 	}
@@ -81,11 +91,12 @@
 		c.known[address] = known
 	}
 	known.lastNamed = now
-	if node != "" {
-		known.node = node
+	if peer.GetNode() != "" {
+		known.node = peer.GetNode()
 	}
-	if zone != "" {
-		known.zone = zone
+	if peer.GetZone() != "" {
+		known.zone = peer.GetZone()
+		known.region = peer.GetRegion()
 	}
 }
 
@@ -120,39 +131,50 @@
 	}
 }
 
+// Detached notes that a daemon had no way to a reader.
+func (c *Candidates) Detached() { c.detached++ }
+
 // Succeeded notes that address accepted.
 func (c *Candidates) Succeeded(address string) {
 	c.redirects = nil
+	c.detached = 0
 	if known, ok := c.known[address]; ok {
 		known.failures = 0
 		known.notBefore = time.Time{}
 	}
 }
 
-// Next returns the address to try now: a redirect first, then a random
-// daemon of the own zone, then one of another zone. ok is false when none may
-// be tried now.
+// Next returns the address to try now: a redirect first, then a random daemon
+// of the own zone, then, when the zone seems to have lost its readers, one of
+// the own region, then any. ok is false when none may be tried now.
 func (c *Candidates) Next(now time.Time) (address string, ok bool) {
 	if len(c.redirects) > 0 {
 		address = c.redirects[0]
 		c.redirects = c.redirects[1:]
 		return address, true
 	}
-	var local, remote []string
+	localKnown := false
+	var local, near, far []string
 	for _, known := range c.known {
+		localKnown = localKnown || known.zone == c.zone
 		switch {
 		case now.Before(known.notBefore):
 		case known.zone == c.zone:
 			local = append(local, known.address)
+		case known.region == c.region:
+			near = append(near, known.address)
 		default:
-			remote = append(remote, known.address)
+			far = append(far, known.address)
 		}
 	}
-	if len(local) > 0 {
-		return c.pick(local), true
+	choices := [][]string{local}
+	if !localKnown || c.detached >= remoteAfter {
+		choices = [][]string{local, near, far}
 	}
-	if len(remote) > 0 {
-		return c.pick(remote), true
+	for _, addresses := range choices {
+		if len(addresses) > 0 {
+			return c.pick(addresses), true
+		}
 	}
 	return "", false
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,11 @@
 	token     string
 	http      *http.Client
 	next      atomic.Uint32
+
+	// mutex protects lists, the newest machine list of each zone.
+	mutex sync.Mutex
+	lists map[string]machineList
+
 	// Requests counts the requests sent; BytesIn and BytesOut the payloads.
 	Requests, BytesIn, BytesOut atomic.Int64
 }
@@ -49,13 +55,28 @@
 		IdleConnTimeout:     30 * time.Second,
 		DialContext:         dial,
 	}
-	return &Client{addresses: addresses, token: token, http: &http.Client{Transport: transport}}
+	return &Client{
+		addresses: addresses, token: token, http: &http.Client{Transport: transport},
+		lists: map[string]machineList{},
+	}
 }
 
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
+// machineList is a machine list with the tag by which the platform knows it.
+type machineList struct {
+	tag      string
+	machines []Machine
+}
+
 func (c *Client) request(ctx context.Context, method, path string, query url.Values, body []byte) (*http.Response, error) {
+	return c.conditional(ctx, method, path, query, body, "")
+}
+
+// conditional sends a request that is answered with PlatformNotModified when
+// what it asks for still has the given tag; an empty tag asks in any case.
+func (c *Client) conditional(ctx context.Context, method, path string, query url.Values, body []byte, tag string) (*http.Response, error) {
 	if len(c.addresses) == 0 {
 		return nil, result.Errorf(result.PlatformUnavailable, "no platform address is set")
 	}
@@ -68,6 +89,9 @@
 	if c.token != "" {
 		request.Header.Set("Authorization", "Bearer "+c.token)
 	}
+	if tag != "" {
+		request.Header.Set("If-None-Match", tag)
+	}
 	c.Requests.Add(1)
 	c.BytesOut.Add(int64(len(body)))
 	response, err := c.http.Do(request)
@@ -85,6 +109,8 @@
 
 func statusError(status int, detail string) error {
 	switch status {
+	case http.StatusNotModified:
+		return result.Errorf(result.PlatformNotModified, "%s", detail)
 	case http.StatusNotFound:
 		return result.Errorf(result.PlatformNotFound, "%s", detail)
 	case http.StatusConflict:
@@ -159,11 +185,34 @@
 	return list, err
 }
 
-// Machines implements Store.
+// Machines implements Store. A list that has not changed is not sent again.
 func (c *Client) Machines(ctx context.Context, zone string) ([]Machine, error) {
-	var machines []Machine
-	err := c.exchange(ctx, http.MethodGet, "/v1/machines", url.Values{"zone": {zone}}, nil, &machines)
-	return machines, err
+	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
+	defer cancel()
+	c.mutex.Lock()
+	known := c.lists[zone]
+	c.mutex.Unlock()
+	response, err := c.conditional(ctx, http.MethodGet, "/v1/machines", url.Values{"zone": {zone}}, nil, known.tag)
+	if result.Is(err, result.PlatformNotModified) {
+		return known.machines, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, result.Wrap(result.PlatformUnavailable, err, "reading the machine list")
+	}
+	c.BytesIn.Add(int64(len(content)))
+	read := machineList{tag: response.Header.Get("ETag")}
+	if err := json.Unmarshal(content, &read.machines); err != nil {
+		return nil, result.Wrap(result.PlatformBadAnswer, err, "decoding the machine list")
+	}
+	c.mutex.Lock()
+	c.lists[zone] = read
+	c.mutex.Unlock()
+	return read.machines, nil
 }
 
 // Watch implements Store.
--- a/internal/platformstub/server.go
+++ b/internal/platformstub/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -12,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
@@ -214,7 +217,15 @@
 }
 
 func (s *Server) serveMachines(w http.ResponseWriter, r *http.Request) {
-	answer(w, s.machines.list(r.URL.Query().Get("zone")), nil)
+	machines := s.machines.list(r.URL.Query().Get("zone"))
+	encoded, err := json.Marshal(machines)
+	tag := fmt.Sprintf("\"%x\"", xxhash.Sum64(encoded))
+	if err == nil && r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("ETag", tag)
+	answer(w, machines, err)
 }
 
 // write reads the common parts of a write, applies it and may lose the answer.
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -91,6 +91,7 @@
 	PlatformCompacted    Code = 7004
 	PlatformTooManyWatch Code = 7005
 	PlatformBadAnswer    Code = 7006
+	PlatformNotModified  Code = 7007
 )
 
 // Entry is one row of the table of result codes.
@@ -178,6 +179,7 @@
 	{PlatformNotFound, "platform-not-found", "The object does not exist.", "None."},
 	{PlatformCompacted, "platform-compacted", "The watch's start version is no longer kept.", "None; the reader lists again."},
 	{PlatformTooManyWatch, "platform-too-many-watches", "The platform refuses another watch.", "Check for readers beyond the seats."},
+	{PlatformNotModified, "platform-not-modified", "What was asked for has not changed.", "None."},
 	{PlatformBadAnswer, "platform-bad-answer", "The platform's answer cannot be understood.", "Check the platform's release."},
 }
 
--- a/internal/seat/table.go
+++ b/internal/seat/table.go
@@ -98,7 +98,8 @@
 		seen := t.seats[key]
 		if strings.HasPrefix(key, prefix) && include(seen) {
 			holders = append(holders, Holder{Seat: key, Peer: &lapisv1.PeerAddress{
-				Node: seen.lease.GetHolder(), Address: seen.lease.GetAddress(), Zone: seen.lease.GetZone(),
+				Node: seen.lease.GetHolder(), Address: seen.lease.GetAddress(),
+				Zone: seen.lease.GetZone(), Region: seen.lease.GetRegion(),
 			}})
 		}
 	}
--- a/internal/tree/child.go
+++ b/internal/tree/child.go
@@ -21,6 +21,9 @@
 	sendTimeout = 5 * time.Second
 	// maxRedirects bounds the candidates named in a refusal or welcome.
 	maxRedirects = 4
+	// foreignExtra is the number of children of other zones that a reader takes
+	// in beyond its fan-out.
+	foreignExtra = 8
 	// refusalRetry is when a refused child should come back.
 	refusalRetry = 300 * time.Millisecond
 	// detachedRetry is when to ask again a node that lost its own way.
@@ -47,10 +50,12 @@
 	// sentRevision is the revision the child has after all updates sent.
 	sentRevision uint64
 	// fresh services need their complete endpoint set.
-	fresh        holdings.Interest
-	sentChange   uint64
-	pathDirty    bool
-	expel        bool
+	fresh      holdings.Interest
+	sentChange uint64
+	pathDirty  bool
+	expel      bool
+	// goHome names where an expelled child of another zone should go.
+	goHome       []*lapisv1.PeerAddress
 	offer        *lapisv1.SeatOffer
 	floorReplies []*lapisv1.FloorReply
 	report       *lapisv1.StatusReport
@@ -136,7 +141,14 @@
 			Code: uint32(result.DistributionParentFull), Reason: "the tree would be too deep",
 			RetryAfterMillis: retry, Candidates: n.alternatives(session.node),
 		}
-	case n.children[session.node] == nil && len(n.children) >= n.config.Tunables.Fanout:
+	case session.zone != n.config.Zone && !n.mayAdopt(session):
+		// Only readers take in nodes of other zones, so that a zone that lost
+		// its readers hangs below few links.
+		return &lapisv1.Refusal{
+			Code: uint32(result.DistributionParentFull), Reason: "a node of another zone goes to a reader",
+			RetryAfterMillis: retry, Candidates: n.knownReaders(),
+		}
+	case session.zone == n.config.Zone && n.children[session.node] == nil && len(n.children) >= n.config.Tunables.Fanout:
 		return &lapisv1.Refusal{
 			Code: uint32(result.DistributionParentFull), Reason: "enough children",
 			RetryAfterMillis: retry, Candidates: n.redirects(session),
@@ -151,13 +163,20 @@
 	}
 }
 
+// mayAdopt reports whether a child of another zone can be taken in; a reader
+// does so somewhat beyond its fan-out. The caller holds mutex.
+func (n *Node) mayAdopt(session *childSession) bool {
+	known := n.children[session.node] != nil
+	return n.reader && (known || len(n.children) < n.config.Tunables.Fanout+foreignExtra)
+}
+
 // redirects names the children with the smallest subtrees and counts the
 // joining subtree towards the first of them, so that a burst is spread; the
 // caller holds mutex.
 func (n *Node) redirects(joining *childSession) []*lapisv1.PeerAddress {
 	sessions := make([]*childSession, 0, len(n.children))
 	for _, child := range n.children {
-		if child.node != joining.node && child.address != "" {
+		if child.node != joining.node && child.address != "" && child.zone == joining.zone {
 			sessions = append(sessions, child)
 		}
 	}
@@ -165,7 +184,7 @@
 	sessions = sessions[:min(len(sessions), maxRedirects)]
 	peers := make([]*lapisv1.PeerAddress, 0, len(sessions))
 	for _, child := range sessions {
-		peers = append(peers, &lapisv1.PeerAddress{Node: child.node, Address: child.address, Zone: n.config.Zone})
+		peers = append(peers, &lapisv1.PeerAddress{Node: child.node, Address: child.address, Zone: child.zone, Region: n.config.Region})
 	}
 	if len(sessions) > 0 {
 		sessions[0].expected += joining.expected
@@ -187,7 +206,7 @@
 			break
 		}
 		if child.node != except && child.address != "" {
-			peers = append(peers, &lapisv1.PeerAddress{Node: child.node, Address: child.address, Zone: n.config.Zone})
+			peers = append(peers, &lapisv1.PeerAddress{Node: child.node, Address: child.address, Zone: child.zone, Region: n.config.Region})
 		}
 	}
 	return peers
@@ -331,9 +350,9 @@
 	}
 	session.floorReplies = nil
 	if update := n.updateFor(session); update != nil {
-		frame := &lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Update{Update: update}}
-		pending.frames = append(pending.frames, wire.Compress(frame))
-		pending.pause = n.paceUpdate(update)
+		frame := wire.Compress(&lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Update{Update: update}})
+		pending.frames = append(pending.frames, frame)
+		pending.pause = n.paceUpdate(proto.Size(frame))
 	}
 	if batch := n.endpointsFor(session); batch != nil {
 		frame := &lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Endpoints{Endpoints: batch}}
@@ -351,10 +370,15 @@
 
 // expulsion tells a child to look for another parent; the caller holds mutex.
 func (n *Node) expulsion(session *childSession) *lapisv1.ControlFrame {
-	return &lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Refusal{Refusal: &lapisv1.Refusal{
+	refusal := &lapisv1.Refusal{
 		Code: uint32(result.DistributionDetached), Reason: "the parent is leaving",
 		Candidates: n.alternatives(session.node),
-	}}}
+	}
+	if len(session.goHome) > 0 {
+		refusal.Reason = "the child's zone has a reader again"
+		refusal.Candidates = session.goHome
+	}
+	return &lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Refusal{Refusal: refusal}}
 }
 
 // heartbeatFor returns a heartbeat, with the path when it changed; the caller
@@ -392,12 +416,8 @@
 
 // paceUpdate returns how long a large update must wait, so that a herd of
 // joining children does not take the node's whole bandwidth.
-func (n *Node) paceUpdate(update *lapisv1.Update) time.Duration {
-	size := 0
-	for _, encoded := range update.GetBundles() {
-		size += len(encoded.GetContent())
-	}
-	if size < wire.CompressAboveBytes*4 {
+func (n *Node) paceUpdate(size int) time.Duration {
+	if size < wire.CompressAboveBytes {
 		return 0
 	}
 	now := time.Now()
--- a/internal/tree/node.go
+++ b/internal/tree/node.go
@@ -98,7 +98,7 @@
 		floors:     &floor.Broker{},
 		children:   map[string]*childSession{},
 		mesh:       map[string]*meshLink{},
-		candidates: membership.NewCandidates(config.Address, config.Zone, config.Seeds, config.Random),
+		candidates: membership.NewCandidates(config.Address, config.Zone, config.Region, config.Seeds, config.Random),
 		seats:      seat.NewTable(tunables.SeatLease.Get()),
 		lease:      seat.NewLease(tunables.SeatLease.Get()),
 	}
--- a/internal/tree/reader.go
+++ b/internal/tree/reader.go
@@ -81,7 +81,8 @@
 	config := r.node.config
 	r.renewed++
 	value, _ := proto.Marshal(&lapisv1.SeatLease{
-		Holder: config.Node, Address: config.Address, Epoch: r.vacancy.Epoch, Zone: config.Zone, Renewals: r.renewed,
+		Holder: config.Node, Address: config.Address, Epoch: r.vacancy.Epoch,
+		Zone: config.Zone, Region: config.Region, Renewals: r.renewed,
 	})
 	return value
 }
@@ -170,9 +171,12 @@
 	return n.stopping
 }
 
-// release gives the seat back, so that another daemon need not wait for the
-// lease to lapse.
+// release gives the seat back at a planned stop, so that another daemon need
+// not wait for the lease to lapse.
 func (r *readerRole) release() {
+	if !r.node.isStopping() {
+		return
+	}
 	r.node.mutex.Lock()
 	version, ok := r.node.lease.MayWrite(time.Now())
 	r.node.lease.Released()
@@ -384,6 +388,7 @@
 		}
 		now := time.Now()
 		r.node.offerVacancies(now)
+		r.node.sendHome(now)
 		if now.After(nextCompaction) {
 			nextCompaction = now.Add(compactInterval)
 			r.compact(ctx, now)
--- a/internal/tree/seats.go
+++ b/internal/tree/seats.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -43,7 +44,37 @@
 	}
 }
 
-// offerVacancies invites children to take the zone's vacant seats. Only a
+// maxForeignReaders bounds the readers of other zones that a daemon is told of.
+const maxForeignReaders = 4
+
+// knownReaders returns the readers of the zone, and a few of other zones, those
+// of the own region first, as far as they are known; the caller holds mutex.
+func (n *Node) knownReaders() []*lapisv1.PeerAddress {
+	if !n.reader {
+		return n.learnedReaders
+	}
+	var own, near, far []*lapisv1.PeerAddress
+	for _, holder := range n.seats.Holders(seat.Prefix, time.Now()) {
+		switch {
+		case holder.Peer.GetZone() == n.config.Zone:
+			own = append(own, holder.Peer)
+		case holder.Peer.GetRegion() == n.config.Region:
+			near = append(near, holder.Peer)
+		default:
+			far = append(far, holder.Peer)
+		}
+	}
+	shuffle(near)
+	shuffle(far)
+	foreign := append(near, far...)
+	return append(own, foreign[:min(len(foreign), maxForeignReaders)]...)
+}
+
+func shuffle(peers []*lapisv1.PeerAddress) {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+}
+
+// offerVacancies invites children to take vacant seats of their zones. Only a
 // reader whose own lease is good does so.
 func (n *Node) offerVacancies(now time.Time) {
 	n.mutex.Lock()
@@ -51,24 +82,28 @@
 	if !n.sourceSeen || n.stopping || n.lease.State(now) != seat.StateHolding {
 		return
 	}
-	vacancies := n.seats.Vacancies(n.config.Zone, n.config.Tunables.SeatsPerZone, now)
-	for _, vacancy := range vacancies {
-		child := n.bestChild()
-		if child == nil {
-			return
+	zones := map[string]bool{n.config.Zone: true}
+	for _, child := range n.children {
+		zones[child.zone] = true
+	}
+	for zone := range zones {
+		for _, vacancy := range n.seats.Vacancies(zone, n.config.Tunables.SeatsPerZone, now) {
+			child := n.bestChild(zone)
+			if child == nil {
+				break
+			}
+			child.offer = &lapisv1.SeatOffer{Seat: vacancy.Seat, Version: vacancy.Version, Epoch: vacancy.Epoch}
+			child.signal()
 		}
-		child.offer = &lapisv1.SeatOffer{Seat: vacancy.Seat, Version: vacancy.Version, Epoch: vacancy.Epoch}
-		child.signal()
 	}
 }
 
-// bestChild returns the child with the largest subtree of the own zone, so
-// that a new reader starts with a fair part of the zone below it; the caller
-// holds mutex.
-func (n *Node) bestChild() *childSession {
+// bestChild returns the child of a zone with the largest subtree, so that a new
+// reader starts with a fair part of the zone below it; the caller holds mutex.
+func (n *Node) bestChild(zone string) *childSession {
 	var best *childSession
 	for _, child := range n.children {
-		if child.offer != nil || child.address == "" || child.zone != n.config.Zone || child.noSeat {
+		if child.offer != nil || child.address == "" || child.zone != zone || child.noSeat {
 			continue
 		}
 		if best == nil || child.expected > best.expected || (child.expected == best.expected && child.node < best.node) {
@@ -77,3 +112,27 @@
 	}
 	return best
 }
+
+// sendHome lets children of other zones go once their zone has a reader again.
+func (n *Node) sendHome(now time.Time) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if !n.sourceSeen {
+		return
+	}
+	for _, child := range n.children {
+		if child.zone == n.config.Zone {
+			continue
+		}
+		home := n.seats.Holders(seat.ZonePrefix(child.zone), now)
+		if len(home) == 0 {
+			continue
+		}
+		child.goHome = nil
+		for _, holder := range home {
+			child.goHome = append(child.goHome, holder.Peer)
+		}
+		child.expel = true
+		child.signal()
+	}
+}
--- a/internal/tree/uplink.go
+++ b/internal/tree/uplink.go
@@ -198,6 +198,9 @@
 	defer n.mutex.Unlock()
 	now := time.Now()
 	n.candidates.Redirect(refusal.GetCandidates(), now)
+	if result.Code(refusal.GetCode()) == result.DistributionDetached {
+		n.candidates.Detached()
+	}
 	wait := time.Duration(refusal.GetRetryAfterMillis()) * time.Millisecond
 	n.candidates.Postponed(link.address, wait, now)
 }
@@ -416,16 +419,3 @@
 	}
 	return n.registry.BelowSince(n.config.Node, change)
 }
-
-// knownReaders returns the readers of the zone as far as they are known; the
-// caller holds mutex.
-func (n *Node) knownReaders() []*lapisv1.PeerAddress {
-	if !n.reader {
-		return n.learnedReaders
-	}
-	var readers []*lapisv1.PeerAddress
-	for _, holder := range n.seats.Holders(seat.ZonePrefix(n.config.Zone), time.Now()) {
-		readers = append(readers, holder.Peer)
-	}
-	return readers
-}
