Measure the request path and prove its outcomes against the ledger

Cause: nothing showed yet what a call costs, whether shares hold, or whether what callers learn is what happened.

Change: lapislab requests (latency, chains of six, throughput, shares, drain, overload, each beside a baseline), contract and fault tests of the request path, a history check of outcomes against the ledger that is shown to catch a build that retries orders.

--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -41,6 +41,8 @@
 	RetryAfter string
 	Instance   string
 	Latency    time.Duration
+	// finished is when the call was over.
+	finished time.Time
 }
 
 // Caller makes calls and checks their answers.
@@ -69,7 +71,8 @@
 	started := time.Now()
 	finished := c.exchange(ctx, call)
 	finished.Call = call
-	finished.Latency = time.Since(started)
+	finished.finished = time.Now()
+	finished.Latency = finished.finished.Sub(started)
 	return finished
 }
 
@@ -77,11 +80,22 @@
 // it twice.
 type oneShot struct{ io.Reader }
 
-func (c *Caller) exchange(ctx context.Context, call string) CallResult {
-	var body io.Reader = oneShot{http.NoBody}
-	if c.Body != nil {
-		body = oneShot{c.Body()}
+// body returns the request body. The HTTP client repeats a GET on its own when
+// a kept connection breaks, unless its body cannot be sent twice; it never
+// repeats a POST.
+func (c *Caller) body() io.Reader {
+	switch {
+	case c.Body != nil:
+		return oneShot{c.Body()}
+	case c.Method == http.MethodGet:
+		return oneShot{http.NoBody}
+	default:
+		return http.NoBody
 	}
+}
+
+func (c *Caller) exchange(ctx context.Context, call string) CallResult {
+	body := c.body()
 	request, err := http.NewRequestWithContext(ctx, c.Method, "http://"+c.Target+c.Path, body)
 	if err != nil {
 		return CallResult{Outcome: OutcomeNotRun, Result: err.Error()}
--- /dev/null
+++ b/internal/lab/calls_test.go
@@ -0,0 +1,445 @@
+package lab_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/lapisvane/lapisvane/internal/backendstub"
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/lab"
+	"github.com/lapisvane/lapisvane/internal/meshconfig"
+)
+
+const settleTime = 30 * time.Second
+
+// startSite runs a site with one daemon beside each of count back ends and a
+// daemon "edge" without any.
+func startSite(t *testing.T, count int, change func(*lab.Profile)) *lab.Site {
+	t.Helper()
+	profile := lab.Swancycle()
+	profile.ServiceTime = time.Millisecond
+	profile.ConnectionCost = 0
+	if change != nil {
+		change(&profile)
+	}
+	site, err := lab.NewSite(profile, logr.Discard())
+	assert.NilError(t, err)
+	t.Cleanup(site.Close)
+	for index := range count {
+		name := fmt.Sprintf("desk-%d", index+1)
+		_, err := site.AddBackend("desk", name)
+		assert.NilError(t, err)
+		_, err = site.StartDaemon("beside-"+name, profile.Zones[index%len(profile.Zones)], []string{"*"}, "desk/"+name)
+		assert.NilError(t, err)
+	}
+	_, err = site.StartDaemon("edge", profile.Zones[0], []string{"*"})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	revision, err := site.Accept(ctx, "routes", meshconfig.File{
+		Pools: []meshconfig.PoolFile{{Name: "desk", Group: "riders", Slots: uint32(profile.Slots), ConnectionLimit: 130}},
+		Routes: []meshconfig.RouteFile{
+			{Name: "lookup", Group: "riders", Pool: "desk", PathPrefix: "/lookup", Repeatable: true, DeadlineMillis: 5000},
+			{Name: "order", Group: "riders", Pool: "desk", PathPrefix: "/order", DeadlineMillis: 5000},
+			{Name: "upload", Group: "riders", Pool: "desk", PathPrefix: "/upload", Upload: true},
+			{Name: "short", Group: "riders", Pool: "desk", PathPrefix: "/short", DeadlineMillis: 150},
+		},
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, site.WaitInForce(ctx, revision))
+	assert.NilError(t, site.WaitEndpoints(ctx, "desk", count))
+	return site
+}
+
+func edgeCaller(site *lab.Site, path string, header http.Header) *lab.Caller {
+	return &lab.Caller{
+		Target: site.Daemons["edge"].Daemon.Addresses().Caller, Host: "desk.example", Path: path,
+		Method: http.MethodPost, Header: header, Client: lab.NewHTTPClient(64),
+	}
+}
+
+// TestOutcomesUnderBackendFaults drives each class of call against each fault
+// of a back end and checks that what the caller learned is what happened.
+func TestOutcomesUnderBackendFaults(t *testing.T) {
+	cases := []struct {
+		name      string
+		behaviour backendstub.Behaviour
+		path      string
+		// expect is the outcome of every call, "" where it may vary.
+		expect lab.Outcome
+		// runs is the number of executions of each call, -1 where it may vary.
+		runs int
+	}{
+		{"healthy order", backendstub.Behaviour{}, "/order", lab.OutcomeDone, 1},
+		{"order reset before it runs", backendstub.Behaviour{ResetBeforePercent: 100}, "/order", lab.OutcomeUnknown, 0},
+		{"order reset after it ran", backendstub.Behaviour{ResetAfterPercent: 100}, "/order", lab.OutcomeUnknown, 1},
+		{"order answer truncated", backendstub.Behaviour{TruncatePercent: 100}, "/order", lab.OutcomeUnknown, 1},
+		{"order shed", backendstub.Behaviour{ShedAbove: -1}, "/order", lab.OutcomeDone, 1},
+		{"lookup reset now and then", backendstub.Behaviour{ResetAfterPercent: 5}, "/lookup", lab.OutcomeDone, -1},
+		{"lookup truncated now and then", backendstub.Behaviour{TruncatePercent: 5}, "/lookup", lab.OutcomeDone, -1},
+		{"deadline passes while it runs", backendstub.Behaviour{ServiceTime: time.Second}, "/short", lab.OutcomeUnknown, 1},
+	}
+	site := startSite(t, 2, nil)
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			for _, backend := range site.Backends {
+				backend.SetBehaviour(test.behaviour)
+			}
+			for number := range 10 {
+				call := fmt.Sprintf("%s-%d", strings.ReplaceAll(test.name, " ", "-"), number)
+				one := edgeCaller(site, test.path, nil).Do(context.Background(), call)
+				assert.Check(t, one.Outcome == test.expect, "%+v", one)
+				if test.runs >= 0 {
+					assert.Check(t, len(site.Ledger.Runs(call)) == test.runs, "%s ran %d times", call, len(site.Ledger.Runs(call)))
+				}
+			}
+		})
+	}
+}
+
+// TestOutcomesAgreeWithTheLedger makes many concurrent calls under mixed faults,
+// with a daemon killed in the middle, and compares every outcome with what ran.
+func TestOutcomesAgreeWithTheLedger(t *testing.T) {
+	site := startSite(t, 3, nil)
+	for _, backend := range site.Backends {
+		backend.SetBehaviour(backendstub.Behaviour{
+			ServiceTime: 2 * time.Millisecond, ResetBeforePercent: 3, ResetAfterPercent: 3, TruncatePercent: 3, ShedAbove: 5,
+		})
+	}
+	load := lab.Load{Caller: edgeCaller(site, "/order", nil), Workers: 24, Duration: 2 * time.Second, Name: "mixed"}
+	var tally *lab.Tally
+	var running sync.WaitGroup
+	running.Go(func() { tally = load.Run(context.Background()) })
+	time.Sleep(700 * time.Millisecond)
+	site.Daemons["beside-desk-2"].Kill()
+	running.Wait()
+	assert.Assert(t, tally.Done > 100, "%v", tally.Results)
+	assert.Assert(t, tally.Unknown > 0, "the faults had no effect")
+	assert.DeepEqual(t, disagreements(site, tally), []string(nil))
+}
+
+// disagreements lists the calls whose outcome does not fit the ledger.
+func disagreements(site *lab.Site, tally *lab.Tally) []string {
+	var list []string
+	for _, one := range tally.Outcomes {
+		runs := len(site.Ledger.Runs(one.Call))
+		switch {
+		case runs > 1:
+			list = append(list, fmt.Sprintf("%s ran %d times", one.Call, runs))
+		case one.Outcome == lab.OutcomeNotRun && runs > 0:
+			list = append(list, one.Call+" ran although it was said not to")
+		case one.Outcome == lab.OutcomeDone && runs == 0:
+			list = append(list, one.Call+" was answered and never ran")
+		case one.Outcome == lab.OutcomeWrong:
+			list = append(list, one.Call+" got another answer")
+		}
+	}
+	return list
+}
+
+// TestLedgerCheckCatchesRetriesOfOrders declares orders repeatable, which lets
+// them be retried after an unknown outcome, and expects the check to see it.
+func TestLedgerCheckCatchesRetriesOfOrders(t *testing.T) {
+	site := startSite(t, 2, nil)
+	for _, backend := range site.Backends {
+		backend.SetBehaviour(backendstub.Behaviour{ResetAfterPercent: 20})
+	}
+	load := lab.Load{Caller: edgeCaller(site, "/lookup", nil), Workers: 8, Duration: time.Second, Name: "retried"}
+	assert.Assert(t, len(disagreements(site, load.Run(context.Background()))) > 0)
+}
+
+func TestAnswersAndBodiesAreWhole(t *testing.T) {
+	site := startSite(t, 2, nil)
+	for _, size := range []int{0, 1, 1000, 70_000, 3_000_000} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			body := bytes.Repeat([]byte("lapis"), size/5+1)[:size]
+			for _, chunked := range []bool{false, true} {
+				header := http.Header{}
+				header.Set(backendstub.HeaderAnswerBytes, fmt.Sprint(size))
+				var reader io.Reader = bytes.NewReader(body)
+				if chunked {
+					reader = io.MultiReader(reader)
+				}
+				request, err := http.NewRequest(http.MethodPost, "http://"+site.Daemons["edge"].Daemon.Addresses().Caller+"/upload", reader)
+				assert.NilError(t, err)
+				request.Header = header
+				request.Header.Set(backendstub.HeaderCall, "whole")
+				response, err := http.DefaultClient.Do(request)
+				assert.NilError(t, err)
+				content, err := io.ReadAll(response.Body)
+				assert.NilError(t, err)
+				assert.NilError(t, response.Body.Close())
+				sum := sha256.Sum256(body)
+				assert.Equal(t, response.Header.Get(backendstub.HeaderBodyDigest), hex.EncodeToString(sum[:]))
+				assert.Equal(t, response.Header.Get(callapi.HeaderOutcome), callapi.OutcomeDone)
+				assert.Assert(t, len(content) >= size)
+			}
+		})
+	}
+}
+
+// exchangeRaw sends bytes to the edge daemon and returns what comes back.
+func exchangeRaw(t *testing.T, site *lab.Site, raw string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", site.Daemons["edge"].Daemon.Addresses().Caller)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = conn.Write([]byte(raw))
+	assert.NilError(t, err)
+	answer, _ := io.ReadAll(bufio.NewReader(conn))
+	return string(answer)
+}
+
+func TestAmbiguousRequestsAreRefused(t *testing.T) {
+	site := startSite(t, 1, nil)
+	cases := map[string]string{
+		"length and chunked":     "POST /order HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"two lengths":            "POST /order HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+		"signed length":          "POST /order HTTP/1.1\r\nHost: a\r\nContent-Length: +5\r\n\r\nhello",
+		"odd transfer encoding":  "POST /order HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"folded line":            "POST /order HTTP/1.1\r\nHost: a\r\nX: 1\r\n Content-Length: 5\r\nContent-Length: 0\r\n\r\n",
+		"space before the colon": "POST /order HTTP/1.1\r\nHost: a\r\nContent-Length : 0\r\n\r\n",
+		"bare line feed":         "POST /order HTTP/1.1\nHost: a\nContent-Length: 0\n\n",
+		"two hosts":              "GET /order HTTP/1.1\r\nHost: a\r\nHost: b\r\nConnection: close\r\n\r\n",
+		"no host":                "GET /order HTTP/1.1\r\nConnection: close\r\n\r\n",
+		"not HTTP":               "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 random bytes \r\n\r\n",
+		"tunnel":                 "CONNECT a:1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+	}
+	for name, raw := range cases {
+		t.Run(name, func(t *testing.T) {
+			answer := exchangeRaw(t, site, raw)
+			assert.Assert(t, answer == "" || strings.HasPrefix(answer, "HTTP/1.1 400"), "%q", answer)
+		})
+	}
+	assert.Equal(t, site.Ledger.Total(), 0)
+}
+
+func TestExpectContinueAndTrailers(t *testing.T) {
+	site := startSite(t, 1, nil)
+	answer := exchangeRaw(t, site, "POST /order HTTP/1.1\r\nHost: a\r\nLab-Call: c\r\nExpect: 100-continue\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello")
+	assert.Assert(t, strings.HasPrefix(answer, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"), "%q", answer)
+	answer = exchangeRaw(t, site, "POST /order HTTP/1.1\r\nHost: a\r\nLab-Call: d\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\nConnection: close\r\n\r\n5\r\nhello\r\n0\r\nX-Sum: 1\r\n\r\n")
+	assert.Assert(t, strings.HasPrefix(answer, "HTTP/1.1 200"), "%q", answer)
+	assert.Equal(t, len(site.Ledger.Runs("d")), 1)
+}
+
+func TestHangUpCancelsTheCallAtTheBackend(t *testing.T) {
+	site := startSite(t, 1, func(p *lab.Profile) { p.ServiceTime = 5 * time.Second })
+	ctx, cancel := context.WithCancel(context.Background())
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		edgeCaller(site, "/order", nil).Do(ctx, "left")
+	}()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(site.Ledger.Runs("left")) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the call has not begun")
+	}, poll.WithTimeout(settleTime), poll.WithDelay(5*time.Millisecond))
+	cancel()
+	<-finished
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if site.Ledger.Cancelled() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the back end has not seen it")
+	}, poll.WithTimeout(settleTime), poll.WithDelay(5*time.Millisecond))
+}
+
+func TestIdempotencyKeyRunsOnce(t *testing.T) {
+	site := startSite(t, 3, nil)
+	header := http.Header{}
+	header.Set(callapi.HeaderIdempotencyKey, "unlock-77")
+	var done, duplicates int
+	for number := range 6 {
+		one := edgeCaller(site, "/order", header).Do(context.Background(), fmt.Sprintf("keyed-%d", number))
+		switch {
+		case one.Outcome == lab.OutcomeDone:
+			done++
+		case one.Result == "5012":
+			duplicates++
+		}
+	}
+	assert.Equal(t, done, 1)
+	assert.Equal(t, duplicates, 5)
+	assert.Equal(t, site.Ledger.Total(), 1)
+}
+
+// trickle is a request body that is sent in pieces until it is told to end.
+type trickle struct {
+	pieces chan []byte
+	sent   int
+}
+
+func (s *trickle) Read(buffer []byte) (int, error) {
+	piece, open := <-s.pieces
+	if !open {
+		return 0, io.EOF
+	}
+	s.sent += len(piece)
+	return copy(buffer, piece), nil
+}
+
+// TestPlannedStopsCutNothing drains back ends and stops daemons on either side
+// while an upload is under way, and lets the upload end afterwards.
+func TestPlannedStopsCutNothing(t *testing.T) {
+	cases := []struct {
+		name string
+		stop func(t *testing.T, site *lab.Site, instance string) (finished <-chan struct{})
+	}{
+		{"back end drained by an operator", func(t *testing.T, site *lab.Site, instance string) <-chan struct{} {
+			_, err := site.Command(context.Background(), "edge", "drain desk/"+instance)
+			assert.NilError(t, err)
+			return closed()
+		}},
+		{"back end retired by an operator", func(t *testing.T, site *lab.Site, instance string) <-chan struct{} {
+			_, err := site.Command(context.Background(), "edge", "retire desk/"+instance)
+			assert.NilError(t, err)
+			return closed()
+		}},
+		{"daemon beside the back end stopped", func(_ *testing.T, site *lab.Site, instance string) <-chan struct{} {
+			return stopInBackground(site.Daemons["beside-"+instance])
+		}},
+		{"caller's daemon stopped", func(_ *testing.T, site *lab.Site, _ string) <-chan struct{} {
+			return stopInBackground(site.Daemons["edge"])
+		}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			site := startSite(t, 2, nil)
+			body := &trickle{pieces: make(chan []byte)}
+			caller := edgeCaller(site, "/upload", nil)
+			caller.Body = func() io.Reader { return body }
+			result := make(chan lab.CallResult, 1)
+			go func() { result <- caller.Do(context.Background(), "slow-upload") }()
+			for range 3 {
+				body.pieces <- bytes.Repeat([]byte("u"), 1000)
+			}
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if len(site.Ledger.Runs("slow-upload")) == 1 {
+					return poll.Success()
+				}
+				return poll.Continue("the upload has not begun")
+			}, poll.WithTimeout(settleTime), poll.WithDelay(5*time.Millisecond))
+			instance := site.Ledger.Runs("slow-upload")[0].Instance
+			finished := test.stop(t, site, instance)
+			time.Sleep(time.Second)
+			for range 3 {
+				body.pieces <- bytes.Repeat([]byte("u"), 1000)
+			}
+			close(body.pieces)
+			one := <-result
+			assert.Equal(t, one.Outcome, lab.OutcomeDone, "%+v", one)
+			<-finished
+			for _, member := range site.Daemons {
+				assert.Equal(t, member.Cut, int64(0))
+			}
+		})
+	}
+}
+
+func closed() <-chan struct{} {
+	done := make(chan struct{})
+	close(done)
+	return done
+}
+
+func stopInBackground(member *lab.Member) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		member.Stop()
+	}()
+	return done
+}
+
+func TestDrainedBackendGetsNoNewWork(t *testing.T) {
+	site := startSite(t, 2, nil)
+	table, err := site.Command(context.Background(), "edge", "drain desk/desk-1")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	assert.Equal(t, table.Rows[0][0], "2")
+	assert.NilError(t, site.WaitInForce(ctx, 2))
+	for number := range 40 {
+		one := edgeCaller(site, "/order", nil).Do(ctx, fmt.Sprintf("after-drain-%d", number))
+		assert.Equal(t, one.Outcome, lab.OutcomeDone)
+		assert.Equal(t, one.Instance, "desk-2")
+	}
+	_, err = site.Command(ctx, "edge", "undrain desk/desk-1")
+	assert.NilError(t, err)
+	assert.NilError(t, site.WaitEndpoints(ctx, "desk", 2))
+}
+
+func TestTLSKeysAreServedAndRotated(t *testing.T) {
+	site := startSite(t, 1, nil)
+	authority, err := lab.NewAuthority("test")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	install := func(operation string) []byte {
+		pair, err := authority.Issue("rides.example")
+		assert.NilError(t, err)
+		revision, err := site.Accept(ctx, operation, meshconfig.File{
+			Secrets: []meshconfig.SecretFile{{Name: "rides", Group: "riders", CertificatePEM: string(pair.Certificate), PrivateKeyPEM: string(pair.Key)}},
+			Routes:  []meshconfig.RouteFile{{Name: "secure", Group: "riders", Pool: "desk", Host: "rides.example", PathPrefix: "/", Secret: "rides"}},
+		})
+		assert.NilError(t, err)
+		assert.NilError(t, site.WaitInForce(ctx, revision))
+		return pair.Certificate
+	}
+	install("first-key")
+	member, err := site.StartTLSDaemon("tls", site.Daemons["edge"].Settings.Zone)
+	assert.NilError(t, err)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if member.Daemon.ReadyEndpoints("desk") == 1 && member.Daemon.Info().InForce >= 2 {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(settleTime))
+	roots := x509.NewCertPool()
+	assert.Assert(t, roots.AppendCertsFromPEM(authority.PEM))
+	dial := func() *tls.Conn {
+		conn, err := tls.Dial("tcp", member.Daemon.Addresses().CallerTLS, &tls.Config{RootCAs: roots, ServerName: "rides.example"})
+		assert.NilError(t, err)
+		return conn
+	}
+	ask := func(conn *tls.Conn) {
+		_, err := io.WriteString(conn, "GET /lookup HTTP/1.1\r\nHost: rides.example\r\nLab-Call: tls\r\n\r\n")
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	old := dial()
+	ask(old)
+	install("second-key")
+	assert.NilError(t, site.WaitInForce(ctx, 3))
+	fresh := dial()
+	ask(fresh)
+	ask(old)
+	assert.Assert(t, !old.ConnectionState().PeerCertificates[0].Equal(fresh.ConnectionState().PeerCertificates[0]))
+	_, err = tls.Dial("tcp", member.Daemon.Addresses().CallerTLS, &tls.Config{RootCAs: roots, ServerName: "other.example"})
+	assert.Assert(t, err != nil, "a host without a secret was served")
+}
--- a/internal/lab/main.go
+++ b/internal/lab/main.go
@@ -28,6 +28,7 @@
 		{"peer-keys", "write keys for mutual TLS between daemons, for trials", &peerKeysCommand{}},
 		{"convergence", "measure convergence and control bytes of each strategy", &convergenceCommand{}},
 		{"recovery", "measure recovery from each kind of fault", &recoveryCommand{}},
+		{"requests", "measure the request path", &requestsCommand{}},
 		{"error-table", "print the page of result codes", &errorTableCommand{}},
 		{"fault", "switch faults of a running platform stand-in", &faultCommand{}},
 	}
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -89,19 +89,44 @@
 // StartDaemon runs a daemon in zone beside the given back ends
 // ("service/instance").
 func (s *Site) StartDaemon(node, zone string, services []string, backends ...string) (*Member, error) {
+	config := s.baseSettings(node, zone)
+	config.Services = services
+	for _, name := range backends {
+		service, instance := splitBackend(name)
+		config.Backends = append(config.Backends, settings.Backend{Service: service, Instance: instance, Address: s.Backends[name].Address()})
+	}
+	return s.startWith(config)
+}
+
+// StartTLSDaemon runs a daemon that serves callers over HTTPS too.
+func (s *Site) StartTLSDaemon(node, zone string) (*Member, error) {
+	config := s.baseSettings(node, zone)
+	config.Services = []string{"*"}
+	config.CallerTLSAddress = loopback
+	return s.startWith(config)
+}
+
+// StartSecureDaemon runs a daemon that speaks mutual TLS to other daemons.
+func (s *Site) StartSecureDaemon(node, zone string, keys settings.PeerTLS, backends ...string) (*Member, error) {
+	config := s.baseSettings(node, zone)
+	config.Services = []string{"*"}
+	config.PeerTLS = keys
+	for _, name := range backends {
+		service, instance := splitBackend(name)
+		config.Backends = append(config.Backends, settings.Backend{Service: service, Instance: instance, Address: s.Backends[name].Address()})
+	}
+	return s.startWith(config)
+}
+
+func (s *Site) baseSettings(node, zone string) *settings.Daemon {
 	config := settings.DefaultDaemon()
 	config.Node, config.Zone, config.Region = node, zone, s.profile.Name
 	config.PeerAddress, config.CallerAddress, config.OperatorAddress = loopback, loopback, loopback
 	config.Platform.Addresses = []string{s.Platform.Address()}
-	config.Services = services
 	config.Profile = s.profile.Distribution
 	config.Distribution = json.RawMessage(`{"first_source_ask": "100ms"}`)
 	config.StopLimit = s.profile.StopLimit
-	for _, name := range backends {
-		service, instance := splitBackend(name)
-		config.Backends = append(config.Backends, settings.Backend{Service: service, Instance: instance, Address: s.Backends[name].Address()})
-	}
-	return s.startWith(&config)
+	return &config
 }
 
 func (s *Site) startWith(config *settings.Daemon) (*Member, error) {
