Scale run: hollow daemons in several processes beside real ones

Cause: nothing showed how the design carries toward the target size.

Change: lapislab hollow and scale, scripts/scale.sh; 19 zones in 6 regions on loopback numbers of their own; phases steady, ten times the changes with restarts, herd, rack, zone and region cut, source outage; figures per role, budgets that fail the run.

--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,7 @@
 
 bench-requests:
 	$(GO) run ./cmd/lapislab requests
+
+# HOLLOW sets the number of hollow daemons, REAL that of lapisvaned processes.
+scale:
+	bash scripts/scale.sh
--- a/internal/lab/baselines.go
+++ b/internal/lab/baselines.go
@@ -95,7 +95,7 @@
 	started.cancel = cancel
 	for index, proxy := range started.proxies {
 		zone := fleet.shape.Zones[index%len(fleet.shape.Zones)]
-		client := platform.NewClient([]string{fleet.Platform.Address()}, "", fleet.topology.DialFrom(zone, proxy.name))
+		client := platform.NewClient([]string{fleet.Platform.Address()}, "", fleet.topology.DialFrom(place{zone: zone, node: proxy.name}))
 		started.running.Go(func() {
 			defer client.Close()
 			proxy.poll(ctx, client)
@@ -164,7 +164,9 @@
 	for index, proxy := range started.proxies {
 		zone := index % len(fleet.shape.Zones)
 		reader := readers[zone*readersPerZone+(index/len(fleet.shape.Zones))%readersPerZone]
-		started.running.Go(func() { proxy.listen(ctx, fleet.topology.Network(fleet.shape.Zones[zone], proxy.name), reader.address) })
+		started.running.Go(func() {
+			proxy.listen(ctx, fleet.topology.Network(place{zone: fleet.shape.Zones[zone], node: proxy.name}), reader.address)
+		})
 	}
 	return started, nil
 }
@@ -206,13 +208,13 @@
 }
 
 func newStarReader(fleet *Fleet, zone string) (*starReader, error) {
-	listener, err := fleet.topology.Network(zone, zone+"-reader").Listen(loopback)
+	listener, err := fleet.topology.Network(place{zone: zone, node: zone + "-reader"}).Listen(loopback)
 	if err != nil {
 		return nil, err
 	}
 	return &starReader{
 		fleet: fleet, listener: listener, address: listener.Addr().String(), counters: &wire.Counters{},
-		client: platform.NewClient([]string{fleet.Platform.Address()}, "", fleet.topology.DialFrom(zone, zone+"-reader")),
+		client: platform.NewClient([]string{fleet.Platform.Address()}, "", fleet.topology.DialFrom(place{zone: zone, node: zone + "-reader"})),
 	}, nil
 }
 
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -115,7 +115,7 @@
 		Status: response.StatusCode, Result: response.Header.Get(callapi.HeaderResult),
 		RetryAfter: response.Header.Get("Retry-After"), Instance: response.Header.Get(backendstub.HeaderInstance),
 	}
-	finished.Outcome = judge(response, content, err, call)
+	finished.Outcome = judgeAnswer(response, content, err, call)
 	return finished
 }
 
@@ -129,7 +129,7 @@
 	return OutcomeUnknown
 }
 
-func judge(response *http.Response, content []byte, readErr error, call string) Outcome {
+func judgeAnswer(response *http.Response, content []byte, readErr error, call string) Outcome {
 	if readErr != nil {
 		return OutcomeUnknown
 	}
--- a/internal/lab/delay.go
+++ b/internal/lab/delay.go
@@ -17,8 +17,9 @@
 // Topology knows in which zone each address is, how far zones are apart and
 // which of them cannot reach each other now. It is safe for concurrent use.
 type Topology struct {
-	// Delay returns the one-way delay between two zones.
-	Delay func(from, to string) time.Duration
+	// ZoneDelay is the one-way delay between zones of a region, RegionDelay
+	// that between regions.
+	ZoneDelay, RegionDelay time.Duration
 
 	// CutWithinZones makes it possible to cut off single nodes; every
 	// connection is then followed, at some cost.
@@ -34,30 +35,46 @@
 }
 
 // place is where an address is.
-type place struct{ zone, node string }
+type place struct{ region, zone, node string }
 
-// NewTopology returns a topology with a fixed delay between different zones.
-func NewTopology(between time.Duration) *Topology {
+// NewTopology returns a topology with the given one-way delays.
+func NewTopology(betweenZones, betweenRegions time.Duration) *Topology {
 	return &Topology{
-		Delay: func(from, to string) time.Duration {
-			if from == to {
-				return 0
-			}
-			return between
-		},
+		ZoneDelay: betweenZones, RegionDelay: betweenRegions,
 		places: map[string]place{}, isolated: map[string]bool{}, links: map[*delayedConn]struct{}{},
 	}
 }
 
-// Place notes that address belongs to node in zone.
-func (t *Topology) Place(address, zone, node string) {
+// Place notes where an address is.
+func (t *Topology) Place(address string, at place) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.places[address] = place{zone, node}
+	t.places[address] = at
+}
+
+// locate returns where an address is: as it was placed, else, in scale runs, as
+// its loopback number tells. The caller holds mutex.
+func (t *Topology) locate(address string) place {
+	if at, known := t.places[address]; known {
+		return at
+	}
+	return placeOfLoopback(address)
 }
 
-// Isolate cuts the given zones or nodes off from all others, or joins them
-// again. Open connections across the cut go silent, as they do when a link
+// delay returns the one-way delay between two places.
+func (t *Topology) delay(from, to place) time.Duration {
+	switch {
+	case from.region != to.region:
+		return t.RegionDelay
+	case from.zone != to.zone:
+		return t.ZoneDelay
+	default:
+		return 0
+	}
+}
+
+// Isolate cuts the given regions, zones or nodes off from all others, or joins
+// them again. Open connections across the cut go silent, as they do when a link
 // fails.
 func (t *Topology) Isolate(cut bool, names ...string) {
 	t.mutex.Lock()
@@ -73,27 +90,26 @@
 // isCut reports whether two places cannot reach each other; the caller holds
 // mutex.
 func (t *Topology) isCut(from, to place) bool {
+	if from.region != to.region && (t.isolated[from.region] || t.isolated[to.region]) {
+		return true
+	}
 	if from.zone != to.zone && (t.isolated[from.zone] || t.isolated[to.zone]) {
 		return true
 	}
 	return from.node != to.node && (t.isolated[from.node] || t.isolated[to.node])
 }
 
-// Network returns the network as seen from node in zone.
-func (t *Topology) Network(zone, node string) wire.Network {
-	return &placedNetwork{topology: t, place: place{zone, node}}
-}
+// Network returns the network as seen from a place.
+func (t *Topology) Network(at place) wire.Network { return &placedNetwork{topology: t, place: at} }
 
-// DialFrom returns a dialer as seen from node in zone.
-func (t *Topology) DialFrom(zone, node string) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, _, address string) (net.Conn, error) {
-		return t.dial(ctx, place{zone, node}, address)
-	}
+// DialFrom returns a dialer as seen from a place.
+func (t *Topology) DialFrom(at place) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) { return t.dial(ctx, at, address) }
 }
 
 func (t *Topology) dial(ctx context.Context, from place, address string) (net.Conn, error) {
 	t.mutex.Lock()
-	to := t.places[address]
+	to := t.locate(address)
 	cut := t.isCut(from, to)
 	t.mutex.Unlock()
 	if cut {
@@ -129,7 +145,7 @@
 func (p *placedNetwork) Listen(address string) (net.Listener, error) {
 	listener, err := wire.TCP{}.Listen(address)
 	if err == nil {
-		p.topology.Place(listener.Addr().String(), p.place.zone, p.place.node)
+		p.topology.Place(listener.Addr().String(), p.place)
 	}
 	return listener, err
 }
@@ -166,7 +182,7 @@
 
 func (t *Topology) newDelayedConn(raw net.Conn, from, to place) *delayedConn {
 	conn := &delayedConn{
-		Conn: raw, topology: t, from: from, to: to, delay: t.Delay(from.zone, to.zone),
+		Conn: raw, topology: t, from: from, to: to, delay: t.delay(from, to),
 		outbound: make(chan delayed, delayQueue), inbound: make(chan delayed, delayQueue), closed: make(chan struct{}),
 	}
 	t.mutex.Lock()
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -36,15 +36,47 @@
 	CutWithinZones bool
 	// Seeds is the number of other daemons that each one is told of.
 	Seeds int
+	// Platform is the address of a platform stand-in that runs elsewhere; empty
+	// to start one.
+	Platform string
+	// First is the number of the first daemon, where several processes share a
+	// fleet.
+	First int
+	// Regions gives the region of each zone, RegionDelay the one-way delay
+	// between regions, ListenAddress where the daemons of a zone listen; nil
+	// for a fleet in one region on one address.
+	Regions       []string
+	RegionDelay   time.Duration
+	ListenAddress func(zone int) string
+}
+
+// placeOf returns the place of the daemon with the given number.
+func (s *FleetShape) placeOf(number int) place {
+	zone := number % len(s.Zones)
+	at := place{zone: s.Zones[zone], node: fmt.Sprintf("hollow-%05d", number)}
+	if len(s.Regions) > 0 {
+		at.region = s.Regions[zone]
+	}
+	return at
+}
+
+func (s *FleetShape) listenAddress(number int) string {
+	if s.ListenAddress == nil {
+		return loopback
+	}
+	return s.ListenAddress(number % len(s.Zones))
 }
 
 // Fleet is a platform stand-in with hollow daemons: each has the real
 // distribution code on real sockets, but no request path.
 type Fleet struct {
-	shape    FleetShape
+	shape FleetShape
+	// Platform is nil when the platform runs elsewhere.
 	Platform *platformstub.Server
+	source   string
 	topology *Topology
 	oracle   *oracle
+	judge    judge
 	store    *platform.Client
 	log      *changelog.Log
 	random   *rand.Rand
@@ -55,12 +87,17 @@
 	changes int
 }
 
+// judge looks at every version that a hollow daemon puts in force.
+type judge interface {
+	judge(node string, interest holdings.Interest, previous uint64, applied tree.Applied)
+}
+
 // hollow is one hollow daemon. A restart replaces everything but its place in
 // the fleet.
 type hollow struct {
 	fleet       *Fleet
-	name        string
-	zone        string
+	number      int
+	place       place
 	interest    holdings.Interest
 	service     string
 	counters    *wire.Counters
@@ -85,7 +122,7 @@
 	previous := h.inForce
 	h.inForce = applied.Revision
 	h.mutex.Unlock()
-	h.fleet.oracle.judge(h.name, h.interest, previous, applied)
+	h.fleet.judge.judge(h.place.node, h.interest, previous, applied)
 }
 
 // Endpoints implements tree.Observer.
@@ -97,15 +134,10 @@
 	if err != nil {
 		return nil, err
 	}
-	topology := NewTopology(shape.ZoneDelay)
-	topology.Place(stub.Address(), shape.Zones[0], platformPlace)
-	topology.CutWithinZones = shape.CutWithinZones
-	fleet := &Fleet{
-		shape: shape, Platform: stub, topology: topology, oracle: newOracle(),
-		store:  platform.NewClient([]string{stub.Address()}, "", nil),
-		random: rand.New(rand.NewPCG(shape.Seed, 3)),
-	}
-	fleet.log = changelog.New(&stampingStore{Store: fleet.store, fleet: fleet}, time.Now)
+	shape.Platform = stub.Address()
+	fleet := joinFleet(shape)
+	fleet.Platform = stub
+	fleet.topology.Place(stub.Address(), place{zone: shape.Zones[0], node: platformPlace})
 	if err := fleet.acceptFirst(); err != nil {
 		fleet.Close()
 		return nil, err
@@ -113,6 +145,19 @@
 	return fleet, nil
 }
 
+// joinFleet prepares daemons of a platform that runs elsewhere.
+func joinFleet(shape FleetShape) *Fleet {
+	fleet := &Fleet{
+		shape: shape, source: shape.Platform, topology: NewTopology(shape.ZoneDelay, shape.RegionDelay), oracle: newOracle(),
+		store:  platform.NewClient([]string{shape.Platform}, "", nil),
+		random: rand.New(rand.NewPCG(shape.Seed, 3)),
+	}
+	fleet.judge = fleet.oracle
+	fleet.topology.CutWithinZones = shape.CutWithinZones
+	fleet.log = changelog.New(&stampingStore{Store: fleet.store, fleet: fleet}, time.Now)
+	return fleet
+}
+
 // stampingStore tells the oracle of each accept at the moment the accepting
 // write is sent.
 type stampingStore struct {
@@ -192,11 +237,10 @@
 // Start starts all hollow daemons at once.
 func (f *Fleet) Start() error {
 	for index := range f.shape.Proxies {
-		zone := f.shape.Zones[index%len(f.shape.Zones)]
+		number := f.shape.First + index
 		member := &hollow{
-			fleet: f, name: fmt.Sprintf("hollow-%05d", index), zone: zone,
-			counters: &wire.Counters{},
-			service:  serviceName(index % f.shape.Services), interest: f.drawInterest(index),
+			fleet: f, number: number, place: f.shape.placeOf(number), counters: &wire.Counters{},
+			service: serviceName(number % f.shape.Services), interest: f.drawInterest(number),
 		}
 		f.members = append(f.members, member)
 	}
@@ -227,18 +271,20 @@
 
 // open takes a port, so that others can be told of it before the daemon runs.
 func (h *hollow) open() (run func() error, err error) {
-	network := h.fleet.topology.Network(h.zone, h.name)
-	listener, err := network.Listen(loopback)
+	network := h.fleet.topology.Network(h.place)
+	listener, err := network.Listen(h.fleet.shape.listenAddress(h.number))
 	if err != nil {
 		return nil, err
 	}
 	h.listener = listener.Addr().String()
-	h.fleet.Platform.SetMachine(platform.Machine{Node: h.name, Address: h.listener, Zone: h.zone, State: platform.MachineLive})
+	if err := h.list(); err != nil {
+		return nil, err
+	}
 	return func() error {
 		h.incarnation++
-		client := platform.NewClient([]string{h.fleet.Platform.Address()}, "", h.fleet.topology.DialFrom(h.zone, h.name))
+		client := platform.NewClient([]string{h.fleet.source}, "", h.fleet.topology.DialFrom(h.place))
 		node := tree.New(tree.Config{
-			Node: h.name, Incarnation: h.incarnation, Zone: h.zone, Region: "lab", Address: h.listener,
+			Node: h.place.node, Incarnation: h.incarnation, Zone: h.place.zone, Region: h.place.region, Address: h.listener,
 			Seeds: h.fleet.drawSeeds(h), Interest: h.interest, Tunables: h.fleet.shape.Tunables,
 			Network: network, Store: client, Counters: h.counters,
 			Random: rand.New(rand.NewPCG(h.fleet.shape.Seed, rand.Uint64())), Logger: logr.Discard(), Observer: h,
@@ -252,10 +298,10 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		h.cancel = cancel
 		h.done = make(chan struct{})
-		server := &peer.Server{Node: h.name, Logger: logr.Discard(), Counters: h.counters, Handlers: map[lapisv1.Hello_Purpose]peer.Handler{
+		server := &peer.Server{Node: h.place.node, Logger: logr.Discard(), Counters: h.counters, Handlers: map[lapisv1.Hello_Purpose]peer.Handler{
 			lapisv1.Hello_PURPOSE_CHILD: node.ServeChild, lapisv1.Hello_PURPOSE_READER: node.ServeReader,
 		}}
-		node.SetLocalEndpoints([]*lapisv1.Endpoint{{Service: h.service, Instance: h.name, State: lapisv1.Endpoint_STATE_READY}})
+		node.SetLocalEndpoints([]*lapisv1.Endpoint{{Service: h.service, Instance: h.place.node, State: lapisv1.Endpoint_STATE_READY}})
 		var running sync.WaitGroup
 		running.Go(func() { server.Serve(ctx, listener) })
 		running.Go(func() { node.Run(ctx) })
@@ -268,6 +314,18 @@
 	}, nil
 }
 
+// list puts the daemon's machine on the machine list.
+func (h *hollow) list() error {
+	machine := platform.Machine{
+		Node: h.place.node, Address: h.listener, Zone: h.place.zone, Region: h.place.region, State: platform.MachineLive,
+	}
+	if h.fleet.Platform != nil {
+		h.fleet.Platform.SetMachine(machine)
+		return nil
+	}
+	return putJSON(h.fleet.source, "/lab/machine", machine)
+}
+
 // drawSeeds returns addresses of random daemons of the same zone.
 func (f *Fleet) drawSeeds(member *hollow) []string {
 	f.mutex.Lock()
@@ -275,7 +333,7 @@
 	var seeds []string
 	for range f.shape.Seeds * len(f.shape.Zones) * 2 {
 		other := f.members[f.random.IntN(len(f.members))]
-		if other.zone == member.zone && other != member && len(seeds) < f.shape.Seeds {
+		if other.place.zone == member.place.zone && other != member && len(seeds) < f.shape.Seeds {
 			seeds = append(seeds, other.listener)
 		}
 	}
@@ -368,7 +426,7 @@
 	if f.random.IntN(2) == 0 {
 		state = lapisv1.Endpoint_STATE_DRAINING
 	}
-	member.node.SetLocalEndpoints([]*lapisv1.Endpoint{{Service: member.service, Instance: member.name, State: state}})
+	member.node.SetLocalEndpoints([]*lapisv1.Endpoint{{Service: member.service, Instance: member.place.node, State: state}})
 }
 
 // Close ends all daemons and the platform.
@@ -381,5 +439,7 @@
 	}
 	ending.Wait()
 	f.store.Close()
-	f.Platform.Close()
+	if f.Platform != nil {
+		f.Platform.Close()
+	}
 }
--- a/internal/lab/main.go
+++ b/internal/lab/main.go
@@ -29,6 +29,8 @@
 		{"convergence", "measure convergence and control bytes of each strategy", &convergenceCommand{}},
 		{"recovery", "measure recovery from each kind of fault", &recoveryCommand{}},
 		{"requests", "measure the request path", &requestsCommand{}},
+		{"hollow", "run hollow daemons for a scale run", &hollowCommand{}},
+		{"scale", "drive a scale run; see scripts/scale.sh", &scaleCommand{}},
 		{"error-table", "print the page of result codes", &errorTableCommand{}},
 		{"fault", "switch faults of a running platform stand-in", &faultCommand{}},
 	}
--- a/internal/lab/recovery.go
+++ b/internal/lab/recovery.go
@@ -230,7 +230,7 @@
 func killAll(members []*hollow) {
 	var ending sync.WaitGroup
 	for _, member := range members {
-		member.fleet.Platform.RemoveMachine(member.name)
+		member.fleet.Platform.RemoveMachine(member.place.node)
 		ending.Go(member.kill)
 	}
 	ending.Wait()
@@ -241,7 +241,7 @@
 func (f *Fleet) killReaders() error {
 	var readers []*hollow
 	for _, member := range f.withRole(tree.RoleReader) {
-		if member.zone == f.shape.Zones[0] {
+		if member.place.zone == f.shape.Zones[0] {
 			readers = append(readers, member)
 		}
 	}
@@ -259,12 +259,12 @@
 // believes to hold its seat, and joins it again.
 func (f *Fleet) partitionReader() error {
 	reader := f.withRole(tree.RoleReader)[0]
-	f.topology.Isolate(true, reader.name)
+	f.topology.Isolate(true, reader.place.node)
 	if err := f.Change(); err != nil {
 		return err
 	}
 	time.Sleep(f.shape.Tunables.SeatLease.Get() + 2*time.Second)
-	f.topology.Isolate(false, reader.name)
+	f.topology.Isolate(false, reader.place.node)
 	return nil
 }
 
--- /dev/null
+++ b/internal/lab/scale.go
@@ -0,0 +1,575 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/tree"
+)
+
+// scaleCommand drives a scale run over processes that a script has started.
+type scaleCommand struct {
+	Platform string        `long:"platform" description:"IP:port of the platform stand-in" required:"true"`
+	Hollow   []string      `long:"hollow" description:"control address of a process of hollow daemons; may be given several times" required:"true"`
+	Real     []string      `long:"real" description:"metrics address of a lapisvaned; may be given several times"`
+	Callers  []string      `long:"caller" description:"caller address of a lapisvaned for calls during the run; may be given several times"`
+	Services int           `long:"services" description:"services in the configuration" default:"950"`
+	Steady   time.Duration `long:"steady" description:"length of the steady phase" default:"20s"`
+	Fast     time.Duration `long:"fast" description:"length of the phase with ten times the changes and with restarts" default:"15s"`
+	Output   string        `long:"output" description:"JSON file for the figures"`
+	Phases   []string      `long:"phase" description:"phase to run; all by default" choice:"steady" choice:"fast" choice:"herd" choice:"rack" choice:"zone-cut" choice:"region-cut" choice:"outage"`
+	Budget   scaleBudget   `group:"Budgets"`
+	Seed     uint64        `long:"seed" description:"seed of all randomness" default:"1"`
+}
+
+// scaleBudget is what a run must keep to.
+type scaleBudget struct {
+	ConvergenceP99 time.Duration `long:"budget-p99" description:"p99 of convergence without faults" default:"2s"`
+	HerdP99        time.Duration `long:"budget-herd-p99" description:"p99 of convergence through a herd restart" default:"8s"`
+	NodeBytes      float64       `long:"budget-node-bytes" description:"bytes per second of any node in the steady phase" default:"20000"`
+	CorePercent    float64       `long:"budget-core-percent" description:"percent of a core for any real daemon in the steady phase" default:"4.9"`
+	MemoryMB       float64       `long:"budget-memory-mb" description:"resident memory of any real daemon" default:"128"`
+	Readers        int64         `long:"budget-readers" description:"watches at the source" default:"40"`
+}
+
+// Change rates of the phases, in changes per second: 46,000 a day and ten times
+// that.
+const (
+	dailyChangeRate = 46000.0 / 86400
+	fastRate        = 10 * dailyChangeRate
+	// scaledRestarts is how much faster than 4,200 of 19,000 a day daemons are
+	// restarted in the fast phase, so that it shows.
+	scaledRestarts = 200
+	restartsPerDay = 4200.0 / 19000
+)
+
+// PhaseFigures are the figures of one phase.
+type PhaseFigures struct {
+	Phase           string                 `json:"phase"`
+	Seconds         float64                `json:"seconds"`
+	Changes         int                    `json:"changes"`
+	P50Millis       float64                `json:"p50_ms"`
+	P99Millis       float64                `json:"p99_ms"`
+	MaxMillis       float64                `json:"max_ms"`
+	Applies         int64                  `json:"applies"`
+	SettledMillis   int64                  `json:"settled_ms"`
+	SourceRequests  float64                `json:"source_requests_per_second"`
+	ProcessorPerSec float64                `json:"hollow_cores"`
+	Roles           map[string]RoleFigures `json:"roles"`
+	Convergence     *hdrhistogram.Snapshot `json:"convergence"`
+}
+
+// RoleFigures are the figures of the nodes of one role in a phase.
+type RoleFigures struct {
+	Nodes                int     `json:"nodes"`
+	MeanBytesPerSecond   float64 `json:"mean_bytes_per_second"`
+	MaxBytesPerSecond    float64 `json:"max_bytes_per_second"`
+	MeanFramesPerSecond  float64 `json:"mean_frames_per_second"`
+	MaxFramesPerSecond   float64 `json:"max_frames_per_second"`
+	MaxChildren          int     `json:"max_children"`
+	MaxDepth             int     `json:"max_depth"`
+	MeanBundles          float64 `json:"mean_bundles"`
+	MaxBundles           int     `json:"max_bundles"`
+	MeanEndpoints        float64 `json:"mean_endpoints"`
+	HeapBytesPerNode     float64 `json:"-"`
+	ProcessorPerNodeNano float64 `json:"-"`
+}
+
+// RealFigures are the figures of one lapisvaned.
+type RealFigures struct {
+	Address        string  `json:"address"`
+	Role           string  `json:"role"`
+	CorePercent    float64 `json:"core_percent"`
+	ResidentMB     float64 `json:"resident_mb"`
+	BytesPerSecond float64 `json:"bytes_per_second"`
+}
+
+// ScaleFigures are the figures of a run.
+type ScaleFigures struct {
+	Hollow             int            `json:"hollow"`
+	Real               int            `json:"real"`
+	StartMillis        int64          `json:"start_ms"`
+	Phases             []PhaseFigures `json:"phases"`
+	RealNodes          []RealFigures  `json:"real_nodes"`
+	HollowHeapPerNode  float64        `json:"hollow_heap_bytes_per_node"`
+	HollowSysPerNode   float64        `json:"hollow_sys_bytes_per_node"`
+	NanosPerFrame      float64        `json:"processor_nanos_per_frame"`
+	SourceReadersPeak  int64          `json:"source_readers_peak"`
+	Violations         []string       `json:"violations"`
+	CallsDone          int64          `json:"calls_done"`
+	CallsNotDone       int64          `json:"calls_not_done"`
+	CallsWrong         int64          `json:"calls_wrong"`
+	MaxNodeBytesPerSec float64        `json:"max_node_bytes_per_second"`
+	MaxNodeCorePercent float64        `json:"max_node_core_percent"`
+	MaxNodeMemoryMB    float64        `json:"max_node_mem_mb"`
+	P99Millis          float64        `json:"p99_convergence_ms"`
+	HerdP99Millis      float64        `json:"herd_p99_convergence_ms"`
+	MissedBudgets      []string       `json:"missed_budgets"`
+}
+
+// scaleDriver is a run in progress.
+type scaleDriver struct {
+	command *scaleCommand
+	fleet   *Fleet
+	figures ScaleFigures
+}
+
+// Execute implements flags.Commander.
+func (c *scaleCommand) Execute([]string) error {
+	driver := &scaleDriver{command: c, fleet: joinFleet(FleetShape{
+		Platform: c.Platform, Services: c.Services, PerProxy: 1, Seed: c.Seed,
+		Zones: scaleLayout.zones, Regions: scaleLayout.regions,
+	})}
+	if err := driver.run(); err != nil {
+		return err
+	}
+	return driver.finish()
+}
+
+func (d *scaleDriver) run() error {
+	if err := d.fleet.acceptFirst(); err != nil {
+		return err
+	}
+	started := time.Now()
+	if err := d.forAll(func(address string) error { return putJSON(address, "/start", nil) }); err != nil {
+		return err
+	}
+	if _, err := d.settle(3 * time.Minute); err != nil {
+		return fmt.Errorf("at the start: %w", err)
+	}
+	d.figures.StartMillis = time.Since(started).Milliseconds()
+	results.Info("scale.started", "hollow", d.figures.Hollow, "started_ms", d.figures.StartMillis)
+	time.Sleep(3 * time.Second)
+	stopCalls := d.startCalls()
+	defer stopCalls()
+	phases := []struct {
+		name string
+		run  func(ctx context.Context) error
+		rate float64
+		wait time.Duration
+	}{
+		{"steady", nil, dailyChangeRate, d.command.Steady},
+		{"fast", d.restartNowAndThen, fastRate, d.command.Fast},
+		{"herd", d.herd, dailyChangeRate * 2, 12 * time.Second},
+		{"rack", d.rack, dailyChangeRate * 2, 8 * time.Second},
+		{"zone-cut", d.cut(scaleLayout.zones[5]), dailyChangeRate * 2, 12 * time.Second},
+		{"region-cut", d.cut(scaleLayout.regions[len(scaleLayout.regions)-1]), dailyChangeRate * 2, 12 * time.Second},
+		{"outage", d.outage, 0, 12 * time.Second},
+	}
+	for _, phase := range phases {
+		if !d.wants(phase.name) {
+			continue
+		}
+		if err := d.phase(phase.name, phase.run, phase.rate, phase.wait); err != nil {
+			return fmt.Errorf("%s: %w", phase.name, err)
+		}
+	}
+	return nil
+}
+
+func (d *scaleDriver) wants(phase string) bool {
+	if len(d.command.Phases) == 0 {
+		return true
+	}
+	for _, wanted := range d.command.Phases {
+		if wanted == phase {
+			return true
+		}
+	}
+	return false
+}
+
+// forAll calls function for every hollow process at once.
+func (d *scaleDriver) forAll(function func(address string) error) error {
+	failures := make(chan error, len(d.command.Hollow))
+	for _, address := range d.command.Hollow {
+		go func() { failures <- function(address) }()
+	}
+	var first error
+	for range d.command.Hollow {
+		if err := <-failures; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// gather asks every hollow process for its report.
+func (d *scaleDriver) gather(convergence bool) ([]HollowReport, error) {
+	path := "/report"
+	if convergence {
+		path += "?convergence=1"
+	}
+	var mutex sync.Mutex
+	var reports []HollowReport
+	err := d.forAll(func(address string) error {
+		response, err := http.Get("http://" + address + path)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = response.Body.Close() }()
+		var report HollowReport
+		if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
+			return err
+		}
+		mutex.Lock()
+		defer mutex.Unlock()
+		reports = append(reports, report)
+		return nil
+	})
+	return reports, err
+}
+
+// settle waits until every daemon that is up has the newest revision in force.
+func (d *scaleDriver) settle(limit time.Duration) (time.Duration, error) {
+	started := time.Now()
+	for {
+		reports, err := d.gather(false)
+		if err != nil {
+			return 0, err
+		}
+		nodes, behind, example := 0, 0, HollowNode{}
+		for _, report := range reports {
+			for _, node := range report.Nodes {
+				nodes++
+				if !node.Down && node.InForce < d.fleet.Revision() {
+					behind++
+					example = node
+				}
+			}
+		}
+		d.figures.Hollow = nodes
+		if behind == 0 {
+			return time.Since(started), nil
+		}
+		if time.Since(started) > limit {
+			return 0, fmt.Errorf("%d of %d daemons lack revision %d after %s, such as %+v", behind, nodes, d.fleet.Revision(), limit, example)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// change accepts one change and tells every process when.
+func (d *scaleDriver) change() error {
+	at := time.Now()
+	if err := d.fleet.Change(); err != nil {
+		return err
+	}
+	accepted := Accepted{Revision: d.fleet.Revision(), UnixNanos: at.UnixNano()}
+	return d.forAll(func(address string) error { return putJSON(address, "/accepted", accepted) })
+}
+
+// phase makes changes at a rate while a disturbance runs, and records figures.
+func (d *scaleDriver) phase(name string, disturb func(context.Context) error, rate float64, length time.Duration) error {
+	before, err := d.gather(true)
+	if err != nil {
+		return err
+	}
+	realBefore := d.sampleReal()
+	requests := d.sourceLoad().Requests
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), length)
+	defer cancel()
+	disturbed := make(chan error, 1)
+	go func() {
+		if disturb == nil {
+			disturbed <- nil
+			return
+		}
+		disturbed <- disturb(ctx)
+	}()
+	changes, err := d.changeAt(ctx, rate)
+	if err != nil {
+		return err
+	}
+	if err := <-disturbed; err != nil {
+		return err
+	}
+	if err := d.change(); err != nil {
+		return err
+	}
+	settled, err := d.settle(2 * time.Minute)
+	if err != nil {
+		return err
+	}
+	elapsed := time.Since(started)
+	after, err := d.gather(true)
+	if err != nil {
+		return err
+	}
+	figures := summarize(name, before, after, elapsed)
+	figures.Changes = changes + 1
+	figures.SettledMillis = settled.Milliseconds()
+	figures.SourceRequests = float64(d.sourceLoad().Requests-requests) / elapsed.Seconds()
+	d.figures.Phases = append(d.figures.Phases, figures)
+	if name == "steady" {
+		d.noteSteady(figures, before, after, realBefore, elapsed)
+	}
+	printPhase(figures)
+	return nil
+}
+
+func (d *scaleDriver) changeAt(ctx context.Context, rate float64) (changes int, err error) {
+	if rate <= 0 {
+		<-ctx.Done()
+		return 0, nil
+	}
+	interval := time.Duration(float64(time.Second) / rate)
+	for next := time.Now(); ctx.Err() == nil; next = next.Add(interval) {
+		if !sleepUntil(ctx, next) {
+			return changes, nil
+		}
+		if err := d.change(); err != nil {
+			return changes, err
+		}
+		changes++
+	}
+	return changes, nil
+}
+
+// summarize computes a phase's figures from the reports around it.
+func summarize(name string, before, after []HollowReport, elapsed time.Duration) PhaseFigures {
+	figures := PhaseFigures{Phase: name, Seconds: elapsed.Seconds(), Roles: map[string]RoleFigures{}}
+	earlier := map[string]HollowNode{}
+	processorBefore := int64(0)
+	for _, report := range before {
+		processorBefore += report.ProcessorNanos
+		for _, node := range report.Nodes {
+			earlier[node.Node] = node
+		}
+	}
+	histogram := hdrhistogram.New(1, maxLatencyMicros, 3)
+	processorAfter := int64(0)
+	for _, report := range after {
+		processorAfter += report.ProcessorNanos
+		histogram.Merge(hdrhistogram.Import(report.Convergence))
+		for _, node := range report.Nodes {
+			figures.add(node, earlier[node.Node], elapsed)
+		}
+	}
+	for role, sum := range figures.Roles {
+		count := float64(sum.Nodes)
+		sum.MeanBytesPerSecond /= count
+		sum.MeanFramesPerSecond /= count
+		sum.MeanBundles /= count
+		sum.MeanEndpoints /= count
+		figures.Roles[role] = sum
+	}
+	figures.P50Millis = millis(histogram.ValueAtQuantile(50))
+	figures.P99Millis = millis(histogram.ValueAtQuantile(99))
+	figures.MaxMillis = millis(histogram.Max())
+	figures.Applies = histogram.TotalCount()
+	figures.Convergence = histogram.Export()
+	figures.ProcessorPerSec = float64(processorAfter-processorBefore) / float64(elapsed.Nanoseconds())
+	return figures
+}
+
+// add counts a node for its role; a node counts for the role that it has at
+// the end.
+func (f *PhaseFigures) add(node, earlier HollowNode, elapsed time.Duration) {
+	if node.Down {
+		return
+	}
+	role := f.Roles[string(node.Role)]
+	bytes := float64(node.BytesIn+node.BytesOut-earlier.BytesIn-earlier.BytesOut) / elapsed.Seconds()
+	frames := float64(node.FramesIn+node.FramesOut-earlier.FramesIn-earlier.FramesOut) / elapsed.Seconds()
+	role.Nodes++
+	role.MeanBytesPerSecond += bytes
+	role.MaxBytesPerSecond = max(role.MaxBytesPerSecond, bytes)
+	role.MeanFramesPerSecond += frames
+	role.MaxFramesPerSecond = max(role.MaxFramesPerSecond, frames)
+	role.MaxChildren = max(role.MaxChildren, node.Children)
+	role.MaxDepth = max(role.MaxDepth, node.Depth)
+	role.MeanBundles += float64(node.Bundles)
+	role.MaxBundles = max(role.MaxBundles, node.Bundles)
+	role.MeanEndpoints += float64(node.Endpoints)
+	f.Roles[string(node.Role)] = role
+}
+
+// noteSteady takes the figures that the budgets are about.
+func (d *scaleDriver) noteSteady(figures PhaseFigures, before, after []HollowReport, realBefore []realSample, elapsed time.Duration) {
+	for _, role := range figures.Roles {
+		d.figures.MaxNodeBytesPerSec = max(d.figures.MaxNodeBytesPerSec, role.MaxBytesPerSecond)
+	}
+	heap, sys, frames, nodes := 0.0, 0.0, 0.0, 0.0
+	framesBefore := 0.0
+	for _, report := range before {
+		for _, node := range report.Nodes {
+			framesBefore += float64(node.FramesIn + node.FramesOut)
+		}
+	}
+	for _, report := range after {
+		heap += float64(report.HeapBytes)
+		sys += float64(report.SysBytes)
+		for _, node := range report.Nodes {
+			nodes++
+			frames += float64(node.FramesIn + node.FramesOut)
+		}
+	}
+	d.figures.HollowHeapPerNode = heap / nodes
+	d.figures.HollowSysPerNode = sys / nodes
+	d.figures.NanosPerFrame = figures.ProcessorPerSec * float64(elapsed.Nanoseconds()) / (frames - framesBefore)
+	d.noteReal(realBefore, d.sampleReal(), elapsed)
+}
+
+func printPhase(figures PhaseFigures) {
+	results.Info("scale.phase", "phase", figures.Phase, "seconds", figures.Seconds, "changes", figures.Changes,
+		"p50_ms", figures.P50Millis, "p99_ms", figures.P99Millis, "max_ms", figures.MaxMillis, "applies", figures.Applies,
+		"settled_ms", figures.SettledMillis, "source_requests_per_second", figures.SourceRequests, "hollow_cores", figures.ProcessorPerSec)
+	for _, role := range []tree.Role{tree.RoleLeaf, tree.RoleRelay, tree.RoleReader} {
+		sum := figures.Roles[string(role)]
+		results.Info("scale.role", "phase", figures.Phase, "role", string(role), "nodes", sum.Nodes,
+			"mean_bytes_per_second", sum.MeanBytesPerSecond, "max_bytes_per_second", sum.MaxBytesPerSecond,
+			"mean_frames_per_second", sum.MeanFramesPerSecond, "max_children", sum.MaxChildren, "max_depth", sum.MaxDepth,
+			"mean_bundles", sum.MeanBundles, "mean_endpoints", sum.MeanEndpoints)
+	}
+}
+
+// restartNowAndThen restarts daemons at scaledRestarts times the daily rate.
+func (d *scaleDriver) restartNowAndThen(ctx context.Context) error {
+	const interval = 2 * time.Second
+	part := restartsPerDay / 86400 * scaledRestarts * interval.Seconds()
+	for sleepUntil(ctx, time.Now().Add(interval)) {
+		order := Disturbance{RestartPart: part}
+		if err := d.forAll(func(address string) error { return putJSON(address, "/disturb", order) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *scaleDriver) order(order Disturbance) error {
+	return d.forAll(func(address string) error { return putJSON(address, "/disturb", order) })
+}
+
+// herd replaces 30 percent of all daemons at once.
+func (d *scaleDriver) herd(context.Context) error { return d.order(Disturbance{RestartPart: 0.3}) }
+
+// rack takes a part of one zone down and brings it back.
+func (d *scaleDriver) rack(ctx context.Context) error {
+	const machinesPerProcess = 10
+	if err := d.order(Disturbance{StopZone: scaleLayout.zones[2], StopCount: machinesPerProcess}); err != nil {
+		return err
+	}
+	sleepUntil(ctx, time.Now().Add(4*time.Second))
+	return d.order(Disturbance{StartAll: true})
+}
+
+// cut returns a disturbance that cuts a zone or region off and joins it again.
+func (d *scaleDriver) cut(name string) func(context.Context) error {
+	return func(ctx context.Context) error {
+		if err := d.order(Disturbance{Isolate: []string{name}}); err != nil {
+			return err
+		}
+		sleepUntil(ctx, time.Now().Add(9*time.Second))
+		return d.order(Disturbance{Join: []string{name}})
+	}
+}
+
+// outage takes the source down for longer than a lease and restarts some
+// daemons meanwhile.
+func (d *scaleDriver) outage(ctx context.Context) error {
+	if err := putJSON(d.command.Platform, "/lab/faults", platformstub.Faults{Down: true}); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	if err := d.order(Disturbance{RestartPart: 0.02}); err != nil {
+		return err
+	}
+	sleepUntil(ctx, time.Now().Add(9*time.Second))
+	return putJSON(d.command.Platform, "/lab/faults", platformstub.Faults{})
+}
+
+// sourceLoad asks the platform stand-in what it bore.
+func (d *scaleDriver) sourceLoad() platformstub.Load {
+	var load platformstub.Load
+	response, err := http.Get("http://" + d.command.Platform + "/lab/load")
+	if err != nil {
+		return load
+	}
+	defer func() { _ = response.Body.Close() }()
+	_ = json.NewDecoder(response.Body).Decode(&load)
+	return load
+}
+
+// finish judges the run against the budgets, prints the result and stores the
+// figures.
+func (d *scaleDriver) finish() error {
+	d.figures.Real = len(d.command.Real)
+	d.figures.SourceReadersPeak = d.sourceLoad().PeakWatchers
+	reports, err := d.gather(false)
+	if err != nil {
+		return err
+	}
+	for _, report := range reports {
+		d.figures.Violations = append(d.figures.Violations, report.Violations...)
+	}
+	for _, phase := range d.figures.Phases {
+		switch phase.Phase {
+		case "steady":
+			d.figures.P99Millis = phase.P99Millis
+		case "herd":
+			d.figures.HerdP99Millis = phase.P99Millis
+		}
+	}
+	d.judge()
+	if err := d.store(); err != nil {
+		return err
+	}
+	for _, violation := range d.figures.Violations {
+		results.Info("scale.violation", "detail", violation)
+	}
+	figures := &d.figures
+	results.Info("scale.result", "hollow", figures.Hollow, "real", figures.Real,
+		"p99_convergence_ms", figures.P99Millis, "herd_p99_convergence_ms", figures.HerdP99Millis,
+		"max_node_bytes_per_second", figures.MaxNodeBytesPerSec, "max_node_core_percent", figures.MaxNodeCorePercent,
+		"max_node_mem_mb", figures.MaxNodeMemoryMB, "source_readers_peak", figures.SourceReadersPeak,
+		"calls_done", figures.CallsDone, "calls_not_done", figures.CallsNotDone, "violations", len(figures.Violations))
+	if len(figures.MissedBudgets)+len(figures.Violations) > 0 {
+		return fmt.Errorf("missed: %s; %d violations", strings.Join(figures.MissedBudgets, ", "), len(figures.Violations))
+	}
+	return nil
+}
+
+func (d *scaleDriver) judge() {
+	budget := d.command.Budget
+	checks := []struct {
+		name          string
+		value, budget float64
+	}{
+		{"p99_convergence_ms", d.figures.P99Millis, millis(budget.ConvergenceP99.Microseconds())},
+		{"herd_p99_convergence_ms", d.figures.HerdP99Millis, millis(budget.HerdP99.Microseconds())},
+		{"max_node_bytes_per_second", d.figures.MaxNodeBytesPerSec, budget.NodeBytes},
+		{"max_node_core_percent", d.figures.MaxNodeCorePercent, budget.CorePercent},
+		{"max_node_mem_mb", d.figures.MaxNodeMemoryMB, budget.MemoryMB},
+		{"source_readers_peak", float64(d.figures.SourceReadersPeak), float64(budget.Readers)},
+		{"calls_wrong", float64(d.figures.CallsWrong), 0},
+	}
+	for _, check := range checks {
+		if check.value > check.budget {
+			missed := fmt.Sprintf("%s %.1f above %.1f", check.name, check.value, check.budget)
+			d.figures.MissedBudgets = append(d.figures.MissedBudgets, missed)
+			results.Info("scale.budget_missed", "figure", check.name, "value", check.value, "budget", check.budget)
+		}
+	}
+}
+
+func (d *scaleDriver) store() error {
+	if d.command.Output == "" {
+		return nil
+	}
+	encoded, err := json.MarshalIndent(d.figures, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(d.command.Output, encoded, 0o644)
+}
--- a/internal/lab/standins.go
+++ b/internal/lab/standins.go
@@ -132,14 +132,19 @@
 
 // Execute implements flags.Commander.
 func (c *faultCommand) Execute([]string) error {
-	body, err := json.Marshal(platformstub.Faults{
+	return putJSON(c.Platform, "/lab/faults", platformstub.Faults{
 		Down: c.Down, DelayMillis: c.Delay, LoseAnswerPercent: c.LoseAnswers,
 		EventDelayMillis: c.EventDelay, CrossEvents: c.CrossEvents, FreezeMachines: c.FreezeListed,
 	})
+}
+
+// putJSON sends a value to a control path of a stand-in.
+func putJSON(address, path string, value any) error {
+	body, err := json.Marshal(value)
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequest(http.MethodPut, "http://"+c.Platform+"/lab/faults", bytes.NewReader(body))
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
@@ -149,7 +154,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("the platform answered %s", response.Status)
+		return fmt.Errorf("%s%s answered %s", address, path, response.Status)
 	}
 	return nil
 }
--- a/internal/platformstub/server.go
+++ b/internal/platformstub/server.go
@@ -156,6 +156,7 @@
 	mux.HandleFunc("GET /v1/machines", s.admit(s.serveMachines))
 	mux.HandleFunc("PUT /lab/faults", s.serveFaults)
 	mux.HandleFunc("PUT /lab/machine", s.serveSetMachine)
+	mux.HandleFunc("GET /lab/load", func(w http.ResponseWriter, _ *http.Request) { answer(w, s.Load(), nil) })
 	return mux
 }
 
