--- /dev/null
+++ b/internal/floor/broker_test.go
@@ -0,0 +1,53 @@
+package floor_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/floor"
+)
+
+func TestOneReadAnswersOnlyEarlierQuestions(t *testing.T) {
+	broker := &floor.Broker{}
+	var got []uint64
+	waiter := func(reply *lapisv1.FloorReply) { got = append(got, reply.GetRevision()) }
+	assert.Assert(t, broker.Ask(waiter), "the first question starts a read")
+	assert.Assert(t, !broker.Ask(waiter), "a question during a read waits for the next")
+	assert.Assert(t, broker.Answer(&lapisv1.FloorReply{Revision: 7}))
+	assert.DeepEqual(t, got, []uint64{7})
+	assert.Assert(t, !broker.Answer(&lapisv1.FloorReply{Revision: 8}))
+	assert.DeepEqual(t, got, []uint64{7, 8})
+	assert.Assert(t, !broker.Pending())
+}
+
+func TestAbortedReadIsAskedAgain(t *testing.T) {
+	broker := &floor.Broker{}
+	answers := 0
+	broker.Ask(func(*lapisv1.FloorReply) { answers++ })
+	assert.Assert(t, broker.Abort())
+	broker.Answer(&lapisv1.FloorReply{})
+	assert.Equal(t, answers, 1)
+}
+
+func TestDuringOutage(t *testing.T) {
+	cases := []struct {
+		name      string
+		view      floor.ReaderView
+		revision  uint64
+		available bool
+	}{
+		{"alone of one", floor.ReaderView{Head: 5, KnownReaders: 1}, 5, true},
+		{"minority", floor.ReaderView{Head: 5, PeerHeads: []uint64{6}, KnownReaders: 4}, 0, false},
+		{"majority", floor.ReaderView{Head: 5, PeerHeads: []uint64{6, 4}, KnownReaders: 4}, 6, true},
+		{"subtree is ahead", floor.ReaderView{Head: 5, SubtreeHighest: 9, PeerHeads: []uint64{6}, KnownReaders: 3}, 9, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			reply := floor.DuringOutage(test.view)
+			assert.Equal(t, reply.GetRevision(), test.revision)
+			assert.Equal(t, !reply.GetUnavailable(), test.available)
+		})
+	}
+}
--- a/internal/lab/convergence.go
+++ b/internal/lab/convergence.go
@@ -35,6 +35,15 @@
 	Strategy []string      `long:"strategy" description:"strategy to run; all by default" choice:"poll" choice:"star-snapshot" choice:"tree-delta"`
 	Profile  []string      `long:"profile" description:"profile to run; all by default" choice:"swancycle" choice:"board"`
 	Seed     uint64        `long:"seed" description:"seed of all randomness" default:"1"`
+	Output   string        `long:"output" description:"JSON file for the figures"`
+}
+
+// StrategyFigures are the stored figures of one strategy.
+type StrategyFigures struct {
+	Profile        string                 `json:"profile"`
+	Strategy       string                 `json:"strategy"`
+	BytesPerChange float64                `json:"control_bytes_per_change_per_proxy"`
+	Convergence    *hdrhistogram.Snapshot `json:"convergence"`
 }
 
 // Execute implements flags.Commander.
@@ -47,6 +56,7 @@
 		profiles = []string{ProfileSwancycle, ProfileBoard}
 	}
 	failed := false
+	var stored []StrategyFigures
 	for index, name := range profiles {
 		strategies := c.Strategy
 		if len(strategies) == 0 {
@@ -63,13 +73,20 @@
 				return fmt.Errorf("%s: %w", strategy, err)
 			}
 			figures.print()
+			stored = append(stored, StrategyFigures{
+				Profile: figures.profile, Strategy: strategy, BytesPerChange: figures.bytesPerChange,
+				Convergence: figures.histogram.Export(),
+			})
 			failed = failed || len(figures.violations) > 0
 		}
 	}
 	if failed {
 		return fmt.Errorf("an invariant was violated")
 	}
-	return nil
+	if c.Output == "" {
+		return nil
+	}
+	return writeIndented(c.Output, stored)
 }
 
 // convergenceFigures are the figures of one strategy.
--- a/internal/lab/main.go
+++ b/internal/lab/main.go
@@ -31,6 +31,7 @@
 		{"requests", "measure the request path", &requestsCommand{}},
 		{"hollow", "run hollow daemons for a scale run", &hollowCommand{}},
 		{"scale", "drive a scale run; see scripts/scale.sh", &scaleCommand{}},
+		{"report", "fit slopes over scale runs and write a page with plots", &reportCommand{}},
 		{"simulate", "simulate a fleet under virtual time", &simulateCommand{}},
 		{"error-table", "print the page of result codes", &errorTableCommand{}},
 		{"fault", "switch faults of a running platform stand-in", &faultCommand{}},
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"time"
@@ -573,9 +572,5 @@
 	if d.command.Output == "" {
 		return nil
 	}
-	encoded, err := json.MarshalIndent(d.figures, "", "  ")
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(d.command.Output, encoded, 0o644)
+	return writeIndented(d.command.Output, d.figures)
 }
--- /dev/null
+++ b/internal/operator/server_test.go
@@ -0,0 +1,188 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/ctl"
+	"github.com/lapisvane/lapisvane/internal/lab"
+	"github.com/lapisvane/lapisvane/internal/opapi"
+	"github.com/lapisvane/lapisvane/internal/operator"
+	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/query"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+type noEndpoints struct{}
+
+func (noEndpoints) Endpoints(string) []*lapisv1.Endpoint { return nil }
+
+// office is an operators' interface with operators of two rival groups.
+type office struct {
+	t       *testing.T
+	address string
+	stub    *platformstub.Server
+}
+
+func open(t *testing.T) *office {
+	t.Helper()
+	stub, err := platformstub.Start(platformstub.Options{Address: "127.0.0.1:0", Seed: 3})
+	assert.NilError(t, err)
+	store := platform.NewClient([]string{stub.Address()}, "", nil)
+	var operators []operator.Operator
+	for _, group := range []string{"archers", "bakers", operator.AdminGroup} {
+		operators = append(operators, operator.Operator{Name: group, Group: group, TokenSHA256: operator.HashToken("token-" + group)})
+	}
+	encoded, _ := json.Marshal(operators)
+	_, err = store.Put(context.Background(), operator.TokensKey, encoded, platform.VersionAny)
+	assert.NilError(t, err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		operator.New(operator.Config{Store: store, Endpoints: noEndpoints{}, Logger: logr.Discard()}).Serve(ctx, listener)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		store.Close()
+		stub.Close()
+	})
+	return &office{t: t, address: listener.Addr().String(), stub: stub}
+}
+
+func (o *office) run(group, line string) (*opapi.Table, error) {
+	command, err := query.Parse(line)
+	assert.NilError(o.t, err)
+	return ctl.NewClient(o.address, "token-"+group).Run(context.Background(), command)
+}
+
+// accept proposes and accepts the given file.
+func (o *office) accept(group, content string) error {
+	path := filepath.Join(o.t.TempDir(), "proposal.yaml")
+	assert.NilError(o.t, os.WriteFile(path, []byte(content), 0o600))
+	table, err := o.run(group, "propose "+path)
+	if err != nil {
+		return err
+	}
+	_, err = o.run(group, "accept "+table.Rows[0][0])
+	return err
+}
+
+const shared = `
+pools: [{name: shop, group: archers, slots: 6, connection_limit: 130}]
+routes: [{name: quote, group: archers, pool: shop, path_prefix: /quote}]
+shares: [{name: for-bakers, group: bakers, pool: shop, percent: 30}]
+`
+
+func TestGroupsTouchOnlyWhatIsTheirs(t *testing.T) {
+	o := open(t)
+	assert.NilError(t, o.accept("archers", shared))
+	cases := []struct {
+		name, group, file string
+		expect            result.Code
+	}{
+		{"a rival's pool", "bakers", "pools: [{name: shop, group: bakers, slots: 1, connection_limit: 1}]", result.OperatorForbidden},
+		{"a rival's route", "bakers", "remove: [{kind: route, name: quote}]", result.OperatorForbidden},
+		{"a larger share for oneself", "bakers", "shares: [{name: for-bakers, group: bakers, pool: shop, percent: 90}]", result.OperatorForbidden},
+		{"a new share in a rival's pool", "bakers", "shares: [{name: more, group: bakers, pool: shop, percent: 10}]", result.OperatorForbidden},
+		{"an object given to a rival", "bakers", "routes: [{name: r, group: archers, pool: shop, path_prefix: /r}]", result.OperatorForbidden},
+		{"an own route to a shared pool", "bakers", "routes: [{name: bake, group: bakers, pool: shop, path_prefix: /bake}]", result.OK},
+		{"the owner sets shares", "archers", "shares: [{name: for-bakers, group: bakers, pool: shop, percent: 40}]", result.OK},
+		{"an administrator", operator.AdminGroup, "shares: [{name: for-bakers, group: bakers, pool: shop, percent: 35}]", result.OK},
+		{"nobody", "strangers", "remove: [{kind: route, name: quote}]", result.OperatorUnauthenticated},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			code, _ := result.CodeOf(o.accept(test.group, test.file))
+			assert.Equal(t, code, test.expect)
+		})
+	}
+	_, err := o.run("bakers", "drain shop/shop-1")
+	assert.Assert(t, result.Is(err, result.OperatorForbidden), "%v", err)
+}
+
+func TestRacingDrainsOfOnePoolAllTakeEffect(t *testing.T) {
+	o := open(t)
+	assert.NilError(t, o.accept("archers", shared))
+	o.stub.SetFaults(platformstub.Faults{LoseAnswerPercent: 20})
+	var racing sync.WaitGroup
+	const drains = 6
+	for index := range drains {
+		racing.Go(func() {
+			_, err := o.run("archers", fmt.Sprintf("drain shop/shop-%d", index))
+			assert.Check(t, err == nil, "%v", err)
+		})
+	}
+	racing.Wait()
+	o.stub.SetFaults(platformstub.Faults{})
+	table, err := o.run("archers", "show pools where name = shop")
+	assert.NilError(t, err)
+	assert.Equal(t, len(strings.Split(table.Rows[0][4], ",")), drains, "%v", table.Rows)
+}
+
+func TestRetiredIsForever(t *testing.T) {
+	o := open(t)
+	assert.NilError(t, o.accept("archers", shared))
+	_, err := o.run("archers", "retire shop/shop-1")
+	assert.NilError(t, err)
+	_, err = o.run("archers", "undrain shop/shop-1")
+	assert.Assert(t, result.Is(err, result.ConfigRetiredIsForever), "%v", err)
+}
+
+func TestWaitTellsThatItExpired(t *testing.T) {
+	o := open(t)
+	assert.NilError(t, o.accept("archers", shared))
+	_, err := o.run("archers", "wait in-force 1 for "+(200*time.Millisecond).String())
+	assert.Assert(t, result.Is(err, result.OperatorWaitExpired), "%v", err)
+	_, err = o.run("archers", "wait in-force 99")
+	assert.Assert(t, result.Is(err, result.OperatorUnknownRevision), "%v", err)
+}
+
+func TestPlatformDownIsSaidSo(t *testing.T) {
+	o := open(t)
+	assert.NilError(t, o.accept("archers", shared))
+	o.stub.SetFaults(platformstub.Faults{Down: true})
+	_, err := o.run("archers", "show routes")
+	assert.Assert(t, result.Is(err, result.PlatformUnavailable), "%v", err)
+}
+
+func TestSecretsAreNeverShown(t *testing.T) {
+	o := open(t)
+	authority, err := lab.NewAuthority("test")
+	assert.NilError(t, err)
+	pair, err := authority.Issue("shop.example")
+	assert.NilError(t, err)
+	file, err := json.Marshal(map[string]any{
+		"pools":   []any{map[string]any{"name": "shop", "group": "archers", "slots": 6, "connection_limit": 9}},
+		"routes":  []any{map[string]any{"name": "r", "group": "archers", "pool": "shop", "path_prefix": "/", "secret": "key"}},
+		"secrets": []any{map[string]any{"name": "key", "group": "archers", "certificate_pem": string(pair.Certificate), "private_key_pem": string(pair.Key)}},
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, o.accept("archers", string(file)))
+	line := strings.Split(string(pair.Key), "\n")[1]
+	for _, command := range []string{"show secrets", "show routes", "show pools", "show proposals", "diff 0 1", "show versions"} {
+		table, err := o.run("bakers", command)
+		assert.NilError(t, err)
+		answer, err := json.Marshal(table)
+		assert.NilError(t, err)
+		assert.Assert(t, !strings.Contains(string(answer), line), "%s shows the key", command)
+	}
+	code, _ := result.CodeOf(o.accept("bakers", "routes: [{name: steal, group: bakers, pool: shop, path_prefix: /s, secret: key}]"))
+	assert.Equal(t, code, result.ConfigForeignSecret)
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,79 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/settings"
+)
+
+const good = `
+node: n
+zone: z
+peer_address: 127.0.0.1:7400
+platform: {addresses: [127.0.0.1:7000]}
+`
+
+func read(t *testing.T, content string) (*settings.Daemon, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "daemon.yaml")
+	assert.NilError(t, os.WriteFile(path, []byte(content), 0o600))
+	return settings.ReadDaemon(path, func(*settings.Daemon) {})
+}
+
+func TestFaultsNameNumberAndKey(t *testing.T) {
+	cases := []struct {
+		name, content string
+		code          result.Code
+		key           string
+	}{
+		{"unknown key", good + "colour: red", result.SettingsUnknownKey, "colour"},
+		{"unknown tunable", good + "distribution: {fanuot: 3}", result.SettingsUnknownKey, "fanuot"},
+		{"missing zone", strings.Replace(good, "zone: z", "", 1), result.SettingsMissing, "zone"},
+		{"host name as address", strings.Replace(good, "127.0.0.1:7400", "localhost:7400", 1), result.SettingsBadAddress, "peer_address"},
+		{"address without port", good + "caller_address: 127.0.0.1", result.SettingsBadAddress, "caller_address"},
+		{"negative limit", good + "calls: {queue_length: -1}", result.SettingsBadNumber, "calls.queue_length"},
+		{"negative duration", good + "stop_limit: -3s", result.SettingsBadNumber, "stop_limit"},
+		{"bad duration", good + "stop_limit: soon", result.SettingsBadNumber, "soon"},
+		{"links lost between heartbeats", good + "distribution: {link_silence: 1s}", result.SettingsBadNumber, "link_silence"},
+		{"half of the TLS files", good + "peer_tls: {key: k}", result.SettingsMissing, "peer_tls"},
+		{"unknown profile", good + "profile: fast", result.SettingsBadNumber, "profile"},
+		{"back end without a name", good + "backends: [{service: s, address: 127.0.0.1:1}]", result.SettingsMissing, "backends[0].instance"},
+		{"not YAML", "{", result.SettingsUnreadable, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := read(t, test.content)
+			code, _ := result.CodeOf(err)
+			assert.Equal(t, code, test.code, "%v", err)
+			assert.Assert(t, strings.Contains(err.Error(), test.key), "%v", err)
+		})
+	}
+}
+
+func TestFlagsWinAndProfilesDiffer(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "daemon.yaml")
+	assert.NilError(t, os.WriteFile(path, []byte(good+"distribution: {fanout: 5}"), 0o600))
+	daemon, err := settings.ReadDaemon(path, func(d *settings.Daemon) { d.Zone = "flag"; d.Profile = settings.ProfileBytes })
+	assert.NilError(t, err)
+	assert.Equal(t, daemon.Zone, "flag")
+	assert.Equal(t, daemon.Tunables().Fanout, 5)
+	plain, err := read(t, good)
+	assert.NilError(t, err)
+	assert.Assert(t, daemon.Tunables().DebounceQuiet > plain.Tunables().DebounceQuiet)
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	examples, err := filepath.Glob("../../examples/daemon-*.yaml")
+	assert.NilError(t, err)
+	assert.Equal(t, len(examples), 3)
+	for _, path := range examples {
+		_, err := settings.ReadDaemon(path, func(*settings.Daemon) {})
+		assert.NilError(t, err, path)
+	}
+}
--- /dev/null
+++ b/scripts/fuzz.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Fuzzes each decoder that reads bytes from outside for a short time.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+duration=${FUZZTIME:-10s}
+while read -r package target; do
+  go test -run '^$' -fuzz "^$target\$" -fuzztime "$duration" "./internal/$package"
+done <<'TARGETS'
+wire FuzzReceive
+wire FuzzCallFrame
+meshconfig FuzzParseFile
+meshconfig FuzzDecodeBundle
+query FuzzParse
+gateway FuzzCheckFraming
+TARGETS
