--- a/internal/lab/scale_real.go
+++ b/internal/lab/scale_real.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -111,6 +112,9 @@
 			done.Add(tally.Done)
 			notDone.Add(tally.NotRun + tally.Unknown)
 			wrong.Add(tally.Wrong)
+			if tally.Done < tally.Total() {
+				results.Info("scale.calls", "caller", address, "done", tally.Done, "results", fmt.Sprint(tally.Results))
+			}
 		})
 	}
 	return func() {
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -11,6 +11,14 @@
 output=${OUTPUT:-out/scale-$hollow.json}
 base=${BASE_PORT:-21000}
 
+# A run of 19,000 took 19 GiB while starting; half of the machine's memory is the
+# bound for runs.
+memory_kb=$(awk '/MemTotal/ { print $2 }' /proc/meminfo)
+if [ $((hollow * 1024)) -gt $((memory_kb / 2)) ]; then
+  echo "event=scale.refused hollow=$hollow cause=\"about 1 MiB each while starting would exceed half of the machine's memory\""
+  exit 2
+fi
+
 work=$(mktemp -d)
 mkdir -p "$(dirname "$output")"
 pids=()
@@ -27,7 +35,9 @@
 
 go build -o "$work/bin/" ./cmd/...
 bin=$work/bin
-export GOMEMLIMIT=2500MiB
+# All hollow processes together stay under 10 GiB, less than half of a 24 GiB
+# machine; a soft limit, so runs beyond about 8000 are refused below.
+export GOMEMLIMIT=$((10240 / ((hollow + per_process - 1) / per_process)))MiB
 
 "$bin/lapislab" platform --address "127.0.0.1:$base" >"$work/platform.log" 2>&1 &
 pids+=($!)
