--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -53,14 +53,10 @@
 func (c *reportCommand) Execute([]string) error {
 	data := reportData{Target: c.Target}
 	for _, path := range c.Input {
-		content, err := os.ReadFile(path)
+		figures, err := readScaleFigures(path)
 		if err != nil {
 			return err
 		}
-		var figures ScaleFigures
-		if err := json.Unmarshal(content, &figures); err != nil {
-			return fmt.Errorf("%s: %w", path, err)
-		}
 		data.Runs = append(data.Runs, figures)
 	}
 	slices.SortFunc(data.Runs, func(a, b ScaleFigures) int { return cmp.Compare(a.Hollow, b.Hollow) })
@@ -82,6 +78,19 @@
 	return os.WriteFile(c.Output, page.Bytes(), 0o644)
 }
 
+// readScaleFigures reads what a scale run stored.
+func readScaleFigures(path string) (ScaleFigures, error) {
+	var figures ScaleFigures
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return figures, err
+	}
+	if err := json.Unmarshal(content, &figures); err != nil {
+		return figures, fmt.Errorf("%s: %w", path, err)
+	}
+	return figures, nil
+}
+
 func writeIndented(path string, value any) error {
 	encoded, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
--- a/internal/lab/simulate.go
+++ b/internal/lab/simulate.go
@@ -31,10 +31,14 @@
 	RegionDelay time.Duration `long:"region-delay" description:"one-way delay between regions" default:"15ms"`
 	HerdPart    float64       `long:"herd" description:"part of the daemons restarted at once" default:"0.3"`
 	Seed        uint64        `long:"seed" description:"seed of all randomness" default:"1"`
+	Compare     []string      `long:"compare" description:"figures of a scale run (JSON) to check the model against, instead of --nodes; may be given several times"`
 }
 
 // Execute implements flags.Commander.
 func (c *simulateCommand) Execute([]string) error {
+	if len(c.Compare) > 0 {
+		return c.compareAll()
+	}
 	for _, nodes := range c.Nodes {
 		if nodes < len(scaleLayout.zones) {
 			return fmt.Errorf("nodes must be at least %d", len(scaleLayout.zones))
@@ -55,6 +59,23 @@
 	return nil
 }
 
+// compareAll runs the model at the sizes of real runs and prints its error.
+func (c *simulateCommand) compareAll() error {
+	for _, path := range c.Compare {
+		figures, err := readScaleFigures(path)
+		if err != nil {
+			return err
+		}
+		nodes := figures.Hollow + figures.Real
+		run := newSimulation(c, nodes)
+		run.joinAll(run.everyone())
+		model := millis(run.distribute(c.Changes).ValueAtQuantile(99))
+		results.Info("simulation.error", "nodes", nodes, "cores", c.Cores, "model_p99_ms", model,
+			"real_p99_ms", figures.P99Millis, "error_percent", 100*(model-figures.P99Millis)/figures.P99Millis)
+	}
+	return nil
+}
+
 // event is something that happens at a virtual time.
 type event struct {
 	at     time.Duration
