Do not ask daemons that name each other in a tight circle

Cause: in one slow herd restart a single daemon got 3344 join requests in a second, and 62 KB went to each proxy. A refused daemon tries first whom the refusal names; two daemons that name each other, such as a full reader and its full children, were asked in turn without any wait, because the wait after a refusal held only for daemons that nobody had just named.

Change: a named daemon that has just refused waits like any other. The test lets two daemons name each other: asked 1000 times in a second before, at most 8 after.

--- a/internal/membership/candidates.go
+++ b/internal/membership/candidates.go
@@ -164,9 +164,7 @@
 // of the own zone, then, when the zone seems to have lost its readers, one of
 // the own region, then any. ok is false when none may be tried now.
 func (c *Candidates) Next(now time.Time) (choice Choice, ok bool) {
-	if len(c.redirects) > 0 {
-		address := c.redirects[0]
-		c.redirects = c.redirects[1:]
+	if address, ok := c.nextRedirect(now); ok {
 		return Choice{Address: address, Redirected: true}, true
 	}
 	localKnown := false
@@ -195,6 +193,20 @@
 	return Choice{}, false
 }
 
+// nextRedirect returns the first daemon that others named and that may be tried
+// now. One that has just refused waits like any other: daemons that name each
+// other would otherwise be asked in a tight circle.
+func (c *Candidates) nextRedirect(now time.Time) (address string, ok bool) {
+	for len(c.redirects) > 0 {
+		address = c.redirects[0]
+		c.redirects = c.redirects[1:]
+		if known, remembered := c.known[address]; !remembered || !now.Before(known.notBefore) {
+			return address, true
+		}
+	}
+	return "", false
+}
+
 // pick chooses at random among addresses; sorting first makes a seeded run
 // repeatable.
 func (c *Candidates) pick(addresses []string) string {
--- a/internal/membership/candidates_test.go
+++ b/internal/membership/candidates_test.go
@@ -84,3 +84,22 @@
 	}
 	assert.Assert(t, membership.MayTakeSeat(2, 0) && !membership.MayTakeSeat(3, 0) && membership.MayTakeSeat(3, 1))
 }
+
+// TestDaemonsThatNameEachOtherAreNotAskedInACircle lets two daemons refuse and
+// name each other, and counts how often they are asked within a second.
+func TestDaemonsThatNameEachOtherAreNotAskedInACircle(t *testing.T) {
+	candidates := newCandidates("a")
+	other := map[string]string{"a": "b", "b": "a"}
+	asked := 0
+	for step := range 1000 {
+		at := now.Add(time.Duration(step) * time.Millisecond)
+		choice, ok := candidates.Next(at)
+		if !ok {
+			continue
+		}
+		asked++
+		candidates.Redirect([]*lapisv1.PeerAddress{{Address: other[choice.Address], Zone: "z1"}}, at)
+		candidates.Postponed(choice.Address, 300*time.Millisecond, at)
+	}
+	assert.Assert(t, asked <= 8, "asked %d times", asked)
+}
