--- a/internal/backendstub/server.go
+++ b/internal/backendstub/server.go
@@ -45,6 +45,9 @@
 	// ShedAbove refuses calls while more than so many run; 0 for never. A
 	// refusal states that the call did not run.
 	ShedAbove int
+	// Draining refuses new calls, stating that they did not run; those that run
+	// go on.
+	Draining bool
 	// StatedLoad is what the load endpoint says, whatever the truth; negative
 	// for the truth.
 	StatedLoad float64
@@ -191,11 +194,14 @@
 	for peak := s.peakRunning.Load(); running > peak && !s.peakRunning.CompareAndSwap(peak, running); {
 		peak = s.peakRunning.Load()
 	}
-	if above := planned.behaviour.ShedAbove; above > 0 && running > int64(above) {
+	above := planned.behaviour.ShedAbove
+	if planned.behaviour.Draining || (above > 0 && running > int64(above)) {
 		w.Header().Set(callapi.HeaderNotRun, "1")
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
 	}
+	r, stop := withDeadline(r)
+	defer stop()
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
@@ -207,6 +213,7 @@
 	digest, err := s.work(r, planned)
 	if err != nil {
 		s.options.Ledger.cancel()
+		http.Error(w, "the caller's time is over", http.StatusGatewayTimeout)
 		return
 	}
 	if planned.resetAfter {
@@ -215,6 +222,16 @@
 	s.answer(w, r, planned, digest)
 }
 
+// withDeadline bounds a call by the time that its caller has left.
+func withDeadline(r *http.Request) (bounded *http.Request, stop context.CancelFunc) {
+	remaining, err := strconv.ParseInt(r.Header.Get(callapi.HeaderDeadline), 10, 64)
+	if err != nil {
+		return r, func() {}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(remaining)*time.Millisecond)
+	return r.WithContext(ctx), cancel
+}
+
 // work reads the body, takes the service time and calls on if asked.
 func (s *Server) work(r *http.Request, planned plan) (digest string, err error) {
 	hasher := sha256.New()
--- a/internal/lab/calls_test.go
+++ b/internal/lab/calls_test.go
@@ -91,7 +91,7 @@
 		{"order reset before it runs", backendstub.Behaviour{ResetBeforePercent: 100}, "/order", lab.OutcomeUnknown, 0},
 		{"order reset after it ran", backendstub.Behaviour{ResetAfterPercent: 100}, "/order", lab.OutcomeUnknown, 1},
 		{"order answer truncated", backendstub.Behaviour{TruncatePercent: 100}, "/order", lab.OutcomeUnknown, 1},
-		{"order shed", backendstub.Behaviour{ShedAbove: -1}, "/order", lab.OutcomeDone, 1},
+		{"order refused by a draining back end", backendstub.Behaviour{Draining: true}, "/order", lab.OutcomeNotRun, 0},
 		{"lookup reset now and then", backendstub.Behaviour{ResetAfterPercent: 5}, "/lookup", lab.OutcomeDone, -1},
 		{"lookup truncated now and then", backendstub.Behaviour{TruncatePercent: 5}, "/lookup", lab.OutcomeDone, -1},
 		{"deadline passes while it runs", backendstub.Behaviour{ServiceTime: time.Second}, "/short", lab.OutcomeUnknown, 1},
