--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -72,6 +72,7 @@
 metrics_address: $ip:$((port + 3))
 platform:
   addresses: [127.0.0.1:$base]
+no_seat: $([ $((index % 2)) = 1 ] && echo true || echo false) # so that leaves and relays are measured too
 services: [$(for ((s = 0; s < 30; s++)); do printf 'service-%04d, ' $((index * 30 % 900 + s)); done | sed 's/, $//')]
 backends:
   - service: service-0000
