Read the machine list every second, and test that it drains

Cause: a machine listed as leaving had to drain within 3 s of the list; the reader read it every 5 s, and no test went that way end to end.

Change: every second; an unchanged list costs one request without a body. A test lists a machine as leaving and checks that its back end gets no new work.

--- a/internal/features/features.go
+++ b/internal/features/features.go
@@ -77,7 +77,7 @@
 		JoinBackoffMax:        Duration(2 * time.Second),
 		FirstSourceAsk:        Duration(time.Second),
 		InterestShrinkDelay:   Duration(30 * time.Second),
-		MachinesInterval:      Duration(5 * time.Second),
+		MachinesInterval:      Duration(time.Second),
 	}
 }
 
--- a/internal/lab/daemon_test.go
+++ b/internal/lab/daemon_test.go
@@ -16,9 +16,11 @@
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/lapisvane/lapisvane/internal/lab"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/settings"
 	"github.com/lapisvane/lapisvane/internal/tlssetup"
 )
@@ -134,3 +136,26 @@
 	assert.Equal(t, response.Header.Get("Lapisvane-Outcome"), "not-run")
 	assert.Assert(t, response.StatusCode == http.StatusNotFound || response.Header.Get("Retry-After") != "")
 }
+
+// TestMachineListDrains lists a machine as leaving and sees its back end get no
+// new work.
+func TestMachineListDrains(t *testing.T) {
+	site := startSite(t, 2, func(p *lab.Profile) { p.MachineLag = 0 })
+	settings := site.Daemons["beside-desk-1"].Settings
+	machine := platform.Machine{
+		Node: "beside-desk-1", Address: site.Daemons["beside-desk-1"].Daemon.Addresses().Peer, Zone: settings.Zone,
+		Region: settings.Region, State: platform.MachineLeaving,
+	}
+	site.Platform.SetMachine(machine)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if site.Daemons["edge"].Daemon.ReadyEndpoints("desk") == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the machine's back end is not drained yet")
+	}, poll.WithTimeout(settleTime), poll.WithDelay(20*time.Millisecond))
+	for number := range 20 {
+		one := edgeCaller(site, "/order", nil).Do(context.Background(), fmt.Sprintf("leaving-%d", number))
+		assert.Equal(t, one.Outcome, lab.OutcomeDone)
+		assert.Equal(t, one.Instance, "desk-2")
+	}
+}
