--- a/internal/backendstub/server.go
+++ b/internal/backendstub/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -245,14 +246,8 @@
 	if s.options.ColdFactor > 1 && time.Since(s.started) < s.options.ColdStart {
 		duration *= time.Duration(s.options.ColdFactor)
 	}
-	if duration > 0 {
-		timer := time.NewTimer(duration)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-r.Context().Done():
-			return "", r.Context().Err()
-		}
+	if !pause.For(r.Context(), duration) {
+		return "", r.Context().Err()
 	}
 	if err := s.callOn(r); err != nil {
 		return "", err
@@ -340,21 +335,11 @@
 		}
 		l.server.open.Add(1)
 		l.server.Connections.Add(1)
-		sleepFor(context.Background(), l.server.options.ConnectionCost)
+		time.Sleep(l.server.options.ConnectionCost)
 		return &countedConn{Conn: conn, open: &l.server.open}, nil
 	}
 }
 
-func sleepFor(ctx context.Context, duration time.Duration) {
-	if duration <= 0 {
-		return
-	}
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
-	}
-}
-
 // countedConn counts itself out when it is closed.
 type countedConn struct {
 	net.Conn
--- a/internal/changelog/accept.go
+++ b/internal/changelog/accept.go
@@ -10,6 +10,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
@@ -92,7 +93,7 @@
 	uncertain := false
 	var lastErr error
 	for attempt := 0; attempt < maxAcceptAttempts; attempt++ {
-		if attempt > 0 && !pause(ctx) {
+		if attempt > 0 && !pause.For(ctx, rand.N(acceptBackoff)) {
 			break
 		}
 		number, written, err := l.acceptOnce(ctx, proposal)
@@ -115,15 +116,6 @@
 	return result.Is(err, result.PlatformUnavailable) || result.Is(err, result.PlatformConflict)
 }
 
-func pause(ctx context.Context) bool {
-	select {
-	case <-time.After(time.Duration(rand.Int64N(int64(acceptBackoff)))):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // acceptOnce makes one attempt; written tells whether the register may have
 // been written although err is set.
 func (l *Log) acceptOnce(ctx context.Context, proposal *lapisv1.Proposal) (number uint64, written bool, err error) {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -9,6 +9,7 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/balance"
 	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/snapshot"
 )
@@ -144,14 +145,7 @@
 	if !result.Is(err, result.CallNotRunOverloaded) && !result.Is(err, result.CallNotRunShed) {
 		return true
 	}
-	timer := time.NewTimer(rand.N(overloadBackoff))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, rand.N(overloadBackoff))
 }
 
 // handOver gives the call to the daemon beside the instance, which may be this
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -16,6 +16,7 @@
 
 	"github.com/lapisvane/lapisvane/internal/backendstub"
 	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/pause"
 )
 
 // Outcome is what a caller learned of one call.
@@ -261,17 +262,5 @@
 	}
 }
 
-func sleepUntil(ctx context.Context, due time.Time) bool {
-	wait := time.Until(due)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+// sleepUntil waits until due; it reports false when ctx ended first.
+func sleepUntil(ctx context.Context, due time.Time) bool { return pause.For(ctx, time.Until(due)) }
--- a/internal/lab/profile.go
+++ b/internal/lab/profile.go
@@ -13,17 +13,15 @@
 	Name string
 	// Zones are the names of the zones.
 	Zones []string
-	// ZoneDelay is the one-way delay between zones, CallerDelay that between a
-	// caller and its daemon.
-	ZoneDelay, CallerDelay time.Duration
+	// ZoneDelay is the one-way delay between zones. Experiments on distribution
+	// apply it; those on the request path run without delays.
+	ZoneDelay time.Duration
 	// Services gives the number of instances of each service.
 	Services []ServiceShape
 	// Slots, Connections and ConnectionCost are the limits of each instance.
 	Slots, Connections int
 	ConnectionCost     time.Duration
-	// ProbeCost is what a health probe costs an instance.
-	ProbeCost   time.Duration
-	ServiceTime time.Duration
+	ServiceTime        time.Duration
 	// Distribution names the tunables: convergence or bytes.
 	Distribution string
 	MachineLag   time.Duration
@@ -48,9 +46,9 @@
 func Swancycle() Profile {
 	return Profile{
 		Name: ProfileSwancycle, Zones: []string{"perth-1", "perth-2", "perth-3", "perth-4"},
-		ZoneDelay: 500 * time.Microsecond, CallerDelay: 3 * time.Millisecond,
-		Services: []ServiceShape{{"ride-desk", 7}, {"fleet-yard", 5}},
-		Slots:    6, Connections: 130, ConnectionCost: time.Millisecond, ServiceTime: 5 * time.Millisecond,
+		ZoneDelay: 500 * time.Microsecond,
+		Services:  []ServiceShape{{"ride-desk", 7}, {"fleet-yard", 5}},
+		Slots:     6, Connections: 130, ConnectionCost: time.Millisecond, ServiceTime: 5 * time.Millisecond,
 		Distribution: settings.ProfileConvergence, MachineLag: 2 * time.Second,
 		StopLimit: features.Duration(time.Minute), Seed: 1,
 	}
@@ -61,9 +59,9 @@
 func Board() Profile {
 	return Profile{
 		Name: ProfileBoard, Zones: []string{"de-cymru-1", "de-cymru-2", "de-cymru-3", "de-cymru-4"},
-		ZoneDelay: 1500 * time.Microsecond, CallerDelay: 8 * time.Millisecond,
-		Services: []ServiceShape{{"archeb", 7}, {"ffeiliau", 5}},
-		Slots:    6, Connections: 130, ConnectionCost: time.Millisecond, ProbeCost: 6 * time.Millisecond,
+		ZoneDelay: 1500 * time.Microsecond,
+		Services:  []ServiceShape{{"archeb", 7}, {"ffeiliau", 5}},
+		Slots:     6, Connections: 130, ConnectionCost: time.Millisecond,
 		ServiceTime:  5 * time.Millisecond,
 		Distribution: settings.ProfileBytes, MachineLag: 2 * time.Second,
 		StopLimit: features.Duration(time.Minute), Seed: 1,
--- a/internal/platformstub/server.go
+++ b/internal/platformstub/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
@@ -174,7 +175,7 @@
 			http.Error(w, "unknown token", http.StatusUnauthorized)
 			return
 		}
-		if !sleep(r.Context(), time.Duration(faults.DelayMillis)*time.Millisecond) {
+		if !pause.For(r.Context(), time.Duration(faults.DelayMillis)*time.Millisecond) {
 			return
 		}
 		next(w, r)
@@ -194,18 +195,6 @@
 	return s.random.IntN(100) < s.faults.LoseAnswerPercent
 }
 
-func sleep(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return true
-	}
-	select {
-	case <-time.After(duration):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (s *Server) serveGet(w http.ResponseWriter, r *http.Request) {
 	object, err := s.store.get(r.URL.Query().Get("key"))
 	answer(w, object, err)
@@ -323,7 +312,7 @@
 
 func (s *Server) sendEvents(ctx context.Context, encoder *json.Encoder, events []platform.Event) bool {
 	faults := s.currentFaults()
-	if len(events) > 0 && !sleep(ctx, time.Duration(faults.EventDelayMillis)*time.Millisecond) {
+	if len(events) > 0 && !pause.For(ctx, time.Duration(faults.EventDelayMillis)*time.Millisecond) {
 		return false
 	}
 	for index := range events {
--- a/internal/tree/child_send.go
+++ b/internal/tree/child_send.go
@@ -10,6 +10,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/holdings"
+	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
@@ -31,7 +32,7 @@
 			quiet = true
 		}
 		pending := n.pendingFor(session, due)
-		if !sleepFor(ctx, pending.pause) {
+		if !pause.For(ctx, pending.pause) {
 			return
 		}
 		if len(pending.frames) == 0 {
@@ -54,20 +55,6 @@
 	last bool
 }
 
-func sleepFor(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return true
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // pendingFor computes what the child lacks. A heartbeat is added when nothing
 // else is sent and due is set.
 func (n *Node) pendingFor(session *childSession, due bool) outgoing {
--- a/internal/tree/mesh.go
+++ b/internal/tree/mesh.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/seat"
 	"github.com/lapisvane/lapisvane/internal/wire"
@@ -45,7 +46,7 @@
 	defer n.closeMesh()
 	for {
 		n.reconcileMesh(ctx)
-		if !sleepFor(ctx, meshReconcileInterval) {
+		if !pause.For(ctx, meshReconcileInterval) {
 			return ctx.Err()
 		}
 	}
@@ -107,7 +108,7 @@
 func (n *Node) dialMesh(ctx context.Context, link *meshLink) {
 	defer n.dropMesh(link)
 	// The pause keeps a reader that refuses from being dialed at once again.
-	defer sleepFor(ctx, meshRedial)
+	defer pause.For(ctx, meshRedial)
 	conn, err := n.dial(ctx, link.address)
 	if err != nil {
 		return
--- a/internal/tree/reader.go
+++ b/internal/tree/reader.go
@@ -13,6 +13,7 @@
 	"github.com/lapisvane/lapisvane/internal/changelog"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/seat"
@@ -128,7 +129,7 @@
 func (r *readerRole) renew(ctx context.Context) error {
 	interval := r.node.config.Tunables.SeatLease.Get() / renewalsPerLease
 	for {
-		if !sleepFor(ctx, interval*9/10+rand.N(interval/10)) {
+		if !pause.For(ctx, interval*9/10+rand.N(interval/10)) {
 			return ctx.Err()
 		}
 		if r.node.isStopping() {
@@ -201,7 +202,7 @@
 		if time.Since(started) > sourceBackoffMax {
 			backoff = sourceBackoffMin
 		}
-		if !sleepFor(ctx, backoff/2+rand.N(backoff)) {
+		if !pause.For(ctx, backoff/2+rand.N(backoff)) {
 			break
 		}
 		backoff = min(2*backoff, sourceBackoffMax)
@@ -343,7 +344,7 @@
 func (r *readerRole) reportStatus(ctx context.Context) error {
 	var written []byte
 	for {
-		if !sleepFor(ctx, r.node.config.Tunables.StatusInterval.Get()) {
+		if !pause.For(ctx, r.node.config.Tunables.StatusInterval.Get()) {
 			return ctx.Err()
 		}
 		report, version, ok := r.node.statusToWrite(time.Now())
@@ -375,7 +376,7 @@
 			r.node.reconcileMachines(machines)
 		}
 		interval := r.node.config.Tunables.MachinesInterval.Get()
-		if !sleepFor(ctx, interval*9/10+rand.N(interval/5)) {
+		if !pause.For(ctx, interval*9/10+rand.N(interval/5)) {
 			return ctx.Err()
 		}
 	}
@@ -385,7 +386,7 @@
 func (r *readerRole) keepHouse(ctx context.Context) error {
 	nextCompaction := time.Now().Add(compactInterval)
 	for {
-		if !sleepFor(ctx, offerInterval*9/10+rand.N(offerInterval/5)) {
+		if !pause.For(ctx, offerInterval*9/10+rand.N(offerInterval/5)) {
 			return ctx.Err()
 		}
 		now := time.Now()
--- a/internal/tree/search.go
+++ b/internal/tree/search.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/membership"
+	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/seat"
 )
 
@@ -39,7 +40,7 @@
 // askSource waits a little and, when it is time, asks the object API. It
 // returns a seat to take, if any.
 func (s *search) askSource(ctx context.Context) (vacancy seat.Vacancy, found bool) {
-	if !sleepFor(ctx, candidatePoll/2+rand.N(candidatePoll)) || time.Now().Before(s.nextAsk) {
+	if !pause.For(ctx, candidatePoll/2+rand.N(candidatePoll)) || time.Now().Before(s.nextAsk) {
 		return seat.Vacancy{}, false
 	}
 	s.rounds++
--- a/internal/tree/uplink.go
+++ b/internal/tree/uplink.go
@@ -38,7 +38,6 @@
 	sentReport   *lapisv1.StatusReport
 	reportDue    bool
 	askFloor     bool
-	stranded     time.Time
 }
 
 func (u *uplink) signal() {
@@ -329,9 +328,7 @@
 // handleDetached waits with a parent that lost its way for DetachedGrace; the
 // caller holds mutex.
 func (n *Node) handleDetached(link *uplink) error {
-	now := time.Now()
 	if link.machine.MustState() == linkAttached {
-		link.stranded = now
 		n.setPath(nil)
 		time.AfterFunc(n.config.Tunables.DetachedGrace.Get(), func() { n.leaveStranded(link) })
 	}
