--- a/internal/changelog/accept.go
+++ b/internal/changelog/accept.go
@@ -10,8 +10,8 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/pause"
-	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -32,7 +32,7 @@
 		return result.Wrap(result.OperatorRequestMalformed, err, "encoding the proposal")
 	}
 	key := proposalKey(proposal.GetOperationId())
-	_, err = l.store.Put(ctx, key, encoded, platform.VersionAbsent)
+	_, err = l.store.Put(ctx, key, encoded, objectapi.VersionAbsent)
 	if err == nil {
 		return nil
 	}
@@ -160,7 +160,7 @@
 	if err != nil {
 		return result.Wrap(result.DistributionBadBundle, err, "encoding revision %d", l.head.GetNumber())
 	}
-	_, err = l.store.Put(ctx, revisionKey(l.head.GetNumber()), encoded, platform.VersionAbsent)
+	_, err = l.store.Put(ctx, revisionKey(l.head.GetNumber()), encoded, objectapi.VersionAbsent)
 	if result.Is(err, result.PlatformConflict) {
 		return nil
 	}
--- a/internal/changelog/compact.go
+++ b/internal/changelog/compact.go
@@ -7,7 +7,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -59,7 +59,7 @@
 	if err != nil {
 		return result.Wrap(result.DistributionBadBundle, err, "encoding snapshot %d", state.Revision)
 	}
-	_, err = l.store.Put(ctx, snapshotKey(state.Revision), encoded, platform.VersionAbsent)
+	_, err = l.store.Put(ctx, snapshotKey(state.Revision), encoded, objectapi.VersionAbsent)
 	if result.Is(err, result.PlatformConflict) {
 		return nil
 	}
@@ -74,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	var old []platform.Object
+	var old []objectapi.Object
 	for _, object := range list.Objects {
 		if number, ok := parseNumber(object.Key); ok && number+keptRevisions < revision {
 			old = append(old, object)
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	var old []platform.Object
+	var old []objectapi.Object
 	for _, object := range list.Objects {
 		proposal := &lapisv1.Proposal{}
 		if proto.Unmarshal(object.Value, proposal) != nil {
@@ -103,9 +103,9 @@
 	return l.deleteAll(ctx, old)
 }
 
-func (l *Log) deleteAll(ctx context.Context, objects []platform.Object) error {
+func (l *Log) deleteAll(ctx context.Context, objects []objectapi.Object) error {
 	for _, object := range objects {
-		err := l.store.Delete(ctx, object.Key, platform.VersionAny)
+		err := l.store.Delete(ctx, object.Key, objectapi.VersionAny)
 		if err != nil && !result.Is(err, result.PlatformNotFound) {
 			return err
 		}
--- a/internal/changelog/log.go
+++ b/internal/changelog/log.go
@@ -9,7 +9,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -19,7 +19,7 @@
 // Log reads and extends the log of accepted configurations. It is safe for
 // concurrent use; it keeps the newest state it has read.
 type Log struct {
-	store platform.Store
+	store objectapi.Store
 	now   func() time.Time
 
 	// mutex protects the cache. The cached revision never decreases.
@@ -30,7 +30,7 @@
 }
 
 // New returns a log over store; now gives the time written into revisions.
-func New(store platform.Store, now func() time.Time) *Log {
+func New(store objectapi.Store, now func() time.Time) *Log {
 	return &Log{store: store, now: now, state: meshconfig.NewState()}
 }
 
@@ -65,14 +65,14 @@
 
 // Observe takes in a watch event of the accept register and returns the newest
 // state. Events may come late, twice or crossed.
-func (l *Log) Observe(ctx context.Context, object platform.Object) (*meshconfig.State, error) {
+func (l *Log) Observe(ctx context.Context, object objectapi.Object) (*meshconfig.State, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	return l.adoptHead(ctx, object)
 }
 
 // adoptHead moves the cache to the revision in object; older ones are ignored.
-func (l *Log) adoptHead(ctx context.Context, object platform.Object) (*meshconfig.State, error) {
+func (l *Log) adoptHead(ctx context.Context, object objectapi.Object) (*meshconfig.State, error) {
 	head := &lapisv1.Revision{}
 	if err := decode(object, head); err != nil {
 		return nil, err
@@ -134,7 +134,7 @@
 	return state, nil
 }
 
-func advanceAll(state *meshconfig.State, objects []platform.Object, limit uint64) (*meshconfig.State, error) {
+func advanceAll(state *meshconfig.State, objects []objectapi.Object, limit uint64) (*meshconfig.State, error) {
 	for _, object := range objects {
 		revision := &lapisv1.Revision{}
 		if err := decode(object, revision); err != nil {
@@ -191,6 +191,6 @@
 }
 
 // decode decodes an object's value. Errors: PlatformBadAnswer.
-func decode(object platform.Object, target proto.Message) error {
+func decode(object objectapi.Object, target proto.Message) error {
 	return result.Wrap(result.PlatformBadAnswer, proto.Unmarshal(object.Value, target), "decoding %s", object.Key)
 }
--- a/internal/changelog/log_test.go
+++ b/internal/changelog/log_test.go
@@ -14,16 +14,16 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/changelog"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
-	"github.com/lapisvane/lapisvane/internal/platform"
-	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
+	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
-func startPlatform(t *testing.T, seed uint64) (*platformstub.Server, *platform.Client) {
+func startPlatform(t *testing.T, seed uint64) (*objectapistub.Server, *objectapi.Client) {
 	t.Helper()
-	stub, err := platformstub.Start(platformstub.Options{Address: "127.0.0.1:0", Seed: seed})
+	stub, err := objectapistub.Start(objectapistub.Options{Address: "127.0.0.1:0", Seed: seed})
 	assert.NilError(t, err)
-	client := platform.NewClient([]string{stub.Address()}, "", nil)
+	client := objectapi.NewClient([]string{stub.Address()}, "", nil)
 	t.Cleanup(func() {
 		client.Close()
 		stub.Close()
@@ -95,7 +95,7 @@
 
 func TestAcceptWithLostAnswersTakesEffectOnce(t *testing.T) {
 	stub, client := startPlatform(t, 7)
-	stub.SetFaults(platformstub.Faults{LoseAnswerPercent: 60})
+	stub.SetFaults(objectapistub.Faults{LoseAnswerPercent: 60})
 	log := changelog.New(client, time.Now)
 	for index := range 10 {
 		state := log.State()
@@ -106,7 +106,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, first, again)
 	}
-	stub.SetFaults(platformstub.Faults{})
+	stub.SetFaults(objectapistub.Faults{})
 	state, err := log.Refresh(context.Background())
 	assert.NilError(t, err)
 	assert.Equal(t, state.Revision, uint64(10))
@@ -183,20 +183,20 @@
 }
 
 // brokenStore writes the accept register without looking at its version.
-type brokenStore struct{ platform.Store }
+type brokenStore struct{ objectapi.Store }
 
 func (b brokenStore) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
 	if key == changelog.HeadKey {
-		expected = platform.VersionAny
+		expected = objectapi.VersionAny
 	}
 	return b.Store.Put(ctx, key, value, expected)
 }
 
 // recordHistory lets operators accept and read concurrently under faults.
-func recordHistory(t *testing.T, seed uint64, wrap func(platform.Store) platform.Store) []porcupine.Operation {
+func recordHistory(t *testing.T, seed uint64, wrap func(objectapi.Store) objectapi.Store) []porcupine.Operation {
 	t.Helper()
 	stub, client := startPlatform(t, seed)
-	stub.SetFaults(platformstub.Faults{LoseAnswerPercent: 20, DelayMillis: 1})
+	stub.SetFaults(objectapistub.Faults{LoseAnswerPercent: 20, DelayMillis: 1})
 	var mutex sync.Mutex
 	var history []porcupine.Operation
 	started := time.Now()
@@ -240,7 +240,7 @@
 func TestAcceptRegisterIsLinearizable(t *testing.T) {
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			history := recordHistory(t, seed, func(store platform.Store) platform.Store { return store })
+			history := recordHistory(t, seed, func(store objectapi.Store) objectapi.Store { return store })
 			assert.Assert(t, len(history) > 20)
 			assert.Assert(t, porcupine.CheckOperations(registerModel, history))
 		})
@@ -249,7 +249,7 @@
 
 func TestHistoryCheckCatchesABrokenRegister(t *testing.T) {
 	for seed := range uint64(10) {
-		history := recordHistory(t, seed, func(store platform.Store) platform.Store { return brokenStore{store} })
+		history := recordHistory(t, seed, func(store objectapi.Store) objectapi.Store { return brokenStore{store} })
 		if !porcupine.CheckOperations(registerModel, history) {
 			return
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,10 +19,10 @@
 	"github.com/lapisvane/lapisvane/internal/gateway"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/metrics"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/operator"
 	"github.com/lapisvane/lapisvane/internal/origin"
 	"github.com/lapisvane/lapisvane/internal/peer"
-	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/settings"
 	"github.com/lapisvane/lapisvane/internal/snapshot"
@@ -49,7 +49,7 @@
 	// callCounters count the calls' traffic apart from that of control.
 	callCounters *wire.Counters
 	network      wire.Network
-	store        *platform.Client
+	store        *objectapi.Client
 	snapshots    *snapshot.Store
 	balancer     *balance.Balancer
 	origin       *origin.Origin
@@ -73,7 +73,7 @@
 	// Network overrides the network between daemons; nil for the settings'.
 	Network wire.Network
 	// PlatformDial overrides how the platform is dialed; nil for plain TCP.
-	PlatformDial platform.DialFunc
+	PlatformDial objectapi.DialFunc
 }
 
 // New prepares a daemon and opens its listeners. Errors name the setting.
@@ -90,7 +90,7 @@
 		settings: config, logger: options.Logger.WithValues("node", config.Node),
 		registry: prometheus.NewRegistry(), counters: &wire.Counters{}, callCounters: &wire.Counters{},
 		network: network, snapshots: &snapshot.Store{},
-		store:       platform.NewClient(config.Platform.Addresses, config.Platform.Token, options.PlatformDial),
+		store:       objectapi.NewClient(config.Platform.Addresses, config.Platform.Token, options.PlatformDial),
 		balancer:    balance.New(config.Node, config.Zone, time.Now),
 		incarnation: uint64(time.Now().UnixNano()),
 	}
--- a/internal/lab/accept.go
+++ b/internal/lab/accept.go
@@ -4,11 +4,11 @@
 	"context"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 )
 
 // acceptChanges makes changes the next revision on behalf of the lab.
-func acceptChanges(ctx context.Context, store platform.Store, operation string, changes []*lapisv1.Change) (uint64, error) {
+func acceptChanges(ctx context.Context, store objectapi.Store, operation string, changes []*lapisv1.Change) (uint64, error) {
 	log := newLog(store)
 	state, err := log.Refresh(ctx)
 	if err != nil {
--- a/internal/lab/baselines.go
+++ b/internal/lab/baselines.go
@@ -15,7 +15,7 @@
 	"github.com/lapisvane/lapisvane/internal/changelog"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/seat"
 	"github.com/lapisvane/lapisvane/internal/tree"
 	"github.com/lapisvane/lapisvane/internal/wire"
@@ -95,7 +95,7 @@
 	started.cancel = cancel
 	for index, proxy := range started.proxies {
 		zone := fleet.shape.Zones[index%len(fleet.shape.Zones)]
-		client := platform.NewClient([]string{fleet.Platform.Address()}, "", fleet.topology.DialFrom(place{zone: zone, node: proxy.name}))
+		client := objectapi.NewClient([]string{fleet.Platform.Address()}, "", fleet.topology.DialFrom(place{zone: zone, node: proxy.name}))
 		started.running.Go(func() {
 			defer client.Close()
 			proxy.poll(ctx, client)
@@ -105,7 +105,7 @@
 }
 
 // poll asks for the head and, when it moved, for the whole configuration.
-func (p *baselineProxy) poll(ctx context.Context, client *platform.Client) {
+func (p *baselineProxy) poll(ctx context.Context, client *objectapi.Client) {
 	if !sleepUntil(ctx, time.Now().Add(rand.N(pollInterval))) {
 		return
 	}
@@ -118,7 +118,7 @@
 	}
 }
 
-func (p *baselineProxy) pollOnce(ctx context.Context, client *platform.Client) {
+func (p *baselineProxy) pollOnce(ctx context.Context, client *objectapi.Client) {
 	head, err := client.Get(ctx, changelog.HeadKey)
 	if err != nil {
 		return
@@ -197,7 +197,7 @@
 // starReader watches the source and pushes to its proxies.
 type starReader struct {
 	fleet    *Fleet
-	client   *platform.Client
+	client   *objectapi.Client
 	listener net.Listener
 	address  string
 	counters *wire.Counters
@@ -214,7 +214,7 @@
 	}
 	return &starReader{
 		fleet: fleet, listener: listener, address: listener.Addr().String(), counters: &wire.Counters{},
-		client: platform.NewClient([]string{fleet.Platform.Address()}, "", fleet.topology.DialFrom(place{zone: zone, node: zone + "-reader"})),
+		client: objectapi.NewClient([]string{fleet.Platform.Address()}, "", fleet.topology.DialFrom(place{zone: zone, node: zone + "-reader"})),
 	}, nil
 }
 
--- a/internal/lab/convergence.go
+++ b/internal/lab/convergence.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/internal/features"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/settings"
 	"github.com/lapisvane/lapisvane/internal/tree"
 )
@@ -252,7 +252,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = f.store.Put(context.Background(), fullStateKey, encoded, platform.VersionAny)
+	_, err = f.store.Put(context.Background(), fullStateKey, encoded, objectapi.VersionAny)
 	return err
 }
 
--- a/internal/lab/daemon_test.go
+++ b/internal/lab/daemon_test.go
@@ -20,7 +20,7 @@
 
 	"github.com/lapisvane/lapisvane/internal/lab"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/settings"
 	"github.com/lapisvane/lapisvane/internal/tlssetup"
 )
@@ -142,9 +142,9 @@
 func TestMachineListDrains(t *testing.T) {
 	site := startSite(t, 2, func(p *lab.Profile) { p.MachineLag = 0 })
 	settings := site.Daemons["beside-desk-1"].Settings
-	machine := platform.Machine{
+	machine := objectapi.Machine{
 		Node: "beside-desk-1", Address: site.Daemons["beside-desk-1"].Daemon.Addresses().Peer, Zone: settings.Zone,
-		Region: settings.Region, State: platform.MachineLeaving,
+		Region: settings.Region, State: objectapi.MachineLeaving,
 	}
 	site.Platform.SetMachine(machine)
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -15,9 +15,9 @@
 	"github.com/lapisvane/lapisvane/internal/features"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
+	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/peer"
-	"github.com/lapisvane/lapisvane/internal/platform"
-	"github.com/lapisvane/lapisvane/internal/platformstub"
 	"github.com/lapisvane/lapisvane/internal/tree"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
@@ -72,12 +72,12 @@
 type Fleet struct {
 	shape FleetShape
 	// Platform is nil when the platform runs elsewhere.
-	Platform *platformstub.Server
+	Platform *objectapistub.Server
 	source   string
 	topology *Topology
 	oracle   *oracle
 	judge    judge
-	store    *platform.Client
+	store    *objectapi.Client
 	log      *changelog.Log
 	random   *rand.Rand
 
@@ -101,7 +101,7 @@
 	interest    holdings.Interest
 	service     string
 	counters    *wire.Counters
-	client      *platform.Client
+	client      *objectapi.Client
 	node        *tree.Node
 	listener    string
 	incarnation uint64
@@ -130,7 +130,7 @@
 
 // NewFleet starts the platform stand-in and accepts the first configuration.
 func NewFleet(shape FleetShape) (*Fleet, error) {
-	stub, err := platformstub.Start(platformstub.Options{Address: loopback, Seed: shape.Seed, MachineLag: time.Second})
+	stub, err := objectapistub.Start(objectapistub.Options{Address: loopback, Seed: shape.Seed, MachineLag: time.Second})
 	if err != nil {
 		return nil, err
 	}
@@ -149,7 +149,7 @@
 func joinFleet(shape FleetShape) *Fleet {
 	fleet := &Fleet{
 		shape: shape, source: shape.Platform, topology: NewTopology(shape.ZoneDelay, shape.RegionDelay), oracle: newOracle(),
-		store:  platform.NewClient([]string{shape.Platform}, "", nil),
+		store:  objectapi.NewClient([]string{shape.Platform}, "", nil),
 		random: rand.New(rand.NewPCG(shape.Seed, 3)),
 	}
 	fleet.judge = fleet.oracle
@@ -161,11 +161,11 @@
 // stampingStore tells the oracle of each accept at the moment the accepting
 // write is sent.
 type stampingStore struct {
-	platform.Store
+	objectapi.Store
 	fleet *Fleet
 }
 
-// Put implements platform.Store.
+// Put implements objectapi.Store.
 func (s *stampingStore) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
 	if key != changelog.HeadKey {
 		return s.Store.Put(ctx, key, value, expected)
@@ -282,7 +282,7 @@
 	}
 	return func() error {
 		h.incarnation++
-		client := platform.NewClient([]string{h.fleet.source}, "", h.fleet.topology.DialFrom(h.place))
+		client := objectapi.NewClient([]string{h.fleet.source}, "", h.fleet.topology.DialFrom(h.place))
 		node := tree.New(tree.Config{
 			Node: h.place.node, Incarnation: h.incarnation, Zone: h.place.zone, Region: h.place.region, Address: h.listener,
 			Seeds: h.fleet.drawSeeds(h), Interest: h.interest, Tunables: h.fleet.shape.Tunables,
@@ -316,8 +316,8 @@
 
 // list puts the daemon's machine on the machine list.
 func (h *hollow) list() error {
-	machine := platform.Machine{
-		Node: h.place.node, Address: h.listener, Zone: h.place.zone, Region: h.place.region, State: platform.MachineLive,
+	machine := objectapi.Machine{
+		Node: h.place.node, Address: h.listener, Zone: h.place.zone, Region: h.place.region, State: objectapi.MachineLive,
 	}
 	if h.fleet.Platform != nil {
 		h.fleet.Platform.SetMachine(machine)
@@ -351,7 +351,7 @@
 		h.down = true
 		h.pastBytesIn += h.client.BytesIn.Load()
 		h.pastBytesOut += h.client.BytesOut.Load()
-		h.client = platform.NewClient(nil, "", nil)
+		h.client = objectapi.NewClient(nil, "", nil)
 	}
 }
 
--- a/internal/lab/recovery.go
+++ b/internal/lab/recovery.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/features"
-	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/tree"
 )
 
@@ -34,13 +34,13 @@
 	{"reader-partitioned", (*Fleet).partitionReader},
 	{"relays-killed", (*Fleet).killRelays},
 	{"herd-restart-30-percent", func(f *Fleet) error { return f.restartPart(0.3) }},
-	{"source-down", func(f *Fleet) error { return f.sourceFault(platformstub.Faults{Down: true}) }},
+	{"source-down", func(f *Fleet) error { return f.sourceFault(objectapistub.Faults{Down: true}) }},
 	{"source-slow", func(f *Fleet) error {
-		return f.sourceFault(platformstub.Faults{DelayMillis: 800, EventDelayMillis: 500})
+		return f.sourceFault(objectapistub.Faults{DelayMillis: 800, EventDelayMillis: 500})
 	}},
-	{"source-loses-answers", func(f *Fleet) error { return f.sourceFault(platformstub.Faults{LoseAnswerPercent: 40}) }},
+	{"source-loses-answers", func(f *Fleet) error { return f.sourceFault(objectapistub.Faults{LoseAnswerPercent: 40}) }},
 	{"events-crossed", func(f *Fleet) error {
-		return f.sourceFault(platformstub.Faults{CrossEvents: true, EventDelayMillis: 300})
+		return f.sourceFault(objectapistub.Faults{CrossEvents: true, EventDelayMillis: 300})
 	}},
 	{"watch-compacted", (*Fleet).compactUnderWatch},
 	{"zone-cut", (*Fleet).cutZone},
@@ -58,7 +58,7 @@
 			return fmt.Errorf("%s: %w", fault.name, err)
 		}
 		figures.print(c.Proxies)
-		failed = failed || len(figures.violations) > 0 || figures.peakWatchers > platformstub.DefaultWatchCap
+		failed = failed || len(figures.violations) > 0 || figures.peakWatchers > objectapistub.DefaultWatchCap
 	}
 	if failed {
 		return fmt.Errorf("an invariant was violated")
@@ -286,7 +286,7 @@
 
 // sourceFault disturbs the source for longer than a lease, with restarts and
 // changes meanwhile.
-func (f *Fleet) sourceFault(faults platformstub.Faults) error {
+func (f *Fleet) sourceFault(faults objectapistub.Faults) error {
 	f.Platform.SetFaults(faults)
 	if !faults.Down {
 		for range 5 {
@@ -299,14 +299,14 @@
 		return err
 	}
 	time.Sleep(f.shape.Tunables.SeatLease.Get() + 2*time.Second)
-	f.Platform.SetFaults(platformstub.Faults{})
+	f.Platform.SetFaults(objectapistub.Faults{})
 	return nil
 }
 
 // compactUnderWatch makes every running watch too old.
 func (f *Fleet) compactUnderWatch() error {
-	f.Platform.SetFaults(platformstub.Faults{Down: true})
-	f.Platform.SetFaults(platformstub.Faults{})
+	f.Platform.SetFaults(objectapistub.Faults{Down: true})
+	f.Platform.SetFaults(objectapistub.Faults{})
 	for range 3 {
 		if err := f.Change(); err != nil {
 			return err
--- a/internal/lab/scale.go
+++ b/internal/lab/scale.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/objectapistub"
 )
 
 // scaleCommand drives a scale run over processes that a script has started.
@@ -275,8 +275,8 @@
 }
 
 // sourceLoad asks the platform stand-in what it bore.
-func (d *scaleDriver) sourceLoad() platformstub.Load {
-	var load platformstub.Load
+func (d *scaleDriver) sourceLoad() objectapistub.Load {
+	var load objectapistub.Load
 	response, err := http.Get("http://" + d.command.Platform + "/lab/load")
 	if err != nil {
 		return load
--- a/internal/lab/scale_faults.go
+++ b/internal/lab/scale_faults.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/objectapistub"
 )
 
 // restartNowAndThen restarts daemons at scaledRestarts times the daily rate.
@@ -51,7 +51,7 @@
 // outage takes the source down for longer than a lease and restarts some
 // daemons meanwhile.
 func (d *scaleDriver) outage(ctx context.Context) error {
-	if err := putJSON(d.command.Platform, "/lab/faults", platformstub.Faults{Down: true}); err != nil {
+	if err := putJSON(d.command.Platform, "/lab/faults", objectapistub.Faults{Down: true}); err != nil {
 		return err
 	}
 	time.Sleep(time.Second)
@@ -59,5 +59,5 @@
 		return err
 	}
 	sleepUntil(ctx, time.Now().Add(9*time.Second))
-	return putJSON(d.command.Platform, "/lab/faults", platformstub.Faults{})
+	return putJSON(d.command.Platform, "/lab/faults", objectapistub.Faults{})
 }
--- a/internal/lab/simulate.go
+++ b/internal/lab/simulate.go
@@ -8,7 +8,7 @@
 
 	"github.com/lapisvane/lapisvane/internal/features"
 	"github.com/lapisvane/lapisvane/internal/membership"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/seat"
 )
 
@@ -99,7 +99,7 @@
 	random   *rand.Rand
 	topology *Topology
 	nodes    []*simNode
-	byZone   map[string][]platform.Machine
+	byZone   map[string][]objectapi.Machine
 	machines map[string]*simNode
 	now      time.Duration
 	queue    eventQueue
@@ -130,7 +130,7 @@
 	run := &simulation{
 		command: command, tunables: features.Convergence(), random: rand.New(rand.NewPCG(command.Seed, uint64(count))),
 		topology: NewTopology(command.ZoneDelay, command.RegionDelay),
-		byZone:   map[string][]platform.Machine{}, machines: map[string]*simNode{}, seats: map[string]simSeat{},
+		byZone:   map[string][]objectapi.Machine{}, machines: map[string]*simNode{}, seats: map[string]simSeat{},
 		asksBySecond: map[time.Duration]int{}, free: make([]time.Duration, command.Cores),
 	}
 	shape := FleetShape{Zones: scaleLayout.zones, Regions: scaleLayout.regions}
@@ -138,8 +138,8 @@
 		node := &simNode{place: shape.placeOf(index)}
 		run.nodes = append(run.nodes, node)
 		run.machines[node.place.node] = node
-		run.byZone[node.place.zone] = append(run.byZone[node.place.zone], platform.Machine{
-			Node: node.place.node, Address: node.place.node, Zone: node.place.zone, State: platform.MachineLive,
+		run.byZone[node.place.zone] = append(run.byZone[node.place.zone], objectapi.Machine{
+			Node: node.place.node, Address: node.place.node, Zone: node.place.zone, State: objectapi.MachineLive,
 		})
 	}
 	return run
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -14,10 +14,10 @@
 	"github.com/lapisvane/lapisvane/internal/ctl"
 	"github.com/lapisvane/lapisvane/internal/daemon"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
+	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/opapi"
 	"github.com/lapisvane/lapisvane/internal/operator"
-	"github.com/lapisvane/lapisvane/internal/platform"
-	"github.com/lapisvane/lapisvane/internal/platformstub"
 	"github.com/lapisvane/lapisvane/internal/query"
 	"github.com/lapisvane/lapisvane/internal/settings"
 )
@@ -34,8 +34,8 @@
 // Site is a platform stand-in with daemons and back ends around it, all in
 // this process. It is not safe for concurrent changes.
 type Site struct {
-	Platform *platformstub.Server
-	Store    *platform.Client
+	Platform *objectapistub.Server
+	Store    *objectapi.Client
 	Ledger   *backendstub.Ledger
 	Daemons  map[string]*Member
 	Backends map[string]*backendstub.Server
@@ -58,18 +58,18 @@
 // NewSite starts the platform stand-in.
 func NewSite(profile Profile, logger logr.Logger) (*Site, error) {
 	daemon.QuietHTTPLibrary()
-	stub, err := platformstub.Start(platformstub.Options{Address: loopback, MachineLag: profile.MachineLag, Seed: profile.Seed})
+	stub, err := objectapistub.Start(objectapistub.Options{Address: loopback, MachineLag: profile.MachineLag, Seed: profile.Seed})
 	if err != nil {
 		return nil, err
 	}
 	site := &Site{
-		Platform: stub, Store: platform.NewClient([]string{stub.Address()}, "", nil), Ledger: &backendstub.Ledger{},
+		Platform: stub, Store: objectapi.NewClient([]string{stub.Address()}, "", nil), Ledger: &backendstub.Ledger{},
 		Daemons: map[string]*Member{}, Backends: map[string]*backendstub.Server{}, logger: logger, profile: profile,
 	}
 	operators, _ := json.Marshal([]operator.Operator{
 		{Name: labAdmin, Group: operator.AdminGroup, TokenSHA256: operator.HashToken(AdminToken)},
 	})
-	_, err = site.Store.Put(context.Background(), operator.TokensKey, operators, platform.VersionAny)
+	_, err = site.Store.Put(context.Background(), operator.TokensKey, operators, objectapi.VersionAny)
 	return site, err
 }
 
@@ -149,8 +149,8 @@
 	for _, backend := range config.Backends {
 		s.Backends[backend.Service+"/"+backend.Instance].SetNext(addresses.Caller)
 	}
-	s.Platform.SetMachine(platform.Machine{
-		Node: config.Node, Address: addresses.Peer, Zone: config.Zone, Region: config.Region, State: platform.MachineLive,
+	s.Platform.SetMachine(objectapi.Machine{
+		Node: config.Node, Address: addresses.Peer, Zone: config.Zone, Region: config.Region, State: objectapi.MachineLive,
 	})
 	s.Daemons[config.Node] = member
 	return member, nil
@@ -251,4 +251,4 @@
 	}
 }
 
-func newLog(store platform.Store) *changelog.Log { return changelog.New(store, time.Now) }
+func newLog(store objectapi.Store) *changelog.Log { return changelog.New(store, time.Now) }
--- a/internal/lab/sitemap.go
+++ b/internal/lab/sitemap.go
@@ -7,7 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 )
 
 // The map of a scale run: 19 zones in 6 regions, each zone with a loopback
@@ -56,7 +56,7 @@
 }
 
 // seatObject returns a seat as the object API would show it.
-func seatObject(key string, version int64, lease *lapisv1.SeatLease) platform.Object {
+func seatObject(key string, version int64, lease *lapisv1.SeatLease) objectapi.Object {
 	value, _ := proto.Marshal(lease)
-	return platform.Object{Key: key, Version: version, Value: value}
+	return objectapi.Object{Key: key, Version: version, Value: value}
 }
--- a/internal/lab/standins.go
+++ b/internal/lab/standins.go
@@ -11,9 +11,9 @@
 
 	"github.com/lapisvane/lapisvane/internal/backendstub"
 	"github.com/lapisvane/lapisvane/internal/cli"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
+	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/operator"
-	"github.com/lapisvane/lapisvane/internal/platform"
-	"github.com/lapisvane/lapisvane/internal/platformstub"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -29,7 +29,7 @@
 
 // Execute implements flags.Commander.
 func (c *platformCommand) Execute([]string) error {
-	stub, err := platformstub.Start(platformstub.Options{
+	stub, err := objectapistub.Start(objectapistub.Options{
 		Address: c.Address, Token: c.Token, WatchCap: c.WatchCap, MachineLag: c.Lag, Seed: uint64(time.Now().UnixNano()),
 	})
 	if err != nil {
@@ -47,14 +47,14 @@
 	return nil
 }
 
-func (c *platformCommand) load(stub *platformstub.Server) error {
+func (c *platformCommand) load(stub *objectapistub.Server) error {
 	if c.Operators != "" {
 		content, err := os.ReadFile(c.Operators)
 		if err != nil {
 			return result.Wrap(result.SettingsUnreadable, err, "reading the operators")
 		}
-		client := platform.NewClient([]string{stub.Address()}, c.Token, nil)
-		if _, err := client.Put(context.Background(), operator.TokensKey, content, platform.VersionAny); err != nil {
+		client := objectapi.NewClient([]string{stub.Address()}, c.Token, nil)
+		if _, err := client.Put(context.Background(), operator.TokensKey, content, objectapi.VersionAny); err != nil {
 			return err
 		}
 	}
@@ -65,7 +65,7 @@
 	if err != nil {
 		return result.Wrap(result.SettingsUnreadable, err, "reading the machines")
 	}
-	var machines []platform.Machine
+	var machines []objectapi.Machine
 	if err := json.Unmarshal(content, &machines); err != nil {
 		return result.Wrap(result.SettingsUnreadable, err, "decoding the machines")
 	}
@@ -133,7 +133,7 @@
 
 // Execute implements flags.Commander.
 func (c *faultCommand) Execute([]string) error {
-	return putJSON(c.Platform, "/lab/faults", platformstub.Faults{
+	return putJSON(c.Platform, "/lab/faults", objectapistub.Faults{
 		Down: c.Down, DelayMillis: c.Delay, LoseAnswerPercent: c.LoseAnswers,
 		EventDelayMillis: c.EventDelay, CrossEvents: c.CrossEvents, FreezeMachines: c.FreezeListed,
 	})
--- a/internal/membership/candidates.go
+++ b/internal/membership/candidates.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 )
 
 // Bounds of what is remembered.
@@ -217,10 +217,10 @@
 // Rank returns the position of node among the live machines of its zone in the
 // order in which they may become readers of seat, and the number of machines.
 // All daemons with the same list compute the same order.
-func Rank(machines []platform.Machine, node, seat string) (rank, total int) {
+func Rank(machines []objectapi.Machine, node, seat string) (rank, total int) {
 	own := seatScore(node, seat)
 	for _, machine := range machines {
-		if machine.State != platform.MachineLive {
+		if machine.State != objectapi.MachineLive {
 			continue
 		}
 		total++
--- a/internal/membership/candidates_test.go
+++ b/internal/membership/candidates_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/membership"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 )
 
 var now = time.Unix(1000, 0)
@@ -68,16 +68,16 @@
 }
 
 func TestRanksAreAPermutationThatAllAgreeOn(t *testing.T) {
-	var machines []platform.Machine
+	var machines []objectapi.Machine
 	for index := range 50 {
-		machines = append(machines, platform.Machine{Node: fmt.Sprint(index), State: platform.MachineLive})
+		machines = append(machines, objectapi.Machine{Node: fmt.Sprint(index), State: objectapi.MachineLive})
 	}
-	machines[7].State = platform.MachineLeaving
+	machines[7].State = objectapi.MachineLeaving
 	seen := map[int]bool{}
 	for _, machine := range machines {
 		rank, total := membership.Rank(machines, machine.Node, "seat")
 		assert.Equal(t, total, 49)
-		if machine.State == platform.MachineLive {
+		if machine.State == objectapi.MachineLive {
 			assert.Assert(t, !seen[rank])
 			seen[rank] = true
 		}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -12,8 +12,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/origin"
-	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/tree"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
@@ -23,7 +23,7 @@
 	Node         *tree.Node
 	Counters     *wire.Counters
 	CallCounters *wire.Counters
-	Store        *platform.Client
+	Store        *objectapi.Client
 	Origin       *origin.Origin
 	Calls        *callmux.Client
 }
--- a/internal/platform/doc.go
+++ b/internal/objectapi/doc.go
@@ -1,5 +1,5 @@
-// Package platform is the client of the platform's object API and machine
+// Package objectapi is the client of the platform's object API and machine
 // list. The object API keeps versioned objects under string keys, with
 // compare-and-swap writes, lists, watches and a status part of each object;
 // the machine list lags behind reality.
-package platform
+package objectapi
--- a/internal/platform/types.go
+++ b/internal/objectapi/types.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import "context"
 
--- a/internal/platformstub/machines.go
+++ b/internal/objectapistub/machines.go
@@ -1,17 +1,17 @@
-package platformstub
+package objectapistub
 
 import (
 	"sort"
 	"sync"
 	"time"
 
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 )
 
 // machineChange is a change that the list shows from visibleAt on.
 type machineChange struct {
 	visibleAt time.Time
-	machine   platform.Machine
+	machine   objectapi.Machine
 	removed   bool
 }
 
@@ -21,19 +21,19 @@
 	lag     time.Duration
 	frozen  bool
 	pending []machineChange
-	visible map[string]platform.Machine
+	visible map[string]objectapi.Machine
 }
 
 func newMachineList(lag time.Duration) *machineList {
-	return &machineList{lag: lag, visible: map[string]platform.Machine{}}
+	return &machineList{lag: lag, visible: map[string]objectapi.Machine{}}
 }
 
-func (l *machineList) set(machine platform.Machine) {
+func (l *machineList) set(machine objectapi.Machine) {
 	l.add(machineChange{machine: machine})
 }
 
 func (l *machineList) remove(node string) {
-	l.add(machineChange{machine: platform.Machine{Node: node}, removed: true})
+	l.add(machineChange{machine: objectapi.Machine{Node: node}, removed: true})
 }
 
 func (l *machineList) add(change machineChange) {
@@ -49,11 +49,11 @@
 	l.frozen = frozen
 }
 
-func (l *machineList) list(zone string) []platform.Machine {
+func (l *machineList) list(zone string) []objectapi.Machine {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.revealPending(time.Now())
-	machines := []platform.Machine{}
+	machines := []objectapi.Machine{}
 	for _, machine := range l.visible {
 		if zone == "" || machine.Zone == zone {
 			machines = append(machines, machine)
--- a/internal/platformstub/server.go
+++ b/internal/objectapistub/server.go
@@ -1,4 +1,4 @@
-package platformstub
+package objectapistub
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/pause"
-	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -126,7 +126,7 @@
 func (s *Server) Compact() { s.store.compact() }
 
 // SetMachine adds or changes a machine; the list shows it after its lag.
-func (s *Server) SetMachine(machine platform.Machine) { s.machines.set(machine) }
+func (s *Server) SetMachine(machine objectapi.Machine) { s.machines.set(machine) }
 
 // RemoveMachine removes a machine; the list shows it after its lag.
 func (s *Server) RemoveMachine(node string) { s.machines.remove(node) }
@@ -294,14 +294,14 @@
 		}
 		if !started {
 			started = true
-			_ = encoder.Encode(platform.Event{Type: platform.EventBookmark, Version: reached})
+			_ = encoder.Encode(objectapi.Event{Type: objectapi.EventBookmark, Version: reached})
 		}
 		version = reached
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-changed:
 		case <-bookmark.C:
-			_ = encoder.Encode(platform.Event{Type: platform.EventBookmark, Version: version})
+			_ = encoder.Encode(objectapi.Event{Type: objectapi.EventBookmark, Version: version})
 		case <-broken:
 			return
 		case <-r.Context().Done():
@@ -310,7 +310,7 @@
 	}
 }
 
-func (s *Server) sendEvents(ctx context.Context, encoder *json.Encoder, events []platform.Event) bool {
+func (s *Server) sendEvents(ctx context.Context, encoder *json.Encoder, events []objectapi.Event) bool {
 	faults := s.currentFaults()
 	if len(events) > 0 && !pause.For(ctx, time.Duration(faults.EventDelayMillis)*time.Millisecond) {
 		return false
@@ -337,7 +337,7 @@
 }
 
 func (s *Server) serveSetMachine(w http.ResponseWriter, r *http.Request) {
-	var machine platform.Machine
+	var machine objectapi.Machine
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&machine); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/platformstub/store.go
+++ b/internal/objectapistub/store.go
@@ -1,11 +1,11 @@
-package platformstub
+package objectapistub
 
 import (
 	"sort"
 	"strings"
 	"sync"
 
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -16,25 +16,25 @@
 type store struct {
 	mutex   sync.Mutex
 	version int64
-	objects map[string]platform.Object
+	objects map[string]objectapi.Object
 	// events holds the latest changes in order; compacted is the version up
 	// to which events were dropped.
-	events    []platform.Event
+	events    []objectapi.Event
 	compacted int64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
 
 func newStore() *store {
-	return &store{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	return &store{objects: map[string]objectapi.Object{}, changed: make(chan struct{})}
 }
 
-func (s *store) get(key string) (platform.Object, error) {
+func (s *store) get(key string) (objectapi.Object, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	object, ok := s.objects[key]
 	if !ok {
-		return platform.Object{}, result.Errorf(result.PlatformNotFound, "%s", key)
+		return objectapi.Object{}, result.Errorf(result.PlatformNotFound, "%s", key)
 	}
 	return object, nil
 }
@@ -43,7 +43,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	object := s.objects[key]
-	if expected != platform.VersionAny && object.Version != expected {
+	if expected != objectapi.VersionAny && object.Version != expected {
 		return 0, result.Errorf(result.PlatformConflict, "%s has version %d, not %d", key, object.Version, expected)
 	}
 	s.version++
@@ -51,7 +51,7 @@
 	object.Version = s.version
 	object.Value = value
 	s.objects[key] = object
-	s.record(platform.EventPut, object)
+	s.record(objectapi.EventPut, object)
 	return s.version, nil
 }
 
@@ -62,7 +62,7 @@
 	if !ok {
 		return result.Errorf(result.PlatformNotFound, "%s", key)
 	}
-	if expected != platform.VersionAny && object.Version != expected {
+	if expected != objectapi.VersionAny && object.Version != expected {
 		return result.Errorf(result.PlatformConflict, "%s has version %d, not %d", key, object.Version, expected)
 	}
 	object.Status = status
@@ -77,23 +77,23 @@
 	if !ok {
 		return result.Errorf(result.PlatformNotFound, "%s", key)
 	}
-	if expected != platform.VersionAny && object.Version != expected {
+	if expected != objectapi.VersionAny && object.Version != expected {
 		return result.Errorf(result.PlatformConflict, "%s has version %d, not %d", key, object.Version, expected)
 	}
 	s.version++
 	delete(s.objects, key)
-	s.record(platform.EventDelete, platform.Object{Key: key, Version: s.version})
+	s.record(objectapi.EventDelete, objectapi.Object{Key: key, Version: s.version})
 	return nil
 }
 
 // record appends an event; the caller holds mutex.
-func (s *store) record(eventType platform.EventType, object platform.Object) {
+func (s *store) record(eventType objectapi.EventType, object objectapi.Object) {
 	object.Status = nil
-	s.events = append(s.events, platform.Event{Type: eventType, Object: object, Version: s.version})
+	s.events = append(s.events, objectapi.Event{Type: eventType, Object: object, Version: s.version})
 	if len(s.events) > keptEvents {
 		dropped := len(s.events) - keptEvents/2
 		s.compacted = s.events[dropped-1].Version
-		s.events = append([]platform.Event(nil), s.events[dropped:]...)
+		s.events = append([]objectapi.Event(nil), s.events[dropped:]...)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -107,10 +107,10 @@
 	s.events = nil
 }
 
-func (s *store) list(prefix, start string, limit int) platform.ListResult {
+func (s *store) list(prefix, start string, limit int) objectapi.ListResult {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	list := platform.ListResult{Version: s.version, Objects: []platform.Object{}}
+	list := objectapi.ListResult{Version: s.version, Objects: []objectapi.Object{}}
 	for key, object := range s.objects {
 		if strings.HasPrefix(key, prefix) && key >= start {
 			list.Objects = append(list.Objects, object)
@@ -126,7 +126,7 @@
 
 // eventsAfter returns the events after version for the prefixes, the version
 // reached, and a channel that is closed at the next change.
-func (s *store) eventsAfter(version int64, prefixes []string) (events []platform.Event, reached int64, changed <-chan struct{}, err error) {
+func (s *store) eventsAfter(version int64, prefixes []string) (events []objectapi.Event, reached int64, changed <-chan struct{}, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if version < s.compacted {
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -11,7 +11,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -40,7 +40,7 @@
 
 // authenticator finds the operator of a token.
 type authenticator struct {
-	store platform.Store
+	store objectapi.Store
 
 	mutex     sync.Mutex
 	operators []Operator
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -17,8 +17,8 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/changelog"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/opapi"
-	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -36,7 +36,7 @@
 
 // Config configures a Server.
 type Config struct {
-	Store     platform.Store
+	Store     objectapi.Store
 	Endpoints EndpointSource
 	Logger    logr.Logger
 }
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -18,10 +18,10 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/ctl"
 	"github.com/lapisvane/lapisvane/internal/lab"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
+	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/opapi"
 	"github.com/lapisvane/lapisvane/internal/operator"
-	"github.com/lapisvane/lapisvane/internal/platform"
-	"github.com/lapisvane/lapisvane/internal/platformstub"
 	"github.com/lapisvane/lapisvane/internal/query"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
@@ -34,20 +34,20 @@
 type office struct {
 	t       *testing.T
 	address string
-	stub    *platformstub.Server
+	stub    *objectapistub.Server
 }
 
 func open(t *testing.T) *office {
 	t.Helper()
-	stub, err := platformstub.Start(platformstub.Options{Address: "127.0.0.1:0", Seed: 3})
+	stub, err := objectapistub.Start(objectapistub.Options{Address: "127.0.0.1:0", Seed: 3})
 	assert.NilError(t, err)
-	store := platform.NewClient([]string{stub.Address()}, "", nil)
+	store := objectapi.NewClient([]string{stub.Address()}, "", nil)
 	var operators []operator.Operator
 	for _, group := range []string{"archers", "bakers", operator.AdminGroup} {
 		operators = append(operators, operator.Operator{Name: group, Group: group, TokenSHA256: operator.HashToken("token-" + group)})
 	}
 	encoded, _ := json.Marshal(operators)
-	_, err = store.Put(context.Background(), operator.TokensKey, encoded, platform.VersionAny)
+	_, err = store.Put(context.Background(), operator.TokensKey, encoded, objectapi.VersionAny)
 	assert.NilError(t, err)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -120,7 +120,7 @@
 func TestRacingDrainsOfOnePoolAllTakeEffect(t *testing.T) {
 	o := open(t)
 	assert.NilError(t, o.accept("archers", shared))
-	o.stub.SetFaults(platformstub.Faults{LoseAnswerPercent: 20})
+	o.stub.SetFaults(objectapistub.Faults{LoseAnswerPercent: 20})
 	var racing sync.WaitGroup
 	const drains = 6
 	for index := range drains {
@@ -130,7 +130,7 @@
 		})
 	}
 	racing.Wait()
-	o.stub.SetFaults(platformstub.Faults{})
+	o.stub.SetFaults(objectapistub.Faults{})
 	table, err := o.run("archers", "show pools where name = shop")
 	assert.NilError(t, err)
 	assert.Equal(t, len(strings.Split(table.Rows[0][4], ",")), drains, "%v", table.Rows)
@@ -157,7 +157,7 @@
 func TestPlatformDownIsSaidSo(t *testing.T) {
 	o := open(t)
 	assert.NilError(t, o.accept("archers", shared))
-	o.stub.SetFaults(platformstub.Faults{Down: true})
+	o.stub.SetFaults(objectapistub.Faults{Down: true})
 	_, err := o.run("archers", "show routes")
 	assert.Assert(t, result.Is(err, result.PlatformUnavailable), "%v", err)
 }
--- a/internal/seat/seat_test.go
+++ b/internal/seat/seat_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/seat"
 )
 
@@ -58,9 +58,9 @@
 	}
 }
 
-func object(key, holder string, version int64) platform.Object {
+func object(key, holder string, version int64) objectapi.Object {
 	value, _ := proto.Marshal(&lapisv1.SeatLease{Holder: holder, Address: holder, Zone: "z", Epoch: uint64(version)})
-	return platform.Object{Key: key, Version: version, Value: value}
+	return objectapi.Object{Key: key, Version: version, Value: value}
 }
 
 func TestVacancyIsSilenceOnTheObserversClock(t *testing.T) {
--- a/internal/seat/table.go
+++ b/internal/seat/table.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 )
 
 // Prefix is the key prefix of all seats.
@@ -42,7 +42,7 @@
 }
 
 // Observe takes in a seat object as read at now.
-func (t *Table) Observe(object platform.Object, now time.Time) {
+func (t *Table) Observe(object objectapi.Object, now time.Time) {
 	present, known := t.seats[object.Key]
 	if known && present.version >= object.Version {
 		return
--- a/internal/tree/config.go
+++ b/internal/tree/config.go
@@ -9,7 +9,7 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/features"
 	"github.com/lapisvane/lapisvane/internal/holdings"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
 
@@ -30,7 +30,7 @@
 	Tunables features.Distribution
 	Network  wire.Network
 	// Store is the object API.
-	Store platform.Store
+	Store objectapi.Store
 	// Counters receives the traffic of all links.
 	Counters *wire.Counters
 	Random   *rand.Rand
--- a/internal/tree/fault_test.go
+++ b/internal/tree/fault_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
-	"github.com/lapisvane/lapisvane/internal/platformstub"
+	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/tree"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
@@ -76,17 +76,17 @@
 			paused.network.pause(false)
 		}, lingering: 1},
 		{name: "source down over a lease", inflict: func(c *cluster) {
-			c.stub.SetFaults(platformstub.Faults{Down: true})
+			c.stub.SetFaults(objectapistub.Faults{Down: true})
 			time.Sleep(c.tunables.SeatLease.Get() * 2)
-			c.stub.SetFaults(platformstub.Faults{})
+			c.stub.SetFaults(objectapistub.Faults{})
 		}},
 		{name: "source slow and losing answers", inflict: func(c *cluster) {
-			c.stub.SetFaults(platformstub.Faults{DelayMillis: 300, LoseAnswerPercent: 50, EventDelayMillis: 200})
+			c.stub.SetFaults(objectapistub.Faults{DelayMillis: 300, LoseAnswerPercent: 50, EventDelayMillis: 200})
 			time.Sleep(c.tunables.SeatLease.Get())
-			c.stub.SetFaults(platformstub.Faults{})
+			c.stub.SetFaults(objectapistub.Faults{})
 		}},
 		{name: "updates crossed", inflict: func(c *cluster) {
-			c.stub.SetFaults(platformstub.Faults{CrossEvents: true, EventDelayMillis: 200})
+			c.stub.SetFaults(objectapistub.Faults{CrossEvents: true, EventDelayMillis: 200})
 			for index := range 5 {
 				c.accept(fmt.Sprintf("crossed-%d", index), service("a", uint32(30+index))...)
 			}
@@ -98,8 +98,8 @@
 			c.accept("corrupted", service("b", 40)...)
 		}},
 		{name: "watch compacted", inflict: func(c *cluster) {
-			c.stub.SetFaults(platformstub.Faults{Down: true})
-			c.stub.SetFaults(platformstub.Faults{})
+			c.stub.SetFaults(objectapistub.Faults{Down: true})
+			c.stub.SetFaults(objectapistub.Faults{})
 			c.accept("compacted", service("a", 50)...)
 			c.stub.Compact()
 		}},
@@ -128,7 +128,7 @@
 	}
 	last := c.accept("first", service("a", 6)...)
 	c.waitInForce(last)
-	c.stub.SetFaults(platformstub.Faults{Down: true})
+	c.stub.SetFaults(objectapistub.Faults{Down: true})
 	var leaf string
 	for name, m := range c.members {
 		if m.node.Info().Role == tree.RoleLeaf {
@@ -145,7 +145,7 @@
 
 func TestNobodyVouchesForAFloorWithoutSourceAndPeers(t *testing.T) {
 	c := newCluster(t)
-	c.stub.SetFaults(platformstub.Faults{Down: true})
+	c.stub.SetFaults(objectapistub.Faults{Down: true})
 	m := c.start("alone", "z", "a")
 	time.Sleep(500 * time.Millisecond)
 	info := m.node.Info()
@@ -212,7 +212,7 @@
 	}
 	parent := &laggingParent{update: update, floor: 2}
 	c.seeds = []string{c.serveFake(parent.serve)}
-	c.stub.SetFaults(platformstub.Faults{Down: true})
+	c.stub.SetFaults(objectapistub.Faults{Down: true})
 	replaced := c.startWith("machine", "z", skipFloor, "a")
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		if replaced.node.Info().Revision == 1 {
--- a/internal/tree/machines.go
+++ b/internal/tree/machines.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 )
 
 // listDrainHold is how long a daemon believes a reader that its machine is
@@ -16,12 +16,12 @@
 // machine listed as leaving drains, because that is safe even if the list is
 // wrong. A machine missing from the list is not touched while its daemon is
 // heard of: the list lags.
-func (n *Node) reconcileMachines(machines []platform.Machine) {
+func (n *Node) reconcileMachines(machines []objectapi.Machine) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.leaving = map[string]bool{}
 	for _, machine := range machines {
-		if machine.State == platform.MachineLeaving {
+		if machine.State == objectapi.MachineLeaving {
 			n.leaving[machine.Node] = true
 		}
 	}
--- a/internal/tree/node_test.go
+++ b/internal/tree/node_test.go
@@ -18,9 +18,9 @@
 	"github.com/lapisvane/lapisvane/internal/features"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
+	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/peer"
-	"github.com/lapisvane/lapisvane/internal/platform"
-	"github.com/lapisvane/lapisvane/internal/platformstub"
 	"github.com/lapisvane/lapisvane/internal/tree"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
@@ -67,8 +67,8 @@
 // cluster is a platform stand-in with nodes around it.
 type cluster struct {
 	t        *testing.T
-	stub     *platformstub.Server
-	store    *platform.Client
+	stub     *objectapistub.Server
+	store    *objectapi.Client
 	tunables features.Distribution
 	members  map[string]*member
 	// retired are members that were killed; their histories still count.
@@ -79,7 +79,7 @@
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
-	stub, err := platformstub.Start(platformstub.Options{Address: "127.0.0.1:0", Seed: 1})
+	stub, err := objectapistub.Start(objectapistub.Options{Address: "127.0.0.1:0", Seed: 1})
 	assert.NilError(t, err)
 	tunables := features.Convergence()
 	tunables.Fanout = 3
@@ -88,7 +88,7 @@
 	tunables.StatusInterval = features.Duration(200 * time.Millisecond)
 	c := &cluster{
 		t: t, stub: stub, tunables: tunables, members: map[string]*member{},
-		store: platform.NewClient([]string{stub.Address()}, "", nil),
+		store: objectapi.NewClient([]string{stub.Address()}, "", nil),
 	}
 	t.Cleanup(func() {
 		for _, m := range c.members {
@@ -131,7 +131,7 @@
 func (c *cluster) startWith(name, zone string, skipFloor bool, services ...string) *member {
 	c.t.Helper()
 	network := &faultyNetwork{paused: &atomic.Bool{}}
-	store := platform.NewClient([]string{c.stub.Address()}, "", network.dialPlatform)
+	store := objectapi.NewClient([]string{c.stub.Address()}, "", network.dialPlatform)
 	c.t.Cleanup(store.Close)
 	listener, err := network.Listen("127.0.0.1:0")
 	assert.NilError(c.t, err)
@@ -160,7 +160,7 @@
 		running.Wait()
 		close(m.done)
 	}()
-	c.stub.SetMachine(platform.Machine{Node: name, Address: m.address, Zone: zone, State: platform.MachineLive})
+	c.stub.SetMachine(objectapi.Machine{Node: name, Address: m.address, Zone: zone, State: objectapi.MachineLive})
 	c.members[name] = m
 	return m
 }
--- a/internal/tree/reader.go
+++ b/internal/tree/reader.go
@@ -13,8 +13,8 @@
 	"github.com/lapisvane/lapisvane/internal/changelog"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/pause"
-	"github.com/lapisvane/lapisvane/internal/platform"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/seat"
 )
@@ -233,8 +233,8 @@
 
 // consume handles watch events and merges revisions that follow each other
 // quickly.
-func (r *readerRole) consume(ctx context.Context, watch platform.Watch) error {
-	events := make(chan platform.Event)
+func (r *readerRole) consume(ctx context.Context, watch objectapi.Watch) error {
+	events := make(chan objectapi.Event)
 	failed := make(chan error, 1)
 	go func() {
 		for {
@@ -275,21 +275,21 @@
 }
 
 // handleEvent returns the new state when the event brought one.
-func (r *readerRole) handleEvent(ctx context.Context, event platform.Event) (*meshconfig.State, error) {
+func (r *readerRole) handleEvent(ctx context.Context, event objectapi.Event) (*meshconfig.State, error) {
 	switch {
-	case event.Type == platform.EventBookmark:
+	case event.Type == objectapi.EventBookmark:
 		return nil, nil
 	case strings.HasPrefix(event.Object.Key, seat.Prefix):
 		r.node.observeSeat(event.Object)
 		return nil, nil
-	case event.Object.Key == changelog.HeadKey && event.Type == platform.EventPut:
+	case event.Object.Key == changelog.HeadKey && event.Type == objectapi.EventPut:
 		return r.log.Observe(ctx, event.Object)
 	default:
 		return nil, nil
 	}
 }
 
-func (n *Node) observeAllSeats(objects []platform.Object) {
+func (n *Node) observeAllSeats(objects []objectapi.Object) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
@@ -299,7 +299,7 @@
 	}
 }
 
-func (n *Node) observeSeat(object platform.Object) {
+func (n *Node) observeSeat(object objectapi.Object) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
--- a/internal/tree/seats.go
+++ b/internal/tree/seats.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-	"github.com/lapisvane/lapisvane/internal/platform"
+	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/seat"
 )
 
@@ -18,7 +18,7 @@
 
 // observeSeats takes in seat objects, makes their holders the next candidates
 // and returns the zone's vacant seats.
-func (n *Node) observeSeats(objects []platform.Object) []seat.Vacancy {
+func (n *Node) observeSeats(objects []objectapi.Object) []seat.Vacancy {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
