--- a/cmd/lapisvaned/main.go
+++ b/cmd/lapisvaned/main.go
@@ -6,6 +6,10 @@
 	"os"
 
 	"github.com/lapisvane/lapisvane/internal/daemon"
+	"github.com/lapisvane/lapisvane/platform"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:])) }
+func main() {
+	adapters := map[string]daemon.Adapter{platform.Form: platform.New}
+	os.Exit(daemon.Main(os.Args[1:], adapters))
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -51,6 +51,8 @@
 	Group      string
 	Background bool
 	Upload     bool
+	// Priority orders the waiting calls of a group; 0 is the most urgent.
+	Priority uint32
 	// StartBy is the time after which the call must not start; zero for none.
 	StartBy time.Time
 }
@@ -202,11 +204,21 @@
 		deadline = request.StartBy
 	}
 	entered := &waiter{request: request, queued: now, deadline: deadline, granted: make(chan error, 1), list: waiting}
-	entered.element = waiting.PushBack(entered)
+	entered.element = insert(waiting, entered)
 	q.dispatch()
 	return entered, nil, nil
 }
 
+// insert puts a call behind all that are at least as urgent.
+func insert(waiting *list.List, entered *waiter) *list.Element {
+	for element := waiting.Back(); element != nil; element = element.Prev() {
+		if element.Value.(*waiter).request.Priority <= entered.request.Priority {
+			return waiting.InsertAfter(entered, element)
+		}
+	}
+	return waiting.PushFront(entered)
+}
+
 // expectedWait estimates how long a call behind ahead others of its group
 // waits, from the mean service time and the group's part of the slots.
 func (q *Queue) expectedWait(g *group, ahead int) time.Duration {
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -27,6 +27,9 @@
 	slowStart = 10 * time.Second
 	// coldWeight is the part of the calls that a new instance gets at first.
 	coldWeight = 0.1
+	// coldFactor is how much more loaded an instance counts that says it is
+	// still slow from its start.
+	coldFactor = 2
 	// ejectAfter is the number of failures in a row that eject an instance.
 	ejectAfter = 3
 	// ejectBase and ejectMax bound the time of an ejection, which doubles with
@@ -43,9 +46,17 @@
 // Target is one instance with what this daemon observed of it.
 type Target struct {
 	Endpoint *lapisv1.Endpoint
+	*observations
+}
 
+// observations are what this daemon saw of one instance; they are shared by
+// the targets that stand for it as its endpoint changes.
+type observations struct {
 	firstSeen time.Time
-	inFlight  atomic.Int64
+	// warmAt is when the instance stops being slow from its start, as it
+	// stated; zero where it does not say.
+	warmAt   time.Time
+	inFlight atomic.Int64
 
 	// mutex protects everything below.
 	mutex        sync.Mutex
@@ -95,28 +106,33 @@
 
 // renew keeps the observations of an instance while its address stays.
 func (b *Balancer) renew(known *Target, endpoint *lapisv1.Endpoint, now time.Time) *Target {
-	target := &Target{Endpoint: endpoint, firstSeen: now}
-	if now.Sub(b.created) < slowStart {
-		// What is there when this daemon starts is taken as warm.
-		target.firstSeen = now.Add(-slowStart)
-	}
-	if known == nil {
-		return target
-	}
-	if known.Endpoint == endpoint {
+	if known != nil && known.Endpoint == endpoint {
 		return known
 	}
-	target.firstSeen = known.firstSeen
-	if known.Endpoint.GetIncarnation() == endpoint.GetIncarnation() {
-		target.inFlight.Store(known.inFlight.Load())
-		known.mutex.Lock()
-		target.failures, target.ejectedUntil = known.failures, known.ejectedUntil
-		target.reported, target.reportedAt = known.reported, known.reportedAt
-		known.mutex.Unlock()
+	if known != nil && known.Endpoint.GetIncarnation() == endpoint.GetIncarnation() {
+		known.noteCold(endpoint, now)
+		return &Target{Endpoint: endpoint, observations: known.observations}
+	}
+	target := &Target{Endpoint: endpoint, observations: &observations{firstSeen: now}}
+	switch {
+	case known != nil:
+		target.firstSeen = known.firstSeen
+	case now.Sub(b.created) < slowStart, endpoint.GetSlots() > 0:
+		// What is there when this daemon starts is taken as warm, and so is
+		// what states itself how long it stays slow.
+		target.firstSeen = now.Add(-slowStart)
 	}
+	target.noteCold(endpoint, now)
 	return target
 }
 
+// noteCold takes in how much longer the instance says that it stays slow.
+func (o *observations) noteCold(endpoint *lapisv1.Endpoint, now time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.warmAt = now.Add(time.Duration(endpoint.GetColdMillis()) * time.Millisecond)
+}
+
 // Targets returns the instances of a service.
 func (b *Balancer) Targets(service string) []*Target {
 	b.mutex.RLock()
@@ -248,8 +264,14 @@
 
 // score is the expected load per slot after one more call.
 func (t *Target) score(slots float64, now time.Time) float64 {
+	if stated := t.Endpoint.GetSlots(); stated > 0 {
+		slots = float64(stated)
+	}
 	load := float64(t.inFlight.Load()+1) / slots
 	t.mutex.Lock()
+	if now.Before(t.warmAt) {
+		load *= coldFactor
+	}
 	if now.Sub(t.reportedAt) < reportLifetime {
 		load += reportWeight * t.reported
 	}
--- /dev/null
+++ b/internal/callapi/envelope.go
@@ -0,0 +1,55 @@
+package callapi
+
+import "strings"
+
+// Envelope names the header fields that accompany a request and its answer.
+// An empty name means that the field is neither read nor written. The default
+// is lapisvane's own; a platform adapter supplies that of its platform.
+type Envelope struct {
+	// RequestID names the request; it is forwarded as the caller sent it.
+	RequestID string
+	// EchoesRequestID is true when every back end repeats RequestID in its
+	// answer, so that an answer that belongs to another request is recognised.
+	EchoesRequestID bool
+	// Deadline carries the remaining milliseconds along a chain of calls.
+	Deadline string
+	// Attempt counts the retries along a chain of calls.
+	Attempt string
+	// CallerService tells a back end where the request started.
+	CallerService string
+	// ExpectedInstance makes every other instance refuse the request.
+	ExpectedInstance string
+	// NotRun is set by a back end on an answer that refuses the request before
+	// it ran.
+	NotRun string
+	// Load is set by a back end: running, waiting and slots, with commas.
+	Load string
+	// Result and Outcome are set on answers to callers.
+	Result, Outcome string
+	// PrivatePrefix starts the names of further fields that concern lapisvane
+	// alone and are not forwarded, in lower case; empty for none.
+	PrivatePrefix string
+	// FractionalRetryAfter is true when callers understand fractions of a
+	// second in Retry-After.
+	FractionalRetryAfter bool
+}
+
+// DefaultEnvelope is lapisvane's own.
+var DefaultEnvelope = Envelope{
+	Deadline: HeaderDeadline, Attempt: HeaderAttempt, NotRun: HeaderNotRun,
+	Result: HeaderResult, Outcome: HeaderOutcome, PrivatePrefix: "lapisvane-",
+}
+
+// Private reports whether a request's field of the given name, in lower case,
+// is set by lapisvane itself and must not be forwarded.
+func (e *Envelope) Private(name string) bool {
+	if e.PrivatePrefix != "" && strings.HasPrefix(name, e.PrivatePrefix) {
+		return true
+	}
+	for _, own := range []string{e.Deadline, e.Attempt, e.CallerService, e.ExpectedInstance} {
+		if strings.EqualFold(name, own) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/callmux/client.go
+++ b/internal/callmux/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
@@ -20,6 +21,8 @@
 	// fenceTimeout bounds the question whether a call whose connection was
 	// lost had started.
 	fenceTimeout = 500 * time.Millisecond
+	// fencePoll is how often it is looked for a new connection meanwhile.
+	fencePoll = 20 * time.Millisecond
 	// dialRetry is how long a failed dial is remembered, so that calls to a
 	// dead daemon fail at once.
 	dialRetry = 200 * time.Millisecond
@@ -31,6 +34,10 @@
 	Hello    *lapisv1.Hello
 	Network  wire.Network
 	Counters *wire.Counters
+	Timing   Timing
+	// Maintained is true when Connect keeps the sessions; calls then never wait
+	// for a dial.
+	Maintained bool
 
 	// mutex protects peers.
 	mutex sync.Mutex
@@ -68,7 +75,7 @@
 	defer c.mutex.Unlock()
 	for address, link := range c.peers {
 		link.mutex.Lock()
-		unused := link.lastUsed.Before(before) && (link.session == nil || link.session.active() == 0)
+		unused := !c.Maintained && link.lastUsed.Before(before) && (link.session == nil || link.session.active() == 0)
 		if unused {
 			if link.session != nil {
 				link.session.close(result.Errorf(result.ProtocolTimeout, "idle"))
@@ -119,10 +126,13 @@
 	if link.session != nil && !link.session.isClosed() {
 		return link.session, nil
 	}
+	if c.Maintained {
+		return nil, result.Errorf(result.CallNotRunUnreachable, "there is no connection to %s", address)
+	}
 	if now.Sub(link.failed) < dialRetry {
 		return nil, link.failure
 	}
-	opened, err := c.open(ctx, address)
+	opened, err := c.open(ctx, address, nil)
 	if err != nil {
 		link.failed = now
 		link.failure = err
@@ -132,8 +142,27 @@
 	return opened, nil
 }
 
+// Connect opens a session to address that calls use from then on, whatever one
+// there was before. control receives the frames that concern the daemons
+// themselves. Errors: CallNotRunUnreachable.
+func (c *Client) Connect(ctx context.Context, address string, control func(*lapisv1.CallFrame)) (Link, error) {
+	opened, err := c.open(ctx, address, control)
+	if err != nil {
+		return Link{}, err
+	}
+	link := c.link(address)
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	if link.session != nil {
+		link.session.close(result.Errorf(result.CallUnknownOutcome, "a new connection took its place"))
+	}
+	link.session = opened
+	link.lastUsed = time.Now()
+	return Link{opened}, nil
+}
+
 // open dials and greets. Errors: CallNotRunUnreachable.
-func (c *Client) open(ctx context.Context, address string) (*session, error) {
+func (c *Client) open(ctx context.Context, address string, control func(*lapisv1.CallFrame)) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	raw, err := c.Network.Dial(ctx, address)
@@ -149,7 +178,8 @@
 		return nil, result.Wrap(result.CallNotRunUnreachable, err, "greeting %s", address)
 	}
 	_ = raw.SetDeadline(time.Time{})
-	opened := newSession(conn, welcome.GetIncarnation())
+	opened := newSession(conn, welcome.GetIncarnation(), c.Timing)
+	opened.control = control
 	go func() { _ = opened.receive(nil) }()
 	go opened.keepAlive()
 	return opened, nil
@@ -258,6 +288,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
 	defer cancel()
 	current, err := c.sessionTo(ctx, address)
+	for err != nil && c.Maintained && pause.For(ctx, fencePoll) {
+		current, err = c.sessionTo(ctx, address)
+	}
 	if err != nil || current.incarnation != incarnation {
 		return lost
 	}
--- a/internal/callmux/server.go
+++ b/internal/callmux/server.go
@@ -31,10 +31,29 @@
 	Origin      Origin
 	// Counters receive the traffic of calls.
 	Counters *wire.Counters
+	Timing   Timing
+	// Accepted is called with each new session and returns what receives the
+	// frames that concern the daemons themselves; it may be nil.
+	Accepted func(hello *lapisv1.Hello, link Link) (control func(*lapisv1.CallFrame))
 }
 
+// Link is a session between two daemons, for frames that carry no call.
+type Link struct{ session *session }
+
+// Send sends a frame. An error means that the session is over.
+func (l Link) Send(frames ...proto.Message) error { return l.session.send(frames...) }
+
+// Closed is closed at the end of the session.
+func (l Link) Closed() <-chan struct{} { return l.session.closed }
+
+// Incarnation is that of the daemon that was dialed.
+func (l Link) Incarnation() uint64 { return l.session.incarnation }
+
+// Close ends the session.
+func (l Link) Close(cause error) { l.session.close(cause) }
+
 // Serve speaks the protocol on a greeted connection until it ends.
-func (s *Server) Serve(ctx context.Context, conn *wire.Conn, _ *lapisv1.Hello) error {
+func (s *Server) Serve(ctx context.Context, conn *wire.Conn, hello *lapisv1.Hello) error {
 	if s.Counters != nil {
 		conn.UseCounters(s.Counters)
 	}
@@ -42,7 +61,10 @@
 	if err := conn.Send(&lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Welcome{Welcome: welcome}}); err != nil {
 		return err
 	}
-	session := newSession(conn, 0)
+	session := newSession(conn, 0, s.Timing)
+	if s.Accepted != nil {
+		session.control = s.Accepted(hello, Link{session})
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go session.keepAlive()
--- a/internal/callmux/session.go
+++ b/internal/callmux/session.go
@@ -12,18 +12,34 @@
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
 
-// Times of a session.
-const (
-	keepAliveInterval = 4 * time.Second
-	// sessionSilence is the time without any frame after which a session is
-	// taken as lost.
-	sessionSilence = 12 * time.Second
-	writeTimeout   = 10 * time.Second
-)
+// Timing bounds a session.
+type Timing struct {
+	// KeepAlive is the interval of empty frames, so that silence means loss.
+	KeepAlive time.Duration
+	// Silence is the time without any frame after which a session is taken as
+	// lost.
+	Silence time.Duration
+	// Write bounds the sending of a frame.
+	Write time.Duration
+}
+
+// DefaultTiming holds where nothing else is set.
+var DefaultTiming = Timing{KeepAlive: 4 * time.Second, Silence: 12 * time.Second, Write: 10 * time.Second}
+
+func (t Timing) orDefault() Timing {
+	if t == (Timing{}) {
+		return DefaultTiming
+	}
+	return t
+}
 
 // session is one connection that carries calls.
 type session struct {
-	conn *wire.Conn
+	conn   *wire.Conn
+	timing Timing
+	// control receives the frames that concern the daemons themselves; it may
+	// be nil.
+	control func(*lapisv1.CallFrame)
 	// incarnation is that of the peer daemon.
 	incarnation uint64
 	closed      chan struct{}
@@ -36,15 +52,15 @@
 	err     error
 }
 
-func newSession(conn *wire.Conn, incarnation uint64) *session {
+func newSession(conn *wire.Conn, incarnation uint64, timing Timing) *session {
 	return &session{
-		conn: conn, incarnation: incarnation, closed: make(chan struct{}),
+		conn: conn, timing: timing.orDefault(), incarnation: incarnation, closed: make(chan struct{}),
 		streams: map[uint64]*stream{}, fences: map[string]chan *lapisv1.CallFenced{},
 	}
 }
 
 func (s *session) send(frames ...proto.Message) error {
-	_ = s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = s.conn.SetWriteDeadline(time.Now().Add(s.timing.Write))
 	err := s.conn.SendAll(frames...)
 	if err != nil {
 		s.close(err)
@@ -120,7 +136,7 @@
 // fence frames and may be nil.
 func (s *session) receive(accept func(*lapisv1.CallFrame) error) error {
 	for {
-		_ = s.conn.SetReadDeadline(time.Now().Add(sessionSilence))
+		_ = s.conn.SetReadDeadline(time.Now().Add(s.timing.Silence))
 		frame := &lapisv1.CallFrame{}
 		err := s.conn.Receive(frame)
 		if err == nil {
@@ -140,6 +156,12 @@
 	case *lapisv1.CallFrame_Fenced:
 		s.fenced(body.Fenced)
 		return nil
+	case *lapisv1.CallFrame_Announcement, *lapisv1.CallFrame_Introduction,
+		*lapisv1.CallFrame_ConfigurationRequest, *lapisv1.CallFrame_Configuration:
+		if s.control != nil {
+			s.control(frame)
+		}
+		return nil
 	case *lapisv1.CallFrame_Open, *lapisv1.CallFrame_Fence:
 		if accept == nil {
 			return result.Errorf(result.ProtocolUnexpected, "frame %T on the calling side", body)
@@ -198,7 +220,7 @@
 
 // keepAlive sends empty frames so that silence means loss.
 func (s *session) keepAlive() {
-	ticker := time.NewTicker(keepAliveInterval)
+	ticker := time.NewTicker(s.timing.KeepAlive)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/balance"
+	"github.com/lapisvane/lapisvane/internal/callapi"
 	"github.com/lapisvane/lapisvane/internal/callmux"
 	"github.com/lapisvane/lapisvane/internal/gateway"
 	"github.com/lapisvane/lapisvane/internal/holdings"
@@ -23,6 +24,7 @@
 	"github.com/lapisvane/lapisvane/internal/operator"
 	"github.com/lapisvane/lapisvane/internal/origin"
 	"github.com/lapisvane/lapisvane/internal/peer"
+	"github.com/lapisvane/lapisvane/internal/port"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/settings"
 	"github.com/lapisvane/lapisvane/internal/snapshot"
@@ -55,8 +57,11 @@
 	origin       *origin.Origin
 	calls        *callmux.Client
 	gateway      *gateway.Gateway
-	node         *tree.Node
+	node         distribution
 	incarnation  uint64
+	// tree is set where daemons form a distribution tree, direct on a platform.
+	tree   *tree.Node
+	direct *direct
 
 	listeners listeners
 	running   sync.WaitGroup
@@ -64,7 +69,7 @@
 
 // listeners are the open listening sockets; those not configured are nil.
 type listeners struct {
-	peer, caller, callerTLS, operator, metrics net.Listener
+	peer, caller, callerTLS, operator, metrics, instances, readiness net.Listener
 }
 
 // Options are what a Daemon needs besides its settings.
@@ -72,6 +77,9 @@
 	Logger logr.Logger
 	// Network overrides the network between daemons; nil for the settings'.
 	Network wire.Network
+	// Platform connects the daemon with the platform that its machine belongs
+	// to; nil where that has lapisvane's own object API.
+	Platform port.Platform
 	// PlatformDial overrides how the platform is dialed; nil for plain TCP.
 	PlatformDial objectapi.DialFunc
 }
@@ -90,18 +98,28 @@
 		settings: config, logger: options.Logger.WithValues("node", config.Node),
 		registry: prometheus.NewRegistry(), counters: &wire.Counters{}, callCounters: &wire.Counters{},
 		network: network, snapshots: &snapshot.Store{},
-		store:       objectapi.NewClient(config.Platform.Addresses, config.Platform.Token, options.PlatformDial),
 		balancer:    balance.New(config.Node, config.Zone, time.Now),
 		incarnation: uint64(time.Now().UnixNano()),
 	}
+	envelope := callapi.DefaultEnvelope
+	if options.Platform != nil {
+		envelope = options.Platform.Envelope()
+		// The time of day may jump; on a platform no order rests on it.
+		d.incarnation = rand.Uint64()
+	}
 	if err := d.listen(); err != nil {
 		d.listeners.close()
 		return nil, err
 	}
-	d.buildRequestPath()
-	d.buildNode()
+	d.buildRequestPath(envelope)
+	if options.Platform != nil {
+		d.buildDirect(options.Platform)
+	} else {
+		d.store = objectapi.NewClient(config.Platform.Addresses, config.Platform.Token, options.PlatformDial)
+		d.buildNode()
+	}
 	metrics.Register(d.registry, metrics.Sources{
-		Node: d.node, Counters: d.counters, CallCounters: d.callCounters,
+		Node: d.tree, Counters: d.counters, CallCounters: d.callCounters,
 		Store: d.store, Origin: d.origin, Calls: d.calls,
 	})
 	return d, nil
@@ -120,6 +138,8 @@
 		{"caller_tls_address", d.settings.CallerTLSAddress, &d.listeners.callerTLS},
 		{"operator_address", d.settings.OperatorAddress, &d.listeners.operator},
 		{"metrics_address", d.settings.MetricsAddress, &d.listeners.metrics},
+		{"instance_address", d.settings.InstanceAddress, &d.listeners.instances},
+		{"readiness_address", d.settings.ReadinessAddress, &d.listeners.readiness},
 	}
 	for _, entry := range plain {
 		if entry.address == "" {
@@ -133,14 +153,14 @@
 }
 
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.peer, l.caller, l.callerTLS, l.operator, l.metrics} {
+	for _, listener := range []net.Listener{l.peer, l.caller, l.callerTLS, l.operator, l.metrics, l.instances, l.readiness} {
 		if listener != nil {
 			_ = listener.Close()
 		}
 	}
 }
 
-func (d *Daemon) buildRequestPath() {
+func (d *Daemon) buildRequestPath(envelope callapi.Envelope) {
 	backends := make([]origin.BackendConfig, 0, len(d.settings.Backends))
 	for _, backend := range d.settings.Backends {
 		backends = append(backends, origin.BackendConfig{Service: backend.Service, Instance: backend.Instance, Address: backend.Address})
@@ -148,28 +168,45 @@
 	d.origin = origin.New(origin.Config{
 		Incarnation: d.incarnation, Backends: backends,
 		QueueLength: d.settings.Calls.QueueLength, QueueTime: d.settings.Calls.QueueTime.Get(),
-		Changed: d.announce,
+		Envelope: envelope, Changed: d.announce,
 	})
 	d.calls = &callmux.Client{
 		Network: d.network, Counters: d.callCounters,
 		Hello: &lapisv1.Hello{
 			ProtocolVersion: wire.ProtocolVersion, Purpose: lapisv1.Hello_PURPOSE_CALLS,
 			Node: d.settings.Node, Incarnation: d.incarnation, Zone: d.settings.Zone, Region: d.settings.Region,
+			Address: d.listeners.peer.Addr().String(),
 		},
 	}
 	d.gateway = gateway.New(gateway.Config{
 		Node: d.settings.Node, Incarnation: d.incarnation, Snapshots: d.snapshots, Balancer: d.balancer,
 		Local: d.origin, Remote: d.calls, DefaultDeadline: d.settings.Calls.DefaultDeadline.Get(),
+		Envelope: envelope, CallerService: d.callerService, Retries: retryLimits(d.settings.Retries),
 		Logger: d.logger, Registry: d.registry,
 	})
 }
 
+func retryLimits(retries settings.Retries) gateway.RetryLimits {
+	if retries == (settings.Retries{}) {
+		return gateway.DefaultRetryLimits
+	}
+	return gateway.RetryLimits{Fraction: retries.Fraction, Burst: retries.Burst, Shared: true}
+}
+
+// callerService returns the service that runs on this machine.
+func (d *Daemon) callerService() string {
+	if d.settings.Service != "" {
+		return d.settings.Service
+	}
+	return d.origin.LocalService()
+}
+
 func (d *Daemon) buildNode() {
 	services := append([]string(nil), d.settings.Services...)
 	for _, backend := range d.settings.Backends {
 		services = append(services, backend.Service)
 	}
-	d.node = tree.New(tree.Config{
+	d.tree = tree.New(tree.Config{
 		Node: d.settings.Node, Incarnation: d.incarnation, Zone: d.settings.Zone, Region: d.settings.Region,
 		Address: d.listeners.peer.Addr().String(), Seeds: d.settings.Seeds,
 		Interest: holdings.NewInterest(services...), Tunables: d.settings.Tunables(),
@@ -177,6 +214,7 @@
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Logger: d.logger, Observer: d, NoSeat: d.settings.NoSeat,
 	})
+	d.node = d.tree
 }
 
 // announce tells the distribution about the instances beside the daemon.
@@ -219,7 +257,7 @@
 }
 
 // Info returns the condition of the daemon's part in the distribution.
-func (d *Daemon) Info() tree.Info { return d.node.Info() }
+func (d *Daemon) Info() tree.Info { return d.tree.Info() }
 
 // Counters returns the control traffic.
 func (d *Daemon) Counters() *wire.Counters { return d.counters }
@@ -231,19 +269,28 @@
 func (d *Daemon) Run(stop, force <-chan struct{}) (cut int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.start(ctx)
-	d.logger.Info("daemon.started", "zone", d.settings.Zone, "peer", d.Addresses().Peer, "caller", d.Addresses().Caller)
+	d.logger.Info("daemon.started", "build", buildVersion(), "zone", d.settings.Zone, "peer", d.Addresses().Peer, "caller", d.Addresses().Caller)
 	select {
 	case <-stop:
 	case <-force:
 	}
 	d.logger.Info("daemon.stopping", "in_flight", d.inFlight())
-	cut = d.drain(force)
+	if d.direct != nil {
+		cut = d.direct.drain(force)
+	} else {
+		cut = d.drain(force)
+	}
 	cancel()
 	d.listeners.close()
 	d.calls.Close()
 	d.gateway.Cut()
 	d.running.Wait()
-	d.store.Close()
+	if d.store != nil {
+		d.store.Close()
+	}
+	if d.direct != nil {
+		d.direct.platform.Close()
+	}
 	d.logger.Info("daemon.stopped", "cut", cut)
 	return cut
 }
@@ -260,7 +307,10 @@
 	if d.listeners.callerTLS != nil {
 		d.running.Go(func() { d.gateway.Serve(ctx, d.listeners.callerTLS, d.gateway.TLSConfig()) })
 	}
-	if d.listeners.operator != nil {
+	if d.direct != nil {
+		d.direct.start(ctx)
+	}
+	if d.listeners.operator != nil && d.store != nil {
 		api := operator.New(operator.Config{Store: d.store, Logger: d.logger, Endpoints: d.node})
 		d.running.Go(func() { api.Serve(ctx, d.listeners.operator) })
 	}
@@ -271,11 +321,14 @@
 
 func (d *Daemon) handlers() map[lapisv1.Hello_Purpose]peer.Handler {
 	calls := &callmux.Server{Node: d.settings.Node, Incarnation: d.incarnation, Origin: d.origin, Counters: d.callCounters}
-	return map[lapisv1.Hello_Purpose]peer.Handler{
-		lapisv1.Hello_PURPOSE_CHILD:  d.node.ServeChild,
-		lapisv1.Hello_PURPOSE_READER: d.node.ServeReader,
-		lapisv1.Hello_PURPOSE_CALLS:  calls.Serve,
+	handlers := map[lapisv1.Hello_Purpose]peer.Handler{lapisv1.Hello_PURPOSE_CALLS: calls.Serve}
+	if d.direct != nil {
+		d.direct.handlers(calls)
+		return handlers
 	}
+	handlers[lapisv1.Hello_PURPOSE_CHILD] = d.tree.ServeChild
+	handlers[lapisv1.Hello_PURPOSE_READER] = d.tree.ServeReader
+	return handlers
 }
 
 func (d *Daemon) closeIdleLinks(ctx context.Context) {
--- /dev/null
+++ b/internal/daemon/direct.go
@@ -0,0 +1,173 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/configsource"
+	"github.com/lapisvane/lapisvane/internal/fleet"
+	"github.com/lapisvane/lapisvane/internal/port"
+)
+
+// Times of a daemon on a platform.
+const (
+	// readyGrace is how long a starting daemon waits for its instance and for
+	// other daemons before it takes callers without them.
+	readyGrace = 3 * time.Second
+	// callersLeave is how long callers may still come after the daemon said
+	// that it is not ready.
+	callersLeave = 2500 * time.Millisecond
+	// answersLeave is how long the last answers are given to leave the machine.
+	answersLeave = 100 * time.Millisecond
+)
+
+// peerTiming bounds the connections between daemons on a platform, where a lost
+// one must be noticed within the time that rules give.
+var peerTiming = callmux.Timing{KeepAlive: time.Second, Silence: 2500 * time.Millisecond, Write: time.Second}
+
+// direct is a daemon's part in the distribution where every daemon reads the
+// configuration source itself and tells every other about its instances.
+type direct struct {
+	daemon   *Daemon
+	platform port.Platform
+	fleet    *fleet.Fleet
+	started  time.Time
+	leaving  atomic.Bool
+	inForce  atomic.Pointer[lapisv1.Configuration]
+	members  atomic.Int64
+
+	// mutex is held while a configuration is put in force.
+	mutex sync.Mutex
+}
+
+func (d *Daemon) buildDirect(platform port.Platform) {
+	part := &direct{daemon: d, platform: platform, started: time.Now()}
+	part.members.Store(1)
+	d.calls.Maintained = true
+	d.calls.Timing = peerTiming
+	part.fleet = fleet.New(fleet.Config{
+		Self:        fleet.Member{Node: d.settings.Node, Address: d.settings.PeerAddress, Zone: d.settings.Zone},
+		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
+		InForce: part.inForce.Load, Random: rand.Float64, Logger: d.logger,
+	})
+	d.direct = part
+	d.node = part.fleet
+}
+
+// start runs what a platform adds to a daemon.
+func (p *direct) start(ctx context.Context) {
+	d := p.daemon
+	follower := &configsource.Follower{
+		Source: p.platform.Source(), Apply: p.Offer, Pace: p.pace, Random: rand.Float64, Logger: d.logger,
+	}
+	d.running.Go(func() { follower.Run(ctx) })
+	serve := func(listener net.Listener, run func(net.Listener)) {
+		if listener != nil {
+			d.running.Go(func() { run(listener) })
+		}
+	}
+	serve(d.listeners.instances, func(listener net.Listener) { p.platform.ServeInstances(ctx, listener, d.origin) })
+	serve(d.listeners.readiness, func(listener net.Listener) { p.platform.ServeReadiness(ctx, listener, p.ready) })
+}
+
+// pace is the least time between two questions to the source, so that all
+// daemons together use half of what it bears.
+func (p *direct) pace() time.Duration {
+	rate := p.daemon.settings.Platform.ReadsPerSecond / 2
+	if rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(p.members.Load()) / rate * float64(time.Second))
+}
+
+// ready reports whether callers may be sent here.
+func (p *direct) ready() bool {
+	if p.leaving.Load() || p.inForce.Load() == nil {
+		return false
+	}
+	if time.Since(p.started) > readyGrace {
+		return true
+	}
+	return p.fleet.Connected() > 0 && p.daemon.origin.LocalService() != ""
+}
+
+// Offer puts a configuration in force if it is newer than what is. It
+// implements fleet.Observer.
+func (p *direct) Offer(configuration *lapisv1.Configuration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	d := p.daemon
+	current := p.inForce.Load()
+	if configuration.GetRevision() <= current.GetRevision() {
+		return
+	}
+	if err := d.snapshots.ReplaceConfiguration(configuration); err != nil {
+		d.logger.Error(err, "configuration.refused", "revision", configuration.GetRevision(), "in_force", current.GetRevision())
+		return
+	}
+	p.inForce.Store(configuration)
+	d.origin.Configure(d.snapshots.Current())
+	d.logger.Info("configuration.in_force", "revision", configuration.GetRevision(), "before", current.GetRevision())
+	p.fleet.AnnounceSoon()
+}
+
+// Endpoints implements fleet.Observer.
+func (p *direct) Endpoints(service string, endpoints []*lapisv1.Endpoint) {
+	p.daemon.balancer.Update(service, endpoints)
+}
+
+// Members implements fleet.Observer.
+func (p *direct) Members(count int) {
+	p.members.Store(int64(count))
+	p.daemon.gateway.ShareRetries(count)
+}
+
+// Withdraw implements fleet.Observer.
+func (p *direct) Withdraw(instance string) { p.daemon.origin.Withdraw(instance) }
+
+// drain stops as planned: callers are sent elsewhere, instances take no new
+// work here, and what is in flight is seen through. It returns the number of
+// calls that were still in flight when force or the limit ended the wait.
+func (p *direct) drain(force <-chan struct{}) (cut int64) {
+	d := p.daemon
+	p.leaving.Store(true)
+	d.gateway.Leave()
+	d.origin.Stop()
+	d.announce()
+	p.fleet.Leave()
+	// The limit ends with the process; an eighth of it is left for the end.
+	limit := time.NewTimer(d.settings.StopLimit.Get() * 7 / 8)
+	defer limit.Stop()
+	left := time.NewTimer(callersLeave)
+	defer left.Stop()
+	poll := time.NewTicker(inFlightPoll)
+	defer poll.Stop()
+	callersGone := false
+	for {
+		select {
+		case <-force:
+			return d.reportCut("a second signal")
+		case <-limit.C:
+			return d.reportCut("stop_limit " + d.settings.StopLimit.Get().String())
+		case <-left.C:
+			callersGone = true
+		case <-poll.C:
+			if callersGone && d.inFlight() == 0 {
+				time.Sleep(answersLeave)
+				return 0
+			}
+		}
+	}
+}
+
+// handlers returns what serves the connections of other daemons.
+func (p *direct) handlers(calls *callmux.Server) {
+	calls.Timing = peerTiming
+	calls.Accepted = p.fleet.Accepted
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -3,12 +3,17 @@
 import (
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/go-logr/logr"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/lapisvane/lapisvane/internal/cli"
 	"github.com/lapisvane/lapisvane/internal/logging"
+	"github.com/lapisvane/lapisvane/internal/port"
+	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/settings"
 )
 
@@ -63,7 +68,9 @@
 
 // Main runs the program and returns its exit code: 0 after a planned stop that
 // cut nothing, 1 when calls were cut, 2 when the settings cannot be used.
-func Main(arguments []string) int {
+//
+// adapters are the platforms' adapters by the form that the settings name.
+func Main(arguments []string, adapters map[string]Adapter) int {
 	options := &flagsOfDaemon{}
 	parser := flags.NewNamedParser("lapisvaned", flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "The daemon beside back ends and callers: proxy on the request path, and relay or reader in the distribution of configuration. Flags win over the settings file. SIGTERM stops as planned; a second one cuts what is in flight."
@@ -81,16 +88,40 @@
 		return cli.ExitOK
 	}
 	QuietHTTPLibrary()
-	running, err := New(config, Options{Logger: logging.New(os.Stderr, config.Verbosity)})
+	logger := logging.New(os.Stdout, config.Verbosity)
+	daemonOptions := Options{Logger: logger}
+	if form := config.Platform.Form; form != "" {
+		adapter, known := adapters[form]
+		if !known {
+			return cli.Fail(os.Stderr, result.Errorf(result.SettingsBadNumber, "platform.form: %q is not known", form), cli.ExitUsage)
+		}
+		daemonOptions.Platform = adapter(config.Platform.Addresses[0], logger)
+	}
+	running, err := New(config, daemonOptions)
 	if err != nil {
 		return cli.Fail(os.Stderr, err, cli.ExitUsage)
 	}
+	ignoreHangUp(logger)
 	if cut := running.Run(cli.Signals()); cut > 0 {
 		return cli.ExitFailed
 	}
 	return cli.ExitOK
 }
 
+// Adapter connects a daemon with a platform at an address.
+type Adapter func(address string, logger logr.Logger) port.Platform
+
+// ignoreHangUp keeps a SIGHUP from ending the process.
+func ignoreHangUp(logger logr.Logger) {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP)
+	go func() {
+		for range received {
+			logger.Info("settings.kept", "cause", "SIGHUP; settings take effect at the next start")
+		}
+	}()
+}
+
 // QuietHTTPLibrary keeps the HTTP library from writing log lines of its own
 // form; what matters of them is counted and logged as events.
 func QuietHTTPLibrary() { hlog.SetOutput(io.Discard) }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -39,7 +39,7 @@
 		return http.StatusBadRequest
 	case result.CallNotRunDuplicate:
 		return http.StatusConflict
-	case result.CallDeadline, result.CallNotRunExpired:
+	case result.CallDeadline:
 		return http.StatusGatewayTimeout
 	case result.CallUnknownOutcome, result.CallTruncated, result.CallCancelled:
 		return http.StatusBadGateway
@@ -57,7 +57,7 @@
 }
 
 // writeFailure answers with a numbered result at once.
-func writeFailure(rc *app.RequestContext, err error) {
+func (g *Gateway) writeFailure(rc *app.RequestContext, err error) {
 	code, ok := result.CodeOf(err)
 	if !ok {
 		code = result.CallUnknownOutcome
@@ -66,10 +66,9 @@
 	outcome := callapi.OutcomeOf(err)
 	rc.Response.Reset()
 	rc.SetStatusCode(status)
-	rc.Response.Header.Set(callapi.HeaderResult, strconv.FormatUint(uint64(code), 10))
-	rc.Response.Header.Set(callapi.HeaderOutcome, outcome)
+	g.writeOutcome(rc, code, outcome)
 	if status == http.StatusServiceUnavailable {
-		rc.Response.Header.Set("Retry-After", strconv.Itoa(retryAfterSeconds(err)))
+		rc.Response.Header.Set("Retry-After", g.retryAfter(err))
 	}
 	body, _ := json.Marshal(failureBody{Result: uint32(code), Name: code.String(), Outcome: outcome, Detail: detailOf(err)})
 	rc.Response.Header.SetContentType("application/json")
@@ -86,17 +85,32 @@
 	return "The call failed."
 }
 
-// retryAfterSeconds rounds up, because the field counts whole seconds.
-func retryAfterSeconds(err error) int {
+// retryAfter renders the time after which trying again makes sense. Whole
+// seconds are rounded up.
+func (g *Gateway) retryAfter(err error) string {
 	wait := defaultRetryAfter
 	if coded, ok := err.(*result.Error); ok && coded.RetryAfter > 0 {
 		wait = coded.RetryAfter
 	}
-	return int((wait + time.Second - 1) / time.Second)
+	if g.config.Envelope.FractionalRetryAfter {
+		return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int((wait + time.Second - 1) / time.Second))
+}
+
+// writeOutcome adds the fields of the system's own, where the envelope has
+// them.
+func (g *Gateway) writeOutcome(rc *app.RequestContext, code result.Code, outcome string) {
+	if name := g.config.Envelope.Result; name != "" {
+		rc.Response.Header.Set(name, strconv.FormatUint(uint64(code), 10))
+	}
+	if name := g.config.Envelope.Outcome; name != "" {
+		rc.Response.Header.Set(name, outcome)
+	}
 }
 
 // writeHead copies the answer's status and end-to-end fields.
-func writeHead(rc *app.RequestContext, head *lapisv1.CallHead) {
+func (g *Gateway) writeHead(rc *app.RequestContext, head *lapisv1.CallHead) {
 	rc.SetStatusCode(int(head.GetStatus()))
 	for _, field := range head.GetHeaders() {
 		name := strings.ToLower(field.GetName())
@@ -108,8 +122,7 @@
 			rc.Response.Header.Add(field.GetName(), field.GetValue())
 		}
 	}
-	rc.Response.Header.Set(callapi.HeaderResult, "0")
-	rc.Response.Header.Set(callapi.HeaderOutcome, callapi.OutcomeDone)
+	g.writeOutcome(rc, result.OK, callapi.OutcomeDone)
 }
 
 // hasNoBody reports whether an answer never has a body.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -9,14 +9,18 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/balance"
 	"github.com/lapisvane/lapisvane/internal/callapi"
-	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/snapshot"
 )
 
-// Waits between attempts.
+// Bounds of the attempts at one call.
 const (
-	overloadBackoff = 20 * time.Millisecond
+	// maxDetours bounds the instances that are tried after refusals that no
+	// back end saw.
+	maxDetours = 5
+	// maxOverloaded bounds the instances that are tried after refusals for
+	// load.
+	maxOverloaded = 2
 	// startMargin is subtracted from the time in which a call may start, so
 	// that a call that is too late is refused as not run before its deadline
 	// makes its outcome unknown.
@@ -31,12 +35,21 @@
 // attempter sees one call through all its attempts.
 type attempter struct {
 	gateway *Gateway
-	service *snapshot.Service
+	current *snapshot.Snapshot
 	route   *lapisv1.Route
 	open    *lapisv1.CallOpen
 	body    *requestBody
+	started time.Time
 	// attach prepares an attempt's body.
 	attach func(*callapi.Call)
+
+	// tried are the instances that did not answer; handed counts those of them
+	// that may have seen the call, detours the others.
+	tried      []*balance.Target
+	handed     int
+	detours    int
+	overloaded int
+	earned     bool
 }
 
 // outcome is a finished call.
@@ -48,35 +61,90 @@
 // run makes attempts until one is answered or another would be unsafe, useless
 // or over budget.
 func (a *attempter) run(ctx context.Context) (outcome, error) {
-	name := a.route.GetPool()
-	a.gateway.budget.earn(name)
-	var tried []*balance.Target
+	pools := poolsOf(a.route)
+	if !a.earned {
+		a.gateway.budget.earn(pools[0])
+		a.earned = true
+	}
 	var lastErr error
-	for attempt := range maxAttempts {
-		target, err := a.gateway.balancer.Pick(a.service, tried, a.open.GetIdempotencyKey())
+	for {
+		target, pool, err := a.pick(pools)
 		if err != nil {
 			if lastErr != nil {
-				return outcome{}, lastErr
+				err = lastErr
 			}
 			return outcome{}, err
 		}
-		answer, err := a.once(ctx, target, attempt)
+		a.open.Service = pool
+		answer, err := a.once(ctx, target)
 		if err == nil {
 			return outcome{answer: answer, target: target}, nil
 		}
 		lastErr = err
-		tried = append(tried, target)
-		if !a.mayRetry(ctx, err) || !a.wait(ctx, err) {
+		a.tried = append(a.tried, target)
+		if !a.mayRetry(ctx, err) {
 			return outcome{}, err
 		}
 		a.gateway.metrics.retries.Inc()
 	}
-	return outcome{}, lastErr
+}
+
+// poolsOf returns the pools that may serve a call of route, the one chosen by
+// weight first.
+func poolsOf(route *lapisv1.Route) []string {
+	parts := route.GetSplit()
+	if len(parts) == 0 {
+		return []string{route.GetPool()}
+	}
+	total := uint64(0)
+	for _, part := range parts {
+		total += uint64(part.GetWeight())
+	}
+	drawn := rand.Uint64N(max(total, 1))
+	pools := make([]string, 0, len(parts))
+	for _, part := range parts {
+		weight := uint64(part.GetWeight())
+		if drawn < weight {
+			pools = append([]string{part.GetPool()}, pools...)
+			drawn = total
+			continue
+		}
+		if drawn < total {
+			drawn -= weight
+		}
+		if weight > 0 {
+			pools = append(pools, part.GetPool())
+		}
+	}
+	return pools
+}
+
+// pick chooses an instance of the first pool that has one. Errors:
+// CallNoEndpoint.
+func (a *attempter) pick(pools []string) (*balance.Target, string, error) {
+	var first error
+	for _, pool := range pools {
+		service, ok := a.current.Service(pool)
+		if !ok {
+			continue
+		}
+		target, err := a.gateway.balancer.Pick(service, a.tried, a.open.GetIdempotencyKey())
+		if err == nil {
+			return target, pool, nil
+		}
+		if first == nil {
+			first = err
+		}
+	}
+	if first == nil {
+		first = result.Errorf(result.CallNoEndpoint, "route %s has no pool here", a.route.GetName())
+	}
+	return nil, "", first
 }
 
 // once makes one attempt at target.
-func (a *attempter) once(ctx context.Context, target *balance.Target, attempt int) (*callapi.Answer, error) {
-	open := a.openFor(ctx, target, attempt)
+func (a *attempter) once(ctx context.Context, target *balance.Target) (*callapi.Answer, error) {
+	open := a.openFor(ctx, target)
 	call := &callapi.Call{Open: open}
 	a.attach(call)
 	target.Begin()
@@ -93,15 +161,20 @@
 
 // openFor returns the opening of one attempt, with an attempt id of its own
 // and the time that is left.
-func (a *attempter) openFor(ctx context.Context, target *balance.Target, attempt int) *lapisv1.CallOpen {
+func (a *attempter) openFor(ctx context.Context, target *balance.Target) *lapisv1.CallOpen {
 	template := a.open
 	open := &lapisv1.CallOpen{
 		Service: template.GetService(), Instance: target.Endpoint.GetInstance(), Group: template.GetGroup(),
 		Method: template.GetMethod(), Target: template.GetTarget(), Host: template.GetHost(),
 		Headers: template.GetHeaders(), AttemptId: a.gateway.nextAttemptID(),
 		Repeatable: template.GetRepeatable(), Background: template.GetBackground(), Upload: template.GetUpload(),
-		Attempt: template.GetAttempt() + uint32(attempt), ContentLength: template.GetContentLength(),
+		Attempt: template.GetAttempt() + uint32(len(a.tried)), ContentLength: template.GetContentLength(),
 		RouteRevision: template.GetRouteRevision(), IdempotencyKey: template.GetIdempotencyKey(),
+		Priority: template.GetPriority(), CallerService: template.GetCallerService(),
+	}
+	if target := a.route.GetCallClass().GetTargetLatencyMillis(); target > 0 {
+		left := time.Duration(target)*time.Millisecond - time.Since(a.started)
+		open.TargetMillis = uint32(max(left.Milliseconds(), 0))
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining := time.Until(deadline)
@@ -120,32 +193,36 @@
 		return false
 	}
 	switch code {
-	case result.CallNotRunDraining, result.CallNotRunStopping, result.CallNotRunUnknownHere:
-		// The instance is leaving; going elsewhere adds no load.
-		return true
-	case result.CallNotRunUnreachable, result.CallNotRunOverloaded, result.CallNotRunShed:
-		return a.mayAddLoad()
+	case result.CallNotRunDraining, result.CallNotRunStopping, result.CallNotRunUnknownHere, result.CallNotRunUnreachable:
+		// No back end saw the call; going elsewhere adds no load.
+		a.detours++
+		return a.detours <= maxDetours
+	case result.CallNotRunOverloaded:
+		a.overloaded++
+		return a.overloaded <= maxOverloaded
+	case result.CallNotRunShed:
+		a.handed++
+		return a.handed < a.maxAttempts() && a.mayAddLoad()
 	case result.CallUnknownOutcome, result.CallTruncated:
-		return a.open.GetRepeatable() && a.mayAddLoad()
+		a.handed++
+		return a.open.GetRepeatable() && a.handed < a.maxAttempts() && a.mayAddLoad()
 	default:
 		return false
 	}
 }
 
+func (a *attempter) maxAttempts() int {
+	if attempts := a.route.GetCallClass().GetMaxAttempts(); attempts > 0 {
+		return int(attempts)
+	}
+	return defaultMaxAttempts
+}
+
 // mayAddLoad takes a retry out of the service's budget. A call that is itself a
 // retry of a level above is not retried again, so that the levels of a chain do
 // not multiply.
 func (a *attempter) mayAddLoad() bool {
-	return a.open.GetAttempt() == 0 && a.gateway.budget.spend(a.route.GetPool())
-}
-
-// wait pauses before a retry after an overload; it reports false when the call
-// ends meanwhile.
-func (a *attempter) wait(ctx context.Context, err error) bool {
-	if !result.Is(err, result.CallNotRunOverloaded) && !result.Is(err, result.CallNotRunShed) {
-		return true
-	}
-	return pause.For(ctx, rand.N(overloadBackoff))
+	return a.open.GetAttempt() == 0 && a.gateway.budget.spend(a.open.GetService())
 }
 
 // handOver gives the call to the daemon beside the instance, which may be this
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -2,33 +2,65 @@
 
 import "sync"
 
-// Tunables of retries.
-const (
-	// maxAttempts bounds the attempts at one call on one daemon.
-	maxAttempts = 3
-	// retryFraction of the calls of a service may be retries.
-	retryFraction = 0.1
-	// retryBurst is the number of retries that may be saved up.
-	retryBurst = 10
-)
+// defaultMaxAttempts bounds the back ends that one call may be handed to where
+// its route does not say.
+const defaultMaxAttempts = 3
+
+// RetryLimits bound the retries of each service on this daemon. Only attempts
+// after which a back end may have seen the call count; going elsewhere after a
+// refusal by the daemon beside it costs the back end nothing.
+type RetryLimits struct {
+	// Fraction of the calls of a service may be retries.
+	Fraction float64
+	// Burst is the number of retries that may be saved up, over all daemons
+	// that share it.
+	Burst float64
+	// Shared is true when Burst is split between all daemons.
+	Shared bool
+}
+
+// DefaultRetryLimits hold where nothing else is set.
+var DefaultRetryLimits = RetryLimits{Fraction: 0.1, Burst: 10}
 
 // retryBudget bounds the retries of each service to a fraction of its calls.
 type retryBudget struct {
-	mutex  sync.Mutex
-	tokens map[string]float64
+	limits RetryLimits
+
+	// mutex protects everything below.
+	mutex   sync.Mutex
+	sharers int
+	tokens  map[string]float64
+}
+
+func newRetryBudget(limits RetryLimits) *retryBudget {
+	return &retryBudget{limits: limits, sharers: 1, tokens: map[string]float64{}}
 }
 
-func newRetryBudget() *retryBudget { return &retryBudget{tokens: map[string]float64{}} }
+// share notes the number of daemons that the burst is split between.
+func (b *retryBudget) share(daemons int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.sharers = max(daemons, 1)
+}
+
+// burst is this daemon's part; the caller holds mutex.
+func (b *retryBudget) burst() float64 {
+	if !b.limits.Shared {
+		return b.limits.Burst
+	}
+	return b.limits.Burst / float64(b.sharers)
+}
 
 // earn notes one call.
 func (b *retryBudget) earn(service string) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	burst := b.burst()
 	tokens, known := b.tokens[service]
 	if !known {
-		tokens = retryBurst / 2
+		tokens = burst / 2
 	}
-	b.tokens[service] = min(tokens+retryFraction, retryBurst)
+	b.tokens[service] = min(tokens+b.limits.Fraction, burst)
 }
 
 // spend takes one retry out of the budget; it reports false when there is none.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,13 @@
 	// Local serves calls for instances beside this daemon.
 	Local  callapi.Handler
 	Remote Remote
+	// Envelope names the header fields; the zero value stands for the default.
+	Envelope callapi.Envelope
+	// CallerService returns the service of this machine, which back ends are
+	// told; nil when there is none.
+	CallerService func() string
+	// Retries bounds the retries of each service.
+	Retries RetryLimits
 	// DefaultDeadline bounds calls whose route names none.
 	DefaultDeadline time.Duration
 	Logger          logr.Logger
@@ -60,7 +67,8 @@
 
 	// inFlight counts the calls in flight.
 	inFlight atomic.Int64
-	stopping atomic.Bool
+	// stopping closes callers' connections, refusing also refuses new calls.
+	stopping, refusing atomic.Bool
 	// force is cancelled to cut the calls in flight.
 	force    context.Context
 	forceAll context.CancelFunc
@@ -74,8 +82,14 @@
 
 // New returns a gateway.
 func New(config Config) *Gateway {
+	if config.Envelope == (callapi.Envelope{}) {
+		config.Envelope = callapi.DefaultEnvelope
+	}
+	if config.Retries == (RetryLimits{}) {
+		config.Retries = DefaultRetryLimits
+	}
 	gateway := &Gateway{
-		config: config, balancer: config.Balancer, budget: newRetryBudget(),
+		config: config, balancer: config.Balancer, budget: newRetryBudget(config.Retries),
 		attemptPrefix: fmt.Sprintf("%s/%x/", config.Node, config.Incarnation),
 		metrics: gatewayMetrics{
 			calls: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -153,7 +167,24 @@
 }
 
 // Stop makes the gateway refuse new calls; those in flight go on.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+func (g *Gateway) Stop() {
+	g.Leave()
+	g.refusing.Store(true)
+}
+
+// Leave makes the gateway close callers' connections after their next answer,
+// so that they go elsewhere; calls are still served.
+func (g *Gateway) Leave() { g.stopping.Store(true) }
+
+// ShareRetries notes the number of daemons that share the burst of retries.
+func (g *Gateway) ShareRetries(daemons int) { g.budget.share(daemons) }
+
+func (g *Gateway) callerService() string {
+	if g.config.CallerService == nil {
+		return ""
+	}
+	return g.config.CallerService()
+}
 
 // InFlight returns the number of calls in flight.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
@@ -176,7 +207,7 @@
 	if err == nil || rc.Response.GetHijackWriter() != nil {
 		return
 	}
-	writeFailure(rc, err)
+	g.writeFailure(rc, err)
 	if g.stopping.Load() || result.Is(err, result.CallBadRequest) {
 		rc.SetConnectionClose()
 	}
@@ -192,20 +223,19 @@
 	if method == http.MethodConnect || conn == nil {
 		return nil, result.Errorf(result.CallBadRequest, "method %s is not served", method)
 	}
-	if g.stopping.Load() {
+	if g.refusing.Load() {
 		return nil, result.Errorf(result.CallNotRunStopping, "the daemon is stopping")
 	}
 	current := g.config.Snapshots.Current()
 	if current == nil {
 		return nil, result.Errorf(result.CallNotReady, "no configuration yet")
 	}
-	path := string(rc.Request.URI().Path())
+	path := string(rc.Request.URI().PathOriginal())
 	route := current.Match(hostOf(rc), path, method)
 	if route == nil {
 		return nil, result.Errorf(result.CallNoRoute, "%s %s", method, path)
 	}
-	service, _ := current.Service(route.GetPool())
-	callCtx, cancel := deadlineOf(ctx, rc, route.GetCallClass(), g.config.DefaultDeadline)
+	callCtx, cancel := g.deadlineOf(ctx, rc, route.GetCallClass(), started)
 	defer cancel()
 	stopForce := context.AfterFunc(g.force, cancel)
 	defer stopForce()
@@ -216,7 +246,7 @@
 	watchCaller(conn, body, cancel)
 	defer g.releaseCaller(rc, conn, body)
 	attempt := &attempter{
-		gateway: g, service: service, route: route, body: body,
+		gateway: g, current: current, route: route, body: body, started: started,
 		open:   g.openOf(rc, route, current.Revision, method, body),
 		attach: func(call *callapi.Call) { body.attach(call, rc) },
 	}
@@ -225,7 +255,7 @@
 
 // finish runs the attempts and passes the answer on.
 func (g *Gateway) finish(ctx context.Context, rc *app.RequestContext, attempt *attempter, started time.Time) error {
-	for tries := range maxAttempts {
+	for tries := range defaultMaxAttempts {
 		done, err := attempt.run(ctx)
 		if err != nil {
 			return err
@@ -233,7 +263,7 @@
 		g.metrics.latency.Observe(time.Since(started).Seconds())
 		err = g.deliver(ctx, rc, attempt, done)
 		brokeOff := err != nil && rc.Response.GetHijackWriter() == nil
-		if !brokeOff || tries == maxAttempts-1 || !attempt.mayRetry(ctx, err) {
+		if !brokeOff || tries == defaultMaxAttempts-1 || !attempt.mayRetry(ctx, err) {
 			return err
 		}
 	}
@@ -248,7 +278,7 @@
 	method := attempt.open.GetMethod()
 	if hasNoBody(method, head.GetStatus()) {
 		_, _ = readWhole(done.answer)
-		writeHead(rc, head)
+		g.writeHead(rc, head)
 		if method == http.MethodHead && head.GetContentLength() >= 0 {
 			rc.Response.Header.SetContentLength(int(head.GetContentLength()))
 			rc.Response.SkipBody = true
@@ -261,11 +291,11 @@
 			g.observe(done.target, err)
 			return err
 		}
-		writeHead(rc, head)
+		g.writeHead(rc, head)
 		rc.Response.SetBodyRaw(content)
 		return nil
 	}
-	writeHead(rc, head)
+	g.writeHead(rc, head)
 	err := streamAnswer(ctx, rc, done.answer)
 	if err != nil {
 		g.observe(done.target, err)
@@ -277,10 +307,10 @@
 func (g *Gateway) openOf(rc *app.RequestContext, route *lapisv1.Route, revision uint64, method string, body *requestBody) *lapisv1.CallOpen {
 	class := route.GetCallClass()
 	return &lapisv1.CallOpen{
-		Service: route.GetPool(), Group: route.GetGroup(),
+		Group: route.GetGroup(), Priority: class.GetPriority(), CallerService: g.callerService(),
 		Method: method, Target: string(rc.Request.Header.RequestURI()), Host: string(rc.Request.Host()),
-		Headers: headersOf(rc), Repeatable: class.GetRepeatable(), Background: class.GetBackground(),
-		Upload: class.GetUpload(), Attempt: chainAttempt(rc), ContentLength: body.length,
+		Headers: headersOf(rc, &g.config.Envelope), Repeatable: class.GetRepeatable(), Background: class.GetBackground(),
+		Upload: class.GetUpload(), Attempt: g.chainAttempt(rc), ContentLength: body.length,
 		RouteRevision:  revision,
 		IdempotencyKey: string(rc.Request.Header.Peek(callapi.HeaderIdempotencyKey)),
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -86,7 +86,7 @@
 }
 
 // headersOf returns the end-to-end header fields of a request.
-func headersOf(rc *app.RequestContext) []*lapisv1.HeaderField {
+func headersOf(rc *app.RequestContext, envelope *callapi.Envelope) []*lapisv1.HeaderField {
 	dropped := map[string]bool{}
 	for _, name := range strings.Split(string(rc.Request.Header.Peek("Connection")), ",") {
 		dropped[strings.ToLower(strings.TrimSpace(name))] = true
@@ -94,7 +94,7 @@
 	var fields []*lapisv1.HeaderField
 	rc.Request.Header.VisitAll(func(key, value []byte) {
 		name := strings.ToLower(string(key))
-		if hopByHop[name] || dropped[name] || strings.HasPrefix(name, "lapisvane-") || name == "trailer" {
+		if hopByHop[name] || dropped[name] || envelope.Private(name) || name == "trailer" {
 			return
 		}
 		fields = append(fields, &lapisv1.HeaderField{Name: string(key), Value: string(value)})
@@ -269,12 +269,12 @@
 // deadlineOf returns the context for a call: the route's bound or the one that
 // came along the chain of calls, whichever is sooner. Uploads have only the
 // latter.
-func deadlineOf(ctx context.Context, rc *app.RequestContext, class *lapisv1.CallClass, fallback time.Duration) (context.Context, context.CancelFunc) {
+func (g *Gateway) deadlineOf(ctx context.Context, rc *app.RequestContext, class *lapisv1.CallClass, started time.Time) (context.Context, context.CancelFunc) {
 	bound := time.Duration(class.GetDeadlineMillis()) * time.Millisecond
 	if bound == 0 && !class.GetUpload() {
-		bound = fallback
+		bound = g.config.DefaultDeadline
 	}
-	chained, err := strconv.ParseInt(string(rc.Request.Header.Peek(callapi.HeaderDeadline)), 10, 64)
+	chained, err := strconv.ParseInt(string(rc.Request.Header.Peek(g.config.Envelope.Deadline)), 10, 64)
 	if err == nil {
 		remaining := time.Duration(max(chained, 0)) * time.Millisecond
 		if bound == 0 || remaining < bound {
@@ -284,13 +284,17 @@
 	if bound == 0 && err != nil {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, bound)
+	return context.WithDeadline(ctx, started.Add(bound))
 }
 
 // chainAttempt returns the number of retries made so far along the chain.
-func chainAttempt(rc *app.RequestContext) uint32 {
+func (g *Gateway) chainAttempt(rc *app.RequestContext) uint32 {
 	const maxChainAttempt = 1000
-	attempt, err := strconv.ParseUint(string(rc.Request.Header.Peek(callapi.HeaderAttempt)), 10, 32)
+	name := g.config.Envelope.Attempt
+	if name == "" {
+		return 0
+	}
+	attempt, err := strconv.ParseUint(string(rc.Request.Header.Peek(name)), 10, 32)
 	if err != nil {
 		return 0
 	}
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestRetryBudgetIsAFractionOfCalls(t *testing.T) {
-	budget := newRetryBudget()
+	budget := newRetryBudget(DefaultRetryLimits)
 	const calls = 10_000
 	retries := 0
 	for range calls {
@@ -17,8 +17,8 @@
 			retries++
 		}
 	}
-	assert.Assert(t, retries <= calls*retryFraction+retryBurst, "%d retries of %d calls", retries, calls)
-	assert.Assert(t, retries >= calls*retryFraction-retryBurst)
+	assert.Assert(t, float64(retries) <= calls*DefaultRetryLimits.Fraction+DefaultRetryLimits.Burst, "%d retries of %d calls", retries, calls)
+	assert.Assert(t, float64(retries) >= calls*DefaultRetryLimits.Fraction-DefaultRetryLimits.Burst)
 	assert.Assert(t, !budget.spend("never called"))
 }
 
--- /dev/null
+++ b/internal/meshconfig/compose.go
@@ -0,0 +1,61 @@
+package meshconfig
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// DefaultGroup owns the objects of a configuration source that knows no
+// groups.
+const DefaultGroup = "default"
+
+// Composition is a whole configuration as an outside source states it.
+type Composition struct {
+	Revision uint64
+	Pools    []*lapisv1.Pool
+	Routes   []*lapisv1.Route
+	Limits   *lapisv1.Limits
+}
+
+// Compose validates a composition as a whole and encodes it. Bundles that are
+// the same as in previous, which may be nil, are taken from there. Errors: a
+// *result.List with every fault.
+func Compose(composition Composition, previous *lapisv1.Configuration) (*lapisv1.Configuration, error) {
+	state := NewState()
+	state.Revision = composition.Revision
+	faults := &result.List{}
+	affected := map[string]bool{}
+	for _, pool := range composition.Pools {
+		if _, twice := state.Pools[pool.GetName()]; twice {
+			faults.Add(result.ConfigDuplicateObject, "pool %s", pool.GetName())
+		}
+		state.Pools[pool.GetName()] = pool
+		affected[pool.GetName()] = true
+	}
+	for _, route := range composition.Routes {
+		if _, twice := state.Routes[route.GetName()]; twice {
+			faults.Add(result.ConfigDuplicateObject, "route %s", route.GetName())
+		}
+		state.Routes[route.GetName()] = route
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	if err := state.Validate(nil); err != nil {
+		return nil, err
+	}
+	for _, encoded := range previous.GetBundles() {
+		state.Bundles[encoded.GetService()] = encoded
+	}
+	if _, err := state.rebuildBundles(affected); err != nil {
+		return nil, err
+	}
+	configuration := &lapisv1.Configuration{Revision: composition.Revision, Limits: composition.Limits}
+	for _, service := range slices.Sorted(maps.Keys(affected)) {
+		configuration.Bundles = append(configuration.Bundles, state.Bundles[service])
+	}
+	return configuration, nil
+}
--- a/internal/meshconfig/validate.go
+++ b/internal/meshconfig/validate.go
@@ -76,6 +76,7 @@
 		if _, ok := s.Pools[route.GetPool()]; !ok {
 			faults.Add(result.ConfigUnknownPool, "route %s refers to pool %q", name, route.GetPool())
 		}
+		s.validateSplit(faults, route)
 		s.validateRouteSecret(faults, route)
 		for _, key := range matchKeys(route) {
 			if other, taken := matches[key]; taken {
@@ -86,6 +87,22 @@
 	}
 }
 
+func (s *State) validateSplit(faults *result.List, route *lapisv1.Route) {
+	if len(route.GetSplit()) == 0 {
+		return
+	}
+	total := uint64(0)
+	for _, part := range route.GetSplit() {
+		if _, ok := s.Pools[part.GetPool()]; !ok {
+			faults.Add(result.ConfigUnknownPool, "route %s splits to pool %q", route.GetName(), part.GetPool())
+		}
+		total += uint64(part.GetWeight())
+	}
+	if total == 0 {
+		faults.Add(result.ConfigBadLimit, "the weights of route %s sum to 0", route.GetName())
+	}
+}
+
 func (s *State) validateRouteSecret(faults *result.List, route *lapisv1.Route) {
 	if route.GetSecret() == "" {
 		return
@@ -101,7 +118,7 @@
 
 func validateMatch(faults *result.List, route *lapisv1.Route) {
 	prefix := route.GetPathPrefix()
-	if !strings.HasPrefix(prefix, "/") || (path.Clean(prefix) != prefix) {
+	if !cleanPrefix(prefix) {
 		faults.Add(result.ConfigBadPath, "path_prefix %q of route %s", prefix, route.GetName())
 	}
 	if route.GetHost() != "" && !hostPattern.MatchString(route.GetHost()) {
@@ -117,6 +134,15 @@
 	}
 }
 
+// cleanPrefix reports whether prefix is an absolute clean path; one slash at
+// its end is allowed.
+func cleanPrefix(prefix string) bool {
+	if !strings.HasPrefix(prefix, "/") {
+		return false
+	}
+	return prefix == "/" || path.Clean(prefix) == strings.TrimSuffix(prefix, "/")
+}
+
 func matchKeys(route *lapisv1.Route) []string {
 	methods := route.GetMethods()
 	if len(methods) == 0 {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -31,7 +31,38 @@
 // Register adds the daemon's metrics to registry.
 func Register(registry *prometheus.Registry, sources Sources) {
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	node := sources.Node
+	if sources.Node != nil {
+		registerTree(registry, sources.Node)
+	}
+	if sources.Store != nil {
+		registerStore(registry, sources.Store)
+	}
+	gauge(registry, "lapisvane_call_links", "Open connections to other daemons for calls.",
+		func() float64 { return float64(sources.Calls.Links()) })
+	counter(registry, "lapisvane_control_bytes_in_total", "Bytes of control received from daemons.",
+		func() float64 { return float64(sources.Counters.BytesIn.Load()) })
+	counter(registry, "lapisvane_control_bytes_out_total", "Bytes of control sent to daemons.",
+		func() float64 { return float64(sources.Counters.BytesOut.Load()) })
+	counter(registry, "lapisvane_origin_handed_over_total", "Calls handed to back ends beside the daemon.",
+		func() float64 { return float64(sources.Origin.Counts().HandedOver) })
+	counter(registry, "lapisvane_origin_refused_total", "Calls refused before they ran.",
+		func() float64 { return float64(sources.Origin.Counts().Refused) })
+	counter(registry, "lapisvane_origin_duplicates_total", "Copies of calls that were kept from running.",
+		func() float64 { return float64(sources.Origin.Counts().Duplicates) })
+	counter(registry, "lapisvane_origin_unknown_total", "Calls handed over whose answer was lost.",
+		func() float64 { return float64(sources.Origin.Counts().Broken) })
+}
+
+// registerStore adds the metrics of the object API's client.
+func registerStore(registry *prometheus.Registry, store *objectapi.Client) {
+	counter(registry, "lapisvane_source_requests_total", "Requests sent to the platform.",
+		func() float64 { return float64(store.Requests.Load()) })
+	counter(registry, "lapisvane_source_bytes_in_total", "Bytes received from the platform.",
+		func() float64 { return float64(store.BytesIn.Load()) })
+}
+
+// registerTree adds the metrics of the distribution tree.
+func registerTree(registry *prometheus.Registry, node *tree.Node) {
 	gauge(registry, "lapisvane_revision_in_force", "Revision in force, 0 before the first.",
 		func() float64 { return float64(node.Info().InForce) })
 	gauge(registry, "lapisvane_revision_held", "Newest revision held.",
@@ -50,8 +81,6 @@
 		func() float64 { return truth(node.Info().SeatState == "suspended") })
 	gauge(registry, "lapisvane_endpoints", "Back-end instances known.",
 		func() float64 { return float64(node.Info().Endpoints) })
-	gauge(registry, "lapisvane_call_links", "Open connections to other daemons for calls.",
-		func() float64 { return float64(sources.Calls.Links()) })
 	counter(registry, "lapisvane_tree_joins_total", "Parents that accepted this daemon.",
 		func() float64 { return float64(node.Info().Joins) })
 	counter(registry, "lapisvane_tree_joins_served_total", "Children admitted.",
@@ -60,22 +89,6 @@
 		func() float64 { return float64(node.Info().JoinsRefused) })
 	counter(registry, "lapisvane_tree_resyncs_total", "Versions refused and asked for again in full.",
 		func() float64 { return float64(node.Info().Resyncs) })
-	counter(registry, "lapisvane_control_bytes_in_total", "Bytes of control received from daemons.",
-		func() float64 { return float64(sources.Counters.BytesIn.Load()) })
-	counter(registry, "lapisvane_control_bytes_out_total", "Bytes of control sent to daemons.",
-		func() float64 { return float64(sources.Counters.BytesOut.Load()) })
-	counter(registry, "lapisvane_source_requests_total", "Requests sent to the platform.",
-		func() float64 { return float64(sources.Store.Requests.Load()) })
-	counter(registry, "lapisvane_source_bytes_in_total", "Bytes received from the platform.",
-		func() float64 { return float64(sources.Store.BytesIn.Load()) })
-	counter(registry, "lapisvane_origin_handed_over_total", "Calls handed to back ends beside the daemon.",
-		func() float64 { return float64(sources.Origin.Counts().HandedOver) })
-	counter(registry, "lapisvane_origin_refused_total", "Calls refused before they ran.",
-		func() float64 { return float64(sources.Origin.Counts().Refused) })
-	counter(registry, "lapisvane_origin_duplicates_total", "Copies of calls that were kept from running.",
-		func() float64 { return float64(sources.Origin.Counts().Duplicates) })
-	counter(registry, "lapisvane_origin_unknown_total", "Calls handed over whose answer was lost.",
-		func() float64 { return float64(sources.Origin.Counts().Broken) })
 }
 
 func gauge(registry *prometheus.Registry, name, help string, value func() float64) {
--- a/internal/origin/backend.go
+++ b/internal/origin/backend.go
@@ -6,9 +6,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -16,35 +15,26 @@
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
-// Bounds of the connections to a back end.
+// maxStaleAnswers bounds the answers to earlier requests that are passed over
+// on one connection, and maxStaleBytes the length of each.
 const (
-	backendDialTimeout = time.Second
-	// backendIdleTimeout is how long an unused connection is kept. It is short
-	// because a back end that closes one just as a call is written to it makes
-	// that call's outcome unknown.
-	backendIdleTimeout = 15 * time.Second
-	backendBufferBytes = 8 << 10
+	maxStaleAnswers = 2
+	maxStaleBytes   = 1 << 20
 )
 
 // backend sends requests to one back end over HTTP/1.1.
 type backend struct {
-	address   string
-	transport *http.Transport
+	address  string
+	instance string
+	envelope *callapi.Envelope
+	pool     *connectionPool
 }
 
-func newBackend(address string, slots, connectionLimit int) *backend {
-	dialer := &net.Dialer{Timeout: backendDialTimeout}
-	return &backend{address: address, transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connectionLimit,
-		MaxIdleConnsPerHost: min(slots, connectionLimit),
-		IdleConnTimeout:     backendIdleTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      backendBufferBytes,
-		WriteBufferSize:     backendBufferBytes,
-		// The wait for 100-continue before the body is sent all the same.
-		ExpectContinueTimeout: time.Second,
-	}}
+func newBackend(address, instance string, envelope *callapi.Envelope, connectionLimit int) *backend {
+	return &backend{
+		address: address, instance: instance, envelope: envelope,
+		pool: newConnectionPool(address, connectionLimit),
+	}
 }
 
 // reachable reports whether the back end accepts a connection.
@@ -58,43 +48,148 @@
 	return true
 }
 
-// handedOver notes whether any byte of a request may have reached the back
-// end.
-type handedOver struct{ written atomic.Bool }
-
-func (h *handedOver) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { h.written.Store(true) },
-	})
+// exchange is one request on one connection and its answer.
+type exchange struct {
+	backend *backend
+	conn    *connection
+	request *http.Request
+	// unwatch ends the closing of the connection at the end of the context.
+	unwatch func() bool
+	// written is closed when the request was written; writeErr then tells how
+	// that ended.
+	written  chan struct{}
+	writeErr error
+	// strange is true when the connection brought bytes that belong to no
+	// request, so that it is not used again.
+	strange bool
+	once    sync.Once
 }
 
-// oneShotBody hides from the HTTP client that a body could be sent again, so
-// that it never repeats a request by itself.
-type oneShotBody struct{ io.Reader }
-
-func (oneShotBody) Close() error { return nil }
-
-// roundTrip hands the call over once. Errors: CallNotRunUnreachable when no
-// connection was opened, CallNotRunExpired when the caller left before,
+// roundTrip hands the call over once. The answer's body must be closed.
+// Errors: CallNotRunUnreachable when no connection was opened,
+// CallNotRunOverloaded, CallNotRunExpired when the caller left before,
 // otherwise CallUnknownOutcome, CallDeadline or CallCancelled.
 func (b *backend) roundTrip(ctx context.Context, call *callapi.Call) (*http.Response, error) {
+	conn, err := b.pool.get(ctx)
+	if err != nil {
+		return nil, err
+	}
 	request, err := b.request(ctx, call)
 	if err != nil {
+		b.pool.put(conn)
 		return nil, err
 	}
-	progress := &handedOver{}
-	request = request.WithContext(progress.trace(ctx))
-	response, err := b.transport.RoundTrip(request)
-	if err == nil {
-		return response, nil
+	if ctx.Err() != nil {
+		b.pool.put(conn)
+		return nil, result.Wrap(result.CallNotRunExpired, ctx.Err(), "the call ended before it was handed over")
+	}
+	current := &exchange{backend: b, conn: conn, request: request, written: make(chan struct{})}
+	current.unwatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	response, err := current.run(call)
+	if err != nil {
+		current.end(false)
+		return nil, result.Wrap(brokenCode(ctx), err, "request to %s", b.address)
+	}
+	response.Body = &exchangeBody{exchange: current, body: response.Body, response: response}
+	return response, nil
+}
+
+// run writes the request and reads the answer's head. A body that the caller
+// still sends is written at the same time, because the answer may come first.
+func (e *exchange) run(call *callapi.Call) (*http.Response, error) {
+	if call.Body == nil || call.Buffered {
+		// A failed write is no failure yet: a refusal may have come before.
+		e.write()
+	} else {
+		go e.write()
+	}
+	for range maxStaleAnswers + 1 {
+		response, err := e.readHead()
+		if err != nil {
+			return nil, err
+		}
+		if e.belongs(response) {
+			return response, nil
+		}
+		e.strange = true
+		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBytes)); err != nil || response.Close {
+			return nil, errors.New("the answer belongs to another request")
+		}
 	}
-	if !progress.written.Load() {
-		if ctx.Err() != nil {
-			return nil, result.Wrap(result.CallNotRunExpired, err, "no connection to %s in time", b.address)
+	return nil, errors.New("the answers belong to other requests")
+}
+
+func (e *exchange) write() {
+	defer close(e.written)
+	if e.writeErr = e.request.Write(e.conn.writer); e.writeErr == nil {
+		e.writeErr = e.conn.writer.Flush()
+	}
+}
+
+// readHead reads an answer's head and passes over informational ones.
+func (e *exchange) readHead() (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(e.conn.reader, e.request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
 		}
-		return nil, result.Wrap(result.CallNotRunUnreachable, err, "connecting to %s", b.address)
 	}
-	return nil, result.Wrap(brokenCode(ctx), err, "request to %s", b.address)
+}
+
+// belongs reports whether an answer is that to this request.
+func (e *exchange) belongs(response *http.Response) bool {
+	envelope := e.backend.envelope
+	if !envelope.EchoesRequestID {
+		return true
+	}
+	return response.Header.Get(envelope.RequestID) == e.request.Header.Get(envelope.RequestID)
+}
+
+// end gives the connection back, or closes it unless the exchange was whole.
+func (e *exchange) end(whole bool) {
+	e.once.Do(func() {
+		stopped := e.unwatch()
+		select {
+		case <-e.written:
+			whole = whole && e.writeErr == nil
+		default:
+			whole = false
+		}
+		if whole && stopped && !e.strange && e.conn.reader.Buffered() == 0 {
+			e.backend.pool.put(e.conn)
+			return
+		}
+		e.backend.pool.discard(e.conn)
+	})
+}
+
+// exchangeBody ends the exchange with the end of the answer.
+type exchangeBody struct {
+	exchange *exchange
+	body     io.ReadCloser
+	response *http.Response
+}
+
+func (b *exchangeBody) Read(buffer []byte) (int, error) {
+	count, err := b.body.Read(buffer)
+	if err == io.EOF {
+		b.finish()
+	} else if err != nil {
+		b.exchange.end(false)
+	}
+	return count, err
+}
+
+func (b *exchangeBody) finish() {
+	if keep, stated := keepAliveOf(b.response.Header); stated {
+		b.exchange.conn.keepFor = keep
+	}
+	b.exchange.end(!b.response.Close)
+}
+
+func (b *exchangeBody) Close() error {
+	b.exchange.end(false)
+	return nil
 }
 
 // brokenCode tells why a call that was handed over got no whole answer.
@@ -111,11 +206,11 @@
 
 func (b *backend) request(ctx context.Context, call *callapi.Call) (*http.Request, error) {
 	open := call.Open
-	body := io.ReadCloser(oneShotBody{http.NoBody})
+	var body io.Reader
 	if call.Body != nil {
-		body = oneShotBody{call.Body}
+		body = call.Body
 	}
-	request, err := http.NewRequestWithContext(ctx, open.GetMethod(), "http://"+b.address+open.GetTarget(), body)
+	request, err := http.NewRequest(open.GetMethod(), "http://"+b.address+open.GetTarget(), body)
 	if err != nil {
 		return nil, result.Wrap(result.CallBadRequest, err, "building the request")
 	}
@@ -127,16 +222,35 @@
 	for _, field := range open.GetHeaders() {
 		request.Header.Add(field.GetName(), field.GetValue())
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		request.Header.Set(callapi.HeaderDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
+	if request.Header.Get("User-Agent") == "" {
+		// The HTTP library would add one of its own.
+		request.Header["User-Agent"] = []string{""}
 	}
-	request.Header.Set(callapi.HeaderAttempt, strconv.FormatUint(uint64(open.GetAttempt()), 10))
+	b.stampRequest(ctx, request, open)
 	if call.Trailers != nil && open.GetContentLength() < 0 {
 		announceTrailers(request, call)
 	}
 	return request, nil
 }
 
+// stampRequest sets the fields that lapisvane states itself.
+func (b *backend) stampRequest(ctx context.Context, request *http.Request, open *lapisv1.CallOpen) {
+	envelope := b.envelope
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining := max(time.Until(deadline).Milliseconds(), 1)
+		request.Header.Set(envelope.Deadline, strconv.FormatInt(remaining, 10))
+	}
+	if envelope.Attempt != "" {
+		request.Header.Set(envelope.Attempt, strconv.FormatUint(uint64(open.GetAttempt()), 10))
+	}
+	if envelope.ExpectedInstance != "" {
+		request.Header.Set(envelope.ExpectedInstance, b.instance)
+	}
+	if envelope.CallerService != "" {
+		request.Header.Set(envelope.CallerService, open.GetCallerService())
+	}
+}
+
 // announceTrailers sends the request trailers that the caller named.
 func announceTrailers(request *http.Request, call *callapi.Call) {
 	names := request.Header.Values("Trailer")
--- /dev/null
+++ b/internal/origin/connection.go
@@ -0,0 +1,191 @@
+package origin
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Bounds of the connections to a back end.
+const (
+	backendDialTimeout = 300 * time.Millisecond
+	// backendIdleTimeout is how long an unused connection is kept where the
+	// back end does not say. It is short because a back end that closes one
+	// just as a call is written to it makes that call's outcome unknown.
+	backendIdleTimeout = 4 * time.Second
+	// keepAliveMargin is taken off the time that a back end states.
+	keepAliveMargin    = 2 * time.Second
+	backendBufferBytes = 4 << 10
+)
+
+// connection is one connection to a back end. It carries one exchange at a
+// time.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// reused is true from the second exchange on.
+	reused bool
+	// keepFor bounds the rest between two exchanges; rested is when the last
+	// rest began.
+	keepFor time.Duration
+	rested  time.Time
+}
+
+// connectionPool keeps the connections to one back end.
+type connectionPool struct {
+	address string
+	dialer  net.Dialer
+
+	// mutex protects everything below.
+	mutex  sync.Mutex
+	idle   []*connection
+	open   int
+	limit  int
+	closed bool
+}
+
+func newConnectionPool(address string, limit int) *connectionPool {
+	return &connectionPool{address: address, limit: limit, dialer: net.Dialer{Timeout: backendDialTimeout}}
+}
+
+// get returns a connection that is ready for an exchange, the one used last
+// first. Errors: CallNotRunUnreachable, CallNotRunOverloaded when the limit is
+// reached, CallNotRunExpired when ctx ended.
+func (p *connectionPool) get(ctx context.Context) (*connection, error) {
+	for {
+		conn, err := p.take()
+		if err != nil {
+			return nil, err
+		}
+		if conn == nil {
+			return p.dial(ctx)
+		}
+		if time.Since(conn.rested) < conn.keepFor && quiet(conn.Conn) {
+			conn.reused = true
+			return conn, nil
+		}
+		p.discard(conn)
+	}
+}
+
+// take removes the connection used last; nil means that one is to be dialed,
+// which has been counted already.
+func (p *connectionPool) take() (*connection, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if count := len(p.idle); count > 0 {
+		conn := p.idle[count-1]
+		p.idle = p.idle[:count-1]
+		return conn, nil
+	}
+	if p.open >= p.limit {
+		return nil, result.Errorf(result.CallNotRunOverloaded, "%d connections to %s are open", p.open, p.address)
+	}
+	p.open++
+	return nil, nil
+}
+
+func (p *connectionPool) dial(ctx context.Context) (*connection, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		p.mutex.Lock()
+		p.open--
+		p.mutex.Unlock()
+		if ctx.Err() != nil {
+			return nil, result.Wrap(result.CallNotRunExpired, err, "no connection to %s in time", p.address)
+		}
+		return nil, result.Wrap(result.CallNotRunUnreachable, err, "connecting to %s", p.address)
+	}
+	return &connection{
+		Conn: raw, reader: bufio.NewReaderSize(raw, backendBufferBytes),
+		writer: bufio.NewWriterSize(raw, backendBufferBytes), keepFor: backendIdleTimeout,
+	}, nil
+}
+
+// put keeps a connection after an exchange that ended cleanly.
+func (p *connectionPool) put(conn *connection) {
+	conn.rested = time.Now()
+	p.mutex.Lock()
+	if !p.closed {
+		p.idle = append(p.idle, conn)
+		p.mutex.Unlock()
+		return
+	}
+	p.mutex.Unlock()
+	p.discard(conn)
+}
+
+// discard closes a connection.
+func (p *connectionPool) discard(conn *connection) {
+	_ = conn.Close()
+	p.mutex.Lock()
+	p.open--
+	p.mutex.Unlock()
+}
+
+// closeOld closes the idle connections that rested too long, or all.
+func (p *connectionPool) closeOld(all bool) {
+	p.mutex.Lock()
+	var old []*connection
+	kept := p.idle[:0]
+	for _, conn := range p.idle {
+		if all || time.Since(conn.rested) >= conn.keepFor {
+			old = append(old, conn)
+			continue
+		}
+		kept = append(kept, conn)
+	}
+	p.idle = kept
+	p.closed = p.closed || all
+	p.mutex.Unlock()
+	for _, conn := range old {
+		p.discard(conn)
+	}
+}
+
+// quiet reports whether a resting connection is open and nothing has arrived
+// on it: bytes there belong to no request.
+func quiet(conn net.Conn) bool {
+	system, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false
+	}
+	calm := false
+	err = raw.Read(func(descriptor uintptr) bool {
+		var peeked [1]byte
+		_, _, receiveErr := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		calm = receiveErr == syscall.EAGAIN || receiveErr == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && calm
+}
+
+// keepAliveOf returns how long the back end keeps a connection after this
+// answer, less a margin; ok is false when it does not say.
+func keepAliveOf(header http.Header) (keep time.Duration, ok bool) {
+	for _, value := range header.Values("Keep-Alive") {
+		for _, part := range strings.Split(value, ",") {
+			name, seconds, found := strings.Cut(strings.TrimSpace(part), "=")
+			if !found || !strings.EqualFold(name, "timeout") {
+				continue
+			}
+			if count, err := strconv.Atoi(seconds); err == nil {
+				return max(time.Duration(count)*time.Second-keepAliveMargin, time.Duration(count)*time.Second/2), true
+			}
+		}
+	}
+	return 0, false
+}
--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -9,6 +9,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/admission"
+	"github.com/lapisvane/lapisvane/internal/callapi"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -18,6 +19,9 @@
 	// instance is taken as down.
 	downAfter     = 3
 	probeInterval = 200 * time.Millisecond
+	// beatSilence is the time without heartbeat after which a registered
+	// instance is taken as down.
+	beatSilence = 6 * time.Second
 	// DefaultSlots and DefaultConnections hold until a configuration is known.
 	DefaultSlots       = 6
 	DefaultConnections = 130
@@ -32,6 +36,10 @@
 	DrainOperator    DrainReason = "operator"
 	DrainMachineList DrainReason = "machine-list"
 	DrainStop        DrainReason = "stop"
+	// DrainInstance is the instance's own statement that it leaves.
+	DrainInstance DrainReason = "instance"
+	// DrainReplaced is for an instance whose address another one has.
+	DrainReplaced DrainReason = "replaced"
 )
 
 // Instance is one back end beside the daemon.
@@ -41,19 +49,27 @@
 	queue   *admission.Queue
 	backend *backend
 	started time.Time
+	// registered is true for an instance that announced itself; its heartbeats
+	// then tell its state, and it is not probed.
+	registered bool
 
 	// mutex protects everything below.
-	mutex     sync.Mutex
+	mutex sync.Mutex
+	// slots, sequence, lastBeat and warmAt are from the newest heartbeat.
+	slots     int
+	sequence  uint64
+	lastBeat  time.Time
+	warmAt    time.Time
 	lifecycle *stateless.StateMachine
 	reasons   map[DrainReason]bool
 	failures  int
 }
 
-func newInstance(service, name, address string, limits admission.Limits, connections int) *Instance {
+func newInstance(service, name, address string, limits admission.Limits, connections int, envelope *callapi.Envelope) *Instance {
 	return &Instance{
 		Service: service, Name: name,
 		queue:   admission.NewQueue(limits, time.Now),
-		backend: newBackend(address, limits.Slots, connections),
+		backend: newBackend(address, name, envelope, connections),
 		started: time.Now(), lifecycle: newLifecycle(), reasons: map[DrainReason]bool{},
 	}
 }
@@ -72,6 +88,12 @@
 		return lapisv1.Endpoint_STATE_READY
 	case StateRetired:
 		return lapisv1.Endpoint_STATE_GONE
+	case StateDown:
+		if i.registered {
+			// It may be back with its next heartbeat.
+			return lapisv1.Endpoint_STATE_SUSPECT
+		}
+		return lapisv1.Endpoint_STATE_DRAINING
 	default:
 		return lapisv1.Endpoint_STATE_DRAINING
 	}
@@ -138,16 +160,32 @@
 	}
 }
 
-// watch probes the back end while it is starting or down, and calls changed
-// after each change of what is announced.
+// check probes the back end while it is starting or down; one that registered
+// is down when its heartbeats stay away.
+func (i *Instance) check(ctx context.Context) {
+	state := i.State()
+	if i.registered {
+		i.mutex.Lock()
+		if time.Since(i.lastBeat) > beatSilence && state == StateReady {
+			fire(i.lifecycle, triggerDown)
+		}
+		i.mutex.Unlock()
+		return
+	}
+	if state == StateStarting || state == StateDown {
+		i.noteConnection(i.backend.reachable(ctx))
+	}
+}
+
+// watch follows the back end's state, and calls changed after each change of
+// what is announced.
 func (i *Instance) watch(ctx context.Context, changed func()) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	announced := lapisv1.Endpoint_STATE_UNSPECIFIED
 	for {
-		if state := i.State(); state == StateStarting || state == StateDown {
-			i.noteConnection(i.backend.reachable(ctx))
-		}
+		i.check(ctx)
+		i.backend.pool.closeOld(false)
 		if now := i.advertised(); now != announced {
 			announced = now
 			changed()
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -28,6 +28,8 @@
 	// QueueLength and QueueTime bound the waiting calls of each group.
 	QueueLength int
 	QueueTime   time.Duration
+	// Envelope names the header fields; the zero value stands for the default.
+	Envelope callapi.Envelope
 	// Changed is called when the state of an instance changed.
 	Changed func()
 }
@@ -38,12 +40,21 @@
 // Origin serves calls for the back ends beside the daemon.
 type Origin struct {
 	config    Config
-	instances map[instanceKey]*Instance
 	attempts  *memory
 	keys      *memory
 	running   sync.WaitGroup
 	counts    Counts
 	countLock sync.Mutex
+
+	// mutex protects everything below.
+	mutex     sync.RWMutex
+	instances map[instanceKey]*Instance
+	// withdrawn are instances that left for good, with the time of the news.
+	withdrawn map[string]time.Time
+	current   *snapshot.Snapshot
+	stopping  bool
+	// runContext is set by Run and ends the watching of instances.
+	runContext context.Context
 }
 
 // Counts are totals since the start.
@@ -53,28 +64,49 @@
 
 // New returns an origin for the configured back ends.
 func New(config Config) *Origin {
+	if config.Envelope == (callapi.Envelope{}) {
+		config.Envelope = callapi.DefaultEnvelope
+	}
+	if config.Changed == nil {
+		config.Changed = func() {}
+	}
 	origin := &Origin{
-		config: config, instances: map[instanceKey]*Instance{},
+		config: config, instances: map[instanceKey]*Instance{}, withdrawn: map[string]time.Time{},
 		attempts: newMemory(attemptMemory, time.Now), keys: newMemory(keyMemory, time.Now),
 	}
 	limits := admission.Limits{Slots: DefaultSlots, QueueLength: config.QueueLength, QueueTime: config.QueueTime}
 	for _, backend := range config.Backends {
 		key := instanceKey{backend.Service, backend.Instance}
-		origin.instances[key] = newInstance(backend.Service, backend.Instance, backend.Address, limits, DefaultConnections)
+		origin.instances[key] = newInstance(backend.Service, backend.Instance, backend.Address, limits, DefaultConnections, &origin.config.Envelope)
 	}
 	return origin
 }
 
 // Run follows the back ends' state until ctx ends.
 func (o *Origin) Run(ctx context.Context) {
+	o.mutex.Lock()
+	o.runContext = ctx
 	for _, instance := range o.instances {
-		o.running.Go(func() { instance.watch(ctx, o.config.Changed) })
+		o.watch(instance)
 	}
+	o.mutex.Unlock()
+	<-ctx.Done()
 	o.running.Wait()
 }
 
+// watch follows an instance while the origin runs; the caller holds mutex.
+func (o *Origin) watch(instance *Instance) {
+	ctx := o.runContext
+	if ctx == nil || ctx.Err() != nil {
+		return
+	}
+	o.running.Go(func() { instance.watch(ctx, o.config.Changed) })
+}
+
 // Instances returns the instances beside the daemon.
 func (o *Origin) Instances() []*Instance {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
 	instances := make([]*Instance, 0, len(o.instances))
 	for _, instance := range o.instances {
 		instances = append(instances, instance)
@@ -84,40 +116,37 @@
 
 // Advertised returns the endpoints to announce.
 func (o *Origin) Advertised() []*lapisv1.Endpoint {
-	endpoints := make([]*lapisv1.Endpoint, 0, len(o.instances))
-	for _, instance := range o.instances {
-		endpoints = append(endpoints, &lapisv1.Endpoint{
-			Service: instance.Service, Instance: instance.Name,
-			State: instance.advertised(), StartedUnixMillis: instance.started.UnixMilli(),
-		})
+	instances := o.Instances()
+	endpoints := make([]*lapisv1.Endpoint, 0, len(instances))
+	for _, instance := range instances {
+		endpoints = append(endpoints, instance.statement())
 	}
 	return endpoints
 }
 
 // Configure takes limits, shares and drains from a snapshot.
 func (o *Origin) Configure(current *snapshot.Snapshot) {
-	for _, instance := range o.instances {
-		service, ok := current.Service(instance.Service)
-		if !ok {
-			continue
-		}
-		instance.queue.Configure(int(service.Bundle.GetPool().GetSlots()), service.Shares)
-		switch {
-		case service.Retired[instance.Name]:
-			instance.Retire()
-		case service.Drained[instance.Name]:
-			instance.Drain(DrainOperator)
-		default:
-			instance.Resume(DrainOperator)
-		}
+	o.mutex.Lock()
+	o.current = current
+	o.mutex.Unlock()
+	for _, instance := range o.Instances() {
+		instance.configure(current)
 	}
 }
 
+// instance returns an instance beside the daemon.
+func (o *Origin) instance(service, name string) (*Instance, bool) {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	instance, ok := o.instances[instanceKey{service, name}]
+	return instance, ok
+}
+
 // FollowMachineList drains or resumes the instances that the endpoints show as
 // draining although this daemon did not say so.
 func (o *Origin) FollowMachineList(service string, endpoints []*lapisv1.Endpoint, node string) {
 	for _, statement := range endpoints {
-		instance, ok := o.instances[instanceKey{service, statement.GetInstance()}]
+		instance, ok := o.instance(service, statement.GetInstance())
 		if !ok || statement.GetNode() != node {
 			continue
 		}
@@ -132,7 +161,10 @@
 
 // Stop drains all instances because the daemon is stopping.
 func (o *Origin) Stop() {
-	for _, instance := range o.instances {
+	o.mutex.Lock()
+	o.stopping = true
+	o.mutex.Unlock()
+	for _, instance := range o.Instances() {
 		instance.Drain(DrainStop)
 	}
 }
@@ -140,7 +172,7 @@
 // InFlight returns the number of calls that hold a slot.
 func (o *Origin) InFlight() int {
 	total := 0
-	for _, instance := range o.instances {
+	for _, instance := range o.Instances() {
 		total += instance.queue.Running()
 	}
 	return total
@@ -174,7 +206,7 @@
 
 func (o *Origin) handle(ctx context.Context, call *callapi.Call) (*callapi.Answer, error) {
 	open := call.Open
-	instance, ok := o.instances[instanceKey{open.GetService(), open.GetInstance()}]
+	instance, ok := o.instance(open.GetService(), open.GetInstance())
 	if !ok {
 		return nil, result.Errorf(result.CallNotRunUnknownHere, "no instance %s/%s here", open.GetService(), open.GetInstance())
 	}
@@ -209,7 +241,9 @@
 
 func (o *Origin) admitAndRun(ctx context.Context, instance *Instance, call *callapi.Call) (*callapi.Answer, error) {
 	open := call.Open
-	request := admission.Request{Group: open.GetGroup(), Background: open.GetBackground(), Upload: open.GetUpload()}
+	request := admission.Request{
+		Group: open.GetGroup(), Background: open.GetBackground(), Upload: open.GetUpload(), Priority: open.GetPriority(),
+	}
 	if open.GetExpiresAfterMillis() > 0 {
 		request.StartBy = time.Now().Add(time.Duration(open.GetExpiresAfterMillis()) * time.Millisecond)
 	}
@@ -236,10 +270,10 @@
 	}
 	o.count(func(c *Counts) { c.HandedOver++ })
 	instance.noteConnection(true)
-	if refusesWork(response) {
+	if refusal := o.refusalOf(instance, response); refusal != nil {
 		_ = response.Body.Close()
-		slot.Release(true)
-		return nil, shedError(response)
+		slot.Release(result.Is(refusal, result.CallNotRunShed))
+		return nil, refusal
 	}
 	head := headOf(response)
 	head.Load = instance.queue.Load()
@@ -250,11 +284,23 @@
 	}, nil
 }
 
-// refusesWork reports whether the back end states that it did not run the
-// request.
-func refusesWork(response *http.Response) bool {
-	overloaded := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
-	return overloaded && response.Header.Get(callapi.HeaderNotRun) != ""
+// refusalOf returns the error for an answer which states that the back end did
+// not run the request, nil for any other. An instance that is not the one the
+// request was meant for has taken its address.
+func (o *Origin) refusalOf(instance *Instance, response *http.Response) error {
+	if o.config.Envelope.ExpectedInstance != "" && response.StatusCode == http.StatusMisdirectedRequest {
+		o.replaced(instance)
+		return result.Errorf(result.CallNotRunUnknownHere, "another instance answers at the address of %s", instance.Name)
+	}
+	if response.Header.Get(o.config.Envelope.NotRun) == "" {
+		return nil
+	}
+	switch response.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return shedError(response)
+	default:
+		return nil
+	}
 }
 
 func shedError(response *http.Response) error {
--- /dev/null
+++ b/internal/origin/registration.go
@@ -0,0 +1,205 @@
+package origin
+
+import (
+	"time"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/admission"
+	"github.com/lapisvane/lapisvane/internal/snapshot"
+)
+
+// withdrawnMemory is how long it is remembered that an instance left, so that
+// a late heartbeat does not bring it back.
+const withdrawnMemory = 10 * time.Minute
+
+// Registration is what an instance states of itself with each heartbeat.
+type Registration struct {
+	Service string
+	// Instance names one incarnation of the instance; a restart brings a new
+	// name.
+	Instance string
+	Address  string
+	// Slots is the number of calls that the instance works on at once.
+	Slots int
+	// Draining is true when the instance is about to leave.
+	Draining bool
+	// Sequence rises with each heartbeat, so that a late one is recognised.
+	Sequence uint64
+	// ColdFor is how much longer the instance stays slow after its start.
+	ColdFor time.Duration
+}
+
+// Register takes in a heartbeat. From its return on, a draining instance gets
+// no call that it did not have before.
+func (o *Origin) Register(registration Registration) {
+	instance, fresh := o.registered(registration)
+	if instance == nil {
+		return
+	}
+	changed := instance.beat(registration)
+	if registration.Draining {
+		o.Withdraw(registration.Instance)
+		return
+	}
+	if fresh {
+		o.retireOthersAt(registration.Address, instance)
+	}
+	if changed || fresh {
+		o.config.Changed()
+	}
+}
+
+// registered returns the instance that a heartbeat is from, which may be new;
+// nil for one that left before.
+func (o *Origin) registered(registration Registration) (instance *Instance, fresh bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.forgetWithdrawn()
+	if _, left := o.withdrawn[registration.Instance]; left {
+		return nil, false
+	}
+	key := instanceKey{registration.Service, registration.Instance}
+	if known, ok := o.instances[key]; ok {
+		return known, false
+	}
+	limits := admission.Limits{Slots: max(registration.Slots, 1), QueueLength: o.config.QueueLength, QueueTime: o.config.QueueTime}
+	instance = newInstance(registration.Service, registration.Instance, registration.Address, limits, DefaultConnections, &o.config.Envelope)
+	instance.registered = true
+	instance.slots = registration.Slots
+	if o.current != nil {
+		instance.configure(o.current)
+	}
+	if o.stopping {
+		instance.Drain(DrainStop)
+	}
+	o.instances[key] = instance
+	o.watch(instance)
+	return instance, true
+}
+
+// forgetWithdrawn drops what is old; the caller holds mutex.
+func (o *Origin) forgetWithdrawn() {
+	for name, at := range o.withdrawn {
+		if time.Since(at) > withdrawnMemory {
+			delete(o.withdrawn, name)
+		}
+	}
+}
+
+// Withdraw notes that an instance leaves for good: it gets no call from now on,
+// those that it has go on.
+func (o *Origin) Withdraw(name string) {
+	o.mutex.Lock()
+	_, before := o.withdrawn[name]
+	o.withdrawn[name] = time.Now()
+	o.mutex.Unlock()
+	for _, instance := range o.Instances() {
+		if instance.Name == name {
+			instance.Drain(DrainInstance)
+		}
+	}
+	if !before {
+		o.config.Changed()
+	}
+}
+
+// Withdrawn returns the instances that left.
+func (o *Origin) Withdrawn() []string {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	names := make([]string, 0, len(o.withdrawn))
+	for name := range o.withdrawn {
+		names = append(names, name)
+	}
+	return names
+}
+
+// retireOthersAt ends the part of the instances whose address a new one has.
+func (o *Origin) retireOthersAt(address string, except *Instance) {
+	for _, instance := range o.Instances() {
+		if instance != except && instance.backend.address == address && instance.registered {
+			o.replaced(instance)
+		}
+	}
+}
+
+// replaced ends the part of an instance whose address another one has.
+func (o *Origin) replaced(instance *Instance) {
+	instance.Drain(DrainReplaced)
+	o.Withdraw(instance.Name)
+}
+
+// LocalService returns the service of the newest registered instance that has
+// not left; empty when there is none.
+func (o *Origin) LocalService() string {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	var newest *Instance
+	for _, instance := range o.instances {
+		if newest == nil || instance.started.After(newest.started) {
+			newest = instance
+		}
+	}
+	if newest == nil {
+		return ""
+	}
+	return newest.Service
+}
+
+// beat takes in a heartbeat; it reports whether what is announced changed.
+func (i *Instance) beat(registration Registration) (changed bool) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if registration.Sequence < i.sequence {
+		return false
+	}
+	now := time.Now()
+	i.sequence = registration.Sequence
+	i.lastBeat = now
+	wasWarm := !now.Before(i.warmAt)
+	i.warmAt = now.Add(registration.ColdFor)
+	changed = wasWarm != (registration.ColdFor <= 0)
+	if registration.Slots > 0 && registration.Slots != i.slots {
+		i.slots = registration.Slots
+		changed = true
+	}
+	before := i.lifecycle.MustState()
+	i.failures = 0
+	fire(i.lifecycle, triggerUp)
+	return changed || before != i.lifecycle.MustState()
+}
+
+// statement returns what is announced of the instance.
+func (i *Instance) statement() *lapisv1.Endpoint {
+	state := i.advertised()
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return &lapisv1.Endpoint{
+		Service: i.Service, Instance: i.Name, State: state,
+		StartedUnixMillis: i.started.UnixMilli(), Slots: uint32(i.slots),
+		ColdMillis: uint32(max(time.Until(i.warmAt).Milliseconds(), 0)),
+	}
+}
+
+// configure takes limits, shares and drains from a snapshot.
+func (i *Instance) configure(current *snapshot.Snapshot) {
+	service, ok := current.Service(i.Service)
+	if !ok {
+		return
+	}
+	i.mutex.Lock()
+	slots := i.slots
+	i.mutex.Unlock()
+	if slots == 0 {
+		slots = int(service.Bundle.GetPool().GetSlots())
+	}
+	i.queue.Configure(slots, service.Shares)
+	switch {
+	case service.Retired[i.Name]:
+		i.Retire()
+	case service.Drained[i.Name]:
+		i.Drain(DrainOperator)
+	default:
+		i.Resume(DrainOperator)
+	}
+}
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -26,6 +26,16 @@
 	// MetricsAddress serves Prometheus metrics; empty for none.
 	MetricsAddress string   `json:"metrics_address"`
 	Platform       Platform `json:"platform"`
+	// InstanceAddress takes in the heartbeats of the instances beside the
+	// daemon, on a platform where they register themselves; empty for none.
+	InstanceAddress string `json:"instance_address"`
+	// ReadinessAddress tells a platform whether callers may come; empty for
+	// none.
+	ReadinessAddress string `json:"readiness_address"`
+	// Service is the service that runs on the machine; back ends are told.
+	Service string `json:"service"`
+	// Retries bounds the retries of each service.
+	Retries Retries `json:"retries"`
 	// Seeds are peer addresses of other daemons.
 	Seeds []string `json:"seeds"`
 	// Services are the services that callers beside this daemon use; "*" for
@@ -50,10 +60,26 @@
 
 // Platform tells where the platform is.
 type Platform struct {
+	// Form names the adapter; empty for lapisvane's own object API.
+	Form      string   `json:"form"`
 	Addresses []string `json:"addresses"`
 	Token     string   `json:"token"`
+	// ReadsPerSecond and WritesPerSecond are what the platform bears from all
+	// daemons together; 0 for no bound.
+	ReadsPerSecond  float64 `json:"reads_per_second"`
+	WritesPerSecond float64 `json:"writes_per_second"`
 }
 
+// Retries bounds the retries of each service.
+type Retries struct {
+	// Fraction of the calls of a service may be retries; 0 for the default.
+	Fraction float64 `json:"fraction"`
+	// Burst is the number of retries that may be saved up by all daemons
+	// together; 0 for the default, which each daemon has for itself.
+	Burst float64 `json:"burst"`
+}
+
+
 // Backend is one back end beside the daemon.
 type Backend struct {
 	Service  string `json:"service"`
@@ -118,6 +144,9 @@
 	check.address("caller_tls_address", d.CallerTLSAddress, false)
 	check.address("operator_address", d.OperatorAddress, false)
 	check.address("metrics_address", d.MetricsAddress, false)
+	check.address("instance_address", d.InstanceAddress, false)
+	check.address("readiness_address", d.ReadinessAddress, false)
+	d.checkPlatform(check)
 	if len(d.Platform.Addresses) == 0 {
 		check.faults.Add(result.SettingsMissing, "platform.addresses")
 	}
@@ -145,6 +174,25 @@
 	return check.Err()
 }
 
+// checkPlatform reports settings that do not go together with a platform's
+// adapter.
+func (d *Daemon) checkPlatform(check *checker) {
+	for _, bound := range []struct {
+		key   string
+		value float64
+	}{
+		{"platform.reads_per_second", d.Platform.ReadsPerSecond}, {"platform.writes_per_second", d.Platform.WritesPerSecond},
+		{"retries.fraction", d.Retries.Fraction}, {"retries.burst", d.Retries.Burst},
+	} {
+		if bound.value < 0 {
+			check.faults.Add(result.SettingsBadNumber, "%s: %v is negative", bound.key, bound.value)
+		}
+	}
+	if d.Platform.Form != "" && d.OperatorAddress != "" {
+		check.faults.Add(result.SettingsBadAddress, "operator_address: operators write to the platform's own store")
+	}
+}
+
 func (d *Daemon) checkDistribution(check *checker) {
 	switch d.Profile {
 	case ProfileConvergence:
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -32,8 +32,11 @@
 	Revision           uint64
 	AcceptedUnixMillis int64
 	services           map[string]*Service
-	// routes is sorted by descending specificity.
-	routes       []*lapisv1.Route
+	// Limits bound what callers may send; nil where the source states none.
+	Limits *lapisv1.Limits
+	// routes holds the routes of each host, "" for any, sorted by descending
+	// specificity.
+	routes       map[string][]*lapisv1.Route
 	certificates map[string]*tls.Certificate
 }
 
@@ -67,7 +70,7 @@
 		return next, nil
 	}
 	next.index()
-	return next, nil
+	return next, next.checkSplits()
 }
 
 func buildService(encoded *lapisv1.EncodedBundle) (*Service, error) {
@@ -101,29 +104,41 @@
 	return set
 }
 
+// checkSplits reports DistributionNotClosed when a route sends a part of its
+// calls to a pool that the snapshot lacks.
+func (s *Snapshot) checkSplits() error {
+	for _, routes := range s.routes {
+		for _, route := range routes {
+			for _, part := range route.GetSplit() {
+				if _, ok := s.services[part.GetPool()]; !ok {
+					return result.Errorf(result.DistributionNotClosed, "route %s lacks pool %s", route.GetName(), part.GetPool())
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // index sorts the routes and maps hosts to certificates.
 func (s *Snapshot) index() {
+	s.routes = map[string][]*lapisv1.Route{}
 	for _, name := range slices.Sorted(maps.Keys(s.services)) {
 		service := s.services[name]
 		for _, route := range service.Bundle.GetRoutes() {
-			s.routes = append(s.routes, route)
+			s.routes[route.GetHost()] = append(s.routes[route.GetHost()], route)
 			if certificate, ok := service.certificates[route.GetSecret()]; ok {
 				s.certificates[route.GetHost()] = certificate
 			}
 		}
 	}
-	slices.SortStableFunc(s.routes, compareSpecificity)
+	for _, routes := range s.routes {
+		slices.SortStableFunc(routes, compareSpecificity)
+	}
 }
 
-// compareSpecificity puts a route with host before one without, a longer
-// prefix before a shorter one and one with methods before one without.
+// compareSpecificity puts a longer prefix before a shorter one and one with
+// methods before one without.
 func compareSpecificity(a, b *lapisv1.Route) int {
-	if hostA, hostB := a.GetHost() != "", b.GetHost() != ""; hostA != hostB {
-		if hostA {
-			return -1
-		}
-		return 1
-	}
 	if difference := len(b.GetPathPrefix()) - len(a.GetPathPrefix()); difference != 0 {
 		return difference
 	}
@@ -136,13 +151,18 @@
 	return strings.Compare(a.GetName(), b.GetName())
 }
 
-// Match returns the route for a request, nil when there is none. host has no
-// port and is in lower case.
+// Match returns the route for a request, nil when there is none: that with the
+// longest prefix among the routes of the host, else among those of any host.
+// host has no port and is in lower case.
 func (s *Snapshot) Match(host, path, method string) *lapisv1.Route {
-	for _, route := range s.routes {
-		if route.GetHost() != "" && route.GetHost() != host {
-			continue
-		}
+	if route := matchIn(s.routes[host], path, method); route != nil || host == "" {
+		return route
+	}
+	return matchIn(s.routes[""], path, method)
+}
+
+func matchIn(routes []*lapisv1.Route, path, method string) *lapisv1.Route {
+	for _, route := range routes {
 		if !pathHasPrefix(path, route.GetPathPrefix()) {
 			continue
 		}
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -16,10 +16,24 @@
 // Current returns the snapshot in force, nil before the first.
 func (s *Store) Current() *Snapshot { return s.current.Load() }
 
+// ReplaceConfiguration puts a whole configuration in force, or nothing of it.
+// Errors: those of Replace.
+func (s *Store) ReplaceConfiguration(configuration *lapisv1.Configuration) error {
+	bundles := make(map[string]*lapisv1.EncodedBundle, len(configuration.GetBundles()))
+	for _, bundle := range configuration.GetBundles() {
+		bundles[bundle.GetService()] = bundle
+	}
+	return s.replace(configuration.GetRevision(), 0, bundles, configuration.GetLimits())
+}
+
 // Replace puts a version in force, whole or not at all. Errors:
 // DistributionBelowFloor for a revision not above the one in force, and those
 // of Build.
 func (s *Store) Replace(revision uint64, acceptedUnixMillis int64, bundles map[string]*lapisv1.EncodedBundle) error {
+	return s.replace(revision, acceptedUnixMillis, bundles, nil)
+}
+
+func (s *Store) replace(revision uint64, acceptedUnixMillis int64, bundles map[string]*lapisv1.EncodedBundle, limits *lapisv1.Limits) error {
 	previous := s.current.Load()
 	if previous != nil && revision <= previous.Revision {
 		return result.Errorf(result.DistributionBelowFloor, "revision %d after %d", revision, previous.Revision)
@@ -28,6 +42,7 @@
 	if err != nil {
 		return err
 	}
+	next.Limits = limits
 	s.current.Store(next)
 	return nil
 }
