--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 test: check unit
 
 check:
-	@unformatted=$$(gofmt -l api cmd internal); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l api cmd internal platform); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -54,7 +54,7 @@
 	part.fleet = fleet.New(fleet.Config{
 		Self:        fleet.Member{Node: d.settings.Node, Address: d.settings.PeerAddress, Zone: d.settings.Zone},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
-		InForce: part.inForce.Load, Random: rand.Float64, Logger: d.logger,
+		InForce: part.inForce.Load, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
 	d.direct = part
 	d.node = part.fleet
@@ -149,6 +149,7 @@
 	poll := time.NewTicker(inFlightPoll)
 	defer poll.Stop()
 	callersGone := false
+	var idleSince time.Time
 	for {
 		select {
 		case <-force:
@@ -156,10 +157,17 @@
 		case <-limit.C:
 			return d.reportCut("stop_limit " + d.settings.StopLimit.Get().String())
 		case <-left.C:
+			// Whoever still comes is refused before anything ran, so that
+			// the end of the process cuts nothing.
+			d.gateway.Stop()
 			callersGone = true
 		case <-poll.C:
-			if callersGone && d.inFlight() == 0 {
-				time.Sleep(answersLeave)
+			switch {
+			case !callersGone || d.inFlight() > 0:
+				idleSince = time.Time{}
+			case idleSince.IsZero():
+				idleSince = time.Now()
+			case time.Since(idleSince) >= answersLeave:
 				return 0
 			}
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,6 +43,8 @@
 	Observer Observer
 	// InForce returns the configuration in force, nil before the first.
 	InForce func() *lapisv1.Configuration
+	// Withdrawn returns the instances beside this daemon that left for good.
+	Withdrawn func() []string
 	// Random returns numbers between 0 and 1.
 	Random func() float64
 	Logger logr.Logger
@@ -60,6 +62,8 @@
 	mutex   sync.Mutex
 	members map[string]*peer
 	local   []*lapisv1.Endpoint
+	// withdrawn are the local instances that left for good.
+	withdrawn []string
 	// sequence is that of this daemon's own announcement.
 	sequence uint64
 	leaving  bool
@@ -83,7 +87,8 @@
 	// wake asks for an announcement to be sent, or for a connection to be
 	// tried at once.
 	wake chan struct{}
-	// withdrawn are the peer's instances that it said leave.
+	// withdrawn are the peer's instances that it said left for good, in this
+	// or an earlier incarnation.
 	withdrawn map[string]bool
 }
 
@@ -109,7 +114,9 @@
 
 // SetLocalEndpoints tells all daemons about the instances beside this one.
 func (f *Fleet) SetLocalEndpoints(endpoints []*lapisv1.Endpoint) {
+	withdrawn := f.config.Withdrawn()
 	f.mutex.Lock()
+	f.withdrawn = withdrawn
 	for _, endpoint := range endpoints {
 		f.own(endpoint, f.config.Self, f.config.Incarnation)
 	}
@@ -235,6 +242,7 @@
 	return &lapisv1.Announcement{
 		Node: self.Node, Address: self.Address, Zone: self.Zone, Incarnation: f.config.Incarnation,
 		Sequence: f.sequence, Revision: revision, Endpoints: f.local, Leaving: f.leaving,
+		Withdrawn: f.withdrawn,
 	}
 }
 
@@ -251,9 +259,9 @@
 	}
 	for _, endpoint := range announcement.GetEndpoints() {
 		f.own(endpoint, member.Member, member.incarnation)
-		if endpoint.GetState() == lapisv1.Endpoint_STATE_DRAINING {
-			member.withdrawn[endpoint.GetInstance()] = true
-		}
+	}
+	for _, instance := range announcement.GetWithdrawn() {
+		member.withdrawn[instance] = true
 	}
 	member.announcement = announcement
 	signal(f.changed)
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -79,7 +79,6 @@
 	Burst float64 `json:"burst"`
 }
 
-
 // Backend is one back end beside the daemon.
 type Backend struct {
 	Service  string `json:"service"`
