End a silent watch of the configuration within the contact time

Change: the wait of a question is the product's, four fifths of the platform's contact time (setting platform.contact), so that a question that is kept silent ends, and the next one is answered, before the daemon counts as in touch.

--- a/internal/configsource/configsource.go
+++ b/internal/configsource/configsource.go
@@ -26,7 +26,7 @@
 	// Next waits for a configuration after position. It returns nil and the
 	// position up to which there was none when the wait was over. Errors:
 	// PlatformCompacted when the history after position is gone.
-	Next(ctx context.Context, after Position) (*lapisv1.Configuration, Position, error)
+	Next(ctx context.Context, after Position, wait time.Duration) (*lapisv1.Configuration, Position, error)
 }
 
 // Waits after a failure, and the least time between two questions.
@@ -44,6 +44,9 @@
 	// Pace is the least time between two questions, so that all daemons
 	// together stay within the source's rate.
 	Pace func() time.Duration
+	// Wait bounds one question. A source may keep silent about a change, so it
+	// is asked anew within the time in which a change must be noticed.
+	Wait time.Duration
 	// Random returns numbers between 0 and 1.
 	Random func() float64
 	Logger logr.Logger
@@ -77,6 +80,9 @@
 		if result.Is(err, result.PlatformCompacted) {
 			f.Logger.Info("source.history_gone", "position", uint64(position))
 			known = false
+			if !pause.For(ctx, f.Pace()) {
+				return
+			}
 			continue
 		}
 		if !failing {
@@ -95,7 +101,7 @@
 	var configuration *lapisv1.Configuration
 	var err error
 	if known {
-		configuration, position, err = f.Source.Next(ctx, position)
+		configuration, position, err = f.Source.Next(ctx, position, f.Wait)
 	} else {
 		configuration, position, err = f.Source.Latest(ctx)
 	}
--- /dev/null
+++ b/internal/configsource/configsource_test.go
@@ -0,0 +1,175 @@
+package configsource_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/configsource"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// scriptedSource answers from a log of revisions, with faults.
+type scriptedSource struct {
+	mutex sync.Mutex
+	log   []uint64
+	// silent watches hear nothing of changes until their wait is over; the
+	// history before the last change is then gone.
+	silent bool
+	// failures is the number of questions that fail from now on.
+	failures  int
+	questions int
+}
+
+func (s *scriptedSource) add(revision uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.log = append(s.log, revision)
+}
+
+func (s *scriptedSource) set(change func(*scriptedSource)) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change(s)
+}
+
+func (s *scriptedSource) newest(after configsource.Position) (*lapisv1.Configuration, configsource.Position, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	at := configsource.Position(len(s.log))
+	if at <= after {
+		return nil, at, false
+	}
+	return &lapisv1.Configuration{Revision: s.log[at-1]}, at, true
+}
+
+func (s *scriptedSource) fail() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.questions++
+	if s.failures == 0 {
+		return nil
+	}
+	s.failures--
+	return result.Errorf(result.PlatformUnavailable, "down")
+}
+
+func (s *scriptedSource) Latest(context.Context) (*lapisv1.Configuration, configsource.Position, error) {
+	configuration, at, _ := s.newest(0)
+	return configuration, at, s.fail()
+}
+
+func (s *scriptedSource) Next(ctx context.Context, after configsource.Position, wait time.Duration) (*lapisv1.Configuration, configsource.Position, error) {
+	if err := s.fail(); err != nil {
+		return nil, after, err
+	}
+	end := time.Now().Add(wait)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		s.mutex.Lock()
+		silent := s.silent
+		s.mutex.Unlock()
+		if configuration, at, news := s.newest(after); news && !silent {
+			return configuration, at, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if _, _, news := s.newest(after); news {
+		return nil, after, result.Errorf(result.PlatformCompacted, "the history is gone")
+	}
+	return nil, after, ctx.Err()
+}
+
+// applied records what a follower brings.
+type applied struct {
+	mutex    sync.Mutex
+	revision uint64
+	at       time.Time
+}
+
+func (a *applied) apply(configuration *lapisv1.Configuration) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.revision = configuration.GetRevision()
+	a.at = time.Now()
+}
+
+func (a *applied) last() (uint64, time.Time) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.revision, a.at
+}
+
+const contact = 3 * time.Second
+
+// follow runs a follower of source until the returned function is called.
+func follow(source configsource.Source) (record *applied, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	record = &applied{}
+	follower := &configsource.Follower{
+		Source: source, Apply: record.apply, Wait: contact * 4 / 5, Logger: logr.Discard(),
+		Pace: func() time.Duration { return 10 * time.Millisecond }, Random: func() float64 { return 0.5 },
+	}
+	var running sync.WaitGroup
+	running.Go(func() { follower.Run(ctx) })
+	return record, func() {
+		cancel()
+		running.Wait()
+	}
+}
+
+func TestChangeIsBroughtAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scriptedSource{log: []uint64{3}}
+		record, stop := follow(source)
+		defer stop()
+		time.Sleep(time.Second)
+		changed := time.Now()
+		source.add(7)
+		time.Sleep(time.Second)
+		revision, at := record.last()
+		assert.Equal(t, revision, uint64(7))
+		assert.Assert(t, at.Sub(changed) <= 100*time.Millisecond, "after %s", at.Sub(changed))
+	})
+}
+
+// The source hears nothing of a change and its watches are not cut: day
+// "mix --seed 87251692990", where all daemons stayed with the old version for
+// the ten seconds that a watch then took.
+func TestSilentWatchEndsWithinTheContactTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scriptedSource{log: []uint64{3}}
+		record, stop := follow(source)
+		defer stop()
+		time.Sleep(time.Second)
+		source.set(func(s *scriptedSource) { s.silent = true })
+		changed := time.Now()
+		source.add(7)
+		time.Sleep(contact)
+		revision, at := record.last()
+		assert.Equal(t, revision, uint64(7))
+		assert.Assert(t, at.Sub(changed) <= contact, "after %s", at.Sub(changed))
+	})
+}
+
+func TestOutageIsAskedThroughWithoutHaste(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scriptedSource{log: []uint64{3}, failures: 20}
+		record, stop := follow(source)
+		defer stop()
+		time.Sleep(10 * time.Second)
+		source.mutex.Lock()
+		asked := source.questions
+		source.mutex.Unlock()
+		assert.Assert(t, asked >= 8 && asked <= 20, "%d questions in 10 s of outage", asked)
+		source.set(func(s *scriptedSource) { s.failures = 0 })
+		time.Sleep(2 * time.Second)
+		revision, _ := record.last()
+		assert.Equal(t, revision, uint64(3))
+	})
+}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -64,7 +64,7 @@
 func (p *direct) start(ctx context.Context) {
 	d := p.daemon
 	follower := &configsource.Follower{
-		Source: p.platform.Source(), Apply: p.Offer, Pace: p.pace, Random: rand.Float64, Logger: d.logger,
+		Source: p.platform.Source(), Apply: p.Offer, Pace: p.pace, Wait: p.sourceWait(), Random: rand.Float64, Logger: d.logger,
 	}
 	d.running.Go(func() { follower.Run(ctx) })
 	serve := func(listener net.Listener, run func(net.Listener)) {
@@ -76,6 +76,12 @@
 	serve(d.listeners.readiness, func(listener net.Listener) { p.platform.ServeReadiness(ctx, listener, p.ready) })
 }
 
+// sourceWait bounds a question to the source, so that one that the source keeps
+// silent about ends, and is asked anew, within the contact time.
+func (p *direct) sourceWait() time.Duration {
+	return p.daemon.settings.Platform.Contact.Get() * 4 / 5
+}
+
 // pace is the least time between two questions to the source, so that all
 // daemons together use half of what it bears.
 func (p *direct) pace() time.Duration {
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -68,6 +68,9 @@
 	// daemons together; 0 for no bound.
 	ReadsPerSecond  float64 `json:"reads_per_second"`
 	WritesPerSecond float64 `json:"writes_per_second"`
+	// Contact is the time after which a daemon that reaches the platform again
+	// must know what it knows.
+	Contact features.Duration `json:"contact"`
 }
 
 // Retries bounds the retries of each service.
@@ -116,6 +119,7 @@
 			QueueLength:     64,
 			QueueTime:       features.Duration(250 * time.Millisecond),
 		},
+		Platform:  Platform{Contact: features.Duration(3 * time.Second)},
 		StopLimit: features.Duration(10 * time.Minute),
 	}
 }
@@ -187,6 +191,7 @@
 			check.faults.Add(result.SettingsBadNumber, "%s: %v is negative", bound.key, bound.value)
 		}
 	}
+	check.positive("platform.contact", float64(d.Platform.Contact))
 	if d.Platform.Form != "" && d.OperatorAddress != "" {
 		check.faults.Add(result.SettingsBadAddress, "operator_address: operators write to the platform's own store")
 	}
