--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -239,7 +239,7 @@
 // Addresses returns where the daemon listens, which matters when a port was
 // chosen by the system.
 type Addresses struct {
-	Peer, Caller, CallerTLS, Operator, Metrics string
+	Peer, Caller, CallerTLS, Operator, Metrics, Instances, Readiness string
 }
 
 // Addresses returns where the daemon listens.
@@ -253,12 +253,21 @@
 	return Addresses{
 		Peer: address(d.listeners.peer), Caller: address(d.listeners.caller), CallerTLS: address(d.listeners.callerTLS),
 		Operator: address(d.listeners.operator), Metrics: address(d.listeners.metrics),
+		Instances: address(d.listeners.instances), Readiness: address(d.listeners.readiness),
 	}
 }
 
 // Info returns the condition of the daemon's part in the distribution.
 func (d *Daemon) Info() tree.Info { return d.tree.Info() }
 
+// Revision returns the configuration revision in force, 0 before the first.
+func (d *Daemon) Revision() uint64 {
+	if current := d.snapshots.Current(); current != nil {
+		return current.Revision
+	}
+	return 0
+}
+
 // Counters returns the control traffic.
 func (d *Daemon) Counters() *wire.Counters { return d.counters }
 
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -52,7 +52,7 @@
 	d.calls.Maintained = true
 	d.calls.Timing = peerTiming
 	part.fleet = fleet.New(fleet.Config{
-		Self:        fleet.Member{Node: d.settings.Node, Address: d.settings.PeerAddress, Zone: d.settings.Zone},
+		Self:        fleet.Member{Node: d.settings.Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Zone},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
 		InForce: part.inForce.Load, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
--- /dev/null
+++ b/internal/emulator/day/day_test.go
@@ -0,0 +1,295 @@
+package day_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/daemon"
+	"github.com/lapisvane/lapisvane/internal/emulator/client"
+	"github.com/lapisvane/lapisvane/internal/emulator/day"
+	"github.com/lapisvane/lapisvane/internal/emulator/instance"
+	"github.com/lapisvane/lapisvane/internal/emulator/objectstore"
+	"github.com/lapisvane/lapisvane/platform"
+)
+
+const host = "shop.example"
+
+// patience bounds waits for what must come; no test asserts how long it took.
+const patience = 30 * time.Second
+
+var routes = []day.Route{
+	{Name: "look", Host: host, Prefix: "/look/", Kind: platform.RouteSafe, Service: "desk", TimeoutMillis: 3000, TargetMillis: 600, Priority: 2, Attempts: 2},
+	{Name: "order", Host: host, Prefix: "/order/", Kind: platform.RouteUnsafe, Service: "desk", TimeoutMillis: 3000, TargetMillis: 600, Priority: 1, Attempts: 2},
+	{Name: "file", Host: host, Prefix: "/file/", Kind: platform.RouteUpload, Service: "yard", TimeoutMillis: 3000, TargetMillis: 600, Priority: 1, Attempts: 2},
+	{Name: "stock", Host: host, Prefix: "/stock/", Kind: platform.RouteSafe, Service: "yard", TimeoutMillis: 3000, TargetMillis: 600, Attempts: 2},
+}
+
+var classes = []client.Class{
+	{Name: "look", Host: host, Path: "/look/a", Safe: true, Services: []string{"desk"}, PerSecond: 60, Deadline: 3 * time.Second, AnswerBytes: 1500, Retries: 2, CallPath: "/stock/b", CallService: "yard"},
+	{Name: "order", Host: host, Path: "/order/a/b?c=d", Services: []string{"desk"}, PerSecond: 40, Deadline: 3 * time.Second, BodyBytes: 300, AnswerBytes: 5000, Retries: 2},
+	{Name: "file", Host: host, Path: "/file/x", Services: []string{"yard"}, PerSecond: 10, Deadline: 3 * time.Second, BodyBytes: 120_000, AnswerBytes: 70_000, Retries: 2},
+}
+
+func TestMain(m *testing.M) {
+	daemon.QuietHTTPLibrary()
+	m.Run()
+}
+
+// start starts the default site and its load.
+func start(t *testing.T) (site *day.Site, tally *client.Tally, stopLoad func()) {
+	t.Helper()
+	return startWith(t, day.DefaultOptions())
+}
+
+func startWith(t *testing.T, options day.Options) (site *day.Site, tally *client.Tally, stopLoad func()) {
+	t.Helper()
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	site, err := day.Start(ctx, options, routes)
+	assert.NilError(t, err)
+	t.Cleanup(site.Close)
+	tally = client.NewTally()
+	load := &client.Load{Classes: classes, Targets: site.Targets(), Ledger: site.Ledger, Tally: tally, Seed: options.Seed}
+	loadCtx, endLoad := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); load.Run(loadCtx) }()
+	stopLoad = func() { endLoad(); <-done }
+	t.Cleanup(stopLoad)
+	return site, tally, stopLoad
+}
+
+func keepsPromises(t *testing.T, site *day.Site) {
+	t.Helper()
+	breaches := site.Ledger.Breaches()
+	assert.Equal(t, len(breaches), 0, "%+v", breaches)
+}
+
+// awaitServed waits until so many more requests were served.
+func awaitServed(t *testing.T, tally *client.Tally, more int64) {
+	t.Helper()
+	goal := tally.Served.Load() + more
+	end := time.Now().Add(patience)
+	for tally.Served.Load() < goal {
+		assert.Assert(t, time.Now().Before(end), "%d of %d served", tally.Served.Load(), goal)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestQuietDayIsServed(t *testing.T) {
+	site, tally, stop := start(t)
+	awaitServed(t, tally, 300)
+	stop()
+	keepsPromises(t, site)
+	assert.Equal(t, tally.Failed.Load(), int64(0))
+}
+
+// Faults of instances never break a promise, and the site serves on.
+func TestInstancesThatMisbehave(t *testing.T) {
+	for name, behaviour := range map[string]instance.Behaviour{
+		"answers lost":           {LoseAnswer: 0.3},
+		"answers cut off":        {Cut: 0.3},
+		"a second answer":        {Extra: 0.4},
+		"a second answer, late":  {Extra: 0.4, ExtraAfter: 15 * time.Millisecond},
+		"answers without length": {Unframed: 0.4},
+		"no HTTP":                {Garbage: 0.3},
+		"refused early":          {Early: 0.5},
+		"slow":                   {Slowdown: 8},
+		"all at once":            {LoseAnswer: 0.1, Cut: 0.1, Extra: 0.2, Unframed: 0.1, Garbage: 0.1, Early: 0.2, Slowdown: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			site, tally, stop := start(t)
+			for index, machine := range site.Machines {
+				if index%2 == 0 {
+					machine.Instance().Set(behaviour)
+				}
+			}
+			awaitServed(t, tally, 200)
+			stop()
+			keepsPromises(t, site)
+		})
+	}
+}
+
+func TestInstancesThatComeAndGo(t *testing.T) {
+	for name, disturb := range map[string]func(*testing.T, *day.Machine){
+		"crash and start again at the address": func(t *testing.T, machine *day.Machine) {
+			assert.NilError(t, machine.Restart(100*time.Millisecond))
+		},
+		"drain and be replaced": func(t *testing.T, machine *day.Machine) {
+			acknowledged, err := machine.Release(context.Background(), 1500*time.Millisecond, false)
+			assert.NilError(t, err)
+			assert.Assert(t, acknowledged)
+		},
+		"say farewell first": func(t *testing.T, machine *day.Machine) {
+			acknowledged, err := machine.Release(context.Background(), 1500*time.Millisecond, true)
+			assert.NilError(t, err)
+			assert.Assert(t, acknowledged)
+		},
+		"fall silent": func(t *testing.T, machine *day.Machine) {
+			machine.Instance().Set(instance.Behaviour{Silent: true})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			site, tally, stop := start(t)
+			awaitServed(t, tally, 50)
+			for _, machine := range site.Machines[:2] {
+				disturb(t, machine)
+			}
+			awaitServed(t, tally, 200)
+			stop()
+			keepsPromises(t, site)
+		})
+	}
+}
+
+// After planned stops of all daemons in turn every instance is used again: on
+// day trouble-2 of the users' bench each stop had taken an instance away for
+// good, because the others took the stopping daemon's word that its instance
+// took no more work for the instance's own.
+func TestInstancesAreUsedAgainAfterPlannedStops(t *testing.T) {
+	site, tally, stop := start(t)
+	awaitServed(t, tally, 50)
+	half := len(site.Machines) / 2
+	for index := range half {
+		var stops sync.WaitGroup
+		for _, machine := range []*day.Machine{site.Machines[index], site.Machines[index+half]} {
+			stops.Go(func() {
+				cut, err := machine.Roll(50 * time.Millisecond)
+				assert.Check(t, err)
+				assert.Check(t, cut == 0, "%d calls were cut", cut)
+			})
+		}
+		stops.Wait()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(t, site.AwaitReady(ctx))
+	awaitServed(t, tally, 100)
+	stop()
+	keepsPromises(t, site)
+}
+
+// An instance that left stays away although its daemon lost its memory and a
+// late heartbeat says that it is ready.
+func TestInstanceThatLeftStaysAwayAfterItsDaemonStartsAgain(t *testing.T) {
+	site, tally, stop := start(t)
+	awaitServed(t, tally, 50)
+	machine := site.Machines[0]
+	leaving := machine.Instance()
+	left := make(chan bool, 1)
+	go func() {
+		acknowledged := leaving.Leave(context.Background(), 3*time.Second, false)
+		left <- acknowledged
+	}()
+	for running := machine.Daemon(); running.ReadyEndpoints("desk") == 3; {
+		time.Sleep(5 * time.Millisecond)
+	}
+	// The news is with the others before the daemon is killed.
+	for _, other := range site.Machines[1:] {
+		for other.Daemon().ReadyEndpoints("desk") == 3 {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	assert.NilError(t, machine.Kill(10*time.Millisecond))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for machine.Daemon().Revision() == 0 {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(5 * time.Millisecond)
+	}
+	leaving.BeatLate(ctx)
+	awaitServed(t, tally, 200)
+	assert.Assert(t, <-left)
+	stop()
+	keepsPromises(t, site)
+}
+
+func TestStoreFaults(t *testing.T) {
+	for name, faults := range map[string]objectstore.Faults{
+		"down":           {Down: true},
+		"silent":         {Silent: true},
+		"resets":         {Reset: true},
+		"slow":           {Delay: 300 * time.Millisecond},
+		"loses answers":  {LoseWrites: 0.5},
+		"does them late": {LoseWrites: 0.5, Late: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			site, tally, stop := start(t)
+			awaitServed(t, tally, 50)
+			site.Store.SetFaults(faults)
+			version, err := site.Declare(routes)
+			assert.NilError(t, err)
+			// A daemon that starts meanwhile knows nobody; its neighbours bring
+			// it the configuration and the instances.
+			assert.NilError(t, site.Machines[0].Kill(50*time.Millisecond))
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			assert.NilError(t, site.AwaitReady(ctx))
+			awaitServed(t, tally, 100)
+			site.Store.SetFaults(objectstore.Faults{})
+			assert.NilError(t, site.AwaitInForce(ctx, version))
+			stop()
+			keepsPromises(t, site)
+		})
+	}
+}
+
+// The store hears nothing of a change and forgets its history.
+func TestForgottenHistory(t *testing.T) {
+	site, tally, stop := start(t)
+	awaitServed(t, tally, 50)
+	site.Store.SetFaults(objectstore.Faults{Deaf: true})
+	version, err := site.Declare(routes)
+	assert.NilError(t, err)
+	site.Store.SetFaults(objectstore.Faults{})
+	site.Store.Forget()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(t, site.AwaitInForce(ctx, version))
+	stop()
+	keepsPromises(t, site)
+}
+
+// Everything is killed at once, and comes back to what the store holds.
+func TestAllDaemonsAreKilledAtOnce(t *testing.T) {
+	site, tally, stop := start(t)
+	awaitServed(t, tally, 50)
+	version, err := site.Declare(routes)
+	assert.NilError(t, err)
+	killed := make(chan error, len(site.Machines))
+	for _, machine := range site.Machines {
+		go func() { killed <- machine.Kill(200 * time.Millisecond) }()
+	}
+	for range site.Machines {
+		assert.NilError(t, <-killed)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(t, site.AwaitReady(ctx))
+	assert.NilError(t, site.AwaitInForce(ctx, version))
+	awaitServed(t, tally, 100)
+	stop()
+	keepsPromises(t, site)
+}
+
+func TestStormOfConfigurations(t *testing.T) {
+	site, tally, stop := start(t)
+	var version uint64
+	for range 50 {
+		declared, err := site.Declare(routes)
+		assert.NilError(t, err)
+		version = declared
+		time.Sleep(5 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(t, site.AwaitInForce(ctx, version))
+	awaitServed(t, tally, 50)
+	stop()
+	keepsPromises(t, site)
+}
--- /dev/null
+++ b/internal/emulator/day/operator.go
@@ -0,0 +1,52 @@
+package day
+
+import (
+	"encoding/json"
+
+	"github.com/lapisvane/lapisvane/platform"
+)
+
+// Route is a route as the operator declares it.
+type Route struct {
+	Name, Host, Prefix, Kind, Service string
+	TimeoutMillis, TargetMillis       uint32
+	Priority, Attempts                uint32
+	Split                             []platform.Backend
+}
+
+// Config builds the operator's configuration.
+func Config(version uint64, services []string, routes []Route) platform.Config {
+	config := platform.Config{Version: version, Limits: platform.Limits{
+		HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeoutMillis: 3000, IdleTimeoutMillis: 15000,
+	}}
+	config.Services.Columns = []string{platform.ColumnName, platform.ColumnHealthPath, platform.ColumnConnections}
+	for _, service := range services {
+		config.Services.Rows = append(config.Services.Rows, row(service, "/health", 130))
+	}
+	config.Routes.Columns = []string{
+		platform.ColumnName, platform.ColumnHost, platform.ColumnPrefix, platform.ColumnKind, platform.ColumnTimeout,
+		platform.ColumnTarget, platform.ColumnPriority, platform.ColumnAttempts, platform.ColumnService, platform.ColumnBackends,
+	}
+	for _, route := range routes {
+		var split any
+		if len(route.Split) > 0 {
+			split = route.Split
+		}
+		config.Routes.Rows = append(config.Routes.Rows, row(route.Name, route.Host, route.Prefix, route.Kind,
+			route.TimeoutMillis, route.TargetMillis, route.Priority, route.Attempts, route.Service, split))
+	}
+	return config
+}
+
+// row encodes values; what cannot be encoded is left out.
+func row(values ...any) []json.RawMessage {
+	encoded := make([]json.RawMessage, 0, len(values))
+	for _, value := range values {
+		text, err := json.Marshal(value)
+		if err != nil {
+			text = []byte("null")
+		}
+		encoded = append(encoded, text)
+	}
+	return encoded
+}
--- /dev/null
+++ b/internal/emulator/day/site.go
@@ -0,0 +1,156 @@
+// Package day plays days on an emulated platform: machines with daemons and
+// instances, a store, an operator and clients, disturbed at set times. Daemons
+// run in the process that plays the day; all connections are on loopback.
+package day
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/emulator/client"
+	"github.com/lapisvane/lapisvane/internal/emulator/objectstore"
+	"github.com/lapisvane/lapisvane/internal/emulator/promise"
+	"github.com/lapisvane/lapisvane/internal/pause"
+	"github.com/lapisvane/lapisvane/platform"
+)
+
+const pollInterval = 10 * time.Millisecond
+
+// Site is an emulated platform with its machines.
+type Site struct {
+	Store    *objectstore.Server
+	Machines []*Machine
+	Ledger   *Ledger
+
+	options Options
+	// mutex protects version, the newest configuration's.
+	mutex   sync.Mutex
+	version uint64
+}
+
+// Start starts a site whose operator has declared the given routes, and waits
+// until all daemons are ready.
+func Start(ctx context.Context, options Options, routes []Route) (*Site, error) {
+	store, err := objectstore.Start(objectstore.Options{
+		Address: "127.0.0.1:0", ReadsPerSecond: options.ReadsPerSecond, WritesPerSecond: options.WritesPerSecond, Seed: options.Seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	site := &Site{Store: store, Ledger: promise.NewLedger(options.DrainBound), options: options}
+	if _, err := site.Declare(routes); err != nil {
+		return nil, err
+	}
+	for index, placement := range options.Machines {
+		machine := &Machine{
+			Name: fmt.Sprintf("machine-%s-%d", placement.Zone, index+1), Zone: placement.Zone, Service: placement.Service, site: site,
+		}
+		site.Machines = append(site.Machines, machine)
+		if err := machine.start(); err != nil {
+			return site, err
+		}
+		if err := machine.startInstance(machine.Service, ""); err != nil {
+			return site, err
+		}
+	}
+	return site, site.AwaitReady(ctx)
+}
+
+// Close ends everything at once.
+func (s *Site) Close() {
+	for _, machine := range s.Machines {
+		if process := machine.take(); process != nil {
+			close(process.force)
+			<-process.ended
+		}
+		if machine.Instance() != nil {
+			machine.Instance().Crash()
+		}
+	}
+	s.Store.Close()
+}
+
+// services returns the services of the site, each once.
+func (s *Site) services() []string {
+	seen := map[string]bool{}
+	var services []string
+	for _, placement := range s.options.Machines {
+		if !seen[placement.Service] {
+			seen[placement.Service] = true
+			services = append(services, placement.Service)
+		}
+	}
+	return services
+}
+
+// Declare writes a configuration as the operator does and returns its version.
+// Versions climb in uneven steps.
+func (s *Site) Declare(routes []Route) (version uint64, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version += 1 + s.version%3
+	config := Config(s.version, s.services(), routes)
+	return s.version, s.Store.PutSpec(platform.KindConfig, platform.NameConfig, config)
+}
+
+// AwaitReady waits until every daemon is ready and knows every instance.
+func (s *Site) AwaitReady(ctx context.Context) error {
+	return s.await(ctx, "ready", func() bool {
+		for _, machine := range s.Machines {
+			running := machine.Daemon()
+			if running == nil || !machine.Ready(ctx) {
+				return false
+			}
+			for _, service := range s.services() {
+				if running.ReadyEndpoints(service) != s.count(service) {
+					return false
+				}
+			}
+		}
+		return true
+	})
+}
+
+func (s *Site) count(service string) int {
+	count := 0
+	for _, machine := range s.Machines {
+		if machine.Service == service {
+			count++
+		}
+	}
+	return count
+}
+
+// AwaitInForce waits until every running daemon has a version in force.
+func (s *Site) AwaitInForce(ctx context.Context, version uint64) error {
+	return s.await(ctx, fmt.Sprintf("version %d in force", version), func() bool {
+		for _, machine := range s.Machines {
+			if running := machine.Daemon(); running != nil && running.Revision() < version {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (s *Site) await(ctx context.Context, what string, reached func() bool) error {
+	for !reached() {
+		if !pause.For(ctx, pollInterval) {
+			return fmt.Errorf("not reached in time: %s", what)
+		}
+	}
+	return nil
+}
+
+// Targets returns the machines that clients' requests start on.
+func (s *Site) Targets() []client.Target {
+	targets := make([]client.Target, 0, len(s.Machines))
+	for _, machine := range s.Machines {
+		targets = append(targets, client.Target{
+			Address: machine.Caller, Service: func() string { return machine.Service },
+		})
+	}
+	return targets
+}
--- /dev/null
+++ b/internal/emulator/instance/instance.go
@@ -0,0 +1,242 @@
+// Package instance is a stand-in for an application instance of the emulated
+// platform: it registers with the daemon beside it, works on requests in slots
+// with a short queue, states its load, drains, crashes, starts again, and
+// misbehaves as instances do.
+package instance
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/emulator/promise"
+	"github.com/lapisvane/lapisvane/internal/pause"
+	"github.com/lapisvane/lapisvane/platform"
+)
+
+// Behaviour is what can be changed while an instance runs. The zero value is a
+// well-behaved one.
+type Behaviour struct {
+	// Slowdown is how many times longer work takes; below 1 counts as 1.
+	Slowdown float64
+	// LoseAnswer is the share of the requests that run and are never answered.
+	LoseAnswer float64
+	// Cut is the share of the answers that break off.
+	Cut float64
+	// Extra is the share of the answers that come a second time.
+	Extra float64
+	// ExtraAfter is how long after the first the second one comes.
+	ExtraAfter time.Duration
+	// Unframed is the share of the answers without length, which end with the
+	// connection.
+	Unframed float64
+	// Garbage is the share of the answers that are not HTTP.
+	Garbage float64
+	// Early is the share of the requests that are refused before their body is
+	// read.
+	Early float64
+	// Silent keeps the instance from reading, answering and registering.
+	Silent bool
+}
+
+// Options configure an Instance.
+type Options struct {
+	Service string
+	Zone    string
+	// Address is where to listen; "127.0.0.1:0" picks a port.
+	Address string
+	// Registration is where the daemon beside it takes heartbeats.
+	Registration string
+	// Outbound is where the daemon beside it takes calls.
+	Outbound string
+	Slots    int
+	Queue    int
+	// ServiceTime is the mean time of work on a request.
+	ServiceTime time.Duration
+	Beat        time.Duration
+	// ColdFor is how long work takes twice as long after the start.
+	ColdFor time.Duration
+	Ledger  *promise.Ledger
+	Seed    uint64
+}
+
+// Instance is one incarnation of an instance.
+type Instance struct {
+	options  Options
+	id       string
+	listener net.Listener
+	slots    chan struct{}
+	waiting  atomic.Int64
+	running  atomic.Int64
+	started  time.Time
+	sequence atomic.Uint64
+	draining atomic.Bool
+
+	stopped context.Context
+	stop    context.CancelFunc
+	work    sync.WaitGroup
+
+	// mutex protects everything below.
+	mutex     sync.Mutex
+	behaviour Behaviour
+	random    *rand.Rand
+	conns     map[net.Conn]bool
+}
+
+// nextID makes the ids of incarnations unique within the process.
+var nextID atomic.Uint64
+
+// Start opens the listener, registers and serves in the background.
+func Start(options Options) (*Instance, error) {
+	listener, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &Instance{
+		options: options, id: fmt.Sprintf("i-%08x", nextID.Add(1)), listener: listener,
+		slots: make(chan struct{}, options.Slots), started: time.Now(), stopped: ctx, stop: cancel,
+		random: rand.New(rand.NewPCG(options.Seed, nextID.Load())), conns: map[net.Conn]bool{},
+	}
+	started.work.Go(started.accept)
+	started.work.Go(started.beat)
+	return started, nil
+}
+
+// ID returns the name of this incarnation.
+func (i *Instance) ID() string { return i.id }
+
+// Address returns where the instance listens.
+func (i *Instance) Address() string { return i.listener.Addr().String() }
+
+// Running returns the requests that are worked on.
+func (i *Instance) Running() int { return int(i.running.Load()) }
+
+// Set replaces the behaviour.
+func (i *Instance) Set(behaviour Behaviour) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.behaviour = behaviour
+}
+
+func (i *Instance) current() Behaviour {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.behaviour
+}
+
+// chance reports true for a share of the calls.
+func (i *Instance) chance(share float64) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.random.Float64() < share
+}
+
+// Crash ends the instance at once, without a word.
+func (i *Instance) Crash() {
+	i.stop()
+	_ = i.listener.Close()
+	i.mutex.Lock()
+	for conn := range i.conns {
+		_ = conn.Close()
+	}
+	i.mutex.Unlock()
+	i.work.Wait()
+}
+
+// Leave ends the instance as planned: it says that it drains, serves on for
+// keep after the acknowledgement, says farewell and ends. With abrupt it says
+// farewell first. It reports whether the leaving was acknowledged.
+func (i *Instance) Leave(ctx context.Context, keep time.Duration, abrupt bool) (acknowledged bool) {
+	i.draining.Store(true)
+	for !acknowledged && pause.For(ctx, 0) {
+		if abrupt {
+			acknowledged = i.tell(ctx, http.MethodDelete, nil) == nil
+		} else {
+			acknowledged = i.heartbeat(ctx) == nil
+		}
+		if !acknowledged && !pause.For(ctx, i.options.Beat/2) {
+			break
+		}
+	}
+	if acknowledged {
+		i.options.Ledger.Left(i.id)
+	}
+	pause.For(ctx, keep)
+	if !abrupt {
+		_ = i.tell(ctx, http.MethodDelete, nil)
+	}
+	i.Crash()
+	return acknowledged
+}
+
+// beat registers at intervals until the instance ends.
+func (i *Instance) beat() {
+	for {
+		if !i.current().Silent && !i.draining.Load() {
+			_ = i.heartbeat(i.stopped)
+		}
+		if !pause.For(i.stopped, i.options.Beat) {
+			return
+		}
+	}
+}
+
+// heartbeat states the instance's condition; an error means that it was not
+// acknowledged.
+func (i *Instance) heartbeat(ctx context.Context) error {
+	state := platform.StateReady
+	if i.draining.Load() {
+		state = platform.StateDraining
+	}
+	return i.state(ctx, state, i.sequence.Add(1))
+}
+
+// state states a condition under a sequence number.
+func (i *Instance) state(ctx context.Context, state string, sequence uint64) error {
+	beat := platform.Heartbeat{
+		Address: i.Address(),
+		Info:    platform.HeartbeatInfo{Service: i.options.Service, Version: "v1", Zone: i.options.Zone, Slots: i.options.Slots},
+		Status: platform.HeartbeatStatus{
+			State: state, Sequence: sequence,
+			ColdMs: max((i.options.ColdFor - time.Since(i.started)).Milliseconds(), 0),
+		},
+	}
+	body, err := json.Marshal(beat)
+	if err != nil {
+		return err
+	}
+	return i.tell(ctx, http.MethodPut, body)
+}
+
+// BeatLate sends a heartbeat from before the instance said that it leaves, as
+// one that was held up on its way.
+func (i *Instance) BeatLate(ctx context.Context) {
+	_ = i.state(ctx, platform.StateReady, 1)
+}
+
+// tell calls the daemon beside the instance.
+func (i *Instance) tell(ctx context.Context, method string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.options.Registration+platform.PathInstances+i.id, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	_ = response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return fmt.Errorf("answered %d", response.StatusCode)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/instance/serve.go
@@ -0,0 +1,281 @@
+package instance
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/emulator/promise"
+	"github.com/lapisvane/lapisvane/internal/pause"
+	"github.com/lapisvane/lapisvane/platform"
+)
+
+// Header fields by which a client asks an instance for something.
+const (
+	// HeaderAnswerBytes asks for an answer of that size.
+	HeaderAnswerBytes = "Emulator-Answer-Bytes"
+	// HeaderCall asks for a call of the given path, at the host of the request,
+	// through the daemon beside the instance.
+	HeaderCall = "Emulator-Call"
+)
+
+const defaultAnswerBytes = 200
+
+// fate is how a request's answer is sent.
+type fate int
+
+const (
+	fateKeep fate = iota
+	fateClose
+)
+
+// accept takes connections until the instance ends.
+func (i *Instance) accept() {
+	for {
+		conn, err := i.listener.Accept()
+		if err != nil {
+			return
+		}
+		i.mutex.Lock()
+		i.conns[conn] = true
+		i.mutex.Unlock()
+		i.work.Go(func() {
+			i.converse(conn)
+			_ = conn.Close()
+			i.mutex.Lock()
+			delete(i.conns, conn)
+			i.mutex.Unlock()
+		})
+	}
+}
+
+// converse serves the requests of one connection.
+func (i *Instance) converse(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for i.stopped.Err() == nil {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if i.current().Silent {
+			<-i.stopped.Done()
+			return
+		}
+		if i.serve(conn, reader, request) == fateClose {
+			return
+		}
+	}
+}
+
+// serve answers one request.
+func (i *Instance) serve(conn net.Conn, reader *bufio.Reader, request *http.Request) fate {
+	id := request.Header.Get(platform.HeaderRequestID)
+	i.options.Ledger.Arrived(id)
+	behaviour := i.current()
+	if i.chance(behaviour.Early) && request.ContentLength > 0 {
+		return i.refuse(conn, request, http.StatusServiceUnavailable, fateClose)
+	}
+	if expected := request.Header.Get(platform.HeaderExpectedInstance); expected != "" && expected != i.id {
+		_, _ = io.Copy(io.Discard, request.Body)
+		return i.refuse(conn, request, http.StatusMisdirectedRequest, fateKeep)
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return fateClose
+	}
+	ctx, cancel, ended := i.watch(request, reader)
+	defer cancel()
+	verdict := i.handle(ctx, conn, request, id, body)
+	if verdict == fateClose {
+		_ = conn.Close()
+	}
+	// The watch reads on until the next request begins or the connection ends.
+	<-ended
+	return verdict
+}
+
+// handle works on a request and answers it.
+func (i *Instance) handle(ctx context.Context, conn net.Conn, request *http.Request, id string, body []byte) fate {
+	if !i.enter(ctx) {
+		return i.refuse(conn, request, http.StatusServiceUnavailable, fateClose)
+	}
+	defer i.leave()
+	behaviour := i.current()
+	stamp := i.run(request, id, body)
+	status := http.StatusOK
+	if !i.perform(ctx, request, behaviour) {
+		status = http.StatusInternalServerError
+	}
+	if i.chance(behaviour.LoseAnswer) {
+		return fateClose
+	}
+	return i.answer(conn, request, behaviour, status, stamp)
+}
+
+// watch returns a context that ends with the request's deadline or with its
+// connection; ended is closed once nothing reads the connection any more.
+func (i *Instance) watch(request *http.Request, reader *bufio.Reader) (context.Context, context.CancelFunc, <-chan struct{}) {
+	ctx, cancel := context.WithCancel(i.stopped)
+	if millis, err := strconv.Atoi(request.Header.Get(platform.HeaderDeadline)); err == nil {
+		ctx, cancel = context.WithTimeout(i.stopped, time.Duration(millis)*time.Millisecond)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if _, err := reader.Peek(1); err != nil {
+			cancel()
+		}
+	}()
+	return ctx, cancel, ended
+}
+
+// enter waits for a slot; it reports false when the queue is full or the time
+// is over.
+func (i *Instance) enter(ctx context.Context) bool {
+	select {
+	case i.slots <- struct{}{}:
+		i.running.Add(1)
+		return true
+	default:
+	}
+	if i.waiting.Add(1) > int64(i.options.Queue) {
+		i.waiting.Add(-1)
+		return false
+	}
+	defer i.waiting.Add(-1)
+	select {
+	case i.slots <- struct{}{}:
+		i.running.Add(1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (i *Instance) leave() {
+	i.running.Add(-1)
+	<-i.slots
+}
+
+// run notes that work on a request begins, and returns its stamp.
+func (i *Instance) run(request *http.Request, id string, body []byte) string {
+	stamp := fmt.Sprintf("%s.%s.%d", i.id, id, i.sequence.Add(1))
+	digest := ""
+	if len(body) > 0 {
+		sum := sha256.Sum256(body)
+		digest = hex.EncodeToString(sum[:])
+	}
+	i.options.Ledger.Ran(promise.Run{
+		Request: id, Instance: i.id, Service: i.options.Service, BodyDigest: digest,
+		Caller: request.Header.Get(platform.HeaderCallerService), Stamp: stamp, At: time.Now(),
+	})
+	return stamp
+}
+
+// perform spends the time of work and makes the calls that the request asks for.
+func (i *Instance) perform(ctx context.Context, request *http.Request, behaviour Behaviour) bool {
+	factor := max(behaviour.Slowdown, 1)
+	if time.Since(i.started) < i.options.ColdFor {
+		factor *= 2
+	}
+	i.mutex.Lock()
+	spread := 0.5 + i.random.Float64()
+	i.mutex.Unlock()
+	if !pause.For(ctx, time.Duration(float64(i.options.ServiceTime)*factor*spread)) {
+		return false
+	}
+	if path := request.Header.Get(HeaderCall); path != "" {
+		return i.call(ctx, request, path)
+	}
+	return true
+}
+
+// call makes a call through the daemon beside the instance.
+func (i *Instance) call(ctx context.Context, parent *http.Request, path string) bool {
+	id := parent.Header.Get(platform.HeaderRequestID) + ".1." + strconv.FormatUint(i.sequence.Add(1), 10)
+	i.options.Ledger.Sent(promise.Request{
+		ID: id, Safe: true, Caller: i.options.Service, SentAt: time.Now(),
+		Services: map[string]bool{parent.Header.Get(HeaderCall + "-Service"): true},
+	})
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.options.Outbound+path, nil)
+	if err != nil {
+		return false
+	}
+	request.Host = parent.Host
+	request.Header.Set(platform.HeaderRequestID, id)
+	if deadline, ok := ctx.Deadline(); ok {
+		request.Header.Set(platform.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// refuse answers that the request did not run.
+func (i *Instance) refuse(conn net.Conn, request *http.Request, status int, then fate) fate {
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n", status, http.StatusText(status),
+		platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID), platform.HeaderInstance, i.id)
+	if status != http.StatusMisdirectedRequest {
+		head += platform.HeaderNotExecuted + ": 1\r\n"
+	}
+	if then == fateClose {
+		head += "Connection: close\r\n"
+	}
+	_, err := io.WriteString(conn, head+"\r\n")
+	if err != nil {
+		return fateClose
+	}
+	return then
+}
+
+// answer sends the answer, or what the behaviour makes of it.
+func (i *Instance) answer(conn net.Conn, request *http.Request, behaviour Behaviour, status int, stamp string) fate {
+	size := defaultAnswerBytes
+	if wanted, err := strconv.Atoi(request.Header.Get(HeaderAnswerBytes)); err == nil {
+		size = wanted
+	}
+	body := Body(stamp, size)
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n%s: %d,%d,%d\r\n", status, http.StatusText(status),
+		platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID), platform.HeaderStamp, stamp,
+		platform.HeaderLoad, i.running.Load(), i.waiting.Load(), i.options.Slots)
+	framed := head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
+	switch {
+	case i.chance(behaviour.Garbage):
+		_, _ = io.WriteString(conn, "this is no answer\r\n\r\n")
+		return fateClose
+	case i.chance(behaviour.Cut):
+		_, _ = io.WriteString(conn, framed[:len(framed)-len(body)/2])
+		return fateClose
+	case i.chance(behaviour.Unframed):
+		_, _ = io.WriteString(conn, head+"Connection: close\r\n\r\n"+body)
+		return fateClose
+	}
+	if _, err := io.WriteString(conn, framed); err != nil {
+		return fateClose
+	}
+	if i.chance(behaviour.Extra) {
+		time.Sleep(behaviour.ExtraAfter)
+		_, _ = io.WriteString(conn, framed)
+	}
+	return fateKeep
+}
+
+// Body returns the body of the answer with a stamp; a client can make it again.
+func Body(stamp string, size int) string {
+	body := make([]byte, size)
+	for index := range body {
+		body[index] = stamp[index%len(stamp)]
+	}
+	return string(body)
+}
--- /dev/null
+++ b/internal/emulator/objectstore/server.go
@@ -0,0 +1,343 @@
+package objectstore
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/lapisvane/lapisvane/internal/pause"
+	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/platform"
+)
+
+// Bounds of the stand-in.
+const (
+	maxWait      = 30 * time.Second
+	maxBodyBytes = 2 << 20
+	lateMin      = 50 * time.Millisecond
+	lateSpread   = 200 * time.Millisecond
+)
+
+// Faults are the disturbances that can be switched on. The zero value is a
+// healthy store.
+type Faults struct {
+	// Down answers every call with 503; nothing is done.
+	Down bool
+	// Silent answers nothing until the caller gives up; nothing is done.
+	Silent bool
+	// Reset closes the connection of every call; nothing is done.
+	Reset bool
+	// Delay slows every answer.
+	Delay time.Duration
+	// LoseWrites is the share of the writes that are done and not answered;
+	// with Late they are done only a moment later.
+	LoseWrites float64
+	Late       bool
+	// Deaf keeps the watches from hearing of changes.
+	Deaf bool
+	// RefuseFrom holds the local addresses' hosts whose calls get 503, while
+	// others are served.
+	RefuseFrom map[string]bool
+}
+
+// Options configure a Server.
+type Options struct {
+	// Address is where to listen; "127.0.0.1:0" picks a port.
+	Address string
+	// ReadsPerSecond and WritesPerSecond are borne from all callers together; 0
+	// for no bound. What is beyond gets 429.
+	ReadsPerSecond, WritesPerSecond float64
+	// Seed seeds the faults' randomness.
+	Seed uint64
+}
+
+// Server is the stand-in. Create it with Start and end it with Close.
+type Server struct {
+	table    *table
+	listener net.Listener
+	http     *http.Server
+	reads    *rate.Limiter
+	writes   *rate.Limiter
+
+	// mutex protects everything below.
+	mutex  sync.Mutex
+	faults Faults
+	random *rand.Rand
+	// cut is closed and replaced to end the waiting watches.
+	cut chan struct{}
+
+	calls, refused atomic.Int64
+}
+
+// Start opens the listener and serves in the background.
+func Start(options Options) (*Server, error) {
+	listener, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		return nil, result.Wrap(result.SettingsBadAddress, err, "listening on %s", options.Address)
+	}
+	server := &Server{
+		table: newTable(), listener: listener,
+		reads: limiter(options.ReadsPerSecond), writes: limiter(options.WritesPerSecond),
+		random: rand.New(rand.NewPCG(options.Seed, 1)), cut: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.PathObjects, server.serve)
+	server.http = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = server.http.Serve(listener) }()
+	return server, nil
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond), 1))
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the server and all watches.
+func (s *Server) Close() { _ = s.http.Close() }
+
+// SetFaults replaces the faults in force. Watches that wait end when the store
+// goes down.
+func (s *Server) SetFaults(faults Faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = faults
+	if faults.Down || faults.Reset || faults.Silent {
+		s.cutWatches()
+	}
+}
+
+// Forget drops the history of changes and cuts the watches.
+func (s *Server) Forget() {
+	s.table.forget()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.cutWatches()
+}
+
+// cutWatches ends the waiting watches; the caller holds mutex.
+func (s *Server) cutWatches() {
+	close(s.cut)
+	s.cut = make(chan struct{})
+}
+
+// Calls returns the calls taken and those refused for the rate.
+func (s *Server) Calls() (taken, refused int64) { return s.calls.Load(), s.refused.Load() }
+
+// Objects returns the objects of a kind, whatever the faults.
+func (s *Server) Objects(kind string) []platform.Object { return s.table.list(kind, "").Items }
+
+// PutSpec writes an object's spec as an operator does, whatever the faults.
+func (s *Server) PutSpec(kind, name string, value any) error {
+	spec, err := specOf(value)
+	if err != nil {
+		return err
+	}
+	s.table.mutate(kind, name, 0, func(present platform.Object, _ bool) (platform.Object, bool) {
+		present.Spec = spec
+		return present, true
+	})
+	return nil
+}
+
+// disturbance is what the faults do to one call.
+type disturbance struct {
+	faults Faults
+	lose   bool
+	late   time.Duration
+	cut    <-chan struct{}
+}
+
+func (s *Server) disturb() disturbance {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	disturbed := disturbance{faults: s.faults, cut: s.cut}
+	disturbed.lose = s.random.Float64() < s.faults.LoseWrites
+	if s.faults.Late {
+		disturbed.late = lateMin + time.Duration(s.random.Float64()*float64(lateSpread))
+	}
+	return disturbed
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
+	disturbed := s.disturb()
+	if !s.admit(w, r, disturbed) {
+		return
+	}
+	kind, name, part := splitPath(r.URL.Path)
+	if r.Method == http.MethodGet {
+		s.read(w, r, disturbed, kind, name)
+		return
+	}
+	s.write(w, r, disturbed, kind, name, part)
+}
+
+// admit applies the faults that keep a call from being done, and the rates.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, disturbed disturbance) bool {
+	faults := disturbed.faults
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	switch {
+	case faults.Silent:
+		<-r.Context().Done()
+		return false
+	case faults.Reset:
+		hangUp(w)
+		return false
+	case faults.Down || faults.RefuseFrom[host]:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	}
+	limit := s.writes
+	if r.Method == http.MethodGet {
+		limit = s.reads
+	}
+	if r.URL.Query().Get("stale") == "" && !limit.Allow() {
+		s.refused.Add(1)
+		w.WriteHeader(http.StatusTooManyRequests)
+		return false
+	}
+	return pause.For(r.Context(), faults.Delay)
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request, disturbed disturbance, kind, name string) {
+	if name != "" {
+		object, ok := s.table.get(kind, name)
+		if !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		answer(w, object)
+		return
+	}
+	query := r.URL.Query()
+	if watch := query.Get("watch"); watch != "" {
+		s.watch(w, r, disturbed, kind, watch)
+		return
+	}
+	answer(w, s.table.list(kind, query.Get("after")))
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, disturbed disturbance, kind, from string) {
+	after, err := strconv.ParseUint(from, 10, 64)
+	wait, waitErr := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	if err != nil || waitErr != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
+	defer timer.Stop()
+	for {
+		changes, changed, gone := s.table.since(kind, after)
+		deaf := s.disturb().faults.Deaf
+		switch {
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(changes.Events) > 0 && !deaf:
+			answer(w, changes)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			if deaf {
+				changes = platform.Changes{Events: []platform.Event{}, At: after}
+			}
+			answer(w, changes)
+			return
+		case <-disturbed.cut:
+			hangUp(w)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request, disturbed disturbance, kind, name, part string) {
+	var object platform.Object
+	if r.Method != http.MethodDelete {
+		body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+		if err != nil || json.Unmarshal(body, &object) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	if kind == platform.KindConfig {
+		// The operator's alone.
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	expected, _ := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	perform := func() writeResult { return s.perform(r.Method, kind, name, part, object, expected) }
+	if disturbed.lose {
+		if disturbed.late > 0 {
+			time.AfterFunc(disturbed.late, func() { perform() })
+		} else {
+			perform()
+		}
+		<-r.Context().Done()
+		return
+	}
+	outcome := perform()
+	switch {
+	case outcome.missing:
+		w.WriteHeader(http.StatusNotFound)
+	case outcome.conflict:
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(outcome.object)
+	default:
+		answer(w, outcome.object)
+	}
+}
+
+func (s *Server) perform(method, kind, name, part string, object platform.Object, expected uint64) writeResult {
+	if object.Metadata.Revision == 0 {
+		object.Metadata.Revision = expected
+	}
+	switch {
+	case method == http.MethodPost:
+		return s.table.create(kind, object)
+	case method == http.MethodDelete:
+		return s.table.remove(kind, name, expected)
+	case part == "status":
+		return s.table.replaceStatus(kind, name, object)
+	default:
+		return s.table.replaceSpec(kind, name, object)
+	}
+}
+
+// splitPath splits /objects/KIND/NAME/PART.
+func splitPath(path string) (kind, name, part string) {
+	pieces := strings.SplitN(strings.TrimPrefix(path, platform.PathObjects), "/", 3)
+	pieces = append(pieces, "", "")
+	return pieces[0], pieces[1], pieces[2]
+}
+
+func answer(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// hangUp closes the connection without an answer.
+func hangUp(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/emulator/promise/promise.go
@@ -0,0 +1,217 @@
+// Package promise keeps the ledger of a run on the emulated platform: what
+// clients sent, what instances ran, what was answered and acknowledged. From it
+// follow the broken promises.
+package promise
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Kind names a promise.
+type Kind string
+
+// The promises that are checked.
+const (
+	// Twice: a request that may not be repeated ran more than once.
+	Twice Kind = "twice"
+	// Refused: a request that was refused as not run has run.
+	Refused Kind = "refused"
+	// Mixed: a success is not the whole answer of the instance that ran it.
+	Mixed Kind = "mixed"
+	// Unasked: an instance ran what no client sent, or not as it was sent.
+	Unasked Kind = "unasked"
+	// Drain: an instance got a request too long after its leaving was
+	// acknowledged.
+	Drain Kind = "drain"
+	// Route: a request ran at a service that no configuration allows.
+	Route Kind = "route"
+	// Config: a request was handled by a version that must no longer be in
+	// force.
+	Config Kind = "config"
+	// Denied: a proper request got a failure that says that it was not.
+	Denied Kind = "denied"
+	// Budget: an instance got more repeats than the budget allows.
+	Budget Kind = "budget"
+)
+
+// Breach is one broken promise.
+type Breach struct {
+	Kind    Kind
+	Request string
+	Detail  string
+}
+
+// Request is what a client sent.
+type Request struct {
+	ID string
+	// Services are those that configurations allow it to run at.
+	Services map[string]bool
+	Safe     bool
+	// BodyDigest is that of the body, empty for none.
+	BodyDigest string
+	// Caller is the service of the machine where it starts.
+	Caller string
+	SentAt time.Time
+}
+
+// Run is one run of a request at an instance.
+type Run struct {
+	Request    string
+	Instance   string
+	Service    string
+	BodyDigest string
+	Caller     string
+	Stamp      string
+	At         time.Time
+}
+
+// Answer is what a client got.
+type Answer struct {
+	Request string
+	Status  int
+	Stamp   string
+	// Whole is true when the body was received to its end and is the one that
+	// belongs to Stamp.
+	Whole bool
+}
+
+// Ledger is safe for concurrent use.
+type Ledger struct {
+	drainBound time.Duration
+
+	// mutex protects everything below.
+	mutex    sync.Mutex
+	requests map[string]Request
+	runs     map[string][]Run
+	answers  map[string]Answer
+	arrivals map[string]int
+	// left gives the time when an instance's leaving was acknowledged.
+	left     map[string]time.Time
+	breaches []Breach
+}
+
+// NewLedger returns a ledger for a platform with the given bound for drains.
+func NewLedger(drainBound time.Duration) *Ledger {
+	return &Ledger{
+		drainBound: drainBound, requests: map[string]Request{}, runs: map[string][]Run{},
+		answers: map[string]Answer{}, arrivals: map[string]int{}, left: map[string]time.Time{},
+	}
+}
+
+// Sent notes a request before it is sent.
+func (l *Ledger) Sent(request Request) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.requests[request.ID] = request
+}
+
+// Arrived notes that an instance received a request, also one that it refuses.
+func (l *Ledger) Arrived(request string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.arrivals[request]++
+}
+
+// Repeats returns the arrivals after the first of each request.
+func (l *Ledger) Repeats() (requests, repeats int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, count := range l.arrivals {
+		repeats += count - 1
+	}
+	return len(l.requests), repeats
+}
+
+// Left notes that an instance's leaving was acknowledged.
+func (l *Ledger) Left(instance string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if _, before := l.left[instance]; !before {
+		l.left[instance] = time.Now()
+	}
+}
+
+// Ran notes that an instance began to work on a request, and checks what can
+// be checked then.
+func (l *Ledger) Ran(run Run) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	request, sent := l.requests[run.Request]
+	switch {
+	case !sent:
+		l.note(Unasked, run.Request, "no client sent it")
+	case run.BodyDigest != request.BodyDigest:
+		l.note(Unasked, run.Request, "the body was changed")
+	case run.Caller != request.Caller:
+		l.note(Unasked, run.Request, fmt.Sprintf("the caller's service is %q, not %q", run.Caller, request.Caller))
+	case !request.Services[run.Service]:
+		l.note(Route, run.Request, "ran at "+run.Service)
+	}
+	if sent && !request.Safe && len(l.runs[run.Request]) > 0 {
+		l.note(Twice, run.Request, "ran at "+l.runs[run.Request][0].Instance+" and at "+run.Instance)
+	}
+	if at, leaving := l.left[run.Instance]; leaving && run.At.Sub(at) > l.drainBound {
+		l.note(Drain, run.Request, fmt.Sprintf("%s got it %s after its leaving was acknowledged", run.Instance, run.At.Sub(at)))
+	}
+	l.runs[run.Request] = append(l.runs[run.Request], run)
+	if answer, over := l.answers[run.Request]; over {
+		l.checkRefusal(answer)
+	}
+}
+
+// Answered notes a client's answer.
+func (l *Ledger) Answered(answer Answer) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.answers[answer.Request] = answer
+	l.checkRefusal(answer)
+	success := answer.Status/100 == 2
+	if !success {
+		if answer.Stamp == "" && answer.Status/100 == 4 && !notRun(answer.Status) {
+			l.note(Denied, answer.Request, fmt.Sprintf("answered %d", answer.Status))
+		}
+		return
+	}
+	if !answer.Whole {
+		l.note(Mixed, answer.Request, "a success is not whole")
+		return
+	}
+	for _, run := range l.runs[answer.Request] {
+		if run.Stamp == answer.Stamp {
+			return
+		}
+	}
+	l.note(Mixed, answer.Request, "a success has the stamp of no run of it")
+}
+
+// Broke notes a promise that another part found broken.
+func (l *Ledger) Broke(kind Kind, request, detail string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.note(kind, request, detail)
+}
+
+// checkRefusal checks the promise of a refusal; the caller holds mutex.
+func (l *Ledger) checkRefusal(answer Answer) {
+	if answer.Stamp == "" && notRun(answer.Status) && !l.requests[answer.Request].Safe && len(l.runs[answer.Request]) > 0 {
+		l.note(Refused, answer.Request, fmt.Sprintf("answered %d and ran at %s", answer.Status, l.runs[answer.Request][0].Instance))
+	}
+}
+
+// notRun reports whether a status promises that the request did not run.
+func notRun(status int) bool {
+	return status == 429 || status == 503 || status == 408 || status == 421
+}
+
+func (l *Ledger) note(kind Kind, request, detail string) {
+	l.breaches = append(l.breaches, Breach{Kind: kind, Request: request, Detail: detail})
+}
+
+// Breaches returns the broken promises.
+func (l *Ledger) Breaches() []Breach {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return append([]Breach(nil), l.breaches...)
+}
