--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # make demo  builds everything and shows the main job on embedded stand-ins
 # make test  runs every check and every test
-.PHONY: demo test check unit fuzz generate bench-convergence bench-recovery bench-requests scale
+.PHONY: demo test check unit fuzz generate bench-convergence bench-recovery bench-requests scale emulate
 
 GO ?= go
 
@@ -35,6 +35,10 @@
 bench-requests:
 	$(GO) run ./cmd/lapislab requests
 
+# Plays a short day on the emulated platform; fails when a promise is broken.
+emulate:
+	$(GO) run ./cmd/lapislab emulate
+
 # HOLLOW sets the number of hollow daemons, REAL that of lapisvaned processes.
 scale:
 	bash scripts/scale.sh
--- a/internal/emulator/day/day_test.go
+++ b/internal/emulator/day/day_test.go
@@ -13,26 +13,12 @@
 	"github.com/lapisvane/lapisvane/internal/emulator/day"
 	"github.com/lapisvane/lapisvane/internal/emulator/instance"
 	"github.com/lapisvane/lapisvane/internal/emulator/objectstore"
-	"github.com/lapisvane/lapisvane/platform"
 )
 
-const host = "shop.example"
-
 // patience bounds waits for what must come; no test asserts how long it took.
 const patience = 30 * time.Second
 
-var routes = []day.Route{
-	{Name: "look", Host: host, Prefix: "/look/", Kind: platform.RouteSafe, Service: "desk", TimeoutMillis: 3000, TargetMillis: 600, Priority: 2, Attempts: 2},
-	{Name: "order", Host: host, Prefix: "/order/", Kind: platform.RouteUnsafe, Service: "desk", TimeoutMillis: 3000, TargetMillis: 600, Priority: 1, Attempts: 2},
-	{Name: "file", Host: host, Prefix: "/file/", Kind: platform.RouteUpload, Service: "yard", TimeoutMillis: 3000, TargetMillis: 600, Priority: 1, Attempts: 2},
-	{Name: "stock", Host: host, Prefix: "/stock/", Kind: platform.RouteSafe, Service: "yard", TimeoutMillis: 3000, TargetMillis: 600, Attempts: 2},
-}
-
-var classes = []client.Class{
-	{Name: "look", Host: host, Path: "/look/a", Safe: true, Services: []string{"desk"}, PerSecond: 60, Deadline: 3 * time.Second, AnswerBytes: 1500, Retries: 2, CallPath: "/stock/b", CallService: "yard"},
-	{Name: "order", Host: host, Path: "/order/a/b?c=d", Services: []string{"desk"}, PerSecond: 40, Deadline: 3 * time.Second, BodyBytes: 300, AnswerBytes: 5000, Retries: 2},
-	{Name: "file", Host: host, Path: "/file/x", Services: []string{"yard"}, PerSecond: 10, Deadline: 3 * time.Second, BodyBytes: 120_000, AnswerBytes: 70_000, Retries: 2},
-}
+var routes = day.StandardRoutes()
 
 func TestMain(m *testing.M) {
 	daemon.QuietHTTPLibrary()
@@ -54,7 +40,7 @@
 	assert.NilError(t, err)
 	t.Cleanup(site.Close)
 	tally = client.NewTally()
-	load := &client.Load{Classes: classes, Targets: site.Targets(), Ledger: site.Ledger, Tally: tally, Seed: options.Seed}
+	load := &client.Load{Classes: day.StandardClasses(1), Targets: site.Targets(), Ledger: site.Ledger, Tally: tally, Seed: options.Seed}
 	loadCtx, endLoad := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); load.Run(loadCtx) }()
--- a/internal/emulator/day/machine.go
+++ b/internal/emulator/day/machine.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -25,11 +27,17 @@
 	Service string
 
 	site *Site
+	// host is the machine's own loopback address.
+	host string
+	// daemons is held while the daemon is ended and started again, beside while
+	// the instance is.
+	daemons, beside sync.Mutex
 	// mutex protects everything below.
 	mutex     sync.Mutex
 	addresses daemon.Addresses
 	running   *running
 	instance  *instance.Instance
+	instances int
 }
 
 // running is one process of a daemon.
@@ -46,10 +54,10 @@
 	defer m.mutex.Unlock()
 	config := settings.DefaultDaemon()
 	config.Node, config.Zone, config.Region, config.Service = m.Name, m.Zone, "region", m.Service
-	config.PeerAddress = orAny(m.addresses.Peer)
-	config.CallerAddress = orAny(m.addresses.Caller)
-	config.InstanceAddress = orAny(m.addresses.Instances)
-	config.ReadinessAddress = orAny(m.addresses.Readiness)
+	config.PeerAddress = m.address(portPeer)
+	config.CallerAddress = m.address(portCaller)
+	config.InstanceAddress = m.address(portInstances)
+	config.ReadinessAddress = m.address(portReadiness)
 	config.Platform = settings.Platform{
 		Form: platform.Form, Addresses: []string{m.site.Store.Address()},
 		ReadsPerSecond: m.site.options.ReadsPerSecond, WritesPerSecond: m.site.options.WritesPerSecond,
@@ -75,15 +83,36 @@
 	return nil
 }
 
-func orAny(address string) string {
-	if address == "" {
-		return "127.0.0.1:0"
-	}
-	return address
+// Ports of a machine. They lie below those that the system gives to outgoing
+// connections, so that a daemon finds its own free when it starts again.
+const (
+	portPeer = 20001 + iota
+	portCaller
+	portInstances
+	portReadiness
+	// portFirstInstance is that of a machine's first instance; each new one
+	// gets the next.
+	portFirstInstance = 21000
+)
+
+func (m *Machine) address(port int) string { return fmt.Sprintf("%s:%d", m.host, port) }
+
+// nextHost numbers the machines of a process.
+var nextHost atomic.Uint32
+
+// newHost returns a loopback address that no other machine has, of this process
+// or of another that plays days at the same time.
+func newHost() string {
+	const perByte = 250
+	process := os.Getpid()
+	number := int(nextHost.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 1+process/perByte%perByte, 1+(process+number/perByte)%perByte, 1+number%perByte)
 }
 
 // Kill ends the daemon at once and starts it again after down.
 func (m *Machine) Kill(down time.Duration) error {
+	m.daemons.Lock()
+	defer m.daemons.Unlock()
 	if process := m.take(); process != nil {
 		close(process.force)
 		<-process.ended
@@ -95,6 +124,8 @@
 // Roll stops the daemon as planned and starts it again after down. It returns
 // the calls that were cut.
 func (m *Machine) Roll(down time.Duration) (cut int64, err error) {
+	m.daemons.Lock()
+	defer m.daemons.Unlock()
 	if process := m.take(); process != nil {
 		close(process.stop)
 		<-process.ended
@@ -162,8 +193,12 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	options := m.site.options
+	if address == "" {
+		address = m.address(portFirstInstance + m.instances)
+		m.instances++
+	}
 	started, err := instance.Start(instance.Options{
-		Service: service, Zone: m.Zone, Address: orAny(address), Registration: m.addresses.Instances, Outbound: m.addresses.Caller,
+		Service: service, Zone: m.Zone, Address: address, Registration: m.addresses.Instances, Outbound: m.addresses.Caller,
 		Slots: options.Slots, Queue: options.Slots, ServiceTime: options.ServiceTime, Beat: options.Beat,
 		ColdFor: options.ColdFor, Ledger: m.site.Ledger, Seed: options.Seed,
 	})
@@ -176,6 +211,8 @@
 
 // Restart crashes the instance and starts another at its address.
 func (m *Machine) Restart(down time.Duration) error {
+	m.beside.Lock()
+	defer m.beside.Unlock()
 	address := m.Instance().Address()
 	m.Instance().Crash()
 	time.Sleep(down)
@@ -185,6 +222,8 @@
 // Release lets the instance leave as planned and starts another. It reports
 // whether the leaving was acknowledged.
 func (m *Machine) Release(ctx context.Context, keep time.Duration, abrupt bool) (acknowledged bool, err error) {
+	m.beside.Lock()
+	defer m.beside.Unlock()
 	leaving := m.Instance()
 	acknowledged = leaving.Leave(ctx, keep, abrupt)
 	return acknowledged, m.startInstance(m.Service, "")
--- /dev/null
+++ b/internal/emulator/day/play.go
@@ -0,0 +1,274 @@
+package day
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/emulator/client"
+	"github.com/lapisvane/lapisvane/internal/emulator/instance"
+	"github.com/lapisvane/lapisvane/internal/emulator/objectstore"
+	"github.com/lapisvane/lapisvane/internal/emulator/promise"
+	"github.com/lapisvane/lapisvane/internal/pause"
+)
+
+// FaultKind names a disturbance.
+type FaultKind string
+
+// The disturbances of a day.
+const (
+	FaultDaemonKill      FaultKind = "daemon-kill"
+	FaultDaemonStop      FaultKind = "daemon-stop"
+	FaultHerdKill        FaultKind = "herd-kill"
+	FaultInstanceCrash   FaultKind = "instance-crash"
+	FaultInstanceRelease FaultKind = "instance-release"
+	FaultInstanceSlow    FaultKind = "instance-slow"
+	FaultAnswersLost     FaultKind = "answers-lost"
+	FaultAnswersSpoiled  FaultKind = "answers-spoiled"
+	FaultStoreDown       FaultKind = "store-down"
+	FaultStoreSilent     FaultKind = "store-silent"
+	FaultStoreSlow       FaultKind = "store-slow"
+	FaultStoreForgets    FaultKind = "store-forgets"
+	FaultWritesLost      FaultKind = "writes-lost"
+	FaultConfigStorm     FaultKind = "config-storm"
+)
+
+// FaultKinds lists all disturbances.
+var FaultKinds = []FaultKind{
+	FaultDaemonKill, FaultDaemonStop, FaultHerdKill, FaultInstanceCrash, FaultInstanceRelease, FaultInstanceSlow,
+	FaultAnswersLost, FaultAnswersSpoiled, FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreForgets,
+	FaultWritesLost, FaultConfigStorm,
+}
+
+// Fault is one disturbance of a day.
+type Fault struct {
+	Kind FaultKind
+	// At is the time from the start of the day, For how long it lasts.
+	At, For time.Duration
+}
+
+// Plan is a day.
+type Plan struct {
+	Options Options
+	Routes  []Route
+	Classes []client.Class
+	Length  time.Duration
+	// ChangeEvery is the time between two configurations; 0 for none.
+	ChangeEvery time.Duration
+	Faults      []Fault
+	// ApplyBound is the time in which a configuration must be in force on every
+	// daemon that runs undisturbed.
+	ApplyBound time.Duration
+}
+
+// Summary is the outcome of a day.
+type Summary struct {
+	Served, Refused, Failed int64
+	LatencyP50, LatencyP99  time.Duration
+	// Convergence is the longest time until a configuration was in force on
+	// every daemon, over the changes after which that was waited for.
+	Convergence time.Duration
+	Changes     int
+	Repeats     int
+	CutAtStops  int64
+	Breaches    []promise.Breach
+}
+
+// Draw returns so many faults at random times, which the seed decides.
+func Draw(seed uint64, kinds []FaultKind, count int, length time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 7))
+	faults := make([]Fault, 0, count)
+	for range count {
+		faults = append(faults, Fault{
+			Kind: kinds[random.IntN(len(kinds))],
+			At:   time.Duration(random.Float64() * 0.8 * float64(length)),
+			For:  time.Duration((0.05 + 0.15*random.Float64()) * float64(length)),
+		})
+	}
+	return faults
+}
+
+// Play plays a day.
+func Play(ctx context.Context, plan Plan) (Summary, error) {
+	site, err := Start(ctx, plan.Options, plan.Routes)
+	if site != nil {
+		defer site.Close()
+	}
+	if err != nil {
+		return Summary{}, err
+	}
+	play := &play{site: site, plan: plan, tally: client.NewTally()}
+	dayCtx, end := context.WithTimeout(ctx, plan.Length)
+	defer end()
+	load := &client.Load{Classes: plan.Classes, Targets: site.Targets(), Ledger: site.Ledger, Tally: play.tally, Seed: plan.Options.Seed}
+	var running sync.WaitGroup
+	running.Go(func() { load.Run(dayCtx) })
+	running.Go(func() { play.change(dayCtx) })
+	for index, fault := range plan.Faults {
+		random := rand.New(rand.NewPCG(plan.Options.Seed, uint64(index)))
+		running.Go(func() {
+			if pause.For(dayCtx, fault.At) {
+				play.strike(dayCtx, fault, random)
+			}
+		})
+	}
+	running.Wait()
+	return play.finish(ctx)
+}
+
+// play is a day on its way.
+type play struct {
+	site  *Site
+	plan  Plan
+	tally *client.Tally
+
+	// stores is held by the one fault of the store that is in force.
+	stores sync.Mutex
+	// mutex protects everything below.
+	mutex       sync.Mutex
+	convergence time.Duration
+	changes     int
+	cut         int64
+	err         error
+}
+
+// change declares configurations until ctx ends.
+func (p *play) change(ctx context.Context) {
+	for p.plan.ChangeEvery > 0 && pause.For(ctx, p.plan.ChangeEvery) {
+		started := time.Now()
+		version, err := p.site.Declare(p.plan.Routes)
+		p.note(err)
+		waitCtx, cancel := context.WithTimeout(ctx, p.plan.ApplyBound)
+		if p.site.AwaitInForce(waitCtx, version) == nil {
+			p.mutex.Lock()
+			p.convergence = max(p.convergence, time.Since(started))
+			p.mutex.Unlock()
+		}
+		cancel()
+		p.mutex.Lock()
+		p.changes++
+		p.mutex.Unlock()
+	}
+}
+
+func (p *play) note(err error) {
+	if err == nil {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.err == nil {
+		p.err = err
+	}
+}
+
+// strike carries out one fault.
+func (p *play) strike(ctx context.Context, fault Fault, random *rand.Rand) {
+	machine := p.site.Machines[random.IntN(len(p.site.Machines))]
+	switch fault.Kind {
+	case FaultDaemonKill:
+		p.note(machine.Kill(fault.For / 4))
+	case FaultDaemonStop:
+		cut, err := machine.Roll(fault.For / 4)
+		p.mutex.Lock()
+		p.cut += cut
+		p.mutex.Unlock()
+		p.note(err)
+	case FaultHerdKill:
+		p.herd(fault.For / 4)
+	case FaultInstanceCrash:
+		p.note(machine.Restart(fault.For / 4))
+	case FaultInstanceRelease:
+		_, err := machine.Release(ctx, p.plan.Options.DrainBound*3/2, random.IntN(3) == 0)
+		p.note(err)
+	case FaultConfigStorm:
+		p.storm(ctx, fault.For)
+	case FaultInstanceSlow, FaultAnswersLost, FaultAnswersSpoiled:
+		machine.Instance().Set(behaviourOf(fault.Kind))
+		pause.For(ctx, fault.For)
+		machine.Instance().Set(instance.Behaviour{})
+	default:
+		p.disturbStore(ctx, fault)
+	}
+}
+
+func behaviourOf(kind FaultKind) instance.Behaviour {
+	switch kind {
+	case FaultInstanceSlow:
+		return instance.Behaviour{Slowdown: 6}
+	case FaultAnswersLost:
+		return instance.Behaviour{LoseAnswer: 0.2}
+	default:
+		return instance.Behaviour{
+			Cut: 0.1, Extra: 0.2, ExtraAfter: 10 * time.Millisecond, Unframed: 0.1, Garbage: 0.1, Early: 0.2,
+		}
+	}
+}
+
+// disturbStore puts one fault of the store in force for its time. One at a time
+// is in force, since they replace each other.
+func (p *play) disturbStore(ctx context.Context, fault Fault) {
+	p.stores.Lock()
+	defer p.stores.Unlock()
+	switch fault.Kind {
+	case FaultStoreForgets:
+		p.site.Store.SetFaults(objectstore.Faults{Deaf: true})
+		pause.For(ctx, fault.For/4)
+		p.site.Store.SetFaults(objectstore.Faults{})
+		p.site.Store.Forget()
+		return
+	case FaultStoreDown:
+		p.site.Store.SetFaults(objectstore.Faults{Down: true})
+	case FaultStoreSilent:
+		p.site.Store.SetFaults(objectstore.Faults{Silent: true})
+	case FaultStoreSlow:
+		p.site.Store.SetFaults(objectstore.Faults{Delay: 250 * time.Millisecond})
+	case FaultWritesLost:
+		p.site.Store.SetFaults(objectstore.Faults{LoseWrites: 0.4, Late: true})
+	}
+	pause.For(ctx, fault.For)
+	p.site.Store.SetFaults(objectstore.Faults{})
+}
+
+func (p *play) herd(down time.Duration) {
+	var kills sync.WaitGroup
+	for index, machine := range p.site.Machines {
+		if index%2 == 0 {
+			kills.Go(func() { p.note(machine.Kill(down)) })
+		}
+	}
+	kills.Wait()
+}
+
+func (p *play) storm(ctx context.Context, length time.Duration) {
+	end := time.Now().Add(length)
+	for time.Now().Before(end) && pause.For(ctx, 20*time.Millisecond) {
+		_, err := p.site.Declare(p.plan.Routes)
+		p.note(err)
+	}
+}
+
+// finish lets the site come to rest, checks what must hold then, and sums up.
+func (p *play) finish(ctx context.Context) (Summary, error) {
+	p.site.Store.SetFaults(objectstore.Faults{})
+	version, err := p.site.Declare(p.plan.Routes)
+	p.note(err)
+	restCtx, cancel := context.WithTimeout(ctx, p.plan.ApplyBound+p.plan.Options.Contact)
+	defer cancel()
+	if p.site.AwaitInForce(restCtx, version) != nil {
+		p.site.Ledger.Broke(promise.Config, "", "a version is not in force everywhere after the day")
+	}
+	requests, repeats := p.site.Ledger.Repeats()
+	if float64(repeats) > 0.2*float64(requests)+64 {
+		p.site.Ledger.Broke(promise.Budget, "", "more repeats than the budget allows")
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return Summary{
+		Served: p.tally.Served.Load(), Refused: p.tally.Refused.Load(), Failed: p.tally.Failed.Load(),
+		LatencyP50: p.tally.Latency(50), LatencyP99: p.tally.Latency(99),
+		Convergence: p.convergence, Changes: p.changes, Repeats: repeats, CutAtStops: p.cut,
+		Breaches: p.site.Ledger.Breaches(),
+	}, p.err
+}
--- a/internal/emulator/day/site.go
+++ b/internal/emulator/day/site.go
@@ -45,7 +45,7 @@
 	}
 	for index, placement := range options.Machines {
 		machine := &Machine{
-			Name: fmt.Sprintf("machine-%s-%d", placement.Zone, index+1), Zone: placement.Zone, Service: placement.Service, site: site,
+			Name: fmt.Sprintf("machine-%s-%d", placement.Zone, index+1), Zone: placement.Zone, Service: placement.Service, site: site, host: newHost(),
 		}
 		site.Machines = append(site.Machines, machine)
 		if err := machine.start(); err != nil {
--- /dev/null
+++ b/internal/emulator/day/standard.go
@@ -0,0 +1,51 @@
+package day
+
+import (
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/emulator/client"
+	"github.com/lapisvane/lapisvane/platform"
+)
+
+// standardHost is the host of the standard day's requests.
+const standardHost = "shop.example"
+
+// StandardRoutes are those of the standard day: reads that may be repeated and
+// call on, orders that may not, uploads, and the calls of instances.
+func StandardRoutes() []Route {
+	return []Route{
+		{Name: "look", Host: standardHost, Prefix: "/look/", Kind: platform.RouteSafe, Service: "desk", TimeoutMillis: 3000, TargetMillis: 300, Priority: 2, Attempts: 2},
+		{Name: "order", Host: standardHost, Prefix: "/order/", Kind: platform.RouteUnsafe, Service: "desk", TimeoutMillis: 3000, TargetMillis: 300, Priority: 1, Attempts: 2},
+		{Name: "file", Host: standardHost, Prefix: "/file/", Kind: platform.RouteUpload, Service: "yard", TimeoutMillis: 3000, TargetMillis: 300, Priority: 1, Attempts: 2},
+		{Name: "stock", Host: standardHost, Prefix: "/stock/", Kind: platform.RouteSafe, Service: "yard", TimeoutMillis: 3000, TargetMillis: 100, Attempts: 2},
+	}
+}
+
+// StandardClasses are the requests of the standard day at factor times its
+// rate.
+func StandardClasses(factor float64) []client.Class {
+	return []client.Class{
+		{
+			Name: "look", Host: standardHost, Path: "/look/a", Safe: true, Services: []string{"desk"}, PerSecond: 60 * factor,
+			Deadline: 3 * time.Second, AnswerBytes: 1500, Retries: 2, CallPath: "/stock/b", CallService: "yard",
+		},
+		{
+			Name: "order", Host: standardHost, Path: "/order/a/b?c=d", Services: []string{"desk"}, PerSecond: 40 * factor,
+			Deadline: 3 * time.Second, BodyBytes: 300, AnswerBytes: 5000, Retries: 2,
+		},
+		{
+			Name: "file", Host: standardHost, Path: "/file/x", Services: []string{"yard"}, PerSecond: 10 * factor,
+			Deadline: 3 * time.Second, BodyBytes: 120_000, AnswerBytes: 70_000, Retries: 2,
+		},
+	}
+}
+
+// StandardPlan is a day of the given length with faults that the seed draws.
+func StandardPlan(seed uint64, length time.Duration, faults int, kinds []FaultKind) Plan {
+	options := DefaultOptions()
+	options.Seed = seed
+	return Plan{
+		Options: options, Routes: StandardRoutes(), Classes: StandardClasses(1), Length: length,
+		ChangeEvery: 500 * time.Millisecond, Faults: Draw(seed, kinds, faults, length), ApplyBound: 2 * time.Second,
+	}
+}
--- a/internal/lab/main.go
+++ b/internal/lab/main.go
@@ -29,6 +29,7 @@
 		{"convergence", "measure convergence and control bytes of each strategy", &convergenceCommand{}},
 		{"recovery", "measure recovery from each kind of fault", &recoveryCommand{}},
 		{"requests", "measure the request path", &requestsCommand{}},
+		{"emulate", "play days on the emulated platform", &emulateCommand{}},
 		{"hollow", "run hollow daemons for a scale run", &hollowCommand{}},
 		{"scale", "drive a scale run; see scripts/scale.sh", &scaleCommand{}},
 		{"report", "fit slopes over scale runs and write a page with plots", &reportCommand{}},
