Bound the wait for a slot by the target latency, most urgent first

Change: a call waits at most a quarter of its route's target latency (50 ms at least); what must wait longer is refused at once; the queue goes by priority, then by the time an answer is wanted; a refused call may come back after a random 0.2 to 0.5 of its target.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -53,6 +53,13 @@
 	Upload     bool
 	// Priority orders the waiting calls of a group; 0 is the most urgent.
 	Priority uint32
+	// Due orders calls of one priority: the time by which an answer is wanted;
+	// zero comes last.
+	Due time.Time
+	// MaxWait bounds the wait; 0 means the queue's own bound.
+	MaxWait time.Duration
+	// NoWait refuses the call when it cannot start at once.
+	NoWait bool
 	// StartBy is the time after which the call must not start; zero for none.
 	StartBy time.Time
 }
@@ -191,11 +198,17 @@
 	}
 	waiting := g.interactive
 	limit := q.limits.QueueTime
+	if request.MaxWait > 0 {
+		limit = request.MaxWait
+	}
 	if request.Background {
 		waiting = g.background
 		limit *= BackgroundFactor
 	}
-	expected := q.expectedWait(g, waiting.Len())
+	expected := q.expectedWait(g, ahead(waiting, request))
+	if request.NoWait {
+		return nil, nil, q.overloadedFor(expected, "no slot is free")
+	}
 	if waiting.Len() >= q.limits.QueueLength || expected > limit {
 		return nil, nil, q.overloadedFor(expected, "the queue of group "+request.Group+" is full")
 	}
@@ -212,13 +225,33 @@
 // insert puts a call behind all that are at least as urgent.
 func insert(waiting *list.List, entered *waiter) *list.Element {
 	for element := waiting.Back(); element != nil; element = element.Prev() {
-		if element.Value.(*waiter).request.Priority <= entered.request.Priority {
+		if !entered.request.before(&element.Value.(*waiter).request) {
 			return waiting.InsertAfter(entered, element)
 		}
 	}
 	return waiting.PushFront(entered)
 }
 
+// ahead counts the waiting calls that go before a request.
+func ahead(waiting *list.List, request Request) int {
+	count := 0
+	for element := waiting.Front(); element != nil && !request.before(&element.Value.(*waiter).request); element = element.Next() {
+		count++
+	}
+	return count
+}
+
+// before reports whether a request that comes later goes before another one.
+func (r *Request) before(other *Request) bool {
+	if r.Priority != other.Priority {
+		return r.Priority < other.Priority
+	}
+	if r.Due.IsZero() || other.Due.IsZero() {
+		return !r.Due.IsZero() && other.Due.IsZero()
+	}
+	return r.Due.Before(other.Due)
+}
+
 // expectedWait estimates how long a call behind ahead others of its group
 // waits, from the mean service time and the group's part of the slots.
 func (q *Queue) expectedWait(g *group, ahead int) time.Duration {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -248,3 +248,48 @@
 		<-idle
 	})
 }
+
+func TestMoreUrgentCallsGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newQueue(1, nil)
+		held, err := queue.Acquire(context.Background(), admission.Request{})
+		assert.NilError(t, err)
+		now := time.Now()
+		var mutex sync.Mutex
+		var order []string
+		enter := func(name string, request admission.Request) {
+			go func() {
+				slot, err := queue.Acquire(context.Background(), request)
+				assert.Check(t, err)
+				mutex.Lock()
+				order = append(order, name)
+				mutex.Unlock()
+				slot.Release(false)
+			}()
+			synctest.Wait()
+		}
+		enter("no due", admission.Request{Priority: 1})
+		enter("less urgent, due soon", admission.Request{Priority: 2, Due: now.Add(time.Millisecond)})
+		enter("due later", admission.Request{Priority: 1, Due: now.Add(2 * time.Second)})
+		enter("due soon", admission.Request{Priority: 1, Due: now.Add(time.Second)})
+		held.Release(false)
+		synctest.Wait()
+		assert.DeepEqual(t, order, []string{"due soon", "due later", "no due", "less urgent, due soon"})
+	})
+}
+
+func TestWaitsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newQueue(1, nil)
+		held, err := queue.Acquire(context.Background(), admission.Request{})
+		assert.NilError(t, err)
+		defer held.Release(false)
+		started := time.Now()
+		_, err = queue.Acquire(context.Background(), admission.Request{NoWait: true})
+		assert.Assert(t, result.Is(err, result.CallNotRunOverloaded), "%v", err)
+		assert.Equal(t, time.Since(started), time.Duration(0))
+		_, err = queue.Acquire(context.Background(), admission.Request{MaxWait: 40 * time.Millisecond})
+		assert.Assert(t, result.Is(err, result.CallNotRunOverloaded), "%v", err)
+		assert.Equal(t, time.Since(started), 40*time.Millisecond)
+	})
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,6 +31,27 @@
 // defaultRetryAfter is named when nothing better is known.
 const defaultRetryAfter = time.Second
 
+// A call that was refused for load may come back after a random time between
+// these parts of its target latency, so that the returns are spread.
+const (
+	comeBackFrom = 0.2
+	comeBackTo   = 0.5
+)
+
+// comeBack sets when a refused call may come back, where its route states a
+// target latency: early enough for an answer that is worth something.
+func comeBack(err error, route *lapisv1.Route) error {
+	coded, ok := err.(*result.Error)
+	target := route.GetCallClass().GetTargetLatencyMillis()
+	if !ok || !coded.Code.NotRun() || target == 0 {
+		return err
+	}
+	part := comeBackFrom + (comeBackTo-comeBackFrom)*rand.Float64()
+	spread := *coded
+	spread.RetryAfter = time.Duration(part * float64(target) * float64(time.Millisecond))
+	return &spread
+}
+
 // statusOf maps a result code to an HTTP status.
 func statusOf(code result.Code) int {
 	switch code {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -15,6 +15,12 @@
 
 // Bounds of the attempts at one call.
 const (
+	// waitPart is the part of the target latency that a call may wait, and
+	// leastMaxWait what it may wait in any case; minWait is left for the
+	// instances that are tried later.
+	waitPart     = 4
+	leastMaxWait = 50 * time.Millisecond
+	minWait      = 5 * time.Millisecond
 	// maxDetours bounds the instances that are tried after refusals that no
 	// back end saw.
 	maxDetours = 5
@@ -172,9 +178,10 @@
 		RouteRevision: template.GetRouteRevision(), IdempotencyKey: template.GetIdempotencyKey(),
 		Priority: template.GetPriority(), CallerService: template.GetCallerService(),
 	}
-	if target := a.route.GetCallClass().GetTargetLatencyMillis(); target > 0 {
-		left := time.Duration(target)*time.Millisecond - time.Since(a.started)
-		open.TargetMillis = uint32(max(left.Milliseconds(), 0))
+	if target := a.targetLatency(); target > 0 {
+		spent := time.Since(a.started)
+		open.TargetMillis = uint32(max((target - spent).Milliseconds(), 0))
+		open.MaxWaitMillis = uint32(max(maxWaitOf(target)-spent, minWait).Milliseconds())
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining := time.Until(deadline)
@@ -184,6 +191,18 @@
 	return open
 }
 
+// targetLatency returns the time inside which an answer is worth most, 0 where
+// the route states none.
+func (a *attempter) targetLatency() time.Duration {
+	return time.Duration(a.route.GetCallClass().GetTargetLatencyMillis()) * time.Millisecond
+}
+
+// maxWaitOf returns how long a call may wait for a slot: what waits longer is
+// better told to come back while there is time.
+func maxWaitOf(target time.Duration) time.Duration {
+	return max(target/waitPart, leastMaxWait)
+}
+
 // mayRetry decides whether another attempt is safe and within bounds. It is
 // safe when the call is proved not to have run, or when its class is
 // repeatable and nothing of the answer was passed on.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,7 +207,7 @@
 	if err == nil || rc.Response.GetHijackWriter() != nil {
 		return
 	}
-	g.writeFailure(rc, err)
+	g.writeFailure(rc, comeBack(err, route))
 	if g.stopping.Load() || result.Is(err, result.CallBadRequest) {
 		rc.SetConnectionClose()
 	}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -244,9 +244,15 @@
 	request := admission.Request{
 		Group: open.GetGroup(), Background: open.GetBackground(), Upload: open.GetUpload(), Priority: open.GetPriority(),
 	}
+	now := time.Now()
 	if open.GetExpiresAfterMillis() > 0 {
-		request.StartBy = time.Now().Add(time.Duration(open.GetExpiresAfterMillis()) * time.Millisecond)
+		request.StartBy = now.Add(time.Duration(open.GetExpiresAfterMillis()) * time.Millisecond)
 	}
+	if open.GetTargetMillis() > 0 {
+		request.Due = now.Add(time.Duration(open.GetTargetMillis()) * time.Millisecond)
+	}
+	request.MaxWait = time.Duration(open.GetMaxWaitMillis()) * time.Millisecond
+	request.NoWait = open.GetNoWait()
 	slot, err := instance.queue.Acquire(ctx, request)
 	if err != nil {
 		return nil, err
@@ -259,6 +265,7 @@
 }
 
 func (o *Origin) run(ctx context.Context, instance *Instance, slot *admission.Slot, call *callapi.Call) (*callapi.Answer, error) {
+	handed := time.Now()
 	response, err := instance.backend.roundTrip(ctx, call)
 	if err != nil {
 		instance.noteConnection(!result.Is(err, result.CallNotRunUnreachable))
@@ -277,6 +284,7 @@
 	}
 	head := headOf(response)
 	head.Load = instance.queue.Load()
+	head.ServiceMicros = uint32(time.Since(handed).Microseconds())
 	body := &answerBody{ctx: ctx, body: response.Body, slot: slot}
 	return &callapi.Answer{
 		Head: head, Body: body,
