Choose the instance by expected time, bytes to other zones and failures

Cause: the choice knew load per slot only, with a fixed bonus for the own zone: slow instances got as many calls as fast ones until they were ejected, and an upload of 60 KB crossed zones as easily as a lookup. Change: each target keeps the service time of each route and its share of failures, both fading; the cost of a choice is the expected time until an answer in parts of the target latency, the bytes that would cross zones, and failures. Others' calls at an instance count from its last report.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -36,6 +36,15 @@
 	// each further failure.
 	ejectBase = time.Second
 	ejectMax  = 30 * time.Second
+	// crossingBase and crossingPerKilobyte are what a call to another zone
+	// costs, in parts of the target latency, up to crossingMax for its bytes.
+	crossingBase        = 0.05
+	crossingPerKilobyte = 0.03
+	crossingMax         = 0.5
+	// failureCost is what a certain failure costs.
+	failureCost = 1
+	// choiceNoise is the most that chance adds to a cost.
+	choiceNoise = 0.05
 	// reportLifetime is how long a reported load counts.
 	reportLifetime = 2 * time.Second
 	// reportWeight is the weight of reported load against calls in flight from
@@ -62,8 +71,15 @@
 	mutex        sync.Mutex
 	failures     int
 	ejectedUntil time.Time
-	reported     float64
-	reportedAt   time.Time
+	// reported is the load that the daemon beside the instance stated, in calls
+	// per slot, and reportedOwn the calls from here that it includes.
+	reported    float64
+	reportedOwn int64
+	reportedAt  time.Time
+	// services holds the service time of each route, in seconds, and failure
+	// the share of the attempts that failed.
+	services map[string]*mean
+	failure  mean
 }
 
 // Balancer chooses among the instances of all services. It is safe for
@@ -140,21 +156,38 @@
 	return b.services[service]
 }
 
-// Pick chooses an instance that is not in exclude. A call with an idempotency
-// key goes to the instance that ranks first for the key, so that repetitions
-// meet. Errors: CallNoEndpoint.
-func (b *Balancer) Pick(service *snapshot.Service, exclude []*Target, key string) (*Target, error) {
+// Choice is what an instance is chosen for.
+type Choice struct {
+	// Exclude are instances that were tried already.
+	Exclude []*Target
+	// Key is the caller's idempotency key, empty for none.
+	Key   string
+	Route string
+	// Target is the time inside which an answer is worth most, 0 where the
+	// route states none.
+	Target time.Duration
+	// Bytes is about how many go both ways.
+	Bytes float64
+}
+
+// Pick chooses an instance. A call with an idempotency key goes to the instance
+// that ranks first for the key, so that repetitions meet. Errors:
+// CallNoEndpoint.
+func (b *Balancer) Pick(service *snapshot.Service, choice Choice) (*Target, error) {
 	name := service.Bundle.GetPool().GetName()
-	candidates := b.candidates(service, b.Targets(name), exclude)
+	candidates := b.candidates(service, b.Targets(name), choice.Exclude)
 	if len(candidates) == 0 {
 		refusal := result.Errorf(result.CallNoEndpoint, "no instance of %s may take the call", name)
 		refusal.RetryAfter = time.Second
 		return nil, refusal
 	}
-	if key != "" {
-		return rankFirst(candidates, key), nil
+	if choice.Key != "" {
+		return rankFirst(candidates, choice.Key), nil
 	}
 	slots := float64(max(service.Bundle.GetPool().GetSlots(), 1))
+	if choice.Target > 0 {
+		return b.cheapest(b.subset(candidates), slots, choice), nil
+	}
 	return b.leastLoaded(b.subset(candidates), slots), nil
 }
 
@@ -226,6 +259,37 @@
 	return append(chosen, rest[:SubsetSize-len(chosen)]...)
 }
 
+// cheapest takes the instance with the least cost: the expected time until an
+// answer in parts of the target latency, the price of bytes to another zone,
+// and the share of failures. A little noise keeps daemons from all choosing the
+// same one.
+func (b *Balancer) cheapest(candidates []*Target, slots float64, choice Choice) *Target {
+	now := b.now()
+	conditions := make([]condition, len(candidates))
+	for index, target := range candidates {
+		conditions[index] = target.condition(choice.Route, b.zone, slots, now)
+	}
+	target := choice.Target.Seconds()
+	typical, known := typicalService(conditions)
+	if !known {
+		typical = target / 4
+	}
+	crossing := min(choice.Bytes/1024*crossingPerKilobyte, crossingMax) + crossingBase
+	var best *Target
+	least := math.Inf(1)
+	for index, seen := range conditions {
+		cost := seen.expected(typical, now)/target + seen.failures*failureCost + choiceNoise*rand.Float64()
+		if seen.elsewhere {
+			cost += crossing
+		}
+		if cost < least {
+			least = cost
+			best = candidates[index]
+		}
+	}
+	return best
+}
+
 // leastLoaded takes the better of two random instances of the own zone and of
 // two of the others, and the local one unless it is clearly more loaded.
 func (b *Balancer) leastLoaded(candidates []*Target, slots float64) *Target {
@@ -300,6 +364,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.reported = float64(load)
+	t.reportedOwn = t.inFlight.Load()
 	t.reportedAt = now
 }
 
@@ -316,6 +381,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.failures++
+	t.failure.add(1, failureSmoothing, now)
 	if t.failures < ejectAfter {
 		return
 	}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -134,7 +134,10 @@
 		if !ok {
 			continue
 		}
-		target, err := a.gateway.balancer.Pick(service, a.tried, a.open.GetIdempotencyKey())
+		target, err := a.gateway.balancer.Pick(service, balance.Choice{
+			Exclude: a.tried, Key: a.open.GetIdempotencyKey(), Route: a.route.GetName(),
+			Target: a.targetLatency(), Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
+		})
 		if err == nil {
 			return target, pool, nil
 		}
@@ -160,8 +163,11 @@
 		a.gateway.observe(target, err)
 		return nil, err
 	}
-	target.Reported(answer.Head.GetLoad(), time.Now())
+	now := time.Now()
+	target.Reported(answer.Head.GetLoad(), now)
 	target.Succeeded()
+	target.Answered(a.route.GetName(), time.Duration(answer.Head.GetServiceMicros())*time.Microsecond, now)
+	a.gateway.sizes.answered(a.route.GetName(), answer.Head.GetContentLength())
 	return answer, nil
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	config        Config
 	balancer      *balance.Balancer
 	budget        *retryBudget
+	sizes         answerSizes
 	metrics       gatewayMetrics
 	attemptPrefix string
 	attempts      atomic.Uint64
