Keep calls in their zone until it refuses them

Change: a kilobyte to another zone counts a quarter of the target latency, up to six; calls cross when the own zone refuses or has no instance.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -39,8 +39,8 @@
 	// crossingBase and crossingPerKilobyte are what a call to another zone
 	// costs, in parts of the target latency, up to crossingMax for its bytes.
 	crossingBase        = 0.05
-	crossingPerKilobyte = 0.03
-	crossingMax         = 0.5
+	crossingPerKilobyte = 0.25
+	crossingMax         = 6
 	// failureCost is what a certain failure costs.
 	failureCost = 1
 	// choiceNoise is the most that chance adds to a cost.
