Connect to a bounded number of daemons, and announce to those who use one

Change: a daemon connects to 8 daemons of each service, 6 of the own zone first, chosen by a hash; one that stays out of reach is replaced beside it. Instances are announced on the connections that others opened. The frames that keep a connection alive tell the revision in force, so that none is announced; members are named only to one that knows clearly fewer.

--- a/internal/callmux/server.go
+++ b/internal/callmux/server.go
@@ -32,11 +32,17 @@
 	// Counters receive the traffic of calls.
 	Counters *wire.Counters
 	Timing   Timing
+	// KnownMembers returns the number of daemons known, which the welcome
+	// tells; it may be nil.
+	KnownMembers func() int
 	// Accepted is called with each new session and returns what receives the
 	// frames that concern the daemons themselves; it may be nil.
 	Accepted func(hello *lapisv1.Hello, link Link) (control func(*lapisv1.CallFrame))
 }
 
+// Active returns the number of calls on their way.
+func (l Link) Active() int { return l.session.active() }
+
 // Link is a session between two daemons, for frames that carry no call.
 type Link struct{ session *session }
 
@@ -46,8 +52,8 @@
 // Closed is closed at the end of the session.
 func (l Link) Closed() <-chan struct{} { return l.session.closed }
 
-// Incarnation is that of the daemon that was dialed.
-func (l Link) Incarnation() uint64 { return l.session.incarnation }
+// Welcome is the greeting of the daemon that was dialed.
+func (l Link) Welcome() *lapisv1.Welcome { return l.session.welcome }
 
 // Close ends the session.
 func (l Link) Close(cause error) { l.session.close(cause) }
@@ -58,6 +64,9 @@
 		conn.UseCounters(s.Counters)
 	}
 	welcome := &lapisv1.Welcome{Node: s.Node, Incarnation: s.Incarnation}
+	if s.KnownMembers != nil {
+		welcome.KnownMembers = uint32(s.KnownMembers())
+	}
 	if err := conn.Send(&lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Welcome{Welcome: welcome}}); err != nil {
 		return err
 	}
--- a/internal/callmux/session.go
+++ b/internal/callmux/session.go
@@ -21,13 +21,16 @@
 	Silence time.Duration
 	// Write bounds the sending of a frame.
 	Write time.Duration
+	// Revision returns the configuration in force, which the empty frames tell;
+	// it may be nil.
+	Revision func() uint64
 }
 
 // DefaultTiming holds where nothing else is set.
 var DefaultTiming = Timing{KeepAlive: 4 * time.Second, Silence: 12 * time.Second, Write: 10 * time.Second}
 
 func (t Timing) orDefault() Timing {
-	if t == (Timing{}) {
+	if t.KeepAlive == 0 {
 		return DefaultTiming
 	}
 	return t
@@ -42,7 +45,9 @@
 	control func(*lapisv1.CallFrame)
 	// incarnation is that of the peer daemon.
 	incarnation uint64
-	closed      chan struct{}
+	// welcome is the peer's greeting, nil on the accepting side.
+	welcome *lapisv1.Welcome
+	closed  chan struct{}
 
 	// mutex protects everything below.
 	mutex   sync.Mutex
@@ -152,6 +157,9 @@
 func (s *session) handle(frame *lapisv1.CallFrame, accept func(*lapisv1.CallFrame) error) error {
 	switch body := frame.GetBody().(type) {
 	case nil:
+		if s.control != nil && frame.GetRevision() > 0 {
+			s.control(frame)
+		}
 		return nil
 	case *lapisv1.CallFrame_Fenced:
 		s.fenced(body.Fenced)
@@ -227,7 +235,11 @@
 		case <-s.closed:
 			return
 		case <-ticker.C:
-			_ = s.send(&lapisv1.CallFrame{})
+			frame := &lapisv1.CallFrame{}
+			if s.timing.Revision != nil {
+				frame.Revision = s.timing.Revision()
+			}
+			_ = s.send(frame)
 		}
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -175,7 +175,7 @@
 		Hello: &lapisv1.Hello{
 			ProtocolVersion: wire.ProtocolVersion, Purpose: lapisv1.Hello_PURPOSE_CALLS,
 			Node: d.settings.Node, Incarnation: d.incarnation, Zone: d.settings.Zone, Region: d.settings.Region,
-			Address: d.listeners.peer.Addr().String(),
+			Address: d.listeners.peer.Addr().String(), Service: d.settings.Service,
 		},
 	}
 	d.gateway = gateway.New(gateway.Config{
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -50,16 +50,24 @@
 	part := &direct{daemon: d, platform: platform, started: time.Now()}
 	part.members.Store(1)
 	d.calls.Maintained = true
-	d.calls.Timing = peerTiming
+	d.calls.Timing = part.timing()
 	part.fleet = fleet.New(fleet.Config{
-		Self:        fleet.Member{Node: d.settings.Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Zone},
+		Self:        fleet.Member{Node: d.settings.Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Zone, Service: d.settings.Service},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
 		InForce: part.inForce.Load, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
+	d.calls.KnownMembers = part.fleet.Known
 	d.direct = part
 	d.node = part.fleet
 }
 
+// timing bounds the connections between daemons.
+func (p *direct) timing() callmux.Timing {
+	timing := peerTiming
+	timing.Revision = func() uint64 { return p.inForce.Load().GetRevision() }
+	return timing
+}
+
 // start runs what a platform adds to a daemon.
 func (p *direct) start(ctx context.Context) {
 	d := p.daemon
@@ -120,7 +128,6 @@
 	p.inForce.Store(configuration)
 	d.origin.Configure(d.snapshots.Current())
 	d.logger.Info("configuration.in_force", "revision", configuration.GetRevision(), "before", current.GetRevision())
-	p.fleet.AnnounceSoon()
 }
 
 // Endpoints implements fleet.Observer.
@@ -182,6 +189,7 @@
 
 // handlers returns what serves the connections of other daemons.
 func (p *direct) handlers(calls *callmux.Server) {
-	calls.Timing = peerTiming
+	calls.Timing = p.timing()
 	calls.Accepted = p.fleet.Accepted
+	calls.KnownMembers = p.fleet.Known
 }
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -13,6 +13,8 @@
 	// Address is where it accepts the connections of other daemons.
 	Address string
 	Zone    string
+	// Service is that of the machine, empty when there is none.
+	Service string
 }
 
 // Directory is where daemons find each other.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,16 +13,25 @@
 	"github.com/lapisvane/lapisvane/internal/callmux"
 )
 
-// announceDelay is how long changes that do not matter at once are gathered.
-const announceDelay = 200 * time.Millisecond
-
-// maxMembers bounds what is remembered of other daemons.
-const maxMembers = 4096
+// Bounds and times of what is known of other daemons.
+const (
+	// maxMembers bounds the daemons that are remembered.
+	maxMembers = 32768
+	// forgetAfter is how long the instances of a daemon that cannot be reached
+	// are remembered.
+	forgetAfter = 30 * time.Second
+	// doubtAfter is how long a daemon may be out of reach before another one is
+	// taken in its place.
+	doubtAfter = 3 * time.Second
+	// reviewInterval is the longest time between two looks at which daemons
+	// are wanted.
+	reviewInterval = time.Second
+)
 
-// Observer hears of changes. Its methods are called without a lock held, and
-// never at the same time.
+// Observer hears of changes. Its methods are called without a lock held.
 type Observer interface {
-	// Endpoints gives all instances known of a service.
+	// Endpoints gives all instances known of a service. It is never called
+	// twice at the same time.
 	Endpoints(service string, endpoints []*lapisv1.Endpoint)
 	// Members gives the number of daemons, this one included.
 	Members(count int)
@@ -54,38 +63,43 @@
 type Fleet struct {
 	config  Config
 	running sync.WaitGroup
-	// changed wakes the reporting to the observer.
+	// changed wakes the reporting to the observer, review the choice of
+	// daemons to connect to, behind the catching up.
 	changed chan struct{}
+	review  chan struct{}
 	behind  chan struct{}
 
-	// mutex protects everything below and the fields of members.
+	// mutex protects everything below and the fields of peers and listeners.
 	mutex   sync.Mutex
 	members map[string]*peer
-	local   []*lapisv1.Endpoint
+	// listeners are the connections that other daemons opened.
+	listeners map[*listener]bool
+	local     []*lapisv1.Endpoint
 	// withdrawn are the local instances that left for good.
 	withdrawn []string
 	// sequence is that of this daemon's own announcement.
 	sequence uint64
 	leaving  bool
-	// soon is true while an announcement is planned.
-	soon bool
 	// services are those reported to the observer before.
 	services map[string]bool
-	// runContext is set by Run.
-	runContext context.Context
 }
 
 // peer is what is known of another daemon; Fleet.mutex protects its fields.
 type peer struct {
 	Member
-	incarnation uint64
-	// connected is true while calls can be sent there.
-	connected    bool
-	link         callmux.Link
+	// stop ends the keeping of a connection; nil while none is wanted.
+	stop context.CancelFunc
+	// connected is true while calls can be sent there over link.
+	connected bool
+	link      callmux.Link
+	// generation numbers the connections opened; what comes late on an earlier
+	// one does not count.
+	generation uint64
+	// lostAt is when it was last in reach, or first heard of.
 	lostAt       time.Time
 	announcement *lapisv1.Announcement
-	// wake asks for an announcement to be sent, or for a connection to be
-	// tried at once.
+	revision     uint64
+	// wake asks for a connection to be tried at once.
 	wake chan struct{}
 	// withdrawn are the peer's instances that it said left for good, in this
 	// or an earlier incarnation.
@@ -95,70 +109,53 @@
 // New returns a fleet; Run makes it work.
 func New(config Config) *Fleet {
 	return &Fleet{
-		config: config, changed: make(chan struct{}, 1), behind: make(chan struct{}, 1),
-		members: map[string]*peer{}, services: map[string]bool{},
+		config:  config,
+		changed: make(chan struct{}, 1), review: make(chan struct{}, 1), behind: make(chan struct{}, 1),
+		members: map[string]*peer{}, listeners: map[*listener]bool{}, services: map[string]bool{},
 	}
 }
 
 // Run keeps in touch until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
-	f.mutex.Lock()
-	f.runContext = ctx
-	f.mutex.Unlock()
 	f.running.Go(func() { f.followDirectory(ctx) })
 	f.running.Go(func() { f.report(ctx) })
 	f.running.Go(func() { f.catchUp(ctx) })
+	f.running.Go(func() { f.keepWanted(ctx) })
 	<-ctx.Done()
 	f.running.Wait()
 }
 
-// SetLocalEndpoints tells all daemons about the instances beside this one.
+// SetLocalEndpoints tells the daemons that use them about the instances beside
+// this one.
 func (f *Fleet) SetLocalEndpoints(endpoints []*lapisv1.Endpoint) {
 	withdrawn := f.config.Withdrawn()
 	f.mutex.Lock()
 	f.withdrawn = withdrawn
 	for _, endpoint := range endpoints {
-		f.own(endpoint, f.config.Self, f.config.Incarnation)
+		own(endpoint, f.config.Self, f.config.Incarnation)
 	}
 	f.local = endpoints
 	f.mutex.Unlock()
-	f.AnnounceAll()
+	f.announceAll()
 	signal(f.changed)
 }
 
-// AnnounceAll sends this daemon's announcement to all others.
-func (f *Fleet) AnnounceAll() {
+// announceAll sends this daemon's announcement to all that listen.
+func (f *Fleet) announceAll() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.sequence++
-	for _, member := range f.members {
-		signal(member.wake)
-	}
-}
-
-// AnnounceSoon sends this daemon's announcement to all others a moment from now,
-// together with what else changes until then.
-func (f *Fleet) AnnounceSoon() {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.soon {
-		return
+	for open := range f.listeners {
+		signal(open.wake)
 	}
-	f.soon = true
-	time.AfterFunc(announceDelay, func() {
-		f.mutex.Lock()
-		f.soon = false
-		f.mutex.Unlock()
-		f.AnnounceAll()
-	})
 }
 
-// Leave tells all others that this daemon is about to stop.
+// Leave tells all that listen that this daemon is about to stop.
 func (f *Fleet) Leave() {
 	f.mutex.Lock()
 	f.leaving = true
 	f.mutex.Unlock()
-	f.AnnounceAll()
+	f.announceAll()
 }
 
 // Endpoints returns the known instances of a service.
@@ -181,11 +178,15 @@
 	return count
 }
 
+// Known returns the number of other daemons known.
+func (f *Fleet) Known() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.members)
+}
+
 // learn takes in that a daemon exists.
 func (f *Fleet) learn(member Member) {
-	if member.Node == f.config.Self.Node || member.Node == "" || member.Address == "" {
-		return
-	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.peerOf(member)
@@ -194,38 +195,68 @@
 // peerOf returns the peer for a member, a new one if it was not known; the
 // caller holds mutex. nil is returned for one that cannot be taken in.
 func (f *Fleet) peerOf(member Member) *peer {
-	known, ok := f.members[member.Node]
-	if ok {
-		if known.Address != member.Address {
-			known.Address = member.Address
-			signal(known.wake)
-		}
-		return known
+	if member.Node == f.config.Self.Node || member.Node == "" || member.Address == "" {
+		return nil
 	}
-	ctx := f.runContext
-	if ctx == nil || ctx.Err() != nil || len(f.members) >= maxMembers {
+	known, ok := f.members[member.Node]
+	if !ok && len(f.members) >= maxMembers {
 		return nil
 	}
-	added := &peer{Member: member, wake: make(chan struct{}, 1), withdrawn: map[string]bool{}, lostAt: time.Now()}
-	f.members[member.Node] = added
-	f.config.Logger.V(1).Info("fleet.member_known", "member", member.Node, "address", member.Address, "zone", member.Zone)
-	f.running.Go(func() { f.maintain(ctx, added) })
-	signal(f.changed)
-	return added
+	if !ok {
+		known = &peer{wake: make(chan struct{}, 1), withdrawn: map[string]bool{}, lostAt: time.Now()}
+		f.members[member.Node] = known
+		f.config.Logger.V(1).Info("fleet.member_known", "member", member.Node, "address", member.Address, "zone", member.Zone)
+		signal(f.changed)
+	}
+	if known.Member != member {
+		known.Member = member
+		signal(known.wake)
+		signal(f.review)
+	}
+	return known
 }
 
-// renewed notes the incarnation that a new connection showed; the caller holds
-// mutex. What an earlier incarnation announced no longer holds.
-func (p *peer) renewed(incarnation uint64) {
-	if p.incarnation == incarnation {
-		return
+// keepWanted keeps connections to the daemons that are wanted until ctx ends.
+func (f *Fleet) keepWanted(ctx context.Context) {
+	ticker := time.NewTicker(reviewInterval)
+	defer ticker.Stop()
+	for {
+		f.reviewWanted(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.review:
+		case <-ticker.C:
+		}
+	}
+}
+
+// reviewWanted starts what is wanted and not kept, and ends what is kept and
+// not wanted, once no call uses it.
+func (f *Fleet) reviewWanted(ctx context.Context) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	candidates := make([]candidate, 0, len(f.members))
+	for _, member := range f.members {
+		doubtful := !member.connected && time.Since(member.lostAt) > doubtAfter
+		candidates = append(candidates, candidate{Member: member.Member, doubtful: doubtful})
+	}
+	chosen := wanted(f.config.Self, candidates)
+	for node, member := range f.members {
+		switch {
+		case chosen[node] && member.stop == nil:
+			keepCtx, stop := context.WithCancel(ctx)
+			member.stop = stop
+			f.running.Go(func() { f.maintain(keepCtx, member) })
+		case !chosen[node] && member.stop != nil && (!member.connected || member.link.Active() == 0):
+			member.stop()
+			member.stop = nil
+		}
 	}
-	p.incarnation = incarnation
-	p.announcement = nil
 }
 
 // own fills in who states an endpoint.
-func (f *Fleet) own(endpoint *lapisv1.Endpoint, member Member, incarnation uint64) {
+func own(endpoint *lapisv1.Endpoint, member Member, incarnation uint64) {
 	endpoint.Node = member.Node
 	endpoint.Address = member.Address
 	endpoint.Zone = member.Zone
@@ -234,45 +265,42 @@
 
 // announcement returns this daemon's own; the caller holds mutex.
 func (f *Fleet) announcement() *lapisv1.Announcement {
-	revision := uint64(0)
-	if configuration := f.config.InForce(); configuration != nil {
-		revision = configuration.GetRevision()
-	}
 	self := f.config.Self
 	return &lapisv1.Announcement{
 		Node: self.Node, Address: self.Address, Zone: self.Zone, Incarnation: f.config.Incarnation,
-		Sequence: f.sequence, Revision: revision, Endpoints: f.local, Leaving: f.leaving,
+		Sequence: f.sequence, Revision: f.revision(), Endpoints: f.local, Leaving: f.leaving,
 		Withdrawn: f.withdrawn,
 	}
 }
 
-// announced takes in another daemon's announcement.
-func (f *Fleet) announced(announcement *lapisv1.Announcement) {
+// announced takes in another daemon's announcement, which came on the
+// connection that this daemon opened.
+func (f *Fleet) announced(member *peer, generation uint64, announcement *lapisv1.Announcement) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	member, ok := f.members[announcement.GetNode()]
-	if !ok || announcement.GetIncarnation() != member.incarnation {
-		return
-	}
-	if known := member.announcement; known != nil && announcement.GetSequence() < known.GetSequence() {
+	if announcement.GetNode() != member.Node || generation != member.generation {
 		return
 	}
 	for _, endpoint := range announcement.GetEndpoints() {
-		f.own(endpoint, member.Member, member.incarnation)
+		own(endpoint, member.Member, announcement.GetIncarnation())
 	}
 	for _, instance := range announcement.GetWithdrawn() {
 		member.withdrawn[instance] = true
 	}
 	member.announcement = announcement
+	f.noteRevision(member, announcement.GetRevision())
 	signal(f.changed)
-	if announcement.GetRevision() > f.revision() {
+}
+
+// noteRevision notes what a daemon has in force; the caller holds mutex.
+func (f *Fleet) noteRevision(member *peer, revision uint64) {
+	member.revision = max(member.revision, revision)
+	if revision > f.revision() {
 		signal(f.behind)
 	}
 }
 
-func (f *Fleet) revision() uint64 {
-	return f.config.InForce().GetRevision()
-}
+func (f *Fleet) revision() uint64 { return f.config.InForce().GetRevision() }
 
 // endpoints returns all known instances by service, in order of instance; the
 // caller holds mutex.
@@ -282,7 +310,7 @@
 		services[endpoint.GetService()] = append(services[endpoint.GetService()], endpoint)
 	}
 	for _, member := range f.members {
-		if !member.connected && time.Since(member.lostAt) > forgetAfter {
+		if member.stop == nil || (!member.connected && time.Since(member.lostAt) > forgetAfter) {
 			continue
 		}
 		for _, endpoint := range member.announcement.GetEndpoints() {
@@ -303,12 +331,11 @@
 	if p.connected || endpoint.GetState() != lapisv1.Endpoint_STATE_READY {
 		return endpoint
 	}
-	suspect := &lapisv1.Endpoint{
+	return &lapisv1.Endpoint{
 		Service: endpoint.GetService(), Instance: endpoint.GetInstance(), Node: endpoint.GetNode(),
 		Address: endpoint.GetAddress(), Zone: endpoint.GetZone(), Incarnation: endpoint.GetIncarnation(),
 		Slots: endpoint.GetSlots(), State: lapisv1.Endpoint_STATE_SUSPECT,
 	}
-	return suspect
 }
 
 // report tells the observer of changes until ctx ends.
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -17,12 +17,6 @@
 	reconnectMin    = 50 * time.Millisecond
 	reconnectMax    = time.Second
 	reconnectFactor = 2
-	// forgetAfter is how long the instances of a daemon that cannot be reached
-	// are remembered.
-	forgetAfter = 30 * time.Second
-	// catchUpDelay is how long the configuration source is given before
-	// another daemon is asked for a version that it announced.
-	catchUpDelay = 400 * time.Millisecond
 )
 
 // maintain keeps a connection to a peer until ctx ends.
@@ -50,8 +44,7 @@
 	case <-timer.C:
 		return true
 	case <-member.wake:
-		// A peer that has just connected to this daemon is there; any other
-		// reason to wake is no reason to hurry.
+		// A peer that has just connected to this daemon is there.
 		return pause.For(ctx, reconnectMin)
 	case <-ctx.Done():
 		return false
@@ -61,68 +54,66 @@
 func (f *Fleet) connect(ctx context.Context, member *peer) (callmux.Link, error) {
 	f.mutex.Lock()
 	address := member.Address
+	member.generation++
+	generation := member.generation
 	f.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	link, err := f.config.Calls.Connect(ctx, address, func(frame *lapisv1.CallFrame) { f.receive(member.Node, nil, frame) })
+	receive := func(frame *lapisv1.CallFrame) { f.receiveDialed(member, generation, frame) }
+	link, err := f.config.Calls.Connect(ctx, address, receive)
 	if err != nil {
 		return callmux.Link{}, err
 	}
+	incarnation := link.Welcome().GetIncarnation()
 	f.mutex.Lock()
-	member.renewed(link.Incarnation())
+	if member.announcement.GetIncarnation() != incarnation {
+		// What an earlier incarnation announced no longer holds.
+		member.announcement = nil
+		member.revision = 0
+	}
 	member.connected = true
 	member.link = link
 	f.mutex.Unlock()
-	f.config.Logger.Info("fleet.connected", "member", member.Node, "address", address, "incarnation", link.Incarnation())
+	f.config.Logger.Info("fleet.connected", "member", member.Node, "address", address, "incarnation", incarnation)
 	signal(f.changed)
 	return link, nil
 }
 
-// converse announces this daemon on a connection until it ends.
+// converse introduces this daemon's knowledge on a connection that it opened,
+// and waits for its end.
 func (f *Fleet) converse(ctx context.Context, member *peer, link callmux.Link) {
 	defer f.lost(member)
-	stop := context.AfterFunc(ctx, func() { link.Close(result.Errorf(result.CallUnknownOutcome, "the daemon stops")) })
+	stop := context.AfterFunc(ctx, func() { link.Close(result.Errorf(result.CallUnknownOutcome, "the connection is not wanted any more")) })
 	defer stop()
-	f.mutex.Lock()
-	introduction := f.introduction(member)
-	f.mutex.Unlock()
-	if link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Introduction{Introduction: introduction}}) != nil {
-		return
-	}
-	for {
-		f.mutex.Lock()
-		announcement := f.announcement()
-		f.mutex.Unlock()
-		if link.Send(frameOf(announcement)) != nil {
-			return
-		}
-		select {
-		case <-link.Closed():
-			return
-		case <-member.wake:
-		}
+	if introduction := f.introduction(member, int(link.Welcome().GetKnownMembers())); introduction != nil {
+		_ = link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Introduction{Introduction: introduction}})
 	}
+	<-link.Closed()
 }
 
-func frameOf(announcement *lapisv1.Announcement) *lapisv1.CallFrame {
-	return &lapisv1.CallFrame{Body: &lapisv1.CallFrame_Announcement{Announcement: announcement}}
-}
-
-// introduction names all known daemons, and the peer's own instances that left;
-// the caller holds mutex.
-func (f *Fleet) introduction(to *peer) *lapisv1.Introduction {
+// introduction names the daemons in reach, where the peer knows clearly fewer
+// than this one, and the peer's own instances that left. nil is returned when
+// there is nothing to say.
+func (f *Fleet) introduction(to *peer, known int) *lapisv1.Introduction {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	introduction := &lapisv1.Introduction{}
-	for _, member := range f.members {
-		if member != to && member.connected {
-			introduction.Members = append(introduction.Members, &lapisv1.PeerAddress{
-				Node: member.Node, Address: member.Address, Zone: member.Zone,
-			})
+	if known*10 < len(f.members)*9 {
+		for _, member := range f.members {
+			if member != to && (member.connected || time.Since(member.lostAt) < forgetAfter) {
+				introduction.Members = append(introduction.Members, &lapisv1.PeerAddress{
+					Node: member.Node, Address: member.Address, Zone: member.Zone, Service: member.Service,
+				})
+			}
 		}
 	}
 	for instance := range to.withdrawn {
 		introduction.Withdrawn = append(introduction.Withdrawn, instance)
 	}
 	slices.Sort(introduction.Withdrawn)
+	if len(introduction.Members)+len(introduction.Withdrawn) == 0 {
+		return nil
+	}
 	return introduction
 }
 
@@ -133,118 +124,33 @@
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.lost", "member", member.Node)
 	signal(f.changed)
+	signal(f.review)
 }
 
-// Accepted takes in a connection that another daemon opened, for
-// callmux.Server.
-func (f *Fleet) Accepted(hello *lapisv1.Hello, link callmux.Link) func(*lapisv1.CallFrame) {
-	node := hello.GetNode()
-	if node != f.config.Self.Node && node != "" && hello.GetAddress() != "" {
+// receiveDialed takes in a frame on a connection that this daemon opened.
+func (f *Fleet) receiveDialed(member *peer, generation uint64, frame *lapisv1.CallFrame) {
+	switch body := frame.GetBody().(type) {
+	case nil:
 		f.mutex.Lock()
-		if member := f.peerOf(Member{Node: node, Address: hello.GetAddress(), Zone: hello.GetZone()}); member != nil {
-			member.renewed(hello.GetIncarnation())
-			if !member.connected {
-				signal(member.wake)
-			}
-		}
-		announcement := f.announcement()
+		f.noteRevision(member, frame.GetRevision())
 		f.mutex.Unlock()
-		go func() { _ = link.Send(frameOf(announcement)) }()
-	}
-	return func(frame *lapisv1.CallFrame) { f.receive(node, &link, frame) }
-}
-
-// receive takes in a frame from a daemon; answers go over link, nil where none
-// are given.
-func (f *Fleet) receive(node string, link *callmux.Link, frame *lapisv1.CallFrame) {
-	switch body := frame.GetBody().(type) {
 	case *lapisv1.CallFrame_Announcement:
-		if body.Announcement.GetNode() == node {
-			f.announced(body.Announcement)
-		}
+		f.announced(member, generation, body.Announcement)
 	case *lapisv1.CallFrame_Introduction:
-		for _, member := range body.Introduction.GetMembers() {
-			f.learn(Member{Node: member.GetNode(), Address: member.GetAddress(), Zone: member.GetZone()})
-		}
-		for _, instance := range body.Introduction.GetWithdrawn() {
-			f.config.Observer.Withdraw(instance)
-		}
-	case *lapisv1.CallFrame_ConfigurationRequest:
-		f.serveConfiguration(link, body.ConfigurationRequest.GetAbove())
+		f.introduced(body.Introduction)
 	case *lapisv1.CallFrame_Configuration:
 		f.config.Observer.Offer(body.Configuration)
 	}
 }
 
-func (f *Fleet) serveConfiguration(link *callmux.Link, above uint64) {
-	configuration := f.config.InForce()
-	if link == nil || configuration.GetRevision() <= above {
-		return
+// introduced takes in whom another daemon knows.
+func (f *Fleet) introduced(introduction *lapisv1.Introduction) {
+	for _, member := range introduction.GetMembers() {
+		f.learn(Member{
+			Node: member.GetNode(), Address: member.GetAddress(), Zone: member.GetZone(), Service: member.GetService(),
+		})
 	}
-	send := *link
-	go func() {
-		_ = send.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Configuration{Configuration: configuration}})
-	}()
-}
-
-// catchUp asks another daemon for the configuration when the source has not
-// brought a version that was announced, until ctx ends.
-func (f *Fleet) catchUp(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.behind:
-		}
-		if f.revision() > 0 && !pause.For(ctx, catchUpDelay) {
-			return
-		}
-		if !f.askNewest() {
-			continue
-		}
-		if !pause.For(ctx, catchUpDelay) {
-			return
-		}
-		if f.newest() != nil {
-			signal(f.behind)
-		}
-	}
-}
-
-// askNewest asks the daemon with the newest configuration, of the own zone
-// first; it reports false when none has a newer one.
-func (f *Fleet) askNewest() bool {
-	above := f.revision()
-	member := f.newest()
-	if member == nil {
-		return false
-	}
-	f.mutex.Lock()
-	link := member.link
-	f.mutex.Unlock()
-	f.config.Logger.Info("fleet.configuration_asked", "member", member.Node, "above", above)
-	request := &lapisv1.ConfigurationRequest{Above: above}
-	_ = link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_ConfigurationRequest{ConfigurationRequest: request}})
-	return true
-}
-
-// newest returns the connected daemon with the newest configuration above the
-// one in force here, nil when there is none.
-func (f *Fleet) newest() *peer {
-	above := f.revision()
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	var best *peer
-	for _, member := range f.members {
-		revision := member.announcement.GetRevision()
-		if !member.connected || revision <= above {
-			continue
-		}
-		better := best == nil || revision > best.announcement.GetRevision() ||
-			(revision == best.announcement.GetRevision() && member.Zone == f.config.Self.Zone && best.Zone != f.config.Self.Zone)
-		if better {
-			best = member
-		}
+	for _, instance := range introduction.GetWithdrawn() {
+		f.config.Observer.Withdraw(instance)
 	}
-	return best
 }
--- /dev/null
+++ b/internal/fleet/listener.go
@@ -0,0 +1,86 @@
+package fleet
+
+import (
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callmux"
+)
+
+// listener is a connection that another daemon opened; it hears of this
+// daemon's instances.
+type listener struct {
+	link callmux.Link
+	wake chan struct{}
+}
+
+// Accepted takes in a connection that another daemon opened, for
+// callmux.Server.
+func (f *Fleet) Accepted(hello *lapisv1.Hello, link callmux.Link) func(*lapisv1.CallFrame) {
+	opened := &listener{link: link, wake: make(chan struct{}, 1)}
+	dialer := Member{Node: hello.GetNode(), Address: hello.GetAddress(), Zone: hello.GetZone(), Service: hello.GetService()}
+	f.mutex.Lock()
+	f.listeners[opened] = true
+	member := f.peerOf(dialer)
+	if member != nil && !member.connected {
+		signal(member.wake)
+	}
+	f.mutex.Unlock()
+	go f.tell(opened, member, int(hello.GetKnownMembers()))
+	return func(frame *lapisv1.CallFrame) { f.receiveAccepted(opened, member, frame) }
+}
+
+// tell announces this daemon on a connection until it ends.
+func (f *Fleet) tell(opened *listener, member *peer, known int) {
+	defer func() {
+		f.mutex.Lock()
+		delete(f.listeners, opened)
+		f.mutex.Unlock()
+	}()
+	if member != nil {
+		if introduction := f.introduction(member, known); introduction != nil {
+			_ = opened.link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Introduction{Introduction: introduction}})
+		}
+	}
+	for {
+		f.mutex.Lock()
+		announcement := f.announcement()
+		f.mutex.Unlock()
+		frame := &lapisv1.CallFrame{Body: &lapisv1.CallFrame_Announcement{Announcement: announcement}}
+		if opened.link.Send(frame) != nil {
+			return
+		}
+		select {
+		case <-opened.link.Closed():
+			return
+		case <-opened.wake:
+		}
+	}
+}
+
+// receiveAccepted takes in a frame on a connection that another daemon opened;
+// member is nil when that daemon is not known.
+func (f *Fleet) receiveAccepted(opened *listener, member *peer, frame *lapisv1.CallFrame) {
+	switch body := frame.GetBody().(type) {
+	case nil:
+		if member != nil {
+			f.mutex.Lock()
+			f.noteRevision(member, frame.GetRevision())
+			f.mutex.Unlock()
+		}
+	case *lapisv1.CallFrame_Introduction:
+		f.introduced(body.Introduction)
+	case *lapisv1.CallFrame_ConfigurationRequest:
+		f.serveConfiguration(opened.link, body.ConfigurationRequest.GetAbove())
+	}
+}
+
+// serveConfiguration sends the configuration in force if it is newer than what
+// the asking daemon has.
+func (f *Fleet) serveConfiguration(link callmux.Link, above uint64) {
+	configuration := f.config.InForce()
+	if configuration.GetRevision() <= above {
+		return
+	}
+	go func() {
+		_ = link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Configuration{Configuration: configuration}})
+	}()
+}
--- /dev/null
+++ b/internal/fleet/wanted.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of the daemons that one daemon connects to.
+const (
+	// linksPerService is the number of daemons of one service.
+	linksPerService = 8
+	// localLinks is how many of them are of the own zone, as far as there are
+	// any; the others are for the time when the own zone is lost or full.
+	localLinks = linksPerService * 3 / 4
+)
+
+// candidate is a daemon that may be connected to.
+type candidate struct {
+	Member
+	// doubtful daemons could not be reached for a while; others are taken in
+	// their place, and they are tried on.
+	doubtful bool
+}
+
+// wanted returns the daemons that self connects to: of each service those that
+// rank first for it, by a hash that spreads the daemons evenly and changes
+// little when one comes or goes. A doubtful one does not count, so that another
+// takes its place beside it.
+func wanted(self Member, candidates []candidate) map[string]bool {
+	services := map[string][]candidate{}
+	for _, known := range candidates {
+		services[known.Service] = append(services[known.Service], known)
+	}
+	chosen := map[string]bool{}
+	for _, members := range services {
+		var local, remote []candidate
+		for _, member := range members {
+			if member.Zone == self.Zone {
+				local = append(local, member)
+			} else {
+				remote = append(remote, member)
+			}
+		}
+		taken := take(chosen, self, local, max(localLinks, linksPerService-sound(remote)))
+		take(chosen, self, remote, linksPerService-taken)
+	}
+	return chosen
+}
+
+// take chooses the first so many sound members, and the doubtful ones that rank
+// before the last of them. It returns the number of sound ones.
+func take(chosen map[string]bool, self Member, members []candidate, count int) (taken int) {
+	slices.SortFunc(members, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(rank(self, a.Member), rank(self, b.Member)), cmp.Compare(a.Node, b.Node))
+	})
+	for _, member := range members {
+		if taken >= count {
+			return taken
+		}
+		chosen[member.Node] = true
+		if !member.doubtful {
+			taken++
+		}
+	}
+	return taken
+}
+
+func rank(self, member Member) uint64 { return xxhash.Sum64String(self.Node + "|" + member.Node) }
+
+func sound(members []candidate) int {
+	count := 0
+	for _, member := range members {
+		if !member.doubtful {
+			count++
+		}
+	}
+	return count
+}
