--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -71,10 +71,8 @@
 
 // condition is what is known of an instance for one choice.
 type condition struct {
-	// service is the time that a call of the route takes there, in seconds; 0
-	// when not known.
-	service float64
-	known   mean
+	// known is the time that a call of the route takes there, in seconds.
+	known mean
 	// load is the calls there, running and waiting, and slots what runs at
 	// once.
 	load, slots float64
