Let a call that all instances refuse for load wait once, behind those in time

The queue gave slots to calls that were late already before those that could still be in time. Change: in the queue late calls go after all others of their priority; a call that was refused for load everywhere waits once more at the best of those instances, until 0.45 of its whole time.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -53,8 +53,9 @@
 	Upload     bool
 	// Priority orders the waiting calls of a group; 0 is the most urgent.
 	Priority uint32
-	// Due orders calls of one priority: the time by which an answer is wanted;
-	// zero comes last.
+	// Due orders calls of one priority: the time by which a call must start to
+	// be answered while the answer is worth most. Those that are late go after
+	// all others; zero comes last.
 	Due time.Time
 	// MaxWait bounds the wait; 0 means the queue's own bound.
 	MaxWait time.Duration
@@ -205,7 +206,7 @@
 		waiting = g.background
 		limit *= BackgroundFactor
 	}
-	expected := q.expectedWait(g, ahead(waiting, request))
+	expected := q.expectedWait(g, ahead(waiting, request, now))
 	if request.NoWait {
 		return nil, nil, q.overloadedFor(expected, "no slot is free")
 	}
@@ -217,41 +218,41 @@
 		deadline = request.StartBy
 	}
 	entered := &waiter{request: request, queued: now, deadline: deadline, granted: make(chan error, 1), list: waiting}
-	entered.element = insert(waiting, entered)
+	entered.element = waiting.PushBack(entered)
 	q.dispatch()
 	return entered, nil, nil
 }
 
-// insert puts a call behind all that are at least as urgent.
-func insert(waiting *list.List, entered *waiter) *list.Element {
-	for element := waiting.Back(); element != nil; element = element.Prev() {
-		if !entered.request.before(&element.Value.(*waiter).request) {
-			return waiting.InsertAfter(entered, element)
-		}
-	}
-	return waiting.PushFront(entered)
-}
-
 // ahead counts the waiting calls that go before a request.
-func ahead(waiting *list.List, request Request) int {
+func ahead(waiting *list.List, request Request, now time.Time) int {
 	count := 0
-	for element := waiting.Front(); element != nil && !request.before(&element.Value.(*waiter).request); element = element.Next() {
-		count++
+	for element := waiting.Front(); element != nil; element = element.Next() {
+		if !request.before(&element.Value.(*waiter).request, now) {
+			count++
+		}
 	}
 	return count
 }
 
-// before reports whether a request that comes later goes before another one.
-func (r *Request) before(other *Request) bool {
+// before reports whether a request that came later goes before another one:
+// the more urgent first, then those that can still be in time, then those that
+// are due first.
+func (r *Request) before(other *Request, now time.Time) bool {
 	if r.Priority != other.Priority {
 		return r.Priority < other.Priority
 	}
+	if late, otherLate := r.late(now), other.late(now); late != otherLate {
+		return otherLate
+	}
 	if r.Due.IsZero() || other.Due.IsZero() {
 		return !r.Due.IsZero() && other.Due.IsZero()
 	}
 	return r.Due.Before(other.Due)
 }
 
+// late reports whether the request can no longer start in time.
+func (r *Request) late(now time.Time) bool { return !r.Due.IsZero() && r.Due.Before(now) }
+
 // expectedWait estimates how long a call behind ahead others of its group
 // waits, from the mean service time and the group's part of the slots.
 func (q *Queue) expectedWait(g *group, ahead int) time.Duration {
@@ -372,7 +373,7 @@
 	bestScore := math.Inf(1)
 	now := q.now()
 	for _, g := range q.groups {
-		candidate := q.firstRunnable(g)
+		candidate := q.firstRunnable(g, now)
 		if candidate == nil {
 			continue
 		}
@@ -386,14 +387,19 @@
 	return best
 }
 
-func (q *Queue) firstRunnable(g *group) *waiter {
+// firstRunnable returns the waiting call of a group that goes first.
+func (q *Queue) firstRunnable(g *group, now time.Time) *waiter {
 	for _, waiting := range []*list.List{g.interactive, g.background} {
+		var first *waiter
 		for element := waiting.Front(); element != nil; element = element.Next() {
 			candidate := element.Value.(*waiter)
-			if q.mayRun(candidate.request) {
-				return candidate
+			if q.mayRun(candidate.request) && (first == nil || candidate.request.before(&first.request, now)) {
+				first = candidate
 			}
 		}
+		if first != nil {
+			return first
+		}
 	}
 	return nil
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -278,6 +278,32 @@
 	})
 }
 
+// A call that is late anyway does not keep one that can be in time from its slot.
+func TestLateCallsGoLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newQueue(1, nil)
+		held, err := queue.Acquire(context.Background(), admission.Request{})
+		assert.NilError(t, err)
+		now := time.Now()
+		order := make(chan string, 2)
+		enter := func(name string, due time.Duration) {
+			go func() {
+				slot, err := queue.Acquire(context.Background(), admission.Request{Due: now.Add(due), MaxWait: time.Second})
+				assert.Check(t, err)
+				order <- name
+				slot.Release(false)
+			}()
+			synctest.Wait()
+		}
+		enter("late by then", 10*time.Millisecond)
+		enter("in time", 500*time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
+		held.Release(false)
+		assert.Equal(t, <-order, "in time")
+		assert.Equal(t, <-order, "late by then")
+	})
+}
+
 func TestWaitsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		queue := newQueue(1, nil)
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,6 +22,9 @@
 	waitPart     = 4
 	leastMaxWait = 50 * time.Millisecond
 	minWait      = 5 * time.Millisecond
+	// lastResortPart is the part of a call's whole time within which one that
+	// was refused for load everywhere must get a slot.
+	lastResortPart = 0.45
 	// maxDetours bounds the instances that are tried after refusals that no
 	// back end saw.
 	maxDetours = 5
@@ -56,6 +60,10 @@
 	detours    int
 	overloaded int
 	earned     bool
+	// busy are the instances that refused for load, and lastResort is true once
+	// the call waits as long as it can.
+	busy       []*balance.Target
+	lastResort bool
 }
 
 // outcome is a finished call.
@@ -88,6 +96,9 @@
 		}
 		lastErr = err
 		a.tried = append(a.tried, target)
+		if result.Is(err, result.CallNotRunOverloaded) {
+			a.busy = append(a.busy, target)
+		}
 		if !a.mayRetry(ctx, err) {
 			return outcome{}, err
 		}
@@ -191,6 +202,10 @@
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining := time.Until(deadline)
+		if a.lastResort {
+			whole := deadline.Sub(a.started)
+			open.MaxWaitMillis = uint32(max(time.Duration(lastResortPart*float64(whole))-time.Since(a.started), minWait).Milliseconds())
+		}
 		open.DeadlineMillis = uint32(max(remaining.Milliseconds(), 1))
 		open.ExpiresAfterMillis = uint32(max((remaining - startMargin).Milliseconds(), 1))
 	}
@@ -224,7 +239,7 @@
 		return a.detours <= maxDetours
 	case result.CallNotRunOverloaded:
 		a.overloaded++
-		return a.overloaded <= maxOverloaded
+		return a.overloaded <= maxOverloaded || a.waitLong()
 	case result.CallNotRunShed:
 		a.handed++
 		return a.handed < a.maxAttempts() && a.mayAddLoad()
@@ -236,6 +251,17 @@
 	}
 }
 
+// waitLong lets the call wait longer, once, at the best of the instances that
+// refused it for load: it will be late, but that is better than to be refused.
+func (a *attempter) waitLong() bool {
+	if a.lastResort || a.targetLatency() == 0 {
+		return false
+	}
+	a.lastResort = true
+	a.tried = slices.DeleteFunc(a.tried, func(target *balance.Target) bool { return slices.Contains(a.busy, target) })
+	return true
+}
+
 func (a *attempter) maxAttempts() int {
 	if attempts := a.route.GetCallClass().GetMaxAttempts(); attempts > 0 {
 		return int(attempts)
