Name members to a daemon only when it asks

Change: a daemon whose directory is out of reach asks one other for the members; nobody names them unasked. The directory is read less often where it is long.

--- a/internal/callmux/client.go
+++ b/internal/callmux/client.go
@@ -31,13 +31,10 @@
 // Client sends calls to other daemons over one connection to each. It is safe
 // for concurrent use.
 type Client struct {
-	Hello *lapisv1.Hello
-	// KnownMembers returns the number of daemons known, which the hello tells;
-	// it may be nil.
-	KnownMembers func() int
-	Network      wire.Network
-	Counters     *wire.Counters
-	Timing       Timing
+	Hello    *lapisv1.Hello
+	Network  wire.Network
+	Counters *wire.Counters
+	Timing   Timing
 	// Maintained is true when Connect keeps the sessions; calls then never wait
 	// for a dial.
 	Maintained bool
@@ -189,21 +186,11 @@
 	return opened, nil
 }
 
-// hello returns the greeting as it stands now.
-func (c *Client) hello() *lapisv1.Hello {
-	if c.KnownMembers == nil {
-		return c.Hello
-	}
-	hello := proto.Clone(c.Hello).(*lapisv1.Hello)
-	hello.KnownMembers = uint32(c.KnownMembers())
-	return hello
-}
-
 func (c *Client) greet(conn *wire.Conn) (*lapisv1.Welcome, error) {
 	if err := conn.WritePreface(); err != nil {
 		return nil, err
 	}
-	if err := conn.Send(&lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Hello{Hello: c.hello()}}); err != nil {
+	if err := conn.Send(&lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Hello{Hello: c.Hello}}); err != nil {
 		return nil, err
 	}
 	frame := &lapisv1.ControlFrame{}
--- a/internal/callmux/server.go
+++ b/internal/callmux/server.go
@@ -32,9 +32,6 @@
 	// Counters receive the traffic of calls.
 	Counters *wire.Counters
 	Timing   Timing
-	// KnownMembers returns the number of daemons known, which the welcome
-	// tells; it may be nil.
-	KnownMembers func() int
 	// Accepted is called with each new session and returns what receives the
 	// frames that concern the daemons themselves; it may be nil.
 	Accepted func(hello *lapisv1.Hello, link Link) (control func(*lapisv1.CallFrame))
@@ -64,9 +61,6 @@
 		conn.UseCounters(s.Counters)
 	}
 	welcome := &lapisv1.Welcome{Node: s.Node, Incarnation: s.Incarnation}
-	if s.KnownMembers != nil {
-		welcome.KnownMembers = uint32(s.KnownMembers())
-	}
 	if err := conn.Send(&lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Welcome{Welcome: welcome}}); err != nil {
 		return err
 	}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -56,7 +56,6 @@
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
 		InForce: part.inForce.Load, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
-	d.calls.KnownMembers = part.fleet.Known
 	d.direct = part
 	d.node = part.fleet
 }
@@ -191,5 +190,4 @@
 func (p *direct) handlers(calls *callmux.Server) {
 	calls.Timing = p.timing()
 	calls.Accepted = p.fleet.Accepted
-	calls.KnownMembers = p.fleet.Known
 }
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -33,6 +33,8 @@
 	// directoryInterval is the time between two looks at the directory. It is
 	// long because daemons also name each other.
 	directoryInterval = 15 * time.Second
+	// intervalPerMember makes that time longer where lists are.
+	intervalPerMember = 100 * time.Millisecond
 )
 
 // followDirectory publishes this daemon and learns of the others until ctx
@@ -43,10 +45,13 @@
 	listed := false
 	for {
 		err := f.visitDirectory(ctx, &published, &listed)
-		next := directoryInterval
+		next := max(directoryInterval, time.Duration(f.Known())*intervalPerMember)
 		if err != nil {
 			f.config.Logger.Info("directory.failed", "published", published, "error", err)
 			next = wait
+			if !listed {
+				f.askIntroduction()
+			}
 			wait = min(2*wait, directoryRetryMax)
 		} else {
 			wait = directoryRetryMin
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -85,38 +84,10 @@
 	defer f.lost(member)
 	stop := context.AfterFunc(ctx, func() { link.Close(result.Errorf(result.CallUnknownOutcome, "the connection is not wanted any more")) })
 	defer stop()
-	if introduction := f.introduction(member, int(link.Welcome().GetKnownMembers())); introduction != nil {
-		_ = link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Introduction{Introduction: introduction}})
-	}
+	f.remind(member, link)
 	<-link.Closed()
 }
 
-// introduction names the daemons in reach, where the peer knows clearly fewer
-// than this one, and the peer's own instances that left. nil is returned when
-// there is nothing to say.
-func (f *Fleet) introduction(to *peer, known int) *lapisv1.Introduction {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	introduction := &lapisv1.Introduction{}
-	if known*10 < len(f.members)*9 {
-		for _, member := range f.members {
-			if member != to && (member.connected || time.Since(member.lostAt) < forgetAfter) {
-				introduction.Members = append(introduction.Members, &lapisv1.PeerAddress{
-					Node: member.Node, Address: member.Address, Zone: member.Zone, Service: member.Service,
-				})
-			}
-		}
-	}
-	for instance := range to.withdrawn {
-		introduction.Withdrawn = append(introduction.Withdrawn, instance)
-	}
-	slices.Sort(introduction.Withdrawn)
-	if len(introduction.Members)+len(introduction.Withdrawn) == 0 {
-		return nil
-	}
-	return introduction
-}
-
 func (f *Fleet) lost(member *peer) {
 	f.mutex.Lock()
 	member.connected = false
@@ -137,20 +108,11 @@
 	case *lapisv1.CallFrame_Announcement:
 		f.announced(member, generation, body.Announcement)
 	case *lapisv1.CallFrame_Introduction:
-		f.introduced(body.Introduction)
+		f.mutex.Lock()
+		link := member.link
+		f.mutex.Unlock()
+		f.introduced(body.Introduction, link)
 	case *lapisv1.CallFrame_Configuration:
 		f.config.Observer.Offer(body.Configuration)
 	}
 }
-
-// introduced takes in whom another daemon knows.
-func (f *Fleet) introduced(introduction *lapisv1.Introduction) {
-	for _, member := range introduction.GetMembers() {
-		f.learn(Member{
-			Node: member.GetNode(), Address: member.GetAddress(), Zone: member.GetZone(), Service: member.GetService(),
-		})
-	}
-	for _, instance := range introduction.GetWithdrawn() {
-		f.config.Observer.Withdraw(instance)
-	}
-}
--- a/internal/fleet/listener.go
+++ b/internal/fleet/listener.go
@@ -24,21 +24,19 @@
 		signal(member.wake)
 	}
 	f.mutex.Unlock()
-	go f.tell(opened, member, int(hello.GetKnownMembers()))
+	go f.tell(opened, member)
 	return func(frame *lapisv1.CallFrame) { f.receiveAccepted(opened, member, frame) }
 }
 
 // tell announces this daemon on a connection until it ends.
-func (f *Fleet) tell(opened *listener, member *peer, known int) {
+func (f *Fleet) tell(opened *listener, member *peer) {
 	defer func() {
 		f.mutex.Lock()
 		delete(f.listeners, opened)
 		f.mutex.Unlock()
 	}()
 	if member != nil {
-		if introduction := f.introduction(member, known); introduction != nil {
-			_ = opened.link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Introduction{Introduction: introduction}})
-		}
+		f.remind(member, opened.link)
 	}
 	for {
 		f.mutex.Lock()
@@ -67,7 +65,7 @@
 			f.mutex.Unlock()
 		}
 	case *lapisv1.CallFrame_Introduction:
-		f.introduced(body.Introduction)
+		f.introduced(body.Introduction, opened.link)
 	case *lapisv1.CallFrame_ConfigurationRequest:
 		f.serveConfiguration(opened.link, body.ConfigurationRequest.GetAbove())
 	}
