Notice a daemon that does not answer within three quarters of a second

Change: a peer that is quiet for 0.25 s while calls are on their way is asked for a sign of life; without one in 0.4 s it is stalled: its instances are suspect, and calls that may be repeated go elsewhere within the budget. The connection stays open, since lost packets look alike. Times are measured from the session's start, so that steps of the time of day do not matter.

--- a/internal/callmux/session.go
+++ b/internal/callmux/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -49,8 +50,17 @@
 	welcome *lapisv1.Welcome
 	closed  chan struct{}
 
-	// mutex protects everything below.
+	// began is when the session was opened, and heard how long after that the
+	// newest frame came, in nanoseconds, so that steps of the time of day do not
+	// matter.
+	began time.Time
+	heard atomic.Int64
+
+	// mutex protects everything below. asked is when the peer was asked for a
+	// sign of life that has not come; stalled is closed when it took too long.
 	mutex   sync.Mutex
+	asked   time.Time
+	stalled chan struct{}
 	streams map[uint64]*stream
 	fences  map[string]chan *lapisv1.CallFenced
 	next    uint64
@@ -58,10 +68,13 @@
 }
 
 func newSession(conn *wire.Conn, incarnation uint64, timing Timing) *session {
-	return &session{
+	opened := &session{
 		conn: conn, timing: timing.orDefault(), incarnation: incarnation, closed: make(chan struct{}),
 		streams: map[uint64]*stream{}, fences: map[string]chan *lapisv1.CallFenced{},
+		stalled: make(chan struct{}),
 	}
+	opened.began = time.Now()
+	return opened
 }
 
 func (s *session) send(frames ...proto.Message) error {
@@ -145,6 +158,7 @@
 		frame := &lapisv1.CallFrame{}
 		err := s.conn.Receive(frame)
 		if err == nil {
+			s.noteHeard()
 			err = s.handle(frame, accept)
 		}
 		if err != nil {
@@ -157,6 +171,11 @@
 func (s *session) handle(frame *lapisv1.CallFrame, accept func(*lapisv1.CallFrame) error) error {
 	switch body := frame.GetBody().(type) {
 	case nil:
+		if frame.GetPing() {
+			// In the background, so that a peer that does not read cannot keep
+			// this side from reading.
+			go func() { _ = s.send(s.alive()) }()
+		}
 		if s.control != nil && frame.GetRevision() > 0 {
 			s.control(frame)
 		}
@@ -235,15 +254,23 @@
 		case <-s.closed:
 			return
 		case <-ticker.C:
-			frame := &lapisv1.CallFrame{}
-			if s.timing.Revision != nil {
-				frame.Revision = s.timing.Revision()
-			}
-			_ = s.send(frame)
+			_ = s.send(s.alive())
 		}
 	}
 }
 
+// noteHeard notes that a frame came.
+func (s *session) noteHeard() { s.heard.Store(int64(time.Since(s.began))) }
+
+// alive returns the empty frame that is a sign of life.
+func (s *session) alive() *lapisv1.CallFrame {
+	frame := &lapisv1.CallFrame{}
+	if s.timing.Revision != nil {
+		frame.Revision = s.timing.Revision()
+	}
+	return frame
+}
+
 // errorOf converts a reset into an error.
 func errorOf(reset *lapisv1.CallReset) error {
 	code := result.Code(reset.GetCode())
--- /dev/null
+++ b/internal/callmux/stall_test.go
@@ -0,0 +1,60 @@
+package callmux
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/wire"
+)
+
+// A peer that holds a call and says nothing stalls; its next sign of life ends
+// that. One without calls is not asked.
+func TestStallIsNoticedAndEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		opened := newSession(wire.NewConn(near, nil), 1, Timing{})
+		defer opened.close(net.ErrClosed)
+		pings := make(chan struct{}, 8)
+		go func() {
+			buffer := make([]byte, 64)
+			for {
+				if _, err := far.Read(buffer); err != nil {
+					return
+				}
+				pings <- struct{}{}
+			}
+		}()
+		bounds := Stall{Check: 100 * time.Millisecond, Quiet: 250 * time.Millisecond, Answer: 400 * time.Millisecond}
+		check := func() (changed, stalled bool) { return opened.checkStall(bounds, time.Now()) }
+
+		time.Sleep(time.Second)
+		changed, _ := check()
+		assert.Assert(t, !changed)
+		assert.Equal(t, len(pings), 0)
+
+		assert.NilError(t, opened.add(newStream(1, opened)))
+		_, _ = check()
+		synctest.Wait()
+		assert.Equal(t, len(pings), 1)
+		time.Sleep(300 * time.Millisecond)
+		changed, _ = check()
+		assert.Assert(t, !changed)
+		time.Sleep(200 * time.Millisecond)
+		changed, stalled := check()
+		assert.Assert(t, changed && stalled)
+		select {
+		case <-opened.stall():
+		default:
+			t.Fatal("calls are not told")
+		}
+		opened.noteHeard()
+		time.Sleep(time.Millisecond)
+		changed, stalled = check()
+		assert.Assert(t, changed && !stalled)
+	})
+}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -67,6 +67,14 @@
 	return timing
 }
 
+// stall bounds the time in which a daemon that does not answer is noticed.
+func (p *direct) stall() callmux.Stall {
+	return callmux.Stall{
+		Check: 100 * time.Millisecond, Quiet: 250 * time.Millisecond, Answer: 400 * time.Millisecond,
+		Changed: p.fleet.Stalled,
+	}
+}
+
 // start runs what a platform adds to a daemon.
 func (p *direct) start(ctx context.Context) {
 	d := p.daemon
@@ -74,6 +82,7 @@
 		Source: p.platform.Source(), Apply: p.Offer, Pace: p.pace, Wait: p.sourceWait(), Random: rand.Float64, Logger: d.logger,
 	}
 	d.running.Go(func() { follower.Run(ctx) })
+	d.running.Go(func() { d.calls.WatchStalls(ctx, p.stall()) })
 	serve := func(listener net.Listener, run func(net.Listener)) {
 		if listener != nil {
 			d.running.Go(func() { run(listener) })
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -91,7 +91,9 @@
 	stop context.CancelFunc
 	// connected is true while calls can be sent there over link.
 	connected bool
-	link      callmux.Link
+	// stalled is true while the daemon does not answer.
+	stalled bool
+	link    callmux.Link
 	// generation numbers the connections opened; what comes late on an earlier
 	// one does not count.
 	generation uint64
@@ -185,6 +187,20 @@
 	return len(f.members)
 }
 
+// Stalled notes that the daemon at an address does not answer, or does again.
+func (f *Fleet) Stalled(address string, stalled bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, member := range f.members {
+		if member.Address != address || member.stalled == stalled {
+			continue
+		}
+		member.stalled = stalled
+		f.config.Logger.Info("fleet.stalled", "member", member.Node, "stalled", stalled)
+		signal(f.changed)
+	}
+}
+
 // learn takes in that a daemon exists.
 func (f *Fleet) learn(member Member) {
 	f.mutex.Lock()
@@ -328,7 +344,7 @@
 // seen returns an endpoint as this daemon sees it: one that it cannot reach is
 // suspect.
 func (p *peer) seen(endpoint *lapisv1.Endpoint) *lapisv1.Endpoint {
-	if p.connected || endpoint.GetState() != lapisv1.Endpoint_STATE_READY {
+	if (p.connected && !p.stalled) || endpoint.GetState() != lapisv1.Endpoint_STATE_READY {
 		return endpoint
 	}
 	return &lapisv1.Endpoint{
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -71,6 +71,7 @@
 		member.revision = 0
 	}
 	member.connected = true
+	member.stalled = false
 	member.link = link
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.connected", "member", member.Node, "address", address, "incarnation", incarnation)
