--- a/internal/lab/caller.go
+++ b/internal/callload/caller.go
@@ -1,4 +1,4 @@
-package lab
+package callload
 
 import (
 	"context"
@@ -42,8 +42,8 @@
 	RetryAfter string
 	Instance   string
 	Latency    time.Duration
-	// finished is when the call was over.
-	finished time.Time
+	// Finished is when the call was over.
+	Finished time.Time
 }
 
 // Caller makes calls and checks their answers.
@@ -72,8 +72,8 @@
 	started := time.Now()
 	finished := c.exchange(ctx, call)
 	finished.Call = call
-	finished.finished = time.Now()
-	finished.Latency = finished.finished.Sub(started)
+	finished.Finished = time.Now()
+	finished.Latency = finished.Finished.Sub(started)
 	return finished
 }
 
@@ -185,17 +185,17 @@
 // Total returns the number of calls.
 func (t *Tally) Total() int64 { return t.Done + t.Wrong + t.NotRun + t.Unknown }
 
-// maxLatencyMicros bounds the latency histogram.
-const maxLatencyMicros = 120 * 1000 * 1000
+// MaxLatencyMicros bounds the latency histogram.
+const MaxLatencyMicros = 120 * 1000 * 1000
 
-func newTally() *Tally {
+func NewTally() *Tally {
 	return &Tally{
-		Latency: hdrhistogram.New(1, maxLatencyMicros, 3),
+		Latency: hdrhistogram.New(1, MaxLatencyMicros, 3),
 		Results: map[string]int64{}, ByInstance: map[string]int64{},
 	}
 }
 
-func (t *Tally) add(finished CallResult) {
+func (t *Tally) Add(finished CallResult) {
 	switch finished.Outcome {
 	case OutcomeDone:
 		t.Done++
@@ -227,9 +227,9 @@
 		workers.Wait()
 		close(finished)
 	}()
-	tally := newTally()
+	tally := NewTally()
 	for one := range finished {
-		tally.add(one)
+		tally.Add(one)
 	}
 	tally.Elapsed = time.Since(started)
 	return tally
@@ -241,7 +241,7 @@
 		due := time.Now()
 		if l.Rate > 0 {
 			due = started.Add(time.Duration(float64(number) / l.Rate * float64(time.Second)))
-			if !sleepUntil(ctx, due) {
+			if !SleepUntil(ctx, due) {
 				return
 			}
 		}
@@ -258,9 +258,9 @@
 func (l *Load) honour(ctx context.Context, one CallResult) {
 	seconds, err := time.ParseDuration(one.RetryAfter + "s")
 	if l.Honour > 0 && err == nil {
-		sleepUntil(ctx, time.Now().Add(min(seconds, l.Honour)))
+		SleepUntil(ctx, time.Now().Add(min(seconds, l.Honour)))
 	}
 }
 
-// sleepUntil waits until due; it reports false when ctx ended first.
-func sleepUntil(ctx context.Context, due time.Time) bool { return pause.For(ctx, time.Until(due)) }
+// SleepUntil waits until due; it reports false when ctx ended first.
+func SleepUntil(ctx context.Context, due time.Time) bool { return pause.For(ctx, time.Until(due)) }
--- a/internal/lab/baselines.go
+++ b/internal/distbench/baselines.go
@@ -1,4 +1,4 @@
-package lab
+package distbench
 
 import (
 	"context"
@@ -12,11 +12,14 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callload"
 	"github.com/lapisvane/lapisvane/internal/changelog"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/seat"
+	"github.com/lapisvane/lapisvane/internal/testsite"
+	"github.com/lapisvane/lapisvane/internal/topology"
 	"github.com/lapisvane/lapisvane/internal/tree"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
@@ -61,7 +64,7 @@
 	if err := p.holdings.Apply(update, all); err != nil {
 		return err
 	}
-	p.oracle.judge(p.name, all, previous, tree.Applied{Revision: update.GetToRevision(), Bundles: p.holdings.Bundles(all)})
+	p.oracle.Judge(p.name, all, previous, tree.Applied{Revision: update.GetToRevision(), Bundles: p.holdings.Bundles(all)})
 	return nil
 }
 
@@ -95,7 +98,7 @@
 	started.cancel = cancel
 	for index, proxy := range started.proxies {
 		zone := fleet.shape.Zones[index%len(fleet.shape.Zones)]
-		client := objectapi.NewClient([]string{fleet.Platform.Address()}, "", fleet.topology.DialFrom(place{zone: zone, node: proxy.name}))
+		client := objectapi.NewClient([]string{fleet.Platform.Address()}, "", fleet.Topology.DialFrom(topology.Place{Zone: zone, Node: proxy.name}))
 		started.running.Go(func() {
 			defer client.Close()
 			proxy.poll(ctx, client)
@@ -106,13 +109,13 @@
 
 // poll asks for the head and, when it moved, for the whole configuration.
 func (p *baselineProxy) poll(ctx context.Context, client *objectapi.Client) {
-	if !sleepUntil(ctx, time.Now().Add(rand.N(pollInterval))) {
+	if !callload.SleepUntil(ctx, time.Now().Add(rand.N(pollInterval))) {
 		return
 	}
 	for {
 		p.pollOnce(ctx, client)
 		p.bytes.Store(client.BytesIn.Load() + client.BytesOut.Load())
-		if !sleepUntil(ctx, time.Now().Add(pollInterval)) {
+		if !callload.SleepUntil(ctx, time.Now().Add(pollInterval)) {
 			return
 		}
 	}
@@ -165,7 +168,7 @@
 		zone := index % len(fleet.shape.Zones)
 		reader := readers[zone*readersPerZone+(index/len(fleet.shape.Zones))%readersPerZone]
 		started.running.Go(func() {
-			proxy.listen(ctx, fleet.topology.Network(place{zone: fleet.shape.Zones[zone], node: proxy.name}), reader.address)
+			proxy.listen(ctx, fleet.Topology.Network(topology.Place{Zone: fleet.shape.Zones[zone], Node: proxy.name}), reader.address)
 		})
 	}
 	return started, nil
@@ -208,13 +211,13 @@
 }
 
 func newStarReader(fleet *Fleet, zone string) (*starReader, error) {
-	listener, err := fleet.topology.Network(place{zone: zone, node: zone + "-reader"}).Listen(loopback)
+	listener, err := fleet.Topology.Network(topology.Place{Zone: zone, Node: zone + "-reader"}).Listen(testsite.Loopback)
 	if err != nil {
 		return nil, err
 	}
 	return &starReader{
 		fleet: fleet, listener: listener, address: listener.Addr().String(), counters: &wire.Counters{},
-		client: objectapi.NewClient([]string{fleet.Platform.Address()}, "", fleet.topology.DialFrom(place{zone: zone, node: zone + "-reader"})),
+		client: objectapi.NewClient([]string{fleet.Platform.Address()}, "", fleet.Topology.DialFrom(topology.Place{Zone: zone, Node: zone + "-reader"})),
 	}, nil
 }
 
--- a/internal/lab/convergence.go
+++ b/internal/distbench/convergence.go
@@ -1,4 +1,4 @@
-package lab
+package distbench
 
 import (
 	"context"
@@ -6,11 +6,15 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jessevdk/go-flags"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/lapisvane/lapisvane/internal/callload"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 	"github.com/lapisvane/lapisvane/internal/features"
 	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/settings"
+	"github.com/lapisvane/lapisvane/internal/testsite"
 	"github.com/lapisvane/lapisvane/internal/tree"
 )
 
@@ -19,13 +23,15 @@
 	StrategyPoll  = "poll"
 	StrategyStar  = "star-snapshot"
 	StrategyTree  = "tree-delta"
-	setUpLimit    = 30 * time.Second
 	convergeLimit = 20 * time.Second
 )
 
-// convergenceCommand measures convergence and control bytes of each strategy on
+// ConvergenceCommand is a command of lapislab.
+var _ flags.Commander = (*ConvergenceCommand)(nil)
+
+// ConvergenceCommand measures convergence and control bytes of each strategy on
 // the same work.
-type convergenceCommand struct {
+type ConvergenceCommand struct {
 	Proxies  int           `long:"proxies" description:"hollow daemons" default:"1000"`
 	Services int           `long:"services" description:"services in the configuration" default:"950"`
 	PerProxy int           `long:"per-proxy" description:"services that each proxy uses" default:"30"`
@@ -47,13 +53,13 @@
 }
 
 // Execute implements flags.Commander.
-func (c *convergenceCommand) Execute([]string) error {
+func (c *ConvergenceCommand) Execute([]string) error {
 	if c.Proxies < 1 || c.Services < 1 || c.Changes < 1 || c.Interval <= 0 {
 		return fmt.Errorf("proxies, services, changes and interval must be above 0")
 	}
 	profiles := c.Profile
 	if len(profiles) == 0 {
-		profiles = []string{ProfileSwancycle, ProfileBoard}
+		profiles = []string{testsite.ProfileSwancycle, testsite.ProfileBoard}
 	}
 	failed := false
 	var stored []StrategyFigures
@@ -86,7 +92,7 @@
 	if c.Output == "" {
 		return nil
 	}
-	return writeIndented(c.Output, stored)
+	return experiment.WriteIndented(c.Output, stored)
 }
 
 // convergenceFigures are the figures of one strategy.
@@ -103,19 +109,19 @@
 }
 
 func (f *convergenceFigures) print() {
-	results.Info("bench.result", "name", "convergence", "strategy", f.strategy, "profile", f.profile,
+	experiment.Results.Info("bench.result", "name", "convergence", "strategy", f.strategy, "profile", f.profile,
 		"proxies", f.proxies, "changes", f.changes,
-		"p50_ms", millis(f.histogram.ValueAtQuantile(50)), "p99_ms", millis(f.histogram.ValueAtQuantile(99)),
-		"max_ms", millis(f.histogram.Max()), "applies", f.histogram.TotalCount(),
+		"p50_ms", experiment.Millis(f.histogram.ValueAtQuantile(50)), "p99_ms", experiment.Millis(f.histogram.ValueAtQuantile(99)),
+		"max_ms", experiment.Millis(f.histogram.Max()), "applies", f.histogram.TotalCount(),
 		"control_bytes_per_change_per_proxy", f.bytesPerChange, "source_readers", f.sourceReaders,
 		"max_node_bytes_per_second", f.maxNodeBytes, "source_requests_per_second", f.sourceRequests,
 		"zone_crossing_bytes_per_change", f.betweenZones, "violations", len(f.violations))
 	for _, violation := range f.violations {
-		results.Info("bench.violation", "detail", violation)
+		experiment.Results.Info("bench.violation", "detail", violation)
 	}
 }
 
-func (c *convergenceCommand) shape(profile Profile) FleetShape {
+func (c *ConvergenceCommand) shape(profile testsite.Profile) FleetShape {
 	tunables := features.Convergence()
 	if profile.Distribution == settings.ProfileBytes {
 		tunables = features.Bytes()
@@ -141,8 +147,8 @@
 	perNode []int64
 }
 
-func (c *convergenceCommand) measure(profileName, strategy string) (*convergenceFigures, error) {
-	profile, _ := ProfileNamed(profileName)
+func (c *ConvergenceCommand) measure(profileName, strategy string) (*convergenceFigures, error) {
+	profile, _ := testsite.ProfileNamed(profileName)
 	fleet, err := NewFleet(c.shape(profile))
 	if err != nil {
 		return nil, err
@@ -153,14 +159,14 @@
 		return nil, err
 	}
 	defer stop()
-	if err := waitNone(run, fleet.Revision(), setUpLimit); err != nil {
+	if err := waitNone(run, fleet.Revision(), experiment.SetUpLimit); err != nil {
 		return nil, fmt.Errorf("at the start: %w", err)
 	}
 	time.Sleep(time.Second)
 	return c.drive(fleet, run, profile, strategy)
 }
 
-func (c *convergenceCommand) start(fleet *Fleet, strategy string) (run strategyRun, stop func(), err error) {
+func (c *ConvergenceCommand) start(fleet *Fleet, strategy string) (run strategyRun, stop func(), err error) {
 	switch strategy {
 	case StrategyPoll:
 		if err := fleet.storeFull(); err != nil {
@@ -180,7 +186,7 @@
 }
 
 // drive makes the changes and the endpoint churn and measures.
-func (c *convergenceCommand) drive(fleet *Fleet, run strategyRun, profile Profile, strategy string) (*convergenceFigures, error) {
+func (c *ConvergenceCommand) drive(fleet *Fleet, run strategyRun, profile testsite.Profile, strategy string) (*convergenceFigures, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if strategy == StrategyTree {
@@ -188,7 +194,7 @@
 	}
 	before := run.traffic()
 	requestsBefore := fleet.Platform.Load().Requests
-	crossingBefore := fleet.topology.BetweenZones.Load()
+	crossingBefore := fleet.Topology.BetweenZones.Load()
 	started := time.Now()
 	fleet.oracle.record(true)
 	for range c.Changes {
@@ -201,7 +207,7 @@
 				return nil, err
 			}
 		}
-		sleepUntil(ctx, next)
+		callload.SleepUntil(ctx, next)
 	}
 	if err := waitNone(run, fleet.Revision(), convergeLimit); err != nil {
 		return nil, err
@@ -213,7 +219,7 @@
 		histogram: fleet.oracle.convergence, sourceReaders: run.sourceReaders(),
 		bytesPerChange: float64(after.total-before.total) / float64(c.Changes) / float64(c.Proxies),
 		sourceRequests: float64(fleet.Platform.Load().Requests-requestsBefore) / elapsed,
-		betweenZones:   float64(fleet.topology.BetweenZones.Load()-crossingBefore) / float64(c.Changes),
+		betweenZones:   float64(fleet.Topology.BetweenZones.Load()-crossingBefore) / float64(c.Changes),
 		violations:     fleet.oracle.report(),
 	}
 	for index := range after.perNode {
@@ -227,7 +233,7 @@
 		return
 	}
 	interval := time.Duration(float64(time.Second) / rate)
-	for sleepUntil(ctx, time.Now().Add(interval)) {
+	for callload.SleepUntil(ctx, time.Now().Add(interval)) {
 		fleet.ChurnEndpoints()
 	}
 }
@@ -265,17 +271,17 @@
 // directions for each node.
 func (t *treeRun) traffic() traffic {
 	var sum traffic
-	for _, member := range t.fleet.members {
-		sum.total += member.bytesIn()
-		sum.perNode = append(sum.perNode, member.bytesIn()+member.bytesOut())
+	for _, member := range t.fleet.Members {
+		sum.total += member.BytesIn()
+		sum.perNode = append(sum.perNode, member.BytesIn()+member.BytesOut())
 	}
 	return sum
 }
 
 func (t *treeRun) sourceReaders() int {
 	readers := 0
-	for _, member := range t.fleet.members {
-		if member.node.Info().Role == tree.RoleReader {
+	for _, member := range t.fleet.Members {
+		if member.Node.Info().Role == tree.RoleReader {
 			readers++
 		}
 	}
--- a/internal/lab/fleet.go
+++ b/internal/distbench/fleet.go
@@ -1,4 +1,4 @@
-package lab
+package distbench
 
 import (
 	"context"
@@ -12,12 +12,15 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/changelog"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 	"github.com/lapisvane/lapisvane/internal/features"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/peer"
+	"github.com/lapisvane/lapisvane/internal/testsite"
+	"github.com/lapisvane/lapisvane/internal/topology"
 	"github.com/lapisvane/lapisvane/internal/tree"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
@@ -50,19 +53,19 @@
 	ListenAddress func(zone int) string
 }
 
-// placeOf returns the place of the daemon with the given number.
-func (s *FleetShape) placeOf(number int) place {
+// PlaceOf returns the place of the daemon with the given number.
+func (s *FleetShape) PlaceOf(number int) topology.Place {
 	zone := number % len(s.Zones)
-	at := place{zone: s.Zones[zone], node: fmt.Sprintf("hollow-%05d", number)}
+	at := topology.Place{Zone: s.Zones[zone], Node: fmt.Sprintf("hollow-%05d", number)}
 	if len(s.Regions) > 0 {
-		at.region = s.Regions[zone]
+		at.Region = s.Regions[zone]
 	}
 	return at
 }
 
 func (s *FleetShape) listenAddress(number int) string {
 	if s.ListenAddress == nil {
-		return loopback
+		return testsite.Loopback
 	}
 	return s.ListenAddress(number % len(s.Zones))
 }
@@ -74,86 +77,86 @@
 	// Platform is nil when the platform runs elsewhere.
 	Platform *objectapistub.Server
 	source   string
-	topology *Topology
+	Topology *topology.Topology
 	oracle   *oracle
-	judge    judge
+	Judge    Judge
 	store    *objectapi.Client
 	log      *changelog.Log
 	random   *rand.Rand
 
 	// mutex protects members; the slice's length never changes after Start.
 	mutex   sync.Mutex
-	members []*hollow
+	Members []*Hollow
 	changes int
 }
 
 // judge looks at every version that a hollow daemon puts in force.
-type judge interface {
-	judge(node string, interest holdings.Interest, previous uint64, applied tree.Applied)
+type Judge interface {
+	Judge(node string, interest holdings.Interest, previous uint64, applied tree.Applied)
 }
 
-// hollow is one hollow daemon. A restart replaces everything but its place in
+// Hollow is one hollow daemon. A restart replaces everything but its place in
 // the fleet.
-type hollow struct {
+type Hollow struct {
 	fleet       *Fleet
 	number      int
-	place       place
+	Place       topology.Place
 	interest    holdings.Interest
 	service     string
-	counters    *wire.Counters
+	Counters    *wire.Counters
 	client      *objectapi.Client
-	node        *tree.Node
+	Node        *tree.Node
 	listener    string
 	incarnation uint64
 	cancel      context.CancelFunc
 	done        chan struct{}
 
-	mutex   sync.Mutex
-	inForce uint64
-	// down is true while the daemon is dead and not replaced.
-	down bool
+	Mutex   sync.Mutex
+	InForce uint64
+	// Down is true while the daemon is dead and not replaced.
+	Down bool
 	// pastBytesIn and pastBytesOut are the platform traffic of dead processes.
 	pastBytesIn, pastBytesOut int64
 }
 
 // Apply implements tree.Observer.
-func (h *hollow) Apply(applied tree.Applied) {
-	h.mutex.Lock()
-	previous := h.inForce
-	h.inForce = applied.Revision
-	h.mutex.Unlock()
-	h.fleet.judge.judge(h.place.node, h.interest, previous, applied)
+func (h *Hollow) Apply(applied tree.Applied) {
+	h.Mutex.Lock()
+	previous := h.InForce
+	h.InForce = applied.Revision
+	h.Mutex.Unlock()
+	h.fleet.Judge.Judge(h.Place.Node, h.interest, previous, applied)
 }
 
 // Endpoints implements tree.Observer.
-func (h *hollow) Endpoints(string, []*lapisv1.Endpoint) {}
+func (h *Hollow) Endpoints(string, []*lapisv1.Endpoint) {}
 
 // NewFleet starts the platform stand-in and accepts the first configuration.
 func NewFleet(shape FleetShape) (*Fleet, error) {
-	stub, err := objectapistub.Start(objectapistub.Options{Address: loopback, Seed: shape.Seed, MachineLag: time.Second})
+	stub, err := objectapistub.Start(objectapistub.Options{Address: testsite.Loopback, Seed: shape.Seed, MachineLag: time.Second})
 	if err != nil {
 		return nil, err
 	}
 	shape.Platform = stub.Address()
-	fleet := joinFleet(shape)
+	fleet := JoinFleet(shape)
 	fleet.Platform = stub
-	fleet.topology.Place(stub.Address(), place{zone: shape.Zones[0], node: platformPlace})
-	if err := fleet.acceptFirst(); err != nil {
+	fleet.Topology.Place(stub.Address(), topology.Place{Zone: shape.Zones[0], Node: topology.PlatformPlace})
+	if err := fleet.AcceptFirst(); err != nil {
 		fleet.Close()
 		return nil, err
 	}
 	return fleet, nil
 }
 
-// joinFleet prepares daemons of a platform that runs elsewhere.
-func joinFleet(shape FleetShape) *Fleet {
+// JoinFleet prepares daemons of a platform that runs elsewhere.
+func JoinFleet(shape FleetShape) *Fleet {
 	fleet := &Fleet{
-		shape: shape, source: shape.Platform, topology: NewTopology(shape.ZoneDelay, shape.RegionDelay), oracle: newOracle(),
+		shape: shape, source: shape.Platform, Topology: topology.NewTopology(shape.ZoneDelay, shape.RegionDelay), oracle: newOracle(),
 		store:  objectapi.NewClient([]string{shape.Platform}, "", nil),
 		random: rand.New(rand.NewPCG(shape.Seed, 3)),
 	}
-	fleet.judge = fleet.oracle
-	fleet.topology.CutWithinZones = shape.CutWithinZones
+	fleet.Judge = fleet.oracle
+	fleet.Topology.CutWithinZones = shape.CutWithinZones
 	fleet.log = changelog.New(&stampingStore{Store: fleet.store, fleet: fleet}, time.Now)
 	return fleet
 }
@@ -177,16 +180,13 @@
 	return s.Store.Put(ctx, key, value, expected)
 }
 
-// platformPlace is the platform's name in the topology.
-const platformPlace = "platform"
-
-func serviceName(index int) string { return fmt.Sprintf("service-%04d", index) }
+func ServiceName(index int) string { return fmt.Sprintf("service-%04d", index) }
 
-// acceptFirst accepts a configuration with all services.
-func (f *Fleet) acceptFirst() error {
+// AcceptFirst accepts a configuration with all services.
+func (f *Fleet) AcceptFirst() error {
 	file := meshconfig.File{}
 	for index := range f.shape.Services {
-		name := serviceName(index)
+		name := ServiceName(index)
 		file.Pools = append(file.Pools, meshconfig.PoolFile{Name: name, Group: "group-a", Slots: 6, ConnectionLimit: 130})
 		for _, kind := range []string{"read", "write"} {
 			file.Routes = append(file.Routes, meshconfig.RouteFile{
@@ -209,7 +209,7 @@
 // Change changes one service's configuration, as an operator would.
 func (f *Fleet) Change() error {
 	f.changes++
-	name := serviceName(f.random.IntN(f.shape.Services))
+	name := ServiceName(f.random.IntN(f.shape.Services))
 	return f.accept(meshconfig.File{Routes: []meshconfig.RouteFile{{
 		Name: name + "-read", Group: "group-a", Pool: name, Host: name + ".mesh.example",
 		PathPrefix: "/read", Repeatable: true, DeadlineMillis: uint32(1000 + f.changes),
@@ -226,7 +226,7 @@
 		return err
 	}
 	_, err = f.log.Accept(context.Background(), &lapisv1.Proposal{
-		OperationId: fmt.Sprintf("lab-%d-%d", f.shape.Seed, f.changes), Author: labAdmin, BaseRevision: state.Revision, Changes: changes,
+		OperationId: fmt.Sprintf("lab-%d-%d", f.shape.Seed, f.changes), Author: testsite.LabAdmin, BaseRevision: state.Revision, Changes: changes,
 	})
 	return err
 }
@@ -238,14 +238,14 @@
 func (f *Fleet) Start() error {
 	for index := range f.shape.Proxies {
 		number := f.shape.First + index
-		member := &hollow{
-			fleet: f, number: number, place: f.shape.placeOf(number), counters: &wire.Counters{},
-			service: serviceName(number % f.shape.Services), interest: f.drawInterest(number),
+		member := &Hollow{
+			fleet: f, number: number, Place: f.shape.PlaceOf(number), Counters: &wire.Counters{},
+			service: ServiceName(number % f.shape.Services), interest: f.drawInterest(number),
 		}
-		f.members = append(f.members, member)
+		f.Members = append(f.Members, member)
 	}
-	listeners := make([]func() error, 0, len(f.members))
-	for _, member := range f.members {
+	listeners := make([]func() error, 0, len(f.Members))
+	for _, member := range f.Members {
 		run, err := member.open()
 		if err != nil {
 			return err
@@ -262,16 +262,16 @@
 
 // drawInterest returns the services of a proxy: its own and random others.
 func (f *Fleet) drawInterest(index int) holdings.Interest {
-	names := []string{serviceName(index % f.shape.Services)}
+	names := []string{ServiceName(index % f.shape.Services)}
 	for len(names) < min(f.shape.PerProxy, f.shape.Services) {
-		names = append(names, serviceName(f.random.IntN(f.shape.Services)))
+		names = append(names, ServiceName(f.random.IntN(f.shape.Services)))
 	}
 	return holdings.NewInterest(names...)
 }
 
 // open takes a port, so that others can be told of it before the daemon runs.
-func (h *hollow) open() (run func() error, err error) {
-	network := h.fleet.topology.Network(h.place)
+func (h *Hollow) open() (run func() error, err error) {
+	network := h.fleet.Topology.Network(h.Place)
 	listener, err := network.Listen(h.fleet.shape.listenAddress(h.number))
 	if err != nil {
 		return nil, err
@@ -282,26 +282,26 @@
 	}
 	return func() error {
 		h.incarnation++
-		client := objectapi.NewClient([]string{h.fleet.source}, "", h.fleet.topology.DialFrom(h.place))
+		client := objectapi.NewClient([]string{h.fleet.source}, "", h.fleet.Topology.DialFrom(h.Place))
 		node := tree.New(tree.Config{
-			Node: h.place.node, Incarnation: h.incarnation, Zone: h.place.zone, Region: h.place.region, Address: h.listener,
+			Node: h.Place.Node, Incarnation: h.incarnation, Zone: h.Place.Zone, Region: h.Place.Region, Address: h.listener,
 			Seeds: h.fleet.drawSeeds(h), Interest: h.interest, Tunables: h.fleet.shape.Tunables,
-			Network: network, Store: client, Counters: h.counters,
+			Network: network, Store: client, Counters: h.Counters,
 			Random: rand.New(rand.NewPCG(h.fleet.shape.Seed, rand.Uint64())), Logger: logr.Discard(), Observer: h,
 		})
-		h.mutex.Lock()
-		h.node = node
+		h.Mutex.Lock()
+		h.Node = node
 		h.client = client
-		h.inForce = 0
-		h.down = false
-		h.mutex.Unlock()
+		h.InForce = 0
+		h.Down = false
+		h.Mutex.Unlock()
 		ctx, cancel := context.WithCancel(context.Background())
 		h.cancel = cancel
 		h.done = make(chan struct{})
-		server := &peer.Server{Node: h.place.node, Logger: logr.Discard(), Counters: h.counters, Handlers: map[lapisv1.Hello_Purpose]peer.Handler{
+		server := &peer.Server{Node: h.Place.Node, Logger: logr.Discard(), Counters: h.Counters, Handlers: map[lapisv1.Hello_Purpose]peer.Handler{
 			lapisv1.Hello_PURPOSE_CHILD: node.ServeChild, lapisv1.Hello_PURPOSE_READER: node.ServeReader,
 		}}
-		node.SetLocalEndpoints([]*lapisv1.Endpoint{{Service: h.service, Instance: h.place.node, State: lapisv1.Endpoint_STATE_READY}})
+		node.SetLocalEndpoints([]*lapisv1.Endpoint{{Service: h.service, Instance: h.Place.Node, State: lapisv1.Endpoint_STATE_READY}})
 		var running sync.WaitGroup
 		running.Go(func() { server.Serve(ctx, listener) })
 		running.Go(func() { node.Run(ctx) })
@@ -315,54 +315,54 @@
 }
 
 // list puts the daemon's machine on the machine list.
-func (h *hollow) list() error {
+func (h *Hollow) list() error {
 	machine := objectapi.Machine{
-		Node: h.place.node, Address: h.listener, Zone: h.place.zone, Region: h.place.region, State: objectapi.MachineLive,
+		Node: h.Place.Node, Address: h.listener, Zone: h.Place.Zone, Region: h.Place.Region, State: objectapi.MachineLive,
 	}
 	if h.fleet.Platform != nil {
 		h.fleet.Platform.SetMachine(machine)
 		return nil
 	}
-	return putJSON(h.fleet.source, "/lab/machine", machine)
+	return experiment.PutJSON(h.fleet.source, "/lab/machine", machine)
 }
 
 // drawSeeds returns addresses of random daemons of the same zone.
-func (f *Fleet) drawSeeds(member *hollow) []string {
+func (f *Fleet) drawSeeds(member *Hollow) []string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var seeds []string
 	for range f.shape.Seeds * len(f.shape.Zones) * 2 {
-		other := f.members[f.random.IntN(len(f.members))]
-		if other.place.zone == member.place.zone && other != member && len(seeds) < f.shape.Seeds {
+		other := f.Members[f.random.IntN(len(f.Members))]
+		if other.Place.Zone == member.Place.Zone && other != member && len(seeds) < f.shape.Seeds {
 			seeds = append(seeds, other.listener)
 		}
 	}
 	return seeds
 }
 
-// kill ends a hollow daemon without notice.
-func (h *hollow) kill() {
+// Kill ends a hollow daemon without notice.
+func (h *Hollow) Kill() {
 	h.cancel()
 	<-h.done
 	h.client.Close()
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	if !h.down {
-		h.down = true
+	h.Mutex.Lock()
+	defer h.Mutex.Unlock()
+	if !h.Down {
+		h.Down = true
 		h.pastBytesIn += h.client.BytesIn.Load()
 		h.pastBytesOut += h.client.BytesOut.Load()
 		h.client = objectapi.NewClient(nil, "", nil)
 	}
 }
 
-func (h *hollow) isDown() bool {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.down
+func (h *Hollow) IsDown() bool {
+	h.Mutex.Lock()
+	defer h.Mutex.Unlock()
+	return h.Down
 }
 
-// restart replaces a killed daemon by one that knows nothing.
-func (h *hollow) restart() error {
+// Restart replaces a killed daemon by one that knows nothing.
+func (h *Hollow) Restart() error {
 	run, err := h.open()
 	if err != nil {
 		return err
@@ -370,24 +370,24 @@
 	return run()
 }
 
-func (h *hollow) revision() uint64 {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.inForce
+func (h *Hollow) revision() uint64 {
+	h.Mutex.Lock()
+	defer h.Mutex.Unlock()
+	return h.InForce
 }
 
-// bytesIn and bytesOut return the control traffic so far, that of processes
+// BytesIn and bytesOut return the control traffic so far, that of processes
 // replaced included.
-func (h *hollow) bytesIn() int64 {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.counters.BytesIn.Load() + h.pastBytesIn + h.client.BytesIn.Load()
+func (h *Hollow) BytesIn() int64 {
+	h.Mutex.Lock()
+	defer h.Mutex.Unlock()
+	return h.Counters.BytesIn.Load() + h.pastBytesIn + h.client.BytesIn.Load()
 }
 
-func (h *hollow) bytesOut() int64 {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	return h.counters.BytesOut.Load() + h.pastBytesOut + h.client.BytesOut.Load()
+func (h *Hollow) BytesOut() int64 {
+	h.Mutex.Lock()
+	defer h.Mutex.Unlock()
+	return h.Counters.BytesOut.Load() + h.pastBytesOut + h.client.BytesOut.Load()
 }
 
 // WaitInForce waits until all of the members have revision in force.
@@ -400,16 +400,16 @@
 		}
 		if time.Now().After(deadline) {
 			first := behind[0]
-			return fmt.Errorf("%d of %d proxies lack revision %d, such as %+v", len(behind), len(f.members), revision, first.node.Info())
+			return fmt.Errorf("%d of %d proxies lack revision %d, such as %+v", len(behind), len(f.Members), revision, first.Node.Info())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-func (f *Fleet) behind(revision uint64) []*hollow {
-	var behind []*hollow
-	for _, member := range f.members {
-		if !member.isDown() && member.revision() < revision {
+func (f *Fleet) behind(revision uint64) []*Hollow {
+	var behind []*Hollow
+	for _, member := range f.Members {
+		if !member.IsDown() && member.revision() < revision {
 			behind = append(behind, member)
 		}
 	}
@@ -418,23 +418,23 @@
 
 // ChurnEndpoints lets one random daemon state a change of its instance.
 func (f *Fleet) ChurnEndpoints() {
-	member := f.members[f.random.IntN(len(f.members))]
-	if member.isDown() {
+	member := f.Members[f.random.IntN(len(f.Members))]
+	if member.IsDown() {
 		return
 	}
 	state := lapisv1.Endpoint_STATE_READY
 	if f.random.IntN(2) == 0 {
 		state = lapisv1.Endpoint_STATE_DRAINING
 	}
-	member.node.SetLocalEndpoints([]*lapisv1.Endpoint{{Service: member.service, Instance: member.place.node, State: state}})
+	member.Node.SetLocalEndpoints([]*lapisv1.Endpoint{{Service: member.service, Instance: member.Place.Node, State: state}})
 }
 
 // Close ends all daemons and the platform.
 func (f *Fleet) Close() {
 	var ending sync.WaitGroup
-	for _, member := range f.members {
+	for _, member := range f.Members {
 		if member.cancel != nil {
-			ending.Go(member.kill)
+			ending.Go(member.Kill)
 		}
 	}
 	ending.Wait()
--- a/internal/lab/oracle.go
+++ b/internal/distbench/oracle.go
@@ -1,4 +1,4 @@
-package lab
+package distbench
 
 import (
 	"fmt"
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callload"
 	"github.com/lapisvane/lapisvane/internal/digest"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
@@ -32,13 +33,13 @@
 	firstRecorded uint64
 }
 
-// maxViolations bounds what is kept of violations.
-const maxViolations = 20
+// MaxViolations bounds what is kept of violations.
+const MaxViolations = 20
 
 func newOracle() *oracle {
 	return &oracle{
 		states: map[uint64]*meshconfig.State{0: meshconfig.NewState()}, acceptedAt: map[uint64]time.Time{},
-		last: map[string]uint64{}, convergence: hdrhistogram.New(1, maxLatencyMicros, 3),
+		last: map[string]uint64{}, convergence: hdrhistogram.New(1, callload.MaxLatencyMicros, 3),
 	}
 }
 
@@ -75,16 +76,16 @@
 }
 
 func (o *oracle) note(text string) {
-	if len(o.violations) < maxViolations {
+	if len(o.violations) < MaxViolations {
 		o.violations = append(o.violations, text)
 	}
 }
 
-// judge checks a version put in force on node for its interest, after previous,
+// Judge checks a version put in force on node for its interest, after previous,
 // and records the convergence of all revisions that it brings. A version may
 // be put in force before the acceptor has heard that it was accepted; its
 // content is then checked against the state it becomes.
-func (o *oracle) judge(node string, interest holdings.Interest, previous uint64, applied tree.Applied) {
+func (o *oracle) Judge(node string, interest holdings.Interest, previous uint64, applied tree.Applied) {
 	now := time.Now()
 	if applied.Revision <= previous {
 		o.violated("%s put %d in force after %d", node, applied.Revision, previous)
--- a/internal/lab/recovery.go
+++ b/internal/distbench/recovery.go
@@ -1,4 +1,4 @@
-package lab
+package distbench
 
 import (
 	"context"
@@ -6,13 +6,16 @@
 	"sync"
 	"time"
 
+	"github.com/lapisvane/lapisvane/internal/callload"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 	"github.com/lapisvane/lapisvane/internal/features"
 	"github.com/lapisvane/lapisvane/internal/objectapistub"
+	"github.com/lapisvane/lapisvane/internal/testsite"
 	"github.com/lapisvane/lapisvane/internal/tree"
 )
 
-// recoveryCommand measures how a fleet comes back from each kind of fault.
-type recoveryCommand struct {
+// RecoveryCommand measures how a fleet comes back from each kind of fault.
+type RecoveryCommand struct {
 	Proxies  int      `long:"proxies" description:"hollow daemons" default:"400"`
 	Services int      `long:"services" description:"services in the configuration" default:"950"`
 	PerProxy int      `long:"per-proxy" description:"services that each proxy uses" default:"30"`
@@ -33,7 +36,7 @@
 	{"both-readers-of-a-zone-killed", (*Fleet).killReaders},
 	{"reader-partitioned", (*Fleet).partitionReader},
 	{"relays-killed", (*Fleet).killRelays},
-	{"herd-restart-30-percent", func(f *Fleet) error { return f.restartPart(0.3) }},
+	{"herd-restart-30-percent", func(f *Fleet) error { return f.RestartPart(0.3) }},
 	{"source-down", func(f *Fleet) error { return f.sourceFault(objectapistub.Faults{Down: true}) }},
 	{"source-slow", func(f *Fleet) error {
 		return f.sourceFault(objectapistub.Faults{DelayMillis: 800, EventDelayMillis: 500})
@@ -47,7 +50,7 @@
 }
 
 // Execute implements flags.Commander.
-func (c *recoveryCommand) Execute([]string) error {
+func (c *RecoveryCommand) Execute([]string) error {
 	failed := false
 	for _, fault := range faultCases {
 		if !c.wants(fault.name) {
@@ -66,7 +69,7 @@
 	return nil
 }
 
-func (c *recoveryCommand) wants(name string) bool {
+func (c *RecoveryCommand) wants(name string) bool {
 	if len(c.Fault) == 0 {
 		return true
 	}
@@ -90,18 +93,18 @@
 }
 
 func (f *recoveryFigures) print(proxies int) {
-	results.Info("bench.result", "name", "recovery", "fault", f.fault, "proxies", proxies,
+	experiment.Results.Info("bench.result", "name", "recovery", "fault", f.fault, "proxies", proxies,
 		"recovered_ms", f.recovered.Milliseconds(), "peak_source_requests_per_second", f.peakSource,
 		"peak_joins_per_second_at_one_parent", f.peakParent, "peak_source_watchers", f.peakWatchers,
 		"bytes_per_proxy", f.bytesPerProxy, "max_node_bytes", f.maxNodePerProxy,
 		"resyncs", f.resyncs, "violations", len(f.violations))
 	for _, violation := range f.violations {
-		results.Info("bench.violation", "detail", violation)
+		experiment.Results.Info("bench.violation", "detail", violation)
 	}
 }
 
-func (c *recoveryCommand) measure(fault faultCase) (*recoveryFigures, error) {
-	profile := Swancycle()
+func (c *RecoveryCommand) measure(fault faultCase) (*recoveryFigures, error) {
+	profile := testsite.Swancycle()
 	fleet, err := NewFleet(FleetShape{
 		Proxies: c.Proxies, Zones: profile.Zones, Services: c.Services, PerProxy: c.PerProxy,
 		Tunables: features.Convergence(), ZoneDelay: profile.ZoneDelay, Seed: c.Seed, Seeds: 3, CutWithinZones: true,
@@ -113,7 +116,7 @@
 	if err := fleet.Start(); err != nil {
 		return nil, err
 	}
-	if err := fleet.WaitInForce(fleet.Revision(), setUpLimit); err != nil {
+	if err := fleet.WaitInForce(fleet.Revision(), experiment.SetUpLimit); err != nil {
 		return nil, err
 	}
 	time.Sleep(2 * time.Second)
@@ -140,13 +143,13 @@
 	figures.peakSource, figures.peakParent = watch.stop()
 	figures.peakWatchers = f.Platform.Load().PeakWatchers
 	after := (&treeRun{f}).traffic()
-	figures.bytesPerProxy = float64(after.total-before.total) / float64(len(f.members))
+	figures.bytesPerProxy = float64(after.total-before.total) / float64(len(f.Members))
 	for index := range after.perNode {
 		spent := float64(after.perNode[index] - before.perNode[index])
 		figures.maxNodePerProxy = max(figures.maxNodePerProxy, spent)
 	}
-	for _, member := range f.members {
-		figures.resyncs += member.node.Info().Resyncs
+	for _, member := range f.Members {
+		figures.resyncs += member.Node.Info().Resyncs
 	}
 	figures.violations = f.oracle.report()
 	return figures, nil
@@ -168,7 +171,7 @@
 		requests, joins := fleet.Platform.Load().Requests, fleet.joins()
 		for running := true; running; {
 			started := time.Now()
-			running = sleepUntil(ctx, started.Add(window))
+			running = callload.SleepUntil(ctx, started.Add(window))
 			seconds := max(time.Since(started), window).Seconds()
 			nextRequests, nextJoins := fleet.Platform.Load().Requests, fleet.joins()
 			watch.peakSource = max(watch.peakSource, float64(nextRequests-requests)/seconds)
@@ -189,11 +192,11 @@
 
 // joins returns how often each daemon was asked to be a parent.
 func (f *Fleet) joins() []int64 {
-	counts := make([]int64, len(f.members))
-	for index, member := range f.members {
-		member.mutex.Lock()
-		node := member.node
-		member.mutex.Unlock()
+	counts := make([]int64, len(f.Members))
+	for index, member := range f.Members {
+		member.Mutex.Lock()
+		node := member.Node
+		member.Mutex.Unlock()
 		info := node.Info()
 		counts[index] = info.JoinsServed + info.JoinsRefused
 	}
@@ -201,10 +204,10 @@
 }
 
 // withRole returns the daemons that have a role now.
-func (f *Fleet) withRole(role tree.Role) []*hollow {
-	var found []*hollow
-	for _, member := range f.members {
-		if member.node.Info().Role == role {
+func (f *Fleet) withRole(role tree.Role) []*Hollow {
+	var found []*Hollow
+	for _, member := range f.Members {
+		if member.Node.Info().Role == role {
 			found = append(found, member)
 		}
 	}
@@ -212,14 +215,14 @@
 }
 
 // replaceAll kills the given daemons at once and starts them anew.
-func replaceAll(members []*hollow) error {
+func replaceAll(members []*Hollow) error {
 	var ending sync.WaitGroup
 	for _, member := range members {
-		ending.Go(member.kill)
+		ending.Go(member.Kill)
 	}
 	ending.Wait()
 	for _, member := range members {
-		if err := member.restart(); err != nil {
+		if err := member.Restart(); err != nil {
 			return err
 		}
 	}
@@ -227,11 +230,11 @@
 }
 
 // killAll kills the given daemons at once; they stay dead.
-func killAll(members []*hollow) {
+func killAll(members []*Hollow) {
 	var ending sync.WaitGroup
 	for _, member := range members {
-		member.fleet.Platform.RemoveMachine(member.place.node)
-		ending.Go(member.kill)
+		member.fleet.Platform.RemoveMachine(member.Place.Node)
+		ending.Go(member.Kill)
 	}
 	ending.Wait()
 }
@@ -239,9 +242,9 @@
 // killReaders kills every reader of the first zone for good, so that nobody of
 // the zone has a way to the source until its seats are taken again.
 func (f *Fleet) killReaders() error {
-	var readers []*hollow
+	var readers []*Hollow
 	for _, member := range f.withRole(tree.RoleReader) {
-		if member.place.zone == f.shape.Zones[0] {
+		if member.Place.Zone == f.shape.Zones[0] {
 			readers = append(readers, member)
 		}
 	}
@@ -259,12 +262,12 @@
 // believes to hold its seat, and joins it again.
 func (f *Fleet) partitionReader() error {
 	reader := f.withRole(tree.RoleReader)[0]
-	f.topology.Isolate(true, reader.place.node)
+	f.Topology.Isolate(true, reader.Place.Node)
 	if err := f.Change(); err != nil {
 		return err
 	}
 	time.Sleep(f.shape.Tunables.SeatLease.Get() + 2*time.Second)
-	f.topology.Isolate(false, reader.place.node)
+	f.Topology.Isolate(false, reader.Place.Node)
 	return nil
 }
 
@@ -275,11 +278,11 @@
 	return nil
 }
 
-// restartPart replaces a random part of all daemons at once.
-func (f *Fleet) restartPart(part float64) error {
-	var chosen []*hollow
-	for _, index := range f.random.Perm(len(f.members))[:int(part*float64(len(f.members)))] {
-		chosen = append(chosen, f.members[index])
+// RestartPart replaces a random part of all daemons at once.
+func (f *Fleet) RestartPart(part float64) error {
+	var chosen []*Hollow
+	for _, index := range f.random.Perm(len(f.Members))[:int(part*float64(len(f.Members)))] {
+		chosen = append(chosen, f.Members[index])
 	}
 	return replaceAll(chosen)
 }
@@ -295,7 +298,7 @@
 			}
 		}
 	}
-	if err := f.restartPart(0.05); err != nil {
+	if err := f.RestartPart(0.05); err != nil {
 		return err
 	}
 	time.Sleep(f.shape.Tunables.SeatLease.Get() + 2*time.Second)
@@ -319,13 +322,13 @@
 // cutZone cuts a zone off while changes go on, and joins it again.
 func (f *Fleet) cutZone() error {
 	zone := f.shape.Zones[len(f.shape.Zones)-1]
-	f.topology.Isolate(true, zone)
+	f.Topology.Isolate(true, zone)
 	for range 3 {
 		if err := f.Change(); err != nil {
 			return err
 		}
 	}
 	time.Sleep(f.shape.Tunables.SeatLease.Get() + 2*time.Second)
-	f.topology.Isolate(false, zone)
+	f.Topology.Isolate(false, zone)
 	return nil
 }
--- a/internal/lab/calls.go
+++ b/internal/lab/calls.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"github.com/lapisvane/lapisvane/internal/callload"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 )
 
 // callsCommand makes calls and checks their answers.
@@ -20,29 +23,24 @@
 	AllDone  bool          `long:"all-done" description:"fail unless every call was answered"`
 }
 
-// maxRunTime bounds every experiment of the lab.
-const maxRunTime = 30 * time.Minute
-
 // Execute implements flags.Commander.
 func (c *callsCommand) Execute([]string) error {
-	if c.Duration <= 0 || c.Duration > maxRunTime || c.Workers <= 0 || c.Rate < 0 {
-		return fmt.Errorf("workers and duration must be above 0, duration at most %s", maxRunTime)
+	if c.Duration <= 0 || c.Duration > experiment.MaxRunTime || c.Workers <= 0 || c.Rate < 0 {
+		return fmt.Errorf("workers and duration must be above 0, duration at most %s", experiment.MaxRunTime)
 	}
-	load := Load{
-		Caller: &Caller{
+	load := callload.Load{
+		Caller: &callload.Caller{
 			Target: c.Target, Host: c.Host, Path: c.Path, Method: c.Method,
-			Client: NewHTTPClient(c.Workers), Header: http.Header{},
+			Client: callload.NewHTTPClient(c.Workers), Header: http.Header{},
 		},
 		Workers: c.Workers, Rate: c.Rate, Duration: c.Duration, Name: c.Name,
 	}
 	tally := load.Run(context.Background())
-	results.Info("calls.finished", "calls", tally.Total(), "done", tally.Done, "not_run", tally.NotRun,
+	experiment.Results.Info("calls.finished", "calls", tally.Total(), "done", tally.Done, "not_run", tally.NotRun,
 		"unknown", tally.Unknown, "wrong", tally.Wrong, "instances", len(tally.ByInstance),
-		"p50_ms", millis(tally.Latency.ValueAtQuantile(50)), "p99_ms", millis(tally.Latency.ValueAtQuantile(99)))
+		"p50_ms", experiment.Millis(tally.Latency.ValueAtQuantile(50)), "p99_ms", experiment.Millis(tally.Latency.ValueAtQuantile(99)))
 	if tally.Wrong > 0 || tally.Done == 0 || (c.AllDone && tally.Done != tally.Total()) {
 		return fmt.Errorf("not every call was answered well: %v", tally.Results)
 	}
 	return nil
 }
-
-func millis(micros int64) float64 { return float64(micros) / 1000 }
--- a/internal/lab/doc.go
+++ b/internal/lab/doc.go
@@ -1,3 +1,3 @@
-// Package lab is the emulator and experiment tool: stand-ins for the platform,
-// back ends and callers, and the experiments and benches over them.
+// Package lab is the command line of the stand-ins and experiments; each of them
+// has a package of its own.
 package lab
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -8,6 +8,7 @@
 
 	"github.com/lapisvane/lapisvane/internal/daemon"
 	"github.com/lapisvane/lapisvane/internal/emulator/day"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 )
 
 // emulateCommand plays days on the emulated platform.
@@ -69,14 +70,14 @@
 		return 0, err
 	}
 	for _, fault := range plan.Faults {
-		results.Info("emulate.fault", "kind", string(fault.Kind), "at", fault.At.Round(time.Millisecond), "for", fault.For.Round(time.Millisecond))
+		experiment.Results.Info("emulate.fault", "kind", string(fault.Kind), "at", fault.At.Round(time.Millisecond), "for", fault.For.Round(time.Millisecond))
 	}
 	for _, breach := range summary.Breaches {
-		results.Info("emulate.broken", "promise", string(breach.Kind), "request", breach.Request, "detail", breach.Detail)
+		experiment.Results.Info("emulate.broken", "promise", string(breach.Kind), "request", breach.Request, "detail", breach.Detail)
 	}
-	results.Info("emulate.finished", "seed", plan.Options.Seed, "served", summary.Served, "refused", summary.Refused,
-		"failed", summary.Failed, "p50_ms", millis(summary.LatencyP50.Microseconds()), "p99_ms", millis(summary.LatencyP99.Microseconds()),
-		"changes", summary.Changes, "convergence_ms", millis(summary.Convergence.Microseconds()), "repeats", summary.Repeats,
+	experiment.Results.Info("emulate.finished", "seed", plan.Options.Seed, "served", summary.Served, "refused", summary.Refused,
+		"failed", summary.Failed, "p50_ms", experiment.Millis(summary.LatencyP50.Microseconds()), "p99_ms", experiment.Millis(summary.LatencyP99.Microseconds()),
+		"changes", summary.Changes, "convergence_ms", experiment.Millis(summary.Convergence.Microseconds()), "repeats", summary.Repeats,
 		"cut_at_stops", summary.CutAtStops, "broken", len(summary.Breaches))
 	return len(summary.Breaches), nil
 }
--- a/internal/lab/main.go
+++ b/internal/lab/main.go
@@ -6,12 +6,13 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/lapisvane/lapisvane/internal/cli"
-	"github.com/lapisvane/lapisvane/internal/logging"
+	"github.com/lapisvane/lapisvane/internal/distbench"
+	"github.com/lapisvane/lapisvane/internal/requestbench"
+	"github.com/lapisvane/lapisvane/internal/scalerun"
+	"github.com/lapisvane/lapisvane/internal/simulation"
+	"github.com/lapisvane/lapisvane/internal/testsite"
 )
 
-// results prints the outcome of experiments, one event a line.
-var results = logging.NewPlain(os.Stdout)
-
 // Main runs the program and returns its exit code: 0 when all that was checked
 // held, 1 when a check failed, 2 for a wrong command line.
 func Main(arguments []string) int {
@@ -25,15 +26,15 @@
 		{"backend", "run a back-end stand-in", &backendCommand{}},
 		{"calls", "make calls and check their answers", &callsCommand{}},
 		{"token", "print the stored form of an operator's token", &tokenCommand{}},
-		{"peer-keys", "write keys for mutual TLS between daemons, for trials", &peerKeysCommand{}},
-		{"convergence", "measure convergence and control bytes of each strategy", &convergenceCommand{}},
-		{"recovery", "measure recovery from each kind of fault", &recoveryCommand{}},
-		{"requests", "measure the request path", &requestsCommand{}},
+		{"peer-keys", "write keys for mutual TLS between daemons, for trials", &testsite.PeerKeysCommand{}},
+		{"convergence", "measure convergence and control bytes of each strategy", &distbench.ConvergenceCommand{}},
+		{"recovery", "measure recovery from each kind of fault", &distbench.RecoveryCommand{}},
+		{"requests", "measure the request path", &requestbench.RequestsCommand{}},
 		{"emulate", "play days on the emulated platform", &emulateCommand{}},
-		{"hollow", "run hollow daemons for a scale run", &hollowCommand{}},
-		{"scale", "drive a scale run; see scripts/scale.sh", &scaleCommand{}},
-		{"report", "fit slopes over scale runs and write a page with plots", &reportCommand{}},
-		{"simulate", "simulate a fleet under virtual time", &simulateCommand{}},
+		{"hollow", "run hollow daemons for a scale run", &scalerun.HollowCommand{}},
+		{"scale", "drive a scale run; see scripts/scale.sh", &scalerun.ScaleCommand{}},
+		{"report", "fit slopes over scale runs and write a page with plots", &scalerun.ReportCommand{}},
+		{"simulate", "simulate a fleet under virtual time", &simulation.SimulateCommand{}},
 		{"error-table", "print the page of result codes", &errorTableCommand{}},
 		{"fault", "switch faults of a running platform stand-in", &faultCommand{}},
 	}
--- a/internal/lab/standins.go
+++ b/internal/lab/standins.go
@@ -1,16 +1,14 @@
 package lab
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/backendstub"
 	"github.com/lapisvane/lapisvane/internal/cli"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/operator"
@@ -39,11 +37,11 @@
 	if err := c.load(stub); err != nil {
 		return err
 	}
-	results.Info("platform.started", "address", stub.Address())
+	experiment.Results.Info("platform.started", "address", stub.Address())
 	stop, _ := cli.Signals()
 	<-stop
 	load := stub.Load()
-	results.Info("platform.stopped", "requests", load.Requests, "peak_watchers", load.PeakWatchers, "refused_watches", load.RefusedWatches)
+	experiment.Results.Info("platform.stopped", "requests", load.Requests, "peak_watchers", load.PeakWatchers, "refused_watches", load.RefusedWatches)
 	return nil
 }
 
@@ -100,10 +98,10 @@
 		return err
 	}
 	defer backend.Close()
-	results.Info("backend.started", "instance", c.Instance, "address", backend.Address())
+	experiment.Results.Info("backend.started", "instance", c.Instance, "address", backend.Address())
 	stop, _ := cli.Signals()
 	<-stop
-	results.Info("backend.stopped", "instance", c.Instance, "peak_running", backend.PeakRunning(), "connections", backend.Connections.Load())
+	experiment.Results.Info("backend.stopped", "instance", c.Instance, "peak_running", backend.PeakRunning(), "connections", backend.Connections.Load())
 	return nil
 }
 
@@ -133,29 +131,8 @@
 
 // Execute implements flags.Commander.
 func (c *faultCommand) Execute([]string) error {
-	return putJSON(c.Platform, "/lab/faults", objectapistub.Faults{
+	return experiment.PutJSON(c.Platform, "/lab/faults", objectapistub.Faults{
 		Down: c.Down, DelayMillis: c.Delay, LoseAnswerPercent: c.LoseAnswers,
 		EventDelayMillis: c.EventDelay, CrossEvents: c.CrossEvents, FreezeMachines: c.FreezeListed,
 	})
 }
-
-// putJSON sends a value to a control path of a stand-in.
-func putJSON(address, path string, value any) error {
-	body, err := json.Marshal(value)
-	if err != nil {
-		return err
-	}
-	request, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s%s answered %s", address, path, response.Status)
-	}
-	return nil
-}
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -17,13 +17,13 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/ctl"
-	"github.com/lapisvane/lapisvane/internal/lab"
 	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/opapi"
 	"github.com/lapisvane/lapisvane/internal/operator"
 	"github.com/lapisvane/lapisvane/internal/query"
 	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/testsite"
 )
 
 type noEndpoints struct{}
@@ -164,7 +164,7 @@
 
 func TestSecretsAreNeverShown(t *testing.T) {
 	o := open(t)
-	authority, err := lab.NewAuthority("test")
+	authority, err := testsite.NewAuthority("test")
 	assert.NilError(t, err)
 	pair, err := authority.Issue("shop.example")
 	assert.NilError(t, err)
--- /dev/null
+++ b/internal/requestbench/doc.go
@@ -0,0 +1,3 @@
+// Package requestbench measures the request path: latency, shares, drains and
+// overload, against calls made directly.
+package requestbench
--- a/internal/lab/requests.go
+++ b/internal/requestbench/requests.go
@@ -1,4 +1,4 @@
-package lab
+package requestbench
 
 import (
 	"context"
@@ -6,18 +6,24 @@
 	"net/http"
 	"runtime"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/jessevdk/go-flags"
 
 	"github.com/lapisvane/lapisvane/internal/backendstub"
+	"github.com/lapisvane/lapisvane/internal/callload"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/testsite"
 )
 
-// requestsCommand measures the request path: added latency, fairness, draining
+// RequestsCommand is a command of lapislab.
+var _ flags.Commander = (*RequestsCommand)(nil)
+
+// RequestsCommand measures the request path: added latency, fairness, draining
 // and overload, each beside a baseline in the same run.
-type requestsCommand struct {
+type RequestsCommand struct {
 	Profile []string      `long:"profile" description:"profile to run; all by default" choice:"swancycle" choice:"board"`
 	Part    []string      `long:"part" description:"part to run; all by default" choice:"latency" choice:"deep" choice:"throughput" choice:"fair" choice:"drain" choice:"overload"`
 	Rate    float64       `long:"rate" description:"calls per second for the latency parts" default:"600"`
@@ -35,22 +41,22 @@
 
 // requestBench is one profile under measurement.
 type requestBench struct {
-	command *requestsCommand
-	profile Profile
-	site    *Site
+	command *RequestsCommand
+	profile testsite.Profile
+	site    *testsite.Site
 	service string
-	outcome []CallResult
+	outcome []callload.CallResult
 	mutex   sync.Mutex
 }
 
 // Execute implements flags.Commander.
-func (c *requestsCommand) Execute([]string) error {
+func (c *RequestsCommand) Execute([]string) error {
 	profiles := c.Profile
 	if len(profiles) == 0 {
-		profiles = []string{ProfileSwancycle, ProfileBoard}
+		profiles = []string{testsite.ProfileSwancycle, testsite.ProfileBoard}
 	}
 	for _, name := range profiles {
-		profile, _ := ProfileNamed(name)
+		profile, _ := testsite.ProfileNamed(name)
 		if err := c.run(profile); err != nil {
 			return fmt.Errorf("%s: %w", name, err)
 		}
@@ -58,7 +64,7 @@
 	return nil
 }
 
-func (c *requestsCommand) run(profile Profile) error {
+func (c *RequestsCommand) run(profile testsite.Profile) error {
 	bench, err := startRequestBench(c, profile)
 	if err != nil {
 		return err
@@ -82,7 +88,7 @@
 	return bench.checkLedger()
 }
 
-func (c *requestsCommand) wants(part string) bool {
+func (c *RequestsCommand) wants(part string) bool {
 	if len(c.Part) == 0 {
 		return true
 	}
@@ -94,9 +100,9 @@
 	return false
 }
 
-func startRequestBench(command *requestsCommand, profile Profile) (*requestBench, error) {
+func startRequestBench(command *RequestsCommand, profile testsite.Profile) (*requestBench, error) {
 	profile.Distribution = "convergence"
-	site, err := NewSite(profile, logr.Discard())
+	site, err := testsite.NewSite(profile, logr.Discard())
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +120,7 @@
 	for _, shape := range b.profile.Services {
 		for number := range shape.Instances {
 			name := fmt.Sprintf("%s/%s-%d", shape.Name, shape.Name, number+1)
-			service, instance := splitBackend(name)
+			service, instance := testsite.SplitBackend(name)
 			if _, err := b.site.AddBackend(service, instance); err != nil {
 				return err
 			}
@@ -125,7 +131,7 @@
 			index++
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), setUpLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), experiment.SetUpLimit)
 	defer cancel()
 	revision, err := b.site.Accept(ctx, "bench", b.routes())
 	if err != nil {
@@ -161,14 +167,14 @@
 	return file
 }
 
-func (b *requestBench) caller(path string, header http.Header) *Caller {
-	return &Caller{
+func (b *requestBench) caller(path string, header http.Header) *callload.Caller {
+	return &callload.Caller{
 		Target: b.site.Daemons["machine-00"].Daemon.Addresses().Caller, Host: "bench.example", Path: path,
-		Method: http.MethodPost, Header: header, Client: NewHTTPClient(512),
+		Method: http.MethodPost, Header: header, Client: callload.NewHTTPClient(512),
 	}
 }
 
-func (b *requestBench) direct(path string, header http.Header) *Caller {
+func (b *requestBench) direct(path string, header http.Header) *callload.Caller {
 	caller := b.caller(path, header)
 	caller.Target = b.site.Backends[fmt.Sprintf("%s/%s-3", b.service, b.service)].Address()
 	return caller
@@ -181,7 +187,7 @@
 }
 
 // keep remembers outcomes for the check against the ledger.
-func (b *requestBench) keep(tally *Tally) *Tally {
+func (b *requestBench) keep(tally *callload.Tally) *callload.Tally {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.outcome = append(b.outcome, tally.Outcomes...)
@@ -195,15 +201,15 @@
 	for _, one := range b.outcome {
 		runs := len(b.site.Ledger.Runs(one.Call))
 		switch {
-		case one.Outcome == OutcomeNotRun && runs > 0:
+		case one.Outcome == callload.OutcomeNotRun && runs > 0:
 			falseNotRun++
-		case one.Outcome == OutcomeWrong:
+		case one.Outcome == callload.OutcomeWrong:
 			wrong++
-		case one.Outcome == OutcomeDone && runs == 0:
+		case one.Outcome == callload.OutcomeDone && runs == 0:
 			missing++
 		}
 	}
-	results.Info("bench.result", "name", "ledger", "profile", b.profile.Name, "calls", len(b.outcome),
+	experiment.Results.Info("bench.result", "name", "ledger", "profile", b.profile.Name, "calls", len(b.outcome),
 		"doubled", doubled, "false_not_run", falseNotRun, "wrong_answers", wrong, "done_without_run", missing)
 	if doubled+falseNotRun+wrong+missing > 0 {
 		return fmt.Errorf("the callers' outcomes and the ledger differ")
@@ -213,18 +219,18 @@
 
 // pair runs the same load directly and through lapisvane, in turns, so that
 // both see the same machine.
-func (b *requestBench) pair(name string, direct, through *Caller) (directTally, throughTally *Tally) {
+func (b *requestBench) pair(name string, direct, through *callload.Caller) (directTally, throughTally *callload.Tally) {
 	const turns = 3
-	directTally, throughTally = newTally(), newTally()
+	directTally, throughTally = callload.NewTally(), callload.NewTally()
 	b.warm(direct, name+"-direct")
 	b.warm(through, name+"-lapisvane")
 	for turn := range turns {
 		for _, side := range []struct {
-			caller *Caller
-			tally  *Tally
+			caller *callload.Caller
+			tally  *callload.Tally
 			path   string
 		}{{direct, directTally, "direct"}, {through, throughTally, "lapisvane"}} {
-			load := Load{
+			load := callload.Load{
 				Caller: side.caller, Workers: 32, Rate: b.command.Rate, Duration: b.command.Time / turns,
 				Name: fmt.Sprintf("%s-%s-%s-%d", b.profile.Name, name, side.path, turn),
 			}
@@ -238,12 +244,12 @@
 // of opening connections is not counted.
 const warmTime = 500 * time.Millisecond
 
-func (b *requestBench) warm(caller *Caller, name string) {
-	load := Load{Caller: caller, Workers: 32, Duration: warmTime, Name: b.profile.Name + "-warm-" + name}
+func (b *requestBench) warm(caller *callload.Caller, name string) {
+	load := callload.Load{Caller: caller, Workers: 32, Duration: warmTime, Name: b.profile.Name + "-warm-" + name}
 	b.keep(load.Run(context.Background()))
 }
 
-func merge(into, from *Tally) {
+func merge(into, from *callload.Tally) {
 	into.Done += from.Done
 	into.Wrong += from.Wrong
 	into.NotRun += from.NotRun
@@ -252,19 +258,19 @@
 	into.Elapsed += from.Elapsed
 }
 
-func (b *requestBench) printLatency(name string, depth int, direct, through *Tally) {
+func (b *requestBench) printLatency(name string, depth int, direct, through *callload.Tally) {
 	for _, side := range []struct {
 		path  string
-		tally *Tally
+		tally *callload.Tally
 	}{{"direct", direct}, {"lapisvane", through}} {
-		results.Info("bench.result", "name", name, "profile", b.profile.Name, "path", side.path, "depth", depth,
+		experiment.Results.Info("bench.result", "name", name, "profile", b.profile.Name, "path", side.path, "depth", depth,
 			"calls", side.tally.Total(), "done", side.tally.Done, "rate", b.command.Rate,
 			"p50_us", side.tally.Latency.ValueAtQuantile(50), "p99_us", side.tally.Latency.ValueAtQuantile(99),
 			"max_us", side.tally.Latency.Max())
 	}
 	added := through.Latency.ValueAtQuantile(99) - direct.Latency.ValueAtQuantile(99)
 	budget := addedBudget.Microseconds() * int64(depth)
-	results.Info("bench.result", "name", name, "profile", b.profile.Name, "depth", depth,
+	experiment.Results.Info("bench.result", "name", name, "profile", b.profile.Name, "depth", depth,
 		"added_p50_us", through.Latency.ValueAtQuantile(50)-direct.Latency.ValueAtQuantile(50),
 		"added_p99_us", added, "budget_us", budget, "within", added <= budget)
 }
@@ -288,8 +294,8 @@
 	defer func() { b.command.Rate = rate }()
 
 	through := b.caller("/order", header)
-	throughTally := newTally()
-	directTally := newTally()
+	throughTally := callload.NewTally()
+	directTally := callload.NewTally()
 	const turns = 3
 	b.linkBackends(true)
 	b.warm(b.direct("/order", header), "deep-direct")
@@ -297,7 +303,7 @@
 	b.warm(through, "deep-lapisvane")
 	for turn := range turns {
 		b.linkBackends(true)
-		load := Load{Caller: b.direct("/order", header), Workers: 16, Rate: b.command.Rate, Duration: b.command.Time / turns, Name: fmt.Sprintf("%s-deep-direct-%d", b.profile.Name, turn)}
+		load := callload.Load{Caller: b.direct("/order", header), Workers: 16, Rate: b.command.Rate, Duration: b.command.Time / turns, Name: fmt.Sprintf("%s-deep-direct-%d", b.profile.Name, turn)}
 		merge(directTally, b.keep(load.Run(context.Background())))
 		b.linkBackends(false)
 		load.Caller, load.Name = through, fmt.Sprintf("%s-deep-lapisvane-%d", b.profile.Name, turn)
@@ -326,27 +332,18 @@
 func (b *requestBench) throughput() error {
 	for _, side := range []struct {
 		path   string
-		caller *Caller
+		caller *callload.Caller
 	}{{"direct", b.direct("/lookup", workHeader(0))}, {"lapisvane", b.caller("/lookup", workHeader(0))}} {
-		before := processorTime()
-		load := Load{Caller: side.caller, Workers: 32, Duration: b.command.Time / 2, Name: b.profile.Name + "-throughput-" + side.path}
+		before := experiment.ProcessorTime()
+		load := callload.Load{Caller: side.caller, Workers: 32, Duration: b.command.Time / 2, Name: b.profile.Name + "-throughput-" + side.path}
 		tally := load.Run(context.Background())
-		used := processorTime() - before
-		results.Info("bench.result", "name", "throughput", "profile", b.profile.Name, "path", side.path,
+		used := experiment.ProcessorTime() - before
+		experiment.Results.Info("bench.result", "name", "throughput", "profile", b.profile.Name, "path", side.path,
 			"calls_per_second", float64(tally.Done)/tally.Elapsed.Seconds(),
 			"calls_per_core_second", float64(tally.Done)/used.Seconds(), "cores", runtime.NumCPU())
 	}
 	return nil
 }
 
-// processorTime returns the processor time of this process so far.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // maxCallsCut is what a drain may cut.
 const maxCallsCut = 0
--- a/internal/lab/requests_load.go
+++ b/internal/requestbench/requests_load.go
@@ -1,4 +1,4 @@
-package lab
+package requestbench
 
 import (
 	"bytes"
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/backendstub"
+	"github.com/lapisvane/lapisvane/internal/callload"
+	"github.com/lapisvane/lapisvane/internal/experiment"
+	"github.com/lapisvane/lapisvane/internal/testsite"
 )
 
 // fairWork is the service time in the parts about overload, long enough that
@@ -24,8 +27,8 @@
 }
 
 // groupLoad is an overload by one group.
-func (b *requestBench) groupLoad(group string, duration time.Duration, name string) *Load {
-	return &Load{
+func (b *requestBench) groupLoad(group string, duration time.Duration, name string) *callload.Load {
+	return &callload.Load{
 		Caller: b.caller("/"+group, workHeader(fairWork)), Workers: 250, Duration: duration, Honour: 50 * time.Millisecond,
 		Name: fmt.Sprintf("%s-%s-%s", b.profile.Name, name, group),
 	}
@@ -43,17 +46,17 @@
 	for index, group := range fairGroups {
 		achieved := 100 * float64(tallies[index].Done) / float64(total)
 		worst = max(worst, math.Abs(achieved-float64(group.percent)))
-		results.Info("bench.result", "name", "fair_share", "profile", b.profile.Name, "group", group.name,
+		experiment.Results.Info("bench.result", "name", "fair_share", "profile", b.profile.Name, "group", group.name,
 			"declared_percent", group.percent, "achieved_percent", achieved, "calls", tallies[index].Done,
 			"refused", tallies[index].NotRun)
 	}
-	results.Info("bench.result", "name", "fair_share", "profile", b.profile.Name, "worst_difference_points", worst, "within", worst <= 5)
+	experiment.Results.Info("bench.result", "name", "fair_share", "profile", b.profile.Name, "worst_difference_points", worst, "within", worst <= 5)
 	b.returnOfIdleGroup()
 	return nil
 }
 
-func (b *requestBench) overloadByAll(duration time.Duration) []*Tally {
-	tallies := make([]*Tally, len(fairGroups))
+func (b *requestBench) overloadByAll(duration time.Duration) []*callload.Tally {
+	tallies := make([]*callload.Tally, len(fairGroups))
 	var running sync.WaitGroup
 	for index, group := range fairGroups {
 		running.Go(func() { tallies[index] = b.keep(b.groupLoad(group.name, duration, "fair").Run(context.Background())) })
@@ -73,24 +76,24 @@
 	time.Sleep(b.command.Time / 3)
 	started := time.Now()
 	load := b.groupLoad(idle.name, b.command.Time/2, "return")
-	var tally *Tally
+	var tally *callload.Tally
 	running.Go(func() { tally = b.keep(load.Run(context.Background())) })
 	running.Wait()
-	results.Info("bench.result", "name", "fair_share_return", "profile", b.profile.Name, "group", idle.name,
+	experiment.Results.Info("bench.result", "name", "fair_share_return", "profile", b.profile.Name, "group", idle.name,
 		"recovered_ms", recoveredAfter(tally, started, b.capacity(fairWork)*float64(idle.percent)/100))
 }
 
 // recoveredAfter returns the time after which the calls done so far first reach
 // 95 in 100 of the rate that the share stands for, counted from the end of
 // the first service time; -1 when they never do.
-func recoveredAfter(tally *Tally, started time.Time, rate float64) int64 {
+func recoveredAfter(tally *callload.Tally, started time.Time, rate float64) int64 {
 	const step = 20 * time.Millisecond
 	const window = 100 * time.Millisecond
 	for at := window; at < tally.Elapsed; at += step {
 		done := 0
 		for _, one := range tally.Outcomes {
-			finished := one.finished.Sub(started)
-			if one.Outcome == OutcomeDone && finished > at-window && finished <= at {
+			finished := one.Finished.Sub(started)
+			if one.Outcome == callload.OutcomeDone && finished > at-window && finished <= at {
 				done++
 			}
 		}
@@ -105,16 +108,16 @@
 func (b *requestBench) drain() error {
 	ctx := context.Background()
 	var running sync.WaitGroup
-	var calls *Tally
-	var uploads *Tally
+	var calls *callload.Tally
+	var uploads *callload.Tally
 	running.Go(func() {
-		load := Load{Caller: b.caller("/order", workHeader(5*time.Millisecond)), Workers: 32, Rate: b.command.Rate, Duration: b.command.Time, Name: b.profile.Name + "-drain"}
+		load := callload.Load{Caller: b.caller("/order", workHeader(5*time.Millisecond)), Workers: 32, Rate: b.command.Rate, Duration: b.command.Time, Name: b.profile.Name + "-drain"}
 		calls = b.keep(load.Run(ctx))
 	})
 	running.Go(func() {
 		caller := b.caller("/upload", workHeader(0))
 		caller.Body = func() io.Reader { return newSlowBody(20, 50*time.Millisecond) }
-		load := Load{Caller: caller, Workers: 14, Duration: b.command.Time / 2, Name: b.profile.Name + "-drain-upload"}
+		load := callload.Load{Caller: caller, Workers: 14, Duration: b.command.Time / 2, Name: b.profile.Name + "-drain-upload"}
 		uploads = b.keep(load.Run(ctx))
 	})
 	time.Sleep(b.command.Time / 3)
@@ -127,7 +130,7 @@
 	last := b.site.Backends[b.service+"/"+instance].LastNewWork().Sub(drained)
 	cut := calls.Unknown + calls.Wrong + uploads.Unknown + uploads.Wrong
 	refused := calls.NotRun + uploads.NotRun
-	results.Info("bench.result", "name", "drain", "profile", b.profile.Name, "last_new_work_after_ms", last.Milliseconds(),
+	experiment.Results.Info("bench.result", "name", "drain", "profile", b.profile.Name, "last_new_work_after_ms", last.Milliseconds(),
 		"calls", calls.Total(), "uploads", uploads.Total(), "cut", cut, "refused", refused, "within", last < 3*time.Second && cut <= maxCallsCut)
 	if _, err := b.site.Command(ctx, "machine-05", "undrain "+b.service+"/"+instance); err != nil {
 		return err
@@ -160,7 +163,7 @@
 func (b *requestBench) overload() error {
 	const times = 3
 	capacity := b.capacity(fairWork)
-	load := Load{
+	load := callload.Load{
 		Caller: b.caller("/lookup", workHeader(fairWork)), Workers: 1500, Rate: times * capacity, FromDue: true,
 		Duration: b.command.Time, Name: b.profile.Name + "-overload",
 	}
@@ -168,26 +171,26 @@
 	return b.naive(times * capacity)
 }
 
-func (b *requestBench) printOverload(name, path string, capacity float64, tally *Tally) {
+func (b *requestBench) printOverload(name, path string, capacity float64, tally *callload.Tally) {
 	goodput := steadyRate(tally, b.command.Time) / capacity
-	results.Info("bench.result", "name", name, "profile", b.profile.Name, "path", path, "offered_times_capacity", 3,
+	experiment.Results.Info("bench.result", "name", name, "profile", b.profile.Name, "path", path, "offered_times_capacity", 3,
 		"goodput_of_capacity", goodput, "done", tally.Done, "refused", tally.NotRun, "unknown", tally.Unknown,
-		"p50_ms", millis(tally.Latency.ValueAtQuantile(50)), "p99_ms", millis(tally.Latency.ValueAtQuantile(99)))
+		"p50_ms", experiment.Millis(tally.Latency.ValueAtQuantile(50)), "p99_ms", experiment.Millis(tally.Latency.ValueAtQuantile(99)))
 }
 
 // steadyRate returns the calls done per second between the time the load has
 // filled the pool and its end.
-func steadyRate(tally *Tally, duration time.Duration) float64 {
+func steadyRate(tally *callload.Tally, duration time.Duration) float64 {
 	first := time.Now()
 	for _, one := range tally.Outcomes {
-		if begun := one.finished.Add(-one.Latency); begun.Before(first) {
+		if begun := one.Finished.Add(-one.Latency); begun.Before(first) {
 			first = begun
 		}
 	}
 	done := 0
 	for _, one := range tally.Outcomes {
-		after := one.finished.Sub(first)
-		if one.Outcome == OutcomeDone && after > duration/4 && after <= duration {
+		after := one.Finished.Sub(first)
+		if one.Outcome == callload.OutcomeDone && after > duration/4 && after <= duration {
 			done++
 		}
 	}
@@ -203,7 +206,7 @@
 	var backends []*backendstub.Server
 	for number := range b.profile.Services[0].Instances {
 		backend, err := backendstub.Start(backendstub.Options{
-			Address: loopback, Instance: fmt.Sprintf("naive-%d", number), Slots: b.profile.Slots,
+			Address: testsite.Loopback, Instance: fmt.Sprintf("naive-%d", number), Slots: b.profile.Slots,
 			ConnectionCost: b.profile.ConnectionCost, Behaviour: backendstub.Behaviour{StatedLoad: -1},
 		})
 		if err != nil {
@@ -212,18 +215,18 @@
 		defer backend.Close()
 		backends = append(backends, backend)
 	}
-	client := NewHTTPClient(512)
+	client := callload.NewHTTPClient(512)
 	started := time.Now()
-	tally := newTally()
+	tally := callload.NewTally()
 	var mutex sync.Mutex
 	var running sync.WaitGroup
 	for number := 0; time.Since(started) < b.command.Time; number++ {
-		sleepUntil(context.Background(), started.Add(time.Duration(float64(number)/rate*float64(time.Second))))
+		callload.SleepUntil(context.Background(), started.Add(time.Duration(float64(number)/rate*float64(time.Second))))
 		running.Go(func() {
 			one := naiveCall(client, backends, fmt.Sprintf("naive-%d", number))
 			mutex.Lock()
 			defer mutex.Unlock()
-			tally.add(one)
+			tally.Add(one)
 		})
 	}
 	running.Wait()
@@ -232,19 +235,19 @@
 	return nil
 }
 
-func naiveCall(client *http.Client, backends []*backendstub.Server, name string) CallResult {
+func naiveCall(client *http.Client, backends []*backendstub.Server, name string) callload.CallResult {
 	const tries = 4
 	started := time.Now()
-	var one CallResult
+	var one callload.CallResult
 	for range tries {
-		caller := &Caller{
+		caller := &callload.Caller{
 			Target: backends[rand.IntN(len(backends))].Address(), Host: "bench.example", Path: "/lookup",
 			Method: http.MethodPost, Header: workHeader(fairWork), Client: client,
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), naiveDeadline)
 		one = caller.Do(ctx, name)
 		cancel()
-		if one.Outcome == OutcomeDone {
+		if one.Outcome == callload.OutcomeDone {
 			break
 		}
 	}
--- a/internal/lab/hollow.go
+++ b/internal/scalerun/hollow.go
@@ -1,4 +1,4 @@
-package lab
+package scalerun
 
 import (
 	"encoding/json"
@@ -13,17 +13,21 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callload"
 	"github.com/lapisvane/lapisvane/internal/cli"
+	"github.com/lapisvane/lapisvane/internal/distbench"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 	"github.com/lapisvane/lapisvane/internal/features"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/topology"
 	"github.com/lapisvane/lapisvane/internal/tree"
 )
 
-// hollowCommand runs many hollow daemons in one process and obeys the driver of
+// HollowCommand runs many hollow daemons in one process and obeys the driver of
 // a scale run.
-type hollowCommand struct {
+type HollowCommand struct {
 	Platform    string        `long:"platform" description:"IP:port of the platform stand-in" required:"true"`
 	Control     string        `long:"control" description:"IP:port for the driver" required:"true"`
 	First       int           `long:"first" description:"number of the first hollow daemon" default:"0"`
@@ -40,7 +44,7 @@
 const maxHollowPerProcess = 2500
 
 // Execute implements flags.Commander.
-func (c *hollowCommand) Execute([]string) error {
+func (c *HollowCommand) Execute([]string) error {
 	if c.Count < 1 || c.Count > maxHollowPerProcess {
 		return fmt.Errorf("count must be from 1 to %d", maxHollowPerProcess)
 	}
@@ -48,15 +52,15 @@
 	if err != nil {
 		return result.Wrap(result.SettingsBadAddress, err, "control")
 	}
-	fleet := joinFleet(FleetShape{
+	fleet := distbench.JoinFleet(distbench.FleetShape{
 		Proxies: c.Count, First: c.First, Platform: c.Platform, Seed: c.Seed + uint64(c.First), Seeds: 3,
-		Zones: scaleLayout.zones, Regions: scaleLayout.regions,
-		ListenAddress: func(zone int) string { return scaleLayout.addresses[zone] },
+		Zones: topology.ScaleLayout.Zones, Regions: topology.ScaleLayout.Regions,
+		ListenAddress: func(zone int) string { return topology.ScaleLayout.Addresses[zone] },
 		Services:      c.Services, PerProxy: c.PerProxy, Tunables: features.Convergence(),
 		ZoneDelay: c.ZoneDelay, RegionDelay: c.RegionDelay,
 	})
 	host := &hollowHost{fleet: fleet, recorder: newRecorder()}
-	fleet.judge = host.recorder
+	fleet.Judge = host.recorder
 	server := &http.Server{Handler: host.routes(), ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(listener) }()
 	stop, _ := cli.Signals()
@@ -85,13 +89,13 @@
 func newRecorder() *recorder {
 	return &recorder{
 		accepted: map[uint64]time.Time{}, waiting: map[uint64][]time.Time{},
-		histogram: hdrhistogram.New(1, maxLatencyMicros, 3), content: map[uint64]map[string]uint64{},
+		histogram: hdrhistogram.New(1, callload.MaxLatencyMicros, 3), content: map[uint64]map[string]uint64{},
 		checked: map[string]map[string]*lapisv1.EncodedBundle{},
 	}
 }
 
-// judge implements the judge of a fleet.
-func (r *recorder) judge(node string, interest holdings.Interest, previous uint64, applied tree.Applied) {
+// Judge implements the judge of a fleet.
+func (r *recorder) Judge(node string, interest holdings.Interest, previous uint64, applied tree.Applied) {
 	now := time.Now()
 	var faults []string
 	if applied.Revision <= previous {
@@ -136,8 +140,8 @@
 
 func (r *recorder) note(faults []string) {
 	r.violations = append(r.violations, faults...)
-	if len(r.violations) > maxViolations {
-		r.violations = r.violations[:maxViolations]
+	if len(r.violations) > distbench.MaxViolations {
+		r.violations = r.violations[:distbench.MaxViolations]
 	}
 }
 
@@ -181,7 +185,7 @@
 
 // hollowHost is the process as the driver sees it.
 type hollowHost struct {
-	fleet    *Fleet
+	fleet    *distbench.Fleet
 	recorder *recorder
 }
 
@@ -270,28 +274,28 @@
 }
 
 func (h *hollowHost) disturb(order Disturbance) error {
-	h.fleet.topology.Isolate(true, order.Isolate...)
-	h.fleet.topology.Isolate(false, order.Join...)
+	h.fleet.Topology.Isolate(true, order.Isolate...)
+	h.fleet.Topology.Isolate(false, order.Join...)
 	if order.StopZone != "" {
 		stopped := 0
-		for _, member := range h.fleet.members {
-			if member.place.zone == order.StopZone && stopped < order.StopCount && !member.isDown() {
+		for _, member := range h.fleet.Members {
+			if member.Place.Zone == order.StopZone && stopped < order.StopCount && !member.IsDown() {
 				stopped++
-				member.kill()
+				member.Kill()
 			}
 		}
 	}
 	if order.StartAll {
-		for _, member := range h.fleet.members {
-			if member.isDown() {
-				if err := member.restart(); err != nil {
+		for _, member := range h.fleet.Members {
+			if member.IsDown() {
+				if err := member.Restart(); err != nil {
 					return err
 				}
 			}
 		}
 	}
 	if order.RestartPart > 0 {
-		return h.fleet.restartPart(order.RestartPart)
+		return h.fleet.RestartPart(order.RestartPart)
 	}
 	return nil
 }
@@ -301,7 +305,7 @@
 	runtime.ReadMemStats(&memory)
 	report := HollowReport{
 		HeapBytes: memory.HeapInuse, SysBytes: memory.Sys, Goroutines: runtime.NumGoroutine(),
-		ProcessorNanos: processorTime().Nanoseconds(),
+		ProcessorNanos: experiment.ProcessorTime().Nanoseconds(),
 	}
 	if withConvergence {
 		report.Convergence = h.recorder.take()
@@ -309,24 +313,24 @@
 	h.recorder.mutex.Lock()
 	report.Violations = append([]string(nil), h.recorder.violations...)
 	h.recorder.mutex.Unlock()
-	for _, member := range h.fleet.members {
-		report.Nodes = append(report.Nodes, member.describe())
+	for _, member := range h.fleet.Members {
+		report.Nodes = append(report.Nodes, describe(member))
 	}
 	return report
 }
 
-func (h *hollow) describe() HollowNode {
-	h.mutex.Lock()
-	node, down, inForce := h.node, h.down, h.inForce
-	h.mutex.Unlock()
-	described := HollowNode{Node: h.place.node, Zone: h.place.zone, Down: down, InForce: inForce}
+func describe(h *distbench.Hollow) HollowNode {
+	h.Mutex.Lock()
+	node, down, inForce := h.Node, h.Down, h.InForce
+	h.Mutex.Unlock()
+	described := HollowNode{Node: h.Place.Node, Zone: h.Place.Zone, Down: down, InForce: inForce}
 	if node == nil {
 		return described
 	}
 	info := node.Info()
 	described.Role, described.Children, described.Depth = info.Role, info.Children, info.Depth
 	described.Bundles, described.Endpoints = info.Bundles, info.Endpoints
-	described.BytesIn, described.BytesOut = h.bytesIn(), h.bytesOut()
-	described.FramesIn, described.FramesOut = h.counters.FramesIn.Load(), h.counters.FramesOut.Load()
+	described.BytesIn, described.BytesOut = h.BytesIn(), h.BytesOut()
+	described.FramesIn, described.FramesOut = h.Counters.FramesIn.Load(), h.Counters.FramesOut.Load()
 	return described
 }
--- a/internal/lab/report.go
+++ b/internal/scalerun/report.go
@@ -1,4 +1,4 @@
-package lab
+package scalerun
 
 import (
 	"bytes"
@@ -17,10 +17,13 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/lapisvane/lapisvane/internal/distbench"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 )
 
-// reportCommand fits slopes over scale runs and writes them with plots.
-type reportCommand struct {
+// ReportCommand fits slopes over scale runs and writes them with plots.
+type ReportCommand struct {
 	Input  []string `long:"input" description:"figures of a scale run (JSON); may be given several times" required:"true"`
 	Lines  string   `long:"baselines" description:"figures of lapislab convergence (JSON)"`
 	Output string   `long:"output" description:"HTML file to write" default:"out/report.html"`
@@ -50,10 +53,10 @@
 }
 
 // Execute implements flags.Commander.
-func (c *reportCommand) Execute([]string) error {
+func (c *ReportCommand) Execute([]string) error {
 	data := reportData{Target: c.Target}
 	for _, path := range c.Input {
-		figures, err := readScaleFigures(path)
+		figures, err := ReadScaleFigures(path)
 		if err != nil {
 			return err
 		}
@@ -62,13 +65,13 @@
 	slices.SortFunc(data.Runs, func(a, b ScaleFigures) int { return cmp.Compare(a.Hollow, b.Hollow) })
 	data.Slopes = fitAll(data.Runs, c.Target)
 	for _, slope := range data.Slopes {
-		results.Info("report.slope", "figure", slope.Figure, "intercept", slope.Intercept, "per_node", slope.PerNode,
+		experiment.Results.Info("report.slope", "figure", slope.Figure, "intercept", slope.Intercept, "per_node", slope.PerNode,
 			"r_squared", slope.RSquared, "at_target", slope.AtTarget, "sizes", len(slope.Sizes))
 	}
 	if err := c.plotAll(&data); err != nil {
 		return err
 	}
-	if err := writeIndented(c.Slopes, data.Slopes); err != nil {
+	if err := experiment.WriteIndented(c.Slopes, data.Slopes); err != nil {
 		return err
 	}
 	var page bytes.Buffer
@@ -78,8 +81,8 @@
 	return os.WriteFile(c.Output, page.Bytes(), 0o644)
 }
 
-// readScaleFigures reads what a scale run stored.
-func readScaleFigures(path string) (ScaleFigures, error) {
+// ReadScaleFigures reads what a scale run stored.
+func ReadScaleFigures(path string) (ScaleFigures, error) {
 	var figures ScaleFigures
 	content, err := os.ReadFile(path)
 	if err != nil {
@@ -91,14 +94,6 @@
 	return figures, nil
 }
 
-func writeIndented(path string, value any) error {
-	encoded, err := json.MarshalIndent(value, "", "  ")
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(path, encoded, 0o644)
-}
-
 // fitAll fits every figure that capacity is worked out from.
 func fitAll(runs []ScaleFigures, target int) []Slope {
 	figures := []struct {
@@ -171,7 +166,7 @@
 }
 
 // plotAll draws the figures.
-func (c *reportCommand) plotAll(data *reportData) error {
+func (c *ReportCommand) plotAll(data *reportData) error {
 	for _, phase := range []string{"steady", "herd"} {
 		drawn, err := plotConvergence(data.Runs, phase)
 		if err != nil {
@@ -227,7 +222,7 @@
 func cumulative(histogram *hdrhistogram.Histogram) plotter.XYs {
 	var points plotter.XYs
 	for percent := 0.0; percent <= 100; percent += 0.5 {
-		points = append(points, plotter.XY{X: millis(histogram.ValueAtQuantile(percent)), Y: percent / 100})
+		points = append(points, plotter.XY{X: experiment.Millis(histogram.ValueAtQuantile(percent)), Y: percent / 100})
 	}
 	return points
 }
@@ -257,7 +252,7 @@
 	if err != nil {
 		return "", err
 	}
-	var strategies []StrategyFigures
+	var strategies []distbench.StrategyFigures
 	if err := json.Unmarshal(content, &strategies); err != nil {
 		return "", err
 	}
--- a/internal/lab/scale.go
+++ b/internal/scalerun/scale.go
@@ -1,4 +1,4 @@
-package lab
+package scalerun
 
 import (
 	"context"
@@ -9,11 +9,20 @@
 	"sync"
 	"time"
 
+	"github.com/jessevdk/go-flags"
+
+	"github.com/lapisvane/lapisvane/internal/callload"
+	"github.com/lapisvane/lapisvane/internal/distbench"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 	"github.com/lapisvane/lapisvane/internal/objectapistub"
+	"github.com/lapisvane/lapisvane/internal/topology"
 )
 
-// scaleCommand drives a scale run over processes that a script has started.
-type scaleCommand struct {
+// ScaleCommand is a command of lapislab.
+var _ flags.Commander = (*ScaleCommand)(nil)
+
+// ScaleCommand drives a scale run over processes that a script has started.
+type ScaleCommand struct {
 	Platform string        `long:"platform" description:"IP:port of the platform stand-in" required:"true"`
 	Hollow   []string      `long:"hollow" description:"control address of a process of hollow daemons; may be given several times" required:"true"`
 	Real     []string      `long:"real" description:"metrics address of a lapisvaned; may be given several times"`
@@ -50,16 +59,16 @@
 
 // scaleDriver is a run in progress.
 type scaleDriver struct {
-	command *scaleCommand
-	fleet   *Fleet
+	command *ScaleCommand
+	fleet   *distbench.Fleet
 	figures ScaleFigures
 }
 
 // Execute implements flags.Commander.
-func (c *scaleCommand) Execute([]string) error {
-	driver := &scaleDriver{command: c, fleet: joinFleet(FleetShape{
+func (c *ScaleCommand) Execute([]string) error {
+	driver := &scaleDriver{command: c, fleet: distbench.JoinFleet(distbench.FleetShape{
 		Platform: c.Platform, Services: c.Services, PerProxy: 1, Seed: c.Seed,
-		Zones: scaleLayout.zones, Regions: scaleLayout.regions,
+		Zones: topology.ScaleLayout.Zones, Regions: topology.ScaleLayout.Regions,
 	})}
 	if err := driver.run(); err != nil {
 		return err
@@ -68,18 +77,18 @@
 }
 
 func (d *scaleDriver) run() error {
-	if err := d.fleet.acceptFirst(); err != nil {
+	if err := d.fleet.AcceptFirst(); err != nil {
 		return err
 	}
 	started := time.Now()
-	if err := d.forAll(func(address string) error { return putJSON(address, "/start", nil) }); err != nil {
+	if err := d.forAll(func(address string) error { return experiment.PutJSON(address, "/start", nil) }); err != nil {
 		return err
 	}
 	if _, err := d.settle(3 * time.Minute); err != nil {
 		return fmt.Errorf("at the start: %w", err)
 	}
 	d.figures.StartMillis = time.Since(started).Milliseconds()
-	results.Info("scale.started", "hollow", d.figures.Hollow, "started_ms", d.figures.StartMillis)
+	experiment.Results.Info("scale.started", "hollow", d.figures.Hollow, "started_ms", d.figures.StartMillis)
 	time.Sleep(3 * time.Second)
 	stopCalls := func() {}
 	defer func() { stopCalls() }()
@@ -93,8 +102,8 @@
 		{"fast", d.restartNowAndThen, fastRate, d.command.Fast},
 		{"herd", d.herd, dailyChangeRate * 2, 12 * time.Second},
 		{"rack", d.rack, dailyChangeRate * 2, 8 * time.Second},
-		{"zone-cut", d.cut(scaleLayout.zones[5]), dailyChangeRate * 2, 12 * time.Second},
-		{"region-cut", d.cut(scaleLayout.regions[len(scaleLayout.regions)-1]), dailyChangeRate * 2, 12 * time.Second},
+		{"zone-cut", d.cut(topology.ScaleLayout.Zones[5]), dailyChangeRate * 2, 12 * time.Second},
+		{"region-cut", d.cut(topology.ScaleLayout.Regions[len(topology.ScaleLayout.Regions)-1]), dailyChangeRate * 2, 12 * time.Second},
 		{"outage", d.outage, 0, 12 * time.Second},
 	}
 	for _, phase := range phases {
@@ -202,7 +211,7 @@
 		return err
 	}
 	accepted := Accepted{Revision: d.fleet.Revision(), UnixNanos: at.UnixNano()}
-	return d.forAll(func(address string) error { return putJSON(address, "/accepted", accepted) })
+	return d.forAll(func(address string) error { return experiment.PutJSON(address, "/accepted", accepted) })
 }
 
 // phase makes changes at a rate while a disturbance runs, and records figures.
@@ -263,7 +272,7 @@
 	}
 	interval := time.Duration(float64(time.Second) / rate)
 	for next := time.Now(); ctx.Err() == nil; next = next.Add(interval) {
-		if !sleepUntil(ctx, next) {
+		if !callload.SleepUntil(ctx, next) {
 			return changes, nil
 		}
 		if err := d.change(); err != nil {
@@ -311,10 +320,10 @@
 		return err
 	}
 	for _, violation := range d.figures.Violations {
-		results.Info("scale.violation", "detail", violation)
+		experiment.Results.Info("scale.violation", "detail", violation)
 	}
 	figures := &d.figures
-	results.Info("scale.result", "hollow", figures.Hollow, "real", figures.Real,
+	experiment.Results.Info("scale.result", "hollow", figures.Hollow, "real", figures.Real,
 		"p99_convergence_ms", figures.P99Millis, "herd_p99_convergence_ms", figures.HerdP99Millis,
 		"max_node_bytes_per_second", figures.MaxNodeBytesPerSec, "max_node_core_percent", figures.MaxNodeCorePercent,
 		"max_node_mem_mb", figures.MaxNodeMemoryMB, "source_readers_peak", figures.SourceReadersPeak,
@@ -331,8 +340,8 @@
 		name          string
 		value, budget float64
 	}{
-		{"p99_convergence_ms", d.figures.P99Millis, millis(budget.ConvergenceP99.Microseconds())},
-		{"herd_p99_convergence_ms", d.figures.HerdP99Millis, millis(budget.HerdP99.Microseconds())},
+		{"p99_convergence_ms", d.figures.P99Millis, experiment.Millis(budget.ConvergenceP99.Microseconds())},
+		{"herd_p99_convergence_ms", d.figures.HerdP99Millis, experiment.Millis(budget.HerdP99.Microseconds())},
 		{"max_node_bytes_per_second", d.figures.MaxNodeBytesPerSec, budget.NodeBytes},
 		{"max_node_core_percent", d.figures.MaxNodeCorePercent, budget.CorePercent},
 		{"max_node_mem_mb", d.figures.MaxNodeMemoryMB, budget.MemoryMB},
@@ -343,7 +352,7 @@
 		if check.value > check.budget {
 			missed := fmt.Sprintf("%s %.1f above %.1f", check.name, check.value, check.budget)
 			d.figures.MissedBudgets = append(d.figures.MissedBudgets, missed)
-			results.Info("scale.budget_missed", "figure", check.name, "value", check.value, "budget", check.budget)
+			experiment.Results.Info("scale.budget_missed", "figure", check.name, "value", check.value, "budget", check.budget)
 		}
 	}
 }
@@ -352,5 +361,5 @@
 	if d.command.Output == "" {
 		return nil
 	}
-	return writeIndented(d.command.Output, d.figures)
+	return experiment.WriteIndented(d.command.Output, d.figures)
 }
--- a/internal/lab/scale_faults.go
+++ b/internal/scalerun/scale_faults.go
@@ -1,19 +1,22 @@
-package lab
+package scalerun
 
 import (
 	"context"
 	"time"
 
+	"github.com/lapisvane/lapisvane/internal/callload"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 	"github.com/lapisvane/lapisvane/internal/objectapistub"
+	"github.com/lapisvane/lapisvane/internal/topology"
 )
 
 // restartNowAndThen restarts daemons at scaledRestarts times the daily rate.
 func (d *scaleDriver) restartNowAndThen(ctx context.Context) error {
 	const interval = 2 * time.Second
 	part := restartsPerDay / 86400 * scaledRestarts * interval.Seconds()
-	for sleepUntil(ctx, time.Now().Add(interval)) {
+	for callload.SleepUntil(ctx, time.Now().Add(interval)) {
 		order := Disturbance{RestartPart: part}
-		if err := d.forAll(func(address string) error { return putJSON(address, "/disturb", order) }); err != nil {
+		if err := d.forAll(func(address string) error { return experiment.PutJSON(address, "/disturb", order) }); err != nil {
 			return err
 		}
 	}
@@ -21,7 +24,7 @@
 }
 
 func (d *scaleDriver) order(order Disturbance) error {
-	return d.forAll(func(address string) error { return putJSON(address, "/disturb", order) })
+	return d.forAll(func(address string) error { return experiment.PutJSON(address, "/disturb", order) })
 }
 
 // herd replaces 30 percent of all daemons at once.
@@ -30,10 +33,10 @@
 // rack takes a part of one zone down and brings it back.
 func (d *scaleDriver) rack(ctx context.Context) error {
 	const machinesPerProcess = 10
-	if err := d.order(Disturbance{StopZone: scaleLayout.zones[2], StopCount: machinesPerProcess}); err != nil {
+	if err := d.order(Disturbance{StopZone: topology.ScaleLayout.Zones[2], StopCount: machinesPerProcess}); err != nil {
 		return err
 	}
-	sleepUntil(ctx, time.Now().Add(4*time.Second))
+	callload.SleepUntil(ctx, time.Now().Add(4*time.Second))
 	return d.order(Disturbance{StartAll: true})
 }
 
@@ -43,7 +46,7 @@
 		if err := d.order(Disturbance{Isolate: []string{name}}); err != nil {
 			return err
 		}
-		sleepUntil(ctx, time.Now().Add(9*time.Second))
+		callload.SleepUntil(ctx, time.Now().Add(9*time.Second))
 		return d.order(Disturbance{Join: []string{name}})
 	}
 }
@@ -51,13 +54,13 @@
 // outage takes the source down for longer than a lease and restarts some
 // daemons meanwhile.
 func (d *scaleDriver) outage(ctx context.Context) error {
-	if err := putJSON(d.command.Platform, "/lab/faults", objectapistub.Faults{Down: true}); err != nil {
+	if err := experiment.PutJSON(d.command.Platform, "/lab/faults", objectapistub.Faults{Down: true}); err != nil {
 		return err
 	}
 	time.Sleep(time.Second)
 	if err := d.order(Disturbance{RestartPart: 0.02}); err != nil {
 		return err
 	}
-	sleepUntil(ctx, time.Now().Add(9*time.Second))
-	return putJSON(d.command.Platform, "/lab/faults", objectapistub.Faults{})
+	callload.SleepUntil(ctx, time.Now().Add(9*time.Second))
+	return experiment.PutJSON(d.command.Platform, "/lab/faults", objectapistub.Faults{})
 }
--- a/internal/lab/scale_figures.go
+++ b/internal/scalerun/scale_figures.go
@@ -1,10 +1,12 @@
-package lab
+package scalerun
 
 import (
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/lapisvane/lapisvane/internal/callload"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 	"github.com/lapisvane/lapisvane/internal/tree"
 )
 
@@ -82,7 +84,7 @@
 			earlier[node.Node] = node
 		}
 	}
-	histogram := hdrhistogram.New(1, maxLatencyMicros, 3)
+	histogram := hdrhistogram.New(1, callload.MaxLatencyMicros, 3)
 	processorAfter := int64(0)
 	for _, report := range after {
 		processorAfter += report.ProcessorNanos
@@ -99,9 +101,9 @@
 		sum.MeanEndpoints /= count
 		figures.Roles[role] = sum
 	}
-	figures.P50Millis = millis(histogram.ValueAtQuantile(50))
-	figures.P99Millis = millis(histogram.ValueAtQuantile(99))
-	figures.MaxMillis = millis(histogram.Max())
+	figures.P50Millis = experiment.Millis(histogram.ValueAtQuantile(50))
+	figures.P99Millis = experiment.Millis(histogram.ValueAtQuantile(99))
+	figures.MaxMillis = experiment.Millis(histogram.Max())
 	figures.Applies = histogram.TotalCount()
 	figures.Convergence = histogram.Export()
 	figures.ProcessorPerSec = float64(processorAfter-processorBefore) / float64(elapsed.Nanoseconds())
@@ -156,12 +158,12 @@
 }
 
 func printPhase(figures PhaseFigures) {
-	results.Info("scale.phase", "phase", figures.Phase, "seconds", figures.Seconds, "changes", figures.Changes,
+	experiment.Results.Info("scale.phase", "phase", figures.Phase, "seconds", figures.Seconds, "changes", figures.Changes,
 		"p50_ms", figures.P50Millis, "p99_ms", figures.P99Millis, "max_ms", figures.MaxMillis, "applies", figures.Applies,
 		"settled_ms", figures.SettledMillis, "source_requests_per_second", figures.SourceRequests, "hollow_cores", figures.ProcessorPerSec)
 	for _, role := range []tree.Role{tree.RoleLeaf, tree.RoleRelay, tree.RoleReader} {
 		sum := figures.Roles[string(role)]
-		results.Info("scale.role", "phase", figures.Phase, "role", string(role), "nodes", sum.Nodes,
+		experiment.Results.Info("scale.role", "phase", figures.Phase, "role", string(role), "nodes", sum.Nodes,
 			"mean_bytes_per_second", sum.MeanBytesPerSecond, "max_bytes_per_second", sum.MaxBytesPerSecond,
 			"mean_frames_per_second", sum.MeanFramesPerSecond, "max_children", sum.MaxChildren, "max_depth", sum.MaxDepth,
 			"mean_bundles", sum.MeanBundles, "mean_endpoints", sum.MeanEndpoints)
--- a/internal/lab/scale_real.go
+++ b/internal/scalerun/scale_real.go
@@ -1,4 +1,4 @@
-package lab
+package scalerun
 
 import (
 	"bufio"
@@ -10,6 +10,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/lapisvane/lapisvane/internal/callload"
+	"github.com/lapisvane/lapisvane/internal/distbench"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 )
 
 // realSample is what the metrics of a lapisvaned say at one time.
@@ -84,7 +88,7 @@
 			d.figures.MaxNodeCorePercent = max(d.figures.MaxNodeCorePercent, figures.CorePercent)
 			d.figures.MaxNodeBytesPerSec = max(d.figures.MaxNodeBytesPerSec, figures.BytesPerSecond)
 		}
-		results.Info("scale.real", "phase", phase, "address", sample.address, "role", role, "core_percent", figures.CorePercent,
+		experiment.Results.Info("scale.real", "phase", phase, "address", sample.address, "role", role, "core_percent", figures.CorePercent,
 			"resident_mb", figures.ResidentMB, "bytes_per_second", figures.BytesPerSecond)
 	}
 }
@@ -101,19 +105,19 @@
 	var done, notDone, wrong atomic.Int64
 	for index, address := range d.command.Callers {
 		running.Go(func() {
-			load := Load{
-				Caller: &Caller{
-					Target: address, Host: serviceName(realService) + ".mesh.example", Path: "/write/" + strconv.Itoa(index),
-					Method: http.MethodPost, Client: NewHTTPClient(8),
+			load := callload.Load{
+				Caller: &callload.Caller{
+					Target: address, Host: distbench.ServiceName(realService) + ".mesh.example", Path: "/write/" + strconv.Itoa(index),
+					Method: http.MethodPost, Client: callload.NewHTTPClient(8),
 				},
-				Workers: 4, Rate: callsPerDaemon, Duration: maxRunTime, Name: "scale-" + strconv.Itoa(index),
+				Workers: 4, Rate: callsPerDaemon, Duration: experiment.MaxRunTime, Name: "scale-" + strconv.Itoa(index),
 			}
 			tally := load.Run(ctx)
 			done.Add(tally.Done)
 			notDone.Add(tally.NotRun + tally.Unknown)
 			wrong.Add(tally.Wrong)
 			if tally.Done < tally.Total() {
-				results.Info("scale.calls", "caller", address, "done", tally.Done, "results", fmt.Sprint(tally.Results))
+				experiment.Results.Info("scale.calls", "caller", address, "done", tally.Done, "results", fmt.Sprint(tally.Results))
 			}
 		})
 	}
--- a/internal/lab/simulate.go
+++ b/internal/simulation/simulate.go
@@ -1,4 +1,4 @@
-package lab
+package simulation
 
 import (
 	"container/heap"
@@ -6,16 +6,20 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lapisvane/lapisvane/internal/distbench"
+	"github.com/lapisvane/lapisvane/internal/experiment"
 	"github.com/lapisvane/lapisvane/internal/features"
 	"github.com/lapisvane/lapisvane/internal/membership"
 	"github.com/lapisvane/lapisvane/internal/objectapi"
+	"github.com/lapisvane/lapisvane/internal/scalerun"
 	"github.com/lapisvane/lapisvane/internal/seat"
+	"github.com/lapisvane/lapisvane/internal/topology"
 )
 
-// simulateCommand runs a discrete-event simulation of a fleet under virtual
+// SimulateCommand runs a discrete-event simulation of a fleet under virtual
 // time: daemons find their parents by the product's own decision code, and
 // changes travel down the tree that results.
-type simulateCommand struct {
+type SimulateCommand struct {
 	Nodes       []int         `long:"nodes" description:"daemons; may be given several times" default:"19000"`
 	Changes     int           `long:"changes" description:"changes to follow" default:"20"`
 	Cores       int           `long:"cores" description:"processors that all daemons share; 0 gives each daemon its own"`
@@ -30,21 +34,21 @@
 }
 
 // Execute implements flags.Commander.
-func (c *simulateCommand) Execute([]string) error {
+func (c *SimulateCommand) Execute([]string) error {
 	if len(c.Compare) > 0 {
 		return c.compareAll()
 	}
 	for _, nodes := range c.Nodes {
-		if nodes < len(scaleLayout.zones) {
-			return fmt.Errorf("nodes must be at least %d", len(scaleLayout.zones))
+		if nodes < len(topology.ScaleLayout.Zones) {
+			return fmt.Errorf("nodes must be at least %d", len(topology.ScaleLayout.Zones))
 		}
 		run := newSimulation(c, nodes)
 		joined := run.joinAll(run.nodes)
 		print := func(phase string, joined time.Duration) {
 			histogram := run.distribute(c.Changes)
-			results.Info("simulation.result", "phase", phase, "nodes", nodes, "cores", c.Cores, "joined_ms", joined.Milliseconds(),
-				"p50_ms", millis(histogram.ValueAtQuantile(50)), "p99_ms", millis(histogram.ValueAtQuantile(99)),
-				"max_ms", millis(histogram.Max()), "max_depth", run.maxDepth(), "readers", run.readers(), "max_children", run.maxChildren(),
+			experiment.Results.Info("simulation.result", "phase", phase, "nodes", nodes, "cores", c.Cores, "joined_ms", joined.Milliseconds(),
+				"p50_ms", experiment.Millis(histogram.ValueAtQuantile(50)), "p99_ms", experiment.Millis(histogram.ValueAtQuantile(99)),
+				"max_ms", experiment.Millis(histogram.Max()), "max_depth", run.maxDepth(), "readers", run.readers(), "max_children", run.maxChildren(),
 				"asks_at_source", run.sourceAsks, "peak_asks_at_source_per_second", run.peakAsks(),
 				"peak_joins_per_second_at_one_parent", run.peakJoins)
 		}
@@ -55,17 +59,17 @@
 }
 
 // compareAll runs the model at the sizes of real runs and prints its error.
-func (c *simulateCommand) compareAll() error {
+func (c *SimulateCommand) compareAll() error {
 	for _, path := range c.Compare {
-		figures, err := readScaleFigures(path)
+		figures, err := scalerun.ReadScaleFigures(path)
 		if err != nil {
 			return err
 		}
 		nodes := figures.Hollow + figures.Real
 		run := newSimulation(c, nodes)
 		run.joinAll(run.nodes)
-		model := millis(run.distribute(c.Changes).ValueAtQuantile(99))
-		results.Info("simulation.error", "nodes", nodes, "cores", c.Cores, "model_p99_ms", model,
+		model := experiment.Millis(run.distribute(c.Changes).ValueAtQuantile(99))
+		experiment.Results.Info("simulation.error", "nodes", nodes, "cores", c.Cores, "model_p99_ms", model,
 			"real_p99_ms", figures.P99Millis, "error_percent", 100*(model-figures.P99Millis)/figures.P99Millis)
 	}
 	return nil
@@ -73,7 +77,7 @@
 
 // simNode is one simulated daemon.
 type simNode struct {
-	place      place
+	place      topology.Place
 	candidates *membership.Candidates
 	seats      *seat.Table
 	parent     *simNode
@@ -94,10 +98,10 @@
 
 // simulation is a fleet under virtual time.
 type simulation struct {
-	command  *simulateCommand
+	command  *SimulateCommand
 	tunables features.Distribution
 	random   *rand.Rand
-	topology *Topology
+	topology *topology.Topology
 	nodes    []*simNode
 	byZone   map[string][]objectapi.Machine
 	machines map[string]*simNode
@@ -126,20 +130,20 @@
 
 func (s *simulation) clock() time.Time { return virtualStart.Add(s.now) }
 
-func newSimulation(command *simulateCommand, count int) *simulation {
+func newSimulation(command *SimulateCommand, count int) *simulation {
 	run := &simulation{
 		command: command, tunables: features.Convergence(), random: rand.New(rand.NewPCG(command.Seed, uint64(count))),
-		topology: NewTopology(command.ZoneDelay, command.RegionDelay),
+		topology: topology.NewTopology(command.ZoneDelay, command.RegionDelay),
 		byZone:   map[string][]objectapi.Machine{}, machines: map[string]*simNode{}, seats: map[string]simSeat{},
 		asksBySecond: map[time.Duration]int{}, free: make([]time.Duration, command.Cores),
 	}
-	shape := FleetShape{Zones: scaleLayout.zones, Regions: scaleLayout.regions}
+	shape := distbench.FleetShape{Zones: topology.ScaleLayout.Zones, Regions: topology.ScaleLayout.Regions}
 	for index := range count {
-		node := &simNode{place: shape.placeOf(index)}
+		node := &simNode{place: shape.PlaceOf(index)}
 		run.nodes = append(run.nodes, node)
-		run.machines[node.place.node] = node
-		run.byZone[node.place.zone] = append(run.byZone[node.place.zone], objectapi.Machine{
-			Node: node.place.node, Address: node.place.node, Zone: node.place.zone, State: objectapi.MachineLive,
+		run.machines[node.place.Node] = node
+		run.byZone[node.place.Zone] = append(run.byZone[node.place.Zone], objectapi.Machine{
+			Node: node.place.Node, Address: node.place.Node, Zone: node.place.Zone, State: objectapi.MachineLive,
 		})
 	}
 	return run
--- a/internal/lab/simulate_distribution.go
+++ b/internal/simulation/simulate_distribution.go
@@ -1,10 +1,12 @@
-package lab
+package simulation
 
 import (
 	"container/heap"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/lapisvane/lapisvane/internal/callload"
 )
 
 // work returns how long a piece of processor work takes from now on, with the
@@ -30,7 +32,7 @@
 // distribute follows changes from the source to every node and returns the
 // times from acceptance to force in microseconds.
 func (s *simulation) distribute(changes int) *hdrhistogram.Histogram {
-	histogram := hdrhistogram.New(1, maxLatencyMicros, 3)
+	histogram := hdrhistogram.New(1, callload.MaxLatencyMicros, 3)
 	for range changes {
 		s.now += time.Minute
 		s.queue = nil
@@ -41,7 +43,7 @@
 				continue
 			}
 			sent += s.command.SourceDelay
-			arrival := sent + s.topology.delay(s.nodes[0].place, node.place)
+			arrival := sent + s.topology.Delay(s.nodes[0].place, node.place)
 			s.deliver(node, arrival+s.tunables.DebounceQuiet.Get(), accepted, histogram)
 		}
 		for s.step() {
@@ -61,7 +63,7 @@
 		for _, index := range s.random.Perm(len(node.children)) {
 			child := node.children[index]
 			sent = s.workAt(sent, s.command.FrameCost)
-			s.deliver(child, sent+s.topology.delay(node.place, child.place), accepted, histogram)
+			s.deliver(child, sent+s.topology.Delay(node.place, child.place), accepted, histogram)
 		}
 	}})
 }
--- a/internal/lab/simulate_events.go
+++ b/internal/simulation/simulate_events.go
@@ -1,4 +1,4 @@
-package lab
+package simulation
 
 import "time"
 
--- a/internal/lab/simulate_joining.go
+++ b/internal/simulation/simulate_joining.go
@@ -1,4 +1,4 @@
-package lab
+package simulation
 
 import (
 	"time"
@@ -7,18 +7,19 @@
 	"github.com/lapisvane/lapisvane/internal/joining"
 	"github.com/lapisvane/lapisvane/internal/membership"
 	"github.com/lapisvane/lapisvane/internal/seat"
+	"github.com/lapisvane/lapisvane/internal/topology"
 )
 
 // boot starts a process on a node that knows only random neighbours.
 func (s *simulation) boot(node *simNode) {
 	var seeds []string
-	neighbours := s.byZone[node.place.zone]
+	neighbours := s.byZone[node.place.Zone]
 	for range 3 {
 		seeds = append(seeds, neighbours[s.random.IntN(len(neighbours))].Node)
 	}
 	node.up = true
 	node.epoch++
-	node.candidates = membership.NewCandidates(node.place.node, node.place.zone, node.place.region, seeds, s.random)
+	node.candidates = membership.NewCandidates(node.place.Node, node.place.Zone, node.place.Region, seeds, s.random)
 	node.seats = seat.NewTable(s.tunables.SeatLease.Get())
 	node.expected = map[*simNode]uint32{}
 	node.rounds, node.reader = 0, ""
@@ -61,7 +62,7 @@
 // connect, one for the hello.
 func (s *simulation) ask(node *simNode, choice membership.Choice, epoch int) {
 	target := s.machines[choice.Address]
-	oneWay := s.topology.delay(node.place, target.place)
+	oneWay := s.topology.Delay(node.place, target.place)
 	s.after(3*oneWay+s.work(s.command.FrameCost), func() {
 		if !node.up || node.epoch != epoch {
 			return
@@ -73,7 +74,7 @@
 		}
 		s.countJoin(target)
 		verdict := joining.Decide(s.asParent(target), joining.Candidate{
-			Node: node.place.node, Zone: node.place.zone, Depth: depthBelow(node), Redirected: choice.Redirected,
+			Node: node.place.Node, Zone: node.place.Zone, Depth: depthBelow(node), Redirected: choice.Redirected,
 			Refusals: int(node.candidates.Refusals()),
 		})
 		if verdict == joining.Accept {
@@ -111,9 +112,9 @@
 		node.candidates.Detached()
 	case joining.TooDeep:
 		s.shedDeepChildren(node)
-		node.candidates.Redirect(s.readersOf(target.place.zone), now)
+		node.candidates.Redirect(s.readersOf(target.place.Zone), now)
 	case joining.ReadersFirst, joining.ToAReader:
-		node.candidates.Redirect(s.readersOf(target.place.zone), now)
+		node.candidates.Redirect(s.readersOf(target.place.Zone), now)
 	default:
 		node.candidates.Redirect(s.redirects(target, node), now)
 	}
@@ -137,11 +138,11 @@
 	children := make([]joining.Child, 0, len(parent.children))
 	for _, child := range parent.children {
 		children = append(children, joining.Child{
-			Node: child.place.node, Zone: child.place.zone, Expected: max(parent.expected[child], 1),
+			Node: child.place.Node, Zone: child.place.Zone, Expected: max(parent.expected[child], 1),
 		})
 	}
 	var peers []*lapisv1.PeerAddress
-	for position, index := range joining.Redirects(children, joiner.place.zone, joiner.place.node, 4) {
+	for position, index := range joining.Redirects(children, joiner.place.Zone, joiner.place.Node, 4) {
 		child := parent.children[index]
 		if position == 0 {
 			parent.expected[child] = max(parent.expected[child], 1) + 1
@@ -152,7 +153,7 @@
 }
 
 func peerOf(node *simNode) *lapisv1.PeerAddress {
-	return &lapisv1.PeerAddress{Node: node.place.node, Address: node.place.node, Zone: node.place.zone, Region: node.place.region}
+	return &lapisv1.PeerAddress{Node: node.place.Node, Address: node.place.Node, Zone: node.place.Zone, Region: node.place.Region}
 }
 
 func (s *simulation) readersOf(zone string) []*lapisv1.PeerAddress {
@@ -168,8 +169,8 @@
 
 func (s *simulation) asParent(node *simNode) joining.Parent {
 	return joining.Parent{
-		Node: node.place.node, Zone: node.place.zone, Reader: node.reader != "", Path: pathOf(node),
-		Children: len(node.children), KnowsReaders: len(s.readersOf(node.place.zone)) > 0,
+		Node: node.place.Node, Zone: node.place.Zone, Reader: node.reader != "", Path: pathOf(node),
+		Children: len(node.children), KnowsReaders: len(s.readersOf(node.place.Zone)) > 0,
 		Fanout: s.tunables.Fanout, MaxDepth: s.tunables.MaxDepth,
 	}
 }
@@ -178,7 +179,7 @@
 func pathOf(node *simNode) []string {
 	var path []string
 	for at := node; at != nil; at = at.parent {
-		path = append([]string{at.place.node}, path...)
+		path = append([]string{at.place.Node}, path...)
 		if at.reader != "" {
 			return path
 		}
@@ -202,12 +203,12 @@
 	node.rounds++
 	node.backoff = min(2*node.backoff, s.tunables.JoinBackoffMax.Get())
 	node.nextAsk = s.now + node.backoff/2 + time.Duration(s.random.Int64N(int64(node.backoff)))
-	oneWay := s.topology.delay(node.place, s.nodes[0].place)
+	oneWay := s.topology.Delay(node.place, s.nodes[0].place)
 	s.after(oneWay, func() {
 		s.observeSeats(node)
-		vacancies := node.seats.Vacancies(node.place.zone, node.place.node, s.tunables.SeatsPerZone, s.clock())
+		vacancies := node.seats.Vacancies(node.place.Zone, node.place.Node, s.tunables.SeatsPerZone, s.clock())
 		for _, vacancy := range vacancies {
-			rank, _ := membership.Rank(s.byZone[node.place.zone], node.place.node, vacancy.Seat)
+			rank, _ := membership.Rank(s.byZone[node.place.Zone], node.place.Node, vacancy.Seat)
 			if membership.MayTakeSeat(rank, node.rounds) && s.take(node, vacancy, epoch) {
 				return
 			}
@@ -219,7 +220,7 @@
 func (s *simulation) observeSeats(node *simNode) {
 	var holders []*lapisv1.PeerAddress
 	for number := range s.tunables.SeatsPerZone {
-		key := seat.Key(node.place.zone, number)
+		key := seat.Key(node.place.Zone, number)
 		held, known := s.seats[key]
 		if !known {
 			continue
@@ -229,8 +230,8 @@
 			held.version += int64((s.now - held.renewed) / (2 * time.Second))
 			holders = append(holders, peerOf(held.holder))
 		}
-		lease := &lapisv1.SeatLease{Holder: held.holder.place.node, Address: held.holder.place.node, Zone: node.place.zone}
-		node.seats.Observe(seatObject(key, held.version, lease), s.clock())
+		lease := &lapisv1.SeatLease{Holder: held.holder.place.Node, Address: held.holder.place.Node, Zone: node.place.Zone}
+		node.seats.Observe(topology.SeatObject(key, held.version, lease), s.clock())
 	}
 	node.candidates.Redirect(holders, s.clock())
 }
@@ -284,7 +285,7 @@
 
 func (s *simulation) offer(reader *simNode) {
 	for number := range s.tunables.SeatsPerZone {
-		key := seat.Key(reader.place.zone, number)
+		key := seat.Key(reader.place.Zone, number)
 		held := s.seats[key]
 		lapsed := held.holder == nil || (!held.holder.up || held.holder.reader != key) && s.now-held.renewed > s.tunables.SeatLease.Get()
 		if !lapsed || len(reader.children) == 0 {
--- a/internal/lab/accept.go
+++ b/internal/testsite/accept.go
@@ -1,4 +1,4 @@
-package lab
+package testsite
 
 import (
 	"context"
@@ -15,6 +15,6 @@
 		return 0, err
 	}
 	return log.Accept(ctx, &lapisv1.Proposal{
-		OperationId: operation, Author: labAdmin, BaseRevision: state.Revision, Changes: changes,
+		OperationId: operation, Author: LabAdmin, BaseRevision: state.Revision, Changes: changes,
 	})
 }
--- a/internal/lab/calls_test.go
+++ b/internal/testsite/calls_test.go
@@ -1,4 +1,4 @@
-package lab_test
+package testsite_test
 
 import (
 	"bufio"
@@ -23,23 +23,24 @@
 
 	"github.com/lapisvane/lapisvane/internal/backendstub"
 	"github.com/lapisvane/lapisvane/internal/callapi"
-	"github.com/lapisvane/lapisvane/internal/lab"
+	"github.com/lapisvane/lapisvane/internal/callload"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/testsite"
 )
 
 const settleTime = 30 * time.Second
 
 // startSite runs a site with one daemon beside each of count back ends and a
 // daemon "edge" without any.
-func startSite(t *testing.T, count int, change func(*lab.Profile)) *lab.Site {
+func startSite(t *testing.T, count int, change func(*testsite.Profile)) *testsite.Site {
 	t.Helper()
-	profile := lab.Swancycle()
+	profile := testsite.Swancycle()
 	profile.ServiceTime = time.Millisecond
 	profile.ConnectionCost = 0
 	if change != nil {
 		change(&profile)
 	}
-	site, err := lab.NewSite(profile, logr.Discard())
+	site, err := testsite.NewSite(profile, logr.Discard())
 	assert.NilError(t, err)
 	t.Cleanup(site.Close)
 	for index := range count {
@@ -68,10 +69,10 @@
 	return site
 }
 
-func edgeCaller(site *lab.Site, path string, header http.Header) *lab.Caller {
-	return &lab.Caller{
+func edgeCaller(site *testsite.Site, path string, header http.Header) *callload.Caller {
+	return &callload.Caller{
 		Target: site.Daemons["edge"].Daemon.Addresses().Caller, Host: "desk.example", Path: path,
-		Method: http.MethodPost, Header: header, Client: lab.NewHTTPClient(64),
+		Method: http.MethodPost, Header: header, Client: callload.NewHTTPClient(64),
 	}
 }
 
@@ -83,18 +84,18 @@
 		behaviour backendstub.Behaviour
 		path      string
 		// expect is the outcome of every call, "" where it may vary.
-		expect lab.Outcome
+		expect callload.Outcome
 		// runs is the number of executions of each call, -1 where it may vary.
 		runs int
 	}{
-		{"healthy order", backendstub.Behaviour{}, "/order", lab.OutcomeDone, 1},
-		{"order reset before it runs", backendstub.Behaviour{ResetBeforePercent: 100}, "/order", lab.OutcomeUnknown, 0},
-		{"order reset after it ran", backendstub.Behaviour{ResetAfterPercent: 100}, "/order", lab.OutcomeUnknown, 1},
-		{"order answer truncated", backendstub.Behaviour{TruncatePercent: 100}, "/order", lab.OutcomeUnknown, 1},
-		{"order refused by a draining back end", backendstub.Behaviour{Draining: true}, "/order", lab.OutcomeNotRun, 0},
-		{"lookup reset now and then", backendstub.Behaviour{ResetAfterPercent: 5}, "/lookup", lab.OutcomeDone, -1},
-		{"lookup truncated now and then", backendstub.Behaviour{TruncatePercent: 5}, "/lookup", lab.OutcomeDone, -1},
-		{"deadline passes while it runs", backendstub.Behaviour{ServiceTime: time.Second}, "/short", lab.OutcomeUnknown, 1},
+		{"healthy order", backendstub.Behaviour{}, "/order", callload.OutcomeDone, 1},
+		{"order reset before it runs", backendstub.Behaviour{ResetBeforePercent: 100}, "/order", callload.OutcomeUnknown, 0},
+		{"order reset after it ran", backendstub.Behaviour{ResetAfterPercent: 100}, "/order", callload.OutcomeUnknown, 1},
+		{"order answer truncated", backendstub.Behaviour{TruncatePercent: 100}, "/order", callload.OutcomeUnknown, 1},
+		{"order refused by a draining back end", backendstub.Behaviour{Draining: true}, "/order", callload.OutcomeNotRun, 0},
+		{"lookup reset now and then", backendstub.Behaviour{ResetAfterPercent: 5}, "/lookup", callload.OutcomeDone, -1},
+		{"lookup truncated now and then", backendstub.Behaviour{TruncatePercent: 5}, "/lookup", callload.OutcomeDone, -1},
+		{"deadline passes while it runs", backendstub.Behaviour{ServiceTime: time.Second}, "/short", callload.OutcomeUnknown, 1},
 	}
 	site := startSite(t, 2, nil)
 	for _, test := range cases {
@@ -123,8 +124,8 @@
 			ServiceTime: 2 * time.Millisecond, ResetBeforePercent: 3, ResetAfterPercent: 3, TruncatePercent: 3, ShedAbove: 5,
 		})
 	}
-	load := lab.Load{Caller: edgeCaller(site, "/order", nil), Workers: 24, Duration: 2 * time.Second, Name: "mixed"}
-	var tally *lab.Tally
+	load := callload.Load{Caller: edgeCaller(site, "/order", nil), Workers: 24, Duration: 2 * time.Second, Name: "mixed"}
+	var tally *callload.Tally
 	var running sync.WaitGroup
 	running.Go(func() { tally = load.Run(context.Background()) })
 	time.Sleep(700 * time.Millisecond)
@@ -136,18 +137,18 @@
 }
 
 // disagreements lists the calls whose outcome does not fit the ledger.
-func disagreements(site *lab.Site, tally *lab.Tally) []string {
+func disagreements(site *testsite.Site, tally *callload.Tally) []string {
 	var list []string
 	for _, one := range tally.Outcomes {
 		runs := len(site.Ledger.Runs(one.Call))
 		switch {
 		case runs > 1:
 			list = append(list, fmt.Sprintf("%s ran %d times", one.Call, runs))
-		case one.Outcome == lab.OutcomeNotRun && runs > 0:
+		case one.Outcome == callload.OutcomeNotRun && runs > 0:
 			list = append(list, one.Call+" ran although it was said not to")
-		case one.Outcome == lab.OutcomeDone && runs == 0:
+		case one.Outcome == callload.OutcomeDone && runs == 0:
 			list = append(list, one.Call+" was answered and never ran")
-		case one.Outcome == lab.OutcomeWrong:
+		case one.Outcome == callload.OutcomeWrong:
 			list = append(list, one.Call+" got another answer")
 		}
 	}
@@ -161,7 +162,7 @@
 	for _, backend := range site.Backends {
 		backend.SetBehaviour(backendstub.Behaviour{ResetAfterPercent: 20})
 	}
-	load := lab.Load{Caller: edgeCaller(site, "/lookup", nil), Workers: 8, Duration: time.Second, Name: "retried"}
+	load := callload.Load{Caller: edgeCaller(site, "/lookup", nil), Workers: 8, Duration: time.Second, Name: "retried"}
 	assert.Assert(t, len(disagreements(site, load.Run(context.Background()))) > 0)
 }
 
@@ -196,7 +197,7 @@
 }
 
 // exchangeRaw sends bytes to the edge daemon and returns what comes back.
-func exchangeRaw(t *testing.T, site *lab.Site, raw string) string {
+func exchangeRaw(t *testing.T, site *testsite.Site, raw string) string {
 	t.Helper()
 	conn, err := net.Dial("tcp", site.Daemons["edge"].Daemon.Addresses().Caller)
 	assert.NilError(t, err)
@@ -242,7 +243,7 @@
 }
 
 func TestHangUpCancelsTheCallAtTheBackend(t *testing.T) {
-	site := startSite(t, 1, func(p *lab.Profile) { p.ServiceTime = 5 * time.Second })
+	site := startSite(t, 1, func(p *testsite.Profile) { p.ServiceTime = 5 * time.Second })
 	ctx, cancel := context.WithCancel(context.Background())
 	finished := make(chan struct{})
 	go func() {
@@ -273,7 +274,7 @@
 	for number := range 6 {
 		one := edgeCaller(site, "/order", header).Do(context.Background(), fmt.Sprintf("keyed-%d", number))
 		switch {
-		case one.Outcome == lab.OutcomeDone:
+		case one.Outcome == callload.OutcomeDone:
 			done++
 		case one.Result == "5012":
 			duplicates++
@@ -304,22 +305,22 @@
 func TestPlannedStopsCutNothing(t *testing.T) {
 	cases := []struct {
 		name string
-		stop func(t *testing.T, site *lab.Site, instance string) (finished <-chan struct{})
+		stop func(t *testing.T, site *testsite.Site, instance string) (finished <-chan struct{})
 	}{
-		{"back end drained by an operator", func(t *testing.T, site *lab.Site, instance string) <-chan struct{} {
+		{"back end drained by an operator", func(t *testing.T, site *testsite.Site, instance string) <-chan struct{} {
 			_, err := site.Command(context.Background(), "edge", "drain desk/"+instance)
 			assert.NilError(t, err)
 			return closed()
 		}},
-		{"back end retired by an operator", func(t *testing.T, site *lab.Site, instance string) <-chan struct{} {
+		{"back end retired by an operator", func(t *testing.T, site *testsite.Site, instance string) <-chan struct{} {
 			_, err := site.Command(context.Background(), "edge", "retire desk/"+instance)
 			assert.NilError(t, err)
 			return closed()
 		}},
-		{"daemon beside the back end stopped", func(_ *testing.T, site *lab.Site, instance string) <-chan struct{} {
+		{"daemon beside the back end stopped", func(_ *testing.T, site *testsite.Site, instance string) <-chan struct{} {
 			return stopInBackground(site.Daemons["beside-"+instance])
 		}},
-		{"caller's daemon stopped", func(_ *testing.T, site *lab.Site, _ string) <-chan struct{} {
+		{"caller's daemon stopped", func(_ *testing.T, site *testsite.Site, _ string) <-chan struct{} {
 			return stopInBackground(site.Daemons["edge"])
 		}},
 	}
@@ -329,7 +330,7 @@
 			body := &trickle{pieces: make(chan []byte)}
 			caller := edgeCaller(site, "/upload", nil)
 			caller.Body = func() io.Reader { return body }
-			result := make(chan lab.CallResult, 1)
+			result := make(chan callload.CallResult, 1)
 			go func() { result <- caller.Do(context.Background(), "slow-upload") }()
 			for range 3 {
 				body.pieces <- bytes.Repeat([]byte("u"), 1000)
@@ -348,7 +349,7 @@
 			}
 			close(body.pieces)
 			one := <-result
-			assert.Equal(t, one.Outcome, lab.OutcomeDone, "%+v", one)
+			assert.Equal(t, one.Outcome, callload.OutcomeDone, "%+v", one)
 			<-finished
 			for _, member := range site.Daemons {
 				assert.Equal(t, member.Cut, int64(0))
@@ -363,7 +364,7 @@
 	return done
 }
 
-func stopInBackground(member *lab.Member) <-chan struct{} {
+func stopInBackground(member *testsite.Member) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -382,7 +383,7 @@
 	assert.NilError(t, site.WaitInForce(ctx, 2))
 	for number := range 40 {
 		one := edgeCaller(site, "/order", nil).Do(ctx, fmt.Sprintf("after-drain-%d", number))
-		assert.Equal(t, one.Outcome, lab.OutcomeDone)
+		assert.Equal(t, one.Outcome, callload.OutcomeDone)
 		assert.Equal(t, one.Instance, "desk-2")
 	}
 	_, err = site.Command(ctx, "edge", "undrain desk/desk-1")
@@ -392,7 +393,7 @@
 
 func TestTLSKeysAreServedAndRotated(t *testing.T) {
 	site := startSite(t, 1, nil)
-	authority, err := lab.NewAuthority("test")
+	authority, err := testsite.NewAuthority("test")
 	assert.NilError(t, err)
 	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 	defer cancel()
--- a/internal/lab/daemon_test.go
+++ b/internal/testsite/daemon_test.go
@@ -1,4 +1,4 @@
-package lab_test
+package testsite_test
 
 import (
 	"bytes"
@@ -18,10 +18,11 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
-	"github.com/lapisvane/lapisvane/internal/lab"
+	"github.com/lapisvane/lapisvane/internal/callload"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/settings"
+	"github.com/lapisvane/lapisvane/internal/testsite"
 	"github.com/lapisvane/lapisvane/internal/tlssetup"
 )
 
@@ -56,13 +57,13 @@
 		}
 	}
 	one := edgeCaller(site, "/order", nil).Do(context.Background(), "after-noise")
-	assert.Equal(t, one.Outcome, lab.OutcomeDone)
+	assert.Equal(t, one.Outcome, callload.OutcomeDone)
 	_, err := site.Command(context.Background(), "edge", "show versions")
 	assert.NilError(t, err)
 }
 
 // writeKeys stores a key pair of the authority in files.
-func writeKeys(t *testing.T, authority *lab.Authority, name string) settings.PeerTLS {
+func writeKeys(t *testing.T, authority *testsite.Authority, name string) settings.PeerTLS {
 	t.Helper()
 	pair, err := authority.Issue(name)
 	assert.NilError(t, err)
@@ -77,11 +78,11 @@
 }
 
 func TestMutualTLSBetweenDaemons(t *testing.T) {
-	profile := lab.Swancycle()
-	site, err := lab.NewSite(profile, logr.Discard())
+	profile := testsite.Swancycle()
+	site, err := testsite.NewSite(profile, logr.Discard())
 	assert.NilError(t, err)
 	t.Cleanup(site.Close)
-	authority, err := lab.NewAuthority("ours")
+	authority, err := testsite.NewAuthority("ours")
 	assert.NilError(t, err)
 	_, err = site.AddBackend("desk", "desk-1")
 	assert.NilError(t, err)
@@ -100,10 +101,10 @@
 	assert.NilError(t, site.WaitEndpoints(ctx, "desk", 1))
 	for number := range 20 {
 		one := edgeCaller(site, "/order", nil).Do(ctx, fmt.Sprintf("secure-%d", number))
-		assert.Equal(t, one.Outcome, lab.OutcomeDone, "%+v", one)
+		assert.Equal(t, one.Outcome, callload.OutcomeDone, "%+v", one)
 	}
 
-	strangers, err := lab.NewAuthority("strangers")
+	strangers, err := testsite.NewAuthority("strangers")
 	assert.NilError(t, err)
 	for name, keys := range map[string]settings.PeerTLS{
 		"plain":              {},
@@ -125,7 +126,7 @@
 }
 
 func TestDaemonWithoutConfigurationRefusesAsNotRun(t *testing.T) {
-	site, err := lab.NewSite(lab.Swancycle(), logr.Discard())
+	site, err := testsite.NewSite(testsite.Swancycle(), logr.Discard())
 	assert.NilError(t, err)
 	t.Cleanup(site.Close)
 	_, err = site.StartDaemon("edge", "perth-1", []string{"*"})
@@ -140,7 +141,7 @@
 // TestMachineListDrains lists a machine as leaving and sees its back end get no
 // new work.
 func TestMachineListDrains(t *testing.T) {
-	site := startSite(t, 2, func(p *lab.Profile) { p.MachineLag = 0 })
+	site := startSite(t, 2, func(p *testsite.Profile) { p.MachineLag = 0 })
 	settings := site.Daemons["beside-desk-1"].Settings
 	machine := objectapi.Machine{
 		Node: "beside-desk-1", Address: site.Daemons["beside-desk-1"].Daemon.Addresses().Peer, Zone: settings.Zone,
@@ -155,7 +156,7 @@
 	}, poll.WithTimeout(settleTime), poll.WithDelay(20*time.Millisecond))
 	for number := range 20 {
 		one := edgeCaller(site, "/order", nil).Do(context.Background(), fmt.Sprintf("leaving-%d", number))
-		assert.Equal(t, one.Outcome, lab.OutcomeDone)
+		assert.Equal(t, one.Outcome, callload.OutcomeDone)
 		assert.Equal(t, one.Instance, "desk-2")
 	}
 }
--- /dev/null
+++ b/internal/testsite/doc.go
@@ -0,0 +1,3 @@
+// Package testsite starts a small site for tests and benches: stand-ins for the
+// object API and back ends, real daemons, and operators.
+package testsite
--- a/internal/lab/keys.go
+++ b/internal/testsite/keys.go
@@ -1,4 +1,4 @@
-package lab
+package testsite
 
 import (
 	"crypto/ecdsa"
@@ -80,13 +80,13 @@
 	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
 }
 
-// peerKeysCommand writes keys for mutual TLS between daemons.
-type peerKeysCommand struct {
+// PeerKeysCommand writes keys for mutual TLS between daemons.
+type PeerKeysCommand struct {
 	Directory string `long:"directory" description:"where to write authority.pem, peer.pem and peer.key" required:"true"`
 }
 
 // Execute implements flags.Commander.
-func (c *peerKeysCommand) Execute([]string) error {
+func (c *PeerKeysCommand) Execute([]string) error {
 	authority, err := NewAuthority("lapisvane trial authority")
 	if err != nil {
 		return err
--- a/internal/lab/profile.go
+++ b/internal/testsite/profile.go
@@ -1,4 +1,4 @@
-package lab
+package testsite
 
 import (
 	"strings"
@@ -80,7 +80,7 @@
 	}
 }
 
-func splitBackend(name string) (service, instance string) {
+func SplitBackend(name string) (service, instance string) {
 	service, instance, _ = strings.Cut(name, "/")
 	return service, instance
 }
--- a/internal/lab/site.go
+++ b/internal/testsite/site.go
@@ -1,4 +1,4 @@
-package lab
+package testsite
 
 import (
 	"context"
@@ -22,13 +22,13 @@
 	"github.com/lapisvane/lapisvane/internal/settings"
 )
 
-// loopback lets the system choose a port.
-const loopback = "127.0.0.1:0"
+// Loopback lets the system choose a port.
+const Loopback = "127.0.0.1:0"
 
 // Tokens of the lab's operators.
 const (
 	AdminToken = "lab-admin-token"
-	labAdmin   = "lab-admin"
+	LabAdmin   = "lab-admin"
 )
 
 // Site is a platform stand-in with daemons and back ends around it, all in
@@ -58,7 +58,7 @@
 // NewSite starts the platform stand-in.
 func NewSite(profile Profile, logger logr.Logger) (*Site, error) {
 	daemon.QuietHTTPLibrary()
-	stub, err := objectapistub.Start(objectapistub.Options{Address: loopback, MachineLag: profile.MachineLag, Seed: profile.Seed})
+	stub, err := objectapistub.Start(objectapistub.Options{Address: Loopback, MachineLag: profile.MachineLag, Seed: profile.Seed})
 	if err != nil {
 		return nil, err
 	}
@@ -67,7 +67,7 @@
 		Daemons: map[string]*Member{}, Backends: map[string]*backendstub.Server{}, logger: logger, profile: profile,
 	}
 	operators, _ := json.Marshal([]operator.Operator{
-		{Name: labAdmin, Group: operator.AdminGroup, TokenSHA256: operator.HashToken(AdminToken)},
+		{Name: LabAdmin, Group: operator.AdminGroup, TokenSHA256: operator.HashToken(AdminToken)},
 	})
 	_, err = site.Store.Put(context.Background(), operator.TokensKey, operators, objectapi.VersionAny)
 	return site, err
@@ -76,7 +76,7 @@
 // AddBackend starts a back-end stand-in of the profile's kind.
 func (s *Site) AddBackend(service, instance string) (*backendstub.Server, error) {
 	backend, err := backendstub.Start(backendstub.Options{
-		Address: loopback, Instance: instance, Slots: s.profile.Slots, ConnectionLimit: s.profile.Connections,
+		Address: Loopback, Instance: instance, Slots: s.profile.Slots, ConnectionLimit: s.profile.Connections,
 		ConnectionCost: s.profile.ConnectionCost, Ledger: s.Ledger, Seed: s.profile.Seed,
 		Behaviour: backendstub.Behaviour{ServiceTime: s.profile.ServiceTime, StatedLoad: -1, StatedHealthy: true},
 	})
@@ -92,7 +92,7 @@
 	config := s.baseSettings(node, zone)
 	config.Services = services
 	for _, name := range backends {
-		service, instance := splitBackend(name)
+		service, instance := SplitBackend(name)
 		config.Backends = append(config.Backends, settings.Backend{Service: service, Instance: instance, Address: s.Backends[name].Address()})
 	}
 	return s.startWith(config)
@@ -102,7 +102,7 @@
 func (s *Site) StartTLSDaemon(node, zone string) (*Member, error) {
 	config := s.baseSettings(node, zone)
 	config.Services = []string{"*"}
-	config.CallerTLSAddress = loopback
+	config.CallerTLSAddress = Loopback
 	return s.startWith(config)
 }
 
@@ -112,7 +112,7 @@
 	config.Services = []string{"*"}
 	config.PeerTLS = keys
 	for _, name := range backends {
-		service, instance := splitBackend(name)
+		service, instance := SplitBackend(name)
 		config.Backends = append(config.Backends, settings.Backend{Service: service, Instance: instance, Address: s.Backends[name].Address()})
 	}
 	return s.startWith(config)
@@ -121,7 +121,7 @@
 func (s *Site) baseSettings(node, zone string) *settings.Daemon {
 	config := settings.DefaultDaemon()
 	config.Node, config.Zone, config.Region = node, zone, s.profile.Name
-	config.PeerAddress, config.CallerAddress, config.OperatorAddress = loopback, loopback, loopback
+	config.PeerAddress, config.CallerAddress, config.OperatorAddress = Loopback, Loopback, Loopback
 	config.Platform.Addresses = []string{s.Platform.Address()}
 	config.Profile = s.profile.Distribution
 	config.Distribution = json.RawMessage(`{"first_source_ask": "100ms"}`)
--- a/internal/lab/delay.go
+++ b/internal/topology/delay.go
@@ -1,4 +1,4 @@
-package lab
+package topology
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 	CutWithinZones bool
 
 	mutex  sync.Mutex
-	places map[string]place
+	places map[string]Place
 	// isolated zones reach only themselves, isolated nodes nobody.
 	isolated map[string]bool
 	links    map[*delayedConn]struct{}
@@ -34,19 +34,19 @@
 	BetweenZones atomic.Int64
 }
 
-// place is where an address is.
-type place struct{ region, zone, node string }
+// Place is where an address is.
+type Place struct{ Region, Zone, Node string }
 
 // NewTopology returns a topology with the given one-way delays.
 func NewTopology(betweenZones, betweenRegions time.Duration) *Topology {
 	return &Topology{
 		ZoneDelay: betweenZones, RegionDelay: betweenRegions,
-		places: map[string]place{}, isolated: map[string]bool{}, links: map[*delayedConn]struct{}{},
+		places: map[string]Place{}, isolated: map[string]bool{}, links: map[*delayedConn]struct{}{},
 	}
 }
 
 // Place notes where an address is.
-func (t *Topology) Place(address string, at place) {
+func (t *Topology) Place(address string, at Place) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.places[address] = at
@@ -54,19 +54,19 @@
 
 // locate returns where an address is: as it was placed, else, in scale runs, as
 // its loopback number tells. The caller holds mutex.
-func (t *Topology) locate(address string) place {
+func (t *Topology) locate(address string) Place {
 	if at, known := t.places[address]; known {
 		return at
 	}
 	return placeOfLoopback(address)
 }
 
-// delay returns the one-way delay between two places.
-func (t *Topology) delay(from, to place) time.Duration {
+// Delay returns the one-way delay between two places.
+func (t *Topology) Delay(from, to Place) time.Duration {
 	switch {
-	case from.region != to.region:
+	case from.Region != to.Region:
 		return t.RegionDelay
-	case from.zone != to.zone:
+	case from.Zone != to.Zone:
 		return t.ZoneDelay
 	default:
 		return 0
@@ -89,25 +89,25 @@
 
 // isCut reports whether two places cannot reach each other; the caller holds
 // mutex.
-func (t *Topology) isCut(from, to place) bool {
-	if from.region != to.region && (t.isolated[from.region] || t.isolated[to.region]) {
+func (t *Topology) isCut(from, to Place) bool {
+	if from.Region != to.Region && (t.isolated[from.Region] || t.isolated[to.Region]) {
 		return true
 	}
-	if from.zone != to.zone && (t.isolated[from.zone] || t.isolated[to.zone]) {
+	if from.Zone != to.Zone && (t.isolated[from.Zone] || t.isolated[to.Zone]) {
 		return true
 	}
-	return from.node != to.node && (t.isolated[from.node] || t.isolated[to.node])
+	return from.Node != to.Node && (t.isolated[from.Node] || t.isolated[to.Node])
 }
 
 // Network returns the network as seen from a place.
-func (t *Topology) Network(at place) wire.Network { return &placedNetwork{topology: t, place: at} }
+func (t *Topology) Network(at Place) wire.Network { return &placedNetwork{topology: t, place: at} }
 
 // DialFrom returns a dialer as seen from a place.
-func (t *Topology) DialFrom(at place) func(ctx context.Context, network, address string) (net.Conn, error) {
+func (t *Topology) DialFrom(at Place) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) { return t.dial(ctx, at, address) }
 }
 
-func (t *Topology) dial(ctx context.Context, from place, address string) (net.Conn, error) {
+func (t *Topology) dial(ctx context.Context, from Place, address string) (net.Conn, error) {
 	t.mutex.Lock()
 	to := t.locate(address)
 	cut := t.isCut(from, to)
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if from.zone == to.zone && !t.CutWithinZones {
+	if from.Zone == to.Zone && !t.CutWithinZones {
 		return raw, nil
 	}
 	return t.newDelayedConn(raw, from, to), nil
@@ -135,7 +135,7 @@
 // placedNetwork is the network as seen from one place.
 type placedNetwork struct {
 	topology *Topology
-	place    place
+	place    Place
 }
 
 func (p *placedNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
@@ -165,7 +165,7 @@
 type delayedConn struct {
 	net.Conn
 	topology *Topology
-	from, to place
+	from, to Place
 	delay    time.Duration
 	silent   atomic.Bool
 	outbound chan delayed
@@ -180,9 +180,9 @@
 	deadline  atomic.Int64
 }
 
-func (t *Topology) newDelayedConn(raw net.Conn, from, to place) *delayedConn {
+func (t *Topology) newDelayedConn(raw net.Conn, from, to Place) *delayedConn {
 	conn := &delayedConn{
-		Conn: raw, topology: t, from: from, to: to, delay: t.delay(from, to),
+		Conn: raw, topology: t, from: from, to: to, delay: t.Delay(from, to),
 		outbound: make(chan delayed, delayQueue), inbound: make(chan delayed, delayQueue), closed: make(chan struct{}),
 	}
 	t.mutex.Lock()
@@ -194,7 +194,7 @@
 }
 
 func (c *delayedConn) count(bytes int) {
-	if c.from.zone != c.to.zone {
+	if c.from.Zone != c.to.Zone {
 		c.topology.BetweenZones.Add(int64(bytes))
 	}
 }
@@ -337,3 +337,6 @@
 func (timeoutError) Error() string   { return "read deadline passed" }
 func (timeoutError) Timeout() bool   { return true }
 func (timeoutError) Temporary() bool { return true }
+
+// PlatformPlace is the platform's name in the topology.
+const PlatformPlace = "platform"
--- a/internal/lab/sitemap.go
+++ b/internal/topology/sitemap.go
@@ -1,4 +1,4 @@
-package lab
+package topology
 
 import (
 	"fmt"
@@ -23,20 +23,20 @@
 
 // scaleMap lists the zones of a scale run.
 type scaleMap struct {
-	zones, regions []string
-	addresses      []string
+	Zones, Regions []string
+	Addresses      []string
 }
 
-var scaleLayout = newScaleMap()
+var ScaleLayout = newScaleMap()
 
 func newScaleMap() scaleMap {
 	var listed scaleMap
 	for region, zones := range scaleRegions {
 		for zone := range zones {
-			number := len(listed.zones)
-			listed.zones = append(listed.zones, fmt.Sprintf("region-%d-zone-%d", region+1, zone+1))
-			listed.regions = append(listed.regions, fmt.Sprintf("region-%d", region+1))
-			listed.addresses = append(listed.addresses, fmt.Sprintf("127.%d.%d.1:0", loopbackBase+region, number+1))
+			number := len(listed.Zones)
+			listed.Zones = append(listed.Zones, fmt.Sprintf("region-%d-zone-%d", region+1, zone+1))
+			listed.Regions = append(listed.Regions, fmt.Sprintf("region-%d", region+1))
+			listed.Addresses = append(listed.Addresses, fmt.Sprintf("127.%d.%d.1:0", loopbackBase+region, number+1))
 		}
 	}
 	return listed
@@ -44,19 +44,19 @@
 
 // placeOfLoopback returns the place that an address of a scale run tells; other
 // addresses, such as the platform's, are in the first zone.
-func placeOfLoopback(address string) place {
-	listed := scaleLayout
+func placeOfLoopback(address string) Place {
+	listed := ScaleLayout
 	host, _, err := net.SplitHostPort(address)
 	ip := net.ParseIP(host).To4()
-	if err != nil || ip == nil || ip[0] != 127 || ip[1] < loopbackBase || int(ip[2]) > len(listed.zones) || ip[2] == 0 {
-		return place{region: listed.regions[0], zone: listed.zones[0], node: platformPlace}
+	if err != nil || ip == nil || ip[0] != 127 || ip[1] < loopbackBase || int(ip[2]) > len(listed.Zones) || ip[2] == 0 {
+		return Place{Region: listed.Regions[0], Zone: listed.Zones[0], Node: PlatformPlace}
 	}
 	zone := int(ip[2]) - 1
-	return place{region: listed.regions[zone], zone: listed.zones[zone], node: address}
+	return Place{Region: listed.Regions[zone], Zone: listed.Zones[zone], Node: address}
 }
 
-// seatObject returns a seat as the object API would show it.
-func seatObject(key string, version int64, lease *lapisv1.SeatLease) objectapi.Object {
+// SeatObject returns a seat as the object API would show it.
+func SeatObject(key string, version int64, lease *lapisv1.SeatLease) objectapi.Object {
 	value, _ := proto.Marshal(lease)
 	return objectapi.Object{Key: key, Version: version, Value: value}
 }
