--- a/internal/configsource/configsource.go
+++ b/internal/configsource/configsource.go
@@ -18,7 +18,9 @@
 // Position is a place in the source's history; the source gives it out.
 type Position uint64
 
-// Source is where configurations come from.
+// Source is where configurations come from. An error with a code of 2xxx, or
+// PlatformBadAnswer, says that the configuration at the returned position cannot
+// be used; any other that the source was not reached.
 type Source interface {
 	// Latest returns the configuration as it stands, with its position; nil
 	// when there is none yet.
@@ -64,6 +66,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if unusable(err) {
+			f.Logger.Error(err, "configuration.refused", "position", uint64(next))
+			err = nil
+		}
 		if err == nil {
 			if failing {
 				f.Logger.Info("source.regained", "position", uint64(next))
@@ -96,6 +102,13 @@
 	}
 }
 
+// unusable reports whether an error is about the configuration and not about the
+// way to its source.
+func unusable(err error) bool {
+	code, ok := result.CodeOf(err)
+	return err != nil && ok && (code.Validation() || code == result.PlatformBadAnswer)
+}
+
 // ask asks the source once, for the whole when no position is known.
 func (f *Follower) ask(ctx context.Context, position Position, known bool) (Position, error) {
 	var configuration *lapisv1.Configuration
--- a/internal/configsource/configsource_test.go
+++ b/internal/configsource/configsource_test.go
@@ -25,6 +25,8 @@
 	// failures is the number of questions that fail from now on.
 	failures  int
 	questions int
+	// unusable revisions are refused by the reader.
+	unusable map[uint64]bool
 }
 
 func (s *scriptedSource) add(revision uint64) {
@@ -49,6 +51,15 @@
 	return &lapisv1.Configuration{Revision: s.log[at-1]}, at, true
 }
 
+func (s *scriptedSource) check(configuration *lapisv1.Configuration) (*lapisv1.Configuration, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.unusable[configuration.GetRevision()] {
+		return nil, result.Errorf(result.ConfigUnknownPool, "no such pool")
+	}
+	return configuration, nil
+}
+
 func (s *scriptedSource) fail() error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -75,7 +86,8 @@
 		silent := s.silent
 		s.mutex.Unlock()
 		if configuration, at, news := s.newest(after); news && !silent {
-			return configuration, at, nil
+			configuration, err := s.check(configuration)
+			return configuration, at, err
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -157,6 +169,29 @@
 	})
 }
 
+// A version that cannot be used is passed over once; what was in force stays,
+// and the next one is taken.
+func TestUnusableVersionIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scriptedSource{log: []uint64{3}, unusable: map[uint64]bool{5: true}}
+		record, stop := follow(source)
+		defer stop()
+		time.Sleep(time.Second)
+		source.add(5)
+		time.Sleep(time.Second)
+		revision, _ := record.last()
+		assert.Equal(t, revision, uint64(3))
+		source.mutex.Lock()
+		asked := source.questions
+		source.mutex.Unlock()
+		assert.Assert(t, asked <= 4, "%d questions", asked)
+		source.add(7)
+		time.Sleep(100 * time.Millisecond)
+		revision, _ = record.last()
+		assert.Equal(t, revision, uint64(7))
+	})
+}
+
 func TestOutageIsAskedThroughWithoutHaste(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		source := &scriptedSource{log: []uint64{3}, failures: 20}
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -216,6 +216,9 @@
 	return "unknown-code"
 }
 
+// Validation reports whether the code is about the content of a configuration.
+func (c Code) Validation() bool { return c >= ConfigBadName && c < OperatorUnauthenticated }
+
 // NotRun reports whether the code proves that a call did not run.
 func (c Code) NotRun() bool {
 	switch c {
