Reload the settings at SIGHUP and when the file changes

Cause: SIGHUP was only noted, and a changed file not seen before the next start. Change: the file is read at SIGHUP and when its size or time changed (looked at every 2 s); service, retries and stop_limit take effect at once, the rest is named as waiting for a restart; a file that cannot be used changes nothing. Figures: TestSettingsAreReloadedWholeOrNotAtAll.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -44,7 +45,8 @@
 
 // Daemon is one running lapisvaned.
 type Daemon struct {
-	settings *settings.Daemon
+	// settings are those in force; a reload replaces them.
+	settings atomic.Pointer[settings.Daemon]
 	logger   logr.Logger
 	registry *prometheus.Registry
 	counters *wire.Counters
@@ -95,7 +97,7 @@
 		}
 	}
 	d := &Daemon{
-		settings: config, logger: options.Logger.WithValues("node", config.Node),
+		logger:   options.Logger.WithValues("node", config.Node),
 		registry: prometheus.NewRegistry(), counters: &wire.Counters{}, callCounters: &wire.Counters{},
 		network: network, snapshots: &snapshot.Store{},
 		balancer:    balance.New(config.Node, config.Zone, time.Now),
@@ -107,6 +109,7 @@
 		// The time of day may jump; on a platform no order rests on it.
 		d.incarnation = rand.Uint64()
 	}
+	d.settings.Store(config)
 	if err := d.listen(); err != nil {
 		d.listeners.close()
 		return nil, err
@@ -127,19 +130,19 @@
 
 func (d *Daemon) listen() error {
 	var err error
-	if d.listeners.peer, err = d.network.Listen(d.settings.PeerAddress); err != nil {
+	if d.listeners.peer, err = d.network.Listen(d.settings.Load().PeerAddress); err != nil {
 		return err
 	}
 	plain := []struct {
 		key, address string
 		listener     *net.Listener
 	}{
-		{"caller_address", d.settings.CallerAddress, &d.listeners.caller},
-		{"caller_tls_address", d.settings.CallerTLSAddress, &d.listeners.callerTLS},
-		{"operator_address", d.settings.OperatorAddress, &d.listeners.operator},
-		{"metrics_address", d.settings.MetricsAddress, &d.listeners.metrics},
-		{"instance_address", d.settings.InstanceAddress, &d.listeners.instances},
-		{"readiness_address", d.settings.ReadinessAddress, &d.listeners.readiness},
+		{"caller_address", d.settings.Load().CallerAddress, &d.listeners.caller},
+		{"caller_tls_address", d.settings.Load().CallerTLSAddress, &d.listeners.callerTLS},
+		{"operator_address", d.settings.Load().OperatorAddress, &d.listeners.operator},
+		{"metrics_address", d.settings.Load().MetricsAddress, &d.listeners.metrics},
+		{"instance_address", d.settings.Load().InstanceAddress, &d.listeners.instances},
+		{"readiness_address", d.settings.Load().ReadinessAddress, &d.listeners.readiness},
 	}
 	for _, entry := range plain {
 		if entry.address == "" {
@@ -161,27 +164,27 @@
 }
 
 func (d *Daemon) buildRequestPath(envelope callapi.Envelope) {
-	backends := make([]origin.BackendConfig, 0, len(d.settings.Backends))
-	for _, backend := range d.settings.Backends {
+	backends := make([]origin.BackendConfig, 0, len(d.settings.Load().Backends))
+	for _, backend := range d.settings.Load().Backends {
 		backends = append(backends, origin.BackendConfig{Service: backend.Service, Instance: backend.Instance, Address: backend.Address})
 	}
 	d.origin = origin.New(origin.Config{
 		Incarnation: d.incarnation, Backends: backends,
-		QueueLength: d.settings.Calls.QueueLength, QueueTime: d.settings.Calls.QueueTime.Get(),
+		QueueLength: d.settings.Load().Calls.QueueLength, QueueTime: d.settings.Load().Calls.QueueTime.Get(),
 		Envelope: envelope, Changed: d.announce,
 	})
 	d.calls = &callmux.Client{
 		Network: d.network, Counters: d.callCounters,
 		Hello: &lapisv1.Hello{
 			ProtocolVersion: wire.ProtocolVersion, Purpose: lapisv1.Hello_PURPOSE_CALLS,
-			Node: d.settings.Node, Incarnation: d.incarnation, Zone: d.settings.Zone, Region: d.settings.Region,
-			Address: d.listeners.peer.Addr().String(), Service: d.settings.Service,
+			Node: d.settings.Load().Node, Incarnation: d.incarnation, Zone: d.settings.Load().Zone, Region: d.settings.Load().Region,
+			Address: d.listeners.peer.Addr().String(), Service: d.settings.Load().Service,
 		},
 	}
 	d.gateway = gateway.New(gateway.Config{
-		Node: d.settings.Node, Incarnation: d.incarnation, Snapshots: d.snapshots, Balancer: d.balancer,
-		Local: d.origin, Remote: d.calls, DefaultDeadline: d.settings.Calls.DefaultDeadline.Get(),
-		Envelope: envelope, CallerService: d.callerService, Retries: retryLimits(d.settings.Retries),
+		Node: d.settings.Load().Node, Incarnation: d.incarnation, Snapshots: d.snapshots, Balancer: d.balancer,
+		Local: d.origin, Remote: d.calls, DefaultDeadline: d.settings.Load().Calls.DefaultDeadline.Get(),
+		Envelope: envelope, CallerService: d.callerService, Retries: retryLimits(d.settings.Load().Retries),
 		Logger: d.logger, Registry: d.registry,
 	})
 }
@@ -195,24 +198,24 @@
 
 // callerService returns the service that runs on this machine.
 func (d *Daemon) callerService() string {
-	if d.settings.Service != "" {
-		return d.settings.Service
+	if d.settings.Load().Service != "" {
+		return d.settings.Load().Service
 	}
 	return d.origin.LocalService()
 }
 
 func (d *Daemon) buildNode() {
-	services := append([]string(nil), d.settings.Services...)
-	for _, backend := range d.settings.Backends {
+	services := append([]string(nil), d.settings.Load().Services...)
+	for _, backend := range d.settings.Load().Backends {
 		services = append(services, backend.Service)
 	}
 	d.tree = tree.New(tree.Config{
-		Node: d.settings.Node, Incarnation: d.incarnation, Zone: d.settings.Zone, Region: d.settings.Region,
-		Address: d.listeners.peer.Addr().String(), Seeds: d.settings.Seeds,
-		Interest: holdings.NewInterest(services...), Tunables: d.settings.Tunables(),
+		Node: d.settings.Load().Node, Incarnation: d.incarnation, Zone: d.settings.Load().Zone, Region: d.settings.Load().Region,
+		Address: d.listeners.peer.Addr().String(), Seeds: d.settings.Load().Seeds,
+		Interest: holdings.NewInterest(services...), Tunables: d.settings.Load().Tunables(),
 		Network: d.network, Store: d.store, Counters: d.counters,
 		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Logger: d.logger, Observer: d, NoSeat: d.settings.NoSeat,
+		Logger: d.logger, Observer: d, NoSeat: d.settings.Load().NoSeat,
 	})
 	d.node = d.tree
 }
@@ -233,7 +236,7 @@
 // Endpoints implements tree.Observer.
 func (d *Daemon) Endpoints(service string, endpoints []*lapisv1.Endpoint) {
 	d.balancer.Update(service, endpoints)
-	d.origin.FollowMachineList(service, endpoints, d.settings.Node)
+	d.origin.FollowMachineList(service, endpoints, d.settings.Load().Node)
 }
 
 // Addresses returns where the daemon listens, which matters when a port was
@@ -278,7 +281,7 @@
 func (d *Daemon) Run(stop, force <-chan struct{}) (cut int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.start(ctx)
-	d.logger.Info("daemon.started", "build", buildVersion(), "zone", d.settings.Zone, "peer", d.Addresses().Peer, "caller", d.Addresses().Caller)
+	d.logger.Info("daemon.started", "build", buildVersion(), "zone", d.settings.Load().Zone, "peer", d.Addresses().Peer, "caller", d.Addresses().Caller)
 	select {
 	case <-stop:
 	case <-force:
@@ -305,7 +308,7 @@
 }
 
 func (d *Daemon) start(ctx context.Context) {
-	server := &peer.Server{Node: d.settings.Node, Logger: d.logger, Counters: d.counters, Handlers: d.handlers()}
+	server := &peer.Server{Node: d.settings.Load().Node, Logger: d.logger, Counters: d.counters, Handlers: d.handlers()}
 	d.running.Go(func() { server.Serve(ctx, d.listeners.peer) })
 	d.running.Go(func() { d.node.Run(ctx) })
 	d.running.Go(func() { d.origin.Run(ctx) })
@@ -329,7 +332,7 @@
 }
 
 func (d *Daemon) handlers() map[lapisv1.Hello_Purpose]peer.Handler {
-	calls := &callmux.Server{Node: d.settings.Node, Incarnation: d.incarnation, Origin: d.origin, Counters: d.callCounters}
+	calls := &callmux.Server{Node: d.settings.Load().Node, Incarnation: d.incarnation, Origin: d.origin, Counters: d.callCounters}
 	handlers := map[lapisv1.Hello_Purpose]peer.Handler{lapisv1.Hello_PURPOSE_CALLS: calls.Serve}
 	if d.direct != nil {
 		d.direct.handlers(calls)
@@ -364,7 +367,7 @@
 	d.origin.Stop()
 	d.announce()
 	d.node.Leave()
-	limit := time.NewTimer(d.settings.StopLimit.Get())
+	limit := time.NewTimer(d.settings.Load().StopLimit.Get())
 	defer limit.Stop()
 	notice := time.NewTimer(leaveNotice)
 	defer notice.Stop()
@@ -376,7 +379,7 @@
 		case <-force:
 			return d.reportCut("a second signal")
 		case <-limit.C:
-			return d.reportCut(fmt.Sprintf("stop_limit %s", d.settings.StopLimit.Get()))
+			return d.reportCut(fmt.Sprintf("stop_limit %s", d.settings.Load().StopLimit.Get()))
 		case <-notice.C:
 			noticed = true
 		case <-poll.C:
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -52,7 +52,7 @@
 	d.calls.Maintained = true
 	d.calls.Timing = part.timing()
 	part.fleet = fleet.New(fleet.Config{
-		Self:        fleet.Member{Node: d.settings.Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Zone, Service: d.settings.Service},
+		Self:        fleet.Member{Node: d.settings.Load().Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Load().Zone, Service: d.settings.Load().Service},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
 		InForce: part.inForce.Load, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
@@ -95,13 +95,13 @@
 // sourceWait bounds a question to the source, so that one that the source keeps
 // silent about ends, and is asked anew, within the contact time.
 func (p *direct) sourceWait() time.Duration {
-	return p.daemon.settings.Platform.Contact.Get() * 4 / 5
+	return p.daemon.settings.Load().Platform.Contact.Get() * 4 / 5
 }
 
 // pace is the least time between two questions to the source, so that all
 // daemons together use half of what it bears.
 func (p *direct) pace() time.Duration {
-	rate := p.daemon.settings.Platform.ReadsPerSecond / 2
+	rate := p.daemon.settings.Load().Platform.ReadsPerSecond / 2
 	if rate <= 0 {
 		return 0
 	}
@@ -163,7 +163,7 @@
 	d.announce()
 	p.fleet.Leave()
 	// The limit ends with the process; an eighth of it is left for the end.
-	limit := time.NewTimer(d.settings.StopLimit.Get() * 7 / 8)
+	limit := time.NewTimer(d.settings.Load().StopLimit.Get() * 7 / 8)
 	defer limit.Stop()
 	left := time.NewTimer(callersLeave)
 	defer left.Stop()
@@ -176,7 +176,7 @@
 		case <-force:
 			return d.reportCut("a second signal")
 		case <-limit.C:
-			return d.reportCut("stop_limit " + d.settings.StopLimit.Get().String())
+			return d.reportCut("stop_limit " + d.settings.Load().StopLimit.Get().String())
 		case <-left.C:
 			// Whoever still comes is refused before anything ran, so that
 			// the end of the process cuts nothing.
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"io"
 	"os"
 	"os/signal"
@@ -101,7 +102,7 @@
 	if err != nil {
 		return cli.Fail(os.Stderr, err, cli.ExitUsage)
 	}
-	ignoreHangUp(logger)
+	watchSettings(running, options)
 	if cut := running.Run(cli.Signals()); cut > 0 {
 		return cli.ExitFailed
 	}
@@ -111,15 +112,16 @@
 // Adapter connects a daemon with a platform at an address.
 type Adapter func(address string, logger logr.Logger) port.Platform
 
-// ignoreHangUp keeps a SIGHUP from ending the process.
-func ignoreHangUp(logger logr.Logger) {
+// watchSettings takes in changes of the settings file, at a SIGHUP and without
+// one, as long as the process runs.
+func watchSettings(running *Daemon, options *flagsOfDaemon) {
 	received := make(chan os.Signal, 1)
 	signal.Notify(received, syscall.SIGHUP)
-	go func() {
-		for range received {
-			logger.Info("settings.kept", "cause", "SIGHUP; settings take effect at the next start")
-		}
-	}()
+	watcher := &reloader{
+		daemon: running, path: options.Settings, signals: received,
+		read: func() (*settings.Daemon, error) { return settings.ReadDaemon(options.Settings, options.apply) },
+	}
+	go watcher.run(context.Background())
 }
 
 // QuietHTTPLibrary keeps the HTTP library from writing log lines of its own
--- /dev/null
+++ b/internal/daemon/reload.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/settings"
+)
+
+// settingsPoll is how often the settings file is looked at: it may change
+// without a signal.
+const settingsPoll = 2 * time.Second
+
+// reloadable are the settings that take effect while the daemon runs, by the
+// first part of their key.
+var reloadable = map[string]bool{"service": true, "retries": true, "stop_limit": true}
+
+// reloader takes in changes of the settings file.
+type reloader struct {
+	daemon *Daemon
+	path   string
+	// read reads the file with the flags over it.
+	read func() (*settings.Daemon, error)
+	// signals asks for the file to be read.
+	signals <-chan os.Signal
+	seen    fileStamp
+}
+
+// fileStamp tells one state of a file from another.
+type fileStamp struct {
+	size     int64
+	modified time.Time
+}
+
+func stampOf(path string) fileStamp {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileStamp{}
+	}
+	return fileStamp{size: info.Size(), modified: info.ModTime()}
+}
+
+// run takes in changes until ctx ends.
+func (r *reloader) run(ctx context.Context) {
+	r.seen = stampOf(r.path)
+	ticker := time.NewTicker(settingsPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.signals:
+			r.reload("signal")
+		case <-ticker.C:
+			if now := stampOf(r.path); now != r.seen {
+				r.reload("file")
+			}
+		}
+	}
+}
+
+// reload reads the file and puts in force what may change; a file that cannot
+// be used changes nothing.
+func (r *reloader) reload(cause string) {
+	r.seen = stampOf(r.path)
+	d := r.daemon
+	next, err := r.read()
+	if err != nil {
+		d.logger.Error(err, "settings.refused", "cause", cause)
+		return
+	}
+	changed := changedKeys(d.settings.Load(), next)
+	applied := slices.DeleteFunc(slices.Clone(changed), func(key string) bool { return !reloadable[key] })
+	waiting := slices.DeleteFunc(changed, func(key string) bool { return reloadable[key] })
+	updated := *d.settings.Load()
+	updated.Service, updated.Retries, updated.StopLimit = next.Service, next.Retries, next.StopLimit
+	d.settings.Store(&updated)
+	d.gateway.LimitRetries(retryLimits(updated.Retries))
+	d.logger.Info("settings.reloaded", "cause", cause, "changed", strings.Join(applied, ","),
+		"need_restart", strings.Join(waiting, ","))
+}
+
+// changedKeys returns the first parts of the keys whose values differ, in
+// order.
+func changedKeys(before, after *settings.Daemon) []string {
+	old, now := valuesOf(before), valuesOf(after)
+	var changed []string
+	for _, key := range slices.Sorted(maps.Keys(now)) {
+		if string(old[key]) != string(now[key]) {
+			changed = append(changed, key)
+		}
+	}
+	return changed
+}
+
+func valuesOf(read *settings.Daemon) map[string]json.RawMessage {
+	values := map[string]json.RawMessage{}
+	encoded, err := json.Marshal(read)
+	if err == nil {
+		_ = json.Unmarshal(encoded, &values)
+	}
+	return values
+}
--- /dev/null
+++ b/internal/daemon/reload_test.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/features"
+	"github.com/lapisvane/lapisvane/internal/settings"
+)
+
+const settingsText = `node: a
+zone: z
+peer_address: 127.0.0.1:0
+platform: {addresses: [127.0.0.1:1]}
+service: desk
+stop_limit: 5s
+`
+
+func TestSettingsAreReloadedWholeOrNotAtAll(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) { assert.NilError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	read := func() (*settings.Daemon, error) { return settings.ReadDaemon(path, func(*settings.Daemon) {}) }
+	write(settingsText)
+	config, err := read()
+	assert.NilError(t, err)
+	var lines []string
+	logger := funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+	running, err := New(config, Options{Logger: logger})
+	assert.NilError(t, err)
+	defer running.listeners.close()
+	watcher := &reloader{daemon: running, path: path, read: read}
+
+	write(settingsText + "retries: {fraction: 0.3, burst: 9}\nmetrics_address: 127.0.0.1:0\n")
+	watcher.reload("signal")
+	assert.Equal(t, running.settings.Load().Retries, settings.Retries{Fraction: 0.3, Burst: 9})
+	assert.Equal(t, running.settings.Load().MetricsAddress, "", "needs a restart")
+	assert.Assert(t, len(lines) == 1)
+	assert.Assert(t, strings.Contains(lines[0], `"changed"="retries"`) && strings.Contains(lines[0], `"need_restart"="metrics_address"`), lines[0])
+
+	write(settingsText + "stop_limit: 9s\nsurplus: 1\n")
+	watcher.reload("file")
+	assert.Equal(t, running.settings.Load().StopLimit, features.Duration(5*time.Second))
+	assert.Assert(t, len(lines) == 2)
+	assert.Assert(t, strings.Contains(lines[1], "settings.refused"), lines[1])
+}
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -24,10 +24,9 @@
 
 // retryBudget bounds the retries of each service to a fraction of its calls.
 type retryBudget struct {
-	limits RetryLimits
-
 	// mutex protects everything below.
 	mutex   sync.Mutex
+	limits  RetryLimits
 	sharers int
 	tokens  map[string]float64
 }
@@ -36,6 +35,13 @@
 	return &retryBudget{limits: limits, sharers: 1, tokens: map[string]float64{}}
 }
 
+// limit replaces the bounds; what was saved up stays.
+func (b *retryBudget) limit(limits RetryLimits) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.limits = limits
+}
+
 // share notes the number of daemons that the burst is split between.
 func (b *retryBudget) share(daemons int) {
 	b.mutex.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -180,6 +180,9 @@
 // ShareRetries notes the number of daemons that share the burst of retries.
 func (g *Gateway) ShareRetries(daemons int) { g.budget.share(daemons) }
 
+// LimitRetries replaces the bounds of retries.
+func (g *Gateway) LimitRetries(limits RetryLimits) { g.budget.limit(limits) }
+
 func (g *Gateway) callerService() string {
 	if g.config.CallerService == nil {
 		return ""
