Write logs in the background, and a line for each failed call

Cause: the log wrote under a mutex straight to standard output and could hold up the request path; a call left no line when it failed; some lines had a key twice. Change: a bounded queue with a writer behind it drops and counts what does not fit; event=call.failed tells request, route, revision, result, outcome and time; the node is named once a line.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -89,7 +89,9 @@
 		return cli.ExitOK
 	}
 	QuietHTTPLibrary()
-	logger := logging.New(os.Stdout, config.Verbosity)
+	output := logging.NewAsyncWriter(os.Stdout)
+	defer output.Close()
+	logger := logging.New(output, config.Verbosity)
 	daemonOptions := Options{Logger: logger}
 	if form := config.Platform.Form; form != "" {
 		adapter, known := adapters[form]
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,12 +211,31 @@
 	if err == nil || rc.Response.GetHijackWriter() != nil {
 		return
 	}
+	g.logFailure(rc, route, err, started)
 	g.writeFailure(rc, comeBack(err, route))
 	if g.stopping.Load() || result.Is(err, result.CallBadRequest) {
 		rc.SetConnectionClose()
 	}
 }
 
+// logFailure writes the line of a call that got no answer of a back end, with
+// what decided it.
+func (g *Gateway) logFailure(rc *app.RequestContext, route *lapisv1.Route, err error, started time.Time) {
+	code, _ := result.CodeOf(err)
+	revision := uint64(0)
+	if current := g.config.Snapshots.Current(); current != nil {
+		revision = current.Revision
+	}
+	name := g.config.Envelope.RequestID
+	request := ""
+	if name != "" {
+		request = string(rc.Request.Header.Peek(name))
+	}
+	g.config.Logger.Info("call.failed", "request", request, "route", route.GetName(), "revision", revision,
+		"code", uint32(code), "name", code.String(), "outcome", callapi.OutcomeOf(err),
+		"took_ms", time.Since(started).Milliseconds(), "detail", err)
+}
+
 // handle sees a request through. An error is answered by the caller unless the
 // answer has begun.
 func (g *Gateway) handle(ctx context.Context, rc *app.RequestContext, conn *callerConn, started time.Time) (*lapisv1.Route, error) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -83,7 +83,7 @@
 
 // report logs protocol errors as errors and ordinary ends for debugging only.
 func (s *Server) report(conn *wire.Conn, event string, err error, pairs ...any) {
-	pairs = append(pairs, "node", s.Node, "remote", conn.RemoteAddr(), "error", err)
+	pairs = append(pairs, "remote", conn.RemoteAddr(), "error", err)
 	code, coded := result.CodeOf(err)
 	if errors.Is(err, io.EOF) || !coded || code == result.ProtocolTimeout || isReset(err) {
 		s.Logger.V(1).Info(event, pairs...)
--- a/internal/tree/floors.go
+++ b/internal/tree/floors.go
@@ -36,7 +36,7 @@
 // takeOwnFloor receives the answer for this node; the caller holds mutex.
 func (n *Node) takeOwnFloor(reply *lapisv1.FloorReply) {
 	if reply.GetUnavailable() {
-		n.config.Logger.Info("tree.no_floor", "node", n.config.Node, "code", uint32(result.DistributionNoFloor))
+		n.config.Logger.Info("tree.no_floor", "code", uint32(result.DistributionNoFloor))
 		time.AfterFunc(floorRetry/2+rand.N(floorRetry), n.askOwnFloor)
 		return
 	}
--- a/internal/tree/reader.go
+++ b/internal/tree/reader.go
@@ -46,7 +46,7 @@
 	if !role.acquire(ctx) {
 		return
 	}
-	n.config.Logger.Info("seat.taken", "node", n.config.Node, "seat", vacancy.Seat, "epoch", vacancy.Epoch)
+	n.config.Logger.Info("seat.taken", "seat", vacancy.Seat, "epoch", vacancy.Epoch)
 	n.becomeReader()
 	group, groupCtx := errgroup.WithContext(ctx)
 	group.Go(func() error { return role.renew(groupCtx) })
@@ -56,7 +56,7 @@
 	group.Go(func() error { return role.followMachines(groupCtx) })
 	group.Go(func() error { return role.keepHouse(groupCtx) })
 	err := group.Wait()
-	n.config.Logger.Info("seat.left", "node", n.config.Node, "seat", vacancy.Seat, "cause", err)
+	n.config.Logger.Info("seat.left", "seat", vacancy.Seat, "cause", err)
 	n.ceaseReader()
 	role.release()
 }
@@ -198,7 +198,7 @@
 		started := time.Now()
 		err := r.followOnce(ctx)
 		r.node.lostSource()
-		r.node.config.Logger.V(1).Info("reader.watch_ended", "node", r.node.config.Node, "cause", err)
+		r.node.config.Logger.V(1).Info("reader.watch_ended", "cause", err)
 		if time.Since(started) > sourceBackoffMax {
 			backoff = sourceBackoffMin
 		}
@@ -333,7 +333,7 @@
 		}
 	}
 	if err := held.Apply(update, all); err != nil {
-		n.config.Logger.Error(err, "reader.state_refused", "node", n.config.Node, "revision", state.Revision)
+		n.config.Logger.Error(err, "reader.state_refused", "revision", state.Revision)
 		return
 	}
 	n.publish()
@@ -409,6 +409,6 @@
 		return
 	}
 	if err := r.log.Compact(ctx); err != nil {
-		r.node.config.Logger.Info("log.compaction_failed", "node", r.node.config.Node, "error", err)
+		r.node.config.Logger.Info("log.compaction_failed", "error", err)
 	}
 }
--- a/internal/tree/uplink.go
+++ b/internal/tree/uplink.go
@@ -116,7 +116,7 @@
 	defer n.detach(link)
 	go n.sendToParent(ctx, link)
 	err = n.receiveFromParent(link)
-	n.config.Logger.V(1).Info("tree.parent_lost", "node", n.config.Node, "parent", link.parent, "cause", err)
+	n.config.Logger.V(1).Info("tree.parent_lost", "parent", link.parent, "cause", err)
 	return true
 }
 
@@ -287,7 +287,7 @@
 		n.wakeChildren()
 		link.reportDue = true
 	case result.Is(err, result.DistributionBelowFloor):
-		n.config.Logger.Info("tree.update_ignored", "node", n.config.Node, "error", err)
+		n.config.Logger.Info("tree.update_ignored", "error", err)
 	default:
 		n.resync(link, err)
 	}
@@ -299,7 +299,7 @@
 	code, _ := result.CodeOf(cause)
 	n.counts.resyncs++
 	n.refusal = &lapisv1.NodeStatus{RefusalCode: uint32(code), RefusedRevision: n.holdings.Revision() + 1}
-	n.config.Logger.Info("tree.version_refused", "node", n.config.Node, "parent", link.parent, "error", cause)
+	n.config.Logger.Info("tree.version_refused", "parent", link.parent, "error", cause)
 	link.resync = true
 	link.reportDue = true
 	link.signal()
