--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -40,6 +40,8 @@
 	// CallPath, unless empty, makes the instance call on, at CallService.
 	CallPath    string
 	CallService string
+	// Attempts is the most instances that one try may run at.
+	Attempts int
 	// Retries is the number of further tries of a request.
 	Retries int
 }
@@ -162,7 +164,7 @@
 	id := "r" + strconv.FormatUint(nextRequest.Add(1), 36)
 	l.Ledger.Sent(promise.Request{
 		ID: id, Services: set(class.Services), Safe: class.Safe, BodyDigest: digestOf(body),
-		Caller: target.Service(), SentAt: time.Now(),
+		Caller: target.Service(), SentAt: time.Now(), Deadline: deadline, Attempts: class.Attempts,
 	})
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/internal/emulator/day/day_test.go
+++ b/internal/emulator/day/day_test.go
@@ -279,3 +279,31 @@
 	stop()
 	keepsPromises(t, site)
 }
+
+// A daemon that stops as planned says at once that it is not ready, and serves
+// on while callers still come.
+func TestStoppingDaemonIsNotReadyAndServesOn(t *testing.T) {
+	site, tally, stop := start(t)
+	awaitServed(t, tally, 50)
+	machine := site.Machines[0]
+	ended := make(chan int64, 1)
+	go func() {
+		cut, err := machine.Roll(0)
+		assert.Check(t, err)
+		ended <- cut
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for machine.Ready(ctx) {
+		assert.NilError(t, ctx.Err())
+		time.Sleep(5 * time.Millisecond)
+	}
+	select {
+	case <-ended:
+		t.Fatal("the daemon ended before it was seen not to be ready")
+	default:
+	}
+	assert.Equal(t, <-ended, int64(0))
+	stop()
+	keepsPromises(t, site)
+}
--- a/internal/emulator/day/standard.go
+++ b/internal/emulator/day/standard.go
@@ -27,15 +27,15 @@
 	return []client.Class{
 		{
 			Name: "look", Host: standardHost, Path: "/look/a", Safe: true, Services: []string{"desk"}, PerSecond: 60 * factor,
-			Deadline: 3 * time.Second, AnswerBytes: 1500, Retries: 2, CallPath: "/stock/b", CallService: "yard",
+			Deadline: 3 * time.Second, AnswerBytes: 1500, Retries: 2, Attempts: 2, CallPath: "/stock/b", CallService: "yard",
 		},
 		{
 			Name: "order", Host: standardHost, Path: "/order/a/b?c=d", Services: []string{"desk"}, PerSecond: 40 * factor,
-			Deadline: 3 * time.Second, BodyBytes: 300, AnswerBytes: 5000, Retries: 2,
+			Deadline: 3 * time.Second, BodyBytes: 300, AnswerBytes: 5000, Retries: 2, Attempts: 2,
 		},
 		{
 			Name: "file", Host: standardHost, Path: "/file/x", Services: []string{"yard"}, PerSecond: 10 * factor,
-			Deadline: 3 * time.Second, BodyBytes: 120_000, AnswerBytes: 70_000, Retries: 2,
+			Deadline: 3 * time.Second, BodyBytes: 120_000, AnswerBytes: 70_000, Retries: 2, Attempts: 2,
 		},
 	}
 }
--- a/internal/emulator/instance/serve.go
+++ b/internal/emulator/instance/serve.go
@@ -172,8 +172,12 @@
 		sum := sha256.Sum256(body)
 		digest = hex.EncodeToString(sum[:])
 	}
+	var until time.Time
+	if millis, err := strconv.Atoi(request.Header.Get(platform.HeaderDeadline)); err == nil {
+		until = time.Now().Add(time.Duration(millis) * time.Millisecond)
+	}
 	i.options.Ledger.Ran(promise.Run{
-		Request: id, Instance: i.id, Service: i.options.Service, BodyDigest: digest,
+		Until: until, Request: id, Instance: i.id, Service: i.options.Service, BodyDigest: digest,
 		Caller: request.Header.Get(platform.HeaderCallerService), Stamp: stamp, At: time.Now(),
 	})
 	return stamp
--- a/internal/emulator/promise/promise.go
+++ b/internal/emulator/promise/promise.go
@@ -32,7 +32,7 @@
 	Config Kind = "config"
 	// Denied: a proper request got a failure that says that it was not.
 	Denied Kind = "denied"
-	// Budget: an instance got more repeats than the budget allows.
+	// Budget: instances got more repeats or more time than is allowed.
 	Budget Kind = "budget"
 )
 
@@ -54,6 +54,12 @@
 	// Caller is the service of the machine where it starts.
 	Caller string
 	SentAt time.Time
+	// Deadline is when the client stops waiting; zero where that is not
+	// checked.
+	Deadline time.Time
+	// Attempts bounds the instances that may run it; 0 where that is not
+	// checked.
+	Attempts int
 }
 
 // Run is one run of a request at an instance.
@@ -65,6 +71,8 @@
 	Caller     string
 	Stamp      string
 	At         time.Time
+	// Until is when the instance was told to end its work; zero for no word.
+	Until time.Time
 }
 
 // Answer is what a client got.
@@ -149,6 +157,9 @@
 	case !request.Services[run.Service]:
 		l.note(Route, run.Request, "ran at "+run.Service)
 	}
+	if sent {
+		l.checkBudget(request, run)
+	}
 	if sent && !request.Safe && len(l.runs[run.Request]) > 0 {
 		l.note(Twice, run.Request, "ran at "+l.runs[run.Request][0].Instance+" and at "+run.Instance)
 	}
@@ -161,6 +172,24 @@
 	}
 }
 
+// timeSlack is by how much an instance's time may end after the client's.
+const timeSlack = 500 * time.Millisecond
+
+// checkBudget checks the instances and the time that a request takes; the
+// caller holds mutex.
+func (l *Ledger) checkBudget(request Request, run Run) {
+	if !request.Deadline.IsZero() && (run.Until.IsZero() || run.Until.Sub(request.Deadline) > timeSlack) {
+		l.note(Budget, run.Request, fmt.Sprintf("%s was given time until %s, the client waits until %s", run.Instance, run.Until, request.Deadline))
+	}
+	instances := map[string]bool{run.Instance: true}
+	for _, earlier := range l.runs[run.Request] {
+		instances[earlier.Instance] = true
+	}
+	if request.Attempts > 0 && len(instances) > request.Attempts {
+		l.note(Budget, run.Request, fmt.Sprintf("ran at %d instances of %d", len(instances), request.Attempts))
+	}
+}
+
 // Answered notes a client's answer.
 func (l *Ledger) Answered(answer Answer) {
 	l.mutex.Lock()
