--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -161,14 +161,15 @@
 	if address == "" {
 		return Failed, 20 * time.Millisecond, true
 	}
+	wait := max(time.Until(deadline).Milliseconds(), 1)
 	id := "r" + strconv.FormatUint(nextRequest.Add(1), 36)
 	l.Ledger.Sent(promise.Request{
 		ID: id, Services: set(class.Services), Safe: class.Safe, BodyDigest: digestOf(body),
-		Caller: target.Service(), SentAt: time.Now(), Deadline: deadline, Attempts: class.Attempts,
+		Caller: target.Service(), SentAt: time.Now(), Wait: time.Duration(wait) * time.Millisecond, Attempts: class.Attempts,
 	})
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	request, err := newRequest(ctx, class, "http://"+address, id, body, deadline)
+	request, err := newRequest(ctx, class, "http://"+address, id, body, wait)
 	if err != nil {
 		return Failed, 0, false
 	}
@@ -181,7 +182,7 @@
 	return l.judge(class, id, response)
 }
 
-func newRequest(ctx context.Context, class Class, base, id string, body []byte, deadline time.Time) (*http.Request, error) {
+func newRequest(ctx context.Context, class Class, base, id string, body []byte, wait int64) (*http.Request, error) {
 	method := http.MethodGet
 	if len(body) > 0 {
 		method = http.MethodPost
@@ -194,7 +195,7 @@
 	request.GetBody = nil
 	request.Host = class.Host
 	request.Header.Set(platform.HeaderRequestID, id)
-	request.Header.Set(platform.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+	request.Header.Set(platform.HeaderDeadline, strconv.FormatInt(wait, 10))
 	request.Header.Set(instance.HeaderAnswerBytes, strconv.Itoa(class.AnswerBytes))
 	if class.CallPath != "" {
 		request.Header.Set(instance.HeaderCall, class.CallPath)
--- a/internal/emulator/instance/serve.go
+++ b/internal/emulator/instance/serve.go
@@ -172,12 +172,9 @@
 		sum := sha256.Sum256(body)
 		digest = hex.EncodeToString(sum[:])
 	}
-	var until time.Time
-	if millis, err := strconv.Atoi(request.Header.Get(platform.HeaderDeadline)); err == nil {
-		until = time.Now().Add(time.Duration(millis) * time.Millisecond)
-	}
+	millis, _ := strconv.Atoi(request.Header.Get(platform.HeaderDeadline))
 	i.options.Ledger.Ran(promise.Run{
-		Until: until, Request: id, Instance: i.id, Service: i.options.Service, BodyDigest: digest,
+		Given: time.Duration(millis) * time.Millisecond, Request: id, Instance: i.id, Service: i.options.Service, BodyDigest: digest,
 		Caller: request.Header.Get(platform.HeaderCallerService), Stamp: stamp, At: time.Now(),
 	})
 	return stamp
--- a/internal/emulator/promise/promise.go
+++ b/internal/emulator/promise/promise.go
@@ -54,9 +54,9 @@
 	// Caller is the service of the machine where it starts.
 	Caller string
 	SentAt time.Time
-	// Deadline is when the client stops waiting; zero where that is not
+	// Wait is how long the client says that it waits; 0 where that is not
 	// checked.
-	Deadline time.Time
+	Wait time.Duration
 	// Attempts bounds the instances that may run it; 0 where that is not
 	// checked.
 	Attempts int
@@ -71,8 +71,8 @@
 	Caller     string
 	Stamp      string
 	At         time.Time
-	// Until is when the instance was told to end its work; zero for no word.
-	Until time.Time
+	// Given is the time that the instance was told to have; 0 for no word.
+	Given time.Duration
 }
 
 // Answer is what a client got.
@@ -172,14 +172,15 @@
 	}
 }
 
-// timeSlack is by how much an instance's time may end after the client's.
-const timeSlack = 500 * time.Millisecond
+// timeRounding is what whole milliseconds may add to a time that is handed on.
+const timeRounding = time.Millisecond
 
-// checkBudget checks the instances and the time that a request takes; the
-// caller holds mutex.
+// checkBudget checks the instances and the time that a request takes. Times are
+// compared as they were stated, not by the clock, so that a slow machine does
+// not matter: no instance may have more than the client waits. The caller holds mutex.
 func (l *Ledger) checkBudget(request Request, run Run) {
-	if !request.Deadline.IsZero() && (run.Until.IsZero() || run.Until.Sub(request.Deadline) > timeSlack) {
-		l.note(Budget, run.Request, fmt.Sprintf("%s was given time until %s, the client waits until %s", run.Instance, run.Until, request.Deadline))
+	if request.Wait > 0 && (run.Given == 0 || run.Given > request.Wait+timeRounding) {
+		l.note(Budget, run.Request, fmt.Sprintf("%s was given %s of %s", run.Instance, run.Given, request.Wait))
 	}
 	instances := map[string]bool{run.Instance: true}
 	for _, earlier := range l.runs[run.Request] {
