Drop instances that left, and forget old farewells of peers

Cause: an instance that left, or whose address another took, stayed in the origin's map with a ticking watch and in every announcement until its daemon ended, so a long-lived daemon grew with each release; peers kept the names of all instances that had ever left. Change: the watch of an instance ends once it is drained for good, or silent for a minute, and the origin drops it and closes its connections; a call for one that left is told that it is draining. Names of instances that left are forgotten ten minutes after they were last stated. Before: TestInstancesThatLeftAreDropped failed in all four ways of leaving; after: it passes with TestInstanceThatLeftDoesNotComeBack and TestSilentInstanceComesBack.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -23,6 +24,9 @@
 	// doubtAfter is how long a daemon may be out of reach before another one is
 	// taken in its place.
 	doubtAfter = 3 * time.Second
+	// withdrawnMemory is how long it is remembered that a daemon named an
+	// instance as having left. It is longer than a heartbeat may be late.
+	withdrawnMemory = 10 * time.Minute
 	// reviewInterval is the longest time between two looks at which daemons
 	// are wanted.
 	reviewInterval = time.Second
@@ -104,8 +108,8 @@
 	// wake asks for a connection to be tried at once.
 	wake chan struct{}
 	// withdrawn are the peer's instances that it said left for good, in this
-	// or an earlier incarnation.
-	withdrawn map[string]bool
+	// or an earlier incarnation, with the time when it last said so.
+	withdrawn map[string]time.Time
 }
 
 // New returns a fleet; Run makes it work.
@@ -219,7 +223,7 @@
 		return nil
 	}
 	if !ok {
-		known = &peer{wake: make(chan struct{}, 1), withdrawn: map[string]bool{}, lostAt: time.Now()}
+		known = &peer{wake: make(chan struct{}, 1), withdrawn: map[string]time.Time{}, lostAt: time.Now()}
 		f.members[member.Node] = known
 		f.config.Logger.V(1).Info("fleet.member_known", "member", member.Node, "address", member.Address, "zone", member.Zone)
 		signal(f.changed)
@@ -300,14 +304,21 @@
 	for _, endpoint := range announcement.GetEndpoints() {
 		own(endpoint, member.Member, announcement.GetIncarnation())
 	}
-	for _, instance := range announcement.GetWithdrawn() {
-		member.withdrawn[instance] = true
-	}
+	member.noteWithdrawn(announcement.GetWithdrawn(), time.Now())
 	member.announcement = announcement
 	f.noteRevision(member, announcement.GetRevision())
 	signal(f.changed)
 }
 
+// noteWithdrawn notes which instances a peer says have left, and forgets those
+// that it has not named for long; Fleet.mutex is held.
+func (p *peer) noteWithdrawn(instances []string, now time.Time) {
+	for _, instance := range instances {
+		p.withdrawn[instance] = now
+	}
+	maps.DeleteFunc(p.withdrawn, func(_ string, said time.Time) bool { return now.Sub(said) > withdrawnMemory })
+}
+
 // noteRevision notes what a daemon has in force; the caller holds mutex.
 func (f *Fleet) noteRevision(member *peer, revision uint64) {
 	member.revision = max(member.revision, revision)
--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -20,8 +20,10 @@
 	downAfter     = 3
 	probeInterval = 200 * time.Millisecond
 	// beatSilence is the time without heartbeat after which a registered
-	// instance is taken as down.
+	// instance is taken as down, and beatMemory that after which it is dropped;
+	// its next heartbeat registers it anew.
 	beatSilence = 6 * time.Second
+	beatMemory  = time.Minute
 	// DefaultSlots and DefaultConnections hold until a configuration is known.
 	DefaultSlots       = 6
 	DefaultConnections = 130
@@ -177,8 +179,26 @@
 	}
 }
 
-// watch follows the back end's state, and calls changed after each change of
-// what is announced.
+// over reports whether the instance has no part here any more: it left for good
+// or fell silent long ago, and no call of it is in flight.
+func (i *Instance) over() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if !i.registered {
+		return false
+	}
+	switch i.lifecycle.MustState() {
+	case StateDrained:
+		return i.reasons[DrainInstance] || i.reasons[DrainReplaced]
+	case StateDown:
+		return time.Since(i.lastBeat) > beatMemory
+	default:
+		return false
+	}
+}
+
+// watch follows the back end's state until it is over or ctx ends, and calls
+// changed after each change of what is announced.
 func (i *Instance) watch(ctx context.Context, changed func()) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
@@ -190,6 +210,9 @@
 			announced = now
 			changed()
 		}
+		if i.over() {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -94,13 +94,29 @@
 	o.running.Wait()
 }
 
-// watch follows an instance while the origin runs; the caller holds mutex.
+// watch follows an instance while the origin runs, and drops it once it is over;
+// the caller holds mutex.
 func (o *Origin) watch(instance *Instance) {
 	ctx := o.runContext
 	if ctx == nil || ctx.Err() != nil {
 		return
 	}
-	o.running.Go(func() { instance.watch(ctx, o.config.Changed) })
+	o.running.Go(func() {
+		instance.watch(ctx, o.config.Changed)
+		if ctx.Err() == nil {
+			o.drop(instance)
+		}
+	})
+}
+
+// drop forgets an instance that is over and closes its connections.
+func (o *Origin) drop(instance *Instance) {
+	o.mutex.Lock()
+	delete(o.instances, instanceKey{instance.Service, instance.Name})
+	o.mutex.Unlock()
+	instance.queue.Close(result.Errorf(result.CallNotRunDraining, "instance %s left", instance.Name))
+	instance.backend.pool.closeOld(true)
+	o.config.Changed()
 }
 
 // Instances returns the instances beside the daemon.
@@ -208,7 +224,7 @@
 	open := call.Open
 	instance, ok := o.instance(open.GetService(), open.GetInstance())
 	if !ok {
-		return nil, result.Errorf(result.CallNotRunUnknownHere, "no instance %s/%s here", open.GetService(), open.GetInstance())
+		return nil, o.unknown(open)
 	}
 	if _, known := o.attempts.Claim(open.GetAttemptId(), attemptWaiting); known {
 		o.count(func(c *Counts) { c.Duplicates++ })
@@ -225,6 +241,16 @@
 	return answer, err
 }
 
+// unknown tells why there is no such instance as a call is for.
+func (o *Origin) unknown(open *lapisv1.CallOpen) error {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	if _, left := o.withdrawn[open.GetInstance()]; left {
+		return result.Errorf(result.CallNotRunDraining, "instance %s left", open.GetInstance())
+	}
+	return result.Errorf(result.CallNotRunUnknownHere, "no instance %s/%s here", open.GetService(), open.GetInstance())
+}
+
 // claimKey refuses a call whose idempotency key was seen here. release forgets
 // the key again when the call did not run.
 func (o *Origin) claimKey(open *lapisv1.CallOpen) (release func(), err error) {
--- /dev/null
+++ b/internal/origin/registration_test.go
@@ -0,0 +1,97 @@
+package origin_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/origin"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// settle is longer than any interval in which an origin looks at its instances.
+const settle = time.Second
+
+// startOrigin runs an origin in a synctest bubble until stop is called.
+func startOrigin(t *testing.T) (running *origin.Origin, stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	running = origin.New(origin.Config{QueueLength: 8, QueueTime: time.Second})
+	done := make(chan struct{})
+	go func() { defer close(done); running.Run(ctx) }()
+	synctest.Wait()
+	return running, func() { cancel(); <-done }
+}
+
+func registration(instance, address string) origin.Registration {
+	return origin.Registration{Service: "desk", Instance: instance, Address: address, Slots: 2, Sequence: 1}
+}
+
+// An instance that left is dropped once nothing of it is in flight; it stayed in
+// the map, with its watch and in every announcement, until the daemon ended.
+func TestInstancesThatLeftAreDropped(t *testing.T) {
+	for name, leave := range map[string]func(*origin.Origin){
+		"says farewell": func(o *origin.Origin) { o.Withdraw("desk-1") },
+		"drains": func(o *origin.Origin) {
+			draining := registration("desk-1", "127.0.0.1:1")
+			draining.Draining = true
+			draining.Sequence = 2
+			o.Register(draining)
+		},
+		"its address is taken":    func(o *origin.Origin) { o.Register(registration("desk-2", "127.0.0.1:1")) },
+		"its heartbeats stay out": func(*origin.Origin) { time.Sleep(2 * time.Minute) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				running, stop := startOrigin(t)
+				defer stop()
+				running.Register(registration("desk-1", "127.0.0.1:1"))
+				leave(running)
+				time.Sleep(settle)
+				for _, endpoint := range running.Advertised() {
+					assert.Assert(t, endpoint.GetInstance() != "desk-1", "it is announced as %s", endpoint.GetState())
+				}
+			})
+		})
+	}
+}
+
+// What left stays away whatever is heard of it late, and calls for it are told
+// that it is leaving.
+func TestInstanceThatLeftDoesNotComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running, stop := startOrigin(t)
+		defer stop()
+		running.Register(registration("desk-1", "127.0.0.1:1"))
+		running.Withdraw("desk-1")
+		time.Sleep(settle)
+		late := registration("desk-1", "127.0.0.1:1")
+		late.Sequence = 9
+		running.Register(late)
+		assert.Equal(t, len(running.Advertised()), 0)
+		assert.DeepEqual(t, running.Withdrawn(), []string{"desk-1"})
+		call := &callapi.Call{Open: &lapisv1.CallOpen{Service: "desk", Instance: "desk-1", AttemptId: "a"}}
+		_, err := running.Handle(context.Background(), call)
+		assert.Assert(t, result.Is(err, result.CallNotRunDraining), "%v", err)
+	})
+}
+
+// One that only fell silent may come back under its name.
+func TestSilentInstanceComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running, stop := startOrigin(t)
+		defer stop()
+		running.Register(registration("desk-1", "127.0.0.1:1"))
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, len(running.Advertised()), 0)
+		running.Register(registration("desk-1", "127.0.0.1:1"))
+		endpoints := running.Advertised()
+		assert.Equal(t, len(endpoints), 1)
+		assert.Equal(t, endpoints[0].GetState(), lapisv1.Endpoint_STATE_READY)
+	})
+}
