Learn how long an instance lets its connections rest

Only the stated time and four seconds bounded the rest. Change: a reused connection that breaks within 20 ms halves the allowed rest for ten seconds. Tests: TestIdleBound (table), TestInstancesThatMisbehave with two more rows; the promises held in both before too, so they only guard.

--- a/internal/emulator/day/day_test.go
+++ b/internal/emulator/day/day_test.go
@@ -97,6 +97,8 @@
 		"no HTTP":                {Garbage: 0.3},
 		"refused early":          {Early: 0.5},
 		"slow":                   {Slowdown: 8},
+		"failures":               {Fail: 0.5},
+		"connections forgotten":  {ForgetIdle: 20 * time.Millisecond},
 		"all at once":            {LoseAnswer: 0.1, Cut: 0.1, Extra: 0.2, Unframed: 0.1, Garbage: 0.1, Early: 0.2, Slowdown: 3},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/emulator/day/play.go
+++ b/internal/emulator/day/play.go
@@ -26,6 +26,8 @@
 	FaultInstanceSlow    FaultKind = "instance-slow"
 	FaultAnswersLost     FaultKind = "answers-lost"
 	FaultAnswersSpoiled  FaultKind = "answers-spoiled"
+	FaultAnswersFail     FaultKind = "answers-fail"
+	FaultIdleForgotten   FaultKind = "idle-forgotten"
 	FaultStoreDown       FaultKind = "store-down"
 	FaultStoreSilent     FaultKind = "store-silent"
 	FaultStoreSlow       FaultKind = "store-slow"
@@ -37,7 +39,7 @@
 // FaultKinds lists all disturbances.
 var FaultKinds = []FaultKind{
 	FaultDaemonKill, FaultDaemonStop, FaultHerdKill, FaultInstanceCrash, FaultInstanceRelease, FaultInstanceSlow,
-	FaultAnswersLost, FaultAnswersSpoiled, FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreForgets,
+	FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten, FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreForgets,
 	FaultWritesLost, FaultConfigStorm,
 }
 
@@ -184,7 +186,7 @@
 		p.note(err)
 	case FaultConfigStorm:
 		p.storm(ctx, fault.For)
-	case FaultInstanceSlow, FaultAnswersLost, FaultAnswersSpoiled:
+	case FaultInstanceSlow, FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten:
 		machine.Instance().Set(behaviourOf(fault.Kind))
 		pause.For(ctx, fault.For)
 		machine.Instance().Set(instance.Behaviour{})
@@ -199,6 +201,10 @@
 		return instance.Behaviour{Slowdown: 6}
 	case FaultAnswersLost:
 		return instance.Behaviour{LoseAnswer: 0.2}
+	case FaultAnswersFail:
+		return instance.Behaviour{Fail: 0.5}
+	case FaultIdleForgotten:
+		return instance.Behaviour{ForgetIdle: 20 * time.Millisecond}
 	default:
 		return instance.Behaviour{
 			Cut: 0.1, Extra: 0.2, ExtraAfter: 10 * time.Millisecond, Unframed: 0.1, Garbage: 0.1, Early: 0.2,
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -42,6 +42,11 @@
 	// Early is the share of the requests that are refused before their body is
 	// read.
 	Early float64
+	// Fail is the share of the requests that run and are answered with a failure.
+	Fail float64
+	// ForgetIdle is the rest after which a connection is forgotten without a
+	// word: the next request over it is reset. 0 keeps all.
+	ForgetIdle time.Duration
 	// Silent keeps the instance from reading, answering and registering.
 	Silent bool
 }
--- a/internal/emulator/instance/serve.go
+++ b/internal/emulator/instance/serve.go
@@ -59,46 +59,62 @@
 // converse serves the requests of one connection.
 func (i *Instance) converse(conn net.Conn) {
 	reader := bufio.NewReader(conn)
+	rested := time.Duration(0)
 	for i.stopped.Err() == nil {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
+		if forget := i.current().ForgetIdle; forget > 0 && rested > forget {
+			reset(conn)
+			return
+		}
 		if i.current().Silent {
 			<-i.stopped.Done()
 			return
 		}
-		if i.serve(conn, reader, request) == fateClose {
+		verdict, rest := i.serve(conn, reader, request)
+		if verdict == fateClose {
 			return
 		}
+		rested = rest
 	}
 }
 
-// serve answers one request.
-func (i *Instance) serve(conn net.Conn, reader *bufio.Reader, request *http.Request) fate {
+// reset ends a connection without a word.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+// serve answers one request, and tells how long the connection rested then.
+func (i *Instance) serve(conn net.Conn, reader *bufio.Reader, request *http.Request) (verdict fate, rest time.Duration) {
 	id := request.Header.Get(platform.HeaderRequestID)
 	i.options.Ledger.Arrived(id)
 	behaviour := i.current()
 	if i.chance(behaviour.Early) && request.ContentLength > 0 {
-		return i.refuse(conn, request, http.StatusServiceUnavailable, fateClose)
+		return i.refuse(conn, request, http.StatusServiceUnavailable, fateClose), 0
 	}
 	if expected := request.Header.Get(platform.HeaderExpectedInstance); expected != "" && expected != i.id {
 		_, _ = io.Copy(io.Discard, request.Body)
-		return i.refuse(conn, request, http.StatusMisdirectedRequest, fateKeep)
+		return i.refuse(conn, request, http.StatusMisdirectedRequest, fateKeep), 0
 	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
-		return fateClose
+		return fateClose, 0
 	}
 	ctx, cancel, ended := i.watch(request, reader)
 	defer cancel()
-	verdict := i.handle(ctx, conn, request, id, body)
+	verdict = i.handle(ctx, conn, request, id, body)
 	if verdict == fateClose {
 		_ = conn.Close()
 	}
+	answered := time.Now()
 	// The watch reads on until the next request begins or the connection ends.
 	<-ended
-	return verdict
+	return verdict, time.Since(answered)
 }
 
 // handle works on a request and answers it.
@@ -110,7 +126,7 @@
 	behaviour := i.current()
 	stamp := i.run(request, id, body)
 	status := http.StatusOK
-	if !i.perform(ctx, request, behaviour) {
+	if !i.perform(ctx, request, behaviour) || i.chance(behaviour.Fail) {
 		status = http.StatusInternalServerError
 	}
 	if i.chance(behaviour.LoseAnswer) {
--- a/internal/origin/backend.go
+++ b/internal/origin/backend.go
@@ -85,9 +85,13 @@
 	}
 	current := &exchange{backend: b, conn: conn, request: request, written: make(chan struct{})}
 	current.unwatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	sent := time.Now()
 	response, err := current.run(call)
 	if err != nil {
 		current.end(false)
+		if ctx.Err() == nil {
+			b.pool.broke(conn, time.Since(sent))
+		}
 		return nil, result.Wrap(brokenCode(ctx), err, "request to %s", b.address)
 	}
 	response.Body = &exchangeBody{exchange: current, body: response.Body, response: response}
--- a/internal/origin/connection.go
+++ b/internal/origin/connection.go
@@ -35,15 +35,17 @@
 	// reused is true from the second exchange on.
 	reused bool
 	// keepFor bounds the rest between two exchanges; rested is when the last
-	// rest began.
+	// rest began and rest how long it was.
 	keepFor time.Duration
 	rested  time.Time
+	rest    time.Duration
 }
 
 // connectionPool keeps the connections to one back end.
 type connectionPool struct {
 	address string
 	dialer  net.Dialer
+	resting idleBound
 
 	// mutex protects everything below.
 	mutex  sync.Mutex
@@ -69,7 +71,9 @@
 		if conn == nil {
 			return p.dial(ctx)
 		}
-		if time.Since(conn.rested) < conn.keepFor && quiet(conn.Conn) {
+		now := time.Now()
+		conn.rest = now.Sub(conn.rested)
+		if p.resting.allows(conn.rest, conn.keepFor, now) && quiet(conn.Conn) {
 			conn.reused = true
 			return conn, nil
 		}
@@ -132,13 +136,22 @@
 	p.mutex.Unlock()
 }
 
+// broke takes in that a connection broke before an answer came, so long after
+// the request was sent over it.
+func (p *connectionPool) broke(conn *connection, after time.Duration) {
+	if conn.reused && after < forgottenWithin {
+		p.resting.forgotten(conn.rest, time.Now())
+	}
+}
+
 // closeOld closes the idle connections that rested too long, or all.
 func (p *connectionPool) closeOld(all bool) {
 	p.mutex.Lock()
 	var old []*connection
 	kept := p.idle[:0]
+	now := time.Now()
 	for _, conn := range p.idle {
-		if all || time.Since(conn.rested) >= conn.keepFor {
+		if all || !p.resting.allows(now.Sub(conn.rested), conn.keepFor, now) {
 			old = append(old, conn)
 			continue
 		}
--- /dev/null
+++ b/internal/origin/idlebound.go
@@ -0,0 +1,49 @@
+package origin
+
+import (
+	"sync"
+	"time"
+)
+
+// Tunables of what is learned about resting connections.
+const (
+	// forgottenWithin is the time after a request was sent in which a broken
+	// connection counts as one that the back end had given up while it rested.
+	forgottenWithin = 20 * time.Millisecond
+	// idleMemory is how long a lowered bound holds.
+	idleMemory = 10 * time.Second
+)
+
+// idleBound learns how long a back end's connections may rest. A back end may
+// give one up without a word, and a request that is then sent over it is lost
+// without proof that it did not run.
+type idleBound struct {
+	// mutex protects everything below.
+	mutex sync.Mutex
+	limit time.Duration
+	until time.Time
+}
+
+// forgotten notes that a connection was given up while it rested for so long.
+// Half of that is allowed from now on.
+func (b *idleBound) forgotten(rested time.Duration, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	limit := rested / 2
+	if now.Before(b.until) {
+		limit = min(limit, b.limit)
+	}
+	b.limit = limit
+	b.until = now.Add(idleMemory)
+}
+
+// allows reports whether a connection that rested for so long, and that the back
+// end said it keeps for keepFor, may be used.
+func (b *idleBound) allows(rested, keepFor time.Duration, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if now.Before(b.until) {
+		keepFor = min(keepFor, b.limit)
+	}
+	return rested < keepFor
+}
--- /dev/null
+++ b/internal/origin/idlebound_test.go
@@ -0,0 +1,36 @@
+package origin
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestIdleBound(t *testing.T) {
+	const keep = 4 * time.Second
+	start := time.Unix(1000, 0)
+	type breakage struct{ at, rested time.Duration }
+	for name, row := range map[string]struct {
+		broken  []breakage
+		asked   time.Duration
+		rested  time.Duration
+		allowed bool
+	}{
+		"nothing learned":           {rested: 3 * time.Second, allowed: true},
+		"as long as it broke":       {broken: []breakage{{0, 300 * time.Millisecond}}, rested: 300 * time.Millisecond},
+		"shorter than it broke":     {broken: []breakage{{0, 300 * time.Millisecond}}, rested: 100 * time.Millisecond, allowed: true},
+		"the shortest counts":       {broken: []breakage{{0, 300 * time.Millisecond}, {1, 2 * time.Second}}, rested: 200 * time.Millisecond},
+		"it is tried again later":   {broken: []breakage{{0, 300 * time.Millisecond}}, asked: 11 * time.Second, rested: time.Second, allowed: true},
+		"the back end's own bound":  {rested: 5 * time.Second},
+		"a break after long is new": {broken: []breakage{{0, 300 * time.Millisecond}, {11 * time.Second, 2 * time.Second}}, asked: 12 * time.Second, rested: 900 * time.Millisecond, allowed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bound := &idleBound{}
+			for _, broke := range row.broken {
+				bound.forgotten(broke.rested, start.Add(broke.at))
+			}
+			assert.Equal(t, bound.allows(row.rested, keep, start.Add(row.asked)), row.allowed)
+		})
+	}
+}
