Choose instances less that answer with failures or not at all

A certain failure also cost less than 5 KB to another zone. Found by the new test besides: a mean did not fade before the next observation was added, so the first answer after half a minute brought an old failure back almost whole. Change: such answers, and attempts that end without one after the target latency, count as failures; a certain failure costs four target latencies; what is remembered fades before it is added to.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -41,8 +41,10 @@
 	crossingBase        = 0.05
 	crossingPerKilobyte = 0.25
 	crossingMax         = 6
-	// failureCost is what a certain failure costs.
-	failureCost = 1
+	// failureCost is what a certain failure costs, in parts of the target
+	// latency: an answer that fails is worth nothing, one from another zone or a
+	// late one is worth most of it.
+	failureCost = 4
 	// choiceNoise is the most that chance adds to a cost.
 	choiceNoise = 0.05
 	// reportLifetime is how long a reported load counts.
@@ -381,7 +383,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.failures++
-	t.failure.add(1, failureSmoothing, now)
+	t.failure.addTo(0, 1, failureSmoothing, failureMemory, now)
 	if t.failures < ejectAfter {
 		return
 	}
--- /dev/null
+++ b/internal/balance/balancer_test.go
@@ -0,0 +1,149 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/balance"
+	"github.com/lapisvane/lapisvane/internal/snapshot"
+)
+
+const (
+	route       = "dock-status"
+	target      = 200 * time.Millisecond
+	serviceTime = 60 * time.Millisecond
+	picks       = 2000
+)
+
+// clock is a time that a test moves.
+type clock struct{ now time.Time }
+
+func (c *clock) read() time.Time { return c.now }
+
+// pool is a balancer with instances of one service.
+type pool struct {
+	*balance.Balancer
+	clock   *clock
+	service *snapshot.Service
+}
+
+// newPool returns a pool whose instances stand in the given zones; the balancer
+// stands in zone a.
+func newPool(zones ...string) *pool {
+	clock := &clock{now: time.Unix(1000, 0)}
+	made := &pool{
+		Balancer: balance.New("node", "a", clock.read), clock: clock,
+		service: &snapshot.Service{Bundle: &lapisv1.Bundle{Pool: &lapisv1.Pool{Name: "desk", Slots: 6}}},
+	}
+	made.update(zones, nil)
+	return made
+}
+
+func (p *pool) update(zones []string, states map[int]lapisv1.Endpoint_State) {
+	var endpoints []*lapisv1.Endpoint
+	for index, zone := range zones {
+		state, given := states[index]
+		if !given {
+			state = lapisv1.Endpoint_STATE_READY
+		}
+		endpoints = append(endpoints, &lapisv1.Endpoint{
+			Service: "desk", Instance: fmt.Sprint("desk-", index), Zone: zone, Slots: 6, State: state, Incarnation: 1,
+		})
+	}
+	p.Update("desk", endpoints)
+}
+
+// share returns the part of the picks that an instance gets; answer is called
+// for each pick with the instance's number.
+func (p *pool) share(t *testing.T, instance string, answer func(*balance.Target)) float64 {
+	t.Helper()
+	picked := 0
+	for range picks {
+		chosen, err := p.Pick(p.service, balance.Choice{Route: route, Target: target, Bytes: 5000})
+		assert.NilError(t, err)
+		if chosen.Endpoint.GetInstance() == instance {
+			picked++
+		}
+		p.clock.now = p.clock.now.Add(5 * time.Millisecond)
+		answer(chosen)
+	}
+	return float64(picked) / picks
+}
+
+// What an instance does decides how much it gets.
+func TestInstancesThatDoWorseGetLess(t *testing.T) {
+	well := func(p *pool, chosen *balance.Target) {
+		chosen.Succeeded()
+		chosen.Answered(route, serviceTime, p.clock.now)
+	}
+	for name, row := range map[string]struct {
+		zones []string
+		// odd is what desk-0 does instead of answering well.
+		odd         func(*pool, *balance.Target)
+		least, most float64
+	}{
+		"all alike":                   {zones: []string{"a", "a", "a", "a"}, odd: well, least: 0.15, most: 0.35},
+		"fails at once, without load": {zones: []string{"a", "a", "a", "a"}, odd: func(p *pool, c *balance.Target) { c.Succeeded(); c.AnsweredFailure(p.clock.now) }, most: 0.1},
+		"cannot be reached":           {zones: []string{"a", "a", "a", "a"}, odd: func(p *pool, c *balance.Target) { c.Failed(p.clock.now) }, most: 0.05},
+		"is three times as slow":      {zones: []string{"a", "a", "a", "a"}, odd: func(p *pool, c *balance.Target) { c.Succeeded(); c.Answered(route, 3*serviceTime, p.clock.now) }, most: 0.15},
+		"fails, alone in its zone":    {zones: []string{"a", "b", "b", "b"}, odd: func(p *pool, c *balance.Target) { c.Succeeded(); c.AnsweredFailure(p.clock.now) }, most: 0.15},
+		"is alone in its zone":        {zones: []string{"a", "b", "b", "b"}, odd: well, least: 0.95, most: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(row.zones...)
+			part := p.share(t, "desk-0", func(chosen *balance.Target) {
+				if chosen.Endpoint.GetInstance() == "desk-0" {
+					row.odd(p, chosen)
+					return
+				}
+				well(p, chosen)
+			})
+			assert.Assert(t, part >= row.least && part <= row.most, "it got %.3f", part)
+		})
+	}
+}
+
+// An instance that failed is tried again, so that it comes back once it is well.
+func TestFailuresAreForgotten(t *testing.T) {
+	p := newPool("a", "a")
+	for _, failing := range p.Targets("desk")[:1] {
+		for range 20 {
+			failing.AnsweredFailure(p.clock.now)
+		}
+	}
+	p.clock.now = p.clock.now.Add(30 * time.Second)
+	part := p.share(t, "desk-0", func(chosen *balance.Target) {
+		chosen.Succeeded()
+		chosen.Answered(route, serviceTime, p.clock.now)
+	})
+	assert.Assert(t, part > 0.3, "it got %.3f", part)
+}
+
+// Suspicion never empties a pool, leaving does.
+func TestStatesOfInstances(t *testing.T) {
+	zones := []string{"a", "a"}
+	for name, row := range map[string]struct {
+		states map[int]lapisv1.Endpoint_State
+		chosen string
+	}{
+		"the ready one before a suspect one": {map[int]lapisv1.Endpoint_State{0: lapisv1.Endpoint_STATE_SUSPECT}, "desk-1"},
+		"a suspect one before none":          {map[int]lapisv1.Endpoint_State{0: lapisv1.Endpoint_STATE_SUSPECT, 1: lapisv1.Endpoint_STATE_DRAINING}, "desk-0"},
+		"none that leaves":                   {map[int]lapisv1.Endpoint_State{0: lapisv1.Endpoint_STATE_GONE, 1: lapisv1.Endpoint_STATE_DRAINING}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(zones...)
+			p.update(zones, row.states)
+			chosen, err := p.Pick(p.service, balance.Choice{Route: route, Target: target})
+			if row.chosen == "" {
+				assert.ErrorContains(t, err, "no instance")
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, chosen.Endpoint.GetInstance(), row.chosen)
+		})
+	}
+}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -31,13 +31,16 @@
 	at    time.Time
 }
 
-func (m *mean) add(value, weight float64, now time.Time) {
-	if m.at.IsZero() {
-		m.value = value
-	} else {
-		m.value += weight * (value - m.value)
-	}
-	m.at = now
+// add takes in an observation: it counts with weight, and with more where the
+// mean is old.
+func (m *mean) add(value, weight float64, memory time.Duration, now time.Time) {
+	*m = mean{value: value + (1-weight)*(m.faded(value, memory, now)-value), at: now}
+}
+
+// addTo takes in an observation of a value that is base unless observed lately.
+func (m *mean) addTo(base, value, weight float64, memory time.Duration, now time.Time) {
+	before := m.faded(base, memory, now)
+	*m = mean{value: before + weight*(value-before), at: now}
 }
 
 // faded returns the value as far as it still counts, and other for the rest.
@@ -65,8 +68,17 @@
 		known = &mean{}
 		t.services[route] = known
 	}
-	known.add(service.Seconds(), serviceSmoothing, now)
-	t.failure.add(0, failureSmoothing, now)
+	known.add(service.Seconds(), serviceSmoothing, serviceMemory, now)
+	t.failure.addTo(0, 0, failureSmoothing, failureMemory, now)
+}
+
+// AnsweredFailure notes that the instance answered a call with a failure of its
+// own. Its time says nothing about how fast the instance is, and an instance
+// that answers is not ejected; it is chosen less.
+func (t *Target) AnsweredFailure(now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.failure.addTo(0, 1, failureSmoothing, failureMemory, now)
 }
 
 // condition is what is known of an instance for one choice.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strconv"
 	"time"
@@ -168,20 +169,36 @@
 	call := &callapi.Call{Open: open}
 	a.attach(call)
 	target.Begin()
+	began := time.Now()
 	answer, err := a.gateway.handOver(ctx, target, call)
+	now := time.Now()
 	if err != nil {
 		target.End()
 		a.gateway.observe(target, err)
+		if a.unanswered(err, now.Sub(began)) {
+			target.AnsweredFailure(now)
+		}
 		return nil, err
 	}
-	now := time.Now()
 	target.Reported(answer.Head.GetLoad(), now)
 	target.Succeeded()
+	if answer.Head.GetStatus() >= http.StatusInternalServerError {
+		target.AnsweredFailure(now)
+		return answer, nil
+	}
 	target.Answered(a.route.GetName(), time.Duration(answer.Head.GetServiceMicros())*time.Microsecond, now)
 	a.gateway.sizes.answered(a.route.GetName(), answer.Head.GetContentLength())
 	return answer, nil
 }
 
+// unanswered reports whether an attempt ended without an answer although the
+// instance had all the time that one is worth most in.
+func (a *attempter) unanswered(err error, waited time.Duration) bool {
+	code, _ := result.CodeOf(err)
+	target := a.targetLatency()
+	return (code == result.CallDeadline || code == result.CallCancelled) && target > 0 && waited >= target
+}
+
 // openFor returns the opening of one attempt, with an attempt id of its own
 // and the time that is left.
 func (a *attempter) openFor(ctx context.Context, target *balance.Target) *lapisv1.CallOpen {
