--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -334,14 +334,7 @@
 // uploadLimit keeps a slot for other calls when there are several.
 func (q *Queue) uploadLimit() int { return max(1, q.limit-max(1, q.limit/3)) }
 
-func (q *Queue) anyWaiting() bool {
-	for _, g := range q.groups {
-		if g.interactive.Len()+g.background.Len() > 0 {
-			return true
-		}
-	}
-	return false
-}
+func (q *Queue) anyWaiting() bool { return q.waiting() > 0 }
 
 func (q *Queue) start(g *group, request Request, now time.Time) *Slot {
 	g.decay(now)
@@ -465,15 +458,35 @@
 	}
 }
 
-// Load returns the running and waiting calls per slot.
-func (q *Queue) Load() float32 {
+// Occupancy is how much of a back end is in use.
+type Occupancy struct {
+	// Running and Waiting are calls; Limit is how many may run at this time.
+	Running, Waiting, Limit int
+	// MeanService is the smoothed time that a call holds its slot.
+	MeanService time.Duration
+}
+
+// Occupancy returns how much is in use.
+func (q *Queue) Occupancy() Occupancy {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	waiting := 0
+	return Occupancy{Running: q.running, Waiting: q.waiting(), Limit: q.limit, MeanService: q.meanService}
+}
+
+// waiting counts the waiting calls; the caller holds mutex.
+func (q *Queue) waiting() int {
+	count := 0
 	for _, g := range q.groups {
-		waiting += g.interactive.Len() + g.background.Len()
+		count += g.interactive.Len() + g.background.Len()
 	}
-	return float32(q.running+waiting) / float32(max(q.limits.Slots, 1))
+	return count
+}
+
+// Load returns the running and waiting calls per slot.
+func (q *Queue) Load() float32 {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return float32(q.running+q.waiting()) / float32(max(q.limits.Slots, 1))
 }
 
 // Running returns the calls that hold a slot.
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -370,6 +370,17 @@
 	t.reportedAt = now
 }
 
+// Report returns the load that the instance's daemon stated last, in calls per
+// slot, and how old that is; 0 and 0 before the first.
+func (t *Target) Report(now time.Time) (load float64, age time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.reportedAt.IsZero() {
+		return 0, 0
+	}
+	return t.reported, now.Sub(t.reportedAt)
+}
+
 // Succeeded notes that the instance gave an answer.
 func (t *Target) Succeeded() {
 	t.mutex.Lock()
--- a/internal/configsource/configsource.go
+++ b/internal/configsource/configsource.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -52,6 +53,9 @@
 	// Random returns numbers between 0 and 1.
 	Random func() float64
 	Logger logr.Logger
+
+	// Asked and Failed count the questions, and those that got no answer.
+	Asked, Failed atomic.Int64
 }
 
 // Run follows the source until ctx ends.
@@ -66,6 +70,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		f.Asked.Add(1)
 		if unusable(err) {
 			f.Logger.Error(err, "configuration.refused", "position", uint64(next))
 			err = nil
@@ -95,6 +100,7 @@
 			f.Logger.Info("source.lost", "position", uint64(position), "error", err)
 		}
 		failing = true
+		f.Failed.Add(1)
 		if !pause.For(ctx, wait+time.Duration(f.Random()*float64(wait))) {
 			return
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/lapisvane/lapisvane/internal/balance"
 	"github.com/lapisvane/lapisvane/internal/callapi"
 	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/decision"
 	"github.com/lapisvane/lapisvane/internal/gateway"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/metrics"
@@ -168,10 +169,11 @@
 	for _, backend := range d.settings.Load().Backends {
 		backends = append(backends, origin.BackendConfig{Service: backend.Service, Instance: backend.Instance, Address: backend.Address})
 	}
+	decisions := decision.New(d.logger, d.settings.Load().DecisionLinesPerSecond, time.Now)
 	d.origin = origin.New(origin.Config{
 		Incarnation: d.incarnation, Backends: backends,
 		QueueLength: d.settings.Load().Calls.QueueLength, QueueTime: d.settings.Load().Calls.QueueTime.Get(),
-		Envelope: envelope, Changed: d.announce,
+		Envelope: envelope, Changed: d.announce, Decisions: decisions, Logger: d.logger,
 	})
 	d.calls = &callmux.Client{
 		Network: d.network, Counters: d.callCounters,
@@ -185,7 +187,7 @@
 		Node: d.settings.Load().Node, Incarnation: d.incarnation, Snapshots: d.snapshots, Balancer: d.balancer,
 		Local: d.origin, Remote: d.calls, DefaultDeadline: d.settings.Load().Calls.DefaultDeadline.Get(),
 		Envelope: envelope, CallerService: d.callerService, Retries: retryLimits(d.settings.Load().Retries),
-		Logger: d.logger, Registry: d.registry,
+		Decisions: decisions, Registry: d.registry,
 	})
 }
 
@@ -281,7 +283,7 @@
 func (d *Daemon) Run(stop, force <-chan struct{}) (cut int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.start(ctx)
-	d.logger.Info("daemon.started", "build", buildVersion(), "zone", d.settings.Load().Zone, "peer", d.Addresses().Peer, "caller", d.Addresses().Caller)
+	d.logStart()
 	select {
 	case <-stop:
 	case <-force:
@@ -307,12 +309,23 @@
 	return cut
 }
 
+// logStart names the build and the settings that matter when lines are read.
+func (d *Daemon) logStart() {
+	config := d.settings.Load()
+	addresses := d.Addresses()
+	d.logger.Info("daemon.started", "build", buildVersion(), "zone", config.Zone, "service", config.Service,
+		"peer", addresses.Peer, "caller", addresses.Caller, "metrics", addresses.Metrics, "incarnation", d.incarnation,
+		"platform", config.Platform.Form, "retry_fraction", config.Retries.Fraction, "retry_burst", config.Retries.Burst,
+		"stop_limit", config.StopLimit.Get())
+}
+
 func (d *Daemon) start(ctx context.Context) {
 	server := &peer.Server{Node: d.settings.Load().Node, Logger: d.logger, Counters: d.counters, Handlers: d.handlers()}
 	d.running.Go(func() { server.Serve(ctx, d.listeners.peer) })
 	d.running.Go(func() { d.node.Run(ctx) })
 	d.running.Go(func() { d.origin.Run(ctx) })
 	d.running.Go(func() { d.closeIdleLinks(ctx) })
+	d.running.Go(func() { watchPauses(ctx, d.logger) })
 	if d.listeners.caller != nil {
 		d.running.Go(func() { d.gateway.Serve(ctx, d.listeners.caller, nil) })
 	}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -12,6 +12,7 @@
 	"github.com/lapisvane/lapisvane/internal/callmux"
 	"github.com/lapisvane/lapisvane/internal/configsource"
 	"github.com/lapisvane/lapisvane/internal/fleet"
+	"github.com/lapisvane/lapisvane/internal/metrics"
 	"github.com/lapisvane/lapisvane/internal/port"
 )
 
@@ -39,8 +40,11 @@
 	fleet    *fleet.Fleet
 	started  time.Time
 	leaving  atomic.Bool
+	follower *configsource.Follower
 	inForce  atomic.Pointer[lapisv1.Configuration]
-	members  atomic.Int64
+	// inForceAt is when that came in force, in nanoseconds since started.
+	inForceAt atomic.Int64
+	members   atomic.Int64
 
 	// mutex is held while a configuration is put in force.
 	mutex sync.Mutex
@@ -56,8 +60,19 @@
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
 		InForce: part.inForce.Load, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
+	part.follower = &configsource.Follower{
+		Source: platform.Source(), Apply: part.Offer, Pace: part.pace, Wait: part.sourceWait(), Random: rand.Float64, Logger: d.logger,
+	}
 	d.direct = part
 	d.node = part.fleet
+	metrics.RegisterDirect(d.registry, metrics.Direct{
+		Fleet: part.fleet, Follower: part.follower, Origin: d.origin, InForce: part.inForceSince, Ready: part.ready,
+	})
+}
+
+// inForceSince returns the revision in force and since when it is.
+func (p *direct) inForceSince() (revision uint64, since time.Time) {
+	return p.inForce.Load().GetRevision(), p.started.Add(time.Duration(p.inForceAt.Load()))
 }
 
 // timing bounds the connections between daemons.
@@ -78,10 +93,7 @@
 // start runs what a platform adds to a daemon.
 func (p *direct) start(ctx context.Context) {
 	d := p.daemon
-	follower := &configsource.Follower{
-		Source: p.platform.Source(), Apply: p.Offer, Pace: p.pace, Wait: p.sourceWait(), Random: rand.Float64, Logger: d.logger,
-	}
-	d.running.Go(func() { follower.Run(ctx) })
+	d.running.Go(func() { p.follower.Run(ctx) })
 	d.running.Go(func() { d.calls.WatchStalls(ctx, p.stall()) })
 	serve := func(listener net.Listener, run func(net.Listener)) {
 		if listener != nil {
@@ -134,6 +146,7 @@
 		return
 	}
 	p.inForce.Store(configuration)
+	p.inForceAt.Store(int64(time.Since(p.started)))
 	d.origin.Configure(d.snapshots.Current())
 	d.logger.Info("configuration.in_force", "revision", configuration.GetRevision(), "before", current.GetRevision())
 }
--- /dev/null
+++ b/internal/decision/log.go
@@ -0,0 +1,115 @@
+package decision
+
+import (
+	"math/bits"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
+)
+
+// Tunables of the volume.
+const (
+	// successLevel makes one success of 2^successLevel be written where there is
+	// room for all failures.
+	successLevel = 8
+	// maxLevel bounds the sampling: at least one request of 2^maxLevel is
+	// written.
+	maxLevel = 20
+	// window is how often the volume is looked at.
+	window = time.Second
+)
+
+// Log writes lines of decisions; a nil one writes nothing. It is safe for
+// concurrent use.
+type Log struct {
+	logger logr.Logger
+	now    func() time.Time
+	// perSecond is the volume from which requests are sampled more sparsely; 0
+	// for no lines.
+	perSecond int
+
+	// mutex protects everything below.
+	mutex sync.Mutex
+	// level is the number of low bits of a request's hash that must be zero for
+	// its failures to be written.
+	level uint
+	since time.Time
+	// written and kept count the lines of the window that were written, and
+	// those that were not although they tell of a failure.
+	written, kept int
+}
+
+// New returns a log in front of logger that writes about perSecond lines a second
+// under load, none at all if that is 0.
+func New(logger logr.Logger, perSecond int, now func() time.Time) *Log {
+	return &Log{logger: logger, perSecond: perSecond, now: now, since: now()}
+}
+
+// Failure writes a line about a request that was refused, repeated or failed.
+func (l *Log) Failure(event, request string, pairs ...any) {
+	if l.admits(request, 0) {
+		l.write(event, request, pairs)
+	}
+}
+
+// Success writes a line about a request that went well, for a sample of them;
+// pairs is called only for those.
+func (l *Log) Success(event, request string, pairs func() []any) {
+	if l.admits(request, successLevel) {
+		l.write(event, request, pairs())
+	}
+}
+
+func (l *Log) write(event, request string, pairs []any) {
+	l.logger.Info(event, append([]any{"request", request}, pairs...)...)
+}
+
+// Rank tells how long a request's lines are kept as the sampling gets sparser: a
+// request of rank n is among one of 2^n.
+func Rank(request string) uint {
+	return uint(bits.TrailingZeros64(xxhash.Sum64String(request)))
+}
+
+// admits reports whether a line of a request is written; above is added to the
+// level of failures.
+func (l *Log) admits(request string, above uint) bool {
+	if l == nil || l.perSecond == 0 {
+		return false
+	}
+	rank := Rank(request)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.review()
+	if rank < l.level+above {
+		if above == 0 {
+			l.kept++
+		}
+		return false
+	}
+	l.written++
+	return true
+}
+
+// review makes the sampling sparser after a window with too many lines, and
+// denser after one with few; the caller holds mutex.
+func (l *Log) review() {
+	now := l.now()
+	elapsed := now.Sub(l.since)
+	if elapsed < window {
+		return
+	}
+	if l.kept > 0 {
+		l.logger.Info("decisions.sampled", "one_of", 1<<l.level, "not_written", l.kept, "written", l.written)
+	}
+	limit := int(float64(l.perSecond) * elapsed.Seconds())
+	switch {
+	case l.written > limit && l.level < maxLevel:
+		l.level++
+	case l.written < limit/3 && l.level > 0:
+		l.level--
+	}
+	l.since = now
+	l.written, l.kept = 0, 0
+}
--- a/internal/emulator/day/day_test.go
+++ b/internal/emulator/day/day_test.go
@@ -32,9 +32,13 @@
 }
 
 func startWith(t *testing.T, routes []day.Route, classes []client.Class) (site *day.Site, tally *client.Tally, stopLoad func()) {
+	t.Helper()
+	return startOptions(t, day.DefaultOptions(), routes, classes)
+}
+
+func startOptions(t *testing.T, options day.Options, routes []day.Route, classes []client.Class) (site *day.Site, tally *client.Tally, stopLoad func()) {
 	t.Helper()
 	t.Parallel()
-	options := day.DefaultOptions()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	site, err := day.Start(ctx, options, routes)
@@ -67,6 +71,18 @@
 	}
 }
 
+// awaitEnded waits until so many more requests got some end.
+func awaitEnded(t *testing.T, tally *client.Tally, more int64) {
+	t.Helper()
+	ended := func() int64 { return tally.Served.Load() + tally.Refused.Load() + tally.Failed.Load() }
+	goal := ended() + more
+	end := time.Now().Add(patience)
+	for ended() < goal {
+		assert.Assert(t, time.Now().Before(end), "%d of %d ended", ended(), goal)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // Clients are patient here, so that a slow machine makes no request fail.
 func TestQuietDayIsServed(t *testing.T) {
 	const patient = time.Minute
--- /dev/null
+++ b/internal/emulator/day/explain_test.go
@@ -0,0 +1,103 @@
+package day_test
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/emulator/day"
+	"github.com/lapisvane/lapisvane/internal/emulator/instance"
+	"github.com/lapisvane/lapisvane/internal/explain"
+	"github.com/lapisvane/lapisvane/internal/logging"
+)
+
+// allLines is more than a daemon writes, so that no request is left out.
+const allLines = 1_000_000
+
+// lockedBuffer collects the lines of all daemons.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(line []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.Buffer.Write(line)
+}
+
+// Whatever went wrong, the lines of the daemons prove the cause of each request
+// that failed or was refused.
+func TestLinesProveWhyRequestsFail(t *testing.T) {
+	for name, row := range map[string]struct {
+		behaviour instance.Behaviour
+		kill      bool
+		cause     explain.Cause
+	}{
+		"answers lost":    {behaviour: instance.Behaviour{LoseAnswer: 0.5}, cause: explain.CauseInstanceBroke},
+		"failures":        {behaviour: instance.Behaviour{Fail: 0.5}, cause: explain.CauseInstanceFailed},
+		"too slow":        {behaviour: instance.Behaviour{Slowdown: 60}, cause: explain.CauseOverload},
+		"daemons killed":  {kill: true},
+		"answers spoiled": {behaviour: instance.Behaviour{Garbage: 0.3, Cut: 0.3}, cause: explain.CauseInstanceBroke},
+	} {
+		t.Run(name, func(t *testing.T) {
+			output := &lockedBuffer{}
+			options := day.DefaultOptions()
+			options.Logger = logging.New(output, 0)
+			options.DecisionLines = allLines
+			site, tally, stop := startOptions(t, options, routes, day.StandardClasses(1))
+			for _, machine := range site.Machines {
+				machine.Instance().Set(row.behaviour)
+			}
+			if row.kill {
+				for _, machine := range site.Machines[:3] {
+					assert.NilError(t, machine.Kill(0))
+				}
+			}
+			awaitEnded(t, tally, 300)
+			stop()
+			site.Close()
+			lines, _, err := explain.Read(&output.Buffer)
+			assert.NilError(t, err)
+			journal := explain.NewJournal(lines)
+			causes := map[explain.Cause]int{}
+			for _, request := range journal.Failed() {
+				verdict := journal.Explain(request)
+				causes[verdict.Cause]++
+				assert.Check(t, verdict.Cause != explain.CauseUnexplained, "%s: %s", request, verdict.Proof)
+			}
+			if row.cause != "" {
+				assert.Assert(t, causes[row.cause] > 0, "%v", causes)
+			}
+		})
+	}
+}
+
+// A machine that is stopped as planned tells so in the lines of its requests.
+func TestLinesProveThatADaemonWasStopping(t *testing.T) {
+	output := &lockedBuffer{}
+	options := day.DefaultOptions()
+	options.Logger = logging.New(output, 0)
+	site, tally, stop := startOptions(t, options, routes, day.StandardClasses(1))
+	awaitServed(t, tally, 50)
+	_, err := site.Machines[0].Roll(0)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(t, site.AwaitReady(ctx))
+	stop()
+	site.Close()
+	lines, _, err := explain.Read(&output.Buffer)
+	assert.NilError(t, err)
+	events := map[string]int{}
+	for _, line := range lines {
+		events[line.Event]++
+	}
+	for _, event := range []string{"daemon.started", "daemon.stopping", "daemon.stopped", "instance.registered", "configuration.in_force"} {
+		assert.Check(t, events[event] > 0, "no line %s", event)
+	}
+}
--- a/internal/emulator/day/machine.go
+++ b/internal/emulator/day/machine.go
@@ -65,6 +65,7 @@
 	}
 	config.Retries = settings.Retries{Fraction: 0.2, Burst: 64}
 	config.StopLimit = features.Duration(m.site.options.Grace)
+	config.DecisionLinesPerSecond = m.site.options.DecisionLines
 	if err := config.Check(); err != nil {
 		return err
 	}
@@ -244,7 +245,9 @@
 	DrainBound                      time.Duration
 	ReadsPerSecond, WritesPerSecond float64
 	Logger                          logr.Logger
-	Seed                            uint64
+	// DecisionLines bounds the lines about requests of each daemon a second.
+	DecisionLines int
+	Seed          uint64
 }
 
 // Placement is one machine of a service in a zone.
@@ -259,7 +262,7 @@
 		},
 		Slots: 6, ServiceTime: 10 * time.Millisecond, Beat: 200 * time.Millisecond, ColdFor: 300 * time.Millisecond,
 		Contact: 1500 * time.Millisecond, Grace: 4 * time.Second, DrainBound: time.Second,
-		ReadsPerSecond: 2000, WritesPerSecond: 400, Logger: logr.Discard(), Seed: 1,
+		ReadsPerSecond: 2000, WritesPerSecond: 400, Logger: logr.Discard(), DecisionLines: 200, Seed: 1,
 	}
 }
 
--- /dev/null
+++ b/internal/explain/cause.go
@@ -0,0 +1,280 @@
+package explain
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/decision"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Cause is what a request's lines prove.
+type Cause string
+
+// The causes that are told apart.
+const (
+	// CauseUnexplained: the lines prove nothing.
+	CauseUnexplained Cause = "unexplained"
+	// CauseSampled: a daemon did not write its lines of the request, because it
+	// had too many.
+	CauseSampled Cause = "sampled"
+	// CauseOverload: all instances that were asked were full.
+	CauseOverload Cause = "overload"
+	// CauseNoInstance: no instance of the service could take work.
+	CauseNoInstance Cause = "no-instance"
+	// CauseInstanceBroke: the instance took the request and broke off.
+	CauseInstanceBroke Cause = "instance-broke"
+	// CauseInstanceSlow: the instance had the request until the time was over.
+	CauseInstanceSlow Cause = "instance-slow"
+	// CauseInstanceFailed: the instance answered with a failure of its own.
+	CauseInstanceFailed Cause = "instance-failed"
+	// CauseInstanceRefused: the instance said that it did not run the request.
+	CauseInstanceRefused Cause = "instance-refused"
+	// CauseDaemonLost: the daemon beside the instance was lost.
+	CauseDaemonLost Cause = "daemon-lost"
+	// CauseUnreachable: no connection to the instance could be opened.
+	CauseUnreachable Cause = "unreachable"
+	// CauseCallerLeft: the caller went away first.
+	CauseCallerLeft Cause = "caller-left"
+	// CauseLeaving: the instance or the daemon was leaving.
+	CauseLeaving Cause = "leaving"
+	// CauseNoConfiguration: the daemon had no configuration yet.
+	CauseNoConfiguration Cause = "no-configuration"
+	// CauseOldConfiguration: others had a newer configuration in force.
+	CauseOldConfiguration Cause = "old-configuration"
+	// CauseNoRoute: no configuration in force anywhere had a route.
+	CauseNoRoute Cause = "no-route"
+	// CauseBadRequest: the request is not acceptable HTTP.
+	CauseBadRequest Cause = "bad-request"
+)
+
+// Events of decisions and of what daemons believe that are read here.
+const (
+	eventCallFailed    = "call.failed"
+	eventCallAnswered  = "call.answered"
+	eventAttemptFailed = "call.attempt_failed"
+	eventOriginRefused = "origin.refused"
+	eventOriginBroke   = "origin.broke"
+	eventInForce       = "configuration.in_force"
+	eventFleetLost     = "fleet.lost"
+	eventFleetStalled  = "fleet.stalled"
+	eventStarted       = "daemon.started"
+	eventStopping      = "daemon.stopping"
+	eventSampled       = "decisions.sampled"
+)
+
+// nearby is how far apart the loss of a daemon and that of a call over it may
+// be noticed.
+const nearby = 3 * time.Second
+
+// Verdict is the cause of a request's end, with the line that proves it.
+type Verdict struct {
+	Cause Cause
+	// Proof tells the cause in words.
+	Proof string
+	// Line is the line that the proof rests on.
+	Line *Line
+}
+
+// Journal holds the lines of several daemons.
+type Journal struct {
+	lines     []Line
+	byRequest map[string][]*Line
+	// beliefs are the lines that are not about one request, in order.
+	beliefs []*Line
+}
+
+// NewJournal returns a journal of lines, which it sorts.
+func NewJournal(lines []Line) *Journal {
+	Sort(lines)
+	journal := &Journal{lines: lines, byRequest: map[string][]*Line{}}
+	for index := range lines {
+		line := &lines[index]
+		if line.Request == "" {
+			journal.beliefs = append(journal.beliefs, line)
+			continue
+		}
+		journal.byRequest[line.Request] = append(journal.byRequest[line.Request], line)
+	}
+	return journal
+}
+
+// Story returns the lines of a request in order.
+func (j *Journal) Story(request string) []*Line { return j.byRequest[request] }
+
+// Failed returns the requests that ended without a success of an instance, in
+// order of their end.
+func (j *Journal) Failed() []string {
+	var requests []string
+	for index := range j.lines {
+		if line := &j.lines[index]; isEnd(line) && line.Request != "" {
+			requests = append(requests, line.Request)
+		}
+	}
+	return requests
+}
+
+// isEnd reports whether a line tells of a request's end without success.
+func isEnd(line *Line) bool {
+	const firstServerError = 500
+	return line.Event == eventCallFailed || (line.Event == eventCallAnswered && line.Number("status") >= firstServerError)
+}
+
+// Explain finds the cause of a request's end.
+func (j *Journal) Explain(request string) Verdict {
+	story := j.byRequest[request]
+	for index := len(story) - 1; index >= 0; index-- {
+		if !isEnd(story[index]) {
+			continue
+		}
+		verdict := j.explainEnd(story, story[index])
+		if verdict.Cause == CauseUnexplained {
+			return j.orSampled(request, verdict)
+		}
+		return verdict
+	}
+	return Verdict{Cause: CauseUnexplained, Proof: "no line tells of its end"}
+}
+
+// orSampled returns verdict, or that lines of the request were left out when the
+// daemon that it misses lines of says that it sampled then.
+func (j *Journal) orSampled(request string, verdict Verdict) Verdict {
+	for _, belief := range j.beliefs {
+		distance := belief.At.Sub(verdict.Line.At)
+		// The line comes after the time that it is about.
+		if belief.Event != eventSampled || distance < 0 || distance > nearby || belief.Node != verdict.Line.Get("member") {
+			continue
+		}
+		if 1<<decision.Rank(request) < belief.Number("one_of") {
+			return Verdict{CauseSampled, belief.Node + " wrote the lines of one request of " + belief.Get("one_of"), belief}
+		}
+	}
+	return verdict
+}
+
+func (j *Journal) explainEnd(story []*Line, end *Line) Verdict {
+	if end.Event == eventCallAnswered {
+		return Verdict{CauseInstanceFailed, fmt.Sprintf("instance %s answered %s after %s ms", end.Get("instance"), end.Get("status"), end.Get("service_ms")), end}
+	}
+	switch result.Code(end.Number("code")) {
+	case result.CallBadRequest:
+		return Verdict{CauseBadRequest, end.Get("detail"), end}
+	case result.CallCancelled:
+		return Verdict{CauseCallerLeft, "the caller went away after " + end.Get("took_ms") + " ms", end}
+	case result.CallNotReady:
+		return Verdict{CauseNoConfiguration, fmt.Sprintf("%s had no configuration in force%s", end.Node, j.sinceStart(end)), end}
+	case result.CallNoRoute:
+		return j.explainNoRoute(end)
+	case result.CallNotRunStopping, result.CallNotRunDraining, result.CallNotRunUnknownHere:
+		return Verdict{CauseLeaving, j.leaving(end), end}
+	case result.CallNoEndpoint:
+		return Verdict{CauseNoInstance, end.Get("detail"), end}
+	default:
+		return explainAttempt(j, story, end)
+	}
+}
+
+// explainAttempt finds the cause in the last attempt and in what the daemon
+// beside the instance wrote about it.
+func explainAttempt(j *Journal, story []*Line, end *Line) Verdict {
+	attempt := last(story, eventAttemptFailed, "")
+	if attempt == nil {
+		attempt = end
+	}
+	origin := last(story, eventOriginBroke, attempt.Get("attempt"))
+	if origin == nil {
+		origin = last(story, eventOriginRefused, attempt.Get("attempt"))
+	}
+	switch result.Code(end.Number("code")) {
+	case result.CallNotRunOverloaded, result.CallNotRunExpired:
+		if origin == nil {
+			return Verdict{CauseOverload, "every instance that was asked was full; last " + attempt.Get("detail"), attempt}
+		}
+		return Verdict{CauseOverload, fmt.Sprintf("instance %s had %s running and %s waiting of %s slots, a call takes %s ms",
+			origin.Get("instance"), origin.Get("running"), origin.Get("waiting"), origin.Get("limit"), origin.Get("service_ms")), origin}
+	case result.CallNotRunShed:
+		return Verdict{CauseInstanceRefused, "instance " + attempt.Get("instance") + " refused it: " + attempt.Get("detail"), attempt}
+	case result.CallDeadline:
+		return Verdict{CauseInstanceSlow, fmt.Sprintf("instance %s had it when %s ms were over", attempt.Get("instance"), end.Get("took_ms")), attempt}
+	case result.CallNotRunUnreachable, result.CallUnknownOutcome, result.CallTruncated:
+		return j.explainLoss(attempt, origin)
+	default:
+		return Verdict{Cause: CauseUnexplained, Proof: "code " + end.Get("code"), Line: end}
+	}
+}
+
+// explainLoss tells a lost daemon from an instance that broke off.
+func (j *Journal) explainLoss(attempt, origin *Line) Verdict {
+	if origin != nil {
+		cause := CauseInstanceBroke
+		if origin.Event == eventOriginRefused {
+			cause = CauseUnreachable
+		}
+		return Verdict{cause, fmt.Sprintf("instance %s, %s ms after it came there: %s", origin.Get("instance"), origin.Get("took_ms"), origin.Get("detail")), origin}
+	}
+	member := attempt.Get("member")
+	for _, belief := range j.beliefs {
+		if distance := belief.At.Sub(attempt.At); distance < -nearby || distance > nearby {
+			continue
+		}
+		lost := belief.Event == eventFleetLost || belief.Event == eventFleetStalled
+		if lost && belief.Get("member") == member {
+			return Verdict{CauseDaemonLost, fmt.Sprintf("%s lost %s (%s)", belief.Node, member, belief.Event), belief}
+		}
+		if belief.Event == eventStarted && belief.Node == member {
+			return Verdict{CauseDaemonLost, member + " started anew", belief}
+		}
+	}
+	if attempt.Get("member") == attempt.Node {
+		return Verdict{CauseInstanceBroke, "instance " + attempt.Get("instance") + " beside it: " + attempt.Get("detail"), attempt}
+	}
+	return Verdict{Cause: CauseUnexplained, Proof: "neither " + member + " nor a lost connection to it tells of the attempt", Line: attempt}
+}
+
+// explainNoRoute tells a daemon that was behind from a route that was nowhere.
+func (j *Journal) explainNoRoute(end *Line) Verdict {
+	own := end.Number("revision")
+	for _, belief := range j.beliefs {
+		if belief.At.After(end.At) {
+			break
+		}
+		if belief.Event == eventInForce && belief.Number("revision") > own {
+			return Verdict{CauseOldConfiguration, fmt.Sprintf("%s had revision %d in force, %s already had %s %s before",
+				end.Node, own, belief.Node, belief.Get("revision"), end.At.Sub(belief.At)), belief}
+		}
+	}
+	return Verdict{CauseNoRoute, fmt.Sprintf("no route in revision %d: %s", own, end.Get("detail")), end}
+}
+
+// leaving tells since when a daemon was stopping.
+func (j *Journal) leaving(end *Line) string {
+	for index := len(j.beliefs) - 1; index >= 0; index-- {
+		belief := j.beliefs[index]
+		if belief.Event == eventStopping && belief.Node == end.Node && belief.At.Before(end.At) {
+			return fmt.Sprintf("%s was stopping for %s", end.Node, end.At.Sub(belief.At))
+		}
+	}
+	return end.Get("detail")
+}
+
+func (j *Journal) sinceStart(end *Line) string {
+	for index := len(j.beliefs) - 1; index >= 0; index-- {
+		belief := j.beliefs[index]
+		if belief.Event == eventStarted && belief.Node == end.Node && belief.At.Before(end.At) {
+			return fmt.Sprintf(", it had started %s before", end.At.Sub(belief.At))
+		}
+	}
+	return ""
+}
+
+// last returns the last line of an event in a story, of one attempt if that is
+// given.
+func last(story []*Line, event, attempt string) *Line {
+	for index := len(story) - 1; index >= 0; index-- {
+		line := story[index]
+		if line.Event == event && (attempt == "" || line.Get("attempt") == attempt) {
+			return line
+		}
+	}
+	return nil
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strconv"
 	"time"
@@ -51,6 +50,8 @@
 	open    *lapisv1.CallOpen
 	body    *requestBody
 	started time.Time
+	// request is the caller's id of the request, empty where there is none.
+	request string
 	// attach prepares an attempt's body.
 	attach func(*callapi.Call)
 
@@ -61,6 +62,8 @@
 	detours    int
 	overloaded int
 	earned     bool
+	// attemptID is that of the newest attempt.
+	attemptID string
 	// busy are the instances that refused for load, and lastResort is true once
 	// the call waits as long as it can.
 	busy       []*balance.Target
@@ -100,7 +103,9 @@
 		if result.Is(err, result.CallNotRunOverloaded) {
 			a.busy = append(a.busy, target)
 		}
-		if !a.mayRetry(ctx, err) {
+		again := a.mayRetry(ctx, err)
+		a.logAttempt(ctx, target, err, again)
+		if !again {
 			return outcome{}, err
 		}
 		a.gateway.metrics.retries.Inc()
@@ -166,6 +171,7 @@
 // once makes one attempt at target.
 func (a *attempter) once(ctx context.Context, target *balance.Target) (*callapi.Answer, error) {
 	open := a.openFor(ctx, target)
+	a.attemptID = open.GetAttemptId()
 	call := &callapi.Call{Open: open}
 	a.attach(call)
 	target.Begin()
@@ -182,7 +188,7 @@
 	}
 	target.Reported(answer.Head.GetLoad(), now)
 	target.Succeeded()
-	if answer.Head.GetStatus() >= http.StatusInternalServerError {
+	if answer.Head.GetStatus() >= firstServerError {
 		target.AnsweredFailure(now)
 		return answer, nil
 	}
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -79,3 +79,10 @@
 	b.tokens[service]--
 	return true
 }
+
+// left returns the retries that a service has saved up.
+func (b *retryBudget) left(service string) float64 {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.tokens[service]
+}
--- /dev/null
+++ b/internal/gateway/decisions.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/balance"
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Names of the gateway's events; docs/OPERATIONS.md lists their keys.
+const (
+	eventCallFailed    = "call.failed"
+	eventCallAnswered  = "call.answered"
+	eventAttemptFailed = "call.attempt_failed"
+)
+
+// firstServerError is the least status of a back end's answer that says that it
+// failed.
+const firstServerError = 500
+
+// requestID returns the caller's id of a request; empty where there is none.
+func (g *Gateway) requestID(rc *app.RequestContext) string {
+	name := g.config.Envelope.RequestID
+	if name == "" {
+		return ""
+	}
+	return string(rc.Request.Header.Peek(name))
+}
+
+// logFailure writes the line of a call that got no answer of a back end, with
+// what decided it.
+func (g *Gateway) logFailure(rc *app.RequestContext, route *lapisv1.Route, err error, started time.Time) {
+	code, _ := result.CodeOf(err)
+	g.config.Decisions.Failure(eventCallFailed, g.requestID(rc),
+		"route", route.GetName(), "revision", g.revision(), "code", uint32(code), "name", code,
+		"outcome", callapi.OutcomeOf(err), "took_ms", time.Since(started).Milliseconds(),
+		"come_back_ms", comeBackMillis(err), "detail", err)
+}
+
+func comeBackMillis(err error) int64 {
+	if coded, ok := err.(*result.Error); ok {
+		return coded.RetryAfter.Milliseconds()
+	}
+	return 0
+}
+
+// revision returns the configuration in force, 0 before the first.
+func (g *Gateway) revision() uint64 {
+	if current := g.config.Snapshots.Current(); current != nil {
+		return current.Revision
+	}
+	return 0
+}
+
+// logAttempt writes the line of an attempt that got no answer, with what was
+// known of the instance and whether another attempt follows.
+func (a *attempter) logAttempt(ctx context.Context, target *balance.Target, err error, again bool) {
+	code, _ := result.CodeOf(err)
+	load, age := target.Report(time.Now())
+	a.gateway.config.Decisions.Failure(eventAttemptFailed, a.request,
+		"attempt", a.attemptID, "instance", target.Endpoint.GetInstance(), "member", target.Endpoint.GetNode(),
+		"state", target.Endpoint.GetState(), "code", uint32(code), "name", code, "again", again,
+		"revision", a.current.Revision, "load", load, "load_age_ms", age.Milliseconds(),
+		"budget", a.gateway.budget.left(a.open.GetService()), "left_ms", leftMillis(ctx),
+		"took_ms", time.Since(a.started).Milliseconds(), "detail", err)
+}
+
+// logAnswer writes the line of a call that a back end answered: always after a
+// failure, for a sample of the others.
+func (a *attempter) logAnswer(done outcome) {
+	log := a.gateway.config.Decisions
+	if done.answer.Head.GetStatus() >= firstServerError || len(a.tried) > 0 {
+		log.Failure(eventCallAnswered, a.request, a.answerPairs(done)...)
+		return
+	}
+	log.Success(eventCallAnswered, a.request, func() []any { return a.answerPairs(done) })
+}
+
+func (a *attempter) answerPairs(done outcome) []any {
+	head := done.answer.Head
+	return []any{
+		"attempt", a.attemptID, "route", a.route.GetName(), "revision", a.current.Revision,
+		"instance", done.target.Endpoint.GetInstance(), "member", done.target.Endpoint.GetNode(),
+		"attempts", len(a.tried) + 1, "status", head.GetStatus(), "load", float64(head.GetLoad()),
+		"service_ms", float64(head.GetServiceMicros()) / 1000, "took_ms", time.Since(a.started).Milliseconds(),
+	}
+}
+
+// leftMillis is the time until the deadline of ctx, 0 where there is none.
+func leftMillis(ctx context.Context) int64 {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return time.Until(deadline).Milliseconds()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,12 +14,12 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/balance"
 	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/decision"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/snapshot"
 )
@@ -52,8 +52,9 @@
 	Retries RetryLimits
 	// DefaultDeadline bounds calls whose route names none.
 	DefaultDeadline time.Duration
-	Logger          logr.Logger
-	Registry        prometheus.Registerer
+	// Decisions receives the lines about requests; nil for none.
+	Decisions *decision.Log
+	Registry  prometheus.Registerer
 }
 
 // Gateway serves callers. Create it with New, serve with Serve.
@@ -208,34 +209,21 @@
 	route, err := g.handle(ctx, rc, conn, started)
 	code, _ := result.CodeOf(err)
 	g.metrics.calls.WithLabelValues(route.GetName(), code.String()).Inc()
-	if err == nil || rc.Response.GetHijackWriter() != nil {
+	if err == nil {
 		return
 	}
+	err = comeBack(err, route)
 	g.logFailure(rc, route, err, started)
-	g.writeFailure(rc, comeBack(err, route))
+	if rc.Response.GetHijackWriter() != nil {
+		// The answer had begun; the connection ends with it.
+		return
+	}
+	g.writeFailure(rc, err)
 	if g.stopping.Load() || result.Is(err, result.CallBadRequest) {
 		rc.SetConnectionClose()
 	}
 }
 
-// logFailure writes the line of a call that got no answer of a back end, with
-// what decided it.
-func (g *Gateway) logFailure(rc *app.RequestContext, route *lapisv1.Route, err error, started time.Time) {
-	code, _ := result.CodeOf(err)
-	revision := uint64(0)
-	if current := g.config.Snapshots.Current(); current != nil {
-		revision = current.Revision
-	}
-	name := g.config.Envelope.RequestID
-	request := ""
-	if name != "" {
-		request = string(rc.Request.Header.Peek(name))
-	}
-	g.config.Logger.Info("call.failed", "request", request, "route", route.GetName(), "revision", revision,
-		"code", uint32(code), "name", code.String(), "outcome", callapi.OutcomeOf(err),
-		"took_ms", time.Since(started).Milliseconds(), "detail", err)
-}
-
 // handle sees a request through. An error is answered by the caller unless the
 // answer has begun.
 func (g *Gateway) handle(ctx context.Context, rc *app.RequestContext, conn *callerConn, started time.Time) (*lapisv1.Route, error) {
@@ -269,7 +257,7 @@
 	watchCaller(conn, body, cancel)
 	defer g.releaseCaller(rc, conn, body)
 	attempt := &attempter{
-		gateway: g, current: current, route: route, body: body, started: started,
+		gateway: g, current: current, route: route, body: body, started: started, request: g.requestID(rc),
 		open:   g.openOf(rc, route, current.Revision, method, body),
 		attach: func(call *callapi.Call) { body.attach(call, rc) },
 	}
@@ -284,9 +272,15 @@
 			return err
 		}
 		g.metrics.latency.Observe(time.Since(started).Seconds())
+		attempt.logAnswer(done)
 		err = g.deliver(ctx, rc, attempt, done)
-		brokeOff := err != nil && rc.Response.GetHijackWriter() == nil
-		if !brokeOff || tries == defaultMaxAttempts-1 || !attempt.mayRetry(ctx, err) {
+		if err == nil {
+			return nil
+		}
+		begun := rc.Response.GetHijackWriter() != nil
+		again := !begun && tries < defaultMaxAttempts-1 && attempt.mayRetry(ctx, err)
+		attempt.logAttempt(ctx, done.target, err, again)
+		if !again {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/lab/explain.go
@@ -0,0 +1,102 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/lapisvane/lapisvane/internal/experiment"
+	"github.com/lapisvane/lapisvane/internal/explain"
+)
+
+// explainCommand tells from the log lines of several daemons what happened to
+// requests.
+type explainCommand struct {
+	Request string `long:"request" description:"id of one request; without it all that failed are summed up by cause"`
+	Files   struct {
+		Paths []string `positional-arg-name:"LOG" description:"files of log lines; '-' for standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander. It fails when the request is not in the
+// logs.
+func (c *explainCommand) Execute([]string) error {
+	if len(c.Files.Paths) == 0 {
+		return fmt.Errorf("name at least one file of log lines")
+	}
+	var lines []explain.Line
+	skipped := 0
+	for _, path := range c.Files.Paths {
+		read, passed, err := readLog(path)
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+		lines = append(lines, read...)
+		skipped += passed
+	}
+	journal := explain.NewJournal(lines)
+	if c.Request != "" {
+		return tellStory(journal, c.Request)
+	}
+	sumUp(journal, len(lines), skipped)
+	return nil
+}
+
+func readLog(path string) ([]explain.Line, int, error) {
+	if path == "-" {
+		return explain.Read(os.Stdin)
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { _ = file.Close() }()
+	return explain.Read(io.Reader(file))
+}
+
+// tellStory prints one request's lines in order and its cause.
+func tellStory(journal *explain.Journal, request string) error {
+	story := journal.Story(request)
+	if len(story) == 0 {
+		return fmt.Errorf("no line is about request %q; successes are sampled, failures too under load", request)
+	}
+	for _, line := range story {
+		pairs := []any{"at", line.At.Format("15:04:05.000"), "node", line.Node}
+		for _, field := range line.Fields {
+			if !slices.Contains([]string{"time", "level", "node", "event", "request"}, field.Key) {
+				pairs = append(pairs, field.Key, field.Value)
+			}
+		}
+		experiment.Results.Info(line.Event, pairs...)
+	}
+	verdict := journal.Explain(request)
+	experiment.Results.Info("explain.verdict", "request", request, "cause", string(verdict.Cause), "proof", verdict.Proof)
+	return nil
+}
+
+// sumUp counts the requests that failed by cause.
+func sumUp(journal *explain.Journal, lines, skipped int) {
+	failed := journal.Failed()
+	counts := map[explain.Cause]int{}
+	examples := map[explain.Cause]string{}
+	for _, request := range failed {
+		cause := journal.Explain(request).Cause
+		counts[cause]++
+		examples[cause] = request
+	}
+	causes := make([]explain.Cause, 0, len(counts))
+	for cause := range counts {
+		causes = append(causes, cause)
+	}
+	slices.SortFunc(causes, func(a, b explain.Cause) int { return counts[b] - counts[a] })
+	for _, cause := range causes {
+		experiment.Results.Info("explain.cause", "cause", string(cause), "requests", counts[cause], "example", examples[cause])
+	}
+	explained := len(failed) - counts[explain.CauseUnexplained]
+	share := 1.0
+	if len(failed) > 0 {
+		share = float64(explained) / float64(len(failed))
+	}
+	experiment.Results.Info("explain.finished", "lines", lines, "skipped", skipped, "failed", len(failed), "explained", explained, "share", share)
+}
--- a/internal/lab/main.go
+++ b/internal/lab/main.go
@@ -31,6 +31,7 @@
 		{"recovery", "measure recovery from each kind of fault", &distbench.RecoveryCommand{}},
 		{"requests", "measure the request path", &requestbench.RequestsCommand{}},
 		{"emulate", "play days on the emulated platform", &emulateCommand{}},
+		{"explain", "tell from log lines what happened to requests", &explainCommand{}},
 		{"hollow", "run hollow daemons for a scale run", &scalerun.HollowCommand{}},
 		{"scale", "drive a scale run; see scripts/scale.sh", &scalerun.ScaleCommand{}},
 		{"report", "fit slopes over scale runs and write a page with plots", &scalerun.ReportCommand{}},
--- a/internal/logging/sink.go
+++ b/internal/logging/sink.go
@@ -3,10 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
+	"math"
 	"strconv"
-	"strings"
-	"sync"
-	"time"
 
 	"github.com/go-logr/logr"
 )
@@ -14,102 +13,87 @@
 // timestampLayout is RFC 3339 with milliseconds, in UTC.
 const timestampLayout = "2006-01-02T15:04:05.000Z"
 
-// output serializes the lines of all loggers that share a writer.
-type output struct {
-	mutex  sync.Mutex
-	writer io.Writer
-}
+// Keys of lines; keyLogrError is what logr calls keyError.
+const (
+	keyEvent     = "event"
+	keyError     = "error"
+	keyLogrError = "err"
+)
 
-// sink is a logr.LogSink that renders key=value lines.
-type sink struct {
-	output    *output
-	prefix    string
-	verbosity int
-	timestamp bool
-}
+// Names of the levels in lines.
+const (
+	levelDebug = "debug"
+	levelInfo  = "info"
+	levelError = "error"
+)
 
 // New returns a logger that writes events up to verbosity to writer, each with
-// the time of day.
+// the time of day. The text handler of log/slog renders the lines.
 func New(writer io.Writer, verbosity int) logr.Logger {
-	return logr.New(&sink{output: &output{writer: writer}, verbosity: verbosity, timestamp: true})
+	return logr.FromSlogHandler(slog.NewTextHandler(writer, &slog.HandlerOptions{
+		// logr hands the verbosity on as a negative level.
+		Level:       slog.Level(-verbosity),
+		ReplaceAttr: render,
+	}))
 }
 
-// NewPlain returns a logger without timestamps, for results that are compared
-// or shown on a console.
+// NewPlain returns a logger without time and level, for results that are
+// compared or shown on a console.
 func NewPlain(writer io.Writer) logr.Logger {
-	return logr.New(&sink{output: &output{writer: writer}})
-}
-
-// Init implements logr.LogSink.
-func (s *sink) Init(logr.RuntimeInfo) {}
-
-// Enabled implements logr.LogSink.
-func (s *sink) Enabled(level int) bool { return level <= s.verbosity }
-
-// Info implements logr.LogSink; message is the event's name.
-func (s *sink) Info(_ int, message string, pairs ...any) {
-	s.write("info", message, pairs)
+	return logr.FromSlogHandler(slog.NewTextHandler(writer, &slog.HandlerOptions{
+		ReplaceAttr: func(groups []string, attribute slog.Attr) slog.Attr {
+			if attribute.Key == slog.TimeKey || attribute.Key == slog.LevelKey {
+				return slog.Attr{}
+			}
+			return render(groups, attribute)
+		},
+	}))
 }
 
-// Error implements logr.LogSink.
-func (s *sink) Error(err error, message string, pairs ...any) {
-	if err != nil {
-		pairs = append(append([]any{}, pairs...), "error", err.Error())
+// render gives the handler's own fields their names here, and values a form on
+// one line.
+func render(_ []string, attribute slog.Attr) slog.Attr {
+	switch attribute.Key {
+	case slog.MessageKey:
+		attribute.Key = keyEvent
+		return attribute
+	case slog.TimeKey:
+		attribute.Value = slog.StringValue(attribute.Value.Time().UTC().Format(timestampLayout))
+		return attribute
+	case slog.LevelKey:
+		attribute.Value = slog.StringValue(levelName(attribute.Value))
+		return attribute
 	}
-	s.write("error", message, pairs)
-}
-
-// WithValues implements logr.LogSink.
-func (s *sink) WithValues(pairs ...any) logr.LogSink {
-	copied := *s
-	copied.prefix = s.prefix + renderPairs(pairs)
-	return &copied
-}
-
-// WithName implements logr.LogSink.
-func (s *sink) WithName(name string) logr.LogSink {
-	return s.WithValues("component", name)
-}
-
-func (s *sink) write(level, event string, pairs []any) {
-	var line strings.Builder
-	if s.timestamp {
-		fmt.Fprintf(&line, "time=%s level=%s ", time.Now().UTC().Format(timestampLayout), level)
+	if attribute.Key == keyLogrError {
+		attribute.Key = keyError
 	}
-	line.WriteString("event=" + quote(event))
-	line.WriteString(s.prefix)
-	line.WriteString(renderPairs(pairs))
-	line.WriteByte('\n')
-	s.output.mutex.Lock()
-	defer s.output.mutex.Unlock()
-	_, _ = io.WriteString(s.output.writer, line.String())
-}
-
-func renderPairs(pairs []any) string {
-	var text strings.Builder
-	for index := 0; index+1 < len(pairs); index += 2 {
-		fmt.Fprintf(&text, " %v=%s", pairs[index], quote(renderValue(pairs[index+1])))
+	switch value := attribute.Value.Any().(type) {
+	case float64:
+		attribute.Value = slog.StringValue(decimal(value))
+	case error:
+		attribute.Value = slog.StringValue(value.Error())
+	case fmt.Stringer:
+		attribute.Value = slog.StringValue(value.String())
 	}
-	return text.String()
+	return attribute
 }
 
-func renderValue(value any) string {
-	switch typed := value.(type) {
-	case float64:
-		return strconv.FormatFloat(typed, 'f', 3, 64)
-	case fmt.Stringer:
-		return typed.String()
-	case error:
-		return typed.Error()
-	default:
-		return fmt.Sprint(value)
+// decimal renders a number with three decimals.
+func decimal(value float64) string {
+	if math.IsNaN(value) {
+		return "NaN"
 	}
+	return strconv.FormatFloat(value, 'f', 3, 64)
 }
 
-// quote puts a value in double quotes when a plain word would be ambiguous.
-func quote(value string) string {
-	if value == "" || strings.ContainsAny(value, " \t\r\n\"=") {
-		return strconv.Quote(value)
+func levelName(value slog.Value) string {
+	level, ok := value.Any().(slog.Level)
+	switch {
+	case !ok || level == slog.LevelInfo:
+		return levelInfo
+	case level > slog.LevelInfo:
+		return levelError
+	default:
+		return levelDebug
 	}
-	return value
 }
--- /dev/null
+++ b/internal/metrics/direct.go
@@ -0,0 +1,64 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lapisvane/lapisvane/internal/admission"
+	"github.com/lapisvane/lapisvane/internal/configsource"
+	"github.com/lapisvane/lapisvane/internal/fleet"
+	"github.com/lapisvane/lapisvane/internal/origin"
+)
+
+// Direct are the parts of a daemon on a platform that are measured.
+type Direct struct {
+	Fleet    *fleet.Fleet
+	Follower *configsource.Follower
+	Origin   *origin.Origin
+	// InForce returns the revision in force and since when it is; 0 before the
+	// first.
+	InForce func() (revision uint64, since time.Time)
+	// Ready reports whether callers may be sent here.
+	Ready func() bool
+}
+
+// RegisterDirect adds the metrics of a daemon on a platform to registry.
+func RegisterDirect(registry *prometheus.Registry, sources Direct) {
+	gauge(registry, "lapisvane_revision_in_force", "Revision in force, 0 before the first.", func() float64 {
+		revision, _ := sources.InForce()
+		return float64(revision)
+	})
+	gauge(registry, "lapisvane_revision_age_seconds", "Time since the revision came in force.", func() float64 {
+		revision, since := sources.InForce()
+		if revision == 0 {
+			return 0
+		}
+		return time.Since(since).Seconds()
+	})
+	gauge(registry, "lapisvane_ready", "1 while callers may be sent here.", func() float64 { return truth(sources.Ready()) })
+	gauge(registry, "lapisvane_members_known", "Other daemons known.", func() float64 { return float64(sources.Fleet.Known()) })
+	gauge(registry, "lapisvane_members_connected", "Daemons that calls can be sent to.",
+		func() float64 { return float64(sources.Fleet.Connected()) })
+	counter(registry, "lapisvane_source_questions_total", "Questions to the configuration source.",
+		func() float64 { return float64(sources.Follower.Asked.Load()) })
+	counter(registry, "lapisvane_source_failures_total", "Questions to the configuration source that failed.",
+		func() float64 { return float64(sources.Follower.Failed.Load()) })
+	occupancy := func(read func(admission.Occupancy) int) func() float64 {
+		return func() float64 {
+			total := 0
+			for _, instance := range sources.Origin.Instances() {
+				total += read(instance.Occupancy())
+			}
+			return float64(total)
+		}
+	}
+	gauge(registry, "lapisvane_origin_running", "Calls that hold a slot of the instances beside the daemon.",
+		occupancy(func(o admission.Occupancy) int { return o.Running }))
+	gauge(registry, "lapisvane_origin_waiting", "Calls that wait for a slot.",
+		occupancy(func(o admission.Occupancy) int { return o.Waiting }))
+	gauge(registry, "lapisvane_origin_slots", "Calls that the instances may work on at once.",
+		occupancy(func(o admission.Occupancy) int { return o.Limit }))
+	gauge(registry, "lapisvane_origin_withdrawn", "Instances that left and are remembered.",
+		func() float64 { return float64(len(sources.Origin.Withdrawn())) })
+}
--- /dev/null
+++ b/internal/origin/decisions.go
@@ -0,0 +1,81 @@
+package origin
+
+import (
+	"strings"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/admission"
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Names of the origin's events; docs/OPERATIONS.md lists their keys.
+const (
+	// eventRefused is for a call that did not run, eventBroke for one that may
+	// have, eventAnswered for one that was answered.
+	eventRefused  = "origin.refused"
+	eventBroke    = "origin.broke"
+	eventAnswered = "origin.answered"
+)
+
+// requestID returns the caller's id of the request that a call is for; empty
+// where there is none.
+func (o *Origin) requestID(call *callapi.Call) string {
+	name := o.config.Envelope.RequestID
+	if name == "" {
+		return ""
+	}
+	for _, field := range call.Open.GetHeaders() {
+		if strings.EqualFold(field.GetName(), name) {
+			return field.GetValue()
+		}
+	}
+	return ""
+}
+
+// logFailure writes the line of a call that got no answer, with what the
+// instance had to do then.
+func (o *Origin) logFailure(call *callapi.Call, err error, began time.Time) {
+	open := call.Open
+	event := eventBroke
+	if callapi.OutcomeOf(err) == callapi.OutcomeNotRun {
+		event = eventRefused
+	}
+	var occupancy admission.Occupancy
+	var state State
+	beatAge := time.Duration(0)
+	if instance, ok := o.instance(open.GetService(), open.GetInstance()); ok {
+		occupancy = instance.queue.Occupancy()
+		state = instance.State()
+		beatAge = instance.beatAge()
+	}
+	code, _ := result.CodeOf(err)
+	o.config.Decisions.Failure(event, o.requestID(call),
+		"attempt", open.GetAttemptId(), "instance", open.GetInstance(), "state", string(state),
+		"code", uint32(code), "name", code, "running", occupancy.Running, "waiting", occupancy.Waiting,
+		"limit", occupancy.Limit, "service_ms", occupancy.MeanService.Milliseconds(), "beat_age_ms", beatAge.Milliseconds(),
+		"may_wait_ms", open.GetMaxWaitMillis(), "given_ms", open.GetDeadlineMillis(),
+		"took_ms", time.Since(began).Milliseconds(), "detail", err)
+}
+
+// logAnswer writes the line of a call that the instance answered.
+func (o *Origin) logAnswer(instance *Instance, call *callapi.Call, answer *callapi.Answer, waited time.Duration) {
+	o.config.Decisions.Success(eventAnswered, o.requestID(call), func() []any {
+		return []any{
+			"attempt", call.Open.GetAttemptId(), "instance", instance.Name, "status", answer.Head.GetStatus(),
+			"waited_ms", waited.Milliseconds(), "service_ms", float64(answer.Head.GetServiceMicros()) / 1000,
+			"load", float64(answer.Head.GetLoad()),
+		}
+	})
+}
+
+// beatAge returns how long ago the instance stated itself; 0 for one that does
+// not.
+func (i *Instance) beatAge() time.Duration {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.lastBeat.IsZero() {
+		return 0
+	}
+	return time.Since(i.lastBeat)
+}
--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -83,6 +83,9 @@
 	return i.lifecycle.MustState().(State)
 }
 
+// Occupancy returns how much of the instance is in use.
+func (i *Instance) Occupancy() admission.Occupancy { return i.queue.Occupancy() }
+
 // advertised returns the state to announce to other daemons.
 func (i *Instance) advertised() lapisv1.Endpoint_State {
 	switch i.State() {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -7,9 +7,12 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/admission"
 	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/decision"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/snapshot"
 )
@@ -32,6 +35,10 @@
 	Envelope callapi.Envelope
 	// Changed is called when the state of an instance changed.
 	Changed func()
+	// Decisions receives the lines about requests, nil for none, and Logger
+	// those about instances.
+	Decisions *decision.Log
+	Logger    logr.Logger
 }
 
 // instanceKey names an instance.
@@ -67,6 +74,9 @@
 	if config.Envelope == (callapi.Envelope{}) {
 		config.Envelope = callapi.DefaultEnvelope
 	}
+	if config.Logger.GetSink() == nil {
+		config.Logger = logr.Discard()
+	}
 	if config.Changed == nil {
 		config.Changed = func() {}
 	}
@@ -114,6 +124,7 @@
 	o.mutex.Lock()
 	delete(o.instances, instanceKey{instance.Service, instance.Name})
 	o.mutex.Unlock()
+	o.config.Logger.Info("instance.dropped", "instance", instance.Name, "service", instance.Service, "state", string(instance.State()))
 	instance.queue.Close(result.Errorf(result.CallNotRunDraining, "instance %s left", instance.Name))
 	instance.backend.pool.closeOld(true)
 	o.config.Changed()
@@ -213,10 +224,14 @@
 
 // Handle implements callapi.Handler.
 func (o *Origin) Handle(ctx context.Context, call *callapi.Call) (*callapi.Answer, error) {
+	began := time.Now()
 	answer, err := o.handle(ctx, call)
 	if callapi.OutcomeOf(err) == callapi.OutcomeNotRun {
 		o.count(func(c *Counts) { c.Refused++ })
 	}
+	if err != nil {
+		o.logFailure(call, err, began)
+	}
 	return answer, err
 }
 
@@ -283,11 +298,16 @@
 	if err != nil {
 		return nil, err
 	}
+	waited := time.Since(now)
 	if !o.attempts.Start(open.GetAttemptId()) {
 		slot.Release(false)
 		return nil, result.Errorf(result.CallNotRunDuplicate, "attempt %s was fenced", open.GetAttemptId())
 	}
-	return o.run(ctx, instance, slot, call)
+	answer, err := o.run(ctx, instance, slot, call)
+	if err == nil {
+		o.logAnswer(instance, call, answer, waited)
+	}
+	return answer, err
 }
 
 func (o *Origin) run(ctx context.Context, instance *Instance, slot *admission.Slot, call *callapi.Call) (*callapi.Answer, error) {
@@ -311,7 +331,8 @@
 	head := headOf(response)
 	head.Load = instance.queue.Load()
 	head.ServiceMicros = uint32(time.Since(handed).Microseconds())
-	body := &answerBody{ctx: ctx, body: response.Body, slot: slot}
+	broke := func(err error) { o.logFailure(call, err, handed) }
+	body := &answerBody{body: response.Body, slot: slot, broke: broke}
 	return &callapi.Answer{
 		Head: head, Body: body,
 		Trailers: func() []*lapisv1.HeaderField { return fieldsOf(response.Trailer) },
@@ -347,9 +368,10 @@
 
 // answerBody gives the slot back when the answer has been read.
 type answerBody struct {
-	ctx  context.Context
 	body io.ReadCloser
 	slot *admission.Slot
+	// broke is called when the answer breaks off.
+	broke func(error)
 }
 
 func (a *answerBody) Read(buffer []byte) (int, error) {
@@ -359,6 +381,7 @@
 	}
 	if err != nil && err != io.EOF {
 		err = result.Wrap(result.CallTruncated, err, "the answer broke off")
+		a.broke(err)
 	}
 	return count, err
 }
--- a/internal/origin/registration.go
+++ b/internal/origin/registration.go
@@ -74,6 +74,9 @@
 	}
 	o.instances[key] = instance
 	o.watch(instance)
+	o.config.Logger.Info("instance.registered", "instance", instance.Name, "service", instance.Service,
+		"address", registration.Address, "slots", registration.Slots, "sequence", registration.Sequence,
+		"cold_ms", registration.ColdFor.Milliseconds())
 	return instance, true
 }
 
@@ -99,6 +102,7 @@
 		}
 	}
 	if !before {
+		o.config.Logger.Info("instance.leaving", "instance", name)
 		o.config.Changed()
 	}
 }
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -54,6 +54,9 @@
 	StopLimit features.Duration `json:"stop_limit"`
 	// Verbosity of the log: 0 events, 1 debugging.
 	Verbosity int `json:"verbosity"`
+	// DecisionLinesPerSecond is the volume of lines about requests from which
+	// these are sampled more sparsely; 0 for none at all.
+	DecisionLinesPerSecond int `json:"decision_lines_per_second"`
 
 	tunables features.Distribution
 }
@@ -110,6 +113,10 @@
 	ProfileBytes       = "bytes"
 )
 
+// decisionLinesPerSecond bounds the lines about requests where a file says
+// nothing.
+const decisionLinesPerSecond = 200
+
 // DefaultDaemon returns the settings that hold where a file says nothing.
 func DefaultDaemon() Daemon {
 	return Daemon{
@@ -121,6 +128,8 @@
 		},
 		Platform:  Platform{Contact: features.Duration(3 * time.Second)},
 		StopLimit: features.Duration(10 * time.Minute),
+
+		DecisionLinesPerSecond: decisionLinesPerSecond,
 	}
 }
 
@@ -170,6 +179,9 @@
 	check.positive("calls.queue_length", float64(d.Calls.QueueLength))
 	check.positive("calls.queue_time", float64(d.Calls.QueueTime))
 	check.positive("stop_limit", float64(d.StopLimit))
+	if d.DecisionLinesPerSecond < 0 {
+		check.faults.Add(result.SettingsBadNumber, "decision_lines_per_second: %d is negative", d.DecisionLinesPerSecond)
+	}
 	if d.Verbosity < 0 {
 		check.faults.Add(result.SettingsBadNumber, "verbosity: %d is negative", d.Verbosity)
 	}
