Pace the questions to the source by the bound for a configuration

A field that a deployment leaves out keeps its default instead of making the settings unusable. Test: TestSourcePace.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -24,6 +24,11 @@
 	// callersLeave is how long callers may still come after the daemon said
 	// that it is not ready.
 	callersLeave = 2500 * time.Millisecond
+	// readShare is the part of what the source bears that daemons plan to use.
+	readShare = 0.5
+	// coalescePart is the part of the bound for a configuration that a daemon
+	// waits between two questions to the source.
+	coalescePart = 5
 	// answersLeave is how long the last answers are given to leave the machine.
 	answersLeave = 100 * time.Millisecond
 )
@@ -110,14 +115,22 @@
 	return p.daemon.settings.Load().Platform.Contact.Get() * 4 / 5
 }
 
-// pace is the least time between two questions to the source, so that all
-// daemons together use half of what it bears.
+// pace is the least time between two questions to the source: so that all daemons
+// together use half of what it bears, and so that configurations in quick
+// succession are taken in a few at a time, well within their bound.
 func (p *direct) pace() time.Duration {
-	rate := p.daemon.settings.Load().Platform.ReadsPerSecond / 2
-	if rate <= 0 {
-		return 0
+	platform := p.daemon.settings.Load().Platform
+	return sourcePace(int(p.members.Load()), platform.ReadsPerSecond, platform.ApplyBound.Get())
+}
+
+// sourcePace returns the least time between two questions of one of so many
+// daemons to a source that bears so many reads a second.
+func sourcePace(daemons int, readsPerSecond float64, applyBound time.Duration) time.Duration {
+	pace := applyBound / coalescePart
+	if readsPerSecond > 0 {
+		pace = max(pace, time.Duration(float64(daemons)/(readsPerSecond*readShare)*float64(time.Second)))
 	}
-	return time.Duration(float64(p.members.Load()) / rate * float64(time.Second))
+	return pace
 }
 
 // ready reports whether callers may be sent here.
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -74,6 +74,9 @@
 	// Contact is the time after which a daemon that reaches the platform again
 	// must know what it knows.
 	Contact features.Duration `json:"contact"`
+	// ApplyBound is the time in which an accepted configuration must be in
+	// force on every daemon in touch.
+	ApplyBound features.Duration `json:"apply_bound"`
 }
 
 // Retries bounds the retries of each service.
@@ -126,7 +129,7 @@
 			QueueLength:     64,
 			QueueTime:       features.Duration(250 * time.Millisecond),
 		},
-		Platform:  Platform{Contact: features.Duration(3 * time.Second)},
+		Platform:  Platform{Contact: features.Duration(3 * time.Second), ApplyBound: features.Duration(2 * time.Second)},
 		StopLimit: features.Duration(10 * time.Minute),
 
 		DecisionLinesPerSecond: decisionLinesPerSecond,
@@ -204,6 +207,7 @@
 		}
 	}
 	check.positive("platform.contact", float64(d.Platform.Contact))
+	check.positive("platform.apply_bound", float64(d.Platform.ApplyBound))
 	if d.Platform.Form != "" && d.OperatorAddress != "" {
 		check.faults.Add(result.SettingsBadAddress, "operator_address: operators write to the platform's own store")
 	}
