Emulator: a store that turns some machines away, and a fault soak

Change: each machine reaches the store at an address of its own, and faults may be bound to some of these.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # make demo  builds everything and shows the main job on embedded stand-ins
 # make test  runs every check and every test
-.PHONY: demo test check unit fuzz generate bench-convergence bench-recovery bench-requests scale emulate
+.PHONY: demo test check unit fuzz generate bench-convergence bench-recovery bench-requests scale emulate soak
 
 GO ?= go
 
@@ -39,6 +39,11 @@
 emulate:
 	$(GO) run ./cmd/lapislab emulate
 
+# The fault soak: days with fresh seeds for SOAK; a failing seed is printed.
+SOAK ?= 5m
+soak:
+	$(GO) run -race ./cmd/lapislab emulate --for $(SOAK) --faults 8
+
 # HOLLOW sets the number of hollow daemons, REAL that of lapisvaned processes.
 scale:
 	bash scripts/scale.sh
--- a/internal/emulator/day/day_test.go
+++ b/internal/emulator/day/day_test.go
@@ -255,6 +255,33 @@
 	}
 }
 
+// The store turns some machines away while it serves the others and the
+// operator: a new version comes in force on all of them all the same, and one of
+// those that starts meanwhile serves too.
+func TestStoreTurnsSomeMachinesAway(t *testing.T) {
+	for name, faults := range map[string]objectstore.Faults{
+		"refused": {Down: true},
+		"ignored": {Silent: true},
+		"reset":   {Reset: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			site, tally, stop := start(t)
+			awaitServed(t, tally, 50)
+			site.FailStoreFor(faults, site.Machines[:3]...)
+			version, err := site.Declare(routes)
+			assert.NilError(t, err)
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			assert.NilError(t, site.AwaitInForce(ctx, version))
+			assert.NilError(t, site.Machines[0].Kill(50*time.Millisecond))
+			assert.NilError(t, site.AwaitReady(ctx))
+			awaitServed(t, tally, 100)
+			stop()
+			keepsPromises(t, site)
+		})
+	}
+}
+
 // The store hears nothing of a change and forgets its history.
 func TestForgottenHistory(t *testing.T) {
 	site, tally, stop := start(t)
--- a/internal/emulator/day/machine.go
+++ b/internal/emulator/day/machine.go
@@ -27,8 +27,9 @@
 	Service string
 
 	site *Site
-	// host is the machine's own loopback address.
-	host string
+	// host is the machine's own loopback address, and store where the store
+	// serves it.
+	host, store string
 	// daemons is held while the daemon is ended and started again, beside while
 	// the instance is.
 	daemons, beside sync.Mutex
@@ -59,9 +60,9 @@
 	config.InstanceAddress = m.address(portInstances)
 	config.ReadinessAddress = m.address(portReadiness)
 	config.Platform = settings.Platform{
-		Form: platform.Form, Addresses: []string{m.site.Store.Address()},
+		Form: platform.Form, Addresses: []string{m.store},
 		ReadsPerSecond: m.site.options.ReadsPerSecond, WritesPerSecond: m.site.options.WritesPerSecond,
-		Contact: features.Duration(m.site.options.Contact),
+		Contact: features.Duration(m.site.options.Contact), ApplyBound: features.Duration(m.site.options.ApplyBound),
 	}
 	config.Retries = settings.Retries{Fraction: 0.2, Burst: 64}
 	config.StopLimit = features.Duration(m.site.options.Grace)
@@ -70,7 +71,7 @@
 		return err
 	}
 	logger := m.site.options.Logger
-	started, err := daemon.New(&config, daemon.Options{Logger: logger, Platform: platform.New(m.site.Store.Address(), logger)})
+	started, err := daemon.New(&config, daemon.Options{Logger: logger, Platform: platform.New(m.store, logger)})
 	if err != nil {
 		return err
 	}
@@ -240,7 +241,10 @@
 	Beat        time.Duration
 	ColdFor     time.Duration
 	Contact     time.Duration
-	Grace       time.Duration
+	// ApplyBound is the time in which daemons are told that a configuration must
+	// be in force.
+	ApplyBound time.Duration
+	Grace      time.Duration
 	// DrainBound is the time after which a leaving instance gets nothing.
 	DrainBound                      time.Duration
 	ReadsPerSecond, WritesPerSecond float64
@@ -261,7 +265,7 @@
 			{"a", "desk"}, {"b", "desk"}, {"c", "desk"}, {"a", "yard"}, {"b", "yard"}, {"c", "yard"},
 		},
 		Slots: 6, ServiceTime: 10 * time.Millisecond, Beat: 200 * time.Millisecond, ColdFor: 300 * time.Millisecond,
-		Contact: 1500 * time.Millisecond, Grace: 4 * time.Second, DrainBound: time.Second,
+		Contact: 1500 * time.Millisecond, ApplyBound: time.Second, Grace: 4 * time.Second, DrainBound: time.Second,
 		ReadsPerSecond: 2000, WritesPerSecond: 400, Logger: logr.Discard(), DecisionLines: 200, Seed: 1,
 	}
 }
--- a/internal/emulator/day/play.go
+++ b/internal/emulator/day/play.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 	FaultStoreSilent     FaultKind = "store-silent"
 	FaultStoreSlow       FaultKind = "store-slow"
 	FaultStoreForgets    FaultKind = "store-forgets"
+	FaultStoreRefuses    FaultKind = "store-refuses-some"
+	FaultStoreIgnores    FaultKind = "store-ignores-some"
 	FaultWritesLost      FaultKind = "writes-lost"
 	FaultConfigStorm     FaultKind = "config-storm"
 )
@@ -39,7 +42,7 @@
 // FaultKinds lists all disturbances.
 var FaultKinds = []FaultKind{
 	FaultDaemonKill, FaultDaemonStop, FaultHerdKill, FaultInstanceCrash, FaultInstanceRelease, FaultInstanceSlow,
-	FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten, FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreForgets,
+	FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten, FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreForgets, FaultStoreRefuses, FaultStoreIgnores,
 	FaultWritesLost, FaultConfigStorm,
 }
 
@@ -191,7 +194,7 @@
 		pause.For(ctx, fault.For)
 		machine.Instance().Set(instance.Behaviour{})
 	default:
-		p.disturbStore(ctx, fault)
+		p.disturbStore(ctx, fault, random)
 	}
 }
 
@@ -214,10 +217,14 @@
 
 // disturbStore puts one fault of the store in force for its time. One at a time
 // is in force, since they replace each other.
-func (p *play) disturbStore(ctx context.Context, fault Fault) {
+func (p *play) disturbStore(ctx context.Context, fault Fault, random *rand.Rand) {
 	p.stores.Lock()
 	defer p.stores.Unlock()
 	switch fault.Kind {
+	case FaultStoreRefuses:
+		p.site.FailStoreFor(objectstore.Faults{Down: true}, p.half(random)...)
+	case FaultStoreIgnores:
+		p.site.FailStoreFor(objectstore.Faults{Silent: true}, p.half(random)...)
 	case FaultStoreForgets:
 		p.site.Store.SetFaults(objectstore.Faults{Deaf: true})
 		pause.For(ctx, fault.For/4)
@@ -237,6 +244,13 @@
 	p.site.Store.SetFaults(objectstore.Faults{})
 }
 
+// half returns half of the machines, drawn by random.
+func (p *play) half(random *rand.Rand) []*Machine {
+	machines := slices.Clone(p.site.Machines)
+	random.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
+	return machines[:(len(machines)+1)/2]
+}
+
 func (p *play) herd(down time.Duration) {
 	var kills sync.WaitGroup
 	for index, machine := range p.site.Machines {
--- a/internal/emulator/day/site.go
+++ b/internal/emulator/day/site.go
@@ -48,6 +48,9 @@
 			Name: fmt.Sprintf("machine-%s-%d", placement.Zone, index+1), Zone: placement.Zone, Service: placement.Service, site: site, host: newHost(),
 		}
 		site.Machines = append(site.Machines, machine)
+		if machine.store, err = store.ListenAlso("127.0.0.1:0"); err != nil {
+			return site, err
+		}
 		if err := machine.start(); err != nil {
 			return site, err
 		}
@@ -72,6 +75,16 @@
 	s.Store.Close()
 }
 
+// FailStoreFor puts faults of the store in force for some machines, while it
+// serves the others and the operator.
+func (s *Site) FailStoreFor(faults objectstore.Faults, machines ...*Machine) {
+	faults.Only = map[string]bool{}
+	for _, machine := range machines {
+		faults.Only[machine.store] = true
+	}
+	s.Store.SetFaults(faults)
+}
+
 // services returns the services of the site, each once.
 func (s *Site) services() []string {
 	seen := map[string]bool{}
--- a/internal/emulator/objectstore/server.go
+++ b/internal/emulator/objectstore/server.go
@@ -44,9 +44,20 @@
 	Late       bool
 	// Deaf keeps the watches from hearing of changes.
 	Deaf bool
-	// RefuseFrom holds the local addresses' hosts whose calls get 503, while
-	// others are served.
-	RefuseFrom map[string]bool
+	// Only are the addresses, as ListenAlso returned them, at which the faults
+	// strike while the store serves all others; empty for everywhere.
+	Only map[string]bool
+}
+
+// struck reports whether calls are not served.
+func (f Faults) struck() bool { return f.Down || f.Silent || f.Reset }
+
+// at returns the faults as they strike at an address.
+func (f Faults) at(address string) Faults {
+	if len(f.Only) > 0 && !f.Only[address] {
+		return Faults{}
+	}
+	return f
 }
 
 // Options configure a Server.
@@ -72,8 +83,8 @@
 	mutex  sync.Mutex
 	faults Faults
 	random *rand.Rand
-	// cut is closed and replaced to end the waiting watches.
-	cut chan struct{}
+	// cuts are closed and replaced to end the watches that wait at an address.
+	cuts map[string]chan struct{}
 
 	calls, refused atomic.Int64
 }
@@ -87,7 +98,7 @@
 	server := &Server{
 		table: newTable(), listener: listener,
 		reads: limiter(options.ReadsPerSecond), writes: limiter(options.WritesPerSecond),
-		random: rand.New(rand.NewPCG(options.Seed, 1)), cut: make(chan struct{}),
+		random: rand.New(rand.NewPCG(options.Seed, 1)), cuts: map[string]chan struct{}{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathObjects, server.serve)
@@ -96,6 +107,17 @@
 	return server, nil
 }
 
+// ListenAlso serves at another address too, so that faults may strike there only.
+// It returns the address.
+func (s *Server) ListenAlso(address string) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", result.Wrap(result.SettingsBadAddress, err, "listening on %s", address)
+	}
+	go func() { _ = s.http.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
 func limiter(perSecond float64) *rate.Limiter {
 	if perSecond <= 0 {
 		return rate.NewLimiter(rate.Inf, 0)
@@ -116,7 +138,7 @@
 	defer s.mutex.Unlock()
 	s.faults = faults
 	if faults.Down || faults.Reset || faults.Silent {
-		s.cutWatches()
+		s.cutWatches(faults)
 	}
 }
 
@@ -125,13 +147,18 @@
 	s.table.forget()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.cutWatches()
+	s.cutWatches(Faults{Reset: true})
 }
 
-// cutWatches ends the waiting watches; the caller holds mutex.
-func (s *Server) cutWatches() {
-	close(s.cut)
-	s.cut = make(chan struct{})
+// cutWatches ends the watches that wait where the faults strike; the caller holds
+// mutex.
+func (s *Server) cutWatches(faults Faults) {
+	for address, cut := range s.cuts {
+		if faults.at(address).struck() {
+			close(cut)
+			delete(s.cuts, address)
+		}
+	}
 }
 
 // Calls returns the calls taken and those refused for the rate.
@@ -155,18 +182,24 @@
 
 // disturbance is what the faults do to one call.
 type disturbance struct {
-	faults Faults
-	lose   bool
-	late   time.Duration
-	cut    <-chan struct{}
+	faults  Faults
+	lose    bool
+	late    time.Duration
+	cut     <-chan struct{}
+	address string
 }
 
-func (s *Server) disturb() disturbance {
+// disturb returns what the faults do to a call at an address.
+func (s *Server) disturb(address string) disturbance {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	disturbed := disturbance{faults: s.faults, cut: s.cut}
-	disturbed.lose = s.random.Float64() < s.faults.LoseWrites
-	if s.faults.Late {
+	if s.cuts[address] == nil {
+		s.cuts[address] = make(chan struct{})
+	}
+	faults := s.faults.at(address)
+	disturbed := disturbance{faults: faults, cut: s.cuts[address], address: address}
+	disturbed.lose = s.random.Float64() < faults.LoseWrites
+	if faults.Late {
 		disturbed.late = lateMin + time.Duration(s.random.Float64()*float64(lateSpread))
 	}
 	return disturbed
@@ -174,7 +207,7 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.calls.Add(1)
-	disturbed := s.disturb()
+	disturbed := s.disturb(localAddress(r))
 	if !s.admit(w, r, disturbed) {
 		return
 	}
@@ -189,7 +222,6 @@
 // admit applies the faults that keep a call from being done, and the rates.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request, disturbed disturbance) bool {
 	faults := disturbed.faults
-	host, _, _ := net.SplitHostPort(r.RemoteAddr)
 	switch {
 	case faults.Silent:
 		<-r.Context().Done()
@@ -197,7 +229,7 @@
 	case faults.Reset:
 		hangUp(w)
 		return false
-	case faults.Down || faults.RefuseFrom[host]:
+	case faults.Down:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return false
 	}
@@ -242,7 +274,7 @@
 	defer timer.Stop()
 	for {
 		changes, changed, gone := s.table.since(kind, after)
-		deaf := s.disturb().faults.Deaf
+		deaf := s.disturb(disturbed.address).faults.Deaf
 		switch {
 		case gone:
 			w.WriteHeader(http.StatusGone)
@@ -322,6 +354,15 @@
 	}
 }
 
+// localAddress is where a call came in.
+func localAddress(r *http.Request) string {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		return ""
+	}
+	return local.String()
+}
+
 // splitPath splits /objects/KIND/NAME/PART.
 func splitPath(path string) (kind, name, part string) {
 	pieces := strings.SplitN(strings.TrimPrefix(path, platform.PathObjects), "/", 3)
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -17,6 +17,7 @@
 	Days   int           `long:"days" description:"days to play, each with the next seed" default:"1"`
 	Length time.Duration `long:"length" description:"length of a day" default:"10s"`
 	Faults int           `long:"faults" description:"disturbances of a day" default:"5"`
+	For    time.Duration `long:"for" description:"play days with fresh seeds for so long, instead of --days"`
 	Kinds  []string      `long:"kind" description:"kind of disturbance to draw; may be given several times, all by default"`
 }
 
@@ -32,10 +33,14 @@
 		seed = uint64(time.Now().UnixNano())
 	}
 	broken := 0
-	for index := range max(c.Days, 1) {
+	started := time.Now()
+	for index := 0; c.another(index, time.Since(started)); index++ {
 		count, err := playDay(day.StandardPlan(seed+uint64(index), c.Length, c.Faults, kinds))
 		if err != nil {
-			return err
+			return fmt.Errorf("seed %d: %w", seed+uint64(index), err)
+		}
+		if count > 0 {
+			experiment.Results.Info("emulate.again", "seed", seed+uint64(index), "length", c.Length, "faults", c.Faults)
 		}
 		broken += count
 	}
@@ -45,6 +50,15 @@
 	return nil
 }
 
+// another reports whether one more day is played after so many, which took so
+// long.
+func (c *emulateCommand) another(played int, took time.Duration) bool {
+	if c.For > 0 {
+		return took < c.For
+	}
+	return played < max(c.Days, 1)
+}
+
 func (c *emulateCommand) kinds() ([]day.FaultKind, error) {
 	if len(c.Kinds) == 0 {
 		return day.FaultKinds, nil
