--- a/internal/joining/joining.go
+++ b/internal/joining/joining.go
@@ -1,6 +1,5 @@
 // Package joining decides whether a daemon takes in a child, and where a child
-// that it does not take should go. The decisions are pure, so that the
-// simulation of a large fleet runs the same code as the daemons.
+// that it does not take should go. The decisions are pure.
 package joining
 
 import (
--- a/internal/lab/main.go
+++ b/internal/lab/main.go
@@ -9,7 +9,6 @@
 	"github.com/lapisvane/lapisvane/internal/distbench"
 	"github.com/lapisvane/lapisvane/internal/requestbench"
 	"github.com/lapisvane/lapisvane/internal/scalerun"
-	"github.com/lapisvane/lapisvane/internal/simulation"
 	"github.com/lapisvane/lapisvane/internal/testsite"
 )
 
@@ -35,7 +34,6 @@
 		{"hollow", "run hollow daemons for a scale run", &scalerun.HollowCommand{}},
 		{"scale", "drive a scale run; see scripts/scale.sh", &scalerun.ScaleCommand{}},
 		{"report", "fit slopes over scale runs and write a page with plots", &scalerun.ReportCommand{}},
-		{"simulate", "simulate a fleet under virtual time", &simulation.SimulateCommand{}},
 		{"error-table", "print the page of result codes", &errorTableCommand{}},
 		{"fault", "switch faults of a running platform stand-in", &faultCommand{}},
 	}
