--- a/internal/callapi/envelope.go
+++ b/internal/callapi/envelope.go
@@ -22,8 +22,6 @@
 	// NotRun is set by a back end on an answer that refuses the request before
 	// it ran.
 	NotRun string
-	// Load is set by a back end: running, waiting and slots, with commas.
-	Load string
 	// Result and Outcome are set on answers to callers.
 	Result, Outcome string
 	// PrivatePrefix starts the names of further fields that concern lapisvane
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -379,7 +379,7 @@
 	d.gateway.Stop()
 	d.origin.Stop()
 	d.announce()
-	d.node.Leave()
+	d.tree.Leave()
 	limit := time.NewTimer(d.settings.Load().StopLimit.Get())
 	defer limit.Stop()
 	notice := time.NewTimer(leaveNotice)
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -187,7 +187,6 @@
 	d.gateway.Leave()
 	d.origin.Stop()
 	d.announce()
-	p.fleet.Leave()
 	// The limit ends with the process; an eighth of it is left for the end.
 	limit := time.NewTimer(d.settings.Load().StopLimit.Get() * 7 / 8)
 	defer limit.Stop()
--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -14,6 +14,4 @@
 	SetLocalEndpoints(endpoints []*lapisv1.Endpoint)
 	// Endpoints returns the known instances of a service.
 	Endpoints(service string) []*lapisv1.Endpoint
-	// Leave says that the daemon is about to stop.
-	Leave()
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,9 +81,6 @@
 	local     []*lapisv1.Endpoint
 	// withdrawn are the local instances that left for good.
 	withdrawn []string
-	// sequence is that of this daemon's own announcement.
-	sequence uint64
-	leaving  bool
 	// services are those reported to the observer before.
 	services map[string]bool
 }
@@ -150,20 +147,11 @@
 func (f *Fleet) announceAll() {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.sequence++
 	for open := range f.listeners {
 		signal(open.wake)
 	}
 }
 
-// Leave tells all that listen that this daemon is about to stop.
-func (f *Fleet) Leave() {
-	f.mutex.Lock()
-	f.leaving = true
-	f.mutex.Unlock()
-	f.announceAll()
-}
-
 // Endpoints returns the known instances of a service.
 func (f *Fleet) Endpoints(service string) []*lapisv1.Endpoint {
 	f.mutex.Lock()
@@ -288,8 +276,7 @@
 	self := f.config.Self
 	return &lapisv1.Announcement{
 		Node: self.Node, Address: self.Address, Zone: self.Zone, Incarnation: f.config.Incarnation,
-		Sequence: f.sequence, Revision: f.revision(), Endpoints: f.local, Leaving: f.leaving,
-		Withdrawn: f.withdrawn,
+		Revision: f.revision(), Endpoints: f.local, Withdrawn: f.withdrawn,
 	}
 }
 
