--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -45,6 +45,9 @@
 	// latency: an answer that fails is worth nothing, one from another zone or a
 	// late one is worth most of it.
 	failureCost = 4
+	// soundShare is the share of failures below which an instance counts as
+	// sound.
+	soundShare = 0.1
 	// choiceNoise is the most that chance adds to a cost.
 	choiceNoise = 0.05
 	// reportLifetime is how long a reported load counts.
@@ -292,6 +295,27 @@
 	return best
 }
 
+// MostlySound reports whether more than half of the instances of a service have
+// failed little lately, so that a failure is that of one instance and not of what
+// all of them need.
+func (b *Balancer) MostlySound(service string) bool {
+	targets := b.Targets(service)
+	now := b.now()
+	sound := 0
+	for _, target := range targets {
+		if target.failureShare(now) < soundShare {
+			sound++
+		}
+	}
+	return 2*sound > len(targets)
+}
+
+func (t *Target) failureShare(now time.Time) float64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.failure.faded(0, failureMemory, now)
+}
+
 // leastLoaded takes the better of two random instances of the own zone and of
 // two of the others, and the local one unless it is clearly more loaded.
 func (b *Balancer) leastLoaded(candidates []*Target, slots float64) *Target {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -64,6 +64,9 @@
 	earned     bool
 	// attemptID is that of the newest attempt.
 	attemptID string
+	// failed is the first answer that was a failure of the instance's own, kept
+	// while another instance is tried.
+	failed *outcome
 	// busy are the instances that refused for load, and lastResort is true once
 	// the call waits as long as it can.
 	busy       []*balance.Target
@@ -91,13 +94,16 @@
 			if lastErr != nil {
 				err = lastErr
 			}
-			return outcome{}, err
+			return a.orFailed(err)
 		}
 		a.open.Service = pool
 		answer, err := a.once(ctx, target)
-		if err == nil {
+		if err == nil && !a.mayReplace(answer) {
 			return outcome{answer: answer, target: target}, nil
 		}
+		if err == nil {
+			err = a.setAside(outcome{answer: answer, target: target})
+		}
 		lastErr = err
 		a.tried = append(a.tried, target)
 		if result.Is(err, result.CallNotRunOverloaded) {
@@ -106,7 +112,7 @@
 		again := a.mayRetry(ctx, err)
 		a.logAttempt(ctx, target, err, again)
 		if !again {
-			return outcome{}, err
+			return a.orFailed(err)
 		}
 		a.gateway.metrics.retries.Inc()
 	}
--- /dev/null
+++ b/internal/gateway/failures_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/balance"
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/snapshot"
+)
+
+// scriptedRemote answers each attempt as the script says, in order: a status, or
+// an error.
+type scriptedRemote struct {
+	script []any
+	calls  int
+}
+
+// Handle implements Remote.
+func (s *scriptedRemote) Handle(_ context.Context, _ string, call *callapi.Call) (*callapi.Answer, error) {
+	step := s.script[min(s.calls, len(s.script)-1)]
+	s.calls++
+	if err, failed := step.(error); failed {
+		return nil, err
+	}
+	body := fmt.Sprintf("attempt %d", s.calls)
+	return &callapi.Answer{
+		Head: &lapisv1.CallHead{Status: uint32(step.(int)), ContentLength: int64(len(body))},
+		Body: io.NopCloser(bytes.NewBufferString(body)),
+	}, nil
+}
+
+// newAttempter returns an attempter at a route of a pool with three instances.
+func newAttempter(t *testing.T, remote Remote, repeatable bool, retries RetryLimits) *attempter {
+	t.Helper()
+	route := &lapisv1.Route{
+		Name: "r", Group: meshconfig.DefaultGroup, Pool: "desk", Host: "h", PathPrefix: "/",
+		CallClass: &lapisv1.CallClass{Repeatable: repeatable, MaxAttempts: 3, TargetLatencyMillis: 200},
+	}
+	configuration, err := meshconfig.Compose(meshconfig.Composition{
+		Revision: 1,
+		Pools:    []*lapisv1.Pool{{Name: "desk", Group: meshconfig.DefaultGroup, Slots: 6, ConnectionLimit: 10}},
+		Routes:   []*lapisv1.Route{route},
+	}, nil)
+	assert.NilError(t, err)
+	snapshots := &snapshot.Store{}
+	assert.NilError(t, snapshots.ReplaceConfiguration(configuration))
+	balancer := balance.New("here", "a", time.Now)
+	var endpoints []*lapisv1.Endpoint
+	for index := range 3 {
+		endpoints = append(endpoints, &lapisv1.Endpoint{
+			Service: "desk", Instance: fmt.Sprint("desk-", index), Node: fmt.Sprint("node-", index),
+			Zone: "a", Slots: 6, State: lapisv1.Endpoint_STATE_READY,
+		})
+	}
+	balancer.Update("desk", endpoints)
+	gateway := New(Config{Node: "here", Snapshots: snapshots, Balancer: balancer, Remote: remote, Retries: retries})
+	return &attempter{
+		gateway: gateway, current: snapshots.Current(), route: route, body: &requestBody{}, started: time.Now(),
+		open: &lapisv1.CallOpen{Repeatable: repeatable}, attach: func(*callapi.Call) {},
+	}
+}
+
+// A failure of one instance is made good by another where that is safe and no
+// more than the budget; otherwise the caller gets what the instance answered.
+func TestFailedAnswersAreReplaced(t *testing.T) {
+	plenty := RetryLimits{Fraction: 1, Burst: 10}
+	refused := result.Errorf(result.CallNotRunExpired, "too late")
+	for name, row := range map[string]struct {
+		script        []any
+		notRepeatable bool
+		retries       RetryLimits
+		allFail       bool
+		status        uint32
+		body          string
+		attempts      int
+	}{
+		"another one does better":      {script: []any{500, 200}, retries: plenty, status: 200, body: "attempt 2", attempts: 2},
+		"another one fails too":        {script: []any{500, 502, 200}, retries: plenty, status: 502, body: "attempt 2", attempts: 2},
+		"another one does not answer":  {script: []any{500, refused}, retries: plenty, status: 500, body: "attempt 1", attempts: 2},
+		"it may not be repeated":       {script: []any{500, 200}, notRepeatable: true, retries: plenty, status: 500, body: "attempt 1", attempts: 1},
+		"the budget is spent":          {script: []any{500, 200}, retries: RetryLimits{Fraction: 0.1, Burst: 1}, status: 500, body: "attempt 1", attempts: 1},
+		"all instances fail":           {script: []any{500, 200}, retries: plenty, allFail: true, status: 500, body: "attempt 1", attempts: 1},
+		"a refusal of the application": {script: []any{404, 200}, retries: plenty, status: 404, body: "attempt 1", attempts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			remote := &scriptedRemote{script: row.script}
+			attempt := newAttempter(t, remote, !row.notRepeatable, row.retries)
+			if row.allFail {
+				for _, target := range attempt.gateway.balancer.Targets("desk") {
+					for range 5 {
+						target.AnsweredFailure(time.Now())
+					}
+				}
+			}
+			done, err := attempt.run(context.Background())
+			assert.NilError(t, err)
+			body, err := readWhole(done.answer)
+			assert.NilError(t, err)
+			assert.Equal(t, done.answer.Head.GetStatus(), row.status)
+			assert.Equal(t, string(body), row.body)
+			assert.Equal(t, remote.calls, row.attempts)
+		})
+	}
+}
