--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -62,6 +62,9 @@
 	detours    int
 	overloaded int
 	earned     bool
+	// inherited is true when the call is taken as made by a run that is itself a
+	// repeat.
+	inherited bool
 	// attemptID is that of the newest attempt.
 	attemptID string
 	// failed is the first answer that was a failure of the instance's own, kept
@@ -86,6 +89,9 @@
 	if !a.earned {
 		a.gateway.budget.earn(pools[0])
 		a.earned = true
+		if a.inherited {
+			a.gateway.budget.charge(pools[0])
+		}
 	}
 	var lastErr error
 	for {
@@ -223,6 +229,7 @@
 		Attempt: template.GetAttempt() + uint32(len(a.tried)), ContentLength: template.GetContentLength(),
 		RouteRevision: template.GetRouteRevision(), IdempotencyKey: template.GetIdempotencyKey(),
 		Priority: template.GetPriority(), CallerService: template.GetCallerService(),
+		Repeat: a.handed > 0 || a.inherited,
 	}
 	if target := a.targetLatency(); target > 0 {
 		spent := time.Since(a.started)
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -22,6 +22,17 @@
 // DefaultRetryLimits hold where nothing else is set.
 var DefaultRetryLimits = RetryLimits{Fraction: 0.1, Burst: 10}
 
+// Tunables of the budget.
+const (
+	// planned is the part of the limits that is planned with, so that what no
+	// daemon can foresee, such as calls at the edge of a window, stays within
+	// them.
+	planned = 0.9
+	// maxDebt bounds what calls of repeated runs may take out of the budget in
+	// advance.
+	maxDebt = 50
+)
+
 // retryBudget bounds the retries of each service to a fraction of its calls.
 type retryBudget struct {
 	// mutex protects everything below.
@@ -54,7 +65,15 @@
 	if !b.limits.Shared {
 		return b.limits.Burst
 	}
-	return b.limits.Burst / float64(b.sharers)
+	return planned * b.limits.Burst / float64(b.sharers)
+}
+
+// fraction is the part of the calls that may be retries; the caller holds mutex.
+func (b *retryBudget) fraction() float64 {
+	if !b.limits.Shared {
+		return b.limits.Fraction
+	}
+	return planned * b.limits.Fraction
 }
 
 // earn notes one call.
@@ -66,7 +85,7 @@
 	if !known {
 		tokens = burst / 2
 	}
-	b.tokens[service] = min(tokens+b.limits.Fraction, burst)
+	b.tokens[service] = min(tokens+b.fraction(), burst)
 }
 
 // spend takes one retry out of the budget; it reports false when there is none.
@@ -80,6 +99,14 @@
 	return true
 }
 
+// charge notes a call that is a repeat although this daemon did not decide so: a
+// run that was repeated made it. It is taken out of what may be retried here.
+func (b *retryBudget) charge(service string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tokens[service] = max(b.tokens[service]-1, -maxDebt)
+}
+
 // left returns the retries that a service has saved up.
 func (b *retryBudget) left(service string) float64 {
 	b.mutex.Lock()
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -86,7 +86,7 @@
 	return []any{
 		"attempt", a.attemptID, "route", a.route.GetName(), "revision", a.current.Revision,
 		"instance", done.target.Endpoint.GetInstance(), "member", done.target.Endpoint.GetNode(),
-		"attempts", len(a.tried) + 1, "status", head.GetStatus(), "load", float64(head.GetLoad()),
+		"attempts", len(a.tried) + 1, "inherited", a.inherited, "status", head.GetStatus(), "load", float64(head.GetLoad()),
 		"service_ms", float64(head.GetServiceMicros()) / 1000, "took_ms", time.Since(a.started).Milliseconds(),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -50,6 +51,9 @@
 	CallerService func() string
 	// Retries bounds the retries of each service.
 	Retries RetryLimits
+	// RepeatShare returns the share of the calls running on this machine that
+	// are repeats; nil where that is not known.
+	RepeatShare func() float64
 	// DefaultDeadline bounds calls whose route names none.
 	DefaultDeadline time.Duration
 	// Decisions receives the lines about requests; nil for none.
@@ -191,6 +195,15 @@
 	return g.config.CallerService()
 }
 
+// inheritsRepeat tells whether a call is taken as made by a run that is a repeat:
+// one that comes from this machine is, as often as runs here are.
+func (g *Gateway) inheritsRepeat(conn *callerConn) bool {
+	if g.config.RepeatShare == nil || !conn.local() {
+		return false
+	}
+	return rand.Float64() < g.config.RepeatShare()
+}
+
 // InFlight returns the number of calls in flight.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -258,8 +271,9 @@
 	defer g.releaseCaller(rc, conn, body)
 	attempt := &attempter{
 		gateway: g, current: current, route: route, body: body, started: started, request: g.requestID(rc),
-		open:   g.openOf(rc, route, current.Revision, method, body),
-		attach: func(call *callapi.Call) { body.attach(call, rc) },
+		inherited: g.inheritsRepeat(conn),
+		open:      g.openOf(rc, route, current.Revision, method, body),
+		attach:    func(call *callapi.Call) { body.attach(call, rc) },
 	}
 	return route, g.finish(callCtx, rc, attempt, started)
 }
--- a/internal/gateway/hangup.go
+++ b/internal/gateway/hangup.go
@@ -23,6 +23,14 @@
 	watching chan struct{}
 }
 
+// local reports whether the caller is on this machine: both ends have the same
+// number.
+func (c *callerConn) local() bool {
+	here, hereOK := c.LocalAddr().(*net.TCPAddr)
+	there, thereOK := c.RemoteAddr().(*net.TCPAddr)
+	return hereOK && thereOK && here.IP.Equal(there.IP)
+}
+
 // Read returns bytes read ahead before it reads on.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	c.mutex.Lock()
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -52,6 +53,9 @@
 	running   sync.WaitGroup
 	counts    Counts
 	countLock sync.Mutex
+	// executing counts the calls that instances have, repeating those of them
+	// that are repeats.
+	executing, repeating atomic.Int64
 
 	// mutex protects everything below.
 	mutex     sync.RWMutex
@@ -310,8 +314,33 @@
 	return answer, err
 }
 
+// RepeatShare returns the share of the calls that instances have now which are
+// repeats.
+func (o *Origin) RepeatShare() float64 {
+	executing := o.executing.Load()
+	if executing <= 0 {
+		return 0
+	}
+	return min(float64(o.repeating.Load())/float64(executing), 1)
+}
+
+// execute counts a call as one that an instance has, until done is called.
+func (o *Origin) execute(call *callapi.Call) (done func()) {
+	repeats := int64(0)
+	if call.Open.GetRepeat() {
+		repeats = 1
+	}
+	o.executing.Add(1)
+	o.repeating.Add(repeats)
+	return func() {
+		o.executing.Add(-1)
+		o.repeating.Add(-repeats)
+	}
+}
+
 func (o *Origin) run(ctx context.Context, instance *Instance, slot *admission.Slot, call *callapi.Call) (*callapi.Answer, error) {
 	handed := time.Now()
+	defer o.execute(call)()
 	response, err := instance.backend.roundTrip(ctx, call)
 	if err != nil {
 		instance.noteConnection(!result.Is(err, result.CallNotRunUnreachable))
