--- a/internal/emulator/day/explain_test.go
+++ b/internal/emulator/day/explain_test.go
@@ -101,3 +101,30 @@
 		assert.Check(t, events[event] > 0, "no line %s", event)
 	}
 }
+
+// The daemon beside an instance knows its calls by where they come from, and
+// takes those of repeated runs out of the budget of the service that they are
+// for.
+func TestCallsOfRepeatedRunsAreKnown(t *testing.T) {
+	output := &lockedBuffer{}
+	options := day.DefaultOptions()
+	options.Logger = logging.New(output, 0)
+	options.DecisionLines = allLines
+	site, tally, stop := startOptions(t, options, routes, day.StandardClasses(1))
+	for _, machine := range site.Machines {
+		machine.Instance().Set(instance.Behaviour{LoseAnswer: 0.4, Fail: 0.2})
+	}
+	awaitEnded(t, tally, 400)
+	stop()
+	site.Close()
+	lines, _, err := explain.Read(&output.Buffer)
+	assert.NilError(t, err)
+	inherited := map[string]int{}
+	for _, line := range lines {
+		if line.Event == "call.answered" && line.Get("inherited") == "true" {
+			inherited[line.Get("route")]++
+		}
+	}
+	assert.Assert(t, inherited["stock"] > 0, "%v", inherited)
+	assert.Equal(t, len(inherited), 1, "calls of clients were taken for those of instances: %v", inherited)
+}
--- a/internal/emulator/day/machine.go
+++ b/internal/emulator/day/machine.go
@@ -200,7 +200,7 @@
 		m.instances++
 	}
 	started, err := instance.Start(instance.Options{
-		Service: service, Zone: m.Zone, Address: address, Registration: m.addresses.Instances, Outbound: m.addresses.Caller,
+		Service: service, Zone: m.Zone, Address: address, Registration: m.addresses.Instances, Outbound: m.addresses.Caller, Host: m.host,
 		Slots: options.Slots, Queue: options.Slots, ServiceTime: options.ServiceTime, Beat: options.Beat,
 		ColdFor: options.ColdFor, Ledger: m.site.Ledger, Seed: options.Seed,
 	})
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -59,8 +59,10 @@
 	Address string
 	// Registration is where the daemon beside it takes heartbeats.
 	Registration string
-	// Outbound is where the daemon beside it takes calls.
+	// Outbound is where the daemon beside it takes calls, and Host the number of
+	// the machine, from which the instance makes its own.
 	Outbound string
+	Host     string
 	Slots    int
 	Queue    int
 	// ServiceTime is the mean time of work on a request.
@@ -87,6 +89,7 @@
 	stopped context.Context
 	stop    context.CancelFunc
 	work    sync.WaitGroup
+	calls   *http.Client
 
 	// mutex protects everything below.
 	mutex     sync.Mutex
@@ -110,6 +113,8 @@
 		slots: make(chan struct{}, options.Slots), started: time.Now(), stopped: ctx, stop: cancel,
 		random: rand.New(rand.NewPCG(options.Seed, nextID.Load())), conns: map[net.Conn]bool{},
 	}
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(options.Host)}}
+	started.calls = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
 	started.work.Go(started.accept)
 	started.work.Go(started.beat)
 	return started, nil
@@ -154,6 +159,7 @@
 	}
 	i.mutex.Unlock()
 	i.work.Wait()
+	i.calls.CloseIdleConnections()
 }
 
 // Leave ends the instance as planned: it says that it drains, serves on for
--- a/internal/emulator/instance/serve.go
+++ b/internal/emulator/instance/serve.go
@@ -230,7 +230,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Header.Set(platform.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := i.calls.Do(request)
 	if err != nil {
 		return false
 	}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -62,9 +62,9 @@
 	detours    int
 	overloaded int
 	earned     bool
-	// inherited is true when the call is taken as made by a run that is itself a
-	// repeat.
-	inherited bool
+	// local is true when the caller is on this machine, and inherited when the
+	// call is taken as made by a run here that is itself a repeat.
+	local, inherited bool
 	// attemptID is that of the newest attempt.
 	attemptID string
 	// failed is the first answer that was a failure of the instance's own, kept
@@ -89,6 +89,7 @@
 	if !a.earned {
 		a.gateway.budget.earn(pools[0])
 		a.earned = true
+		a.inherited = a.local && a.gateway.inheritsRepeat(pools[0])
 		if a.inherited {
 			a.gateway.budget.charge(pools[0])
 		}
@@ -229,7 +230,7 @@
 		Attempt: template.GetAttempt() + uint32(len(a.tried)), ContentLength: template.GetContentLength(),
 		RouteRevision: template.GetRouteRevision(), IdempotencyKey: template.GetIdempotencyKey(),
 		Priority: template.GetPriority(), CallerService: template.GetCallerService(),
-		Repeat: a.handed > 0 || a.inherited,
+		Repeat: a.handed > 0,
 	}
 	if target := a.targetLatency(); target > 0 {
 		spent := time.Since(a.started)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,10 +195,11 @@
 	return g.config.CallerService()
 }
 
-// inheritsRepeat tells whether a call is taken as made by a run that is a repeat:
-// one that comes from this machine is, as often as runs here are.
-func (g *Gateway) inheritsRepeat(conn *callerConn) bool {
-	if g.config.RepeatShare == nil || !conn.local() {
+// inheritsRepeat tells whether a call from this machine to a service is taken as
+// made by a run that is a repeat: as often as runs here are. An instance hardly
+// calls its own service, so that such calls are those of clients.
+func (g *Gateway) inheritsRepeat(service string) bool {
+	if g.config.RepeatShare == nil || service == g.callerService() {
 		return false
 	}
 	return rand.Float64() < g.config.RepeatShare()
@@ -271,9 +272,9 @@
 	defer g.releaseCaller(rc, conn, body)
 	attempt := &attempter{
 		gateway: g, current: current, route: route, body: body, started: started, request: g.requestID(rc),
-		inherited: g.inheritsRepeat(conn),
-		open:      g.openOf(rc, route, current.Revision, method, body),
-		attach:    func(call *callapi.Call) { body.attach(call, rc) },
+		local:  conn.local(),
+		open:   g.openOf(rc, route, current.Revision, method, body),
+		attach: func(call *callapi.Call) { body.attach(call, rc) },
 	}
 	return route, g.finish(callCtx, rc, attempt, started)
 }
