Apply the configuration's sizes and each service's connection limit

Change: a header or a stated body beyond the limit gets 431 (5017) or 413 (5018), numbered and logged, and ends the connection; the connections to an instance are bounded by its service's limit. Open: the two time-outs and bodies in chunks. Test: TestLimitsOfRequests.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -59,6 +59,10 @@
 		return http.StatusNotFound
 	case result.CallBadRequest:
 		return http.StatusBadRequest
+	case result.CallHeadTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case result.CallBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
 	case result.CallNotRunDuplicate:
 		return http.StatusConflict
 	case result.CallDeadline:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -233,7 +233,7 @@
 		return
 	}
 	g.writeFailure(rc, err)
-	if g.stopping.Load() || result.Is(err, result.CallBadRequest) {
+	if g.stopping.Load() || endsConnection(err) {
 		rc.SetConnectionClose()
 	}
 }
@@ -255,6 +255,9 @@
 	if current == nil {
 		return nil, result.Errorf(result.CallNotReady, "no configuration yet")
 	}
+	if err := checkLimits(current.Limits, len(rc.Request.Header.RawHeaders()), int64(rc.Request.Header.ContentLength())); err != nil {
+		return nil, err
+	}
 	path := string(rc.Request.URI().PathOriginal())
 	route := current.Match(hostOf(rc), path, method)
 	if route == nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -85,6 +85,24 @@
 	}
 }
 
+// checkLimits refuses requests that are larger than the configuration allows; a
+// limit of 0 is none. Errors: CallHeadTooLarge, CallBodyTooLarge.
+func checkLimits(limits *lapisv1.Limits, headerBytes int, bodyBytes int64) error {
+	if allowed := int(limits.GetHeaderBytes()); allowed > 0 && headerBytes > allowed {
+		return result.Errorf(result.CallHeadTooLarge, "%d bytes of header, %d are allowed", headerBytes, allowed)
+	}
+	if allowed := int64(limits.GetBodyBytes()); allowed > 0 && bodyBytes > allowed {
+		return result.Errorf(result.CallBodyTooLarge, "%d bytes of body, %d are allowed", bodyBytes, allowed)
+	}
+	return nil
+}
+
+// endsConnection reports whether what follows a refused request on its connection
+// cannot be read as another one.
+func endsConnection(err error) bool {
+	return result.Is(err, result.CallBadRequest) || result.Is(err, result.CallHeadTooLarge) || result.Is(err, result.CallBodyTooLarge)
+}
+
 // headersOf returns the end-to-end header fields of a request.
 func headersOf(rc *app.RequestContext, envelope *callapi.Envelope) []*lapisv1.HeaderField {
 	dropped := map[string]bool{}
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -5,6 +5,9 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/result"
 )
 
 func TestRetryBudgetIsAFractionOfCalls(t *testing.T) {
@@ -37,3 +40,31 @@
 		}
 	})
 }
+
+func TestLimitsOfRequests(t *testing.T) {
+	limits := &lapisv1.Limits{HeaderBytes: 1000, BodyBytes: 5000}
+	for name, row := range map[string]struct {
+		limits     *lapisv1.Limits
+		head       int
+		body       int64
+		code       result.Code
+		statusCode int
+	}{
+		"at the limits":   {limits, 1000, 5000, result.OK, 0},
+		"header too long": {limits, 1001, 0, result.CallHeadTooLarge, 431},
+		"body too long":   {limits, 10, 5001, result.CallBodyTooLarge, 413},
+		"length unknown":  {limits, 10, -1, result.OK, 0},
+		"no limits":       {nil, 1 << 20, 1 << 40, result.OK, 0},
+		"limits of 0":     {&lapisv1.Limits{}, 1 << 20, 1 << 40, result.OK, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := checkLimits(row.limits, row.head, row.body)
+			code, _ := result.CodeOf(err)
+			assert.Equal(t, code, row.code)
+			if err != nil {
+				assert.Equal(t, statusOf(code), row.statusCode)
+				assert.Assert(t, code.NotRun())
+			}
+		})
+	}
+}
--- a/internal/origin/connection.go
+++ b/internal/origin/connection.go
@@ -59,6 +59,15 @@
 	return &connectionPool{address: address, limit: limit, dialer: net.Dialer{Timeout: backendDialTimeout}}
 }
 
+// limitTo replaces the number of connections that may be open; 0 keeps it.
+func (p *connectionPool) limitTo(limit int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if limit > 0 {
+		p.limit = limit
+	}
+}
+
 // get returns a connection that is ready for an exchange, the one used last
 // first. Errors: CallNotRunUnreachable, CallNotRunOverloaded when the limit is
 // reached, CallNotRunExpired when ctx ended.
--- a/internal/origin/registration.go
+++ b/internal/origin/registration.go
@@ -198,6 +198,7 @@
 		slots = int(service.Bundle.GetPool().GetSlots())
 	}
 	i.queue.Configure(slots, service.Shares)
+	i.backend.pool.limitTo(int(service.Bundle.GetPool().GetConnectionLimit()))
 	switch {
 	case service.Retired[i.Name]:
 		i.Retire()
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -77,6 +77,8 @@
 	CallNotRunShed        Code = 5014
 	CallNotRunUnknownHere Code = 5015
 	CallNotRunStopping    Code = 5016
+	CallHeadTooLarge      Code = 5017
+	CallBodyTooLarge      Code = 5018
 
 	ProtocolBadFrame    Code = 6001
 	ProtocolTooLarge    Code = 6002
@@ -169,6 +171,8 @@
 	{CallNotRunShed, "call-not-run-shed", "The back end refused the call before running it.", "Repeat after the time given."},
 	{CallNotRunUnknownHere, "call-not-run-unknown-here", "The daemon does not serve that back end. The call did not run.", "None; another back end is chosen."},
 	{CallNotRunStopping, "call-not-run-stopping", "The daemon is stopping. The call did not run.", "Repeat at once with another daemon."},
+	{CallHeadTooLarge, "call-head-too-large", "The request's header is larger than the configuration allows. It did not run.", "Send less, or raise the limit."},
+	{CallBodyTooLarge, "call-body-too-large", "The request's body is larger than the configuration allows. It did not run.", "Send less, or raise the limit."},
 	{ProtocolBadFrame, "protocol-bad-frame", "Bytes received are not a frame of the protocol.", "None; the connection is closed."},
 	{ProtocolTooLarge, "protocol-too-large", "A frame is larger than allowed.", "None; the connection is closed."},
 	{ProtocolBadVersion, "protocol-bad-version", "The peer speaks another version of the protocol.", "Bring the releases closer together."},
@@ -224,7 +228,7 @@
 	switch c {
 	case CallNoRoute, CallNoEndpoint, CallNotReady, CallNotRunDraining, CallNotRunOverloaded,
 		CallNotRunExpired, CallNotRunUnreachable, CallNotRunDuplicate, CallBadRequest,
-		CallNotRunShed, CallNotRunUnknownHere, CallNotRunStopping:
+		CallNotRunShed, CallNotRunUnknownHere, CallNotRunStopping, CallHeadTooLarge, CallBodyTooLarge:
 		return true
 	default:
 		return false
