--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -44,7 +44,7 @@
 	// failureCost is what a certain failure costs, in parts of the target
 	// latency: an answer that fails is worth nothing, one from another zone or a
 	// late one is worth most of it.
-	failureCost = 4
+	failureCost = 2
 	// soundShare is the share of failures below which an instance counts as
 	// sound.
 	soundShare = 0.1
