Replace a lost daemon by one instead of connecting to all

A member that was not connected counted as doubtful, also where no connection was wanted or tried, so that the search for one sound daemon walked through all. Change: doubtful is only who is wanted and out of reach: for three seconds if it was in reach before, for 1.2 s if it never was. Ruled out: a change of the choice itself (hash and zones are as before).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,9 @@
 	// withdrawnMemory is how long it is remembered that a daemon named an
 	// instance as having left. It is longer than a heartbeat may be late.
 	withdrawnMemory = 10 * time.Minute
+	// unansweredAfter is that time for one that was never in reach since it is
+	// wanted.
+	unansweredAfter = 1200 * time.Millisecond
 	// reviewInterval is the longest time between two looks at which daemons
 	// are wanted.
 	reviewInterval = time.Second
@@ -88,8 +91,10 @@
 // peer is what is known of another daemon; Fleet.mutex protects its fields.
 type peer struct {
 	Member
-	// stop ends the keeping of a connection; nil while none is wanted.
-	stop context.CancelFunc
+	// stop ends the keeping of a connection; nil while none is wanted. keptSince
+	// is when that began.
+	stop      context.CancelFunc
+	keptSince time.Time
 	// connected is true while calls can be sent there over link.
 	connected bool
 	// stalled is true while the daemon does not answer.
@@ -246,8 +251,7 @@
 	defer f.mutex.Unlock()
 	candidates := make([]candidate, 0, len(f.members))
 	for _, member := range f.members {
-		doubtful := !member.connected && time.Since(member.lostAt) > doubtAfter
-		candidates = append(candidates, candidate{Member: member.Member, doubtful: doubtful})
+		candidates = append(candidates, candidate{Member: member.Member, doubtful: member.doubtful(time.Now())})
 	}
 	chosen := wanted(f.config.Self, candidates)
 	for node, member := range f.members {
@@ -255,6 +259,7 @@
 		case chosen[node] && member.stop == nil:
 			keepCtx, stop := context.WithCancel(ctx)
 			member.stop = stop
+			member.keptSince = time.Now()
 			f.running.Go(func() { f.maintain(keepCtx, member) })
 		case !chosen[node] && member.stop != nil && (!member.connected || member.link.Active() == 0):
 			member.stop()
@@ -263,6 +268,20 @@
 	}
 }
 
+// doubtful reports whether a wanted connection is missing for so long that another
+// is taken in its place. One that is not wanted is not tried, so that nothing speaks
+// against it; Fleet.mutex is held.
+func (p *peer) doubtful(now time.Time) bool {
+	switch {
+	case p.stop == nil || p.connected:
+		return false
+	case p.lostAt.After(p.keptSince):
+		return now.Sub(p.lostAt) > doubtAfter
+	default:
+		return now.Sub(p.keptSince) > unansweredAfter
+	}
+}
+
 // own fills in who states an endpoint.
 func own(endpoint *lapisv1.Endpoint, member Member, incarnation uint64) {
 	endpoint.Node = member.Node
--- a/internal/fleet/wanted_test.go
+++ b/internal/fleet/wanted_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -75,3 +76,72 @@
 		assert.Assert(t, count >= 2 && count <= 4*2*linksPerService, "%s is chosen by %d", member.Node, count)
 	}
 }
+
+// standIn is a site of peers of which some are dead, with the keeping of
+// connections as reviewWanted does it, second by second.
+type standIn struct {
+	self  Member
+	peers []*peer
+	dead  map[string]bool
+	now   time.Time
+}
+
+// review starts and ends the keeping of connections, and connects whom it can.
+// It returns how many are kept.
+func (s *standIn) review() (kept int) {
+	var candidates []candidate
+	for _, known := range s.peers {
+		candidates = append(candidates, candidate{Member: known.Member, doubtful: known.doubtful(s.now)})
+	}
+	chosen := wanted(s.self, candidates)
+	for _, known := range s.peers {
+		switch {
+		case chosen[known.Node] && known.stop == nil:
+			known.stop = func() {}
+			known.keptSince = s.now
+		case !chosen[known.Node] && known.stop != nil:
+			known.stop = nil
+			known.lostAt = s.now
+		}
+		known.connected = known.stop != nil && !s.dead[known.Node]
+		if known.stop != nil {
+			kept++
+		}
+	}
+	s.now = s.now.Add(time.Second)
+	return kept
+}
+
+// One daemon that dies is replaced by one. Those that were not wanted had counted
+// as doubtful because they were not connected, so that a daemon connected to all
+// others of the service to find one, and again after each loss: on incident
+// inc-7abc of swancycle-hq-grown to 47 of 72, three times in ten seconds.
+func TestOneLossIsReplacedByOne(t *testing.T) {
+	candidates := site(4, 50)
+	s := &standIn{self: candidates[0].Member, dead: map[string]bool{}, now: time.Unix(1000, 0)}
+	for _, known := range candidates[1:] {
+		s.peers = append(s.peers, &peer{Member: known.Member, lostAt: s.now})
+	}
+	for range 10 {
+		assert.Equal(t, s.review(), 2*linksPerService)
+	}
+	killed := 0
+	for _, known := range s.peers {
+		if known.connected && killed < 3 {
+			s.dead[known.Node] = true
+			known.connected, known.lostAt = false, s.now
+			killed++
+		}
+	}
+	for range 20 {
+		kept := s.review()
+		assert.Assert(t, kept <= 2*linksPerService+killed, "%d connections are kept", kept)
+	}
+	connected := 0
+	for _, known := range s.peers {
+		if known.connected {
+			connected++
+		}
+	}
+	assert.Equal(t, connected, 2*linksPerService)
+}
