--- a/internal/emulator/day/explain_test.go
+++ b/internal/emulator/day/explain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 
@@ -17,17 +18,30 @@
 // allLines is more than a daemon writes, so that no request is left out.
 const allLines = 1_000_000
 
-// lockedBuffer collects the lines of all daemons.
+// lockedBuffer collects the lines of all daemons, of which some come after their
+// site was closed.
 type lockedBuffer struct {
-	mutex sync.Mutex
-	bytes.Buffer
+	// mutex protects written.
+	mutex   sync.Mutex
+	written bytes.Buffer
 }
 
 // Write implements io.Writer.
 func (b *lockedBuffer) Write(line []byte) (int, error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.Buffer.Write(line)
+	return b.written.Write(line)
+}
+
+// lines returns the lines so far.
+func (b *lockedBuffer) lines(t *testing.T) []explain.Line {
+	t.Helper()
+	b.mutex.Lock()
+	text := b.written.String()
+	b.mutex.Unlock()
+	lines, _, err := explain.Read(strings.NewReader(text))
+	assert.NilError(t, err)
+	return lines
 }
 
 // Whatever went wrong, the lines of the daemons prove the cause of each request
@@ -61,9 +75,7 @@
 			awaitEnded(t, tally, 300)
 			stop()
 			site.Close()
-			lines, _, err := explain.Read(&output.Buffer)
-			assert.NilError(t, err)
-			journal := explain.NewJournal(lines)
+			journal := explain.NewJournal(output.lines(t))
 			causes := map[explain.Cause]int{}
 			for _, request := range journal.Failed() {
 				verdict := journal.Explain(request)
@@ -91,10 +103,8 @@
 	assert.NilError(t, site.AwaitReady(ctx))
 	stop()
 	site.Close()
-	lines, _, err := explain.Read(&output.Buffer)
-	assert.NilError(t, err)
 	events := map[string]int{}
-	for _, line := range lines {
+	for _, line := range output.lines(t) {
 		events[line.Event]++
 	}
 	for _, event := range []string{"daemon.started", "daemon.stopping", "daemon.stopped", "instance.registered", "configuration.in_force"} {
@@ -117,10 +127,8 @@
 	awaitEnded(t, tally, 400)
 	stop()
 	site.Close()
-	lines, _, err := explain.Read(&output.Buffer)
-	assert.NilError(t, err)
 	inherited := map[string]int{}
-	for _, line := range lines {
+	for _, line := range output.lines(t) {
 		if line.Event == "call.answered" && line.Get("inherited") == "true" {
 			inherited[line.Get("route")]++
 		}
