Handle requests that a connection sends ahead at the same time

Cause: the HTTP library's server loop serves a connection's requests one after the other.

Change: package gateway/pipeline takes the place of the library's server loop (its protocol extension point; parsing and writing stay the library's). One goroutine reads a connection, each request is handled on its own, answers go out in their order. A request that may not be repeated awaits its turn before it is handed over; an answer closes the connection only when nothing behind it was passed on; what is held ahead is bounded per connection and daemon by settings; a hang-up is seen behind a full pipeline. Faults of framing now go through the gateway and leave a line. Result 5019 stands for a request that does not arrive whole in time.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/lapisvane/lapisvane/internal/callmux"
 	"github.com/lapisvane/lapisvane/internal/decision"
 	"github.com/lapisvane/lapisvane/internal/gateway"
+	"github.com/lapisvane/lapisvane/internal/gateway/pipeline"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/metrics"
 	"github.com/lapisvane/lapisvane/internal/objectapi"
@@ -188,9 +189,17 @@
 		Local: d.origin, Remote: d.calls, DefaultDeadline: d.settings.Load().Calls.DefaultDeadline.Get(),
 		Envelope: envelope, CallerService: d.callerService, Retries: retryLimits(d.settings.Load().Retries),
 		Decisions: decisions, Registry: d.registry, RepeatShare: d.origin.RepeatShare,
+		SentAhead: sentAhead(d.settings.Load().SentAhead),
 	})
 }
 
+func sentAhead(bounds settings.SentAhead) pipeline.Limits {
+	return pipeline.Limits{
+		RequestsPerConnection: bounds.RequestsPerConnection, RequestsAhead: bounds.Requests,
+		BytesPerConnection: bounds.BytesPerConnection, Bytes: bounds.Bytes,
+	}
+}
+
 func retryLimits(retries settings.Retries) gateway.RetryLimits {
 	if retries == (settings.Retries{}) {
 		return gateway.DefaultRetryLimits
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -17,6 +17,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/gateway/pipeline"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -63,6 +64,8 @@
 		return http.StatusRequestHeaderFieldsTooLarge
 	case result.CallBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
+	case result.CallRequestTimeout:
+		return http.StatusRequestTimeout
 	case result.CallNotRunDuplicate:
 		return http.StatusConflict
 	case result.CallDeadline:
@@ -172,7 +175,12 @@
 // streamAnswer passes an answer on piece by piece. When it breaks off, the
 // caller's connection is closed without a proper end, so that the caller sees
 // that the answer is not whole.
-func streamAnswer(ctx context.Context, rc *app.RequestContext, answer *callapi.Answer) error {
+// Errors: CallCancelled, CallTruncated and those of the call.
+func streamAnswer(ctx context.Context, exchange *pipeline.Exchange, answer *callapi.Answer) error {
+	if err := exchange.BeginAnswer(ctx); err != nil {
+		return err
+	}
+	rc := exchange.Request
 	writer := rc.GetWriter()
 	length := answer.Head.GetContentLength()
 	for _, field := range answer.Head.GetHeaders() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -15,12 +16,15 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol/suite"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/balance"
 	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/callmux"
 	"github.com/lapisvane/lapisvane/internal/decision"
+	"github.com/lapisvane/lapisvane/internal/gateway/pipeline"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/snapshot"
 )
@@ -28,10 +32,13 @@
 // Bounds of the callers' side.
 const (
 	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 1 << 30
 	callerIdle     = 75 * time.Second
 	headerTimeout  = 30 * time.Second
-	// lingerTime is how long what a caller still sends is read after an early
-	// answer.
+	// bodyIdle is how long a caller may pause within its request body.
+	bodyIdle = time.Minute
+	// lingerTime is how long what a caller still sends is read after the last
+	// answer of its connection.
 	lingerTime = time.Second
 )
 
@@ -56,6 +63,9 @@
 	RepeatShare func() float64
 	// DefaultDeadline bounds calls whose route names none.
 	DefaultDeadline time.Duration
+	// SentAhead bounds what is held for requests that callers send before
+	// earlier ones are answered; the zero value stands for the default.
+	SentAhead pipeline.Limits
 	// Decisions receives the lines about requests; nil for none.
 	Decisions *decision.Log
 	Registry  prometheus.Registerer
@@ -70,9 +80,8 @@
 	metrics       gatewayMetrics
 	attemptPrefix string
 	attempts      atomic.Uint64
+	callers       *pipeline.Server
 
-	// inFlight counts the calls in flight.
-	inFlight atomic.Int64
 	// stopping closes callers' connections, refusing also refuses new calls.
 	stopping, refusing atomic.Bool
 	// force is cancelled to cut the calls in flight.
@@ -110,6 +119,11 @@
 			}),
 		},
 	}
+	gateway.callers = pipeline.New(pipeline.Config{
+		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ShortBodyBytes: callmux.BufferedBodyBytes,
+		IdleTime: callerIdle, HeaderTime: headerTimeout, BodyIdle: bodyIdle, LingerTime: lingerTime,
+		Limits: config.SentAhead, Check: gateway.checkHead, Handle: gateway.serve, Stopping: gateway.stopping.Load,
+	})
 	gateway.force, gateway.forceAll = context.WithCancel(context.Background())
 	if config.Registry != nil {
 		config.Registry.MustRegister(gateway.metrics.calls, gateway.metrics.retries, gateway.metrics.latency)
@@ -117,37 +131,21 @@
 	return gateway
 }
 
-// connKey is the context key under which a request's connection is found.
-type connKey struct{}
-
 // Serve serves callers on listener until ctx ends; with a TLS configuration it
 // speaks HTTPS. It returns when the listener is closed; calls in flight go on.
 func (g *Gateway) Serve(ctx context.Context, listener net.Listener, tlsConfig *tls.Config) {
 	options := []config.Option{
-		server.WithListener(callerListener{listener}),
+		server.WithListener(g.callers.Listener(listener)),
 		server.WithTransport(standard.NewTransporter),
-		server.WithStreamBody(true),
-		server.WithDisablePreParseMultipartForm(true),
-		server.WithMaxHeaderBytes(maxHeaderBytes),
-		server.WithMaxRequestBodySize(1 << 30),
-		server.WithIdleTimeout(callerIdle),
-		server.WithReadTimeout(headerTimeout),
 		server.WithDisablePrintRoute(true),
-		server.WithDisableDefaultDate(true),
-		server.WithDisableDefaultContentType(true),
-		server.WithHandleMethodNotAllowed(false),
-		server.WithRedirectTrailingSlash(false),
 		server.WithExitWaitTime(0),
-		server.WithOnAccept(func(conn net.Conn) context.Context {
-			return context.WithValue(context.Background(), connKey{}, conn)
-		}),
-		{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
+		server.WithOnAccept(g.callers.OnAccept),
 	}
 	if tlsConfig != nil {
 		options = append(options, server.WithTLS(tlsConfig))
 	}
 	engine := server.New(options...)
-	engine.NoRoute(g.serve)
+	engine.AddProtocol(suite.HTTP1, g.callers.Factory())
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	_ = engine.Run()
@@ -205,48 +203,57 @@
 	return rand.Float64() < g.config.RepeatShare()
 }
 
-// InFlight returns the number of calls in flight.
-func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+// InFlight returns the number of requests that were read and whose answers are
+// not written yet.
+func (g *Gateway) InFlight() int64 { return g.callers.Open() }
 
 // Cut ends the calls in flight.
 func (g *Gateway) Cut() { g.forceAll() }
 
-// serve handles one request.
-func (g *Gateway) serve(ctx context.Context, rc *app.RequestContext) {
-	started := time.Now()
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
-	conn, _ := ctx.Value(connKey{}).(*callerConn)
-	if g.stopping.Load() {
-		rc.SetConnectionClose()
+// checkHead tells why a request cannot be served at all; nothing behind it on its
+// connection can be told apart from its body then. Errors: CallBadRequest,
+// CallHeadTooLarge, CallBodyTooLarge.
+func (g *Gateway) checkHead(rc *app.RequestContext) error {
+	header := &rc.Request.Header
+	if err := checkFraming(header.RawHeaders(), header.IsHTTP11()); err != nil {
+		return err
+	}
+	if method := string(header.Method()); method == http.MethodConnect {
+		return result.Errorf(result.CallBadRequest, "method %s is not served", method)
+	}
+	if path := header.RequestURI(); len(path) == 0 || (path[0] != '/' && !bytes.Contains(path, []byte("://"))) {
+		return result.Errorf(result.CallBadRequest, "the target %q is no path", path)
+	}
+	current := g.config.Snapshots.Current()
+	if current == nil {
+		return nil
 	}
-	route, err := g.handle(ctx, rc, conn, started)
+	return checkLimits(current.Limits, len(header.RawHeaders()), int64(header.ContentLength()))
+}
+
+// serve sees one request through.
+func (g *Gateway) serve(ctx context.Context, exchange *pipeline.Exchange) {
+	rc := exchange.Request
+	route, err := g.handle(ctx, exchange)
 	code, _ := result.CodeOf(err)
 	g.metrics.calls.WithLabelValues(route.GetName(), code.String()).Inc()
 	if err == nil {
 		return
 	}
 	err = comeBack(err, route)
-	g.logFailure(rc, route, err, started)
+	g.logFailure(rc, route, err, exchange.Arrived)
 	if rc.Response.GetHijackWriter() != nil {
 		// The answer had begun; the connection ends with it.
 		return
 	}
 	g.writeFailure(rc, err)
-	if g.stopping.Load() || endsConnection(err) {
-		rc.SetConnectionClose()
-	}
 }
 
 // handle sees a request through. An error is answered by the caller unless the
 // answer has begun.
-func (g *Gateway) handle(ctx context.Context, rc *app.RequestContext, conn *callerConn, started time.Time) (*lapisv1.Route, error) {
-	if err := checkFraming(rc.Request.Header.RawHeaders(), rc.Request.Header.IsHTTP11()); err != nil {
-		return nil, err
-	}
-	method := string(rc.Request.Header.Method())
-	if method == http.MethodConnect || conn == nil {
-		return nil, result.Errorf(result.CallBadRequest, "method %s is not served", method)
+func (g *Gateway) handle(ctx context.Context, exchange *pipeline.Exchange) (*lapisv1.Route, error) {
+	if exchange.Fault != nil {
+		return nil, exchange.Fault
 	}
 	if g.refusing.Load() {
 		return nil, result.Errorf(result.CallNotRunStopping, "the daemon is stopping")
@@ -255,9 +262,8 @@
 	if current == nil {
 		return nil, result.Errorf(result.CallNotReady, "no configuration yet")
 	}
-	if err := checkLimits(current.Limits, len(rc.Request.Header.RawHeaders()), int64(rc.Request.Header.ContentLength())); err != nil {
-		return nil, err
-	}
+	rc, started := exchange.Request, exchange.Arrived
+	method := string(rc.Request.Header.Method())
 	path := string(rc.Request.URI().PathOriginal())
 	route := current.Match(hostOf(rc), path, method)
 	if route == nil {
@@ -267,35 +273,37 @@
 	defer cancel()
 	stopForce := context.AfterFunc(g.force, cancel)
 	defer stopForce()
-	body, err := readBody(rc, conn)
-	if err != nil {
-		return route, err
+	if !route.GetCallClass().GetRepeatable() {
+		// An answer ahead that closes the connection would make the caller send
+		// this request again.
+		if err := exchange.AwaitTurn(callCtx); err != nil {
+			return route, err
+		}
 	}
-	watchCaller(conn, body, cancel)
-	defer g.releaseCaller(rc, conn, body)
+	body := bodyOf(exchange)
 	attempt := &attempter{
 		gateway: g, current: current, route: route, body: body, started: started, request: g.requestID(rc),
-		local:  conn.local(),
+		local:  exchange.Local(),
 		open:   g.openOf(rc, route, current.Revision, method, body),
 		attach: func(call *callapi.Call) { body.attach(call, rc) },
 	}
-	return route, g.finish(callCtx, rc, attempt, started)
+	return route, g.finish(callCtx, exchange, attempt)
 }
 
 // finish runs the attempts and passes the answer on.
-func (g *Gateway) finish(ctx context.Context, rc *app.RequestContext, attempt *attempter, started time.Time) error {
+func (g *Gateway) finish(ctx context.Context, exchange *pipeline.Exchange, attempt *attempter) error {
 	for tries := range defaultMaxAttempts {
 		done, err := attempt.run(ctx)
 		if err != nil {
 			return err
 		}
-		g.metrics.latency.Observe(time.Since(started).Seconds())
+		g.metrics.latency.Observe(time.Since(exchange.Arrived).Seconds())
 		attempt.logAnswer(done)
-		err = g.deliver(ctx, rc, attempt, done)
+		err = g.deliver(ctx, exchange, attempt, done)
 		if err == nil {
 			return nil
 		}
-		begun := rc.Response.GetHijackWriter() != nil
+		begun := exchange.Request.Response.GetHijackWriter() != nil
 		again := !begun && tries < defaultMaxAttempts-1 && attempt.mayRetry(ctx, err)
 		attempt.logAttempt(ctx, done.target, err, again)
 		if !again {
@@ -306,7 +314,8 @@
 }
 
 // deliver passes one answer on to the caller.
-func (g *Gateway) deliver(ctx context.Context, rc *app.RequestContext, attempt *attempter, done outcome) error {
+func (g *Gateway) deliver(ctx context.Context, exchange *pipeline.Exchange, attempt *attempter, done outcome) error {
+	rc := exchange.Request
 	defer done.target.End()
 	defer func() { _ = done.answer.Body.Close() }()
 	head := done.answer.Head
@@ -320,7 +329,7 @@
 		}
 		return nil
 	}
-	if length := head.GetContentLength(); length >= 0 && length <= wholeAnswerBytes {
+	if length := head.GetContentLength(); length >= 0 && length <= wholeAnswerBytes && exchange.Hold(length) {
 		content, err := readWhole(done.answer)
 		if err != nil {
 			g.observe(done.target, err)
@@ -331,7 +340,7 @@
 		return nil
 	}
 	g.writeHead(rc, head)
-	err := streamAnswer(ctx, rc, done.answer)
+	err := streamAnswer(ctx, exchange, done.answer)
 	if err != nil {
 		g.observe(done.target, err)
 	}
@@ -359,23 +368,3 @@
 	}
 	return host
 }
-
-// watchCaller cancels the call when its caller hangs up, from the moment the
-// request has been read.
-func watchCaller(conn *callerConn, body *requestBody, hangUp context.CancelFunc) {
-	if body.streamed == nil {
-		conn.watch(hangUp)
-		return
-	}
-	body.streamed.onEnd = func() { conn.watch(hangUp) }
-}
-
-// releaseCaller gives the connection back to the HTTP library.
-func (g *Gateway) releaseCaller(rc *app.RequestContext, conn *callerConn, body *requestBody) {
-	unfinished := body.stop()
-	conn.unwatch()
-	if unfinished {
-		rc.SetConnectionClose()
-		conn.linger(lingerTime)
-	}
-}
--- /dev/null
+++ b/internal/gateway/pipeline/body.go
@@ -0,0 +1,125 @@
+package pipeline
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// Body reads a caller's long body once. Who reads it may outlive the request, so
+// it can be stopped: afterwards it no longer touches the connection.
+type Body struct {
+	conn *connection
+	// over is closed when nobody reads the body any more.
+	over chan struct{}
+
+	// reading is held during a read of the connection.
+	reading sync.Mutex
+	stream  io.Reader
+	// remaining is the number of bytes that belong to the body; the library's
+	// reader does not stop there by itself.
+	remaining int64
+
+	// mutex protects everything below.
+	mutex   sync.Mutex
+	started bool
+	ended   bool
+	stopped bool
+}
+
+// lengthUnknown stands for the remaining bytes of a body in chunks; what is read
+// of it stays above chunkedLeast.
+const (
+	lengthUnknown = int64(1) << 62
+	chunkedLeast  = lengthUnknown / 2
+)
+
+func newBody(conn *connection, stream io.Reader, length int64) *Body {
+	return &Body{conn: conn, stream: stream, remaining: length, over: make(chan struct{})}
+}
+
+// Read implements io.Reader. Errors: CallCancelled after the request's end.
+func (b *Body) Read(buffer []byte) (int, error) {
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	if err := b.begin(); err != nil {
+		return 0, err
+	}
+	if int64(len(buffer)) > b.remaining {
+		buffer = buffer[:b.remaining]
+	}
+	count, err := b.stream.Read(buffer)
+	_ = b.conn.conn.Release()
+	b.remaining -= int64(count)
+	switch {
+	case b.remaining == 0 && err == nil:
+		err = io.EOF
+	case err == io.EOF && b.remaining > 0 && b.remaining < chunkedLeast:
+		err = io.ErrUnexpectedEOF
+	}
+	if err == io.EOF {
+		b.finish()
+	} else if err != nil && !isTimeout(err) {
+		b.conn.hangUp()
+	}
+	return count, err
+}
+
+// begin checks that a read may happen and bounds it. The bound is set under
+// mutex, so that an interrupt by stop always comes after it.
+func (b *Body) begin() error {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.started = true
+	if b.stopped {
+		return result.Errorf(result.CallCancelled, "the request is over")
+	}
+	if b.ended {
+		return io.EOF
+	}
+	b.conn.caller.bound(b.conn.server.config.BodyIdle)
+	return nil
+}
+
+// finish notes the end of the body.
+func (b *Body) finish() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.ended = true
+	if !b.stopped {
+		close(b.over)
+	}
+}
+
+// Touched reports whether any of the body was asked for, so that it cannot be
+// sent again.
+func (b *Body) Touched() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.started
+}
+
+// stop ends the use of the body. It reports whether all of it was read.
+func (b *Body) stop() (whole bool) {
+	b.mutex.Lock()
+	if b.ended || b.stopped {
+		ended := b.ended
+		b.mutex.Unlock()
+		return ended
+	}
+	b.stopped = true
+	b.mutex.Unlock()
+	b.conn.caller.interrupt()
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	close(b.over)
+	return false
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/gateway/pipeline/caller.go
@@ -0,0 +1,126 @@
+package pipeline
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Bounds of what is read ahead in bytes while a hang-up is looked for.
+const (
+	firstLookahead = 512
+	maxLookahead   = 32 << 10
+)
+
+// callerConn is a caller's connection below the HTTP library. It can be read
+// ahead of the library to see a hang-up, and its reading can be broken off.
+type callerConn struct {
+	net.Conn
+
+	// mutex protects everything below.
+	mutex    sync.Mutex
+	ahead    []byte
+	aheadErr error
+}
+
+// local reports whether the caller is on this machine: both ends have the same
+// number.
+func (c *callerConn) local() bool {
+	here, hereOK := c.LocalAddr().(*net.TCPAddr)
+	there, thereOK := c.RemoteAddr().(*net.TCPAddr)
+	return hereOK && thereOK && here.IP.Equal(there.IP)
+}
+
+// Read returns bytes read ahead before it reads on.
+func (c *callerConn) Read(buffer []byte) (int, error) {
+	c.mutex.Lock()
+	if len(c.ahead) > 0 {
+		count := copy(buffer, c.ahead)
+		c.ahead = c.ahead[count:]
+		if len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+		c.mutex.Unlock()
+		return count, nil
+	}
+	err := c.aheadErr
+	c.mutex.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(buffer)
+}
+
+// readAhead reads until the reading is interrupted, which returns nil, until as
+// much was read ahead as may be, which returns full, or until the caller is gone.
+// Only the goroutine that reads the connection may call it.
+func (c *callerConn) readAhead() (full bool, err error) {
+	c.mutex.Lock()
+	held, err := len(c.ahead), c.aheadErr
+	c.mutex.Unlock()
+	if err != nil {
+		return false, err
+	}
+	for size := firstLookahead; held < maxLookahead; size *= 2 {
+		buffer := make([]byte, min(size, maxLookahead-held))
+		count, err := c.fill(buffer)
+		held += count
+		if err == nil {
+			continue
+		}
+		if timeout, isNetwork := err.(net.Error); isNetwork && timeout.Timeout() {
+			return false, nil
+		}
+		return false, err
+	}
+	return true, nil
+}
+
+// fill reads until buffer is full and keeps what it read for Read. It returns the
+// error that ended it sooner.
+func (c *callerConn) fill(buffer []byte) (int, error) {
+	filled := 0
+	var err error
+	for filled < len(buffer) && err == nil {
+		var count int
+		count, err = c.Conn.Read(buffer[filled:])
+		filled += count
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.ahead = append(c.ahead, buffer[:filled]...)
+	if err == nil {
+		return filled, nil
+	}
+	if timeout, isNetwork := err.(net.Error); !isNetwork || !timeout.Timeout() {
+		c.aheadErr = err
+	}
+	return filled, err
+}
+
+// interrupt makes a read in progress return.
+func (c *callerConn) interrupt() { _ = c.Conn.SetReadDeadline(time.Unix(1, 0)) }
+
+// bound bounds the coming reads; 0 for no bound.
+func (c *callerConn) bound(duration time.Duration) {
+	if duration <= 0 {
+		_ = c.Conn.SetReadDeadline(time.Time{})
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(duration))
+}
+
+// discard reads what the caller still sends, for at most duration, so that the
+// connection is not reset before the caller has read the last answer.
+func (c *callerConn) discard(duration time.Duration) {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	c.bound(duration)
+	buffer := make([]byte, firstLookahead)
+	for {
+		if _, err := c.Conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/pipeline/server.go
@@ -0,0 +1,114 @@
+package pipeline
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/suite"
+)
+
+// Config configures a Server.
+type Config struct {
+	// MaxHeaderBytes bounds the head of a request, MaxBodyBytes its body.
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	// ShortBodyBytes is the length up to which a body is read whole before the
+	// request is passed on.
+	ShortBodyBytes int64
+	// IdleTime is how long a connection may rest without a request, HeaderTime
+	// how long a request's head may take once its first byte is there, and
+	// BodyIdle how long a caller may pause within a body.
+	IdleTime, HeaderTime, BodyIdle time.Duration
+	// LingerTime is how long what a caller still sends is read after the last
+	// answer.
+	LingerTime time.Duration
+	Limits     Limits
+	// Check tells in the order of the requests, before another one is read, why a
+	// request cannot be served at all; nothing behind it is read then.
+	Check func(*app.RequestContext) error
+	// Handle sees an exchange through. ctx ends when the caller hangs up.
+	Handle func(ctx context.Context, exchange *Exchange)
+	// Stopping reports whether connections are to be closed.
+	Stopping func() bool
+}
+
+// Server serves callers' connections. It is registered with the HTTP library in
+// place of the library's own HTTP/1.1 server.
+type Server struct {
+	config Config
+	quota  quota
+	// open counts the requests that were read and are not answered yet.
+	open atomic.Int64
+}
+
+// New returns a server.
+func New(config Config) *Server {
+	if config.Limits == (Limits{}) {
+		config.Limits = DefaultLimits
+	}
+	return &Server{config: config, quota: quota{limits: config.Limits}}
+}
+
+// Open returns the number of requests that were read and are not answered yet.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Factory returns what registers the server with the HTTP library, under the
+// name suite.HTTP1.
+func (s *Server) Factory() suite.ServerFactory { return factory{s} }
+
+// Listener wraps a listener whose connections come to the server.
+func (s *Server) Listener(listener net.Listener) net.Listener {
+	return callerListener{Listener: listener, headerTime: s.config.HeaderTime}
+}
+
+// OnAccept hands a connection that was accepted by Listener to the server.
+func (s *Server) OnAccept(conn net.Conn) context.Context {
+	return context.WithValue(context.Background(), callerKey{}, conn)
+}
+
+type factory struct{ server *Server }
+
+// New implements suite.ServerFactory.
+func (f factory) New(core suite.Core) (protocol.Server, error) {
+	return protocolServer{server: f.server, core: core}, nil
+}
+
+// protocolServer serves with the library's pool of requests.
+type protocolServer struct {
+	server *Server
+	core   suite.Core
+}
+
+// Serve implements protocol.Server; it returns when the connection is over.
+func (p protocolServer) Serve(ctx context.Context, conn network.Conn) error {
+	caller, ok := ctx.Value(callerKey{}).(*callerConn)
+	if !ok {
+		return nil
+	}
+	newConnection(p.server, p.core, conn, caller).serve()
+	return nil
+}
+
+// callerKey is the context key under which the caller's connection is found.
+type callerKey struct{}
+
+type callerListener struct {
+	net.Listener
+	headerTime time.Duration
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	caller := &callerConn{Conn: conn}
+	caller.bound(l.headerTime)
+	return caller, nil
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,23 +3,18 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/callapi"
-	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/gateway/pipeline"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
-// bodyIdle is how long a caller may pause within its request body.
-const bodyIdle = time.Minute
-
 // hopByHop names the fields that concern one connection only (RFC 9110,
 // section 7.6.1), in lower case.
 var hopByHop = map[string]bool{
@@ -97,12 +92,6 @@
 	return nil
 }
 
-// endsConnection reports whether what follows a refused request on its connection
-// cannot be read as another one.
-func endsConnection(err error) bool {
-	return result.Is(err, result.CallBadRequest) || result.Is(err, result.CallHeadTooLarge) || result.Is(err, result.CallBodyTooLarge)
-}
-
 // headersOf returns the end-to-end header fields of a request.
 func headersOf(rc *app.RequestContext, envelope *callapi.Envelope) []*lapisv1.HeaderField {
 	dropped := map[string]bool{}
@@ -134,33 +123,16 @@
 // or streamed once.
 type requestBody struct {
 	content  []byte
-	streamed *streamedBody
+	streamed *pipeline.Body
 	length   int64
 }
 
-// readBody takes in a small body whole, so that the call can be repeated, and
-// prepares a larger one for streaming. Errors: CallBadRequest.
-func readBody(rc *app.RequestContext, conn *callerConn) (*requestBody, error) {
-	length := int64(rc.Request.Header.ContentLength())
-	if length == -2 {
-		length = 0
+// bodyOf returns the body of a request.
+func bodyOf(exchange *pipeline.Exchange) *requestBody {
+	if exchange.Body != nil {
+		return &requestBody{streamed: exchange.Body, length: int64(exchange.Request.Request.Header.ContentLength())}
 	}
-	stream := rc.RequestBodyStream()
-	if length == 0 || stream == nil {
-		return &requestBody{}, nil
-	}
-	if length > 0 && length <= callmux.BufferedBodyBytes {
-		content := make([]byte, length)
-		if _, err := io.ReadFull(stream, content); err != nil {
-			return nil, result.Wrap(result.CallBadRequest, err, "reading the request body")
-		}
-		return &requestBody{content: content, length: length}, nil
-	}
-	remaining := length
-	if length < 0 {
-		remaining = 1 << 62
-	}
-	return &requestBody{length: length, streamed: &streamedBody{stream: stream, remaining: remaining, conn: conn}}, nil
+	return &requestBody{content: exchange.Content, length: int64(len(exchange.Content))}
 }
 
 // attach gives the body to an attempt.
@@ -176,16 +148,7 @@
 }
 
 // replayable reports whether another attempt can send the whole body.
-func (b *requestBody) replayable() bool { return b.streamed == nil || !b.streamed.touched() }
-
-// stop ends the use of the caller's body. It reports whether the caller had not
-// sent all of it.
-func (b *requestBody) stop() (unfinished bool) {
-	if b.streamed == nil {
-		return false
-	}
-	return b.streamed.stop()
-}
+func (b *requestBody) replayable() bool { return b.streamed == nil || !b.streamed.Touched() }
 
 func trailersOf(rc *app.RequestContext) []*lapisv1.HeaderField {
 	var fields []*lapisv1.HeaderField
@@ -195,95 +158,6 @@
 	return fields
 }
 
-// streamedBody reads a caller's body once. The reader may outlive the request,
-// so it can be stopped: afterwards it no longer touches the connection.
-type streamedBody struct {
-	conn *callerConn
-
-	// reading is held during a read of the connection.
-	reading sync.Mutex
-	stream  io.Reader
-	// remaining is the number of bytes that belong to the body; the library's
-	// reader does not stop there by itself.
-	remaining int64
-
-	// mutex protects everything below.
-	mutex   sync.Mutex
-	started bool
-	ended   bool
-	stopped bool
-	// onEnd is called when the body was read to its end.
-	onEnd func()
-}
-
-// Read implements io.Reader.
-func (s *streamedBody) Read(buffer []byte) (int, error) {
-	s.reading.Lock()
-	defer s.reading.Unlock()
-	if err := s.begin(); err != nil {
-		return 0, err
-	}
-	if int64(len(buffer)) > s.remaining {
-		buffer = buffer[:s.remaining]
-	}
-	count, err := s.stream.Read(buffer)
-	s.remaining -= int64(count)
-	if s.remaining == 0 && err == nil {
-		err = io.EOF
-	}
-	if err == io.EOF {
-		s.finish()
-	}
-	return count, err
-}
-
-// begin checks that a read may happen and bounds it. The bound is set under
-// mutex, so that an interrupt by stop always comes after it.
-func (s *streamedBody) begin() error {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.started = true
-	if s.stopped {
-		return result.Errorf(result.CallCancelled, "the request is over")
-	}
-	if s.ended {
-		return io.EOF
-	}
-	s.conn.linger(bodyIdle)
-	return nil
-}
-
-// finish notes the end of the body; the caller's connection is watched from
-// then on, unless the request is over.
-func (s *streamedBody) finish() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.ended = true
-	if s.onEnd != nil && !s.stopped {
-		s.onEnd()
-	}
-}
-
-func (s *streamedBody) touched() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.started
-}
-
-func (s *streamedBody) stop() (unfinished bool) {
-	s.mutex.Lock()
-	s.stopped = true
-	ended := s.ended
-	s.mutex.Unlock()
-	if ended {
-		return false
-	}
-	s.conn.interrupt()
-	s.reading.Lock()
-	defer s.reading.Unlock()
-	return true
-}
-
 // deadlineOf returns the context for a call: the route's bound or the one that
 // came along the chain of calls, whichever is sooner. Uploads have only the
 // latter.
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -79,6 +79,7 @@
 	CallNotRunStopping    Code = 5016
 	CallHeadTooLarge      Code = 5017
 	CallBodyTooLarge      Code = 5018
+	CallRequestTimeout    Code = 5019
 
 	ProtocolBadFrame    Code = 6001
 	ProtocolTooLarge    Code = 6002
@@ -173,6 +174,7 @@
 	{CallNotRunStopping, "call-not-run-stopping", "The daemon is stopping. The call did not run.", "Repeat at once with another daemon."},
 	{CallHeadTooLarge, "call-head-too-large", "The request's header is larger than the configuration allows. It did not run.", "Send less, or raise the limit."},
 	{CallBodyTooLarge, "call-body-too-large", "The request's body is larger than the configuration allows. It did not run.", "Send less, or raise the limit."},
+	{CallRequestTimeout, "call-request-timeout", "The request did not arrive whole in time. It did not run.", "Send it again."},
 	{ProtocolBadFrame, "protocol-bad-frame", "Bytes received are not a frame of the protocol.", "None; the connection is closed."},
 	{ProtocolTooLarge, "protocol-too-large", "A frame is larger than allowed.", "None; the connection is closed."},
 	{ProtocolBadVersion, "protocol-bad-version", "The peer speaks another version of the protocol.", "Bring the releases closer together."},
@@ -228,7 +230,7 @@
 	switch c {
 	case CallNoRoute, CallNoEndpoint, CallNotReady, CallNotRunDraining, CallNotRunOverloaded,
 		CallNotRunExpired, CallNotRunUnreachable, CallNotRunDuplicate, CallBadRequest,
-		CallNotRunShed, CallNotRunUnknownHere, CallNotRunStopping, CallHeadTooLarge, CallBodyTooLarge:
+		CallNotRunShed, CallNotRunUnknownHere, CallNotRunStopping, CallHeadTooLarge, CallBodyTooLarge, CallRequestTimeout:
 		return true
 	default:
 		return false
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -44,6 +44,9 @@
 	Backends []Backend `json:"backends"`
 	PeerTLS  PeerTLS   `json:"peer_tls"`
 	Calls    Calls     `json:"calls"`
+	// SentAhead bounds what is held for requests that callers send before
+	// earlier ones on their connection are answered.
+	SentAhead SentAhead `json:"sent_ahead"`
 	// Profile chooses the tunables of distribution: convergence or bytes.
 	Profile string `json:"profile"`
 	// Distribution overrides single tunables of the profile.
@@ -110,6 +113,21 @@
 	QueueTime       features.Duration `json:"queue_time"`
 }
 
+// SentAhead bounds what is held for requests sent ahead. At a bound the
+// connection is not read on.
+type SentAhead struct {
+	// RequestsPerConnection bounds the unanswered requests of one connection; 1
+	// serves them one after the other.
+	RequestsPerConnection int `json:"requests_per_connection"`
+	// Requests bounds those that are unanswered behind another one, of all
+	// connections.
+	Requests int `json:"requests"`
+	// BytesPerConnection and Bytes bound the answers that wait for their turn, of
+	// one connection and of all.
+	BytesPerConnection int64 `json:"bytes_per_connection"`
+	Bytes              int64 `json:"bytes"`
+}
+
 // Profiles of distribution.
 const (
 	ProfileConvergence = "convergence"
@@ -129,6 +147,7 @@
 			QueueLength:     64,
 			QueueTime:       features.Duration(250 * time.Millisecond),
 		},
+		SentAhead: SentAhead{RequestsPerConnection: 16, Requests: 2048, BytesPerConnection: 256 << 10, Bytes: 16 << 20},
 		Platform:  Platform{Contact: features.Duration(3 * time.Second), ApplyBound: features.Duration(2 * time.Second)},
 		StopLimit: features.Duration(10 * time.Minute),
 
@@ -181,6 +200,13 @@
 	check.positive("calls.default_deadline", float64(d.Calls.DefaultDeadline))
 	check.positive("calls.queue_length", float64(d.Calls.QueueLength))
 	check.positive("calls.queue_time", float64(d.Calls.QueueTime))
+	check.positive("sent_ahead.requests_per_connection", float64(d.SentAhead.RequestsPerConnection))
+	check.positive("sent_ahead.requests", float64(d.SentAhead.Requests))
+	check.positive("sent_ahead.bytes_per_connection", float64(d.SentAhead.BytesPerConnection))
+	check.positive("sent_ahead.bytes", float64(d.SentAhead.Bytes))
+	if d.SentAhead.BytesPerConnection > d.SentAhead.Bytes {
+		check.faults.Add(result.SettingsBadNumber, "sent_ahead.bytes_per_connection must be at most sent_ahead.bytes")
+	}
 	check.positive("stop_limit", float64(d.StopLimit))
 	if d.DecisionLinesPerSecond < 0 {
 		check.faults.Add(result.SettingsBadNumber, "decision_lines_per_second: %d is negative", d.DecisionLinesPerSecond)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,8 @@
 		{"host name as address", strings.Replace(good, "127.0.0.1:7400", "localhost:7400", 1), result.SettingsBadAddress, "peer_address"},
 		{"address without port", good + "caller_address: 127.0.0.1", result.SettingsBadAddress, "caller_address"},
 		{"negative limit", good + "calls: {queue_length: -1}", result.SettingsBadNumber, "calls.queue_length"},
+		{"no request at all", good + "sent_ahead: {requests_per_connection: 0}", result.SettingsBadNumber, "sent_ahead.requests_per_connection"},
+		{"a connection above the daemon", good + "sent_ahead: {bytes_per_connection: 9, bytes: 8}", result.SettingsBadNumber, "sent_ahead.bytes"},
 		{"negative duration", good + "stop_limit: -3s", result.SettingsBadNumber, "stop_limit"},
 		{"bad duration", good + "stop_limit: soon", result.SettingsBadNumber, "soon"},
 		{"links lost between heartbeats", good + "distribution: {link_silence: 1s}", result.SettingsBadNumber, "link_silence"},
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -12,4 +12,5 @@
 meshconfig FuzzDecodeBundle
 query FuzzParse
 gateway FuzzCheckFraming
+gateway/pipeline FuzzPipelinedBytes
 TARGETS
