Send no long body before its call is admitted

Bodies of up to 64 kB were sent along with the opening of each attempt, so that an instance with too much to do had its link filled by what it refused, up to five times for each request.

Change: a body of over 4 kB waits for the first credit, which comes when a slot is granted; it can still be sent again, since the caller's daemon has it whole. The accepting side takes what earlier releases send.

--- a/internal/callmux/client.go
+++ b/internal/callmux/client.go
@@ -237,7 +237,7 @@
 	if err := sendOpening(opened, call); err != nil {
 		return nil, result.Wrap(result.CallUnknownOutcome, err, "handing the call over")
 	}
-	if call.Body != nil && !call.Buffered {
+	if call.Body != nil && !goesAlong(call) {
 		go sendRequestBody(bodyCtx, opened, call)
 	}
 	var stall <-chan struct{}
@@ -267,10 +267,15 @@
 	return result.CallCancelled
 }
 
+// goesAlong reports whether a call's body is sent with its opening.
+func goesAlong(call *callapi.Call) bool {
+	return call.Buffered && call.Open.GetContentLength() <= AlongBytes
+}
+
 func sendOpening(opened *stream, call *callapi.Call) error {
 	frames := []proto.Message{&lapisv1.CallFrame{Call: opened.id, Body: &lapisv1.CallFrame_Open{Open: call.Open}}}
-	if call.Body != nil && call.Buffered {
-		content, err := io.ReadAll(io.LimitReader(call.Body, BufferedBodyBytes))
+	if call.Body != nil && goesAlong(call) {
+		content, err := io.ReadAll(io.LimitReader(call.Body, AlongBytes))
 		if err != nil {
 			return err
 		}
--- a/internal/callmux/server.go
+++ b/internal/callmux/server.go
@@ -90,6 +90,7 @@
 		return session.send(resetOf(frame.GetCall(), result.Errorf(result.CallNotRunOverloaded, "too many calls on one connection")))
 	}
 	stream := newStream(frame.GetCall(), session)
+	// Daemons of earlier releases send longer bodies along.
 	stream.allowance = BufferedBodyBytes
 	stream.credit = windowBytes
 	stream.lazyGrant = true
--- a/internal/callmux/stream.go
+++ b/internal/callmux/stream.go
@@ -11,9 +11,13 @@
 
 // Windows and sizes in bytes.
 const (
-	// BufferedBodyBytes is the largest body that is sent along with the opening
-	// frame, before the call is admitted.
+	// BufferedBodyBytes is the largest body that a caller's daemon reads whole, so
+	// that the call can be sent again.
 	BufferedBodyBytes = 64 << 10
+	// AlongBytes is the largest body that is sent along with the opening frame,
+	// before the call is admitted. A longer one of a refused call would fill the
+	// links of just those daemons that have too much to do.
+	AlongBytes = 4 << 10
 	// windowBytes is what one direction of a stream may have in flight.
 	windowBytes = 256 << 10
 	// grantAfterBytes is the amount read after which more is granted.
