Answer what a stopping daemon cannot see through

A daemon that got SIGTERM served callers for 2.5 s more with the deadlines that they named (6 s), cut all that was left at the end of its stop limit (5.25 s) and ended its process before the handlers had written an answer.

Change: a call taken while the daemon leaves has a deadline before the stop limit, so that it is refused as not run, or ended by its instance, in time. At the limit the calls are ended first and the process waits until their answers are written, at most 300 ms. A second signal still ends at once.

TestCallsThatOutlastAStopAreAnswered fails without it, three times of three (one call was in flight when the daemon's run had ended).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -40,8 +39,11 @@
 const (
 	// leaveNotice is how long a stopping daemon goes on answering new calls
 	// with a refusal, while the news of its leaving spreads.
-	leaveNotice      = 500 * time.Millisecond
-	inFlightPoll     = 20 * time.Millisecond
+	leaveNotice  = 500 * time.Millisecond
+	inFlightPoll = 20 * time.Millisecond
+	// cutAnswers bounds how long the answers of cut calls may take to be
+	// written.
+	cutAnswers       = 300 * time.Millisecond
 	idleLinkLifetime = time.Minute
 )
 
@@ -297,7 +299,7 @@
 	case <-stop:
 	case <-force:
 	}
-	d.logger.Info("daemon.stopping", "in_flight", d.inFlight())
+	d.logger.Info("daemon.stopping", "in_flight", d.InFlight())
 	if d.direct != nil {
 		cut = d.direct.drain(force)
 	} else {
@@ -378,7 +380,9 @@
 	}
 }
 
-func (d *Daemon) inFlight() int64 {
+// InFlight returns the number of calls of callers and at instances that are not
+// over.
+func (d *Daemon) InFlight() int64 {
 	return d.gateway.InFlight() + int64(d.origin.InFlight())
 }
 
@@ -401,19 +405,38 @@
 		case <-force:
 			return d.reportCut("a second signal")
 		case <-limit.C:
-			return d.reportCut(fmt.Sprintf("stop_limit %s", d.settings.Load().StopLimit.Get()))
+			return d.endCalls()
 		case <-notice.C:
 			noticed = true
 		case <-poll.C:
-			if noticed && d.inFlight() == 0 {
+			if noticed && d.InFlight() == 0 {
 				return 0
 			}
 		}
 	}
 }
 
+// endCalls ends the calls that outlasted the stop limit and waits until callers
+// have been told so: a connection that ends without a word tells them nothing.
+func (d *Daemon) endCalls() (cut int64) {
+	cut = d.reportCut("stop_limit " + d.settings.Load().StopLimit.Get().String())
+	d.gateway.Cut()
+	limit := time.NewTimer(cutAnswers)
+	defer limit.Stop()
+	poll := time.NewTicker(inFlightPoll)
+	defer poll.Stop()
+	for d.gateway.InFlight() > 0 {
+		select {
+		case <-limit.C:
+			return cut
+		case <-poll.C:
+		}
+	}
+	return cut
+}
+
 func (d *Daemon) reportCut(cause string) int64 {
-	cut := d.inFlight()
+	cut := d.InFlight()
 	d.logger.Info("daemon.calls_cut", "calls", cut, "cause", cause)
 	return cut
 }
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -184,11 +184,12 @@
 func (p *direct) drain(force <-chan struct{}) (cut int64) {
 	d := p.daemon
 	p.leaving.Store(true)
-	d.gateway.Leave()
+	// The limit ends with the process; an eighth of it is left for the end.
+	lasts := d.settings.Load().StopLimit.Get() * 7 / 8
+	d.gateway.Leave(time.Now().Add(lasts - answersLeave))
 	d.origin.Stop()
 	d.announce()
-	// The limit ends with the process; an eighth of it is left for the end.
-	limit := time.NewTimer(d.settings.Load().StopLimit.Get() * 7 / 8)
+	limit := time.NewTimer(lasts)
 	defer limit.Stop()
 	left := time.NewTimer(callersLeave)
 	defer left.Stop()
@@ -201,7 +202,7 @@
 		case <-force:
 			return d.reportCut("a second signal")
 		case <-limit.C:
-			return d.reportCut("stop_limit " + d.settings.Load().StopLimit.Get().String())
+			return d.endCalls()
 		case <-left.C:
 			// Whoever still comes is refused before anything ran, so that
 			// the end of the process cuts nothing.
@@ -209,7 +210,7 @@
 			callersGone = true
 		case <-poll.C:
 			switch {
-			case !callersGone || d.inFlight() > 0:
+			case !callersGone || d.InFlight() > 0:
 				idleSince = time.Time{}
 			case idleSince.IsZero():
 				idleSince = time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,6 +84,9 @@
 
 	// stopping closes callers' connections, refusing also refuses new calls.
 	stopping, refusing atomic.Bool
+	// leaveBy is when the answers of a stopping gateway must be out; nil for no
+	// bound.
+	leaveBy atomic.Pointer[time.Time]
 	// force is cancelled to cut the calls in flight.
 	force    context.Context
 	forceAll context.CancelFunc
@@ -172,13 +175,17 @@
 
 // Stop makes the gateway refuse new calls; those in flight go on.
 func (g *Gateway) Stop() {
-	g.Leave()
+	g.stopping.Store(true)
 	g.refusing.Store(true)
 }
 
 // Leave makes the gateway close callers' connections after their next answer,
-// so that they go elsewhere; calls are still served.
-func (g *Gateway) Leave() { g.stopping.Store(true) }
+// so that they go elsewhere; calls are still served, and end by the given time
+// whatever their own deadline.
+func (g *Gateway) Leave(by time.Time) {
+	g.leaveBy.Store(&by)
+	g.stopping.Store(true)
+}
 
 // ShareRetries notes the number of daemons that share the burst of retries.
 func (g *Gateway) ShareRetries(daemons int) { g.budget.share(daemons) }
@@ -269,6 +276,11 @@
 	if route == nil {
 		return nil, result.Errorf(result.CallNoRoute, "%s %s", method, path)
 	}
+	if by := g.leaveBy.Load(); by != nil {
+		var left context.CancelFunc
+		ctx, left = context.WithDeadline(ctx, *by)
+		defer left()
+	}
 	callCtx, cancel := g.deadlineOf(ctx, rc, route.GetCallClass(), started)
 	defer cancel()
 	stopForce := context.AfterFunc(g.force, cancel)
--- a/internal/testsite/calls_test.go
+++ b/internal/testsite/calls_test.go
@@ -24,6 +24,7 @@
 	"github.com/lapisvane/lapisvane/internal/backendstub"
 	"github.com/lapisvane/lapisvane/internal/callapi"
 	"github.com/lapisvane/lapisvane/internal/callload"
+	"github.com/lapisvane/lapisvane/internal/features"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/testsite"
 )
@@ -358,6 +359,32 @@
 	}
 }
 
+// TestCallsThatOutlastAStopAreAnswered stops the caller's daemon while its call
+// is at a back end for longer than the daemon has: the caller is told that the
+// outcome is unknown, in a whole answer.
+func TestCallsThatOutlastAStopAreAnswered(t *testing.T) {
+	site := startSite(t, 1, func(profile *testsite.Profile) {
+		profile.StopLimit = features.Duration(500 * time.Millisecond)
+		profile.ServiceTime = time.Minute
+	})
+	caller := edgeCaller(site, "/upload", nil)
+	result := make(chan callload.CallResult, 1)
+	go func() { result <- caller.Do(context.Background(), "endless") }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(site.Ledger.Runs("endless")) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the call has not begun")
+	}, poll.WithTimeout(settleTime), poll.WithDelay(5*time.Millisecond))
+	site.Daemons["edge"].Stop()
+	// The process may end now: nothing may be left to be written.
+	assert.Equal(t, site.Daemons["edge"].Daemon.InFlight(), int64(0))
+	one := <-result
+	assert.Equal(t, one.Status, http.StatusBadGateway, "%+v", one)
+	assert.Equal(t, one.Outcome, callload.OutcomeUnknown)
+	assert.Equal(t, site.Daemons["edge"].Cut, int64(1))
+}
+
 func closed() <-chan struct{} {
 	done := make(chan struct{})
 	close(done)
