Let the chance of a late answer count in the choice of an instance

The choice knew the mean time of a route at an instance and not how it spreads, so that a slow instance of the own zone seemed well within the target (p50 of that zone 165 ms, p99 over 700).

Change: the spread of service times is observed by route; the chance that a call takes longer than what is left of its target (taken as log-normal) costs as much as the same chance of a failure.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -45,6 +45,9 @@
 	// latency: an answer that fails is worth nothing, one from another zone or a
 	// late one is worth most of it.
 	failureCost = 2
+	// latenessCost is what an answer costs that is certain to be late, in parts of
+	// the target latency; like a failure it is worth little.
+	latenessCost = 2
 	// soundShare is the share of failures below which an instance counts as
 	// sound.
 	soundShare = 0.1
@@ -83,7 +86,7 @@
 	reportedAt  time.Time
 	// services holds the service time of each route, in seconds, and failure
 	// the share of the attempts that failed.
-	services map[string]*mean
+	services map[string]*serviceTime
 	failure  mean
 }
 
@@ -171,6 +174,8 @@
 	// Target is the time inside which an answer is worth most, 0 where the
 	// route states none.
 	Target time.Duration
+	// Spent is the part of Target that is over already.
+	Spent time.Duration
 	// Bytes is about how many go both ways.
 	Bytes float64
 }
@@ -265,8 +270,8 @@
 }
 
 // cheapest takes the instance with the least cost: the expected time until an
-// answer in parts of the target latency, the price of bytes to another zone,
-// and the share of failures. A little noise keeps daemons from all choosing the
+// answer in parts of the target latency, the chance that it is late, the price of
+// bytes to another zone, and the share of failures. A little noise keeps daemons from all choosing the
 // same one.
 func (b *Balancer) cheapest(candidates []*Target, slots float64, choice Choice) *Target {
 	now := b.now()
@@ -275,6 +280,8 @@
 		conditions[index] = target.condition(choice.Route, b.zone, slots, now)
 	}
 	target := choice.Target.Seconds()
+	left := target - choice.Spent.Seconds()
+	spread := typicalSpread(conditions, now)
 	typical, known := typicalService(conditions)
 	if !known {
 		typical = target / 4
@@ -283,7 +290,9 @@
 	var best *Target
 	least := math.Inf(1)
 	for index, seen := range conditions {
-		cost := seen.expected(typical, now)/target + seen.failures*failureCost + choiceNoise*rand.Float64()
+		total, service := seen.expected(typical, now)
+		late := lateness(service, spread, left-(total-service))
+		cost := total/target + late*latenessCost + seen.failures*failureCost + choiceNoise*rand.Float64()
 		if seen.elsewhere {
 			cost += crossing
 		}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -12,6 +12,16 @@
 	// serviceMemory is how fast an instance's own mean gives way to that of all
 	// instances, so that one that was slow is tried again.
 	serviceMemory = 4 * time.Second
+	// spreadSmoothing weighs the newest answer in the spread of service times,
+	// and spreadMemory is how fast that is forgotten.
+	spreadSmoothing = 0.05
+	spreadMemory    = 30 * time.Second
+	// usualSpread is the squared deviation of a service time, in parts of its
+	// mean, where nothing was observed.
+	usualSpread = 0.1
+	// minSpread keeps an instance that seems to take always the same time from
+	// being taken as certain.
+	minSpread = 0.01
 	// failureSmoothing weighs the newest attempt in the share of failures, and
 	// failureMemory is how fast that share is forgotten.
 	failureSmoothing = 0.15
@@ -52,6 +62,22 @@
 	return kept*m.value + (1-kept)*other
 }
 
+// serviceTime is what is known of the time that calls of one route take at an
+// instance.
+type serviceTime struct {
+	// mean is in seconds, spread the squared deviation from it in parts of it.
+	mean, spread mean
+}
+
+// add takes in the time of one call.
+func (s *serviceTime) add(seconds float64, now time.Time) {
+	if !s.mean.at.IsZero() && s.mean.value > 0 {
+		deviation := seconds/s.mean.value - 1
+		s.spread.addTo(usualSpread, deviation*deviation, spreadSmoothing, spreadMemory, now)
+	}
+	s.mean.add(seconds, serviceSmoothing, serviceMemory, now)
+}
+
 // Answered notes an answer to a call of a route: the time that the instance
 // took, and the bytes that went both ways.
 func (t *Target) Answered(route string, service time.Duration, now time.Time) {
@@ -63,12 +89,12 @@
 			t.services = nil
 		}
 		if t.services == nil {
-			t.services = map[string]*mean{}
+			t.services = map[string]*serviceTime{}
 		}
-		known = &mean{}
+		known = &serviceTime{}
 		t.services[route] = known
 	}
-	known.add(service.Seconds(), serviceSmoothing, serviceMemory, now)
+	known.add(service.Seconds(), now)
 	t.failure.addTo(0, 0, failureSmoothing, failureMemory, now)
 }
 
@@ -85,6 +111,8 @@
 type condition struct {
 	// known is the time that a call of the route takes there, in seconds.
 	known mean
+	// spread is how much that time varies.
+	spread mean
 	// load is the calls there, running and waiting, and slots what runs at
 	// once.
 	load, slots float64
@@ -105,7 +133,8 @@
 		failures: t.failure.faded(0, failureMemory, now),
 	}
 	if service, ok := t.services[route]; ok {
-		seen.known = *service
+		seen.known = service.mean
+		seen.spread = service.spread
 	}
 	own := float64(t.inFlight.Load())
 	seen.load = own
@@ -118,9 +147,9 @@
 }
 
 // expected is the time until an answer, in seconds, of one more call, when a
-// call takes typical elsewhere.
-func (c condition) expected(typical float64, now time.Time) float64 {
-	service := c.known.faded(typical, serviceMemory, now)
+// call takes typical elsewhere; service is the part of it that the instance works.
+func (c condition) expected(typical float64, now time.Time) (total, service float64) {
+	service = c.known.faded(typical, serviceMemory, now)
 	if c.cold {
 		service *= coldFactor
 	}
@@ -129,7 +158,35 @@
 		service *= 1 + fullSlowdown*min((used-almostFull)/(1-almostFull), 1)
 	}
 	waiting := max(c.load+1-c.slots, 0)
-	return service * (1 + waiting/c.slots)
+	return service * (1 + waiting/c.slots), service
+}
+
+// lateness is the chance that work of the given mean and spread takes longer than
+// what is left, all in seconds. Service times are taken as log-normal: most are
+// short and few are very long.
+func lateness(service, spread, left float64) float64 {
+	if left <= 0 {
+		return 1
+	}
+	variance := math.Log1p(max(spread, minSpread))
+	median := math.Log(service) - variance/2
+	return math.Erfc((math.Log(left)-median)/math.Sqrt(2*variance)) / 2
+}
+
+// typicalSpread is the mean spread of the route over all candidates: one instance
+// alone shows the long times of a route too seldom.
+func typicalSpread(conditions []condition, now time.Time) float64 {
+	sum, count := 0.0, 0
+	for _, seen := range conditions {
+		if !seen.spread.at.IsZero() {
+			sum += seen.spread.faded(usualSpread, spreadMemory, now)
+			count++
+		}
+	}
+	if count == 0 {
+		return usualSpread
+	}
+	return sum / float64(count)
 }
 
 // typicalService is the mean of what is known of the route at all candidates;
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -166,7 +166,7 @@
 		}
 		target, err := a.gateway.balancer.Pick(service, balance.Choice{
 			Exclude: a.tried, Key: a.open.GetIdempotencyKey(), Route: a.route.GetName(),
-			Target: a.targetLatency(), Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
+			Target: a.targetLatency(), Spent: time.Since(a.started), Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
 		})
 		if err == nil {
 			return target, pool, nil
