Count the time that a call takes when its latest start is told

Cause: the queue beside an instance takes a call as in time until its whole target has passed, although it then still has to run.

Change: the opening tells the time left less the time that the route takes at that instance, as the caller's daemon observed it.

--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -107,6 +107,18 @@
 	t.failure.addTo(0, 1, failureSmoothing, failureMemory, now)
 }
 
+// ServiceTime returns the time that a call of a route takes at the instance, as far
+// as that is known; 0 where it is not.
+func (t *Target) ServiceTime(route string) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known, ok := t.services[route]
+	if !ok {
+		return 0
+	}
+	return time.Duration(known.mean.value * float64(time.Second))
+}
+
 // condition is what is known of an instance for one choice.
 type condition struct {
 	// known is the time that a call of the route takes there, in seconds.
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -232,10 +232,11 @@
 		Priority: template.GetPriority(), CallerService: template.GetCallerService(),
 		Repeat: a.handed > 0,
 	}
-	if target := a.targetLatency(); target > 0 {
+	if latency := a.targetLatency(); latency > 0 {
 		spent := time.Since(a.started)
-		open.TargetMillis = uint32(max((target - spent).Milliseconds(), 0))
-		open.MaxWaitMillis = uint32(max(maxWaitOf(target)-spent, minWait).Milliseconds())
+		startWithin := latency - spent - target.ServiceTime(a.route.GetName())
+		open.TargetMillis = uint32(max(startWithin.Milliseconds(), 0))
+		open.MaxWaitMillis = uint32(max(maxWaitOf(latency)-spent, minWait).Milliseconds())
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining := time.Until(deadline)
