Let calls of the least slack go first at an instance

Cause: under overload nested calls wait behind the calls that need them.

Change: the opening tells the slack of a route's calls, the target less the service time. Among calls in time those of the least slack go first, in steps of a factor of two, then those that are due first as before.

TestCallsOfLeastSlackGoFirst fails without.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -10,6 +10,7 @@
 	"container/list"
 	"context"
 	"math"
+	"math/bits"
 	"sync"
 	"time"
 
@@ -53,10 +54,12 @@
 	Upload     bool
 	// Priority orders the waiting calls of a group; 0 is the most urgent.
 	Priority uint32
-	// Due orders calls of one priority: the time by which a call must start to
-	// be answered while the answer is worth most. Those that are late go after
-	// all others; zero comes last.
+	// Due is the time by which a call must start to be answered while the answer
+	// is worth most. Those that are late go after all others; zero comes last.
 	Due time.Time
+	// Slack is how long before Due such a call comes when it has not waited yet.
+	// The calls with the least go first: they are short, or others wait for them.
+	Slack time.Duration
 	// MaxWait bounds the wait; 0 means the queue's own bound.
 	MaxWait time.Duration
 	// NoWait refuses the call when it cannot start at once.
@@ -235,8 +238,8 @@
 }
 
 // before reports whether a request that came later goes before another one:
-// the more urgent first, then those that can still be in time, then those that
-// are due first.
+// the more urgent first, then those that can still be in time, then those of the
+// least slack, then those that are due first.
 func (r *Request) before(other *Request, now time.Time) bool {
 	if r.Priority != other.Priority {
 		return r.Priority < other.Priority
@@ -247,9 +250,16 @@
 	if r.Due.IsZero() || other.Due.IsZero() {
 		return !r.Due.IsZero() && other.Due.IsZero()
 	}
+	if step, otherStep := r.slackStep(), other.slackStep(); step != otherStep {
+		return step < otherStep
+	}
 	return r.Due.Before(other.Due)
 }
 
+// slackStep is the slack in steps of a factor of two: what callers know of the
+// service time of one route differs a little.
+func (r *Request) slackStep() int { return bits.Len64(uint64(max(r.Slack.Milliseconds(), 0))) }
+
 // late reports whether the request can no longer start in time.
 func (r *Request) late(now time.Time) bool { return !r.Due.IsZero() && r.Due.Before(now) }
 
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -278,6 +278,35 @@
 	})
 }
 
+// Calls that others wait for are short and have little slack: they go before those
+// that came earlier and are due earlier, unless they are late.
+func TestCallsOfLeastSlackGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newQueue(1, nil)
+		held, err := queue.Acquire(context.Background(), admission.Request{})
+		assert.NilError(t, err)
+		order := make(chan string, 4)
+		enter := func(name string, slack, left time.Duration) {
+			request := admission.Request{Due: time.Now().Add(left), Slack: slack, MaxWait: time.Second}
+			go func() {
+				slot, err := queue.Acquire(context.Background(), request)
+				assert.Check(t, err)
+				order <- name
+				slot.Release(false)
+			}()
+			synctest.Wait()
+		}
+		enter("order, due soon", 300*time.Millisecond, 40*time.Millisecond)
+		enter("order", 310*time.Millisecond, 310*time.Millisecond)
+		enter("nested", 90*time.Millisecond, 90*time.Millisecond)
+		enter("nested and late", 90*time.Millisecond, -time.Millisecond)
+		held.Release(false)
+		for _, want := range []string{"nested", "order, due soon", "order", "nested and late"} {
+			assert.Equal(t, <-order, want)
+		}
+	})
+}
+
 // A call that is late anyway does not keep one that can be in time from its slot.
 func TestLateCallsGoLast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -234,8 +234,9 @@
 	}
 	if latency := a.targetLatency(); latency > 0 {
 		spent := time.Since(a.started)
-		startWithin := latency - spent - target.ServiceTime(a.route.GetName())
-		open.TargetMillis = uint32(max(startWithin.Milliseconds(), 0))
+		slack := latency - target.ServiceTime(a.route.GetName())
+		open.SlackMillis = uint32(max(slack.Milliseconds(), 1))
+		open.TargetMillis = uint32(max((slack - spent).Milliseconds(), 0))
 		open.MaxWaitMillis = uint32(max(maxWaitOf(latency)-spent, minWait).Milliseconds())
 	}
 	if deadline, ok := ctx.Deadline(); ok {
