Bound the long wait of refused calls by their target

Cause: a call that was refused for load everywhere waited, behind others, until 0.45 of its whole time was over.

Change: it waits until 0.6 of its target at most.

TestLongWaitIsBoundedByTargetAndDeadline fails without.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -23,8 +23,11 @@
 	leastMaxWait = 50 * time.Millisecond
 	minWait      = 5 * time.Millisecond
 	// lastResortPart is the part of a call's whole time within which one that
-	// was refused for load everywhere must get a slot.
-	lastResortPart = 0.45
+	// was refused for load everywhere must get a slot, and lastResortTargets the
+	// part of its target latency: what waits longer fills slots with what is
+	// hardly wanted any more.
+	lastResortPart    = 0.45
+	lastResortTargets = 0.6
 	// maxDetours bounds the instances that are tried after refusals that no
 	// back end saw.
 	maxDetours = 5
@@ -242,8 +245,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining := time.Until(deadline)
 		if a.lastResort {
-			whole := deadline.Sub(a.started)
-			open.MaxWaitMillis = uint32(max(time.Duration(lastResortPart*float64(whole))-time.Since(a.started), minWait).Milliseconds())
+			open.MaxWaitMillis = uint32(max(a.lastResortWait(deadline)-time.Since(a.started), minWait).Milliseconds())
 		}
 		open.DeadlineMillis = uint32(max(remaining.Milliseconds(), 1))
 		open.ExpiresAfterMillis = uint32(max((remaining - startMargin).Milliseconds(), 1))
@@ -251,6 +253,13 @@
 	return open
 }
 
+// lastResortWait returns how long after its start a call that was refused for load
+// everywhere may get a slot.
+func (a *attempter) lastResortWait(deadline time.Time) time.Duration {
+	whole := deadline.Sub(a.started)
+	return time.Duration(min(lastResortPart*float64(whole), lastResortTargets*float64(a.targetLatency())))
+}
+
 // targetLatency returns the time inside which an answer is worth most, 0 where
 // the route states none.
 func (a *attempter) targetLatency() time.Duration {
--- a/internal/gateway/failures_test.go
+++ b/internal/gateway/failures_test.go
@@ -112,3 +112,39 @@
 		})
 	}
 }
+
+// A call that was refused for load everywhere waits once more, and no longer than
+// its target allows: long waits fill the slots with what is hardly wanted any more.
+func TestLongWaitIsBoundedByTargetAndDeadline(t *testing.T) {
+	for name, row := range map[string]struct {
+		deadline, most time.Duration
+	}{
+		"the deadline is near":      {200 * time.Millisecond, 90 * time.Millisecond},
+		"the deadline is far":       {5 * time.Second, 120 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			overloaded := result.Errorf(result.CallNotRunOverloaded, "full")
+			remote := &recordingRemote{err: overloaded}
+			attempt := newAttempter(t, remote, false, RetryLimits{Fraction: 1, Burst: 10})
+			ctx, cancel := context.WithDeadline(context.Background(), attempt.started.Add(row.deadline))
+			defer cancel()
+			_, err := attempt.run(ctx)
+			assert.Assert(t, result.Is(err, result.CallNotRunOverloaded))
+			last := remote.opened[len(remote.opened)-1]
+			assert.Assert(t, attempt.lastResort)
+			assert.Assert(t, time.Duration(last.GetMaxWaitMillis())*time.Millisecond <= row.most, "%d ms", last.GetMaxWaitMillis())
+		})
+	}
+}
+
+// recordingRemote refuses all calls and keeps their openings.
+type recordingRemote struct {
+	err    error
+	opened []*lapisv1.CallOpen
+}
+
+// Handle implements Remote.
+func (r *recordingRemote) Handle(_ context.Context, _ string, call *callapi.Call) (*callapi.Answer, error) {
+	r.opened = append(r.opened, call.Open)
+	return nil, r.err
+}
