--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -35,8 +35,8 @@
 // A call that was refused for load may come back after a random time between
 // these parts of its target latency, so that the returns are spread.
 const (
-	comeBackFrom = 0.2
-	comeBackTo   = 0.5
+	comeBackFrom = 0.4
+	comeBackTo   = 1.2
 )
 
 // comeBack sets when a refused call may come back, where its route states a
--- a/internal/gateway/failures_test.go
+++ b/internal/gateway/failures_test.go
@@ -119,8 +119,8 @@
 	for name, row := range map[string]struct {
 		deadline, most time.Duration
 	}{
-		"the deadline is near":      {200 * time.Millisecond, 90 * time.Millisecond},
-		"the deadline is far":       {5 * time.Second, 120 * time.Millisecond},
+		"the deadline is near": {200 * time.Millisecond, 90 * time.Millisecond},
+		"the deadline is far":  {5 * time.Second, 120 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			overloaded := result.Errorf(result.CallNotRunOverloaded, "full")
