Emulate clients that send requests ahead

Change: a load has bursts, rows of requests sent on one connection before the first is answered; an order may stand between reads.

--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -102,6 +102,8 @@
 // Load sends the requests of some classes.
 type Load struct {
 	Classes []Class
+	// Bursts are rows of requests sent ahead on one connection.
+	Bursts  []Burst
 	Targets []Target
 	Ledger  *promise.Ledger
 	Tally   *Tally
@@ -118,6 +120,10 @@
 		random := rand.New(rand.NewPCG(l.Seed, uint64(index)))
 		running.Go(func() { l.send(ctx, class, random) })
 	}
+	for index, burst := range l.Bursts {
+		random := rand.New(rand.NewPCG(l.Seed, uint64(len(l.Classes)+index)))
+		running.Go(func() { l.sendBursts(ctx, burst, random) })
+	}
 	running.Wait()
 }
 
@@ -162,11 +168,7 @@
 		return Failed, 20 * time.Millisecond, true
 	}
 	wait := max(time.Until(deadline).Milliseconds(), 1)
-	id := "r" + strconv.FormatUint(nextRequest.Add(1), 36)
-	l.Ledger.Sent(promise.Request{
-		ID: id, Services: set(class.Services), Safe: class.Safe, BodyDigest: digestOf(body),
-		Caller: target.Service(), SentAt: time.Now(), Wait: time.Duration(wait) * time.Millisecond, Attempts: class.Attempts,
-	})
+	id := l.announce(class, target, body, wait)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	request, err := newRequest(ctx, class, "http://"+address, id, body, wait)
@@ -182,6 +184,17 @@
 	return l.judge(class, id, response)
 }
 
+// announce enters a request that waits for so many milliseconds into the ledger and
+// returns its id.
+func (l *Load) announce(class Class, target Target, body []byte, wait int64) string {
+	id := "r" + strconv.FormatUint(nextRequest.Add(1), 36)
+	l.Ledger.Sent(promise.Request{
+		ID: id, Services: set(class.Services), Safe: class.Safe, BodyDigest: digestOf(body),
+		Caller: target.Service(), SentAt: time.Now(), Wait: time.Duration(wait) * time.Millisecond, Attempts: class.Attempts,
+	})
+	return id
+}
+
 func newRequest(ctx context.Context, class Class, base, id string, body []byte, wait int64) (*http.Request, error) {
 	method := http.MethodGet
 	if len(body) > 0 {
--- a/internal/emulator/day/play.go
+++ b/internal/emulator/day/play.go
@@ -58,6 +58,7 @@
 	Options Options
 	Routes  []Route
 	Classes []client.Class
+	Bursts  []client.Burst
 	Length  time.Duration
 	// ChangeEvery is the time between two configurations; 0 for none.
 	ChangeEvery time.Duration
@@ -106,7 +107,7 @@
 	play := &play{site: site, plan: plan, tally: client.NewTally()}
 	dayCtx, end := context.WithTimeout(ctx, plan.Length)
 	defer end()
-	load := &client.Load{Classes: plan.Classes, Targets: site.Targets(), Ledger: site.Ledger, Tally: play.tally, Seed: plan.Options.Seed}
+	load := &client.Load{Classes: plan.Classes, Bursts: plan.Bursts, Targets: site.Targets(), Ledger: site.Ledger, Tally: play.tally, Seed: plan.Options.Seed}
 	var running sync.WaitGroup
 	running.Go(func() { load.Run(dayCtx) })
 	running.Go(func() { play.change(dayCtx) })
--- a/internal/emulator/day/standard.go
+++ b/internal/emulator/day/standard.go
@@ -40,12 +40,22 @@
 	}
 }
 
+// StandardBursts are clients that send ahead: reads, and an order between them.
+func StandardBursts(factor float64) []client.Burst {
+	classes := StandardClasses(1)
+	look, order := classes[0], classes[1]
+	return []client.Burst{
+		{Classes: []client.Class{look, look, look, look}, PerSecond: 10 * factor},
+		{Classes: []client.Class{look, order, look}, PerSecond: 5 * factor},
+	}
+}
+
 // StandardPlan is a day of the given length with faults that the seed draws.
 func StandardPlan(seed uint64, length time.Duration, faults int, kinds []FaultKind) Plan {
 	options := DefaultOptions()
 	options.Seed = seed
 	return Plan{
-		Options: options, Routes: StandardRoutes(), Classes: StandardClasses(1), Length: length,
+		Options: options, Routes: StandardRoutes(), Classes: StandardClasses(1), Bursts: StandardBursts(1), Length: length,
 		ChangeEvery: 500 * time.Millisecond, Faults: Draw(seed, kinds, faults, length), ApplyBound: 2 * time.Second,
 	}
 }
--- a/internal/emulator/promise/promise.go
+++ b/internal/emulator/promise/promise.go
@@ -83,6 +83,9 @@
 	// Whole is true when the body was received to its end and is the one that
 	// belongs to Stamp.
 	Whole bool
+	// NotRead is true for a request without an answer that stood behind one that
+	// closed its connection.
+	NotRead bool
 }
 
 // Ledger is safe for concurrent use.
@@ -225,8 +228,9 @@
 
 // checkRefusal checks the promise of a refusal; the caller holds mutex.
 func (l *Ledger) checkRefusal(answer Answer) {
-	if answer.Stamp == "" && notRun(answer.Status) && !l.requests[answer.Request].Safe && len(l.runs[answer.Request]) > 0 {
-		l.note(Refused, answer.Request, fmt.Sprintf("answered %d and ran at %s", answer.Status, l.runs[answer.Request][0].Instance))
+	promised := answer.NotRead || (answer.Stamp == "" && notRun(answer.Status))
+	if promised && !l.requests[answer.Request].Safe && len(l.runs[answer.Request]) > 0 {
+		l.note(Refused, answer.Request, fmt.Sprintf("answered %d (not read: %t) and ran at %s", answer.Status, answer.NotRead, l.runs[answer.Request][0].Instance))
 	}
 }
 
