Seal a connection before the reader passes an unread body

When a handler ended without reading a long body, the reader was woken before the connection was sealed; in between it could take the rest of the body as a request. On TLS the sending side was closed below the library, so that its closing message could not be sent.

Change: a stopped body seals its connection before the reader goes on; the sending side is closed early on plain connections only.

TestStoppedBodySealsItsConnection fails without; the 200 plays of TestRestOfABodyIsNoRequest never met the gap (0 of 200).

--- a/internal/gateway/pipeline/body.go
+++ b/internal/gateway/pipeline/body.go
@@ -102,7 +102,9 @@
 	return b.started
 }
 
-// stop ends the use of the body. It reports whether all of it was read.
+// stop ends the use of the body. It reports whether all of it was read. Otherwise
+// the connection is sealed before the reader goes on, since what comes next is the
+// rest of the body and no request.
 func (b *Body) stop() (whole bool) {
 	b.mutex.Lock()
 	if b.ended || b.stopped {
@@ -115,6 +117,7 @@
 	b.conn.caller.interrupt()
 	b.reading.Lock()
 	defer b.reading.Unlock()
+	b.conn.seal()
 	close(b.over)
 	return false
 }
--- a/internal/gateway/pipeline/caller.go
+++ b/internal/gateway/pipeline/caller.go
@@ -111,9 +111,11 @@
 }
 
 // discard reads what the caller still sends, for at most duration, so that the
-// connection is not reset before the caller has read the last answer.
-func (c *callerConn) discard(duration time.Duration) {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+// connection is not reset before the caller has read the last answer. With halfClose
+// the caller is told that no more comes; TLS has its own word for that, which the
+// library sends when it closes.
+func (c *callerConn) discard(duration time.Duration, halfClose bool) {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && halfClose {
 		_ = half.CloseWrite()
 	}
 	c.bound(duration)
--- a/internal/gateway/pipeline/connection.go
+++ b/internal/gateway/pipeline/connection.go
@@ -67,9 +67,7 @@
 	defer c.cancel()
 	for c.next() {
 	}
-	c.mutex.Lock()
-	c.sealed = true
-	c.mutex.Unlock()
+	c.seal()
 	c.watch(c.atRest)
 	c.mutex.Lock()
 	for !c.atRest() {
@@ -79,7 +77,8 @@
 	c.mutex.Unlock()
 	c.server.quota.forget(c)
 	if !gone {
-		c.caller.discard(c.server.config.LingerTime)
+		_, secure := c.conn.(network.ConnTLSer)
+		c.caller.discard(c.server.config.LingerTime, !secure)
 	}
 }
 
@@ -315,6 +314,13 @@
 	return false
 }
 
+// seal lets no further request be passed on.
+func (c *connection) seal() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.sealed = true
+}
+
 func (c *connection) isSealed() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -376,7 +382,7 @@
 	c.server.config.Handle(c.ctx, exchange)
 	if exchange.Body != nil && !exchange.Body.stop() {
 		c.mutex.Lock()
-		exchange.final, c.sealed = true, true
+		exchange.final = true
 		c.mutex.Unlock()
 	}
 	c.finish(exchange)
--- a/internal/gateway/pipeline/pipeline_test.go
+++ b/internal/gateway/pipeline/pipeline_test.go
@@ -480,3 +480,42 @@
 	assert.Assert(t, second.Close)
 	client.ended()
 }
+
+// What is left of a body that was not read must never be read as a request, however
+// the reader and the handler meet.
+func TestRestOfABodyIsNoRequest(t *testing.T) {
+	var smuggled atomic.Int64
+	opened := open(t, DefaultLimits, func(_ context.Context, exchange *Exchange) {
+		if pathOf(exchange) == "/smuggled" {
+			smuggled.Add(1)
+		}
+		reply(exchange, pathOf(exchange))
+	})
+	for range 200 {
+		client := opened.dial(t)
+		client.send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n" + get("/smuggled"))
+		response, body := client.answer()
+		assert.Equal(t, body, "/1")
+		assert.Assert(t, response.Close)
+		client.ended()
+		_ = client.conn.(*net.TCPConn).SetLinger(0)
+		_ = client.conn.Close()
+	}
+	assert.Equal(t, smuggled.Load(), int64(0))
+}
+
+// The reader goes on when nobody reads a body any more; it must find the connection
+// sealed by then.
+func TestStoppedBodySealsItsConnection(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	conn := newConnection(New(Config{}), nil, nil, &callerConn{Conn: near})
+	body := newBody(conn, strings.NewReader("rest"), 4)
+	assert.Assert(t, !body.stop())
+	select {
+	case <-body.over:
+	default:
+		t.Fatal("the reader is not told")
+	}
+	assert.Assert(t, conn.isSealed())
+}
