--- a/internal/emulator/day/ahead_test.go
+++ b/internal/emulator/day/ahead_test.go
@@ -34,6 +34,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			place(t)
 			ctx, cancel := context.WithTimeout(context.Background(), patience)
 			defer cancel()
 			site, err := day.Start(ctx, day.DefaultOptions(), routes)
