Test that the chance of lateness decides between instances

Change: an instance of the own zone whose calls take a twentieth and one and a twentieth of the target in turn gives way to one of another zone that is always quick; the chance is a chance, rises with the work and falls with the time left.

Conclusion: the test fails without the mechanism. Seen beside it: an instance of another zone that was never tried is not tried by itself, since what is not known counts as usual plus the price of crossing; noted, not changed.

--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -147,3 +147,35 @@
 		})
 	}
 }
+
+// An instance whose calls are often late gives way to one of another zone whose calls
+// are not, although its mean is well within the target.
+func TestLongTimesCountBesideTheMean(t *testing.T) {
+	p := newPool("a", "b")
+	for range 20 {
+		p.Targets("desk")[1].Answered(route, target/10, p.clock.now)
+	}
+	long := false
+	elsewhere := 0
+	for pick := range picks {
+		chosen, err := p.Pick(p.service, balance.Choice{Route: route, Target: target, Bytes: 2000})
+		assert.NilError(t, err)
+		p.clock.now = p.clock.now.Add(5 * time.Millisecond)
+		chosen.Succeeded()
+		if chosen.Endpoint.GetZone() == "b" {
+			chosen.Answered(route, target/10, p.clock.now)
+			if pick > picks/2 {
+				elsewhere++
+			}
+			continue
+		}
+		long = !long
+		took := target / 20
+		if long {
+			took = target * 21 / 20
+		}
+		chosen.Answered(route, took, p.clock.now)
+	}
+	part := float64(elsewhere) / (picks / 2)
+	assert.Assert(t, part > 0.7, "it got %.3f", part)
+}
