Answer requests whose body is broken instead of hanging up

Cause: every error of reading a long body counted as the caller's hang-up, so that broken chunks ended the connection without an answer.

Change: only errors that say that the caller is gone end the connection; others are the handler's, whose answer is the last.

Figures: TestBrokenChunksAreAnswered fails without.

--- a/internal/gateway/pipeline/body.go
+++ b/internal/gateway/pipeline/body.go
@@ -62,7 +62,8 @@
 	}
 	if err == io.EOF {
 		b.finish()
-	} else if err != nil && !isTimeout(err) {
+	} else if err != nil && isHangUp(err) {
+		// Bytes that are no body are answered; only a caller that is gone is not.
 		b.conn.hangUp()
 	}
 	return count, err
--- a/internal/gateway/pipeline/pipeline_test.go
+++ b/internal/gateway/pipeline/pipeline_test.go
@@ -481,6 +481,25 @@
 	client.ended()
 }
 
+// A body that is not framed as it should be is answered, behind all good requests.
+func TestBrokenChunksAreAnswered(t *testing.T) {
+	opened := open(t, DefaultLimits, func(_ context.Context, exchange *Exchange) {
+		if exchange.Body != nil {
+			_, err := io.ReadAll(exchange.Body)
+			assert.Check(t, err != nil)
+		}
+		reply(exchange, pathOf(exchange))
+	})
+	client := opened.dial(t)
+	client.send(get("/1") + "POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nno number\r\n" + get("/never"))
+	_, body := client.answer()
+	assert.Equal(t, body, "/1")
+	response, body := client.answer()
+	assert.Equal(t, body, "/2")
+	assert.Assert(t, response.Close)
+	client.ended()
+}
+
 // What is left of a body that was not read must never be read as a request, however
 // the reader and the handler meet.
 func TestRestOfABodyIsNoRequest(t *testing.T) {
