--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -271,8 +271,8 @@
 
 // cheapest takes the instance with the least cost: the expected time until an
 // answer in parts of the target latency, the chance that it is late, the price of
-// bytes to another zone, and the share of failures. A little noise keeps daemons from all choosing the
-// same one.
+// bytes to another zone, and the share of failures. A little noise keeps daemons
+// from all choosing the same one.
 func (b *Balancer) cheapest(candidates []*Target, slots float64, choice Choice) *Target {
 	now := b.now()
 	conditions := make([]condition, len(candidates))
