--- a/internal/callmux/client.go
+++ b/internal/callmux/client.go
@@ -132,7 +132,7 @@
 	if now.Sub(link.failed) < dialRetry {
 		return nil, link.failure
 	}
-	opened, err := c.open(ctx, address, nil)
+	opened, err := c.open(ctx, address, Control{})
 	if err != nil {
 		link.failed = now
 		link.failure = err
@@ -143,9 +143,9 @@
 }
 
 // Connect opens a session to address that calls use from then on, whatever one
-// there was before. control receives the frames that concern the daemons
-// themselves. Errors: CallNotRunUnreachable.
-func (c *Client) Connect(ctx context.Context, address string, control func(*lapisv1.CallFrame)) (Link, error) {
+// there was before. control receives what concerns the daemons themselves.
+// Errors: CallNotRunUnreachable.
+func (c *Client) Connect(ctx context.Context, address string, control Control) (Link, error) {
 	opened, err := c.open(ctx, address, control)
 	if err != nil {
 		return Link{}, err
@@ -162,7 +162,7 @@
 }
 
 // open dials and greets. Errors: CallNotRunUnreachable.
-func (c *Client) open(ctx context.Context, address string, control func(*lapisv1.CallFrame)) (*session, error) {
+func (c *Client) open(ctx context.Context, address string, control Control) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	raw, err := c.Network.Dial(ctx, address)
--- /dev/null
+++ b/internal/callmux/heartbeat_test.go
@@ -0,0 +1,79 @@
+package callmux
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+)
+
+// aliveFrame is the empty frame that a side makes at a time.
+func aliveFrame(side *echoes, local Heartbeat, now time.Time) *lapisv1.CallFrame {
+	return &lapisv1.CallFrame{Revision: local.Revision, Freshness: side.make(local, now)}
+}
+
+// Before a peer has heard of this side, its ages cannot be bounded.
+func TestAgesCountOnceFramesWentBothWays(t *testing.T) {
+	start := time.Now()
+	var near, far echoes
+	told := Heartbeat{Revision: 3, Confirmed: start}
+	first := near.take(aliveFrame(&far, told, start.Add(time.Second)), start.Add(time.Second))
+	assert.Assert(t, first.Confirmed.IsZero())
+	assert.Equal(t, first.Revision, uint64(3))
+
+	far.take(aliveFrame(&near, Heartbeat{}, start.Add(2*time.Second)), start.Add(2*time.Second))
+	second := near.take(aliveFrame(&far, told, start.Add(3*time.Second)), start.Add(3*time.Second))
+	assert.Assert(t, !second.Confirmed.After(start) && second.Confirmed.After(start.Add(-time.Millisecond)), "%s", second.Confirmed.Sub(start))
+}
+
+// Whatever holds frames up on the way, and however the clocks of the two sides
+// differ, a confirmation never looks fresher than it is.
+func TestHeldUpFramesDoNotLookFresher(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Now()
+		offset := time.Duration(rapid.Int64Range(-1e12, 1e12).Draw(t, "offset of the far clock"))
+		delay := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(0, int64(5*time.Second)).Draw(t, name))
+		}
+		var near, far echoes
+		now := start
+		var nearArrives, farArrives time.Time
+		for range rapid.IntRange(1, 20).Draw(t, "rounds") {
+			now = now.Add(delay("pause"))
+			toFar := aliveFrame(&near, Heartbeat{}, now)
+			farArrives = later(farArrives, now.Add(delay("way there")))
+			far.take(toFar, farArrives.Add(offset))
+
+			made := later(now, farArrives).Add(delay("held"))
+			confirmed := made.Add(-delay("age"))
+			toNear := aliveFrame(&far, Heartbeat{Revision: 3, Confirmed: confirmed.Add(offset)}, made.Add(offset))
+			nearArrives = later(nearArrives, made.Add(delay("way back")))
+			now = later(now, nearArrives)
+			heard := near.take(toNear, nearArrives)
+			assert.Assert(t, !heard.Confirmed.After(confirmed), "looks fresher by %s", heard.Confirmed.Sub(confirmed))
+		}
+	})
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Nothing is sent ahead of time that the peer told itself.
+func TestPeerThatKnowsIsNotTold(t *testing.T) {
+	start := time.Now()
+	var near, far echoes
+	local := Heartbeat{Revision: 3, Confirmed: start}
+	assert.Assert(t, near.lacks(local))
+	far.take(aliveFrame(&near, local, start), start)
+	near.take(aliveFrame(&far, local, start.Add(time.Millisecond)), start.Add(time.Millisecond))
+	assert.Assert(t, !near.lacks(local))
+	assert.Assert(t, near.lacks(Heartbeat{Revision: 4, Confirmed: start}))
+	assert.Assert(t, near.lacks(Heartbeat{Revision: 3, Confirmed: start.Add(time.Second)}))
+}
--- a/internal/callmux/server.go
+++ b/internal/callmux/server.go
@@ -32,9 +32,9 @@
 	// Counters receive the traffic of calls.
 	Counters *wire.Counters
 	Timing   Timing
-	// Accepted is called with each new session and returns what receives the
-	// frames that concern the daemons themselves; it may be nil.
-	Accepted func(hello *lapisv1.Hello, link Link) (control func(*lapisv1.CallFrame))
+	// Accepted is called with each new session and returns what receives that
+	// which concerns the daemons themselves; it may be nil.
+	Accepted func(hello *lapisv1.Hello, link Link) Control
 }
 
 // Active returns the number of calls on their way.
--- a/internal/callmux/session.go
+++ b/internal/callmux/session.go
@@ -22,9 +22,8 @@
 	Silence time.Duration
 	// Write bounds the sending of a frame.
 	Write time.Duration
-	// Revision returns the configuration in force, which the empty frames tell;
-	// it may be nil.
-	Revision func() uint64
+	// Local returns what the empty frames tell of this daemon; it may be nil.
+	Local func() Heartbeat
 }
 
 // DefaultTiming holds where nothing else is set.
@@ -41,9 +40,12 @@
 type session struct {
 	conn   *wire.Conn
 	timing Timing
-	// control receives the frames that concern the daemons themselves; it may
-	// be nil.
-	control func(*lapisv1.CallFrame)
+	// control receives what concerns the daemons themselves.
+	control Control
+	// echoes relate the empty frames of both sides.
+	echoes echoes
+	// beats asks for an empty frame ahead of its time.
+	beats chan struct{}
 	// incarnation is that of the peer daemon.
 	incarnation uint64
 	// welcome is the peer's greeting, nil on the accepting side.
@@ -71,7 +73,7 @@
 	opened := &session{
 		conn: conn, timing: timing.orDefault(), incarnation: incarnation, closed: make(chan struct{}),
 		streams: map[uint64]*stream{}, fences: map[string]chan *lapisv1.CallFenced{},
-		stalled: make(chan struct{}),
+		stalled: make(chan struct{}), beats: make(chan struct{}, 1),
 	}
 	opened.began = time.Now()
 	return opened
@@ -176,17 +178,15 @@
 			// this side from reading.
 			go func() { _ = s.send(s.alive()) }()
 		}
-		if s.control != nil && frame.GetRevision() > 0 {
-			s.control(frame)
-		}
+		s.heardAlive(frame)
 		return nil
 	case *lapisv1.CallFrame_Fenced:
 		s.fenced(body.Fenced)
 		return nil
 	case *lapisv1.CallFrame_Announcement, *lapisv1.CallFrame_Introduction,
-		*lapisv1.CallFrame_ConfigurationRequest, *lapisv1.CallFrame_Configuration:
-		if s.control != nil {
-			s.control(frame)
+		*lapisv1.CallFrame_ConfigurationRequest, *lapisv1.CallFrame_Configuration, *lapisv1.CallFrame_DeflatedConfiguration:
+		if s.control.Frame != nil {
+			s.control.Frame(frame)
 		}
 		return nil
 	case *lapisv1.CallFrame_Open, *lapisv1.CallFrame_Fence:
@@ -245,32 +245,9 @@
 	}
 }
 
-// keepAlive sends empty frames so that silence means loss.
-func (s *session) keepAlive() {
-	ticker := time.NewTicker(s.timing.KeepAlive)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-s.closed:
-			return
-		case <-ticker.C:
-			_ = s.send(s.alive())
-		}
-	}
-}
-
 // noteHeard notes that a frame came.
 func (s *session) noteHeard() { s.heard.Store(int64(time.Since(s.began))) }
 
-// alive returns the empty frame that is a sign of life.
-func (s *session) alive() *lapisv1.CallFrame {
-	frame := &lapisv1.CallFrame{}
-	if s.timing.Revision != nil {
-		frame.Revision = s.timing.Revision()
-	}
-	return frame
-}
-
 // errorOf converts a reset into an error.
 func errorOf(reset *lapisv1.CallReset) error {
 	code := result.Code(reset.GetCode())
--- a/internal/configsource/configsource.go
+++ b/internal/configsource/configsource.go
@@ -1,7 +1,8 @@
 // Package configsource follows an outside source of the configuration, where
-// the source itself decides which version is in force. It keeps asking through
-// outages, takes in only versions above the one in force, and leaves what is in
-// force where a version cannot be used.
+// the source itself decides which version is in force. Of all daemons about one
+// asks at a time, and the others learn from it how fresh their version is. It
+// keeps asking through outages and leaves what is in force where a version cannot
+// be used.
 package configsource
 
 import (
@@ -32,80 +33,148 @@
 	Next(ctx context.Context, after Position, wait time.Duration) (*lapisv1.Configuration, Position, error)
 }
 
-// Waits after a failure, and the least time between two questions.
-const (
-	retryMin = 50 * time.Millisecond
-	retryMax = time.Second
-)
-
-// Follower follows a source.
+// Follower follows a source. The followers of all daemons share the work: see
+// schedule.
 type Follower struct {
 	Source Source
 	// Apply puts a configuration in force. It is called for each one that the
 	// source brings, also for one that is in force already.
 	Apply func(*lapisv1.Configuration)
+	// Freshness is shared with whoever hears of other daemons' confirmations.
+	Freshness *Freshness
+	// Confirmed is called after each answer of the source, once what it brought
+	// is in force.
+	Confirmed func()
+	// Bound is the time within which an accepted configuration must be in force.
+	Bound time.Duration
+	// Daemons returns the number of daemons known.
+	Daemons func() int
 	// Pace is the least time between two questions, so that all daemons
-	// together stay within the source's rate.
+	// together stay within the source's rate when each asks for itself.
 	Pace func() time.Duration
-	// Wait bounds one question. A source may keep silent about a change, so it
-	// is asked anew within the time in which a change must be noticed.
-	Wait time.Duration
 	// Random returns numbers between 0 and 1.
 	Random func() float64
 	Logger logr.Logger
 
 	// Asked and Failed count the questions, and those that got no answer.
 	Asked, Failed atomic.Int64
+
+	// The following belong to Run. position is how far the source's history is
+	// known, if it is; failing is true after a question without an answer, the
+	// last one at failedAt.
+	position Position
+	known    bool
+	failing  bool
+	failedAt time.Time
 }
 
+// historyTrusted is the age from which the history after the last answer is not
+// asked for, but the whole. It is below the ten seconds after which sources
+// forget.
+const historyTrusted = 8 * time.Second
+
+// shortestWait is the wait of a question that only wants to know what is there.
+const shortestWait = time.Millisecond
+
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	failing := false
-	wait := retryMin
-	position := Position(0)
-	known := false
-	for ctx.Err() == nil {
-		asked := time.Now()
-		next, err := f.ask(ctx, position, known)
-		if ctx.Err() != nil {
-			return
+	plan := newSchedule(f.Bound, f.Random, time.Now())
+	for {
+		led := plan.leading
+		due := plan.due(f.Freshness.Confirmed(), f.Daemons())
+		if led && !plan.leading {
+			f.Logger.Info("source.lead_left", "position", uint64(f.position))
 		}
-		f.Asked.Add(1)
-		if unusable(err) {
-			f.Logger.Error(err, "configuration.refused", "position", uint64(next))
-			err = nil
+		if f.failing && f.Freshness.Confirmed().After(f.failedAt) {
+			f.regained("another daemon")
 		}
-		if err == nil {
-			if failing {
-				f.Logger.Info("source.regained", "position", uint64(next))
-			}
-			failing = false
-			wait = retryMin
-			position = next
-			known = true
-			if !pause.For(ctx, f.Pace()-time.Since(asked)) {
+		if wait := time.Until(due); wait > 0 {
+			if !pause.For(ctx, wait) {
 				return
 			}
 			continue
 		}
-		if result.Is(err, result.PlatformCompacted) {
-			f.Logger.Info("source.history_gone", "position", uint64(position))
-			known = false
-			if !pause.For(ctx, f.Pace()) {
-				return
-			}
-			continue
-		}
-		if !failing {
-			f.Logger.Info("source.lost", "position", uint64(position), "error", err)
-		}
-		failing = true
-		f.Failed.Add(1)
-		if !pause.For(ctx, wait+time.Duration(f.Random()*float64(wait))) {
+		if ctx.Err() != nil {
 			return
 		}
-		wait = min(2*wait, retryMax)
+		f.askInTurn(ctx, plan)
+	}
+}
+
+// askInTurn asks the source once and notes the outcome.
+func (f *Follower) askInTurn(ctx context.Context, plan *schedule) {
+	asked := time.Now()
+	confirmed := f.Freshness.Confirmed()
+	if !plan.leading && asked.Sub(plan.led) > historyTrusted {
+		f.known = false
+	}
+	err := f.askOnce(ctx)
+	f.Asked.Add(1)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		f.noteFailure(err)
+		plan.failed(time.Now(), f.Pace(), f.Freshness.Confirmed().IsZero())
+		return
+	}
+	if f.failing {
+		f.regained("itself")
+	}
+	if !plan.leading {
+		f.noteLead(asked, confirmed)
+	}
+	plan.answered(asked)
+	revision, _ := f.Freshness.InForce()
+	f.Freshness.Confirm(revision, asked)
+	f.Confirmed()
+}
+
+func (f *Follower) noteFailure(err error) {
+	if !f.failing {
+		f.Logger.Info("source.lost", "position", uint64(f.position), "error", err)
+	}
+	f.failing = true
+	f.failedAt = time.Now()
+	f.Failed.Add(1)
+}
+
+// noteLead notes that this daemon asks on from now, and how old the last
+// confirmation was that it had heard of.
+func (f *Follower) noteLead(asked, confirmed time.Time) {
+	if confirmed.IsZero() {
+		f.Logger.Info("source.lead_taken", "position", uint64(f.position), "confirmed", false)
+		return
+	}
+	f.Logger.Info("source.lead_taken", "position", uint64(f.position), "confirmed", true, "age_ms", asked.Sub(confirmed).Milliseconds())
+}
+
+// regained notes that the source's word comes again, from itself or through
+// another daemon.
+func (f *Follower) regained(by string) {
+	f.failing = false
+	f.Logger.Info("source.regained", "position", uint64(f.position), "by", by)
+}
+
+// askOnce asks the source for what is newer than the known position, or for the
+// whole. A configuration that cannot be used counts as an answer.
+func (f *Follower) askOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(answerPart*float64(f.Bound)))
+	defer cancel()
+	next, err := f.ask(ctx, f.position, f.known)
+	if result.Is(err, result.PlatformCompacted) {
+		f.Logger.Info("source.history_gone", "position", uint64(f.position))
+		next, err = f.ask(ctx, f.position, false)
+	}
+	if unusable(err) {
+		f.Logger.Error(err, "configuration.refused", "position", uint64(next))
+		err = nil
+	}
+	if err == nil {
+		f.position = next
+		f.known = true
 	}
+	return err
 }
 
 // unusable reports whether an error is about the configuration and not about the
@@ -120,7 +189,7 @@
 	var configuration *lapisv1.Configuration
 	var err error
 	if known {
-		configuration, position, err = f.Source.Next(ctx, position, f.Wait)
+		configuration, position, err = f.Source.Next(ctx, position, shortestWait)
 	} else {
 		configuration, position, err = f.Source.Latest(ctx)
 	}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -27,7 +27,7 @@
 	// readShare is the part of what the source bears that daemons plan to use.
 	readShare = 0.5
 	// coalescePart is the part of the bound for a configuration that a daemon
-	// waits between two questions to the source.
+	// waits at the least between two questions to the source.
 	coalescePart = 5
 	// answersLeave is how long the last answers are given to leave the machine.
 	answersLeave = 100 * time.Millisecond
@@ -46,7 +46,9 @@
 	started  time.Time
 	leaving  atomic.Bool
 	follower *configsource.Follower
-	inForce  atomic.Pointer[lapisv1.Configuration]
+	// freshness is how recently what is in force was confirmed to be the newest.
+	freshness configsource.Freshness
+	inForce   atomic.Pointer[lapisv1.Configuration]
 	// inForceAt is when that came in force, in nanoseconds since started.
 	inForceAt atomic.Int64
 	members   atomic.Int64
@@ -63,10 +65,12 @@
 	part.fleet = fleet.New(fleet.Config{
 		Self:        fleet.Member{Node: d.settings.Load().Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Load().Zone, Service: d.settings.Load().Service},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
-		InForce: part.inForce.Load, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
+		InForce: part.inForce.Load, Freshness: &part.freshness, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
 	part.follower = &configsource.Follower{
-		Source: platform.Source(), Apply: part.Offer, Pace: part.pace, Wait: part.sourceWait(), Random: rand.Float64, Logger: d.logger,
+		Source: platform.Source(), Apply: part.Offer, Freshness: &part.freshness, Confirmed: part.fleet.Beat,
+		Bound: d.settings.Load().Platform.ApplyBound.Get(), Daemons: func() int { return int(part.members.Load()) },
+		Pace: part.pace, Random: rand.Float64, Logger: d.logger,
 	}
 	d.direct = part
 	d.node = part.fleet
@@ -83,10 +87,16 @@
 // timing bounds the connections between daemons.
 func (p *direct) timing() callmux.Timing {
 	timing := peerTiming
-	timing.Revision = func() uint64 { return p.inForce.Load().GetRevision() }
+	timing.Local = p.heartbeat
 	return timing
 }
 
+// heartbeat is what other daemons are told.
+func (p *direct) heartbeat() callmux.Heartbeat {
+	revision, confirmed := p.freshness.InForce()
+	return callmux.Heartbeat{Revision: revision, Confirmed: confirmed}
+}
+
 // stall bounds the time in which a daemon that does not answer is noticed.
 func (p *direct) stall() callmux.Stall {
 	return callmux.Stall{
@@ -109,12 +119,6 @@
 	serve(d.listeners.readiness, func(listener net.Listener) { p.platform.ServeReadiness(ctx, listener, p.ready) })
 }
 
-// sourceWait bounds a question to the source, so that one that the source keeps
-// silent about ends, and is asked anew, within the contact time.
-func (p *direct) sourceWait() time.Duration {
-	return p.daemon.settings.Load().Platform.Contact.Get() * 4 / 5
-}
-
 // pace is the least time between two questions to the source: so that all daemons
 // together use half of what it bears, and so that configurations in quick
 // succession are taken in a few at a time, well within their bound.
@@ -159,9 +163,11 @@
 		return
 	}
 	p.inForce.Store(configuration)
+	p.freshness.Advance(configuration.GetRevision())
 	p.inForceAt.Store(int64(time.Since(p.started)))
 	d.origin.Configure(d.snapshots.Current())
 	d.logger.Info("configuration.in_force", "revision", configuration.GetRevision(), "before", current.GetRevision())
+	p.fleet.Beat()
 }
 
 // Endpoints implements fleet.Observer.
--- a/internal/fleet/catchup.go
+++ b/internal/fleet/catchup.go
@@ -2,18 +2,29 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-	"github.com/lapisvane/lapisvane/internal/pause"
+	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/wire"
 )
 
-// catchUpDelay is how long the configuration source is given before another
-// daemon is asked for a version that it has in force.
-const catchUpDelay = 400 * time.Millisecond
+// Times of the catching up. Their sum stays well below the part of the bound for
+// a configuration after which a daemon asks the source itself.
+const (
+	// zonePatience is how long a daemon of the own zone is waited for that has a
+	// version, so that it crosses each border between zones few times. The random
+	// part of it lets the daemons of a zone not cross all at once.
+	zonePatience = 150 * time.Millisecond
+	// answerPatience is how long an asked daemon has before another one is asked.
+	answerPatience = 250 * time.Millisecond
+)
 
-// catchUp asks another daemon for the configuration when the source has not
-// brought a version that others have, until ctx ends.
+// catchUp asks other daemons for the configuration when they have one in force
+// that is newer than here, until ctx ends.
 func (f *Fleet) catchUp(ctx context.Context) {
 	for {
 		select {
@@ -21,55 +32,150 @@
 			return
 		case <-f.behind:
 		}
-		if f.revision() > 0 && !pause.For(ctx, catchUpDelay) {
+		f.catchUpOnce(ctx)
+	}
+}
+
+// catchUpOnce asks one daemon after the other until none is known to be ahead.
+func (f *Fleet) catchUpOnce(ctx context.Context) {
+	asked := map[string]bool{}
+	patient := f.revision() > 0
+	for ctx.Err() == nil {
+		member, link := f.ahead(asked)
+		if member == nil {
 			return
 		}
-		if !f.askNewest() {
+		if patient && member.Zone != f.config.Self.Zone {
+			patient = false
+			if !f.await(ctx, time.Duration(float64(zonePatience)*(1+f.config.Random())/2)) {
+				return
+			}
 			continue
 		}
-		if !pause.For(ctx, catchUpDelay) {
+		asked[member.Node] = true
+		f.askConfiguration(member, link)
+		if !f.await(ctx, answerPatience) {
 			return
 		}
-		if f.newest() != nil {
-			signal(f.behind)
-		}
 	}
 }
 
-// askNewest asks the daemon with the newest configuration, of the own zone
-// first; it reports false when none in reach has a newer one.
-func (f *Fleet) askNewest() bool {
-	above := f.revision()
-	member := f.newest()
-	if member == nil {
-		return false
+// await waits until a configuration comes, at most for a time; it reports false when
+// ctx ended.
+func (f *Fleet) await(ctx context.Context, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.arrived:
+	case <-ctx.Done():
 	}
-	f.mutex.Lock()
-	link := member.link
-	f.mutex.Unlock()
+	return ctx.Err() == nil
+}
+
+func (f *Fleet) askConfiguration(member *peer, link callmux.Link) {
+	above := f.revision()
 	f.config.Logger.Info("fleet.configuration_asked", "member", member.Node, "above", above)
 	request := &lapisv1.ConfigurationRequest{Above: above}
-	_ = link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_ConfigurationRequest{ConfigurationRequest: request}})
-	return true
+	frame := &lapisv1.CallFrame{Body: &lapisv1.CallFrame_ConfigurationRequest{ConfigurationRequest: request}}
+	if err := link.Send(frame); err != nil {
+		f.config.Logger.Info("fleet.configuration_request_lost", "member", member.Node, "error", err)
+	}
 }
 
-// newest returns the connected daemon with the newest configuration above the
-// one in force here, nil when there is none.
-func (f *Fleet) newest() *peer {
+// ahead returns a connected daemon that has a newer configuration than this one and
+// was not asked, nil when there is none. Daemons of the own zone go first, then
+// those with the newest revision, then any of them at random.
+func (f *Fleet) ahead(asked map[string]bool) (*peer, callmux.Link) {
 	above := f.revision()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var best *peer
+	var bestRank float64
 	for _, member := range f.members {
-		if !member.connected || member.revision <= above {
+		if !member.connected || member.stalled || member.revision <= above || asked[member.Node] {
 			continue
 		}
-		own := member.Zone == f.config.Self.Zone
-		better := best == nil || member.revision > best.revision ||
-			(member.revision == best.revision && own && best.Zone != f.config.Self.Zone)
+		rank := f.config.Random()
+		if member.Zone == f.config.Self.Zone {
+			rank += 2
+		}
+		better := best == nil || rank > bestRank
+		if best != nil && (rank >= 2) == (bestRank >= 2) && member.revision != best.revision {
+			better = member.revision > best.revision
+		}
 		if better {
-			best = member
+			best, bestRank = member, rank
 		}
 	}
-	return best
+	if best == nil {
+		return nil, callmux.Link{}
+	}
+	return best, best.link
+}
+
+// offered takes in another daemon's configuration.
+func (f *Fleet) offered(configuration *lapisv1.Configuration) {
+	f.config.Observer.Offer(configuration)
+	signal(f.arrived)
+}
+
+// offeredDeflated takes in another daemon's configuration as it is sent.
+func (f *Fleet) offeredDeflated(member *peer, deflated []byte) {
+	content, err := wire.Inflate(deflated)
+	configuration := &lapisv1.Configuration{}
+	if err == nil {
+		err = proto.Unmarshal(content, configuration)
+	}
+	if err != nil {
+		f.config.Logger.Error(err, "fleet.configuration_unreadable", "member", member.Node)
+		return
+	}
+	f.offered(configuration)
+}
+
+// outgoing is a configuration as it is sent, made once for all that ask.
+type outgoing struct {
+	// mutex protects the rest and is held while a frame is made.
+	mutex    sync.Mutex
+	revision uint64
+	frame    *lapisv1.CallFrame
+}
+
+// of returns the frame for a configuration.
+func (o *outgoing) of(configuration *lapisv1.Configuration) (*lapisv1.CallFrame, error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if o.frame != nil && o.revision == configuration.GetRevision() {
+		return o.frame, nil
+	}
+	content, err := proto.Marshal(configuration)
+	if err != nil {
+		return nil, err
+	}
+	deflated, err := wire.Deflate(content)
+	if err != nil {
+		return nil, err
+	}
+	o.revision = configuration.GetRevision()
+	o.frame = &lapisv1.CallFrame{Body: &lapisv1.CallFrame_DeflatedConfiguration{DeflatedConfiguration: deflated}}
+	return o.frame, nil
+}
+
+// serveConfiguration sends the configuration in force if it is newer than what
+// the asking daemon has.
+func (f *Fleet) serveConfiguration(link callmux.Link, above uint64) {
+	configuration := f.config.InForce()
+	if configuration.GetRevision() <= above {
+		return
+	}
+	go func() {
+		frame, err := f.outgoing.of(configuration)
+		if err != nil {
+			f.config.Logger.Error(err, "fleet.configuration_not_sent", "revision", configuration.GetRevision())
+			return
+		}
+		// A session that is over says so itself.
+		_ = link.Send(frame)
+	}()
 }
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -21,15 +21,18 @@
 type Directory interface {
 	// Publish makes a member known; doing it twice does no harm.
 	Publish(ctx context.Context, member Member) error
-	// Members returns the members known. The answer may be some seconds old
-	// when fresh is false.
-	Members(ctx context.Context, fresh bool) ([]Member, error)
+	// Members returns the members known. The answer may be some seconds old.
+	Members(ctx context.Context) ([]Member, error)
 }
 
 // Times of the directory's use.
 const (
 	directoryRetryMin = 200 * time.Millisecond
 	directoryRetryMax = 2 * time.Second
+	// settleMin is the time until the second look at the directory after this
+	// daemon was published; it doubles with each further one. Daemons that start
+	// at the same time may miss each other at first, because answers are old.
+	settleMin = time.Second
 	// directoryInterval is the time between two looks at the directory. It is
 	// long because daemons also name each other.
 	directoryInterval = 15 * time.Second
@@ -37,24 +40,33 @@
 	intervalPerMember = 100 * time.Millisecond
 )
 
-// followDirectory publishes this daemon and learns of the others until ctx
-// ends.
+// followDirectory learns of the other daemons, and publishes this one unless it is
+// known as it should be, until ctx ends.
 func (f *Fleet) followDirectory(ctx context.Context) {
-	wait := directoryRetryMin
+	retry := directoryRetryMin
+	settle := directoryInterval
 	published := false
 	listed := false
 	for {
-		err := f.visitDirectory(ctx, &published, &listed)
-		next := max(directoryInterval, time.Duration(f.Known())*intervalPerMember)
+		found, err := f.visitDirectory(ctx, published)
+		listed = listed || err == nil
+		if err == nil && !found && !published {
+			err = f.config.Directory.Publish(ctx, f.config.Self)
+			settle = settleMin
+		}
+		var next time.Duration
 		if err != nil {
-			f.config.Logger.Info("directory.failed", "published", published, "error", err)
-			next = wait
+			f.config.Logger.Info("directory.failed", "published", published, "listed", listed, "error", err)
 			if !listed {
 				f.askIntroduction()
 			}
-			wait = min(2*wait, directoryRetryMax)
+			next = retry
+			retry = min(2*retry, directoryRetryMax)
 		} else {
-			wait = directoryRetryMin
+			published = true
+			retry = directoryRetryMin
+			next = min(settle, max(directoryInterval, time.Duration(f.Known())*intervalPerMember))
+			settle *= 2
 		}
 		if !pause.For(ctx, f.jitter(next)) {
 			return
@@ -62,22 +74,21 @@
 	}
 }
 
-func (f *Fleet) visitDirectory(ctx context.Context, published, listed *bool) error {
-	if !*published {
-		if err := f.config.Directory.Publish(ctx, f.config.Self); err != nil {
-			return err
-		}
-		*published = true
-	}
-	members, err := f.config.Directory.Members(ctx, !*listed)
+// visitDirectory learns of the members and reports whether this daemon is among
+// them as it should be.
+func (f *Fleet) visitDirectory(ctx context.Context, published bool) (found bool, err error) {
+	members, err := f.config.Directory.Members(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
-	*listed = true
 	for _, member := range members {
 		f.learn(member)
+		found = found || member == f.config.Self
+	}
+	if !published {
+		f.config.Logger.Info("directory.read", "members", len(members), "found", found)
 	}
-	return nil
+	return found, nil
 }
 
 // jitter spreads a wait by up to a quarter.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/configsource"
 )
 
 // Bounds and times of what is known of other daemons.
@@ -59,6 +60,8 @@
 	Observer Observer
 	// InForce returns the configuration in force, nil before the first.
 	InForce func() *lapisv1.Configuration
+	// Freshness is how recently that was confirmed to be the newest.
+	Freshness *configsource.Freshness
 	// Withdrawn returns the instances beside this daemon that left for good.
 	Withdrawn func() []string
 	// Random returns numbers between 0 and 1.
@@ -75,6 +78,10 @@
 	changed chan struct{}
 	review  chan struct{}
 	behind  chan struct{}
+	// arrived wakes the catching up when a configuration came.
+	arrived chan struct{}
+	// outgoing is the configuration in force as it is sent to others.
+	outgoing outgoing
 
 	// mutex protects everything below and the fields of peers and listeners.
 	mutex   sync.Mutex
@@ -118,7 +125,7 @@
 func New(config Config) *Fleet {
 	return &Fleet{
 		config:  config,
-		changed: make(chan struct{}, 1), review: make(chan struct{}, 1), behind: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), review: make(chan struct{}, 1), behind: make(chan struct{}, 1), arrived: make(chan struct{}, 1),
 		members: map[string]*peer{}, listeners: map[*listener]bool{}, services: map[string]bool{},
 	}
 }
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -58,7 +58,10 @@
 	f.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	receive := func(frame *lapisv1.CallFrame) { f.receiveDialed(member, generation, frame) }
+	receive := callmux.Control{
+		Frame:     func(frame *lapisv1.CallFrame) { f.receiveDialed(member, generation, frame) },
+		Heartbeat: func(heartbeat callmux.Heartbeat) { f.heard(member, heartbeat) },
+	}
 	link, err := f.config.Calls.Connect(ctx, address, receive)
 	if err != nil {
 		return callmux.Link{}, err
@@ -102,10 +105,6 @@
 // receiveDialed takes in a frame on a connection that this daemon opened.
 func (f *Fleet) receiveDialed(member *peer, generation uint64, frame *lapisv1.CallFrame) {
 	switch body := frame.GetBody().(type) {
-	case nil:
-		f.mutex.Lock()
-		f.noteRevision(member, frame.GetRevision())
-		f.mutex.Unlock()
 	case *lapisv1.CallFrame_Announcement:
 		f.announced(member, generation, body.Announcement)
 	case *lapisv1.CallFrame_Introduction:
@@ -114,6 +113,8 @@
 		f.mutex.Unlock()
 		f.introduced(body.Introduction, link)
 	case *lapisv1.CallFrame_Configuration:
-		f.config.Observer.Offer(body.Configuration)
+		f.offered(body.Configuration)
+	case *lapisv1.CallFrame_DeflatedConfiguration:
+		f.offeredDeflated(member, body.DeflatedConfiguration)
 	}
 }
--- a/internal/fleet/listener.go
+++ b/internal/fleet/listener.go
@@ -14,7 +14,7 @@
 
 // Accepted takes in a connection that another daemon opened, for
 // callmux.Server.
-func (f *Fleet) Accepted(hello *lapisv1.Hello, link callmux.Link) func(*lapisv1.CallFrame) {
+func (f *Fleet) Accepted(hello *lapisv1.Hello, link callmux.Link) callmux.Control {
 	opened := &listener{link: link, wake: make(chan struct{}, 1)}
 	dialer := Member{Node: hello.GetNode(), Address: hello.GetAddress(), Zone: hello.GetZone(), Service: hello.GetService()}
 	f.mutex.Lock()
@@ -25,7 +25,10 @@
 	}
 	f.mutex.Unlock()
 	go f.tell(opened, member)
-	return func(frame *lapisv1.CallFrame) { f.receiveAccepted(opened, member, frame) }
+	return callmux.Control{
+		Frame:     func(frame *lapisv1.CallFrame) { f.receiveAccepted(opened, frame) },
+		Heartbeat: func(heartbeat callmux.Heartbeat) { f.heard(member, heartbeat) },
+	}
 }
 
 // tell announces this daemon on a connection until it ends.
@@ -54,31 +57,12 @@
 	}
 }
 
-// receiveAccepted takes in a frame on a connection that another daemon opened;
-// member is nil when that daemon is not known.
-func (f *Fleet) receiveAccepted(opened *listener, member *peer, frame *lapisv1.CallFrame) {
+// receiveAccepted takes in a frame on a connection that another daemon opened.
+func (f *Fleet) receiveAccepted(opened *listener, frame *lapisv1.CallFrame) {
 	switch body := frame.GetBody().(type) {
-	case nil:
-		if member != nil {
-			f.mutex.Lock()
-			f.noteRevision(member, frame.GetRevision())
-			f.mutex.Unlock()
-		}
 	case *lapisv1.CallFrame_Introduction:
 		f.introduced(body.Introduction, opened.link)
 	case *lapisv1.CallFrame_ConfigurationRequest:
 		f.serveConfiguration(opened.link, body.ConfigurationRequest.GetAbove())
 	}
 }
-
-// serveConfiguration sends the configuration in force if it is newer than what
-// the asking daemon has.
-func (f *Fleet) serveConfiguration(link callmux.Link, above uint64) {
-	configuration := f.config.InForce()
-	if configuration.GetRevision() <= above {
-		return
-	}
-	go func() {
-		_ = link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Configuration{Configuration: configuration}})
-	}()
-}
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -234,6 +234,7 @@
 	}
 	check.positive("platform.contact", float64(d.Platform.Contact))
 	check.positive("platform.apply_bound", float64(d.Platform.ApplyBound))
+	check.positive("platform.apply_bound", float64(d.Platform.ApplyBound))
 	if d.Platform.Form != "" && d.OperatorAddress != "" {
 		check.faults.Add(result.SettingsBadAddress, "operator_address: operators write to the platform's own store")
 	}
