--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -88,18 +88,18 @@
 // run makes attempts until one is answered or another would be unsafe, useless
 // or over budget.
 func (a *attempter) run(ctx context.Context) (outcome, error) {
-	pools := poolsOf(a.route)
+	pool := poolOf(a.route)
 	if !a.earned {
-		a.gateway.budget.earn(pools[0])
+		a.gateway.budget.earn(pool)
 		a.earned = true
-		a.inherited = a.local && a.gateway.inheritsRepeat(pools[0])
+		a.inherited = a.local && a.gateway.inheritsRepeat(pool)
 		if a.inherited {
-			a.gateway.budget.charge(pools[0])
+			a.gateway.budget.charge(pool)
 		}
 	}
 	var lastErr error
 	for {
-		target, pool, err := a.pick(pools)
+		target, err := a.pick(pool)
 		if err != nil {
 			if lastErr != nil {
 				err = lastErr
@@ -128,60 +128,39 @@
 	}
 }
 
-// poolsOf returns the pools that may serve a call of route, the one chosen by
-// weight first.
-func poolsOf(route *lapisv1.Route) []string {
+// poolOf returns the pool that serves a call of route: of several parts one that
+// is drawn by weight. A call keeps to its part also when that has no room, so that
+// the shares stay as the operator set them.
+func poolOf(route *lapisv1.Route) string {
 	parts := route.GetSplit()
 	if len(parts) == 0 {
-		return []string{route.GetPool()}
+		return route.GetPool()
 	}
 	total := uint64(0)
 	for _, part := range parts {
 		total += uint64(part.GetWeight())
 	}
 	drawn := rand.Uint64N(max(total, 1))
-	pools := make([]string, 0, len(parts))
 	for _, part := range parts {
 		weight := uint64(part.GetWeight())
 		if drawn < weight {
-			pools = append([]string{part.GetPool()}, pools...)
-			drawn = total
-			continue
-		}
-		if drawn < total {
-			drawn -= weight
-		}
-		if weight > 0 {
-			pools = append(pools, part.GetPool())
+			return part.GetPool()
 		}
+		drawn -= weight
 	}
-	return pools
+	return route.GetPool()
 }
 
-// pick chooses an instance of the first pool that has one. Errors:
-// CallNoEndpoint.
-func (a *attempter) pick(pools []string) (*balance.Target, string, error) {
-	var first error
-	for _, pool := range pools {
-		service, ok := a.current.Service(pool)
-		if !ok {
-			continue
-		}
-		target, err := a.gateway.balancer.Pick(service, balance.Choice{
-			Exclude: a.tried, Key: a.open.GetIdempotencyKey(), Route: a.route.GetName(),
-			Target: a.targetLatency(), Spent: time.Since(a.started), Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
-		})
-		if err == nil {
-			return target, pool, nil
-		}
-		if first == nil {
-			first = err
-		}
-	}
-	if first == nil {
-		first = result.Errorf(result.CallNoEndpoint, "route %s has no pool here", a.route.GetName())
+// pick chooses an instance of the pool. Errors: CallNoEndpoint.
+func (a *attempter) pick(pool string) (*balance.Target, error) {
+	service, ok := a.current.Service(pool)
+	if !ok {
+		return nil, result.Errorf(result.CallNoEndpoint, "route %s has no pool here", a.route.GetName())
 	}
-	return nil, "", first
+	return a.gateway.balancer.Pick(service, balance.Choice{
+		Exclude: a.tried, Key: a.open.GetIdempotencyKey(), Route: a.route.GetName(),
+		Target: a.targetLatency(), Spent: time.Since(a.started), Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
+	})
 }
 
 // once makes one attempt at target.
