--- a/internal/callmux/client.go
+++ b/internal/callmux/client.go
@@ -18,6 +18,10 @@
 // Bounds of the calling side.
 const (
 	openTimeout = 3 * time.Second
+	// dialTimeout bounds the handshake of a connection, which takes two ways of the
+	// network, 40 ms between regions. What leads nowhere is given up before the
+	// kernel sends its opening packet again, after 1 s: the peer may be back sooner.
+	dialTimeout = 300 * time.Millisecond
 	// fenceTimeout bounds the question whether a call whose connection was
 	// lost had started.
 	fenceTimeout = 500 * time.Millisecond
@@ -165,7 +169,9 @@
 func (c *Client) open(ctx context.Context, address string, control Control) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	raw, err := c.Network.Dial(ctx, address)
+	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
+	defer cancelDial()
+	raw, err := c.Network.Dial(dialCtx, address)
 	if err != nil {
 		return nil, result.Wrap(result.CallNotRunUnreachable, err, "dialing %s", address)
 	}
