--- a/internal/configsource/configsource.go
+++ b/internal/configsource/configsource.go
@@ -156,10 +156,20 @@
 	f.Logger.Info("source.regained", "position", uint64(f.position), "by", by)
 }
 
+// answerTime bounds the time that an answer may take. After a question that got none
+// it is longer: a source that is slow all the time is followed late rather than not
+// at all.
+func (f *Follower) answerTime() time.Duration {
+	if f.failing {
+		return f.Bound
+	}
+	return time.Duration(answerPart * float64(f.Bound))
+}
+
 // askOnce asks the source for what is newer than the known position, or for the
 // whole. A configuration that cannot be used counts as an answer.
 func (f *Follower) askOnce(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(answerPart*float64(f.Bound)))
+	ctx, cancel := context.WithTimeout(ctx, f.answerTime())
 	defer cancel()
 	next, err := f.ask(ctx, f.position, f.known)
 	if result.Is(err, result.PlatformCompacted) {
--- a/internal/configsource/schedule.go
+++ b/internal/configsource/schedule.go
@@ -22,7 +22,7 @@
 	retryMinPart, retryMaxPart = 0.5, 1.0
 	// startRetryPart is how much of that a daemon without a configuration waits.
 	startRetryPart = 0.5
-	// answerPart bounds the time that an answer may take.
+	// answerPart bounds the time that an answer may take while the source answers.
 	answerPart = 0.25
 )
 
