--- /dev/null
+++ b/internal/fleet/catchup_test.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/configsource"
+)
+
+// behindAt returns a daemon in zone a that has a revision in force, and what it
+// knows of others.
+func behindAt(revision uint64, members ...*peer) *Fleet {
+	behind := New(Config{
+		Self: Member{Node: "self", Zone: "a"}, Random: func() float64 { return 0.5 }, Logger: logr.Discard(),
+		InForce:   func() *lapisv1.Configuration { return &lapisv1.Configuration{Revision: revision} },
+		Freshness: &configsource.Freshness{},
+	})
+	for _, member := range members {
+		behind.members[member.Node] = member
+	}
+	return behind
+}
+
+func at(node, zone string, revision uint64) *peer {
+	return &peer{Member: Member{Node: node, Zone: zone}, connected: true, revision: revision}
+}
+
+// The configuration is asked of the own zone first, there of the newest, and never of
+// one that is not ahead, out of reach, silent, or was asked before.
+func TestWhoIsAskedForTheConfiguration(t *testing.T) {
+	lost := at("lost", "a", 9)
+	lost.connected = false
+	stalled := at("stalled", "a", 9)
+	stalled.stalled = true
+	behind := behindAt(5, lost, stalled, at("same", "a", 5), at("near", "a", 6), at("newer", "a", 7), at("far", "b", 8))
+	asked := map[string]bool{}
+	for _, want := range []string{"newer", "near", "far"} {
+		member, _ := behind.ahead(asked)
+		assert.Assert(t, member != nil, "expected %s", want)
+		assert.Equal(t, member.Node, want)
+		asked[member.Node] = true
+	}
+	member, _ := behind.ahead(asked)
+	assert.Assert(t, member == nil)
+}
+
+// A heartbeat with a newer version wakes the catching up; its confirmation does not
+// make the older version here look fresh.
+func TestHeartbeatOfANewerVersion(t *testing.T) {
+	ahead := at("ahead", "a", 0)
+	behind := behindAt(5, ahead)
+	behind.config.Freshness.Advance(5)
+	behind.heard(ahead, callmux.Heartbeat{Revision: 6, Confirmed: ahead.lostAt.AddDate(2000, 0, 0)})
+	assert.Equal(t, ahead.revision, uint64(6))
+	assert.Equal(t, len(behind.behind), 1)
+	assert.Assert(t, behind.config.Freshness.Confirmed().IsZero())
+	behind.config.Freshness.Advance(6)
+	assert.Assert(t, !behind.config.Freshness.Confirmed().IsZero())
+}
+
+// A version is made ready once for all that ask for it, and reads back as it was.
+func TestOutgoingConfigurationIsMadeOnce(t *testing.T) {
+	sent := &outgoing{}
+	configuration := &lapisv1.Configuration{Revision: 3, Bundles: []*lapisv1.EncodedBundle{{Service: "desk", Content: []byte("routes")}}}
+	first, err := sent.of(configuration)
+	assert.NilError(t, err)
+	second, err := sent.of(configuration)
+	assert.NilError(t, err)
+	assert.Assert(t, first == second)
+
+	var offered *lapisv1.Configuration
+	receiver := behindAt(1)
+	receiver.config.Observer = offerFunc(func(received *lapisv1.Configuration) { offered = received })
+	receiver.offeredDeflated(at("sender", "a", 3), first.GetDeflatedConfiguration())
+	assert.Equal(t, offered.GetRevision(), uint64(3))
+	assert.Equal(t, string(offered.GetBundles()[0].GetContent()), "routes")
+
+	offered = nil
+	receiver.offeredDeflated(at("sender", "a", 3), []byte("no deflate stream"))
+	assert.Assert(t, offered == nil)
+}
+
+// offerFunc is an observer that only takes configurations.
+type offerFunc func(*lapisv1.Configuration)
+
+func (f offerFunc) Offer(configuration *lapisv1.Configuration) { f(configuration) }
+func (offerFunc) Endpoints(string, []*lapisv1.Endpoint)        {}
+func (offerFunc) Members(int)                                  {}
+func (offerFunc) Withdraw(string)                              {}
