--- a/internal/configsource/schedule.go
+++ b/internal/configsource/schedule.go
@@ -42,17 +42,19 @@
 	// leading is true while the newest confirmation, at led, is this daemon's own.
 	leading bool
 	led     time.Time
-	// confirmed is the confirmation, or the start, that delay was drawn for.
+	// confirmed is the confirmation that delay was drawn for, zero before the first;
+	// until then delay counts from started.
 	confirmed time.Time
+	started   time.Time
 	delay     time.Duration
 	// notBefore is when a question may be repeated that got no answer.
 	notBefore time.Time
 }
 
 func newSchedule(bound time.Duration, random func() float64, now time.Time) *schedule {
-	started := &schedule{bound: bound, random: random, confirmed: now}
-	started.delay = started.draw(0, startPart, assumedDaemons)
-	return started
+	plan := &schedule{bound: bound, random: random, started: now}
+	plan.delay = plan.draw(0, startPart, assumedDaemons)
+	return plan
 }
 
 // part returns a part of the bound.
@@ -81,7 +83,11 @@
 		s.confirmed = confirmed
 		s.delay = s.draw(earliestPart, latestPart, max(daemons, assumedDaemons))
 	}
-	due := s.confirmed.Add(s.delay)
+	base := s.confirmed
+	if base.IsZero() {
+		base = s.started
+	}
+	due := base.Add(s.delay)
 	if due.Before(s.notBefore) {
 		return s.notBefore
 	}
--- a/internal/configsource/schedule_test.go
+++ b/internal/configsource/schedule_test.go
@@ -265,3 +265,30 @@
 		assert.Assert(t, took <= bound/4, "took %s", took)
 	})
 }
+
+// A daemon that starts among others does not ask: what they had confirmed before its
+// start counts for it too.
+func TestStartingDaemonDoesNotAsk(t *testing.T) {
+	playFleet(t, 12, func(_ *scriptedSource, mates []*fleetmate) {
+		time.Sleep(time.Second)
+		before := questions(mates)
+		newcomer := &fleetmate{}
+		told := leader(mates)
+		revision, confirmed := told.freshness.InForce()
+		newcomer.apply(&lapisv1.Configuration{Revision: revision})
+		newcomer.freshness.Confirm(revision, confirmed)
+		ctx, cancel := context.WithCancel(context.Background())
+		newcomer.follower = &configsource.Follower{
+			Source: ownSource{&scriptedSource{log: []uint64{revision}}, newcomer}, Apply: newcomer.apply, Freshness: &newcomer.freshness,
+			Bound: bound, Confirmed: func() {}, Daemons: func() int { return 13 }, Random: rand.New(rand.NewPCG(1, 1)).Float64,
+			Pace: func() time.Duration { return 0 }, Logger: logr.Discard(),
+		}
+		var running sync.WaitGroup
+		running.Go(func() { newcomer.follower.Run(ctx) })
+		time.Sleep(bound / 5)
+		assert.Equal(t, newcomer.follower.Asked.Load(), int64(0))
+		assert.Assert(t, questions(mates) > before)
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -32,7 +32,7 @@
 	// settleMin is the time until the second look at the directory after this
 	// daemon was published; it doubles with each further one. Daemons that start
 	// at the same time may miss each other at first, because answers are old.
-	settleMin = time.Second
+	settleMin = 250 * time.Millisecond
 	// directoryInterval is the time between two looks at the directory. It is
 	// long because daemons also name each other.
 	directoryInterval = 15 * time.Second
