--- a/internal/callmux/heartbeat.go
+++ b/internal/callmux/heartbeat.go
@@ -7,15 +7,9 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 )
 
-const (
-	// rememberedFrames is how many of the own frames an echo may name; the peer
-	// echoes the newest, so that more than a few are never on their way.
-	rememberedFrames = 8
-	// worthwhileGain is how much newer a confirmation must be than the one that
-	// the peer told before it is sent ahead of time. It is a quarter of the least
-	// time after which a daemon asks the configuration source again.
-	worthwhileGain = 100 * time.Millisecond
-)
+// rememberedFrames is how many of the own frames an echo may name; the peer
+// echoes the newest, so that more than a few are never on their way.
+const rememberedFrames = 8
 
 // Heartbeat is what the empty frames tell of their sender.
 type Heartbeat struct {
@@ -88,11 +82,12 @@
 	return heartbeat
 }
 
-// lacks reports whether the peer would learn something from a heartbeat now.
-func (e *echoes) lacks(local Heartbeat) bool {
+// lacks reports whether the peer would learn from a heartbeat now: of a newer
+// revision, or of a confirmation that is newer by more than gain.
+func (e *echoes) lacks(local Heartbeat, gain time.Duration) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return local.Revision > e.peer.Revision || local.Confirmed.Sub(e.peer.Confirmed) > worthwhileGain
+	return local.Revision > e.peer.Revision || local.Confirmed.Sub(e.peer.Confirmed) > gain
 }
 
 // heardAlive takes in an empty frame. A peer that has not heard of this side yet
@@ -135,8 +130,8 @@
 		case <-s.closed:
 			return
 		case <-ticker.C:
-		case <-s.beats:
-			if s.timing.Local == nil || !s.echoes.lacks(s.timing.Local()) {
+		case gain := <-s.beats:
+			if s.timing.Local == nil || !s.echoes.lacks(s.timing.Local(), gain) {
 				continue
 			}
 			ticker.Reset(s.timing.KeepAlive)
@@ -145,11 +140,11 @@
 	}
 }
 
-// Beat tells the peer what the empty frames tell, unless it told as much itself.
-// It does not wait.
-func (l Link) Beat() {
+// Beat tells the peer what the empty frames tell, unless it told as much itself: a
+// confirmation must be newer by gain. It does not wait.
+func (l Link) Beat(gain time.Duration) {
 	select {
-	case l.session.beats <- struct{}{}:
+	case l.session.beats <- gain:
 	default:
 	}
 }
--- a/internal/callmux/heartbeat_test.go
+++ b/internal/callmux/heartbeat_test.go
@@ -67,13 +67,14 @@
 
 // Nothing is sent ahead of time that the peer told itself.
 func TestPeerThatKnowsIsNotTold(t *testing.T) {
+	const gain = 100 * time.Millisecond
 	start := time.Now()
 	var near, far echoes
 	local := Heartbeat{Revision: 3, Confirmed: start}
-	assert.Assert(t, near.lacks(local))
+	assert.Assert(t, near.lacks(local, gain))
 	far.take(aliveFrame(&near, local, start), start)
 	near.take(aliveFrame(&far, local, start.Add(time.Millisecond)), start.Add(time.Millisecond))
-	assert.Assert(t, !near.lacks(local))
-	assert.Assert(t, near.lacks(Heartbeat{Revision: 4, Confirmed: start}))
-	assert.Assert(t, near.lacks(Heartbeat{Revision: 3, Confirmed: start.Add(time.Second)}))
+	assert.Assert(t, !near.lacks(local, gain))
+	assert.Assert(t, near.lacks(Heartbeat{Revision: 4, Confirmed: start}, gain))
+	assert.Assert(t, near.lacks(Heartbeat{Revision: 3, Confirmed: start.Add(time.Second)}, gain))
 }
--- a/internal/callmux/session.go
+++ b/internal/callmux/session.go
@@ -44,8 +44,9 @@
 	control Control
 	// echoes relate the empty frames of both sides.
 	echoes echoes
-	// beats asks for an empty frame ahead of its time.
-	beats chan struct{}
+	// beats asks for an empty frame ahead of its time, if the peer lacks a newer
+	// revision or a confirmation that is newer by what is sent here.
+	beats chan time.Duration
 	// incarnation is that of the peer daemon.
 	incarnation uint64
 	// welcome is the peer's greeting, nil on the accepting side.
@@ -73,7 +74,7 @@
 	opened := &session{
 		conn: conn, timing: timing.orDefault(), incarnation: incarnation, closed: make(chan struct{}),
 		streams: map[uint64]*stream{}, fences: map[string]chan *lapisv1.CallFenced{},
-		stalled: make(chan struct{}), beats: make(chan struct{}, 1),
+		stalled: make(chan struct{}), beats: make(chan time.Duration, 1),
 	}
 	opened.began = time.Now()
 	return opened
--- a/internal/fleet/catchup.go
+++ b/internal/fleet/catchup.go
@@ -12,13 +12,13 @@
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
 
-// Times of the catching up. Their sum stays well below the part of the bound for
-// a configuration after which a daemon asks the source itself.
+// Times of the catching up. Their sum stays below the part of the bound for a
+// configuration after which a daemon asks the source itself.
 const (
-	// zonePatience is how long a daemon of the own zone is waited for that has a
-	// version, so that it crosses each border between zones few times. The random
-	// part of it lets the daemons of a zone not cross all at once.
-	zonePatience = 150 * time.Millisecond
+	// zonePatience is how long a daemon of the own zone is waited for, at the most,
+	// that has a version. The time is random, so that about one daemon of a zone
+	// fetches it from another zone and the others have it from there.
+	zonePatience = 400 * time.Millisecond
 	// answerPatience is how long an asked daemon has before another one is asked.
 	answerPatience = 250 * time.Millisecond
 )
@@ -47,7 +47,7 @@
 		}
 		if patient && member.Zone != f.config.Self.Zone {
 			patient = false
-			if !f.await(ctx, time.Duration(float64(zonePatience)*(1+f.config.Random())/2)) {
+			if !f.await(ctx, time.Duration(float64(zonePatience)*f.config.Random())) {
 				return
 			}
 			continue
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -1,6 +1,22 @@
 package fleet
 
-import "github.com/lapisvane/lapisvane/internal/callmux"
+import (
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/callmux"
+)
+
+// How much newer a confirmation must be than the one that the peer told before it is
+// sent ahead of the next regular heartbeat.
+const (
+	// nearGain holds within a zone. It is a quarter of the least time after which a
+	// daemon asks the configuration source again.
+	nearGain = 100 * time.Millisecond
+	// farGain holds between zones, where bytes have a price. It is two intervals of
+	// the regular heartbeats: a zone has several links to others, one of which brings
+	// a confirmation soon, and the daemons of the zone tell each other.
+	farGain = 2 * time.Second
+)
 
 // heard takes in a heartbeat of another daemon; member is nil when that daemon is
 // not known.
@@ -22,10 +38,19 @@
 	defer f.mutex.Unlock()
 	for _, member := range f.members {
 		if member.connected {
-			member.link.Beat()
+			member.link.Beat(f.gain(member.Zone))
 		}
 	}
 	for opened := range f.listeners {
-		opened.link.Beat()
+		opened.link.Beat(f.gain(opened.zone))
+	}
+}
+
+// gain returns what a confirmation must be newer by to be sent ahead of time to a
+// daemon of a zone.
+func (f *Fleet) gain(zone string) time.Duration {
+	if zone == f.config.Self.Zone {
+		return nearGain
 	}
+	return farGain
 }
