--- a/internal/fleet/catchup_test.go
+++ b/internal/fleet/catchup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
@@ -62,6 +63,14 @@
 	assert.Assert(t, !behind.config.Freshness.Confirmed().IsZero())
 }
 
+// Within a zone a confirmation is told at once; over its border it waits for the
+// regular heartbeats.
+func TestConfirmationsCrossZonesSeldom(t *testing.T) {
+	teller := behindAt(5)
+	assert.Assert(t, teller.gain("a") < time.Second)
+	assert.Assert(t, teller.gain("b") > time.Second)
+}
+
 // A version is made ready once for all that ask for it, and reads back as it was.
 func TestOutgoingConfigurationIsMadeOnce(t *testing.T) {
 	sent := &outgoing{}
