--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -37,8 +37,8 @@
 // one must be noticed within the time that rules give.
 var peerTiming = callmux.Timing{KeepAlive: time.Second, Silence: 2500 * time.Millisecond, Write: time.Second}
 
-// direct is a daemon's part in the distribution where every daemon reads the
-// configuration source itself and tells every other about its instances.
+// direct is a daemon's part in the distribution where daemons tell each other of
+// configurations and instances over the connections between them.
 type direct struct {
 	daemon   *Daemon
 	platform port.Platform
