--- a/internal/callmux/client.go
+++ b/internal/callmux/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"time"
@@ -146,18 +147,40 @@
 	return opened, nil
 }
 
-// Connect opens a session to address that calls use from then on, whatever one
-// there was before. control receives what concerns the daemons themselves.
-// Errors: CallNotRunUnreachable.
-func (c *Client) Connect(ctx context.Context, address string, control Control) (Link, error) {
+// OtherDaemonError tells that the daemon at an address is not the one that was
+// looked for there.
+type OtherDaemonError struct {
+	Address, Expected string
+	// Found is the daemon that answered.
+	Found string
+}
+
+func (e *OtherDaemonError) Error() string {
+	return fmt.Sprintf("%s answers at %s, not %s", e.Found, e.Address, e.Expected)
+}
+
+// Connect opens a session to the daemon node at address that calls use from then on.
+// It takes the place of a session to an earlier process there, and never that of a
+// working one: calls are on their way on it. control receives what concerns the
+// daemons themselves.
+// Errors: CallNotRunUnreachable, *OtherDaemonError.
+func (c *Client) Connect(ctx context.Context, node, address string, control Control) (Link, error) {
 	opened, err := c.open(ctx, address, control)
 	if err != nil {
 		return Link{}, err
 	}
+	if found := opened.welcome.GetNode(); found != node {
+		opened.close(result.Errorf(result.CallNotRunUnreachable, "another daemon was looked for"))
+		return Link{}, &OtherDaemonError{Address: address, Expected: node, Found: found}
+	}
 	link := c.link(address)
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
-	if link.session != nil {
+	if link.session != nil && !link.session.isClosed() {
+		if link.session.incarnation == opened.incarnation {
+			opened.close(result.Errorf(result.CallNotRunUnreachable, "there is a connection already"))
+			return Link{}, result.Errorf(result.CallNotRunUnreachable, "there is a connection to %s already", address)
+		}
 		link.session.close(result.Errorf(result.CallUnknownOutcome, "a new connection took its place"))
 	}
 	link.session = opened
--- a/internal/callmux/dial_test.go
+++ b/internal/callmux/dial_test.go
@@ -29,7 +29,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		client := &Client{Network: deafNetwork{}}
 		began := time.Now()
-		_, err := client.Connect(t.Context(), "10.0.0.1:1", Control{})
+		_, err := client.Connect(t.Context(), "peer", "10.0.0.1:1", Control{})
 		assert.Assert(t, result.Is(err, result.CallNotRunUnreachable), "%v", err)
 		assert.Assert(t, time.Since(began) <= dialTimeout, "%s", time.Since(began))
 		assert.Assert(t, dialTimeout < time.Second, "the kernel sends the opening packet again")
--- /dev/null
+++ b/internal/fleet/address.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/callmux"
+)
+
+// displacedRecheck is how long a daemon in whose place another one answered is not
+// dialed, unless something newer is heard of it. Its entry in the directory may stay
+// for good; one dial a minute is cheap.
+const displacedRecheck = time.Minute
+
+// An address belongs to the daemon that answers there. What is heard of addresses is
+// believed in this order: the daemon's own greeting, the directory, other daemons.
+
+// greeted takes in what a daemon says of itself when it connects to this one, and
+// returns its peer; the caller holds mutex.
+func (f *Fleet) greeted(member Member) *peer {
+	known := f.peerOf(member)
+	if known == nil {
+		return nil
+	}
+	known.listed = nil
+	known.displacedAt = time.Time{}
+	f.move(known, member)
+	return known
+}
+
+// learnListed takes in an entry of the directory. While the daemon is connected at
+// another address, that is where it is; the entry counts once that connection ends.
+func (f *Fleet) learnListed(member Member) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	known := f.peerOf(member)
+	switch {
+	case known == nil:
+	case known.connected && known.Member != member:
+		known.listed = &member
+	default:
+		known.listed = nil
+		f.move(known, member)
+	}
+}
+
+// learnHearsay takes in what another daemon says of a third one. It may be older than
+// what is known here, so that it counts only for a daemon that nothing is known of.
+func (f *Fleet) learnHearsay(member Member) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.peerOf(member)
+}
+
+// move notes where a daemon is; the caller holds mutex.
+func (f *Fleet) move(known *peer, member Member) {
+	if known.Member == member {
+		return
+	}
+	known.Member = member
+	known.displacedAt = time.Time{}
+	signal(known.wake)
+	signal(f.review)
+}
+
+// moveAsListed takes in what the directory said while the connection that has now
+// ended was open; Fleet.mutex is held.
+func (p *peer) moveAsListed() {
+	if p.listed == nil {
+		return
+	}
+	p.Member = *p.listed
+	p.listed = nil
+	p.displacedAt = time.Time{}
+}
+
+// displace notes that another daemon answers at a peer's address, so that the peer has
+// ended or moved: its instances are out of reach, and it is not dialed there.
+func (f *Fleet) displace(member *peer, other *callmux.OtherDaemonError) {
+	f.mutex.Lock()
+	if member.Address == other.Address {
+		member.displacedAt = time.Now()
+		member.announcement = nil
+		member.revision = 0
+	}
+	f.mutex.Unlock()
+	f.config.Logger.Info("fleet.displaced", "member", other.Expected, "address", other.Address, "by", other.Found)
+	signal(f.changed)
+	signal(f.review)
+}
+
+// displaced reports whether another daemon was found at the address lately;
+// Fleet.mutex is held.
+func (p *peer) displaced(now time.Time) bool {
+	return !p.displacedAt.IsZero() && now.Sub(p.displacedAt) < displacedRecheck
+}
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -82,7 +82,7 @@
 		return false, err
 	}
 	for _, member := range members {
-		f.learn(member)
+		f.learnListed(member)
 		found = found || member == f.config.Self
 	}
 	if !published {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -116,6 +116,12 @@
 	revision     uint64
 	// wake asks for a connection to be tried at once.
 	wake chan struct{}
+	// displacedAt is when another daemon was found at the address; zero while none
+	// was.
+	displacedAt time.Time
+	// listed is what the directory said of the daemon while it was connected
+	// elsewhere; nil when it said nothing else.
+	listed *Member
 	// withdrawn are the peer's instances that it said left for good, in this
 	// or an earlier incarnation, with the time when it last said so.
 	withdrawn map[string]time.Time
@@ -205,19 +211,16 @@
 	}
 }
 
-// learn takes in that a daemon exists.
-func (f *Fleet) learn(member Member) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.peerOf(member)
-}
-
-// peerOf returns the peer for a member, a new one if it was not known; the
+// peerOf returns the peer of a member's name, a new one if it was not known; the
 // caller holds mutex. nil is returned for one that cannot be taken in.
 func (f *Fleet) peerOf(member Member) *peer {
 	if member.Node == f.config.Self.Node || member.Node == "" || member.Address == "" {
 		return nil
 	}
+	if member.Address == f.config.Self.Address {
+		// It had this daemon's address before.
+		return nil
+	}
 	known, ok := f.members[member.Node]
 	if !ok && len(f.members) >= maxMembers {
 		return nil
@@ -227,11 +230,7 @@
 		f.members[member.Node] = known
 		f.config.Logger.V(1).Info("fleet.member_known", "member", member.Node, "address", member.Address, "zone", member.Zone)
 		signal(f.changed)
-	}
-	if known.Member != member {
-		known.Member = member
-		signal(known.wake)
-		signal(f.review)
+		f.move(known, member)
 	}
 	return known
 }
@@ -258,7 +257,9 @@
 	defer f.mutex.Unlock()
 	candidates := make([]candidate, 0, len(f.members))
 	for _, member := range f.members {
-		candidates = append(candidates, candidate{Member: member.Member, doubtful: member.doubtful(time.Now())})
+		if !member.displaced(time.Now()) {
+			candidates = append(candidates, candidate{Member: member.Member, doubtful: member.doubtful(time.Now())})
+		}
 	}
 	chosen := wanted(f.config.Self, candidates)
 	for node, member := range f.members {
@@ -280,6 +281,8 @@
 // against it; Fleet.mutex is held.
 func (p *peer) doubtful(now time.Time) bool {
 	switch {
+	case !p.displacedAt.IsZero():
+		return true
 	case p.stop == nil || p.connected:
 		return false
 	case p.lostAt.After(p.keptSince):
--- a/internal/fleet/introduction.go
+++ b/internal/fleet/introduction.go
@@ -54,7 +54,7 @@
 // where it asks.
 func (f *Fleet) introduced(introduction *lapisv1.Introduction, link callmux.Link) {
 	for _, member := range introduction.GetMembers() {
-		f.learn(Member{
+		f.learnHearsay(Member{
 			Node: member.GetNode(), Address: member.GetAddress(), Zone: member.GetZone(), Service: member.GetService(),
 		})
 	}
@@ -73,6 +73,9 @@
 	defer f.mutex.Unlock()
 	introduction := &lapisv1.Introduction{}
 	for _, member := range f.members {
+		if member.displaced(time.Now()) {
+			continue
+		}
 		if member.stop == nil || member.connected || time.Since(member.lostAt) < forgetAfter {
 			introduction.Members = append(introduction.Members, &lapisv1.PeerAddress{
 				Node: member.Node, Address: member.Address, Zone: member.Zone, Service: member.Service,
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -16,6 +17,10 @@
 	reconnectMin    = 50 * time.Millisecond
 	reconnectMax    = time.Second
 	reconnectFactor = 2
+	// steadyAfter is how long a connection must have lasted for its loss to be
+	// answered by a dial at once: one that is lost right after it opened would be
+	// opened and lost without end.
+	steadyAfter = time.Second
 )
 
 // maintain keeps a connection to a peer until ctx ends.
@@ -24,9 +29,16 @@
 	for ctx.Err() == nil {
 		link, err := f.connect(ctx, member)
 		if err == nil {
-			wait = reconnectMin
+			opened := time.Now()
 			f.converse(ctx, member, link)
-			continue
+			if time.Since(opened) >= steadyAfter {
+				wait = reconnectMin
+				continue
+			}
+		}
+		var other *callmux.OtherDaemonError
+		if errors.As(err, &other) {
+			f.displace(member, other)
 		}
 		if !f.waitFor(ctx, member, f.jitter(wait)) {
 			return
@@ -52,7 +64,7 @@
 
 func (f *Fleet) connect(ctx context.Context, member *peer) (callmux.Link, error) {
 	f.mutex.Lock()
-	address := member.Address
+	node, address := member.Node, member.Address
 	member.generation++
 	generation := member.generation
 	f.mutex.Unlock()
@@ -62,7 +74,7 @@
 		Frame:     func(frame *lapisv1.CallFrame) { f.receiveDialed(member, generation, frame) },
 		Heartbeat: func(heartbeat callmux.Heartbeat) { f.heard(member, heartbeat) },
 	}
-	link, err := f.config.Calls.Connect(ctx, address, receive)
+	link, err := f.config.Calls.Connect(ctx, node, address, receive)
 	if err != nil {
 		return callmux.Link{}, err
 	}
@@ -75,6 +87,7 @@
 	}
 	member.connected = true
 	member.stalled = false
+	member.displacedAt = time.Time{}
 	member.link = link
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.connected", "member", member.Node, "address", address, "incarnation", incarnation)
@@ -96,6 +109,7 @@
 	f.mutex.Lock()
 	member.connected = false
 	member.lostAt = time.Now()
+	member.moveAsListed()
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.lost", "member", member.Node)
 	signal(f.changed)
--- a/internal/fleet/listener.go
+++ b/internal/fleet/listener.go
@@ -21,7 +21,7 @@
 	dialer := Member{Node: hello.GetNode(), Address: hello.GetAddress(), Zone: hello.GetZone(), Service: hello.GetService()}
 	f.mutex.Lock()
 	f.listeners[opened] = true
-	member := f.peerOf(dialer)
+	member := f.greeted(dialer)
 	if member != nil && !member.connected {
 		signal(member.wake)
 	}
