--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -27,6 +27,11 @@
 	// increaseAfter is the number of calls done without shedding after which
 	// a lowered limit grows by one.
 	increaseAfter = 20
+	// fewRunning is the part of the slots up to which a back end cannot be full: what
+	// it sheds then says nothing about its capacity, and neither does what it sheds
+	// within unrelatedFor after that.
+	fewRunning   = 0.25
+	unrelatedFor = 5 * time.Second
 	// minRetryAfter is the least time named in a refusal.
 	minRetryAfter = 50 * time.Millisecond
 	// serviceSmoothing weighs the newest call in the mean service time.
@@ -79,12 +84,14 @@
 	groups  map[string]*group
 	running int
 	uploads int
-	// limit is the adaptive number of slots, at most limits.Slots.
-	limit       int
-	successes   int
-	meanService time.Duration
-	closed      *result.Error
-	idle        chan struct{}
+	// limit is the adaptive number of slots, at most limits.Slots. Shedding until
+	// unrelatedUntil does not lower it.
+	limit          int
+	unrelatedUntil time.Time
+	successes      int
+	meanService    time.Duration
+	closed         *result.Error
+	idle           chan struct{}
 }
 
 // group is the state of one group.
@@ -114,7 +121,9 @@
 	group   *group
 	upload  bool
 	started time.Time
-	once    sync.Once
+	// among is the number of calls that ran when it was given, this one included.
+	among int
+	once  sync.Once
 }
 
 // NewQueue returns a queue; now gives the time.
@@ -321,7 +330,7 @@
 func (q *Queue) slotFor(waiting *waiter) *Slot {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return &Slot{queue: q, group: q.groupOf(waiting.request.Group), upload: waiting.request.Upload, started: q.now()}
+	return &Slot{queue: q, group: q.groupOf(waiting.request.Group), upload: waiting.request.Upload, started: q.now(), among: q.running}
 }
 
 func (q *Queue) groupOf(name string) *group {
@@ -353,7 +362,7 @@
 	if request.Upload {
 		q.uploads++
 	}
-	return &Slot{queue: q, group: g, upload: request.Upload, started: now}
+	return &Slot{queue: q, group: g, upload: request.Upload, started: now, among: q.running}
 }
 
 // dispatch gives free slots to waiting calls; the caller holds mutex.
@@ -437,7 +446,7 @@
 	} else {
 		q.noteService(now.Sub(slot.started))
 	}
-	q.adapt(shed)
+	q.adapt(shed, max(slot.among, q.running+1), now)
 	q.dispatch()
 	if q.running == 0 && q.idle != nil {
 		close(q.idle)
@@ -453,15 +462,21 @@
 	q.meanService += time.Duration(serviceSmoothing * float64(taken-q.meanService))
 }
 
-// adapt lowers the limit by one at each shed call and raises it by one after
-// increaseAfter calls without.
-func (q *Queue) adapt(shed bool) {
-	if shed {
+// adapt lowers the limit by one at each shed call, which ran among so many, and raises
+// it by one after increaseAfter calls without. A back end that sheds although it has little to do
+// does so for another reason, which fewer calls at once would not end.
+func (q *Queue) adapt(shed bool, among int, now time.Time) {
+	switch {
+	case shed && float64(among) <= fewRunning*float64(q.limits.Slots):
+		q.unrelatedUntil = now.Add(unrelatedFor)
+		q.limit = q.limits.Slots
+	case shed && now.Before(q.unrelatedUntil):
+	case shed:
 		q.limit = max(1, min(q.limit, q.running+1)-1)
 		q.successes = 0
-		return
+	default:
+		q.successes++
 	}
-	q.successes++
 	if q.successes >= increaseAfter && q.limit < q.limits.Slots {
 		q.limit++
 		q.successes = 0
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -348,3 +349,42 @@
 		assert.Equal(t, time.Since(started), 40*time.Millisecond)
 	})
 }
+
+// Every instance of a service shed half of its calls for 8.5 s whatever its load: the
+// limit of each fell to one slot (swancycle-hq-now-grown scale-1, 13 to 21.5 s, 35,879
+// answers of 503).
+func TestSheddingWithoutLoadLeavesTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newQueue(13, nil)
+		const callers, lasts = 26, 8 * time.Second
+		var shed, served atomic.Int64
+		ctx, stop := context.WithTimeout(t.Context(), lasts)
+		defer stop()
+		var running sync.WaitGroup
+		for caller := range callers {
+			random := rand.New(rand.NewPCG(uint64(caller), 2))
+			running.Go(func() {
+				for ctx.Err() == nil {
+					slot, err := queue.Acquire(ctx, admission.Request{Group: "a"})
+					if err != nil {
+						time.Sleep(serviceTime)
+						continue
+					}
+					if random.Float64() < 0.55 {
+						time.Sleep(time.Millisecond)
+						slot.Release(true)
+						shed.Add(1)
+						continue
+					}
+					time.Sleep(serviceTime)
+					slot.Release(false)
+					served.Add(1)
+				}
+			})
+		}
+		running.Wait()
+		// 26 callers keep 13 slots busy: about as many are served as the slots bear.
+		bears := 13 * int64(lasts/serviceTime)
+		assert.Assert(t, served.Load() > bears*7/10, "%d served and %d shed, the slots bear %d", served.Load(), shed.Load(), bears)
+	})
+}
