--- a/internal/origin/decisions.go
+++ b/internal/origin/decisions.go
@@ -54,6 +54,7 @@
 		"attempt", open.GetAttemptId(), "instance", open.GetInstance(), "state", string(state),
 		"code", uint32(code), "name", code, "running", occupancy.Running, "waiting", occupancy.Waiting,
 		"limit", occupancy.Limit, "service_ms", occupancy.MeanService.Milliseconds(), "beat_age_ms", beatAge.Milliseconds(),
+		"priority", open.GetPriority(), "due_ms", open.GetTargetMillis(),
 		"may_wait_ms", open.GetMaxWaitMillis(), "given_ms", open.GetDeadlineMillis(),
 		"took_ms", time.Since(began).Milliseconds(), "detail", err)
 }
@@ -64,7 +65,7 @@
 		return []any{
 			"attempt", call.Open.GetAttemptId(), "instance", instance.Name, "status", answer.Head.GetStatus(),
 			"waited_ms", waited.Milliseconds(), "service_ms", float64(answer.Head.GetServiceMicros()) / 1000,
-			"load", float64(answer.Head.GetLoad()),
+			"load", float64(answer.Head.GetLoad()), "priority", call.Open.GetPriority(), "due_ms", call.Open.GetTargetMillis(),
 		}
 	})
 }
