--- a/internal/callapi/callapi.go
+++ b/internal/callapi/callapi.go
@@ -45,6 +45,10 @@
 	// Trailers returns the request trailers once Body is at its end; it may be
 	// nil.
 	Trailers func() []*lapisv1.HeaderField
+	// StaysWithSilent tells, when the daemon beside the instance falls silent,
+	// whether the call waits on there; nil means that it ends, so that another
+	// instance may be tried.
+	StaysWithSilent func() bool
 }
 
 // Answer is a back end's answer.
--- a/internal/callmux/client.go
+++ b/internal/callmux/client.go
@@ -273,19 +273,25 @@
 	if call.Open.GetRepeatable() {
 		stall = opened.session.stall()
 	}
-	select {
-	case head := <-opened.head:
-		return head, nil
-	case <-opened.done:
-		return nil, opened.cause()
-	case <-stall:
-		// Sent in the background: the peer may not read.
-		unwanted := resetOf(opened.id, result.Errorf(result.CallCancelled, "the daemon does not answer"))
-		go func() { _ = opened.session.send(unwanted) }()
-		return nil, result.Errorf(result.CallUnknownOutcome, "the daemon beside the instance does not answer")
-	case <-ctx.Done():
-		_ = opened.session.send(resetOf(opened.id, result.Errorf(result.CallCancelled, "the caller gave up")))
-		return nil, result.Wrap(cancelCode(ctx), ctx.Err(), "waiting for the answer")
+	for {
+		select {
+		case head := <-opened.head:
+			return head, nil
+		case <-opened.done:
+			return nil, opened.cause()
+		case <-stall:
+			if call.StaysWithSilent != nil && call.StaysWithSilent() {
+				stall = nil
+				continue
+			}
+			// Sent in the background: the peer may not read.
+			unwanted := resetOf(opened.id, result.Errorf(result.CallCancelled, "the daemon does not answer"))
+			go func() { _ = opened.session.send(unwanted) }()
+			return nil, result.Errorf(result.CallUnknownOutcome, "the daemon beside the instance does not answer")
+		case <-ctx.Done():
+			_ = opened.session.send(resetOf(opened.id, result.Errorf(result.CallCancelled, "the caller gave up")))
+			return nil, result.Wrap(cancelCode(ctx), ctx.Err(), "waiting for the answer")
+		}
 	}
 }
 
--- a/internal/callmux/stall_test.go
+++ b/internal/callmux/stall_test.go
@@ -1,6 +1,7 @@
 package callmux
 
 import (
+	"io"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callapi"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
 
@@ -58,3 +61,25 @@
 		assert.Assert(t, changed && !stalled)
 	})
 }
+
+// While the caller's daemon stops as planned, a call stays with a peer that has fallen
+// silent: the instance there may be at work on it.
+func TestCallStaysWithASilentPeerDuringAPlannedStop(t *testing.T) {
+	for _, stays := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			opened := newSession(wire.NewConn(near, nil), 1, Timing{})
+			called := newStream(1, opened)
+			assert.NilError(t, opened.add(called))
+			call := &callapi.Call{Open: &lapisv1.CallOpen{Repeatable: true}, StaysWithSilent: func() bool { return stays }}
+			time.AfterFunc(time.Second, func() { opened.setStalled(true) })
+			time.AfterFunc(2*time.Second, func() { called.head <- &lapisv1.CallHead{Status: 200} })
+			head, err := (&Client{}).exchange(t.Context(), t.Context(), called, call)
+			assert.Equal(t, err == nil && head.GetStatus() == 200, stays, "%v", err)
+			time.Sleep(2 * time.Second)
+			opened.close(net.ErrClosed)
+			_ = far.Close()
+		})
+	}
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -73,6 +73,9 @@
 	// failed is the first answer that was a failure of the instance's own, kept
 	// while another instance is tried.
 	failed *outcome
+	// mayHaveRun is the end of the first attempt that an instance may have run; nil
+	// while there was none.
+	mayHaveRun error
 	// busy are the instances that refused for load, and lastResort is true once
 	// the call waits as long as it can.
 	busy       []*balance.Target
@@ -115,6 +118,7 @@
 			err = a.setAside(outcome{answer: answer, target: target})
 		}
 		lastErr = err
+		a.noteOutcome(err)
 		a.tried = append(a.tried, target)
 		if result.Is(err, result.CallNotRunOverloaded) {
 			a.busy = append(a.busy, target)
@@ -167,7 +171,7 @@
 func (a *attempter) once(ctx context.Context, target *balance.Target) (*callapi.Answer, error) {
 	open := a.openFor(ctx, target)
 	a.attemptID = open.GetAttemptId()
-	call := &callapi.Call{Open: open}
+	call := &callapi.Call{Open: open, StaysWithSilent: a.gateway.leaving}
 	a.attach(call)
 	target.Begin()
 	began := time.Now()
@@ -192,6 +196,13 @@
 	return answer, nil
 }
 
+// noteOutcome remembers an attempt that an instance may have run.
+func (a *attempter) noteOutcome(err error) {
+	if a.mayHaveRun == nil && callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
+		a.mayHaveRun = err
+	}
+}
+
 // unanswered reports whether an attempt ended without an answer although the
 // instance had all the time that one is worth most in.
 func (a *attempter) unanswered(err error, waited time.Duration) bool {
--- a/internal/gateway/failures.go
+++ b/internal/gateway/failures.go
@@ -35,9 +35,14 @@
 }
 
 // orFailed returns the failed answer that was set aside, which says more than
-// that a later attempt got none; without one it returns err.
+// that a later attempt got none; without one it returns err. That the last attempt
+// did not run is no answer where an earlier one may have: the caller would take the
+// call as one that has not run.
 func (a *attempter) orFailed(err error) (outcome, error) {
-	if a.failed == nil {
+	switch {
+	case a.failed == nil && a.mayHaveRun != nil && callapi.OutcomeOf(err) == callapi.OutcomeNotRun:
+		return outcome{}, a.mayHaveRun
+	case a.failed == nil:
 		return outcome{}, err
 	}
 	kept := *a.failed
--- a/internal/gateway/failures_test.go
+++ b/internal/gateway/failures_test.go
@@ -148,3 +148,27 @@
 	r.opened = append(r.opened, call.Open)
 	return nil, r.err
 }
+
+// A call that an instance may have run is not answered as one that has not run, however
+// its later attempts end (swancycle-hq-now-grown scale-2, LOST at 23.504 s: the daemon
+// beside the instance fell silent, the other instances were full, and the caller got 503
+// while the first one worked).
+func TestNotRunIsSaidOnlyWhenItIsTrue(t *testing.T) {
+	silent := result.Errorf(result.CallUnknownOutcome, "the daemon beside the instance does not answer")
+	full := result.Errorf(result.CallNotRunOverloaded, "no slot is free")
+	plenty := RetryLimits{Fraction: 1, Burst: 10}
+	for name, row := range map[string]struct {
+		script []any
+		notRun bool
+	}{
+		"all full":               {[]any{full}, true},
+		"silent, then full":      {[]any{silent, full}, false},
+		"full, silent, full":     {[]any{full, silent, full}, false},
+		"silent for all of them": {[]any{silent}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := newAttempter(t, &scriptedRemote{script: row.script}, true, plenty).run(t.Context())
+			assert.Equal(t, callapi.OutcomeOf(err) == callapi.OutcomeNotRun, row.notRun, "%v", err)
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,6 +187,10 @@
 	g.stopping.Store(true)
 }
 
+// leaving reports whether the daemon is stopping as planned. A call that an instance
+// has then is not given up: nothing is lost by a planned stop.
+func (g *Gateway) leaving() bool { return g.leaveBy.Load() != nil }
+
 // ShareRetries notes the number of daemons that share the burst of retries.
 func (g *Gateway) ShareRetries(daemons int) { g.budget.share(daemons) }
 
@@ -315,6 +319,7 @@
 		if err == nil {
 			return nil
 		}
+		attempt.noteOutcome(err)
 		begun := exchange.Request.Response.GetHijackWriter() != nil
 		again := !begun && tries < defaultMaxAttempts-1 && attempt.mayRetry(ctx, err)
 		attempt.logAttempt(ctx, done.target, err, again)
