--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -53,6 +53,8 @@
 	open    *lapisv1.CallOpen
 	body    *requestBody
 	started time.Time
+	// waited is how long the caller had been waiting before, since an earlier try.
+	waited time.Duration
 	// request is the caller's id of the request, empty where there is none.
 	request string
 	// attach prepares an attempt's body.
@@ -163,7 +165,7 @@
 	}
 	return a.gateway.balancer.Pick(service, balance.Choice{
 		Exclude: a.tried, Key: a.open.GetIdempotencyKey(), Route: a.route.GetName(),
-		Target: a.targetLatency(), Spent: time.Since(a.started), Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
+		Target: a.targetLatency(), Spent: time.Since(a.started) + a.waited, Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
 	})
 }
 
@@ -223,13 +225,13 @@
 		Attempt: template.GetAttempt() + uint32(len(a.tried)), ContentLength: template.GetContentLength(),
 		RouteRevision: template.GetRouteRevision(), IdempotencyKey: template.GetIdempotencyKey(),
 		Priority: template.GetPriority(), CallerService: template.GetCallerService(),
-		Repeat: a.handed > 0,
+		Repeat: a.handed > 0, Returned: a.waited > 0,
 	}
 	if latency := a.targetLatency(); latency > 0 {
 		spent := time.Since(a.started)
 		slack := latency - target.ServiceTime(a.route.GetName())
 		open.SlackMillis = uint32(max(slack.Milliseconds(), 1))
-		open.TargetMillis = uint32(max((slack - spent).Milliseconds(), 0))
+		open.TargetMillis = uint32(max((slack - spent - a.waited).Milliseconds(), 0))
 		open.MaxWaitMillis = uint32(max(maxWaitOf(latency)-spent, minWait).Milliseconds())
 	}
 	if deadline, ok := ctx.Deadline(); ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,7 @@
 	balancer      *balance.Balancer
 	budget        *retryBudget
 	sizes         answerSizes
+	deadlines     usualDeadlines
 	metrics       gatewayMetrics
 	attemptPrefix string
 	attempts      atomic.Uint64
@@ -297,8 +298,10 @@
 		}
 	}
 	body := bodyOf(exchange)
+	stated, _ := g.statedDeadline(rc)
 	attempt := &attempter{
 		gateway: g, current: current, route: route, body: body, started: started, request: g.requestID(rc),
+		waited: g.deadlines.waited(route.GetName(), stated),
 		local:  exchange.Local(),
 		open:   g.openOf(rc, route, current.Revision, method, body),
 		attach: func(call *callapi.Call) { body.attach(call, rc) },
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -166,19 +166,22 @@
 	if bound == 0 && !class.GetUpload() {
 		bound = g.config.DefaultDeadline
 	}
-	chained, err := strconv.ParseInt(string(rc.Request.Header.Peek(g.config.Envelope.Deadline)), 10, 64)
-	if err == nil {
-		remaining := time.Duration(max(chained, 0)) * time.Millisecond
-		if bound == 0 || remaining < bound {
-			bound = remaining
-		}
+	chained, stated := g.statedDeadline(rc)
+	if stated && (bound == 0 || chained < bound) {
+		bound = chained
 	}
-	if bound == 0 && err != nil {
+	if bound == 0 && !stated {
 		return context.WithCancel(ctx)
 	}
 	return context.WithDeadline(ctx, started.Add(bound))
 }
 
+// statedDeadline returns the time that the caller says it will wait.
+func (g *Gateway) statedDeadline(rc *app.RequestContext) (stated time.Duration, ok bool) {
+	millis, err := strconv.ParseInt(string(rc.Request.Header.Peek(g.config.Envelope.Deadline)), 10, 64)
+	return time.Duration(max(millis, 0)) * time.Millisecond, err == nil
+}
+
 // chainAttempt returns the number of retries made so far along the chain.
 func (g *Gateway) chainAttempt(rc *app.RequestContext) uint32 {
 	const maxChainAttempt = 1000
