--- a/internal/callmux/client.go
+++ b/internal/callmux/client.go
@@ -208,6 +208,7 @@
 	}
 	_ = raw.SetDeadline(time.Time{})
 	opened := newSession(conn, welcome.GetIncarnation(), c.Timing)
+	opened.boundInFlight(welcome.GetInFlightBytes())
 	opened.welcome = welcome
 	opened.control = control
 	go func() { _ = opened.receive(nil) }()
@@ -219,7 +220,9 @@
 	if err := conn.WritePreface(); err != nil {
 		return nil, err
 	}
-	if err := conn.Send(&lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Hello{Hello: c.Hello}}); err != nil {
+	hello := proto.CloneOf(c.Hello)
+	hello.InFlightBytes = c.Timing.InFlightBytes()
+	if err := conn.Send(&lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Hello{Hello: hello}}); err != nil {
 		return nil, err
 	}
 	frame := &lapisv1.ControlFrame{}
--- /dev/null
+++ b/internal/callmux/flight.go
@@ -0,0 +1,50 @@
+package callmux
+
+import "time"
+
+// On a narrow link a long body must not hold up the short calls behind it: at 5 Mbit/s
+// one of 60 kB occupies the link for 0.1 s. A body therefore has no more on its way than
+// the narrower of both machines' links carries in linkTime, whatever the memory of the
+// receiver allows.
+
+const (
+	// linkTime is how long the bytes of one body that are on their way may occupy a
+	// link.
+	linkTime = 25 * time.Millisecond
+	// minInFlight keeps a body going over a link with a long way.
+	minInFlight = 8 << 10
+	// inFlightPieces is the number of pieces that the bytes on their way come in; as
+	// many times they are acknowledged.
+	inFlightPieces = 4
+)
+
+// InFlightBytes returns what one body may have on its way over the machine's link. It is
+// what greetings state.
+func (t Timing) InFlightBytes() uint32 {
+	if t.LinkMegabits <= 0 {
+		return windowBytes
+	}
+	bytes := t.LinkMegabits * 1e6 / 8 * linkTime.Seconds()
+	return uint32(min(max(bytes, minInFlight), windowBytes))
+}
+
+// boundInFlight takes in what the peer stated. One of an earlier release states nothing;
+// it acknowledges too seldom for a bound.
+func (s *session) boundInFlight(stated uint32) {
+	if stated == 0 {
+		return
+	}
+	s.inFlight = int(min(stated, s.timing.InFlightBytes()))
+}
+
+// pieceBytes is the largest piece of a body in one frame.
+func (s *session) pieceBytes() int { return min(chunkBytes, s.inFlight/inFlightPieces) }
+
+// acknowledgeAfter is the number of bytes read after which the sender hears of it.
+func (s *session) acknowledgeAfter() int { return min(grantAfterBytes, s.inFlight/inFlightPieces) }
+
+// spare returns how much more of the body may be sent now, at most want; the caller
+// holds mutex.
+func (s *stream) spare(want int) int {
+	return max(min(want, s.credit, s.session.inFlight-s.unacknowledged), 0)
+}
--- a/internal/callmux/server.go
+++ b/internal/callmux/server.go
@@ -60,11 +60,12 @@
 	if s.Counters != nil {
 		conn.UseCounters(s.Counters)
 	}
-	welcome := &lapisv1.Welcome{Node: s.Node, Incarnation: s.Incarnation}
+	welcome := &lapisv1.Welcome{Node: s.Node, Incarnation: s.Incarnation, InFlightBytes: s.Timing.InFlightBytes()}
 	if err := conn.Send(&lapisv1.ControlFrame{Body: &lapisv1.ControlFrame_Welcome{Welcome: welcome}}); err != nil {
 		return err
 	}
 	session := newSession(conn, 0, s.Timing)
+	session.boundInFlight(hello.GetInFlightBytes())
 	if s.Accepted != nil {
 		session.control = s.Accepted(hello, Link{session})
 	}
@@ -93,6 +94,7 @@
 	// Daemons of earlier releases send longer bodies along.
 	stream.allowance = BufferedBodyBytes
 	stream.credit = windowBytes
+	stream.granted = true
 	stream.lazyGrant = true
 	if err := session.add(stream); err != nil {
 		return err
@@ -140,7 +142,7 @@
 func sendAnswer(ctx context.Context, session *session, stream *stream, answer *callapi.Answer) error {
 	head := &lapisv1.CallFrame{Call: stream.id, Body: &lapisv1.CallFrame_Head{Head: answer.Head}}
 	length := answer.Head.GetContentLength()
-	if length < 0 || length > chunkBytes {
+	if length < 0 || length > int64(session.pieceBytes()) {
 		if err := session.send(head); err != nil {
 			return err
 		}
--- a/internal/callmux/session.go
+++ b/internal/callmux/session.go
@@ -24,6 +24,9 @@
 	Write time.Duration
 	// Local returns what the empty frames tell of this daemon; it may be nil.
 	Local func() Heartbeat
+	// LinkMegabits is the rate of the machine's link in Mbit/s, 0 where it is not
+	// known.
+	LinkMegabits float64
 }
 
 // DefaultTiming holds where nothing else is set.
@@ -49,6 +52,8 @@
 	beats chan time.Duration
 	// incarnation is that of the peer daemon.
 	incarnation uint64
+	// inFlight is what one body may have on its way, in bytes.
+	inFlight int
 	// welcome is the peer's greeting, nil on the accepting side.
 	welcome *lapisv1.Welcome
 	closed  chan struct{}
@@ -74,7 +79,7 @@
 	opened := &session{
 		conn: conn, timing: timing.orDefault(), incarnation: incarnation, closed: make(chan struct{}),
 		streams: map[uint64]*stream{}, fences: map[string]chan *lapisv1.CallFenced{},
-		stalled: make(chan struct{}), beats: make(chan time.Duration, 1),
+		stalled: make(chan struct{}), beats: make(chan time.Duration, 1), inFlight: windowBytes,
 	}
 	opened.began = time.Now()
 	return opened
--- a/internal/callmux/stream.go
+++ b/internal/callmux/stream.go
@@ -49,8 +49,12 @@
 	ended     bool
 	trailers  []*lapisv1.HeaderField
 	failure   error
-	// credit is what this side may still send.
-	credit int
+	// credit is what this side may still send; unacknowledged is what it sent and the
+	// peer has not said that it read. The peer's first grant acknowledges nothing:
+	// granted is true once it came.
+	credit         int
+	unacknowledged int
+	granted        bool
 	// lazyGrant is true until the first read grants the window.
 	lazyGrant bool
 }
@@ -108,13 +112,27 @@
 	return nil
 }
 
+// addCredit takes in a grant of the peer.
 func (s *stream) addCredit(bytes uint32) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.credit += int(min(bytes, windowBytes))
+	granted := int(min(bytes, windowBytes))
+	s.credit += granted
+	if s.granted {
+		s.unacknowledged = max(s.unacknowledged-granted, 0)
+	}
+	s.granted = true
 	s.notify()
 }
 
+// giveBack returns what was taken of the credit and not sent.
+func (s *stream) giveBack(bytes int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.credit += bytes
+	s.unacknowledged -= bytes
+}
+
 // Read reads the peer's body. It returns io.EOF only after the frame that ends
 // the body, so a body that broke off is never taken as whole.
 func (s *stream) Read(buffer []byte) (int, error) {
@@ -165,7 +183,7 @@
 		due = windowBytes
 	}
 	s.lazyGrant = false
-	if s.consumed >= grantAfterBytes {
+	if s.consumed >= s.session.acknowledgeAfter() {
 		due += s.consumed
 		s.consumed = 0
 	}
@@ -181,9 +199,9 @@
 			s.mutex.Unlock()
 			return 0, s.failure
 		}
-		if s.credit > 0 {
-			taken := min(want, s.credit)
+		if taken := s.spare(want); taken > 0 {
 			s.credit -= taken
+			s.unacknowledged += taken
 			s.mutex.Unlock()
 			return taken, nil
 		}
@@ -199,14 +217,14 @@
 
 // sendBody sends a body piece by piece as credit allows.
 func (s *stream) sendBody(ctx context.Context, body io.Reader, trailers func() []*lapisv1.HeaderField) error {
-	buffer := make([]byte, chunkBytes)
+	buffer := make([]byte, s.session.pieceBytes())
 	for {
-		allowed, err := s.waitCredit(ctx, chunkBytes)
+		allowed, err := s.waitCredit(ctx, len(buffer))
 		if err != nil {
 			return err
 		}
 		count, err := body.Read(buffer[:allowed])
-		s.addCredit(uint32(allowed - count))
+		s.giveBack(allowed - count)
 		if err != nil && err != io.EOF {
 			return err
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -326,7 +326,7 @@
 	addresses := d.Addresses()
 	d.logger.Info("daemon.started", "build", buildVersion(), "zone", config.Zone, "service", config.Service,
 		"peer", addresses.Peer, "caller", addresses.Caller, "metrics", addresses.Metrics, "incarnation", d.incarnation,
-		"platform", config.Platform.Form, "retry_fraction", config.Retries.Fraction, "retry_burst", config.Retries.Burst,
+		"platform", config.Platform.Form, "retry_fraction", config.Retries.Fraction, "retry_burst", config.Retries.Burst, "link_mbit", config.LinkMegabits,
 		"stop_limit", config.StopLimit.Get())
 }
 
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -88,6 +88,7 @@
 func (p *direct) timing() callmux.Timing {
 	timing := peerTiming
 	timing.Local = p.heartbeat
+	timing.LinkMegabits = p.daemon.settings.Load().LinkMegabits
 	return timing
 }
 
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -34,6 +34,9 @@
 	ReadinessAddress string `json:"readiness_address"`
 	// Service is the service that runs on the machine; back ends are told.
 	Service string `json:"service"`
+	// LinkMegabits is the rate of the machine's link in Mbit/s, 0 where it is not
+	// known. Long bodies are sent so that short calls get past them on it.
+	LinkMegabits float64 `json:"link_mbit"`
 	// Retries bounds the retries of each service.
 	Retries Retries `json:"retries"`
 	// Seeds are peer addresses of other daemons.
@@ -226,7 +229,7 @@
 		value float64
 	}{
 		{"platform.reads_per_second", d.Platform.ReadsPerSecond}, {"platform.writes_per_second", d.Platform.WritesPerSecond},
-		{"retries.fraction", d.Retries.Fraction}, {"retries.burst", d.Retries.Burst},
+		{"link_mbit", d.LinkMegabits}, {"retries.fraction", d.Retries.Fraction}, {"retries.burst", d.Retries.Burst},
 	} {
 		if bound.value < 0 {
 			check.faults.Add(result.SettingsBadNumber, "%s: %v is negative", bound.key, bound.value)
