--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -34,6 +34,10 @@
 	// maxOverloaded bounds the instances that are tried after refusals for
 	// load.
 	maxOverloaded = 2
+	// hopelessPart is the part of a call's usual time at the instance that must be left
+	// for it to start: with less it would hardly be answered, and hold a slot until its
+	// deadline.
+	hopelessPart = 0.5
 	// startMargin is subtracted from the time in which a call may start, so
 	// that a call that is too late is refused as not run before its deadline
 	// makes its outcome unknown.
@@ -112,6 +116,9 @@
 			return a.orFailed(err)
 		}
 		a.open.Service = pool
+		if a.hopeless(ctx, target) {
+			return a.orFailed(result.Errorf(result.CallNotRunExpired, "too little time is left for an answer"))
+		}
 		answer, err := a.once(ctx, target)
 		if err == nil && !a.mayReplace(answer) {
 			return outcome{answer: answer, target: target}, nil
@@ -240,11 +247,23 @@
 			open.MaxWaitMillis = uint32(max(a.lastResortWait(deadline)-time.Since(a.started), minWait).Milliseconds())
 		}
 		open.DeadlineMillis = uint32(max(remaining.Milliseconds(), 1))
-		open.ExpiresAfterMillis = uint32(max((remaining - startMargin).Milliseconds(), 1))
+		open.ExpiresAfterMillis = uint32(max((remaining - a.leastTime(target)).Milliseconds(), 1))
 	}
 	return open
 }
 
+// leastTime returns the time that must be left for the call to start at target.
+func (a *attempter) leastTime(target *balance.Target) time.Duration {
+	usual := target.ServiceTime(a.route.GetName())
+	return max(startMargin, time.Duration(hopelessPart*float64(usual)))
+}
+
+// hopeless reports whether too little time is left for an answer of target.
+func (a *attempter) hopeless(ctx context.Context, target *balance.Target) bool {
+	deadline, ok := ctx.Deadline()
+	return ok && time.Until(deadline) < a.leastTime(target)
+}
+
 // lastResortWait returns how long after its start a call that was refused for load
 // everywhere may get a slot.
 func (a *attempter) lastResortWait(deadline time.Time) time.Duration {
