--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -59,9 +59,6 @@
 	Upload     bool
 	// Priority orders the waiting calls of a group; 0 is the most urgent.
 	Priority uint32
-	// Returned calls go before others of their priority: their callers were refused
-	// before, and may not come back once more.
-	Returned bool
 	// Due is the time by which a call must start to be answered while the answer
 	// is worth most. Those that are late go after all others; zero comes last.
 	Due time.Time
@@ -250,15 +247,12 @@
 }
 
 // before reports whether a request that came later goes before another one:
-// the more urgent first, then those whose callers come back, then those that can still
-// be in time, then those of the least slack, then those that are due first.
+// the more urgent first, then those that can still be in time, then those of the
+// least slack, then those that are due first.
 func (r *Request) before(other *Request, now time.Time) bool {
 	if r.Priority != other.Priority {
 		return r.Priority < other.Priority
 	}
-	if r.Returned != other.Returned {
-		return r.Returned
-	}
 	if late, otherLate := r.late(now), other.late(now); late != otherLate {
 		return otherLate
 	}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -232,7 +232,7 @@
 		Attempt: template.GetAttempt() + uint32(len(a.tried)), ContentLength: template.GetContentLength(),
 		RouteRevision: template.GetRouteRevision(), IdempotencyKey: template.GetIdempotencyKey(),
 		Priority: template.GetPriority(), CallerService: template.GetCallerService(),
-		Repeat: a.handed > 0, Returned: a.waited > 0,
+		Repeat: a.handed > 0,
 	}
 	if latency := a.targetLatency(); latency > 0 {
 		spent := time.Since(a.started)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -288,7 +288,6 @@
 	open := call.Open
 	request := admission.Request{
 		Group: open.GetGroup(), Background: open.GetBackground(), Upload: open.GetUpload(), Priority: open.GetPriority(),
-		Returned: open.GetReturned(),
 	}
 	now := time.Now()
 	if open.GetExpiresAfterMillis() > 0 {
