--- a/internal/callmux/server.go
+++ b/internal/callmux/server.go
@@ -1,6 +1,7 @@
 package callmux
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"time"
@@ -137,12 +138,13 @@
 	return context.WithTimeout(ctx, time.Duration(open.GetDeadlineMillis())*time.Millisecond)
 }
 
-// sendAnswer sends the head and the body. A small body of known length goes
-// out in one write with its head.
+// sendAnswer sends the head and the body. A body of known length that is not long is
+// read whole first, so that its instance is free for the next call however narrow the
+// link; a small one goes out in one write with its head.
 func sendAnswer(ctx context.Context, session *session, stream *stream, answer *callapi.Answer) error {
 	head := &lapisv1.CallFrame{Call: stream.id, Body: &lapisv1.CallFrame_Head{Head: answer.Head}}
 	length := answer.Head.GetContentLength()
-	if length < 0 || length > int64(session.pieceBytes()) {
+	if length < 0 || length > BufferedBodyBytes {
 		if err := session.send(head); err != nil {
 			return err
 		}
@@ -152,6 +154,12 @@
 	if err != nil {
 		return err
 	}
+	if len(body) > session.pieceBytes() {
+		if err := session.send(head); err != nil {
+			return err
+		}
+		return stream.sendBody(ctx, bytes.NewReader(body), answer.Trailers)
+	}
 	data := &lapisv1.CallData{Data: body, End: true, Trailers: answer.Trailers()}
 	frames := []proto.Message{head, &lapisv1.CallFrame{Call: stream.id, Body: &lapisv1.CallFrame_Data{Data: data}}}
 	return session.send(frames...)
