--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -33,10 +33,11 @@
 const defaultRetryAfter = time.Second
 
 // A call that was refused for load may come back after a random time between
-// these parts of its target latency, so that the returns are spread.
+// these parts of its target latency: soon, because its worth counts from its first try,
+// and spread, so that the returns find slots free.
 const (
-	comeBackFrom = 0.4
-	comeBackTo   = 1.2
+	comeBackFrom = 0.15
+	comeBackTo   = 0.6
 )
 
 // comeBack sets when a refused call may come back, where its route states a
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"time"
 
@@ -16,18 +15,16 @@
 
 // Bounds of the attempts at one call.
 const (
-	// waitPart is the part of the target latency that a call may wait, and
-	// leastMaxWait what it may wait in any case; minWait is left for the
-	// instances that are tried later.
-	waitPart     = 4
+	// waitPart is the part of its slack that a call may wait for a slot, over all
+	// attempts: what would wait longer is refused at once, while its caller has time to
+	// come back. The slack is the target latency less the usual time at the instance.
+	waitPart = 0.5
+	// waitDeadlinePart is the part of a call's whole time that it may wait.
+	waitDeadlinePart = 0.45
+	// leastMaxWait is what a call may wait in any case, and minWait what is left for
+	// the instances that are tried later.
 	leastMaxWait = 50 * time.Millisecond
 	minWait      = 5 * time.Millisecond
-	// lastResortPart is the part of a call's whole time within which one that
-	// was refused for load everywhere must get a slot, and lastResortTargets the
-	// part of its target latency: what waits longer fills slots with what is
-	// hardly wanted any more.
-	lastResortPart    = 0.45
-	lastResortTargets = 0.6
 	// maxDetours bounds the instances that are tried after refusals that no
 	// back end saw.
 	maxDetours = 5
@@ -82,10 +79,6 @@
 	// mayHaveRun is the end of the first attempt that an instance may have run; nil
 	// while there was none.
 	mayHaveRun error
-	// busy are the instances that refused for load, and lastResort is true once
-	// the call waits as long as it can.
-	busy       []*balance.Target
-	lastResort bool
 }
 
 // outcome is a finished call.
@@ -129,9 +122,6 @@
 		lastErr = err
 		a.noteOutcome(err)
 		a.tried = append(a.tried, target)
-		if result.Is(err, result.CallNotRunOverloaded) {
-			a.busy = append(a.busy, target)
-		}
 		again := a.mayRetry(ctx, err)
 		a.logAttempt(ctx, target, err, again)
 		if !again {
@@ -239,13 +229,10 @@
 		slack := latency - target.ServiceTime(a.route.GetName())
 		open.SlackMillis = uint32(max(slack.Milliseconds(), 1))
 		open.TargetMillis = uint32(max((slack - spent - a.waited).Milliseconds(), 0))
-		open.MaxWaitMillis = uint32(max(maxWaitOf(latency)-spent, minWait).Milliseconds())
+		open.MaxWaitMillis = uint32(max(a.maxWait(ctx, slack)-spent, minWait).Milliseconds())
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		remaining := time.Until(deadline)
-		if a.lastResort {
-			open.MaxWaitMillis = uint32(max(a.lastResortWait(deadline)-time.Since(a.started), minWait).Milliseconds())
-		}
 		open.DeadlineMillis = uint32(max(remaining.Milliseconds(), 1))
 		open.ExpiresAfterMillis = uint32(max((remaining - a.leastTime(target)).Milliseconds(), 1))
 	}
@@ -264,23 +251,19 @@
 	return ok && time.Until(deadline) < a.leastTime(target)
 }
 
-// lastResortWait returns how long after its start a call that was refused for load
-// everywhere may get a slot.
-func (a *attempter) lastResortWait(deadline time.Time) time.Duration {
-	whole := deadline.Sub(a.started)
-	return time.Duration(min(lastResortPart*float64(whole), lastResortTargets*float64(a.targetLatency())))
-}
-
 // targetLatency returns the time inside which an answer is worth most, 0 where
 // the route states none.
 func (a *attempter) targetLatency() time.Duration {
 	return time.Duration(a.route.GetCallClass().GetTargetLatencyMillis()) * time.Millisecond
 }
 
-// maxWaitOf returns how long a call may wait for a slot: what waits longer is
-// better told to come back while there is time.
-func maxWaitOf(target time.Duration) time.Duration {
-	return max(target/waitPart, leastMaxWait)
+// maxWait returns how long after its start a call of so much slack may get a slot.
+func (a *attempter) maxWait(ctx context.Context, slack time.Duration) time.Duration {
+	most := time.Duration(waitPart * float64(slack))
+	if deadline, ok := ctx.Deadline(); ok {
+		most = min(most, time.Duration(waitDeadlinePart*float64(deadline.Sub(a.started))))
+	}
+	return max(most, leastMaxWait)
 }
 
 // mayRetry decides whether another attempt is safe and within bounds. It is
@@ -298,7 +281,7 @@
 		return a.detours <= maxDetours
 	case result.CallNotRunOverloaded:
 		a.overloaded++
-		return a.overloaded <= maxOverloaded || a.waitLong()
+		return a.overloaded <= maxOverloaded
 	case result.CallNotRunShed:
 		a.handed++
 		return a.handed < a.maxAttempts() && a.mayAddLoad()
@@ -310,17 +293,6 @@
 	}
 }
 
-// waitLong lets the call wait longer, once, at the best of the instances that
-// refused it for load: it will be late, but that is better than to be refused.
-func (a *attempter) waitLong() bool {
-	if a.lastResort || a.targetLatency() == 0 {
-		return false
-	}
-	a.lastResort = true
-	a.tried = slices.DeleteFunc(a.tried, func(target *balance.Target) bool { return slices.Contains(a.busy, target) })
-	return true
-}
-
 func (a *attempter) maxAttempts() int {
 	if attempts := a.route.GetCallClass().GetMaxAttempts(); attempts > 0 {
 		return int(attempts)
--- a/internal/gateway/failures_test.go
+++ b/internal/gateway/failures_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -113,26 +114,29 @@
 	}
 }
 
-// A call that was refused for load everywhere waits once more, and no longer than
-// its target allows: long waits fill the slots with what is hardly wanted any more.
-func TestLongWaitIsBoundedByTargetAndDeadline(t *testing.T) {
+// A call waits for slots no longer than its target and its deadline allow, over all
+// attempts together, and is refused then: long waits fill the slots with what is hardly
+// wanted any more.
+func TestWaitsAreBoundedByTargetAndDeadline(t *testing.T) {
 	for name, row := range map[string]struct {
 		deadline, most time.Duration
 	}{
 		"the deadline is near": {200 * time.Millisecond, 90 * time.Millisecond},
-		"the deadline is far":  {5 * time.Second, 120 * time.Millisecond},
+		"the deadline is far":  {5 * time.Second, 100 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
-			overloaded := result.Errorf(result.CallNotRunOverloaded, "full")
-			remote := &recordingRemote{err: overloaded}
-			attempt := newAttempter(t, remote, false, RetryLimits{Fraction: 1, Burst: 10})
-			ctx, cancel := context.WithDeadline(context.Background(), attempt.started.Add(row.deadline))
-			defer cancel()
-			_, err := attempt.run(ctx)
-			assert.Assert(t, result.Is(err, result.CallNotRunOverloaded))
-			last := remote.opened[len(remote.opened)-1]
-			assert.Assert(t, attempt.lastResort)
-			assert.Assert(t, time.Duration(last.GetMaxWaitMillis())*time.Millisecond <= row.most, "%d ms", last.GetMaxWaitMillis())
+			synctest.Test(t, func(t *testing.T) {
+				overloaded := result.Errorf(result.CallNotRunOverloaded, "full")
+				remote := &recordingRemote{err: overloaded, waits: true}
+				attempt := newAttempter(t, remote, false, RetryLimits{Fraction: 1, Burst: 10})
+				ctx, cancel := context.WithDeadline(t.Context(), attempt.started.Add(row.deadline))
+				defer cancel()
+				_, err := attempt.run(ctx)
+				assert.Assert(t, result.Is(err, result.CallNotRunOverloaded))
+				assert.Equal(t, len(remote.opened), maxOverloaded+1)
+				waited := time.Since(attempt.started)
+				assert.Assert(t, waited <= row.most+maxOverloaded*minWait, "%s", waited)
+			})
 		})
 	}
 }
@@ -141,11 +145,16 @@
 type recordingRemote struct {
 	err    error
 	opened []*lapisv1.CallOpen
+	// waits makes each call wait as long as it may first.
+	waits bool
 }
 
 // Handle implements Remote.
 func (r *recordingRemote) Handle(_ context.Context, _ string, call *callapi.Call) (*callapi.Answer, error) {
 	r.opened = append(r.opened, call.Open)
+	if r.waits {
+		time.Sleep(time.Duration(call.Open.GetMaxWaitMillis()) * time.Millisecond)
+	}
 	return nil, r.err
 }
 
