--- a/internal/callmux/flight_test.go
+++ b/internal/callmux/flight_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callapi"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
 
@@ -71,3 +74,46 @@
 		})
 	}
 }
+
+// endNoting tells when it was read to its end.
+type endNoting struct {
+	io.Reader
+	ended atomic.Bool
+}
+
+func (e *endNoting) Read(buffer []byte) (int, error) {
+	count, err := e.Reader.Read(buffer)
+	if err == io.EOF {
+		e.ended.Store(true)
+	}
+	return count, err
+}
+
+func (e *endNoting) Close() error { return nil }
+
+// The instance is free for its next call before a narrow link has carried its answer.
+func TestAnswerFreesItsInstanceBeforeItIsSent(t *testing.T) {
+	for length, freed := range map[int64]bool{2000: true, 40_000: true, 300_000: false} {
+		synctest.Test(t, func(t *testing.T) {
+			near, far := net.Pipe()
+			timing := Timing{KeepAlive: time.Hour, Silence: time.Hour, Write: time.Hour, LinkMegabits: 5}
+			session := newSession(wire.NewConn(near, nil), 1, timing)
+			session.boundInFlight(timing.InFlightBytes())
+			answering := newStream(1, session)
+			answering.credit, answering.granted = windowBytes, true
+			body := &endNoting{Reader: bytes.NewReader(make([]byte, length))}
+			answer := &callapi.Answer{
+				Head: &lapisv1.CallHead{Status: 200, ContentLength: length}, Body: body,
+				Trailers: func() []*lapisv1.HeaderField { return nil },
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() { _ = sendAnswer(ctx, session, answering, answer) }()
+			time.Sleep(time.Second)
+			assert.Equal(t, body.ended.Load(), freed, "%d bytes", length)
+			cancel()
+			session.close(net.ErrClosed)
+			_ = far.Close()
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/internal/gateway/returns_test.go
+++ b/internal/gateway/returns_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/lapisvane/lapisvane/internal/result"
 )
 
 // The time that a caller has waited since its first try is what its deadline lacks,
@@ -50,3 +53,32 @@
 	assert.Equal(t, deadlines.waited("other", 400*time.Millisecond), time.Duration(0))
 	assert.Equal(t, deadlines.waited("route", 0), time.Duration(0))
 }
+
+// A call with too little time for an answer is refused at once, before any instance has
+// it, and says that it has not run.
+func TestHopelessCallIsRefusedAtOnce(t *testing.T) {
+	for name, row := range map[string]struct {
+		left   time.Duration
+		handed int
+	}{
+		"less than half of the usual time": {150 * time.Millisecond, 0},
+		"more than half of it":             {250 * time.Millisecond, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			remote := &recordingRemote{err: result.Errorf(result.CallNotRunExpired, "too late")}
+			attempt := newAttempter(t, remote, true, RetryLimits{Fraction: 1, Burst: 10})
+			for _, target := range attempt.gateway.balancer.Targets("desk") {
+				target.Answered("r", 400*time.Millisecond, time.Now())
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), row.left)
+			defer cancel()
+			_, err := attempt.run(ctx)
+			assert.Assert(t, result.Is(err, result.CallNotRunExpired), "%v", err)
+			assert.Equal(t, len(remote.opened), row.handed)
+			if row.handed > 0 {
+				starts := time.Duration(remote.opened[0].GetExpiresAfterMillis()) * time.Millisecond
+				assert.Assert(t, starts <= row.left-200*time.Millisecond, "may start until %s", starts)
+			}
+		})
+	}
+}
