--- a/internal/origin/registration.go
+++ b/internal/origin/registration.go
@@ -12,6 +12,11 @@
 // a late heartbeat does not bring it back.
 const withdrawnMemory = 10 * time.Minute
 
+// presentFor is how long after its newest heartbeat an instance is taken as the one at
+// its address, whatever a late heartbeat of an earlier one says. It is three intervals of
+// the users' heartbeats (heartbeat-ms, 1.5 s).
+const presentFor = 4500 * time.Millisecond
+
 // Registration is what an instance states of itself with each heartbeat.
 type Registration struct {
 	Service string
@@ -33,14 +38,14 @@
 // no call that it did not have before.
 func (o *Origin) Register(registration Registration) {
 	instance, fresh := o.registered(registration)
-	if instance == nil {
-		return
-	}
-	changed := instance.beat(registration)
+	changed := instance != nil && instance.beat(registration)
 	if registration.Draining {
 		o.Withdraw(registration.Instance)
 		return
 	}
+	if instance == nil {
+		return
+	}
 	if fresh {
 		o.retireOthersAt(registration.Address, instance)
 	}
@@ -49,8 +54,8 @@
 	}
 }
 
-// registered returns the instance that a heartbeat is from, which may be new;
-// nil for one that left before.
+// registered returns the instance that a heartbeat is from, which may be new; nil for one
+// that left before or whose address another one has.
 func (o *Origin) registered(registration Registration) (instance *Instance, fresh bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -62,6 +67,11 @@
 	if known, ok := o.instances[key]; ok {
 		return known, false
 	}
+	if holder := o.presentAt(registration.Address); holder != nil && registration.Sequence > 1 {
+		o.config.Logger.Info("instance.beat_late", "instance", registration.Instance, "address", registration.Address,
+			"sequence", registration.Sequence, "present", holder.Name)
+		return nil, false
+	}
 	limits := admission.Limits{Slots: max(registration.Slots, 1), QueueLength: o.config.QueueLength, QueueTime: o.config.QueueTime}
 	instance = newInstance(registration.Service, registration.Instance, registration.Address, limits, DefaultConnections, &o.config.Envelope)
 	instance.registered = true
@@ -80,6 +90,19 @@
 	return instance, true
 }
 
+// presentAt returns the instance that registered at an address and was heard lately, nil
+// when there is none; the caller holds mutex. An unknown instance there whose heartbeat is
+// not its first is an earlier one, which this daemon has forgotten and whose heartbeat
+// was held up. If it is the later one after all, it is taken in once the other is silent.
+func (o *Origin) presentAt(address string) *Instance {
+	for _, instance := range o.instances {
+		if instance.registered && instance.backend.address == address && instance.beatAge() < presentFor && instance.State() == StateReady {
+			return instance
+		}
+	}
+	return nil
+}
+
 // forgetWithdrawn drops what is old; the caller holds mutex.
 func (o *Origin) forgetWithdrawn() {
 	for name, at := range o.withdrawn {
--- a/internal/origin/registration_test.go
+++ b/internal/origin/registration_test.go
@@ -95,3 +95,44 @@
 		assert.Equal(t, endpoints[0].GetState(), lapisv1.Endpoint_STATE_READY)
 	})
 }
+
+// A heartbeat that was held up may arrive after its instance has crashed and another one
+// has registered at its address, also at a daemon that has started anew since and has
+// forgotten the first one. The present one was withdrawn for good by it.
+func TestLateHeartbeatOfAnEarlierInstance(t *testing.T) {
+	beat := func(instance string, sequence uint64) origin.Registration {
+		stated := registration(instance, "127.0.0.1:1")
+		stated.Sequence = sequence
+		return stated
+	}
+	for name, row := range map[string]struct {
+		beats []origin.Registration
+		ready string
+	}{
+		"earlier one known":                    {[]origin.Registration{beat("old", 7), beat("new", 1), beat("old", 8), beat("new", 2)}, "new"},
+		"earlier one forgotten":                {[]origin.Registration{beat("new", 1), beat("old", 8), beat("new", 2)}, "new"},
+		"earlier one forgotten, twice late":    {[]origin.Registration{beat("new", 1), beat("old", 8), beat("old", 9), beat("new", 2)}, "new"},
+		"both in the middle of their lives":    {[]origin.Registration{beat("new", 5), beat("old", 8), beat("new", 6)}, "new"},
+		"a later one takes over":               {[]origin.Registration{beat("old", 7), beat("new", 1)}, "new"},
+		"a later one whose first beat is lost": {[]origin.Registration{beat("old", 7), beat("new", 2), beat("new", 3), beat("new", 4)}, "new"},
+		"leaving late":                         {[]origin.Registration{beat("new", 1), {Service: "desk", Instance: "old", Address: "127.0.0.1:1", Slots: 2, Sequence: 9, Draining: true}, beat("new", 2)}, "new"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				running, stop := startOrigin(t)
+				defer stop()
+				for _, stated := range row.beats {
+					running.Register(stated)
+					time.Sleep(1600 * time.Millisecond)
+				}
+				ready := []string{}
+				for _, endpoint := range running.Advertised() {
+					if endpoint.GetState() == lapisv1.Endpoint_STATE_READY {
+						ready = append(ready, endpoint.GetInstance())
+					}
+				}
+				assert.DeepEqual(t, ready, []string{row.ready})
+			})
+		})
+	}
+}
