--- a/internal/fleet/address_test.go
+++ b/internal/fleet/address_test.go
@@ -228,3 +228,65 @@
 		assert.Assert(t, dials <= len(entries)*count, "%d dials in 30 s", dials)
 	})
 }
+
+// What is heard of a daemon's address is believed in the order greeting, directory, other
+// daemons; the directory's word about one that is connected waits for the connection's
+// end.
+func TestWhoseWordOnAnAddressCounts(t *testing.T) {
+	former, present := memberAt("moved", "x:1"), memberAt("moved", "x:2")
+	for name, row := range map[string]struct {
+		connected bool
+		heard     func(f *Fleet)
+		want      string
+	}{
+		"hearsay of one that is known":        {false, func(f *Fleet) { f.learnHearsay(present) }, "x:1"},
+		"directory":                           {false, func(f *Fleet) { f.learnListed(present) }, "x:2"},
+		"directory, while connected":          {true, func(f *Fleet) { f.learnListed(present) }, "x:1"},
+		"directory, and the connection ended": {true, func(f *Fleet) { f.learnListed(present); f.lost(f.members["moved"]) }, "x:2"},
+		"directory, taken back meanwhile": {true, func(f *Fleet) {
+			f.learnListed(present)
+			f.learnListed(former)
+			f.lost(f.members["moved"])
+		}, "x:1"},
+		"greeting, while connected": {true, func(f *Fleet) { f.greeted(present) }, "x:2"},
+		"greeting after the directory": {true, func(f *Fleet) {
+			f.learnListed(memberAt("moved", "x:3"))
+			f.greeted(present)
+			f.lost(f.members["moved"])
+		}, "x:2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			knows := behindAt(0, &peer{Member: former, connected: row.connected, wake: make(chan struct{}, 1)})
+			row.heard(knows)
+			assert.Equal(t, knows.members["moved"].Address, row.want)
+		})
+	}
+}
+
+// A displaced daemon is tried again when something newer is heard of it, and after a
+// minute at the latest.
+func TestDisplacedDaemonIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := memberAt("ended", "x:1")
+		knows := behindAt(0, &peer{Member: ended, wake: make(chan struct{}, 1)})
+		other := &callmux.OtherDaemonError{Address: "x:1", Expected: "ended", Found: "newcomer"}
+		displaced := func() bool { return knows.members["ended"].displaced(time.Now()) }
+
+		knows.displace(knows.members["ended"], other)
+		assert.Assert(t, displaced())
+		knows.learnListed(ended)
+		knows.learnHearsay(memberAt("ended", "x:2"))
+		assert.Assert(t, displaced(), "nothing newer was heard")
+		knows.learnListed(memberAt("ended", "x:2"))
+		assert.Assert(t, !displaced())
+
+		knows.displace(knows.members["ended"], other)
+		assert.Assert(t, !displaced(), "the answer came from where it was before")
+		other.Address = "x:2"
+		knows.displace(knows.members["ended"], other)
+		assert.Assert(t, displaced())
+		time.Sleep(displacedRecheck)
+		assert.Assert(t, !displaced())
+		assert.Assert(t, knows.members["ended"].doubtful(time.Now()), "another one is connected to beside it")
+	})
+}
