--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -119,6 +119,19 @@
 	return time.Duration(known.mean.value * float64(time.Second))
 }
 
+// RecentServiceTime returns that time as far as it still counts: it fades to 0 while the
+// instance gives no answer to a call of the route, so that a route that was slow is tried
+// again.
+func (t *Target) RecentServiceTime(route string, now time.Time) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known, ok := t.services[route]
+	if !ok {
+		return 0
+	}
+	return time.Duration(known.mean.faded(0, serviceMemory, now) * float64(time.Second))
+}
+
 // condition is what is known of an instance for one choice.
 type condition struct {
 	// known is the time that a call of the route takes there, in seconds.
--- a/internal/gateway/opening.go
+++ b/internal/gateway/opening.go
@@ -61,7 +61,7 @@
 
 // leastTime returns the time that must be left for the call to start at target.
 func (a *attempter) leastTime(target *balance.Target) time.Duration {
-	usual := target.ServiceTime(a.route.GetName())
+	usual := target.RecentServiceTime(a.route.GetName(), time.Now())
 	return max(startMargin, time.Duration(hopelessPart*float64(usual)))
 }
 
--- a/internal/gateway/returns_test.go
+++ b/internal/gateway/returns_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -82,3 +83,26 @@
 		})
 	}
 }
+
+// Instances that were slow are tried again: were the time that they took remembered as it
+// was, calls of the route would be refused for ever.
+func TestHopelessRouteIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		remote := &recordingRemote{err: result.Errorf(result.CallNotRunExpired, "too late")}
+		attempt := newAttempter(t, remote, true, RetryLimits{Fraction: 1, Burst: 10})
+		for _, target := range attempt.gateway.balancer.Targets("desk") {
+			target.Answered("r", 10*time.Second, time.Now())
+		}
+		call := func() {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			_, err := attempt.run(ctx)
+			assert.Assert(t, result.Is(err, result.CallNotRunExpired), "%v", err)
+		}
+		call()
+		assert.Equal(t, len(remote.opened), 0)
+		time.Sleep(15 * time.Second)
+		call()
+		assert.Equal(t, len(remote.opened), 1)
+	})
+}
