--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -80,6 +80,9 @@
 	CallHeadTooLarge      Code = 5017
 	CallBodyTooLarge      Code = 5018
 	CallRequestTimeout    Code = 5019
+	CallNotRunEvacuated   Code = 5020
+	CallNotRunCold        Code = 5021
+	CallNotRunRegion      Code = 5022
 
 	ProtocolBadFrame    Code = 6001
 	ProtocolTooLarge    Code = 6002
@@ -175,6 +178,9 @@
 	{CallHeadTooLarge, "call-head-too-large", "The request's header is larger than the configuration allows. It did not run.", "Send less, or raise the limit."},
 	{CallBodyTooLarge, "call-body-too-large", "The request's body is larger than the configuration allows. It did not run.", "Send less, or raise the limit."},
 	{CallRequestTimeout, "call-request-timeout", "The request did not arrive whole in time. It did not run.", "Send it again."},
+	{CallNotRunEvacuated, "call-not-run-evacuated", "The back end's zone is evacuated. The call did not run.", "Repeat after the time given; see docs/operations/evacuation.md."},
+	{CallNotRunCold, "call-not-run-cold", "The back end has just started and takes no more calls for now. The call did not run.", "Repeat after the time given; see docs/operations/cold-starts.md."},
+	{CallNotRunRegion, "call-not-run-region", "The back end is in a region where the call may not run. It did not run.", "Add instances in an allowed region, or allow more regions."},
 	{ProtocolBadFrame, "protocol-bad-frame", "Bytes received are not a frame of the protocol.", "None; the connection is closed."},
 	{ProtocolTooLarge, "protocol-too-large", "A frame is larger than allowed.", "None; the connection is closed."},
 	{ProtocolBadVersion, "protocol-bad-version", "The peer speaks another version of the protocol.", "Bring the releases closer together."},
@@ -230,7 +236,8 @@
 	switch c {
 	case CallNoRoute, CallNoEndpoint, CallNotReady, CallNotRunDraining, CallNotRunOverloaded,
 		CallNotRunExpired, CallNotRunUnreachable, CallNotRunDuplicate, CallBadRequest,
-		CallNotRunShed, CallNotRunUnknownHere, CallNotRunStopping, CallHeadTooLarge, CallBodyTooLarge, CallRequestTimeout:
+		CallNotRunShed, CallNotRunUnknownHere, CallNotRunStopping, CallHeadTooLarge, CallBodyTooLarge, CallRequestTimeout,
+		CallNotRunEvacuated, CallNotRunCold, CallNotRunRegion:
 		return true
 	default:
 		return false
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -47,6 +47,11 @@
 	Backends []Backend `json:"backends"`
 	PeerTLS  PeerTLS   `json:"peer_tls"`
 	Calls    Calls     `json:"calls"`
+	// EvacuationBound is the time in which every daemon in touch must follow an
+	// operator's order to evacuate a zone; 0 where operators give no such orders.
+	EvacuationBound features.Duration `json:"evacuation_bound"`
+	// ColdStarts bounds what instances get that have just started.
+	ColdStarts ColdStarts `json:"cold_starts"`
 	// SentAhead bounds what is held for requests that callers send before
 	// earlier ones on their connection are answered.
 	SentAhead SentAhead `json:"sent_ahead"`
@@ -94,6 +99,15 @@
 	Burst float64 `json:"burst"`
 }
 
+// ColdStarts bounds the calls to a cold instance: in no second more than the pool's
+// rate of cold instances times Overshoot, and Slack more. Both 0 set no bound beside
+// that rate.
+type ColdStarts struct {
+	Overshoot float64 `json:"overshoot"`
+	// Slack is in calls.
+	Slack float64 `json:"slack"`
+}
+
 // Backend is one back end beside the daemon.
 type Backend struct {
 	Service  string `json:"service"`
