Let the instance beside a stopping daemon work while the daemon waits

Change: for 2 s after SIGTERM the daemon takes calls for its instance whose whole time ends before the daemon does; the others are refused as before. Callers' side and the end of the process are unchanged.

--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -24,6 +24,9 @@
 	// callersLeave is how long callers may still come after the daemon said
 	// that it is not ready.
 	callersLeave = 2500 * time.Millisecond
+	// instancesLeave is how long a stopping daemon takes calls for the instance beside
+	// it, as far as they end before it does: the instance would idle meanwhile.
+	instancesLeave = 2 * time.Second
 	// readShare is the part of what the source bears that daemons plan to use.
 	readShare = 0.5
 	// coalescePart is the part of the bound for a configuration that a daemon
@@ -193,11 +196,16 @@
 	p.leaving.Store(true)
 	// The limit ends with the process; an eighth of it is left for the end.
 	lasts := d.settings.Load().StopLimit.Get() * 7 / 8
-	d.gateway.Leave(time.Now().Add(lasts - answersLeave))
-	d.origin.Stop()
-	d.announce()
+	endsBy := time.Now().Add(lasts - answersLeave)
+	d.gateway.Leave(endsBy)
+	d.origin.Leave(endsBy)
 	limit := time.NewTimer(lasts)
 	defer limit.Stop()
+	instances := time.AfterFunc(instancesLeave, func() {
+		d.origin.Stop()
+		d.announce()
+	})
+	defer instances.Stop()
 	left := time.NewTimer(callersLeave)
 	defer left.Stop()
 	poll := time.NewTicker(inFlightPoll)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -64,6 +64,8 @@
 	withdrawn map[string]time.Time
 	current   *snapshot.Snapshot
 	stopping  bool
+	// endsBy is when all calls here must be over; zero while the daemon is not stopping.
+	endsBy time.Time
 	// runContext is set by Run and ends the watching of instances.
 	runContext context.Context
 }
@@ -190,6 +192,25 @@
 	}
 }
 
+// Leave bounds the calls that are still taken: from now on only those whose whole
+// time is over by the given time. Stop ends that too.
+func (o *Origin) Leave(by time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.endsBy = by
+}
+
+// outlasts reports whether a call may go on after the time when all must be over.
+func (o *Origin) outlasts(open *lapisv1.CallOpen) bool {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	if o.endsBy.IsZero() {
+		return false
+	}
+	lasts := time.Duration(open.GetDeadlineMillis()) * time.Millisecond
+	return lasts == 0 || time.Now().Add(lasts).After(o.endsBy)
+}
+
 // Stop drains all instances because the daemon is stopping.
 func (o *Origin) Stop() {
 	o.mutex.Lock()
@@ -245,6 +266,9 @@
 	if !ok {
 		return nil, o.unknown(open)
 	}
+	if o.outlasts(open) {
+		return nil, result.Errorf(result.CallNotRunStopping, "the daemon stops before the call must be over")
+	}
 	if _, known := o.attempts.Claim(open.GetAttemptId(), attemptWaiting); known {
 		o.count(func(c *Counts) { c.Duplicates++ })
 		return nil, result.Errorf(result.CallNotRunDuplicate, "attempt %s came before", open.GetAttemptId())
--- a/internal/origin/registration_test.go
+++ b/internal/origin/registration_test.go
@@ -136,3 +136,30 @@
 		})
 	}
 }
+
+// A daemon that is about to stop takes the calls that end before it does, so that the
+// instance beside it does not idle, and refuses the others as not run.
+func TestLeavingDaemonTakesOnlyCallsThatEndBeforeIt(t *testing.T) {
+	leaving := origin.New(origin.Config{QueueLength: 8, QueueTime: time.Second})
+	leaving.Register(registration("desk-1", "127.0.0.1:1"))
+	leaving.Leave(time.Now().Add(time.Hour))
+	for name, test := range map[string]struct {
+		lasts time.Duration
+		code  result.Code
+	}{
+		// Nothing listens at the instance's address: what is taken is not reached.
+		"short":         {time.Minute, result.CallNotRunUnreachable},
+		"too long":      {2 * time.Hour, result.CallNotRunStopping},
+		"without bound": {0, result.CallNotRunStopping},
+	} {
+		call := &callapi.Call{Open: &lapisv1.CallOpen{
+			Service: "desk", Instance: "desk-1", AttemptId: name, DeadlineMillis: uint32(test.lasts.Milliseconds()),
+		}}
+		_, err := leaving.Handle(context.Background(), call)
+		assert.Assert(t, result.Is(err, test.code), "%s: %v", name, err)
+	}
+	leaving.Stop()
+	call := &callapi.Call{Open: &lapisv1.CallOpen{Service: "desk", Instance: "desk-1", AttemptId: "later", DeadlineMillis: 1000}}
+	_, err := leaving.Handle(context.Background(), call)
+	assert.Assert(t, result.Is(err, result.CallNotRunStopping), "%v", err)
+}
