--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -55,6 +55,10 @@
 	choiceNoise = 0.05
 	// reportLifetime is how long a reported load counts.
 	reportLifetime = 2 * time.Second
+	// constrainedRetryAfter is named where constraints left no instance: orders and
+	// configurations stand longer than calls wait, and who comes back sooner is only
+	// refused again.
+	constrainedRetryAfter = 5 * time.Second
 	// reportWeight is the weight of reported load against calls in flight from
 	// here, which are certain.
 	reportWeight = 0.5
@@ -93,9 +97,8 @@
 // Balancer chooses among the instances of all services. It is safe for
 // concurrent use.
 type Balancer struct {
-	node string
-	zone string
-	now  func() time.Time
+	node, zone, region string
+	now                func() time.Time
 
 	// mutex protects services; the slices in it are replaced, not changed.
 	mutex    sync.RWMutex
@@ -103,9 +106,10 @@
 	created  time.Time
 }
 
-// New returns a balancer for the daemon node in zone.
-func New(node, zone string, now func() time.Time) *Balancer {
-	return &Balancer{node: node, zone: zone, now: now, services: map[string][]*Target{}, created: now()}
+// New returns a balancer for the daemon node in zone and region; an empty region is not
+// known, and all instances count as in it.
+func New(node, zone, region string, now func() time.Time) *Balancer {
+	return &Balancer{node: node, zone: zone, region: region, now: now, services: map[string][]*Target{}, created: now()}
 }
 
 // Update replaces the instances of a service; observations of instances that
@@ -178,14 +182,24 @@
 	Spent time.Duration
 	// Bytes is about how many go both ways.
 	Bytes float64
+	// Constraints are what an instance must meet to be chosen at all.
+	Constraints []Constraint
 }
 
 // Pick chooses an instance. A call with an idempotency key goes to the instance
 // that ranks first for the key, so that repetitions meet. Errors:
-// CallNoEndpoint.
+// CallNoEndpoint, which wraps a *ConstraintError where one left nothing.
 func (b *Balancer) Pick(service *snapshot.Service, choice Choice) (*Target, error) {
 	name := service.Bundle.GetPool().GetName()
-	candidates := b.candidates(service, b.Targets(name), choice.Exclude)
+	untried := without(b.Targets(name), choice.Exclude)
+	allowed, err := filter(untried, choice.Constraints)
+	if err != nil {
+		refusal := result.Errorf(result.CallNoEndpoint, "no instance of %s may get the call", name)
+		refusal.Cause = err
+		refusal.RetryAfter = constrainedRetryAfter
+		return nil, refusal
+	}
+	candidates := b.candidates(service, allowed)
 	if len(candidates) == 0 {
 		refusal := result.Errorf(result.CallNoEndpoint, "no instance of %s may take the call", name)
 		refusal.RetryAfter = time.Second
@@ -201,15 +215,29 @@
 	return b.leastLoaded(b.subset(candidates), slots), nil
 }
 
+// without returns the targets that are not excluded.
+func without(targets, exclude []*Target) []*Target {
+	if len(exclude) == 0 {
+		return targets
+	}
+	kept := make([]*Target, 0, len(targets))
+	for _, target := range targets {
+		if !slices.Contains(exclude, target) {
+			kept = append(kept, target)
+		}
+	}
+	return kept
+}
+
 // candidates returns the instances that may take work: the healthy ones, else
 // the ejected and suspect ones, so that a pool is never emptied by suspicion.
-func (b *Balancer) candidates(service *snapshot.Service, targets, exclude []*Target) []*Target {
+func (b *Balancer) candidates(service *snapshot.Service, targets []*Target) []*Target {
 	now := b.now()
 	healthy := make([]*Target, 0, len(targets))
 	var doubtful []*Target
 	for _, target := range targets {
 		state := target.Endpoint.GetState()
-		if !service.TakesNewWork(target.Endpoint.GetInstance()) || state == lapisv1.Endpoint_STATE_DRAINING || slices.Contains(exclude, target) {
+		if !service.TakesNewWork(target.Endpoint.GetInstance()) || state == lapisv1.Endpoint_STATE_DRAINING {
 			continue
 		}
 		if state == lapisv1.Endpoint_STATE_SUSPECT || target.ejected(now) {
@@ -241,8 +269,8 @@
 
 // subset returns at most SubsetSize candidates, chosen by a hash of this
 // daemon and the instance, so that daemons spread evenly and a change of one
-// instance changes little. Instances of the own zone come first, but at least
-// a quarter of the subset is from elsewhere, for spill-over.
+// instance changes little. Instances of the own zone come first, then those of the own
+// region; some are from further away, for spill-over.
 func (b *Balancer) subset(candidates []*Target) []*Target {
 	if len(candidates) <= SubsetSize {
 		return candidates
@@ -256,28 +284,48 @@
 		}
 		return 1
 	})
-	const localPart = SubsetSize * 3 / 4
+	near, far := b.byRegion(ranked)
+	nearPart := min(SubsetSize-min(otherRegionPart, len(far)), len(near))
+	return append(b.nearSubset(near, nearPart), far[:SubsetSize-nearPart]...)
+}
+
+// byRegion parts the targets into those of the own region and those of others.
+func (b *Balancer) byRegion(targets []*Target) (near, far []*Target) {
+	for _, target := range targets {
+		if b.localityOf(target.Endpoint) == otherRegion {
+			far = append(far, target)
+		} else {
+			near = append(near, target)
+		}
+	}
+	return near, far
+}
+
+// nearSubset takes so many targets of the own region: up to three quarters are the first
+// ones of the own zone, the others the first ones of what is left.
+func (b *Balancer) nearSubset(near []*Target, count int) []*Target {
+	localPart := count * 3 / 4
 	chosen := make([]*Target, 0, SubsetSize)
 	var rest []*Target
-	for _, target := range ranked {
+	for _, target := range near {
 		if target.Endpoint.GetZone() == b.zone && len(chosen) < localPart {
 			chosen = append(chosen, target)
 			continue
 		}
 		rest = append(rest, target)
 	}
-	return append(chosen, rest[:SubsetSize-len(chosen)]...)
+	return append(chosen, rest[:count-len(chosen)]...)
 }
 
 // cheapest takes the instance with the least cost: the expected time until an
 // answer in parts of the target latency, the chance that it is late, the price of
-// bytes to another zone, and the share of failures. A little noise keeps daemons
+// bytes to another zone or region, and the share of failures. A little noise keeps daemons
 // from all choosing the same one.
 func (b *Balancer) cheapest(candidates []*Target, slots float64, choice Choice) *Target {
 	now := b.now()
 	conditions := make([]condition, len(candidates))
 	for index, target := range candidates {
-		conditions[index] = target.condition(choice.Route, b.zone, slots, now)
+		conditions[index] = target.condition(choice.Route, b.localityOf(target.Endpoint), slots, now)
 	}
 	target := choice.Target.Seconds()
 	left := target - choice.Spent.Seconds()
@@ -286,16 +334,14 @@
 	if !known {
 		typical = target / 4
 	}
-	crossing := min(choice.Bytes/1024*crossingPerKilobyte, crossingMax) + crossingBase
 	var best *Target
 	least := math.Inf(1)
 	for index, seen := range conditions {
 		total, service := seen.expected(typical, now)
+		total += seen.elsewhere.roundTrip()
 		late := lateness(service, spread, left-(total-service))
 		cost := total/target + late*latenessCost + seen.failures*failureCost + choiceNoise*rand.Float64()
-		if seen.elsewhere {
-			cost += crossing
-		}
+		cost += seen.elsewhere.crossing(choice.Bytes)
 		if cost < least {
 			least = cost
 			best = candidates[index]
@@ -325,24 +371,25 @@
 	return t.failure.faded(0, failureMemory, now)
 }
 
-// leastLoaded takes the better of two random instances of the own zone and of
-// two of the others, and the local one unless it is clearly more loaded.
+// leastLoaded takes the better of two random instances of each locality, and of these
+// the nearest one unless it is clearly more loaded.
 func (b *Balancer) leastLoaded(candidates []*Target, slots float64) *Target {
 	now := b.now()
-	var local, remote []*Target
+	var tiers [otherRegion + 1][]*Target
 	for _, target := range candidates {
-		if target.Endpoint.GetZone() == b.zone {
-			local = append(local, target)
-		} else {
-			remote = append(remote, target)
-		}
+		distance := b.localityOf(target.Endpoint)
+		tiers[distance] = append(tiers[distance], target)
 	}
-	bestLocal, localScore := betterOfTwo(local, slots, now)
-	bestRemote, remoteScore := betterOfTwo(remote, slots, now)
-	if bestRemote == nil || (bestLocal != nil && localScore <= remoteScore+zonePenalty) {
-		return bestLocal
+	var best *Target
+	least := math.Inf(1)
+	for distance, targets := range tiers {
+		target, score := betterOfTwo(targets, slots, now)
+		score += locality(distance).penalty()
+		if score < least {
+			best, least = target, score
+		}
 	}
-	return bestRemote
+	return best
 }
 
 func betterOfTwo(targets []*Target, slots float64, now time.Time) (*Target, float64) {
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -36,7 +36,7 @@
 func newPool(zones ...string) *pool {
 	clock := &clock{now: time.Unix(1000, 0)}
 	made := &pool{
-		Balancer: balance.New("node", "a", clock.read), clock: clock,
+		Balancer: balance.New("node", "a", "", clock.read), clock: clock,
 		service: &snapshot.Service{Bundle: &lapisv1.Bundle{Pool: &lapisv1.Pool{Name: "desk", Slots: 6}}},
 	}
 	made.update(zones, nil)
--- a/internal/balance/constraint.go
+++ b/internal/balance/constraint.go
@@ -1,6 +1,11 @@
 package balance
 
-import "github.com/lapisvane/lapisvane/api/lapisv1"
+import (
+	"fmt"
+	"slices"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+)
 
 // Constraint is a condition that an instance must meet to get a call at all. It is
 // never weighed against a cost: the filter comes first, the choice by cost among
@@ -31,17 +36,45 @@
 	}}
 }
 
-// InRegions allows the instances of the given regions, and all where none are given.
+// InRegions allows the instances of the given regions, and all where none are given. An
+// instance whose region is not known is in none of them.
 func InRegions(regions []string) Constraint {
 	return constraint{name: "region", allows: func(endpoint *lapisv1.Endpoint) bool {
 		if len(regions) == 0 {
 			return true
 		}
-		for _, region := range regions {
-			if region == endpoint.GetRegion() {
-				return true
+		return endpoint.GetRegion() != "" && slices.Contains(regions, endpoint.GetRegion())
+	}}
+}
+
+// ConstraintError says that a constraint left no instance for a call.
+type ConstraintError struct {
+	// Constraint is the name of the one that took the last instance.
+	Constraint string
+	// Instances is how many there were before any constraint.
+	Instances int
+}
+
+// Error implements error.
+func (e *ConstraintError) Error() string {
+	return fmt.Sprintf("the constraint %q took the last of %d instances", e.Constraint, e.Instances)
+}
+
+// filter returns the targets that meet all constraints. Errors: *ConstraintError when
+// there were some and none is left.
+func filter(targets []*Target, constraints []Constraint) ([]*Target, error) {
+	left := targets
+	for _, condition := range constraints {
+		var meeting []*Target
+		for _, target := range left {
+			if condition.Allows(target.Endpoint) {
+				meeting = append(meeting, target)
 			}
 		}
-		return false
-	}}
+		if len(left) > 0 && len(meeting) == 0 {
+			return nil, &ConstraintError{Constraint: condition.Name(), Instances: len(targets)}
+		}
+		left = meeting
+	}
+	return left, nil
 }
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -143,18 +143,18 @@
 	load, slots float64
 	failures    float64
 	cold        bool
-	elsewhere   bool
+	elsewhere   locality
 }
 
 // condition returns what is known of the target for a route.
-func (t *Target) condition(route, zone string, slots float64, now time.Time) condition {
+func (t *Target) condition(route string, elsewhere locality, slots float64, now time.Time) condition {
 	if stated := t.Endpoint.GetSlots(); stated > 0 {
 		slots = float64(stated)
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	seen := condition{
-		slots: slots, elsewhere: t.Endpoint.GetZone() != zone, cold: now.Before(t.warmAt),
+		slots: slots, elsewhere: elsewhere, cold: now.Before(t.warmAt),
 		failures: t.failure.faded(0, failureMemory, now),
 	}
 	if service, ok := t.services[route]; ok {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -104,7 +104,7 @@
 		logger:   options.Logger.WithValues("node", config.Node),
 		registry: prometheus.NewRegistry(), counters: &wire.Counters{}, callCounters: &wire.Counters{},
 		network: network, snapshots: &snapshot.Store{},
-		balancer:    balance.New(config.Node, config.Zone, time.Now),
+		balancer:    balance.New(config.Node, config.Zone, config.Region, time.Now),
 		incarnation: uint64(time.Now().UnixNano()),
 	}
 	envelope := callapi.DefaultEnvelope
@@ -176,7 +176,7 @@
 	d.origin = origin.New(origin.Config{
 		Incarnation: d.incarnation, Backends: backends,
 		QueueLength: d.settings.Load().Calls.QueueLength, QueueTime: d.settings.Load().Calls.QueueTime.Get(),
-		Envelope: envelope, Changed: d.announce, Decisions: decisions, Logger: d.logger,
+		Envelope: envelope, Changed: d.announce, Decisions: decisions, Logger: d.logger, Region: d.settings.Load().Region,
 	})
 	d.calls = &callmux.Client{
 		Network: d.network, Counters: d.callCounters,
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -63,7 +63,7 @@
 	d.calls.Maintained = true
 	d.calls.Timing = part.timing()
 	part.fleet = fleet.New(fleet.Config{
-		Self:        fleet.Member{Node: d.settings.Load().Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Load().Zone, Service: d.settings.Load().Service},
+		Self:        fleet.Member{Node: d.settings.Load().Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Load().Zone, Region: d.settings.Load().Region, Service: d.settings.Load().Service},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
 		InForce: part.inForce.Load, Freshness: &part.freshness, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -254,7 +254,7 @@
 func withState(endpoint *lapisv1.Endpoint, state lapisv1.Endpoint_State) *lapisv1.Endpoint {
 	return &lapisv1.Endpoint{
 		Service: endpoint.GetService(), Instance: endpoint.GetInstance(),
-		Node: endpoint.GetNode(), Address: endpoint.GetAddress(), Zone: endpoint.GetZone(),
+		Node: endpoint.GetNode(), Address: endpoint.GetAddress(), Zone: endpoint.GetZone(), Region: endpoint.GetRegion(),
 		Incarnation: endpoint.GetIncarnation(), Sequence: endpoint.GetSequence(),
 		State: state, StartedUnixMillis: endpoint.GetStartedUnixMillis(),
 	}
--- a/internal/fleet/catchup.go
+++ b/internal/fleet/catchup.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -85,27 +86,25 @@
 
 // ahead returns a connected daemon that has a newer configuration than this one and
 // was not asked, nil when there is none. Daemons of the own zone go first, then
-// those with the newest revision, then any of them at random.
+// those of the own region, then those with the newest revision, then any of them at random.
 func (f *Fleet) ahead(asked map[string]bool) (*peer, callmux.Link) {
 	above := f.revision()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var best *peer
+	var bestDistance locality
 	var bestRank float64
 	for _, member := range f.members {
 		if !member.connected || member.stalled || member.revision <= above || asked[member.Node] {
 			continue
 		}
-		rank := f.config.Random()
-		if member.Zone == f.config.Self.Zone {
-			rank += 2
-		}
-		better := best == nil || rank > bestRank
-		if best != nil && (rank >= 2) == (bestRank >= 2) && member.revision != best.revision {
-			better = member.revision > best.revision
+		distance, rank := f.config.Self.localityOf(member.Zone, member.Region), f.config.Random()
+		better := best == nil || distance > bestDistance
+		if best != nil && distance == bestDistance {
+			better = cmp.Or(cmp.Compare(member.revision, best.revision), cmp.Compare(rank, bestRank)) > 0
 		}
 		if better {
-			best, bestRank = member, rank
+			best, bestDistance, bestRank = member, distance, rank
 		}
 	}
 	if best == nil {
--- a/internal/fleet/catchup_test.go
+++ b/internal/fleet/catchup_test.go
@@ -67,8 +67,8 @@
 // regular heartbeats.
 func TestConfirmationsCrossZonesSeldom(t *testing.T) {
 	teller := behindAt(5)
-	assert.Assert(t, teller.gain("a") < time.Second)
-	assert.Assert(t, teller.gain("b") > time.Second)
+	assert.Assert(t, teller.gain("a", "") < time.Second)
+	assert.Assert(t, teller.gain("b", "") > time.Second)
 }
 
 // A version is made ready once for all that ask for it, and reads back as it was.
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -13,6 +13,8 @@
 	// Address is where it accepts the connections of other daemons.
 	Address string
 	Zone    string
+	// Region is empty where it is not known.
+	Region string
 	// Service is that of the machine, empty when there is none.
 	Service string
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -297,6 +297,7 @@
 	endpoint.Node = member.Node
 	endpoint.Address = member.Address
 	endpoint.Zone = member.Zone
+	endpoint.Region = member.Region
 	endpoint.Incarnation = incarnation
 }
 
@@ -304,7 +305,7 @@
 func (f *Fleet) announcement() *lapisv1.Announcement {
 	self := f.config.Self
 	return &lapisv1.Announcement{
-		Node: self.Node, Address: self.Address, Zone: self.Zone, Incarnation: f.config.Incarnation,
+		Node: self.Node, Address: self.Address, Zone: self.Zone, Region: self.Region, Incarnation: f.config.Incarnation,
 		Revision: f.revision(), Endpoints: f.local, Withdrawn: f.withdrawn,
 	}
 }
@@ -317,6 +318,11 @@
 	if announcement.GetNode() != member.Node || generation != member.generation {
 		return
 	}
+	if region := announcement.GetRegion(); region != "" && region != member.Region {
+		// Its entry in the directory was written before entries had one.
+		member.Region = region
+		signal(f.review)
+	}
 	for _, endpoint := range announcement.GetEndpoints() {
 		own(endpoint, member.Member, announcement.GetIncarnation())
 	}
@@ -376,7 +382,7 @@
 	}
 	return &lapisv1.Endpoint{
 		Service: endpoint.GetService(), Instance: endpoint.GetInstance(), Node: endpoint.GetNode(),
-		Address: endpoint.GetAddress(), Zone: endpoint.GetZone(), Incarnation: endpoint.GetIncarnation(),
+		Address: endpoint.GetAddress(), Zone: endpoint.GetZone(), Region: endpoint.GetRegion(), Incarnation: endpoint.GetIncarnation(),
 		Slots: endpoint.GetSlots(), State: lapisv1.Endpoint_STATE_SUSPECT,
 	}
 }
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -16,6 +16,9 @@
 	// the regular heartbeats: a zone has several links to others, one of which brings
 	// a confirmation soon, and the daemons of the zone tell each other.
 	farGain = 2 * time.Second
+	// regionGain holds between regions, where bytes cost almost four times as much. It is
+	// four intervals of the regular heartbeats, which carry confirmations anyway.
+	regionGain = 4 * time.Second
 )
 
 // heard takes in a heartbeat of another daemon; member is nil when that daemon is
@@ -38,19 +41,23 @@
 	defer f.mutex.Unlock()
 	for _, member := range f.members {
 		if member.connected {
-			member.link.Beat(f.gain(member.Zone))
+			member.link.Beat(f.gain(member.Zone, member.Region))
 		}
 	}
 	for opened := range f.listeners {
-		opened.link.Beat(f.gain(opened.zone))
+		opened.link.Beat(f.gain(opened.zone, opened.region))
 	}
 }
 
 // gain returns what a confirmation must be newer by to be sent ahead of time to a
-// daemon of a zone.
-func (f *Fleet) gain(zone string) time.Duration {
-	if zone == f.config.Self.Zone {
+// daemon of a zone and region.
+func (f *Fleet) gain(zone, region string) time.Duration {
+	switch f.config.Self.localityOf(zone, region) {
+	case ownZone:
 		return nearGain
+	case ownRegion:
+		return farGain
+	default:
+		return regionGain
 	}
-	return farGain
 }
--- a/internal/fleet/introduction.go
+++ b/internal/fleet/introduction.go
@@ -55,7 +55,7 @@
 func (f *Fleet) introduced(introduction *lapisv1.Introduction, link callmux.Link) {
 	for _, member := range introduction.GetMembers() {
 		f.learnHearsay(Member{
-			Node: member.GetNode(), Address: member.GetAddress(), Zone: member.GetZone(), Service: member.GetService(),
+			Node: member.GetNode(), Address: member.GetAddress(), Zone: member.GetZone(), Region: member.GetRegion(), Service: member.GetService(),
 		})
 	}
 	for _, instance := range introduction.GetWithdrawn() {
@@ -78,7 +78,7 @@
 		}
 		if member.stop == nil || member.connected || time.Since(member.lostAt) < forgetAfter {
 			introduction.Members = append(introduction.Members, &lapisv1.PeerAddress{
-				Node: member.Node, Address: member.Address, Zone: member.Zone, Service: member.Service,
+				Node: member.Node, Address: member.Address, Zone: member.Zone, Region: member.Region, Service: member.Service,
 			})
 		}
 	}
--- a/internal/fleet/listener.go
+++ b/internal/fleet/listener.go
@@ -9,16 +9,16 @@
 // daemon's instances.
 type listener struct {
 	link callmux.Link
-	// zone is that of the daemon that opened it.
-	zone string
-	wake chan struct{}
+	// zone and region are those of the daemon that opened it.
+	zone, region string
+	wake         chan struct{}
 }
 
 // Accepted takes in a connection that another daemon opened, for
 // callmux.Server.
 func (f *Fleet) Accepted(hello *lapisv1.Hello, link callmux.Link) callmux.Control {
-	opened := &listener{link: link, zone: hello.GetZone(), wake: make(chan struct{}, 1)}
-	dialer := Member{Node: hello.GetNode(), Address: hello.GetAddress(), Zone: hello.GetZone(), Service: hello.GetService()}
+	opened := &listener{link: link, zone: hello.GetZone(), region: hello.GetRegion(), wake: make(chan struct{}, 1)}
+	dialer := Member{Node: hello.GetNode(), Address: hello.GetAddress(), Zone: hello.GetZone(), Region: hello.GetRegion(), Service: hello.GetService()}
 	f.mutex.Lock()
 	f.listeners[opened] = true
 	member := f.greeted(dialer)
--- a/internal/fleet/wanted.go
+++ b/internal/fleet/wanted.go
@@ -14,6 +14,9 @@
 	// localLinks is how many of them are of the own zone, as far as there are
 	// any; the others are for the time when the own zone is lost or full.
 	localLinks = linksPerService * 3 / 4
+	// regionLinks is the number of daemons of one service in each other region, as far
+	// as there are any: a call may have its home there, and one of them may be lost.
+	regionLinks = 2
 )
 
 // candidate is a daemon that may be connected to.
@@ -26,7 +29,8 @@
 
 // wanted returns the daemons that self connects to: of each service those that
 // rank first for it, by a hash that spreads the daemons evenly and changes
-// little when one comes or goes. A doubtful one does not count, so that another
+// little when one comes or goes; the own zone goes before the own region, and that
+// before others. A doubtful one does not count, so that another
 // takes its place beside it.
 func wanted(self Member, candidates []candidate) map[string]bool {
 	services := map[string][]candidate{}
@@ -35,20 +39,34 @@
 	}
 	chosen := map[string]bool{}
 	for _, members := range services {
-		var local, remote []candidate
-		for _, member := range members {
-			if member.Zone == self.Zone {
-				local = append(local, member)
-			} else {
-				remote = append(remote, member)
-			}
-		}
-		taken := take(chosen, self, local, max(localLinks, linksPerService-sound(remote)))
-		take(chosen, self, remote, linksPerService-taken)
+		chooseOfService(chosen, self, members)
 	}
 	return chosen
 }
 
+// chooseOfService chooses the daemons of one service: those of the own region up to
+// linksPerService, less some where there are other regions, and some of each of those. A
+// lack in the own region is made up from the others.
+func chooseOfService(chosen map[string]bool, self Member, members []candidate) {
+	var tiers [ownZone + 1][]candidate
+	regions := map[string][]candidate{}
+	for _, member := range members {
+		distance := self.localityOf(member.Zone, member.Region)
+		tiers[distance] = append(tiers[distance], member)
+		if distance == otherRegion {
+			regions[member.Region] = append(regions[member.Region], member)
+		}
+	}
+	near := linksPerService - min(regionLinks, sound(tiers[otherRegion]))
+	local := near * localLinks / linksPerService
+	taken := take(chosen, self, tiers[ownZone], max(local, near-sound(tiers[ownRegion])))
+	taken += take(chosen, self, tiers[ownRegion], near-taken)
+	take(chosen, self, tiers[otherRegion], linksPerService-taken)
+	for _, region := range regions {
+		take(chosen, self, region, regionLinks)
+	}
+}
+
 // take chooses the first so many sound members, and the doubtful ones that rank
 // before the last of them. It returns the number of sound ones.
 func take(chosen map[string]bool, self Member, members []candidate, count int) (taken int) {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -41,11 +41,12 @@
 )
 
 // comeBack sets when a refused call may come back, where its route states a
-// target latency: early enough for an answer that is worth something.
+// target latency: early enough for an answer that is worth something. One that a
+// constraint left without instances keeps its time: it would be refused again.
 func comeBack(err error, route *lapisv1.Route) error {
 	coded, ok := err.(*result.Error)
 	target := route.GetCallClass().GetTargetLatencyMillis()
-	if !ok || !coded.Code.NotRun() || target == 0 {
+	if !ok || !coded.Code.NotRun() || target == 0 || constraintOf(err) != "" {
 		return err
 	}
 	part := comeBackFrom + (comeBackTo-comeBackFrom)*rand.Float64()
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -145,6 +145,7 @@
 	return a.gateway.balancer.Pick(service, balance.Choice{
 		Exclude: a.tried, Key: a.open.GetIdempotencyKey(), Route: a.route.GetName(),
 		Target: a.targetLatency(), Spent: time.Since(a.started) + a.waited, Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
+		Constraints: a.constraints(),
 	})
 }
 
@@ -201,7 +202,8 @@
 		return false
 	}
 	switch code {
-	case result.CallNotRunDraining, result.CallNotRunStopping, result.CallNotRunUnknownHere, result.CallNotRunUnreachable:
+	case result.CallNotRunDraining, result.CallNotRunStopping, result.CallNotRunUnknownHere, result.CallNotRunUnreachable,
+		result.CallNotRunEvacuated, result.CallNotRunRegion:
 		// No back end saw the call; going elsewhere adds no load.
 		a.detours++
 		return a.detours <= maxDetours
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -39,7 +39,7 @@
 	g.config.Decisions.Failure(eventCallFailed, g.requestID(rc),
 		"route", route.GetName(), "revision", g.revision(), "code", uint32(code), "name", code,
 		"outcome", callapi.OutcomeOf(err), "took_ms", time.Since(started).Milliseconds(),
-		"come_back_ms", comeBackMillis(err), "detail", err)
+		"come_back_ms", comeBackMillis(err), "constraint", constraintOf(err), "detail", err)
 }
 
 func comeBackMillis(err error) int64 {
--- a/internal/gateway/failures_test.go
+++ b/internal/gateway/failures_test.go
@@ -55,7 +55,7 @@
 	assert.NilError(t, err)
 	snapshots := &snapshot.Store{}
 	assert.NilError(t, snapshots.ReplaceConfiguration(configuration))
-	balancer := balance.New("here", "a", time.Now)
+	balancer := balance.New("here", "a", "", time.Now)
 	var endpoints []*lapisv1.Endpoint
 	for index := range 3 {
 		endpoints = append(endpoints, &lapisv1.Endpoint{
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,9 @@
 	RepeatShare func() float64
 	// DefaultDeadline bounds calls whose route names none.
 	DefaultDeadline time.Duration
+	// Evacuated reports whether the instances of a zone get no calls; nil where no
+	// zone is ever evacuated.
+	Evacuated func(zone string) bool
 	// SentAhead bounds what is held for requests that callers send before
 	// earlier ones are answered; the zero value stands for the default.
 	SentAhead pipeline.Limits
@@ -94,9 +97,10 @@
 }
 
 type gatewayMetrics struct {
-	calls   *prometheus.CounterVec
-	retries prometheus.Counter
-	latency prometheus.Histogram
+	calls       *prometheus.CounterVec
+	constrained *prometheus.CounterVec
+	retries     prometheus.Counter
+	latency     prometheus.Histogram
 }
 
 // New returns a gateway.
@@ -114,6 +118,9 @@
 			calls: prometheus.NewCounterVec(prometheus.CounterOpts{
 				Name: "lapisvane_calls_total", Help: "Calls by route and numbered result.",
 			}, []string{"route", "result"}),
+			constrained: prometheus.NewCounterVec(prometheus.CounterOpts{
+				Name: "lapisvane_calls_constrained_total", Help: "Calls refused because a constraint left no instance, by constraint.",
+			}, []string{"constraint"}),
 			retries: prometheus.NewCounter(prometheus.CounterOpts{
 				Name: "lapisvane_call_retries_total", Help: "Attempts after the first of a call.",
 			}),
@@ -130,7 +137,7 @@
 	})
 	gateway.force, gateway.forceAll = context.WithCancel(context.Background())
 	if config.Registry != nil {
-		config.Registry.MustRegister(gateway.metrics.calls, gateway.metrics.retries, gateway.metrics.latency)
+		config.Registry.MustRegister(gateway.metrics.calls, gateway.metrics.constrained, gateway.metrics.retries, gateway.metrics.latency)
 	}
 	return gateway
 }
@@ -253,6 +260,9 @@
 		return
 	}
 	err = comeBack(err, route)
+	if name := constraintOf(err); name != "" {
+		g.metrics.constrained.WithLabelValues(name).Inc()
+	}
 	g.logFailure(rc, route, err, exchange.Arrived)
 	if rc.Response.GetHijackWriter() != nil {
 		// The answer had begun; the connection ends with it.
--- a/internal/meshconfig/file.go
+++ b/internal/meshconfig/file.go
@@ -42,6 +42,7 @@
 	Background     bool     `json:"background,omitempty"`
 	Upload         bool     `json:"upload,omitempty"`
 	DeadlineMillis uint32   `json:"deadline_millis,omitempty"`
+	AllowedRegions []string `json:"allowed_regions,omitempty"`
 }
 
 // SecretFile is one TLS key pair in a proposal file.
@@ -122,6 +123,7 @@
 	return &lapisv1.Route{
 		Name: r.Name, Group: r.Group, Pool: r.Pool, Host: r.Host,
 		PathPrefix: r.PathPrefix, Methods: r.Methods, Secret: r.Secret,
+		AllowedRegions: r.AllowedRegions,
 		CallClass: &lapisv1.CallClass{
 			Repeatable: r.Repeatable, Background: r.Background, Upload: r.Upload,
 			DeadlineMillis: r.DeadlineMillis,
--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -38,12 +38,17 @@
 	DrainOperator    DrainReason = "operator"
 	DrainMachineList DrainReason = "machine-list"
 	DrainStop        DrainReason = "stop"
+	// DrainEvacuated is for an instance whose zone is evacuated; it may take work again.
+	DrainEvacuated DrainReason = "evacuated"
 	// DrainInstance is the instance's own statement that it leaves.
 	DrainInstance DrainReason = "instance"
 	// DrainReplaced is for an instance whose address another one has.
 	DrainReplaced DrainReason = "replaced"
 )
 
+// drainReasons are all reasons; the first of those that hold is what calls are told.
+var drainReasons = []DrainReason{DrainReplaced, DrainInstance, DrainStop, DrainOperator, DrainMachineList, DrainEvacuated}
+
 // Instance is one back end beside the daemon.
 type Instance struct {
 	Service string
@@ -109,15 +114,23 @@
 	i.mutex.Lock()
 	i.reasons[reason] = true
 	fire(i.lifecycle, triggerDrain)
+	i.queue.Close(i.refusal(reason))
 	i.mutex.Unlock()
-	code := result.CallNotRunDraining
-	if reason == DrainStop {
-		code = result.CallNotRunStopping
-	}
-	i.queue.Close(result.Errorf(code, "instance %s is leaving (%s)", i.Name, reason))
 	go i.noteIdle()
 }
 
+// refusal is what calls are told while the instance drains for a reason.
+func (i *Instance) refusal(reason DrainReason) *result.Error {
+	switch reason {
+	case DrainStop:
+		return result.Errorf(result.CallNotRunStopping, "instance %s is leaving (%s)", i.Name, reason)
+	case DrainEvacuated:
+		return result.Errorf(result.CallNotRunEvacuated, "the zone of instance %s is evacuated", i.Name)
+	default:
+		return result.Errorf(result.CallNotRunDraining, "instance %s is leaving (%s)", i.Name, reason)
+	}
+}
+
 func (i *Instance) noteIdle() {
 	<-i.queue.Idle()
 	i.mutex.Lock()
@@ -127,7 +140,8 @@
 	}
 }
 
-// Resume removes a reason; without any the instance takes work again.
+// Resume removes a reason; without any the instance takes work again, at once if it
+// registered and its heartbeats come.
 func (i *Instance) Resume(reason DrainReason) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
@@ -135,13 +149,37 @@
 		return
 	}
 	delete(i.reasons, reason)
-	if len(i.reasons) > 0 {
+	if left, drains := i.remaining(); drains {
+		i.queue.Close(i.refusal(left))
 		return
 	}
 	fire(i.lifecycle, triggerResume)
+	i.catchUpLifecycle()
 	i.queue.Reopen()
 }
 
+// remaining returns the first of the reasons that are left; the caller holds mutex.
+func (i *Instance) remaining() (reason DrainReason, drains bool) {
+	for _, reason := range drainReasons {
+		if i.reasons[reason] {
+			return reason, true
+		}
+	}
+	return "", false
+}
+
+// catchUpLifecycle takes in the heartbeats that came, or stayed out, while the instance
+// drained; the caller holds mutex.
+func (i *Instance) catchUpLifecycle() {
+	if !i.registered || i.lastBeat.IsZero() {
+		return
+	}
+	fire(i.lifecycle, triggerUp)
+	if time.Since(i.lastBeat) > beatSilence {
+		fire(i.lifecycle, triggerDown)
+	}
+}
+
 // Retire ends the instance's part in its pool for good.
 func (i *Instance) Retire() {
 	i.Drain(DrainOperator)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -29,6 +29,9 @@
 type Config struct {
 	Incarnation uint64
 	Backends    []BackendConfig
+	// Region is that of the daemon and of the instances beside it; empty where it is
+	// not known.
+	Region string
 	// QueueLength and QueueTime bound the waiting calls of each group.
 	QueueLength int
 	QueueTime   time.Duration
@@ -64,6 +67,10 @@
 	withdrawn map[string]time.Time
 	current   *snapshot.Snapshot
 	stopping  bool
+	// evacuated is true while no instance here may get work.
+	evacuated bool
+	// evacuating is held while evacuated changes and the instances follow.
+	evacuating sync.Mutex
 	// runContext is set by Run and ends the watching of instances.
 	runContext context.Context
 }
@@ -245,6 +252,9 @@
 	if !ok {
 		return nil, o.unknown(open)
 	}
+	if err := o.checkRegion(open); err != nil {
+		return nil, err
+	}
 	if _, known := o.attempts.Claim(open.GetAttemptId(), attemptWaiting); known {
 		o.count(func(c *Counts) { c.Duplicates++ })
 		return nil, result.Errorf(result.CallNotRunDuplicate, "attempt %s came before", open.GetAttemptId())
--- a/internal/origin/registration.go
+++ b/internal/origin/registration.go
@@ -82,6 +82,9 @@
 	if o.stopping {
 		instance.Drain(DrainStop)
 	}
+	if o.evacuated {
+		instance.Drain(DrainEvacuated)
+	}
 	o.instances[key] = instance
 	o.watch(instance)
 	o.config.Logger.Info("instance.registered", "instance", instance.Name, "service", instance.Service,
@@ -96,13 +99,27 @@
 // was held up. If it is the later one after all, it is taken in once the other is silent.
 func (o *Origin) presentAt(address string) *Instance {
 	for _, instance := range o.instances {
-		if instance.registered && instance.backend.address == address && instance.beatAge() < presentFor && instance.State() == StateReady {
+		if instance.registered && instance.backend.address == address && instance.presentNow() {
 			return instance
 		}
 	}
 	return nil
 }
 
+// presentNow reports whether the instance was heard lately and takes work, or would but
+// for an evacuation.
+func (i *Instance) presentNow() bool {
+	if i.beatAge() >= presentFor {
+		return false
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.lifecycle.MustState() == StateReady {
+		return true
+	}
+	return i.reasons[DrainEvacuated] && !i.reasons[DrainInstance] && !i.reasons[DrainReplaced]
+}
+
 // forgetWithdrawn drops what is old; the caller holds mutex.
 func (o *Origin) forgetWithdrawn() {
 	for name, at := range o.withdrawn {
--- a/internal/tree/endpoints.go
+++ b/internal/tree/endpoints.go
@@ -35,7 +35,7 @@
 		n.sequence++
 		n.merge(&lapisv1.Endpoint{
 			Service: statement.GetService(), Instance: statement.GetInstance(),
-			Node: n.config.Node, Address: n.config.Address, Zone: n.config.Zone,
+			Node: n.config.Node, Address: n.config.Address, Zone: n.config.Zone, Region: n.config.Region,
 			Incarnation: n.config.Incarnation, Sequence: n.sequence,
 			State: statement.GetState(), StartedUnixMillis: statement.GetStartedUnixMillis(),
 		}, "", now)
