--- /dev/null
+++ b/internal/balance/constraint_test.go
@@ -0,0 +1,142 @@
+package balance_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/balance"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// newRegions returns a pool with an instance in each of the places, which are written
+// zone/region; the balancer stands in zone a of region r1.
+func newRegions(places ...string) *pool {
+	made := newPool()
+	made.Balancer = balance.New("node", "a", "r1", made.clock.read)
+	var endpoints []*lapisv1.Endpoint
+	for index, place := range places {
+		endpoints = append(endpoints, &lapisv1.Endpoint{
+			Service: "desk", Instance: fmt.Sprint("desk-", index), Zone: place[:1], Region: place[2:], Slots: 6,
+			State: lapisv1.Endpoint_STATE_READY, Incarnation: 1,
+		})
+	}
+	made.Update("desk", endpoints)
+	return made
+}
+
+func evacuated(zones string) balance.Constraint {
+	return balance.NotEvacuated(func(zone string) bool { return zones == zone })
+}
+
+// No instance gets a call that a constraint does not allow: not the only one that is
+// well, nor one that is to be tried because no other is left, nor that of a key.
+func TestConstraintsAreHard(t *testing.T) {
+	for name, row := range map[string]struct {
+		places      []string
+		constraints []balance.Constraint
+		ejected     int
+		// chosen is the only instance that may be, empty for none; then named is the
+		// constraint that took the last.
+		chosen, named string
+	}{
+		"an ejected one before an evacuated one": {places: []string{"a/r1", "b/r1"}, constraints: []balance.Constraint{evacuated("a")}, ejected: 1, chosen: "desk-1"},
+		"an evacuated one, ejected":              {places: []string{"a/r1", "a/r1"}, constraints: []balance.Constraint{evacuated("a")}, ejected: 1, named: "evacuated"},
+		"the home only":                          {places: []string{"a/r1", "c/r2"}, constraints: []balance.Constraint{balance.InRegions([]string{"r2"})}, chosen: "desk-1"},
+		"no instance at home":                    {places: []string{"a/r1", "b/r1"}, constraints: []balance.Constraint{balance.InRegions([]string{"r2"})}, named: "region"},
+		"unknown is no home":                     {places: []string{"a/", "c/r2"}, constraints: []balance.Constraint{balance.InRegions([]string{"r1", ""})}, named: "region"},
+		"the home evacuated":                     {places: []string{"a/r1", "c/r2"}, constraints: []balance.Constraint{evacuated("c"), balance.InRegions([]string{"r2"})}, named: "region"},
+		"no homes":                               {places: []string{"b/r1"}, constraints: []balance.Constraint{balance.InRegions(nil)}, chosen: "desk-0"},
+	} {
+		for _, key := range []string{"", "key-1", "key-2"} {
+			t.Run(name+" "+key, func(t *testing.T) {
+				p := newRegions(row.places...)
+				for _, target := range p.Targets("desk")[:row.ejected] {
+					for range 5 {
+						target.Failed(p.clock.now)
+					}
+				}
+				for range 50 {
+					chosen, err := p.Pick(p.service, balance.Choice{Route: route, Target: target, Key: key, Constraints: row.constraints})
+					if row.chosen != "" {
+						assert.NilError(t, err)
+						assert.Equal(t, chosen.Endpoint.GetInstance(), row.chosen)
+						continue
+					}
+					var constrained *balance.ConstraintError
+					assert.Assert(t, errors.As(err, &constrained), "%v", err)
+					assert.Equal(t, constrained.Constraint, row.named)
+					assert.Assert(t, result.Is(err, result.CallNoEndpoint))
+					assert.Assert(t, err.(*result.Error).RetryAfter > time.Second)
+				}
+			})
+		}
+	}
+}
+
+// Without instances at all, or with all of them tried, no constraint is to blame.
+func TestEmptyPoolNamesNoConstraint(t *testing.T) {
+	p := newRegions("a/r1")
+	var constrained *balance.ConstraintError
+	_, err := p.Pick(p.service, balance.Choice{Exclude: p.Targets("desk"), Constraints: []balance.Constraint{evacuated("b")}})
+	assert.Assert(t, result.Is(err, result.CallNoEndpoint) && !errors.As(err, &constrained), "%v", err)
+}
+
+// The own zone goes before the own region and that before others; work goes further once
+// what is nearer has more than its fill.
+func TestNearerInstancesGoFirst(t *testing.T) {
+	for name, row := range map[string]struct {
+		places []string
+		loaded int
+		target time.Duration
+		chosen string
+	}{
+		"own zone":                           {[]string{"a/r1", "b/r1", "c/r2"}, 0, time.Second, "a"},
+		"own region":                         {[]string{"c/r2", "b/r1"}, 0, time.Second, "b"},
+		"unknown counts as own region":       {[]string{"c/r2", "b/"}, 0, time.Second, "b"},
+		"another region":                     {[]string{"c/r2"}, 0, time.Second, "c"},
+		"own zone full":                      {[]string{"a/r1", "b/r1", "c/r2"}, 1, time.Second, "b"},
+		"own region full":                    {[]string{"a/r1", "b/r1", "c/r2"}, 2, time.Second, "c"},
+		"no target: own zone":                {[]string{"a/r1", "b/r1", "c/r2"}, 0, 0, "a"},
+		"no target: own zone full":           {[]string{"a/r1", "b/r1", "c/r2"}, 1, 0, "b"},
+		"no target: own region full":         {[]string{"a/r1", "b/r1", "c/r2"}, 2, 0, "c"},
+		"no target: own region, not foreign": {[]string{"c/r2", "b/r1"}, 0, 0, "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newRegions(row.places...)
+			for index, loaded := range p.Targets("desk") {
+				loaded.Answered(route, 300*time.Millisecond, p.clock.now)
+				for range 40 * min(max(row.loaded-index, 0), 1) {
+					loaded.Begin()
+				}
+			}
+			for range 50 {
+				chosen, err := p.Pick(p.service, balance.Choice{Route: route, Target: row.target, Bytes: 500})
+				assert.NilError(t, err)
+				assert.Equal(t, chosen.Endpoint.GetZone(), row.chosen)
+			}
+		})
+	}
+}
+
+// The way to another region takes its time out of the target: what would be late from
+// there goes to a nearer instance that is slower.
+func TestRoundTripToAnotherRegionCounts(t *testing.T) {
+	p := newRegions("b/r1", "c/r2")
+	for _, seen := range p.Targets("desk") {
+		took := 60 * time.Millisecond
+		if seen.Endpoint.GetZone() == "b" {
+			took = 70 * time.Millisecond
+		}
+		seen.Answered(route, took, p.clock.now)
+	}
+	for range 50 {
+		chosen, err := p.Pick(p.service, balance.Choice{Route: route, Target: 150 * time.Millisecond})
+		assert.NilError(t, err)
+		assert.Equal(t, chosen.Endpoint.GetZone(), "b")
+	}
+}
--- /dev/null
+++ b/internal/balance/subset_test.go
@@ -0,0 +1,81 @@
+package balance
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+)
+
+// formerSubset is the choice as it was before regions counted.
+func formerSubset(node, zone string, candidates []*Target) []*Target {
+	if len(candidates) <= SubsetSize {
+		return candidates
+	}
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(x, y *Target) int {
+		return cmp.Compare(xxhash.Sum64String(node+"|"+x.Endpoint.GetInstance()), xxhash.Sum64String(node+"|"+y.Endpoint.GetInstance()))
+	})
+	var chosen, rest []*Target
+	for _, target := range ranked {
+		if target.Endpoint.GetZone() == zone && len(chosen) < SubsetSize*3/4 {
+			chosen = append(chosen, target)
+			continue
+		}
+		rest = append(rest, target)
+	}
+	return append(chosen, rest[:SubsetSize-len(chosen)]...)
+}
+
+func placed(region string, count int) []*Target {
+	var targets []*Target
+	for index := range count {
+		targets = append(targets, &Target{Endpoint: &lapisv1.Endpoint{
+			Instance: fmt.Sprintf("%s-%d", region, index), Zone: fmt.Sprintf("%s-%d", region, index%3), Region: region,
+		}})
+	}
+	return targets
+}
+
+// Where all instances are of one region, or none is known, the subset stays as it was.
+func TestSubsetOfOneRegionIsAsBefore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		region := rapid.SampledFrom([]string{"", "r1"}).Draw(t, "region")
+		node := rapid.StringMatching("node-[0-9]{3}").Draw(t, "node")
+		targets := placed(region, rapid.IntRange(0, 40).Draw(t, "instances"))
+		made := New(node, region+"-0", "r1", time.Now)
+		assert.DeepEqual(t, instances(made.subset(targets)), instances(formerSubset(node, region+"-0", targets)))
+	})
+}
+
+func instances(targets []*Target) []string {
+	names := []string{}
+	for _, target := range targets {
+		names = append(names, target.Endpoint.GetInstance())
+	}
+	return names
+}
+
+// The own region has most of a subset, other regions a few places, and all that the own
+// one leaves free.
+func TestSubsetAcrossRegions(t *testing.T) {
+	for own, others := range map[int]int{0: 8, 3: 5, 6: 2, 30: 2} {
+		made := New("node", "r1-0", "r1", time.Now)
+		foreign := 0
+		chosen := made.subset(append(placed("r2", 30), placed("r1", own)...))
+		assert.Equal(t, len(chosen), SubsetSize)
+		for _, target := range chosen {
+			if target.Endpoint.GetRegion() != "r1" {
+				foreign++
+			}
+		}
+		assert.Equal(t, foreign, others, "%d instances in the own region", own)
+	}
+}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -167,7 +167,7 @@
 		return j.explainNoRoute(end)
 	case result.CallNotRunStopping, result.CallNotRunDraining, result.CallNotRunUnknownHere:
 		return Verdict{CauseLeaving, j.leaving(end), end}
-	case result.CallNoEndpoint:
+	case result.CallNoEndpoint, result.CallNotRunEvacuated, result.CallNotRunRegion:
 		return Verdict{CauseNoInstance, end.Get("detail"), end}
 	default:
 		return explainAttempt(j, story, end)
--- a/internal/fleet/catchup_test.go
+++ b/internal/fleet/catchup_test.go
@@ -64,11 +64,42 @@
 }
 
 // Within a zone a confirmation is told at once; over its border it waits for the
-// regular heartbeats.
+// regular heartbeats, and over that of a region for longer.
 func TestConfirmationsCrossZonesSeldom(t *testing.T) {
 	teller := behindAt(5)
-	assert.Assert(t, teller.gain("a", "") < time.Second)
-	assert.Assert(t, teller.gain("b", "") > time.Second)
+	teller.config.Self.Region = "r1"
+	assert.Assert(t, teller.gain("a", "r1") < time.Second)
+	assert.Assert(t, teller.gain("b", "r1") > time.Second)
+	assert.Equal(t, teller.gain("b", ""), teller.gain("b", "r1"))
+	assert.Assert(t, teller.gain("c", "r2") > teller.gain("b", "r1"))
+}
+
+// A daemon of the own region is asked before one of another, whatever that has.
+func TestOwnRegionIsAskedFirst(t *testing.T) {
+	foreign, unknown, home := at("foreign", "c", 9), at("unknown", "d", 6), at("home", "b", 7)
+	foreign.Region, home.Region = "r2", "r1"
+	behind := behindAt(5, foreign, unknown, home, at("near", "a", 6))
+	behind.config.Self.Region = "r1"
+	asked := map[string]bool{}
+	for _, want := range []string{"near", "home", "unknown", "foreign"} {
+		member, _ := behind.ahead(asked)
+		assert.Assert(t, member != nil, "expected %s", want)
+		assert.Equal(t, member.Node, want)
+		asked[member.Node] = true
+	}
+}
+
+// What a daemon says of its region counts before an entry that lacks it.
+func TestAnnouncedRegionIsTakenIn(t *testing.T) {
+	told := at("told", "c", 0)
+	listening := behindAt(5, told)
+	endpoint := &lapisv1.Endpoint{Service: "desk", Instance: "desk-1"}
+	listening.announced(told, 0, &lapisv1.Announcement{Node: "told", Region: "r2", Endpoints: []*lapisv1.Endpoint{endpoint}})
+	assert.Equal(t, told.Region, "r2")
+	assert.Equal(t, endpoint.GetRegion(), "r2")
+	assert.Equal(t, told.seen(endpoint).GetRegion(), "r2")
+	told.connected = false
+	assert.Equal(t, told.seen(endpoint).GetRegion(), "r2")
 }
 
 // A version is made ready once for all that ask for it, and reads back as it was.
--- a/internal/gateway/constraints.go
+++ b/internal/gateway/constraints.go
@@ -2,7 +2,11 @@
 
 import (
 	"errors"
+	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/balance"
 )
 
@@ -19,6 +23,14 @@
 	return constraints
 }
 
+// noteFailure counts and writes how a call ended without an answer of a back end.
+func (g *Gateway) noteFailure(rc *app.RequestContext, route *lapisv1.Route, err error, started time.Time) {
+	if name := constraintOf(err); name != "" {
+		g.metrics.constrained.WithLabelValues(name).Inc()
+	}
+	g.logFailure(rc, route, err, started)
+}
+
 // constraintOf returns the name of the constraint that left no instance for a call,
 // empty where none did.
 func constraintOf(err error) string {
--- /dev/null
+++ b/internal/gateway/constraints_test.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/go-logr/logr/funcr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/decision"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// place puts the three instances of an attempter into zones a, b and c of regions r1, r1
+// and r2, and has the gateway know which zones are evacuated.
+func place(attempt *attempter, evacuated ...string) {
+	var endpoints []*lapisv1.Endpoint
+	for index, target := range attempt.gateway.balancer.Targets("desk") {
+		endpoints = append(endpoints, &lapisv1.Endpoint{
+			Service: "desk", Instance: target.Endpoint.GetInstance(), Node: target.Endpoint.GetNode(), Slots: 6,
+			Zone: string("abc"[index]), Region: []string{"r1", "r1", "r2"}[index], State: lapisv1.Endpoint_STATE_READY,
+		})
+	}
+	attempt.gateway.balancer.Update("desk", endpoints)
+	attempt.gateway.config.Evacuated = func(zone string) bool { return strings.Contains(fmt.Sprint(evacuated), zone) }
+}
+
+// Calls go to zones that are not evacuated and to regions of their homes only, on every
+// attempt; where that leaves nothing they are refused at once.
+func TestAttemptsMeetTheConstraints(t *testing.T) {
+	elsewhere := result.Errorf(result.CallNotRunEvacuated, "evacuated")
+	rows := map[string]struct {
+		evacuated, homes []string
+		// tried are the instances that get the call, in any order.
+		tried string
+		code  result.Code
+	}{
+		"nothing asked":          {nil, nil, "desk-0 desk-1 desk-2", result.CallNotRunEvacuated},
+		"a zone evacuated":       {[]string{"a"}, nil, "desk-1 desk-2", result.CallNotRunEvacuated},
+		"homes":                  {nil, []string{"r2"}, "desk-2", result.CallNotRunEvacuated},
+		"homes in two regions":   {nil, []string{"r2", "r1"}, "desk-0 desk-1 desk-2", result.CallNotRunEvacuated},
+		"nothing at home":        {nil, []string{"r3"}, "", result.CallNoEndpoint},
+		"all zones evacuated":    {[]string{"a", "b", "c"}, nil, "", result.CallNoEndpoint},
+		"the home is evacuated":  {[]string{"c"}, []string{"r2"}, "", result.CallNoEndpoint},
+		"half of home evacuated": {[]string{"a"}, []string{"r1"}, "desk-1", result.CallNotRunEvacuated},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			remote := &recordingRemote{err: elsewhere}
+			attempt := newAttempter(t, remote, false, RetryLimits{Fraction: 1, Burst: 10})
+			place(attempt, row.evacuated...)
+			attempt.route.AllowedRegions = row.homes
+			// A part of a split obeys as a whole route does.
+			attempt.route.Split = []*lapisv1.WeightedPool{{Pool: "desk", Weight: 1}}
+			_, err := attempt.run(t.Context())
+			assert.Assert(t, result.Is(err, row.code), "%v", err)
+			tried := map[string]bool{}
+			for _, open := range remote.opened {
+				assert.DeepEqual(t, open.GetAllowedRegions(), row.homes)
+				tried[open.GetInstance()] = true
+			}
+			wanted := strings.Fields(row.tried)
+			assert.Equal(t, len(tried), len(wanted), "%v", tried)
+			for _, instance := range wanted {
+				assert.Assert(t, tried[instance], "%s got no attempt", instance)
+			}
+			if row.code == result.CallNoEndpoint {
+				assert.Assert(t, comeBack(err, attempt.route).(*result.Error).RetryAfter >= time.Second)
+			}
+		})
+	}
+}
+
+// Refusals of the second guards are detours: they spend no retries, also for calls that
+// may not be repeated.
+func TestRefusalsOfTheGuardsAreDetours(t *testing.T) {
+	for _, code := range []result.Code{result.CallNotRunEvacuated, result.CallNotRunRegion} {
+		remote := &scriptedRemote{script: []any{result.Errorf(code, "not here"), 200}}
+		attempt := newAttempter(t, remote, false, RetryLimits{Fraction: 0.1, Burst: 1})
+		done, err := attempt.run(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, done.answer.Head.GetStatus(), uint32(200))
+	}
+}
+
+// changing is a remote that changes something while the first attempt waits.
+type changing struct {
+	recordingRemote
+	change func()
+}
+
+// Handle implements Remote.
+func (c *changing) Handle(ctx context.Context, address string, call *callapi.Call) (*callapi.Answer, error) {
+	if len(c.opened) == 0 {
+		c.change()
+	}
+	return c.recordingRemote.Handle(ctx, address, call)
+}
+
+// An order to evacuate counts from the next attempt on; homes are those of the
+// configuration that the call was read under, to its end.
+func TestOrdersAndHomesChangeWhileACallWaits(t *testing.T) {
+	for name, row := range map[string]struct {
+		ordered  string
+		attempts int
+	}{
+		"homes change":           {"", 2},
+		"home is evacuated also": {"ab", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			remote := &changing{recordingRemote: recordingRemote{err: result.Errorf(result.CallNotRunDraining, "leaving")}}
+			attempt := newAttempter(t, remote, false, RetryLimits{Fraction: 1, Burst: 10})
+			place(attempt)
+			attempt.route.AllowedRegions = []string{"r1"}
+			remote.change = func() {
+				assert.NilError(t, attempt.gateway.config.Snapshots.ReplaceConfiguration(&lapisv1.Configuration{Revision: 2}))
+				attempt.gateway.config.Evacuated = func(zone string) bool { return strings.Contains(row.ordered, zone) }
+			}
+			_, err := attempt.run(t.Context())
+			assert.Assert(t, result.Is(err, result.CallNotRunDraining), "%v", err)
+			assert.Equal(t, len(remote.opened), row.attempts)
+			for _, open := range remote.opened {
+				assert.Assert(t, open.GetInstance() != "desk-2", "it went abroad")
+				assert.DeepEqual(t, open.GetAllowedRegions(), []string{"r1"})
+			}
+		})
+	}
+}
+
+// The line of a refused call and a counter name the constraint.
+func TestRefusalsNameTheConstraint(t *testing.T) {
+	lines := []string{}
+	logger := funcr.New(func(_, arguments string) { lines = append(lines, arguments) }, funcr.Options{})
+	attempt := newAttempter(t, &scriptedRemote{script: []any{200}}, true, RetryLimits{})
+	registry := prometheus.NewRegistry()
+	config := attempt.gateway.config
+	config.Decisions, config.Registry = decision.New(logger, 100, time.Now), registry
+	attempt.gateway = New(config)
+	place(attempt, "a", "b", "c")
+	_, err := attempt.run(t.Context())
+	attempt.gateway.noteFailure(&app.RequestContext{}, attempt.route, err, time.Now())
+	assert.Equal(t, len(lines), 1)
+	assert.Assert(t, strings.Contains(lines[0], `"constraint"="evacuated"`), lines[0])
+	recorder := httptest.NewRecorder()
+	promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP(recorder, httptest.NewRequest("GET", "/", nil))
+	assert.Assert(t, strings.Contains(recorder.Body.String(), `lapisvane_calls_constrained_total{constraint="evacuated"} 1`))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -260,10 +260,7 @@
 		return
 	}
 	err = comeBack(err, route)
-	if name := constraintOf(err); name != "" {
-		g.metrics.constrained.WithLabelValues(name).Inc()
-	}
-	g.logFailure(rc, route, err, exchange.Arrived)
+	g.noteFailure(rc, route, err, exchange.Arrived)
 	if rc.Response.GetHijackWriter() != nil {
 		// The answer had begun; the connection ends with it.
 		return
