--- a/internal/balance/constraint_test.go
+++ b/internal/balance/constraint_test.go
@@ -140,3 +140,36 @@
 		assert.Equal(t, chosen.Endpoint.GetZone(), "b")
 	}
 }
+
+// Bytes between regions cost more than those between zones: what would go to a faster
+// instance of another zone does not go to one of another region.
+func TestBytesToAnotherRegionCostMore(t *testing.T) {
+	for fast, chosen := range map[string]string{"c/r1": "c", "c/r2": "b"} {
+		p := newRegions("b/r1", fast)
+		p.Targets("desk")[0].Answered(route, 8*time.Second, p.clock.now)
+		p.Targets("desk")[1].Answered(route, time.Second, p.clock.now)
+		for range 50 {
+			picked, err := p.Pick(p.service, balance.Choice{Route: route, Target: 10 * time.Second, Bytes: 3000})
+			assert.NilError(t, err)
+			assert.Equal(t, picked.Endpoint.GetZone(), chosen)
+		}
+	}
+}
+
+// Without a target latency, a nearer instance is taken as long as it is not much more
+// loaded: what is much grows with the distance.
+func TestLoadThatNearnessOutweighs(t *testing.T) {
+	for chosen, rows := range map[string][][]int{"a": {{3, 0, 0}, {12, 12, 0}}, "b": {{6, 0, 0}, {40, 12, 0}}, "c": {{40, 20, 0}}} {
+		for _, inFlight := range rows {
+			p := newRegions("a/r1", "b/r1", "c/r2")
+			for index, loaded := range p.Targets("desk") {
+				for range inFlight[index] {
+					loaded.Begin()
+				}
+			}
+			picked, err := p.Pick(p.service, balance.Choice{Route: route})
+			assert.NilError(t, err)
+			assert.Equal(t, picked.Endpoint.GetZone(), chosen, "%v", inFlight)
+		}
+	}
+}
--- a/internal/fleet/address_test.go
+++ b/internal/fleet/address_test.go
@@ -114,7 +114,7 @@
 		Network: network, Maintained: true, Timing: timing,
 		Hello: &lapisv1.Hello{
 			ProtocolVersion: wire.ProtocolVersion, Purpose: lapisv1.Hello_PURPOSE_CALLS,
-			Node: self.Node, Incarnation: incarnation, Zone: self.Zone, Address: self.Address, Service: self.Service,
+			Node: self.Node, Incarnation: incarnation, Zone: self.Zone, Region: self.Region, Address: self.Address, Service: self.Service,
 		},
 	}
 	daemon := New(Config{
--- a/internal/fleet/catchup_test.go
+++ b/internal/fleet/catchup_test.go
@@ -93,7 +93,7 @@
 func TestAnnouncedRegionIsTakenIn(t *testing.T) {
 	told := at("told", "c", 0)
 	listening := behindAt(5, told)
-	endpoint := &lapisv1.Endpoint{Service: "desk", Instance: "desk-1"}
+	endpoint := &lapisv1.Endpoint{Service: "desk", Instance: "desk-1", State: lapisv1.Endpoint_STATE_READY}
 	listening.announced(told, 0, &lapisv1.Announcement{Node: "told", Region: "r2", Endpoints: []*lapisv1.Endpoint{endpoint}})
 	assert.Equal(t, told.Region, "r2")
 	assert.Equal(t, endpoint.GetRegion(), "r2")
--- a/internal/fleet/regions_test.go
+++ b/internal/fleet/regions_test.go
@@ -4,9 +4,12 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/lapisvane/lapisvane/internal/callmux"
 )
 
 // formerlyWanted is the choice as it was before regions counted.
@@ -126,3 +129,25 @@
 		assert.Assert(t, links >= min(soundOnes, linksPerService) && links <= linksPerService+2*regionLinks, "%d links, %d sound", links, soundOnes)
 	})
 }
+
+// Daemons learn each other's region by their greetings and announcements, and name it to
+// others, whatever the directory lacks.
+func TestRegionsAreToldBetweenDaemons(t *testing.T) {
+	asker, other := memberAt("asker", "x:1"), memberAt("other", "x:2")
+	entries := []Member{asker, other}
+	asker.Region, other.Region = "r1", "r2"
+	other.Zone = "b"
+	playAddresses(t, []Member{asker, other}, entries, 4*time.Second, func(daemons map[string]*Fleet) {
+		hearing := behindAt(1)
+		hearing.introduced(daemons["asker"].introduction(), callmux.Link{})
+		assert.Equal(t, hearing.members["other"].Region, "r2")
+		daemons["other"].mutex.Lock()
+		defer daemons["other"].mutex.Unlock()
+		assert.Equal(t, daemons["other"].announcement().GetRegion(), "r2")
+		assert.Equal(t, daemons["other"].members["asker"].Region, "r1")
+		for opened := range daemons["other"].listeners {
+			assert.Equal(t, opened.region, "r1")
+		}
+		assert.Equal(t, len(daemons["other"].listeners), 1)
+	})
+}
--- a/internal/origin/evacuation_test.go
+++ b/internal/origin/evacuation_test.go
@@ -80,8 +80,11 @@
 		slots := fill(t, instance)
 		waiting := call(o, "waits")
 		synctest.Wait()
-		ordered := time.Now()
+		ordered, told := time.Now(), 0
+		o.config.Changed = func() { told++ }
 		o.SetEvacuated(true)
+		o.SetEvacuated(true)
+		assert.Equal(t, told, 1, "other daemons are told at once, and once")
 		assertCode(t, <-waiting, result.CallNotRunEvacuated)
 		assertCode(t, <-call(o, "comes later"), result.CallNotRunEvacuated)
 		assert.Equal(t, time.Since(ordered), time.Duration(0))
