--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -42,6 +42,9 @@
 			"time=2026-01-01T00:00:05.100Z level=info event=fleet.lost node=c member=b",
 			failed + "code=5008",
 		}, explain.CauseDaemonLost, "c lost b (fleet.lost)"},
+		"evacuated":     {[]string{attempt + "code=5020", failed + "code=5020 detail=\"zone z\""}, explain.CauseNoInstance, "zone z"},
+		"not at home":   {[]string{attempt + "code=5022", failed + "code=5022 detail=\"region r\""}, explain.CauseNoInstance, "region r"},
+		"none was left": {[]string{failed + "code=5002 constraint=region detail=\"the last\""}, explain.CauseNoInstance, "the last"},
 		"another daemon was lost": {[]string{
 			attempt + "code=5008",
 			"time=2026-01-01T00:00:05.100Z level=info event=fleet.lost node=a member=c",
