--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/locality"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/snapshot"
 )
@@ -97,8 +98,9 @@
 // Balancer chooses among the instances of all services. It is safe for
 // concurrent use.
 type Balancer struct {
-	node, zone, region string
-	now                func() time.Time
+	node  string
+	place locality.Place
+	now   func() time.Time
 
 	// mutex protects services; the slices in it are replaced, not changed.
 	mutex    sync.RWMutex
@@ -109,7 +111,7 @@
 // New returns a balancer for the daemon node in zone and region; an empty region is not
 // known, and all instances count as in it.
 func New(node, zone, region string, now func() time.Time) *Balancer {
-	return &Balancer{node: node, zone: zone, region: region, now: now, services: map[string][]*Target{}, created: now()}
+	return &Balancer{node: node, place: locality.Place{Zone: zone, Region: region}, now: now, services: map[string][]*Target{}, created: now()}
 }
 
 // Update replaces the instances of a service; observations of instances that
@@ -292,7 +294,7 @@
 // byRegion parts the targets into those of the own region and those of others.
 func (b *Balancer) byRegion(targets []*Target) (near, far []*Target) {
 	for _, target := range targets {
-		if b.localityOf(target.Endpoint) == otherRegion {
+		if b.tierOf(target.Endpoint) == locality.OtherRegion {
 			far = append(far, target)
 		} else {
 			near = append(near, target)
@@ -308,7 +310,7 @@
 	chosen := make([]*Target, 0, SubsetSize)
 	var rest []*Target
 	for _, target := range near {
-		if target.Endpoint.GetZone() == b.zone && len(chosen) < localPart {
+		if target.Endpoint.GetZone() == b.place.Zone && len(chosen) < localPart {
 			chosen = append(chosen, target)
 			continue
 		}
@@ -325,7 +327,7 @@
 	now := b.now()
 	conditions := make([]condition, len(candidates))
 	for index, target := range candidates {
-		conditions[index] = target.condition(choice.Route, b.localityOf(target.Endpoint), slots, now)
+		conditions[index] = target.condition(choice.Route, b.tierOf(target.Endpoint), slots, now)
 	}
 	target := choice.Target.Seconds()
 	left := target - choice.Spent.Seconds()
@@ -338,10 +340,10 @@
 	least := math.Inf(1)
 	for index, seen := range conditions {
 		total, service := seen.expected(typical, now)
-		total += seen.elsewhere.roundTrip()
+		total += roundTripOf(seen.elsewhere)
 		late := lateness(service, spread, left-(total-service))
 		cost := total/target + late*latenessCost + seen.failures*failureCost + choiceNoise*rand.Float64()
-		cost += seen.elsewhere.crossing(choice.Bytes)
+		cost += crossingOf(seen.elsewhere, choice.Bytes)
 		if cost < least {
 			least = cost
 			best = candidates[index]
@@ -375,16 +377,16 @@
 // the nearest one unless it is clearly more loaded.
 func (b *Balancer) leastLoaded(candidates []*Target, slots float64) *Target {
 	now := b.now()
-	var tiers [otherRegion + 1][]*Target
+	var tiers [locality.OtherRegion + 1][]*Target
 	for _, target := range candidates {
-		distance := b.localityOf(target.Endpoint)
-		tiers[distance] = append(tiers[distance], target)
+		tier := b.tierOf(target.Endpoint)
+		tiers[tier] = append(tiers[tier], target)
 	}
 	var best *Target
 	least := math.Inf(1)
-	for distance, targets := range tiers {
+	for tier, targets := range tiers {
 		target, score := betterOfTwo(targets, slots, now)
-		score += locality(distance).penalty()
+		score += penaltyOf(locality.Tier(tier))
 		if score < least {
 			best, least = target, score
 		}
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lapisvane/lapisvane/internal/locality"
 )
 
 // Tunables of the estimates.
@@ -143,11 +145,11 @@
 	load, slots float64
 	failures    float64
 	cold        bool
-	elsewhere   locality
+	elsewhere   locality.Tier
 }
 
 // condition returns what is known of the target for a route.
-func (t *Target) condition(route string, elsewhere locality, slots float64, now time.Time) condition {
+func (t *Target) condition(route string, elsewhere locality.Tier, slots float64, now time.Time) condition {
 	if stated := t.Endpoint.GetSlots(); stated > 0 {
 		slots = float64(stated)
 	}
--- a/internal/balance/locality.go
+++ b/internal/balance/locality.go
@@ -4,16 +4,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-)
-
-// locality is how far an instance is from this daemon.
-type locality int
-
-// Localities, nearest first.
-const (
-	ownZone locality = iota
-	ownRegion
-	otherRegion
+	"github.com/lapisvane/lapisvane/internal/locality"
 )
 
 // What lies between two regions.
@@ -31,46 +22,38 @@
 	otherRegionPart = SubsetSize / 4
 )
 
-// localityOf tells how far an instance is. One whose region is not known counts as one
-// of the own region.
-func (b *Balancer) localityOf(endpoint *lapisv1.Endpoint) locality {
-	switch {
-	case endpoint.GetZone() == b.zone:
-		return ownZone
-	case b.region == "" || endpoint.GetRegion() == "" || endpoint.GetRegion() == b.region:
-		return ownRegion
-	default:
-		return otherRegion
-	}
+// tierOf tells how far an instance is from this daemon.
+func (b *Balancer) tierOf(endpoint *lapisv1.Endpoint) locality.Tier {
+	return b.place.TierOf(locality.Place{Zone: endpoint.GetZone(), Region: endpoint.GetRegion()})
 }
 
-// penalty is how much more loaded per slot a nearer instance may be.
-func (l locality) penalty() float64 {
-	switch l {
-	case ownZone:
+// penaltyOf is how much more loaded per slot an instance of the own zone may be.
+func penaltyOf(tier locality.Tier) float64 {
+	switch tier {
+	case locality.OwnZone:
 		return 0
-	case ownRegion:
+	case locality.OwnRegion:
 		return zonePenalty
 	default:
 		return regionPenalty
 	}
 }
 
-// roundTrip is the time on the way that counts, in seconds.
-func (l locality) roundTrip() float64 {
-	if l == otherRegion {
+// roundTripOf is the time on the way that counts, in seconds.
+func roundTripOf(tier locality.Tier) float64 {
+	if tier == locality.OtherRegion {
 		return regionRoundTrip.Seconds()
 	}
 	return 0
 }
 
-// crossing is what the bytes of a call cost on the way, in parts of the target latency.
-func (l locality) crossing(bytes float64) float64 {
+// crossingOf is what the bytes of a call cost on the way, in parts of the target latency.
+func crossingOf(tier locality.Tier, bytes float64) float64 {
 	price := min(bytes/1024*crossingPerKilobyte, crossingMax)
-	switch l {
-	case ownZone:
+	switch tier {
+	case locality.OwnZone:
 		return 0
-	case ownRegion:
+	case locality.OwnRegion:
 		return price + crossingBase
 	default:
 		return price*regionPriceRatio + crossingBase
--- a/internal/fleet/catchup.go
+++ b/internal/fleet/catchup.go
@@ -10,6 +10,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/locality"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
 
@@ -92,19 +93,19 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var best *peer
-	var bestDistance locality
+	var bestTier locality.Tier
 	var bestRank float64
 	for _, member := range f.members {
 		if !member.connected || member.stalled || member.revision <= above || asked[member.Node] {
 			continue
 		}
-		distance, rank := f.config.Self.localityOf(member.Zone, member.Region), f.config.Random()
-		better := best == nil || distance > bestDistance
-		if best != nil && distance == bestDistance {
+		tier, rank := f.config.Self.tierOf(member.Member), f.config.Random()
+		better := best == nil || tier < bestTier
+		if best != nil && tier == bestTier {
 			better = cmp.Or(cmp.Compare(member.revision, best.revision), cmp.Compare(rank, bestRank)) > 0
 		}
 		if better {
-			best, bestDistance, bestRank = member, distance, rank
+			best, bestTier, bestRank = member, tier, rank
 		}
 	}
 	if best == nil {
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lapisvane/lapisvane/internal/locality"
 	"github.com/lapisvane/lapisvane/internal/pause"
 )
 
@@ -19,6 +20,11 @@
 	Service string
 }
 
+func (m Member) place() locality.Place { return locality.Place{Zone: m.Zone, Region: m.Region} }
+
+// tierOf tells how far another member is.
+func (m Member) tierOf(other Member) locality.Tier { return m.place().TierOf(other.place()) }
+
 // Directory is where daemons find each other.
 type Directory interface {
 	// Publish makes a member known; doing it twice does no harm.
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/locality"
 )
 
 // How much newer a confirmation must be than the one that the peer told before it is
@@ -41,21 +42,21 @@
 	defer f.mutex.Unlock()
 	for _, member := range f.members {
 		if member.connected {
-			member.link.Beat(f.gain(member.Zone, member.Region))
+			member.link.Beat(f.gain(member.place()))
 		}
 	}
 	for opened := range f.listeners {
-		opened.link.Beat(f.gain(opened.zone, opened.region))
+		opened.link.Beat(f.gain(opened.place))
 	}
 }
 
 // gain returns what a confirmation must be newer by to be sent ahead of time to a
-// daemon of a zone and region.
-func (f *Fleet) gain(zone, region string) time.Duration {
-	switch f.config.Self.localityOf(zone, region) {
-	case ownZone:
+// daemon at a place.
+func (f *Fleet) gain(there locality.Place) time.Duration {
+	switch f.config.Self.place().TierOf(there) {
+	case locality.OwnZone:
 		return nearGain
-	case ownRegion:
+	case locality.OwnRegion:
 		return farGain
 	default:
 		return regionGain
--- a/internal/fleet/listener.go
+++ b/internal/fleet/listener.go
@@ -3,22 +3,23 @@
 import (
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/locality"
 )
 
 // listener is a connection that another daemon opened; it hears of this
 // daemon's instances.
 type listener struct {
 	link callmux.Link
-	// zone and region are those of the daemon that opened it.
-	zone, region string
-	wake         chan struct{}
+	// place is that of the daemon that opened it.
+	place locality.Place
+	wake  chan struct{}
 }
 
 // Accepted takes in a connection that another daemon opened, for
 // callmux.Server.
 func (f *Fleet) Accepted(hello *lapisv1.Hello, link callmux.Link) callmux.Control {
-	opened := &listener{link: link, zone: hello.GetZone(), region: hello.GetRegion(), wake: make(chan struct{}, 1)}
 	dialer := Member{Node: hello.GetNode(), Address: hello.GetAddress(), Zone: hello.GetZone(), Region: hello.GetRegion(), Service: hello.GetService()}
+	opened := &listener{link: link, place: dialer.place(), wake: make(chan struct{}, 1)}
 	f.mutex.Lock()
 	f.listeners[opened] = true
 	member := f.greeted(dialer)
--- a/internal/fleet/wanted.go
+++ b/internal/fleet/wanted.go
@@ -5,6 +5,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/lapisvane/lapisvane/internal/locality"
 )
 
 // Bounds of the daemons that one daemon connects to.
@@ -48,20 +50,20 @@
 // linksPerService, less some where there are other regions, and some of each of those. A
 // lack in the own region is made up from the others.
 func chooseOfService(chosen map[string]bool, self Member, members []candidate) {
-	var tiers [ownZone + 1][]candidate
+	var tiers [locality.OtherRegion + 1][]candidate
 	regions := map[string][]candidate{}
 	for _, member := range members {
-		distance := self.localityOf(member.Zone, member.Region)
-		tiers[distance] = append(tiers[distance], member)
-		if distance == otherRegion {
+		tier := self.tierOf(member.Member)
+		tiers[tier] = append(tiers[tier], member)
+		if tier == locality.OtherRegion {
 			regions[member.Region] = append(regions[member.Region], member)
 		}
 	}
-	near := linksPerService - min(regionLinks, sound(tiers[otherRegion]))
+	near := linksPerService - min(regionLinks, sound(tiers[locality.OtherRegion]))
 	local := near * localLinks / linksPerService
-	taken := take(chosen, self, tiers[ownZone], max(local, near-sound(tiers[ownRegion])))
-	taken += take(chosen, self, tiers[ownRegion], near-taken)
-	take(chosen, self, tiers[otherRegion], linksPerService-taken)
+	taken := take(chosen, self, tiers[locality.OwnZone], max(local, near-sound(tiers[locality.OwnRegion])))
+	taken += take(chosen, self, tiers[locality.OwnRegion], near-taken)
+	take(chosen, self, tiers[locality.OtherRegion], linksPerService-taken)
 	for _, region := range regions {
 		take(chosen, self, region, regionLinks)
 	}
