--- a/internal/fleet/catchup.go
+++ b/internal/fleet/catchup.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/locality"
 	"github.com/lapisvane/lapisvane/internal/wire"
 )
 
@@ -85,27 +87,25 @@
 
 // ahead returns a connected daemon that has a newer configuration than this one and
 // was not asked, nil when there is none. Daemons of the own zone go first, then
-// those with the newest revision, then any of them at random.
+// those of the own region, then those with the newest revision, then any of them at random.
 func (f *Fleet) ahead(asked map[string]bool) (*peer, callmux.Link) {
 	above := f.revision()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var best *peer
+	var bestTier locality.Tier
 	var bestRank float64
 	for _, member := range f.members {
 		if !member.connected || member.stalled || member.revision <= above || asked[member.Node] {
 			continue
 		}
-		rank := f.config.Random()
-		if member.Zone == f.config.Self.Zone {
-			rank += 2
-		}
-		better := best == nil || rank > bestRank
-		if best != nil && (rank >= 2) == (bestRank >= 2) && member.revision != best.revision {
-			better = member.revision > best.revision
+		tier, rank := f.config.Self.tierOf(member.Member), f.config.Random()
+		better := best == nil || tier < bestTier
+		if best != nil && tier == bestTier {
+			better = cmp.Or(cmp.Compare(member.revision, best.revision), cmp.Compare(rank, bestRank)) > 0
 		}
 		if better {
-			best, bestRank = member, rank
+			best, bestTier, bestRank = member, tier, rank
 		}
 	}
 	if best == nil {
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/lapisvane/lapisvane/internal/locality"
 	"github.com/lapisvane/lapisvane/internal/pause"
 )
 
@@ -13,10 +14,17 @@
 	// Address is where it accepts the connections of other daemons.
 	Address string
 	Zone    string
+	// Region is empty where it is not known.
+	Region string
 	// Service is that of the machine, empty when there is none.
 	Service string
 }
 
+func (m Member) place() locality.Place { return locality.Place{Zone: m.Zone, Region: m.Region} }
+
+// tierOf tells how far another member is.
+func (m Member) tierOf(other Member) locality.Tier { return m.place().TierOf(other.place()) }
+
 // Directory is where daemons find each other.
 type Directory interface {
 	// Publish makes a member known; doing it twice does no harm.
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -29,6 +29,9 @@
 type Config struct {
 	Incarnation uint64
 	Backends    []BackendConfig
+	// Region is that of the daemon and of the instances beside it; empty where it is
+	// not known.
+	Region string
 	// QueueLength and QueueTime bound the waiting calls of each group.
 	QueueLength int
 	QueueTime   time.Duration
@@ -66,6 +69,10 @@
 	stopping  bool
 	// endsBy is when all calls here must be over; zero while the daemon is not stopping.
 	endsBy time.Time
+	// evacuated is true while no instance here may get work.
+	evacuated bool
+	// evacuating is held while evacuated changes and the instances follow.
+	evacuating sync.Mutex
 	// runContext is set by Run and ends the watching of instances.
 	runContext context.Context
 }
@@ -269,6 +276,9 @@
 	if o.outlasts(open) {
 		return nil, result.Errorf(result.CallNotRunStopping, "the daemon stops before the call must be over")
 	}
+	if err := o.checkRegion(open); err != nil {
+		return nil, err
+	}
 	if _, known := o.attempts.Claim(open.GetAttemptId(), attemptWaiting); known {
 		o.count(func(c *Counts) { c.Duplicates++ })
 		return nil, result.Errorf(result.CallNotRunDuplicate, "attempt %s came before", open.GetAttemptId())
