Orders reach every daemon

Cause: the order to evacuate a zone stands in the store and no daemon read it. Change: the daemon that asks for the configuration asks for the orders too, when the store's position has moved and at least each 0.3 of the bound, where the list takes the place of the other question; one confirmation covers both revisions; orders go over the links as a frame and are passed on; a daemon that starts holds configurations back until it knows the first orders. Tests: new ones for all of it. Existing ones name both revisions where they named one (Confirm, InForce); the fakes of the fleet take orders; nothing is eased.

--- a/internal/callmux/heartbeat.go
+++ b/internal/callmux/heartbeat.go
@@ -15,8 +15,11 @@
 type Heartbeat struct {
 	// Revision is the configuration in force at the sender, 0 before the first.
 	Revision uint64
-	// Confirmed is a time by this daemon's clock: no revision above Revision had
-	// been accepted before it. It is zero when that is not known.
+	// Orders is the revision of the operators' orders in force at the sender, 0
+	// before the first and where there are none.
+	Orders uint64
+	// Confirmed is a time by this daemon's clock: nothing newer than Revision and
+	// Orders had been accepted before it. It is zero when that is not known.
 	Confirmed time.Time
 }
 
@@ -68,7 +71,7 @@
 	told := frame.GetFreshness()
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	heartbeat := Heartbeat{Revision: frame.GetRevision()}
+	heartbeat := Heartbeat{Revision: frame.GetRevision(), Orders: frame.GetOrdersRevision()}
 	if told.GetSequence() > e.heard {
 		e.heard = told.GetSequence()
 		e.heardAt = now
@@ -83,11 +86,12 @@
 }
 
 // lacks reports whether the peer would learn from a heartbeat now: of a newer
-// revision, or of a confirmation that is newer by more than gain.
+// revision of either kind, or of a confirmation that is newer by more than gain.
 func (e *echoes) lacks(local Heartbeat, gain time.Duration) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return local.Revision > e.peer.Revision || local.Confirmed.Sub(e.peer.Confirmed) > gain
+	newer := local.Revision > e.peer.Revision || local.Orders > e.peer.Orders
+	return newer || local.Confirmed.Sub(e.peer.Confirmed) > gain
 }
 
 // heardAlive takes in an empty frame. A peer that has not heard of this side yet
@@ -113,6 +117,7 @@
 	}
 	local := s.timing.Local()
 	frame.Revision = local.Revision
+	frame.OrdersRevision = local.Orders
 	frame.Freshness = s.echoes.make(local, time.Now())
 	return frame
 }
--- a/internal/callmux/heartbeat_test.go
+++ b/internal/callmux/heartbeat_test.go
@@ -1,18 +1,22 @@
 package callmux
 
 import (
+	"net"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/wire"
 )
 
 // aliveFrame is the empty frame that a side makes at a time.
 func aliveFrame(side *echoes, local Heartbeat, now time.Time) *lapisv1.CallFrame {
-	return &lapisv1.CallFrame{Revision: local.Revision, Freshness: side.make(local, now)}
+	return &lapisv1.CallFrame{Revision: local.Revision, OrdersRevision: local.Orders, Freshness: side.make(local, now)}
 }
 
 // Before a peer has heard of this side, its ages cannot be bounded.
@@ -70,11 +74,32 @@
 	const gain = 100 * time.Millisecond
 	start := time.Now()
 	var near, far echoes
-	local := Heartbeat{Revision: 3, Confirmed: start}
+	local := Heartbeat{Revision: 3, Orders: 2, Confirmed: start}
 	assert.Assert(t, near.lacks(local, gain))
 	far.take(aliveFrame(&near, local, start), start)
 	near.take(aliveFrame(&far, local, start.Add(time.Millisecond)), start.Add(time.Millisecond))
 	assert.Assert(t, !near.lacks(local, gain))
 	assert.Assert(t, near.lacks(Heartbeat{Revision: 4, Confirmed: start}, gain))
+	assert.Assert(t, near.lacks(Heartbeat{Revision: 3, Orders: 4, Confirmed: start}, gain))
 	assert.Assert(t, near.lacks(Heartbeat{Revision: 3, Confirmed: start.Add(time.Second)}, gain))
 }
+
+// The empty frames of a session bring the sender's revisions, that of orders also where
+// no configuration is in force.
+func TestHeartbeatCarriesOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		local := func() Heartbeat { return Heartbeat{Orders: 12} }
+		sender := newSession(wire.NewConn(near, nil), 1, Timing{KeepAlive: time.Second, Silence: time.Hour, Write: time.Hour, Local: local})
+		receiver := newSession(wire.NewConn(far, nil), 1, Timing{KeepAlive: time.Hour, Silence: time.Hour, Write: time.Hour})
+		var heard atomic.Uint64
+		receiver.control.Heartbeat = func(heartbeat Heartbeat) { heard.Store(heartbeat.Orders) }
+		go func() { _ = receiver.receive(nil) }()
+		go func() { _ = sender.receive(nil) }()
+		go sender.keepAlive()
+		time.Sleep(time.Minute)
+		assert.Equal(t, heard.Load(), uint64(12))
+		sender.close(net.ErrClosed)
+		receiver.close(net.ErrClosed)
+	})
+}
--- a/internal/callmux/session.go
+++ b/internal/callmux/session.go
@@ -190,7 +190,8 @@
 		s.fenced(body.Fenced)
 		return nil
 	case *lapisv1.CallFrame_Announcement, *lapisv1.CallFrame_Introduction,
-		*lapisv1.CallFrame_ConfigurationRequest, *lapisv1.CallFrame_Configuration, *lapisv1.CallFrame_DeflatedConfiguration:
+		*lapisv1.CallFrame_ConfigurationRequest, *lapisv1.CallFrame_Configuration, *lapisv1.CallFrame_DeflatedConfiguration,
+		*lapisv1.CallFrame_Orders:
 		if s.control.Frame != nil {
 			s.control.Frame(frame)
 		}
--- a/internal/configsource/configsource.go
+++ b/internal/configsource/configsource.go
@@ -1,8 +1,8 @@
-// Package configsource follows an outside source of the configuration, where
-// the source itself decides which version is in force. Of all daemons about one
-// asks at a time, and the others learn from it how fresh their version is. It
-// keeps asking through outages and leaves what is in force where a version cannot
-// be used.
+// Package configsource follows an outside source of the configuration and of the
+// operators' orders, where the source itself decides which version is in force. Of
+// all daemons about one asks at a time, and the others learn from it how fresh their
+// version is. It keeps asking through outages and leaves what is in force where a
+// version cannot be used.
 package configsource
 
 import (
@@ -13,11 +13,13 @@
 	"github.com/go-logr/logr"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/orders"
 	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
-// Position is a place in the source's history; the source gives it out.
+// Position is a place in the source's history; the source gives it out. It is one
+// for all that the source keeps, and the revisions of orders are positions.
 type Position uint64
 
 // Source is where configurations come from. An error with a code of 2xxx, or
@@ -31,6 +33,9 @@
 	// position up to which there was none when the wait was over. Errors:
 	// PlatformCompacted when the history after position is gone.
 	Next(ctx context.Context, after Position, wait time.Duration) (*lapisv1.Configuration, Position, error)
+	// Orders returns all orders as they stand, at the revision that is the source's
+	// position.
+	Orders(ctx context.Context) (*orders.Set, error)
 }
 
 // Follower follows a source. The followers of all daemons share the work: see
@@ -40,6 +45,11 @@
 	// Apply puts a configuration in force. It is called for each one that the
 	// source brings, also for one that is in force already.
 	Apply func(*lapisv1.Configuration)
+	// TakeOrders puts orders in force. It is called with each answer, also with one
+	// that asks for what is in force already; nil where operators give no orders.
+	TakeOrders func(*orders.Set)
+	// OrdersBound is the time within which orders must be in force.
+	OrdersBound time.Duration
 	// Freshness is shared with whoever hears of other daemons' confirmations.
 	Freshness *Freshness
 	// Confirmed is called after each answer of the source, once what it brought
@@ -56,8 +66,9 @@
 	Random func() float64
 	Logger logr.Logger
 
-	// Asked and Failed count the questions, and those that got no answer.
-	Asked, Failed atomic.Int64
+	// Asked and OrdersAsked count the questions for the configuration and for orders,
+	// Failed the turns that were not answered.
+	Asked, OrdersAsked, Failed atomic.Int64
 
 	// The following belong to Run. position is how far the source's history is
 	// known, if it is; failing is true after a question without an answer, the
@@ -66,6 +77,8 @@
 	known    bool
 	failing  bool
 	failedAt time.Time
+	// orders is what is known of the orders from the questions of this daemon.
+	orders ordersRead
 }
 
 // historyTrusted is the age from which the history after the last answer is not
@@ -108,8 +121,7 @@
 	if !plan.leading && asked.Sub(plan.led) > historyTrusted {
 		f.known = false
 	}
-	err := f.askOnce(ctx)
-	f.Asked.Add(1)
+	err := f.askOnce(ctx, asked)
 	if ctx.Err() != nil {
 		return
 	}
@@ -125,8 +137,8 @@
 		f.noteLead(asked, confirmed)
 	}
 	plan.answered(asked)
-	revision, _ := f.Freshness.InForce()
-	f.Freshness.Confirm(revision, asked)
+	versions, _ := f.Freshness.InForce()
+	f.Freshness.Confirm(versions, asked)
 	f.Confirmed()
 }
 
@@ -166,9 +178,9 @@
 	return time.Duration(answerPart * float64(f.Bound))
 }
 
-// askOnce asks the source for what is newer than the known position, or for the
-// whole. A configuration that cannot be used counts as an answer.
-func (f *Follower) askOnce(ctx context.Context) error {
+// askConfiguration asks the source for what is newer than the known position, or for
+// the whole. A configuration that cannot be used counts as an answer.
+func (f *Follower) askConfiguration(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.answerTime())
 	defer cancel()
 	next, err := f.ask(ctx, f.position, f.known)
@@ -198,6 +210,7 @@
 func (f *Follower) ask(ctx context.Context, position Position, known bool) (Position, error) {
 	var configuration *lapisv1.Configuration
 	var err error
+	f.Asked.Add(1)
 	if known {
 		configuration, position, err = f.Source.Next(ctx, position, shortestWait)
 	} else {
--- a/internal/configsource/configsource_test.go
+++ b/internal/configsource/configsource_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/configsource"
+	"github.com/lapisvane/lapisvane/internal/orders"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -117,6 +118,11 @@
 	return nil, after, ctx.Err()
 }
 
+// Orders implements configsource.Source; these sources keep none.
+func (s *scriptedSource) Orders(context.Context) (*orders.Set, error) {
+	return nil, result.Errorf(result.PlatformBadAnswer, "orders were not to be asked for")
+}
+
 // applied records what a follower brings.
 type applied struct {
 	mutex    sync.Mutex
--- a/internal/configsource/freshness_test.go
+++ b/internal/configsource/freshness_test.go
@@ -13,8 +13,8 @@
 	start := time.Now()
 	freshness := &configsource.Freshness{}
 	freshness.Advance(3)
-	assert.Assert(t, freshness.Confirm(3, start))
-	assert.Assert(t, !freshness.Confirm(5, start.Add(time.Second)))
+	assert.Assert(t, freshness.Confirm(configsource.Versions{Configuration: 3}, start))
+	assert.Assert(t, !freshness.Confirm(configsource.Versions{Configuration: 5}, start.Add(time.Second)))
 	assert.Assert(t, freshness.Confirmed().Equal(start))
 
 	freshness.Advance(4)
@@ -29,10 +29,10 @@
 	start := time.Now()
 	freshness := &configsource.Freshness{}
 	freshness.Advance(5)
-	assert.Assert(t, freshness.Confirm(3, start))
-	assert.Assert(t, !freshness.Confirm(5, start.Add(-time.Second)))
-	revision, confirmed := freshness.InForce()
-	assert.Equal(t, revision, uint64(5))
+	assert.Assert(t, freshness.Confirm(configsource.Versions{Configuration: 3}, start))
+	assert.Assert(t, !freshness.Confirm(configsource.Versions{Configuration: 5}, start.Add(-time.Second)))
+	versions, confirmed := freshness.InForce()
+	assert.Equal(t, versions, configsource.Versions{Configuration: 5})
 	assert.Assert(t, confirmed.Equal(start))
 }
 
@@ -44,8 +44,8 @@
 	freshness.Advance(1)
 	for revision := uint64(3); revision < 40; revision++ {
 		told := start.Add(time.Duration(revision) * time.Second)
-		assert.Assert(t, !freshness.Confirm(revision, told.Add(-time.Second/2)))
-		assert.Assert(t, !freshness.Confirm(revision, told))
+		assert.Assert(t, !freshness.Confirm(configsource.Versions{Configuration: revision}, told.Add(-time.Second/2)))
+		assert.Assert(t, !freshness.Confirm(configsource.Versions{Configuration: revision}, told))
 		freshness.Advance(revision - 2)
 		if revision > 4 {
 			want := told.Add(-2 * time.Second)
@@ -53,3 +53,56 @@
 		}
 	}
 }
+
+// One confirmation covers both: it counts once both revisions are in force, and not
+// for orders that were in force before or come after.
+func TestConfirmationCoversOrders(t *testing.T) {
+	start := time.Now()
+	after := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	versions := func(configuration, orders uint64) configsource.Versions {
+		return configsource.Versions{Configuration: configuration, Orders: orders}
+	}
+	freshness := &configsource.Freshness{WithOrders: true}
+	assert.Assert(t, !freshness.Confirm(versions(3, 0), after(1)), "of a daemon without orders")
+	freshness.Advance(3)
+	assert.Assert(t, freshness.Confirmed().IsZero())
+	assert.Assert(t, !freshness.Confirm(versions(3, 10), after(2)))
+	freshness.AdvanceOrders(10)
+	assert.Assert(t, freshness.Confirmed().Equal(after(2)))
+
+	assert.Assert(t, !freshness.Confirm(versions(4, 12), after(4)))
+	freshness.AdvanceOrders(12)
+	assert.Assert(t, freshness.Confirmed().Equal(after(2)), "the configuration is not in force")
+	freshness.Advance(5)
+	assert.Assert(t, freshness.Confirmed().Equal(after(4)))
+
+	assert.Assert(t, !freshness.Confirm(versions(5, 10), after(6)), "of older orders")
+	assert.Assert(t, !freshness.Confirm(versions(5, 14), after(6)))
+	freshness.AdvanceOrders(16)
+	assert.Assert(t, freshness.Confirmed().Equal(after(4)), "of orders that were passed over")
+	assert.Assert(t, freshness.Confirm(versions(4, 16), after(6)))
+}
+
+// Where operators give no orders, those of others do not matter.
+func TestConfirmationWithoutOrders(t *testing.T) {
+	freshness := &configsource.Freshness{}
+	freshness.Advance(3)
+	assert.Assert(t, freshness.Confirm(configsource.Versions{Configuration: 3, Orders: 9}, time.Now()))
+}
+
+// Confirmations of other orders neither take the place of one that waits nor make it
+// look needless.
+func TestConfirmationWaitsBesideThoseOfOtherOrders(t *testing.T) {
+	start := time.Now()
+	freshness := &configsource.Freshness{WithOrders: true}
+	freshness.Advance(3)
+	freshness.AdvanceOrders(10)
+	freshness.Confirm(configsource.Versions{Configuration: 4, Orders: 11}, start.Add(time.Minute))
+	freshness.Confirm(configsource.Versions{Configuration: 5, Orders: 12}, start)
+	for revision := uint64(6); revision < 40; revision++ {
+		freshness.Confirm(configsource.Versions{Configuration: revision, Orders: 9}, start.Add(time.Duration(revision)*time.Millisecond))
+	}
+	freshness.Advance(5)
+	freshness.AdvanceOrders(12)
+	assert.Assert(t, freshness.Confirmed().Equal(start))
+}
--- a/internal/configsource/schedule_test.go
+++ b/internal/configsource/schedule_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/configsource"
+	"github.com/lapisvane/lapisvane/internal/orders"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -26,10 +27,24 @@
 	follower  *configsource.Follower
 	stop      context.CancelFunc
 
+	orders orders.Current
+
 	// mutex protects the rest. A mute daemon tells nobody, a deaf one hears nobody,
-	// a refused one gets no answer from the source.
-	mutex               sync.Mutex
-	mute, deaf, refused bool
+	// a refused one gets no answer from the source, an unordered one hears which
+	// orders others have and not the orders.
+	mutex                          sync.Mutex
+	mute, deaf, refused, unordered bool
+	orderedAt                      time.Time
+}
+
+// take takes in orders and passes them on.
+func (m *fleetmate) take(set *orders.Set, replace func(*orders.Set) (*orders.Set, bool), mates []*fleetmate) {
+	if _, taken := replace(set); !taken {
+		return
+	}
+	m.freshness.AdvanceOrders(m.orders.Load().Revision())
+	m.set(func(m *fleetmate) { m.orderedAt = time.Now() })
+	tell(m, mates)
 }
 
 func (m *fleetmate) apply(configuration *lapisv1.Configuration) {
@@ -78,8 +93,15 @@
 
 // playFleet runs so many daemons against a source until test returns.
 func playFleet(t *testing.T, count int, test func(source *scriptedSource, mates []*fleetmate)) {
+	source := &scriptedSource{log: []uint64{3}}
+	reach := func(mate *fleetmate) configsource.Source { return ownSource{source, mate} }
+	playMates(t, count, 0, reach, func(mates []*fleetmate) { test(source, mates) })
+}
+
+// playMates runs so many daemons, each of which reaches a source in its own way, until
+// test returns. They follow orders where these have a bound.
+func playMates(t *testing.T, count int, ordersBound time.Duration, reach func(*fleetmate) configsource.Source, test func([]*fleetmate)) {
 	synctest.Test(t, func(t *testing.T) {
-		source := &scriptedSource{log: []uint64{3}}
 		var running sync.WaitGroup
 		mates := make([]*fleetmate, count)
 		for index := range mates {
@@ -90,14 +112,19 @@
 			random := rand.New(rand.NewPCG(7, uint64(index)))
 			mate.stop = cancel
 			mate.follower = &configsource.Follower{
-				Source: ownSource{source, mate}, Apply: mate.apply, Freshness: &mate.freshness, Bound: bound,
+				Source: reach(mate), Apply: mate.apply, Freshness: &mate.freshness, Bound: bound,
 				Confirmed: func() { tell(mate, mates) }, Daemons: func() int { return count }, Random: random.Float64,
 				Pace: func() time.Duration { return 0 }, Logger: logr.Discard(),
 			}
+			if ordersBound > 0 {
+				mate.freshness.WithOrders = true
+				mate.follower.OrdersBound = ordersBound
+				mate.follower.TakeOrders = func(set *orders.Set) { mate.take(set, mate.orders.Read, mates) }
+			}
 			running.Go(func() { mate.follower.Run(ctx) })
 		}
 		time.Sleep(5 * time.Second)
-		test(source, mates)
+		test(mates)
 		for _, mate := range mates {
 			mate.stop()
 		}
@@ -111,15 +138,19 @@
 	if from.is(func(m *fleetmate) bool { return m.mute }) {
 		return
 	}
-	revision, confirmed := from.freshness.InForce()
+	versions, confirmed := from.freshness.InForce()
+	set := from.orders.Load()
 	for _, mate := range mates {
 		if mate == from || mate.is(func(m *fleetmate) bool { return m.deaf }) {
 			continue
 		}
 		time.AfterFunc(tellDelay, func() {
-			mate.freshness.Confirm(revision, confirmed)
-			if known, _ := mate.last(); revision > known {
-				mate.apply(&lapisv1.Configuration{Revision: revision})
+			mate.freshness.Confirm(versions, confirmed)
+			if known, _ := mate.last(); versions.Configuration > known {
+				mate.apply(&lapisv1.Configuration{Revision: versions.Configuration})
+			}
+			if set != nil && !mate.is(func(m *fleetmate) bool { return m.unordered }) {
+				mate.take(set, mate.orders.Replace, mates)
 			}
 		})
 	}
@@ -274,12 +305,12 @@
 		before := questions(mates)
 		newcomer := &fleetmate{}
 		told := leader(mates)
-		revision, confirmed := told.freshness.InForce()
-		newcomer.apply(&lapisv1.Configuration{Revision: revision})
-		newcomer.freshness.Confirm(revision, confirmed)
+		versions, confirmed := told.freshness.InForce()
+		newcomer.apply(&lapisv1.Configuration{Revision: versions.Configuration})
+		newcomer.freshness.Confirm(versions, confirmed)
 		ctx, cancel := context.WithCancel(context.Background())
 		newcomer.follower = &configsource.Follower{
-			Source: ownSource{&scriptedSource{log: []uint64{revision}}, newcomer}, Apply: newcomer.apply, Freshness: &newcomer.freshness,
+			Source: ownSource{&scriptedSource{log: []uint64{versions.Configuration}}, newcomer}, Apply: newcomer.apply, Freshness: &newcomer.freshness,
 			Bound: bound, Confirmed: func() {}, Daemons: func() int { return 13 }, Random: rand.New(rand.NewPCG(1, 1)).Float64,
 			Pace: func() time.Duration { return 0 }, Logger: logr.Discard(),
 		}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -49,6 +49,8 @@
 	// freshness is how recently what is in force was confirmed to be the newest.
 	freshness configsource.Freshness
 	inForce   atomic.Pointer[lapisv1.Configuration]
+	// orders are the operators' orders.
+	orders ordersPart
 	// inForceAt is when that came in force, in nanoseconds since started.
 	inForceAt atomic.Int64
 	members   atomic.Int64
@@ -60,22 +62,25 @@
 func (d *Daemon) buildDirect(platform port.Platform) {
 	part := &direct{daemon: d, platform: platform, started: time.Now()}
 	part.members.Store(1)
+	part.freshness.WithOrders = part.ordersBound() > 0
 	d.calls.Maintained = true
 	d.calls.Timing = part.timing()
 	part.fleet = fleet.New(fleet.Config{
 		Self:        fleet.Member{Node: d.settings.Load().Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Load().Zone, Service: d.settings.Load().Service},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
-		InForce: part.inForce.Load, Freshness: &part.freshness, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
+		InForce: part.inForce.Load, Orders: part.ordersInForce(), Freshness: &part.freshness, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
 	part.follower = &configsource.Follower{
 		Source: platform.Source(), Apply: part.Offer, Freshness: &part.freshness, Confirmed: part.fleet.Beat,
-		Bound: d.settings.Load().Platform.ApplyBound.Get(), Daemons: func() int { return int(part.members.Load()) },
+		Bound: part.askBound(), Daemons: func() int { return int(part.members.Load()) },
 		Pace: part.pace, Random: rand.Float64, Logger: d.logger,
 	}
+	part.joinOrders()
 	d.direct = part
 	d.node = part.fleet
 	metrics.RegisterDirect(d.registry, metrics.Direct{
 		Fleet: part.fleet, Follower: part.follower, Origin: d.origin, InForce: part.inForceSince, Ready: part.ready,
+		Orders: &part.orders.current, Confirmed: part.freshness.Confirmed,
 	})
 }
 
@@ -94,8 +99,8 @@
 
 // heartbeat is what other daemons are told.
 func (p *direct) heartbeat() callmux.Heartbeat {
-	revision, confirmed := p.freshness.InForce()
-	return callmux.Heartbeat{Revision: revision, Confirmed: confirmed}
+	versions, confirmed := p.freshness.InForce()
+	return callmux.Heartbeat{Revision: versions.Configuration, Orders: versions.Orders, Confirmed: confirmed}
 }
 
 // stall bounds the time in which a daemon that does not answer is noticed.
@@ -138,7 +143,8 @@
 	return pace
 }
 
-// ready reports whether callers may be sent here.
+// ready reports whether callers may be sent here. No configuration is in force before
+// the first orders are known.
 func (p *direct) ready() bool {
 	if p.leaving.Load() || p.inForce.Load() == nil {
 		return false
@@ -156,7 +162,7 @@
 	defer p.mutex.Unlock()
 	d := p.daemon
 	current := p.inForce.Load()
-	if configuration.GetRevision() <= current.GetRevision() {
+	if configuration.GetRevision() <= current.GetRevision() || p.holdBack(configuration) {
 		return
 	}
 	if err := d.snapshots.ReplaceConfiguration(configuration); err != nil {
--- a/internal/fleet/address_test.go
+++ b/internal/fleet/address_test.go
@@ -106,8 +106,9 @@
 
 func (noInstances) Fence(string) bool { return false }
 
-// daemonAt runs a daemon's part in the fleet at the member's address until ctx ends.
-func daemonAt(ctx context.Context, running *sync.WaitGroup, network *memoryNetwork, self Member, directory Directory) *Fleet {
+// daemonAt runs a daemon's part in the fleet at the member's address until ctx ends,
+// with its configuration as adjust leaves it.
+func daemonAt(ctx context.Context, running *sync.WaitGroup, network *memoryNetwork, self Member, directory Directory, adjust ...func(*Config)) *Fleet {
 	incarnation := uint64(len(self.Node)) + uint64(self.Node[0])<<8
 	timing := callmux.Timing{KeepAlive: time.Second, Silence: 2500 * time.Millisecond, Write: time.Second}
 	calls := &callmux.Client{
@@ -117,11 +118,15 @@
 			Node: self.Node, Incarnation: incarnation, Zone: self.Zone, Address: self.Address, Service: self.Service,
 		},
 	}
-	daemon := New(Config{
+	config := Config{
 		Self: self, Incarnation: incarnation, Directory: directory, Calls: calls, Observer: offerFunc(func(*lapisv1.Configuration) {}),
 		InForce: func() *lapisv1.Configuration { return nil }, Freshness: &configsource.Freshness{},
 		Withdrawn: func() []string { return nil }, Random: func() float64 { return 0.5 }, Logger: logr.Discard(),
-	})
+	}
+	for _, change := range adjust {
+		change(&config)
+	}
+	daemon := New(config)
 	server := &callmux.Server{Node: self.Node, Incarnation: incarnation, Origin: noInstances{}, Timing: timing, Accepted: daemon.Accepted}
 	listener, _ := network.Listen(self.Address)
 	accepting := &accept.Server{Node: self.Node, Logger: logr.Discard(), Handlers: map[lapisv1.Hello_Purpose]accept.Handler{lapisv1.Hello_PURPOSE_CALLS: server.Serve}}
--- a/internal/fleet/catchup_test.go
+++ b/internal/fleet/catchup_test.go
@@ -10,6 +10,7 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/callmux"
 	"github.com/lapisvane/lapisvane/internal/configsource"
+	"github.com/lapisvane/lapisvane/internal/orders"
 )
 
 // behindAt returns a daemon in zone a that has a revision in force, and what it
@@ -63,6 +64,20 @@
 	assert.Assert(t, !behind.config.Freshness.Confirmed().IsZero())
 }
 
+// A heartbeat that tells of newer orders, whose frame has not come, does not make what
+// is in force here look fresh.
+func TestHeartbeatOfNewerOrders(t *testing.T) {
+	ahead := at("ahead", "a", 0)
+	behind := behindAt(5, ahead)
+	behind.config.Freshness.WithOrders = true
+	behind.config.Freshness.Advance(5)
+	behind.config.Freshness.AdvanceOrders(7)
+	behind.heard(ahead, callmux.Heartbeat{Revision: 5, Orders: 9, Confirmed: time.Now()})
+	assert.Assert(t, behind.config.Freshness.Confirmed().IsZero())
+	behind.config.Freshness.AdvanceOrders(9)
+	assert.Assert(t, !behind.config.Freshness.Confirmed().IsZero())
+}
+
 // Within a zone a confirmation is told at once; over its border it waits for the
 // regular heartbeats.
 func TestConfirmationsCrossZonesSeldom(t *testing.T) {
@@ -100,3 +115,4 @@
 func (offerFunc) Endpoints(string, []*lapisv1.Endpoint)        {}
 func (offerFunc) Members(int)                                  {}
 func (offerFunc) Withdraw(string)                              {}
+func (offerFunc) Ordered(*orders.Set, string)                  {}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/callmux"
 	"github.com/lapisvane/lapisvane/internal/configsource"
+	"github.com/lapisvane/lapisvane/internal/orders"
 )
 
 // Bounds and times of what is known of other daemons.
@@ -45,6 +46,8 @@
 	Members(count int)
 	// Offer brings a configuration that another daemon has in force.
 	Offer(configuration *lapisv1.Configuration)
+	// Ordered brings the operators' orders that another daemon follows.
+	Ordered(set *orders.Set, from string)
 	// Withdraw names an instance beside this daemon that left in an earlier
 	// life of the daemon.
 	Withdraw(instance string)
@@ -60,7 +63,10 @@
 	Observer Observer
 	// InForce returns the configuration in force, nil before the first.
 	InForce func() *lapisv1.Configuration
-	// Freshness is how recently that was confirmed to be the newest.
+	// Orders returns the operators' orders in force, nil before the first; it is nil
+	// itself where operators give none.
+	Orders func() *orders.Set
+	// Freshness is how recently both were confirmed to be the newest.
 	Freshness *configsource.Freshness
 	// Withdrawn returns the instances beside this daemon that left for good.
 	Withdrawn func() []string
@@ -114,8 +120,9 @@
 	lostAt       time.Time
 	announcement *lapisv1.Announcement
 	revision     uint64
-	// wake asks for a connection to be tried at once.
-	wake chan struct{}
+	// wake asks for a connection to be tried at once, ordered for the orders to be
+	// sent on the one that there is.
+	wake, ordered chan struct{}
 	// displacedAt is when another daemon was found at the address; zero while none
 	// was.
 	displacedAt time.Time
@@ -226,7 +233,7 @@
 		return nil
 	}
 	if !ok {
-		known = &peer{wake: make(chan struct{}, 1), withdrawn: map[string]time.Time{}, lostAt: time.Now()}
+		known = &peer{wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1), withdrawn: map[string]time.Time{}, lostAt: time.Now()}
 		f.members[member.Node] = known
 		f.config.Logger.V(1).Info("fleet.member_known", "member", member.Node, "address", member.Address, "zone", member.Zone)
 		signal(f.changed)
--- a/internal/fleet/heartbeat.go
+++ b/internal/fleet/heartbeat.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/callmux"
+	"github.com/lapisvane/lapisvane/internal/configsource"
 )
 
 // How much newer a confirmation must be than the one that the peer told before it is
@@ -26,7 +27,8 @@
 		f.noteRevision(member, heartbeat.Revision)
 		f.mutex.Unlock()
 	}
-	if !heartbeat.Confirmed.IsZero() && f.config.Freshness.Confirm(heartbeat.Revision, heartbeat.Confirmed) {
+	told := configsource.Versions{Configuration: heartbeat.Revision, Orders: heartbeat.Orders}
+	if !heartbeat.Confirmed.IsZero() && f.config.Freshness.Confirm(told, heartbeat.Confirmed) {
 		f.Beat()
 	}
 }
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -102,7 +102,15 @@
 	stop := context.AfterFunc(ctx, func() { link.Close(result.Errorf(result.CallUnknownOutcome, "the connection is not wanted any more")) })
 	defer stop()
 	f.remind(member, link)
-	<-link.Closed()
+	f.sendOrders(link)
+	for {
+		select {
+		case <-link.Closed():
+			return
+		case <-member.ordered:
+			f.sendOrders(link)
+		}
+	}
 }
 
 func (f *Fleet) lost(member *peer) {
@@ -130,5 +138,7 @@
 		f.offered(body.Configuration)
 	case *lapisv1.CallFrame_DeflatedConfiguration:
 		f.offeredDeflated(member, body.DeflatedConfiguration)
+	case *lapisv1.CallFrame_Orders:
+		f.tookOrders(member.Node, body.Orders)
 	}
 }
--- a/internal/fleet/listener.go
+++ b/internal/fleet/listener.go
@@ -9,15 +9,19 @@
 // daemon's instances.
 type listener struct {
 	link callmux.Link
-	// zone is that of the daemon that opened it.
-	zone string
-	wake chan struct{}
+	// node and zone are those of the daemon that opened it.
+	node, zone string
+	// wake asks for the announcement to be sent, ordered for the orders.
+	wake, ordered chan struct{}
 }
 
 // Accepted takes in a connection that another daemon opened, for
 // callmux.Server.
 func (f *Fleet) Accepted(hello *lapisv1.Hello, link callmux.Link) callmux.Control {
-	opened := &listener{link: link, zone: hello.GetZone(), wake: make(chan struct{}, 1)}
+	opened := &listener{
+		link: link, node: hello.GetNode(), zone: hello.GetZone(),
+		wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1),
+	}
 	dialer := Member{Node: hello.GetNode(), Address: hello.GetAddress(), Zone: hello.GetZone(), Service: hello.GetService()}
 	f.mutex.Lock()
 	f.listeners[opened] = true
@@ -43,22 +47,29 @@
 	if member != nil {
 		f.remind(member, opened.link)
 	}
+	f.sendOrders(opened.link)
+	f.sendAnnouncement(opened.link)
 	for {
-		f.mutex.Lock()
-		announcement := f.announcement()
-		f.mutex.Unlock()
-		frame := &lapisv1.CallFrame{Body: &lapisv1.CallFrame_Announcement{Announcement: announcement}}
-		if opened.link.Send(frame) != nil {
-			return
-		}
 		select {
 		case <-opened.link.Closed():
 			return
 		case <-opened.wake:
+			f.sendAnnouncement(opened.link)
+		case <-opened.ordered:
+			f.sendOrders(opened.link)
 		}
 	}
 }
 
+// sendAnnouncement announces this daemon on a connection.
+func (f *Fleet) sendAnnouncement(link callmux.Link) {
+	f.mutex.Lock()
+	announcement := f.announcement()
+	f.mutex.Unlock()
+	// A session that is over says so itself.
+	_ = link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Announcement{Announcement: announcement}})
+}
+
 // receiveAccepted takes in a frame on a connection that another daemon opened.
 func (f *Fleet) receiveAccepted(opened *listener, frame *lapisv1.CallFrame) {
 	switch body := frame.GetBody().(type) {
@@ -66,5 +77,7 @@
 		f.introduced(body.Introduction, opened.link)
 	case *lapisv1.CallFrame_ConfigurationRequest:
 		f.serveConfiguration(opened.link, body.ConfigurationRequest.GetAbove())
+	case *lapisv1.CallFrame_Orders:
+		f.tookOrders(opened.node, body.Orders)
 	}
 }
--- /dev/null
+++ b/internal/fleet/orders_test.go
@@ -0,0 +1,140 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/orders"
+)
+
+// follower is a daemon's observer that follows the orders it hears of.
+type follower struct {
+	offerFunc
+	fleet   atomic.Pointer[Fleet]
+	orders  orders.Current
+	takenAt atomic.Pointer[time.Time]
+	heard   atomic.Int64
+}
+
+// Ordered implements Observer.
+func (f *follower) Ordered(set *orders.Set, _ string) {
+	f.heard.Add(1)
+	if _, taken := f.orders.Replace(set); taken {
+		now := time.Now()
+		f.takenAt.Store(&now)
+		if spreading := f.fleet.Load(); spreading != nil {
+			spreading.SpreadOrders()
+		}
+	}
+}
+
+// evacuating are orders at a revision that evacuate a zone.
+func evacuating(revision uint64, zone string) *orders.Set {
+	return orders.NewSet(&lapisv1.Orders{Revision: revision, Evacuations: []*lapisv1.Evacuation{{Zone: zone, Revision: revision}}})
+}
+
+// playFollowers runs test with a function that starts a daemon which follows orders, in
+// a fleet of its own; one that knows orders from its start is given them, and one that
+// cannot dial is given a network without listeners.
+func playFollowers(t *testing.T, test func(start func(index int, known *orders.Set, adjust ...func(*Config)) *follower)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		directory := &scriptedDirectory{published: map[Member]time.Time{}}
+		network := &memoryNetwork{accepting: map[string]chan net.Conn{}, dials: map[string]int{}}
+		var running sync.WaitGroup
+		test(func(index int, known *orders.Set, adjust ...func(*Config)) *follower {
+			joined := &follower{offerFunc: func(*lapisv1.Configuration) {}}
+			if known != nil {
+				joined.orders.Replace(known)
+			}
+			member := memberAt(fmt.Sprintf("%c-%d", 'A'+index, index), fmt.Sprintf("x:%d", index))
+			follow := func(config *Config) { config.Observer, config.Orders = joined, joined.orders.Load }
+			joined.fleet.Store(daemonAt(ctx, &running, network, member, directory, append(adjust, follow)...))
+			return joined
+		})
+		cancel()
+		running.Wait()
+		// Greetings that nobody read end by their own time.
+		time.Sleep(time.Minute)
+	})
+}
+
+// Orders reach all of a fleet in which nobody is connected to everybody, each daemon
+// hears of them a bounded number of times, and a daemon that starts has them from its
+// neighbours.
+func TestOrdersReachAllDaemons(t *testing.T) {
+	const daemons = 50
+	playFollowers(t, func(start func(int, *orders.Set, ...func(*Config)) *follower) {
+		var followers []*follower
+		for index := range daemons {
+			followers = append(followers, start(index, nil))
+		}
+		time.Sleep(20 * time.Second)
+		for _, set := range []*orders.Set{evacuating(7, "a"), evacuating(9, "b")} {
+			for _, known := range followers {
+				known.heard.Store(0)
+			}
+			given := time.Now()
+			followers[3].Ordered(set, "store")
+			time.Sleep(time.Second)
+			for index, known := range followers {
+				assert.Equal(t, known.orders.Load().Revision(), set.Revision(), "daemon %d", index)
+				assert.Assert(t, known.takenAt.Load().Sub(given) < 100*time.Millisecond)
+				assert.Assert(t, known.heard.Load() <= daemons, "daemon %d heard %d times", index, known.heard.Load())
+			}
+		}
+		newcomer := start(daemons, nil)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, newcomer.orders.Evacuated("b"))
+	})
+}
+
+// Over a single link orders go both ways: those known when it opens, and later ones.
+func TestOrdersGoBothWaysOverOneLink(t *testing.T) {
+	cannotDial := func(config *Config) {
+		config.Calls.Network = &memoryNetwork{accepting: map[string]chan net.Conn{}, dials: map[string]int{}}
+	}
+	for name, knows := range map[string][2]*orders.Set{
+		"the dialing side knows": {evacuating(5, "a"), nil},
+		"the other side knows":   {nil, evacuating(5, "a")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playFollowers(t, func(start func(int, *orders.Set, ...func(*Config)) *follower) {
+				dialing, accepting := start(0, knows[0]), start(1, knows[1], cannotDial)
+				expect := func(revision uint64) {
+					t.Helper()
+					time.Sleep(10 * time.Second)
+					assert.Equal(t, dialing.orders.Load().Revision(), revision)
+					assert.Equal(t, accepting.orders.Load().Revision(), revision)
+				}
+				expect(5)
+				dialing.Ordered(evacuating(7, "b"), "store")
+				expect(7)
+				accepting.Ordered(evacuating(9, "a"), "store")
+				expect(9)
+			})
+		})
+	}
+}
+
+// A daemon where operators give no orders passes over those that it hears of, and so
+// does any daemon with orders that name no revision.
+func TestOrdersArePassedOver(t *testing.T) {
+	hears := &follower{}
+	none := New(Config{Observer: hears})
+	none.tookOrders("x", evacuating(7, "b").Message())
+	some := New(Config{Observer: hears, Orders: hears.orders.Load})
+	some.tookOrders("x", evacuating(0, "b").Message())
+	assert.Equal(t, hears.heard.Load(), int64(0))
+	some.tookOrders("x", evacuating(7, "b").Message())
+	assert.Equal(t, hears.heard.Load(), int64(1))
+}
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -8,6 +8,7 @@
 	"github.com/lapisvane/lapisvane/internal/admission"
 	"github.com/lapisvane/lapisvane/internal/configsource"
 	"github.com/lapisvane/lapisvane/internal/fleet"
+	"github.com/lapisvane/lapisvane/internal/orders"
 	"github.com/lapisvane/lapisvane/internal/origin"
 )
 
@@ -21,6 +22,11 @@
 	InForce func() (revision uint64, since time.Time)
 	// Ready reports whether callers may be sent here.
 	Ready func() bool
+	// Orders are the operators' orders in force.
+	Orders *orders.Current
+	// Confirmed returns when what is in force was last confirmed to be the newest,
+	// zero before the first time.
+	Confirmed func() time.Time
 }
 
 // RegisterDirect adds the metrics of a daemon on a platform to registry.
@@ -44,6 +50,7 @@
 		func() float64 { return float64(sources.Follower.Asked.Load()) })
 	counter(registry, "lapisvane_source_failures_total", "Questions to the configuration source that failed.",
 		func() float64 { return float64(sources.Follower.Failed.Load()) })
+	registerOrders(registry, sources)
 	occupancy := func(read func(admission.Occupancy) int) func() float64 {
 		return func() float64 {
 			total := 0
@@ -62,3 +69,21 @@
 	gauge(registry, "lapisvane_origin_withdrawn", "Instances that left and are remembered.",
 		func() float64 { return float64(len(sources.Origin.Withdrawn())) })
 }
+
+// registerOrders adds what concerns the operators' orders.
+func registerOrders(registry *prometheus.Registry, sources Direct) {
+	gauge(registry, "lapisvane_orders_revision", "Revision of the operators' orders in force, 0 before the first.",
+		func() float64 { return float64(sources.Orders.Load().Revision()) })
+	gauge(registry, "lapisvane_orders_evacuated_zones", "Zones whose instances get no calls.",
+		func() float64 { return float64(len(sources.Orders.Load().Zones())) })
+	gauge(registry, "lapisvane_confirmation_age_seconds", "Time since what is in force was confirmed to be the newest, -1 before the first time.",
+		func() float64 {
+			confirmed := sources.Confirmed()
+			if confirmed.IsZero() {
+				return -1
+			}
+			return time.Since(confirmed).Seconds()
+		})
+	counter(registry, "lapisvane_source_orders_questions_total", "Questions to the source for the operators' orders.",
+		func() float64 { return float64(sources.Follower.OrdersAsked.Load()) })
+}
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -59,8 +60,39 @@
 	return (s == nil) == (other == nil) && slices.Equal(s.Zones(), other.Zones())
 }
 
+// restated returns the same orders as they stand at another revision.
+func (s *Set) restated(revision uint64) *Set {
+	return &Set{
+		message:   &lapisv1.Orders{Revision: revision, Evacuations: s.Message().GetEvacuations()},
+		evacuated: s.evacuated,
+	}
+}
+
+// GivenAgain returns the zones whose orders were taken away and given again between
+// before and s, so that they are evacuated in both.
+func (s *Set) GivenAgain(before *Set) []string {
+	given := map[string]uint64{}
+	for _, evacuation := range before.Message().GetEvacuations() {
+		given[evacuation.GetZone()] = evacuation.GetRevision()
+	}
+	var again []string
+	for _, evacuation := range s.Message().GetEvacuations() {
+		if earlier, ok := given[evacuation.GetZone()]; ok && earlier != evacuation.GetRevision() {
+			again = append(again, evacuation.GetZone())
+		}
+	}
+	return again
+}
+
 // Current is the newest set that a daemon knows. It is safe for concurrent use.
-type Current struct{ set atomic.Pointer[Set] }
+type Current struct {
+	set atomic.Pointer[Set]
+
+	// mutex is held while set is replaced and protects read, the store's revision up
+	// to which this daemon has read the orders itself.
+	mutex sync.Mutex
+	read  uint64
+}
 
 // Load returns the newest set, nil before the first.
 func (c *Current) Load() *Set { return c.set.Load() }
@@ -68,16 +100,41 @@
 // Evacuated reports whether the instances of a zone get no calls.
 func (c *Current) Evacuated(zone string) bool { return c.Load().Evacuated(zone) }
 
-// Replace takes in a set that is newer than the present one and returns the one
-// before. taken is false for one that is not newer.
+// Replace takes in another daemon's set if it is newer than the present one, and
+// returns the one before. One that is older than what this daemon has read from the
+// store since, and asks for something else, is a change that was taken back
+// meanwhile: the present orders are then stated anew at the revision read, so that
+// whoever follows the older ones learns better. taken is true where the present set
+// has another revision now.
 func (c *Current) Replace(set *Set) (before *Set, taken bool) {
-	for {
-		before = c.Load()
-		if before != nil && set.Revision() <= before.Revision() {
-			return before, false
-		}
-		if c.set.CompareAndSwap(before, set) {
-			return before, true
-		}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	before = c.Load()
+	if set.Revision() <= before.Revision() {
+		return before, false
+	}
+	if set.Revision() <= c.read && !set.SameAs(before) {
+		set = before.restated(c.read)
+	}
+	c.set.Store(set)
+	return before, true
+}
+
+// Read takes in what the store has answered to this daemon. Where it asks for the
+// same as the present set, that one keeps its revision, so that nothing is spread
+// anew, and taken is false.
+func (c *Current) Read(set *Set) (before *Set, taken bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	before = c.Load()
+	if set.Revision() <= max(before.Revision(), c.read) {
+		return before, false
+	}
+	c.read = set.Revision()
+	if set.SameAs(before) {
+		c.set.Store(set.restated(before.Revision()))
+		return before, false
 	}
+	c.set.Store(set)
+	return before, true
 }
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -24,7 +24,7 @@
 
 // Platform is one platform.
 type Platform interface {
-	// Source is where the configuration in force comes from.
+	// Source is where the configuration in force and the operators' orders come from.
 	Source() configsource.Source
 	// Directory is where daemons find each other.
 	Directory() fleet.Directory
