--- a/internal/fleet/listener.go
+++ b/internal/fleet/listener.go
@@ -10,16 +10,21 @@
 // daemon's instances.
 type listener struct {
 	link callmux.Link
-	// place is that of the daemon that opened it.
+	// node is that of the daemon that opened it, place where that stands.
+	node  string
 	place locality.Place
-	wake  chan struct{}
+	// wake asks for the announcement to be sent, ordered for the orders.
+	wake, ordered chan struct{}
 }
 
 // Accepted takes in a connection that another daemon opened, for
 // callmux.Server.
 func (f *Fleet) Accepted(hello *lapisv1.Hello, link callmux.Link) callmux.Control {
 	dialer := Member{Node: hello.GetNode(), Address: hello.GetAddress(), Zone: hello.GetZone(), Region: hello.GetRegion(), Service: hello.GetService()}
-	opened := &listener{link: link, place: dialer.place(), wake: make(chan struct{}, 1)}
+	opened := &listener{
+		link: link, node: dialer.Node, place: dialer.place(),
+		wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1),
+	}
 	f.mutex.Lock()
 	f.listeners[opened] = true
 	member := f.greeted(dialer)
@@ -44,22 +49,29 @@
 	if member != nil {
 		f.remind(member, opened.link)
 	}
+	f.sendOrders(opened.link)
+	f.sendAnnouncement(opened.link)
 	for {
-		f.mutex.Lock()
-		announcement := f.announcement()
-		f.mutex.Unlock()
-		frame := &lapisv1.CallFrame{Body: &lapisv1.CallFrame_Announcement{Announcement: announcement}}
-		if opened.link.Send(frame) != nil {
-			return
-		}
 		select {
 		case <-opened.link.Closed():
 			return
 		case <-opened.wake:
+			f.sendAnnouncement(opened.link)
+		case <-opened.ordered:
+			f.sendOrders(opened.link)
 		}
 	}
 }
 
+// sendAnnouncement announces this daemon on a connection.
+func (f *Fleet) sendAnnouncement(link callmux.Link) {
+	f.mutex.Lock()
+	announcement := f.announcement()
+	f.mutex.Unlock()
+	// A session that is over says so itself.
+	_ = link.Send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Announcement{Announcement: announcement}})
+}
+
 // receiveAccepted takes in a frame on a connection that another daemon opened.
 func (f *Fleet) receiveAccepted(opened *listener, frame *lapisv1.CallFrame) {
 	switch body := frame.GetBody().(type) {
@@ -67,5 +79,7 @@
 		f.introduced(body.Introduction, opened.link)
 	case *lapisv1.CallFrame_ConfigurationRequest:
 		f.serveConfiguration(opened.link, body.ConfigurationRequest.GetAbove())
+	case *lapisv1.CallFrame_Orders:
+		f.tookOrders(opened.node, body.Orders)
 	}
 }
