Pace what cold instances are admitted, and send nothing to one that fell over

Cause: a cold instance got whatever its slots took and fell over; each waiting call of one that had fallen over was tried on it. Change: the daemon beside the instance paces its queue while the instance says that it is cold, with the pool's rate; callers expect the wait; calls of a fallen instance are refused at once until its next heartbeat. Without a rate nothing is paced.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -82,6 +82,11 @@
 	meanService    time.Duration
 	closed         *result.Error
 	idle           chan struct{}
+	// bucket holds the pace, and tokenTimer looks at the waiting calls when the next
+	// token is there. pacedCalls took a token, paceRefusals got none in their time.
+	bucket                   bucket
+	tokenTimer               *time.Timer
+	pacedCalls, paceRefusals int64
 }
 
 // group is the state of one group.
@@ -146,6 +151,7 @@
 		refuseAll(g.interactive, reason)
 		refuseAll(g.background, reason)
 	}
+	q.awaitToken(q.now())
 }
 
 // Reopen lets calls in again after Close.
@@ -163,7 +169,8 @@
 }
 
 // Acquire waits for a slot. Errors, all proving that the call did not start:
-// CallNotRunOverloaded, CallNotRunExpired, the reason given to Close.
+// CallNotRunOverloaded, CallNotRunCold while the pace leaves no time for it,
+// CallNotRunExpired, the reason given to Close.
 func (q *Queue) Acquire(ctx context.Context, request Request) (*Slot, error) {
 	waiting, slot, err := q.enter(request)
 	if err != nil || slot != nil {
@@ -174,7 +181,7 @@
 	select {
 	case err = <-waiting.granted:
 	case <-timer.C:
-		err = q.abandon(waiting, q.overloaded("the wait was too long"))
+		err = q.abandon(waiting, q.waitedTooLong())
 	case <-ctx.Done():
 		err = q.abandon(waiting, result.Errorf(result.CallNotRunExpired, "the caller went away"))
 	}
@@ -196,7 +203,7 @@
 		return nil, nil, result.Errorf(result.CallNotRunExpired, "the time to start has passed")
 	}
 	g := q.groupOf(request.Group)
-	if q.mayRun(request) && !q.anyWaiting() {
+	if q.mayRun(request, now) && !q.anyWaiting() {
 		return nil, q.start(g, request, now), nil
 	}
 	waiting := g.interactive
@@ -208,12 +215,13 @@
 		waiting = g.background
 		limit *= BackgroundFactor
 	}
-	expected := q.expectedWait(g, ahead(waiting, request, now))
+	before := ahead(waiting, request, now)
+	expected, paced := q.expectedWait(g, before), q.paceWait(g, before, now)
 	if request.NoWait {
-		return nil, nil, q.overloadedFor(expected, "no slot is free")
+		return nil, nil, q.refusal(expected, paced, "no slot is free")
 	}
-	if waiting.Len() >= q.limits.QueueLength || expected > limit {
-		return nil, nil, q.overloadedFor(expected, "the queue of group "+request.Group+" is full")
+	if waiting.Len() >= q.limits.QueueLength || max(expected, paced) > limit {
+		return nil, nil, q.refusal(expected, paced, "the queue of group "+request.Group+" is full")
 	}
 	deadline := now.Add(limit)
 	if !request.StartBy.IsZero() && request.StartBy.Before(deadline) {
@@ -287,16 +295,11 @@
 	return defaultWeight
 }
 
-func (q *Queue) overloaded(detail string) error {
+// waitedTooLong returns the error for a call whose time in the queue is over.
+func (q *Queue) waitedTooLong() error {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.overloadedFor(q.meanService, detail)
-}
-
-func (q *Queue) overloadedFor(expected time.Duration, detail string) *result.Error {
-	refusal := result.Errorf(result.CallNotRunOverloaded, "%s", detail)
-	refusal.RetryAfter = max(expected, minRetryAfter)
-	return refusal
+	return q.refusal(q.meanService, q.bucket.wait(0, q.now()), "the wait was too long")
 }
 
 // abandon takes a waiter out of the queue; if it was granted or refused in the
@@ -333,8 +336,8 @@
 }
 
 // mayRun reports whether a free slot may be given to request.
-func (q *Queue) mayRun(request Request) bool {
-	if q.running >= q.limit {
+func (q *Queue) mayRun(request Request, now time.Time) bool {
+	if q.running >= q.limit || !q.bucket.allows(now) {
 		return false
 	}
 	return !request.Upload || q.uploads < q.uploadLimit()
@@ -352,6 +355,9 @@
 	if request.Upload {
 		q.uploads++
 	}
+	if q.bucket.take(now) {
+		q.pacedCalls++
+	}
 	return &Slot{queue: q, group: g, upload: request.Upload, started: now, among: q.running}
 }
 
@@ -360,6 +366,7 @@
 	for {
 		next := q.next()
 		if next == nil {
+			q.awaitToken(q.now())
 			return
 		}
 		next.list.Remove(next.element)
@@ -395,7 +402,7 @@
 		var first *waiter
 		for element := waiting.Front(); element != nil; element = element.Next() {
 			candidate := element.Value.(*waiter)
-			if q.mayRun(candidate.request) && (first == nil || candidate.request.before(&first.request, now)) {
+			if q.mayRun(candidate.request, now) && (first == nil || candidate.request.before(&first.request, now)) {
 				first = candidate
 			}
 		}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -30,6 +30,9 @@
 	// coldFactor is how much more loaded an instance counts that says it is
 	// still slow from its start.
 	coldFactor = 2
+	// leastWarm is the number of warm instances in a subset, if there are so many: the
+	// part that is for spill-over.
+	leastWarm = SubsetSize / 4
 	// ejectAfter is the number of failures in a row that eject an instance.
 	ejectAfter = 3
 	// ejectBase and ejectMax bound the time of an ejection, which doubles with
@@ -72,8 +75,11 @@
 	firstSeen time.Time
 	// warmAt is when the instance stops being slow from its start, as it
 	// stated; zero where it does not say.
-	warmAt   time.Time
-	inFlight atomic.Int64
+	warmAt time.Time
+	// refusedUntil is when the instance takes calls again that refused one because it
+	// is cold.
+	refusedUntil time.Time
+	inFlight     atomic.Int64
 
 	// mutex protects everything below.
 	mutex        sync.Mutex
@@ -195,10 +201,11 @@
 		return rankFirst(candidates, choice.Key), nil
 	}
 	slots := float64(max(service.Bundle.GetPool().GetSlots(), 1))
+	coldRate := service.Bundle.GetPool().GetColdCallsPerSecond()
 	if choice.Target > 0 {
-		return b.cheapest(b.subset(candidates), slots, choice), nil
+		return b.cheapest(b.subset(candidates, coldRate), slots, coldRate, choice), nil
 	}
-	return b.leastLoaded(b.subset(candidates), slots), nil
+	return b.leastLoaded(b.subset(candidates, coldRate), slots), nil
 }
 
 // candidates returns the instances that may take work: the healthy ones, else
@@ -242,8 +249,9 @@
 // subset returns at most SubsetSize candidates, chosen by a hash of this
 // daemon and the instance, so that daemons spread evenly and a change of one
 // instance changes little. Instances of the own zone come first, but at least
-// a quarter of the subset is from elsewhere, for spill-over.
-func (b *Balancer) subset(candidates []*Target) []*Target {
+// a quarter of the subset is from elsewhere, for spill-over. Where cold instances bear
+// coldRate calls a second only, some of the subset are warm if there are any.
+func (b *Balancer) subset(candidates []*Target, coldRate float64) []*Target {
 	if len(candidates) <= SubsetSize {
 		return candidates
 	}
@@ -266,18 +274,56 @@
 		}
 		rest = append(rest, target)
 	}
-	return append(chosen, rest[:SubsetSize-len(chosen)]...)
+	others := SubsetSize - len(chosen)
+	chosen = append(chosen, rest[:others]...)
+	if coldRate > 0 {
+		withWarm(chosen, rest[others:], b.now())
+	}
+	return chosen
+}
+
+// withWarm puts warm instances of the rest in the place of the last cold ones, so that
+// at least leastWarm of those chosen are warm if there are so many.
+func withWarm(chosen, rest []*Target, now time.Time) {
+	missing := leastWarm
+	for _, target := range chosen {
+		if !target.cold(now) {
+			missing--
+		}
+	}
+	place := len(chosen) - 1
+	for _, target := range rest {
+		if missing <= 0 {
+			return
+		}
+		if target.cold(now) {
+			continue
+		}
+		for !chosen[place].cold(now) {
+			place--
+		}
+		chosen[place] = target
+		missing--
+		place--
+	}
+}
+
+// cold reports whether the instance said that it is still cold.
+func (t *Target) cold(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return now.Before(t.warmAt)
 }
 
 // cheapest takes the instance with the least cost: the expected time until an
 // answer in parts of the target latency, the chance that it is late, the price of
 // bytes to another zone, and the share of failures. A little noise keeps daemons
 // from all choosing the same one.
-func (b *Balancer) cheapest(candidates []*Target, slots float64, choice Choice) *Target {
+func (b *Balancer) cheapest(candidates []*Target, slots, coldRate float64, choice Choice) *Target {
 	now := b.now()
 	conditions := make([]condition, len(candidates))
 	for index, target := range candidates {
-		conditions[index] = target.condition(choice.Route, b.zone, slots, now)
+		conditions[index] = target.condition(choice.Route, b.zone, slots, coldRate, now)
 	}
 	target := choice.Target.Seconds()
 	left := target - choice.Spent.Seconds()
@@ -414,6 +460,14 @@
 	return t.reported, now.Sub(t.reportedAt)
 }
 
+// RefusedCold notes that the instance refused a call because it is cold, and takes none
+// for so long.
+func (t *Target) RefusedCold(retryAfter time.Duration, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refusedUntil = now.Add(retryAfter)
+}
+
 // Succeeded notes that the instance gave an answer.
 func (t *Target) Succeeded() {
 	t.mutex.Lock()
--- a/internal/balance/estimate.go
+++ b/internal/balance/estimate.go
@@ -144,10 +144,15 @@
 	failures    float64
 	cold        bool
 	elsewhere   bool
+	// coldRate is how many calls a second the instance bears while it is cold, 0
+	// where its pool does not say, and refusedFor how many seconds longer it takes
+	// none, as it stated.
+	coldRate   float64
+	refusedFor float64
 }
 
 // condition returns what is known of the target for a route.
-func (t *Target) condition(route, zone string, slots float64, now time.Time) condition {
+func (t *Target) condition(route, zone string, slots, coldRate float64, now time.Time) condition {
 	if stated := t.Endpoint.GetSlots(); stated > 0 {
 		slots = float64(stated)
 	}
@@ -155,7 +160,8 @@
 	defer t.mutex.Unlock()
 	seen := condition{
 		slots: slots, elsewhere: t.Endpoint.GetZone() != zone, cold: now.Before(t.warmAt),
-		failures: t.failure.faded(0, failureMemory, now),
+		failures: t.failure.faded(0, failureMemory, now), coldRate: coldRate,
+		refusedFor: max(t.refusedUntil.Sub(now).Seconds(), 0),
 	}
 	if service, ok := t.services[route]; ok {
 		seen.known = service.mean
@@ -182,10 +188,21 @@
 	if used > almostFull {
 		service *= 1 + fullSlowdown*min((used-almostFull)/(1-almostFull), 1)
 	}
+	if c.cold && c.coldRate > 0 {
+		return c.expectedCold(service), service
+	}
 	waiting := max(c.load+1-c.slots, 0)
 	return service * (1 + waiting/c.slots), service
 }
 
+// expectedCold is that time at an instance that is admitted coldRate calls a second: it
+// works on those of the time that a call takes, and the others wait for their turn.
+func (c condition) expectedCold(service float64) (total float64) {
+	bears := min(c.slots, max(1, c.coldRate*service))
+	waiting := max(c.load+1-bears, 0)
+	return service + max(waiting/c.coldRate, c.refusedFor)
+}
+
 // lateness is the chance that work of the given mean and spread takes longer than
 // what is left, all in seconds. Service times are taken as log-normal: most are
 // short and few are very long.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -176,6 +176,7 @@
 	d.origin = origin.New(origin.Config{
 		Incarnation: d.incarnation, Backends: backends,
 		QueueLength: d.settings.Load().Calls.QueueLength, QueueTime: d.settings.Load().Calls.QueueTime.Get(),
+		Cold:     origin.ColdBound{Overshoot: d.settings.Load().ColdStarts.Overshoot, Slack: d.settings.Load().ColdStarts.Slack},
 		Envelope: envelope, Changed: d.announce, Decisions: decisions, Logger: d.logger,
 	})
 	d.calls = &callmux.Client{
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -192,6 +192,12 @@
 		}
 		return Verdict{CauseOverload, fmt.Sprintf("instance %s had %s running and %s waiting of %s slots, a call takes %s ms",
 			origin.Get("instance"), origin.Get("running"), origin.Get("waiting"), origin.Get("limit"), origin.Get("service_ms")), origin}
+	case result.CallNotRunCold:
+		if origin == nil {
+			return Verdict{CauseOverload, "every instance that was asked was cold; last " + attempt.Get("detail"), attempt}
+		}
+		return Verdict{CauseOverload, fmt.Sprintf("instance %s is cold and takes %s calls a second, %s were waiting",
+			origin.Get("instance"), origin.Get("cold_rate"), origin.Get("waiting")), origin}
 	case result.CallNotRunShed:
 		return Verdict{CauseInstanceRefused, "instance " + attempt.Get("instance") + " refused it: " + attempt.Get("detail"), attempt}
 	case result.CallDeadline:
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -205,7 +206,7 @@
 		// No back end saw the call; going elsewhere adds no load.
 		a.detours++
 		return a.detours <= maxDetours
-	case result.CallNotRunOverloaded:
+	case result.CallNotRunOverloaded, result.CallNotRunCold:
 		a.overloaded++
 		return a.overloaded <= maxOverloaded
 	case result.CallNotRunShed:
@@ -249,9 +250,20 @@
 	switch code {
 	case result.CallNotRunUnreachable, result.CallUnknownOutcome, result.CallTruncated, result.CallNotRunUnknownHere:
 		target.Failed(time.Now())
+	case result.CallNotRunCold:
+		target.RefusedCold(retryAfterOf(err), time.Now())
 	}
 }
 
+// retryAfterOf returns the time that a refusal names; 0 where it names none.
+func retryAfterOf(err error) time.Duration {
+	var refusal *result.Error
+	if !errors.As(err, &refusal) {
+		return 0
+	}
+	return refusal.RetryAfter
+}
+
 // nextAttemptID returns an id that no other attempt has: the node, its
 // incarnation and a count.
 func (g *Gateway) nextAttemptID() string {
--- a/internal/meshconfig/validate.go
+++ b/internal/meshconfig/validate.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"maps"
+	"math"
 	"path"
 	"regexp"
 	"slices"
@@ -64,6 +65,9 @@
 	if pool.GetConnectionLimit() == 0 || pool.GetConnectionLimit() > maxConnectionLimit {
 		faults.Add(result.ConfigBadLimit, "connection_limit %d of pool %s", pool.GetConnectionLimit(), pool.GetName())
 	}
+	if rate := pool.GetColdCallsPerSecond(); rate < 0 || math.IsNaN(rate) || math.IsInf(rate, 0) {
+		faults.Add(result.ConfigBadLimit, "cold_calls_per_second %v of pool %s", rate, pool.GetName())
+	}
 }
 
 func (s *State) validateRoutes(faults *result.List) {
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -59,6 +59,28 @@
 		occupancy(func(o admission.Occupancy) int { return o.Waiting }))
 	gauge(registry, "lapisvane_origin_slots", "Calls that the instances may work on at once.",
 		occupancy(func(o admission.Occupancy) int { return o.Limit }))
+	registerCold(registry, sources.Origin)
 	gauge(registry, "lapisvane_origin_withdrawn", "Instances that left and are remembered.",
 		func() float64 { return float64(len(sources.Origin.Withdrawn())) })
 }
+
+// registerCold adds the metrics of what cold instances get.
+func registerCold(registry *prometheus.Registry, instances *origin.Origin) {
+	sum := func(read func(admission.PaceUse) float64) func() float64 {
+		return func() float64 {
+			total := 0.0
+			for _, instance := range instances.Instances() {
+				total += read(instance.ColdUse())
+			}
+			return total
+		}
+	}
+	gauge(registry, "lapisvane_origin_cold_rate", "Calls a second that the cold instances beside the daemon are admitted.",
+		sum(func(use admission.PaceUse) float64 { return use.PerSecond }))
+	gauge(registry, "lapisvane_origin_cold_tokens", "Calls that the cold instances could be admitted at once.",
+		sum(func(use admission.PaceUse) float64 { return use.Tokens }))
+	gauge(registry, "lapisvane_origin_cold_admitted", "Calls that the present instances were admitted while cold.",
+		sum(func(use admission.PaceUse) float64 { return float64(use.Admitted) }))
+	gauge(registry, "lapisvane_origin_cold_refused", "Calls that the present instances were refused because they were cold.",
+		sum(func(use admission.PaceUse) float64 { return float64(use.Refused) }))
+}
--- /dev/null
+++ b/internal/origin/cold.go
@@ -0,0 +1,130 @@
+package origin
+
+import (
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/admission"
+)
+
+// ColdBound is what a cold instance must not get more than in any second: the pool's
+// rate of cold instances times Overshoot, and Slack more. Both 0 bound the mean only.
+type ColdBound struct {
+	Overshoot float64
+	// Slack is in calls.
+	Slack float64
+}
+
+// coldSource is why an instance counts as cold.
+type coldSource string
+
+// Sources of coldness.
+const (
+	// coldByStart is the word of an instance that has just registered, and
+	// coldByHeartbeat that of one that was warm before.
+	coldByStart     coldSource = "start"
+	coldByHeartbeat coldSource = "heartbeat"
+	// coldByEvacuation is the end of its zone's evacuation, before which it may have
+	// turned cold without a word.
+	coldByEvacuation coldSource = "evacuation_end"
+)
+
+// coldness is what is known of whether an instance is cold.
+type coldness struct {
+	bound ColdBound
+	// perSecond is what the pool says that a cold instance bears, and startTime how
+	// long it stays cold at most; 0 where it does not say.
+	perSecond float64
+	startTime time.Duration
+	// warmAt is from the newest heartbeat.
+	warmAt time.Time
+	// unheardUntil is when an instance that is to be heard first counts as warm in any
+	// case, and unheardSequence its newest heartbeat when that began.
+	unheardUntil    time.Time
+	unheardSequence uint64
+	// is and source are what was logged last, and admitted what the queue had admitted
+	// under a pace when it began.
+	is       bool
+	source   coldSource
+	admitted int64
+}
+
+// until returns when the instance is warm, as far as is known.
+func (c *coldness) until() time.Time {
+	if c.unheardUntil.After(c.warmAt) {
+		return c.unheardUntil
+	}
+	return c.warmAt
+}
+
+// heard takes in a heartbeat that says how much longer the instance stays cold. One that
+// was sent before it was to be heard does not end that.
+func (c *coldness) heard(coldFor time.Duration, sequence uint64, now time.Time) {
+	c.warmAt = now.Add(coldFor)
+	if sequence > c.unheardSequence || sequence == 0 {
+		c.unheardUntil = time.Time{}
+	}
+}
+
+// pace returns the pace that the queue of the instance keeps; none where the pool does
+// not say what a cold instance bears.
+func (c *coldness) pace(now time.Time) admission.Pace {
+	if c.perSecond <= 0 || !now.Before(c.until()) {
+		return admission.Pace{}
+	}
+	pace := admission.PaceWithin(c.perSecond, c.bound.Overshoot, c.bound.Slack)
+	pace.Until = c.until()
+	return pace
+}
+
+// coldUntilHeard has an instance that states itself count as cold until a newer heartbeat
+// of it, for at most the time that its pool's instances stay cold. It reports whether what
+// is announced changed.
+func (i *Instance) coldUntilHeard() (changed bool) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	cold := &i.coldness
+	if !i.registered || cold.perSecond <= 0 || cold.startTime <= 0 {
+		return false
+	}
+	now := time.Now()
+	cold.unheardUntil = now.Add(cold.startTime)
+	cold.unheardSequence = i.sequence
+	return i.followCold(coldByEvacuation, now)
+}
+
+// followCold has the queue keep the pace that fits what is known, and logs a change
+// between cold and warm, which it reports; the caller holds mutex.
+func (i *Instance) followCold(source coldSource, now time.Time) (changed bool) {
+	cold := &i.coldness
+	pace := cold.pace(now)
+	i.queue.SetPace(pace)
+	is := now.Before(cold.until())
+	if is == cold.is {
+		return false
+	}
+	cold.is = is
+	if is {
+		cold.source = source
+		cold.admitted = i.queue.PaceUse().Admitted
+		i.logger.Info("instance.cold", "instance", i.Name, "service", i.Service, "source", string(source),
+			"rate", pace.PerSecond, "burst", pace.Burst, "cold_ms", cold.until().Sub(now).Milliseconds())
+		return true
+	}
+	i.logger.Info("instance.warm", "instance", i.Name, "service", i.Service, "source", string(cold.source),
+		"rate", cold.perSecond, "cold_ms", 0, "admitted_cold", i.queue.PaceUse().Admitted-cold.admitted)
+	return true
+}
+
+// noteWarm logs that the time for which the instance said that it stays cold is over.
+func (i *Instance) noteWarm() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	now := time.Now()
+	if i.coldness.is && !now.Before(i.coldness.until()) {
+		i.followCold(i.coldness.source, now)
+	}
+}
+
+// ColdUse is how far the instance's pace is used; its rate is 0 while it is warm or its
+// pool does not say what cold instances bear.
+func (i *Instance) ColdUse() admission.PaceUse { return i.queue.PaceUse() }
--- a/internal/origin/decisions.go
+++ b/internal/origin/decisions.go
@@ -42,10 +42,12 @@
 		event = eventRefused
 	}
 	var occupancy admission.Occupancy
+	var cold admission.PaceUse
 	var state State
 	beatAge := time.Duration(0)
 	if instance, ok := o.instance(open.GetService(), open.GetInstance()); ok {
 		occupancy = instance.queue.Occupancy()
+		cold = instance.queue.PaceUse()
 		state = instance.State()
 		beatAge = instance.beatAge()
 	}
@@ -54,6 +56,7 @@
 		"attempt", open.GetAttemptId(), "instance", open.GetInstance(), "state", string(state),
 		"code", uint32(code), "name", code, "running", occupancy.Running, "waiting", occupancy.Waiting,
 		"limit", occupancy.Limit, "service_ms", occupancy.MeanService.Milliseconds(), "beat_age_ms", beatAge.Milliseconds(),
+		"cold_rate", cold.PerSecond, "cold_tokens", cold.Tokens,
 		"priority", open.GetPriority(), "due_ms", open.GetTargetMillis(),
 		"may_wait_ms", open.GetMaxWaitMillis(), "given_ms", open.GetDeadlineMillis(),
 		"took_ms", time.Since(began).Milliseconds(), "detail", err)
--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/qmuntal/stateless"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -54,17 +55,20 @@
 	// registered is true for an instance that announced itself; its heartbeats
 	// then tell its state, and it is not probed.
 	registered bool
+	logger     logr.Logger
 
 	// mutex protects everything below.
 	mutex sync.Mutex
-	// slots, sequence, lastBeat and warmAt are from the newest heartbeat.
+	// slots, sequence and lastBeat are from the newest heartbeat.
 	slots     int
 	sequence  uint64
 	lastBeat  time.Time
-	warmAt    time.Time
+	coldness  coldness
 	lifecycle *stateless.StateMachine
 	reasons   map[DrainReason]bool
-	failures  int
+	signs     signs
+	// fallen is true while the instance is down by what its calls showed.
+	fallen bool
 }
 
 func newInstance(service, name, address string, limits admission.Limits, connections int, envelope *callapi.Envelope) *Instance {
@@ -72,7 +76,7 @@
 		Service: service, Name: name,
 		queue:   admission.NewQueue(limits, time.Now),
 		backend: newBackend(address, name, envelope, connections),
-		started: time.Now(), lifecycle: newLifecycle(), reasons: map[DrainReason]bool{},
+		started: time.Now(), lifecycle: newLifecycle(), reasons: map[DrainReason]bool{}, logger: logr.Discard(),
 	}
 }
 
@@ -139,6 +143,7 @@
 		return
 	}
 	fire(i.lifecycle, triggerResume)
+	i.fallen = false
 	i.queue.Reopen()
 }
 
@@ -150,21 +155,6 @@
 	fire(i.lifecycle, triggerRetire)
 }
 
-// noteConnection follows whether the back end accepts connections.
-func (i *Instance) noteConnection(ok bool) {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	if ok {
-		i.failures = 0
-		fire(i.lifecycle, triggerUp)
-		return
-	}
-	i.failures++
-	if i.failures >= downAfter {
-		fire(i.lifecycle, triggerDown)
-	}
-}
-
 // check probes the back end while it is starting or down; one that registered
 // is down when its heartbeats stay away.
 func (i *Instance) check(ctx context.Context) {
@@ -172,7 +162,7 @@
 	if i.registered {
 		i.mutex.Lock()
 		if time.Since(i.lastBeat) > beatSilence && state == StateReady {
-			fire(i.lifecycle, triggerDown)
+			i.goDown(downSilent)
 		}
 		i.mutex.Unlock()
 		return
@@ -208,6 +198,7 @@
 	announced := lapisv1.Endpoint_STATE_UNSPECIFIED
 	for {
 		i.check(ctx)
+		i.noteWarm()
 		i.backend.pool.closeOld(false)
 		if now := i.advertised(); now != announced {
 			announced = now
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -32,6 +32,8 @@
 	// QueueLength and QueueTime bound the waiting calls of each group.
 	QueueLength int
 	QueueTime   time.Duration
+	// Cold bounds what cold instances get.
+	Cold ColdBound
 	// Envelope names the header fields; the zero value stands for the default.
 	Envelope callapi.Envelope
 	// Changed is called when the state of an instance changed.
@@ -92,6 +94,7 @@
 	for _, backend := range config.Backends {
 		key := instanceKey{backend.Service, backend.Instance}
 		origin.instances[key] = newInstance(backend.Service, backend.Instance, backend.Address, limits, DefaultConnections, &origin.config.Envelope)
+		origin.instances[key].logger = config.Logger
 	}
 	return origin
 }
@@ -344,7 +347,7 @@
 	defer o.execute(call)()
 	response, err := instance.backend.roundTrip(ctx, call)
 	if err != nil {
-		instance.noteConnection(!result.Is(err, result.CallNotRunUnreachable))
+		instance.noteCall(err, func() { o.ask(instance) })
 		slot.Release(false)
 		if callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
 			o.count(func(c *Counts) { c.HandedOver++; c.Broken++ })
@@ -352,7 +355,7 @@
 		return nil, err
 	}
 	o.count(func(c *Counts) { c.HandedOver++ })
-	instance.noteConnection(true)
+	instance.noteCall(nil, nil)
 	if refusal := o.refusalOf(instance, response); refusal != nil {
 		_ = response.Body.Close()
 		slot.Release(result.Is(refusal, result.CallNotRunShed))
@@ -361,7 +364,10 @@
 	head := headOf(response)
 	head.Load = instance.queue.Load()
 	head.ServiceMicros = uint32(time.Since(handed).Microseconds())
-	broke := func(err error) { o.logFailure(call, err, handed) }
+	broke := func(err error) {
+		instance.noteCall(err, func() { o.ask(instance) })
+		o.logFailure(call, err, handed)
+	}
 	body := &answerBody{body: response.Body, slot: slot, broke: broke}
 	return &callapi.Answer{
 		Head: head, Body: body,
--- a/internal/origin/registration.go
+++ b/internal/origin/registration.go
@@ -30,7 +30,7 @@
 	Draining bool
 	// Sequence rises with each heartbeat, so that a late one is recognised.
 	Sequence uint64
-	// ColdFor is how much longer the instance stays slow after its start.
+	// ColdFor is how much longer the instance stays cold.
 	ColdFor time.Duration
 }
 
@@ -38,7 +38,7 @@
 // no call that it did not have before.
 func (o *Origin) Register(registration Registration) {
 	instance, fresh := o.registered(registration)
-	changed := instance != nil && instance.beat(registration)
+	changed := instance != nil && instance.beat(registration, fresh)
 	if registration.Draining {
 		o.Withdraw(registration.Instance)
 		return
@@ -76,6 +76,8 @@
 	instance = newInstance(registration.Service, registration.Instance, registration.Address, limits, DefaultConnections, &o.config.Envelope)
 	instance.registered = true
 	instance.slots = registration.Slots
+	instance.logger = o.config.Logger
+	instance.coldness.bound = o.config.Cold
 	if o.current != nil {
 		instance.configure(o.current)
 	}
@@ -174,7 +176,7 @@
 }
 
 // beat takes in a heartbeat; it reports whether what is announced changed.
-func (i *Instance) beat(registration Registration) (changed bool) {
+func (i *Instance) beat(registration Registration, fresh bool) (changed bool) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	if registration.Sequence < i.sequence {
@@ -183,16 +185,18 @@
 	now := time.Now()
 	i.sequence = registration.Sequence
 	i.lastBeat = now
-	wasWarm := !now.Before(i.warmAt)
-	i.warmAt = now.Add(registration.ColdFor)
-	changed = wasWarm != (registration.ColdFor <= 0)
+	source := coldByHeartbeat
+	if fresh {
+		source = coldByStart
+	}
+	i.coldness.heard(registration.ColdFor, registration.Sequence, now)
+	changed = i.followCold(source, now)
 	if registration.Slots > 0 && registration.Slots != i.slots {
 		i.slots = registration.Slots
 		changed = true
 	}
 	before := i.lifecycle.MustState()
-	i.failures = 0
-	fire(i.lifecycle, triggerUp)
+	i.comeUp()
 	return changed || before != i.lifecycle.MustState()
 }
 
@@ -204,7 +208,7 @@
 	return &lapisv1.Endpoint{
 		Service: i.Service, Instance: i.Name, State: state,
 		StartedUnixMillis: i.started.UnixMilli(), Slots: uint32(i.slots),
-		ColdMillis: uint32(max(time.Until(i.warmAt).Milliseconds(), 0)),
+		ColdMillis: uint32(max(time.Until(i.coldness.until()).Milliseconds(), 0)),
 	}
 }
 
@@ -216,6 +220,9 @@
 	}
 	i.mutex.Lock()
 	slots := i.slots
+	i.coldness.perSecond = service.Bundle.GetPool().GetColdCallsPerSecond()
+	i.coldness.startTime = time.Duration(service.Bundle.GetPool().GetColdStartMillis()) * time.Millisecond
+	i.followCold(coldByStart, time.Now())
 	i.mutex.Unlock()
 	if slots == 0 {
 		slots = int(service.Bundle.GetPool().GetSlots())
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -244,6 +244,7 @@
 	}{
 		{"platform.reads_per_second", d.Platform.ReadsPerSecond}, {"platform.writes_per_second", d.Platform.WritesPerSecond},
 		{"link_mbit", d.LinkMegabits}, {"retries.fraction", d.Retries.Fraction}, {"retries.burst", d.Retries.Burst},
+		{"cold_starts.overshoot", d.ColdStarts.Overshoot}, {"cold_starts.slack", d.ColdStarts.Slack},
 	} {
 		if bound.value < 0 {
 			check.faults.Add(result.SettingsBadNumber, "%s: %v is negative", bound.key, bound.value)
