Test what cold and fallen instances get; half of the overshoot is used

Only a refused connection shows at once that an instance fell over, a dial without an answer may be lost. The mean rate lies half of the allowed overshoot above the pool's.

--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -15,6 +15,10 @@
 	// usualBurst is the number of calls admitted at once after a pause, as far as
 	// the bound leaves room: a back end takes them one behind the other.
 	usualBurst = 2
+	// overshootUsed is the part of the allowed overshoot by which the mean rate lies
+	// above what the back end is said to bear: half, so that as much is left for what
+	// others send or the back end does beside it.
+	overshootUsed = 0.5
 	// leastBurst lets a call go at all.
 	leastBurst = 1
 	// tokenRounding is what a sum of parts of a token may lack of a whole one.
@@ -34,16 +38,18 @@
 
 // PaceWithin returns the pace of a back end that bears perSecond calls and must not get
 // more than perSecond*overshoot+slack in any second. Where that bound is 0, only the mean
-// is kept. A bound below one call a second cannot be kept but by sending none; it is
-// taken as one.
+// is kept. A bound of hardly more than one call a second cannot be kept but by sending
+// almost none: then a tenth of perSecond goes.
 func PaceWithin(perSecond, overshoot, slack float64) Pace {
 	bound := perSecond*overshoot + slack
 	if bound <= 0 {
 		return Pace{PerSecond: perSecond, Burst: usualBurst}
 	}
-	allowed := max(bound*(1-paceMargin), min(bound, leastBurst))
-	burst := max(min(usualBurst, allowed-perSecond), leastBurst)
-	return Pace{PerSecond: min(perSecond, max(allowed-burst, perSecond*paceMargin)), Burst: burst}
+	allowed := bound * (1 - paceMargin)
+	mean := perSecond * (1 + overshootUsed*max(overshoot-1, 0))
+	burst := max(min(usualBurst, allowed-mean), leastBurst)
+	least := perSecond * paceMargin
+	return Pace{PerSecond: min(mean, max(allowed-burst, least)), Burst: burst}
 }
 
 // holds reports whether the pace bounds what is admitted now.
--- /dev/null
+++ b/internal/admission/pace_test.go
@@ -0,0 +1,195 @@
+package admission_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lapisvane/lapisvane/internal/admission"
+	"github.com/lapisvane/lapisvane/internal/result"
+)
+
+// admissions are the times at which calls got a slot, and the order of their priorities.
+type admissions struct {
+	mutex      sync.Mutex
+	times      []time.Time
+	priorities []uint32
+}
+
+// ask wants a slot, notes when it got one and gives it back at once: what failed at once
+// counts all the same.
+func (a *admissions) ask(queue *admission.Queue, request admission.Request) error {
+	slot, err := queue.Acquire(context.Background(), request)
+	if err != nil {
+		return err
+	}
+	a.mutex.Lock()
+	a.times = append(a.times, time.Now())
+	a.priorities = append(a.priorities, request.Priority)
+	a.mutex.Unlock()
+	slot.Release(false)
+	return nil
+}
+
+// count returns how many there were, once nothing happens any more.
+func (a *admissions) count() int {
+	synctest.Wait()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return len(a.times)
+}
+
+// most returns the most admissions in any second, its end included.
+func (a *admissions) most() int {
+	most := 0
+	for first, from := range a.times {
+		count := 0
+		for _, at := range a.times[first:] {
+			if at.Sub(from) <= time.Second {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
+
+// The rule holds for the derived pace, whatever the pool and the bounds are.
+func TestPaceWithinLeavesAMargin(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		perSecond := rapid.Float64Range(0.1, 1000).Draw(rt, "perSecond")
+		overshoot := rapid.Float64Range(1, 3).Draw(rt, "overshoot")
+		slack := rapid.Float64Range(1.2, 50).Draw(rt, "slack")
+		pace := admission.PaceWithin(perSecond, overshoot, slack)
+		assert.Assert(rt, pace.Burst+pace.PerSecond <= 0.95*(perSecond*overshoot+slack), "%+v", pace)
+		assert.Assert(rt, pace.Burst >= 1 && pace.PerSecond > 0, "%+v", pace)
+	})
+	assert.Equal(t, admission.PaceWithin(4.5, 0, 0).PerSecond, 4.5)
+}
+
+// No second, wherever it begins, has more calls than the rule allows, whatever the
+// arrivals, and also where the pace is stated anew, ends and begins anew.
+func TestNoSecondAboveTheBound(t *testing.T) {
+	for seed := range uint64(200) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			perSecond, overshoot, slack := 0.5+20*random.Float64(), 1+random.Float64(), 2+10*random.Float64()
+			queue := newQueue(100, nil)
+			seen := &admissions{}
+			wanted := 0
+			for range 60 {
+				pace := admission.PaceWithin(perSecond, overshoot, slack)
+				pace.Until = time.Now().Add(time.Second)
+				queue.SetPace(pace)
+				for range random.IntN(8) {
+					wanted++
+					go func() { _ = seen.ask(queue, admission.Request{MaxWait: 800 * time.Millisecond}) }()
+				}
+				time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+			}
+			time.Sleep(900 * time.Millisecond)
+			admitted := seen.count()
+			bound := perSecond*overshoot + slack
+			assert.Assert(t, float64(seen.most()) <= bound, "seed %d: %d in a second, bound %.2f", seed, seen.most(), bound)
+			least := min(float64(wanted), perSecond*2)
+			assert.Assert(t, float64(admitted) >= least, "seed %d: %d of %d", seed, admitted, wanted)
+		})
+	}
+}
+
+// A pace that begins takes the last second as used up: two queues of one back end, one
+// after the other, keep the bound together.
+func TestPaceBeginsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		seen := &admissions{}
+		pace := admission.Pace{PerSecond: 4, Burst: 2}
+		for range 2 {
+			queue := newQueue(100, nil)
+			queue.SetPace(pace)
+			time.Sleep(500 * time.Millisecond)
+			for range 20 {
+				_ = seen.ask(queue, admission.Request{NoWait: true})
+			}
+		}
+		assert.Equal(t, seen.count(), 4)
+		assert.Assert(t, seen.most() <= 6)
+		fresh := newQueue(100, nil)
+		fresh.SetPace(pace)
+		assert.Assert(t, result.Is(seen.ask(fresh, admission.Request{NoWait: true}), result.CallNotRunCold))
+	})
+}
+
+// What waits for the pace goes in order of urgency, and a call that came later before
+// one that is less urgent.
+func TestPacedCallsKeepTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newQueue(100, nil)
+		queue.SetPace(admission.Pace{PerSecond: 2, Burst: 1})
+		seen := &admissions{}
+		for _, priority := range []uint32{3, 1, 2, 0} {
+			go func() { _ = seen.ask(queue, admission.Request{Priority: priority, MaxWait: time.Minute}) }()
+			synctest.Wait()
+		}
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, seen.count(), 4)
+		assert.DeepEqual(t, seen.priorities, []uint32{0, 1, 2, 3})
+		assert.Equal(t, seen.times[3].Sub(seen.times[0]).Round(time.Millisecond), 1500*time.Millisecond)
+	})
+}
+
+// What cannot be served in its time is refused at once, with when to come back.
+func TestPaceRefusesWhatIsHopelessAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := newQueue(100, nil)
+		queue.SetPace(admission.Pace{PerSecond: 1, Burst: 1})
+		seen := &admissions{}
+		for range 2 {
+			go func() { _ = seen.ask(queue, admission.Request{MaxWait: 2500 * time.Millisecond}) }()
+			synctest.Wait()
+		}
+		before := time.Now()
+		err := seen.ask(queue, admission.Request{MaxWait: 2500 * time.Millisecond})
+		assert.Equal(t, time.Since(before), time.Duration(0))
+		assert.Assert(t, result.Is(err, result.CallNotRunCold), "%v", err)
+		assert.Equal(t, err.(*result.Error).RetryAfter.Round(10*time.Millisecond), 3*time.Second)
+		assert.Equal(t, queue.PaceUse().Refused, int64(1))
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, seen.count(), 2)
+	})
+}
+
+// A pace that ends, by its time or by word, lets go what waits.
+func TestPaceEnds(t *testing.T) {
+	for name, end := range map[string]func(*admission.Queue){
+		"by its time":           func(*admission.Queue) {},
+		"by word":               func(queue *admission.Queue) { queue.SetPace(admission.Pace{}) },
+		"by the queue's":        func(queue *admission.Queue) { queue.Close(result.Errorf(result.CallNotRunDraining, "closed")) },
+		"after a new limit too": func(queue *admission.Queue) { queue.Configure(100, nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				queue := newQueue(100, nil)
+				queue.SetPace(admission.Pace{PerSecond: 0.1, Burst: 1, Until: time.Now().Add(2 * time.Second)})
+				seen := &admissions{}
+				errs := make(chan error, 5)
+				for range 5 {
+					go func() { errs <- seen.ask(queue, admission.Request{MaxWait: 10 * time.Second}) }()
+				}
+				time.Sleep(1999 * time.Millisecond)
+				assert.Equal(t, len(errs), 0)
+				end(queue)
+				time.Sleep(2 * time.Millisecond)
+				assert.Equal(t, len(errs), 5)
+				refused := slices.ContainsFunc([]error{<-errs, <-errs, <-errs, <-errs, <-errs}, func(err error) bool { return err != nil })
+				assert.Equal(t, refused, name == "by the queue's")
+			})
+		})
+	}
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -468,6 +468,13 @@
 	t.refusedUntil = now.Add(retryAfter)
 }
 
+// RefusedFor returns how much longer that time is; 0 once it is over.
+func (t *Target) RefusedFor(now time.Time) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return max(t.refusedUntil.Sub(now), 0)
+}
+
 // Succeeded notes that the instance gave an answer.
 func (t *Target) Succeeded() {
 	t.mutex.Lock()
--- a/internal/gateway/failures_test.go
+++ b/internal/gateway/failures_test.go
@@ -181,3 +181,34 @@
 		})
 	}
 }
+
+// A refusal because an instance is cold is tried elsewhere like one for load, within the
+// same bound, and that instance is left alone for the time that it named.
+func TestColdRefusalsAreTriedElsewhere(t *testing.T) {
+	cold := result.Errorf(result.CallNotRunCold, "cold")
+	cold.RetryAfter = time.Hour
+	for name, row := range map[string]struct {
+		script   []any
+		status   uint32
+		attempts int
+	}{
+		"another one answers": {[]any{cold, cold, 200}, 200, 3},
+		"all are cold":        {[]any{cold}, 0, maxOverloaded + 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			remote := &scriptedRemote{script: row.script}
+			attempt := newAttempter(t, remote, false, RetryLimits{Fraction: 1, Burst: 10})
+			done, err := attempt.run(t.Context())
+			assert.Equal(t, remote.calls, row.attempts)
+			for _, target := range attempt.tried {
+				assert.Assert(t, target.RefusedFor(time.Now()) > 59*time.Minute)
+			}
+			if row.status == 0 {
+				assert.Assert(t, result.Is(err, result.CallNotRunCold), "%v", err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, done.answer.Head.GetStatus(), row.status)
+		})
+	}
+}
--- a/internal/origin/backend.go
+++ b/internal/origin/backend.go
@@ -37,15 +37,14 @@
 	}
 }
 
-// reachable reports whether the back end accepts a connection.
-func (b *backend) reachable(ctx context.Context) bool {
+// connect finds out whether the back end accepts a connection. Errors: those of the dial.
+func (b *backend) connect(ctx context.Context) error {
 	dialer := net.Dialer{Timeout: backendDialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", b.address)
 	if err != nil {
-		return false
+		return err
 	}
-	_ = conn.Close()
-	return true
+	return conn.Close()
 }
 
 // exchange is one request on one connection and its answer.
--- a/internal/origin/cold.go
+++ b/internal/origin/cold.go
@@ -107,7 +107,7 @@
 		cold.source = source
 		cold.admitted = i.queue.PaceUse().Admitted
 		i.logger.Info("instance.cold", "instance", i.Name, "service", i.Service, "source", string(source),
-			"rate", pace.PerSecond, "burst", pace.Burst, "cold_ms", cold.until().Sub(now).Milliseconds())
+			"rate", cold.perSecond, "pace", pace.PerSecond, "burst", pace.Burst, "cold_ms", cold.until().Sub(now).Milliseconds())
 		return true
 	}
 	i.logger.Info("instance.warm", "instance", i.Name, "service", i.Service, "source", string(cold.source),
--- a/internal/origin/fallen.go
+++ b/internal/origin/fallen.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/callapi"
@@ -24,15 +26,15 @@
 
 // Causes of being down.
 const (
-	downRefused downCause = "connections_refused"
-	downBroke   downCause = "calls_broke_off"
-	downSilent  downCause = "no_heartbeats"
+	downUnreachable downCause = "no_connections"
+	downBroke       downCause = "calls_broke_off"
+	downSilent      downCause = "no_heartbeats"
 )
 
 // signs are what calls lately showed of whether an instance is up.
 type signs struct {
-	// refused counts the connections in a row that could not be opened.
-	refused int
+	// failed counts the connections in a row that could not be opened.
+	failed int
 	// broken are the times of the calls that broke off since the last answer.
 	broken []time.Time
 	// askedAt is when the instance was asked last.
@@ -41,7 +43,7 @@
 
 // answered takes in that the instance is up.
 func (s *signs) answered() {
-	s.refused = 0
+	s.failed = 0
 	s.broken = s.broken[:0]
 }
 
@@ -57,15 +59,16 @@
 	return true
 }
 
-// refusedConnection takes in that a connection could not be opened; it reports whether
-// the instance is down and why: several in a row show that, or one after calls broke off.
-func (s *signs) refusedConnection(now time.Time) (cause downCause, down bool) {
+// notConnected takes in that a connection could not be opened; it reports whether the
+// instance is down and why: several in a row show that, or after calls broke off one that
+// was refused. One that found no answer in time may be lost on its way.
+func (s *signs) notConnected(refused bool, now time.Time) (cause downCause, down bool) {
 	s.forget(now)
-	s.refused++
-	if len(s.broken) > 0 {
+	s.failed++
+	if refused && len(s.broken) > 0 {
 		return downBroke, true
 	}
-	return downRefused, s.refused >= downAfter
+	return downUnreachable, s.failed >= downAfter
 }
 
 // forget drops the calls that broke off long ago.
@@ -80,9 +83,9 @@
 func (i *Instance) noteCall(err error, ask func()) {
 	switch {
 	case err == nil:
-		i.noteConnection(true)
+		i.noteConnection(nil)
 	case result.Is(err, result.CallNotRunUnreachable):
-		i.noteConnection(false)
+		i.noteConnection(err)
 	case callapi.OutcomeOf(err) == callapi.OutcomeUnknown && !result.Is(err, result.CallDeadline) && !result.Is(err, result.CallCancelled):
 		if i.noteBroken() {
 			ask()
@@ -97,12 +100,14 @@
 	return i.signs.brokeOff(time.Now())
 }
 
-// noteConnection follows whether the back end accepts connections.
-func (i *Instance) noteConnection(ok bool) {
+// noteConnection follows whether the back end accepts connections; err tells why it does
+// not.
+func (i *Instance) noteConnection(err error) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	if !ok {
-		if cause, down := i.signs.refusedConnection(time.Now()); down {
+	if err != nil {
+		refused := errors.Is(err, syscall.ECONNREFUSED)
+		if cause, down := i.signs.notConnected(refused, time.Now()); down {
 			i.fallOver(cause)
 		}
 		return
@@ -158,7 +163,7 @@
 }
 
 func (i *Instance) askConnection(ctx context.Context) {
-	if !i.backend.reachable(ctx) && ctx.Err() == nil {
-		i.noteConnection(false)
+	if err := i.backend.connect(ctx); err != nil && ctx.Err() == nil {
+		i.noteConnection(err)
 	}
 }
--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -168,7 +168,7 @@
 		return
 	}
 	if state == StateStarting || state == StateDown {
-		i.noteConnection(i.backend.reachable(ctx))
+		i.noteConnection(i.backend.connect(ctx))
 	}
 }
 
