--- a/internal/admission/pace_test.go
+++ b/internal/admission/pace_test.go
@@ -75,7 +75,7 @@
 }
 
 // No second, wherever it begins, has more calls than the rule allows, whatever the
-// arrivals, and also where the pace is stated anew, ends and begins anew.
+// arrivals, after pauses too, and also where the pace is stated anew.
 func TestNoSecondAboveTheBound(t *testing.T) {
 	for seed := range uint64(200) {
 		synctest.Test(t, func(t *testing.T) {
@@ -84,15 +84,20 @@
 			queue := newQueue(100, nil)
 			seen := &admissions{}
 			wanted := 0
-			for range 60 {
-				pace := admission.PaceWithin(perSecond, overshoot, slack)
-				pace.Until = time.Now().Add(time.Second)
-				queue.SetPace(pace)
+			for round := range 60 {
+				if round == 0 || random.IntN(3) == 0 {
+					pace := admission.PaceWithin(perSecond, overshoot, slack)
+					pace.Until = time.Now().Add(time.Hour)
+					queue.SetPace(pace)
+				}
 				for range random.IntN(8) {
 					wanted++
 					go func() { _ = seen.ask(queue, admission.Request{MaxWait: 800 * time.Millisecond}) }()
 				}
 				time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+				if random.IntN(10) == 0 {
+					time.Sleep(2 * time.Second)
+				}
 			}
 			time.Sleep(900 * time.Millisecond)
 			admitted := seen.count()
@@ -127,17 +132,21 @@
 }
 
 // What waits for the pace goes in order of urgency, and a call that came later before
-// one that is less urgent.
+// one that is less urgent. A pace that is stated anew keeps what it has.
 func TestPacedCallsKeepTheirOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		queue := newQueue(100, nil)
-		queue.SetPace(admission.Pace{PerSecond: 2, Burst: 1})
+		pace := admission.Pace{PerSecond: 2, Burst: 1}
+		queue.SetPace(pace)
 		seen := &admissions{}
 		for _, priority := range []uint32{3, 1, 2, 0} {
 			go func() { _ = seen.ask(queue, admission.Request{Priority: priority, MaxWait: time.Minute}) }()
 			synctest.Wait()
 		}
-		time.Sleep(3 * time.Second)
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			queue.SetPace(pace)
+		}
 		assert.Equal(t, seen.count(), 4)
 		assert.DeepEqual(t, seen.priorities, []uint32{0, 1, 2, 3})
 		assert.Equal(t, seen.times[3].Sub(seen.times[0]).Round(time.Millisecond), 1500*time.Millisecond)
@@ -167,11 +176,15 @@
 
 // A pace that ends, by its time or by word, lets go what waits.
 func TestPaceEnds(t *testing.T) {
-	for name, end := range map[string]func(*admission.Queue){
-		"by its time":           func(*admission.Queue) {},
-		"by word":               func(queue *admission.Queue) { queue.SetPace(admission.Pace{}) },
-		"by the queue's":        func(queue *admission.Queue) { queue.Close(result.Errorf(result.CallNotRunDraining, "closed")) },
-		"after a new limit too": func(queue *admission.Queue) { queue.Configure(100, nil) },
+	nothing := func(*admission.Queue) {}
+	for name, row := range map[string]struct {
+		at  time.Duration
+		end func(*admission.Queue)
+	}{
+		"by its time":           {2 * time.Second, nothing},
+		"by word":               {time.Second, func(queue *admission.Queue) { queue.SetPace(admission.Pace{}) }},
+		"by the queue's":        {time.Second, func(queue *admission.Queue) { queue.Close(result.Errorf(result.CallNotRunDraining, "closed")) }},
+		"after a new limit too": {2 * time.Second, func(queue *admission.Queue) { queue.Configure(100, nil) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -182,9 +195,9 @@
 				for range 5 {
 					go func() { errs <- seen.ask(queue, admission.Request{MaxWait: 10 * time.Second}) }()
 				}
-				time.Sleep(1999 * time.Millisecond)
+				time.Sleep(row.at - time.Millisecond)
 				assert.Equal(t, len(errs), 0)
-				end(queue)
+				row.end(queue)
 				time.Sleep(2 * time.Millisecond)
 				assert.Equal(t, len(errs), 5)
 				refused := slices.ContainsFunc([]error{<-errs, <-errs, <-errs, <-errs, <-errs}, func(err error) bool { return err != nil })
