--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -15,10 +15,6 @@
 	// usualBurst is the number of calls admitted at once after a pause, as far as
 	// the bound leaves room: a back end takes them one behind the other.
 	usualBurst = 2
-	// overshootUsed is the part of the allowed overshoot by which the mean rate lies
-	// above what the back end is said to bear: half, so that as much is left for what
-	// others send or the back end does beside it.
-	overshootUsed = 0.5
 	// leastBurst lets a call go at all.
 	leastBurst = 1
 	// tokenRounding is what a sum of parts of a token may lack of a whole one.
@@ -46,10 +42,9 @@
 		return Pace{PerSecond: perSecond, Burst: usualBurst}
 	}
 	allowed := bound * (1 - paceMargin)
-	mean := perSecond * (1 + overshootUsed*max(overshoot-1, 0))
-	burst := max(min(usualBurst, allowed-mean), leastBurst)
+	burst := max(min(usualBurst, allowed-perSecond), leastBurst)
 	least := perSecond * paceMargin
-	return Pace{PerSecond: min(mean, max(allowed-burst, least)), Burst: burst}
+	return Pace{PerSecond: min(perSecond, max(allowed-burst, least)), Burst: burst}
 }
 
 // holds reports whether the pace bounds what is admitted now.
