--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -185,6 +185,7 @@
 	code := result.CallNotRunOverloaded
 	if forPace > forLoad {
 		code = result.CallNotRunCold
+		detail = "the back end is cold: " + detail
 		q.paceRefusals++
 	}
 	refusal := result.Errorf(code, "%s", detail)
--- a/internal/origin/cold.go
+++ b/internal/origin/cold.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/admission"
 )
 
@@ -14,6 +15,11 @@
 	Slack float64
 }
 
+// rateUnknown is the calls a second that a cold instance is admitted while its daemon has
+// no configuration yet, where the settings bound what cold instances get. It is low
+// because the pool may say anything.
+const rateUnknown = 1
+
 // coldSource is why an instance counts as cold.
 type coldSource string
 
@@ -35,6 +41,8 @@
 	// long it stays cold at most; 0 where it does not say.
 	perSecond float64
 	startTime time.Duration
+	// configured is true once a configuration said so.
+	configured bool
 	// warmAt is from the newest heartbeat.
 	warmAt time.Time
 	// unheardUntil is when an instance that is to be heard first counts as warm in any
@@ -65,17 +73,50 @@
 	}
 }
 
+// rate returns the calls a second that a cold instance is admitted; 0 for no bound.
+func (c *coldness) rate() float64 {
+	if !c.configured && c.bound != (ColdBound{}) {
+		return rateUnknown
+	}
+	return c.perSecond
+}
+
 // pace returns the pace that the queue of the instance keeps; none where the pool does
 // not say what a cold instance bears.
 func (c *coldness) pace(now time.Time) admission.Pace {
-	if c.perSecond <= 0 || !now.Before(c.until()) {
+	if c.rate() <= 0 || !now.Before(c.until()) {
 		return admission.Pace{}
 	}
-	pace := admission.PaceWithin(c.perSecond, c.bound.Overshoot, c.bound.Slack)
+	pace := admission.PaceWithin(c.rate(), c.bound.Overshoot, c.bound.Slack)
 	pace.Until = c.until()
 	return pace
 }
 
+// configure takes what the pool says of its cold instances; it reports whether that
+// changed.
+func (c *coldness) configure(pool *lapisv1.Pool) (changed bool) {
+	before := c.rate()
+	c.configured = true
+	c.perSecond = pool.GetColdCallsPerSecond()
+	c.startTime = time.Duration(pool.GetColdStartMillis()) * time.Millisecond
+	return c.rate() != before
+}
+
+// configureCold has the queue keep what the pool says of its cold instances; the caller
+// holds mutex.
+func (i *Instance) configureCold(pool *lapisv1.Pool) {
+	if !i.coldness.configure(pool) {
+		return
+	}
+	now := time.Now()
+	i.followCold(coldByStart, now)
+	if i.coldness.is {
+		pace := i.coldness.pace(now)
+		i.logger.Info("instance.paced", "instance", i.Name, "service", i.Service,
+			"rate", i.coldness.rate(), "pace", pace.PerSecond, "burst", pace.Burst)
+	}
+}
+
 // coldUntilHeard has an instance that states itself count as cold until a newer heartbeat
 // of it, for at most the time that its pool's instances stay cold. It reports whether what
 // is announced changed.
@@ -107,11 +148,11 @@
 		cold.source = source
 		cold.admitted = i.queue.PaceUse().Admitted
 		i.logger.Info("instance.cold", "instance", i.Name, "service", i.Service, "source", string(source),
-			"rate", cold.perSecond, "pace", pace.PerSecond, "burst", pace.Burst, "cold_ms", cold.until().Sub(now).Milliseconds())
+			"rate", cold.rate(), "pace", pace.PerSecond, "burst", pace.Burst, "cold_ms", cold.until().Sub(now).Milliseconds())
 		return true
 	}
 	i.logger.Info("instance.warm", "instance", i.Name, "service", i.Service, "source", string(cold.source),
-		"rate", cold.perSecond, "cold_ms", 0, "admitted_cold", i.queue.PaceUse().Admitted-cold.admitted)
+		"rate", cold.rate(), "cold_ms", 0, "admitted_cold", i.queue.PaceUse().Admitted-cold.admitted)
 	return true
 }
 
--- a/internal/origin/registration.go
+++ b/internal/origin/registration.go
@@ -220,9 +220,7 @@
 	}
 	i.mutex.Lock()
 	slots := i.slots
-	i.coldness.perSecond = service.Bundle.GetPool().GetColdCallsPerSecond()
-	i.coldness.startTime = time.Duration(service.Bundle.GetPool().GetColdStartMillis()) * time.Millisecond
-	i.followCold(coldByStart, time.Now())
+	i.configureCold(service.Bundle.GetPool())
 	i.mutex.Unlock()
 	if slots == 0 {
 		slots = int(service.Bundle.GetPool().GetSlots())
