--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -31,6 +31,9 @@
 	// coldFactor is how much more loaded an instance counts that says it is
 	// still slow from its start.
 	coldFactor = 2
+	// leastWarm is the number of warm instances in a subset, if there are so many: the
+	// part that is for spill-over.
+	leastWarm = SubsetSize / 4
 	// ejectAfter is the number of failures in a row that eject an instance.
 	ejectAfter = 3
 	// ejectBase and ejectMax bound the time of an ejection, which doubles with
@@ -77,8 +80,11 @@
 	firstSeen time.Time
 	// warmAt is when the instance stops being slow from its start, as it
 	// stated; zero where it does not say.
-	warmAt   time.Time
-	inFlight atomic.Int64
+	warmAt time.Time
+	// refusedUntil is when the instance takes calls again that refused one because it
+	// is cold.
+	refusedUntil time.Time
+	inFlight     atomic.Int64
 
 	// mutex protects everything below.
 	mutex        sync.Mutex
@@ -211,10 +217,11 @@
 		return rankFirst(candidates, choice.Key), nil
 	}
 	slots := float64(max(service.Bundle.GetPool().GetSlots(), 1))
+	coldRate := service.Bundle.GetPool().GetColdCallsPerSecond()
 	if choice.Target > 0 {
-		return b.cheapest(b.subset(candidates), slots, choice), nil
+		return b.cheapest(b.subset(candidates, coldRate), slots, coldRate, choice), nil
 	}
-	return b.leastLoaded(b.subset(candidates), slots), nil
+	return b.leastLoaded(b.subset(candidates, coldRate), slots), nil
 }
 
 // without returns the targets that are not excluded.
@@ -272,8 +279,9 @@
 // subset returns at most SubsetSize candidates, chosen by a hash of this
 // daemon and the instance, so that daemons spread evenly and a change of one
 // instance changes little. Instances of the own zone come first, then those of the own
-// region; some are from further away, for spill-over.
-func (b *Balancer) subset(candidates []*Target) []*Target {
+// region; some are from further away, for spill-over. Where cold instances bear coldRate
+// calls a second only, some of the subset are warm if there are any.
+func (b *Balancer) subset(candidates []*Target, coldRate float64) []*Target {
 	if len(candidates) <= SubsetSize {
 		return candidates
 	}
@@ -288,7 +296,11 @@
 	})
 	near, far := b.byRegion(ranked)
 	nearPart := min(SubsetSize-min(otherRegionPart, len(far)), len(near))
-	return append(b.nearSubset(near, nearPart), far[:SubsetSize-nearPart]...)
+	chosen := append(b.nearSubset(near, nearPart), far[:SubsetSize-nearPart]...)
+	if coldRate > 0 {
+		withWarm(chosen, without(ranked, chosen), b.now())
+	}
+	return chosen
 }
 
 // byRegion parts the targets into those of the own region and those of others.
@@ -319,15 +331,48 @@
 	return append(chosen, rest[:count-len(chosen)]...)
 }
 
+// withWarm puts warm instances of the rest in the place of the last cold ones, so that
+// at least leastWarm of those chosen are warm if there are so many.
+func withWarm(chosen, rest []*Target, now time.Time) {
+	missing := leastWarm
+	for _, target := range chosen {
+		if !target.cold(now) {
+			missing--
+		}
+	}
+	place := len(chosen) - 1
+	for _, target := range rest {
+		if missing <= 0 {
+			return
+		}
+		if target.cold(now) {
+			continue
+		}
+		for !chosen[place].cold(now) {
+			place--
+		}
+		chosen[place] = target
+		missing--
+		place--
+	}
+}
+
+// cold reports whether the instance said that it is still cold.
+func (t *Target) cold(now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return now.Before(t.warmAt)
+}
+
 // cheapest takes the instance with the least cost: the expected time until an
 // answer in parts of the target latency, the chance that it is late, the price of
 // bytes to another zone or region, and the share of failures. A little noise keeps daemons
 // from all choosing the same one.
-func (b *Balancer) cheapest(candidates []*Target, slots float64, choice Choice) *Target {
+func (b *Balancer) cheapest(candidates []*Target, slots, coldRate float64, choice Choice) *Target {
 	now := b.now()
 	conditions := make([]condition, len(candidates))
 	for index, target := range candidates {
-		conditions[index] = target.condition(choice.Route, b.tierOf(target.Endpoint), slots, now)
+		conditions[index] = target.condition(choice.Route, b.tierOf(target.Endpoint), slots, coldRate, now)
 	}
 	target := choice.Target.Seconds()
 	left := target - choice.Spent.Seconds()
@@ -463,6 +508,21 @@
 	return t.reported, now.Sub(t.reportedAt)
 }
 
+// RefusedCold notes that the instance refused a call because it is cold, and takes none
+// for so long.
+func (t *Target) RefusedCold(retryAfter time.Duration, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refusedUntil = now.Add(retryAfter)
+}
+
+// RefusedFor returns how much longer that time is; 0 once it is over.
+func (t *Target) RefusedFor(now time.Time) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return max(t.refusedUntil.Sub(now), 0)
+}
+
 // Succeeded notes that the instance gave an answer.
 func (t *Target) Succeeded() {
 	t.mutex.Lock()
--- a/internal/balance/subset_test.go
+++ b/internal/balance/subset_test.go
@@ -51,7 +51,7 @@
 		node := rapid.StringMatching("node-[0-9]{3}").Draw(t, "node")
 		targets := placed(region, rapid.IntRange(0, 40).Draw(t, "instances"))
 		made := New(node, region+"-0", "r1", time.Now)
-		assert.DeepEqual(t, instances(made.subset(targets)), instances(formerSubset(node, region+"-0", targets)))
+		assert.DeepEqual(t, instances(made.subset(targets, 0)), instances(formerSubset(node, region+"-0", targets)))
 	})
 }
 
@@ -69,7 +69,7 @@
 	for own, others := range map[int]int{0: 8, 3: 5, 6: 2, 30: 2} {
 		made := New("node", "r1-0", "r1", time.Now)
 		foreign := 0
-		chosen := made.subset(append(placed("r2", 30), placed("r1", own)...))
+		chosen := made.subset(append(placed("r2", 30), placed("r1", own)...), 0)
 		assert.Equal(t, len(chosen), SubsetSize)
 		for _, target := range chosen {
 			if target.Endpoint.GetRegion() != "r1" {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -177,6 +177,7 @@
 		Incarnation: d.incarnation, Backends: backends,
 		QueueLength: d.settings.Load().Calls.QueueLength, QueueTime: d.settings.Load().Calls.QueueTime.Get(),
 		Envelope: envelope, Changed: d.announce, Decisions: decisions, Logger: d.logger, Region: d.settings.Load().Region,
+		Cold: origin.ColdBound{Overshoot: d.settings.Load().ColdStarts.Overshoot, Slack: d.settings.Load().ColdStarts.Slack},
 	})
 	d.calls = &callmux.Client{
 		Network: d.network, Counters: d.callCounters,
--- a/internal/origin/evacuation.go
+++ b/internal/origin/evacuation.go
@@ -27,7 +27,7 @@
 			instance.Drain(DrainEvacuated)
 			continue
 		}
-		// Hook: instance.coldUntilHeard() goes here, before the queue is opened.
+		instance.coldUntilHeard()
 		instance.Resume(DrainEvacuated)
 	}
 	o.config.Logger.Info("instances.evacuated", "evacuated", evacuated, "instances", len(instances))
