--- a/internal/emulator/client/client.go
+++ b/internal/emulator/client/client.go
@@ -42,6 +42,8 @@
 	CallService string
 	// Attempts is the most instances that one try may run at.
 	Attempts int
+	// Regions are those in which configurations allow it to run; empty for all.
+	Regions []string
 	// Retries is the number of further tries of a request.
 	Retries int
 }
@@ -190,7 +192,7 @@
 	id := "r" + strconv.FormatUint(nextRequest.Add(1), 36)
 	l.Ledger.Sent(promise.Request{
 		ID: id, Services: set(class.Services), Safe: class.Safe, BodyDigest: digestOf(body),
-		Caller: target.Service(), SentAt: time.Now(), Wait: time.Duration(wait) * time.Millisecond, Attempts: class.Attempts,
+		Caller: target.Service(), SentAt: time.Now(), Wait: time.Duration(wait) * time.Millisecond, Attempts: class.Attempts, Regions: class.Regions,
 	})
 	return id
 }
--- a/internal/emulator/day/machine.go
+++ b/internal/emulator/day/machine.go
@@ -54,7 +54,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	config := settings.DefaultDaemon()
-	config.Node, config.Zone, config.Region, config.Service = m.Name, m.Zone, "region", m.Service
+	config.Node, config.Zone, config.Region, config.Service = m.Name, m.Zone, m.site.options.region(m.Zone), m.Service
 	config.PeerAddress = m.address(portPeer)
 	config.CallerAddress = m.address(portCaller)
 	config.InstanceAddress = m.address(portInstances)
@@ -65,6 +65,8 @@
 		Contact: features.Duration(m.site.options.Contact), ApplyBound: features.Duration(m.site.options.ApplyBound),
 	}
 	config.Retries = settings.Retries{Fraction: 0.2, Burst: 64}
+	config.EvacuationBound = features.Duration(m.site.options.EvacuationBound)
+	config.ColdStarts = settings.ColdStarts{Overshoot: m.site.options.ColdOvershoot, Slack: m.site.options.ColdSlack}
 	config.StopLimit = features.Duration(m.site.options.Grace)
 	config.DecisionLinesPerSecond = m.site.options.DecisionLines
 	if err := config.Check(); err != nil {
@@ -189,9 +191,15 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// Temperatures of instances at their start.
+const (
+	cold = true
+	warm = false
+)
+
 // startInstance starts an instance of service beside the daemon, at address or
 // at any.
-func (m *Machine) startInstance(service, address string) error {
+func (m *Machine) startInstance(service, address string, isCold bool) error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	options := m.site.options
@@ -199,10 +207,14 @@
 		address = m.address(portFirstInstance + m.instances)
 		m.instances++
 	}
+	coldFor := time.Duration(0)
+	if isCold {
+		coldFor = options.ColdFor
+	}
 	started, err := instance.Start(instance.Options{
 		Service: service, Zone: m.Zone, Address: address, Registration: m.addresses.Instances, Outbound: m.addresses.Caller, Host: m.host,
 		Slots: options.Slots, Queue: options.Slots, ServiceTime: options.ServiceTime, Beat: options.Beat,
-		ColdFor: options.ColdFor, Ledger: m.site.Ledger, Seed: options.Seed,
+		ColdFor: coldFor, Region: options.region(m.Zone), FallsAbove: options.fallsAbove(), Fell: m.fell, Ledger: m.site.Ledger, Seed: options.Seed,
 	})
 	if err != nil {
 		return fmt.Errorf("instance of %s: %w", service, err)
@@ -218,7 +230,7 @@
 	address := m.Instance().Address()
 	m.Instance().Crash()
 	time.Sleep(down)
-	return m.startInstance(m.Service, address)
+	return m.startInstance(m.Service, address, cold)
 }
 
 // Release lets the instance leave as planned and starts another. It reports
@@ -228,7 +240,16 @@
 	defer m.beside.Unlock()
 	leaving := m.Instance()
 	acknowledged = leaving.Leave(ctx, keep, abrupt)
-	return acknowledged, m.startInstance(m.Service, "")
+	return acknowledged, m.startInstance(m.Service, "", cold)
+}
+
+// endInstance ends the instance at once, for good.
+func (m *Machine) endInstance() {
+	m.beside.Lock()
+	defer m.beside.Unlock()
+	if running := m.Instance(); running != nil {
+		running.Crash()
+	}
 }
 
 // Options size a Site.
@@ -239,8 +260,17 @@
 	// ServiceTime is the mean time of work on a request.
 	ServiceTime time.Duration
 	Beat        time.Duration
-	ColdFor     time.Duration
-	Contact     time.Duration
+	// ColdFor is how long an instance is cold that starts during the day.
+	ColdFor time.Duration
+	// ColdRate is the requests a second that a cold instance bears; 0 for as many as
+	// a warm one. ColdOvershoot and ColdSlack are what it may get beyond.
+	ColdRate, ColdOvershoot, ColdSlack float64
+	// EvacuationBound is the time after which the instances of an evacuated zone get
+	// nothing; 0 where operators evacuate none.
+	EvacuationBound time.Duration
+	// Regions gives the region of each zone; others lie in one region.
+	Regions map[string]string
+	Contact time.Duration
 	// ApplyBound is the time in which daemons are told that a configuration must
 	// be in force.
 	ApplyBound time.Duration
@@ -254,6 +284,31 @@
 	Seed          uint64
 }
 
+// bounds are those that the ledger checks.
+func (o Options) bounds() promise.Bounds {
+	return promise.Bounds{
+		Drain: o.DrainBound, Evacuation: o.EvacuationBound,
+		ColdPerSecond: o.ColdRate*o.ColdOvershoot*(1+jam.Seconds()) + o.ColdSlack,
+	}
+}
+
+// fallsAbove is the number of requests in a second at which a cold instance falls
+// over; 0 for never.
+func (o Options) fallsAbove() float64 {
+	if o.ColdRate == 0 {
+		return 0
+	}
+	return fallFactor*o.ColdRate + o.ColdSlack
+}
+
+// region returns the region of a zone.
+func (o Options) region(zone string) string {
+	if region, given := o.Regions[zone]; given {
+		return region
+	}
+	return defaultRegion
+}
+
 // Placement is one machine of a service in a zone.
 type Placement struct{ Zone, Service string }
 
--- a/internal/emulator/day/operator.go
+++ b/internal/emulator/day/operator.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 
+	"github.com/lapisvane/lapisvane/internal/emulator/instance"
 	"github.com/lapisvane/lapisvane/platform"
 )
 
@@ -12,6 +13,8 @@
 	TimeoutMillis, TargetMillis       uint32
 	Priority, Attempts                uint32
 	Split                             []platform.Backend
+	// Regions are those in which its requests may run; empty for all.
+	Regions []string
 }
 
 // Config builds the operator's configuration.
@@ -21,11 +24,11 @@
 	}}
 	config.Services.Columns = []string{platform.ColumnName, platform.ColumnHealthPath, platform.ColumnConnections}
 	for _, service := range services {
-		config.Services.Rows = append(config.Services.Rows, row(service, "/health", 130))
+		config.Services.Rows = append(config.Services.Rows, row(service, instance.PathHealth, 130))
 	}
 	config.Routes.Columns = []string{
 		platform.ColumnName, platform.ColumnHost, platform.ColumnPrefix, platform.ColumnKind, platform.ColumnTimeout,
-		platform.ColumnTarget, platform.ColumnPriority, platform.ColumnAttempts, platform.ColumnService, platform.ColumnBackends,
+		platform.ColumnTarget, platform.ColumnPriority, platform.ColumnAttempts, platform.ColumnService, platform.ColumnBackends, platform.ColumnRegions,
 	}
 	for _, route := range routes {
 		var split any
@@ -33,11 +36,20 @@
 			split = route.Split
 		}
 		config.Routes.Rows = append(config.Routes.Rows, row(route.Name, route.Host, route.Prefix, route.Kind,
-			route.TimeoutMillis, route.TargetMillis, route.Priority, route.Attempts, route.Service, split))
+			route.TimeoutMillis, route.TargetMillis, route.Priority, route.Attempts, route.Service, split, route.Regions))
 	}
 	return config
 }
 
+// addColdRates states of all services how instances start cold.
+func addColdRates(config *platform.Config, options Options) {
+	config.Services.Columns = append(config.Services.Columns, platform.ColumnColdStart, platform.ColumnColdRate)
+	cold := row(options.ColdFor.Seconds(), options.ColdRate)
+	for index, service := range config.Services.Rows {
+		config.Services.Rows[index] = append(service, cold...)
+	}
+}
+
 // row encodes values; what cannot be encoded is left out.
 func row(values ...any) []json.RawMessage {
 	encoded := make([]json.RawMessage, 0, len(values))
--- a/internal/emulator/day/site.go
+++ b/internal/emulator/day/site.go
@@ -25,9 +25,14 @@
 	Ledger   *Ledger
 
 	options Options
-	// mutex protects version, the newest configuration's.
+	// mutex protects everything below; version is the newest configuration's.
 	mutex   sync.Mutex
 	version uint64
+	// falls counts the instances that fell over, and fallen is what went wrong when
+	// one started again.
+	falls  int
+	fallen error
+	closed bool
 }
 
 // Start starts a site whose operator has declared the given routes, and waits
@@ -39,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	site := &Site{Store: store, Ledger: promise.NewLedger(options.DrainBound), options: options}
+	site := &Site{Store: store, Ledger: promise.NewLedger(options.bounds()), options: options}
 	if _, err := site.Declare(routes); err != nil {
 		return nil, err
 	}
@@ -54,7 +59,7 @@
 		if err := machine.start(); err != nil {
 			return site, err
 		}
-		if err := machine.startInstance(machine.Service, ""); err != nil {
+		if err := machine.startInstance(machine.Service, "", warm); err != nil {
 			return site, err
 		}
 	}
@@ -63,14 +68,15 @@
 
 // Close ends everything at once.
 func (s *Site) Close() {
+	s.mutex.Lock()
+	s.closed = true
+	s.mutex.Unlock()
 	for _, machine := range s.Machines {
 		if process := machine.take(); process != nil {
 			close(process.force)
 			<-process.ended
 		}
-		if machine.Instance() != nil {
-			machine.Instance().Crash()
-		}
+		machine.endInstance()
 	}
 	s.Store.Close()
 }
@@ -105,6 +111,9 @@
 	defer s.mutex.Unlock()
 	s.version += 1 + s.version%3
 	config := Config(s.version, s.services(), routes)
+	if s.options.ColdRate > 0 {
+		addColdRates(&config, s.options)
+	}
 	return s.version, s.Store.PutSpec(platform.KindConfig, platform.NameConfig, config)
 }
 
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -47,10 +47,23 @@
 	// ForgetIdle is the rest after which a connection is forgotten without a
 	// word: the next request over it is reset. 0 keeps all.
 	ForgetIdle time.Duration
+	// OnFull is what the instance does with a request for which it has no room.
+	OnFull OnFull
 	// Silent keeps the instance from reading, answering and registering.
 	Silent bool
 }
 
+// OnFull is what an instance does with a request for which it has no room.
+type OnFull int
+
+// Ways to treat a request for which there is no room.
+const (
+	// OnFullRefuse says that the request did not run.
+	OnFullRefuse OnFull = iota
+	// OnFullHang never answers it, nor anything further on its connection.
+	OnFullHang
+)
+
 // Options configure an Instance.
 type Options struct {
 	Service string
@@ -68,10 +81,18 @@
 	// ServiceTime is the mean time of work on a request.
 	ServiceTime time.Duration
 	Beat        time.Duration
-	// ColdFor is how long work takes twice as long after the start.
+	// ColdFor is how long the instance is cold after the start: its work takes
+	// twice as long.
 	ColdFor time.Duration
-	Ledger  *promise.Ledger
-	Seed    uint64
+	// Region is that of the machine.
+	Region string
+	// FallsAbove is the number of requests in a second at which the instance falls
+	// over while it is cold; 0 for never.
+	FallsAbove float64
+	// Fell is called once when the instance falls over, and ends it.
+	Fell   func(*Instance)
+	Ledger *promise.Ledger
+	Seed   uint64
 }
 
 // Instance is one incarnation of an instance.
@@ -82,7 +103,9 @@
 	slots    chan struct{}
 	waiting  atomic.Int64
 	running  atomic.Int64
-	started  time.Time
+	received atomic.Int64
+	cold     coldness
+	fall     sync.Once
 	sequence atomic.Uint64
 	draining atomic.Bool
 
@@ -110,9 +133,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &Instance{
 		options: options, id: fmt.Sprintf("i-%08x", nextID.Add(1)), listener: listener,
-		slots: make(chan struct{}, options.Slots), started: time.Now(), stopped: ctx, stop: cancel,
+		slots: make(chan struct{}, options.Slots), stopped: ctx, stop: cancel,
 		random: rand.New(rand.NewPCG(options.Seed, nextID.Load())), conns: map[net.Conn]bool{},
 	}
+	started.cold.until = time.Now().Add(options.ColdFor)
 	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(options.Host)}}
 	started.calls = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}}
 	started.work.Go(started.accept)
@@ -129,6 +153,9 @@
 // Running returns the requests that are worked on.
 func (i *Instance) Running() int { return int(i.running.Load()) }
 
+// Received returns the requests so far that were meant for the instance.
+func (i *Instance) Received() int64 { return i.received.Load() }
+
 // Set replaces the behaviour.
 func (i *Instance) Set(behaviour Behaviour) {
 	i.mutex.Lock()
@@ -216,8 +243,7 @@
 		Address: i.Address(),
 		Info:    platform.HeartbeatInfo{Service: i.options.Service, Version: "v1", Zone: i.options.Zone, Slots: i.options.Slots},
 		Status: platform.HeartbeatStatus{
-			State: state, Sequence: sequence,
-			ColdMs: max((i.options.ColdFor - time.Since(i.started)).Milliseconds(), 0),
+			State: state, Sequence: sequence, ColdMs: i.cold.left(time.Now()).Milliseconds(),
 		},
 	}
 	body, err := json.Marshal(beat)
--- a/internal/emulator/instance/serve.go
+++ b/internal/emulator/instance/serve.go
@@ -26,6 +26,9 @@
 	HeaderCall = "Emulator-Call"
 )
 
+// PathHealth is where an instance answers the question for its health.
+const PathHealth = "/health"
+
 const defaultAnswerBytes = 200
 
 // fate is how a request's answer is sent.
@@ -34,6 +37,8 @@
 const (
 	fateKeep fate = iota
 	fateClose
+	// fateHang says nothing more on the connection.
+	fateHang
 )
 
 // accept takes connections until the instance ends.
@@ -92,12 +97,20 @@
 // serve answers one request, and tells how long the connection rested then.
 func (i *Instance) serve(conn net.Conn, reader *bufio.Reader, request *http.Request) (verdict fate, rest time.Duration) {
 	id := request.Header.Get(platform.HeaderRequestID)
+	if request.URL.Path == PathHealth {
+		return i.health(conn), 0
+	}
 	i.options.Ledger.Arrived(id)
+	expected := request.Header.Get(platform.HeaderExpectedInstance)
+	misdirected := expected != "" && expected != i.id
+	if !misdirected {
+		i.reached(id)
+	}
 	behaviour := i.current()
 	if i.chance(behaviour.Early) && request.ContentLength > 0 {
 		return i.refuse(conn, request, http.StatusServiceUnavailable, fateClose), 0
 	}
-	if expected := request.Header.Get(platform.HeaderExpectedInstance); expected != "" && expected != i.id {
+	if misdirected {
 		_, _ = io.Copy(io.Discard, request.Body)
 		return i.refuse(conn, request, http.StatusMisdirectedRequest, fateKeep), 0
 	}
@@ -108,8 +121,14 @@
 	ctx, cancel, ended := i.watch(request, reader)
 	defer cancel()
 	verdict = i.handle(ctx, conn, request, id, body)
-	if verdict == fateClose {
+	switch verdict {
+	case fateClose:
 		_ = conn.Close()
+	case fateHang:
+		<-ended
+		// Whatever comes further is read and not answered.
+		_, _ = io.Copy(io.Discard, reader)
+		return fateClose, 0
 	}
 	answered := time.Now()
 	// The watch reads on until the next request begins or the connection ends.
@@ -119,7 +138,11 @@
 
 // handle works on a request and answers it.
 func (i *Instance) handle(ctx context.Context, conn net.Conn, request *http.Request, id string, body []byte) fate {
-	if !i.enter(ctx) {
+	entered, full := i.enter(ctx)
+	if full && i.current().OnFull == OnFullHang {
+		return fateHang
+	}
+	if !entered {
 		return i.refuse(conn, request, http.StatusServiceUnavailable, fateClose)
 	}
 	defer i.leave()
@@ -152,26 +175,25 @@
 	return ctx, cancel, ended
 }
 
-// enter waits for a slot; it reports false when the queue is full or the time
-// is over.
-func (i *Instance) enter(ctx context.Context) bool {
+// enter waits for a slot; it gets none when the queue is full or the time is over.
+func (i *Instance) enter(ctx context.Context) (entered, full bool) {
 	select {
 	case i.slots <- struct{}{}:
 		i.running.Add(1)
-		return true
+		return true, false
 	default:
 	}
 	if i.waiting.Add(1) > int64(i.options.Queue) {
 		i.waiting.Add(-1)
-		return false
+		return false, true
 	}
 	defer i.waiting.Add(-1)
 	select {
 	case i.slots <- struct{}{}:
 		i.running.Add(1)
-		return true
+		return true, false
 	case <-ctx.Done():
-		return false
+		return false, false
 	}
 }
 
@@ -199,8 +221,8 @@
 // perform spends the time of work and makes the calls that the request asks for.
 func (i *Instance) perform(ctx context.Context, request *http.Request, behaviour Behaviour) bool {
 	factor := max(behaviour.Slowdown, 1)
-	if time.Since(i.started) < i.options.ColdFor {
-		factor *= 2
+	if i.cold.left(time.Now()) > 0 {
+		factor *= coldSlowdown
 	}
 	i.mutex.Lock()
 	spread := 0.5 + i.random.Float64()
@@ -239,6 +261,16 @@
 	return err == nil && response.StatusCode == http.StatusOK
 }
 
+// health answers the question for the instance's health.
+func (i *Instance) health(conn net.Conn) fate {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %d\r\nContent-Length: 0\r\n\r\n", platform.HeaderInstance, i.id,
+		platform.HeaderColdRemaining, i.cold.left(time.Now()).Milliseconds())
+	if _, err := io.WriteString(conn, head); err != nil {
+		return fateClose
+	}
+	return fateKeep
+}
+
 // refuse answers that the request did not run.
 func (i *Instance) refuse(conn net.Conn, request *http.Request, status int, then fate) fate {
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n", status, http.StatusText(status),
--- a/internal/emulator/objectstore/server.go
+++ b/internal/emulator/objectstore/server.go
@@ -85,6 +85,8 @@
 	random *rand.Rand
 	// cuts are closed and replaced to end the watches that wait at an address.
 	cuts map[string]chan struct{}
+	// told gives by kind the newest revision at which a reader was told of the kind.
+	told map[string]uint64
 
 	calls, refused atomic.Int64
 }
@@ -98,7 +100,7 @@
 	server := &Server{
 		table: newTable(), listener: listener,
 		reads: limiter(options.ReadsPerSecond), writes: limiter(options.WritesPerSecond),
-		random: rand.New(rand.NewPCG(options.Seed, 1)), cuts: map[string]chan struct{}{},
+		random: rand.New(rand.NewPCG(options.Seed, 1)), cuts: map[string]chan struct{}{}, told: map[string]uint64{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathObjects, server.serve)
@@ -180,6 +182,24 @@
 	return nil
 }
 
+// Told returns the newest revision at which a reader was told of a kind's objects.
+func (s *Server) Told(kind string) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.told[kind]
+}
+
+// tell answers a reader of a kind with what stands at a revision.
+func (s *Server) tell(w http.ResponseWriter, kind string, at uint64, value any) {
+	answer(w, value)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.told[kind] = max(s.told[kind], at)
+}
+
+// Remove deletes an object as an operator does, whatever the faults.
+func (s *Server) Remove(kind, name string) { s.table.remove(kind, name, 0) }
+
 // disturbance is what the faults do to one call.
 type disturbance struct {
 	faults  Faults
@@ -260,7 +280,8 @@
 		s.watch(w, r, disturbed, kind, watch)
 		return
 	}
-	answer(w, s.table.list(kind, query.Get("after")))
+	page := s.table.list(kind, query.Get("after"))
+	s.tell(w, kind, page.At, page)
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request, disturbed disturbance, kind, from string) {
@@ -280,7 +301,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(changes.Events) > 0 && !deaf:
-			answer(w, changes)
+			s.tell(w, kind, changes.At, changes)
 			return
 		}
 		select {
@@ -289,7 +310,7 @@
 			if deaf {
 				changes = platform.Changes{Events: []platform.Event{}, At: after}
 			}
-			answer(w, changes)
+			s.tell(w, kind, changes.At, changes)
 			return
 		case <-disturbed.cut:
 			hangUp(w)
--- a/internal/emulator/promise/promise.go
+++ b/internal/emulator/promise/promise.go
@@ -34,6 +34,14 @@
 	Denied Kind = "denied"
 	// Budget: instances got more repeats or more time than is allowed.
 	Budget Kind = "budget"
+	// Failback: a cold instance got more in a second than it bears.
+	Failback Kind = "failback"
+	// Evacuation: an instance of an evacuated zone got a request too long after the
+	// order was acknowledged.
+	Evacuation Kind = "evacuation"
+	// Home: a request reached an instance in a region where its route does not
+	// allow it.
+	Home Kind = "home"
 )
 
 // Breach is one broken promise.
@@ -60,6 +68,8 @@
 	// Attempts bounds the instances that may run it; 0 where that is not
 	// checked.
 	Attempts int
+	// Regions are those in which its route allows it to run; empty for all.
+	Regions []string
 }
 
 // Run is one run of a request at an instance.
@@ -90,7 +100,7 @@
 
 // Ledger is safe for concurrent use.
 type Ledger struct {
-	drainBound time.Duration
+	bounds Bounds
 
 	// mutex protects everything below.
 	mutex    sync.Mutex
@@ -99,15 +109,36 @@
 	answers  map[string]Answer
 	arrivals map[string]int
 	// left gives the time when an instance's leaving was acknowledged.
-	left     map[string]time.Time
+	left map[string]time.Time
+	// evacuated gives the time when a zone's evacuation was acknowledged.
+	evacuated map[string]time.Time
+	// storeLost counts what keeps the daemons from hearing of orders, and inTouch
+	// is when they must have heard of all that was given meanwhile.
+	storeLost int
+	inTouch   time.Time
+	// cold counts what cold instances got.
+	cold     map[string]*Second
 	breaches []Breach
 }
 
-// NewLedger returns a ledger for a platform with the given bound for drains.
-func NewLedger(drainBound time.Duration) *Ledger {
+// Bounds are a platform's bounds.
+type Bounds struct {
+	// Drain is the time after which a leaving instance gets nothing.
+	Drain time.Duration
+	// Evacuation is the time after which the instances of an evacuated zone get
+	// nothing; 0 where that is not checked.
+	Evacuation time.Duration
+	// ColdPerSecond is the most requests that a cold instance gets in any second; 0
+	// where that is not checked.
+	ColdPerSecond float64
+}
+
+// NewLedger returns a ledger for a platform with the given bounds.
+func NewLedger(bounds Bounds) *Ledger {
 	return &Ledger{
-		drainBound: drainBound, requests: map[string]Request{}, runs: map[string][]Run{},
+		bounds: bounds, requests: map[string]Request{}, runs: map[string][]Run{},
 		answers: map[string]Answer{}, arrivals: map[string]int{}, left: map[string]time.Time{},
+		evacuated: map[string]time.Time{}, cold: map[string]*Second{},
 	}
 }
 
@@ -166,7 +197,7 @@
 	if sent && !request.Safe && len(l.runs[run.Request]) > 0 {
 		l.note(Twice, run.Request, "ran at "+l.runs[run.Request][0].Instance+" and at "+run.Instance)
 	}
-	if at, leaving := l.left[run.Instance]; leaving && run.At.Sub(at) > l.drainBound {
+	if at, leaving := l.left[run.Instance]; leaving && run.At.Sub(at) > l.bounds.Drain {
 		l.note(Drain, run.Request, fmt.Sprintf("%s got it %s after its leaving was acknowledged", run.Instance, run.At.Sub(at)))
 	}
 	l.runs[run.Request] = append(l.runs[run.Request], run)
--- a/internal/emulator/promise/promise_test.go
+++ b/internal/emulator/promise/promise_test.go
@@ -39,7 +39,7 @@
 		}, want: promise.Mixed},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ledger := promise.NewLedger(time.Second)
+			ledger := promise.NewLedger(promise.Bounds{Drain: time.Second})
 			for _, id := range []string{"a", "b"} {
 				ledger.Sent(promise.Request{ID: id, Safe: row.safe, Services: map[string]bool{"desk": true}})
 			}
--- /dev/null
+++ b/internal/emulator/promise/reached_test.go
@@ -0,0 +1,125 @@
+package promise_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/emulator/promise"
+)
+
+// noon is when the events below begin; only the times between them matter.
+var noon = time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+
+// arrive notes count arrivals at a cold instance of zone a in region north, the first
+// after start and each step after the one before.
+func arrive(l *promise.Ledger, count int, start, step time.Duration) {
+	for index := range count {
+		l.Reached(promise.Arrival{
+			Request: fmt.Sprint("r", index), Instance: "i", Zone: "a", Region: "north", Cold: true,
+			At: noon.Add(start + time.Duration(index)*step),
+		})
+	}
+}
+
+// The ledger sees requests that were sent where they must not go, and no others.
+func TestLedgerSeesRequestsInTheWrongPlace(t *testing.T) {
+	const bound = 2 * time.Second
+	bounds := promise.Bounds{Evacuation: bound, ColdPerSecond: 10}
+	for name, row := range map[string]struct {
+		bounds promise.Bounds
+		play   func(*promise.Ledger)
+		want   []promise.Kind
+	}{
+		"within the rate of a cold instance": {bounds: bounds, play: func(l *promise.Ledger) {
+			arrive(l, 40, 0, 100*time.Millisecond)
+		}},
+		"beyond the rate of a cold instance": {bounds: bounds, play: func(l *promise.Ledger) {
+			arrive(l, 11, 0, 99*time.Millisecond)
+		}, want: []promise.Kind{promise.Failback}},
+		"at once after a rest": {bounds: bounds, play: func(l *promise.Ledger) {
+			arrive(l, 5, 0, time.Millisecond)
+			arrive(l, 6, 900*time.Millisecond, time.Millisecond)
+		}, want: []promise.Kind{promise.Failback}},
+		"two seconds beyond the rate": {bounds: bounds, play: func(l *promise.Ledger) {
+			arrive(l, 11, 0, time.Millisecond)
+			arrive(l, 11, 5*time.Second, time.Millisecond)
+		}, want: []promise.Kind{promise.Failback, promise.Failback}},
+		"a warm instance": {bounds: bounds, play: func(l *promise.Ledger) {
+			for range 50 {
+				l.Reached(promise.Arrival{Request: "r", Instance: "i", Zone: "a", At: noon})
+			}
+		}},
+		"cold, no rate set": {play: func(l *promise.Ledger) { arrive(l, 100, 0, 0) }},
+		"two cold instances": {bounds: bounds, play: func(l *promise.Ledger) {
+			arrive(l, 10, 0, 0)
+			for range 10 {
+				l.Reached(promise.Arrival{Request: "r", Instance: "j", Zone: "a", Cold: true, At: noon})
+			}
+		}},
+		"soon after the order": {bounds: bounds, play: func(l *promise.Ledger) {
+			l.Evacuated("a", noon)
+			arrive(l, 1, bound, 0)
+		}},
+		"late after the order": {bounds: bounds, play: func(l *promise.Ledger) {
+			l.Evacuated("a", noon)
+			arrive(l, 1, bound+time.Millisecond, 0)
+		}, want: []promise.Kind{promise.Evacuation}},
+		"late after the order, no bound set": {play: func(l *promise.Ledger) {
+			l.Evacuated("a", noon)
+			arrive(l, 1, time.Hour, 0)
+		}},
+		"another zone's order": {bounds: bounds, play: func(l *promise.Ledger) {
+			l.Evacuated("b", noon)
+			arrive(l, 1, time.Hour, 0)
+		}},
+		"taken back": {bounds: bounds, play: func(l *promise.Ledger) {
+			l.Evacuated("a", noon)
+			l.TakenBack("a")
+			arrive(l, 1, time.Hour, 0)
+		}},
+		"the store is lost": {bounds: bounds, play: func(l *promise.Ledger) {
+			l.Evacuated("a", noon)
+			l.StoreLost()
+			arrive(l, 1, time.Hour, 0)
+		}},
+		"soon after the store is back": {bounds: bounds, play: func(l *promise.Ledger) {
+			l.Evacuated("a", noon)
+			l.StoreLost()
+			l.StoreBack(noon.Add(time.Minute))
+			arrive(l, 1, time.Minute+bound, 0)
+		}},
+		"late after the store is back": {bounds: bounds, play: func(l *promise.Ledger) {
+			l.Evacuated("a", noon)
+			l.StoreLost()
+			l.StoreBack(noon.Add(time.Minute))
+			arrive(l, 1, time.Minute+bound+time.Millisecond, 0)
+		}, want: []promise.Kind{promise.Evacuation}},
+		"the store was lost before the order": {bounds: bounds, play: func(l *promise.Ledger) {
+			l.StoreLost()
+			l.StoreBack(noon.Add(-time.Minute))
+			l.Evacuated("a", noon)
+			arrive(l, 1, bound+time.Millisecond, 0)
+		}, want: []promise.Kind{promise.Evacuation}},
+		"in an allowed region": {play: func(l *promise.Ledger) {
+			l.Sent(promise.Request{ID: "r0", Regions: []string{"south", "north"}})
+			arrive(l, 1, 0, 0)
+		}},
+		"in another region": {play: func(l *promise.Ledger) {
+			l.Sent(promise.Request{ID: "r0", Regions: []string{"south"}})
+			arrive(l, 1, 0, 0)
+		}, want: []promise.Kind{promise.Home}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ledger := promise.NewLedger(row.bounds)
+			row.play(ledger)
+			var kinds []promise.Kind
+			for _, breach := range ledger.Breaches() {
+				kinds = append(kinds, breach.Kind)
+			}
+			assert.DeepEqual(t, kinds, row.want)
+		})
+	}
+}
