Tests of the ledger and of emulated instances, tightened

Cause: four deliberate faults in the code under test were not seen. Change: a row for each; what is meant for another instance has a test of its own.

--- a/internal/emulator/instance/instance_test.go
+++ b/internal/emulator/instance/instance_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -107,12 +108,29 @@
 }
 
 func (s *started) askOn(t *testing.T, conn net.Conn, id string) {
+	t.Helper()
+	s.askFor(t, conn, id, s.ID())
+}
+
+// askFor sends a request that is meant for the instance of the given name.
+func (s *started) askFor(t *testing.T, conn net.Conn, id, meantFor string) {
 	t.Helper()
 	s.ledger.Sent(promise.Request{ID: id, Safe: true, Services: map[string]bool{"desk": true}})
-	_, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\n%s: %s\r\n\r\n", platform.HeaderRequestID, id)
+	_, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %s\r\n\r\n", platform.HeaderRequestID, id,
+		platform.HeaderExpectedInstance, meantFor)
 	assert.NilError(t, err)
 }
 
+// silent checks that nothing comes on a connection for a while.
+func silent(t *testing.T, conn net.Conn) {
+	t.Helper()
+	const watched = 300 * time.Millisecond
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(watched)))
+	_, err := conn.Read(make([]byte, 1))
+	var netErr net.Error
+	assert.Assert(t, errors.As(err, &netErr) && netErr.Timeout(), "%v", err)
+}
+
 // status reads the status of the next answer.
 func status(t *testing.T, conn net.Conn) int {
 	t.Helper()
@@ -174,11 +192,25 @@
 	}
 }
 
+// What is meant for another instance does not count.
+func TestMisdirectedRequestsDoNotCount(t *testing.T) {
+	running := start(t, func(options *instance.Options) { options.ColdFor, options.FallsAbove = never, 1 })
+	conn := running.ask(t, "first")
+	assert.Equal(t, status(t, conn), http.StatusOK)
+	for index := range 20 {
+		running.askFor(t, conn, fmt.Sprint("r", index), "another")
+		assert.Equal(t, status(t, conn), http.StatusMisdirectedRequest)
+	}
+	assert.Equal(t, running.Received(), int64(1))
+	assert.Equal(t, len(running.fell), 0)
+	assert.Equal(t, len(running.ledger.Breaches()), 0, "%+v", running.ledger.Breaches())
+}
+
 // An instance that hangs when it is full answers what it has room for, and says
 // nothing more on the connection of a request for which it has none.
 func TestInstanceThatHangsWhenFull(t *testing.T) {
 	// long is how long the slot is taken: the silence is watched for less.
-	const long, watched = 3 * time.Second, 300 * time.Millisecond
+	const long = 4 * time.Second
 	for name, row := range map[string]struct {
 		onFull instance.OnFull
 		hangs  bool
@@ -198,12 +230,15 @@
 				assert.Equal(t, status(t, second), http.StatusServiceUnavailable)
 				return
 			}
-			assert.Equal(t, status(t, first), http.StatusOK)
+			for running.Received() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			silent(t, second)
+			// What could be refused at once is not answered either.
+			running.Set(instance.Behaviour{OnFull: instance.OnFullRefuse})
 			running.askOn(t, second, "third")
-			assert.NilError(t, second.SetReadDeadline(time.Now().Add(watched)))
-			_, err := second.Read(make([]byte, 1))
-			netErr, isNet := err.(net.Error)
-			assert.Assert(t, isNet && netErr.Timeout(), "%v", err)
+			silent(t, second)
+			assert.Equal(t, status(t, first), http.StatusOK)
 		})
 	}
 }
--- a/internal/emulator/promise/reached_test.go
+++ b/internal/emulator/promise/reached_test.go
@@ -43,6 +43,9 @@
 			arrive(l, 5, 0, time.Millisecond)
 			arrive(l, 6, 900*time.Millisecond, time.Millisecond)
 		}, want: []promise.Kind{promise.Failback}},
+		"far beyond the rate in one second": {bounds: bounds, play: func(l *promise.Ledger) {
+			arrive(l, 21, 0, time.Millisecond)
+		}, want: []promise.Kind{promise.Failback}},
 		"two seconds beyond the rate": {bounds: bounds, play: func(l *promise.Ledger) {
 			arrive(l, 11, 0, time.Millisecond)
 			arrive(l, 11, 5*time.Second, time.Millisecond)
@@ -75,6 +78,10 @@
 			l.Evacuated("b", noon)
 			arrive(l, 1, time.Hour, 0)
 		}},
+		"late in another zone": {bounds: bounds, play: func(l *promise.Ledger) {
+			l.Evacuated("a", noon)
+			l.Reached(promise.Arrival{Request: "r", Instance: "i", Zone: "b", At: noon.Add(time.Hour)})
+		}},
 		"taken back": {bounds: bounds, play: func(l *promise.Ledger) {
 			l.Evacuated("a", noon)
 			l.TakenBack("a")
