--- a/internal/emulator/day/play.go
+++ b/internal/emulator/day/play.go
@@ -37,13 +37,17 @@
 	FaultStoreIgnores    FaultKind = "store-ignores-some"
 	FaultWritesLost      FaultKind = "writes-lost"
 	FaultConfigStorm     FaultKind = "config-storm"
+	FaultZoneEvacuated   FaultKind = "zone-evacuated"
+	FaultZoneEmptiedCold FaultKind = "zone-evacuated-back-cold"
+	FaultZoneCold        FaultKind = "zone-restarted-cold"
+	FaultInstanceHangs   FaultKind = "instance-hangs-when-full"
 )
 
 // FaultKinds lists all disturbances.
 var FaultKinds = []FaultKind{
 	FaultDaemonKill, FaultDaemonStop, FaultHerdKill, FaultInstanceCrash, FaultInstanceRelease, FaultInstanceSlow,
 	FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten, FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreForgets, FaultStoreRefuses, FaultStoreIgnores,
-	FaultWritesLost, FaultConfigStorm,
+	FaultWritesLost, FaultConfigStorm, FaultZoneEvacuated, FaultZoneEmptiedCold, FaultZoneCold, FaultInstanceHangs,
 }
 
 // Fault is one disturbance of a day.
@@ -78,7 +82,9 @@
 	Changes     int
 	Repeats     int
 	CutAtStops  int64
-	Breaches    []promise.Breach
+	// Falls is the number of cold instances that fell over.
+	Falls    int
+	Breaches []promise.Breach
 }
 
 // Draw returns so many faults at random times, which the seed decides.
@@ -104,7 +110,10 @@
 	if err != nil {
 		return Summary{}, err
 	}
-	play := &play{site: site, plan: plan, tally: client.NewTally()}
+	play := &play{site: site, plan: plan, tally: client.NewTally(), zones: map[string]*sync.Mutex{}}
+	for _, zone := range site.Zones() {
+		play.zones[zone] = &sync.Mutex{}
+	}
 	dayCtx, end := context.WithTimeout(ctx, plan.Length)
 	defer end()
 	load := &client.Load{Classes: plan.Classes, Bursts: plan.Bursts, Targets: site.Targets(), Ledger: site.Ledger, Tally: play.tally, Seed: plan.Options.Seed}
@@ -131,6 +140,8 @@
 
 	// stores is held by the one fault of the store that is in force.
 	stores sync.Mutex
+	// zones are held by the one fault of a zone that is in force.
+	zones map[string]*sync.Mutex
 	// mutex protects everything below.
 	mutex       sync.Mutex
 	convergence time.Duration
@@ -190,7 +201,9 @@
 		p.note(err)
 	case FaultConfigStorm:
 		p.storm(ctx, fault.For)
-	case FaultInstanceSlow, FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten:
+	case FaultZoneEvacuated, FaultZoneEmptiedCold, FaultZoneCold:
+		p.disturbZone(ctx, fault, machine.Zone)
+	case FaultInstanceSlow, FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten, FaultInstanceHangs:
 		machine.Instance().Set(behaviourOf(fault.Kind))
 		pause.For(ctx, fault.For)
 		machine.Instance().Set(instance.Behaviour{})
@@ -207,6 +220,8 @@
 		return instance.Behaviour{LoseAnswer: 0.2}
 	case FaultAnswersFail:
 		return instance.Behaviour{Fail: 0.5}
+	case FaultInstanceHangs:
+		return instance.Behaviour{Slowdown: 6, OnFull: instance.OnFullHang}
 	case FaultIdleForgotten:
 		return instance.Behaviour{ForgetIdle: 20 * time.Millisecond}
 	default:
@@ -221,6 +236,10 @@
 func (p *play) disturbStore(ctx context.Context, fault Fault, random *rand.Rand) {
 	p.stores.Lock()
 	defer p.stores.Unlock()
+	if keepsOrders(fault.Kind) {
+		p.site.Ledger.StoreLost()
+		defer func() { p.site.Ledger.StoreBack(time.Now().Add(p.plan.Options.Contact)) }()
+	}
 	switch fault.Kind {
 	case FaultStoreRefuses:
 		p.site.FailStoreFor(objectstore.Faults{Down: true}, p.half(random)...)
@@ -245,6 +264,34 @@
 	p.site.Store.SetFaults(objectstore.Faults{})
 }
 
+// keepsOrders reports whether daemons cannot hear of orders under a fault of the
+// store, not even from each other.
+func keepsOrders(kind FaultKind) bool {
+	return kind == FaultStoreDown || kind == FaultStoreSilent || kind == FaultStoreForgets
+}
+
+// coldAhead is how long before its evacuation is taken back a zone turns cold: two
+// heartbeats of the default day.
+const coldAhead = 400 * time.Millisecond
+
+// disturbZone carries out one fault of a zone; one at a time is in force there. An
+// evacuation lasts for the fault's time beyond its bound, so that it is checked.
+func (p *play) disturbZone(ctx context.Context, fault Fault, zone string) {
+	p.zones[zone].Lock()
+	defer p.zones[zone].Unlock()
+	if fault.Kind == FaultZoneCold {
+		p.note(p.site.RestartZone(zone, fault.For/4))
+		return
+	}
+	p.note(p.site.Evacuate(zone))
+	defer p.site.EndEvacuation(zone)
+	pause.For(ctx, p.plan.Options.EvacuationBound+fault.For)
+	if fault.Kind == FaultZoneEmptiedCold {
+		p.site.Chill(zone)
+		pause.For(ctx, coldAhead)
+	}
+}
+
 // half returns half of the machines, drawn by random.
 func (p *play) half(random *rand.Rand) []*Machine {
 	machines := slices.Clone(p.site.Machines)
@@ -284,12 +331,14 @@
 	if float64(repeats) > 0.2*float64(requests)+64 {
 		p.site.Ledger.Broke(promise.Budget, "", "more repeats than the budget allows")
 	}
+	falls, err := p.site.Falls()
+	p.note(err)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return Summary{
 		Served: p.tally.Served.Load(), Refused: p.tally.Refused.Load(), Failed: p.tally.Failed.Load(),
 		LatencyP50: p.tally.Latency(50), LatencyP99: p.tally.Latency(99),
-		Convergence: p.convergence, Changes: p.changes, Repeats: repeats, CutAtStops: p.cut,
+		Convergence: p.convergence, Changes: p.changes, Repeats: repeats, CutAtStops: p.cut, Falls: falls,
 		Breaches: p.site.Ledger.Breaches(),
 	}, p.err
 }
--- a/internal/emulator/day/standard.go
+++ b/internal/emulator/day/standard.go
@@ -50,12 +50,43 @@
 	}
 }
 
+// regionNorth is the region of two of the three zones of the standard day.
+const regionNorth = "north"
+
+// ZonedOptions is the default site in two regions, whose zones are evacuated and whose
+// instances bear less while they are cold.
+func ZonedOptions() Options {
+	options := DefaultOptions()
+	options.Regions = map[string]string{"a": regionNorth, "b": regionNorth, "c": "south"}
+	options.EvacuationBound = 2 * time.Second
+	// A third of what an instance gets on the standard day.
+	options.ColdRate, options.ColdOvershoot, options.ColdSlack = 15, 1.5, 8
+	options.ColdFor = 2 * time.Second
+	return options
+}
+
+// ZonedRoutes are the standard ones, and one whose requests stay in one region.
+func ZonedRoutes() []Route {
+	return append(StandardRoutes(), Route{
+		Name: "card", Host: standardHost, Prefix: "/card/", Kind: platform.RouteSafe, Service: "desk",
+		TimeoutMillis: 3000, TargetMillis: 300, Priority: 1, Attempts: 2, Regions: []string{regionNorth},
+	})
+}
+
+// ZonedClasses are the standard ones, and requests that stay in one region.
+func ZonedClasses(factor float64) []client.Class {
+	return append(StandardClasses(factor), client.Class{
+		Name: "card", Host: standardHost, Path: "/card/a", Safe: true, Services: []string{"desk"}, PerSecond: 20 * factor,
+		Deadline: 3 * time.Second, AnswerBytes: 800, Retries: 2, Attempts: 2, Regions: []string{regionNorth},
+	})
+}
+
 // StandardPlan is a day of the given length with faults that the seed draws.
 func StandardPlan(seed uint64, length time.Duration, faults int, kinds []FaultKind) Plan {
-	options := DefaultOptions()
+	options := ZonedOptions()
 	options.Seed = seed
 	return Plan{
-		Options: options, Routes: StandardRoutes(), Classes: StandardClasses(1), Bursts: StandardBursts(1), Length: length,
+		Options: options, Routes: ZonedRoutes(), Classes: ZonedClasses(1), Bursts: StandardBursts(1), Length: length,
 		ChangeEvery: 500 * time.Millisecond, Faults: Draw(seed, kinds, faults, length), ApplyBound: 2 * time.Second,
 	}
 }
--- a/internal/lab/emulate.go
+++ b/internal/lab/emulate.go
@@ -92,6 +92,6 @@
 	experiment.Results.Info("emulate.finished", "seed", plan.Options.Seed, "served", summary.Served, "refused", summary.Refused,
 		"failed", summary.Failed, "p50_ms", experiment.Millis(summary.LatencyP50.Microseconds()), "p99_ms", experiment.Millis(summary.LatencyP99.Microseconds()),
 		"changes", summary.Changes, "convergence_ms", experiment.Millis(summary.Convergence.Microseconds()), "repeats", summary.Repeats,
-		"cut_at_stops", summary.CutAtStops, "broken", len(summary.Breaches))
+		"cut_at_stops", summary.CutAtStops, "fell_over", summary.Falls, "broken", len(summary.Breaches))
 	return len(summary.Breaches), nil
 }
