Instances that hang have less room than they state

Cause: daemons keep to the slots that an instance states, so that in the soak none was ever full and none hung. Change: a behaviour bounds the requests that an instance takes at once; the fault sets it.

--- a/internal/emulator/day/play.go
+++ b/internal/emulator/day/play.go
@@ -221,7 +221,7 @@
 	case FaultAnswersFail:
 		return instance.Behaviour{Fail: 0.5}
 	case FaultInstanceHangs:
-		return instance.Behaviour{Slowdown: 6, OnFull: instance.OnFullHang}
+		return instance.Behaviour{Slowdown: 6, Room: 2, OnFull: instance.OnFullHang}
 	case FaultIdleForgotten:
 		return instance.Behaviour{ForgetIdle: 20 * time.Millisecond}
 	default:
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -47,6 +47,9 @@
 	// ForgetIdle is the rest after which a connection is forgotten without a
 	// word: the next request over it is reset. 0 keeps all.
 	ForgetIdle time.Duration
+	// Room is how many requests the instance takes at once, in work and waiting; 0
+	// for as many as its slots and its queue hold.
+	Room int
 	// OnFull is what the instance does with a request for which it has no room.
 	OnFull OnFull
 	// Silent keeps the instance from reading, answering and registering.
--- a/internal/emulator/instance/instance_test.go
+++ b/internal/emulator/instance/instance_test.go
@@ -212,15 +212,20 @@
 	// long is how long the slot is taken: the silence is watched for less.
 	const long = 4 * time.Second
 	for name, row := range map[string]struct {
-		onFull instance.OnFull
-		hangs  bool
+		behaviour instance.Behaviour
+		slots     int
+		hangs     bool
 	}{
-		"refuses": {onFull: instance.OnFullRefuse},
-		"hangs":   {onFull: instance.OnFullHang, hangs: true},
+		"refuses":                  {slots: 1},
+		"hangs":                    {behaviour: instance.Behaviour{OnFull: instance.OnFullHang}, slots: 1, hangs: true},
+		"refuses for want of room": {behaviour: instance.Behaviour{Room: 1}, slots: 9},
+		"hangs for want of room":   {behaviour: instance.Behaviour{Room: 1, OnFull: instance.OnFullHang}, slots: 9, hangs: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			running := start(t, func(options *instance.Options) { options.ServiceTime, options.Queue = long, 0 })
-			running.Set(instance.Behaviour{OnFull: row.onFull})
+			running := start(t, func(options *instance.Options) {
+				options.ServiceTime, options.Slots, options.Queue = long, row.slots, 0
+			})
+			running.Set(row.behaviour)
 			first := running.ask(t, "first")
 			for running.Running() == 0 {
 				time.Sleep(time.Millisecond)
@@ -235,7 +240,7 @@
 			}
 			silent(t, second)
 			// What could be refused at once is not answered either.
-			running.Set(instance.Behaviour{OnFull: instance.OnFullRefuse})
+			running.Set(instance.Behaviour{Room: row.behaviour.Room})
 			running.askOn(t, second, "third")
 			silent(t, second)
 			assert.Equal(t, status(t, first), http.StatusOK)
--- a/internal/emulator/instance/serve.go
+++ b/internal/emulator/instance/serve.go
@@ -177,6 +177,9 @@
 
 // enter waits for a slot; it gets none when the queue is full or the time is over.
 func (i *Instance) enter(ctx context.Context) (entered, full bool) {
+	if room := i.current().Room; room > 0 && i.running.Load()+i.waiting.Load() >= int64(room) {
+		return false, true
+	}
 	select {
 	case i.slots <- struct{}{}:
 		i.running.Add(1)
