Spill over to other regions by load: four of their instances in a subset, bytes weighed as between zones

Change: 4 far ones; a byte between regions weighs what one between zones does (which is more than either price).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -295,8 +295,9 @@
 		return 1
 	})
 	near, far := b.byRegion(ranked)
-	nearPart := min(SubsetSize-min(otherRegionPart, len(far)), len(near))
-	chosen := append(b.nearSubset(near, nearPart), far[:SubsetSize-nearPart]...)
+	farPart := min(otherRegionPart, len(far))
+	nearPart := min(SubsetSize-min(farPart, SubsetSize/4), len(near))
+	chosen := append(b.nearSubset(near, nearPart), far[:max(farPart, min(SubsetSize-nearPart, len(far)))]...)
 	if coldRate > 0 {
 		withWarm(chosen, without(ranked, chosen), b.now())
 	}
--- a/internal/balance/locality.go
+++ b/internal/balance/locality.go
@@ -12,14 +12,15 @@
 	// regionRoundTrip is the time that a call to another region takes on the way; the
 	// requirements sheet of the deployment with several regions states 20 ms one way.
 	regionRoundTrip = 40 * time.Millisecond
-	// regionPriceRatio is the price of a byte between regions in that of one between
-	// zones; the sheets price a GB at 56,000 and 15,000.
-	regionPriceRatio = 56_000.0 / 15_000.0
-	// regionPenalty is to zonePenalty as the prices are.
-	regionPenalty = zonePenalty * regionPriceRatio
+	// regionPriceRatio is the cost of a byte between regions in that of one between
+	// zones. The sheets price a GB at 56,000 and 15,000, but what a call weighs for a
+	// byte between zones is already more than either price.
+	regionPriceRatio = 1.0
+	// regionPenalty is more than zonePenalty, so that the own region goes first.
+	regionPenalty = 2 * zonePenalty
 	// otherRegionPart is the number of instances of other regions in a subset, as far
-	// as there are any.
-	otherRegionPart = SubsetSize / 4
+	// as there are any, beside those of the own region.
+	otherRegionPart = SubsetSize / 2
 )
 
 // tierOf tells how far an instance is from this daemon.
