Copy a body's trailers before its request is used again

The trailers of another request could have gone to the back end. Change: the body has them copied when its end is read, under the lock that the request's end waits for.

--- a/internal/gateway/pipeline/body.go
+++ b/internal/gateway/pipeline/body.go
@@ -24,7 +24,10 @@
 	remaining int64
 
 	// mutex protects everything below.
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// atEnd is called once, when the body has been read to its end and before the
+	// request can be used for another one; nil for nothing.
+	atEnd   func()
 	started bool
 	ended   bool
 	stopped bool
@@ -85,14 +88,27 @@
 	return nil
 }
 
+// AtEnd has a function called when the body has been read to its end: what of the request
+// comes with that, such as its trailers, must be copied there. The request may be used
+// for another one as soon as Read has returned. It must be set before the first Read.
+func (b *Body) AtEnd(copyRest func()) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.atEnd = copyRest
+}
+
 // finish notes the end of the body.
 func (b *Body) finish() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.ended = true
-	if !b.stopped {
-		close(b.over)
+	if b.stopped {
+		return
+	}
+	if b.atEnd != nil {
+		b.atEnd()
 	}
+	close(b.over)
 }
 
 // Touched reports whether any of the body was asked for, so that it cannot be
--- a/internal/gateway/pipeline/pipeline_test.go
+++ b/internal/gateway/pipeline/pipeline_test.go
@@ -469,6 +469,39 @@
 	}
 }
 
+// Who reads a body may outlive its request, whose memory then serves another one: what
+// comes with the end of the body is copied before that can be. Trailers were read from the
+// request later, and could be another request's.
+func TestEndOfABodyIsCopiedBeforeTheRequestIsUsedAgain(t *testing.T) {
+	read := make(chan string, 1)
+	site := open(t, Limits{}, func(_ context.Context, exchange *Exchange) {
+		if exchange.Body == nil {
+			reply(exchange, "none")
+			return
+		}
+		copied := ""
+		exchange.Body.AtEnd(func() { copied = pathOf(exchange) })
+		ended := make(chan struct{})
+		go func() {
+			_, _ = io.ReadAll(exchange.Body)
+			close(ended)
+			// The handler has returned, and further requests have been read.
+			time.Sleep(50 * time.Millisecond)
+			read <- copied
+		}()
+		<-ended
+		reply(exchange, "read")
+	})
+	caller := site.dial(t)
+	caller.send(post("/first", strings.Repeat("x", 100<<10)))
+	caller.answer()
+	for range 3 {
+		caller.send(get("/later"))
+		caller.answer()
+	}
+	assert.Equal(t, <-read, "/first")
+}
+
 func TestCallerThatAsksToCloseIsClosed(t *testing.T) {
 	opened := open(t, DefaultLimits, func(_ context.Context, exchange *Exchange) { reply(exchange, pathOf(exchange)) })
 	client := opened.dial(t)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -139,8 +139,10 @@
 func (b *requestBody) attach(call *callapi.Call, rc *app.RequestContext) {
 	switch {
 	case b.streamed != nil:
+		var trailers []*lapisv1.HeaderField
+		b.streamed.AtEnd(func() { trailers = trailersOf(rc) })
 		call.Body = b.streamed
-		call.Trailers = func() []*lapisv1.HeaderField { return trailersOf(rc) }
+		call.Trailers = func() []*lapisv1.HeaderField { return trailers }
 	case len(b.content) > 0:
 		call.Body = bytes.NewReader(b.content)
 		call.Buffered = true
