--- a/internal/configsource/configsource.go
+++ b/internal/configsource/configsource.go
@@ -55,6 +55,9 @@
 	// Confirmed is called after each answer of the source, once what it brought
 	// is in force.
 	Confirmed func()
+	// Awaited reports whether a call waits for the first configuration; nil where none
+	// ever does.
+	Awaited func() bool
 	// Bound is the time within which an accepted configuration must be in force.
 	Bound time.Duration
 	// Daemons returns the number of daemons known.
@@ -86,6 +89,9 @@
 // forget.
 const historyTrusted = 8 * time.Second
 
+// awaitedCheck is how often a starting daemon looks whether a call waits for it.
+const awaitedCheck = 20 * time.Millisecond
+
 // shortestWait is the wait of a question that only wants to know what is there.
 const shortestWait = time.Millisecond
 
@@ -94,6 +100,10 @@
 	plan := newSchedule(f.Bound, f.Random, time.Now())
 	for {
 		led := plan.leading
+		starting := plan.confirmed.IsZero()
+		if starting && f.Awaited != nil && f.Awaited() {
+			plan.hurry()
+		}
 		due := plan.due(f.Freshness.Confirmed(), f.Daemons())
 		if led && !plan.leading {
 			f.Logger.Info("source.lead_left", "position", uint64(f.position))
@@ -102,6 +112,9 @@
 			f.regained("another daemon")
 		}
 		if wait := time.Until(due); wait > 0 {
+			if starting {
+				wait = min(wait, awaitedCheck)
+			}
 			if !pause.For(ctx, wait) {
 				return
 			}
--- a/internal/configsource/configsource_test.go
+++ b/internal/configsource/configsource_test.go
@@ -256,3 +256,36 @@
 		assert.Equal(t, revision, uint64(7))
 	})
 }
+
+// A daemon without a configuration asks sooner once a call waits for it, and not sooner
+// otherwise: at the first start of a site the daemons leave each other time.
+func TestStartIsHurriedByAWaitingCall(t *testing.T) {
+	for name, test := range map[string]struct {
+		awaited     bool
+		first, last time.Duration
+	}{
+		"nobody waits": {false, bound * 10 / 100, bound * 15 / 100},
+		"a call waits": {true, 0, bound * 7 / 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				record := &applied{}
+				ctx, cancel := context.WithCancel(context.Background())
+				follower := &configsource.Follower{
+					Source: &scriptedSource{log: []uint64{3}}, Apply: record.apply, Freshness: &configsource.Freshness{}, Confirmed: func() {}, Bound: bound,
+					Awaited: func() bool { return test.awaited }, Daemons: func() int { return 1 }, Logger: logr.Discard(),
+					Pace: func() time.Duration { return 10 * time.Millisecond }, Random: func() float64 { return 0.5 },
+				}
+				var running sync.WaitGroup
+				began := time.Now()
+				running.Go(func() { follower.Run(ctx) })
+				time.Sleep(bound / 2)
+				cancel()
+				running.Wait()
+				revision, at := record.last()
+				assert.Equal(t, revision, uint64(3))
+				assert.Assert(t, at.Sub(began) >= test.first && at.Sub(began) <= test.last, "after %s", at.Sub(began))
+			})
+		})
+	}
+}
--- a/internal/configsource/schedule.go
+++ b/internal/configsource/schedule.go
@@ -16,7 +16,10 @@
 	earliestPart, latestPart = 0.4, 0.6
 	// startPart bounds the time after its start in which a daemon asks unless
 	// another brings the configuration first.
-	startPart = 0.06
+	startPart = 0.15
+	// awaitedPart is that bound once a call waits for the configuration. The daemons of
+	// a site that starts for the first time leave each other more time: none waits.
+	awaitedPart = 0.06
 	// retryMinPart and retryMaxPart bound the time between a question that got
 	// no answer and the next one.
 	retryMinPart, retryMaxPart = 0.5, 1.0
@@ -47,6 +50,8 @@
 	confirmed time.Time
 	started   time.Time
 	delay     time.Duration
+	// awaited is true once delay was shortened because a call waits.
+	awaited bool
 	// notBefore is when a question may be repeated that got no answer.
 	notBefore time.Time
 }
@@ -94,6 +99,16 @@
 	return due
 }
 
+// hurry shortens the time until the first question, because a call waits for the
+// configuration.
+func (s *schedule) hurry() {
+	if s.awaited || !s.confirmed.IsZero() {
+		return
+	}
+	s.awaited = true
+	s.delay = time.Duration(awaitedPart / startPart * float64(s.delay))
+}
+
 // answered notes that a question asked at a time was answered.
 func (s *schedule) answered(asked time.Time) {
 	s.leading = true
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -75,7 +75,7 @@
 	})
 	part.follower = &configsource.Follower{
 		Source: platform.Source(), Apply: part.Offer, Freshness: &part.freshness, Confirmed: part.fleet.Beat,
-		Bound: part.askBound(), Daemons: func() int { return int(part.members.Load()) },
+		Awaited: d.snapshots.Awaited, Bound: part.askBound(), Daemons: func() int { return int(part.members.Load()) },
 		Pace: part.pace, Random: rand.Float64, Logger: d.logger,
 	}
 	part.joinOrders()
--- a/internal/snapshot/store.go
+++ b/internal/snapshot/store.go
@@ -15,6 +15,9 @@
 type Store struct {
 	current atomic.Pointer[Snapshot]
 
+	// waiting are the calls that wait for the first snapshot.
+	waiting atomic.Int64
+
 	// mutex protects present, which is closed with the first snapshot.
 	mutex   sync.Mutex
 	present chan struct{}
@@ -29,6 +32,8 @@
 	if current := s.current.Load(); current != nil {
 		return current
 	}
+	s.waiting.Add(1)
+	defer s.waiting.Add(-1)
 	timer := time.NewTimer(most)
 	defer timer.Stop()
 	select {
@@ -39,6 +44,9 @@
 	return s.current.Load()
 }
 
+// Awaited reports whether anybody waits for the first snapshot.
+func (s *Store) Awaited() bool { return s.waiting.Load() > 0 }
+
 // first returns the channel that is closed with the first snapshot.
 func (s *Store) first() chan struct{} {
 	s.mutex.Lock()
