--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 unit:
 	$(GO) test -race -count=1 ./...
+	$(GO) test -count=1 ./internal/rollout
 
 # Ten seconds for each decoder that reads bytes from outside.
 fuzz:
