--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -79,6 +79,9 @@
 	Allocation Allocation
 	// Write is to be sent now; nil for none.
 	Write *Write
+	// Ask is true when the store is to be asked for the order now, because a step waits
+	// for a newer answer of it.
+	Ask bool
 	// Word is to be told to all daemons, and the evidence to the Deciders.
 	Word     Word
 	Deciders []string
@@ -184,6 +187,7 @@
 		Steps: c.steps, Allocation: c.allocation(view), Word: c.word(view),
 		Deciders: members[:min(Deciders, len(members))],
 	}
+	decision.Ask = rank >= 0 && c.needsStore(view)
 	if write, due := c.decider.Want(view.Now, c.end(view), rank); due {
 		decision.Write = &write
 	}
@@ -280,6 +284,22 @@
 	}
 }
 
+// needsStore reports whether the shift is near and the store's newest answer too old, or
+// a moved daemon waits for the store's word on a roll-back.
+func (c *Controller) needsStore(view View) bool {
+	if view.Now.Sub(view.StoreAnswered) <= storeFresh/2 {
+		return false
+	}
+	switch c.State() {
+	case StateWatching, StateProbing:
+		return !view.Now.Before(c.plan().ShiftAt.Add(-storeFresh / 2))
+	case StateShifting, StateMoved, StateRollingBack:
+		return true
+	default:
+		return false
+	}
+}
+
 // move takes the steps that every daemon takes by itself.
 func (c *Controller) move(view View) {
 	if c.State() == StateWatching && len(view.Warm) > 0 {
--- a/internal/rollout/day_test.go
+++ b/internal/rollout/day_test.go
@@ -131,10 +131,13 @@
 
 // dayResult is what a day came to.
 type dayResult struct {
-	end                       End
-	endAfter                  time.Duration
-	newSent, allSent          int
-	exposure, bound           float64
+	end              End
+	endAfter         time.Duration
+	newSent, allSent int
+	exposure, bound  float64
+	// worstOver is by how much the calls of the new version exceeded the bound at worst
+	// before the shift.
+	worstOver                 float64
 	bad                       int
 	fiftieth, lastNew         time.Duration
 	oldAfterCompleted, cutOff int
@@ -265,6 +268,9 @@
 	}
 	d.result.exposure = float64(d.result.newSent)
 	d.result.bound = ExposureShare*float64(d.result.allSent) + 50
+	if d.now().Before(PlanFor(d.start, dayDuration).ShiftAt) {
+		d.result.worstOver = max(d.result.worstOver, d.result.exposure-d.result.bound)
+	}
 }
 
 func (d *day) end(ended ending) {
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -30,7 +30,11 @@
 	// WriteStatus makes one conditional write; it returns when that is answered or given
 	// up.
 	WriteStatus(ctx context.Context, write Write) Answer
-	// AnsweredAt returns when the store last answered this daemon anything.
+	// Ask returns the state of a service's order, nil when there is none. An error leaves
+	// it unknown.
+	Ask(ctx context.Context, service string) (*Order, error)
+	// AnsweredAt returns when the store last answered this daemon anything, the zero time
+	// for never.
 	AnsweredAt() time.Time
 }
 
@@ -74,6 +78,9 @@
 	spreadAt time.Time
 	told     Word
 	deciders []string
+	// asking is true while the store is asked, and askedAt when it was last.
+	asking  bool
+	askedAt time.Time
 }
 
 // Runner follows the orders of all services on one daemon. It is safe for concurrent use.
@@ -284,6 +291,10 @@
 		r.config.Logger.Info("rollout.step", step.Fields()...)
 	}
 	r.spread(now, followed, decision)
+	if decision.Ask && !followed.asking && now.Sub(followed.askedAt) >= AskAgainAfter {
+		followed.asking, followed.askedAt = true, now
+		go r.ask(ctx, service, followed)
+	}
 	if decision.Write != nil {
 		go r.write(ctx, service, followed, *decision.Write)
 	}
@@ -352,3 +363,16 @@
 	reading := followed.controller.Answered(r.config.Now(), answer)
 	r.changed(service, known, reading, answer.Seen)
 }
+
+// ask asks the store for an order and takes in what it says.
+func (r *Runner) ask(ctx context.Context, service string, followed *following) {
+	order, err := r.config.Store.Ask(ctx, service)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	followed.asking = false
+	if err != nil || r.following[service] != followed {
+		return
+	}
+	known := followed.controller.Order()
+	r.changed(service, known, followed.controller.Observe(order), order)
+}
--- a/internal/rollout/traffic.go
+++ b/internal/rollout/traffic.go
@@ -82,6 +82,10 @@
 // instance's.
 const overdueClasses = slowClasses + 1
 
+// leastUsual is the number of answers from which on the usual time is known: the first
+// to come are the quickest.
+const leastUsual = 20
+
 // Sent counts the calls sent to the service since the order was known here.
 type Sent struct{ New, All uint64 }
 
@@ -214,7 +218,8 @@
 func (t *Traffic) sweep(now time.Time) {
 	for number, attempt := range t.running {
 		usual := t.usual[attempt.Route]
-		if usual == nil || timeClass(now.Sub(attempt.began)) < usual.median()+overdueClasses {
+		known := usual != nil && usual.answers >= leastUsual
+		if !known || timeClass(now.Sub(attempt.began)) < usual.median()+overdueClasses {
 			continue
 		}
 		t.evidence.Note(keyOf(attempt), false, longest)
