--- a/internal/rollout/day_play_test.go
+++ b/internal/rollout/day_play_test.go
@@ -81,11 +81,11 @@
 					worstAfter = max(worstAfter, result.lastNew-result.fiftieth)
 				}
 				worst = max(worst, result.exposure/result.bound)
-				times = append(times, result.endAfter)
+				times = append(times, result.endAfter-result.firstBad)
 			}
 			assert.Check(t, worstAfter <= 5*time.Second, "sent %v after the fiftieth bad answer", worstAfter)
 			slices.Sort(times)
-			t.Logf("FIGURES %s: rolled back %d of %d, worst exposure %.2f of the bound, ended after p50 %v worst %v, last call %v after the 50th bad answer at worst",
+			t.Logf("FIGURES %s: rolled back %d of %d, worst exposure %.2f of the bound, rolled back after the first bad answer p50 %v worst %v, last call %v after the 50th bad answer at worst",
 				day.name, stored(results, EndRolledBack), daySeeds, worst, times[daySeeds/2], times[daySeeds-1], worstAfter)
 		})
 	}
--- a/internal/rollout/day_test.go
+++ b/internal/rollout/day_test.go
@@ -141,7 +141,8 @@
 	// before the shift.
 	worstOver                 float64
 	bad                       int
-	fiftieth, lastNew         time.Duration
+	firstBad, fiftieth        time.Duration
+	lastNew                   time.Duration
 	oldAfterCompleted, cutOff int
 	reverted                  bool
 	steps                     []Step
@@ -380,6 +381,9 @@
 		}
 		if bad {
 			d.result.bad++
+			if d.result.bad == 1 {
+				d.result.firstBad = d.elapsed() + taken
+			}
 			if d.result.bad == 50 {
 				d.result.fiftieth = d.elapsed() + taken
 			}
