The version of an instance is announced; a decider counts only those in touch

Cause: announcements had no version; a decider that was cut off after it had heard all still counted them as heard and began the shift by itself (found by the test of a cut decider, which now looks at the allocation too). Change: Registration.Version goes from the heartbeat to Endpoint.version; the heartbeat test expects it. Ledger.Heard counts daemons in touch.

--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -54,6 +54,8 @@
 	// registered is true for an instance that announced itself; its heartbeats
 	// then tell its state, and it is not probed.
 	registered bool
+	// version is that of the instance's software, as its first heartbeat said.
+	version string
 
 	// mutex protects everything below.
 	mutex sync.Mutex
--- a/internal/origin/registration.go
+++ b/internal/origin/registration.go
@@ -24,6 +24,8 @@
 	// name.
 	Instance string
 	Address  string
+	// Version is that of the instance's software, which does not change while it runs.
+	Version string
 	// Slots is the number of calls that the instance works on at once.
 	Slots int
 	// Draining is true when the instance is about to leave.
@@ -76,6 +78,7 @@
 	instance = newInstance(registration.Service, registration.Instance, registration.Address, limits, DefaultConnections, &o.config.Envelope)
 	instance.registered = true
 	instance.slots = registration.Slots
+	instance.version = registration.Version
 	if o.current != nil {
 		instance.configure(o.current)
 	}
@@ -85,7 +88,7 @@
 	o.instances[key] = instance
 	o.watch(instance)
 	o.config.Logger.Info("instance.registered", "instance", instance.Name, "service", instance.Service,
-		"address", registration.Address, "slots", registration.Slots, "sequence", registration.Sequence,
+		"address", registration.Address, "version", registration.Version, "slots", registration.Slots, "sequence", registration.Sequence,
 		"cold_ms", registration.ColdFor.Milliseconds())
 	return instance, true
 }
@@ -202,7 +205,7 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	return &lapisv1.Endpoint{
-		Service: i.Service, Instance: i.Name, State: state,
+		Service: i.Service, Instance: i.Name, Version: i.version, State: state,
 		StartedUnixMillis: i.started.UnixMilli(), Slots: uint32(i.slots),
 		ColdMillis: uint32(max(time.Until(i.warmAt).Milliseconds(), 0)),
 	}
--- a/internal/origin/registration_test.go
+++ b/internal/origin/registration_test.go
@@ -61,6 +61,18 @@
 	}
 }
 
+// The version of an instance is announced with it.
+func TestVersionIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running, stop := startOrigin(t)
+		defer stop()
+		versioned := registration("desk-1", "127.0.0.1:1")
+		versioned.Version = "v7"
+		running.Register(versioned)
+		assert.Equal(t, running.Advertised()[0].GetVersion(), "v7")
+	})
+}
+
 // What left stays away whatever is heard of it late, and calls for it are told
 // that it is leaving.
 func TestInstanceThatLeftDoesNotComeBack(t *testing.T) {
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -213,7 +213,7 @@
 	c.steps = append(c.steps, Step{
 		Service: order.Service, Order: order.Identity, Revision: order.Revision, From: from, To: c.State(),
 		Reason: reason, Verdict: c.verdict, Left: c.plan().Deadline.Sub(view.Now),
-		Heard: c.ledger.Heard(), Members: len(view.Members), Warm: len(view.Warm), Old: view.Old,
+		Heard: c.ledger.Heard(view.Members), Members: len(view.Members), Warm: len(view.Warm), Old: view.Old,
 	})
 	if c.State() == StateShifting {
 		c.shifted = earlier(c.shifted, view.Now)
@@ -271,7 +271,7 @@
 // decideShift begins the shift when the time left demands it, or calls it off.
 func (c *Controller) decideShift(view View) {
 	plan := c.plan()
-	quorum := 2*c.ledger.Heard() > max(view.Known, len(view.Members))
+	quorum := 2*c.ledger.Heard(view.Members) > max(view.Known, len(view.Members))
 	fresh := view.Now.Sub(view.StoreAnswered) <= storeFresh
 	switch {
 	case !quorum || !fresh:
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -148,13 +148,19 @@
 // next report is taken in.
 func (l *Ledger) Sum() Evidence { return l.sum }
 
-// Heard returns the number of daemons that reported.
-func (l *Ledger) Heard() int {
-	nodes := make(map[string]bool, len(l.reports))
+// Heard returns how many of the daemons in touch have reported.
+func (l *Ledger) Heard(members []string) int {
+	reported := make(map[string]bool, len(l.reports))
 	for from := range l.reports {
-		nodes[from.node] = true
+		reported[from.node] = true
 	}
-	return len(nodes)
+	heard := 0
+	for _, member := range members {
+		if reported[member] {
+			heard++
+		}
+	}
+	return heard
 }
 
 // SawOld reports whether any daemon had an answer of another version than the one ordered.
--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -16,10 +16,12 @@
 	random   *rand.Rand
 	judge    *Judge
 	evidence Evidence
+	// old is the number of the old version's answers of a moment by zone.
+	old map[string]int
 }
 
 func newTrial(seed uint64) *trial {
-	return &trial{random: rand.New(rand.NewPCG(seed, 5)), judge: NewJudge(), evidence: Evidence{}}
+	return &trial{random: rand.New(rand.NewPCG(seed, 5)), judge: NewJudge(), evidence: Evidence{}, old: map[string]int{"y": 50, "z": 50}}
 }
 
 // rates are the shares of failures and of slow answers.
@@ -36,11 +38,10 @@
 	}
 }
 
-// round adds the answers of a moment, ten of the old version for each of the new one, and
-// returns the verdict.
+// round adds the answers of a moment and returns the verdict.
 func (t *trial) round(old map[string]rates, fresh map[string]rates) Verdict {
 	for _, zone := range []string{"y", "z"} {
-		t.note(Key{Route: "r", Zone: zone}, 50, old[zone])
+		t.note(Key{Route: "r", Zone: zone}, t.old[zone], old[zone])
 	}
 	for index, zone := range []string{"y", "z", "z"} {
 		instance := fmt.Sprint("i-", index)
@@ -91,18 +92,22 @@
 func TestJudgeDoesNotConvictForOneInstance(t *testing.T) {
 	fresh := map[string]rates{"i-0": sound["y"], "i-1": sound["y"], "i-2": {failing: 0.6, slow: 0.5}}
 	for seed := range uint64(50) {
-		assert.Check(t, newTrial(seed).convictedAfter(200, sound, fresh) < 0, "seed %d", seed)
+		trial := newTrial(seed)
+		assert.Check(t, trial.convictedAfter(200, sound, fresh) < 0, "seed %d", seed)
+		assert.Check(t, trial.round(sound, fresh).Leaning < 0, "seed %d", seed)
 	}
 }
 
-// In zone z old and new fail alike; two of three new instances stand there, so that over
-// all zones together the new version looks much worse.
+// In zone z old and new fail alike; two of three new instances stand there and few of the
+// old ones, so that over all zones together the new version looks much worse.
 func TestJudgeComparesWithinTheZone(t *testing.T) {
 	grey := rates{failing: 0.5}
 	old := map[string]rates{"y": {0.005, 0.01}, "z": grey}
 	fresh := map[string]rates{"i-0": {0.005, 0.01}, "i-1": grey, "i-2": grey}
 	for seed := range uint64(50) {
-		assert.Check(t, newTrial(seed).convictedAfter(200, old, fresh) < 0, "seed %d", seed)
+		trial := newTrial(seed)
+		trial.old = map[string]int{"y": 180, "z": 20}
+		assert.Check(t, trial.convictedAfter(200, old, fresh) < 0, "seed %d", seed)
 	}
 }
 
--- a/internal/rollout/parts_test.go
+++ b/internal/rollout/parts_test.go
@@ -37,7 +37,8 @@
 			ledger.Take(report)
 		}
 		assert.DeepEqual(rt, ledger.Sum(), wanted)
-		assert.Equal(rt, ledger.Heard(), 3)
+		assert.Equal(rt, ledger.Heard([]string{"a", "b", "c", "d"}), 3)
+		assert.Equal(rt, ledger.Heard([]string{"a"}), 1)
 		assert.Assert(rt, !ledger.Take(Report{Order: Identity{Target: "v3"}, Node: "d", Sequence: 1}))
 	})
 }
--- a/internal/rollout/runner_test.go
+++ b/internal/rollout/runner_test.go
@@ -243,11 +243,11 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
 		site := startSite(ctx, endpoints...)
 		time.Sleep(settleTime + time.Second)
 		test(t, site)
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -394,8 +394,10 @@
 				}
 			}
 			site.change(func() { site.cut = first })
+			before := site.allowed(first)
 			time.Sleep(30 * time.Second)
 			assert.Equal(t, site.end(), EndRunning)
+			assert.DeepEqual(t, site.allowed(first), before)
 		})
 	}
 }
