--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -13,6 +13,9 @@
 	// storeFresh is how recent the store's newest answer must be for a shift to begin: a
 	// version that turns bad in the shift can be taken back only through the store.
 	storeFresh = 2 * time.Second
+	// quietAfter is how long after the deadline words go on: several times the contact time
+	// of the users' sheets (3 s).
+	quietAfter = 10 * time.Second
 	// confirmTime is how long all calls go to the new version at least before the end is
 	// written.
 	confirmTime = 500 * time.Millisecond
@@ -133,6 +136,17 @@
 // State returns where the roll-out stands here.
 func (c *Controller) State() State { return c.machine.MustState().(State) }
 
+// Ended reports whether the roll-out has an end in the store.
+func (c *Controller) Ended() bool {
+	return c.State() == StateCompleted || c.State() == StateRolledBack
+}
+
+// Quiet reports whether nothing needs to be told any more: the order has ended, and those
+// that could not be told at once have had the time to hear.
+func (c *Controller) Quiet(now time.Time) bool {
+	return c.Ended() && now.After(c.plan().Deadline.Add(quietAfter))
+}
+
 // Verdict returns what the evidence known here says.
 func (c *Controller) Verdict() Verdict { return c.verdict }
 
@@ -371,7 +385,7 @@
 		return EndRolledBack
 	case c.mayComplete(view):
 		return EndCompleted
-	case c.State() == StateCompleted || c.State() == StateRolledBack:
+	case c.Ended():
 		return EndNone
 	default:
 		return EndRunning
--- a/internal/rollout/day_test.go
+++ b/internal/rollout/day_test.go
@@ -113,7 +113,8 @@
 	ownSlack    int
 	deciders    []string
 	told        Word
-	spreadAt    time.Time
+	toldAt      time.Time
+	reportedAt  time.Time
 }
 
 // day is one run of the model.
@@ -452,13 +453,20 @@
 // spread tells a word to all and a report to the deciders when the runner would, late by
 // up to four steps.
 func (d *day) spread(daemon *dayDaemon, decision Decision) {
-	word, told := decision.Word, daemon.told
-	same := word.Phase == told.Phase && word.Diverted == told.Diverted && word.Drained == told.Drained
-	if same && d.now().Sub(daemon.spreadAt) < SpreadEvery {
+	if daemon.controller.Quiet(d.now()) {
 		return
 	}
-	daemon.told, daemon.spreadAt = word, d.now()
-	report := d.report(daemon)
+	word := decision.Word
+	tells := word.Changed(daemon.told) || d.now().Sub(daemon.toldAt) >= WordEvery
+	if tells {
+		daemon.told, daemon.toldAt = word, d.now()
+	}
+	reports := !daemon.controller.Ended() && d.now().Sub(daemon.reportedAt) >= ReportEvery
+	var report Report
+	if reports {
+		daemon.reportedAt = d.now()
+		report = d.report(daemon)
+	}
 	for _, other := range d.daemons {
 		if other == daemon {
 			continue
@@ -467,8 +475,10 @@
 		if other == d.lastRanked() {
 			delay += int(d.scenario.slowToHear / dayStep)
 		}
-		d.later(delay, func() { other.controller.Hear(d.now(), word) })
-		if slices.Contains(decision.Deciders, other.name) {
+		if tells {
+			d.later(delay, func() { other.controller.Hear(d.now(), word) })
+		}
+		if reports && slices.Contains(decision.Deciders, other.name) {
 			d.later(1+d.random.IntN(4), func() { other.controller.Report(report) })
 		}
 	}
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -17,9 +17,10 @@
 	// TickEvery is how often decisions are made: a twentieth of the two seconds that a
 	// roll-back may take beside what the test needs.
 	TickEvery = 100 * time.Millisecond
-	// SpreadEvery is how often evidence is told to the deciders, and a word that has not
-	// changed to all.
-	SpreadEvery = 300 * time.Millisecond
+	// ReportEvery is how often evidence is told to the deciders, and WordEvery how often a
+	// word that has not changed is told to all; one that has is told at once.
+	ReportEvery = 300 * time.Millisecond
+	WordEvery   = time.Second
 	// settleTime is how long after its start a daemon may not have heard of all instances:
 	// longer than the interval of their heartbeats (1.5 s, the users' pages).
 	settleTime = 2 * time.Second
@@ -74,12 +75,13 @@
 type following struct {
 	controller *Controller
 	traffic    *Traffic
-	// sequence counts the reports, spreadAt is when the last was sent; told is the last
-	// word spread.
-	sequence uint64
-	spreadAt time.Time
-	told     Word
-	deciders []string
+	// sequence counts the reports, reportedAt is when the last was sent; told is the last
+	// word spread, and toldAt when.
+	sequence   uint64
+	reportedAt time.Time
+	told       Word
+	toldAt     time.Time
+	deciders   []string
 	// asking is true while the store is asked, and askedAt when it was last.
 	asking  bool
 	askedAt time.Time
@@ -283,7 +285,7 @@
 // on it is spread. The caller holds mutex.
 func (r *Runner) tick(ctx context.Context, service string, followed *following, members []string) {
 	now := r.config.Now()
-	if slices.Contains(followed.deciders, r.config.Node) {
+	if slices.Contains(followed.deciders, r.config.Node) && !followed.controller.Ended() {
 		followed.controller.Report(followed.report(r.config.Node, r.config.Incarnation, now))
 	}
 	decision := followed.controller.Tick(r.view(now, service, followed, members))
@@ -311,15 +313,24 @@
 	}
 }
 
-// spread tells what is new, and what is not now and then; the caller holds mutex.
+// Changed reports whether a word says anything that an earlier one did not.
+func (w Word) Changed(earlier Word) bool {
+	return w.Phase != earlier.Phase || w.Diverted != earlier.Diverted || w.Drained != earlier.Drained
+}
+
+// spread tells the word and the evidence when they are due. The caller holds mutex.
 func (r *Runner) spread(now time.Time, followed *following, decision Decision) {
-	word, told := decision.Word, followed.told
-	same := word.Phase == told.Phase && word.Diverted == told.Diverted && word.Drained == told.Drained
-	if same && now.Sub(followed.spreadAt) < SpreadEvery {
+	if followed.controller.Quiet(now) {
+		return
+	}
+	if decision.Word.Changed(followed.told) || now.Sub(followed.toldAt) >= WordEvery {
+		followed.told, followed.toldAt = decision.Word, now
+		r.config.Links.Spread(decision.Word)
+	}
+	if followed.controller.Ended() || now.Sub(followed.reportedAt) < ReportEvery {
 		return
 	}
-	followed.told, followed.spreadAt = word, now
-	r.config.Links.Spread(word)
+	followed.reportedAt = now
 	report := followed.report(r.config.Node, r.config.Incarnation, now)
 	for _, decider := range decision.Deciders {
 		if decider != r.config.Node {
--- a/internal/rollout/traffic.go
+++ b/internal/rollout/traffic.go
@@ -175,8 +175,9 @@
 func (t *Traffic) Ended(attempt Attempt, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.sweep(now)
-	t.ended(attempt)
+	if t.ended(attempt) && t.overdue(attempt, now) {
+		t.evidence.Note(keyOf(attempt), false, longest)
+	}
 }
 
 // Answered notes the answer of an instance to an attempt: whether it was a failure of the
@@ -213,17 +214,21 @@
 	usual.add(counts)
 }
 
-// sweep notes the calls in flight that take so long that they are slow whenever they are
+// overdue reports whether an attempt takes so long that it is slow whenever it is
 // answered; the caller holds mutex.
+func (t *Traffic) overdue(attempt Attempt, now time.Time) bool {
+	usual := t.usual[attempt.Route]
+	known := usual != nil && usual.answers >= leastUsual
+	return known && timeClass(now.Sub(attempt.began)) >= usual.median()+overdueClasses
+}
+
+// sweep notes the calls in flight that are overdue; the caller holds mutex.
 func (t *Traffic) sweep(now time.Time) {
 	for number, attempt := range t.running {
-		usual := t.usual[attempt.Route]
-		known := usual != nil && usual.answers >= leastUsual
-		if !known || timeClass(now.Sub(attempt.began)) < usual.median()+overdueClasses {
-			continue
+		if t.overdue(attempt, now) {
+			t.evidence.Note(keyOf(attempt), false, longest)
+			delete(t.running, number)
 		}
-		t.evidence.Note(keyOf(attempt), false, longest)
-		delete(t.running, number)
 	}
 }
 
