--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -61,6 +61,8 @@
 	// then tell its state, and it is not probed.
 	registered bool
 	logger     logr.Logger
+	// version is that of the instance's software, as its first heartbeat said.
+	version string
 
 	// mutex protects everything below.
 	mutex sync.Mutex
