--- a/internal/origin/cold_test.go
+++ b/internal/origin/cold_test.go
@@ -132,6 +132,10 @@
 		"heard since":                {4, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); b.beat(0, 0) }, false},
 		"heard with an old word":     {4, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); b.beat(0, 1) }, true},
 		"not heard for long":         {4, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); time.Sleep(coldTime) }, false},
+		"heard first, none known":    {-1, func(b *bench) { b.beat(0, 0); b.mustBeHeard() }, true},
+		"heard since, none known":    {-1, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); b.beat(0, 0) }, false},
+		"to be heard, a rate after":  {-1, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); b.rate(4) }, true},
+		"not heard, none known":      {-1, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); time.Sleep(beatSilence) }, false},
 		"no rate, to be heard first": {0, func(b *bench) { b.beat(0, 0); b.mustBeHeard() }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
