--- a/internal/origin/cold.go
+++ b/internal/origin/cold.go
@@ -117,18 +117,27 @@
 	}
 }
 
+// unheardFor returns how long an instance that is to be heard first counts as cold at
+// most: as long as its pool's instances stay so, or, where no configuration says that yet,
+// until its silence would be noticed.
+func (c *coldness) unheardFor() time.Duration {
+	if !c.configured {
+		return beatSilence
+	}
+	return c.startTime
+}
+
 // coldUntilHeard has an instance that states itself count as cold until a newer heartbeat
-// of it, for at most the time that its pool's instances stay cold. It reports whether what
-// is announced changed.
+// of it, for at most unheardFor. It reports whether what is announced changed.
 func (i *Instance) coldUntilHeard() (changed bool) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	cold := &i.coldness
-	if !i.registered || cold.perSecond <= 0 || cold.startTime <= 0 {
+	if !i.registered || cold.rate() <= 0 || cold.unheardFor() <= 0 {
 		return false
 	}
 	now := time.Now()
-	cold.unheardUntil = now.Add(cold.startTime)
+	cold.unheardUntil = now.Add(cold.unheardFor())
 	cold.unheardSequence = i.sequence
 	return i.followCold(coldByEvacuation, now)
 }
