--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -202,23 +202,27 @@
 	}
 }
 
-// Leave bounds the calls that are still taken: from now on only those whose whole
-// time is over by the given time. Stop ends that too.
+// Leave bounds the calls that still start, those included that wait already: from now on
+// only those whose whole time is over by the given time. Stop ends that too.
 func (o *Origin) Leave(by time.Time) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.endsBy = by
 }
 
-// outlasts reports whether a call may go on after the time when all must be over.
-func (o *Origin) outlasts(open *lapisv1.CallOpen) bool {
+// checkLeaving refuses a call, which came at the given time, that may go on after the time
+// when all must be over. Errors: CallNotRunStopping.
+func (o *Origin) checkLeaving(open *lapisv1.CallOpen, came time.Time) error {
 	o.mutex.RLock()
 	defer o.mutex.RUnlock()
 	if o.endsBy.IsZero() {
-		return false
+		return nil
 	}
 	lasts := time.Duration(open.GetDeadlineMillis()) * time.Millisecond
-	return lasts == 0 || time.Now().Add(lasts).After(o.endsBy)
+	if lasts == 0 || came.Add(lasts).After(o.endsBy) {
+		return result.Errorf(result.CallNotRunStopping, "the daemon stops before the call must be over")
+	}
+	return nil
 }
 
 // Stop drains all instances because the daemon is stopping.
@@ -276,8 +280,8 @@
 	if !ok {
 		return nil, o.unknown(open)
 	}
-	if o.outlasts(open) {
-		return nil, result.Errorf(result.CallNotRunStopping, "the daemon stops before the call must be over")
+	if err := o.checkLeaving(open, time.Now()); err != nil {
+		return nil, err
 	}
 	if err := o.checkRegion(open); err != nil {
 		return nil, err
@@ -341,9 +345,9 @@
 		return nil, err
 	}
 	waited := time.Since(now)
-	if !o.attempts.Start(open.GetAttemptId()) {
+	if err := o.begin(open, now); err != nil {
 		slot.Release(false)
-		return nil, result.Errorf(result.CallNotRunDuplicate, "attempt %s was fenced", open.GetAttemptId())
+		return nil, err
 	}
 	answer, err := o.run(ctx, instance, slot, call)
 	if err == nil {
@@ -352,6 +356,18 @@
 	return answer, err
 }
 
+// begin notes that a call, which came at the given time, starts; from then on it may have
+// run. Errors, both proving that it did not start: CallNotRunStopping, CallNotRunDuplicate.
+func (o *Origin) begin(open *lapisv1.CallOpen, came time.Time) error {
+	if err := o.checkLeaving(open, came); err != nil {
+		return err
+	}
+	if !o.attempts.Start(open.GetAttemptId()) {
+		return result.Errorf(result.CallNotRunDuplicate, "attempt %s was fenced", open.GetAttemptId())
+	}
+	return nil
+}
+
 // RepeatShare returns the share of the calls that instances have now which are
 // repeats.
 func (o *Origin) RepeatShare() float64 {
