--- a/internal/origin/cold_test.go
+++ b/internal/origin/cold_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -192,6 +193,29 @@
 	})
 }
 
+// The end of the time for which an instance said that it is cold is announced too: what
+// was announced before is told again to each daemon that connects, however late.
+func TestEndOfTheColdTimeIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := newBench(t, 4)
+		var announced atomic.Uint32
+		bench.config.Changed = func() { announced.Store(bench.Advertised()[0].GetColdMillis()) }
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); bench.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		synctest.Wait()
+		bench.beat(coldTime, 0)
+		time.Sleep(coldTime / 2)
+		bench.beat(coldTime/2, 0)
+		assert.Assert(t, announced.Load() > 0)
+		time.Sleep(coldTime)
+		bench.beat(0, 0)
+		synctest.Wait()
+		assert.Equal(t, announced.Load(), uint32(0))
+	})
+}
+
 // What waits for an instance that falls over is refused at once, and nothing is sent to
 // it until its next heartbeat.
 func TestFallenInstanceGetsNothingUntilItsHeartbeat(t *testing.T) {
