--- a/internal/origin/cold.go
+++ b/internal/origin/cold.go
@@ -165,14 +165,16 @@
 	return true
 }
 
-// noteWarm logs that the time for which the instance said that it stays cold is over.
-func (i *Instance) noteWarm() {
+// noteWarm notes that the time for which the instance said that it stays cold is over; it
+// reports whether that is news.
+func (i *Instance) noteWarm() (changed bool) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	now := time.Now()
-	if i.coldness.is && !now.Before(i.coldness.until()) {
-		i.followCold(i.coldness.source, now)
+	if !i.coldness.is || now.Before(i.coldness.until()) {
+		return false
 	}
+	return i.followCold(i.coldness.source, now)
 }
 
 // ColdUse is how far the instance's pace is used; its rate is 0 while it is warm or its
--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -240,9 +240,9 @@
 	announced := lapisv1.Endpoint_STATE_UNSPECIFIED
 	for {
 		i.check(ctx)
-		i.noteWarm()
+		warm := i.noteWarm()
 		i.backend.pool.closeOld(false)
-		if now := i.advertised(); now != announced {
+		if now := i.advertised(); now != announced || warm {
 			announced = now
 			changed()
 		}
