--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -335,26 +335,25 @@
 // withWarm puts warm instances of the rest in the place of the last cold ones, so that
 // at least leastWarm of those chosen are warm if there are so many.
 func withWarm(chosen, rest []*Target, now time.Time) {
-	missing := leastWarm
-	for _, target := range chosen {
-		if !target.cold(now) {
-			missing--
+	// Each is asked once: what it says may change meanwhile.
+	var cold []int
+	for place, target := range chosen {
+		if target.cold(now) {
+			cold = append(cold, place)
 		}
 	}
-	place := len(chosen) - 1
+	missing := leastWarm - (len(chosen) - len(cold))
 	for _, target := range rest {
-		if missing <= 0 {
+		if missing <= 0 || len(cold) == 0 {
 			return
 		}
 		if target.cold(now) {
 			continue
 		}
-		for !chosen[place].cold(now) {
-			place--
-		}
-		chosen[place] = target
+		last := len(cold) - 1
+		chosen[cold[last]] = target
+		cold = cold[:last]
 		missing--
-		place--
 	}
 }
 
