--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -276,10 +276,11 @@
 	})
 }
 
-// subset returns at most SubsetSize candidates, chosen by a hash of this
+// subset returns at most SubsetSize candidates of one region, chosen by a hash of this
 // daemon and the instance, so that daemons spread evenly and a change of one
 // instance changes little. Instances of the own zone come first, then those of the own
-// region; some are from further away, for spill-over. Where cold instances bear coldRate
+// region; where there are other regions, otherRegionPart are from there for spill-over,
+// so that there may be SubsetSize/4 more in all. Where cold instances bear coldRate
 // calls a second only, some of the subset are warm if there are any.
 func (b *Balancer) subset(candidates []*Target, coldRate float64) []*Target {
 	if len(candidates) <= SubsetSize {
