--- a/internal/origin/cold_test.go
+++ b/internal/origin/cold_test.go
@@ -171,6 +171,20 @@
 	})
 }
 
+// A new instance is paced from when calls find it, which is before the rest of its first
+// heartbeat is taken in.
+func TestNewColdInstanceIsPacedWhenCallsFindIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := newBench(t, 4)
+		_, fresh := bench.registered(Registration{
+			Service: "desk", Instance: "desk-1", Address: "127.0.0.1:1", Slots: 100, Sequence: 1, ColdFor: coldTime,
+		})
+		assert.Assert(t, fresh)
+		admitted := bench.press(time.Second)
+		assert.Assert(t, admitted >= 3 && admitted <= boundOfSecond, "%d admitted", admitted)
+	})
+}
+
 // Both changes between cold and warm are announced and written down with their source.
 func TestChangesOfColdnessAreTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
