--- a/internal/origin/cold.go
+++ b/internal/origin/cold.go
@@ -142,6 +142,16 @@
 	return i.followCold(coldByEvacuation, now)
 }
 
+// paceFirst has the queue keep the pace that fits an instance's first heartbeat, before
+// calls can find the instance.
+func (i *Instance) paceFirst(registration Registration) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	now := time.Now()
+	i.coldness.heard(registration.ColdFor, registration.Sequence, now)
+	i.queue.SetPace(i.coldness.pace(now))
+}
+
 // followCold has the queue keep the pace that fits what is known, and logs a change
 // between cold and warm, which it reports; the caller holds mutex.
 func (i *Instance) followCold(source coldSource, now time.Time) (changed bool) {
--- a/internal/origin/registration.go
+++ b/internal/origin/registration.go
@@ -84,6 +84,7 @@
 	if o.current != nil {
 		instance.configure(o.current)
 	}
+	instance.paceFirst(registration)
 	if o.stopping {
 		instance.Drain(DrainStop)
 	}
