--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -194,23 +194,30 @@
 // Withdraw implements fleet.Observer.
 func (p *direct) Withdraw(instance string) { p.daemon.origin.Withdraw(instance) }
 
-// drain stops as planned: callers are sent elsewhere, instances take no new
+// leave has callers sent elsewhere and bounds the calls that still start to those that are
+// over by a time. instances ends, after instancesLeave, that the instances beside the
+// daemon take any.
+func (p *direct) leave(endsBy time.Time) (instances *time.Timer) {
+	d := p.daemon
+	p.leaving.Store(true)
+	d.gateway.Leave(endsBy)
+	d.origin.Leave(endsBy)
+	return time.AfterFunc(instancesLeave, func() {
+		d.origin.Stop()
+		d.announce()
+	})
+}
+
+// drain stops as planned: callers are sent elsewhere, instances soon take no new
 // work here, and what is in flight is seen through. It returns the number of
 // calls that were still in flight when force or the limit ended the wait.
 func (p *direct) drain(force <-chan struct{}) (cut int64) {
 	d := p.daemon
-	p.leaving.Store(true)
 	// The limit ends with the process; an eighth of it is left for the end.
 	lasts := d.settings.Load().StopLimit.Get() * 7 / 8
-	endsBy := time.Now().Add(lasts - answersLeave)
-	d.gateway.Leave(endsBy)
-	d.origin.Leave(endsBy)
 	limit := time.NewTimer(lasts)
 	defer limit.Stop()
-	instances := time.AfterFunc(instancesLeave, func() {
-		d.origin.Stop()
-		d.announce()
-	})
+	instances := p.leave(time.Now().Add(lasts - answersLeave))
 	defer instances.Stop()
 	left := time.NewTimer(callersLeave)
 	defer left.Stop()
