--- a/internal/origin/cold.go
+++ b/internal/origin/cold.go
@@ -128,18 +128,18 @@
 }
 
 // coldUntilHeard has an instance that states itself count as cold until a newer heartbeat
-// of it, for at most unheardFor. It reports whether what is announced changed.
-func (i *Instance) coldUntilHeard() (changed bool) {
+// of it, for at most unheardFor.
+func (i *Instance) coldUntilHeard() {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	cold := &i.coldness
 	if !i.registered || cold.rate() <= 0 || cold.unheardFor() <= 0 {
-		return false
+		return
 	}
 	now := time.Now()
 	cold.unheardUntil = now.Add(cold.unheardFor())
 	cold.unheardSequence = i.sequence
-	return i.followCold(coldByEvacuation, now)
+	i.followCold(coldByEvacuation, now)
 }
 
 // paceFirst has the queue keep the pace that fits an instance's first heartbeat, before
