--- a/internal/origin/registration.go
+++ b/internal/origin/registration.go
@@ -74,8 +74,20 @@
 			"sequence", registration.Sequence, "present", holder.Name)
 		return nil, false
 	}
+	instance = o.newRegistered(registration)
+	o.instances[key] = instance
+	o.watch(instance)
+	o.config.Logger.Info("instance.registered", "instance", instance.Name, "service", instance.Service,
+		"address", registration.Address, "version", registration.Version, "slots", registration.Slots, "sequence", registration.Sequence,
+		"cold_ms", registration.ColdFor.Milliseconds())
+	return instance, true
+}
+
+// newRegistered returns the instance that a first heartbeat states, which does from the
+// start what is known of its pool, of the daemon and of its zone; the caller holds mutex.
+func (o *Origin) newRegistered(registration Registration) *Instance {
 	limits := admission.Limits{Slots: max(registration.Slots, 1), QueueLength: o.config.QueueLength, QueueTime: o.config.QueueTime}
-	instance = newInstance(registration.Service, registration.Instance, registration.Address, limits, DefaultConnections, &o.config.Envelope)
+	instance := newInstance(registration.Service, registration.Instance, registration.Address, limits, DefaultConnections, &o.config.Envelope)
 	instance.registered = true
 	instance.slots = registration.Slots
 	instance.logger = o.config.Logger
@@ -91,12 +103,7 @@
 	if o.evacuated {
 		instance.Drain(DrainEvacuated)
 	}
-	o.instances[key] = instance
-	o.watch(instance)
-	o.config.Logger.Info("instance.registered", "instance", instance.Name, "service", instance.Service,
-		"address", registration.Address, "version", registration.Version, "slots", registration.Slots, "sequence", registration.Sequence,
-		"cold_ms", registration.ColdFor.Milliseconds())
-	return instance, true
+	return instance
 }
 
 // presentAt returns the instance that registered at an address and was heard lately, nil
