--- a/internal/origin/evacuation_test.go
+++ b/internal/origin/evacuation_test.go
@@ -142,6 +142,25 @@
 	}
 }
 
+// Calls are told the reason that weighs most, in whatever order the reasons came: one that
+// leaves for good does not come back with the end of the evacuation.
+func TestCallsAreToldTheFirstReason(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := running(t)
+		slots := fill(t, instanceOf(t, o, "desk-1"))
+		defer func() {
+			for _, slot := range slots {
+				slot.Release(false)
+			}
+		}()
+		o.Withdraw("desk-1")
+		o.SetEvacuated(true)
+		assertCode(t, <-call(o, "leaves"), result.CallNotRunDraining)
+		o.SetEvacuated(false)
+		assertCode(t, <-call(o, "leaves still"), result.CallNotRunDraining)
+	})
+}
+
 // An evacuated instance whose heartbeats come is as much the one at its address as one
 // that works: a late heartbeat of an earlier one does not end it.
 func TestLateHeartbeatDuringAnEvacuation(t *testing.T) {
