--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -120,7 +120,8 @@
 	i.mutex.Lock()
 	i.reasons[reason] = true
 	fire(i.lifecycle, triggerDrain)
-	i.queue.Close(i.refusal(reason))
+	first, _ := i.remaining()
+	i.queue.Close(i.refusal(first))
 	i.mutex.Unlock()
 	go i.noteIdle()
 }
@@ -167,7 +168,7 @@
 	i.queue.Reopen()
 }
 
-// remaining returns the first of the reasons that are left; the caller holds mutex.
+// remaining returns the first of the reasons that hold; the caller holds mutex.
 func (i *Instance) remaining() (reason DrainReason, drains bool) {
 	for _, reason := range drainReasons {
 		if i.reasons[reason] {
