--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -276,10 +276,11 @@
 	})
 }
 
-// subset returns at most SubsetSize candidates, chosen by a hash of this
+// subset returns at most SubsetSize candidates of one region, chosen by a hash of this
 // daemon and the instance, so that daemons spread evenly and a change of one
 // instance changes little. Instances of the own zone come first, then those of the own
-// region; some are from further away, for spill-over. Where cold instances bear coldRate
+// region; where there are other regions, otherRegionPart are from there for spill-over,
+// so that there may be SubsetSize/4 more in all. Where cold instances bear coldRate
 // calls a second only, some of the subset are warm if there are any.
 func (b *Balancer) subset(candidates []*Target, coldRate float64) []*Target {
 	if len(candidates) <= SubsetSize {
@@ -335,26 +336,25 @@
 // withWarm puts warm instances of the rest in the place of the last cold ones, so that
 // at least leastWarm of those chosen are warm if there are so many.
 func withWarm(chosen, rest []*Target, now time.Time) {
-	missing := leastWarm
-	for _, target := range chosen {
-		if !target.cold(now) {
-			missing--
+	// Each is asked once: what it says may change meanwhile.
+	var cold []int
+	for place, target := range chosen {
+		if target.cold(now) {
+			cold = append(cold, place)
 		}
 	}
-	place := len(chosen) - 1
+	missing := leastWarm - (len(chosen) - len(cold))
 	for _, target := range rest {
-		if missing <= 0 {
+		if missing <= 0 || len(cold) == 0 {
 			return
 		}
 		if target.cold(now) {
 			continue
 		}
-		for !chosen[place].cold(now) {
-			place--
-		}
-		chosen[place] = target
+		last := len(cold) - 1
+		chosen[cold[last]] = target
+		cold = cold[:last]
 		missing--
-		place--
 	}
 }
 
--- a/internal/origin/cold.go
+++ b/internal/origin/cold.go
@@ -117,20 +117,39 @@
 	}
 }
 
+// unheardFor returns how long an instance that is to be heard first counts as cold at
+// most: as long as its pool's instances stay so, or, where no configuration says that yet,
+// until its silence would be noticed.
+func (c *coldness) unheardFor() time.Duration {
+	if !c.configured {
+		return beatSilence
+	}
+	return c.startTime
+}
+
 // coldUntilHeard has an instance that states itself count as cold until a newer heartbeat
-// of it, for at most the time that its pool's instances stay cold. It reports whether what
-// is announced changed.
-func (i *Instance) coldUntilHeard() (changed bool) {
+// of it, for at most unheardFor.
+func (i *Instance) coldUntilHeard() {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	cold := &i.coldness
-	if !i.registered || cold.perSecond <= 0 || cold.startTime <= 0 {
-		return false
+	if !i.registered || cold.rate() <= 0 || cold.unheardFor() <= 0 {
+		return
 	}
 	now := time.Now()
-	cold.unheardUntil = now.Add(cold.startTime)
+	cold.unheardUntil = now.Add(cold.unheardFor())
 	cold.unheardSequence = i.sequence
-	return i.followCold(coldByEvacuation, now)
+	i.followCold(coldByEvacuation, now)
+}
+
+// paceFirst has the queue keep the pace that fits an instance's first heartbeat, before
+// calls can find the instance.
+func (i *Instance) paceFirst(registration Registration) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	now := time.Now()
+	i.coldness.heard(registration.ColdFor, registration.Sequence, now)
+	i.queue.SetPace(i.coldness.pace(now))
 }
 
 // followCold has the queue keep the pace that fits what is known, and logs a change
@@ -156,14 +175,16 @@
 	return true
 }
 
-// noteWarm logs that the time for which the instance said that it stays cold is over.
-func (i *Instance) noteWarm() {
+// noteWarm notes that the time for which the instance said that it stays cold is over; it
+// reports whether that is news.
+func (i *Instance) noteWarm() (changed bool) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	now := time.Now()
-	if i.coldness.is && !now.Before(i.coldness.until()) {
-		i.followCold(i.coldness.source, now)
+	if !i.coldness.is || now.Before(i.coldness.until()) {
+		return false
 	}
+	return i.followCold(i.coldness.source, now)
 }
 
 // ColdUse is how far the instance's pace is used; its rate is 0 while it is warm or its
--- a/internal/origin/cold_test.go
+++ b/internal/origin/cold_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -132,6 +133,10 @@
 		"heard since":                {4, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); b.beat(0, 0) }, false},
 		"heard with an old word":     {4, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); b.beat(0, 1) }, true},
 		"not heard for long":         {4, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); time.Sleep(coldTime) }, false},
+		"heard first, none known":    {-1, func(b *bench) { b.beat(0, 0); b.mustBeHeard() }, true},
+		"heard since, none known":    {-1, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); b.beat(0, 0) }, false},
+		"to be heard, a rate after":  {-1, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); b.rate(4) }, true},
+		"not heard, none known":      {-1, func(b *bench) { b.beat(0, 0); b.mustBeHeard(); time.Sleep(beatSilence) }, false},
 		"no rate, to be heard first": {0, func(b *bench) { b.beat(0, 0); b.mustBeHeard() }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -166,6 +171,20 @@
 	})
 }
 
+// A new instance is paced from when calls find it, which is before the rest of its first
+// heartbeat is taken in.
+func TestNewColdInstanceIsPacedWhenCallsFindIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := newBench(t, 4)
+		_, fresh := bench.registered(Registration{
+			Service: "desk", Instance: "desk-1", Address: "127.0.0.1:1", Slots: 100, Sequence: 1, ColdFor: coldTime,
+		})
+		assert.Assert(t, fresh)
+		admitted := bench.press(time.Second)
+		assert.Assert(t, admitted >= 3 && admitted <= boundOfSecond, "%d admitted", admitted)
+	})
+}
+
 // Both changes between cold and warm are announced and written down with their source.
 func TestChangesOfColdnessAreTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -188,6 +207,29 @@
 	})
 }
 
+// The end of the time for which an instance said that it is cold is announced too: what
+// was announced before is told again to each daemon that connects, however late.
+func TestEndOfTheColdTimeIsAnnounced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		bench := newBench(t, 4)
+		var announced atomic.Uint32
+		bench.config.Changed = func() { announced.Store(bench.Advertised()[0].GetColdMillis()) }
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); bench.Run(ctx) }()
+		defer func() { cancel(); <-done }()
+		synctest.Wait()
+		bench.beat(coldTime, 0)
+		time.Sleep(coldTime / 2)
+		bench.beat(coldTime/2, 0)
+		assert.Assert(t, announced.Load() > 0)
+		time.Sleep(coldTime)
+		bench.beat(0, 0)
+		synctest.Wait()
+		assert.Equal(t, announced.Load(), uint32(0))
+	})
+}
+
 // What waits for an instance that falls over is refused at once, and nothing is sent to
 // it until its next heartbeat.
 func TestFallenInstanceGetsNothingUntilItsHeartbeat(t *testing.T) {
--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -120,7 +120,8 @@
 	i.mutex.Lock()
 	i.reasons[reason] = true
 	fire(i.lifecycle, triggerDrain)
-	i.queue.Close(i.refusal(reason))
+	first, _ := i.remaining()
+	i.queue.Close(i.refusal(first))
 	i.mutex.Unlock()
 	go i.noteIdle()
 }
@@ -167,7 +168,7 @@
 	i.queue.Reopen()
 }
 
-// remaining returns the first of the reasons that are left; the caller holds mutex.
+// remaining returns the first of the reasons that hold; the caller holds mutex.
 func (i *Instance) remaining() (reason DrainReason, drains bool) {
 	for _, reason := range drainReasons {
 		if i.reasons[reason] {
@@ -240,9 +241,9 @@
 	announced := lapisv1.Endpoint_STATE_UNSPECIFIED
 	for {
 		i.check(ctx)
-		i.noteWarm()
+		warm := i.noteWarm()
 		i.backend.pool.closeOld(false)
-		if now := i.advertised(); now != announced {
+		if now := i.advertised(); now != announced || warm {
 			announced = now
 			changed()
 		}
