--- a/internal/balance/locality.go
+++ b/internal/balance/locality.go
@@ -17,8 +17,12 @@
 	regionPriceRatio = 56_000.0 / 15_000.0
 	// regionBytesRatio is what a byte between regions weighs in what one between zones
 	// does. That is already more than its price, so that the ratio of the prices would
-	// keep calls in a region that is full (docs/design/0020); it must be enough for the own region to go first.
-	regionBytesRatio = 1.5
+	// keep calls in a region that is full; docs/design/0020 has the figures.
+	regionBytesRatio = 1.1
+	// regionBase is what a call to another region costs more than one to another zone, in
+	// parts of the target latency: with the round trip enough for the own region to go
+	// first, in spite of the noise.
+	regionBase = 0.02
 	// regionPenalty is to zonePenalty as the prices are.
 	regionPenalty = zonePenalty * regionPriceRatio
 	// otherRegionPart is the number of instances of other regions in a subset, as far
@@ -60,6 +64,6 @@
 	case locality.OwnRegion:
 		return price + crossingBase
 	default:
-		return price*regionBytesRatio + crossingBase
+		return price*regionBytesRatio + crossingBase + regionBase
 	}
 }
