Do not take the end of an earlier connection for that of the present one

Cause: a peer that was given up and is wanted again has a new connection while the end of the first is still being noted; the note then took it as out of reach for good, and its instances as suspect, although calls could be sent. Change: only the end of the connection that is in use counts.

--- a/internal/fleet/address_test.go
+++ b/internal/fleet/address_test.go
@@ -247,17 +247,17 @@
 		"hearsay of one that is known":        {false, func(f *Fleet) { f.learnHearsay(present) }, "x:1"},
 		"directory":                           {false, func(f *Fleet) { f.learnListed(present) }, "x:2"},
 		"directory, while connected":          {true, func(f *Fleet) { f.learnListed(present) }, "x:1"},
-		"directory, and the connection ended": {true, func(f *Fleet) { f.learnListed(present); f.lost(f.members["moved"]) }, "x:2"},
+		"directory, and the connection ended": {true, func(f *Fleet) { f.learnListed(present); f.lost(f.members["moved"], f.members["moved"].link) }, "x:2"},
 		"directory, taken back meanwhile": {true, func(f *Fleet) {
 			f.learnListed(present)
 			f.learnListed(former)
-			f.lost(f.members["moved"])
+			f.lost(f.members["moved"], f.members["moved"].link)
 		}, "x:1"},
 		"greeting, while connected": {true, func(f *Fleet) { f.greeted(present) }, "x:2"},
 		"greeting after the directory": {true, func(f *Fleet) {
 			f.learnListed(memberAt("moved", "x:3"))
 			f.greeted(present)
-			f.lost(f.members["moved"])
+			f.lost(f.members["moved"], f.members["moved"].link)
 		}, "x:2"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -295,3 +295,20 @@
 		assert.Assert(t, knows.members["ended"].doubtful(time.Now()), "another one is connected to beside it")
 	})
 }
+
+// A peer that was given up and is wanted again has two connections for a moment: the end of
+// the first says nothing of the second. The daemon was then taken as out of reach for good,
+// although calls could be sent (12 of 32,000 plays of the test above).
+func TestEndOfAnEarlierConnectionDoesNotCount(t *testing.T) {
+	members := []Member{memberAt("asker", "x:1"), memberAt("peer", "x:2"), memberAt("third", "x:3")}
+	playAddresses(t, members, members, 10*time.Second, func(daemons map[string]*Fleet) {
+		asker := daemons["asker"]
+		asker.mutex.Lock()
+		peer, earlier, later := asker.members["peer"], asker.members["third"].link, asker.members["peer"].link
+		asker.mutex.Unlock()
+		asker.lost(peer, earlier)
+		assert.DeepEqual(t, connectedTo(asker), map[string]string{"peer": "x:2", "third": "x:3"})
+		asker.lost(peer, later)
+		assert.DeepEqual(t, connectedTo(asker), map[string]string{"third": "x:3"})
+	})
+}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -98,7 +98,7 @@
 // converse introduces this daemon's knowledge on a connection that it opened,
 // and waits for its end.
 func (f *Fleet) converse(ctx context.Context, member *peer, link callmux.Link) {
-	defer f.lost(member)
+	defer f.lost(member, link)
 	stop := context.AfterFunc(ctx, func() { link.Close(result.Errorf(result.CallUnknownOutcome, "the connection is not wanted any more")) })
 	defer stop()
 	f.remind(member, link)
@@ -113,8 +113,14 @@
 	}
 }
 
-func (f *Fleet) lost(member *peer) {
+// lost notes that a connection to a peer ended. Another one may be open by then: a peer that
+// was given up and is wanted again is connected to while the end of the first is noted.
+func (f *Fleet) lost(member *peer, link callmux.Link) {
 	f.mutex.Lock()
+	if member.link != link {
+		f.mutex.Unlock()
+		return
+	}
 	member.connected = false
 	member.lostAt = time.Now()
 	member.moveAsListed()
