Wire roll-outs: orders, request path, links, instances

Switched on by rollouts.exposure_share. Orders come with evacuations (one more list), every attempt passes through the roll-out of its service, and while one goes on each daemon connects to all others: usually it has links to eight of each service, so that words, reports and instances would reach only these.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -358,6 +358,9 @@
 	}
 }
 
+// Cold reports whether the instance said that it is still cold.
+func (t *Target) Cold(now time.Time) bool { return t.cold(now) }
+
 // cold reports whether the instance said that it is still cold.
 func (t *Target) cold(now time.Time) bool {
 	t.mutex.Lock()
--- a/internal/configsource/configsource.go
+++ b/internal/configsource/configsource.go
@@ -33,9 +33,9 @@
 	// position up to which there was none when the wait was over. Errors:
 	// PlatformCompacted when the history after position is gone.
 	Next(ctx context.Context, after Position, wait time.Duration) (*lapisv1.Configuration, Position, error)
-	// Orders returns all orders as they stand, at the revision that is the source's
-	// position.
-	Orders(ctx context.Context) (*orders.Set, error)
+	// Orders returns all orders of the given kinds as they stand, at the revision that
+	// is the source's position.
+	Orders(ctx context.Context, kinds orders.Kinds) (*orders.Set, error)
 }
 
 // Follower follows a source. The followers of all daemons share the work: see
@@ -48,6 +48,8 @@
 	// TakeOrders puts orders in force. It is called with each answer, also with one
 	// that asks for what is in force already; nil where operators give no orders.
 	TakeOrders func(*orders.Set)
+	// OrderKinds are those that operators give.
+	OrderKinds orders.Kinds
 	// OrdersBound is the time within which orders must be in force.
 	OrdersBound time.Duration
 	// Freshness is shared with whoever hears of other daemons' confirmations.
--- a/internal/configsource/orders.go
+++ b/internal/configsource/orders.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithTimeout(ctx, f.answerTime())
 	defer cancel()
 	f.OrdersAsked.Add(1)
-	set, err := f.Source.Orders(ctx)
+	set, err := f.Source.Orders(ctx, f.OrderKinds)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -188,7 +188,8 @@
 		},
 	}
 	d.gateway = gateway.New(gateway.Config{
-		Node: d.settings.Load().Node, Incarnation: d.incarnation, Snapshots: d.snapshots, Balancer: d.balancer,
+		Traffic: d.trafficOf(),
+		Node:    d.settings.Load().Node, Incarnation: d.incarnation, Snapshots: d.snapshots, Balancer: d.balancer,
 		Local: d.origin, Remote: d.calls, DefaultDeadline: d.settings.Load().Calls.DefaultDeadline.Get(),
 		Envelope: envelope, CallerService: d.callerService, Retries: retryLimits(d.settings.Load().Retries),
 		Decisions: decisions, Registry: d.registry, RepeatShare: d.origin.RepeatShare, Evacuated: d.evacuated,
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -54,6 +54,8 @@
 	inForce   atomic.Pointer[lapisv1.Configuration]
 	// orders are the operators' orders.
 	orders ordersPart
+	// rollouts is nil where operators order none.
+	rollouts *rollouts
 	// inForceAt is when that came in force, in nanoseconds since started.
 	inForceAt atomic.Int64
 	members   atomic.Int64
@@ -65,13 +67,14 @@
 func (d *Daemon) buildDirect(platform port.Platform) {
 	part := &direct{daemon: d, platform: platform, started: time.Now()}
 	part.members.Store(1)
-	part.freshness.WithOrders = part.ordersBound() > 0
+	part.freshness.WithOrders = part.orderKinds().Any()
 	d.calls.Maintained = true
 	d.calls.Timing = part.timing()
+	part.joinRollouts()
 	part.fleet = fleet.New(fleet.Config{
 		Self:        fleet.Member{Node: d.settings.Load().Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Load().Zone, Region: d.settings.Load().Region, Service: d.settings.Load().Service},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
-		InForce: part.inForce.Load, Orders: part.ordersInForce(), Freshness: &part.freshness, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
+		InForce: part.inForce.Load, Orders: part.ordersInForce(), Rollouts: part.rolloutObserver(), Freshness: &part.freshness, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
 	part.follower = &configsource.Follower{
 		Source: platform.Source(), Apply: part.Offer, Freshness: &part.freshness, Confirmed: part.fleet.Beat,
@@ -119,6 +122,9 @@
 	d := p.daemon
 	d.running.Go(func() { p.follower.Run(ctx) })
 	d.running.Go(func() { d.calls.WatchStalls(ctx, p.stall()) })
+	if p.rollouts != nil {
+		d.running.Go(func() { p.rollouts.run(ctx) })
+	}
 	serve := func(listener net.Listener, run func(net.Listener)) {
 		if listener != nil {
 			d.running.Go(func() { run(listener) })
--- a/internal/daemon/direct_test.go
+++ b/internal/daemon/direct_test.go
@@ -15,6 +15,7 @@
 	"github.com/lapisvane/lapisvane/internal/fleet"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/port"
+	"github.com/lapisvane/lapisvane/internal/rollout"
 	"github.com/lapisvane/lapisvane/internal/settings"
 )
 
@@ -22,6 +23,7 @@
 type idlePlatform struct{}
 
 func (idlePlatform) Source() configsource.Source                                  { return nil }
+func (idlePlatform) Rollouts() rollout.Store                                      { return nil }
 func (idlePlatform) Directory() fleet.Directory                                   { return nil }
 func (idlePlatform) Envelope() callapi.Envelope                                   { return callapi.DefaultEnvelope }
 func (idlePlatform) ServeInstances(context.Context, net.Listener, port.Instances) {}
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -28,9 +28,21 @@
 	held *lapisv1.Configuration
 }
 
+// orderKinds are the orders that operators give.
+func (p *direct) orderKinds() orders.Kinds {
+	config := p.daemon.settings.Load()
+	return orders.Kinds{Evacuations: config.EvacuationBound > 0, Rollouts: config.Rollouts.On()}
+}
+
 // ordersBound is the time within which orders must be in force, 0 where operators
-// give none.
-func (p *direct) ordersBound() time.Duration { return p.daemon.settings.Load().EvacuationBound.Get() }
+// give none. Roll-outs have no bound of their own: they are as urgent as configurations.
+func (p *direct) ordersBound() time.Duration {
+	config := p.daemon.settings.Load()
+	if config.EvacuationBound == 0 && config.Rollouts.On() {
+		return config.Platform.ApplyBound.Get()
+	}
+	return config.EvacuationBound.Get()
+}
 
 // askBound is the time within which everything that is asked of the source must be in
 // force.
@@ -48,6 +60,7 @@
 	p.orders.follow = p.followOrders
 	if p.freshness.WithOrders {
 		p.follower.TakeOrders = p.readOrders
+		p.follower.OrderKinds = p.orderKinds()
 		p.follower.OrdersBound = p.ordersBound()
 	}
 }
@@ -130,6 +143,9 @@
 // followOrders puts orders in force for the instances beside the daemon; callers'
 // attempts look at the current set themselves.
 func (p *direct) followOrders(before, now *orders.Set, by string) {
+	if p.rollouts != nil {
+		p.rollouts.ordered(now)
+	}
 	p.daemon.origin.SetEvacuated(now.Evacuated(p.daemon.settings.Load().Zone))
 	p.daemon.logger.Info("orders.in_force", "revision", now.Revision(), "before", before.Revision(), "zones", strings.Join(now.Zones(), ","), "by", by)
 	for _, zone := range now.Zones() {
--- a/internal/emulator/day/machine.go
+++ b/internal/emulator/day/machine.go
@@ -39,6 +39,8 @@
 	running   *running
 	instance  *instance.Instance
 	instances int
+	// beta is the instance of the version that is rolled out, nil while there is none.
+	beta *instance.Instance
 }
 
 // running is one process of a daemon.
@@ -67,6 +69,7 @@
 	config.Retries = settings.Retries{Fraction: 0.2, Burst: 64}
 	config.EvacuationBound = features.Duration(m.site.options.EvacuationBound)
 	config.ColdStarts = settings.ColdStarts{Overshoot: m.site.options.ColdOvershoot, Slack: m.site.options.ColdSlack}
+	config.Rollouts = settings.Rollouts{ExposureShare: m.site.options.ExposureShare}
 	config.StopLimit = features.Duration(m.site.options.Grace)
 	config.DecisionLinesPerSecond = m.site.options.DecisionLines
 	if err := config.Check(); err != nil {
@@ -202,6 +205,16 @@
 func (m *Machine) startInstance(service, address string, isCold bool) error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	started, err := m.newInstance(service, address, versionInForce, isCold)
+	if err == nil {
+		m.instance = started
+	}
+	return err
+}
+
+// newInstance starts an instance of a version beside the daemon, at address or at any;
+// mutex is held.
+func (m *Machine) newInstance(service, address, version string, isCold bool) (*instance.Instance, error) {
 	options := m.site.options
 	if address == "" {
 		address = m.address(portFirstInstance + m.instances)
@@ -212,15 +225,14 @@
 		coldFor = options.ColdFor
 	}
 	started, err := instance.Start(instance.Options{
-		Service: service, Zone: m.Zone, Address: address, Registration: m.addresses.Instances, Outbound: m.addresses.Caller, Host: m.host,
+		Service: service, Version: version, Zone: m.Zone, Address: address, Registration: m.addresses.Instances, Outbound: m.addresses.Caller, Host: m.host,
 		Slots: options.Slots, Queue: options.Slots, ServiceTime: options.ServiceTime, Beat: options.Beat,
 		ColdFor: coldFor, Region: options.region(m.Zone), FallsAbove: options.fallsAbove(), Fell: m.fell, Ledger: m.site.Ledger, Seed: options.Seed,
 	})
 	if err != nil {
-		return fmt.Errorf("instance of %s: %w", service, err)
+		return nil, fmt.Errorf("instance of %s: %w", service, err)
 	}
-	m.instance = started
-	return nil
+	return started, nil
 }
 
 // Restart crashes the instance and starts another at its address.
@@ -250,6 +262,9 @@
 	if running := m.Instance(); running != nil {
 		running.Crash()
 	}
+	if running := m.Beta(); running != nil {
+		running.Crash()
+	}
 }
 
 // Options size a Site.
@@ -268,6 +283,9 @@
 	// EvacuationBound is the time after which the instances of an evacuated zone get
 	// nothing; 0 where operators evacuate none.
 	EvacuationBound time.Duration
+	// ExposureShare is the share of a service's calls that a bad version may get; 0
+	// where operators order no roll-outs.
+	ExposureShare float64
 	// Regions gives the region of each zone; others lie in one region.
 	Regions map[string]string
 	Contact time.Duration
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -70,6 +70,8 @@
 // Options configure an Instance.
 type Options struct {
 	Service string
+	// Version is that of the instance's software.
+	Version string
 	Zone    string
 	// Address is where to listen; "127.0.0.1:0" picks a port.
 	Address string
@@ -244,7 +246,7 @@
 func (i *Instance) state(ctx context.Context, state string, sequence uint64) error {
 	beat := platform.Heartbeat{
 		Address: i.Address(),
-		Info:    platform.HeartbeatInfo{Service: i.options.Service, Version: "v1", Zone: i.options.Zone, Slots: i.options.Slots},
+		Info:    platform.HeartbeatInfo{Service: i.options.Service, Version: i.options.Version, Zone: i.options.Zone, Slots: i.options.Slots},
 		Status: platform.HeartbeatStatus{
 			State: state, Sequence: sequence, ColdMs: i.cold.left(time.Now()).Milliseconds(),
 		},
--- a/internal/emulator/instance/instance_test.go
+++ b/internal/emulator/instance/instance_test.go
@@ -55,7 +55,7 @@
 	}))
 	t.Cleanup(beside.Close)
 	options := instance.Options{
-		Service: "desk", Zone: "a", Region: "north", Address: "127.0.0.1:0", Host: "127.0.0.1",
+		Service: "desk", Version: "v1", Zone: "a", Region: "north", Address: "127.0.0.1:0", Host: "127.0.0.1",
 		Registration: strings.TrimPrefix(beside.URL, "http://"),
 		Slots:        1, Queue: 1, ServiceTime: time.Millisecond, Beat: 10 * time.Millisecond,
 		Fell: func(fallen *instance.Instance) { running.fell <- fallen }, Ledger: running.ledger, Seed: 1,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,6 +66,8 @@
 	// Orders returns the operators' orders in force, nil before the first; it is nil
 	// itself where operators give none.
 	Orders func() *orders.Set
+	// Rollouts hears what others say of roll-outs; nil where operators order none.
+	Rollouts RolloutObserver
 	// Freshness is how recently both were confirmed to be the newest.
 	Freshness *configsource.Freshness
 	// Withdrawn returns the instances beside this daemon that left for good.
@@ -97,6 +99,10 @@
 	local     []*lapisv1.Endpoint
 	// withdrawn are the local instances that left for good.
 	withdrawn []string
+	// reachesAll is true while all daemons are connected to, and reachedAllSince when
+	// that last changed.
+	reachesAll      bool
+	reachedAllSince time.Time
 	// services are those reported to the observer before.
 	services map[string]bool
 }
@@ -123,6 +129,7 @@
 	// wake asks for a connection to be tried at once, ordered for the orders to be
 	// sent on the one that there is.
 	wake, ordered chan struct{}
+	outbox        outbox
 	// displacedAt is when another daemon was found at the address; zero while none
 	// was.
 	displacedAt time.Time
@@ -233,7 +240,7 @@
 		return nil
 	}
 	if !ok {
-		known = &peer{wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1), withdrawn: map[string]time.Time{}, lostAt: time.Now()}
+		known = &peer{wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1), outbox: newOutbox(), withdrawn: map[string]time.Time{}, lostAt: time.Now()}
 		f.members[member.Node] = known
 		f.config.Logger.V(1).Info("fleet.member_known", "member", member.Node, "address", member.Address, "zone", member.Zone)
 		signal(f.changed)
@@ -269,6 +276,11 @@
 		}
 	}
 	chosen := wanted(f.config.Self, candidates)
+	if f.reachEvery() {
+		for _, member := range candidates {
+			chosen[member.Node] = true
+		}
+	}
 	for node, member := range f.members {
 		switch {
 		case chosen[node] && member.stop == nil:
@@ -390,7 +402,7 @@
 	return &lapisv1.Endpoint{
 		Service: endpoint.GetService(), Instance: endpoint.GetInstance(), Node: endpoint.GetNode(),
 		Address: endpoint.GetAddress(), Zone: endpoint.GetZone(), Region: endpoint.GetRegion(), Incarnation: endpoint.GetIncarnation(),
-		Slots: endpoint.GetSlots(), State: lapisv1.Endpoint_STATE_SUSPECT,
+		Version: endpoint.GetVersion(), Slots: endpoint.GetSlots(), State: lapisv1.Endpoint_STATE_SUSPECT,
 	}
 }
 
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -89,6 +89,7 @@
 	member.stalled = false
 	member.displacedAt = time.Time{}
 	member.link = link
+	member.outbox.empty()
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.connected", "member", member.Node, "address", address, "incarnation", incarnation)
 	signal(f.changed)
@@ -109,6 +110,8 @@
 			return
 		case <-member.ordered:
 			f.sendOrders(link)
+		case <-member.outbox.filled:
+			f.sendOutbox(link, &member.outbox)
 		}
 	}
 }
@@ -120,6 +123,7 @@
 	member.moveAsListed()
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.lost", "member", member.Node)
+	f.unlinked(member.Node)
 	signal(f.changed)
 	signal(f.review)
 }
@@ -140,5 +144,7 @@
 		f.offeredDeflated(member, body.DeflatedConfiguration)
 	case *lapisv1.CallFrame_Orders:
 		f.tookOrders(member.Node, body.Orders)
+	case *lapisv1.CallFrame_RolloutWord, *lapisv1.CallFrame_RolloutReport:
+		f.receiveRollout(member.Node, frame)
 	}
 }
--- a/internal/fleet/listener.go
+++ b/internal/fleet/listener.go
@@ -15,6 +15,7 @@
 	place locality.Place
 	// wake asks for the announcement to be sent, ordered for the orders.
 	wake, ordered chan struct{}
+	outbox        outbox
 }
 
 // Accepted takes in a connection that another daemon opened, for
@@ -23,7 +24,7 @@
 	dialer := Member{Node: hello.GetNode(), Address: hello.GetAddress(), Zone: hello.GetZone(), Region: hello.GetRegion(), Service: hello.GetService()}
 	opened := &listener{
 		link: link, node: dialer.Node, place: dialer.place(),
-		wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1), outbox: newOutbox(),
 	}
 	f.mutex.Lock()
 	f.listeners[opened] = true
@@ -45,6 +46,7 @@
 		f.mutex.Lock()
 		delete(f.listeners, opened)
 		f.mutex.Unlock()
+		f.unlinked(opened.node)
 	}()
 	if member != nil {
 		f.remind(member, opened.link)
@@ -59,6 +61,8 @@
 			f.sendAnnouncement(opened.link)
 		case <-opened.ordered:
 			f.sendOrders(opened.link)
+		case <-opened.outbox.filled:
+			f.sendOutbox(opened.link, &opened.outbox)
 		}
 	}
 }
@@ -81,5 +85,7 @@
 		f.serveConfiguration(opened.link, body.ConfigurationRequest.GetAbove())
 	case *lapisv1.CallFrame_Orders:
 		f.tookOrders(opened.node, body.Orders)
+	case *lapisv1.CallFrame_RolloutWord, *lapisv1.CallFrame_RolloutReport:
+		f.receiveRollout(opened.node, frame)
 	}
 }
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -59,6 +59,8 @@
 	// failed is the first answer that was a failure of the instance's own, kept
 	// while another instance is tried.
 	failed *outcome
+	// sending is the newest attempt as a roll-out counts it; nil without one.
+	sending *sending
 	// mayHaveRun is the end of the first attempt that an instance may have run; nil
 	// while there was none.
 	mayHaveRun error
@@ -68,6 +70,8 @@
 type outcome struct {
 	answer *callapi.Answer
 	target *balance.Target
+	// sending is the attempt as a roll-out counts it; nil without one.
+	sending *sending
 }
 
 // run makes attempts until one is answered or another would be unsafe, useless
@@ -93,14 +97,19 @@
 		}
 		a.open.Service = pool
 		if a.hopeless(ctx, target) {
+			a.sending.giveBack()
 			return a.orFailed(result.Errorf(result.CallNotRunExpired, "too little time is left for an answer"))
 		}
+		if !a.sending.begin(target) {
+			continue
+		}
 		answer, err := a.once(ctx, target)
+		done := outcome{answer: answer, target: target, sending: a.sending}
 		if err == nil && !a.mayReplace(answer) {
-			return outcome{answer: answer, target: target}, nil
+			return done, nil
 		}
 		if err == nil {
-			err = a.setAside(outcome{answer: answer, target: target})
+			err = a.setAside(done)
 		}
 		lastErr = err
 		a.noteOutcome(err)
@@ -143,10 +152,17 @@
 	if !ok {
 		return nil, result.Errorf(result.CallNoEndpoint, "route %s has no pool here", a.route.GetName())
 	}
+	return a.pickVersion(pool, func(version ...balance.Constraint) (*balance.Target, error) {
+		return a.pickAmong(service, append(a.constraints(), version...))
+	})
+}
+
+// pickAmong chooses an instance that meets constraints. Errors: CallNoEndpoint.
+func (a *attempter) pickAmong(service *snapshot.Service, constraints []balance.Constraint) (*balance.Target, error) {
 	return a.gateway.balancer.Pick(service, balance.Choice{
 		Exclude: a.tried, Key: a.open.GetIdempotencyKey(), Route: a.route.GetName(),
 		Target: a.targetLatency(), Spent: time.Since(a.started) + a.waited, Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
-		Constraints: a.constraints(),
+		Constraints: constraints,
 	})
 }
 
@@ -162,12 +178,14 @@
 	now := time.Now()
 	if err != nil {
 		target.End()
+		a.sending.failed(err, now)
 		a.gateway.observe(target, err)
 		if a.unanswered(err, now.Sub(began)) {
 			target.AnsweredFailure(now)
 		}
 		return nil, err
 	}
+	a.sending.answered(answer.Head, target, now)
 	target.Reported(answer.Head.GetLoad(), now)
 	target.Succeeded()
 	if answer.Head.GetStatus() >= firstServerError {
--- a/internal/gateway/failures.go
+++ b/internal/gateway/failures.go
@@ -23,6 +23,7 @@
 // again. It returns the error that stands for the failed attempt.
 func (a *attempter) setAside(failed outcome) error {
 	defer failed.target.End()
+	defer failed.sending.end()
 	body, err := readWhole(failed.answer)
 	_ = failed.answer.Body.Close()
 	if err != nil {
@@ -46,6 +47,8 @@
 		return outcome{}, err
 	}
 	kept := *a.failed
+	// The attempt ended when its answer was set aside.
+	kept.sending = nil
 	kept.target.Begin()
 	return kept, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/lapisvane/lapisvane/internal/decision"
 	"github.com/lapisvane/lapisvane/internal/gateway/pipeline"
 	"github.com/lapisvane/lapisvane/internal/result"
+	"github.com/lapisvane/lapisvane/internal/rollout"
 	"github.com/lapisvane/lapisvane/internal/snapshot"
 )
 
@@ -70,6 +71,9 @@
 	// Evacuated reports whether the instances of a zone get no calls; nil where no
 	// zone is ever evacuated.
 	Evacuated func(zone string) bool
+	// Traffic returns what counts the calls of a service's roll-out, nil for one that
+	// has none; nil itself where there are no roll-outs.
+	Traffic func(service string) *rollout.Traffic
 	// SentAhead bounds what is held for requests that callers send before
 	// earlier ones are answered; the zero value stands for the default.
 	SentAhead pipeline.Limits
@@ -105,6 +109,8 @@
 	constrained *prometheus.CounterVec
 	retries     prometheus.Counter
 	latency     prometheus.Histogram
+	// versions are the attempts of services with a roll-out.
+	versions *prometheus.CounterVec
 }
 
 // New returns a gateway.
@@ -132,6 +138,9 @@
 				Name: "lapisvane_call_seconds", Help: "Time from a request's head to its answer's head.",
 				Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
 			}),
+			versions: prometheus.NewCounterVec(prometheus.CounterOpts{
+				Name: "lapisvane_rollout_attempts_total", Help: "Attempts at services with a roll-out, by service, version (ordered, other) and end.",
+			}, []string{"service", "version", "end"}),
 		},
 	}
 	gateway.callers = pipeline.New(pipeline.Config{
@@ -143,6 +152,9 @@
 	if config.Registry != nil {
 		config.Registry.MustRegister(gateway.metrics.calls, gateway.metrics.constrained, gateway.metrics.retries, gateway.metrics.latency)
 	}
+	if config.Registry != nil && config.Traffic != nil {
+		config.Registry.MustRegister(gateway.metrics.versions)
+	}
 	return gateway
 }
 
@@ -348,6 +360,7 @@
 func (g *Gateway) deliver(ctx context.Context, exchange *pipeline.Exchange, attempt *attempter, done outcome) error {
 	rc := exchange.Request
 	defer done.target.End()
+	defer done.sending.end()
 	defer func() { _ = done.answer.Body.Close() }()
 	head := done.answer.Head
 	method := attempt.open.GetMethod()
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -1,5 +1,5 @@
-// Package orders holds what operators ask for beside the configuration: today
-// the evacuation of zones. Orders are known as a whole, at a revision of the
+// Package orders holds what operators ask for beside the configuration: the
+// evacuation of zones and the roll-out of versions. Orders are known as a whole, at a revision of the
 // store that they are written to; a daemon follows the newest that it has heard of.
 package orders
 
@@ -9,9 +9,17 @@
 	"sync"
 	"sync/atomic"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 )
 
+// Kinds are the kinds of orders that operators give at a site.
+type Kinds struct{ Evacuations, Rollouts bool }
+
+// Any reports whether operators give any orders.
+func (k Kinds) Any() bool { return k.Evacuations || k.Rollouts }
+
 // Set is all orders that stand at one revision of the store. It is immutable; nil
 // is the set of a daemon that has not heard of any yet.
 type Set struct {
@@ -29,6 +37,9 @@
 	slices.SortFunc(message.GetEvacuations(), func(a, b *lapisv1.Evacuation) int {
 		return strings.Compare(a.GetZone(), b.GetZone())
 	})
+	slices.SortFunc(message.GetRollouts(), func(a, b *lapisv1.Rollout) int {
+		return strings.Compare(a.GetName(), b.GetName())
+	})
 	return &Set{message: message, evacuated: evacuated}
 }
 
@@ -55,21 +66,28 @@
 	return zones
 }
 
-// SameAs reports whether two sets ask for the same, whatever their revisions.
+// Rollouts returns the states of the objects that order roll-outs, in order of name.
+func (s *Set) Rollouts() []*lapisv1.Rollout { return s.Message().GetRollouts() }
+
+// SameAs reports whether two sets ask for the same, whatever their revisions. A roll-out
+// whose object was written since is not the same: its status and the revision that the
+// next write must name are news, also where they come from this side's own write.
 func (s *Set) SameAs(other *Set) bool {
-	return (s == nil) == (other == nil) && slices.Equal(s.Zones(), other.Zones())
+	return (s == nil) == (other == nil) && slices.Equal(s.Zones(), other.Zones()) &&
+		slices.EqualFunc(s.Rollouts(), other.Rollouts(), func(a, b *lapisv1.Rollout) bool { return proto.Equal(a, b) })
 }
 
 // restated returns the same orders as they stand at another revision.
 func (s *Set) restated(revision uint64) *Set {
 	return &Set{
-		message:   &lapisv1.Orders{Revision: revision, Evacuations: s.Message().GetEvacuations()},
+		message:   &lapisv1.Orders{Revision: revision, Evacuations: s.Message().GetEvacuations(), Rollouts: s.Rollouts()},
 		evacuated: s.evacuated,
 	}
 }
 
 // GivenAgain returns the zones whose orders were taken away and given again between
-// before and s, so that they are evacuated in both.
+// before and s, so that they are evacuated in both. A roll-out given again has another
+// revision and is no longer the same.
 func (s *Set) GivenAgain(before *Set) []string {
 	given := map[string]uint64{}
 	for _, evacuation := range before.Message().GetEvacuations() {
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -64,3 +64,32 @@
 	assert.Assert(t, taken && !first.Evacuated("a"))
 	assert.Equal(t, first.Load().Revision(), second.Load().Revision())
 }
+
+// rolling returns orders at a revision with a roll-out whose object was written at
+// another one.
+func rolling(revision, written uint64, state string) *orders.Set {
+	return orders.NewSet(&lapisv1.Orders{Revision: revision, Rollouts: []*lapisv1.Rollout{{Name: "desk", Revision: written, State: state}}})
+}
+
+// A status that was written is news, and so is a roll-out given again or taken away;
+// one that is read again unchanged is not, and is not lost.
+func TestRolloutsSpreadWhenTheirObjectChanges(t *testing.T) {
+	current := &orders.Current{}
+	for _, step := range []struct {
+		set  *orders.Set
+		news bool
+	}{
+		{rolling(5, 4, ""), true}, {rolling(7, 4, ""), false}, {rolling(8, 8, "running"), true}, {rolling(9, 9, "running"), true}, {set(12, 0), true},
+	} {
+		_, taken := current.Read(step.set)
+		assert.Equal(t, taken, step.news)
+		assert.Equal(t, len(current.Load().Rollouts()), len(step.set.Rollouts()))
+	}
+	// An older roll-out of another daemon does not come back: the present state is stated anew.
+	_, taken := current.Replace(rolling(11, 9, "running"))
+	assert.Assert(t, !taken)
+	current.Read(rolling(14, 14, ""))
+	current.Read(rolling(20, 14, ""))
+	_, taken = current.Replace(set(18, 0))
+	assert.Assert(t, taken && current.Load().Revision() == 20 && len(current.Load().Rollouts()) == 1)
+}
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -12,6 +12,7 @@
 	"github.com/lapisvane/lapisvane/internal/configsource"
 	"github.com/lapisvane/lapisvane/internal/fleet"
 	"github.com/lapisvane/lapisvane/internal/origin"
+	"github.com/lapisvane/lapisvane/internal/rollout"
 )
 
 // Instances takes in what the instances beside the daemon state.
@@ -26,6 +27,9 @@
 type Platform interface {
 	// Source is where the configuration in force and the operators' orders come from.
 	Source() configsource.Source
+	// Rollouts is where the status of roll-outs is written, each time under the
+	// condition that the object is unchanged.
+	Rollouts() rollout.Store
 	// Directory is where daemons find each other.
 	Directory() fleet.Directory
 	// Envelope names the header fields of requests and answers.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -108,6 +108,8 @@
 	began   time.Time
 	shifted time.Time
 	moved   time.Time
+	// probeShare is what the new version gets until the shift.
+	probeShare float64
 	// pledged is true once a word said that nothing goes to the old version.
 	pledged    bool
 	impossible bool
@@ -126,7 +128,7 @@
 	return &Controller{
 		node: node, incarnation: incarnation, decider: NewDecider(order), machine: newMachine(),
 		judge: NewJudge(), ledger: NewLedger(order.Identity), words: map[string]Word{},
-		began: began, impossible: order.Duration < LeastDuration,
+		began: began, probeShare: ProbeShare, impossible: order.Duration < LeastDuration,
 	}
 }
 
@@ -338,7 +340,7 @@
 	allocation := Allocation{Order: c.Order().Identity, Barred: view.Barred, Sole: view.sole()}
 	switch c.State() {
 	case StateProbing:
-		allocation.Share = ProbeShare
+		allocation.Share = c.probeShare
 	case StateShifting:
 		allocation.Share = c.plan().ShareInShift(view.Now.Sub(c.shifted))
 	case StateMoved, StateCompleted:
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -48,8 +48,8 @@
 	Known() int
 	// Spread tells a word to all members.
 	Spread(word Word)
-	// Tell tells a report to one member.
-	Tell(node string, report Report)
+	// Tell tells a report on a service's order to one member.
+	Tell(node, service string, report Report)
 }
 
 // Instances knows the instances of services.
@@ -59,14 +59,17 @@
 	Of(service string) (endpoints []*lapisv1.Endpoint, cold func(*lapisv1.Endpoint) bool)
 }
 
-// RunnerConfig is what a Runner needs. Every field must be set.
+// RunnerConfig is what a Runner needs. Every field but ExposureShare must be set.
 type RunnerConfig struct {
 	Node        string
 	Incarnation uint64
 	Store       Store
 	Links       Links
 	Instances   Instances
-	Logger      logr.Logger
+	// ExposureShare is the share of a service's calls that a bad version may get; 0
+	// stands for the usual one, which a larger one does not raise.
+	ExposureShare float64
+	Logger        logr.Logger
 	// Now is the monotonic clock.
 	Now func() time.Time
 }
@@ -129,6 +132,23 @@
 // roll-out and every version may get calls.
 func (r *Runner) Traffic(service string) *Traffic { return (*r.traffic.Load())[service] }
 
+// Busy reports whether an order is followed that has not ended, for which daemons must
+// hear each other.
+func (r *Runner) Busy() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, followed := range r.following {
+		if !followed.controller.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
+// Idle reports whether there is nothing to decide: no order is followed, and no version
+// is kept from calls.
+func (r *Runner) Idle() bool { return len(*r.traffic.Load()) == 0 }
+
 // Ordered takes in the state of the object of a service's order, nil for one taken away.
 func (r *Runner) Ordered(service string, order *Order) {
 	r.mutex.Lock()
@@ -177,9 +197,11 @@
 	r.barred[service] = without(r.barred[service], order.Target)
 	traffic := NewTraffic(order.Identity)
 	traffic.Apply(InitialAllocation(order, slices.Clone(r.barred[service])))
-	r.following[service] = &following{
-		controller: NewController(r.config.Node, r.config.Incarnation, order, r.config.Now()), traffic: traffic,
+	controller := NewController(r.config.Node, r.config.Incarnation, order, r.config.Now())
+	if share := r.config.ExposureShare; share > 0 {
+		controller.probeShare = min(controller.probeShare, share/2)
 	}
+	r.following[service] = &following{controller: controller, traffic: traffic}
 	r.publish()
 }
 
@@ -334,7 +356,7 @@
 	report := followed.report(r.config.Node, r.config.Incarnation, now)
 	for _, decider := range decision.Deciders {
 		if decider != r.config.Node {
-			r.config.Links.Tell(decider, report)
+			r.config.Links.Tell(decider, followed.controller.Order().Service, report)
 		}
 	}
 }
--- a/internal/rollout/runner_test.go
+++ b/internal/rollout/runner_test.go
@@ -227,7 +227,7 @@
 }
 
 // Tell implements Links.
-func (l siteLinks) Tell(node string, report Report) {
+func (l siteLinks) Tell(node, _ string, report Report) {
 	if l.reaches(node) {
 		go l.site.runners[node].Reported("desk", report)
 	}
--- a/internal/rollout/traffic.go
+++ b/internal/rollout/traffic.go
@@ -56,6 +56,9 @@
 	began  time.Time
 }
 
+// New reports whether the attempt went to the version ordered.
+func (a Attempt) New() bool { return a.isNew }
+
 // Traffic is what the request path of a daemon asks about one service with a roll-out,
 // and where it says what it sent and what came of it. It is safe for concurrent use.
 type Traffic struct {
@@ -180,13 +183,21 @@
 	}
 }
 
-// Answered notes the answer of an instance to an attempt: whether it was a failure of the
-// instance's own, and how long it worked. Answers of cold instances are no evidence.
+// Answered notes the answer of an instance to an attempt, with which the attempt ends:
+// whether it was a failure of the instance's own, and how long it worked. Answers of cold
+// instances are no evidence.
 func (t *Traffic) Answered(attempt Attempt, failed, cold bool, taken time.Duration, now time.Time) {
+	t.Judge(attempt, failed, cold, taken, now)
+	t.Ended(attempt, now)
+}
+
+// Judge notes the answer of an instance as Answered does, while the attempt stays in
+// flight: its body is still on its way, and Ended follows.
+func (t *Traffic) Judge(attempt Attempt, failed, cold bool, taken time.Duration, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	open := t.ended(attempt)
-	if cold || !open || attempt.generation != t.generation {
+	open := t.close(attempt)
+	if cold || !open {
 		return
 	}
 	t.evidence.Note(keyOf(attempt), failed, taken)
@@ -247,6 +258,12 @@
 	if attempt.counted {
 		t.oldInFlight--
 	}
+	return t.close(attempt)
+}
+
+// close takes an attempt out of those that may become evidence and reports whether it was
+// one; the caller holds mutex.
+func (t *Traffic) close(attempt Attempt) (open bool) {
 	if attempt.generation != t.generation {
 		return false
 	}
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -52,6 +52,9 @@
 	EvacuationBound features.Duration `json:"evacuation_bound"`
 	// ColdStarts bounds what instances get that have just started.
 	ColdStarts ColdStarts `json:"cold_starts"`
+	// Rollouts bounds what a bad version may get; the zero value where operators order
+	// no roll-outs.
+	Rollouts Rollouts `json:"rollouts"`
 	// SentAhead bounds what is held for requests that callers send before
 	// earlier ones on their connection are answered.
 	SentAhead SentAhead `json:"sent_ahead"`
@@ -108,6 +111,20 @@
 	Slack float64 `json:"slack"`
 }
 
+// Rollouts bounds what a bad version may get of a service's calls.
+type Rollouts struct {
+	// ExposureShare is the part of the service's calls, 0 where there are no roll-outs.
+	ExposureShare float64 `json:"exposure_share"`
+	// ExposureSlack is in calls beside that; none of it is planned to be used.
+	ExposureSlack float64 `json:"exposure_slack"`
+	// RollBackBound is the time after its fiftieth bad answer in which it may still get
+	// calls. Roll-backs are as quick as they can be, whatever it is.
+	RollBackBound features.Duration `json:"roll_back_bound"`
+}
+
+// On reports whether operators order roll-outs.
+func (r Rollouts) On() bool { return r.ExposureShare > 0 }
+
 // Backend is one back end beside the daemon.
 type Backend struct {
 	Service  string `json:"service"`
@@ -245,6 +262,8 @@
 		{"platform.reads_per_second", d.Platform.ReadsPerSecond}, {"platform.writes_per_second", d.Platform.WritesPerSecond},
 		{"link_mbit", d.LinkMegabits}, {"retries.fraction", d.Retries.Fraction}, {"retries.burst", d.Retries.Burst},
 		{"cold_starts.overshoot", d.ColdStarts.Overshoot}, {"cold_starts.slack", d.ColdStarts.Slack},
+		{"rollouts.exposure_share", d.Rollouts.ExposureShare}, {"rollouts.exposure_slack", d.Rollouts.ExposureSlack},
+		{"rollouts.roll_back_bound", float64(d.Rollouts.RollBackBound)},
 	} {
 		if bound.value < 0 {
 			check.faults.Add(result.SettingsBadNumber, "%s: %v is negative", bound.key, bound.value)
