--- a/internal/daemon/rollouts.go
+++ b/internal/daemon/rollouts.go
@@ -12,6 +12,10 @@
 	"github.com/lapisvane/lapisvane/internal/rollout"
 )
 
+// restingTick is how often a daemon looks at orders that have ended: nothing of them is
+// urgent, and instances of a version that gets no calls may become the only ones.
+const restingTick = time.Second
+
 // rollouts is a daemon's part in roll-outs. It implements fleet.RolloutObserver,
 // rollout.Links and rollout.Instances.
 type rollouts struct {
@@ -71,18 +75,28 @@
 func (r *rollouts) run(ctx context.Context) {
 	ticker := time.NewTicker(rollout.TickEvery)
 	defer ticker.Stop()
+	var decided time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-		}
-		if r.runner.Idle() {
-			continue
+		case now := <-ticker.C:
+			decided = r.decide(ctx, now, decided)
 		}
-		r.part.fleet.ReachAll(r.runner.Busy())
+	}
+}
+
+// decide decides if it is time to, and returns when that was last done. Whether all must
+// hear each other is known only after that: an order may have ended before this daemon
+// started.
+func (r *rollouts) decide(ctx context.Context, now, decided time.Time) time.Time {
+	busy := r.runner.Busy()
+	if !r.runner.Idle() && (busy || now.Sub(decided) >= restingTick) {
 		r.runner.Tick(ctx)
+		busy, decided = r.runner.Busy(), now
 	}
+	r.part.fleet.ReachAll(busy)
+	return decided
 }
 
 // ordered takes in the orders that the set now in force states; ordersPart.mutex is
--- a/internal/emulator/day/rollout_test.go
+++ b/internal/emulator/day/rollout_test.go
@@ -97,8 +97,8 @@
 // that it is rolled back.
 func TestBadVersionIsRolledBack(t *testing.T) {
 	site, tally, stop := startRollouts(t)
-	before := received(old(site))
 	started := order(t, site, tally, instance.Behaviour{Fail: 0.5})
+	before := received(old(site))
 	awaitEnd(t, site, platform.RolloutRolledBack)
 	exposed := received(started)
 	assert.Assert(t, exposed > 0, "it was judged without a call")
