--- a/internal/emulator/day/rollout_test.go
+++ b/internal/emulator/day/rollout_test.go
@@ -103,7 +103,9 @@
 	exposed := received(started)
 	assert.Assert(t, exposed > 0, "it was judged without a call")
 	all := exposed + received(old(site)) - before
-	assert.Assert(t, float64(exposed) <= exposureShare*float64(all), "%d of %d", exposed, all)
+	// Half of the share is kept for the shift, which this version does not see; one call may
+	// have arrived whose place was earned by calls still on their way.
+	assert.Assert(t, float64(exposed) <= exposureShare/2*float64(all)+1, "%d of %d", exposed, all)
 	// The daemons that do not write hear of the roll-back in the next words.
 	time.Sleep(time.Second)
 	exposed = received(started)
