--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -13,7 +13,8 @@
 	FalseConviction  = 0.002
 	MissedConviction = 0.01
 	// longestTest is the number of answers over which FalseConviction holds: 0.1 of
-	// 2,500 calls a second for 200 s, a service of swancycle-hq over a long order.
+	// 2,500 calls a second for 200 s, more than a large service of today has over a long
+	// order.
 	longestTest = 50_000
 	// failureEffect is by how much the share of failures of a bad version is above the
 	// old one's, and slowEffect that of slow answers.
