--- a/internal/callmux/session.go
+++ b/internal/callmux/session.go
@@ -191,7 +191,7 @@
 		return nil
 	case *lapisv1.CallFrame_Announcement, *lapisv1.CallFrame_Introduction,
 		*lapisv1.CallFrame_ConfigurationRequest, *lapisv1.CallFrame_Configuration, *lapisv1.CallFrame_DeflatedConfiguration,
-		*lapisv1.CallFrame_Orders:
+		*lapisv1.CallFrame_Orders, *lapisv1.CallFrame_Suspects:
 		if s.control.Frame != nil {
 			s.control.Frame(frame)
 		}
@@ -263,6 +263,7 @@
 	}
 	converted := result.Errorf(code, "%s", reset.GetReason())
 	converted.RetryAfter = time.Duration(reset.GetRetryAfterMillis()) * time.Millisecond
+	converted.Ended = int(reset.GetEnded())
 	return converted
 }
 
@@ -276,6 +277,7 @@
 	if coded, ok := err.(*result.Error); ok {
 		reset.Reason = coded.Detail
 		reset.RetryAfterMillis = uint32(coded.RetryAfter.Milliseconds())
+		reset.Ended = uint32(coded.Ended)
 	}
 	return &lapisv1.CallFrame{Call: id, Body: &lapisv1.CallFrame_Reset_{Reset_: reset}}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -63,6 +63,7 @@
 	origin       *origin.Origin
 	calls        *callmux.Client
 	gateway      *gateway.Gateway
+	suspects     *suspects
 	node         distribution
 	incarnation  uint64
 	// tree is set where daemons form a distribution tree, direct on a platform.
@@ -127,7 +128,7 @@
 	}
 	metrics.Register(d.registry, metrics.Sources{
 		Node: d.tree, Counters: d.counters, CallCounters: d.callCounters,
-		Store: d.store, Origin: d.origin, Calls: d.calls,
+		Store: d.store, Origin: d.origin, Calls: d.calls, Suspects: d.suspects.Sizes,
 	})
 	return d, nil
 }
@@ -173,8 +174,9 @@
 		backends = append(backends, origin.BackendConfig{Service: backend.Service, Instance: backend.Instance, Address: backend.Address})
 	}
 	decisions := decision.New(d.logger, d.settings.Load().DecisionLinesPerSecond, time.Now)
+	d.suspects = newSuspects(d.logger)
 	d.origin = origin.New(origin.Config{
-		Incarnation: d.incarnation, Backends: backends,
+		Incarnation: d.incarnation, Backends: backends, Endings: d.suspects,
 		QueueLength: d.settings.Load().Calls.QueueLength, QueueTime: d.settings.Load().Calls.QueueTime.Get(),
 		Envelope: envelope, Changed: d.announce, Decisions: decisions, Logger: d.logger, Region: d.settings.Load().Region,
 		Cold: origin.ColdBound{Overshoot: d.settings.Load().ColdStarts.Overshoot, Slack: d.settings.Load().ColdStarts.Slack},
@@ -192,7 +194,7 @@
 		Local: d.origin, Remote: d.calls, DefaultDeadline: d.settings.Load().Calls.DefaultDeadline.Get(),
 		Envelope: envelope, CallerService: d.callerService, Retries: retryLimits(d.settings.Load().Retries),
 		Decisions: decisions, Registry: d.registry, RepeatShare: d.origin.RepeatShare, Evacuated: d.evacuated,
-		SentAhead: sentAhead(d.settings.Load().SentAhead),
+		SentAhead: sentAhead(d.settings.Load().SentAhead), Suspicions: d.suspects,
 	})
 }
 
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -14,6 +14,7 @@
 	"github.com/lapisvane/lapisvane/internal/fleet"
 	"github.com/lapisvane/lapisvane/internal/metrics"
 	"github.com/lapisvane/lapisvane/internal/port"
+	"github.com/lapisvane/lapisvane/internal/quarantine"
 )
 
 // Times of a daemon on a platform.
@@ -71,13 +72,14 @@
 	part.fleet = fleet.New(fleet.Config{
 		Self:        fleet.Member{Node: d.settings.Load().Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Load().Zone, Region: d.settings.Load().Region, Service: d.settings.Load().Service},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
-		InForce: part.inForce.Load, Orders: part.ordersInForce(), Freshness: &part.freshness, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
+		InForce: part.inForce.Load, Orders: part.ordersInForce(), Suspects: d.suspects.Told, Freshness: &part.freshness, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
 	part.follower = &configsource.Follower{
 		Source: platform.Source(), Apply: part.Offer, Freshness: &part.freshness, Confirmed: part.fleet.Beat,
 		Awaited: d.snapshots.Awaited, Bound: part.askBound(), Daemons: func() int { return int(part.members.Load()) },
 		Pace: part.pace, Random: rand.Float64, Logger: d.logger,
 	}
+	d.suspects.spread, d.suspects.store = part.fleet.SpreadSuspects, platform.Quarantine()
 	part.joinOrders()
 	d.direct = part
 	d.node = part.fleet
@@ -118,6 +120,7 @@
 func (p *direct) start(ctx context.Context) {
 	d := p.daemon
 	d.running.Go(func() { p.follower.Run(ctx) })
+	d.running.Go(func() { d.suspects.run(ctx) })
 	d.running.Go(func() { d.calls.WatchStalls(ctx, p.stall()) })
 	serve := func(listener net.Listener, run func(net.Listener)) {
 		if listener != nil {
@@ -191,6 +194,11 @@
 	p.daemon.gateway.ShareRetries(count)
 }
 
+// Suspected implements fleet.Observer.
+func (p *direct) Suspected(records []quarantine.Record, from string) {
+	p.daemon.suspects.told(records, from)
+}
+
 // Withdraw implements fleet.Observer.
 func (p *direct) Withdraw(instance string) { p.daemon.origin.Withdraw(instance) }
 
--- a/internal/daemon/direct_test.go
+++ b/internal/daemon/direct_test.go
@@ -15,6 +15,7 @@
 	"github.com/lapisvane/lapisvane/internal/fleet"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/port"
+	"github.com/lapisvane/lapisvane/internal/quarantine"
 	"github.com/lapisvane/lapisvane/internal/settings"
 )
 
@@ -24,6 +25,7 @@
 func (idlePlatform) Source() configsource.Source                                  { return nil }
 func (idlePlatform) Directory() fleet.Directory                                   { return nil }
 func (idlePlatform) Envelope() callapi.Envelope                                   { return callapi.DefaultEnvelope }
+func (idlePlatform) Quarantine() quarantine.Store                                 { return nil }
 func (idlePlatform) ServeInstances(context.Context, net.Listener, port.Instances) {}
 func (idlePlatform) ServeReadiness(context.Context, net.Listener, func() bool)    {}
 func (idlePlatform) Close()                                                       {}
--- /dev/null
+++ b/internal/daemon/quarantine.go
@@ -0,0 +1,205 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/lapisvane/lapisvane/internal/fingerprint"
+	"github.com/lapisvane/lapisvane/internal/quarantine"
+)
+
+// Times of the keeping of suspects in the store.
+const (
+	// saveRetryMin and saveRetryMax bound the time between two tries after failures.
+	saveRetryMin = 200 * time.Millisecond
+	saveRetryMax = 5 * time.Second
+	// idleWait is the time between two looks when nothing is due.
+	idleWait = time.Minute
+	// othersSave is how long the daemon beside the instance that ended has to store what it
+	// found before any other daemon does; others follow within othersSpread, at random.
+	othersSave   = time.Second
+	othersSpread = 3 * time.Second
+	// loadAgain is when a starting daemon reads what is stored a second time: the first
+	// answer may be some seconds old.
+	loadAgain = 4 * time.Second
+)
+
+// suspects is a daemon's part in the holding back of requests under which instances end. It
+// implements origin.Endings and gateway.Suspicions.
+type suspects struct {
+	*quarantine.Book
+	logger logr.Logger
+	// spread tells other daemons, and store keeps what must outlast them; nil where there
+	// are none.
+	spread func(records []quarantine.Record, from string)
+	store  quarantine.Store
+	// dirty wakes the keeping in the store.
+	dirty chan struct{}
+}
+
+func newSuspects(logger logr.Logger) *suspects {
+	return &suspects{Book: quarantine.NewBook(time.Now), logger: logger, spread: func([]quarantine.Record, string) {}, dirty: make(chan struct{}, 1)}
+}
+
+// Ended implements origin.Endings.
+func (s *suspects) Ended(instance string, id uint64, aboard []quarantine.Aboard) {
+	changed := s.Book.Ended(id, aboard)
+	s.spread(changed, "")
+	s.noteChanged(changed, "instance "+instance)
+}
+
+// Answered implements origin.Endings.
+func (s *suspects) Answered(keys []fingerprint.Key) {
+	changed := s.Book.Answered(keys)
+	s.spread(changed, "")
+	s.noteChanged(changed, "answer")
+}
+
+// HeldBack returns the number of kinds of requests that are held back because instances
+// ended under them.
+func (d *Daemon) HeldBack() int {
+	_, held := d.suspects.Sizes()
+	return held
+}
+
+// told takes in what another daemon or the store knows.
+func (s *suspects) told(records []quarantine.Record, from string) {
+	changed := s.Merge(records)
+	s.spread(changed, from)
+	s.noteChanged(changed, from)
+}
+
+// noteChanged writes a line for each suspect that changed and wakes the keeping.
+func (s *suspects) noteChanged(changed []quarantine.Record, by string) {
+	if len(changed) == 0 {
+		return
+	}
+	select {
+	case s.dirty <- struct{}{}:
+	default:
+	}
+	for _, record := range changed {
+		s.logger.Info("request.suspected", "key", record.Key, "head", record.Head, "ended", record.Count(), "refuted", len(record.Refuted),
+			"trials", record.Trials, "by", by)
+	}
+}
+
+// MayTry implements gateway.Suspicions.
+func (s *suspects) MayTry(ctx context.Context, verdict quarantine.Verdict) bool {
+	if s.store == nil {
+		return false
+	}
+	granted, err := s.store.Try(ctx, verdict.Key, verdict.Trials)
+	s.logger.Info("request.trial", "key", verdict.Key, "ended", verdict.Ended, "trials", verdict.Trials, "granted", granted, "error", err)
+	// Whoever got leave, and also when nobody can tell: one trial less is left.
+	s.spread(s.Tried(verdict.Key, verdict.Trials+1), "")
+	return granted
+}
+
+// run keeps what must outlast all daemons in the store until ctx ends.
+func (s *suspects) run(ctx context.Context) {
+	keeper := &keeper{suspects: s, started: time.Now(), due: map[fingerprint.Key]time.Time{}}
+	for {
+		wait := keeper.turn(ctx)
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-s.dirty:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// keeper keeps suspects in the store; only one goroutine uses it.
+type keeper struct {
+	*suspects
+	started time.Time
+	// loads counts the successful readings, and retry is the wait after the last failure, 0
+	// after a success.
+	loads int
+	retry time.Duration
+	// due is when this daemon stores what another one found, unless that has by then.
+	due map[fingerprint.Key]time.Time
+}
+
+// turn does what is due and returns the time until something is due again.
+func (k *keeper) turn(ctx context.Context) time.Duration {
+	wait, err := k.load(ctx)
+	if err == nil {
+		var next time.Duration
+		next, err = k.save(ctx)
+		wait = min(wait, next)
+	}
+	if err == nil {
+		k.retry = 0
+		return wait
+	}
+	k.logger.Info("quarantine.store_failed", "error", err)
+	k.retry = min(max(2*k.retry, saveRetryMin), saveRetryMax)
+	return k.retry
+}
+
+// load reads what is stored at the start and once more.
+func (k *keeper) load(ctx context.Context) (next time.Duration, err error) {
+	switch {
+	case k.loads > 1:
+		return idleWait, nil
+	case k.loads == 1 && time.Since(k.started) < loadAgain:
+		return loadAgain - time.Since(k.started), nil
+	}
+	records, err := k.store.Load(ctx)
+	if err != nil {
+		return 0, err
+	}
+	k.loads++
+	k.told(records, "store")
+	return loadAgain, nil
+}
+
+// save stores what the store lacks and takes out what this daemon cleared.
+func (k *keeper) save(ctx context.Context) (next time.Duration, err error) {
+	next = idleWait
+	lacking := k.Unstored()
+	if len(lacking) == 0 {
+		clear(k.due)
+	}
+	for _, record := range lacking {
+		if wait := time.Until(k.dueAt(record)); wait > 0 {
+			next = min(next, wait)
+			continue
+		}
+		if err := k.store.Save(ctx, record); err != nil {
+			return 0, err
+		}
+		delete(k.due, record.Key)
+		k.Store(record)
+		record.Stored = true
+		k.spread([]quarantine.Record{record}, "")
+		k.logger.Info("quarantine.stored", "key", record.Key, "ended", record.Count())
+	}
+	for _, key := range k.Cleared() {
+		if err := k.store.Remove(ctx, key); err != nil {
+			k.logger.Info("quarantine.not_removed", "key", key, "error", err)
+		}
+	}
+	return next, nil
+}
+
+// dueAt returns when this daemon stores a record.
+func (k *keeper) dueAt(record quarantine.Record) time.Time {
+	at, known := k.due[record.Key]
+	if !known || record.Here {
+		at = time.Now()
+		if !record.Here {
+			at = at.Add(othersSave + time.Duration(rand.Float64()*float64(othersSpread)))
+		}
+		k.due[record.Key] = at
+	}
+	return at
+}
--- a/internal/emulator/day/deadly_test.go
+++ b/internal/emulator/day/deadly_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -102,3 +103,68 @@
 		})
 	}
 }
+
+// Once it is known, it stays so past the end of all daemons at once, and is refused at
+// once with the time after which it may come back.
+func TestWhatEndsInstancesIsRememberedPastAllDaemons(t *testing.T) {
+	site, tally, stop := start(t)
+	deadly := deadlyRequests["read"]
+	deadly.name = "read"
+	awaitServed(t, tally, 50)
+	deadly.visitAll(t, site, 0, 6)
+	awaitStored(t, site)
+	killAll(t, site)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	assert.NilError(t, site.AwaitReady(ctx))
+	awaitServed(t, tally, 50)
+	time.Sleep(day.DefaultOptions().Contact)
+	ended := site.Ledger.EndedUnder("read")
+	last := deadly.visitAll(t, site, 100, 12)
+	stop()
+	assert.Equal(t, site.Ledger.EndedUnder("read"), ended)
+	assert.Equal(t, last.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, last.Header.Get("Retry-After") != "")
+	keepsPromises(t, site)
+}
+
+// awaitStored waits until the store has what ends instances.
+func awaitStored(t *testing.T, site *day.Site) {
+	t.Helper()
+	end := time.Now().Add(patience)
+	for len(site.Store.Objects(platform.KindQuarantine)) == 0 {
+		assert.Assert(t, time.Now().Before(end), "nothing was stored")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// killAll ends all daemons at the same moment and starts them again.
+func killAll(t *testing.T, site *day.Site) {
+	t.Helper()
+	var killing sync.WaitGroup
+	for _, machine := range site.Machines {
+		killing.Go(func() { assert.Check(t, machine.Kill(100*time.Millisecond)) })
+	}
+	killing.Wait()
+	site.Ledger.Disturbed(time.Now())
+}
+
+// All requests of a class ask for the same, and some are in flight whenever an instance
+// ends; they are answered elsewhere, and go on being served.
+func TestOthersAreServedBesideWhatEndsInstances(t *testing.T) {
+	site, tally, stop := start(t)
+	deadly := deadlyRequests["read"]
+	deadly.name = "read"
+	awaitServed(t, tally, 50)
+	for visit := range 4 {
+		deadly.visit(t, site, site.Machines[visit%len(site.Machines)], visit)
+		site.Ledger.Disturbed(time.Now())
+	}
+	awaitServed(t, tally, 300)
+	for _, machine := range site.Machines {
+		beside := machine.Daemon().HeldBack()
+		assert.Assert(t, beside <= 1, "%s holds %d back", machine.Name, beside)
+	}
+	stop()
+	keepsPromises(t, site)
+}
--- a/internal/fleet/catchup_test.go
+++ b/internal/fleet/catchup_test.go
@@ -12,6 +12,7 @@
 	"github.com/lapisvane/lapisvane/internal/configsource"
 	"github.com/lapisvane/lapisvane/internal/locality"
 	"github.com/lapisvane/lapisvane/internal/orders"
+	"github.com/lapisvane/lapisvane/internal/quarantine"
 )
 
 // behindAt returns a daemon in zone a that has a revision in force, and what it
@@ -147,4 +148,5 @@
 func (offerFunc) Endpoints(string, []*lapisv1.Endpoint)        {}
 func (offerFunc) Members(int)                                  {}
 func (offerFunc) Withdraw(string)                              {}
+func (offerFunc) Suspected([]quarantine.Record, string)        {}
 func (offerFunc) Ordered(*orders.Set, string)                  {}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/lapisvane/lapisvane/internal/callmux"
 	"github.com/lapisvane/lapisvane/internal/configsource"
 	"github.com/lapisvane/lapisvane/internal/orders"
+	"github.com/lapisvane/lapisvane/internal/quarantine"
 )
 
 // Bounds and times of what is known of other daemons.
@@ -48,6 +49,8 @@
 	Offer(configuration *lapisv1.Configuration)
 	// Ordered brings the operators' orders that another daemon follows.
 	Ordered(set *orders.Set, from string)
+	// Suspected brings what another daemon knows of requests under which instances ended.
+	Suspected(records []quarantine.Record, from string)
 	// Withdraw names an instance beside this daemon that left in an earlier
 	// life of the daemon.
 	Withdraw(instance string)
@@ -66,6 +69,9 @@
 	// Orders returns the operators' orders in force, nil before the first; it is nil
 	// itself where operators give none.
 	Orders func() *orders.Set
+	// Suspects returns all that is known of requests under which instances ended; nil
+	// where that is not told.
+	Suspects func() []quarantine.Record
 	// Freshness is how recently both were confirmed to be the newest.
 	Freshness *configsource.Freshness
 	// Withdrawn returns the instances beside this daemon that left for good.
@@ -123,6 +129,8 @@
 	// wake asks for a connection to be tried at once, ordered for the orders to be
 	// sent on the one that there is.
 	wake, ordered chan struct{}
+	// untold is what it is to be told of suspects.
+	untold untold
 	// displacedAt is when another daemon was found at the address; zero while none
 	// was.
 	displacedAt time.Time
@@ -233,7 +241,7 @@
 		return nil
 	}
 	if !ok {
-		known = &peer{wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1), withdrawn: map[string]time.Time{}, lostAt: time.Now()}
+		known = &peer{wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1), untold: newUntold(), withdrawn: map[string]time.Time{}, lostAt: time.Now()}
 		f.members[member.Node] = known
 		f.config.Logger.V(1).Info("fleet.member_known", "member", member.Node, "address", member.Address, "zone", member.Zone)
 		signal(f.changed)
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -103,12 +103,18 @@
 	defer stop()
 	f.remind(member, link)
 	f.sendOrders(link)
+	f.mutex.Lock()
+	member.untold.all = true
+	f.mutex.Unlock()
+	f.sendSuspects(link, &member.untold)
 	for {
 		select {
 		case <-link.Closed():
 			return
 		case <-member.ordered:
 			f.sendOrders(link)
+		case <-member.untold.wake:
+			f.sendSuspects(link, &member.untold)
 		}
 	}
 }
@@ -146,5 +152,7 @@
 		f.offeredDeflated(member, body.DeflatedConfiguration)
 	case *lapisv1.CallFrame_Orders:
 		f.tookOrders(member.Node, body.Orders)
+	case *lapisv1.CallFrame_Suspects:
+		f.toldSuspects(member.Node, body.Suspects)
 	}
 }
--- a/internal/fleet/listener.go
+++ b/internal/fleet/listener.go
@@ -15,6 +15,8 @@
 	place locality.Place
 	// wake asks for the announcement to be sent, ordered for the orders.
 	wake, ordered chan struct{}
+	// untold is what the daemon is to be told of suspects.
+	untold untold
 }
 
 // Accepted takes in a connection that another daemon opened, for
@@ -23,7 +25,7 @@
 	dialer := Member{Node: hello.GetNode(), Address: hello.GetAddress(), Zone: hello.GetZone(), Region: hello.GetRegion(), Service: hello.GetService()}
 	opened := &listener{
 		link: link, node: dialer.Node, place: dialer.place(),
-		wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1), untold: newUntold(),
 	}
 	f.mutex.Lock()
 	f.listeners[opened] = true
@@ -50,6 +52,7 @@
 		f.remind(member, opened.link)
 	}
 	f.sendOrders(opened.link)
+	f.sendSuspects(opened.link, &opened.untold)
 	f.sendAnnouncement(opened.link)
 	for {
 		select {
@@ -59,6 +62,8 @@
 			f.sendAnnouncement(opened.link)
 		case <-opened.ordered:
 			f.sendOrders(opened.link)
+		case <-opened.untold.wake:
+			f.sendSuspects(opened.link, &opened.untold)
 		}
 	}
 }
@@ -81,5 +86,7 @@
 		f.serveConfiguration(opened.link, body.ConfigurationRequest.GetAbove())
 	case *lapisv1.CallFrame_Orders:
 		f.tookOrders(opened.node, body.Orders)
+	case *lapisv1.CallFrame_Suspects:
+		f.toldSuspects(opened.node, body.Suspects)
 	}
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -42,11 +42,12 @@
 
 // comeBack sets when a refused call may come back, where its route states a
 // target latency: early enough for an answer that is worth something. One that a
-// constraint left without instances keeps its time: it would be refused again.
+// constraint left without instances, or that is held back, keeps its time: it would be
+// refused again.
 func comeBack(err error, route *lapisv1.Route) error {
 	coded, ok := err.(*result.Error)
 	target := route.GetCallClass().GetTargetLatencyMillis()
-	if !ok || !coded.Code.NotRun() || target == 0 || constraintOf(err) != "" {
+	if !ok || !coded.Code.NotRun() || target == 0 || constraintOf(err) != "" || coded.Code == result.CallNotRunHeldBack {
 		return err
 	}
 	part := comeBackFrom + (comeBackTo-comeBackFrom)*rand.Float64()
@@ -72,7 +73,7 @@
 		return http.StatusConflict
 	case result.CallDeadline:
 		return http.StatusGatewayTimeout
-	case result.CallUnknownOutcome, result.CallTruncated, result.CallCancelled:
+	case result.CallUnknownOutcome, result.CallTruncated, result.CallCancelled, result.CallInstanceEnded:
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/balance"
 	"github.com/lapisvane/lapisvane/internal/callapi"
+	"github.com/lapisvane/lapisvane/internal/fingerprint"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/snapshot"
 )
@@ -62,6 +63,8 @@
 	// mayHaveRun is the end of the first attempt that an instance may have run; nil
 	// while there was none.
 	mayHaveRun error
+	// keys name the call where instances ended under its path; empty otherwise.
+	keys []fingerprint.Key
 }
 
 // outcome is a finished call.
@@ -214,9 +217,9 @@
 	case result.CallNotRunShed:
 		a.handed++
 		return a.handed < a.maxAttempts() && a.mayAddLoad()
-	case result.CallUnknownOutcome, result.CallTruncated:
+	case result.CallUnknownOutcome, result.CallTruncated, result.CallInstanceEnded:
 		a.handed++
-		return a.open.GetRepeatable() && a.handed < a.maxAttempts() && a.mayAddLoad()
+		return a.open.GetRepeatable() && a.mayRepeat(err) && a.handed < a.maxAttempts() && a.mayAddLoad()
 	default:
 		return false
 	}
@@ -250,7 +253,7 @@
 func (g *Gateway) observe(target *balance.Target, err error) {
 	code, _ := result.CodeOf(err)
 	switch code {
-	case result.CallNotRunUnreachable, result.CallUnknownOutcome, result.CallTruncated, result.CallNotRunUnknownHere:
+	case result.CallNotRunUnreachable, result.CallUnknownOutcome, result.CallTruncated, result.CallNotRunUnknownHere, result.CallInstanceEnded:
 		target.Failed(time.Now())
 	case result.CallNotRunCold:
 		target.RefusedCold(retryAfterOf(err), time.Now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,9 @@
 	// Evacuated reports whether the instances of a zone get no calls; nil where no
 	// zone is ever evacuated.
 	Evacuated func(zone string) bool
+	// Suspicions tells what is known of requests under which instances ended; nil where
+	// nothing is.
+	Suspicions Suspicions
 	// SentAhead bounds what is held for requests that callers send before
 	// earlier ones are answered; the zero value stands for the default.
 	SentAhead pipeline.Limits
@@ -85,6 +88,7 @@
 	budget        *retryBudget
 	sizes         answerSizes
 	deadlines     usualDeadlines
+	judged        judged
 	metrics       gatewayMetrics
 	attemptPrefix string
 	attempts      atomic.Uint64
@@ -317,6 +321,11 @@
 		open:   g.openOf(rc, route, current.Revision, method, body),
 		attach: func(call *callapi.Call) { body.attach(call, rc) },
 	}
+	done, err := g.judge(callCtx, rc, attempt)
+	defer done()
+	if err != nil {
+		return route, err
+	}
 	return route, g.finish(callCtx, exchange, attempt)
 }
 
--- a/internal/gateway/opening.go
+++ b/internal/gateway/opening.go
@@ -42,7 +42,7 @@
 		Attempt: template.GetAttempt() + uint32(len(a.tried)), ContentLength: template.GetContentLength(),
 		RouteRevision: template.GetRouteRevision(), IdempotencyKey: template.GetIdempotencyKey(),
 		Priority: template.GetPriority(), CallerService: template.GetCallerService(),
-		Repeat: a.handed > 0, AllowedRegions: a.route.GetAllowedRegions(),
+		Trial: template.GetTrial(), Repeat: a.handed > 0, AllowedRegions: a.route.GetAllowedRegions(),
 	}
 	if latency := a.targetLatency(); latency > 0 {
 		spent := time.Since(a.started)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -125,6 +125,9 @@
 	content  []byte
 	streamed *pipeline.Body
 	length   int64
+	// held is true for a long body that was read whole, with its trailers.
+	held     bool
+	trailers []*lapisv1.HeaderField
 }
 
 // bodyOf returns the body of a request.
@@ -143,6 +146,8 @@
 		b.streamed.AtEnd(func() { trailers = trailersOf(rc) })
 		call.Body = b.streamed
 		call.Trailers = func() []*lapisv1.HeaderField { return trailers }
+	case b.held:
+		b.attachHeld(call)
 	case len(b.content) > 0:
 		call.Body = bytes.NewReader(b.content)
 		call.Buffered = true
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -29,6 +29,9 @@
 	Store        *objectapi.Client
 	Origin       *origin.Origin
 	Calls        *callmux.Client
+	// Suspects returns the number of requests under which instances ended, and of those
+	// held back.
+	Suspects func() (suspects, held int)
 }
 
 // Register adds the daemon's metrics to registry.
@@ -42,6 +45,14 @@
 	}
 	gauge(registry, "lapisvane_call_links", "Open connections to other daemons for calls.",
 		func() float64 { return float64(sources.Calls.Links()) })
+	gauge(registry, "lapisvane_requests_suspected", "Requests under which instances ended, by what they ask for.", func() float64 {
+		suspects, _ := sources.Suspects()
+		return float64(suspects)
+	})
+	gauge(registry, "lapisvane_requests_held_back", "Those of them that do not reach instances any more.", func() float64 {
+		_, held := sources.Suspects()
+		return float64(held)
+	})
 	counter(registry, "lapisvane_control_bytes_in_total", "Bytes of control received from daemons.",
 		func() float64 { return float64(sources.Counters.BytesIn.Load()) })
 	counter(registry, "lapisvane_control_bytes_out_total", "Bytes of control sent to daemons.",
--- a/internal/origin/fallen.go
+++ b/internal/origin/fallen.go
@@ -119,6 +119,13 @@
 	i.comeUp()
 }
 
+// noteOver takes in that the instance was found to have ended.
+func (i *Instance) noteOver() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.fallOver(downBroke)
+}
+
 // fallOver takes the instance as down: what waits for it is refused, so that it goes
 // elsewhere, and so is what comes; the caller holds mutex.
 func (i *Instance) fallOver(cause downCause) {
@@ -145,6 +152,7 @@
 // comeUp takes the instance as up; the caller holds mutex.
 func (i *Instance) comeUp() {
 	i.signs.answered()
+	i.aboard.float()
 	fire(i.lifecycle, triggerUp)
 	if !i.fallen || i.lifecycle.MustState() != StateReady {
 		return
--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -63,6 +63,8 @@
 	logger     logr.Logger
 	// version is that of the instance's software, as its first heartbeat said.
 	version string
+	// aboard are the calls that it has.
+	aboard aboard
 
 	// mutex protects everything below.
 	mutex sync.Mutex
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -39,6 +39,8 @@
 	Cold ColdBound
 	// Envelope names the header fields; the zero value stands for the default.
 	Envelope callapi.Envelope
+	// Endings hears of instances that ended; nil where nobody wants to know.
+	Endings Endings
 	// Changed is called when the state of an instance changed.
 	Changed func()
 	// Decisions receives the lines about requests, nil for none, and Logger
@@ -93,6 +95,9 @@
 	if config.Logger.GetSink() == nil {
 		config.Logger = logr.Discard()
 	}
+	if config.Endings == nil {
+		config.Endings = nothingEnds{}
+	}
 	if config.Changed == nil {
 		config.Changed = func() {}
 	}
@@ -346,7 +351,7 @@
 		return nil, err
 	}
 	waited := time.Since(now)
-	if err := o.begin(open, now); err != nil {
+	if err := o.begin(call, now); err != nil {
 		slot.Release(false)
 		return nil, err
 	}
@@ -358,8 +363,13 @@
 }
 
 // begin notes that a call, which came at the given time, starts; from then on it may have
-// run. Errors, both proving that it did not start: CallNotRunStopping, CallNotRunDuplicate.
-func (o *Origin) begin(open *lapisv1.CallOpen, came time.Time) error {
+// run. Errors, all proving that it did not start: CallNotRunStopping, CallNotRunHeldBack,
+// CallNotRunDuplicate.
+func (o *Origin) begin(call *callapi.Call, came time.Time) error {
+	open := call.Open
+	if err := o.checkHeldBack(call); err != nil {
+		return err
+	}
 	if err := o.checkLeaving(open, came); err != nil {
 		return err
 	}
@@ -396,8 +406,11 @@
 func (o *Origin) run(ctx context.Context, instance *Instance, slot *admission.Slot, call *callapi.Call) (*callapi.Answer, error) {
 	handed := time.Now()
 	defer o.execute(call)()
+	boarding := board(call)
+	instance.aboard.enter(boarding)
 	response, err := instance.backend.roundTrip(ctx, call)
 	if err != nil {
+		err = o.ashore(ctx, instance, boarding, err)
 		instance.noteCall(err, func() { o.ask(instance) })
 		slot.Release(false)
 		if callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
@@ -406,12 +419,14 @@
 		return nil, err
 	}
 	o.count(func(c *Counts) { c.HandedOver++ })
+	instance.aboard.leave(boarding)
 	instance.noteCall(nil, nil)
 	if refusal := o.refusalOf(instance, response); refusal != nil {
 		_ = response.Body.Close()
 		slot.Release(result.Is(refusal, result.CallNotRunShed))
 		return nil, refusal
 	}
+	o.cleared(boarding, response.StatusCode)
 	head := headOf(response)
 	head.Load = instance.queue.Load()
 	head.ServiceMicros = uint32(time.Since(handed).Microseconds())
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -12,6 +12,7 @@
 	"github.com/lapisvane/lapisvane/internal/configsource"
 	"github.com/lapisvane/lapisvane/internal/fleet"
 	"github.com/lapisvane/lapisvane/internal/origin"
+	"github.com/lapisvane/lapisvane/internal/quarantine"
 )
 
 // Instances takes in what the instances beside the daemon state.
@@ -28,6 +29,9 @@
 	Source() configsource.Source
 	// Directory is where daemons find each other.
 	Directory() fleet.Directory
+	// Quarantine is where what daemons know of requests under which instances ended
+	// outlasts all of them.
+	Quarantine() quarantine.Store
 	// Envelope names the header fields of requests and answers.
 	Envelope() callapi.Envelope
 	// ServeInstances serves the heartbeats of the instances beside the daemon
--- /dev/null
+++ b/internal/quarantine/message.go
@@ -0,0 +1,46 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/fingerprint"
+)
+
+// Message returns records as daemons tell them to each other.
+func Message(records []Record) *lapisv1.Suspects {
+	message := &lapisv1.Suspects{}
+	for _, record := range records {
+		suspect := &lapisv1.Suspect{
+			Key: record.Key[:], Head: uint64(record.Head), Refuted: record.Refuted, Trials: record.Trials,
+			AgeMillis: uint64(record.Age.Milliseconds()), Stored: record.Stored,
+		}
+		for _, ending := range record.Endings {
+			suspect.Endings = append(suspect.Endings, &lapisv1.Ending{Id: ending.ID, Caller: ending.Caller})
+		}
+		message.Suspects = append(message.Suspects, suspect)
+	}
+	return message
+}
+
+// Records returns what a message tells. Names that are no keys are passed over, and so is
+// what goes beyond the bounds of a record.
+func Records(message *lapisv1.Suspects) []Record {
+	var records []Record
+	for _, suspect := range message.GetSuspects() {
+		if len(suspect.GetKey()) != len(fingerprint.Key{}) {
+			continue
+		}
+		record := Record{
+			Key: fingerprint.Key(suspect.GetKey()), Head: fingerprint.Head(suspect.GetHead()), Trials: suspect.GetTrials(), Stored: suspect.GetStored(),
+			Age: time.Duration(min(suspect.GetAgeMillis(), uint64(2*memory/time.Millisecond))) * time.Millisecond,
+		}
+		refuted := suspect.GetRefuted()
+		record.Refuted = refuted[:min(len(refuted), maxRefuted)]
+		for _, ending := range suspect.GetEndings()[:min(len(suspect.GetEndings()), maxEndings)] {
+			record.Endings = append(record.Endings, Ending{ID: ending.GetId(), Caller: ending.GetCaller()})
+		}
+		records = append(records, record)
+	}
+	return records
+}
