--- a/internal/callmux/heartbeat.go
+++ b/internal/callmux/heartbeat.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 )
 
 // rememberedFrames is how many of the own frames an echo may name; the peer
@@ -100,7 +101,7 @@
 	if frame.GetFreshness() == nil && frame.GetRevision() == 0 {
 		return
 	}
-	heartbeat := s.echoes.take(frame, time.Now())
+	heartbeat := s.echoes.take(frame, boottime.Now())
 	if frame.GetFreshness() != nil && frame.GetFreshness().GetEcho() == 0 {
 		go func() { _ = s.send(s.alive()) }()
 	}
@@ -118,7 +119,7 @@
 	local := s.timing.Local()
 	frame.Revision = local.Revision
 	frame.OrdersRevision = local.Orders
-	frame.Freshness = s.echoes.make(local, time.Now())
+	frame.Freshness = s.echoes.make(local, boottime.Now())
 	return frame
 }
 
--- a/internal/configsource/configsource.go
+++ b/internal/configsource/configsource.go
@@ -13,8 +13,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/orders"
-	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -67,7 +67,10 @@
 	Pace func() time.Duration
 	// Random returns numbers between 0 and 1.
 	Random func() float64
-	Logger logr.Logger
+	// Resumed has Run look again when its next question is due, because the machine was
+	// suspended and the clock has jumped ahead of the timer; nil for never.
+	Resumed <-chan struct{}
+	Logger  logr.Logger
 
 	// Asked and OrdersAsked count the questions for the configuration and for orders,
 	// Failed the turns that were not answered.
@@ -97,7 +100,7 @@
 
 // Run follows the source until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	plan := newSchedule(f.Bound, f.Random, time.Now())
+	plan := newSchedule(f.Bound, f.Random, boottime.Now())
 	for {
 		led := plan.leading
 		starting := plan.confirmed.IsZero()
@@ -111,11 +114,11 @@
 		if f.failing && f.Freshness.Confirmed().After(f.failedAt) {
 			f.regained("another daemon")
 		}
-		if wait := time.Until(due); wait > 0 {
+		if wait := boottime.Until(due); wait > 0 {
 			if starting {
 				wait = min(wait, awaitedCheck)
 			}
-			if !pause.For(ctx, wait) {
+			if !f.wait(ctx, wait) {
 				return
 			}
 			continue
@@ -127,9 +130,21 @@
 	}
 }
 
+// wait waits until a question may be due; it reports false when ctx ended.
+func (f *Follower) wait(ctx context.Context, most time.Duration) bool {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.Resumed:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 // askInTurn asks the source once and notes the outcome.
 func (f *Follower) askInTurn(ctx context.Context, plan *schedule) {
-	asked := time.Now()
+	asked := boottime.Now()
 	confirmed := f.Freshness.Confirmed()
 	if !plan.leading && asked.Sub(plan.led) > historyTrusted {
 		f.known = false
@@ -140,7 +155,7 @@
 	}
 	if err != nil {
 		f.noteFailure(err)
-		plan.failed(time.Now(), f.Pace(), f.Freshness.Confirmed().IsZero())
+		plan.failed(boottime.Now(), f.Pace(), f.Freshness.Confirmed().IsZero())
 		return
 	}
 	if f.failing {
@@ -160,7 +175,7 @@
 		f.Logger.Info("source.lost", "position", uint64(f.position), "error", err)
 	}
 	f.failing = true
-	f.failedAt = time.Now()
+	f.failedAt = boottime.Now()
 	f.Failed.Add(1)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -339,7 +339,7 @@
 	d.running.Go(func() { d.node.Run(ctx) })
 	d.running.Go(func() { d.origin.Run(ctx) })
 	d.running.Go(func() { d.closeIdleLinks(ctx) })
-	d.running.Go(func() { watchPauses(ctx, d.logger) })
+	d.running.Go(func() { watchPauses(ctx, d.logger, d.resumed) })
 	if d.listeners.caller != nil {
 		d.running.Go(func() { d.gateway.Serve(ctx, d.listeners.caller, nil) })
 	}
@@ -358,6 +358,18 @@
 	}
 }
 
+// resumed takes in that the machine was suspended: what others had told is that much older,
+// and the source is asked as soon as that says so.
+func (d *Daemon) resumed() {
+	if d.direct == nil {
+		return
+	}
+	select {
+	case d.direct.resumed <- struct{}{}:
+	default:
+	}
+}
+
 func (d *Daemon) handlers() map[lapisv1.Hello_Purpose]peer.Handler {
 	calls := &callmux.Server{Node: d.settings.Load().Node, Incarnation: d.incarnation, Origin: d.origin, Counters: d.callCounters}
 	handlers := map[lapisv1.Hello_Purpose]peer.Handler{lapisv1.Hello_PURPOSE_CALLS: calls.Serve}
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -58,13 +58,15 @@
 	// inForceAt is when that came in force, in nanoseconds since started.
 	inForceAt atomic.Int64
 	members   atomic.Int64
+	// resumed is sent to after a suspension of the machine.
+	resumed chan struct{}
 
 	// mutex is held while a configuration is put in force.
 	mutex sync.Mutex
 }
 
 func (d *Daemon) buildDirect(platform port.Platform) {
-	part := &direct{daemon: d, platform: platform, started: time.Now()}
+	part := &direct{daemon: d, platform: platform, started: time.Now(), resumed: make(chan struct{}, 1)}
 	part.members.Store(1)
 	part.freshness.WithOrders = part.ordersBound() > 0
 	d.calls.Maintained = true
@@ -77,7 +79,7 @@
 	part.follower = &configsource.Follower{
 		Source: platform.Source(), Apply: part.Offer, Freshness: &part.freshness, Confirmed: part.fleet.Beat,
 		Awaited: d.snapshots.Awaited, Bound: part.askBound(), Daemons: func() int { return int(part.members.Load()) },
-		Pace: part.pace, Random: rand.Float64, Logger: d.logger,
+		Pace: part.pace, Random: rand.Float64, Resumed: part.resumed, Logger: d.logger,
 	}
 	d.suspects.spread, d.suspects.store = part.fleet.SpreadSuspects, platform.Quarantine()
 	part.joinOrders()
--- a/internal/daemon/pausewatch.go
+++ b/internal/daemon/pausewatch.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"github.com/lapisvane/lapisvane/internal/boottime"
 )
 
 // Times of the watch for pauses.
@@ -15,11 +17,12 @@
 )
 
 // watchPauses logs when the process did not run for a while, because it was
-// stopped or starved, until ctx ends: what it believes of others is that old.
-func watchPauses(ctx context.Context, logger logr.Logger) {
+// stopped or starved, or the machine suspended, until ctx ends: what it believes of
+// others is that old. resumed is called after a suspension.
+func watchPauses(ctx context.Context, logger logr.Logger, resumed func()) {
 	ticker := time.NewTicker(pauseCheck)
 	defer ticker.Stop()
-	last := time.Now()
+	last, suspended := time.Now(), boottime.Suspended()
 	for {
 		select {
 		case <-ctx.Done():
@@ -28,6 +31,11 @@
 			now := time.Now()
 			notePause(logger, now.Sub(last))
 			last = now
+			if total := boottime.Suspended(); total > suspended {
+				logger.Info("daemon.suspended", "for_ms", (total - suspended).Milliseconds())
+				suspended = total
+				resumed()
+			}
 		}
 	}
 }
--- a/internal/daemon/pausewatch_test.go
+++ b/internal/daemon/pausewatch_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/logging"
 )
 
@@ -19,7 +21,7 @@
 		var output bytes.Buffer
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
-		go func() { defer close(done); watchPauses(ctx, logging.NewPlain(&output)) }()
+		go func() { defer close(done); watchPauses(ctx, logging.NewPlain(&output), func() {}) }()
 		time.Sleep(10 * time.Second)
 		cancel()
 		<-done
@@ -43,3 +45,23 @@
 		})
 	}
 }
+
+// The steady clock does not show that the machine was suspended.
+func TestSuspensionIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var gap atomic.Int64
+		defer boottime.Use(func() time.Duration { return time.Duration(gap.Load()) })()
+		var output bytes.Buffer
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		resumed := 0
+		go func() { defer close(done); watchPauses(ctx, logging.NewPlain(&output), func() { resumed++ }) }()
+		time.Sleep(2 * pauseCheck)
+		gap.Store(int64(7 * time.Second))
+		time.Sleep(2 * pauseCheck)
+		cancel()
+		<-done
+		assert.Equal(t, strings.TrimSpace(output.String()), "event=daemon.suspended for_ms=7000")
+		assert.Equal(t, resumed, 1)
+	})
+}
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/fingerprint"
 	"github.com/lapisvane/lapisvane/internal/quarantine"
 )
@@ -41,7 +42,7 @@
 }
 
 func newSuspects(logger logr.Logger) *suspects {
-	return &suspects{Book: quarantine.NewBook(time.Now), logger: logger, spread: func([]quarantine.Record, string) {}, dirty: make(chan struct{}, 1)}
+	return &suspects{Book: quarantine.NewBook(boottime.Now), logger: logger, spread: func([]quarantine.Record, string) {}, dirty: make(chan struct{}, 1)}
 }
 
 // Ended implements origin.Endings.
--- /dev/null
+++ b/internal/daemon/quarantine_test.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/boottime"
+	"github.com/lapisvane/lapisvane/internal/fingerprint"
+	"github.com/lapisvane/lapisvane/internal/quarantine"
+)
+
+// What is held back may run again, to see, when its time has passed for all others, also
+// where this machine was suspended meanwhile.
+func TestHeldBackTimeGoesOnWhileSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gap := time.Duration(0)
+		defer boottime.Use(func() time.Duration { return gap })()
+		known := newSuspects(logr.Discard())
+		line := fingerprint.Line{Method: "GET", Host: "a", Target: "/deadly"}
+		keys := fingerprint.Of(line, nil).Whole()
+		for end := range uint64(3) {
+			known.Ended("i", end, []quarantine.Aboard{{Head: fingerprint.HeadOf(line), Keys: keys, Caller: "desk"}})
+		}
+		verdict := known.Judge(keys, "desk")
+		assert.Assert(t, verdict.Held && !verdict.TrialDue)
+		gap = verdict.RetryAfter
+		time.Sleep(time.Second)
+		assert.Assert(t, known.Judge(keys, "desk").TrialDue)
+	})
+}
--- a/internal/fleet/address.go
+++ b/internal/fleet/address.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/callmux"
 )
 
@@ -78,7 +79,7 @@
 func (f *Fleet) displace(member *peer, other *callmux.OtherDaemonError) {
 	f.mutex.Lock()
 	if member.Address == other.Address {
-		member.displacedAt = time.Now()
+		member.displacedAt = boottime.Now()
 		member.announcement = nil
 		member.revision = 0
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/callmux"
 	"github.com/lapisvane/lapisvane/internal/configsource"
 	"github.com/lapisvane/lapisvane/internal/orders"
@@ -241,7 +242,7 @@
 		return nil
 	}
 	if !ok {
-		known = &peer{wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1), untold: newUntold(), withdrawn: map[string]time.Time{}, lostAt: time.Now()}
+		known = &peer{wake: make(chan struct{}, 1), ordered: make(chan struct{}, 1), untold: newUntold(), withdrawn: map[string]time.Time{}, lostAt: boottime.Now()}
 		f.members[member.Node] = known
 		f.config.Logger.V(1).Info("fleet.member_known", "member", member.Node, "address", member.Address, "zone", member.Zone)
 		signal(f.changed)
@@ -272,8 +273,8 @@
 	defer f.mutex.Unlock()
 	candidates := make([]candidate, 0, len(f.members))
 	for _, member := range f.members {
-		if !member.displaced(time.Now()) {
-			candidates = append(candidates, candidate{Member: member.Member, doubtful: member.doubtful(time.Now()), evacuated: f.evacuated(member.Zone)})
+		if !member.displaced(boottime.Now()) {
+			candidates = append(candidates, candidate{Member: member.Member, doubtful: member.doubtful(boottime.Now()), evacuated: f.evacuated(member.Zone)})
 		}
 	}
 	chosen := wantedBeside(f.config.Self, candidates)
@@ -282,7 +283,7 @@
 		case chosen[node] && member.stop == nil:
 			keepCtx, stop := context.WithCancel(ctx)
 			member.stop = stop
-			member.keptSince = time.Now()
+			member.keptSince = boottime.Now()
 			f.running.Go(func() { f.maintain(keepCtx, member) })
 		case !chosen[node] && member.stop != nil && (!member.connected || member.link.Active() == 0):
 			member.stop()
@@ -341,7 +342,7 @@
 	for _, endpoint := range announcement.GetEndpoints() {
 		own(endpoint, member.Member, announcement.GetIncarnation())
 	}
-	member.noteWithdrawn(announcement.GetWithdrawn(), time.Now())
+	member.noteWithdrawn(announcement.GetWithdrawn(), boottime.Now())
 	member.announcement = announcement
 	f.noteRevision(member, announcement.GetRevision())
 	signal(f.changed)
@@ -374,7 +375,7 @@
 		services[endpoint.GetService()] = append(services[endpoint.GetService()], endpoint)
 	}
 	for _, member := range f.members {
-		if member.stop == nil || (!member.connected && time.Since(member.lostAt) > forgetAfter) {
+		if member.stop == nil || (!member.connected && boottime.Since(member.lostAt) > forgetAfter) {
 			continue
 		}
 		for _, endpoint := range member.announcement.GetEndpoints() {
--- a/internal/fleet/introduction.go
+++ b/internal/fleet/introduction.go
@@ -2,9 +2,9 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/callmux"
 )
 
@@ -73,10 +73,10 @@
 	defer f.mutex.Unlock()
 	introduction := &lapisv1.Introduction{}
 	for _, member := range f.members {
-		if member.displaced(time.Now()) {
+		if member.displaced(boottime.Now()) {
 			continue
 		}
-		if member.stop == nil || member.connected || time.Since(member.lostAt) < forgetAfter {
+		if member.stop == nil || member.connected || boottime.Since(member.lostAt) < forgetAfter {
 			introduction.Members = append(introduction.Members, &lapisv1.PeerAddress{
 				Node: member.Node, Address: member.Address, Zone: member.Zone, Region: member.Region, Service: member.Service,
 			})
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/callmux"
 	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
@@ -29,9 +30,9 @@
 	for ctx.Err() == nil {
 		link, err := f.connect(ctx, member)
 		if err == nil {
-			opened := time.Now()
+			opened := boottime.Now()
 			f.converse(ctx, member, link)
-			if time.Since(opened) >= steadyAfter {
+			if boottime.Since(opened) >= steadyAfter {
 				wait = reconnectMin
 				continue
 			}
@@ -128,7 +129,7 @@
 		return
 	}
 	member.connected = false
-	member.lostAt = time.Now()
+	member.lostAt = boottime.Now()
 	member.moveAsListed()
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.lost", "member", member.Node)
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -38,6 +38,9 @@
 	open    *lapisv1.CallOpen
 	body    *requestBody
 	started time.Time
+	// suspendedBefore is the time for which this machine had been suspended when the call
+	// came.
+	suspendedBefore time.Duration
 	// waited is how long the caller had been waiting before, since an earlier try.
 	waited time.Duration
 	// request is the caller's id of the request, empty where there is none.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/balance"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/callapi"
 	"github.com/lapisvane/lapisvane/internal/callmux"
 	"github.com/lapisvane/lapisvane/internal/decision"
@@ -316,10 +317,11 @@
 	stated, _ := g.statedDeadline(rc)
 	attempt := &attempter{
 		gateway: g, current: current, route: route, body: body, started: started, request: g.requestID(rc),
-		waited: g.deadlines.waited(route.GetName(), stated),
-		local:  exchange.Local(),
-		open:   g.openOf(rc, route, current.Revision, method, body),
-		attach: func(call *callapi.Call) { body.attach(call, rc) },
+		suspendedBefore: boottime.Suspended(),
+		waited:          g.deadlines.waited(route.GetName(), stated),
+		local:           exchange.Local(),
+		open:            g.openOf(rc, route, current.Revision, method, body),
+		attach:          func(call *callapi.Call) { body.attach(call, rc) },
 	}
 	done, err := g.judge(callCtx, rc, attempt)
 	defer done()
--- a/internal/gateway/opening.go
+++ b/internal/gateway/opening.go
@@ -6,6 +6,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/balance"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 )
 
 // Times within which a call may wait and start.
@@ -52,7 +53,7 @@
 		open.MaxWaitMillis = uint32(max(a.maxWait(ctx, slack)-spent, minWait).Milliseconds())
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		remaining := time.Until(deadline)
+		remaining := a.until(deadline)
 		open.DeadlineMillis = uint32(max(remaining.Milliseconds(), 1))
 		open.ExpiresAfterMillis = uint32(max((remaining - a.leastTime(target)).Milliseconds(), 1))
 	}
@@ -68,7 +69,13 @@
 // hopeless reports whether too little time is left for an answer of target.
 func (a *attempter) hopeless(ctx context.Context, target *balance.Target) bool {
 	deadline, ok := ctx.Deadline()
-	return ok && time.Until(deadline) < a.leastTime(target)
+	return ok && a.until(deadline) < a.leastTime(target)
+}
+
+// until returns the time until the call's deadline. Its caller has gone on waiting while
+// this machine was suspended, the clock of the deadline has not.
+func (a *attempter) until(deadline time.Time) time.Duration {
+	return time.Until(deadline) - (boottime.Suspended() - a.suspendedBefore)
 }
 
 // targetLatency returns the time inside which an answer is worth most, 0 where
--- a/internal/metrics/direct.go
+++ b/internal/metrics/direct.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/lapisvane/lapisvane/internal/admission"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/configsource"
 	"github.com/lapisvane/lapisvane/internal/fleet"
 	"github.com/lapisvane/lapisvane/internal/orders"
@@ -83,7 +84,7 @@
 			if confirmed.IsZero() {
 				return -1
 			}
-			return time.Since(confirmed).Seconds()
+			return boottime.Since(confirmed).Seconds()
 		})
 	counter(registry, "lapisvane_source_orders_questions_total", "Questions to the source for the operators' orders.",
 		func() float64 { return float64(sources.Follower.OrdersAsked.Load()) })
--- a/internal/origin/connection.go
+++ b/internal/origin/connection.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
@@ -80,7 +81,7 @@
 		if conn == nil {
 			return p.dial(ctx)
 		}
-		now := time.Now()
+		now := boottime.Now()
 		conn.rest = now.Sub(conn.rested)
 		if p.resting.allows(conn.rest, conn.keepFor, now) && quiet(conn.Conn) {
 			conn.reused = true
@@ -126,7 +127,7 @@
 
 // put keeps a connection after an exchange that ended cleanly.
 func (p *connectionPool) put(conn *connection) {
-	conn.rested = time.Now()
+	conn.rested = boottime.Now()
 	p.mutex.Lock()
 	if !p.closed {
 		p.idle = append(p.idle, conn)
@@ -149,7 +150,7 @@
 // the request was sent over it.
 func (p *connectionPool) broke(conn *connection, after time.Duration) {
 	if conn.reused && after < forgottenWithin {
-		p.resting.forgotten(conn.rest, time.Now())
+		p.resting.forgotten(conn.rest, boottime.Now())
 	}
 }
 
@@ -158,7 +159,7 @@
 	p.mutex.Lock()
 	var old []*connection
 	kept := p.idle[:0]
-	now := time.Now()
+	now := boottime.Now()
 	for _, conn := range p.idle {
 		if all || !p.resting.allows(now.Sub(conn.rested), conn.keepFor, now) {
 			old = append(old, conn)
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -12,6 +12,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/admission"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/callapi"
 	"github.com/lapisvane/lapisvane/internal/decision"
 	"github.com/lapisvane/lapisvane/internal/result"
@@ -336,7 +337,7 @@
 	request := admission.Request{
 		Group: open.GetGroup(), Background: open.GetBackground(), Upload: open.GetUpload(), Priority: open.GetPriority(),
 	}
-	now := time.Now()
+	now, suspendedBefore := time.Now(), boottime.Suspended()
 	if open.GetExpiresAfterMillis() > 0 {
 		request.StartBy = now.Add(time.Duration(open.GetExpiresAfterMillis()) * time.Millisecond)
 	}
@@ -351,7 +352,11 @@
 		return nil, err
 	}
 	waited := time.Since(now)
-	if err := o.begin(call, now); err != nil {
+	err = checkSuspended(open, waited, boottime.Suspended()-suspendedBefore)
+	if err == nil {
+		err = o.begin(call, now)
+	}
+	if err != nil {
 		slot.Release(false)
 		return nil, err
 	}
@@ -362,6 +367,17 @@
 	return answer, err
 }
 
+// checkSuspended refuses a call whose time passed while it waited and the machine was
+// suspended: the clock that its time is bounded by stood then, and its caller is gone.
+// Errors: CallNotRunExpired.
+func checkSuspended(open *lapisv1.CallOpen, waited, suspended time.Duration) error {
+	lasts := time.Duration(open.GetDeadlineMillis()) * time.Millisecond
+	if suspended > 0 && lasts > 0 && waited+suspended >= lasts {
+		return result.Errorf(result.CallNotRunExpired, "the machine was suspended for %s while the call waited", suspended)
+	}
+	return nil
+}
+
 // begin notes that a call, which came at the given time, starts; from then on it may have
 // run. Errors, all proving that it did not start: CallNotRunStopping, CallNotRunHeldBack,
 // CallNotRunDuplicate.
--- a/internal/tree/child_send.go
+++ b/internal/tree/child_send.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
@@ -140,7 +141,7 @@
 	if size < wire.CompressAboveBytes {
 		return 0
 	}
-	now := time.Now()
+	now := boottime.Now()
 	return n.catchUp.ReserveN(now, min(size, n.catchUp.Burst())).DelayFrom(now)
 }
 
--- a/internal/tree/endpoints.go
+++ b/internal/tree/endpoints.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/endpoint"
 )
 
@@ -30,7 +31,7 @@
 
 // announce states all local endpoints anew; the caller holds mutex.
 func (n *Node) announce() {
-	now := time.Now()
+	now := boottime.Now()
 	for _, statement := range n.local {
 		n.sequence++
 		n.merge(&lapisv1.Endpoint{
@@ -45,7 +46,7 @@
 // mergeEndpoints takes in statements that came through a child, "" for other
 // ways; the caller holds mutex.
 func (n *Node) mergeEndpoints(endpoints []*lapisv1.Endpoint, via string) {
-	now := time.Now()
+	now := boottime.Now()
 	refute := false
 	for _, statement := range endpoints {
 		if n.contradicted(statement) {
@@ -131,7 +132,7 @@
 // suspectNow marks lost endpoints of which nothing newer was heard; the caller
 // holds mutex.
 func (n *Node) suspectNow(lost []lostEndpoint) {
-	now := time.Now()
+	now := boottime.Now()
 	for _, candidate := range lost {
 		if !n.registry.Suspect(candidate.key, candidate.incarnation, candidate.sequence, now) {
 			continue
--- a/internal/tree/machines.go
+++ b/internal/tree/machines.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/objectapi"
 )
 
@@ -28,7 +29,7 @@
 	if len(n.leaving) == 0 {
 		return
 	}
-	now := time.Now()
+	now := boottime.Now()
 	for _, service := range n.registry.Services() {
 		for _, statement := range n.registry.Service(service) {
 			n.drainLeaving(statement, now)
--- a/internal/tree/mesh.go
+++ b/internal/tree/mesh.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/result"
 	"github.com/lapisvane/lapisvane/internal/seat"
@@ -66,7 +67,7 @@
 func (n *Node) reconcileMesh(ctx context.Context) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	holders := n.seats.KnownHolders(seat.Prefix)
 	if n.sourceSeen {
 		holders = n.seats.Holders(seat.Prefix, now)
--- a/internal/tree/node.go
+++ b/internal/tree/node.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/endpoint"
 	"github.com/lapisvane/lapisvane/internal/floor"
 	"github.com/lapisvane/lapisvane/internal/holdings"
@@ -180,7 +181,7 @@
 		FullUpdatesSent: n.counts.fullUpdates, UpdatesSent: n.counts.updates,
 	}
 	if n.reader {
-		info.SeatState = string(n.lease.State(time.Now()))
+		info.SeatState = string(n.lease.State(boottime.Now()))
 	}
 	return info
 }
--- a/internal/tree/reader.go
+++ b/internal/tree/reader.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/changelog"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/meshconfig"
@@ -90,7 +91,7 @@
 
 // acquire writes the seat. An answer that was lost is settled by reading back.
 func (r *readerRole) acquire(ctx context.Context) bool {
-	sentAt := time.Now()
+	sentAt := boottime.Now()
 	version, err := r.node.config.Store.Put(ctx, r.vacancy.Seat, r.leaseValue(), r.vacancy.Version)
 	if result.Is(err, result.PlatformUnavailable) {
 		version, err = r.readBack(ctx)
@@ -145,7 +146,7 @@
 	r.node.mutex.Lock()
 	version := r.node.lease.Version()
 	r.node.mutex.Unlock()
-	sentAt := time.Now()
+	sentAt := boottime.Now()
 	renewed, err := r.node.config.Store.Put(ctx, r.vacancy.Seat, r.leaseValue(), version)
 	if result.Is(err, result.PlatformConflict) {
 		renewed, err = r.readBack(ctx)
@@ -161,7 +162,7 @@
 		return err
 	default:
 		// The state moves to suspended when the deadline passes.
-		r.node.lease.State(time.Now())
+		r.node.lease.State(boottime.Now())
 		return nil
 	}
 }
@@ -179,7 +180,7 @@
 		return
 	}
 	r.node.mutex.Lock()
-	version, ok := r.node.lease.MayWrite(time.Now())
+	version, ok := r.node.lease.MayWrite(boottime.Now())
 	r.node.lease.Released()
 	r.node.mutex.Unlock()
 	if !ok {
@@ -195,11 +196,11 @@
 func (r *readerRole) follow(ctx context.Context) error {
 	backoff := sourceBackoffMin
 	for ctx.Err() == nil {
-		started := time.Now()
+		started := boottime.Now()
 		err := r.followOnce(ctx)
 		r.node.lostSource()
 		r.node.config.Logger.V(1).Info("reader.watch_ended", "cause", err)
-		if time.Since(started) > sourceBackoffMax {
+		if boottime.Since(started) > sourceBackoffMax {
 			backoff = sourceBackoffMin
 		}
 		if !pause.For(ctx, backoff/2+rand.N(backoff)) {
@@ -261,7 +262,7 @@
 			}
 			if state != nil {
 				latest = state
-				debounce.changed(time.Now())
+				debounce.changed(boottime.Now())
 			}
 		case <-debounce.due():
 			debounce.reset()
@@ -292,7 +293,7 @@
 func (n *Node) observeAllSeats(objects []objectapi.Object) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	n.sawSource(now)
 	for _, object := range objects {
 		n.seats.Observe(object, now)
@@ -302,7 +303,7 @@
 func (n *Node) observeSeat(object objectapi.Object) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	n.seats.Observe(object, now)
 	n.noteHolders(now)
 }
@@ -347,7 +348,7 @@
 		if !pause.For(ctx, r.node.config.Tunables.StatusInterval.Get()) {
 			return ctx.Err()
 		}
-		report, version, ok := r.node.statusToWrite(time.Now())
+		report, version, ok := r.node.statusToWrite(boottime.Now())
 		if !ok || string(report) == string(written) {
 			continue
 		}
@@ -384,12 +385,12 @@
 
 // keepHouse offers vacant seats and, on one reader of all, compacts the log.
 func (r *readerRole) keepHouse(ctx context.Context) error {
-	nextCompaction := time.Now().Add(compactInterval)
+	nextCompaction := boottime.Now().Add(compactInterval)
 	for {
 		if !pause.For(ctx, offerInterval*9/10+rand.N(offerInterval/5)) {
 			return ctx.Err()
 		}
-		now := time.Now()
+		now := boottime.Now()
 		r.node.offerVacancies(now)
 		r.node.sendHome(now)
 		if now.After(nextCompaction) {
--- a/internal/tree/search.go
+++ b/internal/tree/search.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/membership"
 	"github.com/lapisvane/lapisvane/internal/pause"
 	"github.com/lapisvane/lapisvane/internal/seat"
@@ -26,7 +27,7 @@
 
 func newSearch(node *Node) *search {
 	first := node.config.Tunables.FirstSourceAsk.Get()
-	return &search{node: node, backoff: node.config.Tunables.JoinBackoffMin.Get(), nextAsk: time.Now().Add(rand.N(first + 1))}
+	return &search{node: node, backoff: node.config.Tunables.JoinBackoffMin.Get(), nextAsk: boottime.Now().Add(rand.N(first + 1))}
 }
 
 // reset notes that a parent accepted. The next question to the object API
@@ -34,18 +35,18 @@
 func (s *search) reset() {
 	s.rounds = 0
 	s.backoff = s.node.config.Tunables.JoinBackoffMin.Get()
-	s.nextAsk = time.Now().Add(rand.N(s.node.config.Tunables.FirstSourceAsk.Get() + 1))
+	s.nextAsk = boottime.Now().Add(rand.N(s.node.config.Tunables.FirstSourceAsk.Get() + 1))
 }
 
 // askSource waits a little and, when it is time, asks the object API. It
 // returns a seat to take, if any.
 func (s *search) askSource(ctx context.Context) (vacancy seat.Vacancy, found bool) {
-	if !pause.For(ctx, candidatePoll/2+rand.N(candidatePoll)) || time.Now().Before(s.nextAsk) {
+	if !pause.For(ctx, candidatePoll/2+rand.N(candidatePoll)) || boottime.Now().Before(s.nextAsk) {
 		return seat.Vacancy{}, false
 	}
 	s.rounds++
 	s.backoff = min(2*s.backoff, s.node.config.Tunables.JoinBackoffMax.Get())
-	s.nextAsk = time.Now().Add(s.backoff/2 + rand.N(s.backoff))
+	s.nextAsk = boottime.Now().Add(s.backoff/2 + rand.N(s.backoff))
 	zone := s.node.config.Zone
 	list, err := s.node.config.Store.List(ctx, seat.ZonePrefix(zone), "", 0)
 	if err != nil {
--- a/internal/tree/seats.go
+++ b/internal/tree/seats.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/objectapi"
 	"github.com/lapisvane/lapisvane/internal/seat"
 )
@@ -21,7 +22,7 @@
 func (n *Node) observeSeats(objects []objectapi.Object) []seat.Vacancy {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	n.sawSource(now)
 	for _, object := range objects {
 		n.seats.Observe(object, now)
@@ -54,7 +55,7 @@
 		return n.learnedReaders
 	}
 	var own, near, far []*lapisv1.PeerAddress
-	for _, holder := range n.seats.Holders(seat.Prefix, time.Now()) {
+	for _, holder := range n.seats.Holders(seat.Prefix, boottime.Now()) {
 		switch {
 		case holder.Peer.GetZone() == n.config.Zone:
 			own = append(own, holder.Peer)
@@ -89,7 +90,7 @@
 	if len(readers) == 0 {
 		return
 	}
-	n.candidates.Learn(readers, time.Now())
+	n.candidates.Learn(readers, boottime.Now())
 	n.learnedReaders = readers
 	n.repeatPath()
 }
--- /dev/null
+++ b/internal/tree/suspended_test.go
@@ -0,0 +1,29 @@
+package tree
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/boottime"
+	"github.com/lapisvane/lapisvane/internal/seat"
+)
+
+// A reader whose machine was suspended past its lease writes nothing with it.
+func TestSuspendedReaderLosesItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gap := time.Duration(0)
+		defer boottime.Use(func() time.Duration { return gap })()
+		role := &readerRole{node: &Node{lease: seat.NewLease(6 * time.Second), stopping: true}}
+		role.node.lease.Acquired(boottime.Now(), 1)
+		time.Sleep(time.Second)
+		assert.Equal(t, role.node.lease.State(boottime.Now()), seat.StateHolding)
+		gap = 5 * time.Second
+		time.Sleep(time.Second)
+		// It would write to the store, which it has not.
+		role.release()
+		assert.Equal(t, role.node.lease.State(boottime.Now()), seat.StateIdle)
+	})
+}
--- a/internal/tree/uplink.go
+++ b/internal/tree/uplink.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/boottime"
 	"github.com/lapisvane/lapisvane/internal/holdings"
 	"github.com/lapisvane/lapisvane/internal/membership"
 	"github.com/lapisvane/lapisvane/internal/result"
@@ -73,7 +74,7 @@
 func (n *Node) nextCandidate() (choice membership.Choice, ok bool) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.candidates.Next(time.Now())
+	return n.candidates.Next(boottime.Now())
 }
 
 // takeOffer returns the vacancy that the last parent offered, if any.
@@ -139,7 +140,7 @@
 func (n *Node) noteFailure(address string) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.candidates.Failed(address, time.Now())
+	n.candidates.Failed(address, boottime.Now())
 }
 
 // greet sends the Hello and handles the answer.
@@ -187,7 +188,7 @@
 func (n *Node) welcomed(link *uplink, welcome *lapisv1.Welcome) (accepted bool, err error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.candidates.Learn(welcome.GetAlternatives(), time.Now())
+	n.candidates.Learn(welcome.GetAlternatives(), boottime.Now())
 	n.learnReaders(welcome.GetReaders())
 	if slices.Contains(welcome.GetPath(), n.config.Node) {
 		return false, result.Errorf(result.DistributionLoop, "parent %s hangs below this node", welcome.GetNode())
@@ -209,7 +210,7 @@
 func (n *Node) refused(link *uplink, refusal *lapisv1.Refusal) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	n.candidates.Redirect(refusal.GetCandidates(), now)
 	switch result.Code(refusal.GetCode()) {
 	case result.DistributionDetached:
@@ -264,7 +265,7 @@
 	case *lapisv1.ControlFrame_SeatOffer:
 		return n.handleOffer(body.SeatOffer)
 	case *lapisv1.ControlFrame_Refusal:
-		n.candidates.Redirect(body.Refusal.GetCandidates(), time.Now())
+		n.candidates.Redirect(body.Refusal.GetCandidates(), boottime.Now())
 		return result.Errorf(result.DistributionParentLost, "parent %s: %s", link.parent, body.Refusal.GetReason())
 	default:
 		return result.Errorf(result.ProtocolUnexpected, "frame %T from the parent", body)
@@ -339,7 +340,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.up == link && link.machine.MustState() == linkStranded {
-		n.candidates.Postponed(link.address, n.config.Tunables.DetachedGrace.Get(), time.Now())
+		n.candidates.Postponed(link.address, n.config.Tunables.DetachedGrace.Get(), boottime.Now())
 		link.cancel()
 	}
 }
@@ -358,7 +359,7 @@
 	ticker := time.NewTicker(n.config.Tunables.StatusInterval.Get())
 	defer ticker.Stop()
 	defer func() { _ = link.conn.Close() }()
-	lastSent := time.Now()
+	lastSent := boottime.Now()
 	for {
 		tick := false
 		select {
@@ -368,13 +369,13 @@
 		case <-ticker.C:
 			tick = true
 		}
-		quiet := time.Since(lastSent) >= n.config.heartbeat()
+		quiet := boottime.Since(lastSent) >= n.config.heartbeat()
 		frames := n.pendingForParent(link, tick, quiet)
 		if len(frames) == 0 {
 			continue
 		}
-		lastSent = time.Now()
-		_ = link.conn.SetWriteDeadline(lastSent.Add(sendTimeout))
+		lastSent = boottime.Now()
+		_ = link.conn.SetWriteDeadline(time.Now().Add(sendTimeout))
 		if err := link.conn.SendAll(frames...); err != nil {
 			return
 		}
