--- /dev/null
+++ b/internal/emulator/day/deadly.go
@@ -0,0 +1,79 @@
+package day
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/emulator/instance"
+	"github.com/lapisvane/lapisvane/internal/emulator/promise"
+	"github.com/lapisvane/lapisvane/platform"
+)
+
+// deadlyWait is how long the client of a deadly request waits.
+const deadlyWait = 2 * time.Second
+
+// DeadlyRequest is one that ends each instance which runs it.
+type DeadlyRequest struct {
+	Name, method, path string
+	service            string
+	safe               bool
+	body               []byte
+	// callPath makes the instance that runs it call what is deadly itself.
+	callPath string
+}
+
+// DeadlyRequests returns one of each kind: a read, an order, an upload that is passed on in
+// pieces, and a read whose instance makes a call that is deadly.
+func DeadlyRequests() map[string]DeadlyRequest {
+	requests := map[string]DeadlyRequest{}
+	for _, request := range []DeadlyRequest{
+		{Name: "read", method: http.MethodGet, path: "/look/deadly", service: "desk", safe: true},
+		{Name: "order", method: http.MethodPost, path: "/order/deadly", service: "desk", body: []byte("one of each")},
+		{Name: "upload", method: http.MethodPost, path: "/file/deadly", service: "yard", body: bytes.Repeat([]byte("gerber "), 20_000)},
+		{Name: "call", method: http.MethodGet, path: "/look/caller", service: "desk", safe: true, callPath: "/stock/deadly"},
+	} {
+		requests[request.Name] = request
+	}
+	return requests
+}
+
+// Visit sends the request to a machine's daemon, under an id of its own, and returns the
+// answer, nil for none.
+func (d DeadlyRequest) Visit(ctx context.Context, site *Site, machine *Machine, number int) *http.Response {
+	id := fmt.Sprintf("deadly-%s-%d", d.Name, number)
+	sent := promise.Request{ID: id, Safe: d.safe, Caller: machine.Service, SentAt: time.Now(), Services: map[string]bool{d.service: true}}
+	if len(d.body) > 0 {
+		sum := sha256.Sum256(d.body)
+		sent.BodyDigest = hex.EncodeToString(sum[:])
+	}
+	site.Ledger.Sent(sent)
+	ctx, cancel := context.WithTimeout(ctx, deadlyWait)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, d.method, "http://"+machine.Caller()+d.path, bytes.NewReader(d.body))
+	if err != nil {
+		return nil
+	}
+	request.Host = standardHost
+	request.Header.Set(platform.HeaderRequestID, id)
+	request.Header.Set(platform.HeaderDeadline, fmt.Sprint(deadlyWait.Milliseconds()))
+	if d.callPath == "" {
+		request.Header.Set(instance.HeaderCrash, d.Name)
+	} else {
+		request.Header.Set(instance.HeaderCall, d.callPath)
+		request.Header.Set(instance.HeaderCall+"-Service", "yard")
+		request.Header.Set(instance.HeaderCall+"-Crash", d.Name)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response
+}
--- a/internal/emulator/day/machine.go
+++ b/internal/emulator/day/machine.go
@@ -214,7 +214,8 @@
 	started, err := instance.Start(instance.Options{
 		Service: service, Zone: m.Zone, Address: address, Registration: m.addresses.Instances, Outbound: m.addresses.Caller, Host: m.host,
 		Slots: options.Slots, Queue: options.Slots, ServiceTime: options.ServiceTime, Beat: options.Beat,
-		ColdFor: coldFor, Region: options.region(m.Zone), FallsAbove: options.fallsAbove(), Fell: m.fell, Ledger: m.site.Ledger, Seed: options.Seed,
+		ColdFor: coldFor, Region: options.region(m.Zone), FallsAbove: options.fallsAbove(), Fell: m.fell,
+		Ended: func(ended *instance.Instance) { m.restart(ended, m.site.open) }, Ledger: m.site.Ledger, Seed: options.Seed,
 	})
 	if err != nil {
 		return fmt.Errorf("instance of %s: %w", service, err)
--- a/internal/emulator/day/play.go
+++ b/internal/emulator/day/play.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/emulator/client"
@@ -41,6 +43,9 @@
 	FaultZoneEmptiedCold FaultKind = "zone-evacuated-back-cold"
 	FaultZoneCold        FaultKind = "zone-restarted-cold"
 	FaultInstanceHangs   FaultKind = "instance-hangs-when-full"
+	// FaultDeadlyRequest is a request that ends each instance which runs it, and comes
+	// again and again.
+	FaultDeadlyRequest FaultKind = "deadly-request"
 )
 
 // FaultKinds lists all disturbances.
@@ -48,6 +53,7 @@
 	FaultDaemonKill, FaultDaemonStop, FaultHerdKill, FaultInstanceCrash, FaultInstanceRelease, FaultInstanceSlow,
 	FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten, FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreForgets, FaultStoreRefuses, FaultStoreIgnores,
 	FaultWritesLost, FaultConfigStorm, FaultZoneEvacuated, FaultZoneEmptiedCold, FaultZoneCold, FaultInstanceHangs,
+	FaultDeadlyRequest,
 }
 
 // Fault is one disturbance of a day.
@@ -138,6 +144,8 @@
 	plan  Plan
 	tally *client.Tally
 
+	// visits counts those of deadly requests.
+	visits atomic.Int64
 	// stores is held by the one fault of the store that is in force.
 	stores sync.Mutex
 	// zones are held by the one fault of a zone that is in force.
@@ -186,14 +194,17 @@
 	switch fault.Kind {
 	case FaultDaemonKill:
 		p.note(machine.Kill(fault.For / 4))
+		p.site.Ledger.Disturbed(time.Now())
 	case FaultDaemonStop:
 		cut, err := machine.Roll(fault.For / 4)
 		p.mutex.Lock()
 		p.cut += cut
 		p.mutex.Unlock()
 		p.note(err)
+		p.site.Ledger.Disturbed(time.Now())
 	case FaultHerdKill:
 		p.herd(fault.For / 4)
+		p.site.Ledger.Disturbed(time.Now())
 	case FaultInstanceCrash:
 		p.note(machine.Restart(fault.For / 4))
 	case FaultInstanceRelease:
@@ -201,6 +212,8 @@
 		p.note(err)
 	case FaultConfigStorm:
 		p.storm(ctx, fault.For)
+	case FaultDeadlyRequest:
+		p.sendDeadly(ctx, random)
 	case FaultZoneEvacuated, FaultZoneEmptiedCold, FaultZoneCold:
 		p.disturbZone(ctx, fault, machine.Zone)
 	case FaultInstanceSlow, FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten, FaultInstanceHangs:
@@ -212,6 +225,23 @@
 	}
 }
 
+// deadlyPause is the time between two visits of a deadly request.
+const deadlyPause = 200 * time.Millisecond
+
+// sendDeadly has a deadly request come to one machine after the other, until the day ends:
+// it must be known by then for as long as it comes.
+func (p *play) sendDeadly(ctx context.Context, random *rand.Rand) {
+	requests := DeadlyRequests()
+	names := slices.Sorted(maps.Keys(requests))
+	deadly := requests[names[random.IntN(len(names))]]
+	for pause.For(ctx, deadlyPause) {
+		machine := p.site.Machines[random.IntN(len(p.site.Machines))]
+		if machine.Caller() != "" {
+			deadly.Visit(ctx, p.site, machine, int(p.visits.Add(1)))
+		}
+	}
+}
+
 func behaviourOf(kind FaultKind) instance.Behaviour {
 	switch kind {
 	case FaultInstanceSlow:
--- a/internal/emulator/day/zone.go
+++ b/internal/emulator/day/zone.go
@@ -99,6 +99,13 @@
 	return !s.closed
 }
 
+// open reports whether the site is not closed.
+func (s *Site) open() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !s.closed
+}
+
 func (s *Site) noteFallen(err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -108,12 +115,18 @@
 // fell ends an instance that falls over and starts another at its address, unless
 // it is gone already.
 func (m *Machine) fell(fallen *instance.Instance) {
+	m.restart(fallen, m.site.fell)
+}
+
+// restart ends an instance and starts another at its address, unless it is gone already or
+// may says that it shall not.
+func (m *Machine) restart(ended *instance.Instance, may func() bool) {
 	m.beside.Lock()
 	defer m.beside.Unlock()
-	if m.Instance() != fallen || !m.site.fell() {
+	if m.Instance() != ended || !may() {
 		return
 	}
-	fallen.Crash()
+	ended.Crash()
 	time.Sleep(fallPause)
-	m.site.noteFallen(m.startInstance(m.Service, fallen.Address(), cold))
+	m.site.noteFallen(m.startInstance(m.Service, ended.Address(), cold))
 }
--- a/internal/emulator/instance/instance.go
+++ b/internal/emulator/instance/instance.go
@@ -93,7 +93,9 @@
 	// over while it is cold; 0 for never.
 	FallsAbove float64
 	// Fell is called once when the instance falls over, and ends it.
-	Fell   func(*Instance)
+	Fell func(*Instance)
+	// Ended is called once when it ends under a request that makes it, and ends it.
+	Ended  func(*Instance)
 	Ledger *promise.Ledger
 	Seed   uint64
 }
--- a/internal/emulator/instance/serve.go
+++ b/internal/emulator/instance/serve.go
@@ -172,7 +172,7 @@
 	}
 	i.options.Ledger.Ended(name, i.id, time.Now())
 	// The instance cannot end while its own request waits for that.
-	i.fall.Do(func() { go i.options.Fell(i) })
+	i.fall.Do(func() { go i.options.Ended(i) })
 	<-i.stopped.Done()
 }
 
