--- a/internal/fleet/orders_test.go
+++ b/internal/fleet/orders_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/orders"
+	"github.com/lapisvane/lapisvane/internal/quarantine"
 )
 
 // follower is a daemon's observer that follows the orders it hears of.
@@ -23,6 +24,9 @@
 	orders  orders.Current
 	takenAt atomic.Pointer[time.Time]
 	heard   atomic.Int64
+	// book is what it knows of suspects, and told counts what it was told of them.
+	book *quarantine.Book
+	told atomic.Int64
 }
 
 // Ordered implements Observer.
@@ -52,12 +56,14 @@
 		network := &memoryNetwork{accepting: map[string]chan net.Conn{}, dials: map[string]int{}}
 		var running sync.WaitGroup
 		test(func(index int, known *orders.Set, adjust ...func(*Config)) *follower {
-			joined := &follower{offerFunc: func(*lapisv1.Configuration) {}}
+			joined := &follower{offerFunc: func(*lapisv1.Configuration) {}, book: quarantine.NewBook(time.Now)}
 			if known != nil {
 				joined.orders.Replace(known)
 			}
 			member := memberAt(fmt.Sprintf("%c-%d", 'A'+index, index), fmt.Sprintf("x:%d", index))
-			follow := func(config *Config) { config.Observer, config.Orders = joined, joined.orders.Load }
+			follow := func(config *Config) {
+				config.Observer, config.Orders, config.Suspects = joined, joined.orders.Load, joined.book.Told
+			}
 			joined.fleet.Store(daemonAt(ctx, &running, network, member, directory, append(adjust, follow)...))
 			return joined
 		})
--- /dev/null
+++ b/internal/fleet/suspects_test.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/fingerprint"
+	"github.com/lapisvane/lapisvane/internal/orders"
+	"github.com/lapisvane/lapisvane/internal/quarantine"
+)
+
+// Suspected implements Observer.
+func (f *follower) Suspected(records []quarantine.Record, from string) {
+	f.told.Add(1)
+	f.tell(f.book.Merge(records), from)
+}
+
+func (f *follower) tell(records []quarantine.Record, from string) {
+	if spreading := f.fleet.Load(); spreading != nil {
+		spreading.SpreadSuspects(records, from)
+	}
+}
+
+// What the daemon beside an instance that ended found reaches all of a fleet in which nobody
+// is connected to everybody, each hears of it a bounded number of times, and a daemon that
+// starts has it from its neighbours.
+func TestSuspectsReachAllDaemons(t *testing.T) {
+	const daemons = 50
+	line := fingerprint.Line{Method: "GET", Host: "a", Target: "/deadly"}
+	keys := fingerprint.Of(line, nil).Whole()
+	aboard := []quarantine.Aboard{{Head: fingerprint.HeadOf(line), Keys: keys, Caller: "desk"}}
+	playFollowers(t, func(start func(int, *orders.Set, ...func(*Config)) *follower) {
+		var known []*follower
+		for index := range daemons {
+			known = append(known, start(index, nil))
+		}
+		time.Sleep(20 * time.Second)
+		for end := range uint64(3) {
+			// Each instance ends beside another daemon.
+			found := known[7*end]
+			found.tell(found.book.Ended(end, aboard), "")
+			time.Sleep(time.Second)
+		}
+		for index, each := range known {
+			assert.Equal(t, each.book.Count(keys), 3, "daemon %d", index)
+			assert.Assert(t, each.told.Load() <= 3*daemons, "daemon %d was told %d times", index, each.told.Load())
+		}
+		newcomer := start(daemons, nil)
+		time.Sleep(10 * time.Second)
+		assert.Assert(t, newcomer.book.Judge(keys, "desk").Held)
+	})
+}
