--- a/internal/callmux/session.go
+++ b/internal/callmux/session.go
@@ -263,7 +263,7 @@
 	}
 	converted := result.Errorf(code, "%s", reset.GetReason())
 	converted.RetryAfter = time.Duration(reset.GetRetryAfterMillis()) * time.Millisecond
-	converted.Ended = int(reset.GetEnded())
+	converted.Crashes = int(reset.GetCrashes())
 	return converted
 }
 
@@ -277,7 +277,7 @@
 	if coded, ok := err.(*result.Error); ok {
 		reset.Reason = coded.Detail
 		reset.RetryAfterMillis = uint32(coded.RetryAfter.Milliseconds())
-		reset.Ended = uint32(coded.Ended)
+		reset.Crashes = uint32(coded.Crashes)
 	}
 	return &lapisv1.CallFrame{Call: id, Body: &lapisv1.CallFrame_Reset_{Reset_: reset}}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -176,7 +176,7 @@
 	decisions := decision.New(d.logger, d.settings.Load().DecisionLinesPerSecond, time.Now)
 	d.suspects = newSuspects(d.logger)
 	d.origin = origin.New(origin.Config{
-		Incarnation: d.incarnation, Backends: backends, Endings: d.suspects,
+		Incarnation: d.incarnation, Backends: backends, Crashes: d.suspects,
 		QueueLength: d.settings.Load().Calls.QueueLength, QueueTime: d.settings.Load().Calls.QueueTime.Get(),
 		Envelope: envelope, Changed: d.announce, Decisions: decisions, Logger: d.logger, Region: d.settings.Load().Region,
 		Cold: origin.ColdBound{Overshoot: d.settings.Load().ColdStarts.Overshoot, Slack: d.settings.Load().ColdStarts.Slack},
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -29,9 +29,9 @@
 )
 
 // suspects is a daemon's part in the holding back of requests under which instances end. It
-// implements origin.Endings and gateway.Suspicions.
+// implements origin.Crashes and gateway.Suspicions.
 type suspects struct {
-	*quarantine.Book
+	*quarantine.Registry
 	logger logr.Logger
 	// spread tells other daemons, and store keeps what must outlast them; nil where there
 	// are none.
@@ -42,26 +42,26 @@
 }
 
 func newSuspects(logger logr.Logger) *suspects {
-	return &suspects{Book: quarantine.NewBook(boottime.Now), logger: logger, spread: func([]quarantine.Record, string) {}, dirty: make(chan struct{}, 1)}
+	return &suspects{Registry: quarantine.NewRegistry(boottime.Now), logger: logger, spread: func([]quarantine.Record, string) {}, dirty: make(chan struct{}, 1)}
 }
 
-// Ended implements origin.Endings.
-func (s *suspects) Ended(instance string, id uint64, aboard []quarantine.Aboard) {
-	changed := s.Book.Ended(id, aboard)
+// Crashed implements origin.Crashes.
+func (s *suspects) Crashed(instance string, id uint64, had []quarantine.InFlight) {
+	changed := s.Registry.Crashed(id, had)
 	s.spread(changed, "")
 	s.noteChanged(changed, "instance "+instance)
 }
 
-// Answered implements origin.Endings.
+// Answered implements origin.Crashes.
 func (s *suspects) Answered(keys []fingerprint.Key) {
-	changed := s.Book.Answered(keys)
+	changed := s.Registry.Answered(keys)
 	s.spread(changed, "")
 	s.noteChanged(changed, "answer")
 }
 
-// HeldBack returns the number of kinds of requests that are held back because instances
+// Quarantined returns the number of kinds of requests that are held back because instances
 // ended under them.
-func (d *Daemon) HeldBack() int {
+func (d *Daemon) Quarantined() int {
 	_, held := d.suspects.Sizes()
 	return held
 }
@@ -94,7 +94,7 @@
 		return false
 	}
 	granted, err := s.store.Try(ctx, verdict.Key, verdict.Trials)
-	s.logger.Info("request.trial", "key", verdict.Key, "ended", verdict.Ended, "trials", verdict.Trials, "granted", granted, "error", err)
+	s.logger.Info("request.trial", "key", verdict.Key, "ended", verdict.Crashes, "trials", verdict.Trials, "granted", granted, "error", err)
 	// Whoever got leave, and also when nobody can tell: one trial less is left.
 	s.spread(s.Tried(verdict.Key, verdict.Trials+1), "")
 	return granted
--- a/internal/daemon/quarantine_test.go
+++ b/internal/daemon/quarantine_test.go
@@ -23,10 +23,10 @@
 		line := fingerprint.Line{Method: "GET", Host: "a", Target: "/deadly"}
 		keys := fingerprint.Of(line, nil).Whole()
 		for end := range uint64(3) {
-			known.Ended("i", end, []quarantine.Aboard{{Head: fingerprint.HeadOf(line), Keys: keys, Caller: "desk"}})
+			known.Crashed("i", end, []quarantine.InFlight{{Head: fingerprint.HeadOf(line), Keys: keys, Caller: "desk"}})
 		}
 		verdict := known.Judge(keys, "desk")
-		assert.Assert(t, verdict.Held && !verdict.TrialDue)
+		assert.Assert(t, verdict.Quarantined && !verdict.TrialDue)
 		gap = verdict.RetryAfter
 		time.Sleep(time.Second)
 		assert.Assert(t, known.Judge(keys, "desk").TrialDue)
--- a/internal/emulator/day/deadly_test.go
+++ b/internal/emulator/day/deadly_test.go
@@ -97,7 +97,7 @@
 	}
 	awaitServed(t, tally, 300)
 	for _, machine := range site.Machines {
-		beside := machine.Daemon().HeldBack()
+		beside := machine.Daemon().Quarantined()
 		assert.Assert(t, beside <= 1, "%s holds %d back", machine.Name, beside)
 	}
 	stop()
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -22,8 +22,8 @@
 	CauseOverload Cause = "overload"
 	// CauseNoInstance: no instance of the service could take work.
 	CauseNoInstance Cause = "no-instance"
-	// CauseHeldBack: instances ended under what the request asks for.
-	CauseHeldBack Cause = "held-back"
+	// CauseQuarantined: instances ended under what the request asks for.
+	CauseQuarantined Cause = "quarantined"
 	// CauseInstanceBroke: the instance took the request and broke off.
 	CauseInstanceBroke Cause = "instance-broke"
 	// CauseInstanceSlow: the instance had the request until the time was over.
@@ -169,9 +169,9 @@
 		return j.explainNoRoute(end)
 	case result.CallNotRunStopping, result.CallNotRunDraining, result.CallNotRunUnknownHere:
 		return Verdict{CauseLeaving, j.leaving(end), end}
-	case result.CallNotRunHeldBack:
-		return Verdict{CauseHeldBack, end.Get("detail"), end}
-	case result.CallInstanceEnded:
+	case result.CallNotRunQuarantined:
+		return Verdict{CauseQuarantined, end.Get("detail"), end}
+	case result.CallInstanceCrashed:
 		return Verdict{CauseInstanceBroke, end.Get("detail"), end}
 	case result.CallNoEndpoint, result.CallNotRunEvacuated, result.CallNotRunRegion:
 		return Verdict{CauseNoInstance, end.Get("detail"), end}
--- a/internal/fleet/orders_test.go
+++ b/internal/fleet/orders_test.go
@@ -24,9 +24,9 @@
 	orders  orders.Current
 	takenAt atomic.Pointer[time.Time]
 	heard   atomic.Int64
-	// book is what it knows of suspects, and told counts what it was told of them.
-	book *quarantine.Book
-	told atomic.Int64
+	// registry is what it knows of suspects, and told counts what it was told of them.
+	registry *quarantine.Registry
+	told     atomic.Int64
 }
 
 // Ordered implements Observer.
@@ -56,13 +56,13 @@
 		network := &memoryNetwork{accepting: map[string]chan net.Conn{}, dials: map[string]int{}}
 		var running sync.WaitGroup
 		test(func(index int, known *orders.Set, adjust ...func(*Config)) *follower {
-			joined := &follower{offerFunc: func(*lapisv1.Configuration) {}, book: quarantine.NewBook(time.Now)}
+			joined := &follower{offerFunc: func(*lapisv1.Configuration) {}, registry: quarantine.NewRegistry(time.Now)}
 			if known != nil {
 				joined.orders.Replace(known)
 			}
 			member := memberAt(fmt.Sprintf("%c-%d", 'A'+index, index), fmt.Sprintf("x:%d", index))
 			follow := func(config *Config) {
-				config.Observer, config.Orders, config.Suspects = joined, joined.orders.Load, joined.book.Told
+				config.Observer, config.Orders, config.Suspects = joined, joined.orders.Load, joined.registry.Told
 			}
 			joined.fleet.Store(daemonAt(ctx, &running, network, member, directory, append(adjust, follow)...))
 			return joined
--- a/internal/fleet/suspects_test.go
+++ b/internal/fleet/suspects_test.go
@@ -14,7 +14,7 @@
 // Suspected implements Observer.
 func (f *follower) Suspected(records []quarantine.Record, from string) {
 	f.told.Add(1)
-	f.tell(f.book.Merge(records), from)
+	f.tell(f.registry.Merge(records), from)
 }
 
 func (f *follower) tell(records []quarantine.Record, from string) {
@@ -30,7 +30,7 @@
 	const daemons = 50
 	line := fingerprint.Line{Method: "GET", Host: "a", Target: "/deadly"}
 	keys := fingerprint.Of(line, nil).Whole()
-	aboard := []quarantine.Aboard{{Head: fingerprint.HeadOf(line), Keys: keys, Caller: "desk"}}
+	had := []quarantine.InFlight{{Head: fingerprint.HeadOf(line), Keys: keys, Caller: "desk"}}
 	playFollowers(t, func(start func(int, *orders.Set, ...func(*Config)) *follower) {
 		var known []*follower
 		for index := range daemons {
@@ -40,15 +40,15 @@
 		for end := range uint64(3) {
 			// Each instance ends beside another daemon.
 			found := known[7*end]
-			found.tell(found.book.Ended(end, aboard), "")
+			found.tell(found.registry.Crashed(end, had), "")
 			time.Sleep(time.Second)
 		}
 		for index, each := range known {
-			assert.Equal(t, each.book.Count(keys), 3, "daemon %d", index)
+			assert.Equal(t, each.registry.Count(keys), 3, "daemon %d", index)
 			assert.Assert(t, each.told.Load() <= 3*daemons, "daemon %d was told %d times", index, each.told.Load())
 		}
 		newcomer := start(daemons, nil)
 		time.Sleep(10 * time.Second)
-		assert.Assert(t, newcomer.book.Judge(keys, "desk").Held)
+		assert.Assert(t, newcomer.registry.Judge(keys, "desk").Quarantined)
 	})
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -47,7 +47,7 @@
 func comeBack(err error, route *lapisv1.Route) error {
 	coded, ok := err.(*result.Error)
 	target := route.GetCallClass().GetTargetLatencyMillis()
-	if !ok || !coded.Code.NotRun() || target == 0 || constraintOf(err) != "" || coded.Code == result.CallNotRunHeldBack {
+	if !ok || !coded.Code.NotRun() || target == 0 || constraintOf(err) != "" || coded.Code == result.CallNotRunQuarantined {
 		return err
 	}
 	part := comeBackFrom + (comeBackTo-comeBackFrom)*rand.Float64()
@@ -73,7 +73,7 @@
 		return http.StatusConflict
 	case result.CallDeadline:
 		return http.StatusGatewayTimeout
-	case result.CallUnknownOutcome, result.CallTruncated, result.CallCancelled, result.CallInstanceEnded:
+	case result.CallUnknownOutcome, result.CallTruncated, result.CallCancelled, result.CallInstanceCrashed:
 		return http.StatusBadGateway
 	default:
 		return http.StatusServiceUnavailable
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -220,7 +220,7 @@
 	case result.CallNotRunShed:
 		a.handed++
 		return a.handed < a.maxAttempts() && a.mayAddLoad()
-	case result.CallUnknownOutcome, result.CallTruncated, result.CallInstanceEnded:
+	case result.CallUnknownOutcome, result.CallTruncated, result.CallInstanceCrashed:
 		a.handed++
 		return a.open.GetRepeatable() && a.mayRepeat(err) && a.handed < a.maxAttempts() && a.mayAddLoad()
 	default:
@@ -256,7 +256,7 @@
 func (g *Gateway) observe(target *balance.Target, err error) {
 	code, _ := result.CodeOf(err)
 	switch code {
-	case result.CallNotRunUnreachable, result.CallUnknownOutcome, result.CallTruncated, result.CallNotRunUnknownHere, result.CallInstanceEnded:
+	case result.CallNotRunUnreachable, result.CallUnknownOutcome, result.CallTruncated, result.CallNotRunUnknownHere, result.CallInstanceCrashed:
 		target.Failed(time.Now())
 	case result.CallNotRunCold:
 		target.RefusedCold(retryAfterOf(err), time.Now())
--- a/internal/gateway/heldback.go
+++ b/internal/gateway/quarantine.go
@@ -56,7 +56,7 @@
 
 // judge refuses a request under which enough instances ended, and tells the attempter the
 // names of one under which some did. done gives back what was held for that.
-// Errors: CallNotRunHeldBack and those of reading the body.
+// Errors: CallNotRunQuarantined and those of reading the body.
 func (g *Gateway) judge(ctx context.Context, rc *app.RequestContext, attempt *attempter) (done func(), err error) {
 	done = func() {}
 	suspicions := g.config.Suspicions
@@ -71,7 +71,7 @@
 	}
 	attempt.keys = keysOf(line, attempt.body)
 	verdict := suspicions.Judge(attempt.keys, attempt.open.GetCallerService())
-	if !verdict.Held {
+	if !verdict.Quarantined {
 		return done, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTime)
@@ -80,7 +80,7 @@
 		attempt.open.Trial = true
 		return done, nil
 	}
-	return done, origin.HeldBack(verdict)
+	return done, origin.Quarantined(verdict)
 }
 
 // keysOf returns the names of a request: by its whole body, or by what is known of one that
@@ -138,7 +138,7 @@
 // endedUnder returns the number of instances that an error says ended under the call.
 func endedUnder(err error) int {
 	if coded, ok := err.(*result.Error); ok {
-		return coded.Ended
+		return coded.Crashes
 	}
 	return 0
 }
--- a/internal/gateway/heldback_test.go
+++ b/internal/gateway/quarantine_test.go
@@ -16,18 +16,18 @@
 // that are refused for load: it would be refused again.
 func TestHeldBackIsToldItsTime(t *testing.T) {
 	route := &lapisv1.Route{CallClass: &lapisv1.CallClass{TargetLatencyMillis: 200}}
-	err := comeBack(origin.HeldBack(quarantine.Verdict{Held: true, Ended: 3, RetryAfter: 42 * time.Second}), route)
+	err := comeBack(origin.Quarantined(quarantine.Verdict{Quarantined: true, Crashes: 3, RetryAfter: 42 * time.Second}), route)
 	assert.Equal(t, retryAfterOf(err), 42*time.Second)
-	assert.Equal(t, statusOf(result.CallNotRunHeldBack), 503)
-	assert.NilError(t, origin.HeldBack(quarantine.Verdict{}))
+	assert.Equal(t, statusOf(result.CallNotRunQuarantined), 503)
+	assert.NilError(t, origin.Quarantined(quarantine.Verdict{}))
 }
 
 // A daemon repeats after the first instance that ended, and not after the second.
 func TestRepeatsEndWithTheSecondInstance(t *testing.T) {
 	attempt := &attempter{}
 	for ended, may := range map[int]bool{0: true, 1: true, 2: false, 3: false} {
-		err := result.Errorf(result.CallInstanceEnded, "ended")
-		err.Ended = ended
+		err := result.Errorf(result.CallInstanceCrashed, "ended")
+		err.Crashes = ended
 		assert.Equal(t, attempt.mayRepeat(err), may, "after %d", ended)
 	}
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -49,7 +49,7 @@
 		suspects, _ := sources.Suspects()
 		return float64(suspects)
 	})
-	gauge(registry, "lapisvane_requests_held_back", "Those of them that do not reach instances any more.", func() float64 {
+	gauge(registry, "lapisvane_requests_quarantined", "Those of them that do not reach instances any more.", func() float64 {
 		_, held := sources.Suspects()
 		return float64(held)
 	})
--- a/internal/origin/backend.go
+++ b/internal/origin/backend.go
@@ -64,11 +64,12 @@
 	once    sync.Once
 }
 
-// roundTrip hands the call over once. The answer's body must be closed.
+// roundTrip hands the call over once, and calls handing right before. The answer's body must
+// be closed.
 // Errors: CallNotRunUnreachable when no connection was opened,
 // CallNotRunOverloaded, CallNotRunExpired when the caller left before,
 // otherwise CallUnknownOutcome, CallDeadline or CallCancelled.
-func (b *backend) roundTrip(ctx context.Context, call *callapi.Call) (*http.Response, error) {
+func (b *backend) roundTrip(ctx context.Context, call *callapi.Call, handing func()) (*http.Response, error) {
 	conn, err := b.pool.get(ctx)
 	if err != nil {
 		return nil, err
@@ -85,6 +86,7 @@
 	current := &exchange{backend: b, conn: conn, request: request, written: make(chan struct{})}
 	current.unwatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	sent := time.Now()
+	handing()
 	response, err := current.run(call)
 	if err != nil {
 		current.end(false)
--- a/internal/origin/fallen.go
+++ b/internal/origin/fallen.go
@@ -152,7 +152,7 @@
 // comeUp takes the instance as up; the caller holds mutex.
 func (i *Instance) comeUp() {
 	i.signs.answered()
-	i.aboard.float()
+	i.inFlight.markUp()
 	fire(i.lifecycle, triggerUp)
 	if !i.fallen || i.lifecycle.MustState() != StateReady {
 		return
--- a/internal/origin/aboard.go
+++ b/internal/origin/inflight.go
@@ -29,19 +29,19 @@
 	// askTime bounds the question whether an instance accepts a connection. It is on the
 	// same machine: one that ended refuses within a millisecond.
 	askTime = 100 * time.Millisecond
-	// aboardFor is how long a call that ended without an answer counts as aboard: a caller
+	// recentFor is how long a call that ended without an answer counts as in flight: a caller
 	// may leave before the instance ends under its call.
-	aboardFor = 500 * time.Millisecond
+	recentFor = 500 * time.Millisecond
 	// maxGone bounds such calls.
 	maxGone = 64
 )
 
-// Endings hears of instances that ended, and answers what is held back because of them.
+// Crashes hears of instances that ended, and answers what is held back because of them.
 // Its methods are safe for concurrent use.
-type Endings interface {
-	// Ended takes in that an instance ended with calls aboard; it returns when all of
+type Crashes interface {
+	// Crashed takes in that an instance ended with calls in flight; it returns when all of
 	// the daemon goes by it.
-	Ended(instance string, id uint64, aboard []quarantine.Aboard)
+	Crashed(instance string, id uint64, had []quarantine.InFlight)
 	// Suspected reports whether instances ended under calls with the head.
 	Suspected(head fingerprint.Head) bool
 	// Answered takes in that an instance answered a call with the keys, which was under
@@ -53,21 +53,21 @@
 	Judge(keys []fingerprint.Key, caller string) quarantine.Verdict
 }
 
-// nothingEnds is used where nobody is told of ended instances.
-type nothingEnds struct{}
+// noCrashes is used where nobody is told of ended instances.
+type noCrashes struct{}
 
-func (nothingEnds) Ended(string, uint64, []quarantine.Aboard) {}
+func (noCrashes) Crashed(string, uint64, []quarantine.InFlight) {}
 
-func (nothingEnds) Suspected(fingerprint.Head) bool { return false }
+func (noCrashes) Suspected(fingerprint.Head) bool { return false }
 
-func (nothingEnds) Answered([]fingerprint.Key) {}
+func (noCrashes) Answered([]fingerprint.Key) {}
 
-func (nothingEnds) Count([]fingerprint.Key) int { return 0 }
+func (noCrashes) Count([]fingerprint.Key) int { return 0 }
 
-func (nothingEnds) Judge([]fingerprint.Key, string) quarantine.Verdict { return quarantine.Verdict{} }
+func (noCrashes) Judge([]fingerprint.Key, string) quarantine.Verdict { return quarantine.Verdict{} }
 
-// passenger is a call that an instance has, or had a moment ago.
-type passenger struct {
+// flight is a call that an instance has, or had a moment ago.
+type flight struct {
 	open *lapisv1.CallOpen
 	// mutex protects the rest, which the reader of the body writes.
 	mutex  sync.Mutex
@@ -75,37 +75,37 @@
 	// read counts the body's bytes so far; whole is true once it was read to its end.
 	read  int64
 	whole bool
-	// leftAt is when the call ended without an answer; aboard.mutex protects it.
+	// leftAt is when the call ended without an answer; inFlight.mutex protects it.
 	leftAt time.Time
 }
 
-// board has the call's body hashed on its way to the instance.
-func board(call *callapi.Call) *passenger {
-	boarding := &passenger{open: call.Open, digest: fingerprint.NewBody(), whole: call.Body == nil}
+// track has the call's body hashed on its way to the instance.
+func track(call *callapi.Call) *flight {
+	sent := &flight{open: call.Open, digest: fingerprint.NewBody(), whole: call.Body == nil}
 	if call.Body != nil {
-		call.Body = &hashedBody{Reader: call.Body, passenger: boarding}
+		call.Body = &hashedBody{Reader: call.Body, flight: sent}
 	}
-	return boarding
+	return sent
 }
 
 // hashedBody hashes what is read.
 type hashedBody struct {
 	io.Reader
-	passenger *passenger
+	flight *flight
 }
 
 func (h *hashedBody) Read(buffer []byte) (int, error) {
 	count, err := h.Reader.Read(buffer)
-	h.passenger.mutex.Lock()
-	defer h.passenger.mutex.Unlock()
-	_, _ = h.passenger.digest.Write(buffer[:count])
-	h.passenger.read += int64(count)
-	h.passenger.whole = h.passenger.whole || err == io.EOF || h.passenger.read == h.passenger.open.GetContentLength()
+	h.flight.mutex.Lock()
+	defer h.flight.mutex.Unlock()
+	_, _ = h.flight.digest.Write(buffer[:count])
+	h.flight.read += int64(count)
+	h.flight.whole = h.flight.whole || err == io.EOF || h.flight.read == h.flight.open.GetContentLength()
 	return count, err
 }
 
 // keys returns the call's names, as far as its body is known.
-func (p *passenger) keys() []fingerprint.Key {
+func (p *flight) keys() []fingerprint.Key {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	line, length := fingerprint.LineOf(p.open), p.open.GetContentLength()
@@ -117,7 +117,7 @@
 
 // allKeys returns also the name under which the call would be known had its body not been
 // read to its end.
-func (p *passenger) allKeys() []fingerprint.Key {
+func (p *flight) allKeys() []fingerprint.Key {
 	keys := p.keys()
 	if p.open.GetContentLength() != 0 {
 		keys = append(keys, fingerprint.PartialOf(fingerprint.LineOf(p.open), p.open.GetContentLength()))
@@ -125,37 +125,37 @@
 	return keys
 }
 
-// aboard are the calls that an instance has.
-type aboard struct {
+// inFlight are the calls that an instance has.
+type inFlight struct {
 	// mutex protects everything below.
 	mutex sync.Mutex
-	has   map[*passenger]bool
+	has   map[*flight]bool
 	// gone are those that ended without an answer a moment ago.
-	gone []*passenger
+	gone []*flight
 	// ended is true once the instance was found to have ended.
 	ended bool
 	// asking is held while one call finds out whether it did.
 	asking sync.Mutex
 }
 
-func (a *aboard) enter(boarding *passenger) {
+func (a *inFlight) add(sent *flight) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.has == nil {
-		a.has = map[*passenger]bool{}
+		a.has = map[*flight]bool{}
 	}
-	a.has[boarding] = true
+	a.has[sent] = true
 }
 
-// leave takes a call off that was answered, or did not run.
-func (a *aboard) leave(leaving *passenger) {
+// remove takes a call off that was answered, or did not run.
+func (a *inFlight) remove(leaving *flight) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	delete(a.has, leaving)
 }
 
-// lose takes a call off that ended without an answer.
-func (a *aboard) lose(leaving *passenger, now time.Time) {
+// removeUnanswered takes a call off that ended without an answer.
+func (a *inFlight) removeUnanswered(leaving *flight, now time.Time) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	delete(a.has, leaving)
@@ -168,10 +168,10 @@
 
 // settles waits until the instance has no call any more; it reports false when it still has
 // some after settleLooks looks, as one that did not end.
-func (a *aboard) settles() bool {
+func (a *inFlight) settles() bool {
 	for range settleLooks {
 		time.Sleep(settleTime)
-		if a.empty() || a.sunk() {
+		if a.empty() || a.crashed() {
 			return true
 		}
 	}
@@ -179,70 +179,70 @@
 }
 
 // empty reports whether the instance has no call.
-func (a *aboard) empty() bool {
+func (a *inFlight) empty() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	return len(a.has) == 0
 }
 
-// sink notes that the instance ended and returns the calls that it had; first is false when
+// markCrashed notes that the instance ended and returns the calls that it had; first is false when
 // that was noted before.
-func (a *aboard) sink(now time.Time) (calls []*passenger, first bool) {
+func (a *inFlight) markCrashed(now time.Time) (calls []*flight, first bool) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.ended {
 		return nil, false
 	}
 	a.ended = true
-	for passenger := range a.has {
-		calls = append(calls, passenger)
+	for flight := range a.has {
+		calls = append(calls, flight)
 	}
-	for _, passenger := range a.gone {
-		if now.Sub(passenger.leftAt) <= aboardFor {
-			calls = append(calls, passenger)
+	for _, flight := range a.gone {
+		if now.Sub(flight.leftAt) <= recentFor {
+			calls = append(calls, flight)
 		}
 	}
 	a.gone = nil
 	return calls, true
 }
 
-// float notes that the instance accepts connections.
-func (a *aboard) float() {
+// markUp notes that the instance accepts connections.
+func (a *inFlight) markUp() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.ended = false
 }
 
-func (a *aboard) sunk() bool {
+func (a *inFlight) crashed() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	return a.ended
 }
 
-// ashore takes a call off that got no answer, and returns the error that it ends with.
-func (o *Origin) ashore(ctx context.Context, instance *Instance, boarding *passenger, err error) error {
+// noteUnanswered takes a call off that got no answer, and returns the error that it ends with.
+func (o *Origin) noteUnanswered(ctx context.Context, instance *Instance, sent *flight, err error) error {
 	if callapi.OutcomeOf(err) != callapi.OutcomeNotRun {
-		return o.brokeOff(ctx, instance, boarding, err)
+		return o.brokeOff(ctx, instance, sent, err)
 	}
-	instance.aboard.leave(boarding)
+	instance.inFlight.remove(sent)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		// It ended after the calls that it had were given up.
-		o.noteEnded(instance)
+		o.noteCrashed(instance)
 	}
 	return err
 }
 
 // brokeOff finds out whether a call broke off because its instance ended; the error that it
 // returns then says so, and how many ended under such calls.
-func (o *Origin) brokeOff(ctx context.Context, instance *Instance, lost *passenger, err error) error {
-	instance.aboard.lose(lost, time.Now())
-	if !isBreak(err) || !o.hasEnded(ctx, instance) {
+func (o *Origin) brokeOff(ctx context.Context, instance *Instance, lost *flight, err error) error {
+	instance.inFlight.removeUnanswered(lost, time.Now())
+	if !isBreak(err) || !o.hasCrashed(ctx, instance) {
 		return err
 	}
-	ended := result.Errorf(result.CallInstanceEnded, "instance %s ended", instance.Name)
-	ended.Cause = err
-	ended.Ended = max(o.config.Endings.Count(lost.keys()), 1)
-	return ended
+	crashed := result.Errorf(result.CallInstanceCrashed, "instance %s ended", instance.Name)
+	crashed.Cause = err
+	crashed.Crashes = max(o.config.Crashes.Count(lost.keys()), 1)
+	return crashed
 }
 
 // isBreak reports whether a call was handed over and its connection broke.
@@ -250,15 +250,15 @@
 	return result.Is(err, result.CallUnknownOutcome) || result.Is(err, result.CallTruncated)
 }
 
-// hasEnded finds out whether an instance of which a call broke off has ended: whether all
+// hasCrashed finds out whether an instance of which a call broke off has ended: whether all
 // its calls did, and it refuses connections.
-func (o *Origin) hasEnded(ctx context.Context, instance *Instance) bool {
-	if !instance.aboard.settles() {
+func (o *Origin) hasCrashed(ctx context.Context, instance *Instance) bool {
+	if !instance.inFlight.settles() {
 		return false
 	}
-	instance.aboard.asking.Lock()
-	defer instance.aboard.asking.Unlock()
-	if instance.aboard.sunk() {
+	instance.inFlight.asking.Lock()
+	defer instance.inFlight.asking.Unlock()
+	if instance.inFlight.crashed() {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), askTime)
@@ -267,48 +267,48 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
-	o.noteEnded(instance)
+	o.noteCrashed(instance)
 	instance.noteOver()
 	return true
 }
 
-// noteEnded takes in that an instance ended with the calls that it had.
-func (o *Origin) noteEnded(instance *Instance) {
-	passengers, first := instance.aboard.sink(time.Now())
+// noteCrashed takes in that an instance ended with the calls that it had.
+func (o *Origin) noteCrashed(instance *Instance) {
+	calls, first := instance.inFlight.markCrashed(time.Now())
 	if !first {
 		return
 	}
-	suspects := make([]quarantine.Aboard, 0, len(passengers))
-	for _, passenger := range passengers {
-		suspects = append(suspects, quarantine.Aboard{
-			Head: fingerprint.HeadOf(fingerprint.LineOf(passenger.open)), Keys: passenger.keys(), Caller: passenger.open.GetCallerService(),
+	suspects := make([]quarantine.InFlight, 0, len(calls))
+	for _, flight := range calls {
+		suspects = append(suspects, quarantine.InFlight{
+			Head: fingerprint.HeadOf(fingerprint.LineOf(flight.open)), Keys: flight.keys(), Caller: flight.open.GetCallerService(),
 		})
 	}
-	o.config.Logger.Info("instance.ended", "instance", instance.Name, "service", instance.Service, "aboard", len(suspects))
+	o.config.Logger.Info("instance.crashed", "instance", instance.Name, "service", instance.Service, "in_flight", len(suspects))
 	if len(suspects) > 0 {
-		o.config.Endings.Ended(instance.Name, rand.Uint64(), suspects)
+		o.config.Crashes.Crashed(instance.Name, rand.Uint64(), suspects)
 	}
 }
 
 // cleared takes in that an instance answered a call: if instances ended under such calls,
 // it was not because of them.
-func (o *Origin) cleared(answered *passenger, status int) {
-	if status >= firstServerError || !o.config.Endings.Suspected(fingerprint.HeadOf(fingerprint.LineOf(answered.open))) {
+func (o *Origin) cleared(answered *flight, status int) {
+	if status >= firstServerError || !o.config.Crashes.Suspected(fingerprint.HeadOf(fingerprint.LineOf(answered.open))) {
 		return
 	}
-	o.config.Endings.Answered(answered.allKeys())
+	o.config.Crashes.Answered(answered.allKeys())
 }
 
 // firstServerError is the least status of an answer that says that the instance failed,
 // which clears nothing.
 const firstServerError = 500
 
-// checkHeldBack refuses a call under which instances ended, unless it is let through to
+// checkQuarantine refuses a call under which instances ended, unless it is let through to
 // see. A body that is still on its way was judged by the caller's daemon, which knows it
-// whole. Errors: CallNotRunHeldBack.
-func (o *Origin) checkHeldBack(call *callapi.Call) error {
+// whole. Errors: CallNotRunQuarantined.
+func (o *Origin) checkQuarantine(call *callapi.Call) error {
 	head := fingerprint.HeadOf(fingerprint.LineOf(call.Open))
-	if call.Open.GetTrial() || !o.config.Endings.Suspected(head) {
+	if call.Open.GetTrial() || !o.config.Crashes.Suspected(head) {
 		return nil
 	}
 	if call.Body != nil && !call.Buffered {
@@ -318,8 +318,8 @@
 	if err != nil {
 		return result.Wrap(result.CallNotRunExpired, err, "reading the request")
 	}
-	verdict := o.config.Endings.Judge(fingerprint.Of(fingerprint.LineOf(call.Open), content).Whole(), call.Open.GetCallerService())
-	return HeldBack(verdict)
+	verdict := o.config.Crashes.Judge(fingerprint.Of(fingerprint.LineOf(call.Open), content).Whole(), call.Open.GetCallerService())
+	return Quarantined(verdict)
 }
 
 // atHand returns a short body that is there already, and leaves it to be read again.
@@ -335,13 +335,13 @@
 	return content, nil
 }
 
-// HeldBack returns the error for a request that is held back, nil for any other.
-func HeldBack(verdict quarantine.Verdict) error {
-	if !verdict.Held {
+// Quarantined returns the error for a request that is held back, nil for any other.
+func Quarantined(verdict quarantine.Verdict) error {
+	if !verdict.Quarantined {
 		return nil
 	}
-	refusal := result.Errorf(result.CallNotRunHeldBack, "%d instances ended under what %s names", verdict.Ended, verdict.Key)
+	refusal := result.Errorf(result.CallNotRunQuarantined, "%d instances ended under what %s names", verdict.Crashes, verdict.Key)
 	refusal.RetryAfter = verdict.RetryAfter
-	refusal.Ended = verdict.Ended
+	refusal.Crashes = verdict.Crashes
 	return refusal
 }
--- a/internal/origin/aboard_test.go
+++ b/internal/origin/inflight_test.go
@@ -19,23 +19,23 @@
 	"github.com/lapisvane/lapisvane/internal/result"
 )
 
-// recorder is an Endings that counts as a book does, and remembers what ended.
+// recorder is an Crashes that counts as a registry does, and remembers what ended.
 type recorder struct {
-	*quarantine.Book
+	*quarantine.Registry
 	mutex sync.Mutex
-	ends  [][]quarantine.Aboard
+	ends  [][]quarantine.InFlight
 }
 
-func (r *recorder) Ended(_ string, id uint64, aboard []quarantine.Aboard) {
+func (r *recorder) Crashed(_ string, id uint64, had []quarantine.InFlight) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.ends = append(r.ends, aboard)
-	r.Book.Ended(id, aboard)
+	r.ends = append(r.ends, had)
+	r.Registry.Crashed(id, had)
 }
 
-func (r *recorder) Answered(keys []fingerprint.Key) { r.Book.Answered(keys) }
+func (r *recorder) Answered(keys []fingerprint.Key) { r.Registry.Answered(keys) }
 
-func (r *recorder) seen() [][]quarantine.Aboard {
+func (r *recorder) seen() [][]quarantine.InFlight {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return r.ends
@@ -114,58 +114,58 @@
 func startOrigin(t *testing.T) (*breaking, *Origin, *recorder) {
 	t.Helper()
 	instance := startBreaking(t)
-	endings := &recorder{Book: quarantine.NewBook(time.Now)}
+	crashes := &recorder{Registry: quarantine.NewRegistry(time.Now)}
 	origin := New(Config{
-		Backends: []BackendConfig{{Service: "desk", Instance: "desk-1", Address: instance.listener.Addr().String()}}, Endings: endings,
+		Backends: []BackendConfig{{Service: "desk", Instance: "desk-1", Address: instance.listener.Addr().String()}}, Crashes: crashes,
 		QueueLength: 10, QueueTime: time.Second,
 	})
-	return instance, origin, endings
+	return instance, origin, crashes
 }
 
 // An instance that ends takes all its calls with it: each is told so, and all are named.
 func TestEndOfAnInstanceIsNoticed(t *testing.T) {
-	instance, origin, endings := startOrigin(t)
+	instance, origin, crashes := startOrigin(t)
 	beside := make(chan error, 1)
 	go func() { beside <- ask(origin, "/wait") }()
 	<-instance.waiting
 	for _, err := range []error{ask(origin, "/end"), <-beside} {
 		var ended *result.Error
 		assert.Assert(t, errors.As(err, &ended))
-		assert.Equal(t, ended.Code, result.CallInstanceEnded)
-		assert.Equal(t, ended.Ended, 1)
+		assert.Equal(t, ended.Code, result.CallInstanceCrashed)
+		assert.Equal(t, ended.Crashes, 1)
 		assert.Equal(t, callapi.OutcomeOf(err), callapi.OutcomeUnknown)
 	}
-	ends := endings.seen()
+	ends := crashes.seen()
 	assert.Equal(t, len(ends), 1)
 	assert.Equal(t, len(ends[0]), 2)
-	for _, aboard := range ends[0] {
-		assert.Equal(t, aboard.Caller, "shop")
+	for _, had := range ends[0] {
+		assert.Equal(t, had.Caller, "shop")
 	}
 }
 
 // A call that breaks off alone is no end, whether others are in flight or not.
 func TestBrokenCallIsNoEnd(t *testing.T) {
-	instance, origin, endings := startOrigin(t)
+	instance, origin, crashes := startOrigin(t)
 	assert.Assert(t, result.Is(ask(origin, "/break"), result.CallUnknownOutcome))
 	go func() { _ = ask(origin, "/wait") }()
 	<-instance.waiting
 	assert.Assert(t, result.Is(ask(origin, "/break"), result.CallUnknownOutcome))
-	assert.Equal(t, len(endings.seen()), 0)
+	assert.Equal(t, len(crashes.seen()), 0)
 }
 
 // What is held back does not reach the instance, and an answer clears what is suspected.
 func TestHeldBackBesideTheInstance(t *testing.T) {
-	_, origin, endings := startOrigin(t)
+	_, origin, crashes := startOrigin(t)
 	line := fingerprint.Line{Method: http.MethodGet, Host: "a.example", Target: "/answer"}
-	aboard := []quarantine.Aboard{{Head: fingerprint.HeadOf(line), Keys: fingerprint.Of(line, nil).Whole(), Caller: "shop"}}
-	endings.Ended("other", 1, aboard)
-	endings.Ended("other", 2, aboard)
+	had := []quarantine.InFlight{{Head: fingerprint.HeadOf(line), Keys: fingerprint.Of(line, nil).Whole(), Caller: "shop"}}
+	crashes.Crashed("other", 1, had)
+	crashes.Crashed("other", 2, had)
 	assert.NilError(t, ask(origin, "/answer"))
-	assert.Assert(t, !endings.Suspected(aboard[0].Head))
+	assert.Assert(t, !crashes.Suspected(had[0].Head))
 	for end := range uint64(3) {
-		endings.Ended("other", 3+end, aboard)
+		crashes.Crashed("other", 3+end, had)
 	}
 	err := ask(origin, "/answer")
-	assert.Assert(t, result.Is(err, result.CallNotRunHeldBack))
+	assert.Assert(t, result.Is(err, result.CallNotRunQuarantined))
 	assert.Equal(t, callapi.OutcomeOf(err), callapi.OutcomeNotRun)
 }
--- a/internal/origin/instance.go
+++ b/internal/origin/instance.go
@@ -63,8 +63,8 @@
 	logger     logr.Logger
 	// version is that of the instance's software, as its first heartbeat said.
 	version string
-	// aboard are the calls that it has.
-	aboard aboard
+	// inFlight are the calls that it has.
+	inFlight inFlight
 
 	// mutex protects everything below.
 	mutex sync.Mutex
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -40,8 +40,8 @@
 	Cold ColdBound
 	// Envelope names the header fields; the zero value stands for the default.
 	Envelope callapi.Envelope
-	// Endings hears of instances that ended; nil where nobody wants to know.
-	Endings Endings
+	// Crashes hears of instances that ended; nil where nobody wants to know.
+	Crashes Crashes
 	// Changed is called when the state of an instance changed.
 	Changed func()
 	// Decisions receives the lines about requests, nil for none, and Logger
@@ -96,8 +96,8 @@
 	if config.Logger.GetSink() == nil {
 		config.Logger = logr.Discard()
 	}
-	if config.Endings == nil {
-		config.Endings = nothingEnds{}
+	if config.Crashes == nil {
+		config.Crashes = noCrashes{}
 	}
 	if config.Changed == nil {
 		config.Changed = func() {}
@@ -379,11 +379,11 @@
 }
 
 // begin notes that a call, which came at the given time, starts; from then on it may have
-// run. Errors, all proving that it did not start: CallNotRunStopping, CallNotRunHeldBack,
+// run. Errors, all proving that it did not start: CallNotRunStopping, CallNotRunQuarantined,
 // CallNotRunDuplicate.
 func (o *Origin) begin(call *callapi.Call, came time.Time) error {
 	open := call.Open
-	if err := o.checkHeldBack(call); err != nil {
+	if err := o.checkQuarantine(call); err != nil {
 		return err
 	}
 	if err := o.checkLeaving(open, came); err != nil {
@@ -422,11 +422,10 @@
 func (o *Origin) run(ctx context.Context, instance *Instance, slot *admission.Slot, call *callapi.Call) (*callapi.Answer, error) {
 	handed := time.Now()
 	defer o.execute(call)()
-	boarding := board(call)
-	instance.aboard.enter(boarding)
-	response, err := instance.backend.roundTrip(ctx, call)
+	sent := track(call)
+	response, err := instance.backend.roundTrip(ctx, call, func() { instance.inFlight.add(sent) })
 	if err != nil {
-		err = o.ashore(ctx, instance, boarding, err)
+		err = o.noteUnanswered(ctx, instance, sent, err)
 		instance.noteCall(err, func() { o.ask(instance) })
 		slot.Release(false)
 		if callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
@@ -435,14 +434,14 @@
 		return nil, err
 	}
 	o.count(func(c *Counts) { c.HandedOver++ })
-	instance.aboard.leave(boarding)
+	instance.inFlight.remove(sent)
 	instance.noteCall(nil, nil)
 	if refusal := o.refusalOf(instance, response); refusal != nil {
 		_ = response.Body.Close()
 		slot.Release(result.Is(refusal, result.CallNotRunShed))
 		return nil, refusal
 	}
-	o.cleared(boarding, response.StatusCode)
+	o.cleared(sent, response.StatusCode)
 	head := headOf(response)
 	head.Load = instance.queue.Load()
 	head.ServiceMicros = uint32(time.Since(handed).Microseconds())
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -5,10 +5,10 @@
 // at any daemon. Only the daemon beside an instance sees it end; it cannot see which of the
 // calls in flight did it. So all of them are suspects, under the names of what they ask for
 // (package fingerprint). An answer clears: what an instance has answered does not end each
-// instance. A suspect under which heldAt instances ended without such an answer is held
+// instance. A suspect under which quarantineAt instances ended without such an answer is held
 // back; one under which repeatBelow did is not repeated by itself.
 //
-// What is known is a set of endings and a set of refuted ones for each suspect, which merge
+// What is known is a set of crashes and a set of refuted ones for each suspect, which merge
 // by union, so that daemons may tell each other in any order and more than once.
 //
 // The package does no I/O: time is passed in, and what is news is returned.
--- a/internal/quarantine/message.go
+++ b/internal/quarantine/message.go
@@ -15,8 +15,8 @@
 			Key: record.Key[:], Head: uint64(record.Head), Refuted: record.Refuted, Trials: record.Trials,
 			AgeMillis: uint64(record.Age.Milliseconds()), Stored: record.Stored,
 		}
-		for _, ending := range record.Endings {
-			suspect.Endings = append(suspect.Endings, &lapisv1.Ending{Id: ending.ID, Caller: ending.Caller})
+		for _, crash := range record.Crashes {
+			suspect.Crashes = append(suspect.Crashes, &lapisv1.Crash{Id: crash.ID, Caller: crash.Caller})
 		}
 		message.Suspects = append(message.Suspects, suspect)
 	}
@@ -37,8 +37,8 @@
 		}
 		refuted := suspect.GetRefuted()
 		record.Refuted = refuted[:min(len(refuted), maxRefuted)]
-		for _, ending := range suspect.GetEndings()[:min(len(suspect.GetEndings()), maxEndings)] {
-			record.Endings = append(record.Endings, Ending{ID: ending.GetId(), Caller: ending.GetCaller()})
+		for _, crash := range suspect.GetCrashes()[:min(len(suspect.GetCrashes()), maxCrashes)] {
+			record.Crashes = append(record.Crashes, Crash{ID: crash.GetId(), Caller: crash.GetCaller()})
 		}
 		records = append(records, record)
 	}
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/registry.go
@@ -12,22 +12,22 @@
 
 // Tunables of the decision.
 const (
-	// heldAt is the number of ended instances from which such requests are held back. The
+	// quarantineAt is the number of ended instances from which such requests are held back. The
 	// users' rule binds from three on; fewer would hold back more of those that only ran
 	// beside a guilty one.
-	heldAt = 3
+	quarantineAt = 3
 	// repeatBelow is the number of ended instances from which a daemon does not send such
 	// a request to another instance by itself. One repeat saves those that only ran beside
 	// a guilty one, five of six with six slots.
 	repeatBelow = 2
-	// memory is how long after its last ending a suspect is remembered.
+	// memory is how long after its last crash a suspect is remembered.
 	memory = time.Hour
-	// clearedMemory is how long refuted endings are remembered, so that news of them that
+	// clearedMemory is how long refuted crashes are remembered, so that news of them that
 	// was under way does not count again.
 	clearedMemory = time.Minute
 	// maxSuspects bounds what is remembered; a record is about 300 bytes.
 	maxSuspects = 4096
-	// trialAfter is the time after the last ending when one held-back request may run, to
+	// trialAfter is the time after the last crash when one held-back request may run, to
 	// see whether it still ends its instance. maxTrials bounds them, since each may cost an
 	// instance: with one visit of each of two further calling services they stay within the
 	// three that the users' rule allows.
@@ -37,8 +37,8 @@
 	maxTold = 512
 )
 
-// Aboard is a request that an instance had when it ended.
-type Aboard struct {
+// InFlight is a request that an instance had when it ended.
+type InFlight struct {
 	Head fingerprint.Head
 	// Keys are its names, at each level that is known.
 	Keys   []fingerprint.Key
@@ -47,11 +47,11 @@
 
 // Verdict is what is decided on a request.
 type Verdict struct {
-	// Held is true when it must not reach an instance.
-	Held bool
-	// Key names what it is held back for, Ended is the number of instances that ended.
-	Key   fingerprint.Key
-	Ended int
+	// Quarantined is true when it must not reach an instance.
+	Quarantined bool
+	// Key names what it is held back for, Crashes is the number of instances that ended.
+	Key     fingerprint.Key
+	Crashes int
 	// RetryAfter is the time until one may run again.
 	RetryAfter time.Duration
 	// TrialDue is true when one may be let through, by leave of the store.
@@ -59,8 +59,8 @@
 	Trials   uint32
 }
 
-// Book is what a daemon knows of suspects. It is safe for concurrent use.
-type Book struct {
+// Registry is what a daemon knows of suspects. It is safe for concurrent use.
+type Registry struct {
 	now func() time.Time
 	// suspected is the number of suspects, for a look without mutex.
 	suspected atomic.Int64
@@ -73,25 +73,25 @@
 	sweptAt time.Time
 }
 
-// entry is a record with the time of its newest ending in place of its age.
+// entry is a record with the time of its newest crash in place of its age.
 type entry struct {
 	Record
 	lastAt time.Time
-	// counted is true while the entry is in Book.heads.
+	// counted is true while the entry is in Registry.heads.
 	counted bool
 	// inStore is true once the store had the key, and clearedHere while this daemon has
 	// to take it out there.
 	inStore, clearedHere bool
 }
 
-// NewBook returns an empty book.
-func NewBook(now func() time.Time) *Book {
-	return &Book{now: now, entries: map[fingerprint.Key]*entry{}, heads: map[fingerprint.Head]int{}}
+// NewRegistry returns an empty registry.
+func NewRegistry(now func() time.Time) *Registry {
+	return &Registry{now: now, entries: map[fingerprint.Key]*entry{}, heads: map[fingerprint.Head]int{}}
 }
 
 // Suspected reports whether any request with the head is a suspect; when not, no other
 // question about it needs to be asked.
-func (b *Book) Suspected(head fingerprint.Head) bool {
+func (b *Registry) Suspected(head fingerprint.Head) bool {
 	if b.suspected.Load() == 0 {
 		return false
 	}
@@ -101,36 +101,36 @@
 }
 
 // Empty reports whether there is no suspect at all.
-func (b *Book) Empty() bool { return b.suspected.Load() == 0 }
+func (b *Registry) Empty() bool { return b.suspected.Load() == 0 }
 
-// Ended takes in that an instance ended with requests aboard. It returns the records that
+// Crashed takes in that an instance ended with requests in flight. It returns the records that
 // changed. Where some of them are known to have ended several instances, only those with
 // the most are suspected: the others ran beside them.
-func (b *Book) Ended(id uint64, aboard []Aboard) (changed []Record) {
+func (b *Registry) Crashed(id uint64, had []InFlight) (changed []Record) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.now()
 	b.sweep(now)
 	most := 0
-	for _, request := range aboard {
+	for _, request := range had {
 		most = max(most, b.count(request.Keys))
 	}
-	for _, request := range aboard {
+	for _, request := range had {
 		if most >= repeatBelow && b.count(request.Keys) < most {
 			continue
 		}
 		for _, key := range request.Keys {
-			changed = b.suspect(changed, key, request.Head, Ending{ID: id, Caller: request.Caller}, now)
+			changed = b.suspect(changed, key, request.Head, Crash{ID: id, Caller: request.Caller}, now)
 		}
 	}
 	return changed
 }
 
-// suspect adds an ending to the record of a key and the record to changed; the caller holds
+// suspect adds a crash to the record of a key and the record to changed; the caller holds
 // mutex.
-func (b *Book) suspect(changed []Record, key fingerprint.Key, head fingerprint.Head, ending Ending, now time.Time) []Record {
+func (b *Registry) suspect(changed []Record, key fingerprint.Key, head fingerprint.Head, crash Crash, now time.Time) []Record {
 	known := b.entryOf(key, head)
-	if !known.add(ending) {
+	if !known.add(crash) {
 		return changed
 	}
 	known.lastAt = now
@@ -142,17 +142,17 @@
 
 // Answered takes in that an instance answered a request with the keys: what ended others is
 // not this. It returns the records that changed.
-func (b *Book) Answered(keys []fingerprint.Key) (changed []Record) {
+func (b *Registry) Answered(keys []fingerprint.Key) (changed []Record) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.now()
 	for _, key := range keys {
 		known, ok := b.entries[key]
-		if !ok || len(known.Endings) == 0 {
+		if !ok || len(known.Crashes) == 0 {
 			continue
 		}
-		for _, ending := range slices.Clone(known.Endings) {
-			known.refute(ending.ID)
+		for _, crash := range slices.Clone(known.Crashes) {
+			known.refute(crash.ID)
 		}
 		known.Stored = false
 		known.clearedHere = known.inStore
@@ -164,7 +164,7 @@
 
 // Merge takes in what another daemon or the store knows and returns what was news, as it
 // stands now.
-func (b *Book) Merge(records []Record) (changed []Record) {
+func (b *Registry) Merge(records []Record) (changed []Record) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.now()
@@ -178,7 +178,7 @@
 		if at := now.Add(-record.Age); at.After(known.lastAt) {
 			known.lastAt = at
 		}
-		stored := record.Stored && len(record.Endings) >= len(known.Endings)
+		stored := record.Stored && len(record.Crashes) >= len(known.Crashes)
 		if news {
 			known.Here = false
 		}
@@ -194,13 +194,13 @@
 }
 
 // Count returns the number of instances that ended under a request with the keys.
-func (b *Book) Count(keys []fingerprint.Key) int {
+func (b *Registry) Count(keys []fingerprint.Key) int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	return b.count(keys)
 }
 
-func (b *Book) count(keys []fingerprint.Key) int {
+func (b *Registry) count(keys []fingerprint.Key) int {
 	most := 0
 	for _, key := range keys {
 		if known, ok := b.entries[key]; ok {
@@ -212,7 +212,7 @@
 
 // MayRepeat reports whether a daemon may send a request with the keys to another instance by
 // itself.
-func (b *Book) MayRepeat(keys []fingerprint.Key) bool { return MayRepeat(b.Count(keys)) }
+func (b *Registry) MayRepeat(keys []fingerprint.Key) bool { return MayRepeat(b.Count(keys)) }
 
 // MayRepeat reports whether a daemon may send a request to another instance by itself after
 // so many instances ended under what it asks for.
@@ -221,13 +221,13 @@
 // Judge decides on a request of a caller. It is held back when enough instances ended
 // under what it asks for, and one of them had it from the same caller: nobody can have the
 // requests of others held back by sending them himself.
-func (b *Book) Judge(keys []fingerprint.Key, caller string) Verdict {
+func (b *Registry) Judge(keys []fingerprint.Key, caller string) Verdict {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.now()
 	for _, key := range keys {
 		known, ok := b.entries[key]
-		if !ok || now.Sub(known.lastAt) > memory || known.Count() < heldAt || !known.from(caller) {
+		if !ok || now.Sub(known.lastAt) > memory || known.Count() < quarantineAt || !known.from(caller) {
 			continue
 		}
 		return known.verdict(now)
@@ -237,7 +237,7 @@
 
 // verdict is that on a request which is held back.
 func (e *entry) verdict(now time.Time) Verdict {
-	verdict := Verdict{Held: true, Key: e.Key, Ended: e.Count(), Trials: e.Trials}
+	verdict := Verdict{Quarantined: true, Key: e.Key, Crashes: e.Count(), Trials: e.Trials}
 	again := e.lastAt.Add(memory)
 	if e.Trials < maxTrials {
 		again = e.lastAt.Add(trialAfter)
@@ -248,7 +248,7 @@
 }
 
 // Tried notes that one request with the key was let through.
-func (b *Book) Tried(key fingerprint.Key, trials uint32) (changed []Record) {
+func (b *Registry) Tried(key fingerprint.Key, trials uint32) (changed []Record) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	known, ok := b.entries[key]
@@ -261,7 +261,7 @@
 
 // Told returns what a daemon that has just been connected to is told: the suspects, those
 // under which most instances ended first.
-func (b *Book) Told() []Record {
+func (b *Registry) Told() []Record {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.now()
@@ -277,7 +277,7 @@
 
 // Unstored returns what the store lacks: suspects that are not repeated any more, which must
 // outlast all daemons.
-func (b *Book) Unstored() []Record {
+func (b *Registry) Unstored() []Record {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.now()
@@ -291,7 +291,7 @@
 }
 
 // Store notes that the store has a record, unless it changed meanwhile.
-func (b *Book) Store(record Record) {
+func (b *Registry) Store(record Record) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	known, ok := b.entries[record.Key]
@@ -299,18 +299,18 @@
 		return
 	}
 	known.inStore = true
-	if len(known.Endings) <= len(record.Endings) {
+	if len(known.Crashes) <= len(record.Crashes) {
 		known.Stored = true
 	}
 }
 
 // Cleared returns the keys that this daemon cleared and the store still has; it is asked to
 // take them out once.
-func (b *Book) Cleared() (keys []fingerprint.Key) {
+func (b *Registry) Cleared() (keys []fingerprint.Key) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for key, known := range b.entries {
-		if known.clearedHere && len(known.Endings) == 0 {
+		if known.clearedHere && len(known.Crashes) == 0 {
 			keys = append(keys, key)
 		}
 		known.clearedHere = false
@@ -319,7 +319,7 @@
 }
 
 // Sizes returns the number of suspects, and of those held back.
-func (b *Book) Sizes() (suspects, held int) {
+func (b *Registry) Sizes() (suspects, held int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for _, known := range b.entries {
@@ -327,7 +327,7 @@
 		if count > 0 {
 			suspects++
 		}
-		if count >= heldAt {
+		if count >= quarantineAt {
 			held++
 		}
 	}
@@ -335,7 +335,7 @@
 }
 
 // entryOf returns the entry of a key, a new one where there is none; the caller holds mutex.
-func (b *Book) entryOf(key fingerprint.Key, head fingerprint.Head) *entry {
+func (b *Registry) entryOf(key fingerprint.Key, head fingerprint.Head) *entry {
 	known, ok := b.entries[key]
 	if ok {
 		return known
@@ -349,8 +349,8 @@
 }
 
 // recount follows whether an entry is a suspect; the caller holds mutex.
-func (b *Book) recount(known *entry) {
-	suspected := len(known.Endings) > 0
+func (b *Registry) recount(known *entry) {
+	suspected := len(known.Crashes) > 0
 	if suspected == known.counted {
 		return
 	}
@@ -367,21 +367,21 @@
 }
 
 // remove forgets an entry; the caller holds mutex.
-func (b *Book) remove(known *entry) {
-	known.Endings = nil
+func (b *Registry) remove(known *entry) {
+	known.Crashes = nil
 	b.recount(known)
 	delete(b.entries, known.Key)
 }
 
 // sweep forgets what is old; the caller holds mutex.
-func (b *Book) sweep(now time.Time) {
+func (b *Registry) sweep(now time.Time) {
 	if now.Sub(b.sweptAt) < clearedMemory {
 		return
 	}
 	b.sweptAt = now
 	for _, known := range b.entries {
 		keep := memory
-		if len(known.Endings) == 0 {
+		if len(known.Crashes) == 0 {
 			keep = clearedMemory
 		}
 		if now.Sub(known.lastAt) > keep {
@@ -390,10 +390,10 @@
 	}
 }
 
-// evict forgets one entry of the caller that has the most, so that none can make the book
-// forget what others did: the one with the fewest endings, of those the oldest. The caller
+// evict forgets one entry of the caller that has the most, so that none can make the registry
+// forget what others did: the one with the fewest crashes, of those the oldest. The caller
 // holds mutex.
-func (b *Book) evict() {
+func (b *Registry) evict() {
 	sizes := map[string]int{}
 	for _, known := range b.entries {
 		sizes[known.owner()]++
@@ -415,14 +415,14 @@
 
 // owner is the caller that an entry counts for.
 func (e *entry) owner() string {
-	if len(e.Endings) == 0 {
+	if len(e.Crashes) == 0 {
 		return ""
 	}
-	return e.Endings[0].Caller
+	return e.Crashes[0].Caller
 }
 
 // recordOf returns an entry's record; the caller holds mutex.
-func (b *Book) recordOf(known *entry, now time.Time) Record {
+func (b *Registry) recordOf(known *entry, now time.Time) Record {
 	record := known.clone()
 	record.Age = max(now.Sub(known.lastAt), 0)
 	return record
--- a/internal/result/code.go
+++ b/internal/result/code.go
@@ -83,8 +83,8 @@
 	CallNotRunEvacuated   Code = 5020
 	CallNotRunCold        Code = 5021
 	CallNotRunRegion      Code = 5022
-	CallInstanceEnded     Code = 5023
-	CallNotRunHeldBack    Code = 5024
+	CallInstanceCrashed   Code = 5023
+	CallNotRunQuarantined Code = 5024
 
 	ProtocolBadFrame    Code = 6001
 	ProtocolTooLarge    Code = 6002
@@ -183,8 +183,8 @@
 	{CallNotRunEvacuated, "call-not-run-evacuated", "The back end's zone is evacuated. The call did not run.", "Repeat after the time given; see docs/operations/evacuation.md."},
 	{CallNotRunCold, "call-not-run-cold", "The back end has just started and takes no more calls for now. The call did not run.", "Repeat after the time given; see docs/operations/cold-starts.md."},
 	{CallNotRunRegion, "call-not-run-region", "The back end is in a region where the call may not run. It did not run.", "Add instances in an allowed region, or allow more regions."},
-	{CallInstanceEnded, "call-instance-ended", "The back end ended while it had the call. It may have run.", "Ask the service what happened before repeating; see docs/operations/held-back.md."},
-	{CallNotRunHeldBack, "call-not-run-held-back", "Back ends ended under what the request asks for; it is held back. It did not run.", "Correct the request or the service; see docs/operations/held-back.md."},
+	{CallInstanceCrashed, "call-instance-crashed", "The back end ended while it had the call. It may have run.", "Ask the service what happened before repeating; see docs/operations/quarantine.md."},
+	{CallNotRunQuarantined, "call-not-run-quarantined", "Back ends ended under what the request asks for; it is held back. It did not run.", "Correct the request or the service; see docs/operations/quarantine.md."},
 	{ProtocolBadFrame, "protocol-bad-frame", "Bytes received are not a frame of the protocol.", "None; the connection is closed."},
 	{ProtocolTooLarge, "protocol-too-large", "A frame is larger than allowed.", "None; the connection is closed."},
 	{ProtocolBadVersion, "protocol-bad-version", "The peer speaks another version of the protocol.", "Bring the releases closer together."},
@@ -241,7 +241,7 @@
 	case CallNoRoute, CallNoEndpoint, CallNotReady, CallNotRunDraining, CallNotRunOverloaded,
 		CallNotRunExpired, CallNotRunUnreachable, CallNotRunDuplicate, CallBadRequest,
 		CallNotRunShed, CallNotRunUnknownHere, CallNotRunStopping, CallHeadTooLarge, CallBodyTooLarge, CallRequestTimeout,
-		CallNotRunEvacuated, CallNotRunCold, CallNotRunRegion, CallNotRunHeldBack:
+		CallNotRunEvacuated, CallNotRunCold, CallNotRunRegion, CallNotRunQuarantined:
 		return true
 	default:
 		return false
--- a/internal/result/error.go
+++ b/internal/result/error.go
@@ -16,9 +16,9 @@
 	Cause error
 	// RetryAfter tells when trying again makes sense; 0 when not known.
 	RetryAfter time.Duration
-	// Ended is the number of instances that ended under what a call asks for; 0 for an
+	// Crashes is the number of instances that ended under what a call asks for; 0 for an
 	// error that is not about the end of one.
-	Ended int
+	Crashes int
 }
 
 // Error renders the code's number and name before the detail.
