--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -18,6 +18,8 @@
 	eventCallFailed    = "call.failed"
 	eventCallAnswered  = "call.answered"
 	eventAttemptFailed = "call.attempt_failed"
+	// eventCallPanicked is for a request that made this daemon panic.
+	eventCallPanicked = "call.panicked"
 )
 
 // firstServerError is the least status of a back end's answer that says that it
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -262,7 +263,7 @@
 // serve sees one request through.
 func (g *Gateway) serve(ctx context.Context, exchange *pipeline.Exchange) {
 	rc := exchange.Request
-	route, err := g.handle(ctx, exchange)
+	route, err := g.contained(ctx, exchange)
 	code, _ := result.CodeOf(err)
 	g.metrics.calls.WithLabelValues(route.GetName(), code.String()).Inc()
 	if err == nil {
@@ -277,6 +278,18 @@
 	g.writeFailure(rc, err)
 }
 
+// contained sees a request through, and has a panic end that request only: the daemon would
+// take all its calls with it, and the request come again at the next one.
+func (g *Gateway) contained(ctx context.Context, exchange *pipeline.Exchange) (route *lapisv1.Route, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = result.Errorf(result.CallUnknownOutcome, "panic: %v", cause)
+			g.config.Decisions.Failure(eventCallPanicked, g.requestID(exchange.Request), "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+		}
+	}()
+	return g.handle(ctx, exchange)
+}
+
 // handle sees a request through. An error is answered by the caller unless the
 // answer has begun.
 func (g *Gateway) handle(ctx context.Context, exchange *pipeline.Exchange) (*lapisv1.Route, error) {
--- a/internal/origin/decisions.go
+++ b/internal/origin/decisions.go
@@ -17,6 +17,8 @@
 	eventRefused  = "origin.refused"
 	eventBroke    = "origin.broke"
 	eventAnswered = "origin.answered"
+	// eventPanicked is for a call that made this daemon panic.
+	eventPanicked = "origin.panicked"
 )
 
 // requestID returns the caller's id of the request that a call is for; empty
--- a/internal/origin/inflight.go
+++ b/internal/origin/inflight.go
@@ -303,15 +303,18 @@
 // which clears nothing.
 const firstServerError = 500
 
+// maxJudgedBody is the longest body that is read whole here before it is judged. Longer ones
+// come in pieces; the caller's daemon reads them whole.
+const maxJudgedBody = 64 << 10
+
 // checkQuarantine refuses a call under which instances ended, unless it is let through to
-// see. A body that is still on its way was judged by the caller's daemon, which knows it
-// whole. Errors: CallNotRunQuarantined.
+// see. The caller's daemon does so too; this one may know more. Errors: CallNotRunQuarantined.
 func (o *Origin) checkQuarantine(call *callapi.Call) error {
 	head := fingerprint.HeadOf(fingerprint.LineOf(call.Open))
 	if call.Open.GetTrial() || !o.config.Crashes.Suspected(head) {
 		return nil
 	}
-	if call.Body != nil && !call.Buffered {
+	if length := call.Open.GetContentLength(); call.Body != nil && (length < 0 || length > maxJudgedBody) {
 		return nil
 	}
 	content, err := atHand(call)
@@ -322,7 +325,7 @@
 	return Quarantined(verdict)
 }
 
-// atHand returns a short body that is there already, and leaves it to be read again.
+// atHand returns a short body and leaves it to be read again.
 func atHand(call *callapi.Call) ([]byte, error) {
 	if call.Body == nil {
 		return nil, nil
--- a/internal/origin/inflight_test.go
+++ b/internal/origin/inflight_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -169,3 +171,42 @@
 	assert.Assert(t, result.Is(err, result.CallNotRunQuarantined))
 	assert.Equal(t, callapi.OutcomeOf(err), callapi.OutcomeNotRun)
 }
+
+// A short body from another daemon, which comes in pieces, is judged beside the instance too.
+func TestShortBodiesAreJudgedBesideTheInstance(t *testing.T) {
+	_, origin, crashes := startOrigin(t)
+	line := fingerprint.Line{Method: http.MethodPost, Host: "a.example", Target: "/answer"}
+	had := []quarantine.InFlight{{Head: fingerprint.HeadOf(line), Keys: fingerprint.Of(line, []byte("deadly")).Whole(), Caller: "shop"}}
+	for end := range uint64(3) {
+		crashes.Crashed("other", end, had)
+	}
+	for body, code := range map[string]result.Code{"deadly": result.CallNotRunQuarantined, "harmless": result.OK} {
+		answer, err := origin.Handle(context.Background(), &callapi.Call{Body: strings.NewReader(body), Open: &lapisv1.CallOpen{
+			Service: "desk", Instance: "desk-1", Method: line.Method, Target: line.Target, Host: line.Host, ContentLength: int64(len(body)),
+			AttemptId: body, CallerService: "shop",
+		}})
+		if err == nil {
+			_ = answer.Body.Close()
+		}
+		got, _ := result.CodeOf(err)
+		assert.Equal(t, got, code, body)
+	}
+}
+
+// A call that makes the daemon panic ends alone.
+func TestPanicEndsOneCall(t *testing.T) {
+	_, origin, _ := startOrigin(t)
+	for try := range 2 * DefaultSlots {
+		_, err := origin.Handle(context.Background(), &callapi.Call{Body: panicking{}, Buffered: true, Open: &lapisv1.CallOpen{
+			Service: "desk", Instance: "desk-1", Method: http.MethodPost, Target: "/answer", Host: "a.example", ContentLength: 5, AttemptId: fmt.Sprint(try),
+		}})
+		assert.Assert(t, result.Is(err, result.CallUnknownOutcome))
+	}
+	assert.NilError(t, ask(origin, "/answer"))
+	assert.Equal(t, origin.InFlight(), 0)
+}
+
+// panicking is a body whose reading panics.
+type panicking struct{}
+
+func (panicking) Read([]byte) (int, error) { panic("on purpose") }
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -271,7 +273,7 @@
 // Handle implements callapi.Handler.
 func (o *Origin) Handle(ctx context.Context, call *callapi.Call) (*callapi.Answer, error) {
 	began := time.Now()
-	answer, err := o.handle(ctx, call)
+	answer, err := o.contained(ctx, call)
 	if callapi.OutcomeOf(err) == callapi.OutcomeNotRun {
 		o.count(func(c *Counts) { c.Refused++ })
 	}
@@ -281,6 +283,18 @@
 	return answer, err
 }
 
+// contained carries a call out, and has a panic end that call only: the daemon would take all
+// its calls with it, and the request come again at the next one.
+func (o *Origin) contained(ctx context.Context, call *callapi.Call) (answer *callapi.Answer, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			answer, err = nil, result.Errorf(result.CallUnknownOutcome, "panic: %v", cause)
+			o.config.Decisions.Failure(eventPanicked, o.requestID(call), "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+		}
+	}()
+	return o.handle(ctx, call)
+}
+
 func (o *Origin) handle(ctx context.Context, call *callapi.Call) (*callapi.Answer, error) {
 	open := call.Open
 	instance, ok := o.instance(open.GetService(), open.GetInstance())
@@ -351,16 +365,23 @@
 	if err != nil {
 		return nil, err
 	}
+	over := false
+	defer func() {
+		if !over {
+			// A panic must not keep the slot.
+			slot.Release(false)
+		}
+	}()
 	waited := time.Since(now)
 	err = checkSuspended(open, waited, boottime.Suspended()-suspendedBefore)
 	if err == nil {
 		err = o.begin(call, now)
 	}
 	if err != nil {
-		slot.Release(false)
 		return nil, err
 	}
 	answer, err := o.run(ctx, instance, slot, call)
+	over = true
 	if err == nil {
 		o.logAnswer(instance, call, answer, waited)
 	}
