--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -344,64 +344,6 @@
 	return route, g.finish(callCtx, exchange, attempt)
 }
 
-// finish runs the attempts and passes the answer on.
-func (g *Gateway) finish(ctx context.Context, exchange *pipeline.Exchange, attempt *attempter) error {
-	for tries := range defaultMaxAttempts {
-		done, err := attempt.run(ctx)
-		if err != nil {
-			return err
-		}
-		g.metrics.latency.Observe(time.Since(exchange.Arrived).Seconds())
-		attempt.logAnswer(done)
-		err = g.deliver(ctx, exchange, attempt, done)
-		if err == nil {
-			return nil
-		}
-		attempt.noteOutcome(err)
-		begun := exchange.Request.Response.GetHijackWriter() != nil
-		again := !begun && tries < defaultMaxAttempts-1 && attempt.mayRetry(ctx, err)
-		attempt.logAttempt(ctx, done.target, err, again)
-		if !again {
-			return err
-		}
-	}
-	return nil
-}
-
-// deliver passes one answer on to the caller.
-func (g *Gateway) deliver(ctx context.Context, exchange *pipeline.Exchange, attempt *attempter, done outcome) error {
-	rc := exchange.Request
-	defer done.target.End()
-	defer func() { _ = done.answer.Body.Close() }()
-	head := done.answer.Head
-	method := attempt.open.GetMethod()
-	if hasNoBody(method, head.GetStatus()) {
-		_, _ = readWhole(done.answer)
-		g.writeHead(rc, head)
-		if method == http.MethodHead && head.GetContentLength() >= 0 {
-			rc.Response.Header.SetContentLength(int(head.GetContentLength()))
-			rc.Response.SkipBody = true
-		}
-		return nil
-	}
-	if length := head.GetContentLength(); length >= 0 && length <= wholeAnswerBytes && exchange.Hold(length) {
-		content, err := readWhole(done.answer)
-		if err != nil {
-			g.observe(done.target, err)
-			return err
-		}
-		g.writeHead(rc, head)
-		rc.Response.SetBodyRaw(content)
-		return nil
-	}
-	g.writeHead(rc, head)
-	err := streamAnswer(ctx, exchange, done.answer)
-	if err != nil {
-		g.observe(done.target, err)
-	}
-	return err
-}
-
 // openOf returns the opening common to all attempts at a call.
 func (g *Gateway) openOf(rc *app.RequestContext, route *lapisv1.Route, revision uint64, method string, body *requestBody) *lapisv1.CallOpen {
 	class := route.GetCallClass()
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net/http"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -439,93 +437,3 @@
 		o.repeating.Add(-repeats)
 	}
 }
-
-func (o *Origin) run(ctx context.Context, instance *Instance, slot *admission.Slot, call *callapi.Call) (*callapi.Answer, error) {
-	handed := time.Now()
-	defer o.execute(call)()
-	sent := track(call)
-	response, err := instance.backend.roundTrip(ctx, call, func() { instance.inFlight.add(sent) })
-	if err != nil {
-		err = o.noteUnanswered(ctx, instance, sent, err)
-		instance.noteCall(err, func() { o.ask(instance) })
-		slot.Release(false)
-		if callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
-			o.count(func(c *Counts) { c.HandedOver++; c.Broken++ })
-		}
-		return nil, err
-	}
-	o.count(func(c *Counts) { c.HandedOver++ })
-	instance.inFlight.remove(sent)
-	instance.noteCall(nil, nil)
-	if refusal := o.refusalOf(instance, response); refusal != nil {
-		_ = response.Body.Close()
-		slot.Release(result.Is(refusal, result.CallNotRunShed))
-		return nil, refusal
-	}
-	o.cleared(sent, response.StatusCode)
-	head := headOf(response)
-	head.Load = instance.queue.Load()
-	head.ServiceMicros = uint32(time.Since(handed).Microseconds())
-	broke := func(err error) {
-		instance.noteCall(err, func() { o.ask(instance) })
-		o.logFailure(call, err, handed)
-	}
-	body := &answerBody{body: response.Body, slot: slot, broke: broke}
-	return &callapi.Answer{
-		Head: head, Body: body,
-		Trailers: func() []*lapisv1.HeaderField { return fieldsOf(response.Trailer) },
-	}, nil
-}
-
-// refusalOf returns the error for an answer which states that the back end did
-// not run the request, nil for any other. An instance that is not the one the
-// request was meant for has taken its address.
-func (o *Origin) refusalOf(instance *Instance, response *http.Response) error {
-	if o.config.Envelope.ExpectedInstance != "" && response.StatusCode == http.StatusMisdirectedRequest {
-		o.replaced(instance)
-		return result.Errorf(result.CallNotRunUnknownHere, "another instance answers at the address of %s", instance.Name)
-	}
-	if response.Header.Get(o.config.Envelope.NotRun) == "" {
-		return nil
-	}
-	switch response.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return shedError(response)
-	default:
-		return nil
-	}
-}
-
-func shedError(response *http.Response) error {
-	refusal := result.Errorf(result.CallNotRunShed, "the back end answered %d", response.StatusCode)
-	if seconds, err := time.ParseDuration(response.Header.Get("Retry-After") + "s"); err == nil {
-		refusal.RetryAfter = seconds
-	}
-	return refusal
-}
-
-// answerBody gives the slot back when the answer has been read.
-type answerBody struct {
-	body io.ReadCloser
-	slot *admission.Slot
-	// broke is called when the answer breaks off.
-	broke func(error)
-}
-
-func (a *answerBody) Read(buffer []byte) (int, error) {
-	count, err := a.body.Read(buffer)
-	if err != nil {
-		a.slot.Release(false)
-	}
-	if err != nil && err != io.EOF {
-		err = result.Wrap(result.CallTruncated, err, "the answer broke off")
-		a.broke(err)
-	}
-	return count, err
-}
-
-func (a *answerBody) Close() error {
-	err := a.body.Close()
-	a.slot.Release(false)
-	return err
-}
