--- a/internal/origin/inflight.go
+++ b/internal/origin/inflight.go
@@ -104,23 +104,30 @@
 	return count, err
 }
 
+// isWhole reports whether the instance was sent the whole body.
+func (f *flight) isWhole() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.whole
+}
+
 // keys returns the call's names, as far as its body is known.
-func (p *flight) keys() []fingerprint.Key {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	line, length := fingerprint.LineOf(p.open), p.open.GetContentLength()
-	if !p.whole {
+func (f *flight) keys() []fingerprint.Key {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	line, length := fingerprint.LineOf(f.open), f.open.GetContentLength()
+	if !f.whole {
 		return []fingerprint.Key{fingerprint.PartialOf(line, length)}
 	}
-	return fingerprint.OfDigest(line, length, p.digest).Whole()
+	return fingerprint.OfDigest(line, length, f.digest).Whole()
 }
 
 // allKeys returns also the name under which the call would be known had its body not been
 // read to its end.
-func (p *flight) allKeys() []fingerprint.Key {
-	keys := p.keys()
-	if p.open.GetContentLength() != 0 {
-		keys = append(keys, fingerprint.PartialOf(fingerprint.LineOf(p.open), p.open.GetContentLength()))
+func (f *flight) allKeys() []fingerprint.Key {
+	keys := f.keys()
+	if f.open.GetContentLength() != 0 {
+		keys = append(keys, fingerprint.PartialOf(fingerprint.LineOf(f.open), f.open.GetContentLength()))
 	}
 	return keys
 }
@@ -291,9 +298,10 @@
 }
 
 // cleared takes in that an instance answered a call: if instances ended under such calls,
-// it was not because of them.
+// it was not because of them. An answer that came before the whole body went there says
+// nothing: the call may not have run.
 func (o *Origin) cleared(answered *flight, status int) {
-	if status >= firstServerError || !o.config.Crashes.Suspected(fingerprint.HeadOf(fingerprint.LineOf(answered.open))) {
+	if status >= firstServerError || !answered.isWhole() || !o.config.Crashes.Suspected(fingerprint.HeadOf(fingerprint.LineOf(answered.open))) {
 		return
 	}
 	o.config.Crashes.Answered(answered.allKeys())
--- a/internal/origin/inflight_test.go
+++ b/internal/origin/inflight_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -85,7 +86,7 @@
 		b.end()
 	case "/break":
 		_ = conn.Close()
-	case "/answer":
+	case "/early", "/answer":
 		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 	default:
 		b.waiting <- struct{}{}
@@ -210,3 +211,20 @@
 type panicking struct{}
 
 func (panicking) Read([]byte) (int, error) { panic("on purpose") }
+
+// An answer that comes before the body clears nothing.
+func TestEarlyAnswerClearsNothing(t *testing.T) {
+	_, origin, crashes := startOrigin(t)
+	line := fingerprint.Line{Method: http.MethodPost, Host: "a.example", Target: "/early"}
+	key := fingerprint.PartialOf(line, maxJudgedBody+1)
+	crashes.Crashed("other", 1, []quarantine.InFlight{{Head: fingerprint.HeadOf(line), Keys: []fingerprint.Key{key}, Caller: "shop"}})
+	reader, writer := io.Pipe()
+	answer, err := origin.Handle(context.Background(), &callapi.Call{Body: reader, Open: &lapisv1.CallOpen{
+		Service: "desk", Instance: "desk-1", Method: line.Method, Target: line.Target, Host: line.Host, ContentLength: maxJudgedBody + 1,
+		AttemptId: "early", CallerService: "shop",
+	}})
+	assert.NilError(t, err)
+	_ = writer.Close()
+	_ = answer.Body.Close()
+	assert.Equal(t, crashes.Count([]fingerprint.Key{key}), 1)
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -56,11 +56,18 @@
 	return slices.ContainsFunc(r.Crashes, func(crash Crash) bool { return crash.Caller == caller })
 }
 
-// add takes in a crash; it reports whether that is news.
+// add takes in a crash; it reports whether that is news. In a full record one from a caller
+// that is in none yet takes the place of the oldest.
 func (r *Record) add(crash Crash) bool {
-	if slices.Contains(r.Refuted, crash.ID) || slices.Contains(r.Crashes, crash) || len(r.Crashes) >= maxCrashes {
+	if slices.Contains(r.Refuted, crash.ID) || slices.Contains(r.Crashes, crash) {
 		return false
 	}
+	if len(r.Crashes) >= maxCrashes {
+		if r.from(crash.Caller) {
+			return false
+		}
+		r.Crashes = slices.Delete(r.Crashes, 0, 1)
+	}
 	r.Crashes = append(r.Crashes, crash)
 	return true
 }
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -194,3 +194,17 @@
 	assert.Equal(t, len(other.Unstored()), 0)
 	assert.Equal(t, len(other.Merge([]Record{stored})), 0)
 }
+
+// However many instances ended under what one caller sends, another one is held back from its
+// first on.
+func TestFullRecordKnowsEachCaller(t *testing.T) {
+	b := newBench()
+	for end := range uint64(2 * maxCrashes) {
+		b.Registry.Crashed(end, []InFlight{inFlightOf("/deadly", "one")})
+	}
+	other := inFlightOf("/deadly", "other")
+	assert.Assert(t, !b.Judge(other.Keys, "other").Quarantined)
+	b.Registry.Crashed(1000, []InFlight{other})
+	assert.Assert(t, b.Judge(other.Keys, "other").Quarantined)
+	assert.Assert(t, b.Judge(other.Keys, "one").Quarantined)
+}
