--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -10,8 +10,9 @@
 // Tunables of a pace.
 const (
 	// paceMargin is the part of the bound of a second that is left free: calls that
-	// are admitted apart may arrive at the back end closer together.
-	paceMargin = 0.1
+	// are admitted apart may arrive at the back end closer together. With a tenth, 15
+	// arrived in a second of a users' day, of 14.75 allowed.
+	paceMargin = 0.15
 	// usualBurst is the number of calls admitted at once after a pause, as far as
 	// the bound leaves room: a back end takes them one behind the other.
 	usualBurst = 2
--- a/internal/origin/cold_test.go
+++ b/internal/origin/cold_test.go
@@ -201,7 +201,7 @@
 		bench.mustBeHeard()
 		assert.Assert(t, bench.cold())
 		assert.Equal(t, len(bench.lines), 4, "%q", bench.lines)
-		assert.Assert(t, contains(bench.lines[1], `"instance.cold"`, `"source"="start"`, `"rate"=4`, `"pace"=8.8`, `"burst"=2`, `"cold_ms"=3000`), "%s", bench.lines[1])
+		assert.Assert(t, contains(bench.lines[1], `"instance.cold"`, `"source"="start"`, `"rate"=4`, `"pace"=8.2`, `"burst"=2`, `"cold_ms"=3000`), "%s", bench.lines[1])
 		assert.Assert(t, contains(bench.lines[2], `"instance.warm"`, `"admitted_cold"=8`), "%s", bench.lines[2])
 		assert.Assert(t, contains(bench.lines[3], `"instance.cold"`, `"source"="evacuation_end"`), "%s", bench.lines[3])
 	})
