--- a/internal/callapi/callapi.go
+++ b/internal/callapi/callapi.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"io"
+	"net"
+	"strings"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/result"
@@ -34,6 +36,18 @@
 	OutcomeUnknown = "unknown"
 )
 
+// FirstServerError is the least status of a back end's answer that says that it failed.
+const FirstServerError = 500
+
+// HostName returns a host as routes name it: in lower case and without port.
+func HostName(host string) string {
+	host = strings.ToLower(host)
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
 // Call is one attempt at a call.
 type Call struct {
 	Open *lapisv1.CallOpen
--- a/internal/daemon/direct.go
+++ b/internal/daemon/direct.go
@@ -74,7 +74,7 @@
 	part.fleet = fleet.New(fleet.Config{
 		Self:        fleet.Member{Node: d.settings.Load().Node, Address: d.listeners.peer.Addr().String(), Zone: d.settings.Load().Zone, Region: d.settings.Load().Region, Service: d.settings.Load().Service},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: d.calls, Observer: part,
-		InForce: part.inForce.Load, Orders: part.ordersInForce(), Suspects: d.suspects.Told, Freshness: &part.freshness, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
+		InForce: part.inForce.Load, Orders: part.ordersInForce(), Suspects: d.suspects.Known, Freshness: &part.freshness, Withdrawn: d.origin.Withdrawn, Random: rand.Float64, Logger: d.logger,
 	})
 	part.follower = &configsource.Follower{
 		Source: platform.Source(), Apply: part.Offer, Freshness: &part.freshness, Confirmed: part.fleet.Beat,
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -96,7 +96,7 @@
 	granted, err := s.store.Try(ctx, verdict.Key, verdict.Trials)
 	s.logger.Info("request.trial", "key", verdict.Key, "ended", verdict.Crashes, "trials", verdict.Trials, "granted", granted, "error", err)
 	// Whoever got leave, and also when nobody can tell: one trial less is left.
-	s.spread(s.Tried(verdict.Key, verdict.Trials+1), "")
+	s.spread(s.NoteTried(verdict.Key, verdict.Trials+1), "")
 	return granted
 }
 
@@ -179,7 +179,7 @@
 			return 0, err
 		}
 		delete(k.due, record.Key)
-		k.Store(record)
+		k.NoteStored(record)
 		record.Stored = true
 		k.spread([]quarantine.Record{record}, "")
 		k.logger.Info("quarantine.stored", "key", record.Key, "ended", record.Count())
--- a/internal/emulator/day/deadly_test.go
+++ b/internal/emulator/day/deadly_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/internal/emulator/day"
+	"github.com/lapisvane/lapisvane/internal/quarantine"
 	"github.com/lapisvane/lapisvane/platform"
 )
 
@@ -54,7 +57,7 @@
 	defer cancel()
 	assert.NilError(t, site.AwaitReady(ctx))
 	awaitServed(t, tally, 50)
-	time.Sleep(day.DefaultOptions().Contact)
+	awaitQuarantined(t, site)
 	ended := site.Ledger.EndedUnder("read")
 	last := visitAll(t, site, deadly, 100, 12)
 	stop()
@@ -64,14 +67,23 @@
 	keepsPromises(t, site)
 }
 
-// awaitStored waits until the store has what ends instances.
+// awaitStored waits until the store has what ended three instances.
 func awaitStored(t *testing.T, site *day.Site) {
 	t.Helper()
-	end := time.Now().Add(patience)
-	for len(site.Store.Objects(platform.KindQuarantine)) == 0 {
-		assert.Assert(t, time.Now().Before(end), "nothing was stored")
-		time.Sleep(10 * time.Millisecond)
-	}
+	adapter := platform.New(site.Store.Address(), logr.Discard())
+	defer adapter.Close()
+	await(t, "three ends are stored", func() bool {
+		records, err := adapter.Quarantine().Load(t.Context())
+		return err == nil && slices.ContainsFunc(records, func(record quarantine.Record) bool { return record.Count() >= 3 })
+	})
+}
+
+// awaitQuarantined waits until all daemons hold it back.
+func awaitQuarantined(t *testing.T, site *day.Site) {
+	t.Helper()
+	await(t, "all daemons hold it back", func() bool {
+		return !slices.ContainsFunc(site.Machines, func(machine *day.Machine) bool { return machine.Daemon().Quarantined() == 0 })
+	})
 }
 
 // killAll ends all daemons at the same moment and starts them again.
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/lapisvane/lapisvane/internal/callapi"
 	"github.com/lapisvane/lapisvane/internal/decision"
 	"github.com/lapisvane/lapisvane/internal/result"
 )
@@ -118,8 +119,7 @@
 
 // isEnd reports whether a line tells of a request's end without success.
 func isEnd(line *Line) bool {
-	const firstServerError = 500
-	return line.Event == eventCallFailed || (line.Event == eventCallAnswered && line.Number("status") >= firstServerError)
+	return line.Event == eventCallFailed || (line.Event == eventCallAnswered && line.Number("status") >= callapi.FirstServerError)
 }
 
 // Explain finds the cause of a request's end.
--- a/internal/fingerprint/fingerprint.go
+++ b/internal/fingerprint/fingerprint.go
@@ -10,11 +10,11 @@
 	"encoding/binary"
 	"encoding/hex"
 	"hash"
-	"net"
 	"strconv"
 	"strings"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/callapi"
 )
 
 // Head names the method, host and path of a request; it is known before the body is.
@@ -106,13 +106,7 @@
 	return path, query
 }
 
-func (l Line) host() string {
-	host := strings.ToLower(l.Host)
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
+func (l Line) host() string { return callapi.HostName(l.Host) }
 
 func keyOf(parts ...string) Key {
 	sum := digestOf(parts...)
--- a/internal/fleet/orders_test.go
+++ b/internal/fleet/orders_test.go
@@ -62,7 +62,7 @@
 			}
 			member := memberAt(fmt.Sprintf("%c-%d", 'A'+index, index), fmt.Sprintf("x:%d", index))
 			follow := func(config *Config) {
-				config.Observer, config.Orders, config.Suspects = joined, joined.orders.Load, joined.registry.Told
+				config.Observer, config.Orders, config.Suspects = joined, joined.orders.Load, joined.registry.Known
 			}
 			joined.fleet.Store(daemonAt(ctx, &running, network, member, directory, append(adjust, follow)...))
 			return joined
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -176,7 +176,7 @@
 	}
 	target.Reported(answer.Head.GetLoad(), now)
 	target.Succeeded()
-	if answer.Head.GetStatus() >= firstServerError {
+	if answer.Head.GetStatus() >= callapi.FirstServerError {
 		target.AnsweredFailure(now)
 		return answer, nil
 	}
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -22,10 +22,6 @@
 	eventCallPanicked = "call.panicked"
 )
 
-// firstServerError is the least status of a back end's answer that says that it
-// failed.
-const firstServerError = 500
-
 // requestID returns the caller's id of a request; empty where there is none.
 func (g *Gateway) requestID(rc *app.RequestContext) string {
 	name := g.config.Envelope.RequestID
@@ -77,7 +73,7 @@
 // failure, for a sample of the others.
 func (a *attempter) logAnswer(done outcome) {
 	log := a.gateway.config.Decisions
-	if done.answer.Head.GetStatus() >= firstServerError || len(a.tried) > 0 {
+	if done.answer.Head.GetStatus() >= callapi.FirstServerError || len(a.tried) > 0 {
 		log.Failure(eventCallAnswered, a.request, a.answerPairs(done)...)
 		return
 	}
--- a/internal/gateway/failures.go
+++ b/internal/gateway/failures.go
@@ -15,7 +15,7 @@
 func (a *attempter) mayReplace(answer *callapi.Answer) bool {
 	head := answer.Head
 	small := head.GetContentLength() >= 0 && head.GetContentLength() <= wholeAnswerBytes
-	return head.GetStatus() >= firstServerError && a.open.GetRepeatable() && a.failed == nil && small &&
+	return head.GetStatus() >= callapi.FirstServerError && a.open.GetRepeatable() && a.failed == nil && small &&
 		a.gateway.balancer.MostlySound(a.open.GetService())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -306,7 +306,7 @@
 	rc, started := exchange.Request, exchange.Arrived
 	method := string(rc.Request.Header.Method())
 	path := string(rc.Request.URI().PathOriginal())
-	route := current.Match(hostOf(rc), path, method)
+	route := current.Match(callapi.HostName(string(rc.Request.Host())), path, method)
 	if route == nil {
 		return nil, result.Errorf(result.CallNoRoute, "%s %s", method, path)
 	}
@@ -356,12 +356,3 @@
 		IdempotencyKey: string(rc.Request.Header.Peek(callapi.HeaderIdempotencyKey)),
 	}
 }
-
-// hostOf returns the request's host in lower case and without port.
-func hostOf(rc *app.RequestContext) string {
-	host := strings.ToLower(string(rc.Request.Host()))
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -30,8 +30,8 @@
 // Suspicions tells what is known of requests under which instances ended. Its methods are
 // safe for concurrent use.
 type Suspicions interface {
-	// Suspected reports whether instances ended under requests with the head.
-	Suspected(head fingerprint.Head) bool
+	// Suspected reports whether instances ended under requests with the head of the line.
+	Suspected(line fingerprint.Line) bool
 	// Judge tells whether a request of a caller is held back.
 	Judge(keys []fingerprint.Key, caller string) quarantine.Verdict
 	// Count returns the number of instances that ended under requests with the keys.
@@ -61,7 +61,7 @@
 	done = func() {}
 	suspicions := g.config.Suspicions
 	line := fingerprint.LineOf(attempt.open)
-	if suspicions == nil || !suspicions.Suspected(fingerprint.HeadOf(line)) {
+	if suspicions == nil || !suspicions.Suspected(line) {
 		return done, nil
 	}
 	if attempt.body.streamed != nil {
--- a/internal/origin/fallen.go
+++ b/internal/origin/fallen.go
@@ -84,6 +84,8 @@
 	switch {
 	case err == nil:
 		i.noteConnection(nil)
+	case result.Is(err, result.CallInstanceCrashed):
+		// It was asked already.
 	case result.Is(err, result.CallNotRunUnreachable):
 		i.noteConnection(err)
 	case callapi.OutcomeOf(err) == callapi.OutcomeUnknown && !result.Is(err, result.CallDeadline) && !result.Is(err, result.CallCancelled):
--- a/internal/origin/inflight.go
+++ b/internal/origin/inflight.go
@@ -42,8 +42,8 @@
 	// Crashed takes in that an instance ended with calls in flight; it returns when all of
 	// the daemon goes by it.
 	Crashed(instance string, id uint64, had []quarantine.InFlight)
-	// Suspected reports whether instances ended under calls with the head.
-	Suspected(head fingerprint.Head) bool
+	// Suspected reports whether instances ended under calls with the head of the line.
+	Suspected(line fingerprint.Line) bool
 	// Answered takes in that an instance answered a call with the keys, which was under
 	// suspicion.
 	Answered(keys []fingerprint.Key)
@@ -58,7 +58,7 @@
 
 func (noCrashes) Crashed(string, uint64, []quarantine.InFlight) {}
 
-func (noCrashes) Suspected(fingerprint.Head) bool { return false }
+func (noCrashes) Suspected(fingerprint.Line) bool { return false }
 
 func (noCrashes) Answered([]fingerprint.Key) {}
 
@@ -70,7 +70,8 @@
 type flight struct {
 	open *lapisv1.CallOpen
 	// mutex protects the rest, which the reader of the body writes.
-	mutex  sync.Mutex
+	mutex sync.Mutex
+	// digest is nil for a call without a body.
 	digest hash.Hash
 	// read counts the body's bytes so far; whole is true once it was read to its end.
 	read  int64
@@ -81,8 +82,9 @@
 
 // track has the call's body hashed on its way to the instance.
 func track(call *callapi.Call) *flight {
-	sent := &flight{open: call.Open, digest: fingerprint.NewBody(), whole: call.Body == nil}
+	sent := &flight{open: call.Open, whole: call.Body == nil}
 	if call.Body != nil {
+		sent.digest = fingerprint.NewBody()
 		call.Body = &hashedBody{Reader: call.Body, flight: sent}
 	}
 	return sent
@@ -119,6 +121,9 @@
 	if !f.whole {
 		return []fingerprint.Key{fingerprint.PartialOf(line, length)}
 	}
+	if f.digest == nil {
+		return fingerprint.Of(line, nil).Whole()
+	}
 	return fingerprint.OfDigest(line, length, f.digest).Whole()
 }
 
@@ -301,16 +306,12 @@
 // it was not because of them. An answer that came before the whole body went there says
 // nothing: the call may not have run.
 func (o *Origin) cleared(answered *flight, status int) {
-	if status >= firstServerError || !answered.isWhole() || !o.config.Crashes.Suspected(fingerprint.HeadOf(fingerprint.LineOf(answered.open))) {
+	if status >= callapi.FirstServerError || !answered.isWhole() || !o.config.Crashes.Suspected(fingerprint.LineOf(answered.open)) {
 		return
 	}
 	o.config.Crashes.Answered(answered.allKeys())
 }
 
-// firstServerError is the least status of an answer that says that the instance failed,
-// which clears nothing.
-const firstServerError = 500
-
 // maxJudgedBody is the longest body that is read whole here before it is judged. Longer ones
 // come in pieces; the caller's daemon reads them whole.
 const maxJudgedBody = 64 << 10
@@ -318,8 +319,8 @@
 // checkQuarantine refuses a call under which instances ended, unless it is let through to
 // see. The caller's daemon does so too; this one may know more. Errors: CallNotRunQuarantined.
 func (o *Origin) checkQuarantine(call *callapi.Call) error {
-	head := fingerprint.HeadOf(fingerprint.LineOf(call.Open))
-	if call.Open.GetTrial() || !o.config.Crashes.Suspected(head) {
+	line := fingerprint.LineOf(call.Open)
+	if call.Open.GetTrial() || !o.config.Crashes.Suspected(line) {
 		return nil
 	}
 	if length := call.Open.GetContentLength(); call.Body != nil && (length < 0 || length > maxJudgedBody) {
@@ -329,7 +330,7 @@
 	if err != nil {
 		return result.Wrap(result.CallNotRunExpired, err, "reading the request")
 	}
-	verdict := o.config.Crashes.Judge(fingerprint.Of(fingerprint.LineOf(call.Open), content).Whole(), call.Open.GetCallerService())
+	verdict := o.config.Crashes.Judge(fingerprint.Of(line, content).Whole(), call.Open.GetCallerService())
 	return Quarantined(verdict)
 }
 
--- a/internal/origin/inflight_test.go
+++ b/internal/origin/inflight_test.go
@@ -164,7 +164,7 @@
 	crashes.Crashed("other", 1, had)
 	crashes.Crashed("other", 2, had)
 	assert.NilError(t, ask(origin, "/answer"))
-	assert.Assert(t, !crashes.Suspected(had[0].Head))
+	assert.Assert(t, !crashes.Suspected(line))
 	for end := range uint64(3) {
 		crashes.Crashed("other", 3+end, had)
 	}
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -33,8 +33,8 @@
 	// three that the users' rule allows.
 	trialAfter = time.Minute
 	maxTrials  = 1
-	// maxTold bounds the records that a new connection starts with.
-	maxTold = 512
+	// maxKnown bounds the records that a new connection starts with.
+	maxKnown = 512
 )
 
 // InFlight is a request that an instance had when it ended.
@@ -89,38 +89,37 @@
 	return &Registry{now: now, entries: map[fingerprint.Key]*entry{}, heads: map[fingerprint.Head]int{}}
 }
 
-// Suspected reports whether any request with the head is a suspect; when not, no other
-// question about it needs to be asked.
-func (b *Registry) Suspected(head fingerprint.Head) bool {
-	if b.suspected.Load() == 0 {
+// Suspected reports whether any request with the head of the line is a suspect; when not, no
+// other question about it needs to be asked. While there is no suspect at all, which is the
+// rule, nothing is hashed.
+func (r *Registry) Suspected(line fingerprint.Line) bool {
+	if r.suspected.Load() == 0 {
 		return false
 	}
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.heads[head] > 0
+	head := fingerprint.HeadOf(line)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.heads[head] > 0
 }
 
-// Empty reports whether there is no suspect at all.
-func (b *Registry) Empty() bool { return b.suspected.Load() == 0 }
-
 // Crashed takes in that an instance ended with requests in flight. It returns the records that
 // changed. Where some of them are known to have ended several instances, only those with
 // the most are suspected: the others ran beside them.
-func (b *Registry) Crashed(id uint64, had []InFlight) (changed []Record) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	now := b.now()
-	b.sweep(now)
+func (r *Registry) Crashed(id uint64, had []InFlight) (changed []Record) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.now()
+	r.sweep(now)
 	most := 0
 	for _, request := range had {
-		most = max(most, b.count(request.Keys))
+		most = max(most, r.count(request.Keys))
 	}
 	for _, request := range had {
-		if most >= repeatBelow && b.count(request.Keys) < most {
+		if most >= repeatBelow && r.count(request.Keys) < most {
 			continue
 		}
 		for _, key := range request.Keys {
-			changed = b.suspect(changed, key, request.Head, Crash{ID: id, Caller: request.Caller}, now)
+			changed = r.suspect(changed, key, request.Head, Crash{ID: id, Caller: request.Caller}, now)
 		}
 	}
 	return changed
@@ -128,26 +127,26 @@
 
 // suspect adds a crash to the record of a key and the record to changed; the caller holds
 // mutex.
-func (b *Registry) suspect(changed []Record, key fingerprint.Key, head fingerprint.Head, crash Crash, now time.Time) []Record {
-	known := b.entryOf(key, head)
+func (r *Registry) suspect(changed []Record, key fingerprint.Key, head fingerprint.Head, crash Crash, now time.Time) []Record {
+	known := r.entryOf(key, head)
 	if !known.add(crash) {
 		return changed
 	}
 	known.lastAt = now
 	known.Stored, known.Here = false, true
-	b.recount(known)
+	r.recount(known)
 	changed = slices.DeleteFunc(changed, func(record Record) bool { return record.Key == key })
-	return append(changed, b.recordOf(known, now))
+	return append(changed, r.recordOf(known, now))
 }
 
 // Answered takes in that an instance answered a request with the keys: what ended others is
 // not this. It returns the records that changed.
-func (b *Registry) Answered(keys []fingerprint.Key) (changed []Record) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	now := b.now()
+func (r *Registry) Answered(keys []fingerprint.Key) (changed []Record) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.now()
 	for _, key := range keys {
-		known, ok := b.entries[key]
+		known, ok := r.entries[key]
 		if !ok || len(known.Crashes) == 0 {
 			continue
 		}
@@ -156,24 +155,24 @@
 		}
 		known.Stored = false
 		known.clearedHere = known.inStore
-		b.recount(known)
-		changed = append(changed, b.recordOf(known, now))
+		r.recount(known)
+		changed = append(changed, r.recordOf(known, now))
 	}
 	return changed
 }
 
 // Merge takes in what another daemon or the store knows and returns what was news, as it
 // stands now.
-func (b *Registry) Merge(records []Record) (changed []Record) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	now := b.now()
-	b.sweep(now)
+func (r *Registry) Merge(records []Record) (changed []Record) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.now()
+	r.sweep(now)
 	for _, record := range records {
 		if record.Age > memory {
 			continue
 		}
-		known := b.entryOf(record.Key, record.Head)
+		known := r.entryOf(record.Key, record.Head)
 		news := known.Merge(record)
 		if at := now.Add(-record.Age); at.After(known.lastAt) {
 			known.lastAt = at
@@ -185,35 +184,31 @@
 		news = news || (stored && !known.Stored)
 		known.Stored = stored || (known.Stored && !news)
 		known.inStore = known.inStore || record.Stored
-		b.recount(known)
+		r.recount(known)
 		if news {
-			changed = append(changed, b.recordOf(known, now))
+			changed = append(changed, r.recordOf(known, now))
 		}
 	}
 	return changed
 }
 
 // Count returns the number of instances that ended under a request with the keys.
-func (b *Registry) Count(keys []fingerprint.Key) int {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	return b.count(keys)
+func (r *Registry) Count(keys []fingerprint.Key) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.count(keys)
 }
 
-func (b *Registry) count(keys []fingerprint.Key) int {
+func (r *Registry) count(keys []fingerprint.Key) int {
 	most := 0
 	for _, key := range keys {
-		if known, ok := b.entries[key]; ok {
+		if known, ok := r.entries[key]; ok {
 			most = max(most, known.Count())
 		}
 	}
 	return most
 }
 
-// MayRepeat reports whether a daemon may send a request with the keys to another instance by
-// itself.
-func (b *Registry) MayRepeat(keys []fingerprint.Key) bool { return MayRepeat(b.Count(keys)) }
-
 // MayRepeat reports whether a daemon may send a request to another instance by itself after
 // so many instances ended under what it asks for.
 func MayRepeat(ended int) bool { return ended < repeatBelow }
@@ -221,12 +216,12 @@
 // Judge decides on a request of a caller. It is held back when enough instances ended
 // under what it asks for, and one of them had it from the same caller: nobody can have the
 // requests of others held back by sending them himself.
-func (b *Registry) Judge(keys []fingerprint.Key, caller string) Verdict {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	now := b.now()
+func (r *Registry) Judge(keys []fingerprint.Key, caller string) Verdict {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.now()
 	for _, key := range keys {
-		known, ok := b.entries[key]
+		known, ok := r.entries[key]
 		if !ok || now.Sub(known.lastAt) > memory || known.Count() < quarantineAt || !known.from(caller) {
 			continue
 		}
@@ -247,54 +242,54 @@
 	return verdict
 }
 
-// Tried notes that one request with the key was let through.
-func (b *Registry) Tried(key fingerprint.Key, trials uint32) (changed []Record) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	known, ok := b.entries[key]
+// NoteTried notes that one request with the key was let through.
+func (r *Registry) NoteTried(key fingerprint.Key, trials uint32) (changed []Record) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known, ok := r.entries[key]
 	if !ok || trials <= known.Trials {
 		return nil
 	}
 	known.Trials = trials
-	return []Record{b.recordOf(known, b.now())}
+	return []Record{r.recordOf(known, r.now())}
 }
 
-// Told returns what a daemon that has just been connected to is told: the suspects, those
+// Known returns what a daemon that has just been connected to is told: the suspects, those
 // under which most instances ended first.
-func (b *Registry) Told() []Record {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	now := b.now()
-	records := make([]Record, 0, len(b.entries))
-	for _, known := range b.entries {
-		records = append(records, b.recordOf(known, now))
+func (r *Registry) Known() []Record {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.now()
+	records := make([]Record, 0, len(r.entries))
+	for _, known := range r.entries {
+		records = append(records, r.recordOf(known, now))
 	}
 	slices.SortFunc(records, func(one, other Record) int {
 		return cmp.Or(cmp.Compare(other.Count(), one.Count()), cmp.Compare(one.Age, other.Age), slices.Compare(one.Key[:], other.Key[:]))
 	})
-	return records[:min(len(records), maxTold)]
+	return records[:min(len(records), maxKnown)]
 }
 
 // Unstored returns what the store lacks: suspects that are not repeated any more, which must
 // outlast all daemons.
-func (b *Registry) Unstored() []Record {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	now := b.now()
+func (r *Registry) Unstored() []Record {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.now()
 	var records []Record
-	for _, known := range b.entries {
+	for _, known := range r.entries {
 		if !known.Stored && known.Count() >= repeatBelow {
-			records = append(records, b.recordOf(known, now))
+			records = append(records, r.recordOf(known, now))
 		}
 	}
 	return records
 }
 
-// Store notes that the store has a record, unless it changed meanwhile.
-func (b *Registry) Store(record Record) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	known, ok := b.entries[record.Key]
+// NoteStored notes that the store has a record, unless it changed meanwhile.
+func (r *Registry) NoteStored(record Record) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known, ok := r.entries[record.Key]
 	if !ok {
 		return
 	}
@@ -306,10 +301,10 @@
 
 // Cleared returns the keys that this daemon cleared and the store still has; it is asked to
 // take them out once.
-func (b *Registry) Cleared() (keys []fingerprint.Key) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	for key, known := range b.entries {
+func (r *Registry) Cleared() (keys []fingerprint.Key) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for key, known := range r.entries {
 		if known.clearedHere && len(known.Crashes) == 0 {
 			keys = append(keys, key)
 		}
@@ -319,10 +314,10 @@
 }
 
 // Sizes returns the number of suspects, and of those held back.
-func (b *Registry) Sizes() (suspects, held int) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	for _, known := range b.entries {
+func (r *Registry) Sizes() (suspects, held int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, known := range r.entries {
 		count := known.Count()
 		if count > 0 {
 			suspects++
@@ -335,57 +330,57 @@
 }
 
 // entryOf returns the entry of a key, a new one where there is none; the caller holds mutex.
-func (b *Registry) entryOf(key fingerprint.Key, head fingerprint.Head) *entry {
-	known, ok := b.entries[key]
+func (r *Registry) entryOf(key fingerprint.Key, head fingerprint.Head) *entry {
+	known, ok := r.entries[key]
 	if ok {
 		return known
 	}
-	if len(b.entries) >= maxSuspects {
-		b.evict()
+	if len(r.entries) >= maxSuspects {
+		r.evict()
 	}
 	known = &entry{Record: Record{Key: key, Head: head}}
-	b.entries[key] = known
+	r.entries[key] = known
 	return known
 }
 
 // recount follows whether an entry is a suspect; the caller holds mutex.
-func (b *Registry) recount(known *entry) {
+func (r *Registry) recount(known *entry) {
 	suspected := len(known.Crashes) > 0
 	if suspected == known.counted {
 		return
 	}
 	known.counted = suspected
 	if suspected {
-		b.heads[known.Head]++
-		b.suspected.Add(1)
+		r.heads[known.Head]++
+		r.suspected.Add(1)
 		return
 	}
-	b.suspected.Add(-1)
-	if b.heads[known.Head]--; b.heads[known.Head] <= 0 {
-		delete(b.heads, known.Head)
+	r.suspected.Add(-1)
+	if r.heads[known.Head]--; r.heads[known.Head] <= 0 {
+		delete(r.heads, known.Head)
 	}
 }
 
 // remove forgets an entry; the caller holds mutex.
-func (b *Registry) remove(known *entry) {
+func (r *Registry) remove(known *entry) {
 	known.Crashes = nil
-	b.recount(known)
-	delete(b.entries, known.Key)
+	r.recount(known)
+	delete(r.entries, known.Key)
 }
 
 // sweep forgets what is old; the caller holds mutex.
-func (b *Registry) sweep(now time.Time) {
-	if now.Sub(b.sweptAt) < clearedMemory {
+func (r *Registry) sweep(now time.Time) {
+	if now.Sub(r.sweptAt) < clearedMemory {
 		return
 	}
-	b.sweptAt = now
-	for _, known := range b.entries {
+	r.sweptAt = now
+	for _, known := range r.entries {
 		keep := memory
 		if len(known.Crashes) == 0 {
 			keep = clearedMemory
 		}
 		if now.Sub(known.lastAt) > keep {
-			b.remove(known)
+			r.remove(known)
 		}
 	}
 }
@@ -393,13 +388,13 @@
 // evict forgets one entry of the caller that has the most, so that none can make the registry
 // forget what others did: the one with the fewest crashes, of those the oldest. The caller
 // holds mutex.
-func (b *Registry) evict() {
+func (r *Registry) evict() {
 	sizes := map[string]int{}
-	for _, known := range b.entries {
+	for _, known := range r.entries {
 		sizes[known.owner()]++
 	}
 	var worst *entry
-	for _, known := range b.entries {
+	for _, known := range r.entries {
 		if worst == nil || cmp.Or(
 			cmp.Compare(sizes[known.owner()], sizes[worst.owner()]),
 			cmp.Compare(worst.Count(), known.Count()),
@@ -409,7 +404,7 @@
 		}
 	}
 	if worst != nil {
-		b.remove(worst)
+		r.remove(worst)
 	}
 }
 
@@ -422,7 +417,7 @@
 }
 
 // recordOf returns an entry's record; the caller holds mutex.
-func (b *Registry) recordOf(known *entry, now time.Time) Record {
+func (r *Registry) recordOf(known *entry, now time.Time) Record {
 	record := known.clone()
 	record.Age = max(now.Sub(known.lastAt), 0)
 	return record
--- a/internal/quarantine/registry_test.go
+++ b/internal/quarantine/registry_test.go
@@ -23,8 +23,12 @@
 	return b
 }
 
+func lineOf(path string) fingerprint.Line {
+	return fingerprint.Line{Method: "GET", Host: "a.example", Target: path}
+}
+
 func inFlightOf(path, caller string) InFlight {
-	line := fingerprint.Line{Method: "GET", Host: "a.example", Target: path}
+	line := lineOf(path)
 	return InFlight{Head: fingerprint.HeadOf(line), Keys: fingerprint.Of(line, nil).Whole(), Caller: caller}
 }
 
@@ -32,7 +36,7 @@
 	b, guilty := newBench(), inFlightOf("/deadly", "desk")
 	for end := range uint64(3) {
 		assert.Assert(t, !b.Judge(guilty.Keys, "desk").Quarantined)
-		assert.Equal(t, b.MayRepeat(guilty.Keys), end < 2)
+		assert.Equal(t, MayRepeat(b.Count(guilty.Keys)), end < 2)
 		b.Registry.Crashed(end, []InFlight{guilty})
 		// The same end, told again, counts once.
 		b.Registry.Crashed(end, []InFlight{guilty})
@@ -40,8 +44,8 @@
 	verdict := b.Judge(guilty.Keys, "desk")
 	assert.Assert(t, verdict.Quarantined && !verdict.TrialDue)
 	assert.Equal(t, verdict.RetryAfter, trialAfter)
-	assert.Assert(t, b.Suspected(guilty.Head))
-	assert.Assert(t, !b.Suspected(inFlightOf("/other", "desk").Head))
+	assert.Assert(t, b.Suspected(lineOf("/deadly")))
+	assert.Assert(t, !b.Suspected(lineOf("/other")))
 }
 
 // Requests that only ran beside a guilty one are cleared by their next answer, and not
@@ -51,7 +55,7 @@
 	b.Registry.Crashed(1, []InFlight{guilty, beside})
 	assert.Equal(t, len(b.Answered(beside.Keys)), 1)
 	assert.Equal(t, b.Count(beside.Keys), 0)
-	assert.Assert(t, !b.Suspected(beside.Head))
+	assert.Assert(t, !b.Suspected(lineOf("/fine")))
 	b.Registry.Crashed(2, []InFlight{guilty, beside})
 	b.Registry.Crashed(3, []InFlight{guilty, late})
 	assert.Equal(t, b.Count(late.Keys), 0)
@@ -113,7 +117,7 @@
 	b.now = b.now.Add(trialAfter)
 	verdict := b.Judge(guilty.Keys, "desk")
 	assert.Assert(t, verdict.Quarantined && verdict.TrialDue)
-	assert.Equal(t, len(b.Tried(verdict.Key, verdict.Trials+1)), 1)
+	assert.Equal(t, len(b.NoteTried(verdict.Key, verdict.Trials+1)), 1)
 	assert.Assert(t, !b.Judge(guilty.Keys, "desk").TrialDue)
 	b.Registry.Crashed(9, []InFlight{guilty})
 	verdict = b.Judge(guilty.Keys, "desk")
@@ -131,7 +135,9 @@
 	b.now = b.now.Add(memory + time.Second)
 	assert.Assert(t, !b.Judge(guilty.Keys, "desk").Quarantined)
 	b.Registry.Crashed(9, nil)
-	assert.Assert(t, b.Empty())
+	suspects, _ := b.Sizes()
+	assert.Equal(t, suspects, 0)
+	assert.Assert(t, !b.Suspected(lineOf("/deadly")))
 }
 
 // What daemons tell each other ends the same in whatever order it comes, and more than once.
@@ -154,7 +160,7 @@
 			other.Merge([]Record{told[index]})
 		}
 		assert.Equal(t, one.Count([]fingerprint.Key{key}), other.Count([]fingerprint.Key{key}))
-		assert.Equal(t, len(Records(Message(one.Told()))), 1)
+		assert.Equal(t, len(Records(Message(one.Known()))), 1)
 	})
 }
 
@@ -175,7 +181,7 @@
 	lacking := b.Unstored()
 	assert.Equal(t, len(lacking), 1)
 	assert.Assert(t, lacking[0].Here)
-	b.Store(lacking[0])
+	b.NoteStored(lacking[0])
 	assert.Equal(t, len(b.Unstored()), 0)
 	b.Registry.Crashed(3, []InFlight{guilty})
 	assert.Equal(t, len(b.Unstored()), 1)
