--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -163,17 +163,24 @@
 	call := &callapi.Call{Open: open, StaysWithSilent: a.gateway.leaving}
 	a.attach(call)
 	target.Begin()
+	answered := false
+	defer func() {
+		// Also after a panic: a call that never ends would count as load for ever.
+		if !answered {
+			target.End()
+		}
+	}()
 	began := time.Now()
 	answer, err := a.gateway.handOver(ctx, target, call)
 	now := time.Now()
 	if err != nil {
-		target.End()
 		a.gateway.observe(target, err)
 		if a.unanswered(err, now.Sub(began)) {
 			target.AnsweredFailure(now)
 		}
 		return nil, err
 	}
+	answered = true
 	target.Reported(answer.Head.GetLoad(), now)
 	target.Succeeded()
 	if answer.Head.GetStatus() >= callapi.FirstServerError {
