Sight of requests that end without an answer: ledger, lines, metrics, real processes

Cause: users saw accepted requests lost in real processes; our ledger knew no lost request, daemons of the emulator are no processes, and no line told what was read and not served when a connection or a process ends. No logic of the request path is changed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,7 +116,8 @@
 	d.path.gateway.Cut()
 	d.running.Wait()
 	d.distribution.Close()
-	d.logger.Info("daemon.stopped", "cut", cut)
+	gateway := d.path.gateway
+	d.logger.Info("daemon.stopped", "cut", cut, "open", gateway.InFlight(), "closing", gateway.Closing(), "unserved", gateway.Unserved())
 	return cut
 }
 
@@ -202,8 +203,13 @@
 
 // ReadyEndpoints returns the number of ready instances of a service that the daemon knows.
 func (d *Daemon) ReadyEndpoints(service string) int {
+	return countReady(d.distribution.EndpointsOf(service))
+}
+
+// countReady returns the number of endpoints that are ready.
+func countReady(endpoints []*lapisv1.Endpoint) int {
 	ready := 0
-	for _, endpoint := range d.distribution.EndpointsOf(service) {
+	for _, endpoint := range endpoints {
 		if endpoint.GetState() == lapisv1.Endpoint_STATE_READY {
 			ready++
 		}
--- a/internal/daemon/metrics/platform.go
+++ b/internal/daemon/metrics/platform.go
@@ -23,6 +23,8 @@
 	InForce func() (revision uint64, since time.Time)
 	// Ready reports whether callers may be sent here.
 	Ready func() bool
+	// ReadyEndpoints returns the number of ready instances known of each service.
+	ReadyEndpoints func() map[string]int
 	// Orders are the operators' orders in force.
 	Orders *orders.Current
 	// Confirmed returns when what is in force was last confirmed to be the newest,
@@ -51,6 +53,7 @@
 		func() float64 { return float64(sources.Follower.ConfigurationRequests.Load()) })
 	counter(registry, "lapisvane_source_failures_total", "Questions to the configuration source that failed.",
 		func() float64 { return float64(sources.Follower.FailedPolls.Load()) })
+	registry.MustRegister(readyEndpoints{sources.ReadyEndpoints})
 	registerOrders(registry, sources)
 	occupancy := func(read func(admission.Occupancy) int) func() float64 {
 		return func() float64 {
@@ -72,6 +75,24 @@
 		func() float64 { return float64(len(sources.Origin.Withdrawn())) })
 }
 
+// endpointsReady describes the metric of readyEndpoints.
+var endpointsReady = prometheus.NewDesc("lapisvane_endpoints_ready", "Ready instances known, by service.", []string{"service"}, nil)
+
+// readyEndpoints collects the number of ready instances known of each service.
+type readyEndpoints struct{ read func() map[string]int }
+
+// Describe implements prometheus.Collector.
+func (r readyEndpoints) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- endpointsReady
+}
+
+// Collect implements prometheus.Collector.
+func (r readyEndpoints) Collect(collected chan<- prometheus.Metric) {
+	for service, count := range r.read() {
+		collected <- prometheus.MustNewConstMetric(endpointsReady, prometheus.GaugeValue, float64(count), service)
+	}
+}
+
 // registerOrders adds what concerns the operators' orders.
 func registerOrders(registry *prometheus.Registry, sources Platform) {
 	gauge(registry, "lapisvane_orders_revision", "Revision of the operators' orders in force, 0 before the first.",
--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -190,10 +190,21 @@
 func (p *platformDistribution) RegisterMetrics(registry *prometheus.Registry) {
 	metrics.RegisterPlatform(registry, metrics.Platform{
 		Fleet: p.fleet, Follower: p.follower, Origin: p.path.origin, InForce: p.inForceSince, Ready: p.ready,
-		Orders: p.path.orders, Confirmed: p.freshness.Confirmed,
+		Orders: p.path.orders, Confirmed: p.freshness.Confirmed, ReadyEndpoints: p.readyEndpoints,
 	})
 }
 
+// readyEndpoints returns the number of ready instances known of each service in force.
+func (p *platformDistribution) readyEndpoints() map[string]int {
+	counts := map[string]int{}
+	if current := p.path.snapshots.Current(); current != nil {
+		for _, service := range current.ServiceNames() {
+			counts[service] = countReady(p.EndpointsOf(service))
+		}
+	}
+	return counts
+}
+
 // Close implements distribution.
 func (p *platformDistribution) Close() { p.platform.Close() }
 
--- a/internal/lab/emulator/client/client.go
+++ b/internal/lab/emulator/client/client.go
@@ -106,7 +106,9 @@
 type Load struct {
 	Classes []Class
 	// Bursts are rows of requests sent ahead on one connection.
-	Bursts  []Burst
+	Bursts []Burst
+	// Kept are callers on connections that they keep.
+	Kept    []Kept
 	Targets []Target
 	Ledger  *promise.Ledger
 	Tally   *Tally
@@ -127,6 +129,12 @@
 		random := rand.New(rand.NewPCG(l.Seed, uint64(len(l.Classes)+index)))
 		running.Go(func() { l.sendBursts(ctx, burst, random) })
 	}
+	for index, kept := range l.Kept {
+		for number := range kept.Connections * len(l.Targets) {
+			random := rand.New(rand.NewPCG(l.Seed, uint64(index+1)<<32|uint64(number)))
+			running.Go(func() { l.keep(ctx, kept, l.Targets[number%len(l.Targets)], random) })
+		}
+	}
 	running.Wait()
 }
 
--- a/internal/lab/emulator/day/machine.go
+++ b/internal/lab/emulator/day/machine.go
@@ -34,19 +34,11 @@
 	// mutex protects everything below.
 	mutex     sync.Mutex
 	addresses daemon.Addresses
-	running   *running
+	running   Process
 	instance  *instance.Instance
 	instances int
 }
 
-// running is one process of a daemon.
-type running struct {
-	daemon      *daemon.Daemon
-	stop, force chan struct{}
-	ended       chan struct{}
-	cut         int64
-}
-
 // start starts the daemon, at its earlier addresses after the first time.
 func (m *Machine) start() error {
 	m.mutex.Lock()
@@ -70,17 +62,11 @@
 	if err := config.Check(); err != nil {
 		return err
 	}
-	logger := m.site.options.Logger
-	started, err := daemon.New(&config, daemon.Options{Logger: logger, Platform: platform.New(m.store, logger)})
+	started, err := m.site.options.launch()(&config, m.site.options.Logger)
 	if err != nil {
 		return err
 	}
-	process := &running{daemon: started, stop: make(chan struct{}), force: make(chan struct{}), ended: make(chan struct{})}
-	go func() {
-		defer close(process.ended)
-		process.cut = started.Run(process.stop, process.force)
-	}()
-	m.running = process
+	m.running = started
 	m.addresses = started.Addresses()
 	return nil
 }
@@ -92,6 +78,7 @@
 	portCaller
 	portInstances
 	portReadiness
+	portMetrics
 	// portFirstInstance is that of a machine's first instance; each new one gets the next.
 	portFirstInstance = 21000
 )
@@ -115,8 +102,9 @@
 	m.daemonLock.Lock()
 	defer m.daemonLock.Unlock()
 	if process := m.takeProcess(); process != nil {
-		close(process.force)
-		<-process.ended
+		m.site.Ledger.DaemonsKilled(time.Now())
+		process.Kill()
+		<-process.Ended()
 	}
 	time.Sleep(down)
 	return m.start()
@@ -128,15 +116,15 @@
 	m.daemonLock.Lock()
 	defer m.daemonLock.Unlock()
 	if process := m.takeProcess(); process != nil {
-		close(process.stop)
-		<-process.ended
-		cut = process.cut
+		process.Stop()
+		<-process.Ended()
+		cut = process.Cut()
 	}
 	time.Sleep(down)
 	return cut, m.start()
 }
 
-func (m *Machine) takeProcess() *running {
+func (m *Machine) takeProcess() Process {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	process := m.running
@@ -145,13 +133,10 @@
 }
 
 // Daemon returns the running daemon, nil while there is none.
-func (m *Machine) Daemon() *daemon.Daemon {
+func (m *Machine) Daemon() Process {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.running == nil {
-		return nil
-	}
-	return m.running.daemon
+	return m.running
 }
 
 // Instance returns the instance beside the daemon.
@@ -276,12 +261,26 @@
 	// DecisionLines bounds the lines about requests of each daemon a second.
 	DecisionLines int
 	Seed          uint64
+	// Launch starts the daemons; nil for daemons in this process.
+	Launch Launch
 }
 
+// launch returns how daemons are started.
+func (o Options) launch() Launch {
+	if o.Launch == nil {
+		return launchEmbedded
+	}
+	return o.Launch
+}
+
+// lossSlack is how long after its last byte a request may still cross the end of its connection,
+// as the platform's rules state it.
+const lossSlack = 200 * time.Millisecond
+
 // bounds are those that the ledger checks.
 func (o Options) bounds() promise.Bounds {
 	return promise.Bounds{
-		Drain: o.DrainBound, Evacuation: o.EvacuationBound, Contact: o.Contact,
+		Drain: o.DrainBound, Evacuation: o.EvacuationBound, Contact: o.Contact, LossSlack: lossSlack,
 		ColdPerSecond: o.ColdRate*o.ColdOvershoot*(1+jam.Seconds()) + o.ColdSlack,
 	}
 }
--- a/internal/lab/emulator/day/site.go
+++ b/internal/lab/emulator/day/site.go
@@ -78,8 +78,8 @@
 	s.mutex.Unlock()
 	for _, machine := range s.Machines {
 		if process := machine.takeProcess(); process != nil {
-			close(process.force)
-			<-process.ended
+			process.Kill()
+			<-process.Ended()
 		}
 		machine.endInstance()
 	}
--- a/internal/lab/emulator/instance/instance.go
+++ b/internal/lab/emulator/instance/instance.go
@@ -178,6 +178,7 @@
 
 // Crash ends the instance at once and closes its connections.
 func (i *Instance) Crash() {
+	i.options.Ledger.InstanceEnded(i.id)
 	i.stop()
 	_ = i.listener.Close()
 	i.mutex.Lock()
--- a/internal/lab/emulator/instance/serve.go
+++ b/internal/lab/emulator/instance/serve.go
@@ -149,6 +149,7 @@
 	stamp := i.run(request, id, body)
 	status := http.StatusOK
 	if name := request.Header.Get(HeaderCrash); name != "" {
+		i.options.Ledger.RunFailed(stamp)
 		i.crashUnder(name)
 		return connectionClosed
 	}
@@ -156,6 +157,7 @@
 		status = http.StatusInternalServerError
 	}
 	if i.chance(behaviour.LoseAnswer) {
+		i.options.Ledger.RunFailed(stamp)
 		return connectionClosed
 	}
 	return i.answer(conn, request, behaviour, status, stamp)
@@ -314,9 +316,11 @@
 	framed := head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
 	switch {
 	case i.chance(behaviour.Garbage):
+		i.options.Ledger.RunFailed(stamp)
 		_, _ = io.WriteString(conn, "this is no answer\r\n\r\n")
 		return connectionClosed
 	case i.chance(behaviour.Cut):
+		i.options.Ledger.RunFailed(stamp)
 		_, _ = io.WriteString(conn, framed[:len(framed)-len(body)/2])
 		return connectionClosed
 	case i.chance(behaviour.Unframed):
--- a/internal/lab/emulator/promise/promise.go
+++ b/internal/lab/emulator/promise/promise.go
@@ -44,6 +44,8 @@
 	Evacuation Kind = "evacuation"
 	// Home: a request reached an instance outside the regions of its route.
 	Home Kind = "home"
+	// Lost: a request that a daemon had taken ended without its answer.
+	Lost Kind = "lost"
 )
 
 // Breach is one broken promise.
@@ -129,7 +131,12 @@
 	// poison is by the name of a poison request, and disturbedAt when daemons were last disturbed.
 	poison      map[string]*poison
 	disturbedAt time.Time
-	breaches    []Breach
+	// killed are the times at which daemons ended without a planned stop, failedRuns the stamps
+	// of runs that an instance did not answer as it should, ended the instances that are gone.
+	killed     []time.Time
+	failedRuns map[string]bool
+	ended      map[string]bool
+	breaches   []Breach
 }
 
 // Bounds are a platform's bounds.
@@ -144,6 +151,9 @@
 	ColdPerSecond float64
 	// Contact is the time in which all daemons know what one of them does.
 	Contact time.Duration
+	// LossSlack is how long after its last byte a request may still cross the end of its
+	// connection; 0 where lost requests are not checked.
+	LossSlack time.Duration
 }
 
 // NewLedger returns a ledger for a platform with the given bounds.
@@ -152,6 +162,7 @@
 		bounds: bounds, requests: map[string]Request{}, runs: map[string][]Run{},
 		answers: map[string]Answer{}, arrivals: map[string]int{}, left: map[string]time.Time{},
 		evacuated: map[string]time.Time{}, cold: map[string]*Second{}, poison: map[string]*poison{},
+		failedRuns: map[string]bool{}, ended: map[string]bool{},
 	}
 }
 
@@ -243,6 +254,7 @@
 	defer l.mutex.Unlock()
 	l.answers[answer.Request] = answer
 	l.checkRefusal(answer)
+	l.checkOwnFailure(answer, time.Now())
 	success := answer.Status/100 == 2
 	if !success {
 		if answer.Stamp == "" && answer.Status/100 == 4 && !notRun(answer.Status) {
--- a/internal/model/snapshot/snapshot.go
+++ b/internal/model/snapshot/snapshot.go
@@ -150,6 +150,11 @@
 	return service, ok
 }
 
+// ServiceNames returns the names of the services, in no order.
+func (s *Snapshot) ServiceNames() []string {
+	return slices.Collect(maps.Keys(s.services))
+}
+
 // Certificate returns the key pair for a host, falling back to that of routes
 // without a host; nil when there is none.
 func (s *Snapshot) Certificate(host string) *tls.Certificate {
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -114,6 +114,7 @@
 		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, ShortBodyBytes: callmux.BufferedBodyBytes,
 		IdleTime: callerIdle, HeaderTime: headTimeout, BodyIdle: bodyIdle, LingerTime: lingerTime,
 		Limits: config.SentAhead, Check: gateway.checkHead, Handle: gateway.serve, Stopping: gateway.stopping.Load,
+		Unserved: gateway.noteUnserved,
 	})
 	gateway.cut, gateway.cutAll = context.WithCancel(context.Background())
 	return gateway
--- a/internal/requestpath/gateway/lifecycle.go
+++ b/internal/requestpath/gateway/lifecycle.go
@@ -77,5 +77,13 @@
 // InFlight returns the number of requests that were read and are not answered yet.
 func (g *Gateway) InFlight() int64 { return g.callers.Open() }
 
+// Closing returns the number of callers' connections whose last answer was written and whose caller
+// may not have read it yet.
+func (g *Gateway) Closing() int64 { return g.callers.Closing() }
+
+// Unserved returns the number of callers' connections so far that the gateway ended although it had
+// read a request that it did not answer.
+func (g *Gateway) Unserved() int64 { return g.callers.Unserved() }
+
 // Cut ends the calls in flight; their callers get an answer that says so.
 func (g *Gateway) Cut() { g.cutAll() }
--- a/internal/requestpath/gateway/lines.go
+++ b/internal/requestpath/gateway/lines.go
@@ -23,8 +23,17 @@
 	eventAttemptFailed = "call.attempt_failed"
 	// eventCallPanicked is for a request that made this daemon panic.
 	eventCallPanicked = "call.panicked"
+	// eventCallerUnserved is for a connection that this daemon ended although it had read bytes of
+	// a request behind the last answer.
+	eventCallerUnserved = "caller.unserved"
 )
 
+// noteUnserved counts and logs a caller's connection that ended with a request read and unanswered.
+func (g *Gateway) noteUnserved(bytes int) {
+	g.metrics.unserved.Inc()
+	g.config.Decisions.Failure(eventCallerUnserved, "", "bytes", bytes, "stopping", g.stopping.Load())
+}
+
 // noteFailure counts and logs a call that got no answer of an instance, with what decided it.
 func (g *Gateway) noteFailure(rc *app.RequestContext, route *lapisv1.Route, err error, started time.Time) {
 	constraint := constraintOf(err)
--- a/internal/requestpath/gateway/metrics.go
+++ b/internal/requestpath/gateway/metrics.go
@@ -18,6 +18,7 @@
 	constrained *prometheus.CounterVec
 	retries     prometheus.Counter
 	latency     prometheus.Histogram
+	unserved    prometheus.Counter
 }
 
 // newMetrics returns the metrics, registered where registry is not nil.
@@ -36,9 +37,12 @@
 			Name: "lapisvane_call_seconds", Help: "Time from a request's head to its answer's head.",
 			Buckets: prometheus.ExponentialBuckets(firstLatencyBucket, latencyBucketFactor, latencyBuckets),
 		}),
+		unserved: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lapisvane_callers_unserved_total", Help: "Callers' connections that the daemon ended although it had read a request that it did not answer.",
+		}),
 	}
 	if registry != nil {
-		registry.MustRegister(metrics.calls, metrics.constrained, metrics.retries, metrics.latency)
+		registry.MustRegister(metrics.calls, metrics.constrained, metrics.retries, metrics.latency, metrics.unserved)
 	}
 	return metrics
 }
--- a/internal/requestpath/gateway/pipeline/caller.go
+++ b/internal/requestpath/gateway/pipeline/caller.go
@@ -34,6 +34,13 @@
 	return hereOK && thereOK && here.IP.Equal(there.IP)
 }
 
+// held returns the number of bytes that were read ahead and not yet asked for.
+func (c *callerConn) held() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.lookahead)
+}
+
 // Read returns bytes read ahead before it reads on.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	c.mutex.Lock()
--- a/internal/requestpath/gateway/pipeline/connection.go
+++ b/internal/requestpath/gateway/pipeline/connection.go
@@ -40,6 +40,8 @@
 	// nextSentAhead is true when the request to be read next counts as sent ahead. Only the
 	// reader uses it.
 	nextSentAhead bool
+	// dropped is true once a request that was read whole was not passed on. Only the reader uses it.
+	dropped bool
 }
 
 func newConnection(server *Server, core suite.Core, conn network.Conn, caller *callerConn) *connection {
@@ -64,9 +66,26 @@
 	disconnected := c.disconnected
 	c.mutex.Unlock()
 	c.server.quota.forget(c)
-	if !disconnected {
-		_, secure := c.conn.(network.ConnTLSer)
-		c.caller.linger(c.server.config.LingerTime, !secure)
+	if disconnected {
+		return
+	}
+	c.noteUnserved()
+	c.server.closing.Add(1)
+	defer c.server.closing.Add(-1)
+	_, secure := c.conn.(network.ConnTLSer)
+	c.caller.linger(c.server.config.LingerTime, !secure)
+}
+
+// noteUnserved reports what was read of requests that nobody will answer. Only the reader may
+// call it.
+func (c *connection) noteUnserved() {
+	bytes := c.conn.Len() + c.caller.held()
+	if bytes == 0 && !c.dropped {
+		return
+	}
+	c.server.unserved.Add(1)
+	if report := c.server.config.Unserved; report != nil {
+		report(bytes)
 	}
 }
 
@@ -82,6 +101,7 @@
 	c.mutex.Lock()
 	if c.sealed {
 		c.mutex.Unlock()
+		c.dropped = true
 		c.recycle(exchange)
 		return false
 	}
--- a/internal/requestpath/gateway/pipeline/server.go
+++ b/internal/requestpath/gateway/pipeline/server.go
@@ -32,6 +32,9 @@
 	Handle func(ctx context.Context, exchange *Exchange)
 	// Stopping reports whether connections are to be closed.
 	Stopping func() bool
+	// Unserved is called for each connection that this side ended although bytes of requests
+	// had been read that it does not answer; nil for nothing.
+	Unserved func(bytes int)
 }
 
 // Server serves callers' connections in place of the HTTP library's own server. It is safe for
@@ -41,6 +44,9 @@
 	quota  quota
 	// open counts the requests that were read and are not answered yet.
 	open atomic.Int64
+	// closing counts the connections whose last answer was written and whose caller has not
+	// closed its side, unserved all those that Config.Unserved is called for.
+	closing, unserved atomic.Int64
 }
 
 // New returns a server.
@@ -54,6 +60,14 @@
 // Open returns the number of requests that were read and are not answered yet.
 func (s *Server) Open() int64 { return s.open.Load() }
 
+// Closing returns the number of connections whose last answer was written and whose caller may not
+// have read it yet.
+func (s *Server) Closing() int64 { return s.closing.Load() }
+
+// Unserved returns the number of connections so far that this side ended although bytes of requests
+// had been read that it did not answer.
+func (s *Server) Unserved() int64 { return s.unserved.Load() }
+
 // Factory returns what the HTTP library registers under the name suite.HTTP1.
 func (s *Server) Factory() suite.ServerFactory { return factory{s} }
 
--- a/internal/requestpath/gateway/pipeline/site_test.go
+++ b/internal/requestpath/gateway/pipeline/site_test.go
@@ -38,6 +38,33 @@
 	server   *Server
 	address  string
 	stopping atomic.Bool
+	// received counts the bytes that were read from callers.
+	received atomic.Int64
+}
+
+// countingListener counts what is read from its connections.
+type countingListener struct {
+	net.Listener
+	received *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{TCPConn: conn.(*net.TCPConn), received: l.received}, nil
+}
+
+type countingConn struct {
+	*net.TCPConn
+	received *atomic.Int64
+}
+
+func (c countingConn) Read(buffer []byte) (int, error) {
+	count, err := c.TCPConn.Read(buffer)
+	c.received.Add(int64(count))
+	return count, err
 }
 
 // open starts a server whose requests come to handle.
@@ -46,6 +73,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	opened := &site{address: listener.Addr().String()}
+	listener = countingListener{Listener: listener, received: &opened.received}
 	opened.server = New(Config{
 		MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, ShortBodyBytes: 1 << 10,
 		IdleTime: testWait, HeaderTime: testWait, BodyIdle: testWait, LingerTime: testWait,
