A connection ends with an answer only when nothing behind it was read

Cause: the first request read after SIGTERM was taken as the last of its connection; what callers had sent behind it was read to see whether they disconnect, and dropped with the connection. A refused upload ended its connection as well, with all that was sent behind its body. Change: the end is decided when an answer is written (decideEnd), and not while a request behind it was read or is being read. The rest of a body that nobody read, up to 1 MB, is dropped by the reader, which goes on behind it. Tests: TestRestingConnectionIsServedOnceMoreWhenStopping asked for the loss of a request that was read together with the one before; it now asks for both answers and the end behind the last. The body tests that ask for a closed connection use a body above the new bound, and the case below it is added.

--- a/internal/lab/emulator/client/kept.go
+++ b/internal/lab/emulator/client/kept.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -160,7 +161,7 @@
 	_ = response.Body.Close()
 	k.load.Tally.add(outcome, time.Since(next.started))
 	if response.Close {
-		return "closed by the answer before it"
+		return fmt.Sprintf("closed by the answer %d to a %s", response.StatusCode, next.class.Name)
 	}
 	return ""
 }
--- a/internal/requestpath/gateway/pipeline/body.go
+++ b/internal/requestpath/gateway/pipeline/body.go
@@ -63,6 +63,7 @@
 		err = io.ErrUnexpectedEOF
 	}
 	if err == io.EOF {
+		b.conn.setBehind(b.conn.holdsBytes())
 		b.finish()
 	} else if err != nil && isDisconnect(err) {
 		// Bytes that are no body are answered; only a caller that disconnected is not.
@@ -117,21 +118,87 @@
 	return b.started
 }
 
-// stop ends the use of the body. It reports whether all of it was read. Otherwise the connection
-// is sealed before its reader goes on, since what comes next is the rest of the body.
-func (b *Body) stop() (whole bool) {
+// bodyRest is what becomes of the part of a body that nobody read.
+type bodyRest int
+
+const (
+	// restNone: the body was read to its end.
+	restNone bodyRest = iota
+	// restDiscarded: the connection's reader discards it, and goes on behind it.
+	restDiscarded
+	// restLeft: it stays unread; the connection is sealed, since what comes next is no request.
+	restLeft
+)
+
+// maxDiscardBytes bounds what is read and dropped of a body whose request is answered already, so
+// that requests behind it are served; a caller with more to send is told to stop by the end of its
+// connection. Chosen, not measured: above the uploads of the sites that are known, 360 kB.
+const maxDiscardBytes = 1 << 20
+
+// stop ends the use of the body and returns what becomes of its rest.
+func (b *Body) stop() bodyRest {
 	b.mutex.Lock()
-	if b.ended || b.stopped {
-		ended := b.ended
+	if b.ended {
 		b.mutex.Unlock()
-		return ended
+		return restNone
 	}
 	b.stopped = true
+	started := b.started
 	b.mutex.Unlock()
 	b.conn.caller.interrupt()
 	b.reading.Lock()
 	defer b.reading.Unlock()
-	b.conn.seal()
+	if b.hasEnded() {
+		// Its end was read meanwhile.
+		close(b.released)
+		return restNone
+	}
+	// A read that is interrupted within a chunk cannot be resumed.
+	chunked := b.remaining > chunkedLeast
+	if chunked && started || !chunked && b.remaining > maxDiscardBytes {
+		b.conn.seal()
+		close(b.released)
+		return restLeft
+	}
+	b.conn.setBehind(true)
 	close(b.released)
-	return false
+	return restDiscarded
 }
+
+func (b *Body) hasEnded() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.ended
+}
+
+// discardRest reads and drops the rest of a stopped body. It reports whether the next request can
+// be read behind it. Only the goroutine that reads the connection may call it.
+func (b *Body) discardRest() bool {
+	if b.hasEnded() {
+		return true
+	}
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	buffer := make([]byte, discardBuffer)
+	for left := int64(maxDiscardBytes); b.remaining > 0 && left > 0; {
+		b.conn.caller.bound(b.conn.server.config.BodyIdle)
+		count, err := b.stream.Read(buffer[:min(int64(len(buffer)), b.remaining)])
+		// The library's release of its buffer always returns nil.
+		_ = b.conn.conn.Release()
+		b.remaining -= int64(count)
+		left -= int64(count)
+		switch {
+		case err == io.EOF && b.remaining > chunkedLeast:
+			return true
+		case err != nil && isDisconnect(err):
+			b.conn.disconnect()
+			return false
+		case err != nil:
+			return false
+		}
+	}
+	return b.remaining == 0
+}
+
+// discardBuffer is how much of a rest is read at once, in bytes. Chosen, not measured.
+const discardBuffer = 16 << 10
--- a/internal/requestpath/gateway/pipeline/connection.go
+++ b/internal/requestpath/gateway/pipeline/connection.go
@@ -32,6 +32,8 @@
 	// sealed is true once no further request is passed on, and disconnected once the caller
 	// has closed the connection or it broke.
 	sealed, disconnected bool
+	// behind is true while bytes may have been read of a request that is not passed on yet.
+	behind bool
 	// awaitingRequest is true while the reader waits for the first byte of a request, watching
 	// while it is in watchUntil.
 	awaitingRequest, watching bool
@@ -97,7 +99,8 @@
 // meanwhile.
 func (c *connection) passOn(exchange *Exchange) bool {
 	request := exchange.Request
-	stopping := c.server.config.Stopping()
+	// The body's reader notes it for a long body, at its end.
+	behind := exchange.Body == nil && c.holdsBytes()
 	c.mutex.Lock()
 	if c.sealed {
 		c.mutex.Unlock()
@@ -105,8 +108,8 @@
 		c.recycle(exchange)
 		return false
 	}
-	exchange.final = exchange.final || stopping || request.Request.Header.ConnectionClose()
-	c.sealed = exchange.final
+	exchange.final = exchange.final || request.Request.Header.ConnectionClose()
+	c.sealed, c.behind = exchange.final, behind
 	c.open = append(c.open, exchange)
 	c.server.open.Add(1)
 	c.mutex.Unlock()
@@ -114,17 +117,35 @@
 	return true
 }
 
+// holdsBytes reports whether bytes were read that nobody asked for yet. Only the goroutine that
+// reads the connection may call it.
+func (c *connection) holdsBytes() bool { return c.conn.Len() > 0 || c.caller.held() > 0 }
+
+// setBehind records whether bytes behind the requests passed on were read.
+func (c *connection) setBehind(behind bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.behind = behind
+}
+
 // handle runs the handler for one exchange and finishes it.
 func (c *connection) handle(exchange *Exchange) {
 	c.server.config.Handle(c.ctx, exchange)
-	if exchange.Body != nil && !exchange.Body.stop() {
-		c.mutex.Lock()
-		exchange.final = true
-		c.mutex.Unlock()
+	if exchange.Body != nil {
+		c.endBody(exchange)
 	}
 	c.finish(exchange)
 }
 
+// endBody ends the use of an exchange's body. Where some of it was not read, the answer closes the
+// connection unless the reader goes on behind the rest: requests may have been sent behind it.
+func (c *connection) endBody(exchange *Exchange) {
+	rest := exchange.Body.stop()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	exchange.final = exchange.final || rest == restLeft
+}
+
 // seal lets no further request be passed on.
 func (c *connection) seal() {
 	c.mutex.Lock()
@@ -167,8 +188,11 @@
 	return c.disconnected
 }
 
-// recycle gives an exchange's request back to the library's pool.
+// recycle gives an exchange's request back to the library's pool, once its last user is done.
 func (c *connection) recycle(exchange *Exchange) {
+	if exchange.users.Add(-1) > 0 {
+		return
+	}
 	if exchange.sentAhead {
 		c.server.quota.releaseRequest()
 	}
--- a/internal/requestpath/gateway/pipeline/exchange.go
+++ b/internal/requestpath/gateway/pipeline/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -24,6 +25,8 @@
 	Body *Body
 
 	conn *connection
+	// users counts who still needs Request: the answer, and the reader of a long body.
+	users atomic.Int32
 
 	// Everything below is protected by the connection's mutex.
 
--- a/internal/requestpath/gateway/pipeline/reading.go
+++ b/internal/requestpath/gateway/pipeline/reading.go
@@ -28,11 +28,13 @@
 	if err := c.readBody(exchange); err != nil {
 		return c.passOnFault(exchange, err)
 	}
-	body := exchange.Body
-	if !c.passOn(exchange) {
-		return false
+	if exchange.Body == nil {
+		return c.passOn(exchange) && c.readsOn()
 	}
-	return c.awaitBody(body)
+	// The answer may be written before the rest of the body is read.
+	exchange.users.Add(1)
+	defer c.recycle(exchange)
+	return c.passOn(exchange) && c.awaitBody(exchange.Body) && c.readsOn()
 }
 
 // awaitRequest waits for the first byte of a request.
@@ -42,7 +44,7 @@
 		c.mutex.Unlock()
 		return false
 	}
-	c.awaitingRequest = true
+	c.awaitingRequest, c.behind = true, c.holdsBytes()
 	c.boundIdle()
 	c.mutex.Unlock()
 	_, err := c.conn.Peek(1)
@@ -56,6 +58,7 @@
 		c.disconnectLocked()
 		return false
 	}
+	c.behind = true
 	return true
 }
 
@@ -76,6 +79,7 @@
 	request.Response.Header.SetNoDefaultDate(true)
 	request.Response.Header.SetNoDefaultContentType(true)
 	exchange := &Exchange{Request: request, conn: c, sentAhead: c.nextSentAhead}
+	exchange.users.Store(1)
 	c.nextSentAhead = false
 	return exchange
 }
@@ -147,12 +151,22 @@
 	return c.conn.Flush()
 }
 
-// awaitBody waits until the body of a request has been read. It reports whether
-// another request can be read behind it.
+// awaitBody waits until the body of a request has been read, by its handler or to be dropped. It
+// reports whether another request can be read behind it.
 func (c *connection) awaitBody(body *Body) bool {
-	if body != nil {
-		<-body.released
+	<-body.released
+	if c.isSealed() {
+		return false
+	}
+	if !body.discardRest() {
+		c.seal()
+		return false
 	}
+	return true
+}
+
+// readsOn reports whether another request is read.
+func (c *connection) readsOn() bool {
 	if c.isSealed() {
 		return false
 	}
--- a/internal/requestpath/gateway/pipeline/writing.go
+++ b/internal/requestpath/gateway/pipeline/writing.go
@@ -20,8 +20,13 @@
 
 // decideEnd decides whether the answer of the oldest exchange closes the
 // connection; nothing is passed on behind it then. The caller holds mutex.
+//
+// This is decided no sooner than when the answer is written, and never while a request behind it
+// was read or is being read: that one would end without an answer. Decided when a request was
+// passed on, a planned stop lost 20 to 28 requests of callers that send ahead in 10 s on six
+// daemons (TestPlannedWorkLosesNoRequest).
 func (c *connection) decideEnd(exchange *Exchange) {
-	if exchange.final || exchange.begun || len(c.open) > 1 || !c.server.config.Stopping() {
+	if exchange.final || exchange.begun || len(c.open) > 1 || c.behind || !c.server.config.Stopping() {
 		return
 	}
 	exchange.final, c.sealed = true, true
