Signals are caught before the daemon listens, and a stop is not cut by a second one

Senders of signals do not know of one another. Change: cli.CatchSignals comes first in Main; SIGTERM and SIGINT are the planned stop however often they come; SIGQUIT ends at once, and callers are told as at the end of stop_limit; SIGHUP is kept until the settings are watched; SIGPIPE is dropped. A stop waits for callers that have not closed behind their last answer (at most lingerTime). daemon.stop_repeated.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -4,9 +4,7 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/go-logr/logr"
@@ -72,9 +70,10 @@
 // 1 when calls were cut, 2 when the settings cannot be used. adapters are keyed by
 // platform.form of the settings.
 func Main(arguments []string, adapters map[string]Adapter) int {
+	signals := cli.CatchSignals()
 	options := &daemonFlags{}
 	parser := flags.NewNamedParser("lapisvaned", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "The daemon beside back ends and callers: proxy on the request path, and relay or reader in the distribution of configuration. Flags win over the settings file. SIGTERM stops as planned; a second one cuts what is in flight."
+	parser.LongDescription = "The daemon beside back ends and callers: proxy on the request path, and relay or reader in the distribution of configuration. Flags win over the settings file. SIGTERM and SIGINT stop as planned, and change nothing when they come again; SIGQUIT ends at once what is in flight; SIGHUP reads the settings file again."
 	if _, err := parser.AddGroup("Options", "", options); err != nil {
 		return cli.Fail(os.Stderr, err, cli.ExitUsage)
 	}
@@ -104,8 +103,9 @@
 	if err != nil {
 		return cli.Fail(os.Stderr, err, cli.ExitUsage)
 	}
-	watchSettings(running, options)
-	if cut := running.Run(cli.Signals()); cut > 0 {
+	watchSettings(running, options, signals.Reload())
+	go logRepeated(logger, signals.Repeated())
+	if cut := running.Run(signals.Stop(), signals.Force()); cut > 0 {
 		return cli.ExitFailed
 	}
 	return cli.ExitOK
@@ -116,16 +116,21 @@
 
 // watchSettings applies changes of the settings file, at a SIGHUP and without one, as long
 // as the process runs.
-func watchSettings(running *Daemon, options *daemonFlags) {
-	received := make(chan os.Signal, 1)
-	signal.Notify(received, syscall.SIGHUP)
+func watchSettings(running *Daemon, options *daemonFlags, signals <-chan os.Signal) {
 	watcher := &reloader{
-		daemon: running, path: options.Settings, signals: received,
+		daemon: running, path: options.Settings, signals: signals,
 		read: func() (*settings.Daemon, error) { return settings.ReadDaemon(options.Settings, options.apply) },
 	}
 	go watcher.run(context.Background())
 }
 
+// logRepeated logs signals that changed nothing, as long as the process runs.
+func logRepeated(logger logr.Logger, signals <-chan os.Signal) {
+	for repeated := range signals {
+		logger.Info("daemon.stop_repeated", "signal", repeated)
+	}
+}
+
 // QuietHTTPLibrary discards the HTTP library's own log lines; what matters of them is
 // counted and logged as events.
 func QuietHTTPLibrary() { hlog.SetOutput(io.Discard) }
--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -298,9 +298,9 @@
 	for {
 		select {
 		case <-force:
-			return path.reportCut("a second signal")
+			return path.endCalls(forcedCause)
 		case <-limit.C:
-			return path.endCalls()
+			return path.endCalls(path.stopLimitCause())
 		case <-callers.C:
 			// From here on a new call is refused before anything ran, so that the end of
 			// the process cuts nothing.
@@ -308,7 +308,7 @@
 			callersRefused = true
 		case <-poll.C:
 			switch {
-			case !callersRefused || path.inFlight() > 0:
+			case !callersRefused || !path.settled():
 				idleSince = time.Time{}
 			case idleSince.IsZero():
 				idleSince = time.Now()
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -31,6 +31,9 @@
 	cutAnswers = 300 * time.Millisecond
 )
 
+// forcedCause is the cause of calls that are cut because the daemon is told to end at once.
+const forcedCause = "told to end at once"
+
 // requestPath is what carries calls: from callers to instances of any machine, and from
 // other daemons to the instances beside this one.
 type requestPath struct {
@@ -127,16 +130,25 @@
 	return p.gateway.InFlight() + int64(p.origin.InFlight())
 }
 
-// endCalls cuts the calls that outlasted the stop limit and waits until their callers have
-// the answers: from a closed connection they could not tell whether the call ran.
-func (p *requestPath) endCalls() (cut int64) {
-	cut = p.reportCut("stop_limit " + p.settings.Load().StopLimit.Get().String())
+// settled reports whether the end of the process would take nothing away: no call is in flight, and
+// each caller whose last answer was written has closed its side, or had lingerTime for it. Until
+// then the answer may still be in this machine's buffers, and any further byte of the caller would
+// make the kernel drop it once the process is gone.
+func (p *requestPath) settled() bool { return p.inFlight() == 0 && p.callersSettled() }
+
+// endCalls cuts the calls in flight and waits until their callers have the answers: from a closed
+// connection they could not tell whether the call ran.
+func (p *requestPath) endCalls(cause string) (cut int64) {
+	if cut = p.inFlight(); cut > 0 {
+		p.logger.Info("daemon.calls_cut", "calls", cut, "cause", cause)
+	}
+	p.gateway.Stop()
 	p.gateway.Cut()
 	limit := time.NewTimer(cutAnswers)
 	defer limit.Stop()
 	poll := time.NewTicker(inFlightPoll)
 	defer poll.Stop()
-	for p.gateway.InFlight() > 0 {
+	for !p.callersSettled() {
 		select {
 		case <-limit.C:
 			return cut
@@ -146,9 +158,10 @@
 	return cut
 }
 
-// reportCut logs and returns the number of calls that are cut, and why.
-func (p *requestPath) reportCut(cause string) int64 {
-	cut := p.inFlight()
-	p.logger.Info("daemon.calls_cut", "calls", cut, "cause", cause)
-	return cut
+// callersSettled is settled for callers alone: the calls of other daemons are theirs to answer.
+func (p *requestPath) callersSettled() bool { return p.gateway.InFlight() == 0 && p.gateway.Closing() == 0 }
+
+// stopLimitCause is the cause of calls that are cut when the time of a stop is over.
+func (p *requestPath) stopLimitCause() string {
+	return "stop_limit " + p.settings.Load().StopLimit.Get().String()
 }
--- a/internal/daemon/tree_distribution.go
+++ b/internal/daemon/tree_distribution.go
@@ -125,13 +125,13 @@
 	for {
 		select {
 		case <-force:
-			return t.path.reportCut("a second signal")
+			return t.path.endCalls(forcedCause)
 		case <-limit.C:
-			return t.path.endCalls()
+			return t.path.endCalls(t.path.stopLimitCause())
 		case <-notice.C:
 			noticed = true
 		case <-poll.C:
-			if noticed && t.path.inFlight() == 0 {
+			if noticed && t.path.settled() {
 				return 0
 			}
 		}
--- a/internal/lab/standins.go
+++ b/internal/lab/standins.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	results.Info("platform.started", "address", stub.Address())
-	stop, _ := cli.Signals()
+	stop := cli.CatchSignals().Stop()
 	<-stop
 	load := stub.Load()
 	results.Info("platform.stopped", "requests", load.Requests, "peak_watchers", load.PeakWatchers, "refused_watches", load.RefusedWatches)
@@ -97,7 +97,7 @@
 	}
 	defer backend.Close()
 	results.Info("backend.started", "instance", c.Instance, "address", backend.Address())
-	stop, _ := cli.Signals()
+	stop := cli.CatchSignals().Stop()
 	<-stop
 	results.Info("backend.stopped", "instance", c.Instance, "peak_running", backend.PeakRunning(), "connections", backend.Connections.Load())
 	return nil
