--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -159,7 +159,9 @@
 }
 
 // callersSettled is settled for callers alone: the calls of other daemons are theirs to answer.
-func (p *requestPath) callersSettled() bool { return p.gateway.InFlight() == 0 && p.gateway.Closing() == 0 }
+func (p *requestPath) callersSettled() bool {
+	return p.gateway.InFlight() == 0 && p.gateway.Closing() == 0
+}
 
 // stopLimitCause is the cause of calls that are cut when the time of a stop is over.
 func (p *requestPath) stopLimitCause() string {
--- a/internal/lab/emulator/client/kept.go
+++ b/internal/lab/emulator/client/kept.go
@@ -34,6 +34,8 @@
 	Connections int
 	// Ahead is the most requests on a connection that are not answered; 1 sends one after the other.
 	Ahead int
+	// BytesPerSecond bounds how fast answers are read; 0 for no bound.
+	BytesPerSecond float64
 	// Pause is the mean time between two requests of a connection, as far as Ahead allows them.
 	Pause time.Duration
 }
@@ -120,7 +122,7 @@
 // receive reads the answers in their order, until one of them or the daemon ends the connection;
 // it then stops the sending. What was sent behind that stays without an answer.
 func (k *keptConn) receive(stop func()) {
-	reader := bufio.NewReader(k.conn)
+	reader := bufio.NewReader(paced{reader: k.conn, bytesPerSecond: k.kept.BytesPerSecond})
 	ended := ""
 	for next := range k.sent {
 		if ended != "" {
@@ -176,6 +178,21 @@
 	k.load.Ledger.Unanswered(promise.Unanswered{Request: request.id, SentAt: time.Unix(0, sentAt), EndedAt: time.Now(), How: how})
 }
 
+// paced reads no faster than a bound, 0 for none.
+type paced struct {
+	reader         io.Reader
+	bytesPerSecond float64
+}
+
+// Read implements io.Reader.
+func (p paced) Read(buffer []byte) (int, error) {
+	count, err := p.reader.Read(buffer)
+	if p.bytesPerSecond > 0 {
+		time.Sleep(time.Duration(float64(count) / p.bytesPerSecond * float64(time.Second)))
+	}
+	return count, err
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -83,7 +83,9 @@
 	t         *testing.T
 	directory string
 	// output replaces the recording of what processes write; nil for that.
-	output  *os.File
+	output *os.File
+	// blocked are the nodes whose output is a pipe that nobody reads.
+	blocked map[string]bool
 	mutex   sync.Mutex
 	started []*process
 }
@@ -115,6 +117,16 @@
 		},
 	}
 	started.command.Stdout, started.command.Stderr = started.output, started.output
+	if l.blocked[config.Node] {
+		// Nobody reads what it writes.
+		reader, writer, err := os.Pipe()
+		if err != nil {
+			return nil, err
+		}
+		started.command.Stdout = writer
+		defer func() { _ = writer.Close() }()
+		l.t.Cleanup(func() { _ = reader.Close() })
+	}
 	if l.output != nil {
 		started.command.Stdout, started.command.Stderr = l.output, l.output
 	}
