The emulator's callers see requests that went unanswered

Cause: the emulator could not see the incident: its callers' HTTP library sends a request again by itself when a kept connection ends, and what stood behind a closing answer was entered as not read, whatever its age. Change: sendWatch counts the sends of the HTTP library; bursts enter what was behind a closing answer, or on a connection that broke, as unanswered.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,9 @@
 	// Platform is the adapter to the machine's platform; nil where that has lapisvane's own
 	// object API.
 	Platform platformapi.Platform
+	// KilledByForce makes the force channel of Run stand for the kill of a process: nobody is told
+	// that calls in flight are cut. It is for daemons that share their process.
+	KilledByForce bool
 	// PlatformDial overrides how the platform is dialed; nil for plain TCP.
 	PlatformDial objectapi.DialFunc
 }
@@ -82,6 +85,7 @@
 	mode := chooseMode(d, config, options)
 	d.incarnation = mode.incarnation
 	d.path = newRequestPath(d, network, mode)
+	d.path.killedByForce = options.KilledByForce
 	d.distribution = mode.build(network)
 	metrics.Register(d.registry, metrics.Sources{
 		Counters: d.counters, Origin: d.path.origin, Calls: d.path.calls, Suspects: d.path.suspects.Sizes,
@@ -99,7 +103,8 @@
 }
 
 // Run serves until stop is closed, then drains (distribution.Drain). Closing force, or the
-// end of StopLimit, cuts what is still in flight. It returns the number of calls cut.
+// end of StopLimit, cuts what is still in flight, and tells callers so. It returns the number of
+// calls cut.
 func (d *Daemon) Run(stop, force <-chan struct{}) (cut int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.start(ctx)
--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -298,7 +298,7 @@
 	for {
 		select {
 		case <-force:
-			return path.endCalls(forcedCause)
+			return path.endByForce()
 		case <-limit.C:
 			return path.endCalls(path.stopLimitCause())
 		case <-callers.C:
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -47,6 +47,8 @@
 	suspects  *suspects
 	// orders are the operators' orders in force; always empty where none are given.
 	orders *orders.Current
+	// killedByForce is that of the daemon's Options.
+	killedByForce bool
 }
 
 // newRequestPath builds the parts of the request path; none of them runs yet. The changes
@@ -136,6 +138,14 @@
 // (TestAnswersAreReadBeforeTheProcessEnds).
 func (p *requestPath) settled() bool { return p.inFlight() == 0 && p.callersSettled() }
 
+// endByForce ends the calls in flight because the daemon is told to end at once.
+func (p *requestPath) endByForce() (cut int64) {
+	if p.killedByForce {
+		return p.inFlight()
+	}
+	return p.endCalls(forcedCause)
+}
+
 // endCalls cuts the calls in flight and waits until their callers have the answers: from a closed
 // connection they could not tell whether the call ran.
 func (p *requestPath) endCalls(cause string) (cut int64) {
--- a/internal/daemon/tree_distribution.go
+++ b/internal/daemon/tree_distribution.go
@@ -125,7 +125,7 @@
 	for {
 		select {
 		case <-force:
-			return t.path.endCalls(forcedCause)
+			return t.path.endByForce()
 		case <-limit.C:
 			return t.path.endCalls(t.path.stopLimitCause())
 		case <-notice.C:
--- a/internal/lab/emulator/client/burst.go
+++ b/internal/lab/emulator/client/burst.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -59,6 +60,8 @@
 	request  *http.Request
 	started  time.Time
 	deadline time.Time
+	// sentAt is when the whole burst was sent.
+	sentAt time.Time
 }
 
 // send sends one burst and handles its answers.
@@ -81,6 +84,9 @@
 	}
 	_ = conn.SetDeadline(time.Now().Add(longest))
 	_ = writer.Flush()
+	for _, one := range requests {
+		one.sentAt = time.Now()
+	}
 	s.receive(target, conn, address, requests)
 }
 
@@ -99,6 +105,9 @@
 		response, err := http.ReadResponse(conn.reader, one.request)
 		if err != nil {
 			_ = conn.Close()
+			if !isTimeout(err) {
+				s.noteUnanswered(requests[index:], err.Error())
+			}
 			s.retryBroken(target, requests[index:])
 			return
 		}
@@ -111,6 +120,7 @@
 		}
 		if response.Close {
 			_ = conn.Close()
+			s.noteUnanswered(requests[index+1:], fmt.Sprintf("closed by the answer %d to a %s", response.StatusCode, one.class.Name))
 			s.notRead(target, requests[index+1:])
 			return
 		}
@@ -118,6 +128,13 @@
 	s.put(address, conn)
 }
 
+// noteUnanswered enters requests without an answer into the ledger.
+func (s *sender) noteUnanswered(requests []*sent, how string) {
+	for _, one := range requests {
+		s.load.Ledger.Unanswered(promise.Unanswered{Request: one.id, SentAt: one.sentAt, EndedAt: time.Now(), How: how})
+	}
+}
+
 // retryBroken is for requests whose connection broke: only what may run twice is sent again.
 func (s *sender) retryBroken(target Target, requests []*sent) {
 	for _, one := range requests {
--- a/internal/lab/emulator/client/client.go
+++ b/internal/lab/emulator/client/client.go
@@ -12,6 +12,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -181,13 +182,17 @@
 	id := l.announce(class, target, body, wait)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	request, err := newRequest(ctx, class, "http://"+address, id, body, wait)
+	sends := &sendWatch{ledger: l.Ledger, id: id}
+	request, err := newRequest(httptrace.WithClientTrace(ctx, sends.trace()), class, "http://"+address, id, body, wait)
 	if err != nil {
 		return Failed, 0, false
 	}
 	request.Close = fresh
 	response, err := transport.RoundTrip(request)
 	if err != nil {
+		if ctx.Err() == nil {
+			sends.unanswered(err.Error())
+		}
 		return Failed, 0, class.Safe
 	}
 	defer func() { _ = response.Body.Close() }()
