A stop waits for answers to other daemons that are on their way

Cause: the same as for callers, looked for elsewhere: a stop counted the calls that hold a slot, but an answer of up to 64 kB is read whole before it is sent, so that its slot is free; on a link of 10 Mbit/s it goes out in pieces for 52 ms or more, several at once for longer, and the process ended 0.1 s later. Change: callmux.Server.Undelivered counts calls whose answer is not written and connections whose peer has not acknowledged one of the last second; a stop settles only without any. socket.Unacknowledged holds the SIOCOUTQ request for both. daemon.stopped says undelivered_to_daemons.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,7 +23,6 @@
 	"github.com/lapisvane/lapisvane/internal/daemon/settings"
 	"github.com/lapisvane/lapisvane/internal/distribution/objectapi"
 	"github.com/lapisvane/lapisvane/internal/distribution/tree"
-	"github.com/lapisvane/lapisvane/internal/transport/callmux"
 	"github.com/lapisvane/lapisvane/internal/transport/peer"
 	"github.com/lapisvane/lapisvane/internal/transport/tlssetup"
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
@@ -121,8 +120,7 @@
 	d.path.gateway.Cut()
 	d.running.Wait()
 	d.distribution.Close()
-	gateway := d.path.gateway
-	d.logger.Info("daemon.stopped", "cut", cut, "open", gateway.InFlight(), "undelivered", gateway.Undelivered(), "unserved", gateway.Unserved())
+	d.path.logStopped(cut)
 	return cut
 }
 
@@ -149,10 +147,8 @@
 
 // handlers returns what serves the connections of other daemons, by their purpose.
 func (d *Daemon) handlers() map[lapisv1.Hello_Purpose]peer.Handler {
-	calls := &callmux.Server{
-		Node: d.settings.Load().Node, Incarnation: d.incarnation, Origin: d.path.origin, Counters: d.callCounters,
-		Timing: d.path.calls.Timing, Accepted: d.distribution.AcceptedCalls(),
-	}
+	calls := d.path.callServer
+	calls.Accepted = d.distribution.AcceptedCalls()
 	handlers := d.distribution.Handlers()
 	handlers[lapisv1.Hello_PURPOSE_CALLS] = calls.Serve
 	return handlers
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -43,8 +43,10 @@
 	balancer  *balance.Balancer
 	origin    *origin.Origin
 	calls     *callmux.Client
-	gateway   *gateway.Gateway
-	suspects  *suspects
+	// callServer serves the calls of other daemons.
+	callServer *callmux.Server
+	gateway    *gateway.Gateway
+	suspects   *suspects
 	// orders are the operators' orders in force; always empty where none are given.
 	orders *orders.Current
 	// killedByForce is that of the daemon's Options.
@@ -78,6 +80,9 @@
 			Address: d.listeners.peer.Addr().String(), Service: values.Service,
 		},
 	}
+	p.callServer = &callmux.Server{
+		Node: values.Node, Incarnation: mode.incarnation, Origin: p.origin, Counters: d.callCounters, Timing: p.calls.Timing,
+	}
 	p.gateway = gateway.New(gateway.Config{
 		Node: values.Node, Incarnation: mode.incarnation, Snapshots: p.snapshots, Balancer: p.balancer,
 		Local: p.origin, Remote: p.calls, DefaultDeadline: values.Calls.DefaultDeadline.Get(),
@@ -136,7 +141,15 @@
 // and no answer that was written is still on its way to its caller. Any further byte of that
 // caller would make the kernel drop such an answer once the process is gone: 6 of 400 kB arrived
 // (TestAnswersAreReadBeforeTheProcessEnds).
-func (p *requestPath) settled() bool { return p.inFlight() == 0 && p.callersSettled() }
+func (p *requestPath) settled() bool {
+	return p.inFlight() == 0 && p.callersSettled() && p.callServer.Undelivered() == 0
+}
+
+// logStopped logs what the end of the process takes away.
+func (p *requestPath) logStopped(cut int64) {
+	p.logger.Info("daemon.stopped", "cut", cut, "open", p.gateway.InFlight(), "undelivered", p.gateway.Undelivered(),
+		"undelivered_to_daemons", p.callServer.Undelivered(), "unserved", p.gateway.Unserved())
+}
 
 // endByForce ends the calls in flight because the daemon is told to end at once.
 func (p *requestPath) endByForce() (cut int64) {
--- a/internal/lab/emulator/day/site.go
+++ b/internal/lab/emulator/day/site.go
@@ -86,6 +86,9 @@
 	s.Store.Close()
 }
 
+// Contact returns the time in which all daemons know what one of them does.
+func (s *Site) Contact() time.Duration { return s.options.Contact }
+
 // FailStoreFor puts faults of the store in force for some machines, while it
 // serves the others and the operator.
 func (s *Site) FailStoreFor(faults objectstore.Faults, machines ...*Machine) {
--- a/internal/lab/soak/signals_test.go
+++ b/internal/lab/soak/signals_test.go
@@ -105,7 +105,7 @@
 	started := newLauncher(t)
 	const rounds = 10
 	for range rounds {
-		running := launchAlone(t, started, "127.9.9.9")
+		running := launchAlone(t, started, "127.254.9.9")
 		awaitListening(t, running.addresses.Peer)
 		running.signal(syscall.SIGHUP)
 		running.signal(syscall.SIGTERM)
@@ -119,7 +119,7 @@
 	reader, writer, err := os.Pipe()
 	assert.NilError(t, err)
 	started.output = writer
-	running := launchAlone(t, started, "127.9.9.8")
+	running := launchAlone(t, started, "127.254.9.8")
 	assert.NilError(t, writer.Close())
 	awaitListening(t, running.addresses.Caller)
 	_, err = io.ReadAtLeast(reader, make([]byte, 1<<10), 1)
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -81,13 +81,26 @@
 // stopped and started again, signals come twice and in between, configurations change, instances
 // are replaced, the store is away for a while. Nothing of that may cost a request that a daemon
 // had read.
-func TestPlannedWorkLosesNoRequest(t *testing.T) {
+func TestPlannedWorkLosesNoRequest(t *testing.T) { eachSeed(t, nil) }
+
+// TestFaultsBreakNoPromise adds what nobody plans: processes are killed, alone and in herds, and
+// stand still for longer than the contact time. Requests may then end without an answer; all other
+// promises hold, and the site serves again.
+func TestFaultsBreakNoPromise(t *testing.T) {
+	eachSeed(t, func(played *soakDay) []series { return []series{played.kills, played.pauses} })
+}
+
+// series is a row of disturbances, which goes on until its context ends.
+type series func(ctx context.Context, random *rand.Rand)
+
+// eachSeed plays a day of planned work for each seed, with further disturbances.
+func eachSeed(t *testing.T, further func(*soakDay) []series) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playPlannedWork(t, seed) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { play(t, seed, further) })
 	}
 }
 
-func playPlannedWork(t *testing.T, seed uint64) {
+func play(t *testing.T, seed uint64, further func(*soakDay) []series) {
 	started := newLauncher(t)
 	started.blocked = map[string]bool{"machine-b-2": true}
 	ctx, cancel := context.WithTimeout(context.Background(), *dayLength+patience)
@@ -104,15 +117,19 @@
 	defer end()
 	var running sync.WaitGroup
 	running.Go(func() { load.Run(dayCtx) })
-	series := []func(context.Context, *rand.Rand){played.hangUps, played.changes, played.releases, played.storeFaults, played.scaleIns}
+	disturbances := []series{played.hangUps, played.changes, played.releases, played.storeFaults, played.scaleIns}
 	for range max(2, *machines/4) {
-		series = append(series, played.stopInTurn)
+		disturbances = append(disturbances, played.stopInTurn)
+	}
+	if further != nil {
+		disturbances = append(disturbances, further(played)...)
 	}
-	for _, series := range series {
+	for _, disturb := range disturbances {
 		random := rand.New(rand.NewPCG(seed, played.random.Uint64()))
-		running.Go(func() { series(dayCtx, random) })
+		running.Go(func() { disturb(dayCtx, random) })
 	}
 	running.Wait()
+	played.recover(ctx)
 	breaches := site.Ledger.Breaches()
 	t.Logf("served %d, refused %d, failed %d; stops %d, exits %v; broken promises %d",
 		tally.Served.Load(), tally.Refused.Load(), tally.Failed.Load(), played.stops, played.exits, len(breaches))
@@ -193,6 +210,46 @@
 	d.exits[process.exit(d.t)]++
 }
 
+// kills ends daemons at once: one, or half of them.
+func (d *soakDay) kills(ctx context.Context, random *rand.Rand) {
+	for pause(ctx, random, 2*time.Second) {
+		count := 1
+		if random.IntN(4) == 0 {
+			count = len(d.site.Machines) / 2
+		}
+		down := time.Duration(random.Float64() * float64(300*time.Millisecond))
+		var killing sync.WaitGroup
+		for _, index := range random.Perm(len(d.site.Machines))[:count] {
+			killing.Go(func() { assert.Check(d.t, d.site.Machines[index].Kill(down)) })
+		}
+		killing.Wait()
+	}
+}
+
+// pauses makes a daemon stand still for up to twice the contact time.
+func (d *soakDay) pauses(ctx context.Context, random *rand.Rand) {
+	for pause(ctx, random, 2*time.Second) {
+		process, running := d.site.Machines[random.IntN(len(d.site.Machines))].Daemon().(*process)
+		if !running {
+			continue
+		}
+		d.site.Ledger.DaemonsKilled(time.Now())
+		process.signal(syscall.SIGSTOP)
+		pause(context.Background(), random, d.site.Contact())
+		process.signal(syscall.SIGCONT)
+		d.site.Ledger.DaemonsKilled(time.Now())
+	}
+}
+
+// recover waits until the site is whole again and the newest configuration is in force.
+func (d *soakDay) recover(ctx context.Context) {
+	d.site.Store.SetFaults(objectstore.Faults{})
+	version, err := d.site.Declare(day.StandardRoutes())
+	assert.Check(d.t, err)
+	assert.Check(d.t, d.site.AwaitInForce(ctx, version))
+	assert.Check(d.t, d.site.AwaitReady(ctx))
+}
+
 // hangUps sends SIGHUP to some daemons.
 func (d *soakDay) hangUps(ctx context.Context, random *rand.Rand) {
 	for pause(ctx, random, 300*time.Millisecond) {
--- a/internal/requestpath/gateway/pipeline/caller.go
+++ b/internal/requestpath/gateway/pipeline/caller.go
@@ -3,10 +3,7 @@
 import (
 	"net"
 	"sync"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // Bytes that are read ahead to see whether the caller disconnects: at first and at most; the
@@ -44,28 +41,6 @@
 	return len(c.lookahead)
 }
 
-// unacknowledged returns the number of bytes that were written and that the caller's system has
-// not acknowledged; 0 where the connection or this system does not tell.
-func (c *callerConn) unacknowledged() int {
-	socket, isSocket := c.Conn.(syscall.Conn)
-	if !isSocket {
-		return 0
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	queued := 0
-	err = raw.Control(func(descriptor uintptr) {
-		queued, _ = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
-	})
-	if err != nil {
-		// The connection is closed.
-		return 0
-	}
-	return queued
-}
-
 // Read returns bytes read ahead before it reads on.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	c.mutex.Lock()
--- a/internal/requestpath/gateway/pipeline/connection.go
+++ b/internal/requestpath/gateway/pipeline/connection.go
@@ -7,6 +7,8 @@
 
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
+
+	"github.com/lapisvane/lapisvane/internal/shared/socket"
 )
 
 // connection serves one caller's connection. One goroutine, the reader, reads it; any
@@ -100,7 +102,7 @@
 	if lingering {
 		return true
 	}
-	return now.Sub(writtenAt) < c.server.config.LingerTime && c.caller.unacknowledged() > 0
+	return now.Sub(writtenAt) < c.server.config.LingerTime && socket.Unacknowledged(c.caller.Conn) > 0
 }
 
 // noteUnserved reports what was read of requests that nobody will answer. Only the reader may
--- /dev/null
+++ b/internal/shared/socket/socket_test.go
@@ -0,0 +1,33 @@
+package socket_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/shared/socket"
+)
+
+func TestUnacknowledgedBytesOfAPeerThatDoesNotRead(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	assert.Equal(t, socket.Unacknowledged(conn), 0)
+	assert.NilError(t, conn.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	// More than the buffers of both ends hold.
+	_, err = conn.Write(make([]byte, 64<<20))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, socket.Unacknowledged(conn) > 0)
+	assert.NilError(t, conn.Close())
+	assert.Equal(t, socket.Unacknowledged(conn), 0)
+}
+
+func TestConnectionsThatAreNoSocketsSayNothing(t *testing.T) {
+	near, far := net.Pipe()
+	assert.Equal(t, socket.Unacknowledged(near), 0)
+	assert.NilError(t, far.Close())
+}
--- a/internal/transport/callmux/server.go
+++ b/internal/transport/callmux/server.go
@@ -34,8 +34,17 @@
 	Timing   Timing
 	// Accepted is called with each new session and returns its Control; it may be nil.
 	Accepted func(hello *lapisv1.Hello, link Link) Control
+
+	// delivery knows which answers are on their way.
+	delivery delivery
 }
 
+// Undelivered returns the number of calls whose answer is not written whole, and of connections
+// whose peer has not got all of an answer that was written in the last deliveryTime. The end of
+// the process would take these answers away, though their instances are done with them: an answer
+// of a narrow link goes out long after its slot is free.
+func (s *Server) Undelivered() int { return s.delivery.undelivered(time.Now()) }
+
 // Serve speaks the protocol on a greeted connection until it ends.
 func (s *Server) Serve(ctx context.Context, conn *wire.Conn, hello *lapisv1.Hello) error {
 	if s.Counters != nil {
@@ -50,6 +59,8 @@
 	if s.Accepted != nil {
 		session.control = s.Accepted(hello, Link{session})
 	}
+	s.delivery.add(session)
+	defer s.delivery.remove(session)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go session.keepAlive()
@@ -81,12 +92,14 @@
 	if err := session.add(stream); err != nil {
 		return err
 	}
+	s.delivery.begin()
 	go s.run(ctx, session, stream, frame.GetOpen())
 	return nil
 }
 
 // run carries out one call and sends its answer.
 func (s *Server) run(ctx context.Context, session *session, stream *stream, open *lapisv1.CallOpen) {
+	defer s.delivery.end(session)
 	defer session.remove(stream.id)
 	ctx, cancel := contextFor(ctx, open)
 	defer cancel()
--- a/internal/transport/wire/conn.go
+++ b/internal/transport/wire/conn.go
@@ -24,6 +24,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/internal/shared/result"
+	"github.com/lapisvane/lapisvane/internal/shared/socket"
 )
 
 // ProtocolVersion is the version that Hello carries.
@@ -151,6 +152,10 @@
 // SetWriteDeadline bounds the next Send.
 func (c *Conn) SetWriteDeadline(deadline time.Time) error { return c.raw.SetWriteDeadline(deadline) }
 
+// Unacknowledged returns the bytes sent that the peer's system has not acknowledged; 0 where that
+// is not known.
+func (c *Conn) Unacknowledged() int { return socket.Unacknowledged(c.raw) }
+
 // RemoteAddr returns the peer's address.
 func (c *Conn) RemoteAddr() net.Addr { return c.raw.RemoteAddr() }
 
