Red: an answer that breaks off takes the requests behind it with it

Cause: an answer without a stated length is passed on as it comes; when its instance resets it on the way the caller's connection must end, and requests that were sent ahead behind it, handed to sound instances, go unanswered.

--- a/internal/lab/emulator/day/pipelining_test.go
+++ b/internal/lab/emulator/day/pipelining_test.go
@@ -19,6 +19,9 @@
 		"answers cut off": func(_ *testing.T, site *day.Site) {
 			site.Machines[0].Instance().Set(instance.Behaviour{Cut: 0.3})
 		},
+		"answers without length reset on the way": func(_ *testing.T, site *day.Site) {
+			site.Machines[0].Instance().Set(instance.Behaviour{UnframedCut: 0.3})
+		},
 		"a second answer": func(_ *testing.T, site *day.Site) {
 			site.Machines[0].Instance().Set(instance.Behaviour{Extra: 0.4})
 		},
--- a/internal/lab/emulator/instance/instance.go
+++ b/internal/lab/emulator/instance/instance.go
@@ -35,6 +35,8 @@
 	ExtraAfter time.Duration
 	// Unframed is the share of the answers without length, which end with the connection.
 	Unframed float64
+	// UnframedCut is the share of the answers without length whose connection is reset on the way.
+	UnframedCut float64
 	// Garbage is the share of the answers that are not HTTP.
 	Garbage float64
 	// Early is the share of the requests that are refused before their body is read.
--- a/internal/lab/emulator/instance/serve.go
+++ b/internal/lab/emulator/instance/serve.go
@@ -31,6 +31,10 @@
 
 const defaultAnswerBytes = 200
 
+// resetPause is the time between a part of an answer and the reset of its connection. Chosen, not
+// measured.
+const resetPause = 5 * time.Millisecond
+
 // connectionFate is what becomes of a connection after a request.
 type connectionFate int
 
@@ -323,6 +327,13 @@
 		i.options.Ledger.RunFailed(stamp)
 		_, _ = io.WriteString(conn, framed[:len(framed)-len(body)/2])
 		return connectionClosed
+	case i.chance(behaviour.UnframedCut):
+		i.options.Ledger.RunFailed(stamp)
+		_, _ = io.WriteString(conn, head+"Connection: close\r\n\r\n"+body[:len(body)/2])
+		// What was sent arrives before the reset.
+		time.Sleep(resetPause)
+		reset(conn)
+		return connectionClosed
 	case i.chance(behaviour.Unframed):
 		_, _ = io.WriteString(conn, head+"Connection: close\r\n\r\n"+body)
 		return connectionClosed
