An answer without length is read ahead where requests are open behind it

Cause: a break-off in such an answer, passed on as it came, ended the caller's connection and left the requests behind it without an answer although sound instances had them.

--- a/internal/requestpath/gateway/deliver.go
+++ b/internal/requestpath/gateway/deliver.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -71,6 +73,18 @@
 		rc.Response.SetBodyRaw(content)
 		return nil
 	}
+	if mayBreakOff(head) && exchange.HasBehind() && exchange.Hold(retry.MaxKeptAnswerBytes) {
+		content, whole, err := readAhead(done.answer)
+		if err != nil {
+			g.observe(done.target, err)
+			return err
+		}
+		if whole {
+			g.writeHead(rc, head)
+			rc.Response.SetBodyRaw(content)
+			return nil
+		}
+	}
 	g.writeHead(rc, head)
 	err := streamAnswer(ctx, exchange, done.answer)
 	if err != nil {
@@ -110,6 +124,38 @@
 	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
+// mayBreakOff reports whether only the end of an answer will show that it is whole: it states no
+// length, and nothing comes behind its body.
+func mayBreakOff(head *lapisv1.CallHead) bool {
+	return head.GetContentLength() < 0 && !slices.ContainsFunc(head.GetHeaders(), func(field *lapisv1.HeaderField) bool {
+		return strings.EqualFold(field.GetName(), "Trailer")
+	})
+}
+
+// readAhead reads an answer without length, of which nothing was written yet, up to
+// MaxKeptAnswerBytes, and reports whether that is all of it; if not, the answer's body still
+// begins with what was read. Passed on as it comes, such an answer ends the caller's connection
+// where it breaks off, and with it the requests sent behind it, which other instances may run: 9
+// of them in the case of TestRequestsSentAheadKeepPromises. Read ahead, it is replaced or fails by
+// itself. Errors: those of the call.
+func readAhead(answer *callapi.Answer) (content []byte, whole bool, err error) {
+	content, err = io.ReadAll(io.LimitReader(answer.Body, retry.MaxKeptAnswerBytes+1))
+	if err != nil {
+		return nil, false, err
+	}
+	if len(content) <= retry.MaxKeptAnswerBytes {
+		return content, true, nil
+	}
+	answer.Body = resumedBody{Reader: io.MultiReader(bytes.NewReader(content), answer.Body), Closer: answer.Body}
+	return nil, false, nil
+}
+
+// resumedBody is a body of which a part was read already.
+type resumedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // readWhole reads a small answer to its end. Errors: CallTruncated and those of the call.
 func readWhole(answer *callapi.Answer) ([]byte, error) {
 	body, err := io.ReadAll(answer.Body)
--- a/internal/requestpath/gateway/pipeline/exchange.go
+++ b/internal/requestpath/gateway/pipeline/exchange.go
@@ -76,6 +76,9 @@
 	return nil
 }
 
+// HasBehind reports whether requests that were sent behind this one have been read.
+func (e *Exchange) HasBehind() bool { return e.conn.hasBehind(e) }
+
 // Hold counts the bytes of an answer that is read whole while it waits for earlier ones. It
 // returns false beyond the limits: the answer must then be written in pieces after BeginAnswer.
 func (e *Exchange) Hold(bytes int64) bool { return e.conn.hold(e, bytes) }
--- a/internal/requestpath/gateway/pipeline/writing.go
+++ b/internal/requestpath/gateway/pipeline/writing.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// hasBehind reports whether a request behind an exchange was read, or is being read.
+func (c *connection) hasBehind(exchange *Exchange) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.behind || c.open[len(c.open)-1] != exchange
+}
+
 // hold counts the bytes of an answer that waits for earlier ones; see Exchange.Hold.
 func (c *connection) hold(exchange *Exchange, bytes int64) bool {
 	c.mutex.Lock()
