A daemon accepts callers again after it ran out of descriptors

Cause: the HTTP library's server ends with the first error of Accept; a daemon whose descriptors were used up for a moment took no caller any more, for good and without a line, while it said that it was ready. Change: all listeners of the daemon go on after an error unless they are closed (socket.KeepAccepting), with a line at the first failure in a row and one at its end; the loop of the same kind in package peer is gone.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -78,7 +78,7 @@
 		registry: prometheus.NewRegistry(), counters: &wire.Counters{}, callCounters: &wire.Counters{},
 	}
 	d.settings.Store(config)
-	if d.listeners, err = listen(network, config); err != nil {
+	if d.listeners, err = listen(network, config, d.logger); err != nil {
 		return nil, err
 	}
 	mode := chooseMode(d, config, options)
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -3,8 +3,11 @@
 import (
 	"net"
 
+	"github.com/go-logr/logr"
+
 	"github.com/lapisvane/lapisvane/internal/daemon/settings"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
+	"github.com/lapisvane/lapisvane/internal/shared/socket"
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
 )
 
@@ -15,10 +18,11 @@
 
 // listen opens the sockets that the settings name. Errors: SettingsBadAddress with the key,
 // and those of the network between daemons; nothing is left open then.
-func listen(network wire.Network, config *settings.Daemon) (opened listeners, err error) {
+func listen(network wire.Network, config *settings.Daemon, logger logr.Logger) (opened listeners, err error) {
 	if opened.peer, err = network.Listen(config.PeerAddress); err != nil {
 		return listeners{}, err
 	}
+	opened.peer = socket.KeepAccepting(opened.peer, logger)
 	plain := []struct {
 		key, address string
 		listener     *net.Listener
@@ -34,10 +38,12 @@
 		if entry.address == "" {
 			continue
 		}
-		if *entry.listener, err = net.Listen("tcp", entry.address); err != nil {
+		listener, err := net.Listen("tcp", entry.address)
+		if err != nil {
 			opened.close()
 			return listeners{}, result.Wrap(result.SettingsBadAddress, err, "%s", entry.key)
 		}
+		*entry.listener = socket.KeepAccepting(listener, logger)
 	}
 	return opened, nil
 }
--- a/internal/requestpath/gateway/lifecycle.go
+++ b/internal/requestpath/gateway/lifecycle.go
@@ -33,7 +33,7 @@
 	// A listener that cannot be closed is closed already.
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
-	// Run returns when the listener is closed, or when accepting fails, which the library logs.
+	// Run returns when accepting fails, so the listener must fail only once it is closed.
 	_ = engine.Run()
 }
 
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -33,9 +33,6 @@
 	// maxGreetings bounds the connections that have not greeted yet; further ones wait in the
 	// kernel.
 	maxGreetings = 256
-	// acceptPause is the pause after a connection could not be accepted, such as for lack of file
-	// descriptors.
-	acceptPause = 10 * time.Millisecond
 )
 
 // Handler speaks one protocol on a greeted connection until it ends.
@@ -50,7 +47,8 @@
 	Handlers map[lapisv1.Hello_Purpose]Handler
 }
 
-// Serve accepts connections until ctx ends, then closes all of them and waits.
+// Serve accepts connections until ctx ends or the listener fails, then closes all of them and waits.
+// Callers pass a listener that fails only once it is closed (socket.KeepAccepting).
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
@@ -60,11 +58,7 @@
 	for {
 		raw, err := listener.Accept()
 		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(acceptPause)
-			continue
+			return
 		}
 		greetings <- struct{}{}
 		running.Add(1)
