What is newer is decided across the store's eras

Cause: revisions alone were compared. After the store's return from a copy withdrawals were taken for old, a watch from before could miss a change, and entries and records that were lost were not written again. Positions join era and revision wherever revisions were compared, cached or told to other daemons, in one number, so that earlier releases compare it rightly. Daemons write their entries and the records of quarantined requests again, spread over their next list. Revisions of orders in lines are texts (era.revision), which two tests follow.

--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -122,6 +122,10 @@
 		Awaited: p.path.snapshots.Awaited, Bound: p.pollBound(), Daemons: func() int { return int(p.members.Load()) },
 		MinInterval: p.minInterval, Random: rand.Float64, Resumed: p.resumed, Logger: p.path.logger,
 	}
+	platform.OnStoreReturn(func() {
+		p.fleet.DirectoryReturned()
+		p.path.suspects.storeReturned()
+	})
 	return p
 }
 
--- a/internal/daemon/platform_distribution_test.go
+++ b/internal/daemon/platform_distribution_test.go
@@ -21,6 +21,8 @@
 // idlePlatform is a platform that says nothing.
 type idlePlatform struct{}
 
+func (idlePlatform) OnStoreReturn(func()) {}
+
 func (idlePlatform) Source() configsource.Source                                         { return nil }
 func (idlePlatform) Directory() fleet.Directory                                          { return nil }
 func (idlePlatform) Envelope() callapi.Envelope                                          { return callapi.DefaultEnvelope }
--- a/internal/daemon/platform_orders.go
+++ b/internal/daemon/platform_orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/orders"
+	"github.com/lapisvane/lapisvane/internal/model/position"
 )
 
 // fromStore names the platform's store as where orders came from.
@@ -108,7 +109,7 @@
 	before, replaced := replace()
 	now := p.path.orders.Load()
 	for _, zone := range now.GivenAgain(before) {
-		p.path.logger.Info("orders.given_again", "zone", zone, "revision", now.Revision(), "by", by)
+		p.path.logger.Info("orders.given_again", "zone", zone, "revision", position.Position(now.Revision()), "by", by)
 	}
 	if !replaced {
 		return
@@ -126,7 +127,7 @@
 // read the current set themselves.
 func (p *platformDistribution) followOrders(before, now *orders.Set, by string) {
 	p.path.origin.SetEvacuated(now.Evacuated(p.path.settings.Load().Zone))
-	p.path.logger.Info("orders.in_force", "revision", now.Revision(), "before", before.Revision(), "zones", strings.Join(now.Zones(), ","), "by", by)
+	p.path.logger.Info("orders.in_force", "revision", position.Position(now.Revision()), "before", position.Position(before.Revision()), "zones", strings.Join(now.Zones(), ","), "by", by)
 	for _, zone := range now.Zones() {
 		if !p.orders.unknown[zone] && !p.fleet.ZoneKnown(zone) {
 			p.orders.unknown[zone] = true
--- a/internal/daemon/platform_orders_test.go
+++ b/internal/daemon/platform_orders_test.go
@@ -96,9 +96,9 @@
 		*lines = nil
 	}
 	part.OfferOrders(evacuating(3, 3), "b")
-	expect("none yet", `"orders.in_force" "revision"=3 "before"=0 "zones"="" "by"="b"`)
+	expect("none yet", `"orders.in_force" "revision"="3" "before"="0" "zones"="" "by"="b"`)
 	part.readOrders(evacuating(5, 5, "z", "nowhere"))
-	expect("given", `"orders.in_force" "revision"=5 "before"=3 "zones"="nowhere,z" "by"="store"`, `"orders.zone_unknown" "zone"="nowhere"`)
+	expect("given", `"orders.in_force" "revision"="5" "before"="3" "zones"="nowhere,z" "by"="store"`, `"orders.zone_unknown" "zone"="nowhere"`)
 	part.readOrders(evacuating(6, 5, "z", "nowhere"))
 	expect("the same")
 	part.readOrders(evacuating(8, 8, "nowhere"))
@@ -118,5 +118,5 @@
 	assert.Equal(t, measured["lapisvane_orders_evacuated_zones"], 1.0)
 	assert.Equal(t, measured["lapisvane_confirmation_age_seconds"], -1.0)
 	part.OfferOrders(evacuating(9, 9), "c")
-	expect("taken away", `"orders.in_force" "revision"=9 "before"=8 "zones"="" "by"="c"`)
+	expect("taken away", `"orders.in_force" "revision"="9" "before"="8" "zones"="" "by"="c"`)
 }
--- a/internal/daemon/platformapi/platform.go
+++ b/internal/daemon/platformapi/platform.go
@@ -33,6 +33,10 @@
 	// Quarantine stores the records of requests under which instances crashed, so that they
 	// outlast all daemons.
 	Quarantine() quarantine.Store
+	// OnStoreReturn has a function called each time that the platform's store has come back
+	// from a copy of itself: what was written there lately is gone. It is called in the
+	// background and may be called late.
+	OnStoreReturn(returned func())
 	// Envelope names the header fields of requests and answers.
 	Envelope() callapi.Envelope
 	// ServeInstances serves the heartbeats of the instances beside the daemon
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -72,15 +72,25 @@
 	s.noteChanged(changed, from)
 }
 
+// storeReturned writes again what the store may have lost.
+func (s *suspects) storeReturned() {
+	s.ForgetStored()
+	s.wake()
+}
+
+func (s *suspects) wake() {
+	select {
+	case s.dirty <- struct{}{}:
+	default:
+	}
+}
+
 // noteChanged logs each record that changed and wakes the keeper.
 func (s *suspects) noteChanged(changed []quarantine.Record, by string) {
 	if len(changed) == 0 {
 		return
 	}
-	select {
-	case s.dirty <- struct{}{}:
-	default:
-	}
+	s.wake()
 	for _, record := range changed {
 		s.logger.Info("request.suspected", "key", record.Key, "head", record.Head, "ended", record.Count(), "refuted", len(record.Refuted),
 			"trials", record.Trials, "by", by)
--- a/internal/distribution/configsource/configsource.go
+++ b/internal/distribution/configsource/configsource.go
@@ -9,12 +9,13 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/orders"
+	"github.com/lapisvane/lapisvane/internal/model/position"
 	"github.com/lapisvane/lapisvane/internal/shared/boottime"
 )
 
 // Position is a place in the source's history, one for the configuration and the orders
 // together; the revisions of orders are positions.
-type Position uint64
+type Position = position.Position
 
 // Source is where configurations and orders come from. An error with a code of 2xxx, or
 // PlatformBadAnswer, means that the configuration at the returned position cannot be used;
@@ -105,7 +106,7 @@
 	}
 	due := plan.due(f.Freshness.Confirmed(), f.Daemons())
 	if wasPoller && !plan.activePoller {
-		f.Logger.Info("source.lead_left", "position", uint64(f.position))
+		f.Logger.Info("source.lead_left", "position", f.position)
 	}
 	if f.failing && f.Freshness.Confirmed().After(f.failedAt) {
 		f.regained("another daemon")
@@ -133,5 +134,5 @@
 // another daemon's.
 func (f *Follower) regained(by string) {
 	f.failing = false
-	f.Logger.Info("source.regained", "position", uint64(f.position), "by", by)
+	f.Logger.Info("source.regained", "position", f.position, "by", by)
 }
--- a/internal/distribution/configsource/poll.go
+++ b/internal/distribution/configsource/poll.go
@@ -79,11 +79,11 @@
 	defer cancel()
 	next, err := f.request(ctx, f.position, f.positionKnown)
 	if result.Is(err, result.PlatformCompacted) {
-		f.Logger.Info("source.history_gone", "position", uint64(f.position))
+		f.Logger.Info("source.history_gone", "position", f.position)
 		next, err = f.request(ctx, f.position, false)
 	}
 	if unusable(err) {
-		f.Logger.Error(err, "configuration.refused", "position", uint64(next))
+		f.Logger.Error(err, "configuration.refused", "position", next)
 		err = nil
 	}
 	if err == nil {
@@ -133,7 +133,7 @@
 // recordFailure records a poll without an answer, and logs the first one of an outage.
 func (f *Follower) recordFailure(err error) {
 	if !f.failing {
-		f.Logger.Info("source.lost", "position", uint64(f.position), "error", err)
+		f.Logger.Info("source.lost", "position", f.position, "error", err)
 	}
 	f.failing = true
 	f.failedAt = boottime.Now()
@@ -144,8 +144,8 @@
 // confirmation that it knew.
 func (f *Follower) logTakeOver(began, confirmed time.Time) {
 	if confirmed.IsZero() {
-		f.Logger.Info("source.lead_taken", "position", uint64(f.position), "confirmed", false)
+		f.Logger.Info("source.lead_taken", "position", f.position, "confirmed", false)
 		return
 	}
-	f.Logger.Info("source.lead_taken", "position", uint64(f.position), "confirmed", true, "age_ms", began.Sub(confirmed).Milliseconds())
+	f.Logger.Info("source.lead_taken", "position", f.position, "confirmed", true, "age_ms", began.Sub(confirmed).Milliseconds())
 }
--- a/internal/distribution/fleet/directory.go
+++ b/internal/distribution/fleet/directory.go
@@ -42,6 +42,9 @@
 	published := false
 	listed := false
 	for {
+		if f.entryLost.Swap(false) {
+			published = false
+		}
 		found, err := f.listDirectory(ctx, published)
 		listed = listed || err == nil
 		if err == nil && !found && !published {
@@ -65,6 +68,11 @@
 	}
 }
 
+// DirectoryReturned reports that entries written to the directory lately may be gone. This daemon
+// writes its own again when it next lists the directory, unless it is there: all daemons do so
+// within directoryInterval and its jitter, and not at once.
+func (f *Fleet) DirectoryReturned() { f.entryLost.Store(true) }
+
 // listDirectory records the listed members and reports whether this daemon's entry is correct.
 func (f *Fleet) listDirectory(ctx context.Context, published bool) (found bool, err error) {
 	members, err := f.config.Directory.Members(ctx)
--- a/internal/distribution/fleet/fleet.go
+++ b/internal/distribution/fleet/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-logr/logr"
 
@@ -60,8 +61,10 @@
 // Fleet is this daemon's knowledge of all others and its links to some of them. It is safe
 // for concurrent use; Run may be called once.
 type Fleet struct {
-	config  Config
-	running sync.WaitGroup
+	// entryLost is true when this daemon's entry in the directory may be gone.
+	entryLost atomic.Bool
+	config    Config
+	running   sync.WaitGroup
 	// reportDue wakes report, reviewLinks maintainLinks, and catchUpDue catchUp.
 	reportDue   chan struct{}
 	reviewLinks chan struct{}
--- a/internal/model/orders/orders.go
+++ b/internal/model/orders/orders.go
@@ -3,8 +3,8 @@
 // follows the newest that it learned of.
 //
 // The package owns the orders in force on a daemon (Current), in memory. It does no I/O: what
-// other daemons and the store answer is passed in, what must be spread is returned. It relies on the
-// store's revisions to grow.
+// other daemons and the store answer is passed in, what must be spread is returned. It relies on
+// the places in the store's history (position.Position), which a set's revision is, to grow.
 //
 // What must hold: orders that were taken back do not come back from a daemon that missed it;
 // every daemon that learned of the same revisions follows the same orders.
@@ -15,8 +15,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/position"
+	"github.com/lapisvane/lapisvane/internal/shared/boottime"
 )
 
 // Set is all orders in force at one revision of the store. It is immutable and safe for
@@ -78,6 +81,10 @@
 // GivenAgain returns the zones that are evacuated in both sets, but by different orders: the
 // first was taken back and another given in between.
 func (s *Set) GivenAgain(before *Set) []string {
+	if position.Position(s.Revision()).Era() != position.Position(before.Revision()).Era() {
+		// Revisions of several eras are not compared.
+		return nil
+	}
 	given := map[string]uint64{}
 	for _, evacuation := range before.Message().GetEvacuations() {
 		given[evacuation.GetZone()] = evacuation.GetRevision()
@@ -91,19 +98,30 @@
 	return again
 }
 
-// Current is the newest set that a daemon knows. It is safe for concurrent use.
+// Current is the newest set that a daemon knows. It is safe for concurrent use. Now, unless nil, is its
+// clock; it must be set before the first use.
 type Current struct {
+	Now func() time.Time
+
 	set atomic.Pointer[Set]
 
-	// mutex is held while set is replaced and protects read: the store's revision up
-	// to which this daemon has read the orders itself.
-	mutex sync.Mutex
-	read  uint64
+	// mutex is held while set is replaced and protects what is below. read is the place in the
+	// store's history up to which this daemon has read the orders itself.
+	mutex   sync.Mutex
+	read    uint64
+	returns settling
 }
 
 // Load returns the newest set, nil before the first.
 func (c *Current) Load() *Set { return c.set.Load() }
 
+func (c *Current) now() time.Time {
+	if c.Now == nil {
+		return boottime.Now()
+	}
+	return c.Now()
+}
+
 // Evacuated reports whether the instances of a zone get no calls.
 func (c *Current) Evacuated(zone string) bool { return c.Load().Evacuated(zone) }
 
@@ -116,6 +134,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	before = c.Load()
+	set = c.returns.apply(set, before, c.now())
 	if set.Revision() <= before.Revision() {
 		return before, false
 	}
@@ -133,6 +152,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	before = c.Load()
+	set = c.returns.apply(set, before, c.now())
 	if set.Revision() <= max(before.Revision(), c.read) {
 		return before, false
 	}
--- a/internal/model/position/position.go
+++ b/internal/model/position/position.go
@@ -7,20 +7,24 @@
 // only as a part of a Position.
 package position
 
-import "github.com/lapisvane/lapisvane/internal/shared/result"
+import (
+	"fmt"
+
+	"github.com/lapisvane/lapisvane/internal/shared/result"
+)
 
 // Position is an era and a revision within it, in the order of time. It is one number, so that
 // daemons that know no eras compare it as they compare revisions; in a store that states no era it
 // is the revision.
 type Position uint64
 
-// revisionBits is how much of a Position is the revision. Chosen, not measured: a million changes a
-// second fill it in twelve days, and 46,000 a day in 65,000 years; 16 million eras are left.
+// revisionBits is how much of a Position is the revision and the mark of Settling. Chosen, not
+// measured: 46,000 changes a day fill it in 32,000 years; 16 million eras are left.
 const revisionBits = 40
 
 // maxRevision and maxEra are the largest that a Position holds.
 const (
-	maxRevision = 1<<revisionBits - 1
+	maxRevision = 1<<(revisionBits-1) - 1
 	maxEra      = 1<<(64-revisionBits) - 1
 )
 
@@ -38,3 +42,24 @@
 
 // Revision returns the revision within the era.
 func (p Position) Revision() uint64 { return uint64(p) & maxRevision }
+
+// String returns "era.revision", the revision alone where the store states no era.
+func (p Position) String() string {
+	if p.Era() == 0 {
+		return fmt.Sprint(p.Revision())
+	}
+	return fmt.Sprintf("%d.%d", p.Era(), p.Revision())
+}
+
+// settlingBit marks a place between two eras. Revisions of a store stay below it.
+const settlingBit = 1 << (revisionBits - 1)
+
+// Settling returns the place that stands for p as long as what was lost with the era before may be
+// written again: newer than all of that era, older than all of p's. Such places are in the order
+// of p.
+func (p Position) Settling() Position {
+	return Position((p.Era()-1)<<revisionBits | settlingBit | p.Revision())
+}
+
+// IsSettling reports whether p is a place that Settling returned.
+func (p Position) IsSettling() bool { return p&settlingBit != 0 }
--- a/internal/model/position/position_test.go
+++ b/internal/model/position/position_test.go
@@ -13,7 +13,7 @@
 // The order of positions is that of eras, then of revisions.
 func TestLaterErasAreNewer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		era, revision := rapid.Uint64Range(0, 1<<24-1), rapid.Uint64Range(0, 1<<40-1)
+		era, revision := rapid.Uint64Range(0, 1<<24-1), rapid.Uint64Range(0, 1<<39-1)
 		oneEra, oneRevision := era.Draw(t, "era"), revision.Draw(t, "revision")
 		otherEra, otherRevision := era.Draw(t, "other era"), revision.Draw(t, "other revision")
 		one, err := position.In(oneEra, oneRevision)
@@ -26,6 +26,23 @@
 	})
 }
 
+// A settling place is between the eras, and its order is that of the places that it stands for.
+func TestSettlingIsBetweenTheEras(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		era := rapid.Uint64Range(1, 1<<24-1).Draw(t, "era")
+		revision := rapid.Uint64Range(0, 1<<39-2)
+		at, err := position.In(era, revision.Draw(t, "revision"))
+		assert.NilError(t, err)
+		before, err := position.In(era-1, 1<<39-1)
+		assert.NilError(t, err)
+		first, err := position.In(era, 0)
+		assert.NilError(t, err)
+		assert.Assert(t, before < at.Settling() && at.Settling() < first)
+		assert.Assert(t, at.Settling() < (at+1).Settling())
+		assert.Assert(t, at.Settling().IsSettling() && !at.IsSettling())
+	})
+}
+
 func TestPositionWithoutAnEraIsTheRevision(t *testing.T) {
 	at, err := position.In(0, 1234)
 	assert.NilError(t, err)
@@ -33,7 +50,7 @@
 }
 
 func TestNumbersThatCannotBeComparedAreRefused(t *testing.T) {
-	for _, numbers := range [][2]uint64{{0, 1 << 40}, {1 << 24, 0}} {
+	for _, numbers := range [][2]uint64{{0, 1 << 39}, {1 << 24, 0}} {
 		_, err := position.In(numbers[0], numbers[1])
 		assert.Assert(t, result.Is(err, result.PlatformBadAnswer), "%v", err)
 	}
--- a/internal/model/quarantine/registry.go
+++ b/internal/model/quarantine/registry.go
@@ -209,6 +209,18 @@
 	return e.noteStoredBy(record, updated) || updated
 }
 
+// ForgetStored records that the store may have lost what was written to it lately, and may hold
+// what was removed: each record counts as not stored, and each that is refuted is to be removed
+// again.
+func (r *Registry) ForgetStored() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, known := range r.entries {
+		known.Stored = false
+		known.removalDue = known.inStore && len(known.Crashes) == 0
+	}
+}
+
 // Known returns the records for a daemon that has just been connected to: at most maxKnown,
 // those with most crashes first.
 func (r *Registry) Known() []Record {
