--- a/internal/lab/emulator/client/burst.go
+++ b/internal/lab/emulator/client/burst.go
@@ -93,7 +93,7 @@
 func (s *sender) prepare(class Class, target Target, address string) *sent {
 	one := &sent{class: class, body: make([]byte, class.BodyBytes), started: time.Now()}
 	one.deadline = one.started.Add(class.Deadline)
-	one.id = s.load.announce(class, target, one.body, class.Deadline.Milliseconds())
+	one.id = s.load.announce(class, target, address, one.body, class.Deadline.Milliseconds())
 	one.request, _ = newRequest(context.Background(), class, "http://"+address, one.id, one.body, class.Deadline.Milliseconds())
 	return one
 }
--- a/internal/lab/emulator/client/client.go
+++ b/internal/lab/emulator/client/client.go
@@ -179,7 +179,7 @@
 		return Failed, 20 * time.Millisecond, true
 	}
 	wait := max(time.Until(deadline).Milliseconds(), 1)
-	id := l.announce(class, target, body, wait)
+	id := l.announce(class, target, address, body, wait)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	sends := &sendWatch{ledger: l.Ledger, id: id}
@@ -199,12 +199,13 @@
 	return l.evaluate(class, id, response)
 }
 
-// announce enters a request that waits for so many milliseconds into the ledger and returns its id.
-func (l *Load) announce(class Class, target Target, body []byte, wait int64) string {
+// announce enters a request to the daemon at an address, which waits for so many milliseconds, into
+// the ledger and returns its id.
+func (l *Load) announce(class Class, target Target, address string, body []byte, wait int64) string {
 	id := "r" + strconv.FormatUint(nextRequest.Add(1), 36)
 	l.Ledger.Sent(promise.Request{
 		ID: id, Services: set(class.Services), Safe: class.Safe, BodyDigest: promise.DigestOf(body),
-		Caller: target.Service(), SentAt: time.Now(), Daemon: target.Address(), Wait: time.Duration(wait) * time.Millisecond, Attempts: class.Attempts, Regions: class.Regions,
+		Caller: target.Service(), SentAt: time.Now(), Daemon: address, Wait: time.Duration(wait) * time.Millisecond, Attempts: class.Attempts, Regions: class.Regions,
 	})
 	return id
 }
--- a/internal/lab/emulator/client/kept.go
+++ b/internal/lab/emulator/client/kept.go
@@ -137,9 +137,10 @@
 func (k *keptConn) prepare(class Class) *aheadRequest {
 	body := make([]byte, class.BodyBytes)
 	wait := class.Deadline.Milliseconds()
-	next := &aheadRequest{class: class, started: time.Now(), id: k.load.announce(class, k.target, body, wait)}
+	address := k.conn.RemoteAddr().String()
+	next := &aheadRequest{class: class, started: time.Now(), id: k.load.announce(class, k.target, address, body, wait)}
 	// The class names a valid path.
-	next.request, _ = newRequest(context.Background(), class, "http://"+k.conn.RemoteAddr().String(), next.id, body, wait)
+	next.request, _ = newRequest(context.Background(), class, "http://"+address, next.id, body, wait)
 	return next
 }
 
--- a/internal/lab/emulator/day/site.go
+++ b/internal/lab/emulator/day/site.go
@@ -33,6 +33,8 @@
 	// mutex protects everything below; version is the newest configuration's.
 	mutex   sync.Mutex
 	version uint64
+	// declared is the newest configuration.
+	declared platform.Config
 	// coldCrashes counts the instances that crashed in slow start; restartFailure holds the errors
 	// of restarts after a crash.
 	coldCrashes    int
@@ -121,6 +123,7 @@
 	if s.options.ColdRate > 0 {
 		addColdRates(&config, s.options)
 	}
+	s.declared = config
 	return s.version, s.Store.PutSpec(platform.KindConfig, platform.NameConfig, config)
 }
 
@@ -128,6 +131,15 @@
 // least: it links to so many daemons in its zone.
 const knownToEach = 6
 
+// ReturnStore makes the store come back from a copy, and writes again what the operator had written:
+// the newest configuration, under the version that it had.
+func (s *Site) ReturnStore(held *objectstore.Copy) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.Store.ComeBack(held)
+	return s.Store.PutSpec(platform.KindConfig, platform.NameConfig, s.declared)
+}
+
 // AwaitReady waits until every daemon is ready and knows every instance; where there are more than
 // knownToEach of a service, so many of them.
 func (s *Site) AwaitReady(ctx context.Context) error {
--- a/internal/lab/emulator/objectstore/server.go
+++ b/internal/lab/emulator/objectstore/server.go
@@ -50,6 +50,7 @@
 	writes   *rate.Limiter
 	// withoutEra is that of the Options.
 	withoutEra bool
+	traffic    traffic
 
 	// mutex protects everything below.
 	mutex  sync.Mutex
@@ -152,6 +153,7 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.traffic.count(r.Method, time.Now())
 	if !s.withoutEra {
 		w.Header().Set(platform.HeaderStoreEra, strconv.FormatUint(s.table.currentEra(), 10))
 	}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -117,7 +117,7 @@
 	defer end()
 	var running sync.WaitGroup
 	running.Go(func() { load.Run(dayCtx) })
-	disturbances := []series{played.hangUps, played.changes, played.releases, played.storeFaults, played.scaleIns}
+	disturbances := []series{played.hangUps, played.changes, played.releases, played.storeFaults, played.scaleIns, played.storeReturns, played.watchRevisions}
 	for range max(2, *machines/4) {
 		disturbances = append(disturbances, played.stopInTurn)
 	}
@@ -271,6 +271,44 @@
 	}
 }
 
+// storeReturns makes the store come back from a copy of some seconds ago, now and then after it was
+// away.
+func (d *soakDay) storeReturns(ctx context.Context, random *rand.Rand) {
+	for {
+		held := d.site.Store.KeepCopy()
+		if !pause(ctx, random, 2500*time.Millisecond) {
+			return
+		}
+		if random.IntN(2) == 0 {
+			d.site.Store.SetFaults(objectstore.Faults{Silent: true})
+			pause(ctx, random, 500*time.Millisecond)
+			d.site.Store.SetFaults(objectstore.Faults{})
+		}
+		assert.Check(d.t, d.site.ReturnStore(held))
+	}
+}
+
+// revisionPoll is how often watchRevisions looks. Chosen, not measured.
+const revisionPoll = 200 * time.Millisecond
+
+// watchRevisions checks that no process goes back to an earlier configuration.
+func (d *soakDay) watchRevisions(ctx context.Context, _ *rand.Rand) {
+	newest := map[*process]uint64{}
+	for sleep.For(ctx, revisionPoll) {
+		for _, machine := range d.site.Machines {
+			running, isProcess := machine.Daemon().(*process)
+			if !isProcess {
+				continue
+			}
+			// A process that is ending or standing still answers nothing, which reads as 0.
+			if revision := running.Revision(); revision > 0 {
+				assert.Check(d.t, revision >= newest[running], "%s went back from %d to %d", machine.Name, newest[running], revision)
+				newest[running] = revision
+			}
+		}
+	}
+}
+
 // releases replaces one instance after the other as planned.
 func (d *soakDay) releases(ctx context.Context, random *rand.Rand) {
 	for pause(ctx, random, 2*time.Second) {
