Entries of other writers name nothing to use and hide nothing else

Cause: a heartbeat with a state that is not named counted as ready, one with missing fields named an instance, one of a service that nobody declared took the address of the present instance; one item of a list with a field of another type failed the whole list. Change: platform/decode.go checks each field of a heartbeat, and decodes items and events one by one; what is at fault is left out, counted by kind and reason (lapisvane_entries_refused_total) and logged within a bound (entry.refused). The origin registers no instance of a service that the configuration in force does not name. Fuzz targets for heartbeats and objects.

--- a/internal/daemon/metrics/platform.go
+++ b/internal/daemon/metrics/platform.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/lapisvane/lapisvane/internal/daemon/platformapi"
 	"github.com/lapisvane/lapisvane/internal/distribution/configsource"
 	"github.com/lapisvane/lapisvane/internal/distribution/fleet"
 	"github.com/lapisvane/lapisvane/internal/model/orders"
@@ -25,6 +26,8 @@
 	Ready func() bool
 	// ReadyEndpoints returns the number of ready instances known of each service.
 	ReadyEndpoints func() map[string]int
+	// RefusedEntries returns the numbers of entries and heartbeats that could not be used.
+	RefusedEntries func() map[platformapi.RefusedEntry]int64
 	// Orders are the operators' orders in force.
 	Orders *orders.Current
 	// Confirmed returns when what is in force was last confirmed to be the newest,
@@ -53,7 +56,7 @@
 		func() float64 { return float64(sources.Follower.ConfigurationRequests.Load()) })
 	counter(registry, "lapisvane_source_failures_total", "Questions to the configuration source that failed.",
 		func() float64 { return float64(sources.Follower.FailedPolls.Load()) })
-	registry.MustRegister(readyEndpoints{sources.ReadyEndpoints})
+	registry.MustRegister(readyEndpoints{sources.ReadyEndpoints}, refusedEntries{sources.RefusedEntries})
 	registerOrders(registry, sources)
 	occupancy := func(read func(admission.Occupancy) int) func() float64 {
 		return func() float64 {
@@ -93,6 +96,26 @@
 	}
 }
 
+// entriesRefused describes the metric of refusedEntries.
+var entriesRefused = prometheus.NewDesc("lapisvane_entries_refused_total", "Entries of the store and heartbeats that could not be used, by kind and reason.", []string{"kind", "reason"}, nil)
+
+// refusedEntries collects the numbers of entries that could not be used.
+type refusedEntries struct {
+	read func() map[platformapi.RefusedEntry]int64
+}
+
+// Describe implements prometheus.Collector.
+func (r refusedEntries) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- entriesRefused
+}
+
+// Collect implements prometheus.Collector.
+func (r refusedEntries) Collect(collected chan<- prometheus.Metric) {
+	for entry, count := range r.read() {
+		collected <- prometheus.MustNewConstMetric(entriesRefused, prometheus.CounterValue, float64(count), entry.Kind, entry.Reason)
+	}
+}
+
 // registerOrders adds what concerns the operators' orders.
 func registerOrders(registry *prometheus.Registry, sources Platform) {
 	gauge(registry, "lapisvane_orders_revision", "Revision of the operators' orders in force, 0 before the first.",
--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -195,6 +195,7 @@
 	metrics.RegisterPlatform(registry, metrics.Platform{
 		Fleet: p.fleet, Follower: p.follower, Origin: p.path.origin, InForce: p.inForceSince, Ready: p.ready,
 		Orders: p.path.orders, Confirmed: p.freshness.Confirmed, ReadyEndpoints: p.readyEndpoints,
+		RefusedEntries: p.platform.RefusedEntries,
 	})
 }
 
--- a/internal/daemon/platform_distribution_test.go
+++ b/internal/daemon/platform_distribution_test.go
@@ -23,6 +23,8 @@
 
 func (idlePlatform) OnStoreReturn(func()) {}
 
+func (idlePlatform) RefusedEntries() map[platformapi.RefusedEntry]int64 { return nil }
+
 func (idlePlatform) Source() configsource.Source                                         { return nil }
 func (idlePlatform) Directory() fleet.Directory                                          { return nil }
 func (idlePlatform) Envelope() callapi.Envelope                                          { return callapi.DefaultEnvelope }
--- a/internal/daemon/platformapi/platform.go
+++ b/internal/daemon/platformapi/platform.go
@@ -24,6 +24,15 @@
 	Withdraw(instance string)
 }
 
+// RefusedEntry is a class of entries of the platform's store, or of heartbeats, that cannot be used:
+// they may be from another writer.
+type RefusedEntry struct {
+	// Kind is that of the objects, or says that they are heartbeats.
+	Kind string
+	// Reason is "unreadable", or what is wrong with a field: "missing", "type" or "value".
+	Reason string
+}
+
 // Platform is the adapter to one platform.
 type Platform interface {
 	// Source is where the configuration in force and the operators' orders come from.
@@ -33,6 +42,9 @@
 	// Quarantine stores the records of requests under which instances crashed, so that they
 	// outlast all daemons.
 	Quarantine() quarantine.Store
+	// RefusedEntries returns the numbers of entries and heartbeats that could not be used, since
+	// the start.
+	RefusedEntries() map[RefusedEntry]int64
 	// OnStoreReturn has a function called each time that the platform's store has come back
 	// from a copy of itself: what was written there lately is gone. It is called in the
 	// background and may be called late.
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -16,6 +18,7 @@
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/day"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/objectstore"
 	"github.com/lapisvane/lapisvane/internal/shared/sleep"
+	"github.com/lapisvane/lapisvane/platform"
 )
 
 var (
@@ -117,7 +120,7 @@
 	defer end()
 	var running sync.WaitGroup
 	running.Go(func() { load.Run(dayCtx) })
-	disturbances := []series{played.hangUps, played.changes, played.releases, played.storeFaults, played.scaleIns, played.storeReturns, played.watchRevisions}
+	disturbances := []series{played.hangUps, played.changes, played.releases, played.storeFaults, played.scaleIns, played.storeReturns, played.watchRevisions, played.spoils}
 	for range max(2, *machines/4) {
 		disturbances = append(disturbances, played.stopInTurn)
 	}
@@ -309,6 +312,45 @@
 	}
 }
 
+// spoils writes what no daemon and no instance writes: entries of the store that cannot be used, and
+// heartbeats in the name of instances, some of them at addresses that others have.
+func (d *soakDay) spoils(ctx context.Context, random *rand.Rand) {
+	for number := 0; pause(ctx, random, 300*time.Millisecond); number++ {
+		machine, other := d.site.Machines[random.IntN(len(d.site.Machines))], d.site.Machines[random.IntN(len(d.site.Machines))]
+		entry := spoiledEntries[random.IntN(len(spoiledEntries))]
+		assert.Check(d.t, d.site.Store.PutSpec("lapisvane-members", fmt.Sprintf("spoiled-%d", number%4), entry))
+		heartbeat := fmt.Sprintf(spoiledHeartbeats[random.IntN(len(spoiledHeartbeats))], other.Instance().Address())
+		d.putHeartbeat(ctx, machine, machine.Instance().ID(), heartbeat)
+	}
+}
+
+// spoiledEntries are specs of daemons' entries that nobody can use.
+var spoiledEntries = []any{7, "text", []int{1}, map[string]any{"peer": 5}, map[string]any{"peer": "nowhere", "at": "a", "of": "desk"}, map[string]any{"at": "a"}}
+
+// spoiledHeartbeats name no instance to use; the address of another one takes the place of %s.
+var spoiledHeartbeats = []string{
+	`{"address":%q,"info":{"service":"desk","version":"v1","zone":"a","slots":6},"status":{"state":"resting","call-sequence":1000000,"cold-remaining-ms":0}}`,
+	`{"address":%q,"info":{"service":"nobody","version":"v1","zone":"a","slots":6},"status":{"state":"ready","call-sequence":1000000,"cold-remaining-ms":0}}`,
+	`{"address":%q,"info":{"service":"desk","version":"v1","zone":"a","slots":"6"},"status":{"state":"ready","call-sequence":1000000,"cold-remaining-ms":0}}`,
+	`{"address":%q,"info":{"service":"desk"},"status":{"call-sequence":1000000}}`,
+	`{"address":%q`,
+}
+
+// putHeartbeat sends a heartbeat to a machine's daemon, which may be gone.
+func (d *soakDay) putHeartbeat(ctx context.Context, machine *day.Machine, instance, body string) {
+	running, isProcess := machine.Daemon().(*process)
+	if !isProcess {
+		return
+	}
+	address := "http://" + running.addresses.Instances + platform.PathInstances + instance
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, address, strings.NewReader(body))
+	assert.Check(d.t, err)
+	client := http.Client{Timeout: time.Second}
+	if response, err := client.Do(request); err == nil {
+		_ = response.Body.Close()
+	}
+}
+
 // releases replaces one instance after the other as planned.
 func (d *soakDay) releases(ctx context.Context, random *rand.Rand) {
 	for pause(ctx, random, 2*time.Second) {
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
@@ -44,6 +45,13 @@
 	Logger    logr.Logger
 }
 
+// Lines about heartbeats of services that nobody declared are written for the first ones and then once
+// in an interval. Chosen, not measured: a writer that sends thousands must not fill the log.
+const (
+	unknownServiceLines    = 5
+	unknownServiceInterval = time.Second
+)
+
 type instanceKey struct{ service, instance string }
 
 // Origin serves calls for the back ends beside the daemon. It is safe for concurrent use.
@@ -57,6 +65,9 @@
 	// executing counts the calls that instances have, repeating those of them that are repeats.
 	executing, repeating atomic.Int64
 
+	// unknownServices bounds the lines about heartbeats of services that nobody declared.
+	unknownServices rate.Sometimes
+
 	// mutex protects everything below.
 	mutex     sync.RWMutex
 	instances map[instanceKey]*Instance
@@ -99,6 +110,7 @@
 	origin := &Origin{
 		config: config, instances: map[instanceKey]*Instance{}, withdrawn: map[string]time.Time{},
 		attempts: newDedupCache(attemptMemory, time.Now), keys: newDedupCache(keyMemory, time.Now),
+		unknownServices: rate.Sometimes{First: unknownServiceLines, Interval: unknownServiceInterval},
 	}
 	limits := admission.Limits{Slots: DefaultSlots, QueueLength: config.QueueLength, QueueTime: config.QueueTime}
 	for _, backend := range config.Backends {
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -53,6 +53,12 @@
 	_, left := o.withdrawn[registration.Instance]
 	key := instanceKey{registration.Service, registration.Instance}
 	known, isKnown := o.instances[key]
+	if !isKnown && !o.hasService(registration.Service) {
+		o.unknownServices.Do(func() {
+			o.config.Logger.Info("instance.service_unknown", "instance", registration.Instance, "service", registration.Service)
+		})
+		return nil, false
+	}
 	holder := o.holderOf(registration.Address)
 	switch kindOfHeartbeat(left, isKnown, holder != nil, registration.Sequence) {
 	case heartbeatOfLeft:
@@ -73,6 +79,17 @@
 	return instance, true
 }
 
+// hasService reports whether the configuration in force names a service; so does none that is not
+// known yet. An instance of any other service gets no calls, and might hold the address of one that
+// does: its heartbeat may be another writer's. The caller holds mutex.
+func (o *Origin) hasService(service string) bool {
+	if o.current == nil {
+		return true
+	}
+	_, known := o.current.Service(service)
+	return known
+}
+
 // newRegistered returns the instance that a first heartbeat states. From the start it follows what
 // is known of its pool, of the daemon and of its zone; the caller holds mutex.
 func (o *Origin) newRegistered(registration Registration) *Instance {
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -4,13 +4,15 @@
 cd "$(dirname "$0")/.."
 duration=${FUZZTIME:-10s}
 while read -r package target; do
-  go test -run '^$' -fuzz "^$target\$" -fuzztime "$duration" "./internal/$package"
+  go test -run '^$' -fuzz "^$target\$" -fuzztime "$duration" "./$package"
 done <<'TARGETS'
-transport/wire FuzzReceive
-transport/wire FuzzCallFrame
-model/meshconfig FuzzParseFile
-model/meshconfig FuzzDecodeBundle
-operators/query FuzzParse
-requestpath/gateway FuzzCheckFraming
-requestpath/gateway/pipeline FuzzPipelinedBytes
+internal/transport/wire FuzzReceive
+internal/transport/wire FuzzCallFrame
+internal/model/meshconfig FuzzParseFile
+internal/model/meshconfig FuzzDecodeBundle
+internal/operators/query FuzzParse
+internal/requestpath/gateway FuzzCheckFraming
+internal/requestpath/gateway/pipeline FuzzPipelinedBytes
+platform FuzzHeartbeat
+platform FuzzObject
 TARGETS
