--- /dev/null
+++ b/internal/transport/callmux/cancel_test.go
@@ -0,0 +1,46 @@
+package callmux
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/callapi"
+	"github.com/lapisvane/lapisvane/internal/shared/result"
+	"github.com/lapisvane/lapisvane/internal/transport/wire"
+)
+
+// The failure: a stop ended with 12 requests read and unanswered, 0.3 s after their calls were cut.
+// The order of events: another daemon stood still and read nothing; calls to it outlasted the stop
+// limit and were cut; each told that daemon of its end before it returned, which waits for the
+// write's time-out of a second; the process ended after 0.3 s. The evidence: seed 36 of
+// TestFaultsBreakNoPromise, daemon.calls_cut calls=12 and then daemon.stopped open=12.
+func TestEndOfACallDoesNotWaitForAPeerThatReadsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		defer func() { _ = far.Close() }()
+		timing := Timing{KeepAlive: time.Hour, Silence: time.Hour, Write: time.Minute}
+		session := newSession(wire.NewConn(near, nil), 1, timing)
+		go func() { _ = session.receive(nil) }()
+		client := &Client{Maintained: true, peers: map[string]*peerLink{"peer": {session: session}}}
+		ctx, cut := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := client.Handle(ctx, "peer", &callapi.Call{Open: &lapisv1.CallOpen{AttemptId: "a"}})
+			ended <- err
+		}()
+		// The peer reads the opening and nothing behind it.
+		assert.NilError(t, wire.NewConn(far, nil).Receive(&lapisv1.CallFrame{}))
+		synctest.Wait()
+		began := time.Now()
+		cut()
+		assert.Assert(t, result.Is(<-ended, result.CallCancelled))
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		session.close(net.ErrClosed)
+	})
+}
