The end of a call does not wait for its peer

Cause: a call whose caller is gone, or that a stop cuts, told the daemon beside the instance so before it returned; a daemon that stands still reads nothing, and the write waits for its time-out of a second, longer than the 300 ms in which the answers of cut calls go out. Change: it is told in the background, also at the close of an answer. Measured: TestEndOfACallDoesNotWaitForAPeerThatReadsNothing red before (the whole time-out), green after.

--- a/internal/transport/callmux/call.go
+++ b/internal/transport/callmux/call.go
@@ -67,7 +67,9 @@
 			go opened.session.notify(resetOf(opened.id, result.Errorf(result.CallCancelled, "the daemon does not answer")))
 			return nil, result.Errorf(result.CallUnknownOutcome, "the daemon beside the instance does not answer")
 		case <-ctx.Done():
-			opened.session.notify(resetOf(opened.id, result.Errorf(result.CallCancelled, "the caller gave up")))
+			// In the background: the peer may not read, and the caller of a call that is cut at
+			// the end of a stop has 300 ms to get its answer.
+			go opened.session.notify(resetOf(opened.id, result.Errorf(result.CallCancelled, "the caller gave up")))
 			return nil, result.Wrap(cancelCode(ctx), ctx.Err(), "waiting for the answer")
 		}
 	}
@@ -139,7 +141,8 @@
 	a.stop()
 	a.stream.session.remove(a.stream.id)
 	if !a.whole && a.stream.cause() == nil {
-		a.stream.session.notify(resetOf(a.stream.id, result.Errorf(result.CallCancelled, "the answer is not wanted any more")))
+		// In the background, as above.
+		go a.stream.session.notify(resetOf(a.stream.id, result.Errorf(result.CallCancelled, "the answer is not wanted any more")))
 	}
 	return nil
 }
