Accounts: who a caller is by its API key, and the interfaces of the parts for hard load

Cause: nothing knew API keys. The parts that follow (shared allowance, load, roll-outs) need common messages.

--- a/internal/model/callapi/envelope.go
+++ b/internal/model/callapi/envelope.go
@@ -18,6 +18,11 @@
 	Attempt string
 	// CallerService names, to a back end, the service where the request started.
 	CallerService string
+	// Key carries the API key of the caller's account. It goes no further than the daemon that
+	// takes the request.
+	Key string
+	// Account names, to a back end, the account that the request belongs to.
+	Account string
 	// ExpectedInstance makes every other instance refuse the request.
 	ExpectedInstance string
 	// NotRun is set by a back end on an answer that refuses the request before
@@ -45,8 +50,8 @@
 	if e.PrivatePrefix != "" && strings.HasPrefix(name, e.PrivatePrefix) {
 		return true
 	}
-	for _, own := range []string{e.Deadline, e.Attempt, e.CallerService, e.ExpectedInstance} {
-		if strings.EqualFold(name, own) {
+	for _, own := range []string{e.Deadline, e.Attempt, e.CallerService, e.ExpectedInstance, e.Key, e.Account} {
+		if own != "" && strings.EqualFold(name, own) {
 			return true
 		}
 	}
--- a/internal/model/meshconfig/compose.go
+++ b/internal/model/meshconfig/compose.go
@@ -18,6 +18,8 @@
 	Pools    []*lapisv1.Pool
 	Routes   []*lapisv1.Route
 	Limits   *lapisv1.Limits
+	// Accounts is nil where callers need no API key.
+	Accounts *lapisv1.Accounts
 }
 
 // Compose validates a composition as a whole and encodes it. Bundles that are
@@ -53,7 +55,7 @@
 	if _, err := state.rebuildBundles(affected); err != nil {
 		return nil, err
 	}
-	configuration := &lapisv1.Configuration{Revision: composition.Revision, Limits: composition.Limits}
+	configuration := &lapisv1.Configuration{Revision: composition.Revision, Limits: composition.Limits, Accounts: composition.Accounts}
 	for _, service := range slices.Sorted(maps.Keys(affected)) {
 		configuration.Bundles = append(configuration.Bundles, state.Bundles[service])
 	}
--- a/internal/model/snapshot/snapshot.go
+++ b/internal/model/snapshot/snapshot.go
@@ -15,6 +15,7 @@
 	"slices"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
@@ -42,6 +43,8 @@
 	services           map[string]*Service
 	// Limits bound what callers may send; nil where the source sets none.
 	Limits *lapisv1.Limits
+	// Accounts are those of the callers; nil where callers need none.
+	Accounts *account.Directory
 	// routes holds the routes of each host, "" for any, sorted by descending
 	// specificity.
 	routes       map[string][]*lapisv1.Route
--- a/internal/model/snapshot/store.go
+++ b/internal/model/snapshot/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
@@ -64,17 +65,23 @@
 	for _, bundle := range configuration.GetBundles() {
 		bundles[bundle.GetService()] = bundle
 	}
-	return s.replace(configuration.GetRevision(), 0, bundles, configuration.GetLimits())
+	return s.replace(configuration.GetRevision(), 0, bundles, wholeParts{limits: configuration.GetLimits(), accounts: configuration.GetAccounts()})
 }
 
 // Replace puts a version in force, whole or not at all. Errors:
 // DistributionBelowFloor for a revision not above the one in force, and those
 // of Build; the snapshot in force stays then. acceptedUnixMillis is in milliseconds since 1970.
 func (s *Store) Replace(revision uint64, acceptedUnixMillis int64, bundles map[string]*lapisv1.EncodedBundle) error {
-	return s.replace(revision, acceptedUnixMillis, bundles, nil)
+	return s.replace(revision, acceptedUnixMillis, bundles, wholeParts{})
 }
 
-func (s *Store) replace(revision uint64, acceptedUnixMillis int64, bundles map[string]*lapisv1.EncodedBundle, limits *lapisv1.Limits) error {
+// wholeParts are what a configuration holds beside its bundles.
+type wholeParts struct {
+	limits   *lapisv1.Limits
+	accounts *lapisv1.Accounts
+}
+
+func (s *Store) replace(revision uint64, acceptedUnixMillis int64, bundles map[string]*lapisv1.EncodedBundle, parts wholeParts) error {
 	previous := s.current.Load()
 	if previous != nil && revision <= previous.Revision {
 		return result.Errorf(result.DistributionBelowFloor, "revision %d after %d", revision, previous.Revision)
@@ -83,7 +90,8 @@
 	if err != nil {
 		return err
 	}
-	next.Limits = limits
+	next.Limits = parts.limits
+	next.Accounts = account.NewDirectory(parts.accounts)
 	s.current.Store(next)
 	if previous == nil {
 		close(s.first())
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -65,6 +65,8 @@
 	Evacuated func(zone string) bool
 	// Quarantine holds back requests under which instances crashed; nil for none.
 	Quarantine Quarantine
+	// Quota bounds the calls of accounts; nil for no bound.
+	Quota Quota
 	// SentAhead bounds what is held for requests that callers send ahead of earlier answers; the
 	// zero value stands for the default.
 	SentAhead pipeline.Limits
--- a/internal/requestpath/gateway/opening.go
+++ b/internal/requestpath/gateway/opening.go
@@ -7,15 +7,16 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/requestpath/balance"
 	"github.com/lapisvane/lapisvane/internal/requestpath/refusal"
 )
 
 // openingOf returns what the openings of all attempts at a call have in common.
-func (g *Gateway) openingOf(rc *app.RequestContext, route *lapisv1.Route, revision uint64, body *requestBody) *lapisv1.CallOpen {
+func (g *Gateway) openingOf(rc *app.RequestContext, route *lapisv1.Route, caller *account.Account, revision uint64, body *requestBody) *lapisv1.CallOpen {
 	class := route.GetCallClass()
-	return &lapisv1.CallOpen{
+	open := &lapisv1.CallOpen{
 		Group: route.GetGroup(), Priority: class.GetPriority(), CallerService: g.callerService(),
 		Method: string(rc.Request.Header.Method()), Target: string(rc.Request.Header.RequestURI()), Host: string(rc.Request.Host()),
 		Headers: headersOf(rc, &g.config.Envelope), Repeatable: class.GetRepeatable(), Background: class.GetBackground(),
@@ -23,6 +24,10 @@
 		RouteRevision:  revision,
 		IdempotencyKey: string(rc.Request.Header.Peek(callapi.HeaderIdempotencyKey)),
 	}
+	if caller != nil {
+		open.Group, open.Account, open.AccountPriority = caller.Name, caller.Name, caller.Priority
+	}
+	return open
 }
 
 // openingFor returns the opening of one attempt, with an attempt id of its own and the times
@@ -37,6 +42,7 @@
 		Attempt: template.GetAttempt() + uint32(len(a.tried)), ContentLength: template.GetContentLength(),
 		RouteRevision: template.GetRouteRevision(), IdempotencyKey: template.GetIdempotencyKey(),
 		Priority: template.GetPriority(), CallerService: template.GetCallerService(),
+		Account: template.GetAccount(), AccountPriority: template.GetAccountPriority(),
 		Trial: template.GetTrial(), Repeat: a.counts.Seen > 0, AllowedRegions: a.route.GetAllowedRegions(),
 	}
 	if a.targetLatency() > 0 {
--- a/internal/requestpath/gateway/refused.go
+++ b/internal/requestpath/gateway/refused.go
@@ -38,6 +38,10 @@
 	switch code {
 	case result.CallNoRoute:
 		return http.StatusNotFound
+	case result.CallUnknownKey:
+		return http.StatusUnauthorized
+	case result.CallRateLimited:
+		return http.StatusTooManyRequests
 	case result.CallBadRequest:
 		return http.StatusBadRequest
 	case result.CallHeadTooLarge:
@@ -76,7 +80,7 @@
 	rc.Response.Reset()
 	rc.SetStatusCode(status)
 	g.writeOutcome(rc, code, outcome)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		rc.Response.Header.Set("Retry-After", g.retryAfter(err))
 	}
 	// Numbers and texts are always marshalled.
--- a/internal/requestpath/gateway/serve.go
+++ b/internal/requestpath/gateway/serve.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/gateway/pipeline"
@@ -69,7 +70,7 @@
 }
 
 // handle finds the route of a request and serves it. Errors: CallNotRunStopping, CallNotReady,
-// CallNoRoute and those of serveRoute.
+// CallNoRoute, those of identify, of withinQuota and of serveRoute.
 func (g *Gateway) handle(ctx context.Context, exchange *pipeline.Exchange) (*lapisv1.Route, error) {
 	if exchange.Fault != nil {
 		return nil, exchange.Fault
@@ -87,21 +88,27 @@
 	if route == nil {
 		return nil, result.Errorf(result.CallNoRoute, "%s %s", method, path)
 	}
+	caller, err := g.identify(exchange.Request, current, route)
+	if err != nil {
+		return route, err
+	}
 	callCtx, cancel := g.callContext(ctx, exchange, route.GetCallClass())
 	defer cancel()
-	return route, g.serveRoute(callCtx, exchange, current, route)
+	return route, g.withinQuota(callCtx, caller, func() error {
+		return g.serveRoute(callCtx, exchange, current, route, caller)
+	})
 }
 
 // serveRoute serves a request of a route. One that may not be repeated waits until all earlier
 // answers of its connection are written: one of them might close the connection, and the caller
 // would send this request again.
-func (g *Gateway) serveRoute(ctx context.Context, exchange *pipeline.Exchange, current *snapshot.Snapshot, route *lapisv1.Route) error {
+func (g *Gateway) serveRoute(ctx context.Context, exchange *pipeline.Exchange, current *snapshot.Snapshot, route *lapisv1.Route, caller *account.Account) error {
 	if !route.GetCallClass().GetRepeatable() {
 		if err := exchange.AwaitEarlierAnswers(ctx); err != nil {
 			return err
 		}
 	}
-	attempt := &attempter{gateway: g, call: g.callOf(exchange, current, route)}
+	attempt := &attempter{gateway: g, call: g.callOf(exchange, current, route, caller)}
 	done, err := g.checkQuarantine(ctx, exchange.Request, &attempt.call)
 	defer done()
 	if err != nil {
@@ -111,11 +118,11 @@
 }
 
 // callOf returns the call that a request makes.
-func (g *Gateway) callOf(exchange *pipeline.Exchange, current *snapshot.Snapshot, route *lapisv1.Route) call {
+func (g *Gateway) callOf(exchange *pipeline.Exchange, current *snapshot.Snapshot, route *lapisv1.Route, caller *account.Account) call {
 	rc, body := exchange.Request, bodyOf(exchange)
 	stated, _ := g.statedDeadline(rc)
 	return call{
-		current: current, route: route, opening: g.openingOf(rc, route, current.Revision, body), body: body,
+		current: current, route: route, opening: g.openingOf(rc, route, caller, current.Revision, body), body: body,
 		attach:    func(call *callapi.Call) { body.attach(call, rc) },
 		requestID: g.requestID(rc), local: exchange.Local(),
 		started: exchange.Arrived, suspendedBefore: boottime.Suspended(),
--- a/internal/requestpath/origin/backend.go
+++ b/internal/requestpath/origin/backend.go
@@ -118,6 +118,9 @@
 	if envelope.CallerService != "" {
 		request.Header.Set(envelope.CallerService, open.GetCallerService())
 	}
+	if envelope.Account != "" && open.GetAccount() != "" {
+		request.Header.Set(envelope.Account, open.GetAccount())
+	}
 }
 
 // announceTrailers has the request carry the trailers that the caller announced.
--- a/internal/requestpath/refusal/retryafter.go
+++ b/internal/requestpath/refusal/retryafter.go
@@ -38,11 +38,11 @@
 // DefaultRetryAfter. target is the target latency of the route, 0 for none, and random is drawn
 // from [0, 1).
 //
-// A time that was named is kept where an earlier return would be refused again (a constraint or
-// the quarantine), for a call that may have run, and for a route without a target. All others
+// A time that was named is kept where an earlier return would be refused again (a constraint, the
+// quarantine or a rate limit), for a call that may have run, and for a route without a target. All others
 // return within the target, early enough for an answer that is worth something.
 func RetryAfter(refused Refusal, target time.Duration, random float64) time.Duration {
-	keeps := refused.Constrained || refused.Code == result.CallNotRunQuarantined
+	keeps := refused.Constrained || refused.Code == result.CallNotRunQuarantined || refused.Code == result.CallRateLimited
 	if !refused.Code.NotRun() || target == 0 || keeps {
 		return refused.RetryAfter
 	}
--- a/internal/shared/result/code.go
+++ b/internal/shared/result/code.go
@@ -93,6 +93,9 @@
 	CallNotRunRegion      Code = 5022
 	CallInstanceCrashed   Code = 5023
 	CallNotRunQuarantined Code = 5024
+	CallUnknownKey        Code = 5025
+	CallRateLimited       Code = 5026
+	CallKeysUnconfirmed   Code = 5027
 
 	ProtocolBadFrame    Code = 6001
 	ProtocolTooLarge    Code = 6002
@@ -129,7 +132,8 @@
 	case CallNoRoute, CallNoEndpoint, CallNotReady, CallNotRunDraining, CallNotRunOverloaded,
 		CallNotRunExpired, CallNotRunUnreachable, CallNotRunDuplicate, CallBadRequest,
 		CallNotRunShed, CallNotRunUnknownHere, CallNotRunStopping, CallHeadTooLarge, CallBodyTooLarge, CallRequestTimeout,
-		CallNotRunEvacuated, CallNotRunCold, CallNotRunRegion, CallNotRunQuarantined:
+		CallNotRunEvacuated, CallNotRunCold, CallNotRunRegion, CallNotRunQuarantined,
+		CallUnknownKey, CallRateLimited, CallKeysUnconfirmed:
 		return true
 	default:
 		return false
