Calls of many accounts wait in one order, urgency before shares

Cause: with accounts there are some 80 groups, and the group that had used the least went first: a less urgent call went before a more urgent one of an account that had used more, an account's priority counted nowhere, queues were bounded for each account and not together, and waits were estimated by the share of one account. Change: where the configuration has accounts, the waiting calls of all of them have one order: account's priority, interactive, the call's urgency, excess over the account's share (weight: its rate limit), due time, arrival. Waits and the queue's length count what goes before a call; what can no longer be served in its time is refused now, the least urgent first.

--- /dev/null
+++ b/internal/model/account/weights_test.go
@@ -0,0 +1,20 @@
+package account
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+)
+
+// An account weighs what its rate limit allows; one without a limit weighs as the largest.
+func TestWeightsFollowRateLimits(t *testing.T) {
+	directory := NewDirectory(&lapisv1.Accounts{Accounts: []*lapisv1.Account{
+		{Name: "large", CallsPerSecond: 300}, {Name: "small", CallsPerSecond: 0.2}, {Name: "free"},
+	}})
+	assert.DeepEqual(t, directory.Weights(), map[string]uint32{"large": 300, "small": 1, "free": 300})
+	unlimited := NewDirectory(&lapisv1.Accounts{Accounts: []*lapisv1.Account{{Name: "a"}, {Name: "b"}}})
+	assert.Assert(t, unlimited.Weights() == nil)
+	assert.Assert(t, (*Directory)(nil).Weights() == nil)
+}
--- /dev/null
+++ b/internal/requestpath/admission/account.go
@@ -0,0 +1,174 @@
+package admission
+
+import (
+	"cmp"
+	"container/list"
+	"math"
+	"math/bits"
+	"slices"
+	"time"
+)
+
+// Where callers have accounts, each account is a group, and the calls of all of them wait in one
+// order: urgency comes first, so that a less urgent call never goes before a more urgent one because
+// its account used less, and of equally urgent calls those of an account that takes far more than
+// its share go last. Waits and bounds count what goes before a call, whichever account that is of:
+// with many small accounts a bound for each would bound nothing together, and an estimate by the
+// share of one would refuse calls that nothing goes before.
+
+// excessTolerated is how many times its share of the slots an account may occupy and still go as
+// others do: calls differ in length, and callers come in bunches.
+const excessTolerated = 2
+
+// ConfigureAccounts replaces the number of slots and has the groups be accounts with these weights;
+// an account without one counts as defaultWeight.
+func (q *Queue) ConfigureAccounts(slots int, weights map[string]uint32) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.limit.configure(slots)
+	q.weights = weights
+	q.accounts = true
+	q.dispatch()
+}
+
+// occupation is what the active groups have together.
+type occupation struct {
+	// weight is the sum of their weights, and used that of their decayed slot time, in slot
+	// seconds.
+	weight, used float64
+	// usualCall is the slot time of one call, in slot seconds.
+	usualCall float64
+}
+
+// occupation sums the active groups up to now; the caller holds mutex.
+func (q *Queue) occupation(now time.Time) occupation {
+	total := occupation{usualCall: q.meanService.Seconds()}
+	for _, g := range q.groups {
+		if !g.active() {
+			continue
+		}
+		g.decay(now)
+		total.weight += q.weightOf(g.name)
+		total.used += g.usage
+	}
+	return total
+}
+
+// excessOf returns how far an active group's slot time is above its share, in steps of a factor of
+// two; 0 is up to excessTolerated times the share. One usual call beside the share counts for
+// nothing, since the share of a small account is less than that.
+func (o occupation) excessOf(used, weight float64) int {
+	tolerated := excessTolerated * (o.used*weight/o.weight + o.usualCall)
+	if used <= tolerated {
+		return 0
+	}
+	return bits.Len64(uint64(min(used/tolerated, math.MaxInt32)))
+}
+
+// candidate is a waiting call with what its place in the order of the accounts depends on.
+type candidate struct {
+	*waiter
+	// excess is that of its account (excessOf).
+	excess int
+}
+
+// compare returns below 0 where the call goes before the other one, and above 0 where it goes
+// after it.
+//
+// Conditions, in this order:
+//
+//  1. the priority of the account, the more urgent first;
+//  2. interactive calls before background ones;
+//  3. the call's own urgency (Request.compareUrgency);
+//  4. how far its account is above its share;
+//  5. due time, the earliest first;
+//  6. arrival.
+func (c candidate) compare(other candidate, now time.Time) int {
+	first, second := &c.request, &other.request
+	return cmp.Or(
+		cmp.Compare(first.AccountPriority, second.AccountPriority),
+		falseFirst(first.Background, second.Background),
+		first.compareUrgency(second, now),
+		cmp.Compare(c.excess, other.excess),
+		first.Due.Compare(second.Due),
+		cmp.Compare(c.sequence, other.sequence),
+	)
+}
+
+// candidates returns the waiting calls of all accounts, in no order; the caller holds mutex.
+func (q *Queue) candidates(now time.Time) []candidate {
+	total := q.occupation(now)
+	var candidates []candidate
+	for _, g := range q.groups {
+		if g.interactive.Len()+g.background.Len() == 0 {
+			continue
+		}
+		excess := total.excessOf(g.usage, q.weightOf(g.name))
+		for _, waiting := range []*list.List{g.interactive, g.background} {
+			for element := waiting.Front(); element != nil; element = element.Next() {
+				candidates = append(candidates, candidate{waiter: element.Value.(*waiter), excess: excess})
+			}
+		}
+	}
+	return candidates
+}
+
+// nextOfAccounts returns the call that gets a free slot, nil for none.
+func (q *Queue) nextOfAccounts(now time.Time) *waiter {
+	var best candidate
+	for _, waiting := range q.candidates(now) {
+		if !q.mayRun(waiting.request, now) {
+			continue
+		}
+		if best.waiter == nil || waiting.compare(best, now) < 0 {
+			best = waiting
+		}
+	}
+	return best.waiter
+}
+
+// queueAmongAccounts is queueOrRefuse where callers have accounts. A call that enters may take the
+// place of less urgent ones: those that can no longer be served in their time, or for which the
+// queue is too long, are refused now and not when their time is over.
+func (q *Queue) queueAmongAccounts(request Request, now time.Time) (*waiter, error) {
+	entered := q.push(request, now)
+	ranked := q.candidates(now)
+	slices.SortFunc(ranked, func(a, b candidate) int { return a.compare(b, now) })
+	ahead := slices.IndexFunc(ranked, func(waiting candidate) bool { return waiting.waiter == entered })
+	expected := q.waitBehind(ahead, now)
+	verdict, deadline := decideWait(request, ahead, expected, q.limits, now)
+	entered.deadline = deadline
+	switch verdict {
+	case actionRefuseNoSlot:
+		q.remove(entered)
+		return nil, q.refuse(expected, "no slot is free")
+	case actionRefuseFull:
+		q.remove(entered)
+		return nil, q.refuse(expected, "more urgent calls leave no time for one of account "+request.Group)
+	}
+	q.refuseHopeless(ranked, now)
+	q.dispatch()
+	return entered, nil
+}
+
+// refuseHopeless refuses the waiting calls that the others, in their order, leave no time or no
+// place, the least urgent first; the caller holds mutex.
+func (q *Queue) refuseHopeless(ranked []candidate, now time.Time) {
+	for ahead := len(ranked) - 1; ahead >= 0; ahead-- {
+		waiting := ranked[ahead].waiter
+		expected := q.waitBehind(ahead, now)
+		if ahead < q.limits.QueueLength && expected.longest() <= waiting.deadline.Sub(now) {
+			continue
+		}
+		q.remove(waiting)
+		waiting.outcome <- q.refuse(expected, "more urgent calls came after it")
+	}
+}
+
+// waitBehind estimates how long a call waits that so many others of any account go before.
+func (q *Queue) waitBehind(ahead int, now time.Time) waitEstimate {
+	return waitEstimate{
+		forSlot:  slotWait(q.meanService, ahead, float64(q.limit.current)),
+		forToken: q.bucket.wait(ahead, now),
+	}
+}
--- a/internal/requestpath/admission/doc.go
+++ b/internal/requestpath/admission/doc.go
@@ -3,7 +3,8 @@
 //
 // A slot is the right to have one call at the back end. Slots are shared between groups by
 // weighted fair queueing over the time that calls occupy them (fairness.go), and the calls of
-// one group are ordered by urgency (order.go). Two bounds hold beside the number of slots: an
+// one group are ordered by urgency (order.go). Where callers have accounts, the calls of all of them
+// wait in one order, in which urgency goes before shares (account.go). Two bounds hold beside the number of slots: an
 // adaptive concurrency limit (limit.go) that falls when the back end sheds load, and a token
 // bucket (pace.go) for a back end in slow start. Whether an arriving call starts,
 // waits or is refused, and when a refused one may come back, is decided in decision.go.
--- a/internal/requestpath/admission/fairness.go
+++ b/internal/requestpath/admission/fairness.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// usageHalfLife is how fast past use of slots is forgotten. Chosen, not measured: a
-	// shorter one forgets calls while they run, with a longer one a group that lent its slots
-	// goes before the others for longer when it returns.
+	// usageHalfLife is how fast past use of slots is forgotten: a shorter one forgets calls while
+	// they run, with a longer one a group that lent its slots goes before the others for longer
+	// when it returns.
 	usageHalfLife = 500 * time.Millisecond
-	// defaultWeight is the weight of a group without a declared share, in percent. Chosen,
-	// not measured; it must be above 0 for the group to be served at all.
+	// defaultWeight is the weight of a group without a declared share, in percent; above 0, or
+	// the group would not be served at all.
 	defaultWeight = 1
 )
 
@@ -83,6 +83,9 @@
 // a group does not use are lent that way without a rule of its own, and a group that returns has
 // little use on record and goes first.
 func (q *Queue) next(now time.Time) *waiter {
+	if q.accounts {
+		return q.nextOfAccounts(now)
+	}
 	var best *waiter
 	bestScore := math.Inf(1)
 	for _, g := range q.groups {
--- a/internal/requestpath/admission/occupancy.go
+++ b/internal/requestpath/admission/occupancy.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// serviceSmoothing is the weight of the newest call in the mean service time. Chosen, not
-// measured; it must be between 0 and 1: at 0.1 the mean follows about the last ten calls.
+// serviceSmoothing is the weight, 0 to 1, of the newest call in the mean service time: at 0.1 it
+// follows about the last ten calls.
 const serviceSmoothing = 0.1
 
 // Occupancy is how much of a back end is in use.
@@ -18,25 +18,14 @@
 func (q *Queue) Occupancy() Occupancy {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return Occupancy{Running: q.running, Waiting: q.waiting(), Limit: q.limit.current, MeanService: q.meanService}
+	return Occupancy{Running: q.running, Waiting: q.waiting, Limit: q.limit.current, MeanService: q.meanService}
 }
 
-// waiting counts the waiting calls; the caller holds mutex.
-func (q *Queue) waiting() int {
-	count := 0
-	for _, g := range q.groups {
-		count += g.interactive.Len() + g.background.Len()
-	}
-	return count
-}
-
-func (q *Queue) anyWaiting() bool { return q.waiting() > 0 }
-
 // Load returns the running and waiting calls per slot.
 func (q *Queue) Load() float32 {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return float32(q.running+q.waiting()) / float32(max(q.limit.slots, 1))
+	return float32(q.running+q.waiting) / float32(max(q.limit.slots, 1))
 }
 
 // Running returns the calls that hold a slot.
--- a/internal/requestpath/admission/order.go
+++ b/internal/requestpath/admission/order.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math/bits"
 	"time"
 )
@@ -10,7 +11,10 @@
 	Group      string
 	Background bool
 	Upload     bool
-	// Priority orders the waiting calls of a group; 0 is the most urgent.
+	// AccountPriority goes before Priority where callers have accounts; 0 is the most urgent.
+	AccountPriority uint32
+	// Priority orders the waiting calls of a group, or those of all accounts; 0 is the most
+	// urgent.
 	Priority uint32
 	// Due is the time by which a call must start to be answered within its target
 	// latency; zero for a call without one.
@@ -26,7 +30,18 @@
 	StartBy time.Time
 }
 
-// before reports whether a request that came later goes before another one of its group.
+// before reports whether a request that came later goes before another one of its group: by
+// urgency (compareUrgency), then the earliest due time. Requests that are equal in both keep the
+// order of their arrival.
+func (r *Request) before(other *Request, now time.Time) bool {
+	if urgency := r.compareUrgency(other, now); urgency != 0 {
+		return urgency < 0
+	}
+	return r.Due.Before(other.Due)
+}
+
+// compareUrgency returns below 0 where a request is more urgent than another one, above 0 where it
+// is less.
 //
 // Inputs: both requests as they arrived, and the time now. Conditions, in this order:
 //
@@ -35,35 +50,34 @@
 //     its slot;
 //  3. with a target or without: those without come last;
 //  4. headroom in steps of a factor of two, the least first: such calls are short, or others
-//     that hold slots elsewhere wait for them;
-//  5. due time, the earliest first.
-//
-// Requests that are equal in all of these keep the order of their arrival.
-//
-// Least headroom first, then earliest due, was measured against earliest due alone on three
-// plays each of two overloaded days and one with faults (worth, 0 to 1): 0.501 0.228 0.589
-// became 0.515 0.272 0.626, 0.525 0.561 0.638 became 0.540 0.594 0.647, and 0.605 0.525 0.675
-// became 0.626 0.529 0.692. Newest first in place of earliest due, and half a standard
-// deviation of the service time off the headroom, were tried and gained nothing.
-func (r *Request) before(other *Request, now time.Time) bool {
-	if r.Priority != other.Priority {
-		return r.Priority < other.Priority
-	}
-	if late, otherLate := r.late(now), other.late(now); late != otherLate {
-		return otherLate
-	}
-	if r.Due.IsZero() || other.Due.IsZero() {
-		return !r.Due.IsZero() && other.Due.IsZero()
-	}
-	if step, otherStep := r.headroomStep(), other.headroomStep(); step != otherStep {
-		return step < otherStep
+//     that hold slots elsewhere wait for them.
+func (r *Request) compareUrgency(other *Request, now time.Time) int {
+	return cmp.Or(
+		cmp.Compare(r.Priority, other.Priority),
+		falseFirst(r.late(now), other.late(now)),
+		falseFirst(r.Due.IsZero(), other.Due.IsZero()),
+		cmp.Compare(r.headroomStep(), other.headroomStep()),
+	)
+}
+
+// falseFirst compares two conditions so that the one that does not hold comes first.
+func falseFirst(first, second bool) int {
+	switch {
+	case first == second:
+		return 0
+	case second:
+		return -1
+	default:
+		return 1
 	}
-	return r.Due.Before(other.Due)
 }
 
 // headroomStep is the headroom in steps of a factor of two: what callers know of the service
-// time of one route differs a little.
+// time of one route differs a little. It is 0 without a target.
 func (r *Request) headroomStep() int {
+	if r.Due.IsZero() {
+		return 0
+	}
 	return bits.Len64(uint64(max(r.Headroom.Milliseconds(), 0)))
 }
 
--- a/internal/requestpath/admission/pace.go
+++ b/internal/requestpath/admission/pace.go
@@ -109,7 +109,7 @@
 		q.tokenTimer.Stop()
 		q.tokenTimer = nil
 	}
-	if !q.anyWaiting() || q.bucket.allows(now) {
+	if q.waiting == 0 || q.bucket.allows(now) {
 		return
 	}
 	q.tokenTimer = time.AfterFunc(q.bucket.wait(0, now), q.tokenDue)
--- a/internal/requestpath/admission/queue.go
+++ b/internal/requestpath/admission/queue.go
@@ -19,6 +19,11 @@
 	limit   concurrencyLimit
 	weights map[string]uint32
 	groups  map[string]*group
+	// accounts is true where the groups are accounts (account.go).
+	accounts bool
+	// entered counts the calls that ever waited, and waiting those that do now.
+	entered uint64
+	waiting int
 	// running counts the calls that hold a slot, and uploads those of them that are uploads.
 	running, uploads int
 	meanService      time.Duration
@@ -36,7 +41,9 @@
 // waiter is a call in the queue. Exactly one message is sent on outcome: nil when the call got
 // a slot, the refusal otherwise.
 type waiter struct {
-	request  Request
+	request Request
+	// sequence is its place in the order of arrival.
+	sequence uint64
 	queued   time.Time
 	deadline time.Time
 	outcome  chan error
@@ -58,6 +65,7 @@
 	defer q.mutex.Unlock()
 	q.limit.configure(slots)
 	q.weights = weights
+	q.accounts = false
 	q.dispatch()
 }
 
@@ -67,8 +75,8 @@
 	defer q.mutex.Unlock()
 	q.closed = reason
 	for _, g := range q.groups {
-		refuseAll(g.interactive, reason)
-		refuseAll(g.background, reason)
+		q.refuseAll(g.interactive, reason)
+		q.refuseAll(g.background, reason)
 	}
 	q.awaitToken(q.now())
 }
@@ -80,13 +88,30 @@
 	q.closed = nil
 }
 
-func refuseAll(waiting *list.List, reason error) {
+func (q *Queue) refuseAll(waiting *list.List, reason error) {
 	for element := waiting.Front(); element != nil; element = waiting.Front() {
-		waiting.Remove(element)
-		element.Value.(*waiter).outcome <- reason
+		refused := element.Value.(*waiter)
+		q.remove(refused)
+		refused.outcome <- reason
 	}
 }
 
+// push has a call wait; the caller holds mutex and sets its deadline.
+func (q *Queue) push(request Request, now time.Time) *waiter {
+	q.entered++
+	q.waiting++
+	waiting := q.groupOf(request.Group).queueOf(request)
+	entered := &waiter{request: request, sequence: q.entered, queued: now, outcome: make(chan error, 1), queue: waiting}
+	entered.element = waiting.PushBack(entered)
+	return entered
+}
+
+// remove takes a waiting call out of its queue; the caller holds mutex.
+func (q *Queue) remove(waiting *waiter) {
+	waiting.queue.Remove(waiting.element)
+	q.waiting--
+}
+
 // Acquire waits for a slot. Errors, all proving that the call did not start:
 // CallNotRunOverloaded, CallNotRunCold while the pace leaves no time for it,
 // CallNotRunExpired, the reason given to Close.
@@ -116,7 +141,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	now := q.now()
-	found := arrival{closed: q.closed != nil, slotFree: q.mayRun(request, now), othersWait: q.anyWaiting()}
+	found := arrival{closed: q.closed != nil, slotFree: q.mayRun(request, now), othersWait: q.waiting > 0}
 	switch decideArrival(request, found, now) {
 	case actionRefuseClosed:
 		return nil, nil, q.closed
@@ -125,25 +150,29 @@
 	case actionStart:
 		return nil, q.start(q.groupOf(request.Group), request, now), nil
 	}
-	return q.queueOrRefuse(request, now)
+	waiting, err := q.queueOrRefuse(request, now)
+	return waiting, nil, err
 }
 
 // queueOrRefuse is enter for a call that finds no free slot; the caller holds mutex.
-func (q *Queue) queueOrRefuse(request Request, now time.Time) (*waiter, *Slot, error) {
+func (q *Queue) queueOrRefuse(request Request, now time.Time) (*waiter, error) {
+	if q.accounts {
+		return q.queueAmongAccounts(request, now)
+	}
 	g := q.groupOf(request.Group)
 	waiting := g.queueOf(request)
 	expected := q.expectedWait(g, ahead(waiting, request, now), now)
 	verdict, deadline := decideWait(request, waiting.Len(), expected, q.limits, now)
 	switch verdict {
 	case actionRefuseNoSlot:
-		return nil, nil, q.refuse(expected, "no slot is free")
+		return nil, q.refuse(expected, "no slot is free")
 	case actionRefuseFull:
-		return nil, nil, q.refuse(expected, "the queue of group "+request.Group+" is full")
+		return nil, q.refuse(expected, "the queue of group "+request.Group+" is full")
 	}
-	entered := &waiter{request: request, queued: now, deadline: deadline, outcome: make(chan error, 1), queue: waiting}
-	entered.element = waiting.PushBack(entered)
+	entered := q.push(request, now)
+	entered.deadline = deadline
 	q.dispatch()
-	return entered, nil, nil
+	return entered, nil
 }
 
 // expectedWait estimates how long a call behind ahead others of its group waits; the group gets
@@ -185,7 +214,7 @@
 		return reason
 	default:
 	}
-	waiting.queue.Remove(waiting.element)
+	q.remove(waiting)
 	q.mutex.Unlock()
 	return reason
 }
@@ -207,7 +236,7 @@
 			q.awaitToken(now)
 			return
 		}
-		next.queue.Remove(next.element)
+		q.remove(next)
 		q.start(q.groupOf(next.request.Group), next.request, now)
 		next.outcome <- nil
 	}
--- a/internal/requestpath/origin/handle.go
+++ b/internal/requestpath/origin/handle.go
@@ -94,7 +94,8 @@
 // admissionRequest returns what a call that came at the given time asks of its instance's queue.
 func admissionRequest(open *lapisv1.CallOpen, came time.Time) admission.Request {
 	request := admission.Request{
-		Group: open.GetGroup(), Background: open.GetBackground(), Upload: open.GetUpload(), Priority: open.GetPriority(),
+		Group: open.GetGroup(), Background: open.GetBackground(), Upload: open.GetUpload(),
+		AccountPriority: open.GetAccountPriority(), Priority: open.GetPriority(),
 		Headroom: time.Duration(open.GetSlackMillis()) * time.Millisecond,
 		MaxWait:  time.Duration(open.GetMaxWaitMillis()) * time.Millisecond,
 		NoWait:   open.GetNoWait(),
--- a/internal/requestpath/origin/instance.go
+++ b/internal/requestpath/origin/instance.go
@@ -173,7 +173,11 @@
 	if slots == 0 {
 		slots = int(service.Bundle.GetPool().GetSlots())
 	}
-	i.queue.Configure(slots, service.Shares)
+	if current.Accounts != nil {
+		i.queue.ConfigureAccounts(slots, current.Accounts.Weights())
+	} else {
+		i.queue.Configure(slots, service.Shares)
+	}
 	i.backend.pool.limitTo(int(service.Bundle.GetPool().GetConnectionLimit()))
 	switch {
 	case service.Retired[i.Name]:
--- a/internal/requestpath/origin/requestlog.go
+++ b/internal/requestpath/origin/requestlog.go
@@ -58,7 +58,7 @@
 		"code", uint32(code), "name", code, "running", occupancy.Running, "waiting", occupancy.Waiting,
 		"limit", occupancy.Limit, "service_ms", occupancy.MeanService.Milliseconds(), "beat_age_ms", heartbeatAge.Milliseconds(),
 		"cold_rate", cold.PerSecond, "cold_tokens", cold.Tokens,
-		"priority", open.GetPriority(), "due_ms", open.GetTargetMillis(),
+		"account", open.GetAccount(), "account_priority", open.GetAccountPriority(), "priority", open.GetPriority(), "due_ms", open.GetTargetMillis(),
 		"may_wait_ms", open.GetMaxWaitMillis(), "given_ms", open.GetDeadlineMillis(),
 		"took_ms", time.Since(began).Milliseconds(), "head", fingerprint.HeadOf(fingerprint.LineOf(open)), "caller_service", open.GetCallerService(), "detail", err)
 }
