Calls without an account rank as those of most accounts, and are above no share

Cause: calls that instances make have no account where their caller's key was not passed on. They counted as of the most urgent priority, before urgent calls of accounts, and as one small account that is far above its share. Change: beside accounts such calls have the median of the accounts' priorities, and no excess; shares count among accounts only.

--- a/internal/model/account/weights.go
+++ b/internal/model/account/weights.go
@@ -1,6 +1,9 @@
 package account
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 // Weights returns the weight of each account for a fair share of what all of them use: its rate
 // limit in calls a second, so that a large account is not held to the share of a small one. An account
@@ -28,3 +31,17 @@
 func (a *Account) weight() uint32 {
 	return uint32(min(math.Ceil(max(a.Rate, 0)), math.MaxUint32))
 }
+
+// UsualPriority returns the priority that holds for calls without an account beside those with one,
+// such as calls of instances and of public routes: the median of the accounts' priorities.
+func (d *Directory) UsualPriority() uint32 {
+	var priorities []uint32
+	for _, known := range d.Accounts() {
+		priorities = append(priorities, known.Priority)
+	}
+	if len(priorities) == 0 {
+		return 0
+	}
+	slices.Sort(priorities)
+	return priorities[len(priorities)/2]
+}
--- a/internal/model/account/weights_test.go
+++ b/internal/model/account/weights_test.go
@@ -18,3 +18,12 @@
 	assert.Assert(t, unlimited.Weights() == nil)
 	assert.Assert(t, (*Directory)(nil).Weights() == nil)
 }
+
+// Calls without an account rank as those of most accounts do.
+func TestUsualPriorityIsThatOfMostAccounts(t *testing.T) {
+	directory := NewDirectory(&lapisv1.Accounts{Accounts: []*lapisv1.Account{
+		{Name: "a", Priority: 0}, {Name: "b", Priority: 2}, {Name: "c", Priority: 1}, {Name: "d", Priority: 1},
+	}})
+	assert.Equal(t, directory.UsualPriority(), uint32(1))
+	assert.Equal(t, (*Directory)(nil).UsualPriority(), uint32(0))
+}
--- a/internal/requestpath/admission/account.go
+++ b/internal/requestpath/admission/account.go
@@ -31,7 +31,7 @@
 	q.dispatch()
 }
 
-// occupation is what the active groups have together.
+// occupation is what the active accounts have together.
 type occupation struct {
 	// weight is the sum of their weights, and used that of their decayed slot time, in slot
 	// seconds.
@@ -40,11 +40,11 @@
 	usualCall float64
 }
 
-// occupation sums the active groups up to now; the caller holds mutex.
+// occupation sums the active accounts up to now; the caller holds mutex.
 func (q *Queue) occupation(now time.Time) occupation {
 	total := occupation{usualCall: q.meanService.Seconds()}
 	for _, g := range q.groups {
-		if !g.active() {
+		if !g.isAccount || !g.active() {
 			continue
 		}
 		g.decay(now)
@@ -54,7 +54,7 @@
 	return total
 }
 
-// excessOf returns how far an active group's slot time is above its share, in steps of a factor of
+// excessOf returns how far an active account's slot time is above its share, in steps of a factor of
 // two; 0 is up to excessTolerated times the share. One usual call beside the share counts for
 // nothing, since the share of a small account is less than that.
 func (o occupation) excessOf(used, weight float64) int {
@@ -103,7 +103,10 @@
 		if g.interactive.Len()+g.background.Len() == 0 {
 			continue
 		}
-		excess := total.excessOf(g.usage, q.weightOf(g.name))
+		excess := 0
+		if g.isAccount {
+			excess = total.excessOf(g.usage, q.weightOf(g.name))
+		}
 		for _, waiting := range []*list.List{g.interactive, g.background} {
 			for element := waiting.Front(); element != nil; element = element.Next() {
 				candidates = append(candidates, candidate{waiter: element.Value.(*waiter), excess: excess})
--- a/internal/requestpath/admission/account_load_test.go
+++ b/internal/requestpath/admission/account_load_test.go
@@ -73,7 +73,7 @@
 	shape, came := p.kinds[kind], time.Now()
 	headroom := shape.target - shape.work
 	slot, err := p.queue.Acquire(context.Background(), admission.Request{
-		Group: account, Priority: shape.priority, Headroom: headroom, Due: came.Add(headroom), MaxWait: headroom / 2,
+		Group: account, HasAccount: true, Priority: shape.priority, Headroom: headroom, Due: came.Add(headroom), MaxWait: headroom / 2,
 	})
 	seen := outcomes{came: 1}
 	if err == nil {
--- a/internal/requestpath/admission/account_test.go
+++ b/internal/requestpath/admission/account_test.go
@@ -30,6 +30,7 @@
 func drawRequest(t *rapid.T, groups []string) Request {
 	request := Request{
 		Group:           rapid.SampledFrom(groups).Draw(t, "group"),
+		HasAccount:      true,
 		Background:      rapid.IntRange(0, 4).Draw(t, "background") == 0,
 		AccountPriority: rapid.Uint32Range(0, 2).Draw(t, "account priority"),
 		Priority:        rapid.Uint32Range(0, 2).Draw(t, "priority"),
@@ -90,7 +91,7 @@
 		requests := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Request { return drawRequest(t, names) }), 2, 30).Draw(t, "requests")
 		queue := waitingQueue(requests, true, map[string]uint32{"a": 1, "b": 300})
 		for _, name := range names {
-			queue.groupOf(name).usage = rapid.Float64Range(0, 50).Draw(t, "usage")
+			queue.groupOf(Request{Group: name}).usage = rapid.Float64Range(0, 50).Draw(t, "usage")
 		}
 		order := drain(queue)
 		assert.Equal(t, len(order), len(requests))
@@ -190,3 +191,16 @@
 		}
 	})
 }
+
+// Calls without an account are not held to the share of one, however many they are.
+func TestCallsWithoutAccountHaveNoExcess(t *testing.T) {
+	requests := []Request{{Group: "default"}, {Group: "hot", HasAccount: true}}
+	for _, name := range []string{"a", "b", "c"} {
+		requests = append(requests, Request{Group: name, HasAccount: true})
+	}
+	queue := waitingQueue(requests, true, nil)
+	queue.groups["default"].usage, queue.groups["hot"].usage = 40, 40
+	for _, waiting := range queue.candidates(arrivedAt) {
+		assert.Equal(t, waiting.excess > 0, waiting.request.Group == "hot")
+	}
+}
--- a/internal/requestpath/admission/fairness.go
+++ b/internal/requestpath/admission/fairness.go
@@ -19,6 +19,8 @@
 // group is the state of one group of callers.
 type group struct {
 	name string
+	// isAccount is true where the group is an account's.
+	isAccount bool
 	// usage is the decayed slot time used, in slot seconds, at usageAt.
 	usage       float64
 	usageAt     time.Time
@@ -50,11 +52,12 @@
 	g.usageAt = now
 }
 
-// groupOf returns a group, which may be new.
-func (q *Queue) groupOf(name string) *group {
+// groupOf returns the group of a request, which may be new.
+func (q *Queue) groupOf(request Request) *group {
+	name := request.Group
 	g, ok := q.groups[name]
 	if !ok {
-		g = &group{name: name, usageAt: q.now(), interactive: list.New(), background: list.New()}
+		g = &group{name: name, isAccount: request.HasAccount, usageAt: q.now(), interactive: list.New(), background: list.New()}
 		q.groups[name] = g
 	}
 	return g
--- a/internal/requestpath/admission/order.go
+++ b/internal/requestpath/admission/order.go
@@ -8,7 +8,10 @@
 
 // Request describes a call that wants a slot.
 type Request struct {
-	Group      string
+	Group string
+	// HasAccount is true where Group is the account of the call. Calls without one, such as those
+	// that instances make, are of all accounts and never above a share.
+	HasAccount bool
 	Background bool
 	Upload     bool
 	// AccountPriority goes before Priority where callers have accounts; 0 is the most urgent.
--- a/internal/requestpath/admission/queue.go
+++ b/internal/requestpath/admission/queue.go
@@ -100,7 +100,7 @@
 func (q *Queue) push(request Request, now time.Time) *waiter {
 	q.entered++
 	q.waiting++
-	waiting := q.groupOf(request.Group).queueOf(request)
+	waiting := q.groupOf(request).queueOf(request)
 	entered := &waiter{request: request, sequence: q.entered, queued: now, outcome: make(chan error, 1), queue: waiting}
 	entered.element = waiting.PushBack(entered)
 	return entered
@@ -148,7 +148,7 @@
 	case actionRefuseExpired:
 		return nil, nil, result.Errorf(result.CallNotRunExpired, "the time to start has passed")
 	case actionStart:
-		return nil, q.start(q.groupOf(request.Group), request, now), nil
+		return nil, q.start(q.groupOf(request), request, now), nil
 	}
 	waiting, err := q.queueOrRefuse(request, now)
 	return waiting, nil, err
@@ -159,7 +159,7 @@
 	if q.accounts {
 		return q.queueAmongAccounts(request, now)
 	}
-	g := q.groupOf(request.Group)
+	g := q.groupOf(request)
 	waiting := g.queueOf(request)
 	expected := q.expectedWait(g, ahead(waiting, request, now), now)
 	verdict, deadline := decideWait(request, waiting.Len(), expected, q.limits, now)
@@ -237,7 +237,7 @@
 			return
 		}
 		q.remove(next)
-		q.start(q.groupOf(next.request.Group), next.request, now)
+		q.start(q.groupOf(next.request), next.request, now)
 		next.outcome <- nil
 	}
 }
--- a/internal/requestpath/admission/slot.go
+++ b/internal/requestpath/admission/slot.go
@@ -36,7 +36,7 @@
 func (q *Queue) slotFor(waiting *waiter) *Slot {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return &Slot{queue: q, group: q.groupOf(waiting.request.Group), upload: waiting.request.Upload, started: q.now(), concurrent: q.running}
+	return &Slot{queue: q, group: q.groupOf(waiting.request), upload: waiting.request.Upload, started: q.now(), concurrent: q.running}
 }
 
 // Release gives the slot back. shed tells that the back end refused the call
--- a/internal/requestpath/origin/handle.go
+++ b/internal/requestpath/origin/handle.go
@@ -91,15 +91,18 @@
 	return func() { o.keys.Forget(key) }, nil
 }
 
-// admissionRequest returns what a call that came at the given time asks of its instance's queue.
-func admissionRequest(open *lapisv1.CallOpen, came time.Time) admission.Request {
+// admissionRequest returns what a call that came at the given time asks of the instance's queue.
+func (i *Instance) admissionRequest(open *lapisv1.CallOpen, came time.Time) admission.Request {
 	request := admission.Request{
-		Group: open.GetGroup(), Background: open.GetBackground(), Upload: open.GetUpload(),
+		Group: open.GetGroup(), HasAccount: open.GetAccount() != "", Background: open.GetBackground(), Upload: open.GetUpload(),
 		AccountPriority: open.GetAccountPriority(), Priority: open.GetPriority(),
 		Headroom: time.Duration(open.GetSlackMillis()) * time.Millisecond,
 		MaxWait:  time.Duration(open.GetMaxWaitMillis()) * time.Millisecond,
 		NoWait:   open.GetNoWait(),
 	}
+	if !request.HasAccount {
+		request.AccountPriority = i.anonymousPriority.Load()
+	}
 	if open.GetExpiresAfterMillis() > 0 {
 		request.StartBy = came.Add(time.Duration(open.GetExpiresAfterMillis()) * time.Millisecond)
 	}
@@ -112,7 +115,7 @@
 // admitAndRun waits for a slot and hands the call over.
 func (o *Origin) admitAndRun(ctx context.Context, instance *Instance, call *callapi.Call) (*callapi.Answer, error) {
 	came, suspendedBefore := time.Now(), boottime.Suspended()
-	slot, err := instance.queue.Acquire(ctx, admissionRequest(call.Open, came))
+	slot, err := instance.queue.Acquire(ctx, instance.admissionRequest(call.Open, came))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/requestpath/origin/instance.go
+++ b/internal/requestpath/origin/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -42,6 +43,8 @@
 	version string
 	// inFlight are the calls that it has.
 	inFlight inFlightCalls
+	// anonymousPriority is the account's priority that holds for calls without an account.
+	anonymousPriority atomic.Uint32
 
 	// mutex protects everything below.
 	mutex sync.Mutex
@@ -174,6 +177,7 @@
 		slots = int(service.Bundle.GetPool().GetSlots())
 	}
 	if current.Accounts != nil {
+		i.anonymousPriority.Store(current.Accounts.UsualPriority())
 		i.queue.ConfigureAccounts(slots, current.Accounts.Weights())
 	} else {
 		i.queue.Configure(slots, service.Shares)
