An instance's speed now: what it states of how long work takes there, with its age

Cause: a daemon knew the speed of an instance by the mean of its own few answers, 27 % off with the spread of service times that callers see, and forgot it in 4 s. Some instances state how long work takes there at the moment, beside their load. Hypothesis: service times divided by what was stated are the work of the route, which the answers of all instances tell together; that and the newest statement, faded by its age, tell the next time better. Change: the adapter reads the figure; it goes with answers and with what is refused, with its age. Package worktime follows it: what is mostly stated lasts, what else is stated passes, as fast as statements are seen to change; one that explains service times worse than none counts for nothing. An instance that states none is judged as before (property test). call.answered says what was stated, expected and how old it was; origin.answered and origin.refused how many calls went before.

--- a/internal/model/callapi/envelope.go
+++ b/internal/model/callapi/envelope.go
@@ -1,6 +1,9 @@
 package callapi
 
-import "strings"
+import (
+	"net/http"
+	"strings"
+)
 
 // Envelope names the header fields that accompany a request and its answer.
 // An empty name means that the field is neither read nor written. The default
@@ -28,6 +31,8 @@
 	// NotRun is set by a back end on an answer that refuses the request before
 	// it ran.
 	NotRun string
+	// Load is the field in which back ends state their load; nil where they state none.
+	Load *LoadField
 	// Result and Outcome are set on answers to callers.
 	Result, Outcome string
 	// PrivatePrefix starts the names of further fields that concern lapisvane
@@ -38,6 +43,23 @@
 	FractionalRetryAfter bool
 }
 
+// LoadField is a header field of answers in which back ends state their load.
+type LoadField struct {
+	Name string
+	// WorkPercent reads from the field how long work takes there now: 100 as usual, 0 where that
+	// is not stated.
+	WorkPercent func(value string) uint32
+}
+
+// WorkPercent returns what the answer of a back end states of how long work takes there now: 100 is
+// as usual, 0 where it states nothing.
+func (e *Envelope) WorkPercent(header http.Header) uint32 {
+	if e.Load == nil {
+		return 0
+	}
+	return e.Load.WorkPercent(header.Get(e.Load.Name))
+}
+
 // DefaultEnvelope is lapisvane's own.
 var DefaultEnvelope = Envelope{
 	Deadline: HeaderDeadline, Attempt: HeaderAttempt, NotRun: HeaderNotRun,
--- a/internal/requestpath/admission/account.go
+++ b/internal/requestpath/admission/account.go
@@ -137,23 +137,32 @@
 	entered := q.push(request, now)
 	ranked := q.candidates(now)
 	slices.SortFunc(ranked, func(a, b candidate) int { return a.compare(b, now) })
-	ahead := slices.IndexFunc(ranked, func(waiting candidate) bool { return waiting.waiter == entered })
-	expected := q.waitBehind(ahead, now)
-	verdict, deadline := decideWait(request, ahead, expected, q.limits, now)
+	entered.place = placeOf(entered, ranked)
+	expected := q.waitBehind(entered.place.ahead, now)
+	verdict, deadline := decideWait(request, entered.place.ahead, expected, q.limits, now)
 	entered.deadline = deadline
 	switch verdict {
 	case actionRefuseNoSlot:
 		q.remove(entered)
-		return nil, q.refuse(expected, "no slot is free")
+		return nil, q.refuse(expected, "no slot is free", entered.place)
 	case actionRefuseFull:
 		q.remove(entered)
-		return nil, q.refuse(expected, "more urgent calls leave no time for one of account "+request.Group)
+		return nil, q.refuse(expected, "more urgent calls leave no time for one of account "+request.Group, entered.place)
 	}
 	q.refuseHopeless(ranked, now)
 	q.dispatch()
 	return entered, nil
 }
 
+// placeOf returns the place of a call among those that wait, in their order.
+func placeOf(waiting *waiter, ranked []candidate) place {
+	ahead := slices.IndexFunc(ranked, func(other candidate) bool { return other.waiter == waiting })
+	if ahead == 0 {
+		return place{}
+	}
+	return place{ahead: ahead, behind: &ranked[ahead-1].request}
+}
+
 // refuseHopeless refuses the waiting calls that the others, in their order, leave no time or no
 // place, the least urgent first; the caller holds mutex.
 func (q *Queue) refuseHopeless(ranked []candidate, now time.Time) {
@@ -164,7 +173,7 @@
 			continue
 		}
 		q.remove(waiting)
-		waiting.outcome <- q.refuse(expected, "more urgent calls came after it")
+		waiting.outcome <- q.refuse(expected, "more urgent calls came after it", placeOf(waiting, ranked))
 	}
 }
 
--- a/internal/requestpath/admission/queue.go
+++ b/internal/requestpath/admission/queue.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -46,11 +47,27 @@
 	sequence uint64
 	queued   time.Time
 	deadline time.Time
+	place    place
 	outcome  chan error
 	element  *list.Element
 	queue    *list.List
 }
 
+// place is what a call found before it in the queue as it came.
+type place struct {
+	// ahead is the number of waiting calls that went before it, and behind the last of these.
+	ahead  int
+	behind *Request
+}
+
+// String describes the place for logs.
+func (p place) String() string {
+	if p.behind == nil {
+		return fmt.Sprintf("%d calls went before it", p.ahead)
+	}
+	return fmt.Sprintf("%d calls went before it, the last of group %s, priority %d", p.ahead, p.behind.Group, p.behind.Priority)
+}
+
 // NewQueue returns a queue; now gives the time of a steady clock.
 func NewQueue(limits Limits, now func() time.Time) *Queue {
 	return &Queue{
@@ -125,7 +142,7 @@
 	select {
 	case err = <-waiting.outcome:
 	case <-timer.C:
-		err = q.abandon(waiting, q.waitedTooLong())
+		err = q.abandon(waiting, q.waitedTooLong(waiting.place))
 	case <-ctx.Done():
 		err = q.abandon(waiting, result.Errorf(result.CallNotRunExpired, "the caller went away"))
 	}
@@ -161,16 +178,17 @@
 	}
 	g := q.groupOf(request)
 	waiting := g.queueOf(request)
-	expected := q.expectedWait(g, ahead(waiting, request, now), now)
+	found := place{ahead: ahead(waiting, request, now)}
+	expected := q.expectedWait(g, found.ahead, now)
 	verdict, deadline := decideWait(request, waiting.Len(), expected, q.limits, now)
 	switch verdict {
 	case actionRefuseNoSlot:
-		return nil, q.refuse(expected, "no slot is free")
+		return nil, q.refuse(expected, "no slot is free", found)
 	case actionRefuseFull:
-		return nil, q.refuse(expected, "the queue of group "+request.Group+" is full")
+		return nil, q.refuse(expected, "the queue of group "+request.Group+" is full", found)
 	}
 	entered := q.push(request, now)
-	entered.deadline = deadline
+	entered.deadline, entered.place = deadline, found
 	q.dispatch()
 	return entered, nil
 }
@@ -186,19 +204,19 @@
 }
 
 // refuse returns and counts the refusal of a call; the caller holds mutex.
-func (q *Queue) refuse(expected waitEstimate, detail string) *result.Error {
+func (q *Queue) refuse(expected waitEstimate, detail string, found place) *result.Error {
 	if expected.byPace() {
 		q.paceRefusals++
 	}
-	return refusalFor(expected, detail)
+	return refusalFor(expected, detail+": "+found.String())
 }
 
 // waitedTooLong returns the error for a call whose time in the queue is over. A call that comes
 // back would wait for one call to end or for the next token.
-func (q *Queue) waitedTooLong() error {
+func (q *Queue) waitedTooLong(found place) error {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.refuse(waitEstimate{forSlot: q.meanService, forToken: q.bucket.wait(0, q.now())}, "the wait was too long")
+	return q.refuse(waitEstimate{forSlot: q.meanService, forToken: q.bucket.wait(0, q.now())}, "the wait was too long", found)
 }
 
 // abandon takes a waiter out of the queue; one that was granted a slot in the same moment gives it
--- a/internal/requestpath/admission/slot.go
+++ b/internal/requestpath/admission/slot.go
@@ -14,7 +14,9 @@
 	started time.Time
 	// concurrent is the number of calls that ran when it was given, this one included.
 	concurrent int
-	once       sync.Once
+	// found is what went before its call.
+	found place
+	once  sync.Once
 }
 
 // start takes a free slot; the caller holds mutex.
@@ -36,9 +38,12 @@
 func (q *Queue) slotFor(waiting *waiter) *Slot {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return &Slot{queue: q, group: q.groupOf(waiting.request), upload: waiting.request.Upload, started: q.now(), concurrent: q.running}
+	return &Slot{queue: q, group: q.groupOf(waiting.request), upload: waiting.request.Upload, started: q.now(), concurrent: q.running, found: waiting.place}
 }
 
+// Ahead returns how many waiting calls went before this one as it came.
+func (s *Slot) Ahead() int { return s.found.ahead }
+
 // Release gives the slot back. shed tells that the back end refused the call
 // for overload, which lowers the limit.
 func (s *Slot) Release(shed bool) {
--- a/internal/requestpath/balance/estimate.go
+++ b/internal/requestpath/balance/estimate.go
@@ -19,6 +19,10 @@
 	// than the mean: slower than serviceSmoothing and serviceMemory.
 	spreadSmoothing = 0.05
 	spreadMemory    = 30 * time.Second
+	// workSmoothing and workMemory are the same for service times divided by what the instance
+	// stated: what is left hardly changes.
+	workSmoothing = 0.05
+	workMemory    = 30 * time.Second
 	// usualSpread is the squared deviation of a service time, in parts of its mean, where
 	// nothing was observed.
 	usualSpread = 0.1
@@ -29,8 +33,8 @@
 	// failureMemory the time constant in which that share is forgotten.
 	failureSmoothing = 0.15
 	failureMemory    = 3 * time.Second
-	// maxRoutes bounds the routes whose service times are remembered for one instance.
-	// Chosen, not measured: above the routes of a service.
+	// maxRoutes bounds the routes whose service times are remembered for one instance; above the
+	// routes of a service.
 	maxRoutes = 64
 )
 
@@ -65,13 +69,29 @@
 type serviceTime struct {
 	// mean is in seconds, spread the squared deviation from it in parts of it.
 	mean, spread mean
+	// work and workSpread are the same of the service times divided by what the instance stated
+	// (package worktime).
+	work, workSpread mean
 }
 
 // add counts the time of one call.
 func (s *serviceTime) add(seconds float64, now time.Time) {
-	if !s.mean.at.IsZero() && s.mean.value > 0 {
-		deviation := seconds/s.mean.value - 1
-		s.spread.addOver(usualSpread, deviation*deviation, spreadSmoothing, spreadMemory, now)
-	}
+	s.spread.addDeviation(seconds, s.mean, now)
 	s.mean.add(seconds, serviceSmoothing, serviceMemory, now)
 }
+
+// addWork counts the time of one call divided by what the instance stated. That is the same at all
+// instances but for what none states, so that it may follow more slowly.
+func (s *serviceTime) addWork(seconds float64, now time.Time) {
+	s.workSpread.addDeviation(seconds, s.work, now)
+	s.work.add(seconds, workSmoothing, workMemory, now)
+}
+
+// addDeviation counts in a spread how far a time is from the mean so far.
+func (m *mean) addDeviation(seconds float64, from mean, now time.Time) {
+	if from.at.IsZero() || from.value <= 0 {
+		return
+	}
+	deviation := seconds/from.value - 1
+	m.addOver(usualSpread, deviation*deviation, spreadSmoothing, spreadMemory, now)
+}
--- a/internal/requestpath/balance/expected.go
+++ b/internal/requestpath/balance/expected.go
@@ -18,7 +18,11 @@
 // expected returns the time until an answer of one more call, when a call takes typical
 // elsewhere; service is the part of it that the instance works. All are in seconds.
 func (c *costState) expected(typical float64, now time.Time) (total, service float64) {
-	service = c.known.faded(typical, serviceMemory, now)
+	memory := serviceMemory
+	if c.freed {
+		memory = workMemory
+	}
+	service = c.known.faded(typical, memory, now) * (1 + c.longer)
 	if c.cold {
 		service *= coldFactor
 	}
--- a/internal/requestpath/balance/target.go
+++ b/internal/requestpath/balance/target.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/requestpath/worktime"
 )
 
-// reportLifetime is how long a reported load counts; reports come with answers. Chosen, not
-// measured.
+// reportLifetime is how long a reported load counts; reports come with answers.
 const reportLifetime = 2 * time.Second
 
 // Target is one instance with what this daemon observed of it. Its methods are safe for
@@ -45,6 +45,8 @@
 	// that failed.
 	services map[string]*serviceTime
 	failure  mean
+	// work is what the instance states of how long work takes there.
+	work worktime.Statements
 }
 
 // noteCold notes how much longer the instance reports that it is cold.
@@ -111,10 +113,41 @@
 		known = &serviceTime{}
 		t.services[route] = known
 	}
-	known.add(service.Seconds(), now)
+	t.noteService(known, service.Seconds(), now)
 	t.failure.addOver(0, 0, failureSmoothing, failureMemory, now)
 }
 
+// noteService counts a service time, and judges the instance's statements by it; the caller holds
+// mutex.
+func (o *observations) noteService(known *serviceTime, seconds float64, now time.Time) {
+	if ratio, stated := o.work.RatioAt(now); stated {
+		o.work.Judge(seconds, known.work.value*ratio, known.mean.value)
+		known.addWork(seconds/ratio, now)
+	}
+	known.add(seconds, now)
+}
+
+// StatedWork notes that the instance stated, at the given time, that work takes percent of the usual
+// time there; 0 stands for none. A statement that came with an answer is noted before that, with the
+// same time.
+func (t *Target) StatedWork(percent uint32, at time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.work.Add(percent, at)
+}
+
+// Work returns how long work takes at the instance now in percent of the usual time, as far as that is
+// believed, and the age of the newest statement; 0 and 0 where there is none.
+func (t *Target) Work(now time.Time) (percent float64, age time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	at, ok := t.work.Newest()
+	if !ok {
+		return 0, 0
+	}
+	return worktime.AsUsual * t.work.RatioNow(now), now.Sub(at)
+}
+
 // AnsweredFailure notes that the instance answered a call with a failure of its own. Its time
 // does not count as a service time, and the instance is not ejected but chosen less.
 func (t *Target) AnsweredFailure(now time.Time) {
@@ -208,9 +241,12 @@
 		refusedFor: max(t.refusedUntil.Sub(now).Seconds(), 0),
 	}
 	if service, ok := t.services[route]; ok {
-		seen.known = service.mean
-		seen.spread = service.spread
+		seen.known, seen.spread = service.mean, service.spread
+		if t.work.Believed() {
+			seen.known, seen.spread, seen.freed = service.work, service.workSpread, true
+		}
 	}
+	seen.longer = t.work.RatioNow(now) - 1
 	if age := now.Sub(t.reportedAt); age < reportLifetime {
 		// The calls of other daemons count less the older the report is.
 		others := max(t.reported*slots-float64(t.reportedOwn), 0)
--- a/internal/requestpath/gateway/lines.go
+++ b/internal/requestpath/gateway/lines.go
@@ -82,11 +82,13 @@
 // answerPairs returns the keys and values of the line of an answered call.
 func (a *attempter) answerPairs(done instanceAnswer) []any {
 	head := done.answer.Head
+	work, workAge := done.target.Work(time.Now())
 	return []any{
 		"attempt", a.attemptID, "route", a.route.GetName(), "revision", a.current.Revision,
 		"instance", done.target.Endpoint.GetInstance(), "member", done.target.Endpoint.GetNode(),
 		"attempts", len(a.tried) + 1, "inherited", a.inherited, "status", head.GetStatus(), "load", float64(head.GetLoad()),
 		"service_ms", float64(head.GetServiceMicros()) / 1000, "took_ms", time.Since(a.started).Milliseconds(),
+		"work_percent", head.GetWorkPercent(), "work_expected", work, "work_age_ms", workAge.Milliseconds(),
 	}
 }
 
--- a/internal/requestpath/gateway/observations.go
+++ b/internal/requestpath/gateway/observations.go
@@ -15,6 +15,7 @@
 // are no failure, since a quick failure is no quick service.
 func (a *attempter) observeAnswer(target *balance.Target, answer *callapi.Answer, now time.Time) {
 	target.Reported(answer.Head.GetLoad(), now)
+	target.StatedWork(answer.Head.GetWorkPercent(), now)
 	target.Succeeded()
 	if answer.Head.GetStatus() >= callapi.FirstServerError {
 		target.AnsweredFailure(now)
@@ -36,8 +37,11 @@
 // observe records a failure at an instance: those that show that it cannot be reached or
 // breaks connections count towards its ejection (package balance), and one of an instance in
 // slow start keeps calls away for the time that it names. Refusals for load or draining are no
-// sign of ill health.
+// sign of ill health, but bring what the instance stated last of how long work takes there.
 func (g *Gateway) observe(target *balance.Target, err error) {
+	if refused, ok := err.(*result.Error); ok {
+		target.StatedWork(refused.WorkPercent, time.Now().Add(-refused.WorkAge))
+	}
 	code, _ := result.CodeOf(err)
 	switch code {
 	case result.CallNotRunUnreachable, result.CallUnknownOutcome, result.CallTruncated, result.CallNotRunUnknownHere, result.CallInstanceCrashed:
--- a/internal/requestpath/origin/handle.go
+++ b/internal/requestpath/origin/handle.go
@@ -61,7 +61,7 @@
 	if callapi.OutcomeOf(err) == callapi.OutcomeNotRun {
 		release()
 	}
-	return answer, err
+	return answer, instance.work.tell(err, time.Now())
 }
 
 // checkArrival returns the instance of a call, or why the call is refused as it arrives. Errors:
@@ -137,7 +137,7 @@
 	answer, err := o.run(ctx, instance, slot, call)
 	handedOver = true
 	if err == nil {
-		o.logAnswer(instance, call, answer, waited)
+		o.logAnswer(instance, call, answer, waited, slot.Ahead())
 	}
 	return answer, err
 }
--- a/internal/requestpath/origin/handover.go
+++ b/internal/requestpath/origin/handover.go
@@ -41,6 +41,8 @@
 	o.counts.handedOver.Add(1)
 	instance.inFlight.remove(sent)
 	o.noteCall(instance, nil)
+	workPercent := o.config.Envelope.WorkPercent(response.Header)
+	instance.work.note(workPercent, time.Now())
 	if refusal := o.refusalOf(instance, response); refusal != nil {
 		_ = response.Body.Close() // It only ends the exchange, and never fails.
 		slot.Release(result.Is(refusal, result.CallNotRunShed))
@@ -50,6 +52,7 @@
 	head := headOf(response)
 	head.Load = instance.queue.Load()
 	head.ServiceMicros = uint32(time.Since(began).Microseconds())
+	head.WorkPercent = workPercent
 	broke := func(err error) {
 		o.noteCall(instance, err)
 		o.logFailure(call, err, began)
--- a/internal/requestpath/origin/instance.go
+++ b/internal/requestpath/origin/instance.go
@@ -45,6 +45,8 @@
 	inFlight inFlightCalls
 	// anonymousPriority is the account's priority that holds for calls without an account.
 	anonymousPriority atomic.Uint32
+	// work is what it states of how long work takes there.
+	work statedWork
 
 	// mutex protects everything below.
 	mutex sync.Mutex
--- a/internal/requestpath/origin/requestlog.go
+++ b/internal/requestpath/origin/requestlog.go
@@ -64,12 +64,13 @@
 }
 
 // logAnswer writes the line of a call that the instance answered.
-func (o *Origin) logAnswer(instance *Instance, call *callapi.Call, answer *callapi.Answer, waited time.Duration) {
+func (o *Origin) logAnswer(instance *Instance, call *callapi.Call, answer *callapi.Answer, waited time.Duration, ahead int) {
 	o.config.Decisions.Success(eventAnswered, o.requestID(call), func() []any {
 		return []any{
 			"attempt", call.Open.GetAttemptId(), "instance", instance.Name, "status", answer.Head.GetStatus(),
-			"waited_ms", waited.Milliseconds(), "service_ms", float64(answer.Head.GetServiceMicros()) / 1000,
-			"load", float64(answer.Head.GetLoad()), "priority", call.Open.GetPriority(), "due_ms", call.Open.GetTargetMillis(),
+			"waited_ms", waited.Milliseconds(), "ahead", ahead, "service_ms", float64(answer.Head.GetServiceMicros()) / 1000,
+			"load", float64(answer.Head.GetLoad()), "work_percent", answer.Head.GetWorkPercent(),
+			"account", call.Open.GetAccount(), "priority", call.Open.GetPriority(), "due_ms", call.Open.GetTargetMillis(),
 		}
 	})
 }
--- a/internal/shared/result/error.go
+++ b/internal/shared/result/error.go
@@ -20,6 +20,10 @@
 	// Crashes is the number of instances that crashed under what a call asks for; 0 for an
 	// error that is not about a crash.
 	Crashes int
+	// WorkPercent is how long work takes at the instance that did not run a call, in percent of
+	// what is usual there, as it stated WorkAge ago; 0 where it stated none.
+	WorkPercent uint32
+	WorkAge     time.Duration
 }
 
 // Error renders the code's number and name before the detail.
--- a/internal/transport/callmux/reset.go
+++ b/internal/transport/callmux/reset.go
@@ -16,6 +16,8 @@
 	converted := result.Errorf(code, "%s", reset.GetReason())
 	converted.RetryAfter = time.Duration(reset.GetRetryAfterMillis()) * time.Millisecond
 	converted.Crashes = int(reset.GetCrashes())
+	converted.WorkPercent = reset.GetWorkPercent()
+	converted.WorkAge = time.Duration(reset.GetWorkAgeMillis()) * time.Millisecond
 	return converted
 }
 
@@ -30,6 +32,8 @@
 		reset.Reason = coded.Detail
 		reset.RetryAfterMillis = uint32(coded.RetryAfter.Milliseconds())
 		reset.Crashes = uint32(coded.Crashes)
+		reset.WorkPercent = coded.WorkPercent
+		reset.WorkAgeMillis = uint32(coded.WorkAge.Milliseconds())
 	}
 	return &lapisv1.CallFrame{Call: id, Body: &lapisv1.CallFrame_Reset_{Reset_: reset}}
 }
