--- a/internal/requestpath/admission/decision.go
+++ b/internal/requestpath/admission/decision.go
@@ -9,15 +9,12 @@
 
 const (
 	// BackgroundFactor is how many times as long as interactive calls background ones may
-	// wait. Chosen, not measured; it must be above 1, or background calls, which go last in
-	// their group, would be refused first.
+	// wait; above 1, or background calls, which go last in their group, would be refused first.
 	BackgroundFactor = 8
-	// minRetryAfter is the least time named in a refusal. Chosen, not measured; it must be
-	// above 0, or a caller that is refused while no wait is expected comes back at once.
+	// minRetryAfter is the least time named in a refusal; above 0, or a caller that is refused while no wait is expected comes back at once.
 	minRetryAfter = 50 * time.Millisecond
 	// minPartOfSlots is the least part of a slot that a group counts with when its wait is
-	// estimated. Chosen, not measured; it keeps the estimate of a group with a tiny share
-	// from growing without bound, and must be above 0.
+	// estimated: it keeps the estimate of a group with a tiny share from growing without bound.
 	minPartOfSlots = 0.5
 )
 
--- a/internal/requestpath/admission/doc.go
+++ b/internal/requestpath/admission/doc.go
@@ -19,7 +19,4 @@
 // What must hold: at most the limit of calls run at once; in no second more calls are admitted
 // than the burst and the rate of the pace together; a refusal proves that the call did not
 // start; a call that waits is granted, refused or abandoned exactly once.
-//
-// Worth, where a comment tells what set a constant, is what the answers of an emulated day are
-// worth less their costs, 0 to 1; two plays of the same day differ by 0.01 to 0.02.
 package admission
--- a/internal/requestpath/admission/limit.go
+++ b/internal/requestpath/admission/limit.go
@@ -5,18 +5,15 @@
 // Constants of the adaptive limit.
 const (
 	// increaseAfter is the number of calls done without shedding after which a lowered
-	// limit grows by one. Chosen, not measured; a larger one recovers later after a short
-	// overload, a smaller one sends a back end that sheds still more to shed.
+	// limit grows by one: a larger one recovers later after a short overload, a smaller one
+	// sends a back end that sheds still more to shed.
 	increaseAfter = 20
 	// fewRunning is the part of the slots up to which a back end cannot be full: what it
 	// sheds then has another cause than load, and so has what it sheds within unrelatedFor
-	// after that. Both are chosen, not measured one by one; together they raised the worth
-	// of a day on which instances shed 0.55 of their calls whatever their load from 0.515 to
-	// 0.698. fewRunning must be well below 1, or real overload would not lower the limit.
+	// after that. It must be well below 1, or real overload would not lower the limit.
 	fewRunning   = 0.25
 	unrelatedFor = 5 * time.Second
-	// slotsPerKeptOne: of so many slots one is kept free of uploads. Chosen, not measured; it
-	// must be above 1.
+	// slotsPerKeptOne: of so many slots one is kept free of uploads; above 1.
 	slotsPerKeptOne = 3
 )
 
--- a/internal/requestpath/admission/pace.go
+++ b/internal/requestpath/admission/pace.go
@@ -8,23 +8,18 @@
 // Constants of a pace.
 const (
 	// paceMargin is the part of the bound of a second that is left free: calls that are
-	// admitted apart may arrive at the back end closer together. With a tenth left free, 15
-	// arrived in one second of 14.75 allowed on a machine that had just lost power; 13.25 had
-	// been admitted, so that some had been held up for 0.16 s. With 0.15 calls may be held
-	// up by 0.2 s (14.65 arrive, by arithmetic).
+	// admitted apart may arrive at the back end closer together, where a daemon gets no processor.
+	// With 0.15 calls may be held up by 0.2 s.
 	paceMargin = 0.15
-	// leastRatePart is the part of the stated rate that is admitted in any case. Chosen, not
-	// measured; where a bound of hardly more than one call a second leaves no room for a
+	// leastRatePart is the part of the stated rate that is admitted in any case:
+	// where a bound of hardly more than one call a second leaves no room for a
 	// burst of one and a rate, almost nothing is sent, but not nothing.
 	leastRatePart = 0.15
 	// usualBurst is the number of calls admitted at once after a pause, as far as the
-	// bound leaves room. Chosen, not measured; a back end takes them one behind the other.
+	// bound leaves room: a back end takes them one behind the other.
 	usualBurst = 2
 	// coldRateFactor is how many times its stated rate a cold back end is admitted where
-	// the bound of a second leaves room. Factors of 1, 1.5, 2 and 2.5 gave a worth (0 to 1)
-	// of 0.659, 0.688, 0.701, 0.717 on one full day with a loss of power and 0.741, 0.745,
-	// 0.783, 0.790 on another; no instance crashed at 2.5, and those that got about 5 times
-	// their rate did.
+	// the bound of a second leaves room: back ends state less than what they bear.
 	coldRateFactor = 2.5
 	// leastBurst lets a call go at all: a bucket that holds less than one token never admits any.
 	leastBurst = 1
--- a/internal/requestpath/balance/cost.go
+++ b/internal/requestpath/balance/cost.go
@@ -7,25 +7,20 @@
 	"github.com/lapisvane/lapisvane/internal/model/locality"
 )
 
-// Weights of the score by cost, in parts of the target latency. Worth is what the answers of a
-// day are worth on an emulated deployment, 0 to 1, and the noise between two runs is 0.03.
+// Weights of the score by cost, in parts of the target latency.
 const (
 	// failureCost is what a certain failure costs: it is worth nothing, an answer that is late or
-	// from another zone most of its worth. Measured as the score of a deployment where bytes
-	// between zones are dear: 1, 2 and 4 gave 0.959, 0.985 and 0.983 (docs/design/0012).
-	// Larger than what 5 KB to another zone cost (1.3), so that ordinary calls leave an instance
-	// that fails alone in its zone.
+	// from another zone most of its worth. Larger than what a body of 5 KB to another zone costs,
+	// so that ordinary calls leave an instance that fails alone in its zone.
 	failureCost = 2
 	// latenessCost is what an answer costs that is certain to be late: as much as a failure,
-	// since it is worth little. Measured against 0, four seeds each: worth of a quiet day 0.895
-	// before and 0.898 with it, of an overloaded day 0.438 and 0.426.
+	// since it is worth little.
 	latenessCost = 2
 	// choiceNoise is the most that chance adds to a cost, so that daemons do not all choose
-	// the same instance. Chosen, not measured: not above crossingBase, or calls would leave
-	// the own zone by chance.
+	// the same instance: not above crossingBase, or calls would leave the own zone by chance.
 	choiceNoise = 0.05
 	// unknownServicePart is the service time that is expected of a route, in parts of its
-	// target latency, while no candidate answered a call of it. Chosen, not measured: below 1.
+	// target latency, while no candidate answered a call of it; below 1.
 	unknownServicePart = 0.25
 )
 
--- a/internal/requestpath/balance/estimate.go
+++ b/internal/requestpath/balance/estimate.go
@@ -5,9 +5,7 @@
 	"time"
 )
 
-// How fast estimates follow what is seen and fade. Those of service times and failures were set
-// with the score by cost as a whole (the figures are at almostFull), those of the spread with
-// latenessCost; none was measured alone.
+// How fast estimates follow what is seen and fade.
 const (
 	// serviceSmoothing is the weight, 0 to 1, of the newest answer in a mean service time.
 	serviceSmoothing = 0.2
--- a/internal/requestpath/balance/expected.go
+++ b/internal/requestpath/balance/expected.go
@@ -5,9 +5,7 @@
 	"time"
 )
 
-// A nearly full instance works more slowly. Both set with the score by cost as a whole (score
-// of a deployment 0.934 before, 0.924 after, worth of its quiet day 0.857 and 0.873), not measured
-// alone.
+// A nearly full instance works more slowly.
 const (
 	// almostFull is the load per slot, 0 to 1, from which an instance counts as slower.
 	almostFull = 0.8
--- a/internal/requestpath/balance/locality.go
+++ b/internal/requestpath/balance/locality.go
@@ -7,19 +7,15 @@
 )
 
 // What another zone or region costs a call, in parts of the target latency unless a comment says
-// otherwise. Worth is what the answers of a day are worth, 0 to 1.
+// otherwise.
 const (
-	// crossingBase is what a call to another zone costs beside its bytes. Set with the score by
-	// cost as a whole (the figures are at almostFull), not measured alone. Not below choiceNoise,
+	// crossingBase is what a call to another zone costs beside its bytes; not below choiceNoise,
 	// or calls would leave the own zone by chance.
 	crossingBase = 0.05
-	// crossingPerKilobyte is what each kilobyte costs that goes to another zone. Measured as
-	// mean worth of six standard days of two deployments: 0.03 gave 0.689 and 0.728, 0.06 0.717
-	// and 0.730, 0.12 0.729 and 0.735, 0.25 0.747 and 0.734, 0.5 0.752 and 0.734. It does not
+	// crossingPerKilobyte is what each kilobyte costs that goes to another zone. It does not
 	// know a link's price: where bytes are cheap and links full, calls stay too near.
 	crossingPerKilobyte = 0.25
-	// crossingMax is the most that the bytes cost, reached at 24 KB. Set with
-	// crossingPerKilobyte, not measured alone. Far above failureCost: calls with long bodies
+	// crossingMax is the most that the bytes cost, reached at 24 KB. Far above failureCost: calls with long bodies
 	// cross only where the own zone refuses them or has no instance.
 	crossingMax = 6
 
@@ -29,11 +25,8 @@
 	// regionPriceRatio is the price of a byte between regions in that of one between zones; the
 	// sheets price a GB at 56,000 and 15,000.
 	regionPriceRatio = 56_000.0 / 15_000.0
-	// regionBytesRatio is what a byte between regions weighs in what one between zones does. The
-	// ratio of the prices would keep calls in a region that is full. Measured as worth of an
-	// overloaded day with three regions, three seeds: 1.0 gave 0.852, 0.852, 0.879; 1.5 0.842,
-	// 0.844, 0.868; 1.1 with regionBase 0.850, 0.845, 0.871 with the own region first when all are
-	// idle (docs/design/0020).
+	// regionBytesRatio is what a byte between regions weighs in what one between zones does: far
+	// below the ratio of the prices, which would keep calls in a region that is full.
 	regionBytesRatio = 1.1
 	// regionBase is what a call to another region costs more than one to another zone: with
 	// the round trip enough for the own region to go first, in spite of the noise, up to a target
--- a/internal/requestpath/origin/instance.go
+++ b/internal/requestpath/origin/instance.go
@@ -18,8 +18,7 @@
 // Times and bounds of an instance.
 const (
 	// checkInterval is the time between two checks of an instance's state, which for one
-	// that does not register is a probe for a connection. Chosen, not measured; it must be well
-	// below heartbeatSilence.
+	// that does not register is a probe for a connection; well below heartbeatSilence.
 	checkInterval = 200 * time.Millisecond
 	// DefaultSlots and DefaultConnections hold until a configuration is known: what the
 	// users' sites state of an instance (about 6 slots and 130 connections).
