An account above its share goes behind others of the same priority, late or not

Cause: an account that makes many times its calls has mostly new ones, which are in time, and these went before the calls of others that had become late because it filled the slots. It was tolerated up to twice its share beside that. Change: what an account has above its share (and one usual call) counts after the priorities and before lateness, headroom and due time.

--- a/internal/requestpath/admission/account.go
+++ b/internal/requestpath/admission/account.go
@@ -10,16 +10,12 @@
 )
 
 // Where callers have accounts, each account is a group, and the calls of all of them wait in one
-// order: urgency comes first, so that a less urgent call never goes before a more urgent one because
-// its account used less, and of equally urgent calls those of an account that takes far more than
-// its share go last. Waits and bounds count what goes before a call, whichever account that is of:
+// order: priorities come first, so that a call never goes before one of a more urgent route because
+// its account used less, and of calls of the same priority those of an account that takes more than its
+// share go last. Waits and bounds count what goes before a call, whichever account that is of:
 // with many small accounts a bound for each would bound nothing together, and an estimate by the
 // share of one would refuse calls that nothing goes before.
 
-// excessTolerated is how many times its share of the slots an account may occupy and still go as
-// others do: calls differ in length, and callers come in bunches.
-const excessTolerated = 2
-
 // ConfigureAccounts replaces the number of slots and has the groups be accounts with these weights;
 // an account without one counts as defaultWeight.
 func (q *Queue) ConfigureAccounts(slots int, weights map[string]uint32) {
@@ -55,14 +51,14 @@
 }
 
 // excessOf returns how far an active account's slot time is above its share, in steps of a factor of
-// two; 0 is up to excessTolerated times the share. One usual call beside the share counts for
-// nothing, since the share of a small account is less than that.
+// two, 0 for not at all. One usual call beside the share counts for nothing, since the share of a
+// small account is less than that.
 func (o occupation) excessOf(used, weight float64) int {
-	tolerated := excessTolerated * (o.used*weight/o.weight + o.usualCall)
-	if used <= tolerated {
+	share := o.used*weight/o.weight + o.usualCall
+	if used <= share {
 		return 0
 	}
-	return bits.Len64(uint64(min(used/tolerated, math.MaxInt32)))
+	return bits.Len64(uint64(min(used/share, math.MaxInt32)))
 }
 
 // candidate is a waiting call with what its place in the order of the accounts depends on.
@@ -79,17 +75,20 @@
 //
 //  1. the priority of the account, the more urgent first;
 //  2. interactive calls before background ones;
-//  3. the call's own urgency (Request.compareUrgency);
-//  4. how far its account is above its share;
-//  5. due time, the earliest first;
-//  6. arrival.
+//  3. the priority of the call;
+//  4. how far its account is above its share: before lateness, or an account that keeps sending
+//     would have its new calls go before those of others that wait since it fills the slots;
+//  5. what else makes a call urgent (Request.compareUrgency);
+//  6. due time, the earliest first;
+//  7. arrival.
 func (c candidate) compare(other candidate, now time.Time) int {
 	first, second := &c.request, &other.request
 	return cmp.Or(
 		cmp.Compare(first.AccountPriority, second.AccountPriority),
 		falseFirst(first.Background, second.Background),
-		first.compareUrgency(second, now),
+		cmp.Compare(first.Priority, second.Priority),
 		cmp.Compare(c.excess, other.excess),
+		first.compareUrgency(second, now),
 		first.Due.Compare(second.Due),
 		cmp.Compare(c.sequence, other.sequence),
 	)
