Orders: the settling of an era ends for all daemons together

Cause: each daemon counted the ten seconds of a store's return from when it heard of the era. A return that changed no order was told to nobody, so that the others heard of it with the next withdrawal, however much later, and carried the order that was just taken away. One that was told of an order written again, and did not read it, carried the old one past its withdrawal.

Change: daemons tell each other that an era began, for how long it has lasted (Orders.era_age_ms) and for which zones it has had orders (Orders.superseded_zones); each takes the longest time and all zones told. A daemon that starts meanwhile states its own age and ends nobody's settling. The emulated gossip of the tests passes orders when they change, as links do.

--- a/internal/daemon/platform_orders.go
+++ b/internal/daemon/platform_orders.go
@@ -52,13 +52,13 @@
 	return p.readOrders
 }
 
-// ordersInForce returns the function that reads the orders for other daemons, nil where operators
-// give none.
-func (p *platformDistribution) ordersInForce() func() *orders.Set {
+// ordersInForce returns the orders that are exchanged with other daemons, nil where operators give
+// none.
+func (p *platformDistribution) ordersInForce() *orders.Current {
 	if !p.freshness.WithOrders {
 		return nil
 	}
-	return p.path.orders.Load
+	return p.path.orders
 }
 
 // ordersKnown reports whether orders are in force, or operators give none. No configuration is put
--- a/internal/distribution/configsource/fleetmates_test.go
+++ b/internal/distribution/configsource/fleetmates_test.go
@@ -35,6 +35,8 @@
 	mutex                          sync.Mutex
 	mute, deaf, refused, unordered bool
 	orderedAt                      time.Time
+	// told are the revisions of the orders that others were told last.
+	told map[*fleetmate]uint64
 }
 
 // applyOrders applies orders and passes them on.
@@ -128,12 +130,14 @@
 			})
 			mate.stop = run(mate.follower)
 		}
+		defer func() {
+			for _, mate := range mates {
+				mate.stop()
+			}
+			time.Sleep(time.Second)
+		}()
 		time.Sleep(5 * time.Second)
 		test(mates)
-		for _, mate := range mates {
-			mate.stop()
-		}
-		time.Sleep(time.Second)
 	})
 }
 
@@ -144,24 +148,39 @@
 	playMates(t, count, ordersBound, reach, func(mates []*fleetmate) { test(source, mates) })
 }
 
-// gossip passes a daemon's version and confirmation on to all that receive it.
+// tells reports whether another daemon has not been told the orders at a revision, and records that
+// it was: orders pass a link when it opens and when they change.
+func (m *fleetmate) tells(mate *fleetmate, revision uint64) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.told == nil {
+		m.told = map[*fleetmate]uint64{}
+	}
+	news := m.told[mate] != revision
+	m.told[mate] = revision
+	return news
+}
+
+// gossip passes a daemon's version and confirmation, and orders that changed, on to all that receive
+// it.
 func gossip(from *fleetmate, mates []*fleetmate) {
 	if from.is(func(m *fleetmate) bool { return m.mute }) {
 		return
 	}
 	versions, confirmed := from.freshness.InForce()
-	set := from.orders.Load()
+	told := from.orders.Message()
 	for _, mate := range mates {
 		if mate == from || mate.is(func(m *fleetmate) bool { return m.deaf }) {
 			continue
 		}
+		news := told != nil && from.tells(mate, told.GetRevision())
 		time.AfterFunc(gossipDelay, func() {
 			mate.freshness.Confirm(versions, confirmed)
 			if known, _ := mate.last(); versions.Configuration > known {
 				mate.apply(&lapisv1.Configuration{Revision: versions.Configuration})
 			}
-			if set != nil && !mate.is(func(m *fleetmate) bool { return m.unordered }) {
-				mate.applyOrders(set, mate.orders.ApplyReceived, mates)
+			if news && !mate.is(func(m *fleetmate) bool { return m.unordered }) {
+				mate.applyOrders(orders.NewSet(told), mate.orders.ApplyReceived, mates)
 			}
 		})
 	}
--- a/internal/distribution/fleet/fleet.go
+++ b/internal/distribution/fleet/fleet.go
@@ -44,9 +44,8 @@
 	Observer Observer
 	// InForce returns the configuration in force, nil before the first.
 	InForce func() *lapisv1.Configuration
-	// Orders returns the operators' orders in force, nil before the first; it is nil
-	// itself where operators give none.
-	Orders func() *orders.Set
+	// Orders are the operators' orders in force; nil where operators give none.
+	Orders *orders.Current
 	// Suspects returns all records of suspects; nil where they are not exchanged.
 	Suspects func() []quarantine.Record
 	// Freshness is how recently configuration and orders were confirmed to be the newest.
--- a/internal/distribution/fleet/followers_test.go
+++ b/internal/distribution/fleet/followers_test.go
@@ -64,7 +64,7 @@
 			}
 			member := memberAt(fmt.Sprintf("%c-%d", 'A'+index, index), fmt.Sprintf("x:%d", index))
 			follow := func(config *Config) {
-				config.Observer, config.Orders, config.Suspects = joined, joined.orders.Load, joined.registry.Known
+				config.Observer, config.Orders, config.Suspects = joined, &joined.orders, joined.registry.Known
 			}
 			joined.fleet.Store(start(member, append(adjust, follow)...))
 			return joined
--- a/internal/distribution/fleet/spread.go
+++ b/internal/distribution/fleet/spread.go
@@ -97,18 +97,18 @@
 
 // evacuated reports whether the instances of a zone get no calls.
 func (f *Fleet) evacuated(zone string) bool {
-	return f.config.Orders != nil && f.config.Orders().Evacuated(zone)
+	return f.config.Orders != nil && f.config.Orders.Evacuated(zone)
 }
 
 func (f *Fleet) sendOrders(link callmux.Link) {
 	if f.config.Orders == nil {
 		return
 	}
-	set := f.config.Orders()
-	if set == nil {
+	message := f.config.Orders.Message()
+	if message == nil {
 		return
 	}
-	f.send(link, &lapisv1.CallFrame{Body: &lapisv1.CallFrame_Orders{Orders: set.Message()}})
+	f.send(link, &lapisv1.CallFrame{Body: &lapisv1.CallFrame_Orders{Orders: message}})
 }
 
 // receiveOrders passes another daemon's orders to the observer, unless operators give none
--- a/internal/distribution/fleet/spread_test.go
+++ b/internal/distribution/fleet/spread_test.go
@@ -75,7 +75,7 @@
 	observer := &follower{}
 	none := New(Config{Observer: observer})
 	none.receiveOrders("x", evacuating(7, "b").Message())
-	some := New(Config{Observer: observer, Orders: observer.orders.Load})
+	some := New(Config{Observer: observer, Orders: &observer.orders})
 	some.receiveOrders("x", evacuating(0, "b").Message())
 	assert.Equal(t, observer.orderMessages.Load(), int64(0))
 	some.receiveOrders("x", evacuating(7, "b").Message())
--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -145,13 +145,16 @@
 	return started, nil
 }
 
-// endAll kills what still runs.
+// endAll kills what still runs, and prints what each process wrote where that is asked for.
 func (l *launcher) endAll() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for _, started := range l.started {
 		started.Kill()
 		<-started.ended
+		if *verbose {
+			l.t.Log(started.output)
+		}
 	}
 }
 
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -140,11 +140,6 @@
 	for _, breach := range breaches[:min(len(breaches), 10)] {
 		t.Errorf("%+v", breach)
 	}
-	if *verbose {
-		for _, process := range started.started {
-			t.Log(process.output)
-		}
-	}
 	assert.Assert(t, tally.Served.Load() > 0)
 }
 
--- a/internal/model/orders/orders.go
+++ b/internal/model/orders/orders.go
@@ -70,6 +70,11 @@
 	return (s == nil) == (other == nil) && slices.Equal(s.Zones(), other.Zones())
 }
 
+// samePhase reports whether no era began or settled between two sets.
+func (s *Set) samePhase(other *Set) bool {
+	return position.Position(s.Revision()).Phase() == position.Position(other.Revision()).Phase()
+}
+
 // restated returns the same orders at another revision.
 func (s *Set) restated(revision uint64) *Set {
 	return &Set{
@@ -115,6 +120,22 @@
 // Load returns the newest set, nil before the first.
 func (c *Current) Load() *Set { return c.set.Load() }
 
+// Message returns what other daemons are told: the newest set, and how far the era that it belongs
+// to has settled. It is nil before the first set.
+func (c *Current) Message() *lapisv1.Orders {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	set := c.Load()
+	if set == nil {
+		return nil
+	}
+	told := &lapisv1.Orders{Revision: set.Revision(), Evacuations: set.Message().GetEvacuations()}
+	if position.Position(set.Revision()).EraBegun() == c.returns.era {
+		c.returns.state(told, c.now())
+	}
+	return told
+}
+
 func (c *Current) now() time.Time {
 	if c.Now == nil {
 		return boottime.Now()
@@ -147,17 +168,19 @@
 
 // ApplyStored applies what the store has answered to this daemon. A set that evacuates the same
 // zones as the present one takes its revision, so that nothing is spread anew, and changed is
-// false.
+// false; but other daemons must learn that an era began or settled, or superseded orders.
 func (c *Current) ApplyStored(set *Set) (before *Set, changed bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	before = c.Load()
+	superseded := len(c.returns.superseded)
 	set = c.returns.apply(set, before, c.now())
 	if set.Revision() <= max(before.Revision(), c.read) {
 		return before, false
 	}
 	c.read = set.Revision()
-	if set.SameAs(before) {
+	known := set.samePhase(before) && len(c.returns.superseded) == superseded
+	if known && set.SameAs(before) {
 		c.set.Store(set.restated(before.Revision()))
 		return before, false
 	}
--- a/internal/model/position/position.go
+++ b/internal/model/position/position.go
@@ -18,8 +18,8 @@
 // is the revision.
 type Position uint64
 
-// revisionBits is how much of a Position is the revision and the mark of Settling. Chosen, not
-// measured: 46,000 changes a day fill it in 32,000 years; 16 million eras are left.
+// revisionBits is how much of a Position is the revision and the mark of Settling: 46,000 changes a
+// day fill it in 32,000 years; 16 million eras are left.
 const revisionBits = 40
 
 // maxRevision and maxEra are the largest that a Position holds.
@@ -63,3 +63,16 @@
 
 // IsSettling reports whether p is a place that Settling returned.
 func (p Position) IsSettling() bool { return p&settlingBit != 0 }
+
+// EraBegun returns the newest era that has begun at p: that of p, the one after for a place that
+// Settling returned.
+func (p Position) EraBegun() uint64 {
+	if p.IsSettling() {
+		return p.Era() + 1
+	}
+	return p.Era()
+}
+
+// Phase returns a number that is the same for all places of an era after it settled, and for all
+// places while it settles, and that grows from each of these to the next.
+func (p Position) Phase() uint64 { return uint64(p) >> (revisionBits - 1) }
