Comments of constants no longer say whether a value was chosen or measured

Cause: constants told how their values came about, which belongs in commits and in the capacity page.

--- a/internal/distribution/changelog/accept.go
+++ b/internal/distribution/changelog/accept.go
@@ -15,8 +15,8 @@
 	"github.com/lapisvane/lapisvane/internal/shared/sleep"
 )
 
-// Bounds of an accept. Both are chosen, not measured; together the waits must stay well
-// under the time that the operators' interface gives a request (20 s).
+// Bounds of an accept. Together the waits must stay well under the time that the operators'
+// interface gives a request (20 s).
 const (
 	// maxAcceptAttempts bounds the compare-and-swap attempts of one accept. It must be larger
 	// than the number of operators that write at the same time, since each round has one winner.
--- a/internal/distribution/changelog/compact.go
+++ b/internal/distribution/changelog/compact.go
@@ -11,7 +11,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// Bounds of what is kept in the object API. All are chosen, not measured.
+// Bounds of what is kept in the object API.
 const (
 	// SnapshotEvery is the number of revisions between stored snapshots. A reader that
 	// starts reads a snapshot and at most about as many revisions.
--- a/internal/distribution/changelog/log.go
+++ b/internal/distribution/changelog/log.go
@@ -16,7 +16,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// listPage bounds one list request for archived revisions. Chosen, not measured.
+// listPage bounds one list request for archived revisions.
 const listPage = 500
 
 // Log reads and extends the log of accepted configurations. It is safe for
--- a/internal/distribution/holdings/apply.go
+++ b/internal/distribution/holdings/apply.go
@@ -9,9 +9,9 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// keptRemovals bounds the remembered removals of services. Beyond it they are all
-// forgotten, and receivers that were away longer get the removals of all absent services
-// or a full update. Chosen, not measured; the size of the history kept elsewhere.
+// keptRemovals bounds the remembered removals of services. Beyond it they are all forgotten, and
+// receivers that were away longer get the removals of all absent services or a full update. It is
+// the size of the history kept elsewhere.
 const keptRemovals = 4096
 
 // Apply applies an update for the services of interest, whole or not at all. The checks come in
--- a/internal/distribution/membership/candidates.go
+++ b/internal/distribution/membership/candidates.go
@@ -10,23 +10,22 @@
 )
 
 const (
-	// maxKnown is the number of daemons remembered. Chosen, not measured; it must be
-	// larger than what one welcome names, and bounds what a long run collects.
+	// maxKnown is the number of daemons remembered. It must be larger than what one welcome names,
+	// and bounds what a long run collects.
 	maxKnown = 64
-	// failurePenalty is the longest time for which a daemon that could not be reached is
-	// avoided after the first failure; the shortest is half of it. It doubles with each
-	// failure up to maxPenalty. Both are chosen, not measured; the shortest must be larger
-	// than the wait after a refusal, so that daemons that answer are asked first.
+	// failurePenalty is the longest time for which a daemon that could not be reached is avoided
+	// after the first failure; the shortest is half of it. It doubles with each failure up to
+	// maxPenalty. The shortest must be larger than the wait after a refusal, so that daemons that
+	// answer are asked first.
 	failurePenalty = 3 * time.Second
 	maxPenalty     = 60 * time.Second
 	// maxPenaltyDoublings keeps the shift of failurePenalty from overflowing; maxPenalty
 	// is reached before.
 	maxPenaltyDoublings = 6
-	// remoteAfter is the number of daemons without a path to a reader after which other zones
-	// are tried, because the own zone has probably lost its readers. Chosen, not measured; it
-	// must be larger than the readers of a zone. Trying other zones at all shortened the
-	// recovery from the loss of both readers of a zone from 7296 to 565 ms (400 daemons in 4
-	// zones on one machine of 8 cores).
+	// remoteAfter is the number of daemons without a path to a reader after which other zones are
+	// tried, because the own zone has probably lost its readers. It must be larger than the readers
+	// of a zone. Trying other zones at all shortened the recovery from the loss of both readers of
+	// a zone from 7296 to 565 ms (400 daemons in 4 zones on one machine of 8 cores).
 	remoteAfter = 3
 )
 
--- a/internal/distribution/membership/join.go
+++ b/internal/distribution/membership/join.go
@@ -40,9 +40,9 @@
 	// 400 daemons took 622 to 1138 ms instead of 4312 and 3124 ms (all daemons on one
 	// machine of 8 cores). No other value was measured.
 	ForeignExtra = 24
-	// patience is the number of refusals after which a child is accepted without having been
-	// sent by another daemon: the readers are likely out of its reach. Chosen, not measured; it
-	// must be larger than the readers of a zone (2), so that each of them is asked first.
+	// patience is the number of refusals after which a child is accepted without having been sent
+	// by another daemon: the readers are likely out of its reach. It must be larger than the
+	// readers of a zone (2), so that each of them is asked first.
 	patience = 6
 )
 
@@ -149,15 +149,15 @@
 }
 
 const (
-	// refusalRetry is the shortest time after which a refused child should come back; the
-	// longest is twice that. Chosen, not measured. A child tries other daemons meanwhile.
+	// refusalRetry is the shortest time after which a refused child should come back; the longest
+	// is twice that. A child tries other daemons meanwhile.
 	refusalRetry = 300 * time.Millisecond
-	// detachedRetry is the time after which a child should ask again a parent without a
-	// path to a reader. Chosen, not measured; it must be shorter than the detached
-	// grace, in which such a parent mostly finds a new one.
+	// detachedRetry is the time after which a child should ask again a parent without a path to a
+	// reader. It must be shorter than the detached grace, in which such a parent mostly finds a new
+	// one.
 	detachedRetry = 500 * time.Millisecond
-	// MaxReferrals is the number of children that a refusal names; a welcome names twice
-	// as many daemons. Chosen, not measured.
+	// MaxReferrals is the number of children that a refusal names; a welcome names twice as many
+	// daemons.
 	MaxReferrals = 4
 )
 
--- a/internal/distribution/membership/readers.go
+++ b/internal/distribution/membership/readers.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// maxForeignReaders is the number of readers of other zones that are named to a
-	// daemon. Chosen, not measured; at least one must be left when a whole zone is lost.
+	// maxForeignReaders is the number of readers of other zones that are named to a daemon. It is
+	// at least one must be left when a whole zone is lost.
 	maxForeignReaders = 4
-	// firstWindow is the number of machines, by rank, that may try for a seat in the
-	// first round without a parent. Chosen, not measured; it must be larger than the
-	// seats of a zone, so that the list may hold a dead machine.
+	// firstWindow is the number of machines, by rank, that may try for a seat in the first round
+	// without a parent. It must be larger than the seats of a zone, so that the list may hold a
+	// dead machine.
 	firstWindow = 3
 	// maxWindowDoublings keeps the window from overflowing; it is then larger than any zone.
 	maxWindowDoublings = 16
--- a/internal/distribution/objectapi/client.go
+++ b/internal/distribution/objectapi/client.go
@@ -16,7 +16,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// Bounds of the client. All are chosen, not measured.
+// Bounds of the client.
 const (
 	// RequestTimeout bounds one request that is not a watch, and the opening of a watch.
 	// It must be shorter than a reader's lease.
--- a/internal/distribution/seat/lease.go
+++ b/internal/distribution/seat/lease.go
@@ -34,11 +34,11 @@
 )
 
 const (
-	// renewalsPerLease is how often a holder renews within the length of its lease, so
-	// that two renewals in a row may fail. Chosen, not measured; at least 2.
+	// renewalsPerLease is how often a holder renews within the length of its lease, so that two
+	// renewals in a row may fail. It is at least 2.
 	renewalsPerLease = 3
-	// renewalJitter is the part of the interval by which renewals are spread, so that
-	// the holders of a site do not all write at the same moment. Chosen, not measured.
+	// renewalJitter is the part of the interval by which renewals are spread, so that the holders
+	// of a site do not all write at the same moment.
 	renewalJitter = 0.1
 )
 
--- a/internal/distribution/status/aggregate.go
+++ b/internal/distribution/status/aggregate.go
@@ -15,8 +15,7 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 )
 
-// Bounds of a report. All are chosen, not measured; each level of the tree sends one
-// report at each status interval at the most.
+// Bounds of a report. Each level of the tree sends one report at each status interval at the most.
 const (
 	// MaxSample bounds the nodes named in the report of a large subtree; only
 	// nodes that refused a version or are behind are named there.
--- a/internal/distribution/tree/floors.go
+++ b/internal/distribution/tree/floors.go
@@ -12,7 +12,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// Times of floor requests. All are chosen, not measured.
+// Times of floor requests.
 const (
 	// floorSpacing is the wait before a reader reads the accept register, so that one
 	// read answers the requests of many daemons that start together.
--- a/internal/distribution/tree/link.go
+++ b/internal/distribution/tree/link.go
@@ -14,13 +14,11 @@
 )
 
 const (
-	// greetingTimeout bounds writing the preface and waiting for the answer to a
-	// Hello, each. Chosen, not measured; transport/peer closes a connection that has
-	// not greeted within the same time.
+	// greetingTimeout bounds writing the preface and waiting for the answer to a Hello, each.
+	// transport/peer closes a connection that has not greeted within the same time.
 	greetingTimeout = 3 * time.Second
-	// sendTimeout bounds the write of what one link sends at once. A peer that does
-	// not read for so long loses the link. Chosen, not measured; larger than the time
-	// in which a full update passes.
+	// sendTimeout bounds the write of what one link sends at once. A peer that does not read for so
+	// long loses the link. It is larger than the time in which a full update passes.
 	sendTimeout = 5 * time.Second
 )
 
--- a/internal/distribution/tree/machines.go
+++ b/internal/distribution/tree/machines.go
@@ -8,11 +8,11 @@
 	"github.com/lapisvane/lapisvane/internal/shared/boottime"
 )
 
-// listDrainHold is how long a daemon keeps a drain that a reader announced because the
-// machine list shows the machine as leaving. Then the daemon announces its own state
-// again, because the list may be wrong; while the list still shows the machine as
-// leaving, the reader drains the endpoint again at once. Chosen, not measured; it must be
-// much larger than MachinesInterval, or a short absence from the list undoes a drain.
+// listDrainHold is how long a daemon keeps a drain that a reader announced because the machine list
+// shows the machine as leaving. Then the daemon announces its own state again, because the list may
+// be wrong; while the list still shows the machine as leaving, the reader drains the endpoint again
+// at once. It must be much larger than MachinesInterval, or a short absence from the list undoes a
+// drain.
 const listDrainHold = 30 * time.Second
 
 // reconcileMachines compares the machine list with the endpoints. Those on a machine listed as
--- a/internal/distribution/tree/reader.go
+++ b/internal/distribution/tree/reader.go
@@ -62,7 +62,7 @@
 	n.setPath(nil)
 }
 
-// Intervals of a reader's periodic work. Both are chosen, not measured.
+// Intervals of a reader's periodic work.
 const (
 	// offerInterval is the time between two offers of vacant seats. It adds to the
 	// time for which a zone with one reader left has no second one.
--- a/internal/distribution/tree/reader_lease.go
+++ b/internal/distribution/tree/reader_lease.go
@@ -14,8 +14,8 @@
 	"github.com/lapisvane/lapisvane/internal/shared/sleep"
 )
 
-// releaseTimeout bounds giving the seat back at a planned stop. Chosen, not
-// measured; a seat that is not given back is free SeatLease after its last renewal.
+// releaseTimeout bounds giving the seat back at a planned stop. A seat that is not given back is
+// free SeatLease after its last renewal.
 const releaseTimeout = 2 * time.Second
 
 // putLease writes the seat if its version is still the one given, and returns the new version.
--- a/internal/distribution/tree/reader_mesh.go
+++ b/internal/distribution/tree/reader_mesh.go
@@ -14,7 +14,7 @@
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
 )
 
-// Times of the links between readers. Both are chosen, not measured.
+// Times of the links between readers.
 const (
 	// meshReconcileInterval is how often a reader compares its links with the readers it knows.
 	// It adds to the time in which a new reader hears of the endpoints below the others.
--- a/internal/distribution/tree/reader_watch.go
+++ b/internal/distribution/tree/reader_watch.go
@@ -16,9 +16,9 @@
 	"github.com/lapisvane/lapisvane/internal/shared/sleep"
 )
 
-// Bounds of the wait before a reader opens its watch of the object API again after a
-// failure. Both are chosen, not measured; the larger one must stay under the seat's
-// lease, so that a reader sees the object API again in time to renew.
+// Bounds of the wait before a reader opens its watch of the object API again after a failure. The
+// larger one must stay under the seat's lease, so that a reader sees the object API again in time
+// to renew.
 const (
 	watchBackoffMin = 100 * time.Millisecond
 	watchBackoffMax = 3 * time.Second
--- a/internal/distribution/tree/search.go
+++ b/internal/distribution/tree/search.go
@@ -19,8 +19,8 @@
 	backoff membership.SourceBackoff
 }
 
-// candidatePoll is the middle of the wait before the candidates are checked again. Chosen, not
-// measured; it must be small beside the waits after a refusal, whose end it finds.
+// candidatePoll is the middle of the wait before the candidates are checked again. It must be small
+// beside the waits after a refusal, whose end it finds.
 const candidatePoll = 50 * time.Millisecond
 
 func newSearch(node *Node) *search {
--- a/internal/lab/callload/caller.go
+++ b/internal/lab/callload/caller.go
@@ -177,7 +177,7 @@
 // Total returns the number of calls.
 func (t *Tally) Total() int64 { return t.Done + t.Wrong + t.NotRun + t.Unknown }
 
-// maxLatencyMicros bounds the latency histogram. Chosen, not measured.
+// maxLatencyMicros bounds the latency histogram.
 const maxLatencyMicros = 120 * 1000 * 1000
 
 func newTally() *Tally {
--- a/internal/lab/emulator/client/kept.go
+++ b/internal/lab/emulator/client/kept.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// redialPause is the time after which a caller without a connection dials again. Chosen, not
-	// measured: well below the time that a daemon needs to start.
+	// redialPause is the time after which a caller without a connection dials again. It is well
+	// below the time that a daemon needs to start.
 	redialPause = 20 * time.Millisecond
 	// answerPatience is how long a caller waits for an answer beyond the request's deadline.
 	answerPatience = time.Second
@@ -55,8 +55,8 @@
 	}
 }
 
-// narrowBuffer is what a caller's system takes ahead of a caller on a narrow link, in bytes. Chosen,
-// not measured: a few packets; the system doubles it.
+// narrowBuffer is what a caller's system takes ahead of a caller on a narrow link, in bytes. A few
+// packets; the system doubles it.
 const narrowBuffer = 4 << 10
 
 // dial opens a connection to a daemon.
--- a/internal/lab/emulator/objectstore/faults.go
+++ b/internal/lab/emulator/objectstore/faults.go
@@ -7,7 +7,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/sleep"
 )
 
-// Writes that are done late are done after lateMin and up to lateSpread more. Chosen, not measured.
+// Writes that are done late are done after lateMin and up to lateSpread more.
 const (
 	lateMin    = 50 * time.Millisecond
 	lateSpread = 200 * time.Millisecond
--- a/internal/lab/emulator/objectstore/server.go
+++ b/internal/lab/emulator/objectstore/server.go
@@ -21,7 +21,7 @@
 	"github.com/lapisvane/lapisvane/platform"
 )
 
-// Bounds of the stand-in. Chosen, not measured.
+// Bounds of the stand-in.
 const (
 	// maxWait bounds the wait of a watch.
 	maxWait      = 30 * time.Second
--- a/internal/lab/explain/cause.go
+++ b/internal/lab/explain/cause.go
@@ -72,8 +72,8 @@
 	eventSampled       = "decisions.sampled"
 )
 
-// nearby is how far apart the lines about the loss of a daemon and about a call to it may be. Chosen,
-// not measured: above the 2.5 s of silence after which a daemon counts as lost.
+// nearby is how far apart the lines about the loss of a daemon and about a call to it may be. It is
+// above the 2.5 s of silence after which a daemon counts as lost.
 const nearby = 3 * time.Second
 
 // Verdict is the cause of a request's end, with the line that proves it.
--- a/internal/lab/explain/line.go
+++ b/internal/lab/explain/line.go
@@ -20,7 +20,7 @@
 	keyRequest = "request"
 )
 
-// maxLineBytes bounds the length of one line. Chosen, not measured.
+// maxLineBytes bounds the length of one line.
 const maxLineBytes = 1 << 20
 
 // Field is one key=value pair.
--- a/internal/lab/objectapistub/server.go
+++ b/internal/lab/objectapistub/server.go
@@ -24,7 +24,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/sleep"
 )
 
-// Bounds of the stand-in. Chosen, not measured.
+// Bounds of the stand-in.
 const (
 	// defaultWatchCap is the number of concurrent watches where Options name none.
 	defaultWatchCap  = 40
--- a/internal/lab/output.go
+++ b/internal/lab/output.go
@@ -14,7 +14,7 @@
 // results prints the outcome of a command, one event a line on standard output.
 var results = logging.NewPlain(os.Stdout)
 
-// maxRunTime bounds how long calls are made. Chosen, not measured.
+// maxRunTime bounds how long calls are made.
 const maxRunTime = 30 * time.Minute
 
 // millis converts microseconds to milliseconds.
--- a/internal/model/meshconfig/state.go
+++ b/internal/model/meshconfig/state.go
@@ -10,12 +10,11 @@
 )
 
 const (
-	// HistoryWindow is the number of revisions for which removed objects and operation ids
-	// are remembered. A proposal written against an older base is refused as stale. Chosen, not
-	// measured.
+	// HistoryWindow is the number of revisions for which removed objects and operation ids are
+	// remembered. A proposal written against an older base is refused as stale.
 	HistoryWindow = 4096
-	// forgetEvery is the number of revisions between two rounds of forgetting, each of which
-	// looks at all objects. Chosen, not measured: far below HistoryWindow.
+	// forgetEvery is the number of revisions between two rounds of forgetting, each of which looks
+	// at all objects. It is far below HistoryWindow.
 	forgetEvery = HistoryWindow / 16
 )
 
--- a/internal/model/position/position.go
+++ b/internal/model/position/position.go
@@ -18,8 +18,8 @@
 // is the revision.
 type Position uint64
 
-// revisionBits is how much of a Position is the revision and the mark of Settling. Chosen, not
-// measured: 46,000 changes a day fill it in 32,000 years; 16 million eras are left.
+// revisionBits is how much of a Position is the revision and the mark of Settling. 46,000 changes a
+// day fill it in 32,000 years; 16 million eras are left.
 const revisionBits = 40
 
 // maxRevision and maxEra are the largest that a Position holds.
--- a/internal/model/quarantine/record.go
+++ b/internal/model/quarantine/record.go
@@ -33,9 +33,9 @@
 	Local bool
 }
 
-// Bounds of one record. Chosen, not measured: maxCrashes above quarantineAt, so that callers of
-// several services are each found among the crashes; maxRefuted above maxCrashes, so that an answer
-// refutes all of a full record.
+// Bounds of one record. maxCrashes is above quarantineAt, so that callers of several services are
+// each found among the crashes; maxRefuted is above maxCrashes, so that an answer refutes all of a
+// full record.
 const (
 	maxCrashes = 12
 	maxRefuted = 24
--- a/internal/model/quarantine/registry.go
+++ b/internal/model/quarantine/registry.go
@@ -10,8 +10,8 @@
 	"github.com/lapisvane/lapisvane/internal/model/fingerprint"
 )
 
-// maxKnown bounds the records that a new connection starts with. Chosen, not measured: far
-// below maxEntries; at about 300 bytes a record it is 150 KB.
+// maxKnown bounds the records that a new connection starts with. It is far below maxEntries; at
+// about 300 bytes a record it is 150 KB.
 const maxKnown = 512
 
 // InFlight is a request that an instance was running when it crashed.
--- a/internal/model/quarantine/retention.go
+++ b/internal/model/quarantine/retention.go
@@ -9,12 +9,11 @@
 
 // What is remembered, and for how long.
 const (
-	// refutedMemory is how long refuted crashes are remembered, so that a record of them that
-	// was still under way does not count again. It is also the interval of sweeps. Chosen, not
-	// measured: longer than records take from daemon to daemon, and below memory.
+	// refutedMemory is how long refuted crashes are remembered, so that a record of them that was
+	// still under way does not count again. It is also the interval of sweeps. It is longer than
+	// records take from daemon to daemon, and below memory.
 	refutedMemory = time.Minute
-	// maxEntries bounds the entries, at about 300 bytes each (estimated) 1.2 MB. Chosen, not
-	// measured.
+	// maxEntries bounds the entries, at about 300 bytes each (estimated) 1.2 MB.
 	maxEntries = 4096
 )
 
--- a/internal/model/quarantine/rule.go
+++ b/internal/model/quarantine/rule.go
@@ -15,14 +15,13 @@
 	// quarantine more of those that only ran beside a guilty one.
 	quarantineAt = 3
 	// notRepeatedAt is the number of crashes from which a daemon does not retry a request at
-	// another instance. Chosen, not measured: below quarantineAt, and above 1, since one
-	// repeat saves those that only ran beside a guilty one, five of six with six slots.
+	// another instance. It is below quarantineAt, and above 1, since one repeat saves those that
+	// only ran beside a guilty one, five of six with six slots.
 	notRepeatedAt = 2
-	// memory is how long after its last crash a suspect is remembered. Chosen, not measured: far
-	// above trialAfter.
+	// memory is how long after its last crash a suspect is remembered. It is far above trialAfter.
 	memory = time.Hour
-	// trialAfter is the time after the last crash from which one quarantined request may run
-	// as a trial. Chosen, not measured: longer than a report of a crash takes to all daemons.
+	// trialAfter is the time after the last crash from which one quarantined request may run as a
+	// trial. It is longer than a report of a crash takes to all daemons.
 	trialAfter = time.Minute
 	// maxTrials bounds the trials of a suspect, since each may cost an instance. Set by the
 	// requirement of at most three further crashes: with one visit of each of two further
--- a/internal/operators/ctl/client.go
+++ b/internal/operators/ctl/client.go
@@ -26,8 +26,8 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// maxAttempts bounds how often a change is sent while its outcome is unknown. Chosen, not
-// measured; the operator may repeat the command afterwards.
+// maxAttempts bounds how often a change is sent while its outcome is unknown. The operator may
+// repeat the command afterwards.
 const maxAttempts = 3
 
 // Client sends commands to the operators' interface of one daemon. It is safe for
--- a/internal/operators/opapi/opapi.go
+++ b/internal/operators/opapi/opapi.go
@@ -19,7 +19,7 @@
 	PathWait     = "/v1/wait"
 )
 
-// Bounds of a request. All are chosen, not measured.
+// Bounds of a request.
 const (
 	// MaxRequestBytes bounds a request body. It is larger than a proposal of a whole
 	// configuration.
--- a/internal/operators/operator/backends.go
+++ b/internal/operators/operator/backends.go
@@ -13,9 +13,8 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// maxRebases bounds how often a change of a back end is rebased because another change of the
-// pool was accepted first. Chosen, not measured; larger than the operators that
-// change one pool at the same time.
+// maxRebases bounds how often a change of a back end is rebased because another change of the pool
+// was accepted first. It is larger than the operators that change one pool at the same time.
 const maxRebases = 20
 
 // changeBackend drains, undrains or retires a back end. The change commutes with those of
--- a/internal/operators/operator/server.go
+++ b/internal/operators/operator/server.go
@@ -21,7 +21,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// Bounds of the interface. Both are chosen, not measured.
+// Bounds of the interface.
 const (
 	// maxConcurrent bounds the requests that are served at a time, waits for a revision
 	// included; one more is answered with OperatorBusy.
--- a/internal/operators/operator/wait.go
+++ b/internal/operators/operator/wait.go
@@ -9,8 +9,8 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// waitInterval is the time between two reads of the status. Chosen, not measured; the
-// status itself is a status interval old for each level of the tree.
+// waitInterval is the time between two reads of the status. The status itself is a status interval
+// old for each level of the tree.
 const waitInterval = 100 * time.Millisecond
 
 // wait returns when a revision is in force on every proxy that reports. A status that
--- a/internal/operators/query/language.go
+++ b/internal/operators/query/language.go
@@ -76,8 +76,8 @@
 
 var parser = participle.MustBuild[Command](participle.Lexer(tokens), participle.Unquote("String"))
 
-// MaxCommandBytes bounds the length of a command. Chosen, not measured; longer than any
-// command with a few conditions.
+// MaxCommandBytes bounds the length of a command. It is longer than any command with a few
+// conditions.
 const MaxCommandBytes = 4096
 
 // Parse reads one command. Errors: OperatorBadCommand with the place of the
--- a/internal/requestpath/gateway/pipeline/body.go
+++ b/internal/requestpath/gateway/pipeline/body.go
@@ -132,7 +132,7 @@
 
 // maxDiscardBytes bounds what is read and dropped of a body whose request is answered already, so
 // that requests behind it are served; a caller with more to send is told to stop by the end of its
-// connection. Chosen, not measured: above the uploads of the sites that are known, 360 kB.
+// connection. It is above the uploads of the sites that are known, 360 kB.
 const maxDiscardBytes = 1 << 20
 
 // stop ends the use of the body and returns what becomes of its rest.
@@ -200,5 +200,5 @@
 	return b.remaining == 0
 }
 
-// discardBuffer is how much of a rest is read at once, in bytes. Chosen, not measured.
+// discardBuffer is how much of a rest is read at once, in bytes.
 const discardBuffer = 16 << 10
--- a/internal/requestpath/gateway/pipeline/caller.go
+++ b/internal/requestpath/gateway/pipeline/caller.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// Bytes that are read ahead to see whether the caller disconnects: at first and at most; the
-// buffer doubles in between. Chosen, not measured; with maxLookahead bytes held a disconnect is
-// not seen until some have been read.
+// Bytes that are read ahead to see whether the caller disconnects: at first and at most; the buffer
+// doubles in between. With maxLookahead bytes held a disconnect is not seen until some have been
+// read.
 const (
 	firstLookahead = 512
 	maxLookahead   = 32 << 10
--- a/internal/requestpath/gateway/pipeline/quota.go
+++ b/internal/requestpath/gateway/pipeline/quota.go
@@ -20,9 +20,8 @@
 	Bytes              int64
 }
 
-// DefaultLimits hold where the settings state none. Chosen, not measured; each limit of all
-// connections is above that of one, and one connection may hold the longest answer that the
-// gateway reads whole.
+// DefaultLimits hold where the settings state none. Each limit of all connections is above that of
+// one, and one connection may hold the longest answer that the gateway reads whole.
 var DefaultLimits = Limits{
 	RequestsPerConnection: 16,
 	RequestsAhead:         2048,
--- a/internal/requestpath/gateway/pipeline/writing.go
+++ b/internal/requestpath/gateway/pipeline/writing.go
@@ -9,7 +9,7 @@
 )
 
 // maxClosingAnswerBytes is the longest answer that closes a connection because the daemon stops, in
-// bytes. Chosen, not measured: 13 ms on a link of 10 Mbit/s, a few ways of the network.
+// bytes. 13 ms on a link of 10 Mbit/s, a few ways of the network.
 const maxClosingAnswerBytes = 16 << 10
 
 // isLong reports whether an exchange's answer is longer than maxClosingAnswerBytes, or may be.
--- a/internal/shared/boottime/boottime.go
+++ b/internal/shared/boottime/boottime.go
@@ -22,16 +22,16 @@
 )
 
 const (
-	// refreshEvery bounds how often the clocks are compared, which takes two system calls:
-	// 20 a second at the most, and a time that is wrong for a tenth of a second after the
-	// machine resumes. Chosen, not measured.
+	// refreshEvery bounds how often the clocks are compared, which takes two system calls: 20 a
+	// second at the most, and a time that is wrong for a tenth of a second after the machine
+	// resumes.
 	refreshEvery = 100 * time.Millisecond
-	// noticed is the least difference that counts. The two clocks are read one after the
-	// other, and the thread may be preempted in between. Chosen, not measured: above a time slice
-	// of the scheduler, below any suspension that matters.
+	// noticed is the least difference that counts. The two clocks are read one after the other, and
+	// the thread may be preempted in between. It is above a time slice of the scheduler, below any
+	// suspension that matters.
 	noticed = 50 * time.Millisecond
-	// readings is how often a difference is measured before it counts; the least holds. Chosen,
-	// not measured: above 1, so that one preempted reading is no suspension.
+	// readings is how often a difference is measured before it counts; the least holds. It is above
+	// 1, so that one preempted reading is no suspension.
 	readings = 3
 )
 
--- a/internal/shared/cli/cli.go
+++ b/internal/shared/cli/cli.go
@@ -52,7 +52,7 @@
 }
 
 // pendingSignals is how many signals of a kind are kept until they are read; more of them say
-// nothing new. Chosen, not measured.
+// nothing new.
 const pendingSignals = 4
 
 // CatchSignals begins to catch signals. A program calls it once, before it opens a listener: until
--- a/internal/shared/logging/async.go
+++ b/internal/shared/logging/async.go
@@ -8,12 +8,12 @@
 	"time"
 )
 
-// queueLines bounds the lines that wait for a writer that is slow or stuck. Chosen, not measured: at
-// an estimated 200 bytes a line under 1 MB.
+// queueLines bounds the lines that wait for a writer that is slow or stuck. At an estimated 200
+// bytes a line under 1 MB.
 const queueLines = 4096
 
-// flushTimeout bounds the wait for the last lines at the end of the process. Chosen, not measured:
-// below the part of the stop limit that is left for the end.
+// flushTimeout bounds the wait for the last lines at the end of the process. It is below the part
+// of the stop limit that is left for the end.
 const flushTimeout = 200 * time.Millisecond
 
 // AsyncWriter passes lines to a writer in the background, so that logging never waits for it. Lines
--- a/internal/shared/socket/listener.go
+++ b/internal/shared/socket/listener.go
@@ -9,7 +9,7 @@
 )
 
 // acceptPause is the pause after a connection could not be accepted, such as for lack of file
-// descriptors. Chosen, not measured: callers wait in the kernel for so long.
+// descriptors. Callers wait in the kernel for so long.
 const acceptPause = 10 * time.Millisecond
 
 // patientListener goes on after connections could not be accepted.
--- a/internal/transport/callmux/delivery.go
+++ b/internal/transport/callmux/delivery.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// deliveryTime is how long the acknowledgement of an answer by the peer's system is waited for.
-// Chosen, not measured: a peer that takes longer counts as stalled by then.
+// deliveryTime is how long the acknowledgement of an answer by the peer's system is waited for. A
+// peer that takes longer counts as stalled by then.
 const deliveryTime = time.Second
 
 // delivery knows the calls of a Server that are not answered whole, and its sessions. It is safe
--- a/internal/transport/callmux/echoes.go
+++ b/internal/transport/callmux/echoes.go
@@ -7,8 +7,8 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 )
 
-// rememberedFrames is how many of the heartbeats sent an echo may refer to. Chosen, not measured:
-// the peer echoes the newest, so no more than a few are ever on their way.
+// rememberedFrames is how many of the heartbeats sent an echo may refer to. The peer echoes the
+// newest, so no more than a few are ever on their way.
 const rememberedFrames = 8
 
 // echoes relate the heartbeats of both sides of a session, so that an age
--- a/internal/transport/callmux/inflight.go
+++ b/internal/transport/callmux/inflight.go
@@ -12,12 +12,10 @@
 	// worth of a disturbed day 0.755 with 256 KiB and 0.791 with 16 KiB, calls refused or failed 876
 	// and 364.
 	linkTime = 25 * time.Millisecond
-	// minInFlight, in bytes, keeps a body flowing over a link with long latency. Chosen, not
-	// measured.
+	// minInFlight, in bytes, keeps a body flowing over a link with long latency.
 	minInFlight = 8 << 10
 	// inFlightPieces is the number of pieces that the bytes on their way are sent, and
-	// acknowledged, in. Chosen, not measured: above 1, or a body would wait for
-	// each acknowledgement.
+	// acknowledged, in. It is above 1, or a body would wait for each acknowledgement.
 	inFlightPieces = 4
 )
 
--- a/internal/transport/callmux/server.go
+++ b/internal/transport/callmux/server.go
@@ -12,8 +12,8 @@
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
 )
 
-// maxStreams bounds the calls at once on one connection. Chosen, not measured: more than a daemon
-// has in flight at one instance.
+// maxStreams bounds the calls at once on one connection. It is more than a daemon has in flight at
+// one instance.
 const maxStreams = 8192
 
 // Origin runs the calls that a Server receives.
--- a/internal/transport/callmux/times.go
+++ b/internal/transport/callmux/times.go
@@ -7,10 +7,10 @@
 // and the bounds of Stall) are in package daemon and tested there.
 const (
 	// fencePoll is the interval at which a call polls for a new connection over which its attempt
-	// can be fenced. Chosen, not measured: several times within fenceTimeout.
+	// can be fenced. It is several times within fenceTimeout.
 	fencePoll = 20 * time.Millisecond
 	// dialRetry is how long a failed dial is remembered, so that calls to a dead daemon fail at
-	// once. Chosen, not measured: below fenceTimeout, so that a fence outlasts one.
+	// once. It is below fenceTimeout, so that a fence outlasts one.
 	dialRetry = 200 * time.Millisecond
 	// dialTimeout bounds the handshake of a connection, which takes two ways of the network, 40 ms
 	// between regions. A dial without answer is given up before the kernel sends the opening packet
@@ -19,10 +19,10 @@
 	// did not wait, 0.69 and 0.83.
 	dialTimeout = 300 * time.Millisecond
 	// fenceTimeout bounds the fencing of a call whose connection was lost, the wait for a new
-	// connection included. Chosen, not measured: above dialTimeout.
+	// connection included. It is above dialTimeout.
 	fenceTimeout = 500 * time.Millisecond
-	// openTimeout bounds the opening of a session, from the dial to the peer's greeting.
-	// Chosen, not measured: not above the time that the accepting side gives a greeting.
+	// openTimeout bounds the opening of a session, from the dial to the peer's greeting. It is not
+	// above the time that the accepting side gives a greeting.
 	openTimeout = 3 * time.Second
 )
 
@@ -40,8 +40,7 @@
 	LinkMegabits float64
 }
 
-// DefaultTiming holds where nothing else is set. Chosen, not measured: two lost heartbeats
-// end no session.
+// DefaultTiming holds where nothing else is set. Two lost heartbeats end no session.
 var DefaultTiming = Timing{KeepAlive: 4 * time.Second, Silence: 12 * time.Second, Write: 10 * time.Second}
 
 func (t Timing) orDefault() Timing {
--- a/internal/transport/callmux/window.go
+++ b/internal/transport/callmux/window.go
@@ -7,22 +7,22 @@
 
 // Windows and sizes in bytes.
 const (
-	// BufferedBodyBytes is the largest body that a caller's daemon reads whole, so
-	// that the call can be sent again. Chosen, not measured.
+	// BufferedBodyBytes is the largest body that a caller's daemon reads whole, so that the call
+	// can be sent again.
 	BufferedBodyBytes = 64 << 10
 	// openingBodyBytes is the largest body that is sent along with the opening frame,
 	// before the call is admitted. Longer bodies of refused calls would fill the
 	// links of overloaded daemons: with 64 KiB the share of worth on an
 	// overloaded day with links of 10 Mbit/s fell to 0.11 within 14 s, with 4 KiB to 0.53.
 	openingBodyBytes = 4 << 10
-	// windowBytes is what one direction of a stream may have in flight. Chosen, not measured: not
-	// below BufferedBodyBytes, which earlier releases send at once.
+	// windowBytes is what one direction of a stream may have in flight. It is not below
+	// BufferedBodyBytes, which earlier releases send at once.
 	windowBytes = 256 << 10
-	// grantAfterBytes is the amount read after which more is granted. Chosen, not measured: half
-	// of the window, so that a body flows on while the grant is under way.
+	// grantAfterBytes is the amount read after which more is granted. Half of the window, so that a
+	// body flows on while the grant is under way.
 	grantAfterBytes = windowBytes / 2
-	// chunkBytes is the largest piece of a body in one frame. Chosen, not measured: far below
-	// windowBytes, so that frames of other calls come between.
+	// chunkBytes is the largest piece of a body in one frame. It is far below windowBytes, so that
+	// frames of other calls come between.
 	chunkBytes = 16 << 10
 )
 
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -25,7 +25,7 @@
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
 )
 
-// Bounds of the greeting. Chosen, not measured.
+// Bounds of the greeting.
 const (
 	// GreetingTimeout bounds the time from accepting a connection to the whole of its greeting. It
 	// must not be below the time that a dialer gives the opening (callmux).
--- a/internal/transport/wire/compress.go
+++ b/internal/transport/wire/compress.go
@@ -12,8 +12,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// CompressAboveBytes is the frame size from which compression is tried. Chosen, not measured: small
-// frames do not shrink.
+// CompressAboveBytes is the frame size from which compression is tried. Small frames do not shrink.
 const CompressAboveBytes = 512
 
 // Compress returns frame, or an equivalent compressed frame when that is smaller. A frame that
--- a/internal/transport/wire/conn.go
+++ b/internal/transport/wire/conn.go
@@ -30,7 +30,7 @@
 // ProtocolVersion is the version that Hello carries.
 const ProtocolVersion = 1
 
-// MaxFrameBytes bounds one frame in either direction. Chosen, not measured.
+// MaxFrameBytes bounds one frame in either direction.
 const MaxFrameBytes = 8 << 20
 
 // preface starts every connection, so that another protocol is recognised
@@ -53,8 +53,8 @@
 	closeOnce  sync.Once
 }
 
-// bufferBytes is the size of each of the two buffers of a connection. Chosen, not measured: small,
-// since a daemon may hold hundreds of connections.
+// bufferBytes is the size of each of the two buffers of a connection. Small, since a daemon may
+// hold hundreds of connections.
 const bufferBytes = 4 << 10
 
 // NewConn wraps raw; counters may be shared by all connections of a daemon, or nil.
--- a/internal/transport/wire/network.go
+++ b/internal/transport/wire/network.go
@@ -9,8 +9,8 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// DialTimeout bounds the opening of a connection to another daemon, TLS included; a caller may set a
-// shorter time. Chosen, not measured.
+// DialTimeout bounds the opening of a connection to another daemon, TLS included; a caller may set
+// a shorter time.
 const DialTimeout = 2 * time.Second
 
 // Network opens and accepts connections between daemons. Tests put delays and
