--- a/internal/model/position/position.go
+++ b/internal/model/position/position.go
@@ -18,7 +18,7 @@
 // is the revision.
 type Position uint64
 
-// revisionBits is how much of a Position is the revision and the mark of Settling: 46,000 changes a
+// revisionBits is how much of a Position is the revision and the mark of Settling. 46,000 changes a
 // day fill it in 32,000 years; 16 million eras are left.
 const revisionBits = 40
 
