API keys: what a caller may smuggle, revocation until the call starts, tests of both

Change: package identity decides on a key, purely; the gateway finds route and caller together, and anew after a wait for a newer configuration; it checks the key before each attempt, and the daemon beside the instance when the call has its slot, right before it counts as started, by the key's digest in the opening (CallOpen.key_digest). Only a newer configuration than the one that admitted the call revokes. Lines and a counter name the reason and the digest's start.

--- a/internal/distribution/configsource/freshness.go
+++ b/internal/distribution/configsource/freshness.go
@@ -139,6 +139,16 @@
 	})
 }
 
+// Behind reports whether another daemon has confirmed a newer configuration than the one in force
+// here, which is then on its way.
+func (f *Freshness) Behind() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.ContainsFunc(f.pending, func(kept confirmation) bool {
+		return kept.versions.Configuration > f.versions.Configuration
+	})
+}
+
 // InForce returns what is in force and the time of its newest confirmation, zero before the
 // first.
 func (f *Freshness) InForce() (versions Versions, confirmed time.Time) {
--- /dev/null
+++ b/internal/model/account/account_test.go
@@ -0,0 +1,117 @@
+package account_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
+)
+
+// stated returns an account with the given keys, as a configuration states it.
+func stated(name string, keys ...string) *lapisv1.Account {
+	made := &lapisv1.Account{Name: name}
+	for _, key := range keys {
+		digest := account.DigestOf([]byte(key))
+		made.KeyDigests = append(made.KeyDigests, digest[:])
+	}
+	return made
+}
+
+func find(directory *account.Directory, key string) string {
+	found := directory.Find(account.DigestOf([]byte(key)))
+	if found == nil {
+		return ""
+	}
+	return found.Name
+}
+
+// A key belongs to its account as it is written, and to nobody in any other form.
+func TestKeysBelongToTheirAccount(t *testing.T) {
+	directory := account.NewDirectory(&lapisv1.Accounts{Accounts: []*lapisv1.Account{
+		stated("alpha", "key-of-alpha", "other-key"), stated("beta", "key-of-beta"), stated("none"),
+	}})
+	for key, name := range map[string]string{
+		"key-of-alpha": "alpha", "other-key": "alpha", "key-of-beta": "beta",
+		"": "", "unknown": "", "KEY-OF-ALPHA": "", " key-of-alpha": "", "key-of-alpha ": "", "key-of-alph": "", "key-of-alpha\x00": "",
+	} {
+		assert.Equal(t, find(directory, key), name, "%q", key)
+	}
+	assert.Equal(t, directory.Named("alpha").Keys, 2)
+	assert.Equal(t, len(directory.Accounts()), 3)
+	assert.Assert(t, directory.Named("gamma") == nil)
+}
+
+// Without accounts no key counts, and no caller needs one; with none of them every caller does.
+func TestNoAccountsAreNotNoneOfThem(t *testing.T) {
+	var without *account.Directory
+	digest := account.DigestOf([]byte("any"))
+	assert.Assert(t, account.NewDirectory(nil) == without)
+	assert.Assert(t, without.Find(digest) == nil && without.Holds(digest[:]) && without.Named("alpha") == nil && without.Accounts() == nil)
+	empty := account.NewDirectory(&lapisv1.Accounts{})
+	assert.Assert(t, empty != nil && empty.Find(digest) == nil && !empty.Holds(digest[:]))
+}
+
+// A digest that is cut short or empty is that of no key, in a configuration and in a call.
+func TestDigestsOfAnotherLengthMatchNothing(t *testing.T) {
+	digest := account.DigestOf([]byte("key"))
+	short := &lapisv1.Account{Name: "alpha", KeyDigests: [][]byte{digest[:4], nil, append(digest[:], 0)}}
+	directory := account.NewDirectory(&lapisv1.Accounts{Accounts: []*lapisv1.Account{short}})
+	for _, presented := range [][]byte{digest[:], digest[:4], nil, {}} {
+		assert.Assert(t, !directory.Holds(presented))
+	}
+	assert.Assert(t, account.NewDirectory(&lapisv1.Accounts{Accounts: []*lapisv1.Account{stated("alpha", "key")}}).Holds(digest[:]))
+}
+
+func TestOnlyAccountsWithARateAreLimited(t *testing.T) {
+	var none *account.Account
+	assert.Assert(t, !none.Limited() && !(&account.Account{Burst: 5}).Limited() && (&account.Account{Rate: 0.5}).Limited())
+}
+
+const manyKeys = 10_000
+
+// many returns accounts with manyKeys keys together.
+func many() *lapisv1.Accounts {
+	accounts := &lapisv1.Accounts{}
+	for number := range 100 {
+		var keys []string
+		for key := range manyKeys / 100 {
+			keys = append(keys, fmt.Sprintf("key-%d-%d", number, key))
+		}
+		accounts.Accounts = append(accounts.Accounts, stated(fmt.Sprint("account-", number), keys...))
+	}
+	return accounts
+}
+
+func BenchmarkFindAmongManyKeys(b *testing.B) {
+	directory := account.NewDirectory(many())
+	key := []byte("key-50-50")
+	b.ReportAllocs()
+	for b.Loop() {
+		if directory.Find(account.DigestOf(key)) == nil {
+			b.Fatal("not found")
+		}
+	}
+}
+
+func BenchmarkFindUnknownAmongManyKeys(b *testing.B) {
+	directory := account.NewDirectory(many())
+	key := []byte("key-50-unknown")
+	b.ReportAllocs()
+	for b.Loop() {
+		if directory.Find(account.DigestOf(key)) != nil {
+			b.Fatal("found")
+		}
+	}
+}
+
+// The bytes of a directory, by the key, are those allocated divided by manyKeys.
+func BenchmarkDirectoryOfManyKeys(b *testing.B) {
+	accounts := many()
+	b.ReportAllocs()
+	for b.Loop() {
+		account.NewDirectory(accounts)
+	}
+}
--- a/internal/model/snapshot/store_test.go
+++ b/internal/model/snapshot/store_test.go
@@ -49,6 +49,28 @@
 	})
 }
 
+// A call that waits for a newer version gets the next one, and does not miss one that came in force
+// before it waits.
+func TestAwaitAfterEndsWithTheNextSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &snapshot.Store{}
+		assert.NilError(t, store.ReplaceConfiguration(configurationOf(t, 3)))
+		seen := store.Current()
+		began := time.Now()
+		assert.Assert(t, store.AwaitAfter(context.Background(), seen, time.Second) == seen)
+		assert.Equal(t, time.Since(began), time.Second)
+
+		time.AfterFunc(300*time.Millisecond, func() { assert.NilError(t, store.ReplaceConfiguration(configurationOf(t, 5))) })
+		began = time.Now()
+		assert.Equal(t, store.AwaitAfter(context.Background(), seen, time.Second).Revision, uint64(5))
+		assert.Equal(t, time.Since(began), 300*time.Millisecond)
+
+		began = time.Now()
+		assert.Equal(t, store.AwaitAfter(context.Background(), seen, time.Second).Revision, uint64(5))
+		assert.Equal(t, time.Since(began), time.Duration(0), "it came before")
+	})
+}
+
 // A revision that is not above the one in force, or that cannot be decoded, is refused, and the
 // snapshot in force stays.
 func TestRefusedConfigurationLeavesTheSnapshot(t *testing.T) {
--- a/internal/requestpath/gateway/attempts.go
+++ b/internal/requestpath/gateway/attempts.go
@@ -54,6 +54,9 @@
 	a.enterBudget(pool)
 	var lastErr error
 	for {
+		if err := a.checkKey(); err != nil {
+			return a.giveUp(err)
+		}
 		target, err := a.pick(pool)
 		if err != nil {
 			if lastErr != nil {
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -65,6 +65,8 @@
 	Evacuated func(zone string) bool
 	// Quarantine holds back requests under which instances crashed; nil for none.
 	Quarantine Quarantine
+	// Identity decides on API keys.
+	Identity Identity
 	// Quota bounds the calls of accounts; nil for no bound.
 	Quota Quota
 	// SentAhead bounds what is held for requests that callers send ahead of earlier answers; the
@@ -87,6 +89,8 @@
 	attemptPrefix string
 	attempts      atomic.Uint64
 	callers       *pipeline.Server
+	// awaitingKeys counts the requests that wait for a newer configuration with an unknown key.
+	awaitingKeys atomic.Int64
 
 	// stopping is true once callers' connections are closed after their next answer, refusing
 	// once new calls are refused.
--- a/internal/requestpath/gateway/headers.go
+++ b/internal/requestpath/gateway/headers.go
@@ -33,17 +33,20 @@
 		}
 		fields = append(fields, &lapisv1.HeaderField{Name: string(key), Value: string(value)})
 	})
-	for _, trailer := range trailersOf(rc) {
+	for _, trailer := range trailersOf(rc, envelope) {
 		fields = append(fields, &lapisv1.HeaderField{Name: "Trailer", Value: trailer.GetName()})
 	}
 	fields = append(fields, &lapisv1.HeaderField{Name: "Via", Value: "1.1 lapisvane"})
 	return fields
 }
 
-func trailersOf(rc *app.RequestContext) []*lapisv1.HeaderField {
+// trailersOf returns the trailers of a request, without those that a caller must not state.
+func trailersOf(rc *app.RequestContext, envelope *callapi.Envelope) []*lapisv1.HeaderField {
 	var fields []*lapisv1.HeaderField
 	rc.Request.Header.Trailer().VisitAll(func(key, value []byte) {
-		fields = append(fields, &lapisv1.HeaderField{Name: string(key), Value: string(value)})
+		if !envelope.Private(strings.ToLower(string(key))) {
+			fields = append(fields, &lapisv1.HeaderField{Name: string(key), Value: string(value)})
+		}
 	})
 	return fields
 }
--- /dev/null
+++ b/internal/requestpath/gateway/identity_test.go
@@ -0,0 +1,336 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
+	"github.com/lapisvane/lapisvane/internal/model/callapi"
+	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/model/snapshot"
+	"github.com/lapisvane/lapisvane/internal/requestpath/balance"
+	"github.com/lapisvane/lapisvane/internal/shared/result"
+)
+
+// keyEnvelope names the fields of the tests' requests.
+var keyEnvelope = callapi.Envelope{RequestID: "Request-Id", Deadline: "Deadline-Ms", Key: "Mesh-Key", Account: "Mesh-Account"}
+
+// Keys of the tests' accounts.
+const (
+	keyOfAlpha = "k3yOfAlpha"
+	keyOfBeta  = "k3yOfBeta"
+)
+
+// accountsOf returns accounts with one key each, by name and key in turn.
+func accountsOf(namesAndKeys ...string) *lapisv1.Accounts {
+	accounts := &lapisv1.Accounts{}
+	for index := 0; index < len(namesAndKeys); index += 2 {
+		digest := account.DigestOf([]byte(namesAndKeys[index+1]))
+		accounts.Accounts = append(accounts.Accounts, &lapisv1.Account{
+			Name: namesAndKeys[index], KeyDigests: [][]byte{digest[:]}, Priority: uint32(index + 1),
+		})
+	}
+	return accounts
+}
+
+// keyedConfiguration has a route that needs a key, under /, and a public one under /open/.
+func keyedConfiguration(t testing.TB, revision uint64, accounts *lapisv1.Accounts) *lapisv1.Configuration {
+	t.Helper()
+	class := func() *lapisv1.CallClass {
+		return &lapisv1.CallClass{Repeatable: true, MaxAttempts: 3, TargetLatencyMillis: 200, DeadlineMillis: 5000}
+	}
+	configuration, err := meshconfig.Compose(meshconfig.Composition{
+		Revision: revision, Accounts: accounts,
+		Pools: []*lapisv1.Pool{{Name: "desk", Group: meshconfig.DefaultGroup, Slots: 6, ConnectionLimit: 10}},
+		Routes: []*lapisv1.Route{
+			{Name: "keyed", Group: meshconfig.DefaultGroup, Pool: "desk", PathPrefix: "/", CallClass: class()},
+			{Name: "open", Group: meshconfig.DefaultGroup, Pool: "desk", PathPrefix: "/open/", CallClass: class(), Public: true},
+		},
+	}, nil)
+	assert.NilError(t, err)
+	return configuration
+}
+
+// recordingOrigin keeps the openings of calls with their bodies, and answers them.
+type recordingOrigin struct {
+	mutex  sync.Mutex
+	opened []*lapisv1.CallOpen
+	// trailers are those of all calls.
+	trailers []*lapisv1.HeaderField
+	// before, unless nil, is called with each call and may refuse it.
+	before func(open *lapisv1.CallOpen) error
+}
+
+// Handle implements callapi.Handler.
+func (r *recordingOrigin) Handle(_ context.Context, call *callapi.Call) (*callapi.Answer, error) {
+	if call.Body != nil {
+		if _, err := io.Copy(io.Discard, call.Body); err != nil {
+			return nil, result.Wrap(result.CallUnknownOutcome, err, "reading the body")
+		}
+	}
+	r.mutex.Lock()
+	r.opened = append(r.opened, call.Open)
+	if call.Trailers != nil {
+		r.trailers = append(r.trailers, call.Trailers()...)
+	}
+	r.mutex.Unlock()
+	if r.before != nil {
+		if err := r.before(call.Open); err != nil {
+			return nil, err
+		}
+	}
+	return &callapi.Answer{Head: &lapisv1.CallHead{Status: 200, ContentLength: 2}, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+}
+
+func (r *recordingOrigin) calls() []*lapisv1.CallOpen {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.opened
+}
+
+// keyedSite is a gateway on a loopback connection, with instances that record their calls.
+type keyedSite struct {
+	*Gateway
+	t         testing.TB
+	origin    *recordingOrigin
+	snapshots *snapshot.Store
+	address   string
+}
+
+// startKeyed starts a gateway with a configuration of the accounts alpha and beta.
+func startKeyed(t testing.TB, adjust func(*Config)) *keyedSite {
+	t.Helper()
+	site := &keyedSite{t: t, origin: &recordingOrigin{}, snapshots: &snapshot.Store{}}
+	site.configure(1, accountsOf("alpha", keyOfAlpha, "beta", keyOfBeta))
+	balancer := balance.New("here", "a", "", time.Now)
+	var endpoints []*lapisv1.Endpoint
+	for index := range 3 {
+		endpoints = append(endpoints, &lapisv1.Endpoint{
+			Service: "desk", Instance: fmt.Sprint("desk-", index), Node: "here", Zone: "a", Slots: 6, State: lapisv1.Endpoint_STATE_READY,
+		})
+	}
+	balancer.Update("desk", endpoints)
+	config := Config{Node: "here", Snapshots: site.snapshots, Balancer: balancer, Local: site.origin, Envelope: keyEnvelope}
+	if adjust != nil {
+		adjust(&config)
+	}
+	site.Gateway = New(config)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	site.address = listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); site.Serve(ctx, listener, nil) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return site
+}
+
+func (s *keyedSite) configure(revision uint64, accounts *lapisv1.Accounts) {
+	s.t.Helper()
+	assert.NilError(s.t, s.snapshots.ReplaceConfiguration(keyedConfiguration(s.t, revision, accounts)))
+}
+
+// send sends a request as it is written and returns its answer, with the body read.
+func (s *keyedSite) send(request string) (status int, answer string) {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	assert.NilError(s.t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(s.t, conn.SetDeadline(time.Now().Add(time.Minute)))
+	_, err = io.WriteString(conn, request)
+	assert.NilError(s.t, err)
+	var received bytes.Buffer
+	response, err := http.ReadResponse(bufio.NewReader(io.TeeReader(conn, &received)), nil)
+	assert.NilError(s.t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	assert.NilError(s.t, err)
+	return response.StatusCode, received.String()
+}
+
+// get returns a request for a path with the given header lines.
+func get(path string, lines ...string) string {
+	return "GET " + path + " HTTP/1.1\r\nHost: a.example\r\n" + strings.Join(append(lines, ""), "\r\n") + "\r\n"
+}
+
+// One key, under its name in any case, makes a call of its account; everything else is refused before
+// an instance sees it, and a public route is open to all.
+func TestKeysAndWhoTheyMakeTheCaller(t *testing.T) {
+	site := startKeyed(t, nil)
+	for name, row := range map[string]struct {
+		path    string
+		lines   []string
+		status  int
+		account string
+	}{
+		"a key":                        {"/", []string{"Mesh-Key: " + keyOfAlpha}, 200, "alpha"},
+		"another account's":            {"/", []string{"Mesh-Key: " + keyOfBeta}, 200, "beta"},
+		"a name in lower case":         {"/", []string{"mesh-key: " + keyOfAlpha}, 200, "alpha"},
+		"a name in upper case":         {"/", []string{"MESH-KEY: " + keyOfAlpha}, 200, "alpha"},
+		"a name in odd case":           {"/", []string{"mEsH-kEy: " + keyOfAlpha}, 200, "alpha"},
+		"spaces around the key":        {"/", []string{"Mesh-Key:  \t" + keyOfAlpha + " "}, 200, "alpha"},
+		"no space":                     {"/", []string{"Mesh-Key:" + keyOfAlpha}, 200, "alpha"},
+		"no key":                       {"/", nil, 401, ""},
+		"an empty key":                 {"/", []string{"Mesh-Key: "}, 401, ""},
+		"an unknown key":               {"/", []string{"Mesh-Key: unknown"}, 401, ""},
+		"a key in another case":        {"/", []string{"Mesh-Key: " + strings.ToUpper(keyOfAlpha)}, 401, ""},
+		"a space within":               {"/", []string{"Mesh-Key: k3y OfAlpha"}, 401, ""},
+		"a scheme before it":           {"/", []string{"Mesh-Key: Bearer " + keyOfAlpha}, 401, ""},
+		"a part of a key":              {"/", []string{"Mesh-Key: " + keyOfAlpha[:5]}, 401, ""},
+		"two keys":                     {"/", []string{"Mesh-Key: " + keyOfAlpha, "Mesh-Key: " + keyOfBeta}, 401, ""},
+		"two keys, names alike":        {"/", []string{"Mesh-Key: " + keyOfAlpha, "mesh-key: " + keyOfAlpha}, 401, ""},
+		"a known and an unknown one":   {"/", []string{"mesh-key: unknown", "MESH-KEY: " + keyOfAlpha}, 401, ""},
+		"two keys in one line":         {"/", []string{"Mesh-Key: " + keyOfAlpha + ", " + keyOfBeta}, 401, ""},
+		"the digest of a key":          {"/", []string{fmt.Sprintf("Mesh-Key: %x", account.DigestOf([]byte(keyOfAlpha)))}, 401, ""},
+		"a space before the colon":     {"/", []string{"Mesh-Key : " + keyOfAlpha}, 400, ""},
+		"a folded line":                {"/", []string{"Mesh-Key:", " " + keyOfAlpha}, 400, ""},
+		"a key in the query":           {"/?Mesh-Key=" + keyOfAlpha, nil, 401, ""},
+		"public without a key":         {"/open/", nil, 200, ""},
+		"public with a key":            {"/open/", []string{"Mesh-Key: " + keyOfAlpha}, 200, "alpha"},
+		"public with an unknown key":   {"/open/", []string{"Mesh-Key: unknown"}, 200, ""},
+		"public with two keys":         {"/open/", []string{"Mesh-Key: " + keyOfAlpha, "Mesh-Key: " + keyOfBeta}, 200, ""},
+		"an account and no key":        {"/", []string{"Mesh-Account: alpha"}, 401, ""},
+		"another account than a key's": {"/", []string{"Mesh-Account: beta", "Mesh-Key: " + keyOfAlpha}, 200, "alpha"},
+		"public and an account":        {"/open/", []string{"mesh-ACCOUNT: beta"}, 200, ""},
+		"the account hidden as hop":    {"/open/", []string{"Connection: Mesh-Account", "Mesh-Account: beta"}, 200, ""},
+		"the key hidden as hop":        {"/", []string{"Connection: Mesh-Key", "Mesh-Key: " + keyOfAlpha}, 200, "alpha"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := len(site.origin.calls())
+			status, answer := site.send(get(row.path, row.lines...))
+			assert.Equal(t, status, row.status)
+			assertNoKey(t, answer)
+			calls := site.origin.calls()[before:]
+			if row.status != 200 {
+				assert.Equal(t, len(calls), 0, "it reached an instance")
+				return
+			}
+			assert.Equal(t, len(calls), 1)
+			assert.Equal(t, calls[0].GetAccount(), row.account)
+			assertStripped(t, calls[0])
+		})
+	}
+}
+
+// assertStripped checks that a call says nothing of a key or of an account as a header field.
+func assertStripped(t *testing.T, open *lapisv1.CallOpen) {
+	t.Helper()
+	for _, field := range open.GetHeaders() {
+		assert.Assert(t, !strings.HasPrefix(strings.ToLower(field.GetName()), "mesh-"), "%s is passed on", field.GetName())
+	}
+	assertNoKey(t, open.String())
+}
+
+func assertNoKey(t *testing.T, text string) {
+	t.Helper()
+	for _, key := range []string{keyOfAlpha, keyOfBeta} {
+		assert.Assert(t, !strings.Contains(strings.ToLower(text), strings.ToLower(key)), "a key is in %q", text)
+	}
+}
+
+// The call counts for its account: its group and its priority are the account's, and where the route
+// needs a key the call names it by its digest.
+func TestCallsCountForTheirAccount(t *testing.T) {
+	site := startKeyed(t, nil)
+	site.send(get("/", "Mesh-Key: "+keyOfBeta))
+	site.send(get("/open/", "Mesh-Key: "+keyOfBeta))
+	site.send(get("/open/"))
+	calls := site.origin.calls()
+	digest := account.DigestOf([]byte(keyOfBeta))
+	assert.Equal(t, calls[0].GetGroup(), "beta")
+	assert.Equal(t, calls[0].GetAccountPriority(), uint32(3))
+	assert.DeepEqual(t, calls[0].GetKeyDigest(), digest[:])
+	assert.Equal(t, calls[1].GetGroup(), "beta")
+	assert.Equal(t, len(calls[1].GetKeyDigest()), 0, "a public route needs no key")
+	assert.Equal(t, calls[2].GetGroup(), meshconfig.DefaultGroup)
+}
+
+// A caller cannot state what lapisvane states by trailers either.
+func TestTrailersStateNoAccount(t *testing.T) {
+	site := startKeyed(t, nil)
+	body := "5\r\nhello\r\n0\r\nMesh-Account: beta\r\nMesh-Key: " + keyOfBeta + "\r\nKept: yes\r\n\r\n"
+	head := "POST /open/ HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\nTrailer: Mesh-Account, Mesh-Key, Kept\r\n\r\n"
+	status, _ := site.send(head + body)
+	assert.Equal(t, status, 200)
+	assertStripped(t, site.origin.calls()[0])
+	assertNoKey(t, fmt.Sprint(site.origin.trailers))
+	for _, trailer := range site.origin.trailers {
+		assert.Assert(t, !strings.HasPrefix(strings.ToLower(trailer.GetName()), "mesh-"), "%s is passed on", trailer.GetName())
+	}
+}
+
+// A request without a key that counts is refused although its body has not come.
+func TestKeysAreCheckedBeforeTheBody(t *testing.T) {
+	site := startKeyed(t, nil)
+	status, _ := site.send("POST / HTTP/1.1\r\nHost: a.example\r\nMesh-Key: unknown\r\nContent-Length: 5000000\r\n\r\npart")
+	assert.Equal(t, status, 401)
+}
+
+// Without accounts nobody needs a key, and a key makes nobody anyone.
+func TestWithoutAccountsEveryCallerIsServed(t *testing.T) {
+	site := startKeyed(t, nil)
+	site.configure(2, nil)
+	for _, lines := range [][]string{nil, {"Mesh-Key: unknown"}, {"Mesh-Key: " + keyOfAlpha, "Mesh-Account: alpha"}} {
+		status, _ := site.send(get("/", lines...))
+		assert.Equal(t, status, 200)
+	}
+	for _, open := range site.origin.calls() {
+		assert.Equal(t, open.GetAccount(), "")
+		assertStripped(t, open)
+	}
+}
+
+// A key that is revoked while the first attempt is replaced makes no further attempt; one that moves
+// to another account does, and so does one of a call on a public route.
+func TestRevocationBetweenAttempts(t *testing.T) {
+	for name, row := range map[string]struct {
+		path     string
+		accounts *lapisv1.Accounts
+		status   int
+		calls    int
+	}{
+		"revoked":               {"/", accountsOf("beta", keyOfBeta), 401, 1},
+		"moved":                 {"/", accountsOf("beta", keyOfAlpha), 200, 2},
+		"kept":                  {"/", accountsOf("alpha", keyOfAlpha), 200, 2},
+		"accounts are given up": {"/", nil, 200, 2},
+		"revoked, public":       {"/open/", accountsOf("beta", keyOfBeta), 200, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			site := startKeyed(t, nil)
+			site.origin.before = func(*lapisv1.CallOpen) error {
+				if len(site.origin.calls()) > 1 {
+					return nil
+				}
+				site.configure(2, row.accounts)
+				return result.Errorf(result.CallNotRunDraining, "leaving")
+			}
+			status, answer := site.send(get(row.path, "Mesh-Key: "+keyOfAlpha))
+			assert.Equal(t, status, row.status, answer)
+			assert.Equal(t, len(site.origin.calls()), row.calls)
+		})
+	}
+}
+
+// A call that an instance may have run is not answered as one that was refused, though its key is
+// revoked by then.
+func TestRevocationHidesNoUnknownOutcome(t *testing.T) {
+	site := startKeyed(t, nil)
+	site.origin.before = func(*lapisv1.CallOpen) error {
+		site.configure(2, accountsOf("beta", keyOfBeta))
+		return result.Errorf(result.CallUnknownOutcome, "broken off")
+	}
+	status, _ := site.send(get("/", "Mesh-Key: "+keyOfAlpha))
+	assert.Equal(t, status, 502)
+	assert.Equal(t, len(site.origin.calls()), 1)
+}
--- a/internal/requestpath/gateway/lines.go
+++ b/internal/requestpath/gateway/lines.go
@@ -26,6 +26,8 @@
 	// eventCallerUnserved is for a connection that this daemon ended although it had read bytes of
 	// a request behind the last answer.
 	eventCallerUnserved = "caller.unserved"
+	// eventKeyRefused is for a request that its API key did not let be served.
+	eventKeyRefused = "key.refused"
 )
 
 // noteUnserved counts and logs a caller's connection that ended with a request read and unanswered.
@@ -47,6 +49,16 @@
 		"come_back_ms", retryAfterOf(err).Milliseconds(), "constraint", constraint, "detail", err)
 }
 
+// noteRefusedKey counts and logs a request that its API key did not let be served. Of the key the
+// line has the start of its digest only.
+func (g *Gateway) noteRefusedKey(rc *app.RequestContext, route *lapisv1.Route, key presentedKey, reason refusalReason) {
+	g.metrics.refusedKeys.WithLabelValues(string(reason)).Inc()
+	currency := g.config.Identity.currency()
+	g.config.Decisions.Failure(eventKeyRefused, g.requestID(rc),
+		"reason", string(reason), "digest", key.shown(), "route", route.GetName(), "revision", g.revision(),
+		"unconfirmed_ms", currency.Unconfirmed.Milliseconds(), "behind", currency.Behind)
+}
+
 // revision returns the configuration in force, 0 before the first.
 func (g *Gateway) revision() uint64 {
 	if current := g.config.Snapshots.Current(); current != nil {
--- a/internal/requestpath/gateway/metrics.go
+++ b/internal/requestpath/gateway/metrics.go
@@ -19,6 +19,7 @@
 	retries     prometheus.Counter
 	latency     prometheus.Histogram
 	unserved    prometheus.Counter
+	refusedKeys *prometheus.CounterVec
 }
 
 // newMetrics returns the metrics, registered where registry is not nil.
@@ -40,9 +41,12 @@
 		unserved: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lapisvane_callers_unserved_total", Help: "Callers' connections that the daemon ended although it had read a request that it did not answer.",
 		}),
+		refusedKeys: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lapisvane_keys_refused_total", Help: "Requests refused by their API key, by reason.",
+		}, []string{"reason"}),
 	}
 	if registry != nil {
-		registry.MustRegister(metrics.calls, metrics.constrained, metrics.retries, metrics.latency, metrics.unserved)
+		registry.MustRegister(metrics.calls, metrics.constrained, metrics.retries, metrics.latency, metrics.unserved, metrics.refusedKeys)
 	}
 	return metrics
 }
--- a/internal/requestpath/gateway/opening.go
+++ b/internal/requestpath/gateway/opening.go
@@ -7,14 +7,13 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/requestpath/balance"
 	"github.com/lapisvane/lapisvane/internal/requestpath/refusal"
 )
 
 // openingOf returns what the openings of all attempts at a call have in common.
-func (g *Gateway) openingOf(rc *app.RequestContext, route *lapisv1.Route, caller *account.Account, revision uint64, body *requestBody) *lapisv1.CallOpen {
+func (g *Gateway) openingOf(rc *app.RequestContext, route *lapisv1.Route, caller caller, revision uint64, body *requestBody) *lapisv1.CallOpen {
 	class := route.GetCallClass()
 	open := &lapisv1.CallOpen{
 		Group: route.GetGroup(), Priority: class.GetPriority(), CallerService: g.callerService(),
@@ -24,8 +23,9 @@
 		RouteRevision:  revision,
 		IdempotencyKey: string(rc.Request.Header.Peek(callapi.HeaderIdempotencyKey)),
 	}
-	if caller != nil {
-		open.Group, open.Account, open.AccountPriority = caller.Name, caller.Name, caller.Priority
+	if who := caller.account; who != nil {
+		open.Group, open.Account, open.AccountPriority = who.Name, who.Name, who.Priority
+		open.KeyDigest = caller.keyDigest
 	}
 	return open
 }
@@ -42,7 +42,7 @@
 		Attempt: template.GetAttempt() + uint32(len(a.tried)), ContentLength: template.GetContentLength(),
 		RouteRevision: template.GetRouteRevision(), IdempotencyKey: template.GetIdempotencyKey(),
 		Priority: template.GetPriority(), CallerService: template.GetCallerService(),
-		Account: template.GetAccount(), AccountPriority: template.GetAccountPriority(),
+		Account: template.GetAccount(), AccountPriority: template.GetAccountPriority(), KeyDigest: template.GetKeyDigest(),
 		Trial: template.GetTrial(), Repeat: a.counts.Seen > 0, AllowedRegions: a.route.GetAllowedRegions(),
 	}
 	if a.targetLatency() > 0 {
--- a/internal/requestpath/gateway/requestbody.go
+++ b/internal/requestpath/gateway/requestbody.go
@@ -31,11 +31,11 @@
 }
 
 // attach gives the body to an attempt.
-func (b *requestBody) attach(call *callapi.Call, rc *app.RequestContext) {
+func (b *requestBody) attach(call *callapi.Call, rc *app.RequestContext, envelope *callapi.Envelope) {
 	switch {
 	case b.streamed != nil:
 		var trailers []*lapisv1.HeaderField
-		b.streamed.AtEnd(func() { trailers = trailersOf(rc) })
+		b.streamed.AtEnd(func() { trailers = trailersOf(rc, envelope) })
 		call.Body = b.streamed
 		call.Trailers = func() []*lapisv1.HeaderField { return trailers }
 	case b.held:
--- a/internal/requestpath/gateway/serve.go
+++ b/internal/requestpath/gateway/serve.go
@@ -10,7 +10,6 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
-	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/gateway/pipeline"
@@ -69,8 +68,8 @@
 	return g.handle(ctx, exchange)
 }
 
-// handle finds the route of a request and serves it. Errors: CallNotRunStopping, CallNotReady,
-// CallNoRoute, those of identify, of withinQuota and of serveRoute.
+// handle finds the route and the caller of a request and serves it. Errors: CallNotRunStopping,
+// CallNotReady, those of admit, of withinQuota and of serveRoute.
 func (g *Gateway) handle(ctx context.Context, exchange *pipeline.Exchange) (*lapisv1.Route, error) {
 	if exchange.Fault != nil {
 		return nil, exchange.Fault
@@ -82,27 +81,31 @@
 	if current == nil {
 		return nil, result.Errorf(result.CallNotReady, "no configuration yet")
 	}
-	request := &exchange.Request.Request
-	method, path := string(request.Header.Method()), string(request.URI().PathOriginal())
-	route := current.Match(callapi.HostName(string(request.Host())), path, method)
-	if route == nil {
-		return nil, result.Errorf(result.CallNoRoute, "%s %s", method, path)
-	}
-	caller, err := g.identify(exchange.Request, current, route)
+	found, err := g.admit(ctx, exchange.Request, current)
 	if err != nil {
-		return route, err
+		return found.route, err
 	}
-	callCtx, cancel := g.callContext(ctx, exchange, route.GetCallClass())
+	callCtx, cancel := g.callContext(ctx, exchange, found.route.GetCallClass())
 	defer cancel()
-	return route, g.withinQuota(callCtx, caller, func() error {
-		return g.serveRoute(callCtx, exchange, current, route, caller)
+	return found.route, g.withinQuota(callCtx, found.caller.account, func() error {
+		return g.serveRoute(callCtx, exchange, found.current, found.route, found.caller)
 	})
 }
 
+// routeOf finds the route of a request. Errors: CallNoRoute.
+func routeOf(rc *app.RequestContext, current *snapshot.Snapshot) (*lapisv1.Route, error) {
+	method, path := string(rc.Request.Header.Method()), string(rc.Request.URI().PathOriginal())
+	route := current.Match(callapi.HostName(string(rc.Request.Host())), path, method)
+	if route == nil {
+		return nil, result.Errorf(result.CallNoRoute, "%s %s", method, path)
+	}
+	return route, nil
+}
+
 // serveRoute serves a request of a route. One that may not be repeated waits until all earlier
 // answers of its connection are written: one of them might close the connection, and the caller
 // would send this request again.
-func (g *Gateway) serveRoute(ctx context.Context, exchange *pipeline.Exchange, current *snapshot.Snapshot, route *lapisv1.Route, caller *account.Account) error {
+func (g *Gateway) serveRoute(ctx context.Context, exchange *pipeline.Exchange, current *snapshot.Snapshot, route *lapisv1.Route, caller caller) error {
 	if !route.GetCallClass().GetRepeatable() {
 		if err := exchange.AwaitEarlierAnswers(ctx); err != nil {
 			return err
@@ -118,12 +121,12 @@
 }
 
 // callOf returns the call that a request makes.
-func (g *Gateway) callOf(exchange *pipeline.Exchange, current *snapshot.Snapshot, route *lapisv1.Route, caller *account.Account) call {
+func (g *Gateway) callOf(exchange *pipeline.Exchange, current *snapshot.Snapshot, route *lapisv1.Route, caller caller) call {
 	rc, body := exchange.Request, bodyOf(exchange)
 	stated, _ := g.statedDeadline(rc)
 	return call{
 		current: current, route: route, opening: g.openingOf(rc, route, caller, current.Revision, body), body: body,
-		attach:    func(call *callapi.Call) { body.attach(call, rc) },
+		attach:    func(call *callapi.Call) { body.attach(call, rc, &g.config.Envelope) },
 		requestID: g.requestID(rc), local: exchange.Local(),
 		started: exchange.Arrived, suspendedBefore: boottime.Suspended(),
 		waitedBefore: g.deadlines.waited(route.GetName(), stated),
--- a/internal/requestpath/origin/backend.go
+++ b/internal/requestpath/origin/backend.go
@@ -118,8 +118,12 @@
 	if envelope.CallerService != "" {
 		request.Header.Set(envelope.CallerService, open.GetCallerService())
 	}
-	if envelope.Account != "" && open.GetAccount() != "" {
-		request.Header.Set(envelope.Account, open.GetAccount())
+	if envelope.Account != "" {
+		// Nobody else may state an account, also where the call has none.
+		request.Header.Del(envelope.Account)
+		if name := open.GetAccount(); name != "" {
+			request.Header.Set(envelope.Account, name)
+		}
 	}
 }
 
--- a/internal/requestpath/origin/handle.go
+++ b/internal/requestpath/origin/handle.go
@@ -139,7 +139,7 @@
 }
 
 // begin records that a call, which came at the given time, starts; from then on it may have run.
-// Errors: those of checkQuarantine and checkShutdown, and CallNotRunDuplicate.
+// Errors: those of checkQuarantine, checkShutdown and checkKey, and CallNotRunDuplicate.
 func (o *Origin) begin(call *callapi.Call, came time.Time) error {
 	open := call.Open
 	if err := o.checkQuarantine(call); err != nil {
@@ -148,6 +148,9 @@
 	if err := checkShutdown(open, came, o.shutdownTime()); err != nil {
 		return err
 	}
+	if err := checkKey(open, o.configuration()); err != nil {
+		return err
+	}
 	if !o.attempts.Start(open.GetAttemptId()) {
 		return result.Errorf(result.CallNotRunDuplicate, "attempt %s was fenced", open.GetAttemptId())
 	}
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -190,6 +190,13 @@
 	}
 }
 
+// configuration returns the snapshot in force, nil before the first.
+func (o *Origin) configuration() *snapshot.Snapshot {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	return o.current
+}
+
 // instance returns an instance beside the daemon.
 func (o *Origin) instance(service, name string) (*Instance, bool) {
 	o.mutex.RLock()
--- a/internal/requestpath/origin/refusal.go
+++ b/internal/requestpath/origin/refusal.go
@@ -7,6 +7,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
+	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
@@ -23,6 +24,8 @@
 //	                 instances crashed under such calls (quarantine.go)
 //	                 the daemon ends before the call must be over: asked again, since it may
 //	                 have begun to stop while the call waited
+//	                 a newer configuration than the one that admitted the call no longer holds its
+//	                 key (checkKey): asked last, so that no wait outlasts a revocation
 //	                 the caller's daemon has fenced the attempt meanwhile (dedup.go)
 //	at the instance  it refused the call itself (instanceRefusal)
 //
@@ -83,6 +86,16 @@
 	return nil
 }
 
+// checkKey refuses a call whose API key was revoked since it was admitted. An older configuration
+// than the one that admitted the call, or none yet, proves nothing. Errors: CallUnknownKey.
+func checkKey(open *lapisv1.CallOpen, current *snapshot.Snapshot) error {
+	digest := open.GetKeyDigest()
+	if len(digest) == 0 || current == nil || current.Revision <= open.GetRouteRevision() || current.Accounts.Holds(digest) {
+		return nil
+	}
+	return result.Errorf(result.CallUnknownKey, "the API key was revoked in revision %d", current.Revision)
+}
+
 // drainRefusal returns the error for calls while an instance drains for a reason. The codes differ
 // because the remedies do: a stopping daemon and an evacuated zone concern all its instances.
 func drainRefusal(instance string, reason DrainReason) *result.Error {
--- /dev/null
+++ b/internal/requestpath/origin/revocation_test.go
@@ -0,0 +1,129 @@
+package origin
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
+	"github.com/lapisvane/lapisvane/internal/model/callapi"
+	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/model/snapshot"
+	"github.com/lapisvane/lapisvane/internal/shared/result"
+)
+
+// presented is the digest of the key of the tests' calls.
+var presented = account.DigestOf([]byte("a key"))
+
+// accountsOf returns accounts, each with one key, by name.
+func accountsOf(keys map[string]account.Digest) *lapisv1.Accounts {
+	accounts := &lapisv1.Accounts{}
+	for name, key := range keys {
+		accounts.Accounts = append(accounts.Accounts, &lapisv1.Account{Name: name, KeyDigests: [][]byte{key[:]}})
+	}
+	return accounts
+}
+
+// inForce returns a snapshot with accounts.
+func inForce(t *testing.T, revision uint64, accounts *lapisv1.Accounts) *snapshot.Snapshot {
+	t.Helper()
+	configuration, err := meshconfig.Compose(meshconfig.Composition{
+		Revision: revision, Accounts: accounts,
+		Pools: []*lapisv1.Pool{{Name: "desk", Group: meshconfig.DefaultGroup, Slots: 2, ConnectionLimit: 10}},
+	}, nil)
+	assert.NilError(t, err)
+	store := &snapshot.Store{}
+	assert.NilError(t, store.ReplaceConfiguration(configuration))
+	return store.Current()
+}
+
+// A key counts as revoked once a newer configuration than the one that admitted the call lacks it; an
+// older one, which may lack it because it is new, proves nothing.
+func TestRevokedKeysAreRefusedBesideTheInstance(t *testing.T) {
+	const admittedUnder = 5
+	with, without := accountsOf(map[string]account.Digest{"alpha": presented}), accountsOf(nil)
+	moved := accountsOf(map[string]account.Digest{"beta": presented})
+	for name, row := range map[string]struct {
+		digest  []byte
+		current *snapshot.Snapshot
+		code    result.Code
+	}{
+		"in force":              {presented[:], inForce(t, 6, with), result.OK},
+		"revoked":               {presented[:], inForce(t, 6, without), result.CallUnknownKey},
+		"moved":                 {presented[:], inForce(t, 6, moved), result.OK},
+		"the same version":      {presented[:], inForce(t, admittedUnder, without), result.OK},
+		"not known here yet":    {presented[:], inForce(t, 4, without), result.OK},
+		"accounts are given up": {presented[:], inForce(t, 6, nil), result.OK},
+		"no configuration yet":  {presented[:], nil, result.OK},
+		"no key was needed":     {nil, inForce(t, 6, without), result.OK},
+		"no digest at all":      {presented[:3], inForce(t, 6, with), result.CallUnknownKey},
+	} {
+		t.Run(name, func(t *testing.T) {
+			err := checkKey(&lapisv1.CallOpen{KeyDigest: row.digest, RouteRevision: admittedUnder}, row.current)
+			code, _ := result.CodeOf(err)
+			assert.Equal(t, code, row.code, "%v", err)
+		})
+	}
+}
+
+// A call that waits for a slot while its key is revoked does not start, and is proved not to have run;
+// one whose key stays starts.
+func TestRevocationWhileACallWaits(t *testing.T) {
+	for name, row := range map[string]struct {
+		accounts *lapisv1.Accounts
+		code     result.Code
+	}{
+		"revoked": {accountsOf(nil), result.CallUnknownKey},
+		// It is tried, and no back end answers there.
+		"kept": {accountsOf(map[string]account.Digest{"alpha": presented}), result.CallNotRunUnreachable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := running(t)
+				o.Configure(inForce(t, 1, accountsOf(map[string]account.Digest{"alpha": presented})))
+				slots := fill(t, instanceOf(t, o, "desk-1"))
+				ended := make(chan error, 1)
+				go func() {
+					open := &lapisv1.CallOpen{
+						Service: "desk", Instance: "desk-1", AttemptId: "waits", Target: "/", Method: "GET", DeadlineMillis: 10_000,
+						Account: "alpha", KeyDigest: presented[:], RouteRevision: 1,
+					}
+					_, err := o.Handle(context.Background(), &callapi.Call{Open: open})
+					ended <- err
+				}()
+				synctest.Wait()
+				o.Configure(inForce(t, 2, row.accounts))
+				time.Sleep(time.Second)
+				for _, slot := range slots {
+					slot.Release(false)
+				}
+				err := <-ended
+				assertCode(t, err, row.code)
+				assert.Equal(t, callapi.OutcomeOf(err), callapi.OutcomeNotRun)
+				synctest.Wait()
+				assert.Equal(t, o.InFlight(), 0)
+			})
+		})
+	}
+}
+
+// The instance gets the account that lapisvane states, whatever else the call's fields say, and none
+// for a call of nobody's.
+func TestInstancesGetTheAccount(t *testing.T) {
+	envelope := &callapi.Envelope{Deadline: "Deadline-Ms", Account: "Mesh-Account"}
+	for _, name := range []string{"alpha", ""} {
+		open := &lapisv1.CallOpen{
+			Method: "GET", Target: "/", Account: name, KeyDigest: presented[:],
+			Headers: []*lapisv1.HeaderField{{Name: "mesh-account", Value: "smuggled"}, {Name: "Other", Value: "kept"}},
+		}
+		request, err := newBackend(nowhere, "desk-1", envelope, 1).request(t.Context(), &callapi.Call{Open: open})
+		assert.NilError(t, err)
+		assert.Equal(t, request.Header.Get("Mesh-Account"), name)
+		assert.Assert(t, len(request.Header.Values("Mesh-Account")) <= 1)
+		assert.Equal(t, request.Header.Get("Other"), "kept")
+	}
+}
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -15,4 +15,5 @@
 internal/requestpath/gateway/pipeline FuzzPipelinedBytes
 platform FuzzHeartbeat
 platform FuzzObject
+platform FuzzAccounts
 TARGETS
