Strict revocation: no call by an API key where the configuration could not be confirmed

Cause: a daemon that is cut off served revoked keys for as long as it was, whatever the site demands (strict-revocation, revoke-ms), and a key that it lacked got 401 although it was behind. Change: settings accounts.strict_revocation and revocation_bound, checked, filled by the template; the gateway learns from Freshness how old the last confirmation is and whether another daemon has a newer configuration; lines keys.suspended and keys.resumed, gauge lapisvane_keys_suspended.

--- /dev/null
+++ b/internal/daemon/accounts.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"sync/atomic"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/lapisvane/lapisvane/internal/daemon/settings"
+	"github.com/lapisvane/lapisvane/internal/distribution/configsource"
+	"github.com/lapisvane/lapisvane/internal/requestpath/gateway"
+	"github.com/lapisvane/lapisvane/internal/requestpath/identity"
+	"github.com/lapisvane/lapisvane/internal/shared/boottime"
+)
+
+// keyCurrency tells the gateway how current the API keys of this daemon are, and logs when it stops
+// and starts again to serve them. Its methods are safe for concurrent use.
+type keyCurrency struct {
+	freshness *configsource.Freshness
+	bounds    identity.Bounds
+	logger    logr.Logger
+	// suspended is true while the keys were found too old.
+	suspended atomic.Bool
+}
+
+// identityOf returns what the gateway needs to decide on API keys, and registers its metrics.
+func identityOf(config *settings.Daemon, freshness *configsource.Freshness, logger logr.Logger, registry prometheus.Registerer) gateway.Identity {
+	keys := &keyCurrency{freshness: freshness, logger: logger, bounds: identity.Bounds{Apply: config.Platform.ApplyBound.Get()}}
+	if config.Accounts.StrictRevocation {
+		keys.bounds.Revocation = config.Accounts.RevocationBound.Get()
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "lapisvane_keys_suspended", Help: "1 while no call is served by an API key, because the daemon could not confirm its configuration for the revocation bound.",
+	}, keys.suspendedGauge))
+	return gateway.Identity{Currency: keys.Currency, Bounds: keys.bounds}
+}
+
+// Currency returns how current the configuration in force is.
+func (k *keyCurrency) Currency() identity.Currency {
+	currency := k.current()
+	tooOld := k.bounds.TooOld(currency)
+	if k.suspended.Load() != tooOld && k.suspended.Swap(tooOld) != tooOld {
+		k.logChange(tooOld, currency)
+	}
+	return currency
+}
+
+func (k *keyCurrency) current() identity.Currency {
+	return identity.Currency{Unconfirmed: boottime.Since(k.freshness.Confirmed()), Behind: k.freshness.Behind()}
+}
+
+func (k *keyCurrency) logChange(tooOld bool, currency identity.Currency) {
+	if tooOld {
+		k.logger.Info("keys.suspended", "unconfirmed_ms", currency.Unconfirmed.Milliseconds(), "bound_ms", k.bounds.Revocation.Milliseconds())
+		return
+	}
+	k.logger.Info("keys.resumed", "unconfirmed_ms", currency.Unconfirmed.Milliseconds())
+}
+
+func (k *keyCurrency) suspendedGauge() float64 {
+	if k.bounds.TooOld(k.current()) {
+		return 1
+	}
+	return 0
+}
--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -13,6 +13,7 @@
 	"github.com/lapisvane/lapisvane/internal/distribution/objectapi"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
+	"github.com/lapisvane/lapisvane/internal/requestpath/gateway"
 	"github.com/lapisvane/lapisvane/internal/transport/callmux"
 	"github.com/lapisvane/lapisvane/internal/transport/peer"
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
@@ -58,6 +59,8 @@
 	// keeps them open, so that calls never dial.
 	timing     callmux.Timing
 	maintained bool
+	// identity decides on API keys.
+	identity gateway.Identity
 	// quarantineStore outlasts all daemons; nil where there is none.
 	quarantineStore quarantine.Store
 	// build makes the distribution once Daemon.path is built.
@@ -92,6 +95,7 @@
 	return mode{
 		incarnation: rand.Uint64(), envelope: options.Platform.Envelope(),
 		timing: platformTiming(config, freshness), maintained: true,
+		identity:        identityOf(config, freshness, d.logger, d.registry),
 		quarantineStore: options.Platform.Quarantine(),
 		build: func(wire.Network) distribution {
 			return newPlatformDistribution(d, options.Platform, freshness)
--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -55,6 +55,8 @@
 	// EvacuationBound is the time within which an operator's order to evacuate a zone must be
 	// in force on every connected daemon; 0 where operators give no such orders.
 	EvacuationBound tunables.Duration `json:"evacuation_bound"`
+	// Accounts bounds how old the API keys of accounts may be that a daemon serves.
+	Accounts Accounts `json:"accounts"`
 	// ColdStarts bounds what instances get that have just started.
 	ColdStarts ColdStarts `json:"cold_starts"`
 	// SentAhead bounds what is held for requests that callers send before
@@ -105,6 +107,14 @@
 	Burst float64 `json:"burst"`
 }
 
+// Accounts bounds how old the API keys of accounts may be that a daemon serves.
+type Accounts struct {
+	// StrictRevocation has a daemon serve no call by an API key once it could not confirm its
+	// configuration for RevocationBound; otherwise it goes on with the keys that it knows.
+	StrictRevocation bool              `json:"strict_revocation"`
+	RevocationBound  tunables.Duration `json:"revocation_bound"`
+}
+
 // ColdStarts bounds the calls to a cold instance: in any second at most the pool's rate of
 // cold instances times Overshoot, plus Slack. Both 0 leave that rate as the only bound.
 type ColdStarts struct {
@@ -227,6 +237,7 @@
 	if d.SentAhead.BytesPerConnection > d.SentAhead.Bytes {
 		check.faults.Add(result.SettingsBadNumber, "sent_ahead.bytes_per_connection must be at most sent_ahead.bytes")
 	}
+	d.checkAccounts(check)
 	check.positive("stop_limit", float64(d.StopLimit))
 	if d.DecisionLinesPerSecond < 0 {
 		check.faults.Add(result.SettingsBadNumber, "decision_lines_per_second: %d is negative", d.DecisionLinesPerSecond)
@@ -260,6 +271,17 @@
 	}
 }
 
+// checkAccounts reports bounds of API keys that cannot be kept.
+func (d *Daemon) checkAccounts(check *checker) {
+	bound := d.Accounts.RevocationBound
+	if bound < 0 {
+		check.faults.Add(result.SettingsBadNumber, "accounts.revocation_bound: %v is negative", bound.Get())
+	}
+	if d.Accounts.StrictRevocation && bound == 0 {
+		check.faults.Add(result.SettingsMissing, "accounts.revocation_bound, which accounts.strict_revocation needs")
+	}
+}
+
 func (d *Daemon) checkDistribution(check *checker) {
 	switch d.Profile {
 	case ProfileConvergence:
--- a/internal/daemon/settings/names_test.go
+++ b/internal/daemon/settings/names_test.go
@@ -33,6 +33,7 @@
 peer_tls: {certificate: c, key: k, authority: a}
 calls: {default_deadline: 9s, queue_length: 32, queue_time: 100ms}
 evacuation_bound: 5s
+accounts: {strict_revocation: true, revocation_bound: 5s}
 cold_starts: {overshoot: 1.2, slack: 3}
 sent_ahead: {requests_per_connection: 8, requests: 100, bytes_per_connection: 1000, bytes: 10000}
 profile: bytes
@@ -100,6 +101,8 @@
 	assert.Equal(t, daemon.Retries, settings.Retries{Fraction: 0.2, Burst: 192})
 	assert.Equal(t, daemon.Platform.WritesPerSecond, 1200.0)
 	assert.Equal(t, daemon.Platform.ApplyBound.Get(), 2500*time.Millisecond)
+	assert.Assert(t, daemon.Accounts.StrictRevocation)
+	assert.Equal(t, daemon.Accounts.RevocationBound.Get(), 5*time.Second)
 	assert.Equal(t, daemon.Tunables().Fanout, 8)
 	assert.Equal(t, daemon.Tunables().MachinesInterval.Get(), 2*time.Second)
 	keys := append(jsonKeys(reflect.TypeFor[settings.Daemon](), ""), jsonKeys(reflect.TypeOf(daemon.Tunables()), "distribution.")...)
@@ -108,5 +111,5 @@
 		assert.Check(t, strings.Contains(everyKey, last+":"), "the file above lacks %s", key)
 	}
 	slices.Sort(keys)
-	assert.Equal(t, len(slices.Compact(keys)), 73, "%v", keys)
+	assert.Equal(t, len(slices.Compact(keys)), 76, "%v", keys)
 }
--- a/internal/requestpath/identity/identity.go
+++ b/internal/requestpath/identity/identity.go
@@ -34,8 +34,8 @@
 	Revocation time.Duration
 }
 
-// tooOld reports whether keys may have been revoked for longer than the site bears.
-func (b Bounds) tooOld(currency Currency) bool {
+// TooOld reports whether keys may have been revoked for longer than the site bears.
+func (b Bounds) TooOld(currency Currency) bool {
 	return b.Revocation > 0 && currency.Unconfirmed >= b.Revocation
 }
 
@@ -84,7 +84,7 @@
 //   - An unknown key is refused for good where the configuration in force is new enough, else until
 //     it is confirmed.
 func Decide(facts Facts, bounds Bounds) Decision {
-	tooOld := bounds.tooOld(facts.Currency)
+	tooOld := bounds.TooOld(facts.Currency)
 	known := facts.Caller != nil && !tooOld
 	switch {
 	case known:
