--- a/internal/distribution/configsource/freshness_test.go
+++ b/internal/distribution/configsource/freshness_test.go
@@ -106,3 +106,22 @@
 	freshness.AdvanceOrders(12)
 	assert.Assert(t, freshness.Confirmed().Equal(start))
 }
+
+// A daemon is behind from when another one confirms a newer configuration until that is in force here,
+// also where the confirmation waits for orders or is of an older time.
+func TestBehindUntilTheConfirmedRevisionIsInForce(t *testing.T) {
+	start := time.Now()
+	freshness := &configsource.Freshness{WithOrders: true}
+	freshness.Advance(5)
+	freshness.AdvanceOrders(1)
+	assert.Assert(t, !freshness.Behind())
+	freshness.Confirm(configsource.Versions{Configuration: 4, Orders: 1}, start)
+	freshness.Confirm(configsource.Versions{Configuration: 5, Orders: 2}, start.Add(time.Second))
+	assert.Assert(t, !freshness.Behind(), "only orders are newer")
+	freshness.Confirm(configsource.Versions{Configuration: 7, Orders: 1}, start.Add(-time.Minute))
+	assert.Assert(t, freshness.Behind())
+	freshness.Advance(6)
+	assert.Assert(t, freshness.Behind())
+	freshness.Advance(7)
+	assert.Assert(t, !freshness.Behind())
+}
--- a/internal/lab/emulator/client/client.go
+++ b/internal/lab/emulator/client/client.go
@@ -48,6 +48,10 @@
 	Regions []string
 	// Retries is the number of further tries of a request.
 	Retries int
+	// Key is the API key that it presents, empty for none, and Accounts are those that the
+	// instance may be told; nil where that is not checked.
+	Key      string
+	Accounts []string
 }
 
 // Target is a machine that requests start on.
@@ -206,6 +210,7 @@
 	l.Ledger.Sent(promise.Request{
 		ID: id, Services: set(class.Services), Safe: class.Safe, BodyDigest: promise.DigestOf(body),
 		Caller: target.Service(), SentAt: time.Now(), Daemon: address, Wait: time.Duration(wait) * time.Millisecond, Attempts: class.Attempts, Regions: class.Regions,
+		Key: class.Key, Accounts: accountSet(class.Accounts),
 	})
 	return id
 }
@@ -225,6 +230,9 @@
 	request.Header.Set(platform.HeaderRequestID, id)
 	request.Header.Set(platform.HeaderDeadline, strconv.FormatInt(wait, 10))
 	request.Header.Set(instance.HeaderAnswerBytes, strconv.Itoa(class.AnswerBytes))
+	if class.Key != "" {
+		request.Header.Set(platform.HeaderKey, class.Key)
+	}
 	if class.CallPath != "" {
 		request.Header.Set(instance.HeaderCall, class.CallPath)
 		request.Header.Set(instance.HeaderCall+"-Service", class.CallService)
@@ -255,6 +263,14 @@
 	}
 }
 
+// accountSet is set, nil where the account is not checked.
+func accountSet(names []string) map[string]bool {
+	if names == nil {
+		return nil
+	}
+	return set(names)
+}
+
 func set(names []string) map[string]bool {
 	members := make(map[string]bool, len(names))
 	for _, name := range names {
--- /dev/null
+++ b/internal/lab/emulator/day/accounts.go
@@ -0,0 +1,78 @@
+package day
+
+import (
+	"github.com/lapisvane/lapisvane/internal/lab/emulator/client"
+	"github.com/lapisvane/lapisvane/platform"
+)
+
+// Account is an account as the operator declares it.
+type Account struct {
+	Name string
+	Keys []string
+	// Priority is 0 for the most urgent; Rate is in requests a second, 0 for no limit.
+	Priority    uint32
+	Rate, Burst float64
+}
+
+// addAccounts adds accounts to a configuration, and which of its routes need no key.
+func addAccounts(config *platform.Config, routes []Route, accounts []Account) {
+	config.Routes.Columns = append(config.Routes.Columns, platform.ColumnPublic)
+	for index, route := range routes {
+		config.Routes.Rows[index] = append(config.Routes.Rows[index], row(route.Public)...)
+	}
+	config.Tenants = &platform.Table{
+		Columns: []string{platform.ColumnName, platform.ColumnKeys, platform.ColumnPriority, platform.ColumnRate, platform.ColumnBurst},
+	}
+	for _, account := range accounts {
+		config.Tenants.Rows = append(config.Tenants.Rows, row(account.Name, account.Keys, account.Priority, account.Rate, account.Burst))
+	}
+}
+
+// DeclareAccounts writes a configuration with other accounts, as the operator does, and returns its
+// version. Keys that are in none of them are revoked.
+func (s *Site) DeclareAccounts(accounts []Account) (version uint64, err error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := keysOf(s.accounts)
+	s.accounts = accounts
+	version, err = s.declare()
+	after := keysOf(accounts)
+	for key := range before {
+		if err == nil && !after[key] {
+			s.Ledger.KeyRevoked(key)
+		}
+	}
+	return version, err
+}
+
+func keysOf(accounts []Account) map[string]bool {
+	keys := map[string]bool{}
+	for _, account := range accounts {
+		for _, key := range account.Keys {
+			keys[key] = true
+		}
+	}
+	return keys
+}
+
+// KeyedRoutes are the standard ones; the one that instances call on needs no key.
+func KeyedRoutes() []Route {
+	routes := StandardRoutes()
+	for index := range routes {
+		routes[index].Public = routes[index].Name == "stock"
+	}
+	return routes
+}
+
+// KeyedClasses are the standard reads and orders of each account's first key, at factor times their
+// rate.
+func KeyedClasses(accounts []Account, factor float64) (classes []client.Class) {
+	for _, account := range accounts {
+		for _, class := range StandardClasses(factor)[:2] {
+			class.Name += "-" + account.Name
+			class.Key, class.Accounts = account.Keys[0], []string{account.Name}
+			classes = append(classes, class)
+		}
+	}
+	return classes
+}
--- a/internal/lab/emulator/day/operator.go
+++ b/internal/lab/emulator/day/operator.go
@@ -15,6 +15,8 @@
 	Split                             []platform.Backend
 	// Regions are those in which its requests may run; empty for all.
 	Regions []string
+	// Public routes need no API key.
+	Public bool
 }
 
 // Config builds the operator's configuration.
--- a/internal/lab/emulator/instance/serve.go
+++ b/internal/lab/emulator/instance/serve.go
@@ -232,6 +232,7 @@
 	i.options.Ledger.Ran(promise.Run{
 		Given: time.Duration(millis) * time.Millisecond, Request: id, Instance: i.id, Service: i.options.Service, BodyDigest: promise.DigestOf(body),
 		Caller: request.Header.Get(platform.HeaderCallerService), Stamp: stamp, At: time.Now(),
+		Account: request.Header.Get(platform.HeaderAccount), Head: request.Header,
 	})
 	return stamp
 }
--- /dev/null
+++ b/internal/model/meshconfig/accounts_test.go
@@ -0,0 +1,65 @@
+package meshconfig_test
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
+	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
+	"github.com/lapisvane/lapisvane/internal/shared/result"
+)
+
+func keyedAccount(name string, keys ...string) *lapisv1.Account {
+	made := &lapisv1.Account{Name: name}
+	for _, key := range keys {
+		digest := account.DigestOf([]byte(key))
+		made.KeyDigests = append(made.KeyDigests, digest[:])
+	}
+	return made
+}
+
+// Bad accounts are refused by number, with their place; a key is in no message.
+func TestBadAccountsAreRefusedByNumber(t *testing.T) {
+	short := keyedAccount("short", "key")
+	short.KeyDigests[0] = short.KeyDigests[0][:5]
+	limited := func(rate float64) *lapisv1.Account { return &lapisv1.Account{Name: "limited", CallsPerSecond: rate} }
+	for name, row := range map[string]struct {
+		bad  []*lapisv1.Account
+		code result.Code
+		path string
+	}{
+		"a key in two accounts":    {[]*lapisv1.Account{keyedAccount("alpha", "k1", "k2"), keyedAccount("beta", "k3", "k2")}, result.ConfigDuplicateObject, "accounts[2].key_digests[1]"},
+		"one name twice":           {[]*lapisv1.Account{keyedAccount("alpha", "k1"), keyedAccount("alpha", "k2")}, result.ConfigDuplicateObject, "accounts[2].name"},
+		"no name":                  {[]*lapisv1.Account{keyedAccount("", "k1")}, result.ConfigBadName, "accounts[1].name"},
+		"spaces for a name":        {[]*lapisv1.Account{keyedAccount("  ", "k1")}, result.ConfigBadName, "accounts[1].name"},
+		"a name of two lines":      {[]*lapisv1.Account{keyedAccount("a\r\nb", "k1")}, result.ConfigBadName, "accounts[1].name"},
+		"a name that is too long":  {[]*lapisv1.Account{keyedAccount(strings.Repeat("a", 64), "k1")}, result.ConfigBadName, "accounts[1].name"},
+		"a limit below 0":          {[]*lapisv1.Account{limited(-1)}, result.ConfigBadLimit, "accounts[1].calls_per_second"},
+		"a limit that is none":     {[]*lapisv1.Account{limited(math.NaN())}, result.ConfigBadLimit, "accounts[1].calls_per_second"},
+		"a limit without an end":   {[]*lapisv1.Account{limited(math.Inf(1))}, result.ConfigBadLimit, "accounts[1].calls_per_second"},
+		"a digest that is cut off": {[]*lapisv1.Account{short}, result.ConfigBadLimit, "accounts[1].key_digests[0]"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			composition := meshconfig.Composition{Revision: 3, Accounts: &lapisv1.Accounts{Accounts: append([]*lapisv1.Account{keyedAccount("good", "k0")}, row.bad...)}}
+			configuration, err := meshconfig.Compose(composition, nil)
+			assert.Assert(t, configuration == nil, "a part is taken over")
+			assert.Assert(t, result.Is(err, row.code), "%v", err)
+			assert.Assert(t, strings.Contains(err.Error(), row.path), "%v", err)
+		})
+	}
+}
+
+// Names that a platform may give, a key that one account lists twice, and accounts without keys or
+// limits are good.
+func TestGoodAccountsAreComposed(t *testing.T) {
+	accounts := &lapisv1.Accounts{Accounts: []*lapisv1.Account{
+		keyedAccount("hule930", "k1", "k1"), keyedAccount("Two Words_9"), {Name: "limited", CallsPerSecond: 0.5, Burst: 7},
+	}}
+	configuration, err := meshconfig.Compose(meshconfig.Composition{Revision: 3, Accounts: accounts}, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, configuration.GetAccounts() == accounts)
+}
