--- a/internal/daemon/metrics/platform.go
+++ b/internal/daemon/metrics/platform.go
@@ -8,6 +8,7 @@
 	"github.com/lapisvane/lapisvane/internal/daemon/platformapi"
 	"github.com/lapisvane/lapisvane/internal/distribution/configsource"
 	"github.com/lapisvane/lapisvane/internal/distribution/fleet"
+	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/model/orders"
 	"github.com/lapisvane/lapisvane/internal/requestpath/admission"
 	"github.com/lapisvane/lapisvane/internal/requestpath/origin"
@@ -26,6 +27,8 @@
 	Ready func() bool
 	// ReadyEndpoints returns the number of ready instances known of each service.
 	ReadyEndpoints func() map[string]int
+	// Accounts returns the accounts in force, nil where callers need none.
+	Accounts func() *account.Directory
 	// RefusedEntries returns the numbers of entries and heartbeats that could not be used.
 	RefusedEntries func() map[platformapi.RefusedEntry]int64
 	// Orders are the operators' orders in force.
@@ -58,6 +61,8 @@
 		func() float64 { return float64(sources.Follower.FailedPolls.Load()) })
 	registry.MustRegister(readyEndpoints{sources.ReadyEndpoints}, refusedEntries{sources.RefusedEntries})
 	registerOrders(registry, sources)
+	gauge(registry, "lapisvane_accounts", "Accounts in force.", func() float64 { return float64(len(sources.Accounts().Accounts())) })
+	gauge(registry, "lapisvane_account_keys", "API keys in force, of all accounts.", func() float64 { return float64(sources.Accounts().Keys()) })
 	occupancy := func(read func(admission.Occupancy) int) func() float64 {
 		return func() float64 {
 			total := 0
--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -16,6 +16,7 @@
 	"github.com/lapisvane/lapisvane/internal/daemon/settings"
 	"github.com/lapisvane/lapisvane/internal/distribution/configsource"
 	"github.com/lapisvane/lapisvane/internal/distribution/fleet"
+	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
 	"github.com/lapisvane/lapisvane/internal/transport/callmux"
 	"github.com/lapisvane/lapisvane/internal/transport/peer"
@@ -195,10 +196,18 @@
 	metrics.RegisterPlatform(registry, metrics.Platform{
 		Fleet: p.fleet, Follower: p.follower, Origin: p.path.origin, InForce: p.inForceSince, Ready: p.ready,
 		Orders: p.path.orders, Confirmed: p.freshness.Confirmed, ReadyEndpoints: p.readyEndpoints,
-		RefusedEntries: p.platform.RefusedEntries,
+		RefusedEntries: p.platform.RefusedEntries, Accounts: p.accounts,
 	})
 }
 
+// accounts returns the accounts in force, nil where callers need none.
+func (p *platformDistribution) accounts() *account.Directory {
+	if current := p.path.snapshots.Current(); current != nil {
+		return current.Accounts
+	}
+	return nil
+}
+
 // readyEndpoints returns the number of ready instances known of each service in force.
 func (p *platformDistribution) readyEndpoints() map[string]int {
 	counts := map[string]int{}
--- a/internal/model/account/account.go
+++ b/internal/model/account/account.go
@@ -95,6 +95,14 @@
 	return d.accounts[name]
 }
 
+// Keys returns the number of keys of all accounts.
+func (d *Directory) Keys() int {
+	if d == nil {
+		return 0
+	}
+	return len(d.byKey)
+}
+
 // Accounts returns all accounts by name. The map is not changed.
 func (d *Directory) Accounts() map[string]*Account {
 	if d == nil {
--- a/internal/model/account/account_test.go
+++ b/internal/model/account/account_test.go
@@ -40,6 +40,7 @@
 		assert.Equal(t, find(directory, key), name, "%q", key)
 	}
 	assert.Equal(t, directory.Named("alpha").Keys, 2)
+	assert.Equal(t, directory.Keys(), 3)
 	assert.Equal(t, len(directory.Accounts()), 3)
 	assert.Assert(t, directory.Named("gamma") == nil)
 }
@@ -49,7 +50,7 @@
 	var without *account.Directory
 	digest := account.DigestOf([]byte("any"))
 	assert.Assert(t, account.NewDirectory(nil) == without)
-	assert.Assert(t, without.Find(digest) == nil && without.Holds(digest[:]) && without.Named("alpha") == nil && without.Accounts() == nil)
+	assert.Assert(t, without.Find(digest) == nil && without.Holds(digest[:]) && without.Named("alpha") == nil && without.Accounts() == nil && without.Keys() == 0)
 	empty := account.NewDirectory(&lapisv1.Accounts{})
 	assert.Assert(t, empty != nil && empty.Find(digest) == nil && !empty.Holds(digest[:]))
 }
