--- a/internal/requestpath/admission/account.go
+++ b/internal/requestpath/admission/account.go
@@ -31,7 +31,7 @@
 	q.dispatch()
 }
 
-// occupation is what the active groups have together.
+// occupation is what the active accounts have together.
 type occupation struct {
 	// weight is the sum of their weights, and used that of their decayed slot time, in slot
 	// seconds.
@@ -40,11 +40,11 @@
 	usualCall float64
 }
 
-// occupation sums the active groups up to now; the caller holds mutex.
+// occupation sums the active accounts up to now; the caller holds mutex.
 func (q *Queue) occupation(now time.Time) occupation {
 	total := occupation{usualCall: q.meanService.Seconds()}
 	for _, g := range q.groups {
-		if !g.active() {
+		if !g.isAccount || !g.active() {
 			continue
 		}
 		g.decay(now)
@@ -54,7 +54,7 @@
 	return total
 }
 
-// excessOf returns how far an active group's slot time is above its share, in steps of a factor of
+// excessOf returns how far an active account's slot time is above its share, in steps of a factor of
 // two; 0 is up to excessTolerated times the share. One usual call beside the share counts for
 // nothing, since the share of a small account is less than that.
 func (o occupation) excessOf(used, weight float64) int {
@@ -103,7 +103,10 @@
 		if g.interactive.Len()+g.background.Len() == 0 {
 			continue
 		}
-		excess := total.excessOf(g.usage, q.weightOf(g.name))
+		excess := 0
+		if g.isAccount {
+			excess = total.excessOf(g.usage, q.weightOf(g.name))
+		}
 		for _, waiting := range []*list.List{g.interactive, g.background} {
 			for element := waiting.Front(); element != nil; element = element.Next() {
 				candidates = append(candidates, candidate{waiter: element.Value.(*waiter), excess: excess})
@@ -134,23 +137,32 @@
 	entered := q.push(request, now)
 	ranked := q.candidates(now)
 	slices.SortFunc(ranked, func(a, b candidate) int { return a.compare(b, now) })
-	ahead := slices.IndexFunc(ranked, func(waiting candidate) bool { return waiting.waiter == entered })
-	expected := q.waitBehind(ahead, now)
-	verdict, deadline := decideWait(request, ahead, expected, q.limits, now)
+	entered.place = placeOf(entered, ranked)
+	expected := q.waitBehind(entered.place.ahead, now)
+	verdict, deadline := decideWait(request, entered.place.ahead, expected, q.limits, now)
 	entered.deadline = deadline
 	switch verdict {
 	case actionRefuseNoSlot:
 		q.remove(entered)
-		return nil, q.refuse(expected, "no slot is free")
+		return nil, q.refuse(expected, "no slot is free", entered.place)
 	case actionRefuseFull:
 		q.remove(entered)
-		return nil, q.refuse(expected, "more urgent calls leave no time for one of account "+request.Group)
+		return nil, q.refuse(expected, "more urgent calls leave no time for one of account "+request.Group, entered.place)
 	}
 	q.refuseHopeless(ranked, now)
 	q.dispatch()
 	return entered, nil
 }
 
+// placeOf returns the place of a call among those that wait, in their order.
+func placeOf(waiting *waiter, ranked []candidate) place {
+	ahead := slices.IndexFunc(ranked, func(other candidate) bool { return other.waiter == waiting })
+	if ahead == 0 {
+		return place{}
+	}
+	return place{ahead: ahead, behind: &ranked[ahead-1].request}
+}
+
 // refuseHopeless refuses the waiting calls that the others, in their order, leave no time or no
 // place, the least urgent first; the caller holds mutex.
 func (q *Queue) refuseHopeless(ranked []candidate, now time.Time) {
@@ -161,7 +173,7 @@
 			continue
 		}
 		q.remove(waiting)
-		waiting.outcome <- q.refuse(expected, "more urgent calls came after it")
+		waiting.outcome <- q.refuse(expected, "more urgent calls came after it", placeOf(waiting, ranked))
 	}
 }
 
--- a/internal/requestpath/balance/expected.go
+++ b/internal/requestpath/balance/expected.go
@@ -5,9 +5,7 @@
 	"time"
 )
 
-// A nearly full instance works more slowly. Both set with the score by cost as a whole (score
-// of a deployment 0.934 before, 0.924 after, worth of its quiet day 0.857 and 0.873), not measured
-// alone.
+// A nearly full instance works more slowly.
 const (
 	// almostFull is the load per slot, 0 to 1, from which an instance counts as slower.
 	almostFull = 0.8
@@ -18,7 +16,11 @@
 // expected returns the time until an answer of one more call, when a call takes typical
 // elsewhere; service is the part of it that the instance works. All are in seconds.
 func (c *costState) expected(typical float64, now time.Time) (total, service float64) {
-	service = c.known.faded(typical, serviceMemory, now)
+	memory := serviceMemory
+	if c.freed {
+		memory = workMemory
+	}
+	service = c.known.faded(typical, memory, now) * (1 + c.longer)
 	if c.cold {
 		service *= coldFactor
 	}
