Accounts in lapisvane's own object API: proposals, show accounts, a bundle of their own

Cause: accounts existed on a platform only, so that lapisctl had none to show.

settings refuse strict revocations without a platform, where nothing confirms a configuration.

--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -280,6 +280,9 @@
 	if d.Accounts.StrictRevocation && bound == 0 {
 		check.faults.Add(result.SettingsMissing, "accounts.revocation_bound, which accounts.strict_revocation needs")
 	}
+	if d.Accounts.StrictRevocation && d.Platform.Form == "" {
+		check.faults.Add(result.SettingsMissing, "platform.form, which accounts.strict_revocation needs")
+	}
 }
 
 func (d *Daemon) checkDistribution(check *checker) {
--- a/internal/daemon/settings/settings_test.go
+++ b/internal/daemon/settings/settings_test.go
@@ -42,6 +42,7 @@
 		{"a connection above the daemon", good + "sent_ahead: {bytes_per_connection: 9, bytes: 8}", result.SettingsBadNumber, "sent_ahead.bytes"},
 		{"negative duration", good + "stop_limit: -3s", result.SettingsBadNumber, "stop_limit"},
 		{"strict without a bound", good + "accounts: {strict_revocation: true}", result.SettingsMissing, "accounts.revocation_bound"},
+		{"strict without a platform", good + "accounts: {strict_revocation: true, revocation_bound: 5s}", result.SettingsMissing, "platform.form"},
 		{"negative bound of revocations", good + "accounts: {revocation_bound: -1s}", result.SettingsBadNumber, "accounts.revocation_bound"},
 		{"strict is no word", good + "accounts: {strict_revocation: very}", result.SettingsUnreadable, "strict_revocation"},
 		{"bad duration", good + "stop_limit: soon", result.SettingsBadNumber, "soon"},
--- a/internal/daemon/tree_distribution.go
+++ b/internal/daemon/tree_distribution.go
@@ -13,6 +13,7 @@
 	"github.com/lapisvane/lapisvane/internal/distribution/holdings"
 	"github.com/lapisvane/lapisvane/internal/distribution/objectapi"
 	"github.com/lapisvane/lapisvane/internal/distribution/tree"
+	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
 	"github.com/lapisvane/lapisvane/internal/operators/operator"
 	"github.com/lapisvane/lapisvane/internal/transport/callmux"
@@ -35,7 +36,7 @@
 
 func newTreeDistribution(d *Daemon, store *objectapi.Client, network wire.Network) *treeDistribution {
 	values := d.settings.Load()
-	services := append([]string(nil), values.Services...)
+	services := append([]string{meshconfig.AccountsService}, values.Services...)
 	for _, backend := range values.Backends {
 		services = append(services, backend.Service)
 	}
--- a/internal/model/callapi/callapi.go
+++ b/internal/model/callapi/callapi.go
@@ -30,6 +30,9 @@
 	// HeaderNotRun is set by a back end on a 429 or 503 answer to state that
 	// the request was refused before it ran.
 	HeaderNotRun = "Lapisvane-Not-Run"
+	// HeaderKey carries the caller's API key, and HeaderAccount names its account to a back end.
+	HeaderKey     = "Lapisvane-Api-Key"
+	HeaderAccount = "Lapisvane-Account"
 	// HeaderIdempotencyKey is the caller's own key.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
--- a/internal/model/callapi/envelope.go
+++ b/internal/model/callapi/envelope.go
@@ -41,6 +41,7 @@
 // DefaultEnvelope is lapisvane's own.
 var DefaultEnvelope = Envelope{
 	Deadline: HeaderDeadline, Attempt: HeaderAttempt, NotRun: HeaderNotRun,
+	Key: HeaderKey, Account: HeaderAccount,
 	Result: HeaderResult, Outcome: HeaderOutcome, PrivatePrefix: "lapisvane-",
 }
 
--- a/internal/model/meshconfig/accept.go
+++ b/internal/model/meshconfig/accept.go
@@ -19,6 +19,10 @@
 		return groupOf(s.Secrets, name)
 	case KindShare:
 		return groupOf(s.Shares, name)
+	case KindAccount:
+		// An account has the name of its callers' group.
+		_, ok = s.Accounts[name]
+		return name, ok
 	default:
 		return "", false
 	}
@@ -118,6 +122,8 @@
 			s.Secrets[object.Secret.GetName()] = object.Secret
 		case *lapisv1.Change_Share:
 			s.Shares[object.Share.GetName()] = object.Share
+		case *lapisv1.Change_Account:
+			s.Accounts[object.Account.GetName()] = object.Account
 		default:
 			s.removeObject(Kind(change.GetRemovedKind()), change.GetRemovedName())
 		}
@@ -135,6 +141,8 @@
 		delete(s.Secrets, name)
 	case KindShare:
 		delete(s.Shares, name)
+	case KindAccount:
+		delete(s.Accounts, name)
 	}
 }
 
--- a/internal/model/meshconfig/accounts_test.go
+++ b/internal/model/meshconfig/accounts_test.go
@@ -1,10 +1,14 @@
 package meshconfig_test
 
 import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"math"
 	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -63,3 +67,41 @@
 	assert.NilError(t, err)
 	assert.Assert(t, configuration.GetAccounts() == accounts)
 }
+
+// Of a proposed key only the digest is kept, whichever form the file has it in.
+func TestProposedKeysAreNotKept(t *testing.T) {
+	sum := sha256.Sum256([]byte("a proposed key"))
+	for _, file := range []string{
+		"accounts: [{name: a, api_keys: [a proposed key]}]",
+		"accounts: [{name: a, key_digests: [" + hex.EncodeToString(sum[:]) + "]}]",
+	} {
+		revision, state, err := accept(t, meshconfig.NewState(), "op", file)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, state.Accounts["a"].GetKeyDigests(), [][]byte{sum[:account.DigestBytes]})
+		content, err := proto.Marshal(revision)
+		assert.NilError(t, err)
+		assert.Assert(t, !bytes.Contains(content, []byte("a proposed key")))
+	}
+}
+
+// Accounts travel in a bundle of their own, that holds nothing else and is held nowhere else.
+func TestBundlesOfAccountsAreClosed(t *testing.T) {
+	accounts := &lapisv1.Accounts{Accounts: []*lapisv1.Account{keyedAccount("alpha", "k1")}}
+	pool := &lapisv1.Pool{Name: "desk"}
+	for name, row := range map[string]struct {
+		service string
+		bundle  *lapisv1.Bundle
+		closed  bool
+	}{
+		"accounts alone":         {meshconfig.AccountsService, &lapisv1.Bundle{Accounts: accounts}, true},
+		"none of them":           {meshconfig.AccountsService, &lapisv1.Bundle{Accounts: &lapisv1.Accounts{}}, true},
+		"no accounts":            {meshconfig.AccountsService, &lapisv1.Bundle{}, false},
+		"a pool beside them":     {meshconfig.AccountsService, &lapisv1.Bundle{Accounts: accounts, Pool: pool}, false},
+		"a route beside them":    {meshconfig.AccountsService, &lapisv1.Bundle{Accounts: accounts, Routes: []*lapisv1.Route{{Name: "r"}}}, false},
+		"accounts beside a pool": {"desk", &lapisv1.Bundle{Accounts: accounts, Pool: pool}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, meshconfig.CheckClosed(row.service, row.bundle) == nil, row.closed)
+		})
+	}
+}
--- a/internal/model/meshconfig/compose.go
+++ b/internal/model/meshconfig/compose.go
@@ -43,7 +43,7 @@
 		}
 		state.Routes[route.GetName()] = route
 	}
-	validateAccounts(faults, composition.Accounts)
+	validateAccounts(faults, composition.Accounts.GetAccounts())
 	if err := faults.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/model/meshconfig/file.go
+++ b/internal/model/meshconfig/file.go
@@ -1,9 +1,13 @@
 package meshconfig
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+
 	"sigs.k8s.io/yaml"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
@@ -16,7 +20,9 @@
 	Routes  []RouteFile  `json:"routes,omitempty"`
 	Secrets []SecretFile `json:"secrets,omitempty"`
 	Shares  []ShareFile  `json:"shares,omitempty"`
-	Remove  []RemoveFile `json:"remove,omitempty"`
+	// Accounts are those of callers; administrators propose them.
+	Accounts []AccountFile `json:"accounts,omitempty"`
+	Remove   []RemoveFile  `json:"remove,omitempty"`
 }
 
 // The types below are the objects of a proposal file; api/lapisv1 says what
@@ -46,6 +52,7 @@
 	Upload         bool     `json:"upload,omitempty"`
 	DeadlineMillis uint32   `json:"deadline_millis,omitempty"`
 	AllowedRegions []string `json:"allowed_regions,omitempty"`
+	Public         bool     `json:"public,omitempty"`
 }
 
 // SecretFile is one TLS key pair.
@@ -64,6 +71,17 @@
 	Percent uint32 `json:"percent"`
 }
 
+// AccountFile is one account. Its keys are given as they are, of which the digests are kept, or as
+// their SHA-256 in hexadecimal digits, so that the file holds no secret.
+type AccountFile struct {
+	Name           string   `json:"name"`
+	APIKeys        []string `json:"api_keys,omitempty"`
+	KeyDigests     []string `json:"key_digests,omitempty"`
+	Priority       uint32   `json:"priority,omitempty"`
+	CallsPerSecond float64  `json:"calls_per_second,omitempty"`
+	Burst          uint32   `json:"burst,omitempty"`
+}
+
 // RemoveFile names an object to remove.
 type RemoveFile struct {
 	Kind Kind   `json:"kind"`
@@ -83,7 +101,7 @@
 }
 
 // Changes converts the file's objects. Errors: ConfigUnreadable for a removal
-// of an unknown kind.
+// of an unknown kind and for a digest that is none.
 func (f *File) Changes() ([]*lapisv1.Change, error) {
 	var changes []*lapisv1.Change
 	for _, pool := range f.Pools {
@@ -106,9 +124,16 @@
 			Name: share.Name, Group: share.Group, Pool: share.Pool, Percent: share.Percent,
 		}}})
 	}
+	for index, stated := range f.Accounts {
+		message, err := stated.message(index)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, &lapisv1.Change{Object: &lapisv1.Change_Account{Account: message}})
+	}
 	for _, removal := range f.Remove {
 		switch removal.Kind {
-		case KindPool, KindRoute, KindSecret, KindShare:
+		case KindPool, KindRoute, KindSecret, KindShare, KindAccount:
 			changes = append(changes, &lapisv1.Change{RemovedKind: string(removal.Kind), RemovedName: removal.Name})
 		default:
 			return nil, result.Errorf(result.ConfigUnreadable, "remove: unknown kind %q", removal.Kind)
@@ -131,5 +156,24 @@
 			Repeatable: r.Repeatable, Background: r.Background, Upload: r.Upload,
 			DeadlineMillis: r.DeadlineMillis,
 		},
+		Public: r.Public,
+	}
+}
+
+// message converts an account, the index-th of its file. Errors: ConfigUnreadable, without the text
+// at fault, which may be a key.
+func (a AccountFile) message(index int) (*lapisv1.Account, error) {
+	message := &lapisv1.Account{Name: a.Name, Priority: a.Priority, CallsPerSecond: a.CallsPerSecond, Burst: a.Burst}
+	for _, key := range a.APIKeys {
+		digest := account.DigestOf([]byte(key))
+		message.KeyDigests = append(message.KeyDigests, digest[:])
+	}
+	for place, stated := range a.KeyDigests {
+		digest, err := hex.DecodeString(stated)
+		if err != nil || len(digest) != sha256.Size {
+			return nil, result.Errorf(result.ConfigUnreadable, "accounts[%d].key_digests[%d] is no SHA-256 in hexadecimal digits", index, place)
+		}
+		message.KeyDigests = append(message.KeyDigests, digest[:account.DigestBytes])
 	}
+	return message, nil
 }
--- a/internal/model/meshconfig/key.go
+++ b/internal/model/meshconfig/key.go
@@ -14,6 +14,8 @@
 	KindRoute  Kind = "route"
 	KindSecret Kind = "secret"
 	KindShare  Kind = "share"
+	// KindAccount is that of accounts, which only administrators may change.
+	KindAccount Kind = "account"
 )
 
 // ObjectKey names one configuration object as "kind/name".
@@ -55,6 +57,8 @@
 		return KeyOf(KindSecret, object.Secret.GetName())
 	case *lapisv1.Change_Share:
 		return KeyOf(KindShare, object.Share.GetName())
+	case *lapisv1.Change_Account:
+		return KeyOf(KindAccount, object.Account.GetName())
 	default:
 		return KeyOf(Kind(change.GetRemovedKind()), change.GetRemovedName())
 	}
--- a/internal/model/meshconfig/state.go
+++ b/internal/model/meshconfig/state.go
@@ -27,12 +27,14 @@
 	Routes   map[string]*lapisv1.Route
 	Secrets  map[string]*lapisv1.Secret
 	Shares   map[string]*lapisv1.Share
+	// Accounts are those of callers; while there is none, no caller needs an API key.
+	Accounts map[string]*lapisv1.Account
 	// ObjectRevisions gives the last change of each object, also of objects
 	// removed within HistoryWindow.
 	ObjectRevisions map[ObjectKey]uint64
 	// Operations maps recent operation ids to the revision they became.
 	Operations map[string]uint64
-	// Bundles holds the encoded bundle of each pool.
+	// Bundles holds the encoded bundle of each pool, and that of the accounts.
 	Bundles map[string]*lapisv1.EncodedBundle
 	// Digest covers all Bundles.
 	Digest digest.Set
@@ -47,6 +49,7 @@
 		Routes:          map[string]*lapisv1.Route{},
 		Secrets:         map[string]*lapisv1.Secret{},
 		Shares:          map[string]*lapisv1.Share{},
+		Accounts:        map[string]*lapisv1.Account{},
 		ObjectRevisions: map[ObjectKey]uint64{},
 		Operations:      map[string]uint64{},
 		Bundles:         map[string]*lapisv1.EncodedBundle{},
@@ -59,6 +62,7 @@
 	copied.Routes = maps.Clone(s.Routes)
 	copied.Secrets = maps.Clone(s.Secrets)
 	copied.Shares = maps.Clone(s.Shares)
+	copied.Accounts = maps.Clone(s.Accounts)
 	copied.ObjectRevisions = maps.Clone(s.ObjectRevisions)
 	copied.Operations = maps.Clone(s.Operations)
 	copied.Bundles = maps.Clone(s.Bundles)
@@ -129,6 +133,12 @@
 	}
 	s.Bundles[encoded.GetService()] = encoded
 	s.Digest.Add(digest.MemberOf(encoded.GetService(), encoded.GetDigest()))
+	if encoded.GetService() == AccountsService {
+		for _, stated := range bundle.GetAccounts().GetAccounts() {
+			s.Accounts[stated.GetName()] = stated
+		}
+		return nil
+	}
 	s.Pools[bundle.GetPool().GetName()] = bundle.GetPool()
 	for _, route := range bundle.GetRoutes() {
 		s.Routes[route.GetName()] = route
--- a/internal/model/meshconfig/validate.go
+++ b/internal/model/meshconfig/validate.go
@@ -45,6 +45,9 @@
 	s.validateRoutes(faults)
 	s.validateSecrets(faults)
 	s.validateShares(faults)
+	if affected == nil || affected[AccountsService] {
+		validateAccounts(faults, s.sortedAccounts())
+	}
 	return faults.Err()
 }
 
--- a/internal/model/snapshot/store.go
+++ b/internal/model/snapshot/store.go
@@ -112,7 +112,9 @@
 		return err
 	}
 	next.Limits = parts.limits
-	next.Accounts = account.NewDirectory(parts.accounts)
+	if parts.accounts != nil {
+		next.Accounts = account.NewDirectory(parts.accounts)
+	}
 	s.current.Store(next)
 	s.wake()
 	return nil
--- a/internal/model/snapshot/store_test.go
+++ b/internal/model/snapshot/store_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
@@ -94,3 +95,45 @@
 		})
 	}
 }
+
+// accountsBundle returns the bundle of an account with one key.
+func accountsBundle(t *testing.T, key string) *lapisv1.EncodedBundle {
+	t.Helper()
+	digest := account.DigestOf([]byte(key))
+	stated := &lapisv1.Account{Name: "alpha", KeyDigests: [][]byte{digest[:]}}
+	encoded, err := meshconfig.EncodeBundle(&lapisv1.Bundle{Accounts: &lapisv1.Accounts{Accounts: []*lapisv1.Account{stated}}}, 1)
+	assert.NilError(t, err)
+	return encoded
+}
+
+// Accounts that come as a bundle are in force with their revision, are no service, are reused while
+// they are the same, and never come back by an older revision.
+func TestAccountsOfABundle(t *testing.T) {
+	store := &snapshot.Store{}
+	pool := configurationOf(t, 1).GetBundles()[0]
+	old, renewed := accountsBundle(t, "old"), accountsBundle(t, "renewed")
+	replace := func(revision uint64, accounts *lapisv1.EncodedBundle) error {
+		bundles := map[string]*lapisv1.EncodedBundle{"desk": pool}
+		if accounts != nil {
+			bundles[meshconfig.AccountsService] = accounts
+		}
+		return store.Replace(revision, 0, bundles)
+	}
+	holds := func(key string) bool { return store.Current().Accounts.Find(account.DigestOf([]byte(key))) != nil }
+	assert.NilError(t, replace(1, old))
+	assert.Assert(t, holds("old") && !holds("renewed"))
+	assert.DeepEqual(t, store.Current().ServiceNames(), []string{"desk"})
+	before := store.Current().Accounts
+	assert.NilError(t, replace(2, old))
+	assert.Assert(t, store.Current().Accounts == before)
+	assert.NilError(t, replace(3, renewed))
+	assert.Assert(t, !holds("old") && holds("renewed"))
+	assert.Assert(t, result.Is(replace(2, old), result.DistributionBelowFloor))
+	assert.Assert(t, !holds("old") && holds("renewed"))
+	tampered := accountsBundle(t, "old")
+	tampered.Content[len(tampered.Content)-1] ^= 1
+	assert.Assert(t, result.Is(replace(4, tampered), result.DistributionDigestMismatch))
+	assert.Assert(t, holds("renewed"))
+	assert.NilError(t, replace(5, nil))
+	assert.Assert(t, store.Current().Accounts == nil)
+}
--- a/internal/operators/operator/auth.go
+++ b/internal/operators/operator/auth.go
@@ -91,8 +91,8 @@
 // authorize checks that every change touches only objects of the operator's group, before
 // the change and after it. A share belongs to the group that owns the pool it divides, so
 // that no group can raise its own share; a pool that the same proposal creates counts. A
-// share of an unknown pool has no owner: validation refuses it. An administrator may change
-// everything. Errors: a *result.List of OperatorForbidden.
+// share of an unknown pool has no owner: validation refuses it. Accounts belong to administrators, so
+// that no group can raise its own limit. An administrator may change everything. Errors: a *result.List of OperatorForbidden.
 func authorize(operator Operator, state *meshconfig.State, changes []*lapisv1.Change) error {
 	if operator.Group == AdminGroup {
 		return nil
@@ -128,6 +128,9 @@
 		}
 		return groups
 	}
+	if key.Kind() == meshconfig.KindAccount {
+		return []string{AdminGroup}
+	}
 	if group, ok := state.GroupOf(key); ok {
 		groups = append(groups, group)
 	}
--- a/internal/operators/operator/history.go
+++ b/internal/operators/operator/history.go
@@ -35,7 +35,7 @@
 	return table, nil
 }
 
-// describe renders a change without any secret's value.
+// describe renders a change without any secret's value and without the digests of keys.
 func describe(change *lapisv1.Change) string {
 	if change.GetRemovedKind() != "" {
 		return "removed"
@@ -44,6 +44,10 @@
 		fingerprint, expires := certificateOf(secret)
 		return "set to fingerprint " + fingerprint + " expiring " + expires
 	}
+	if stated := change.GetAccount(); stated != nil {
+		return fmt.Sprintf("set to %d keys, priority %d, %v calls a second, burst %d",
+			len(stated.GetKeyDigests()), stated.GetPriority(), stated.GetCallsPerSecond(), stated.GetBurst())
+	}
 	compact := prototext.MarshalOptions{}
 	return "set to " + compact.Format(change)
 }
--- a/internal/operators/operator/server_test.go
+++ b/internal/operators/operator/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -19,6 +20,7 @@
 	"github.com/lapisvane/lapisvane/internal/distribution/objectapi"
 	"github.com/lapisvane/lapisvane/internal/lab/objectapistub"
 	"github.com/lapisvane/lapisvane/internal/lab/testsite"
+	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/operators/ctl"
 	"github.com/lapisvane/lapisvane/internal/operators/opapi"
 	"github.com/lapisvane/lapisvane/internal/operators/operator"
@@ -186,3 +188,28 @@
 	code, _ := result.CodeOf(o.accept("bakers", "routes: [{name: steal, group: bakers, pool: shop, path_prefix: /s, secret: key}]"))
 	assert.Equal(t, code, result.ConfigForeignSecret)
 }
+
+// Only administrators change accounts; everybody sees what they allow and nobody a key or its digest.
+func TestAccountsAreShownWithoutKeys(t *testing.T) {
+	o := open(t)
+	const key = "key0of0the0archers"
+	file := "accounts: [{name: archers, api_keys: [" + key + ", other], priority: 1, calls_per_second: 2.5, burst: 7}, {name: none}]"
+	code, _ := result.CodeOf(o.accept("archers", file))
+	assert.Equal(t, code, result.OperatorForbidden)
+	assert.NilError(t, o.accept(operator.AdminGroup, file))
+	code, _ = result.CodeOf(o.accept("archers", "remove: [{kind: account, name: archers}]"))
+	assert.Equal(t, code, result.OperatorForbidden)
+	table, err := o.run("archers", "show accounts where keys > 0")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, table.Rows, [][]string{{"archers", "2", "1", "2.5", "7", "1"}})
+	digest := account.DigestOf([]byte(key))
+	for _, command := range []string{"show accounts", "show proposals", "diff 0 1", "show versions", "show pools"} {
+		table, err := o.run("archers", command)
+		assert.NilError(t, err)
+		answer, err := json.Marshal(table)
+		assert.NilError(t, err)
+		for _, secret := range []string{key, hex.EncodeToString(digest[:]), string(digest[:4])} {
+			assert.Assert(t, !strings.Contains(string(answer), secret), "%s shows %q", command, secret)
+		}
+	}
+}
--- a/internal/operators/operator/show.go
+++ b/internal/operators/operator/show.go
@@ -29,6 +29,8 @@
 		return showPools(state), nil
 	case "shares":
 		return showShares(state), nil
+	case "accounts":
+		return showAccounts(state), nil
 	case "secrets":
 		return showSecrets(state), nil
 	case "backends":
--- a/internal/operators/operator/show_configuration.go
+++ b/internal/operators/operator/show_configuration.go
@@ -76,6 +76,23 @@
 	return table
 }
 
+// showAccounts shows what bounds accounts and how many keys they have, never a key.
+func showAccounts(state *meshconfig.State) *opapi.Table {
+	table := &opapi.Table{Columns: []opapi.Column{
+		{Name: "name"}, {Name: "keys", Numeric: true}, {Name: "priority", Numeric: true},
+		{Name: "calls_per_second", Numeric: true}, {Name: "burst", Numeric: true}, {Name: "changed", Numeric: true},
+	}}
+	for _, name := range slices.Sorted(maps.Keys(state.Accounts)) {
+		stated := state.Accounts[name]
+		table.Rows = append(table.Rows, []string{
+			name, strconv.Itoa(len(stated.GetKeyDigests())), number(uint64(stated.GetPriority())),
+			strconv.FormatFloat(stated.GetCallsPerSecond(), 'g', -1, 64), number(uint64(stated.GetBurst())),
+			lastChanged(state, meshconfig.KindAccount, name),
+		})
+	}
+	return table
+}
+
 // showSecrets shows what identifies a key pair, never its value.
 func showSecrets(state *meshconfig.State) *opapi.Table {
 	table := &opapi.Table{Columns: []opapi.Column{
--- a/internal/operators/query/language.go
+++ b/internal/operators/query/language.go
@@ -28,7 +28,7 @@
 
 // Show is "show KIND [where CONDITION {and CONDITION}]".
 type Show struct {
-	Kind       string       `parser:"'show' @('versions' | 'proxies' | 'routes' | 'pools' | 'backends' | 'shares' | 'secrets' | 'proposals')"`
+	Kind       string       `parser:"'show' @('versions' | 'proxies' | 'routes' | 'pools' | 'backends' | 'shares' | 'secrets' | 'accounts' | 'proposals')"`
 	Conditions []*Condition `parser:"('where' @@ ('and' @@)*)?"`
 }
 
@@ -95,7 +95,7 @@
 
 // HelpText describes the language.
 const HelpText = `Commands:
-  show versions | proxies | routes | pools | backends | shares | secrets | proposals
+  show versions | proxies | routes | pools | backends | shares | secrets | accounts | proposals
        [where FIELD OP VALUE {and FIELD OP VALUE}]   OP: = != < <= > >= ~ (contains)
   validate FILE                check a proposal without storing it
   propose FILE                 store a proposal; prints its id
