--- a/internal/daemon/accounts_test.go
+++ b/internal/daemon/accounts_test.go
@@ -35,9 +35,9 @@
 			freshness.Advance(3)
 			freshness.Confirm(configsource.Versions{Configuration: 3}, boottime.Now())
 			assert.Equal(t, made.Currency(), identity.Currency{})
-			time.Sleep(5*time.Second - 1)
+			time.Sleep(5*time.Second - time.Nanosecond)
 			assert.Assert(t, !suspended())
-			time.Sleep(1)
+			time.Sleep(time.Nanosecond)
 			for range 3 {
 				assert.Equal(t, suspended(), strict)
 			}
--- a/internal/operators/operator/server_test.go
+++ b/internal/operators/operator/server_test.go
@@ -202,6 +202,9 @@
 	table, err := o.run("archers", "show accounts where keys > 0")
 	assert.NilError(t, err)
 	assert.DeepEqual(t, table.Rows, [][]string{{"archers", "2", "1", "2.5", "7", "1"}})
+	table, err = o.run("archers", "diff 0 1")
+	assert.NilError(t, err)
+	assert.Equal(t, table.Rows[0][2], "set to 2 keys, priority 1, 2.5 calls a second, burst 7")
 	digest := account.DigestOf([]byte(key))
 	for _, command := range []string{"show accounts", "show proposals", "diff 0 1", "show versions", "show pools"} {
 		table, err := o.run("archers", command)
