--- a/internal/model/callapi/envelope.go
+++ b/internal/model/callapi/envelope.go
@@ -63,6 +63,7 @@
 // DefaultEnvelope is lapisvane's own.
 var DefaultEnvelope = Envelope{
 	Deadline: HeaderDeadline, Attempt: HeaderAttempt, NotRun: HeaderNotRun,
+	Key: HeaderKey, Account: HeaderAccount,
 	Result: HeaderResult, Outcome: HeaderOutcome, PrivatePrefix: "lapisvane-",
 }
 
