Rate limits of accounts are kept by all daemons together

Change: package allowance. Each account has an owner among four daemons, which lends credit for each call; votes keep two owners from lending more than one (docs/design/0028). Joined in fleet (links to the owners, frames) and daemon (gateway.Quota, settings rate_limits, metrics, lines).

--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -14,6 +14,7 @@
 	"github.com/lapisvane/lapisvane/internal/daemon/metrics"
 	"github.com/lapisvane/lapisvane/internal/daemon/platformapi"
 	"github.com/lapisvane/lapisvane/internal/daemon/settings"
+	"github.com/lapisvane/lapisvane/internal/distribution/allowance"
 	"github.com/lapisvane/lapisvane/internal/distribution/configsource"
 	"github.com/lapisvane/lapisvane/internal/distribution/fleet"
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
@@ -83,6 +84,8 @@
 	platform platformapi.Platform
 	fleet    *fleet.Fleet
 	follower *configsource.Follower
+	// allowances keeps limits that daemons share; nil where there are none.
+	allowances *allowance.Service
 	// freshness is how recently what is in force was confirmed to be the newest.
 	freshness *configsource.Freshness
 	started   time.Time
@@ -110,12 +113,17 @@
 	}
 	p.members.Store(1)
 	p.orders = ordersState{follow: p.followOrders, unknown: map[string]bool{}}
-	p.fleet = fleet.New(fleet.Config{
+	p.allowances = p.newAllowances(values)
+	config := fleet.Config{
 		Self:        fleet.Member{Node: values.Node, Address: d.listeners.peer.Addr().String(), Zone: values.Zone, Region: values.Region, Service: values.Service},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: p.path.calls, Observer: p,
 		InForce: p.inForce.Load, Orders: p.ordersInForce(), Suspects: p.path.suspects.Known, Freshness: p.freshness,
 		Withdrawn: p.path.origin.Withdrawn, Random: rand.Float64, Logger: p.path.logger,
-	})
+	}
+	if p.allowances != nil {
+		config.Allowances = p.allowances
+	}
+	p.fleet = fleet.New(config)
 	p.follower = &configsource.Follower{
 		Source: platform.Source(), Apply: p.Offer, Freshness: p.freshness, Confirmed: p.fleet.SendHeartbeats,
 		ApplyOrders: p.ordersReader(), OrdersBound: p.ordersBound(),
@@ -149,6 +157,9 @@
 	}
 	running.Go(func() { p.fleet.Run(ctx) })
 	running.Go(func() { p.follower.Run(ctx) })
+	if p.allowances != nil {
+		running.Go(func() { p.allowances.Run(ctx) })
+	}
 	running.Go(func() { p.path.suspects.run(ctx) })
 	running.Go(func() { p.path.calls.WatchStalls(ctx, p.stall()) })
 	serve(listeners.instances, func(listener net.Listener) { p.platform.ServeInstances(ctx, listener, p.path.origin) })
@@ -197,6 +208,9 @@
 		Orders: p.path.orders, Confirmed: p.freshness.Confirmed, ReadyEndpoints: p.readyEndpoints,
 		RefusedEntries: p.platform.RefusedEntries,
 	})
+	if p.allowances != nil {
+		metrics.RegisterAllowances(registry, p.allowances.Report)
+	}
 }
 
 // readyEndpoints returns the number of ready instances known of each service in force.
--- /dev/null
+++ b/internal/daemon/ratelimits.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/daemon/settings"
+	"github.com/lapisvane/lapisvane/internal/distribution/allowance"
+	"github.com/lapisvane/lapisvane/internal/model/account"
+	"github.com/lapisvane/lapisvane/internal/model/snapshot"
+	"github.com/lapisvane/lapisvane/internal/requestpath/gateway"
+)
+
+// accountAllowance begins the names of the allowances of accounts.
+const accountAllowance = "account/"
+
+// rateLimits keeps the rate limits of accounts, at all daemons together.
+type rateLimits struct {
+	snapshots *snapshot.Store
+	// service is set before calls are served.
+	service *allowance.Service
+}
+
+// newRateLimits returns nil where the settings keep no limits.
+func newRateLimits(values settings.RateLimits, snapshots *snapshot.Store) *rateLimits {
+	if values == (settings.RateLimits{}) {
+		return nil
+	}
+	return &rateLimits{snapshots: snapshots}
+}
+
+// quota returns what the gateway asks; nil where no limits are kept.
+func (r *rateLimits) quota() gateway.Quota {
+	if r == nil {
+		return nil
+	}
+	return r
+}
+
+// Take implements gateway.Quota.
+func (r *rateLimits) Take(ctx context.Context, caller *account.Account) (giveBack func(), err error) {
+	limit := allowance.Limit{Rate: caller.Rate, Burst: caller.Burst}
+	return r.service.Take(ctx, accountAllowance+caller.Name, limit, r.snapshots.Current().Revision)
+}
+
+func allowanceBounds(values settings.RateLimits) allowance.Bounds {
+	return allowance.Bounds{Window: time.Duration(values.Window), Overshoot: values.Overshoot, Slack: values.Slack}
+}
+
+// newAllowances returns the service that keeps the limits on the links of the fleet; nil where none are
+// kept.
+func (p *platformDistribution) newAllowances(values *settings.Daemon) *allowance.Service {
+	limits := p.path.rateLimits
+	if limits == nil {
+		return nil
+	}
+	limits.service = allowance.New(allowance.Config{
+		Self: values.Node, Bounds: allowanceBounds(values.RateLimits), Random: rand.Float64, Logger: p.path.logger,
+		Send: func(message allowance.Message) { p.fleet.SendAllowance(message) },
+	})
+	return limits.service
+}
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -47,6 +47,8 @@
 	callServer *callmux.Server
 	gateway    *gateway.Gateway
 	suspects   *suspects
+	// rateLimits is nil where none are kept.
+	rateLimits *rateLimits
 	// orders are the operators' orders in force; always empty where none are given.
 	orders *orders.Current
 	// killedByForce is that of the daemon's Options.
@@ -66,6 +68,7 @@
 		balancer: balance.New(values.Node, values.Zone, values.Region, time.Now),
 		suspects: newSuspects(d.logger, mode.quarantineStore, spread),
 	}
+	p.rateLimits = newRateLimits(values.RateLimits, p.snapshots)
 	p.origin = origin.New(origin.Config{
 		Backends: backendsOf(values), Crashes: p.suspects,
 		QueueLength: values.Calls.QueueLength, QueueTime: values.Calls.QueueTime.Get(),
@@ -89,6 +92,7 @@
 		Envelope: mode.envelope, CallerService: p.callerService, Retries: retryLimits(values.Retries),
 		Decisions: decisions, Registry: d.registry, RepeatShare: p.origin.RepeatShare, Evacuated: p.orders.Evacuated,
 		SentAhead: sentAhead(values.SentAhead), Quarantine: p.suspects,
+		Quota: p.rateLimits.quota(),
 	})
 	return p
 }
--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -57,6 +57,8 @@
 	EvacuationBound tunables.Duration `json:"evacuation_bound"`
 	// ColdStarts bounds what instances get that have just started.
 	ColdStarts ColdStarts `json:"cold_starts"`
+	// RateLimits say how exactly the rate limits of accounts are kept.
+	RateLimits RateLimits `json:"rate_limits"`
 	// SentAhead bounds what is held for requests that callers send before
 	// earlier ones on their connection are answered.
 	SentAhead SentAhead `json:"sent_ahead"`
@@ -113,6 +115,16 @@
 	Slack float64 `json:"slack"`
 }
 
+// RateLimits bounds the calls of an account: in no Window may more than
+// (rate * Window + burst) * (1 + Overshoot) + Slack run, at all daemons together. Without a Window
+// no limit is kept.
+type RateLimits struct {
+	Window    tunables.Duration `json:"window"`
+	Overshoot float64           `json:"overshoot"`
+	// Slack is in calls.
+	Slack float64 `json:"slack"`
+}
+
 // Backend is one back end beside the daemon.
 type Backend struct {
 	Service  string `json:"service"`
@@ -253,6 +265,7 @@
 			check.faults.Add(result.SettingsBadNumber, "%s: %v is negative", bound.key, bound.value)
 		}
 	}
+	d.checkRateLimits(check)
 	check.positive("platform.contact", float64(d.Platform.Contact))
 	check.positive("platform.apply_bound", float64(d.Platform.ApplyBound))
 	if d.Platform.Form != "" && d.OperatorAddress != "" {
@@ -260,6 +273,22 @@
 	}
 }
 
+// checkRateLimits reports rate limits that cannot be kept.
+func (d *Daemon) checkRateLimits(check *checker) {
+	limits := d.RateLimits
+	if limits == (RateLimits{}) {
+		return
+	}
+	check.positive("rate_limits.window", float64(limits.Window))
+	check.positive("rate_limits.overshoot", limits.Overshoot)
+	if limits.Slack < 0 {
+		check.faults.Add(result.SettingsBadNumber, "rate_limits.slack: %v is negative", limits.Slack)
+	}
+	if d.Platform.Form == "" {
+		check.faults.Add(result.SettingsMissing, "platform.form: rate_limits need a platform")
+	}
+}
+
 func (d *Daemon) checkDistribution(check *checker) {
 	switch d.Profile {
 	case ProfileConvergence:
--- /dev/null
+++ b/internal/distribution/allowance/asker.go
@@ -0,0 +1,443 @@
+package allowance
+
+import (
+	"time"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+)
+
+const (
+	// answerPatience is how long an owner has for an answer: a few round trips between zones, and a
+	// part of a second in which its processor does other work. Calls wait no longer for credit.
+	answerPatience = 300 * time.Millisecond
+	// renewInterval is how often a vote is renewed at an owner: three times in voteLapse.
+	renewInterval = 400 * time.Millisecond
+	// notOwnerPause is the time between two asks to a daemon that does not see itself as the owner:
+	// others may be about to state their views to it.
+	notOwnerPause = 100 * time.Millisecond
+	// introduceInterval is the least time between two questions to a daemon about its members.
+	introduceInterval = time.Second
+	// maxHoldings bounds the allowances that a daemon remembers.
+	maxHoldings = 16384
+	// noOwnerRetry is how long a call is told to wait where no owner answers.
+	noOwnerRetry = 500 * time.Millisecond
+)
+
+// Outcome is how a Ticket was decided.
+type Outcome struct {
+	// Granted lets the call go.
+	Granted bool
+	// RetryAfter is when there is credit again, for a call that may not go.
+	RetryAfter time.Duration
+	// Unreachable is true where no owner answered, so that it is not known whether credit is left.
+	Unreachable bool
+}
+
+// Ticket is one call that wants credit.
+type Ticket struct {
+	allowance string
+	// Decided receives the outcome, once.
+	Decided chan Outcome
+	decided bool
+	granted credit
+}
+
+func (t *Ticket) decide(outcome Outcome) {
+	t.decided = true
+	t.Decided <- outcome
+}
+
+// channel is the state of this daemon's questions to one owner.
+type channel struct {
+	connected bool
+	// stated is the key of the view that the owner was told, empty for none.
+	stated string
+	// renewedAt is when the owner was last told anything.
+	renewedAt time.Time
+	// epoch numbers the connections: credit of an earlier one may be of an earlier process.
+	epoch uint64
+	// inFlight is the ask that is not answered, nil for none, sent at sentAt.
+	inFlight *lapisv1.AllowanceAsk
+	sentAt   time.Time
+	// answered is the newest ask that was answered; lateFrom is when the oldest was sent that was
+	// not, as far as its answer may still come.
+	answered uint64
+	lateFrom time.Time
+	// disagrees is true once the daemon did not see itself as the owner, until it was asked for the
+	// members that it knows, at introducedAt.
+	disagrees    bool
+	introducedAt time.Time
+	// silent is true from an ask without an answer in time until the next answer.
+	silent bool
+}
+
+// asker asks owners for credit on behalf of the calls of this daemon.
+type asker struct {
+	bounds   Bounds
+	ranking  *ranking
+	holdings map[string]*holding
+	channels map[string]*channel
+	sequence uint64
+	revision uint64
+	counts   Counts
+}
+
+// Counts are what happened to the calls of this daemon.
+type Counts struct {
+	// Granted went with an owner's credit, Reserved without one; Refused found no credit, and
+	// Unreachable no owner.
+	Granted, Reserved, Refused, Unreachable uint64
+}
+
+func newAsker(bounds Bounds, ranking *ranking) *asker {
+	return &asker{bounds: bounds, ranking: ranking, holdings: map[string]*holding{}, channels: map[string]*channel{}}
+}
+
+// take decides on a call, or leaves its ticket undecided until an owner answers or giveUp ends it.
+func (a *asker) take(now time.Time, name string, limit Limit, revision uint64) *Ticket {
+	ticket := &Ticket{allowance: name, Decided: make(chan Outcome, 1)}
+	held := a.holding(now, name)
+	if held == nil {
+		a.refuse(ticket, longestReturn)
+		return ticket
+	}
+	if revision >= a.revision {
+		a.revision = revision
+		held.limit = limit
+	}
+	held.noteUse(now)
+	if from, ok := held.spend(now); ok {
+		a.allow(ticket, from)
+		return ticket
+	}
+	if now.Before(held.refusedUntil) {
+		a.refuse(ticket, held.returnAfter)
+		return ticket
+	}
+	if !a.answers(a.lender(now, name, held)) {
+		a.takeReserve(now, ticket, held)
+		held.probe = true
+		return ticket
+	}
+	held.waiting = append(held.waiting, ticket)
+	return ticket
+}
+
+// lender returns the daemon to ask for credit: the owner, or the one that lent before while the owner
+// does not see itself as such. Empty for none.
+func (a *asker) lender(now time.Time, name string, held *holding) string {
+	owner := a.ranking.view(now).ownerOf(name)
+	if held.lentBefore != "" && now.Before(held.askAfter) && a.answers(held.lentBefore) {
+		return held.lentBefore
+	}
+	return owner
+}
+
+// answers reports whether a daemon is connected and has answered in time.
+func (a *asker) answers(node string) bool {
+	known := a.channels[node]
+	return known != nil && known.connected && !known.silent
+}
+
+// holding returns what is held of an allowance, nil where there are too many.
+func (a *asker) holding(now time.Time, name string) *holding {
+	if known := a.holdings[name]; known != nil {
+		return known
+	}
+	if len(a.holdings) >= maxHoldings {
+		a.forgetIdle(now)
+	}
+	if len(a.holdings) >= maxHoldings {
+		return nil
+	}
+	added := &holding{unused: map[string]uint32{}, usedAt: now}
+	a.holdings[name] = added
+	return added
+}
+
+func (a *asker) forgetIdle(now time.Time) {
+	for name, known := range a.holdings {
+		if known.idle(now, a.bounds.Window) {
+			delete(a.holdings, name)
+		}
+	}
+}
+
+func (a *asker) allow(ticket *Ticket, from credit) {
+	a.counts.Granted++
+	ticket.granted = from
+	ticket.decide(Outcome{Granted: true})
+}
+
+func (a *asker) refuse(ticket *Ticket, after time.Duration) {
+	a.counts.Refused++
+	ticket.decide(Outcome{RetryAfter: after})
+}
+
+// takeReserve decides on a call without an owner.
+func (a *asker) takeReserve(now time.Time, ticket *Ticket, held *holding) {
+	members := len(a.ranking.ordered)
+	total := a.bounds.reserve()
+	settled := a.ranking.settled(now, a.bounds.Window)
+	if settled && held.reserve.take(now, total, a.ranking.reserveRank(ticket.allowance), members, a.bounds.Window) {
+		a.counts.Reserved++
+		ticket.decide(Outcome{Granted: true})
+		return
+	}
+	a.counts.Unreachable++
+	ticket.decide(Outcome{RetryAfter: noOwnerRetry, Unreachable: true})
+}
+
+// giveUp decides on a call that has waited for answerPatience, or whose caller has left.
+func (a *asker) giveUp(now time.Time, ticket *Ticket) {
+	if !ticket.decided {
+		a.takeReserve(now, ticket, a.holdings[ticket.allowance])
+	}
+}
+
+// giveBack returns the credit of a call that did not run: to a call that waits here while it is
+// valid, else to its owner, soon enough for it to count there.
+func (a *asker) giveBack(now time.Time, ticket *Ticket) {
+	held := a.holdings[ticket.allowance]
+	if held == nil || ticket.granted.owner == "" {
+		return
+	}
+	back := ticket.granted
+	back.calls = 1
+	ticket.granted = credit{}
+	if !now.After(back.until) {
+		held.put(back)
+		a.serveWaiting(now, held)
+		from, left := held.spend(now)
+		if !left {
+			return
+		}
+		back = from
+	}
+	a.setAside(now, held, back.owner, back.epoch, back.lent, 1)
+}
+
+// serveWaiting lets calls go that wait while there is credit.
+func (a *asker) serveWaiting(now time.Time, held *holding) {
+	for len(held.waiting) > 0 {
+		if held.waiting[0].decided {
+			held.waiting = held.waiting[1:]
+			continue
+		}
+		from, ok := held.spend(now)
+		if !ok {
+			return
+		}
+		a.allow(held.waiting[0], from)
+		held.waiting = held.waiting[1:]
+	}
+}
+
+// receive takes the answer of an owner.
+func (a *asker) receive(now time.Time, owner string, grant *lapisv1.AllowanceGrant) {
+	asked := a.channels[owner]
+	if asked == nil {
+		return
+	}
+	if grant.GetViewWanted() {
+		asked.stated = ""
+	}
+	if asked.silent && asked.connected {
+		asked.silent = false
+		a.ranking.setContact(now, owner, connected)
+	}
+	if asked.inFlight.GetSequence() != grant.GetSequence() || asked.inFlight == nil {
+		a.setAsideLate(now, owner, asked, grant)
+		return
+	}
+	asked.answered = grant.GetSequence()
+	until := asked.sentAt.Add(a.bounds.validity())
+	asked.inFlight = nil
+	for _, lent := range grant.GetCredits() {
+		if held := a.holdings[lent.GetAllowance()]; held != nil {
+			a.receiveCredit(now, held, lent, credit{owner: owner, epoch: asked.epoch, calls: lent.GetCredits(), lent: asked.sentAt, until: until})
+		}
+	}
+}
+
+// setAsideLate gives back what came after it was waited for.
+func (a *asker) setAsideLate(now time.Time, owner string, from *channel, grant *lapisv1.AllowanceGrant) {
+	if grant.GetSequence() <= from.answered || grant.GetSequence() > a.sequence {
+		return // It came before.
+	}
+	from.answered = grant.GetSequence()
+	for _, lent := range grant.GetCredits() {
+		if held := a.holdings[lent.GetAllowance()]; held != nil {
+			a.setAside(now, held, owner, from.epoch, from.lateFrom, lent.GetCredits())
+		}
+	}
+}
+
+// setAside notes credits that are to be given back: those of an open connection to their owner that
+// were lent within returnTime.
+func (a *asker) setAside(now time.Time, held *holding, owner string, epoch uint64, lent time.Time, calls uint32) {
+	known := a.channels[owner]
+	if calls > 0 && known != nil && known.connected && known.epoch == epoch && now.Sub(lent) < returnTime {
+		held.unused[owner] += calls
+	}
+}
+
+// receiveCredit lets waiting calls go, and refuses those that the owner refused.
+func (a *asker) receiveCredit(now time.Time, held *holding, lent *lapisv1.AllowanceCredit, added credit) {
+	if added.calls > 0 {
+		held.put(added)
+	}
+	asked := held.asked
+	held.asked = 0
+	a.serveWaiting(now, held)
+	if lent.GetNotOwner() {
+		held.askAfter = now.Add(notOwnerPause)
+		a.channels[added.owner].disagrees = true
+		if held.lentBefore == added.owner {
+			held.lentBefore = ""
+		}
+		return
+	}
+	held.lentBefore = added.owner
+	if lent.GetCredits() >= asked {
+		return // Calls that came after the ask wait for the next one.
+	}
+	after := time.Duration(lent.GetRetryAfterMillis()) * time.Millisecond
+	held.refusedUntil = now.Add(min(after, refusalMemory))
+	held.returnAfter = after
+	held.dropDecided()
+	for _, ticket := range held.waiting {
+		a.refuse(ticket, after)
+	}
+	held.waiting = nil
+}
+
+// clearInFlight ends the wait for an answer.
+func (a *asker) clearInFlight(asked *channel) {
+	for _, need := range asked.inFlight.GetNeeds() {
+		if held := a.holdings[need.GetAllowance()]; held != nil && need.GetCredits() > 0 {
+			held.asked = 0
+		}
+	}
+	asked.inFlight = nil
+}
+
+// setConnected records that the connection to a daemon was opened or has ended.
+func (a *asker) setConnected(node string, connected bool) {
+	known := a.channels[node]
+	if known == nil {
+		known = &channel{}
+		a.channels[node] = known
+	}
+	known.connected = connected
+	known.epoch++
+	known.stated = ""
+	known.silent = false
+	a.clearInFlight(known)
+	for _, held := range a.holdings {
+		delete(held.unused, node)
+	}
+}
+
+// outgoing returns the asks that are due, by daemon.
+func (a *asker) outgoing(now time.Time) map[string]*lapisv1.AllowanceAsk {
+	needs := a.needs(now)
+	current := a.ranking.view(now)
+	asks := map[string]*lapisv1.AllowanceAsk{}
+	for node, known := range a.channels {
+		if !known.connected {
+			continue
+		}
+		ask := &lapisv1.AllowanceAsk{Needs: needs[node], Revision: a.revision}
+		if known.stated != current.key && !known.silent {
+			known.stated = current.key
+			ask.View = &lapisv1.AllowanceView{Owners: current.owners}
+		}
+		if len(ask.GetNeeds()) > 0 {
+			a.sequence++
+			ask.Sequence = a.sequence
+			known.inFlight, known.sentAt = ask, now
+			a.noteAsked(node, ask)
+		}
+		ask.Renew = !known.silent
+		renew := ask.GetRenew() && now.Sub(known.renewedAt) >= renewInterval
+		if renew || ask.GetView() != nil || len(ask.GetNeeds()) > 0 {
+			known.renewedAt = now
+			asks[node] = ask
+		}
+	}
+	return asks
+}
+
+// needs returns what to ask each owner for that has no ask in flight.
+func (a *asker) needs(now time.Time) map[string][]*lapisv1.AllowanceNeed {
+	needs := map[string][]*lapisv1.AllowanceNeed{}
+	for name, held := range a.holdings {
+		held.dropDecided()
+		for _, expired := range held.dropExpired(now) {
+			a.setAside(now, held, expired.owner, expired.epoch, expired.lent, expired.calls)
+		}
+		if len(held.waiting) == 0 && len(held.unused) == 0 && !held.probe {
+			continue
+		}
+		owner := a.lender(now, name, held)
+		a.needsOf(now, name, held, owner, owner, needs)
+		for earlier := range held.unused {
+			if earlier != owner {
+				a.needsOf(now, name, held, earlier, owner, needs)
+			}
+		}
+	}
+	return needs
+}
+
+// needsOf adds what an allowance needs of one daemon; only its owner is asked for credit.
+func (a *asker) needsOf(now time.Time, name string, held *holding, node, owner string, needs map[string][]*lapisv1.AllowanceNeed) {
+	known := a.channels[node]
+	if known == nil || !known.connected {
+		delete(held.unused, node)
+		return
+	}
+	if known.inFlight != nil {
+		if now.Sub(known.sentAt) < answerPatience {
+			return
+		}
+		a.markSilent(now, node, known)
+	}
+	ask := node == owner && (node == held.lentBefore || !now.Before(held.askAfter))
+	if need := held.need(name, node, a.bounds.validity(), ask); need != nil {
+		needs[node] = append(needs[node], need)
+	}
+}
+
+// introduce reports whether a daemon is to be asked now for the members that it knows.
+func (a *asker) introduce(now time.Time, node string) bool {
+	known := a.channels[node]
+	if !known.disagrees || now.Sub(known.introducedAt) < introduceInterval {
+		return false
+	}
+	known.disagrees, known.introducedAt = false, now
+	return true
+}
+
+// markSilent records that an owner has not answered in time. Its vote is not renewed, so that this
+// daemon may vote for another one later.
+func (a *asker) markSilent(now time.Time, node string, known *channel) {
+	known.lateFrom = known.sentAt
+	known.silent = true
+	known.stated = ""
+	a.ranking.setContact(now, node, lost)
+	a.clearInFlight(known)
+}
+
+// noteAsked records what an ask carries.
+func (a *asker) noteAsked(node string, ask *lapisv1.AllowanceAsk) {
+	for _, need := range ask.GetNeeds() {
+		held := a.holdings[need.GetAllowance()]
+		delete(held.unused, node)
+		if need.GetCredits() > 0 {
+			held.asked = need.GetCredits()
+			held.probe = false
+		}
+	}
+}
--- a/internal/distribution/fleet/endpoints.go
+++ b/internal/distribution/fleet/endpoints.go
@@ -82,15 +82,15 @@
 }
 
 // endpoints returns all known instances by service, in order of instance; the
-// caller holds mutex. Those of a daemon that was never chosen for a link, or whose link has
-// been lost for endpointsForgottenAfter, are left out.
+// caller holds mutex. Those of a daemon that was never chosen for a link, that is linked to for
+// allowances only, or whose link has been lost for endpointsForgottenAfter, are left out.
 func (f *Fleet) endpoints() map[string][]*lapisv1.Endpoint {
 	services := map[string][]*lapisv1.Endpoint{}
 	for _, endpoint := range f.local {
 		services[endpoint.GetService()] = append(services[endpoint.GetService()], endpoint)
 	}
 	for _, peer := range f.peers {
-		if peer.stopMaintaining == nil || (!peer.connected && boottime.Since(peer.lostAt) > endpointsForgottenAfter) {
+		if peer.stopMaintaining == nil || peer.allowanceOnly || (!peer.connected && boottime.Since(peer.lostAt) > endpointsForgottenAfter) {
 			continue
 		}
 		for _, endpoint := range peer.announcement.GetEndpoints() {
--- a/internal/distribution/fleet/fleet.go
+++ b/internal/distribution/fleet/fleet.go
@@ -49,6 +49,8 @@
 	Orders func() *orders.Set
 	// Suspects returns all records of suspects; nil where they are not exchanged.
 	Suspects func() []quarantine.Record
+	// Allowances keeps limits that daemons share; nil where there are none.
+	Allowances Allowances
 	// Freshness is how recently configuration and orders were confirmed to be the newest.
 	Freshness *configsource.Freshness
 	// Withdrawn returns the instances beside this daemon that left for good.
--- a/internal/distribution/fleet/inbound.go
+++ b/internal/distribution/fleet/inbound.go
@@ -32,6 +32,7 @@
 		signal(peer.dialNow)
 	}
 	f.mutex.Unlock()
+	f.allowanceJoined(inbound)
 	go f.serveInbound(inbound, peer)
 	return callmux.Control{
 		Frame:     func(frame *lapisv1.CallFrame) { f.receiveInbound(inbound, frame) },
@@ -46,6 +47,7 @@
 		f.mutex.Lock()
 		delete(f.inbound, inbound)
 		f.mutex.Unlock()
+		f.allowanceLeft(inbound)
 	}()
 	if peer != nil {
 		f.sendWithdrawn(peer, inbound.link)
@@ -78,5 +80,7 @@
 		f.receiveOrders(inbound.node, body.Orders)
 	case *lapisv1.CallFrame_Suspects:
 		f.receiveSuspects(inbound.node, body.Suspects)
+	case *lapisv1.CallFrame_AllowanceAsk:
+		f.serveAllowanceAsk(inbound, body.AllowanceAsk)
 	}
 }
--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -31,6 +31,7 @@
 		if errors.As(err, &other) {
 			f.displace(peer, other)
 		}
+		f.allowanceUnreachable(peer, err)
 		if !f.waitToDial(ctx, peer, f.jitter(wait)) {
 			return
 		}
@@ -74,6 +75,7 @@
 	incarnation := link.Welcome().GetIncarnation()
 	f.mutex.Lock()
 	peer.recordOpen(link, incarnation)
+	f.allowanceConnected(peer.Node)
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.connected", "member", peer.Node, "address", address, "incarnation", incarnation)
 	signal(f.reportDue)
@@ -133,6 +135,7 @@
 	peer.connected = false
 	peer.lostAt = boottime.Now()
 	peer.moveAsListed()
+	f.allowanceLost(peer.Node)
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.lost", "member", peer.Node)
 	signal(f.reportDue)
@@ -157,6 +160,8 @@
 		f.receiveOrders(peer.Node, body.Orders)
 	case *lapisv1.CallFrame_Suspects:
 		f.receiveSuspects(peer.Node, body.Suspects)
+	case *lapisv1.CallFrame_AllowanceGrant:
+		f.receiveAllowanceGrant(peer.Node, body.AllowanceGrant)
 	}
 }
 
@@ -181,6 +186,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	chosen := chooseLinks(f.config.Self, f.candidates(boottime.Now()))
+	f.addAllowanceOwners(chosen)
 	for node, peer := range f.peers {
 		// Active is called only where its answer matters.
 		idle := !chosen[node] && (!peer.connected || peer.link.Active() == 0)
--- a/internal/distribution/fleet/peer.go
+++ b/internal/distribution/fleet/peer.go
@@ -49,6 +49,9 @@
 	// withdrawn are the peer's instances that it said left for good, in any incarnation,
 	// with the time when it last said so.
 	withdrawn map[string]time.Time
+	// allowanceOnly is true while the peer is chosen because it owns allowances, and not for calls:
+	// else all daemons would send calls to the instances beside the few owners.
+	allowanceOnly bool
 }
 
 func newPeer(now time.Time) *peer {
@@ -79,6 +82,7 @@
 	f.config.Logger.V(1).Info("fleet.member_known", "member", member.Node, "address", member.Address, "zone", member.Zone)
 	signal(f.reportDue)
 	f.move(known, member)
+	f.allowanceMember(member.Node)
 	return known
 }
 
--- a/internal/transport/callmux/session.go
+++ b/internal/transport/callmux/session.go
@@ -162,7 +162,8 @@
 		return nil
 	case *lapisv1.CallFrame_Announcement, *lapisv1.CallFrame_Introduction,
 		*lapisv1.CallFrame_ConfigurationRequest, *lapisv1.CallFrame_Configuration, *lapisv1.CallFrame_DeflatedConfiguration,
-		*lapisv1.CallFrame_Orders, *lapisv1.CallFrame_Suspects:
+		*lapisv1.CallFrame_Orders, *lapisv1.CallFrame_Suspects,
+		*lapisv1.CallFrame_AllowanceAsk, *lapisv1.CallFrame_AllowanceGrant:
 		if s.control.Frame != nil {
 			s.control.Frame(frame)
 		}
