A planned stop ends although refused callers come again

Cause: once new calls are refused, callers that were refused come again at once, so that a stop under load hardly saw a moment without a request.

Change: the calls that are served are counted apart from refusals, and only they can be cut. When none is left the listeners for callers are closed, so that the rest settles; the decision is stopProgress.next.

--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -298,8 +298,7 @@
 	defer callers.Stop()
 	poll := time.NewTicker(inFlightPoll)
 	defer poll.Stop()
-	callersRefused := false
-	var idleSince time.Time
+	var ending stopProgress
 	for {
 		select {
 		case <-force:
@@ -310,14 +309,12 @@
 			// From here on a new call is refused before anything ran, so that the end of
 			// the process cuts nothing.
 			path.gateway.Stop()
-			callersRefused = true
+			ending.callersRefused = true
 		case <-poll.C:
-			switch {
-			case !callersRefused || !path.settled():
-				idleSince = time.Time{}
-			case idleSince.IsZero():
-				idleSince = time.Now()
-			case time.Since(idleSince) >= answersDrain:
+			switch ending.next(stopFacts{serving: path.serving(), settled: path.settled(), now: time.Now()}) {
+			case stopAccepting:
+				path.gateway.StopAccepting()
+			case stopEnd:
 				return 0
 			}
 		}
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -137,6 +137,11 @@
 	return p.gateway.InFlight() + int64(p.origin.InFlight())
 }
 
+// serving returns the number of calls of callers and at instances that would be cut.
+func (p *requestPath) serving() int64 {
+	return p.gateway.Serving() + int64(p.origin.InFlight())
+}
+
 // settled reports whether the end of the process would take nothing away: no call is in flight,
 // and no answer that was written is still on its way to its caller. Any further byte of that
 // caller would make the kernel drop such an answer once the process is gone: 6 of 400 kB arrived
@@ -162,10 +167,11 @@
 // endCalls cuts the calls in flight and waits until their callers have the answers: from a closed
 // connection they could not tell whether the call ran.
 func (p *requestPath) endCalls(cause string) (cut int64) {
-	if cut = p.inFlight(); cut > 0 {
+	p.gateway.Stop()
+	if cut = p.serving(); cut > 0 {
 		p.logger.Info("daemon.calls_cut", "calls", cut, "cause", cause)
 	}
-	p.gateway.Stop()
+	p.gateway.StopAccepting()
 	p.gateway.Cut()
 	limit := time.NewTimer(cutAnswers)
 	defer limit.Stop()
--- a/internal/lab/soak/signals_test.go
+++ b/internal/lab/soak/signals_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -34,6 +35,7 @@
 // were lost in 36 stops; without it the status was 0 after 2.6 to 3.4 s.
 func TestSignals(t *testing.T) {
 	t.Run("a second one during a stop cuts nothing", testRepeatedSignals)
+	t.Run("callers that are refused meanwhile are no calls to cut", testRefusedDuringAStop)
 	t.Run("one right after the first listener opened", testSignalsOfAStartingDaemon)
 	t.Run("nobody reads the output any more", testClosedOutput)
 }
@@ -70,6 +72,49 @@
 	}
 }
 
+// The failure: a stop ended with status 1 and "daemon.calls_cut calls=1" although every call had been
+// answered: callers came again as soon as they were refused, so that the stop never saw a moment
+// without a request, and counted the refusal in progress at its limit as a call that it cut.
+func testRefusedDuringAStop(t *testing.T) {
+	started := newLauncher(t)
+	running := launchAlone(t, started, "127.254.9.10")
+	awaitListening(t, running.addresses.Caller)
+	const callers = 32
+	var calling sync.WaitGroup
+	for range callers {
+		calling.Go(func() { callUntilEnded(running) })
+	}
+	running.signal(syscall.SIGTERM)
+	assert.Check(t, running.exit(t) == "exit status 0", "%s", running.exit(t))
+	calling.Wait()
+	_, stop, _ := strings.Cut(running.output.String(), "event=daemon.stopping")
+	assert.Check(t, !strings.Contains(stop, "event=daemon.calls_cut"))
+	assert.Check(t, strings.Contains(stop, "cut=0 open=0 undelivered=0"), "%s", lastLine(stop))
+}
+
+// lastLine returns the last line of what a process has written.
+func lastLine(output string) string {
+	lines := strings.Split(strings.TrimSpace(output), "\n")
+	return lines[len(lines)-1]
+}
+
+// callUntilEnded sends one request after the other, each on a connection of its own, until the
+// process has ended.
+func callUntilEnded(running *process) {
+	caller := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	for {
+		select {
+		case <-running.ended:
+			return
+		default:
+		}
+		// A call fails once nobody listens any more.
+		if response, err := caller.Get("http://" + running.addresses.Caller + "/"); err == nil {
+			_ = response.Body.Close()
+		}
+	}
+}
+
 // launchAlone starts a daemon that finds a store and no other daemons.
 func launchAlone(t *testing.T, started *launcher, host string) *process {
 	t.Helper()
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -91,6 +91,11 @@
 	// stopping is true once callers' connections are closed after their next answer, refusing
 	// once new calls are refused.
 	stopping, refusing atomic.Bool
+	// serving counts the calls that were not refused because of a stop and are not over.
+	serving atomic.Int64
+	// stopAccepting ends accepting, and with it the listeners for callers.
+	accepting     context.Context
+	stopAccepting context.CancelFunc
 	// answerBy is when the answers of a draining gateway must be written; nil while it does not
 	// drain.
 	answerBy atomic.Pointer[time.Time]
@@ -118,6 +123,7 @@
 		Limits: config.SentAhead, Check: gateway.checkHead, Handle: gateway.serve, Stopping: gateway.stopping.Load,
 		Unserved: gateway.noteUnserved,
 	})
+	gateway.accepting, gateway.stopAccepting = context.WithCancel(context.Background())
 	gateway.cut, gateway.cutAll = context.WithCancel(context.Background())
 	return gateway
 }
--- a/internal/requestpath/gateway/lifecycle.go
+++ b/internal/requestpath/gateway/lifecycle.go
@@ -15,8 +15,8 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// Serve serves callers on listener until ctx ends, by HTTPS with a TLS configuration. It returns
-// when the listener is closed; calls in flight go on.
+// Serve serves callers on listener until ctx ends or StopAccepting is called, by HTTPS with a TLS
+// configuration. It returns when the listener is closed; calls in flight go on.
 func (g *Gateway) Serve(ctx context.Context, listener net.Listener, tlsConfig *tls.Config) {
 	options := []config.Option{
 		server.WithListener(g.callers.Listener(listener)),
@@ -33,6 +33,8 @@
 	// A listener that cannot be closed is closed already.
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
+	stopAccepting := context.AfterFunc(g.accepting, func() { _ = listener.Close() })
+	defer stopAccepting()
 	// Run returns when accepting fails, so the listener must fail only once it is closed.
 	_ = engine.Run()
 }
@@ -63,6 +65,27 @@
 	g.refusing.Store(true)
 }
 
+// beginServing counts a call as served, and reports false where new calls are refused. It looks a
+// second time, so that after Stop no call begins that Serving has not counted.
+func (g *Gateway) beginServing() bool {
+	if g.refusing.Load() {
+		return false
+	}
+	g.serving.Add(1)
+	if g.refusing.Load() {
+		g.serving.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Serving returns the number of calls that the gateway has taken on and not answered. A call that
+// is being refused because of a stop is none of them: its end takes nothing away.
+func (g *Gateway) Serving() int64 { return g.serving.Load() }
+
+// StopAccepting closes the listeners for callers; their connections stay.
+func (g *Gateway) StopAccepting() { g.stopAccepting() }
+
 // Drain makes the gateway close callers' connections after their next answer, so that callers
 // connect elsewhere. Calls are still served; those that arrive from now on end by the given time.
 func (g *Gateway) Drain(by time.Time) {
--- a/internal/requestpath/gateway/serve.go
+++ b/internal/requestpath/gateway/serve.go
@@ -75,9 +75,10 @@
 	if exchange.Fault != nil {
 		return nil, exchange.Fault
 	}
-	if g.refusing.Load() {
+	if !g.beginServing() {
 		return nil, result.Errorf(result.CallNotRunStopping, "the daemon is stopping")
 	}
+	defer g.serving.Add(-1)
 	current := g.config.Snapshots.Await(ctx, configurationPatience)
 	if current == nil {
 		return nil, result.Errorf(result.CallNotReady, "no configuration yet")
