The end of a cut call waits for no other daemon

Cause: a call that is cut at the end of a stop has 300 ms to answer its caller. Its attempt could last longer beside a daemon that stands still: the fence of a call on a lost connection took up to 500 ms whatever the stop did, and the writing of an opening or of a fence ends with the connection's time-out of 1 s.

Change: a fence ends with its call and is written in the background; with the cut of the calls the connections to other daemons are closed, which ends what is being written on them.

--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -173,6 +173,8 @@
 	}
 	p.gateway.StopAccepting()
 	p.gateway.Cut()
+	// Else a call would last as long as the writing to a daemon that reads nothing.
+	p.calls.Close()
 	limit := time.NewTimer(cutAnswers)
 	defer limit.Stop()
 	poll := time.NewTicker(inFlightPoll)
--- a/internal/transport/callmux/call.go
+++ b/internal/transport/callmux/call.go
@@ -31,7 +31,7 @@
 		stopBody()
 		current.remove(opened.id)
 		if current.isClosed() && callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
-			err = c.fenceLost(address, current.incarnation, call.Open.GetAttemptId(), err)
+			err = c.fenceLost(ctx, address, current.incarnation, call.Open.GetAttemptId(), err)
 		}
 		return nil, err
 	}
--- a/internal/transport/callmux/fence.go
+++ b/internal/transport/callmux/fence.go
@@ -11,11 +11,11 @@
 // A fence keeps an attempt from starting from then on, and reports whether it had started. A call
 // whose connection was lost may be sent elsewhere only where it is proved not to have run.
 
-// fenceLost fences an attempt on a lost connection over a new one, within fenceTimeout. It returns
-// CallNotRunUnreachable where the same process of the peer (incarnation) had not started the
-// attempt, else lost.
-func (c *Client) fenceLost(address string, incarnation uint64, attempt string, lost error) error {
-	ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
+// fenceLost fences an attempt on a lost connection over a new one, within fenceTimeout and while the
+// call lasts. It returns CallNotRunUnreachable where the same process of the peer (incarnation) had
+// not started the attempt, else lost.
+func (c *Client) fenceLost(ctx context.Context, address string, incarnation uint64, attempt string, lost error) error {
+	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
 	current, err := c.sessionTo(ctx, address)
 	for err != nil && c.Maintained && sleep.For(ctx, fencePoll) {
@@ -47,9 +47,8 @@
 	s.mutex.Lock()
 	s.fences[attempt] = waiting
 	s.mutex.Unlock()
-	if err := s.send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Fence{Fence: &lapisv1.CallFence{AttemptId: attempt}}}); err != nil {
-		return nil, err
-	}
+	// In the background: the peer may not read. A write that fails closes the session.
+	go s.notify(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Fence{Fence: &lapisv1.CallFence{AttemptId: attempt}}})
 	select {
 	case answer := <-waiting:
 		return answer, nil
--- a/internal/transport/callmux/fence_test.go
+++ b/internal/transport/callmux/fence_test.go
@@ -68,8 +68,32 @@
 		client := &Client{Network: deafNetwork{}, Maintained: true}
 		lost := result.Errorf(result.CallUnknownOutcome, "the connection was lost")
 		began := time.Now()
-		err := client.fenceLost("10.0.0.1:1", 1, "a1", lost)
+		err := client.fenceLost(t.Context(), "10.0.0.1:1", 1, "a1", lost)
 		assert.Assert(t, err == error(lost))
 		assert.Equal(t, time.Since(began), fenceTimeout)
 	})
 }
+
+// A call that is cut while its attempt is being fenced ends at once: its daemon may be about to end,
+// and its caller must have an answer before.
+func TestCutCallDoesNotWaitForAFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		session := newSession(wire.NewConn(near, nil), 1, Timing{KeepAlive: time.Hour, Silence: time.Hour, Write: time.Minute})
+		go func() { _ = session.receive(nil) }()
+		client := &Client{Maintained: true, peers: map[string]*peerLink{"peer": {session: session}}}
+		ctx, cut := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := client.Handle(ctx, "peer", &callapi.Call{Open: &lapisv1.CallOpen{AttemptId: "a"}})
+			ended <- err
+		}()
+		assert.NilError(t, wire.NewConn(far, nil).Receive(&lapisv1.CallFrame{}))
+		assert.NilError(t, far.Close())
+		time.Sleep(fenceTimeout / 2)
+		began := time.Now()
+		cut()
+		assert.Assert(t, result.Is(<-ended, result.CallUnknownOutcome))
+		assert.Equal(t, time.Since(began), time.Duration(0))
+	})
+}
