Each start of an instance is an instance of its own

Cause: an instance may start again under its id, and states when it started. The id alone meant "the same instance": the later start counted as a late message of the earlier one until its numbers had caught up, stayed withdrawn for ten minutes if the earlier one had left, and inherited what was known of it.

Change: an instance is known by the name of its incarnation, its id and start; the order of starts decides which of two heartbeats is late.

The first heartbeat of a crashed instance that is held up no longer withdraws the present one where both state their starts.

--- a/internal/daemon/platformapi/platform.go
+++ b/internal/daemon/platformapi/platform.go
@@ -20,8 +20,9 @@
 type Instances interface {
 	// Register records a heartbeat.
 	Register(registration origin.Registration)
-	// Withdraw records that an instance retires.
-	Withdraw(instance string)
+	// WithdrawStart records that the start of an instance that an id and a time name retires; where
+	// the time is 0, that of the id that is known.
+	WithdrawStart(id string, born uint64)
 }
 
 // RefusedEntry is a class of entries of the platform's store, or of heartbeats, that cannot be used:
--- a/internal/model/snapshot/snapshot.go
+++ b/internal/model/snapshot/snapshot.go
@@ -16,6 +16,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/account"
+	"github.com/lapisvane/lapisvane/internal/model/incarnation"
 	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
@@ -167,8 +168,12 @@
 	return s.certificates[""]
 }
 
-// TakesNewWork reports whether an instance may take new work: it is neither drained nor retired
-// by operators.
+// TakesNewWork reports whether an instance, given by the name of its incarnation, may take new work:
+// it is neither drained nor retired by operators, who name ids.
 func (s *Service) TakesNewWork(instance string) bool {
-	return !s.Drained[instance] && !s.Retired[instance]
+	if len(s.Drained) == 0 && len(s.Retired) == 0 {
+		return true
+	}
+	id := incarnation.Parse(instance).ID
+	return !s.Drained[id] && !s.Retired[id]
 }
--- a/internal/requestpath/balance/balancer_test.go
+++ b/internal/requestpath/balance/balancer_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/incarnation"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/balance"
 )
@@ -179,3 +180,27 @@
 	part := float64(elsewhere) / (picks / 2)
 	assert.Assert(t, part > 0.7, "it got %.3f", part)
 }
+
+// What is known of an earlier start of an instance says nothing of the present one, which has the
+// same id and another name.
+func TestNewStartIsJudgedByItself(t *testing.T) {
+	p := newPool()
+	starts := func(born uint64) {
+		var endpoints []*lapisv1.Endpoint
+		for _, one := range []incarnation.Incarnation{{ID: "desk-0", Born: 1}, {ID: "desk-1", Born: born}} {
+			endpoints = append(endpoints, &lapisv1.Endpoint{Service: "desk", Instance: one.Name(), Zone: "a", Slots: 6, State: lapisv1.Endpoint_STATE_READY, Incarnation: 1})
+		}
+		p.Update("desk", endpoints)
+	}
+	starts(1)
+	failing := func(chosen *balance.Target) {
+		if chosen.Endpoint.GetInstance() == "desk-1@1" {
+			chosen.Failed(p.clock.now)
+			return
+		}
+		chosen.Succeeded()
+	}
+	assert.Assert(t, p.share(t, "desk-1@1", failing) < 0.1)
+	starts(2)
+	assert.Assert(t, p.share(t, "desk-1@2", func(chosen *balance.Target) { chosen.Succeeded() }) > 0.2)
+}
--- a/internal/requestpath/origin/incarnation.go
+++ b/internal/requestpath/origin/incarnation.go
@@ -4,8 +4,8 @@
 
 // This file holds the rules on which incarnation of an instance is there: what a heartbeat counts
 // for, which instance holds an address, and when an instance is dropped. A restarted instance has a
-// new name at the same address, heartbeats may be held up, and a daemon that has started anew
-// knows none of the earlier incarnations. All of it is pure.
+// new id at the same address, or the same id and a later start; heartbeats may be held up, and a
+// daemon that has started anew knows none of the earlier incarnations. All of it is pure.
 
 // heartbeatKind is what a heartbeat counts for.
 type heartbeatKind int
@@ -22,21 +22,33 @@
 	heartbeatOfNew
 )
 
-// kindOfHeartbeat returns what a heartbeat counts for. left and known tell whether its instance
-// left for good and is known, addressHeld whether another instance holds its address (holdsAddress),
-// and sequence is its number from the instance's start on.
+// rivals is what is known of other incarnations with the id or the address of a heartbeat.
+type rivals struct {
+	// laterPresent is true where one that started later is present, and held where one of which the
+	// order of starts is not known holds the address or the id (holdsAddress).
+	laterPresent, held bool
+	// present is the name of that one, for the log.
+	present string
+}
+
+// kindOfHeartbeat returns what a heartbeat counts for. left and known tell whether its incarnation
+// left for good and is known, others what is known of its rivals, and sequence is its number from
+// the start on.
 //
-// The conditions are looked at in the order of the code. An unknown instance whose heartbeat is not
-// its first is an earlier one, which this daemon has forgotten: the address stays with its holder.
-// If it is the later one after all, because its first heartbeat was lost, it is accepted once the
-// other is not present any more.
-func kindOfHeartbeat(left, known, addressHeld bool, sequence uint64) heartbeatKind {
+// The conditions are looked at in the order of the code. Where starts are stated they decide, while
+// the later one is present: after that the clock was set back, or the later one is gone. Where they
+// are not, an unknown instance whose heartbeat is not its first is an earlier one, which this daemon
+// has forgotten: the address stays with its holder. If it is the later one after all, because its
+// first heartbeat was lost, it is accepted once the other is not present any more.
+func kindOfHeartbeat(left, known bool, others rivals, sequence uint64) heartbeatKind {
 	switch {
 	case left:
 		return heartbeatOfLeft
 	case known:
 		return heartbeatOfKnown
-	case addressHeld && sequence > 1:
+	case others.laterPresent:
+		return heartbeatOfEarlier
+	case others.held && sequence > 1:
 		return heartbeatOfEarlier
 	default:
 		return heartbeatOfNew
--- a/internal/requestpath/origin/incarnation_test.go
+++ b/internal/requestpath/origin/incarnation_test.go
@@ -10,10 +10,12 @@
 // The conditions of what a heartbeat counts for are looked at in a fixed order.
 func TestKindOfHeartbeat(t *testing.T) {
 	for name, row := range map[string]struct {
-		left, known, held bool
-		sequence          uint64
-		want              heartbeatKind
+		left, known, held, later bool
+		sequence                 uint64
+		want                     heartbeatKind
 	}{
+		"first, a later start is there":     {later: true, sequence: 1, want: heartbeatOfEarlier},
+		"known, a later start is there":     {known: true, later: true, sequence: 7, want: heartbeatOfKnown},
 		"first of all":                      {sequence: 1, want: heartbeatOfNew},
 		"unknown in the middle":             {sequence: 7, want: heartbeatOfNew},
 		"first, the address is held":        {held: true, sequence: 1, want: heartbeatOfNew},
@@ -25,7 +27,7 @@
 		"left, with a first heartbeat":      {left: true, sequence: 1, want: heartbeatOfLeft},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assert.Equal(t, kindOfHeartbeat(row.left, row.known, row.held, row.sequence), row.want)
+			assert.Equal(t, kindOfHeartbeat(row.left, row.known, rivals{laterPresent: row.later, held: row.held}, row.sequence), row.want)
 		})
 	}
 }
--- a/internal/requestpath/origin/instance.go
+++ b/internal/requestpath/origin/instance.go
@@ -10,6 +10,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
+	"github.com/lapisvane/lapisvane/internal/model/incarnation"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/admission"
 )
@@ -30,10 +31,12 @@
 // safe for concurrent use.
 type Instance struct {
 	Service string
-	Name    string
-	queue   *admission.Queue
-	backend *backend
-	started time.Time
+	// Name is that of identity.
+	Name     string
+	identity incarnation.Incarnation
+	queue    *admission.Queue
+	backend  *backend
+	started  time.Time
 	// registered is true for an instance that announced itself: its heartbeats
 	// then tell its state, and it is not probed at intervals.
 	registered bool
@@ -59,11 +62,11 @@
 	downByCalls  bool
 }
 
-func newInstance(service, name, address string, limits admission.Limits, connections int, envelope *callapi.Envelope) *Instance {
+func newInstance(service string, identity incarnation.Incarnation, address string, limits admission.Limits, connections int, envelope *callapi.Envelope) *Instance {
 	return &Instance{
-		Service: service, Name: name,
+		Service: service, Name: identity.Name(), identity: identity,
 		queue:   admission.NewQueue(limits, time.Now),
-		backend: newBackend(address, name, envelope, connections),
+		backend: newBackend(address, identity.ID, envelope, connections),
 		started: time.Now(), lifecycle: newLifecycle(), reasons: map[DrainReason]bool{}, logger: logr.Discard(),
 	}
 }
@@ -180,9 +183,9 @@
 	}
 	i.backend.pool.limitTo(int(service.Bundle.GetPool().GetConnectionLimit()))
 	switch {
-	case service.Retired[i.Name]:
+	case service.Retired[i.identity.ID]:
 		i.Retire()
-	case service.Drained[i.Name]:
+	case service.Drained[i.identity.ID]:
 		i.Drain(DrainOperator)
 	default:
 		i.Resume(DrainOperator)
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -11,6 +11,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
+	"github.com/lapisvane/lapisvane/internal/model/incarnation"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/admission"
 	"github.com/lapisvane/lapisvane/internal/requestpath/decision"
@@ -114,8 +115,9 @@
 	}
 	limits := admission.Limits{Slots: DefaultSlots, QueueLength: config.QueueLength, QueueTime: config.QueueTime}
 	for _, backend := range config.Backends {
-		key := instanceKey{backend.Service, backend.Instance}
-		origin.instances[key] = newInstance(backend.Service, backend.Instance, backend.Address, limits, DefaultConnections, &origin.config.Envelope)
+		identity := incarnation.Incarnation{ID: backend.Instance}
+		key := instanceKey{backend.Service, identity.Name()}
+		origin.instances[key] = newInstance(backend.Service, identity, backend.Address, limits, DefaultConnections, &origin.config.Envelope)
 		origin.instances[key].logger = config.Logger
 	}
 	return origin
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -3,14 +3,16 @@
 import (
 	"time"
 
+	"github.com/lapisvane/lapisvane/internal/model/incarnation"
 	"github.com/lapisvane/lapisvane/internal/requestpath/admission"
 )
 
 // Registration is what an instance states of itself with each heartbeat.
 type Registration struct {
 	Service string
-	// Instance names one incarnation of the instance; a restart brings a new name.
+	// Instance is the id of the instance, and Born the start that speaks (incarnation.Incarnation).
 	Instance string
+	Born     uint64
 	Address  string
 	// Version is that of the instance's software, which does not change while it runs.
 	Version string
@@ -24,21 +26,24 @@
 	ColdFor time.Duration
 }
 
+// incarnation returns the start that a heartbeat is from.
+func (r Registration) incarnation() incarnation.Incarnation {
+	return incarnation.Incarnation{ID: r.Instance, Born: r.Born}
+}
+
 // Register records a heartbeat, the first of which makes the instance known. From its return on, a
 // draining instance gets no call that it did not have before.
 func (o *Origin) Register(registration Registration) {
 	instance, fresh := o.registered(registration)
 	changed := instance != nil && instance.noteHeartbeat(registration, fresh)
 	if registration.Draining {
-		o.Withdraw(registration.Instance)
+		o.Withdraw(registration.incarnation().Name())
 		return
 	}
 	if instance == nil {
 		return
 	}
-	if fresh {
-		o.replaceOthersAt(registration.Address, instance)
-	}
+	o.replaceRivals(instance, fresh)
 	if changed || fresh {
 		o.config.Changed()
 	}
@@ -50,24 +55,25 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	o.forgetWithdrawn()
-	_, left := o.withdrawn[registration.Instance]
-	key := instanceKey{registration.Service, registration.Instance}
+	identity := registration.incarnation()
+	_, left := o.withdrawn[identity.Name()]
+	key := instanceKey{registration.Service, identity.Name()}
 	known, isKnown := o.instances[key]
 	if !isKnown && !o.hasService(registration.Service) {
 		o.unknownServices.Do(func() {
-			o.config.Logger.Info("instance.service_unknown", "instance", registration.Instance, "service", registration.Service)
+			o.config.Logger.Info("instance.service_unknown", "instance", identity.Name(), "service", registration.Service)
 		})
 		return nil, false
 	}
-	holder := o.holderOf(registration.Address)
-	switch kindOfHeartbeat(left, isKnown, holder != nil, registration.Sequence) {
+	others := o.rivalsOf(identity, registration.Address)
+	switch kindOfHeartbeat(left, isKnown, others, registration.Sequence) {
 	case heartbeatOfLeft:
 		return nil, false
 	case heartbeatOfKnown:
 		return known, false
 	case heartbeatOfEarlier:
-		o.config.Logger.Info("instance.beat_late", "instance", registration.Instance, "address", registration.Address,
-			"sequence", registration.Sequence, "present", holder.Name)
+		o.config.Logger.Info("instance.beat_late", "instance", identity.Name(), "address", registration.Address,
+			"sequence", registration.Sequence, "present", others.present)
 		return nil, false
 	}
 	instance = o.newRegistered(registration)
@@ -94,7 +100,7 @@
 // is known of its pool, of the daemon and of its zone; the caller holds mutex.
 func (o *Origin) newRegistered(registration Registration) *Instance {
 	limits := admission.Limits{Slots: max(registration.Slots, 1), QueueLength: o.config.QueueLength, QueueTime: o.config.QueueTime}
-	instance := newInstance(registration.Service, registration.Instance, registration.Address, limits, DefaultConnections, &o.config.Envelope)
+	instance := newInstance(registration.Service, registration.incarnation(), registration.Address, limits, DefaultConnections, &o.config.Envelope)
 	instance.registered = true
 	instance.slots = registration.Slots
 	instance.logger = o.config.Logger
@@ -114,15 +120,45 @@
 	return instance
 }
 
-// holderOf returns the instance that registered at an address and holds it, nil when there is
-// none; the caller holds mutex.
-func (o *Origin) holderOf(address string) *Instance {
+// rivalsOf returns what is known of other incarnations with the id of one, or at its address; the
+// caller holds mutex.
+func (o *Origin) rivalsOf(identity incarnation.Incarnation, address string) (others rivals) {
 	for _, instance := range o.instances {
-		if instance.registered && instance.backend.address == address && instance.holdsAddress() {
-			return instance
+		if !instance.isRivalOf(identity, address) {
+			continue
+		}
+		startedLater := instance.identity.StartedAfter(identity)
+		startedEarlier := identity.StartedAfter(instance.identity)
+		if startedLater && isPresent(instance.heartbeatAge()) {
+			others.laterPresent, others.present = true, instance.Name
+		}
+		if !startedLater && !startedEarlier && instance.holdsAddress() {
+			others.held, others.present = true, instance.Name
+		}
+	}
+	if later := o.laterLeft(identity); later != "" {
+		others.laterPresent, others.present = true, later
+	}
+	return others
+}
+
+// laterLeft returns the name of a later start of an incarnation's id that left for good and was
+// present until lately, so that what is heard of the earlier one was held up; empty for none. The
+// caller holds mutex.
+func (o *Origin) laterLeft(identity incarnation.Incarnation) string {
+	for name, at := range o.withdrawn {
+		left := incarnation.Parse(name)
+		if left.ID == identity.ID && left.StartedAfter(identity) && isPresent(time.Since(at)) {
+			return name
 		}
 	}
-	return nil
+	return ""
+}
+
+// isRivalOf reports whether the instance registered with the id of another incarnation, or at its
+// address.
+func (i *Instance) isRivalOf(identity incarnation.Incarnation, address string) bool {
+	return i.registered && i.identity != identity && (i.identity.ID == identity.ID || i.backend.address == address)
 }
 
 func (i *Instance) holdsAddress() bool {
@@ -197,6 +233,24 @@
 	}
 }
 
+// WithdrawStart is Withdraw for the start of an instance that an id and the time of the start name;
+// where no start is stated, for those of the id that are known.
+func (o *Origin) WithdrawStart(id string, born uint64) {
+	named := incarnation.Incarnation{ID: id, Born: born}
+	known := false
+	if born == 0 {
+		for _, instance := range o.Instances() {
+			if instance.identity.ID == id {
+				known = true
+				o.Withdraw(instance.Name)
+			}
+		}
+	}
+	if !known {
+		o.Withdraw(named.Name())
+	}
+}
+
 func (o *Origin) isWithdrawn(name string) bool {
 	o.mutex.RLock()
 	defer o.mutex.RUnlock()
@@ -224,10 +278,15 @@
 	}
 }
 
-// replaceOthersAt withdraws the other instances that registered at the address of a new one.
-func (o *Origin) replaceOthersAt(address string, except *Instance) {
+// replaceRivals withdraws the other incarnations with the id or at the address of one that was heard:
+// those that started before it and, at its first heartbeat, those of which that is not known. One
+// that started later stays: it was not heard lately, and is the present one if it is heard again.
+func (o *Origin) replaceRivals(heard *Instance, fresh bool) {
 	for _, instance := range o.Instances() {
-		if instance != except && instance.backend.address == address && instance.registered {
+		if !instance.isRivalOf(heard.identity, heard.backend.address) || instance.identity.StartedAfter(heard.identity) {
+			continue
+		}
+		if fresh || heard.identity.StartedAfter(instance.identity) {
 			o.markReplaced(instance)
 		}
 	}
