--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -55,8 +55,12 @@
 	// EvacuationBound is the time within which an operator's order to evacuate a zone must be
 	// in force on every connected daemon; 0 where operators give no such orders.
 	EvacuationBound tunables.Duration `json:"evacuation_bound"`
+	// Accounts bounds how old the API keys of accounts may be that a daemon serves.
+	Accounts Accounts `json:"accounts"`
 	// ColdStarts bounds what instances get that have just started.
 	ColdStarts ColdStarts `json:"cold_starts"`
+	// RateLimits say how exactly the rate limits of accounts are kept.
+	RateLimits RateLimits `json:"rate_limits"`
 	// SentAhead bounds what is held for requests that callers send before
 	// earlier ones on their connection are answered.
 	SentAhead SentAhead `json:"sent_ahead"`
@@ -105,6 +109,14 @@
 	Burst float64 `json:"burst"`
 }
 
+// Accounts bounds how old the API keys of accounts may be that a daemon serves.
+type Accounts struct {
+	// StrictRevocation has a daemon serve no call by an API key once it could not confirm its
+	// configuration for RevocationBound; otherwise it goes on with the keys that it knows.
+	StrictRevocation bool              `json:"strict_revocation"`
+	RevocationBound  tunables.Duration `json:"revocation_bound"`
+}
+
 // ColdStarts bounds the calls to a cold instance: in any second at most the pool's rate of
 // cold instances times Overshoot, plus Slack. Both 0 leave that rate as the only bound.
 type ColdStarts struct {
@@ -113,6 +125,16 @@
 	Slack float64 `json:"slack"`
 }
 
+// RateLimits bounds the calls of an account: in no Window may more than
+// (rate * Window + burst) * (1 + Overshoot) + Slack run, at all daemons together. Without a Window
+// no limit is kept.
+type RateLimits struct {
+	Window    tunables.Duration `json:"window"`
+	Overshoot float64           `json:"overshoot"`
+	// Slack is in calls.
+	Slack float64 `json:"slack"`
+}
+
 // Backend is one back end beside the daemon.
 type Backend struct {
 	Service  string `json:"service"`
@@ -227,6 +249,7 @@
 	if d.SentAhead.BytesPerConnection > d.SentAhead.Bytes {
 		check.faults.Add(result.SettingsBadNumber, "sent_ahead.bytes_per_connection must be at most sent_ahead.bytes")
 	}
+	d.checkAccounts(check)
 	check.positive("stop_limit", float64(d.StopLimit))
 	if d.DecisionLinesPerSecond < 0 {
 		check.faults.Add(result.SettingsBadNumber, "decision_lines_per_second: %d is negative", d.DecisionLinesPerSecond)
@@ -253,6 +276,7 @@
 			check.faults.Add(result.SettingsBadNumber, "%s: %v is negative", bound.key, bound.value)
 		}
 	}
+	d.checkRateLimits(check)
 	check.positive("platform.contact", float64(d.Platform.Contact))
 	check.positive("platform.apply_bound", float64(d.Platform.ApplyBound))
 	if d.Platform.Form != "" && d.OperatorAddress != "" {
@@ -260,6 +284,36 @@
 	}
 }
 
+// checkAccounts reports bounds of API keys that cannot be kept.
+func (d *Daemon) checkAccounts(check *checker) {
+	bound := d.Accounts.RevocationBound
+	if bound < 0 {
+		check.faults.Add(result.SettingsBadNumber, "accounts.revocation_bound: %v is negative", bound.Get())
+	}
+	if d.Accounts.StrictRevocation && bound == 0 {
+		check.faults.Add(result.SettingsMissing, "accounts.revocation_bound, which accounts.strict_revocation needs")
+	}
+	if d.Accounts.StrictRevocation && d.Platform.Form == "" {
+		check.faults.Add(result.SettingsMissing, "platform.form, which accounts.strict_revocation needs")
+	}
+}
+
+// checkRateLimits reports rate limits that cannot be kept.
+func (d *Daemon) checkRateLimits(check *checker) {
+	limits := d.RateLimits
+	if limits == (RateLimits{}) {
+		return
+	}
+	check.positive("rate_limits.window", float64(limits.Window))
+	check.positive("rate_limits.overshoot", limits.Overshoot)
+	if limits.Slack < 0 {
+		check.faults.Add(result.SettingsBadNumber, "rate_limits.slack: %v is negative", limits.Slack)
+	}
+	if d.Platform.Form == "" {
+		check.faults.Add(result.SettingsMissing, "platform.form: rate_limits need a platform")
+	}
+}
+
 func (d *Daemon) checkDistribution(check *checker) {
 	switch d.Profile {
 	case ProfileConvergence:
--- a/internal/lab/emulator/instance/serve.go
+++ b/internal/lab/emulator/instance/serve.go
@@ -31,8 +31,7 @@
 
 const defaultAnswerBytes = 200
 
-// resetPause is the time between a part of an answer and the reset of its connection. Chosen, not
-// measured.
+// resetPause is the time between a part of an answer and the reset of its connection.
 const resetPause = 5 * time.Millisecond
 
 // connectionFate is what becomes of a connection after a request.
@@ -232,6 +231,7 @@
 	i.options.Ledger.Ran(promise.Run{
 		Given: time.Duration(millis) * time.Millisecond, Request: id, Instance: i.id, Service: i.options.Service, BodyDigest: promise.DigestOf(body),
 		Caller: request.Header.Get(platform.HeaderCallerService), Stamp: stamp, At: time.Now(),
+		Account: request.Header.Get(platform.HeaderAccount), Head: request.Header,
 	})
 	return stamp
 }
--- a/internal/model/meshconfig/validate.go
+++ b/internal/model/meshconfig/validate.go
@@ -13,7 +13,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// Limits of configuration values. All but maxSharePercent are chosen, not measured.
+// Limits of configuration values.
 const (
 	// maxNameLength is in bytes: that of a DNS label.
 	maxNameLength = 63
@@ -45,6 +45,9 @@
 	s.validateRoutes(faults)
 	s.validateSecrets(faults)
 	s.validateShares(faults)
+	if affected == nil || affected[AccountsService] {
+		validateAccounts(faults, s.sortedAccounts())
+	}
 	return faults.Err()
 }
 
--- a/internal/operators/query/language.go
+++ b/internal/operators/query/language.go
@@ -28,7 +28,7 @@
 
 // Show is "show KIND [where CONDITION {and CONDITION}]".
 type Show struct {
-	Kind       string       `parser:"'show' @('versions' | 'proxies' | 'routes' | 'pools' | 'backends' | 'shares' | 'secrets' | 'proposals')"`
+	Kind       string       `parser:"'show' @('versions' | 'proxies' | 'routes' | 'pools' | 'backends' | 'shares' | 'secrets' | 'accounts' | 'proposals')"`
 	Conditions []*Condition `parser:"('where' @@ ('and' @@)*)?"`
 }
 
@@ -76,8 +76,8 @@
 
 var parser = participle.MustBuild[Command](participle.Lexer(tokens), participle.Unquote("String"))
 
-// MaxCommandBytes bounds the length of a command. Chosen, not measured; longer than any
-// command with a few conditions.
+// MaxCommandBytes bounds the length of a command. It is longer than any command with a few
+// conditions.
 const MaxCommandBytes = 4096
 
 // Parse reads one command. Errors: OperatorBadCommand with the place of the
@@ -95,7 +95,7 @@
 
 // HelpText describes the language.
 const HelpText = `Commands:
-  show versions | proxies | routes | pools | backends | shares | secrets | proposals
+  show versions | proxies | routes | pools | backends | shares | secrets | accounts | proposals
        [where FIELD OP VALUE {and FIELD OP VALUE}]   OP: = != < <= > >= ~ (contains)
   validate FILE                check a proposal without storing it
   propose FILE                 store a proposal; prints its id
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -65,6 +65,8 @@
 	Evacuated func(zone string) bool
 	// Quarantine holds back requests under which instances crashed; nil for none.
 	Quarantine Quarantine
+	// Identity decides on API keys.
+	Identity Identity
 	// Quota bounds the calls of accounts; nil for no bound.
 	Quota Quota
 	// SentAhead bounds what is held for requests that callers send ahead of earlier answers; the
@@ -87,10 +89,17 @@
 	attemptPrefix string
 	attempts      atomic.Uint64
 	callers       *pipeline.Server
+	// awaitingKeys counts the requests that wait for a newer configuration with an unknown key.
+	awaitingKeys atomic.Int64
 
 	// stopping is true once callers' connections are closed after their next answer, refusing
 	// once new calls are refused.
 	stopping, refusing atomic.Bool
+	// serving counts the calls that were not refused because of a stop and are not over.
+	serving atomic.Int64
+	// stopAccepting ends accepting, and with it the listeners for callers.
+	accepting     context.Context
+	stopAccepting context.CancelFunc
 	// answerBy is when the answers of a draining gateway must be written; nil while it does not
 	// drain.
 	answerBy atomic.Pointer[time.Time]
@@ -118,6 +127,7 @@
 		Limits: config.SentAhead, Check: gateway.checkHead, Handle: gateway.serve, Stopping: gateway.stopping.Load,
 		Unserved: gateway.noteUnserved,
 	})
+	gateway.accepting, gateway.stopAccepting = context.WithCancel(context.Background())
 	gateway.cut, gateway.cutAll = context.WithCancel(context.Background())
 	return gateway
 }
