Keys decided by the newest configuration, and strict revocations between attempts too

Cause: a configuration that came in force between the look-up of a key and the look at its currency made a key of that configuration unknown (401); a key that became too old while an attempt was replaced went on counting where revocations are strict. Change: an unknown key is looked up once more in the configuration in force; further attempts check the age. Comments of the files touched no longer say how constants came about.

--- a/internal/daemon/tree_distribution.go
+++ b/internal/daemon/tree_distribution.go
@@ -22,8 +22,8 @@
 )
 
 // leaveNotice is how long a stopping daemon goes on answering new calls with a refusal,
-// while other daemons learn that it is stopping. Chosen, not measured; above the endpoint
-// debounce of each hop of the tree.
+// while other daemons learn that it is stopping; above the endpoint debounce
+// of each hop of the tree.
 const leaveNotice = 500 * time.Millisecond
 
 // treeDistribution is a daemon's part in the distribution tree, with the operators'
--- a/internal/distribution/configsource/freshness.go
+++ b/internal/distribution/configsource/freshness.go
@@ -33,9 +33,9 @@
 	pending []confirmation
 }
 
-// maxPending bounds the confirmations that wait for their versions. Chosen, not measured; it
-// must be larger than 1: with only the newest one kept, 5 to 10 daemons polled at once while
-// versions followed each other quickly.
+// maxPending bounds the confirmations that wait for their versions. It must be
+// larger than 1: with only the newest one kept, many daemons poll at once while versions follow each
+// other quickly.
 const maxPending = 16
 
 // confirmation states that nothing newer than versions had been accepted before at.
--- a/internal/lab/emulator/instance/serve.go
+++ b/internal/lab/emulator/instance/serve.go
@@ -31,8 +31,7 @@
 
 const defaultAnswerBytes = 200
 
-// resetPause is the time between a part of an answer and the reset of its connection. Chosen, not
-// measured.
+// resetPause is the time between a part of an answer and the reset of its connection.
 const resetPause = 5 * time.Millisecond
 
 // connectionFate is what becomes of a connection after a request.
--- a/internal/model/meshconfig/file.go
+++ b/internal/model/meshconfig/file.go
@@ -11,7 +11,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// MaxProposalBytes bounds a proposal file, in bytes. Chosen, not measured.
+// MaxProposalBytes bounds a proposal file, in bytes.
 const MaxProposalBytes = 4 << 20
 
 // File is the form in which operators write a proposal.
--- a/internal/model/meshconfig/state.go
+++ b/internal/model/meshconfig/state.go
@@ -11,11 +11,10 @@
 
 const (
 	// HistoryWindow is the number of revisions for which removed objects and operation ids
-	// are remembered. A proposal written against an older base is refused as stale. Chosen, not
-	// measured.
+	// are remembered. A proposal written against an older base is refused as stale.
 	HistoryWindow = 4096
 	// forgetEvery is the number of revisions between two rounds of forgetting, each of which
-	// looks at all objects. Chosen, not measured: far below HistoryWindow.
+	// looks at all objects; far below HistoryWindow.
 	forgetEvery = HistoryWindow / 16
 )
 
--- a/internal/model/meshconfig/validate.go
+++ b/internal/model/meshconfig/validate.go
@@ -13,7 +13,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// Limits of configuration values. All but maxSharePercent are chosen, not measured.
+// Limits of configuration values.
 const (
 	// maxNameLength is in bytes: that of a DNS label.
 	maxNameLength = 63
--- a/internal/operators/operator/auth.go
+++ b/internal/operators/operator/auth.go
@@ -22,7 +22,6 @@
 const AdminGroup = "*"
 
 // tokensLifetime is how long the operators are cached; a revoked token works that much longer.
-// Chosen, not measured.
 const tokensLifetime = 5 * time.Second
 
 // Operator is one operator as kept in the platform.
--- a/internal/operators/operator/show_configuration.go
+++ b/internal/operators/operator/show_configuration.go
@@ -107,8 +107,8 @@
 	return table
 }
 
-// fingerprintBytes is how much of a certificate's SHA-256 is shown. Chosen; enough to tell
-// the certificates of a site apart.
+// fingerprintBytes is how much of a certificate's SHA-256 is shown: enough to tell the
+// certificates of a site apart.
 const fingerprintBytes = 8
 
 // certificateOf returns the start of the SHA-256 of a secret's certificate and when it expires.
--- a/internal/operators/query/language.go
+++ b/internal/operators/query/language.go
@@ -76,7 +76,7 @@
 
 var parser = participle.MustBuild[Command](participle.Lexer(tokens), participle.Unquote("String"))
 
-// MaxCommandBytes bounds the length of a command. Chosen, not measured; longer than any
+// MaxCommandBytes bounds the length of a command, in bytes; longer than any
 // command with a few conditions.
 const MaxCommandBytes = 4096
 
--- a/internal/requestpath/gateway/headers.go
+++ b/internal/requestpath/gateway/headers.go
@@ -58,7 +58,7 @@
 	return time.Duration(max(millis, 0)) * time.Millisecond, err == nil
 }
 
-// maxChainAttempt bounds the number of retries that a caller may state. Chosen, not measured;
+// maxChainAttempt bounds the number of retries that a caller may state;
 // any number above 0 has the same effect on the retry rule.
 const maxChainAttempt = 1000
 
--- a/internal/requestpath/gateway/identity.go
+++ b/internal/requestpath/gateway/identity.go
@@ -133,10 +133,11 @@
 	}
 	key := g.keyOf(rc)
 	decision := g.decideOnKey(&found, key, false)
-	if decision == identity.AwaitNewer {
-		found.current = g.awaitNewer(ctx, current, found.route)
-		if found.route, err = routeOf(rc, found.current); err != nil || found.current.Accounts == nil {
-			return found, err
+	if decision == identity.AwaitNewer || decision == identity.RefuseUnknown {
+		if found.current = g.newestFor(ctx, found, decision); found.current != current {
+			if found.route, err = routeOf(rc, found.current); err != nil || found.current.Accounts == nil {
+				return found, err
+			}
 		}
 		decision = g.decideOnKey(&found, key, true)
 	}
@@ -171,26 +172,38 @@
 	return decision
 }
 
-// awaitNewer waits for a configuration after the given one, and returns the one in force then.
-func (g *Gateway) awaitNewer(ctx context.Context, current *snapshot.Snapshot, route *lapisv1.Route) *snapshot.Snapshot {
+// newestFor returns the configuration that a request with an unknown key is decided by: the one in force,
+// which may have come after the first decision, or a newer one that is waited for.
+func (g *Gateway) newestFor(ctx context.Context, found admitted, decision identity.Decision) *snapshot.Snapshot {
+	if decision != identity.AwaitNewer {
+		return g.config.Snapshots.Current()
+	}
 	defer g.awaitingKeys.Add(-1)
 	if g.awaitingKeys.Add(1) > maxAwaitingKeys {
 		return g.config.Snapshots.Current()
 	}
-	target := time.Duration(route.GetCallClass().GetTargetLatencyMillis()) * time.Millisecond
-	return g.config.Snapshots.AwaitAfter(ctx, current, identity.WaitFor(target))
+	target := time.Duration(found.route.GetCallClass().GetTargetLatencyMillis()) * time.Millisecond
+	return g.config.Snapshots.AwaitAfter(ctx, found.current, identity.WaitFor(target))
 }
 
-// checkKey refuses another attempt at a call whose key was revoked since the call was admitted. The
-// daemon beside the instance checks last, right before the call starts. Errors: CallUnknownKey.
+// checkKey refuses another attempt at a call whose key was revoked, or became too old, since the call
+// was admitted. The daemon beside the instance checks last, right before the call starts. Errors:
+// CallUnknownKey, CallKeysUnconfirmed.
 func (a *attempter) checkKey() error {
 	digest := a.opening.GetKeyDigest()
-	current := a.gateway.config.Snapshots.Current()
-	if len(digest) == 0 || current == a.current || current.Accounts.Holds(digest) {
+	if len(digest) == 0 {
 		return nil
 	}
-	a.gateway.metrics.refusedKeys.WithLabelValues(string(reasonRevoked)).Inc()
-	return result.Errorf(result.CallUnknownKey, "API key: %s", reasonRevoked)
+	if current := a.gateway.config.Snapshots.Current(); current != a.current && !current.Accounts.Holds(digest) {
+		a.gateway.metrics.refusedKeys.WithLabelValues(string(reasonRevoked)).Inc()
+		return result.Errorf(result.CallUnknownKey, "API key: %s", reasonRevoked)
+	}
+	decider := &a.gateway.config.Identity
+	if decider.Bounds.Revocation > 0 && decider.Bounds.TooOld(decider.currency()) {
+		a.gateway.metrics.refusedKeys.WithLabelValues(string(reasonUnconfirmed)).Inc()
+		return result.Errorf(result.CallKeysUnconfirmed, "API key: %s", reasonUnconfirmed)
+	}
+	return nil
 }
 
 // Quota bounds the calls of accounts at all daemons together. It is safe for concurrent use.
--- a/internal/requestpath/gateway/identity_test.go
+++ b/internal/requestpath/gateway/identity_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,7 @@
 	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/balance"
+	"github.com/lapisvane/lapisvane/internal/requestpath/identity"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
@@ -322,6 +324,31 @@
 	}
 }
 
+// Where revocations are strict, a key that becomes too old while the first attempt is replaced makes no
+// further attempt; the caller is told that the call did not run.
+func TestKeysThatBecomeTooOldBetweenAttempts(t *testing.T) {
+	for path, calls := range map[string]int{"/": 1, "/open/": 2} {
+		var currency atomic.Pointer[identity.Currency]
+		currency.Store(&identity.Currency{})
+		site := startKeyed(t, func(config *Config) {
+			config.Identity = Identity{
+				Currency: func() identity.Currency { return *currency.Load() },
+				Bounds:   identity.Bounds{Apply: time.Second, Revocation: time.Minute},
+			}
+		})
+		site.origin.before = func(*lapisv1.CallOpen) error {
+			if len(site.origin.calls()) > 1 {
+				return nil
+			}
+			currency.Store(&identity.Currency{Unconfirmed: time.Minute})
+			return result.Errorf(result.CallNotRunDraining, "leaving")
+		}
+		status, answer := site.send(get(path, "Mesh-Key: "+keyOfAlpha))
+		assert.Equal(t, status == http.StatusServiceUnavailable, calls == 1, answer)
+		assert.Equal(t, len(site.origin.calls()), calls)
+	}
+}
+
 // A call that an instance may have run is not answered as one that was refused, though its key is
 // revoked by then.
 func TestRevocationHidesNoUnknownOutcome(t *testing.T) {
--- a/internal/requestpath/gateway/metrics.go
+++ b/internal/requestpath/gateway/metrics.go
@@ -5,7 +5,7 @@
 )
 
 // Buckets of the time until an answer's head: 16, each twice the one before, from 0.5 ms to
-// 16 s. Chosen, not measured.
+// 16 s.
 const (
 	firstLatencyBucket  = 0.0005
 	latencyBucketFactor = 2
--- a/internal/requestpath/gateway/quarantine.go
+++ b/internal/requestpath/gateway/quarantine.go
@@ -17,12 +17,12 @@
 const (
 	// maxHeldBody is the longest request body that is read whole to know the request's keys, and
 	// maxHeldBodies bounds all that are held at a time, both in bytes. Only bodies to a path under
-	// which instances crashed are held; a longer one is checked by its path and length. Chosen, not
-	// measured; four bodies of the greatest length fit.
+	// which instances crashed are held; a longer one is checked by its path and length. Four
+	// bodies of the greatest length fit.
 	maxHeldBody   = 4 << 20
 	maxHeldBodies = 16 << 20
 	// trialTimeout bounds ClaimTrial, for which the request waits; without an answer it is
-	// refused. Chosen, not measured.
+	// refused.
 	trialTimeout = 200 * time.Millisecond
 )
 
--- a/internal/requestpath/gateway/unknownkey_test.go
+++ b/internal/requestpath/gateway/unknownkey_test.go
@@ -119,6 +119,23 @@
 	}
 }
 
+// A configuration that comes in force while a key is looked up in the one before decides on the key:
+// what is known of its currency holds for it only.
+func TestUnknownKeyWhileTheConfigurationIsReplaced(t *testing.T) {
+	g := newBehindGateway(t, identity.Currency{})
+	newest := g.config.Identity.Currency
+	g.config.Identity.Currency = func() identity.Currency {
+		if g.snapshots.Current().Revision == 1 {
+			assert.NilError(t, g.snapshots.ReplaceConfiguration(keyedWith("gamma", keyOfGamma)(t)))
+		}
+		return newest()
+	}
+	found, err := g.admitKey(t.Context(), "/", keyOfGamma)
+	assert.NilError(t, err)
+	assert.Equal(t, found.caller.account.Name, "gamma")
+	assert.Equal(t, found.current.Revision, uint64(2))
+}
+
 // keyedWith returns a configuration with the accounts, without any where none is named.
 func keyedWith(namesAndKeys ...string) func(t *testing.T) *lapisv1.Configuration {
 	return func(t *testing.T) *lapisv1.Configuration {
