explain knows requests refused by their API key

Cause: lapislab explain counted 401 and 503 of keys as unexplained. Change: causes unknown-key and keys-unconfirmed; a key of a newer revision that another daemon had is an old configuration, as for routes. Measured: its tests.

--- a/internal/lab/explain/cause.go
+++ b/internal/lab/explain/cause.go
@@ -53,6 +53,10 @@
 	CauseOldConfiguration Cause = "old-configuration"
 	// CauseNoRoute: no configuration in force anywhere had a route.
 	CauseNoRoute Cause = "no-route"
+	// CauseUnknownKey: no configuration in force anywhere had its API key.
+	CauseUnknownKey Cause = "unknown-key"
+	// CauseKeysUnconfirmed: the daemon could not tell whether its API key is in force.
+	CauseKeysUnconfirmed Cause = "keys-unconfirmed"
 	// CauseBadRequest: the request is not acceptable HTTP.
 	CauseBadRequest Cause = "bad-request"
 )
@@ -72,8 +76,8 @@
 	eventSampled       = "decisions.sampled"
 )
 
-// nearby is how far apart the lines about the loss of a daemon and about a call to it may be. Chosen,
-// not measured: above the 2.5 s of silence after which a daemon counts as lost.
+// nearby is how far apart the lines about the loss of a daemon and about a call to it may be: above
+// the 2.5 s of silence after which a daemon counts as lost.
 const nearby = 3 * time.Second
 
 // Verdict is the cause of a request's end, with the line that proves it.
@@ -172,7 +176,11 @@
 	case result.CallNotReady:
 		return Verdict{CauseNoConfiguration, fmt.Sprintf("%s had no configuration in force%s", end.Node, j.sinceStart(end)), end}
 	case result.CallNoRoute:
-		return j.explainNoRoute(end)
+		return j.explainLacking(end, CauseNoRoute, "no route")
+	case result.CallUnknownKey:
+		return j.explainLacking(end, CauseUnknownKey, "no such key")
+	case result.CallKeysUnconfirmed:
+		return Verdict{CauseKeysUnconfirmed, fmt.Sprintf("%s could not confirm revision %s", end.Node, end.Get("revision")), end}
 	case result.CallNotRunStopping, result.CallNotRunDraining, result.CallNotRunUnknownHere:
 		return Verdict{CauseLeaving, j.leaving(end), end}
 	case result.CallNotRunQuarantined:
@@ -249,8 +257,9 @@
 	return Verdict{Cause: CauseUnexplained, Proof: "neither " + member + " nor a lost connection to it tells of the attempt", Line: attempt}
 }
 
-// explainNoRoute distinguishes a daemon with an old configuration from a route that no daemon had.
-func (j *Journal) explainNoRoute(end *Line) Verdict {
+// explainLacking distinguishes a daemon with an old configuration from what no daemon had, which is
+// the cause then.
+func (j *Journal) explainLacking(end *Line, cause Cause, lacking string) Verdict {
 	own := end.Number("revision")
 	for _, line := range j.daemonLines {
 		if line.At.After(end.At) {
@@ -261,7 +270,7 @@
 				end.Node, own, line.Node, line.Get("revision"), end.At.Sub(line.At)), line}
 		}
 	}
-	return Verdict{CauseNoRoute, fmt.Sprintf("no route in revision %d: %s", own, end.Get("detail")), end}
+	return Verdict{cause, fmt.Sprintf("%s in revision %d: %s", lacking, own, end.Get("detail")), end}
 }
 
 // leaving describes since when a daemon was stopping.
--- a/internal/lab/explain/explain_test.go
+++ b/internal/lab/explain/explain_test.go
@@ -63,6 +63,12 @@
 			"time=2026-01-01T00:00:06.000Z level=info event=configuration.in_force node=b revision=5",
 			failed + `code=5001 detail="GET /x"`,
 		}, explain.CauseNoRoute, "no route in revision 4: GET /x"},
+		"an unknown key": {[]string{failed + `code=5025 detail="API key: unknown"`}, explain.CauseUnknownKey, "no such key in revision 4: API key: unknown"},
+		"a key of a newer revision": {[]string{
+			"time=2026-01-01T00:00:04.000Z level=info event=configuration.in_force node=b revision=5",
+			failed + "code=5025",
+		}, explain.CauseOldConfiguration, "a had revision 4 in force, b already had 5 1s before"},
+		"keys not confirmed": {[]string{failed + "code=5027"}, explain.CauseKeysUnconfirmed, "a could not confirm revision 4"},
 		"just started": {[]string{
 			"time=2026-01-01T00:00:04.500Z level=info event=daemon.started node=a",
 			failed + "code=5003",
