--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -47,6 +47,8 @@
 	callServer *callmux.Server
 	gateway    *gateway.Gateway
 	suspects   *suspects
+	// rateLimits is nil where none are kept.
+	rateLimits *rateLimits
 	// orders are the operators' orders in force; always empty where none are given.
 	orders *orders.Current
 	// killedByForce is that of the daemon's Options.
@@ -66,6 +68,7 @@
 		balancer: balance.New(values.Node, values.Zone, values.Region, time.Now),
 		suspects: newSuspects(d.logger, mode.quarantineStore, spread),
 	}
+	p.rateLimits = newRateLimits(values.RateLimits, p.snapshots)
 	p.origin = origin.New(origin.Config{
 		Backends: backendsOf(values), Crashes: p.suspects,
 		QueueLength: values.Calls.QueueLength, QueueTime: values.Calls.QueueTime.Get(),
@@ -89,6 +92,7 @@
 		Envelope: mode.envelope, CallerService: p.callerService, Retries: retryLimits(values.Retries),
 		Decisions: decisions, Registry: d.registry, RepeatShare: p.origin.RepeatShare, Evacuated: p.orders.Evacuated,
 		SentAhead: sentAhead(values.SentAhead), Quarantine: p.suspects, Identity: mode.identity,
+		Quota: p.rateLimits.quota(),
 	})
 	return p
 }
@@ -137,6 +141,11 @@
 	return p.gateway.InFlight() + int64(p.origin.InFlight())
 }
 
+// serving returns the number of calls of callers and at instances that would be cut.
+func (p *requestPath) serving() int64 {
+	return p.gateway.Serving() + int64(p.origin.InFlight())
+}
+
 // settled reports whether the end of the process would take nothing away: no call is in flight,
 // and no answer that was written is still on its way to its caller. Any further byte of that
 // caller would make the kernel drop such an answer once the process is gone: 6 of 400 kB arrived
@@ -162,11 +171,14 @@
 // endCalls cuts the calls in flight and waits until their callers have the answers: from a closed
 // connection they could not tell whether the call ran.
 func (p *requestPath) endCalls(cause string) (cut int64) {
-	if cut = p.inFlight(); cut > 0 {
+	p.gateway.Stop()
+	if cut = p.serving(); cut > 0 {
 		p.logger.Info("daemon.calls_cut", "calls", cut, "cause", cause)
 	}
-	p.gateway.Stop()
+	p.gateway.StopAccepting()
 	p.gateway.Cut()
+	// Else a call would last as long as the writing to a daemon that reads nothing.
+	p.calls.Close()
 	limit := time.NewTimer(cutAnswers)
 	defer limit.Stop()
 	poll := time.NewTicker(inFlightPoll)
--- a/internal/requestpath/admission/fairness.go
+++ b/internal/requestpath/admission/fairness.go
@@ -7,18 +7,20 @@
 )
 
 const (
-	// usageHalfLife is how fast past use of slots is forgotten. Chosen, not measured: a
-	// shorter one forgets calls while they run, with a longer one a group that lent its slots
-	// goes before the others for longer when it returns.
+	// usageHalfLife is how fast past use of slots is forgotten: a shorter one forgets calls while
+	// they run, with a longer one a group that lent its slots goes before the others for longer
+	// when it returns.
 	usageHalfLife = 500 * time.Millisecond
-	// defaultWeight is the weight of a group without a declared share, in percent. Chosen,
-	// not measured; it must be above 0 for the group to be served at all.
+	// defaultWeight is the weight of a group without a declared share, in percent; above 0, or
+	// the group would not be served at all.
 	defaultWeight = 1
 )
 
 // group is the state of one group of callers.
 type group struct {
 	name string
+	// isAccount is true where the group is an account's.
+	isAccount bool
 	// usage is the decayed slot time used, in slot seconds, at usageAt.
 	usage       float64
 	usageAt     time.Time
@@ -50,11 +52,12 @@
 	g.usageAt = now
 }
 
-// groupOf returns a group, which may be new.
-func (q *Queue) groupOf(name string) *group {
+// groupOf returns the group of a request, which may be new.
+func (q *Queue) groupOf(request Request) *group {
+	name := request.Group
 	g, ok := q.groups[name]
 	if !ok {
-		g = &group{name: name, usageAt: q.now(), interactive: list.New(), background: list.New()}
+		g = &group{name: name, isAccount: request.HasAccount, usageAt: q.now(), interactive: list.New(), background: list.New()}
 		q.groups[name] = g
 	}
 	return g
@@ -83,6 +86,9 @@
 // a group does not use are lent that way without a rule of its own, and a group that returns has
 // little use on record and goes first.
 func (q *Queue) next(now time.Time) *waiter {
+	if q.accounts {
+		return q.nextOfAccounts(now)
+	}
 	var best *waiter
 	bestScore := math.Inf(1)
 	for _, g := range q.groups {
--- a/internal/requestpath/admission/queue.go
+++ b/internal/requestpath/admission/queue.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -19,6 +20,11 @@
 	limit   concurrencyLimit
 	weights map[string]uint32
 	groups  map[string]*group
+	// accounts is true where the groups are accounts (account.go).
+	accounts bool
+	// entered counts the calls that ever waited, and waiting those that do now.
+	entered uint64
+	waiting int
 	// running counts the calls that hold a slot, and uploads those of them that are uploads.
 	running, uploads int
 	meanService      time.Duration
@@ -36,14 +42,32 @@
 // waiter is a call in the queue. Exactly one message is sent on outcome: nil when the call got
 // a slot, the refusal otherwise.
 type waiter struct {
-	request  Request
+	request Request
+	// sequence is its place in the order of arrival.
+	sequence uint64
 	queued   time.Time
 	deadline time.Time
+	place    place
 	outcome  chan error
 	element  *list.Element
 	queue    *list.List
 }
 
+// place is what a call found before it in the queue as it came.
+type place struct {
+	// ahead is the number of waiting calls that went before it, and behind the last of these.
+	ahead  int
+	behind *Request
+}
+
+// String describes the place for logs.
+func (p place) String() string {
+	if p.behind == nil {
+		return fmt.Sprintf("%d calls went before it", p.ahead)
+	}
+	return fmt.Sprintf("%d calls went before it, the last of group %s, priority %d", p.ahead, p.behind.Group, p.behind.Priority)
+}
+
 // NewQueue returns a queue; now gives the time of a steady clock.
 func NewQueue(limits Limits, now func() time.Time) *Queue {
 	return &Queue{
@@ -58,6 +82,7 @@
 	defer q.mutex.Unlock()
 	q.limit.configure(slots)
 	q.weights = weights
+	q.accounts = false
 	q.dispatch()
 }
 
@@ -67,8 +92,8 @@
 	defer q.mutex.Unlock()
 	q.closed = reason
 	for _, g := range q.groups {
-		refuseAll(g.interactive, reason)
-		refuseAll(g.background, reason)
+		q.refuseAll(g.interactive, reason)
+		q.refuseAll(g.background, reason)
 	}
 	q.awaitToken(q.now())
 }
@@ -80,13 +105,30 @@
 	q.closed = nil
 }
 
-func refuseAll(waiting *list.List, reason error) {
+func (q *Queue) refuseAll(waiting *list.List, reason error) {
 	for element := waiting.Front(); element != nil; element = waiting.Front() {
-		waiting.Remove(element)
-		element.Value.(*waiter).outcome <- reason
+		refused := element.Value.(*waiter)
+		q.remove(refused)
+		refused.outcome <- reason
 	}
 }
 
+// push has a call wait; the caller holds mutex and sets its deadline.
+func (q *Queue) push(request Request, now time.Time) *waiter {
+	q.entered++
+	q.waiting++
+	waiting := q.groupOf(request).queueOf(request)
+	entered := &waiter{request: request, sequence: q.entered, queued: now, outcome: make(chan error, 1), queue: waiting}
+	entered.element = waiting.PushBack(entered)
+	return entered
+}
+
+// remove takes a waiting call out of its queue; the caller holds mutex.
+func (q *Queue) remove(waiting *waiter) {
+	waiting.queue.Remove(waiting.element)
+	q.waiting--
+}
+
 // Acquire waits for a slot. Errors, all proving that the call did not start:
 // CallNotRunOverloaded, CallNotRunCold while the pace leaves no time for it,
 // CallNotRunExpired, the reason given to Close.
@@ -100,7 +142,7 @@
 	select {
 	case err = <-waiting.outcome:
 	case <-timer.C:
-		err = q.abandon(waiting, q.waitedTooLong())
+		err = q.abandon(waiting, q.waitedTooLong(waiting.place))
 	case <-ctx.Done():
 		err = q.abandon(waiting, result.Errorf(result.CallNotRunExpired, "the caller went away"))
 	}
@@ -116,34 +158,39 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	now := q.now()
-	found := arrival{closed: q.closed != nil, slotFree: q.mayRun(request, now), othersWait: q.anyWaiting()}
+	found := arrival{closed: q.closed != nil, slotFree: q.mayRun(request, now), othersWait: q.waiting > 0}
 	switch decideArrival(request, found, now) {
 	case actionRefuseClosed:
 		return nil, nil, q.closed
 	case actionRefuseExpired:
 		return nil, nil, result.Errorf(result.CallNotRunExpired, "the time to start has passed")
 	case actionStart:
-		return nil, q.start(q.groupOf(request.Group), request, now), nil
+		return nil, q.start(q.groupOf(request), request, now), nil
 	}
-	return q.queueOrRefuse(request, now)
+	waiting, err := q.queueOrRefuse(request, now)
+	return waiting, nil, err
 }
 
 // queueOrRefuse is enter for a call that finds no free slot; the caller holds mutex.
-func (q *Queue) queueOrRefuse(request Request, now time.Time) (*waiter, *Slot, error) {
-	g := q.groupOf(request.Group)
+func (q *Queue) queueOrRefuse(request Request, now time.Time) (*waiter, error) {
+	if q.accounts {
+		return q.queueAmongAccounts(request, now)
+	}
+	g := q.groupOf(request)
 	waiting := g.queueOf(request)
-	expected := q.expectedWait(g, ahead(waiting, request, now), now)
+	found := place{ahead: ahead(waiting, request, now)}
+	expected := q.expectedWait(g, found.ahead, now)
 	verdict, deadline := decideWait(request, waiting.Len(), expected, q.limits, now)
 	switch verdict {
 	case actionRefuseNoSlot:
-		return nil, nil, q.refuse(expected, "no slot is free")
+		return nil, q.refuse(expected, "no slot is free", found)
 	case actionRefuseFull:
-		return nil, nil, q.refuse(expected, "the queue of group "+request.Group+" is full")
+		return nil, q.refuse(expected, "the queue of group "+request.Group+" is full", found)
 	}
-	entered := &waiter{request: request, queued: now, deadline: deadline, outcome: make(chan error, 1), queue: waiting}
-	entered.element = waiting.PushBack(entered)
+	entered := q.push(request, now)
+	entered.deadline, entered.place = deadline, found
 	q.dispatch()
-	return entered, nil, nil
+	return entered, nil
 }
 
 // expectedWait estimates how long a call behind ahead others of its group waits; the group gets
@@ -157,19 +204,19 @@
 }
 
 // refuse returns and counts the refusal of a call; the caller holds mutex.
-func (q *Queue) refuse(expected waitEstimate, detail string) *result.Error {
+func (q *Queue) refuse(expected waitEstimate, detail string, found place) *result.Error {
 	if expected.byPace() {
 		q.paceRefusals++
 	}
-	return refusalFor(expected, detail)
+	return refusalFor(expected, detail+": "+found.String())
 }
 
 // waitedTooLong returns the error for a call whose time in the queue is over. A call that comes
 // back would wait for one call to end or for the next token.
-func (q *Queue) waitedTooLong() error {
+func (q *Queue) waitedTooLong(found place) error {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return q.refuse(waitEstimate{forSlot: q.meanService, forToken: q.bucket.wait(0, q.now())}, "the wait was too long")
+	return q.refuse(waitEstimate{forSlot: q.meanService, forToken: q.bucket.wait(0, q.now())}, "the wait was too long", found)
 }
 
 // abandon takes a waiter out of the queue; one that was granted a slot in the same moment gives it
@@ -185,7 +232,7 @@
 		return reason
 	default:
 	}
-	waiting.queue.Remove(waiting.element)
+	q.remove(waiting)
 	q.mutex.Unlock()
 	return reason
 }
@@ -207,8 +254,8 @@
 			q.awaitToken(now)
 			return
 		}
-		next.queue.Remove(next.element)
-		q.start(q.groupOf(next.request.Group), next.request, now)
+		q.remove(next)
+		q.start(q.groupOf(next.request), next.request, now)
 		next.outcome <- nil
 	}
 }
--- a/internal/requestpath/origin/instance.go
+++ b/internal/requestpath/origin/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -10,6 +11,7 @@
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
+	"github.com/lapisvane/lapisvane/internal/model/incarnation"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/admission"
 )
@@ -17,8 +19,7 @@
 // Times and bounds of an instance.
 const (
 	// checkInterval is the time between two checks of an instance's state, which for one
-	// that does not register is a probe for a connection. Chosen, not measured; it must be well
-	// below heartbeatSilence.
+	// that does not register is a probe for a connection; well below heartbeatSilence.
 	checkInterval = 200 * time.Millisecond
 	// DefaultSlots and DefaultConnections hold until a configuration is known: what the
 	// users' sites state of an instance (about 6 slots and 130 connections).
@@ -30,10 +31,12 @@
 // safe for concurrent use.
 type Instance struct {
 	Service string
-	Name    string
-	queue   *admission.Queue
-	backend *backend
-	started time.Time
+	// Name is that of identity.
+	Name     string
+	identity incarnation.Incarnation
+	queue    *admission.Queue
+	backend  *backend
+	started  time.Time
 	// registered is true for an instance that announced itself: its heartbeats
 	// then tell its state, and it is not probed at intervals.
 	registered bool
@@ -42,6 +45,10 @@
 	version string
 	// inFlight are the calls that it has.
 	inFlight inFlightCalls
+	// anonymousPriority is the account's priority that holds for calls without an account.
+	anonymousPriority atomic.Uint32
+	// work is what it states of how long work takes there.
+	work statedWork
 
 	// mutex protects everything below.
 	mutex sync.Mutex
@@ -59,11 +66,11 @@
 	downByCalls  bool
 }
 
-func newInstance(service, name, address string, limits admission.Limits, connections int, envelope *callapi.Envelope) *Instance {
+func newInstance(service string, identity incarnation.Incarnation, address string, limits admission.Limits, connections int, envelope *callapi.Envelope) *Instance {
 	return &Instance{
-		Service: service, Name: name,
+		Service: service, Name: identity.Name(), identity: identity,
 		queue:   admission.NewQueue(limits, time.Now),
-		backend: newBackend(address, name, envelope, connections),
+		backend: newBackend(address, identity.ID, envelope, connections),
 		started: time.Now(), lifecycle: newLifecycle(), reasons: map[DrainReason]bool{}, logger: logr.Discard(),
 	}
 }
@@ -173,12 +180,17 @@
 	if slots == 0 {
 		slots = int(service.Bundle.GetPool().GetSlots())
 	}
-	i.queue.Configure(slots, service.Shares)
+	if current.Accounts != nil {
+		i.anonymousPriority.Store(current.Accounts.UsualPriority())
+		i.queue.ConfigureAccounts(slots, current.Accounts.Weights())
+	} else {
+		i.queue.Configure(slots, service.Shares)
+	}
 	i.backend.pool.limitTo(int(service.Bundle.GetPool().GetConnectionLimit()))
 	switch {
-	case service.Retired[i.Name]:
+	case service.Retired[i.identity.ID]:
 		i.Retire()
-	case service.Drained[i.Name]:
+	case service.Drained[i.identity.ID]:
 		i.Drain(DrainOperator)
 	default:
 		i.Resume(DrainOperator)
