The emulator's instances state their starts and return under their ids

An instance of the emulator states its start in all that it says. Restart starts it again under its id, and Return does after a planned end; the soak's releases do so half of the time.

--- a/internal/lab/emulator/day/day_test.go
+++ b/internal/lab/emulator/day/day_test.go
@@ -176,6 +176,41 @@
 	}
 }
 
+// An instance that left, or crashed, and starts again under its id gets calls again, and nothing that
+// its earlier start said late changes that.
+func TestInstancesReturnUnderTheirIDs(t *testing.T) {
+	for name, end := range map[string]func(*testing.T, *day.Machine){
+		"left": func(t *testing.T, machine *day.Machine) {
+			_, err := machine.Return(context.Background(), time.Second, false)
+			assert.NilError(t, err)
+		},
+		"left abruptly": func(t *testing.T, machine *day.Machine) {
+			_, err := machine.Return(context.Background(), time.Second, true)
+			assert.NilError(t, err)
+		},
+		"crashed": func(t *testing.T, machine *day.Machine) {
+			assert.NilError(t, machine.Restart(0))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			site, tally, stop := start(t)
+			awaitServed(t, tally, 200)
+			for _, machine := range site.Machines[:2] {
+				earlier := machine.Instance()
+				end(t, machine)
+				assert.Equal(t, machine.Instance().ID(), earlier.ID())
+				earlier.SendLateHeartbeat(context.Background())
+			}
+			await(t, "the later starts get calls", func() bool {
+				return site.Machines[0].Instance().Received() > 0 && site.Machines[1].Instance().Received() > 0
+			})
+			awaitServed(t, tally, 400)
+			stop()
+			keepsPromises(t, site)
+		})
+	}
+}
+
 // After planned stops of all daemons in turn every instance is used again: what a stopping daemon
 // reports of its instance must not count as the instance's own drain, which is for good.
 func TestInstancesAreUsedAgainAfterPlannedStops(t *testing.T) {
--- a/internal/lab/emulator/day/machine.go
+++ b/internal/lab/emulator/day/machine.go
@@ -187,8 +187,9 @@
 	warm = false
 )
 
-// startInstance starts an instance of service beside the daemon, at address or at any.
-func (m *Machine) startInstance(service, address string, isCold bool) error {
+// startInstance starts an instance of service beside the daemon, at address or at any, under an id
+// that an instance had or a new one.
+func (m *Machine) startInstance(service, address, id string, isCold bool) error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	options := m.site.options
@@ -201,7 +202,7 @@
 		coldFor = options.ColdFor
 	}
 	started, err := instance.Start(instance.Options{
-		Service: service, Zone: m.Zone, Address: address, Registration: m.addresses.Instances, Outbound: m.addresses.Caller, Host: m.host,
+		Service: service, Zone: m.Zone, Address: address, ID: id, Registration: m.addresses.Instances, Outbound: m.addresses.Caller, Host: m.host,
 		Slots: options.Slots, Queue: options.Slots, ServiceTime: options.ServiceTime, HeartbeatInterval: options.HeartbeatInterval,
 		ColdFor: coldFor, Region: options.region(m.Zone), CrashesAbove: options.crashesAbove(), ColdCrashed: m.crashedCold,
 		PoisonCrashed: func(ended *instance.Instance) { m.restart(ended, m.site.open) }, Ledger: m.site.Ledger, Seed: options.Seed,
@@ -213,14 +214,14 @@
 	return nil
 }
 
-// Restart crashes the instance and starts another at its address.
+// Restart crashes the instance and starts it again, at its address and under its id.
 func (m *Machine) Restart(down time.Duration) error {
 	m.instanceLock.Lock()
 	defer m.instanceLock.Unlock()
-	address := m.Instance().Address()
-	m.Instance().Crash()
+	ended := m.Instance()
+	ended.Crash()
 	time.Sleep(down)
-	return m.startInstance(m.Service, address, cold)
+	return m.startInstance(m.Service, ended.Address(), ended.ID(), cold)
 }
 
 // Release shuts the instance down as planned and starts another. It reports whether the drain was
@@ -230,7 +231,17 @@
 	defer m.instanceLock.Unlock()
 	leaving := m.Instance()
 	acknowledged = leaving.Shutdown(ctx, keep, abrupt)
-	return acknowledged, m.startInstance(m.Service, "", cold)
+	return acknowledged, m.startInstance(m.Service, "", "", cold)
+}
+
+// Return shuts the instance down as planned and starts it again under its id, at another address. It
+// reports whether the drain was acknowledged.
+func (m *Machine) Return(ctx context.Context, keep time.Duration, abrupt bool) (acknowledged bool, err error) {
+	m.instanceLock.Lock()
+	defer m.instanceLock.Unlock()
+	leaving := m.Instance()
+	acknowledged = leaving.Shutdown(ctx, keep, abrupt)
+	return acknowledged, m.startInstance(m.Service, "", leaving.ID(), cold)
 }
 
 func (m *Machine) endInstance() {
--- a/internal/lab/emulator/day/site.go
+++ b/internal/lab/emulator/day/site.go
@@ -66,7 +66,7 @@
 		if err := machine.start(); err != nil {
 			return site, err
 		}
-		if err := machine.startInstance(machine.Service, "", warm); err != nil {
+		if err := machine.startInstance(machine.Service, "", "", warm); err != nil {
 			return site, err
 		}
 	}
--- a/internal/lab/emulator/day/zone.go
+++ b/internal/lab/emulator/day/zone.go
@@ -125,5 +125,5 @@
 	}
 	ended.Crash()
 	time.Sleep(restartPause)
-	m.site.noteRestart(m.startInstance(m.Service, ended.Address(), cold))
+	m.site.noteRestart(m.startInstance(m.Service, ended.Address(), ended.ID(), cold))
 }
--- a/internal/lab/emulator/instance/cold.go
+++ b/internal/lab/emulator/instance/cold.go
@@ -67,7 +67,7 @@
 	i.received.Add(1)
 	bound, count := i.cold.noteRequest(now)
 	i.options.Ledger.Delivered(promise.Delivery{
-		Request: id, Instance: i.id, Zone: i.options.Zone, Region: i.options.Region, Cold: bound, Poison: poison, At: now,
+		Request: id, Instance: i.Name(), Zone: i.options.Zone, Region: i.options.Region, Cold: bound, Poison: poison, At: now,
 	})
 	if bound && i.options.CrashesAbove > 0 && float64(count) > i.options.CrashesAbove {
 		// In the background: the instance's end waits for this request.
--- a/internal/lab/emulator/instance/instance.go
+++ b/internal/lab/emulator/instance/instance.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/promise"
+	"github.com/lapisvane/lapisvane/internal/model/incarnation"
 	"github.com/lapisvane/lapisvane/internal/shared/sleep"
 	"github.com/lapisvane/lapisvane/platform"
 )
@@ -77,8 +78,10 @@
 	// the machine, from which the instance makes its own.
 	Outbound string
 	Host     string
-	Slots    int
-	Queue    int
+	// ID is that of an earlier instance that starts again; empty for a new one.
+	ID    string
+	Slots int
+	Queue int
 	// ServiceTime is the mean time of work on a request.
 	ServiceTime       time.Duration
 	HeartbeatInterval time.Duration
@@ -100,7 +103,7 @@
 // Instance is one incarnation of an instance.
 type Instance struct {
 	options   Options
-	id        string
+	start     incarnation.Incarnation
 	listener  net.Listener
 	slots     chan struct{}
 	waiting   atomic.Int64
@@ -123,8 +126,22 @@
 	conns     map[net.Conn]bool
 }
 
-// nextID makes the ids of incarnations unique within the process.
-var nextID atomic.Uint64
+// nextID makes the ids of instances unique within the process, and newestStart their starts.
+var nextID, newestStart atomic.Uint64
+
+// newIncarnation returns the next start of an id, or the first one of a new id where that is empty.
+func newIncarnation(id string) incarnation.Incarnation {
+	if id == "" {
+		id = fmt.Sprintf("i-%08x", nextID.Add(1))
+	}
+	for {
+		before := newestStart.Load()
+		born := max(uint64(time.Now().UnixMilli()), before+1)
+		if newestStart.CompareAndSwap(before, born) {
+			return incarnation.Incarnation{ID: id, Born: born}
+		}
+	}
+}
 
 // Start opens the listener, registers and serves in the background.
 func Start(options Options) (*Instance, error) {
@@ -134,7 +151,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &Instance{
-		options: options, id: fmt.Sprintf("i-%08x", nextID.Add(1)), listener: listener,
+		options: options, start: newIncarnation(options.ID), listener: listener,
 		slots: make(chan struct{}, options.Slots), stopped: ctx, stop: cancel,
 		random: rand.New(rand.NewPCG(options.Seed, nextID.Load())), conns: map[net.Conn]bool{},
 	}
@@ -146,8 +163,11 @@
 	return started, nil
 }
 
-// ID returns the name of this incarnation.
-func (i *Instance) ID() string { return i.id }
+// ID returns the instance's id, which it keeps when it starts again.
+func (i *Instance) ID() string { return i.start.ID }
+
+// Name returns the name of this incarnation.
+func (i *Instance) Name() string { return i.start.Name() }
 
 // Address returns where the instance listens.
 func (i *Instance) Address() string { return i.listener.Addr().String() }
@@ -180,7 +200,7 @@
 
 // Crash ends the instance at once and closes its connections.
 func (i *Instance) Crash() {
-	i.options.Ledger.InstanceEnded(i.id)
+	i.options.Ledger.InstanceEnded(i.Name())
 	i.stop()
 	_ = i.listener.Close()
 	i.mutex.Lock()
@@ -199,7 +219,7 @@
 	i.draining.Store(true)
 	for !acknowledged && sleep.For(ctx, 0) {
 		if abrupt {
-			acknowledged = i.callRegistration(ctx, http.MethodDelete, nil) == nil
+			acknowledged = i.withdraw(ctx) == nil
 		} else {
 			acknowledged = i.heartbeat(ctx) == nil
 		}
@@ -208,11 +228,11 @@
 		}
 	}
 	if acknowledged {
-		i.options.Ledger.DrainAcknowledged(i.id)
+		i.options.Ledger.DrainAcknowledged(i.Name())
 	}
 	sleep.For(ctx, keep)
 	if !abrupt {
-		_ = i.callRegistration(ctx, http.MethodDelete, nil)
+		_ = i.withdraw(ctx)
 	}
 	i.Crash()
 	return acknowledged
@@ -245,6 +265,7 @@
 		Status: platform.HeartbeatStatus{
 			State: state, Sequence: sequence, ColdRemainingMillis: i.cold.remaining(time.Now()).Milliseconds(),
 		},
+		Start: platform.Start{Born: i.start.Born},
 	}
 	body, err := json.Marshal(heartbeat)
 	if err != nil {
@@ -258,11 +279,20 @@
 	_ = i.sendHeartbeat(ctx, platform.StateReady, 1)
 }
 
+// withdraw says that the instance retires.
+func (i *Instance) withdraw(ctx context.Context) error {
+	body, err := json.Marshal(platform.Start{Born: i.start.Born})
+	if err != nil {
+		return err
+	}
+	return i.callRegistration(ctx, http.MethodDelete, body)
+}
+
 // callRegistration calls the registration of the daemon beside the instance.
 func (i *Instance) callRegistration(ctx context.Context, method string, body []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.options.Registration+platform.PathInstances+i.id, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+i.options.Registration+platform.PathInstances+i.ID(), bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/emulator/instance/serve.go
+++ b/internal/lab/emulator/instance/serve.go
@@ -104,7 +104,7 @@
 	}
 	i.options.Ledger.Arrived(id)
 	expected := request.Header.Get(platform.HeaderExpectedInstance)
-	misdirected := expected != "" && expected != i.id
+	misdirected := expected != "" && expected != i.ID()
 	if !misdirected {
 		i.noteDelivered(id, request.Header.Get(HeaderCrash))
 	}
@@ -171,7 +171,7 @@
 	if !sleep.For(i.stopped, i.options.ServiceTime) {
 		return
 	}
-	i.options.Ledger.CrashedUnder(name, i.id, time.Now())
+	i.options.Ledger.CrashedUnder(name, i.Name(), time.Now())
 	// In the background: the instance's end waits for this request.
 	i.crashOnce.Do(func() { go i.options.PoisonCrashed(i) })
 	<-i.stopped.Done()
@@ -226,10 +226,10 @@
 
 // run records that work on a request begins, and returns its stamp.
 func (i *Instance) run(request *http.Request, id string, body []byte) string {
-	stamp := fmt.Sprintf("%s.%s.%d", i.id, id, i.sequence.Add(1))
+	stamp := fmt.Sprintf("%s.%s.%d", i.Name(), id, i.sequence.Add(1))
 	millis, _ := strconv.Atoi(request.Header.Get(platform.HeaderDeadline))
 	i.options.Ledger.Ran(promise.Run{
-		Given: time.Duration(millis) * time.Millisecond, Request: id, Instance: i.id, Service: i.options.Service, BodyDigest: promise.DigestOf(body),
+		Given: time.Duration(millis) * time.Millisecond, Request: id, Instance: i.Name(), Service: i.options.Service, BodyDigest: promise.DigestOf(body),
 		Caller: request.Header.Get(platform.HeaderCallerService), Stamp: stamp, At: time.Now(),
 	})
 	return stamp
@@ -281,7 +281,7 @@
 }
 
 func (i *Instance) health(conn net.Conn) connectionFate {
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %d\r\nContent-Length: 0\r\n\r\n", platform.HeaderInstance, i.id,
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %d\r\nContent-Length: 0\r\n\r\n", platform.HeaderInstance, i.ID(),
 		platform.HeaderColdRemaining, i.cold.remaining(time.Now()).Milliseconds())
 	if _, err := io.WriteString(conn, head); err != nil {
 		return connectionClosed
@@ -292,7 +292,7 @@
 // refuse answers that the request did not run.
 func (i *Instance) refuse(conn net.Conn, request *http.Request, status int, then connectionFate) connectionFate {
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n", status, http.StatusText(status),
-		platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID), platform.HeaderInstance, i.id)
+		platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID), platform.HeaderInstance, i.ID())
 	if status != http.StatusMisdirectedRequest {
 		head += platform.HeaderNotExecuted + ": 1\r\n"
 	}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -346,11 +346,15 @@
 	}
 }
 
-// releases replaces one instance after the other as planned.
+// releases ends one instance after the other as planned; another one follows, or a new start of it.
 func (d *soakDay) releases(ctx context.Context, random *rand.Rand) {
 	for pause(ctx, random, 2*time.Second) {
 		machine := d.site.Machines[random.IntN(len(d.site.Machines))]
-		_, err := machine.Release(ctx, 3*time.Second, random.IntN(3) == 0)
+		leave := machine.Release
+		if random.IntN(2) == 0 {
+			leave = machine.Return
+		}
+		_, err := leave(ctx, 3*time.Second, random.IntN(3) == 0)
 		assert.Check(d.t, err)
 	}
 }
