--- a/internal/model/snapshot/store_test.go
+++ b/internal/model/snapshot/store_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
@@ -49,6 +50,28 @@
 	})
 }
 
+// A call that waits for a newer version gets the next one, and does not miss one that came in force
+// before it waits.
+func TestAwaitAfterEndsWithTheNextSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &snapshot.Store{}
+		assert.NilError(t, store.ReplaceConfiguration(configurationOf(t, 3)))
+		seen := store.Current()
+		began := time.Now()
+		assert.Assert(t, store.AwaitAfter(context.Background(), seen, time.Second) == seen)
+		assert.Equal(t, time.Since(began), time.Second)
+
+		time.AfterFunc(300*time.Millisecond, func() { assert.NilError(t, store.ReplaceConfiguration(configurationOf(t, 5))) })
+		began = time.Now()
+		assert.Equal(t, store.AwaitAfter(context.Background(), seen, time.Second).Revision, uint64(5))
+		assert.Equal(t, time.Since(began), 300*time.Millisecond)
+
+		began = time.Now()
+		assert.Equal(t, store.AwaitAfter(context.Background(), seen, time.Second).Revision, uint64(5))
+		assert.Equal(t, time.Since(began), time.Duration(0), "it came before")
+	})
+}
+
 // A revision that is not above the one in force, or that cannot be decoded, is refused, and the
 // snapshot in force stays.
 func TestRefusedConfigurationLeavesTheSnapshot(t *testing.T) {
@@ -72,3 +95,45 @@
 		})
 	}
 }
+
+// accountsBundle returns the bundle of an account with one key.
+func accountsBundle(t *testing.T, key string) *lapisv1.EncodedBundle {
+	t.Helper()
+	digest := account.DigestOf([]byte(key))
+	stated := &lapisv1.Account{Name: "alpha", KeyDigests: [][]byte{digest[:]}}
+	encoded, err := meshconfig.EncodeBundle(&lapisv1.Bundle{Accounts: &lapisv1.Accounts{Accounts: []*lapisv1.Account{stated}}}, 1)
+	assert.NilError(t, err)
+	return encoded
+}
+
+// Accounts that come as a bundle are in force with their revision, are no service, are reused while
+// they are the same, and never come back by an older revision.
+func TestAccountsOfABundle(t *testing.T) {
+	store := &snapshot.Store{}
+	pool := configurationOf(t, 1).GetBundles()[0]
+	old, renewed := accountsBundle(t, "old"), accountsBundle(t, "renewed")
+	replace := func(revision uint64, accounts *lapisv1.EncodedBundle) error {
+		bundles := map[string]*lapisv1.EncodedBundle{"desk": pool}
+		if accounts != nil {
+			bundles[meshconfig.AccountsService] = accounts
+		}
+		return store.Replace(revision, 0, bundles)
+	}
+	holds := func(key string) bool { return store.Current().Accounts.Find(account.DigestOf([]byte(key))) != nil }
+	assert.NilError(t, replace(1, old))
+	assert.Assert(t, holds("old") && !holds("renewed"))
+	assert.DeepEqual(t, store.Current().ServiceNames(), []string{"desk"})
+	before := store.Current().Accounts
+	assert.NilError(t, replace(2, old))
+	assert.Assert(t, store.Current().Accounts == before)
+	assert.NilError(t, replace(3, renewed))
+	assert.Assert(t, !holds("old") && holds("renewed"))
+	assert.Assert(t, result.Is(replace(2, old), result.DistributionBelowFloor))
+	assert.Assert(t, !holds("old") && holds("renewed"))
+	tampered := accountsBundle(t, "old")
+	tampered.Content[len(tampered.Content)-1] ^= 1
+	assert.Assert(t, result.Is(replace(4, tampered), result.DistributionDigestMismatch))
+	assert.Assert(t, holds("renewed"))
+	assert.NilError(t, replace(5, nil))
+	assert.Assert(t, store.Current().Accounts == nil)
+}
--- a/internal/requestpath/gateway/lines.go
+++ b/internal/requestpath/gateway/lines.go
@@ -26,6 +26,8 @@
 	// eventCallerUnserved is for a connection that this daemon ended although it had read bytes of
 	// a request behind the last answer.
 	eventCallerUnserved = "caller.unserved"
+	// eventKeyRefused is for a request that its API key did not let be served.
+	eventKeyRefused = "key.refused"
 )
 
 // noteUnserved counts and logs a caller's connection that ended with a request read and unanswered.
@@ -47,6 +49,16 @@
 		"come_back_ms", retryAfterOf(err).Milliseconds(), "constraint", constraint, "detail", err)
 }
 
+// noteRefusedKey counts and logs a request that its API key did not let be served. Of the key the
+// line has the start of its digest only.
+func (g *Gateway) noteRefusedKey(rc *app.RequestContext, route *lapisv1.Route, key presentedKey, reason refusalReason) {
+	g.metrics.refusedKeys.WithLabelValues(string(reason)).Inc()
+	currency := g.config.Identity.currency()
+	g.config.Decisions.Failure(eventKeyRefused, g.requestID(rc),
+		"reason", string(reason), "digest", key.shown(), "route", route.GetName(), "revision", g.revision(),
+		"unconfirmed_ms", currency.Unconfirmed.Milliseconds(), "behind", currency.Behind)
+}
+
 // revision returns the configuration in force, 0 before the first.
 func (g *Gateway) revision() uint64 {
 	if current := g.config.Snapshots.Current(); current != nil {
@@ -82,11 +94,13 @@
 // answerPairs returns the keys and values of the line of an answered call.
 func (a *attempter) answerPairs(done instanceAnswer) []any {
 	head := done.answer.Head
+	work, workAge := done.target.Work(time.Now())
 	return []any{
 		"attempt", a.attemptID, "route", a.route.GetName(), "revision", a.current.Revision,
 		"instance", done.target.Endpoint.GetInstance(), "member", done.target.Endpoint.GetNode(),
 		"attempts", len(a.tried) + 1, "inherited", a.inherited, "status", head.GetStatus(), "load", float64(head.GetLoad()),
 		"service_ms", float64(head.GetServiceMicros()) / 1000, "took_ms", time.Since(a.started).Milliseconds(),
+		"work_percent", head.GetWorkPercent(), "work_expected", work, "work_age_ms", workAge.Milliseconds(),
 	}
 }
 
--- a/internal/requestpath/origin/instance.go
+++ b/internal/requestpath/origin/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -18,8 +19,7 @@
 // Times and bounds of an instance.
 const (
 	// checkInterval is the time between two checks of an instance's state, which for one
-	// that does not register is a probe for a connection. Chosen, not measured; it must be well
-	// below heartbeatSilence.
+	// that does not register is a probe for a connection; well below heartbeatSilence.
 	checkInterval = 200 * time.Millisecond
 	// DefaultSlots and DefaultConnections hold until a configuration is known: what the
 	// users' sites state of an instance (about 6 slots and 130 connections).
@@ -45,6 +45,10 @@
 	version string
 	// inFlight are the calls that it has.
 	inFlight inFlightCalls
+	// anonymousPriority is the account's priority that holds for calls without an account.
+	anonymousPriority atomic.Uint32
+	// work is what it states of how long work takes there.
+	work statedWork
 
 	// mutex protects everything below.
 	mutex sync.Mutex
@@ -177,6 +181,7 @@
 		slots = int(service.Bundle.GetPool().GetSlots())
 	}
 	if current.Accounts != nil {
+		i.anonymousPriority.Store(current.Accounts.UsualPriority())
 		i.queue.ConfigureAccounts(slots, current.Accounts.Weights())
 	} else {
 		i.queue.Configure(slots, service.Shares)
