--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -160,10 +160,18 @@
 
 // signal sends a signal; a process that has ended gets none.
 func (p *process) signal(signal os.Signal) {
+	if !p.hasEnded() {
+		// One that ends meanwhile gets none.
+		_ = p.command.Process.Signal(signal)
+	}
+}
+
+func (p *process) hasEnded() bool {
 	select {
 	case <-p.ended:
+		return true
 	default:
-		_ = p.command.Process.Signal(signal)
+		return false
 	}
 }
 
