--- a/internal/requestpath/gateway/identity.go
+++ b/internal/requestpath/gateway/identity.go
@@ -134,24 +134,37 @@
 	key := g.keyOf(rc)
 	decision := g.decideOnKey(&found, key, false)
 	if decision == identity.AwaitNewer || decision == identity.RefuseUnknown {
-		if found.current = g.newestFor(ctx, found, decision); found.current != current {
-			if found.route, err = routeOf(rc, found.current); err != nil || found.current.Accounts == nil {
-				return found, err
-			}
-		}
-		decision = g.decideOnKey(&found, key, true)
+		found.current = g.newestFor(ctx, found, decision)
+		decision, err = g.decideAnew(rc, &found, key)
+	}
+	if err != nil {
+		return found, err
+	}
+	return found, g.refusalOf(rc, found.route, key, decision)
+}
+
+// decideAnew decides on the key of a request whose configuration may be another one by now. Errors:
+// CallNoRoute.
+func (g *Gateway) decideAnew(rc *app.RequestContext, found *admitted, key presentedKey) (identity.Decision, error) {
+	var err error
+	if found.route, err = routeOf(rc, found.current); err != nil || found.current.Accounts == nil {
+		return identity.ServeAnyone, err
 	}
+	return g.decideOnKey(found, key, true), nil
+}
+
+// refusalOf returns the refusal that a decision is, and counts and logs it; nil for a request that is
+// served. Errors: CallUnknownKey, CallKeysUnconfirmed.
+func (g *Gateway) refusalOf(rc *app.RequestContext, route *lapisv1.Route, key presentedKey, decision identity.Decision) error {
+	code, reason := result.CallKeysUnconfirmed, reasonUnconfirmed
 	switch decision {
 	case identity.ServeCaller, identity.ServeAnyone:
-		return found, nil
+		return nil
 	case identity.RefuseUnknown:
-		reason := key.wrong()
-		g.noteRefusedKey(rc, found.route, key, reason)
-		return found, result.Errorf(result.CallUnknownKey, "API key: %s", reason)
-	default:
-		g.noteRefusedKey(rc, found.route, key, reasonUnconfirmed)
-		return found, result.Errorf(result.CallKeysUnconfirmed, "API key: %s", reasonUnconfirmed)
+		code, reason = result.CallUnknownKey, key.wrong()
 	}
+	g.noteRefusedKey(rc, route, key, reason)
+	return result.Errorf(code, "API key: %s", reason)
 }
 
 // decideOnKey decides on the key of a request and sets its caller.
