Callers of calls that an instance shed although it had room come back at once

Cause: a call that an instance refuses although it has a free slot is not refused for load, so that nothing has to pass before its caller tries again; it was told to come back after 0.15 to 0.6 of the target latency, and was late then. Change: the daemon beside the instance knows whether a slot was free, or whether the instance lately shed with few calls running, and names 20 ms then; what is named for a call that was shed counts where it is sooner, spread over one to two times of it.

--- a/internal/requestpath/admission/slot.go
+++ b/internal/requestpath/admission/slot.go
@@ -41,6 +41,14 @@
 	return &Slot{queue: q, group: q.groupOf(waiting.request), upload: waiting.request.Upload, started: q.now(), concurrent: q.running, found: waiting.place}
 }
 
+// HadRoom reports whether the back end had fewer calls than it works on at once when the slot was
+// given, or has lately shed calls for another cause than load.
+func (s *Slot) HadRoom() bool {
+	s.queue.mutex.Lock()
+	defer s.queue.mutex.Unlock()
+	return s.concurrent < s.queue.limit.slots || s.queue.now().Before(s.queue.limit.unrelatedUntil)
+}
+
 // Ahead returns how many waiting calls went before this one as it came.
 func (s *Slot) Ahead() int { return s.found.ahead }
 
--- a/internal/requestpath/origin/handover.go
+++ b/internal/requestpath/origin/handover.go
@@ -43,7 +43,7 @@
 	o.noteCall(instance, nil)
 	workPercent := o.config.Envelope.WorkPercent(response.Header)
 	instance.work.note(workPercent, time.Now())
-	if refusal := o.refusalOf(instance, response); refusal != nil {
+	if refusal := o.refusalOf(instance, response, slot.HadRoom()); refusal != nil {
 		_ = response.Body.Close() // It only ends the exchange, and never fails.
 		slot.Release(result.Is(refusal, result.CallNotRunShed))
 		return nil, refusal
@@ -65,12 +65,12 @@
 }
 
 // refusalOf returns the error for an answer which states that the back end did not run the request,
-// nil for any other. An instance that is not the one the request was meant for (421) has taken its
-// address.
-func (o *Origin) refusalOf(instance *Instance, response *http.Response) error {
+// nil for any other; hadRoom tells that the instance had a free slot. An instance that is not the one
+// the request was meant for (421) has taken its address.
+func (o *Origin) refusalOf(instance *Instance, response *http.Response, hadRoom bool) error {
 	if o.config.Envelope.ExpectedInstance != "" && response.StatusCode == http.StatusMisdirectedRequest {
 		o.markReplaced(instance)
 		return result.Errorf(result.CallNotRunUnknownHere, "another instance answers at the address of %s", instance.Name)
 	}
-	return instanceRefusal(response, &o.config.Envelope)
+	return instanceRefusal(response, &o.config.Envelope, hadRoom)
 }
--- a/internal/requestpath/origin/refusal.go
+++ b/internal/requestpath/origin/refusal.go
@@ -114,9 +114,15 @@
 	return result.Errorf(result.CallNotRunUnreachable, "instance %s is down (%s)", instance, cause)
 }
 
+// returnWithRoom is when the caller of a call may come back that an instance refused although it had
+// room: no load has to pass first, so that a later return finds nothing better. The pause keeps
+// callers from trying without one.
+const returnWithRoom = 20 * time.Millisecond
+
 // instanceRefusal returns the error for an answer that states that the instance did not run the
-// request (the header field of the envelope, with 503 or 429); nil for any other answer.
-func instanceRefusal(response *http.Response, envelope *callapi.Envelope) error {
+// request (the header field of the envelope, with 503 or 429); nil for any other answer. hadRoom
+// tells that the instance had a free slot.
+func instanceRefusal(response *http.Response, envelope *callapi.Envelope, hadRoom bool) error {
 	if response.Header.Get(envelope.NotRun) == "" {
 		return nil
 	}
@@ -124,6 +130,9 @@
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		refusal := result.Errorf(result.CallNotRunShed, "the back end answered %d", response.StatusCode)
 		refusal.RetryAfter = retryAfterOf(response.Header)
+		if hadRoom {
+			refusal.RetryAfter = returnWithRoom
+		}
 		return refusal
 	default:
 		return nil
--- a/internal/requestpath/origin/refusal_test.go
+++ b/internal/requestpath/origin/refusal_test.go
@@ -98,16 +98,18 @@
 		status     int
 		notRun     bool
 		retryAfter string
+		hadRoom    bool
 		code       result.Code
 		after      time.Duration
 	}{
-		"overloaded":      {http.StatusServiceUnavailable, true, "2", result.CallNotRunShed, 2 * time.Second},
-		"too many":        {http.StatusTooManyRequests, true, "0.5", result.CallNotRunShed, 500 * time.Millisecond},
-		"no time":         {http.StatusServiceUnavailable, true, "", result.CallNotRunShed, 0},
-		"a date":          {http.StatusServiceUnavailable, true, "Fri, 31 Dec 1999 23:59:59 GMT", result.CallNotRunShed, 0},
-		"it may have run": {http.StatusServiceUnavailable, false, "2", result.OK, 0},
-		"another failure": {http.StatusInternalServerError, true, "", result.OK, 0},
-		"an answer":       {http.StatusOK, true, "", result.OK, 0},
+		"overloaded":      {http.StatusServiceUnavailable, true, "2", false, result.CallNotRunShed, 2 * time.Second},
+		"too many":        {http.StatusTooManyRequests, true, "0.5", false, result.CallNotRunShed, 500 * time.Millisecond},
+		"no time":         {http.StatusServiceUnavailable, true, "", false, result.CallNotRunShed, 0},
+		"a date":          {http.StatusServiceUnavailable, true, "Fri, 31 Dec 1999 23:59:59 GMT", false, result.CallNotRunShed, 0},
+		"it may have run": {http.StatusServiceUnavailable, false, "2", false, result.OK, 0},
+		"another failure": {http.StatusInternalServerError, true, "", false, result.OK, 0},
+		"an answer":       {http.StatusOK, true, "", false, result.OK, 0},
+		"it had room":     {http.StatusServiceUnavailable, true, "2", true, result.CallNotRunShed, returnWithRoom},
 	} {
 		t.Run(name, func(t *testing.T) {
 			response := &http.Response{StatusCode: row.status, Header: http.Header{}}
@@ -115,7 +117,7 @@
 				response.Header.Set(envelope.NotRun, "1")
 			}
 			response.Header.Set("Retry-After", row.retryAfter)
-			err := instanceRefusal(response, &envelope)
+			err := instanceRefusal(response, &envelope, row.hadRoom)
 			code, _ := result.CodeOf(err)
 			assert.Equal(t, code, row.code)
 			var refusal *result.Error
--- a/internal/requestpath/refusal/refusal_test.go
+++ b/internal/requestpath/refusal/refusal_test.go
@@ -1,6 +1,7 @@
 package refusal
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -77,6 +78,9 @@
 		"constrained":           {Refusal{Code: result.CallNoEndpoint, RetryAfter: named, Constrained: true}, target, named, named},
 		"quarantined":           {Refusal{Code: result.CallNotRunQuarantined, RetryAfter: named}, target, named, named},
 		"rate limited":          {Refusal{Code: result.CallRateLimited, RetryAfter: named}, target, named, named},
+		"shed with room":        {Refusal{Code: result.CallNotRunShed, RetryAfter: 20 * time.Millisecond}, target, 20 * time.Millisecond, 40 * time.Millisecond},
+		"shed, named late":      {Refusal{Code: result.CallNotRunShed, RetryAfter: named}, target, 30 * time.Millisecond, 120 * time.Millisecond},
+		"shed, none named":      {Refusal{Code: result.CallNotRunShed}, target, 30 * time.Millisecond, 120 * time.Millisecond},
 		"it may have run":       {Refusal{Code: result.CallUnknownOutcome, RetryAfter: named}, target, named, named},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -127,9 +131,41 @@
 		if refused.Code.NotRun() && target != 0 && !refused.Constrained && refused.Code != result.CallNotRunQuarantined && refused.Code != result.CallRateLimited {
 			part := 0.15 + (0.6-0.15)*drawn
 			want = time.Duration(part * float64(uint32(target.Milliseconds())) * float64(time.Millisecond))
+			if refused.Code == result.CallNotRunShed && spent > 0 {
+				want = min(want, time.Duration((1+drawn)*float64(spent)))
+			}
 		}
 		if got := RetryAfter(refused, target, drawn); got != want {
 			assert.Equal(t, got, want)
 		}
 	}
 }
+
+// While instances shed half of the calls whatever their load, more callers that come back soon get
+// their answers in time.
+func TestCallersOfShedCallsReturnInTime(t *testing.T) {
+	const calls, tries, shedPart = 20_000, 3, 0.55
+	const target, work, workSpread = 500 * time.Millisecond, 140 * time.Millisecond, 0.7
+	inTime := func(named time.Duration) float64 {
+		random := rand.New(rand.NewPCG(5, 6))
+		count := 0
+		for range calls {
+			spent := time.Duration(0)
+			for range tries {
+				if random.Float64() < shedPart {
+					spent += RetryAfter(Refusal{Code: result.CallNotRunShed, RetryAfter: named}, target, random.Float64())
+					continue
+				}
+				spent += time.Duration(float64(work) * math.Exp(workSpread*random.NormFloat64()))
+				if spent <= target {
+					count++
+				}
+				break
+			}
+		}
+		return float64(count) / calls
+	}
+	late, soon := inTime(0), inTime(20*time.Millisecond)
+	t.Logf("in time: %.3f without a time named, %.3f with a short one", late, soon)
+	assert.Assert(t, soon > late)
+}
--- a/internal/requestpath/refusal/retryafter.go
+++ b/internal/requestpath/refusal/retryafter.go
@@ -11,15 +11,12 @@
 // until the next trial, the instance for what it sheds. RetryAfter replaces most of these by a time
 // within the route's target latency; a refusal without any gets DefaultRetryAfter.
 
-// DefaultRetryAfter is the time where nothing better is known. Chosen, not measured; the shortest
-// for callers that read whole seconds.
+// DefaultRetryAfter is the time where nothing better is known: the shortest for callers that read
+// whole seconds.
 const DefaultRetryAfter = time.Second
 
 // A refused caller may come back after a random time between these parts of the target latency:
-// soon, because worth counts from the first try, and spread, so that the returns find slots free.
-// Measured on the first 16 s of a busy day (docs/design/0015): worth 0.653, and 0.643 with 0.4 to
-// 1.2 targets, both beside a longer wait for a slot than that of wait.go; beside that one 0.643 with
-// either, and the sooner return was kept.
+// soon, because the target counts from the first try, and spread, so that the returns find slots free.
 const (
 	returnFrom = 0.15
 	returnTo   = 0.6
@@ -40,12 +37,17 @@
 //
 // A time that was named is kept where an earlier return would be refused again (a constraint, the
 // quarantine or a rate limit), for a call that may have run, and for a route without a target. All others
-// return within the target, early enough for an answer that is worth something.
+// return within the target, early enough for an answer that is worth something: after a random part
+// of it, or after one to two times what was named for a call that its instance shed, if that is sooner.
 func RetryAfter(refused Refusal, target time.Duration, random float64) time.Duration {
 	keeps := refused.Constrained || refused.Code == result.CallNotRunQuarantined || refused.Code == result.CallRateLimited
 	if !refused.Code.NotRun() || target == 0 || keeps {
 		return refused.RetryAfter
 	}
 	part := returnFrom + (returnTo-returnFrom)*random
-	return time.Duration(part * float64(target.Milliseconds()) * float64(time.Millisecond))
+	after := time.Duration(part * float64(target.Milliseconds()) * float64(time.Millisecond))
+	if refused.Code == result.CallNotRunShed && refused.RetryAfter > 0 {
+		after = min(after, time.Duration((1+random)*float64(refused.RetryAfter)))
+	}
+	return after
 }
