--- a/internal/lab/soak/descriptors_test.go
+++ b/internal/lab/soak/descriptors_test.go
@@ -16,7 +16,7 @@
 func TestDaemonTakesCallersAfterItRanOutOfDescriptors(t *testing.T) {
 	const limit = 80
 	started := newLauncher(t)
-	running := launchAlone(t, started, "127.254.9.7")
+	running := launchAlone(t, started)
 	awaitListening(t, running.addresses.Caller)
 	assert.NilError(t, unix.Prlimit(running.command.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: limit, Max: limit}, nil))
 	var taken []net.Conn
--- a/internal/lab/soak/signals_test.go
+++ b/internal/lab/soak/signals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -77,7 +78,7 @@
 // without a request, and counted the refusal in progress at its limit as a call that it cut.
 func testRefusedDuringAStop(t *testing.T) {
 	started := newLauncher(t)
-	running := launchAlone(t, started, "127.254.9.10")
+	running := launchAlone(t, started)
 	awaitListening(t, running.addresses.Caller)
 	const callers = 32
 	var calling sync.WaitGroup
@@ -115,9 +116,17 @@
 	}
 }
 
+// ownHost returns an address of loopback that tests of other processes do not use at the same time.
+func ownHost() string {
+	const perByte = 250
+	number := os.Getpid()
+	return fmt.Sprintf("127.254.%d.%d", 1+number/perByte%perByte, 1+number%perByte)
+}
+
 // launchAlone starts a daemon that finds a store and no other daemons.
-func launchAlone(t *testing.T, started *launcher, host string) *process {
+func launchAlone(t *testing.T, started *launcher) *process {
 	t.Helper()
+	host := ownHost()
 	store, err := objectstore.Start(objectstore.Options{Address: "127.0.0.1:0"})
 	assert.NilError(t, err)
 	t.Cleanup(store.Close)
@@ -150,7 +159,7 @@
 	started := newLauncher(t)
 	const rounds = 4
 	for range rounds {
-		running := launchAlone(t, started, "127.254.9.9")
+		running := launchAlone(t, started)
 		awaitListening(t, running.addresses.Peer)
 		running.signal(syscall.SIGHUP)
 		running.signal(syscall.SIGTERM)
@@ -164,7 +173,7 @@
 	reader, writer, err := os.Pipe()
 	assert.NilError(t, err)
 	started.output = writer
-	running := launchAlone(t, started, "127.254.9.8")
+	running := launchAlone(t, started)
 	assert.NilError(t, writer.Close())
 	awaitListening(t, running.addresses.Caller)
 	_, err = io.ReadAtLeast(reader, make([]byte, 1<<10), 1)
