Rate limits: calls of small accounts may come together; accuracy by the model

Change: a bucket's burst is enlarged by 0.3 of the slack; the sustained bucket holds a tenth of the burst and two owners are given a tenth of the overshoot. TestAccuracy holds it.

--- a/internal/distribution/allowance/bounds.go
+++ b/internal/distribution/allowance/bounds.go
@@ -31,13 +31,16 @@
 	// spent in it.
 	validityShare = 0.2
 	// overlapShare is that for two owners that lend at the same time for a moment.
-	overlapShare = 0.2
+	overlapShare = 0.1
 	// reserveShare is the part of the slack for what daemons spend that reach no owner.
 	reserveShare = 0.3
 	// sparedSlack is the part of the slack that nothing uses.
 	sparedSlack = 0.1
+	// headroomShare is the part of the slack by which the burst of a bucket is enlarged, so that calls of
+	// a small account may come together.
+	headroomShare = 0.3
 	// sustainedShare is the part of the burst that the sustained bucket holds.
-	sustainedShare = 0.25
+	sustainedShare = 0.1
 )
 
 // validity is how long credit may be spent, counted from the ask.
--- a/internal/distribution/allowance/bucket.go
+++ b/internal/distribution/allowance/bucket.go
@@ -46,7 +46,7 @@
 
 // resize sets the buckets as the limit says. Each holds at least one call.
 func (b *bucket) resize(bounds Bounds) {
-	whole := max(1, float64(b.limit.Burst))
+	whole := max(1, float64(b.limit.Burst)+headroomShare*bounds.Slack)
 	part := max(1, sustainedShare*whole)
 	b.burstful.resize(whole)
 	b.sustained.resize(part)
--- a/internal/distribution/allowance/scaffold_test.go
+++ b/internal/distribution/allowance/scaffold_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 )
 
@@ -32,7 +34,15 @@
 	// ran are the times at which calls ran, by allowance.
 	ran                           map[string][]time.Time
 	granted, refused, unreachable int
-	frames                        int
+	// frames and bytes count what was received, by daemon.
+	frames, bytes map[string]int
+	grantedOf     map[string]int
+	// indexes are the places of the daemons by name.
+	indexes map[string]int
+	// delay is how long a frame takes at most where nothing is cut.
+	delay time.Duration
+	// asked is called with each call that wants credit.
+	asked func(name string)
 	// notRunShare of the calls that may go do not run, and are given back after a while.
 	notRunShare float64
 	backs       []pendingReturn
@@ -61,6 +71,7 @@
 	alive, frozen bool
 	knows         map[string]time.Time
 	outbound      map[int]*simulatedLink
+	inbound       []*simulatedLink
 	waiting       []waitingCall
 	startsAt      time.Time
 	thawsAt       time.Time
@@ -98,9 +109,12 @@
 		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), cut: map[[2]int]bool{},
 		bounds: Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20},
 		limits: map[string]Limit{}, load: map[string]float64{}, ran: map[string][]time.Time{}, variant: variant,
+		frames: map[string]int{}, bytes: map[string]int{}, grantedOf: map[string]int{}, indexes: map[string]int{}, delay: longestDelay,
 	}
 	for index := range daemons {
-		p.daemons = append(p.daemons, &simulatedDaemon{index: index, name: fmt.Sprintf("daemon-%d", index)})
+		name := fmt.Sprintf("daemon-%d", index)
+		p.daemons = append(p.daemons, &simulatedDaemon{index: index, name: name})
+		p.indexes[name] = index
 	}
 	return p
 }
@@ -110,6 +124,7 @@
 	d.life++
 	d.alive, d.frozen = true, false
 	d.part = NewPart(d.name, p.bounds, p.now)
+	d.inbound = nil
 	d.outbound, d.waiting, d.knows = map[int]*simulatedLink{}, nil, map[string]time.Time{}
 	for _, other := range p.daemons {
 		if other == d || other.life == 0 {
@@ -132,17 +147,14 @@
 	}
 	d.alive = false
 	d.startsAt = p.now.Add(restart)
-	for _, other := range p.daemons {
-		for _, link := range other.outbound {
-			if link.client == d {
-				link.clientOpen = false
-				link.toServer = append(link.toServer, p.frame(link.toServer, simulatedFrame{end: true}))
-			}
-			if link.server == d {
-				link.serverOpen = false
-				link.toClient = append(link.toClient, p.frame(link.toClient, simulatedFrame{end: true}))
-			}
-		}
+	for _, at := range sortedKeys(d.outbound) {
+		link := d.outbound[at]
+		link.clientOpen = false
+		link.toServer = append(link.toServer, p.frame(link.toServer, simulatedFrame{end: true}))
+	}
+	for _, link := range d.inbound {
+		link.serverOpen = false
+		link.toClient = append(link.toClient, p.frame(link.toClient, simulatedFrame{end: true}))
 	}
 	d.waiting = nil
 }
@@ -155,7 +167,7 @@
 
 // frame gives a frame its time of arrival, after those before it.
 func (p *play) frame(queue []simulatedFrame, frame simulatedFrame) simulatedFrame {
-	frame.at = p.now.Add(time.Millisecond + time.Duration(p.random.Int64N(int64(longestDelay))))
+	frame.at = p.now.Add(time.Millisecond + time.Duration(p.random.Int64N(int64(p.delay))))
 	if len(queue) > 0 && queue[len(queue)-1].at.After(frame.at) {
 		frame.at = queue[len(queue)-1].at
 	}
@@ -193,12 +205,9 @@
 		p.variant.before(d.part, p.now)
 	}
 	p.maintain(d)
-	for _, other := range p.daemons {
-		for _, link := range other.outbound {
-			if link.server == d {
-				p.receiveAsServer(link)
-			}
-		}
+	d.inbound = slices.DeleteFunc(d.inbound, func(link *simulatedLink) bool { return !link.serverOpen })
+	for _, link := range d.inbound {
+		p.receiveAsServer(link)
 	}
 	for _, at := range sortedKeys(d.outbound) {
 		p.receiveAsClient(d.outbound[at])
@@ -220,7 +229,7 @@
 // maintain opens the connections that the daemon wants.
 func (p *play) maintain(d *simulatedDaemon) {
 	for _, name := range d.part.Candidates(p.now) {
-		at := slices.IndexFunc(p.daemons, func(other *simulatedDaemon) bool { return other.name == name })
+		at := p.indexes[name]
 		other := p.daemons[at]
 		if other == d || d.outbound[at] != nil || p.isCut(d, other) {
 			continue
@@ -231,6 +240,7 @@
 		case !other.frozen:
 			link := &simulatedLink{client: d, server: other, clientOpen: true, serverOpen: true, clientHeard: p.now, serverHeard: p.now}
 			d.outbound[at] = link
+			other.inbound = append(other.inbound, link)
 			other.part.Joined(link)
 			d.part.Connected(p.now, name)
 		}
@@ -252,7 +262,8 @@
 			p.closeServer(link)
 			return
 		}
-		p.frames++
+		p.frames[link.server.name]++
+		p.bytes[link.server.name] += proto.Size(frame.ask)
 		if grant := link.server.part.ReceiveAsk(p.now, link.client.name, link, frame.ask); grant != nil {
 			link.toClient = append(link.toClient, p.frame(link.toClient, simulatedFrame{grant: grant}))
 		}
@@ -280,6 +291,8 @@
 			p.closeClient(link)
 			return
 		}
+		p.frames[link.client.name]++
+		p.bytes[link.client.name] += proto.Size(frame.grant)
 		link.client.part.ReceiveGrant(p.now, link.server.name, frame.grant)
 	}
 	if p.now.Sub(link.clientHeard) >= simulatedSilence {
@@ -300,8 +313,7 @@
 // send sends what the daemon has to say.
 func (p *play) send(d *simulatedDaemon) {
 	for _, message := range d.part.Outgoing(p.now) {
-		at := slices.IndexFunc(p.daemons, func(other *simulatedDaemon) bool { return other.name == message.To })
-		link := d.outbound[at]
+		link := d.outbound[p.indexes[message.To]]
 		if link == nil {
 			continue
 		}
@@ -320,6 +332,9 @@
 			count++
 		}
 		for range count {
+			if p.asked != nil {
+				p.asked(name)
+			}
 			d.waiting = append(d.waiting, waitingCall{d.part.Take(p.now, name, p.limits[name], 1), p.now})
 		}
 	}
@@ -361,6 +376,7 @@
 		p.backs = append(p.backs, pendingReturn{at: p.now.Add(after), daemon: d, life: d.life, ticket: ticket})
 	default:
 		p.granted++
+		p.grantedOf[ticket.allowance]++
 		p.note(ticket.allowance)
 		if p.variant.returnRan {
 			d.part.GiveBack(p.now, ticket)
