A few answers by chance do not decide whether an instance is believed

Change: both errors begin at what service times vary by, as if found with ten answers, are a mean of the first answers and then smoothed; the statements' error must be a fifth larger, not a tenth.

--- a/internal/requestpath/admission/account.go
+++ b/internal/requestpath/admission/account.go
@@ -146,7 +146,7 @@
 		return nil, q.refuse(expected, "no slot is free", entered.place)
 	case actionRefuseFull:
 		q.remove(entered)
-		return nil, q.refuse(expected, "more urgent calls leave no time for one of account "+request.Group, entered.place)
+		return nil, q.refuse(expected, "more urgent calls leave it no time", entered.place)
 	}
 	q.refuseHopeless(ranked, now)
 	q.dispatch()
--- a/internal/requestpath/worktime/statements.go
+++ b/internal/requestpath/worktime/statements.go
@@ -26,7 +26,12 @@
 	trustSmoothing = 0.02
 	// mistrustAbove is how many times as large the error with the statements must be as that
 	// without them for an instance not to be believed; above 1, since chance makes either larger.
-	mistrustAbove = 1.1
+	mistrustAbove = 1.2
+	// errorAssumed is both errors before the first answers, as if it had been found with
+	// answersAssumed of them: service times of one route vary by about as much, and a few answers by
+	// chance must not decide.
+	errorAssumed   = 0.5
+	answersAssumed = 10
 )
 
 // statementMemories are the times in which a statement may lose what it says, of which the one
@@ -47,6 +52,8 @@
 	// believing and doubting are the smoothed squared errors of the logarithm of service times
 	// that were expected with the statements and without.
 	believing, doubting float64
+	// judged is the number of answers in these errors, up to where older ones are forgotten.
+	judged float64
 }
 
 // Add counts a statement made at the given time; 0 percent stands for none, and one older than the
@@ -58,6 +65,7 @@
 	stated := min(max(float64(percent), leastPercent), mostPercent)
 	if s.at.IsZero() {
 		s.lasting = stated
+		s.believing, s.doubting, s.judged = errorAssumed, errorAssumed, answersAssumed
 	} else {
 		s.noteChange(stated, at)
 	}
@@ -123,11 +131,12 @@
 // Judge compares a service time with those that were expected, all in seconds: with the
 // statements and without.
 func (s *Statements) Judge(took, with, without float64) {
-	if took <= 0 || with <= 0 || without <= 0 {
+	if s.at.IsZero() || took <= 0 || with <= 0 || without <= 0 {
 		return
 	}
-	s.believing += trustSmoothing * (square(math.Log(took/with)) - s.believing)
-	s.doubting += trustSmoothing * (square(math.Log(took/without)) - s.doubting)
+	s.judged = min(s.judged+1, 1/trustSmoothing)
+	s.believing += (square(math.Log(took/with)) - s.believing) / s.judged
+	s.doubting += (square(math.Log(took/without)) - s.doubting) / s.judged
 }
 
 func square(value float64) float64 { return value * value }
