A stop waits for callers that are sending

Cause: a stopping daemon counted requests that it had read and answers that it had written. A caller amid a body whose request was refused already, or amid a head, counted as neither, so that the process ended under it: the rest of the body met no process, and the refusal was lost with it.

Change: connections on which a request or the rest of a body is coming in hold the stop up, unless the caller paused for a second, within the stop's limit.

On kept connections the last upload may still be cut at the limit.

--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -146,8 +146,8 @@
 	return p.gateway.Serving() + int64(p.origin.InFlight())
 }
 
-// settled reports whether the end of the process would take nothing away: no call is in flight,
-// and no answer that was written is still on its way to its caller. Any further byte of that
+// settled reports whether the end of the process would take nothing away: no call is in flight, none
+// is coming in, and no answer that was written is still on its way to its caller. Any further byte of that
 // caller would make the kernel drop such an answer once the process is gone: 6 of 400 kB arrived
 // (TestAnswersAreReadBeforeTheProcessEnds).
 func (p *requestPath) settled() bool {
@@ -195,7 +195,7 @@
 
 // callersSettled is settled for callers alone: the calls of other daemons are theirs to answer.
 func (p *requestPath) callersSettled() bool {
-	return p.gateway.InFlight() == 0 && p.gateway.Undelivered() == 0
+	return p.gateway.InFlight() == 0 && p.gateway.Undelivered() == 0 && p.gateway.Receiving() == 0
 }
 
 // stopLimitCause is the cause of calls that are cut when the time of a stop is over.
--- a/internal/lab/soak/signals_test.go
+++ b/internal/lab/soak/signals_test.go
@@ -1,7 +1,9 @@
 package soak_test
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -37,6 +40,7 @@
 func TestSignals(t *testing.T) {
 	t.Run("a second one during a stop cuts nothing", testRepeatedSignals)
 	t.Run("callers that are refused meanwhile are no calls to cut", testRefusedDuringAStop)
+	t.Run("bodies that are coming in are answered", testUploadsDuringAStop)
 	t.Run("one right after the first listener opened", testSignalsOfAStartingDaemon)
 	t.Run("nobody reads the output any more", testClosedOutput)
 }
@@ -93,6 +97,67 @@
 	assert.Check(t, strings.Contains(stop, "cut=0 open=0 undelivered=0"), "%s", lastLine(stop))
 }
 
+// The failure: callers of long uploads saw their connections end when the process ended, amid the
+// body or before they had read the refusal that was written meanwhile.
+func testUploadsDuringAStop(t *testing.T) {
+	started := newLauncher(t)
+	running := launchAlone(t, started)
+	awaitListening(t, running.addresses.Caller)
+	const callers = 8
+	var answered, cut atomic.Int64
+	var calling sync.WaitGroup
+	for range callers {
+		calling.Go(func() {
+			for !running.hasEnded() {
+				switch err := upload(running.addresses.Caller); {
+				case err == nil:
+					answered.Add(1)
+				case !errors.Is(err, errNotAccepted):
+					cut.Add(1)
+					t.Log(err)
+				}
+			}
+		})
+	}
+	running.signal(syscall.SIGTERM)
+	assert.Check(t, running.exit(t) == "exit status 0", "%s", running.exit(t))
+	calling.Wait()
+	assert.Assert(t, answered.Load() > callers)
+	assert.Equal(t, cut.Load(), int64(0))
+}
+
+// errNotAccepted is for an upload that the daemon never asked for.
+var errNotAccepted = errors.New("not accepted")
+
+// upload sends a long body in pieces, once the daemon has asked for it, and reads the answer.
+func upload(address string) error {
+	const pieces, pieceBytes, pause = 30, 10_000, 10 * time.Millisecond
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return errNotAccepted
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: desk\r\nContent-Length: %d\r\nExpect: 100-continue\r\n\r\n", pieces*pieceBytes)
+	if err != nil {
+		return errNotAccepted
+	}
+	if interim, err := http.ReadResponse(reader, nil); err != nil || interim.StatusCode != http.StatusContinue {
+		return errNotAccepted
+	}
+	for range pieces {
+		if _, err := conn.Write(make([]byte, pieceBytes)); err != nil {
+			return err
+		}
+		time.Sleep(pause)
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
 // lastLine returns the last line of what a process has written.
 func lastLine(output string) string {
 	lines := strings.Split(strings.TrimSpace(output), "\n")
--- a/internal/requestpath/gateway/lifecycle.go
+++ b/internal/requestpath/gateway/lifecycle.go
@@ -104,6 +104,10 @@
 // end of the process could take away.
 func (g *Gateway) Undelivered() int { return g.callers.Undelivered() }
 
+// Receiving returns the number of callers' connections on which a request is coming in that is not
+// served yet, or a body whose request was answered before its end.
+func (g *Gateway) Receiving() int { return g.callers.Receiving() }
+
 // Unserved returns the number of callers' connections so far that the gateway ended although it had
 // read a request that it did not answer.
 func (g *Gateway) Unserved() int64 { return g.callers.Unserved() }
--- a/internal/requestpath/gateway/pipeline/caller.go
+++ b/internal/requestpath/gateway/pipeline/caller.go
@@ -25,6 +25,25 @@
 	// the error behind them.
 	lookahead    []byte
 	lookaheadErr error
+	// receivedAt is when bytes were read last.
+	receivedAt time.Time
+}
+
+// noteReceived records that bytes were read.
+func (c *callerConn) noteReceived(count int) {
+	if count == 0 {
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.receivedAt = time.Now()
+}
+
+// lastReceived returns when bytes were read last.
+func (c *callerConn) lastReceived() time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.receivedAt
 }
 
 // local reports whether the caller is on this machine: both ends have the same address.
@@ -58,7 +77,9 @@
 	if err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(buffer)
+	count, err := c.Conn.Read(buffer)
+	c.noteReceived(count)
+	return count, err
 }
 
 // readAhead reads until it is interrupted, maxLookahead bytes are held (full) or the caller
@@ -93,6 +114,7 @@
 	for filled < len(buffer) && err == nil {
 		var count int
 		count, err = c.Conn.Read(buffer[filled:])
+		c.noteReceived(count)
 		filled += count
 	}
 	c.mutex.Lock()
--- a/internal/requestpath/gateway/pipeline/connection.go
+++ b/internal/requestpath/gateway/pipeline/connection.go
@@ -53,6 +53,9 @@
 	dropped bool
 }
 
+// sendingPause is how long a caller may pause amid a request before it counts as not sending.
+const sendingPause = time.Second
+
 func newConnection(server *Server, core suite.Core, conn network.Conn, caller *callerConn) *connection {
 	c := &connection{server: server, core: core, conn: conn, caller: caller, wakeUp: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -105,6 +108,16 @@
 	return now.Sub(writtenAt) < c.server.config.LingerTime && socket.Unacknowledged(c.caller.Conn) > 0
 }
 
+// receiving reports whether the caller is sending a request, or a body that is dropped because its
+// request was answered: the end of the process would meet it amid that, and it might lose its answer
+// too. A caller that pauses is not waited for.
+func (c *connection) receiving(now time.Time) bool {
+	c.mutex.Lock()
+	behind := c.behind
+	c.mutex.Unlock()
+	return behind && now.Sub(c.caller.lastReceived()) < sendingPause
+}
+
 // noteUnserved reports what was read of requests that nobody will answer. Only the reader may
 // call it.
 func (c *connection) noteUnserved() {
--- a/internal/requestpath/gateway/pipeline/server.go
+++ b/internal/requestpath/gateway/pipeline/server.go
@@ -85,6 +85,19 @@
 	return count
 }
 
+// receiving returns on how many of them the caller is sending a request.
+func (c *connections) receiving(now time.Time) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	count := 0
+	for connection := range c.served {
+		if connection.receiving(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // New returns a server.
 func New(config Config) *Server {
 	if config.Limits == (Limits{}) {
@@ -101,6 +114,10 @@
 // the process.
 func (s *Server) Undelivered() int { return s.connections.undelivered(time.Now()) }
 
+// Receiving returns the number of connections on which the caller is sending a request that is not
+// passed on yet, or a body that nobody reads. It looks at each connection, as Undelivered does.
+func (s *Server) Receiving() int { return s.connections.receiving(time.Now()) }
+
 // Unserved returns the number of connections so far that this side ended although bytes of requests
 // had been read that it did not answer.
 func (s *Server) Unserved() int64 { return s.unserved.Load() }
--- a/internal/requestpath/gateway/pipeline/stop_test.go
+++ b/internal/requestpath/gateway/pipeline/stop_test.go
@@ -98,6 +98,50 @@
 	assert.Equal(t, opened.server.Unserved(), int64(0))
 }
 
+// The failure: the caller of an upload saw its connection end when the process ended, although the
+// refusal of the upload was written: the process did not wait for a caller that was still sending.
+func TestCallerThatIsSendingIsWaitedFor(t *testing.T) {
+	const size = 300_000
+	for name, row := range map[string]struct {
+		first, rest string
+	}{
+		"a head":                                 {"POST /1 HTTP/1.1\r\nHo", "st: a\r\nContent-Length: 0\r\n\r\n"},
+		"a body whose request is answered early": {fmt.Sprintf("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\nx", size), strings.Repeat("x", size-1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			opened := open(t, DefaultLimits, func(_ context.Context, exchange *Exchange) { reply(exchange, "refused") })
+			client := opened.dial(t)
+			client.send(row.first)
+			for range testWait / time.Millisecond {
+				if opened.server.Open() == 0 && opened.server.Receiving() == 1 {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			assert.Equal(t, opened.server.Receiving(), 1)
+			client.send(row.rest)
+			_, body := client.answer()
+			assert.Equal(t, body, "refused")
+			for range testWait / time.Millisecond {
+				if opened.server.Receiving() == 0 {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			assert.Equal(t, opened.server.Receiving(), 0)
+		})
+	}
+}
+
+// A caller that pauses amid a request is not waited for.
+func TestCallerThatPausesIsNotSending(t *testing.T) {
+	caller := &callerConn{receivedAt: time.Unix(1000, 0)}
+	sending := &connection{caller: caller, behind: true}
+	assert.Assert(t, sending.receiving(caller.receivedAt))
+	assert.Assert(t, !sending.receiving(caller.receivedAt.Add(sendingPause)))
+	assert.Assert(t, !(&connection{caller: caller}).receiving(caller.receivedAt))
+}
+
 // A caller that is still reading a long answer goes on to send; an answer behind the long one that
 // closed the connection took away what was sent until then (72 daemons, seeds 201 and 203: five
 // requests, 228 to 311 ms after they were sent).
