A stop waits for requests that the system holds

Cause: of a connection at rest a stopping daemon knew only what it had read.

Change: unread bytes hold the stop up (SIOCINQ).

--- a/internal/requestpath/gateway/pipeline/connection.go
+++ b/internal/requestpath/gateway/pipeline/connection.go
@@ -110,12 +110,15 @@
 
 // receiving reports whether the caller is sending a request, or a body that is dropped because its
 // request was answered: the end of the process would meet it amid that, and it might lose its answer
-// too. A caller that pauses is not waited for.
+// too. A caller that pauses is not waited for, but what the system holds of it is.
 func (c *connection) receiving(now time.Time) bool {
 	c.mutex.Lock()
-	behind := c.behind
+	behind, lingering := c.behind, c.lingering
 	c.mutex.Unlock()
-	return behind && now.Sub(c.caller.lastReceived()) < sendingPause
+	if lingering {
+		return false
+	}
+	return behind && now.Sub(c.caller.lastReceived()) < sendingPause || socket.Unread(c.caller.Conn) > 0
 }
 
 // noteUnserved reports what was read of requests that nobody will answer. Only the reader may
--- a/internal/requestpath/gateway/pipeline/stop_test.go
+++ b/internal/requestpath/gateway/pipeline/stop_test.go
@@ -133,6 +133,34 @@
 	}
 }
 
+// A request that the system holds for a connection at rest is waited for too.
+func TestUnreadRequestIsWaitedFor(t *testing.T) {
+	opened := open(t, DefaultLimits, func(_ context.Context, exchange *Exchange) { reply(exchange, pathOf(exchange)) })
+	readOn := make(chan struct{})
+	beforeRead := func(net.Conn) {
+		if opened.received.Load() > 0 {
+			<-readOn
+		}
+	}
+	opened.beforeRead.Store(&beforeRead)
+	client := opened.dial(t)
+	client.send(get("/1"))
+	_, body := client.answer()
+	assert.Equal(t, body, "/1")
+	assert.Equal(t, opened.server.Receiving(), 0)
+	client.send(get("/2"))
+	for range testWait / time.Millisecond {
+		if opened.server.Receiving() == 1 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	assert.Check(t, opened.server.Receiving() == 1)
+	close(readOn)
+	_, body = client.answer()
+	assert.Equal(t, body, "/2")
+}
+
 // A caller that pauses amid a request is not waited for.
 func TestCallerThatPausesIsNotSending(t *testing.T) {
 	caller := &callerConn{receivedAt: time.Unix(1000, 0)}
