A stop accepts what waits before it closes its listeners

Change: the listeners for callers stay open while connections wait to be accepted (TCP_INFO of the listener), within the stop's limit.

--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -334,7 +334,7 @@
 			path.gateway.Stop()
 			ending.callersRefused = true
 		case <-poll.C:
-			switch ending.next(stopFacts{serving: path.serving(), settled: path.settled(), now: time.Now()}) {
+			switch ending.next(stopFacts{serving: path.serving(), waiting: path.gateway.Waiting(), settled: path.settled(), now: time.Now()}) {
 			case stopAccepting:
 				path.gateway.StopAccepting()
 			case stopEnd:
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -6,8 +6,8 @@
 //
 // Inputs: whether new calls are refused already, the calls that are still served, whether answers
 // are still on their way, the time. In this order: until new calls are refused the stop goes on.
-// Once no call is served any more the listeners for callers are closed, while refusals that are being
-// written still reach their callers. The stop ends when nothing was on its way for answersDrain.
+// Once no call is served any more, and no connection waits to be accepted, the listeners for callers
+// are closed, while refusals that are being written still reach their callers. The stop ends when nothing was on its way for answersDrain.
 //
 // Reason: callers that are refused come again at once. While they are accepted there may be no
 // moment without a request, so that each stop would last until its limit and end amid requests.
@@ -21,6 +21,8 @@
 type stopFacts struct {
 	// serving counts the calls that the end of the process would cut.
 	serving int64
+	// waiting counts the callers' connections that are not accepted yet.
+	waiting int
 	// settled is true while no request is open and no answer on its way.
 	settled bool
 	now     time.Time
@@ -43,6 +45,9 @@
 		p.settledSince = time.Time{}
 		return stopWait
 	}
+	if !p.notAccepting && facts.waiting > 0 {
+		return stopWait
+	}
 	if !p.notAccepting {
 		p.notAccepting = true
 		return stopAccepting
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -12,6 +12,7 @@
 	at      time.Duration
 	refused bool
 	serving int64
+	waiting int
 	settled bool
 	action  stopAction
 }
@@ -29,6 +30,9 @@
 			{at: time.Second, refused: true, settled: true, action: stopWait},
 			{at: time.Second + answersDrain, refused: true, settled: true, action: stopEnd},
 		},
+		"a connection that waits to be accepted is not reset": {
+			{refused: true, waiting: 1, action: stopWait}, {at: time.Second, refused: true, action: stopAccepting},
+		},
 		"an answer on its way is waited for anew": {
 			{refused: true, action: stopAccepting}, {refused: true, settled: true, action: stopWait},
 			{at: answersDrain / 2, refused: true, settled: false, action: stopWait},
@@ -41,7 +45,7 @@
 			var ending stopProgress
 			for index, step := range steps {
 				ending.callersRefused = step.refused
-				action := ending.next(stopFacts{serving: step.serving, settled: step.settled, now: began.Add(step.at)})
+				action := ending.next(stopFacts{serving: step.serving, waiting: step.waiting, settled: step.settled, now: began.Add(step.at)})
 				assert.Equal(t, action, step.action, "step %d", index)
 			}
 		})
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -100,6 +102,9 @@
 	// stopAccepting ends accepting, and with it the listeners for callers.
 	accepting     context.Context
 	stopAccepting context.CancelFunc
+	// listening protects listeners, those for callers.
+	listening sync.Mutex
+	listeners []net.Listener
 	// answerBy is when the answers of a draining gateway must be written; nil while it does not
 	// drain.
 	answerBy atomic.Pointer[time.Time]
--- a/internal/requestpath/gateway/lifecycle.go
+++ b/internal/requestpath/gateway/lifecycle.go
@@ -13,11 +13,15 @@
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/lapisvane/lapisvane/internal/shared/result"
+	"github.com/lapisvane/lapisvane/internal/shared/socket"
 )
 
 // Serve serves callers on listener until ctx ends or StopAccepting is called, by HTTPS with a TLS
 // configuration. It returns when the listener is closed; calls in flight go on.
 func (g *Gateway) Serve(ctx context.Context, listener net.Listener, tlsConfig *tls.Config) {
+	g.listening.Lock()
+	g.listeners = append(g.listeners, listener)
+	g.listening.Unlock()
 	options := []config.Option{
 		server.WithListener(g.callers.Listener(listener)),
 		server.WithTransport(standard.NewTransporter),
@@ -83,6 +87,17 @@
 // is being refused because of a stop is none of them: its end takes nothing away.
 func (g *Gateway) Serving() int64 { return g.serving.Load() }
 
+// Waiting returns the number of callers' connections that wait to be accepted.
+func (g *Gateway) Waiting() int {
+	g.listening.Lock()
+	defer g.listening.Unlock()
+	waiting := 0
+	for _, listener := range g.listeners {
+		waiting += socket.Waiting(listener)
+	}
+	return waiting
+}
+
 // StopAccepting closes the listeners for callers; their connections stay.
 func (g *Gateway) StopAccepting() { g.stopAccepting() }
 
--- a/internal/shared/socket/socket_test.go
+++ b/internal/shared/socket/socket_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/internal/shared/socket"
@@ -49,6 +50,29 @@
 	assert.Equal(t, socket.Unread(far), 0)
 }
 
+func TestConnectionsThatWaitToBeAccepted(t *testing.T) {
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	listener := socket.KeepAccepting(opened, logr.Discard())
+	assert.Equal(t, socket.Waiting(listener), 0)
+	near, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = near.Close() }()
+	for range 1000 {
+		if socket.Waiting(listener) == 1 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, socket.Waiting(listener), 1)
+	far, err := listener.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = far.Close() }()
+	assert.Equal(t, socket.Waiting(listener), 0)
+	assert.NilError(t, listener.Close())
+	assert.Equal(t, socket.Waiting(listener), 0)
+}
+
 func TestConnectionsThatAreNoSocketsSayNothing(t *testing.T) {
 	near, far := net.Pipe()
 	assert.Equal(t, socket.Unacknowledged(near), 0)
