Roll-outs: the decisions and their messages, in package model/rollout

A filter of versions is a value (Choice) that does not know the balancer. The revision of an order is a place in the store's history, so that an order of an earlier era of the store is older, and an end that a return from a copy took away is written again. Orders carry the states of roll-outs, also over the time after a return.

--- a/internal/model/orders/orders.go
+++ b/internal/model/orders/orders.go
@@ -1,4 +1,5 @@
-// Package orders holds the operators' orders beside the configuration: the evacuation of zones.
+// Package orders holds the operators' orders beside the configuration: the evacuation of zones and
+// the roll-out of versions.
 // Orders are known as a whole, at a revision of the store that they are written to; a daemon
 // follows the newest that it learned of.
 //
@@ -17,11 +18,19 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/position"
 	"github.com/lapisvane/lapisvane/internal/shared/boottime"
 )
 
+// Kinds are the kinds of orders that operators give.
+type Kinds struct{ Evacuations, Rollouts bool }
+
+// Any reports whether operators give any orders.
+func (k Kinds) Any() bool { return k.Evacuations || k.Rollouts }
+
 // Set is all orders in force at one revision of the store. It is immutable and safe for
 // concurrent use; nil is the set of a daemon that has not learned of any yet.
 type Set struct {
@@ -39,6 +48,9 @@
 	slices.SortFunc(message.GetEvacuations(), func(a, b *lapisv1.Evacuation) int {
 		return strings.Compare(a.GetZone(), b.GetZone())
 	})
+	slices.SortFunc(message.GetRollouts(), func(a, b *lapisv1.Rollout) int {
+		return strings.Compare(a.GetName(), b.GetName())
+	})
 	return &Set{message: message, evacuated: evacuated}
 }
 
@@ -65,15 +77,21 @@
 	return zones
 }
 
-// SameAs reports whether two sets evacuate the same zones, whatever their revisions.
+// Rollouts returns the states of the objects that order roll-outs, in order of name.
+func (s *Set) Rollouts() []*lapisv1.Rollout { return s.Message().GetRollouts() }
+
+// SameAs reports whether two sets evacuate the same zones and order the same roll-outs, whatever
+// their revisions. A roll-out whose object was written since is another one: its status and the
+// revision that the next write must name have changed.
 func (s *Set) SameAs(other *Set) bool {
-	return (s == nil) == (other == nil) && slices.Equal(s.Zones(), other.Zones())
+	return (s == nil) == (other == nil) && slices.Equal(s.Zones(), other.Zones()) &&
+		slices.EqualFunc(s.Rollouts(), other.Rollouts(), func(a, b *lapisv1.Rollout) bool { return proto.Equal(a, b) })
 }
 
 // restated returns the same orders at another revision.
 func (s *Set) restated(revision uint64) *Set {
 	return &Set{
-		message:   &lapisv1.Orders{Revision: revision, Evacuations: s.Message().GetEvacuations()},
+		message:   &lapisv1.Orders{Revision: revision, Evacuations: s.Message().GetEvacuations(), Rollouts: s.Rollouts()},
 		evacuated: s.evacuated,
 	}
 }
--- a/internal/model/orders/settling.go
+++ b/internal/model/orders/settling.go
@@ -33,6 +33,8 @@
 	// once until is over.
 	carried map[string]*lapisv1.Evacuation
 	until   time.Time
+	// rollouts are the orders of roll-outs followed when that era began, by name.
+	rollouts map[string]*lapisv1.Rollout
 	// takenBack holds the orders that were taken back in the era of carried, by zone.
 	takenBack map[string]uint64
 	// followed are all orders of this era so far, by zone: what was ever given and by which
@@ -52,7 +54,7 @@
 		s.begin(era, before, now)
 	}
 	if s.carried != nil && now.After(s.until) {
-		s.carried, s.takenBack = nil, nil
+		s.carried, s.rollouts, s.takenBack = nil, nil, nil
 	}
 	s.note(set)
 	if s.carried == nil || at.IsSettling() || era < s.era {
@@ -65,6 +67,7 @@
 func (s *settling) begin(era uint64, before *Set, now time.Time) {
 	if before != nil {
 		s.carried, s.until = byZone(before), now.Add(settleTime)
+		s.rollouts = rolloutsByName(before)
 		s.takenBack = s.followed
 		for zone := range s.carried {
 			delete(s.takenBack, zone)
@@ -95,7 +98,28 @@
 	}
 	maps.Copy(ordered, s.carried)
 	at := position.Position(set.Revision()).Settling()
-	return NewSet(&lapisv1.Orders{Revision: uint64(at), Evacuations: slices.Collect(maps.Values(ordered))})
+	return NewSet(&lapisv1.Orders{
+		Revision: uint64(at), Evacuations: slices.Collect(maps.Values(ordered)), Rollouts: slices.Collect(maps.Values(s.withRollouts(set))),
+	})
+}
+
+// withRollouts returns the roll-outs of a set of the new era and those that are carried into it. One
+// that the new era orders as well stands as it does there: its next write must name that revision.
+func (s *settling) withRollouts(set *Set) map[string]*lapisv1.Rollout {
+	ordered := rolloutsByName(set)
+	for name := range ordered {
+		delete(s.rollouts, name)
+	}
+	maps.Copy(ordered, s.rollouts)
+	return ordered
+}
+
+func rolloutsByName(set *Set) map[string]*lapisv1.Rollout {
+	rollouts := map[string]*lapisv1.Rollout{}
+	for _, rollout := range set.Rollouts() {
+		rollouts[rollout.GetName()] = rollout
+	}
+	return rollouts
 }
 
 // byZone returns the orders of a set by their zones.
--- /dev/null
+++ b/internal/model/rollout/message.go
@@ -0,0 +1,148 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/shared/result"
+)
+
+// OrderMessage states an order under the name of its object.
+func OrderMessage(name string, order Order) *lapisv1.Rollout {
+	return &lapisv1.Rollout{
+		Name: name, Service: order.Service, TargetVersion: order.Target, DurationNanos: int64(order.Duration),
+		Revision: order.Revision, Created: order.Created,
+		State: string(order.Status.End), StatusTarget: order.Status.Target,
+	}
+}
+
+// OrderOf returns the order that a message states.
+func OrderOf(message *lapisv1.Rollout) Order {
+	return Order{
+		Service: message.GetService(),
+		Identity: Identity{
+			Created: message.GetCreated(), Target: message.GetTargetVersion(), Duration: time.Duration(message.GetDurationNanos()),
+		},
+		Revision: message.GetRevision(),
+		Status:   Status{End: End(message.GetState()), Target: message.GetStatusTarget()},
+	}
+}
+
+// identityMessage states which order is meant.
+func identityMessage(order Identity) *lapisv1.RolloutIdentity {
+	return &lapisv1.RolloutIdentity{
+		Created: order.Created, TargetVersion: order.Target, DurationNanos: int64(order.Duration), Again: order.Again,
+	}
+}
+
+// identityOf returns the order that a message means.
+func identityOf(message *lapisv1.RolloutIdentity) Identity {
+	return Identity{
+		Created: message.GetCreated(), Target: message.GetTargetVersion(),
+		Duration: time.Duration(message.GetDurationNanos()), Again: message.GetAgain(),
+	}
+}
+
+// WordMessage states a word.
+func WordMessage(word Word) *lapisv1.RolloutWord {
+	return &lapisv1.RolloutWord{
+		Service: word.Service, Node: word.Node, Incarnation: word.Incarnation, Sequence: word.Sequence,
+		Order: identityMessage(word.Order), AgeNanos: int64(word.Age), Phase: uint32(word.Phase),
+		ShiftingNanos: int64(word.Shifting), Diverted: word.Diverted, Drained: word.Drained,
+	}
+}
+
+// WordOf returns the word that a message states.
+func WordOf(message *lapisv1.RolloutWord) Word {
+	return Word{
+		Service: message.GetService(), Node: message.GetNode(), Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(),
+		Order: identityOf(message.GetOrder()), Age: time.Duration(message.GetAgeNanos()), Phase: Phase(message.GetPhase()),
+		Shifting: time.Duration(message.GetShiftingNanos()), Diverted: message.GetDiverted(), Drained: message.GetDrained(),
+	}
+}
+
+// names gives names an index each.
+type names struct {
+	list  []string
+	index map[string]uint32
+}
+
+// of returns the index of a name.
+func (n *names) of(name string) uint32 {
+	index, known := n.index[name]
+	if !known {
+		index = uint32(len(n.list))
+		n.index[name] = index
+		n.list = append(n.list, name)
+	}
+	return index
+}
+
+// ReportMessage states a report on a service's order. Names are written once and times
+// without the classes around them that hold nothing: reports are the most that daemons
+// tell each other in a roll-out.
+func ReportMessage(service string, report Report) *lapisv1.RolloutReport {
+	message := &lapisv1.RolloutReport{
+		Service: service, Node: report.Node, Incarnation: report.Incarnation, Sequence: report.Sequence,
+		Order: identityMessage(report.Order),
+	}
+	named := &names{index: map[string]uint32{}}
+	for key, counts := range report.Evidence {
+		message.Counters = append(message.Counters, counterMessage(named, key, counts))
+	}
+	message.Names = named.list
+	return message
+}
+
+// counterMessage states one counter.
+func counterMessage(named *names, key Key, counts Counts) *lapisv1.RolloutCounter {
+	first, end := 0, timeClasses
+	for first < end && counts.Times[first] == 0 {
+		first++
+	}
+	for end > first && counts.Times[end-1] == 0 {
+		end--
+	}
+	return &lapisv1.RolloutCounter{
+		New: key.New, Route: named.of(key.Route), Zone: named.of(key.Zone), Instance: named.of(key.Instance),
+		Answers: counts.Answers, Failures: counts.Failures,
+		FirstClass: uint32(first), Times: slices.Clone(counts.Times[first:end]),
+	}
+}
+
+// ReportOf returns the report that a message states. Errors: ProtocolUnexpected.
+func ReportOf(message *lapisv1.RolloutReport) (Report, error) {
+	report := Report{
+		Order: identityOf(message.GetOrder()), Node: message.GetNode(), Incarnation: message.GetIncarnation(),
+		Sequence: message.GetSequence(), Evidence: Evidence{},
+	}
+	for _, counter := range message.GetCounters() {
+		key, counts, ok := counterOf(message.GetNames(), counter)
+		if !ok {
+			return Report{}, result.Errorf(result.ProtocolUnexpected, "a counter of a roll-out's report from %s cannot be read", message.GetNode())
+		}
+		report.Evidence[key] = counts
+	}
+	return report, nil
+}
+
+// counterOf returns the counter that a message states; ok is false for one that names
+// what is not there.
+func counterOf(names []string, message *lapisv1.RolloutCounter) (key Key, counts Counts, ok bool) {
+	first, times := int(message.GetFirstClass()), message.GetTimes()
+	if first > timeClasses || len(times) > timeClasses-first {
+		return Key{}, Counts{}, false
+	}
+	for _, index := range []uint32{message.GetRoute(), message.GetZone(), message.GetInstance()} {
+		if int(index) >= len(names) {
+			return Key{}, Counts{}, false
+		}
+	}
+	key = Key{
+		New: message.GetNew(), Route: names[message.GetRoute()], Zone: names[message.GetZone()], Instance: names[message.GetInstance()],
+	}
+	counts = Counts{Answers: message.GetAnswers(), Failures: message.GetFailures()}
+	copy(counts.Times[first:], times)
+	return key, counts, true
+}
--- /dev/null
+++ b/internal/model/rollout/parts_test.go
@@ -0,0 +1,249 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+)
+
+var testOrder = Identity{Created: 3, Target: "v2", Duration: 30 * time.Second}
+
+// What daemons have seen is summed once, in whatever order and however often their
+// reports come.
+func TestLedgerSumsOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var reports []Report
+		wanted := Evidence{}
+		for _, node := range []string{"a", "b", "c"} {
+			for incarnation := range uint64(2) {
+				seen := Evidence{}
+				for sequence := range uint64(rapid.IntRange(1, 4).Draw(rt, "reports")) {
+					key := Key{New: rapid.Bool().Draw(rt, "new"), Route: rapid.SampledFrom([]string{"r", "s"}).Draw(rt, "route")}
+					seen.Note(key, rapid.Bool().Draw(rt, "failed"), time.Duration(rapid.IntRange(1, 5000).Draw(rt, "ms"))*time.Millisecond)
+					reports = append(reports, Report{Order: testOrder, Node: node, Incarnation: incarnation, Sequence: sequence + 1, Evidence: seen.Clone()})
+				}
+				wanted.Add(seen)
+			}
+		}
+		order := rapid.Permutation(append(slices.Clone(reports), reports...)).Draw(rt, "order")
+		ledger := NewLedger(testOrder)
+		for _, report := range order {
+			ledger.Take(report)
+		}
+		assert.DeepEqual(rt, ledger.Sum(), wanted)
+		assert.Equal(rt, ledger.Heard([]string{"a", "b", "c", "d"}), 3)
+		assert.Equal(rt, ledger.Heard([]string{"a"}), 1)
+		assert.Assert(rt, !ledger.Take(Report{Order: Identity{Target: "v3"}, Node: "d", Sequence: 1}))
+	})
+}
+
+// bound is one daemon's limiter as the sum over daemons needs it.
+type bound interface {
+	Allow(route string) bool
+	Return(route string)
+	Note(route string)
+}
+
+// overdraw plays daemons that send and start again, and returns by how much the calls of
+// the new version exceed the share of all at worst.
+func overdraw(rt *rapid.T, share float64, start func() bound) float64 {
+	const daemons = 5
+	limiters := make([]bound, daemons)
+	for index := range limiters {
+		limiters[index] = start()
+	}
+	taken, sent, worst := 0, 0, -1.0
+	for range rapid.IntRange(1, 400).Draw(rt, "calls") {
+		index := rapid.IntRange(0, daemons-1).Draw(rt, "daemon")
+		route := rapid.SampledFrom([]string{"r", "s", "t"}).Draw(rt, "route")
+		if rapid.IntRange(0, 19).Draw(rt, "restart") == 0 {
+			limiters[index] = start()
+		}
+		if limiters[index].Allow(route) {
+			if rapid.IntRange(0, 9).Draw(rt, "return") == 0 {
+				limiters[index].Return(route)
+			} else {
+				taken++
+			}
+		}
+		limiters[index].Note(route)
+		sent++
+		worst = max(worst, float64(taken)-share*float64(sent))
+	}
+	return worst
+}
+
+func TestExposureKeepsToTheShareOverAllDaemonsAndRestarts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		share := rapid.Float64Range(0.01, 0.9).Draw(rt, "share")
+		worst := overdraw(rt, share, func() bound {
+			exposure := NewExposure()
+			exposure.SetShare(share)
+			return exposure
+		})
+		assert.Assert(rt, worst <= 1e-6, "%v calls too many", worst)
+	})
+}
+
+// slackful is a daemon that counts the slack for itself.
+type slackful struct {
+	*Exposure
+	slack int
+}
+
+// Allow gives calls of the slack first.
+func (s *slackful) Allow(route string) bool {
+	if s.slack == 0 {
+		return s.Exposure.Allow(route)
+	}
+	s.slack--
+	return true
+}
+
+// Return gives nothing back.
+func (s *slackful) Return(string) {}
+
+func TestSumCatchesDaemonsThatCountTheSlackForThemselves(t *testing.T) {
+	caught := false
+	rapid.Check(t, func(rt *rapid.T) {
+		worst := overdraw(rt, ProbeShare, func() bound {
+			exposure := NewExposure()
+			exposure.SetShare(ProbeShare)
+			return &slackful{exposure, 50}
+		})
+		caught = caught || worst > 50
+	})
+	assert.Assert(t, caught)
+}
+
+// Routes that are called seldom are learnt of too.
+func TestExposureLearnsOfRareRoutes(t *testing.T) {
+	exposure := NewExposure()
+	exposure.SetShare(ProbeShare)
+	random := rand.New(rand.NewPCG(1, 1))
+	taken := map[string]int{}
+	const calls = 20000
+	for range calls {
+		route := "usual"
+		if random.Float64() < 0.05 {
+			route = "rare"
+		}
+		if exposure.Allow(route) {
+			taken[route]++
+		}
+		exposure.Note(route)
+	}
+	assert.Assert(t, taken["rare"] > 200, "%v", taken)
+	assert.Assert(t, float64(taken["rare"]) <= routeShare*0.06*calls, "%v", taken)
+	assert.Assert(t, taken["usual"]+taken["rare"] > 0.9*ProbeShare*calls, "%v", taken)
+}
+
+// No trigger leads out of an end, nor back from a later state to an earlier one.
+func TestStatesOnlyGoForward(t *testing.T) {
+	order := map[State]int{
+		StateWatching: 0, StateProbing: 1, StateShifting: 2, StateMoved: 3, StateRollingBack: 4, StateCompleted: 5, StateRolledBack: 5,
+	}
+	triggers := []trigger{triggerProbe, triggerShift, triggerMoved, triggerRollBack, triggerCompleted, triggerRolledBack}
+	rapid.Check(t, func(rt *rapid.T) {
+		machine := newMachine()
+		for range rapid.IntRange(1, 20).Draw(rt, "steps") {
+			before := machine.MustState().(State)
+			taken := fire(machine, rapid.SampledFrom(triggers).Draw(rt, "trigger"))
+			after := machine.MustState().(State)
+			assert.Assert(rt, taken == (order[after] > order[before]), "%s to %s", before, after)
+			assert.Assert(rt, taken || before == after)
+		}
+	})
+}
+
+func TestConstraintsAllowByVersionAndInstance(t *testing.T) {
+	old := &lapisv1.Endpoint{Instance: "a", Version: "v1"}
+	fresh := &lapisv1.Endpoint{Instance: "b", Version: "v2"}
+	other := &lapisv1.Endpoint{Instance: "c", Version: "v2"}
+	allowed := func(required Choice) (names string) {
+		for _, endpoint := range []*lapisv1.Endpoint{old, fresh, other} {
+			if required.Allows(endpoint) {
+				names += endpoint.GetInstance()
+			}
+		}
+		return names
+	}
+	assert.Equal(t, allowed(NotVersions("v2")), "a")
+	assert.Equal(t, allowed(NotVersions()), "abc")
+	assert.Equal(t, allowed(OnlyVersion("v2")), "bc")
+	assert.Equal(t, allowed(OnlyInstances("v2", []string{"a", "c"})), "c")
+}
+
+func TestEveryDaemonProbesTheSameFewInstances(t *testing.T) {
+	names := make([]string, 0, 40)
+	for index := range 40 {
+		names = append(names, string(rune('a'+index%26))+string(rune('0'+index/26)))
+	}
+	probed := Probed(testOrder, names, ProbeShare)
+	slices.Reverse(names)
+	assert.DeepEqual(t, Probed(testOrder, names, ProbeShare), probed)
+	assert.Equal(t, len(probed), leastProbed)
+	assert.Equal(t, len(Probed(testOrder, names, 0.5)), 20)
+	assert.Equal(t, len(Probed(testOrder, names[:2], ProbeShare)), 2)
+}
+
+func TestServiceTimesFallIntoTheirClass(t *testing.T) {
+	assert.Equal(t, timeClass(0), 0)
+	assert.Equal(t, timeClass(shortestClass), 0)
+	assert.Equal(t, timeClass(2*shortestClass), classesPerTwo)
+	assert.Equal(t, timeClass(longest), timeClasses-1)
+}
+
+// After a change of the allocation nothing goes where it does not allow it, whatever was
+// chosen before.
+func TestTrafficRefusesWhatIsNoLongerAllowed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := &lapisv1.Endpoint{Instance: "a", Version: "v1"}
+	fresh := &lapisv1.Endpoint{Instance: "b", Version: "v2"}
+	traffic := NewTraffic(testOrder)
+	_, probe := traffic.Choose("r")
+	assert.Assert(t, !probe)
+	_, ok := traffic.Begin("r", fresh, now)
+	assert.Assert(t, !ok)
+	attempt, ok := traffic.Begin("r", old, now)
+	assert.Assert(t, ok)
+	traffic.Apply(Allocation{Order: testOrder, Share: 1})
+	_, ok = traffic.Begin("r", old, now)
+	assert.Assert(t, !ok)
+	assert.Equal(t, traffic.OldInFlight(), 1)
+	traffic.Answered(attempt, false, false, time.Second, now.Add(time.Second))
+	assert.Equal(t, traffic.OldInFlight(), 0)
+	_, ok = traffic.Begin("r", fresh, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, traffic.Sent(), Sent{New: 1, All: 2})
+}
+
+// A call that is not answered counts as slow once it is late, and then only once; what
+// a cold instance does is no evidence.
+func TestTrafficCountsWhatIsNotAnswered(t *testing.T) {
+	now := time.Unix(1000, 0)
+	old := &lapisv1.Endpoint{Instance: "a", Version: "v1"}
+	fresh := &lapisv1.Endpoint{Instance: "b", Version: "v2"}
+	traffic := NewTraffic(testOrder)
+	traffic.Apply(Allocation{Order: testOrder, Share: 0.5})
+	for range leastUsual {
+		attempt, _ := traffic.Begin("r", old, now)
+		traffic.Answered(attempt, false, false, 100*time.Millisecond, now.Add(100*time.Millisecond))
+	}
+	hangs, _ := traffic.Begin("r", fresh, now)
+	cold, _ := traffic.Begin("r", fresh, now)
+	traffic.Cold(cold)
+	key := Key{New: true, Route: "r", Instance: "b"}
+	assert.Equal(t, traffic.Evidence(now.Add(200 * time.Millisecond))[key].Answers, uint32(0))
+	late := now.Add(2 * time.Second)
+	assert.Equal(t, traffic.Evidence(late)[key].Times[timeClasses-1], uint32(1))
+	traffic.Answered(hangs, false, false, 2*time.Second, late)
+	traffic.Answered(cold, true, false, 2*time.Second, late)
+	assert.Equal(t, traffic.Evidence(late)[key].Answers, uint32(1))
+}
--- /dev/null
+++ b/internal/model/rollout/plan.go
@@ -0,0 +1,109 @@
+package rollout
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of the plan (design 0021).
+const (
+	// ExposureShare is the share of a service's calls that a bad version may get
+	// (exposure-share of the users' sheets).
+	ExposureShare = 0.1
+	// ProbeShare is the share that is used until the shift; the other half of
+	// ExposureShare pays for a version that turns out bad in the shift.
+	ProbeShare = ExposureShare / 2
+	// shiftLead is how long before the deadline the shift begins at the latest, and
+	// leadShare the largest part of the order's duration that it may be: ramp, the
+	// longest usual call (2.5 s), confirmation and two writes of a slow store.
+	shiftLead = 6 * time.Second
+	leadShare = 0.4
+	// rampTime is how long the share takes from ProbeShare to everything, and rampPart
+	// the largest part of the lead that it may be.
+	rampTime = time.Second
+	rampPart = 4
+	// patiencePart is the part of the lead by which the shift may be put off while the test
+	// is on its way to a conviction.
+	patiencePart = 5
+	// settlePart is the part of the lead before the deadline until which all calls go to
+	// the new version and can still be taken back: what is slow is answered late.
+	settlePart = 2.5
+	// lastMomentPart is the part of the lead before the deadline in which calls in
+	// flight at old instances are no longer waited for: 1.5 s, three tries of a write.
+	lastMomentPart = 4
+	// leastProbed is the least number of instances that are probed, so that one that
+	// fails alone is told from a version that does; three lose a third of the evidence by
+	// that, two would lose half.
+	leastProbed = 3
+)
+
+// Plan is the times of a roll-out that follow from its order.
+type Plan struct {
+	// ShiftAt is when the shift begins if nothing speaks against the version, and Ramp
+	// how long the calls take to move.
+	ShiftAt time.Time
+	Ramp    time.Duration
+	// ShiftLatest is when it begins although the test is on its way to a conviction.
+	ShiftLatest time.Time
+	// SettledAt is when the end may be written, unless the test is on its way to a
+	// conviction.
+	SettledAt time.Time
+	// LastMoment is when calls in flight are no longer waited for.
+	LastMoment time.Time
+	Deadline   time.Time
+}
+
+// PlanFor returns the times for an order that was given at began.
+func PlanFor(began time.Time, duration time.Duration) Plan {
+	lead := min(shiftLead, time.Duration(leadShare*float64(duration)))
+	deadline := began.Add(duration)
+	return Plan{
+		ShiftAt: deadline.Add(-lead), Ramp: min(rampTime, lead/rampPart),
+		ShiftLatest: deadline.Add(-lead + lead/patiencePart),
+		SettledAt:   deadline.Add(-time.Duration(float64(lead) / settlePart)),
+		LastMoment:  deadline.Add(-lead / lastMomentPart), Deadline: deadline,
+	}
+}
+
+// ShareInShift returns the share of the calls that the new version gets some time after
+// the shift began.
+func (p Plan) ShareInShift(since time.Duration) float64 {
+	if since >= p.Ramp {
+		return 1
+	}
+	return ProbeShare + (1-ProbeShare)*max(since.Seconds(), 0)/p.Ramp.Seconds()
+}
+
+// Rank returns the number by which daemons and instances are put in order for an order: the
+// lowest goes first.
+func (order Identity) Rank(name string) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(strconv.FormatUint(order.Created, 36))
+	_, _ = digest.WriteString(" " + strconv.FormatUint(order.Again, 36) + " ")
+	_, _ = digest.WriteString(order.Target + " " + name)
+	return digest.Sum64()
+}
+
+// ranked returns names in the order that every daemon gives them for an order.
+func ranked(order Identity, names []string) []string {
+	ranks := make(map[string]uint64, len(names))
+	for _, name := range names {
+		ranks[name] = order.Rank(name)
+	}
+	sorted := slices.Clone(names)
+	slices.SortFunc(sorted, func(a, b string) int { return cmp.Compare(ranks[a], ranks[b]) })
+	return sorted
+}
+
+// Probed returns the instances of the new version that get calls at a share: so few
+// that each has about the load that it has after the move. Every daemon that knows the
+// same instances names the same ones.
+func Probed(order Identity, instances []string, share float64) []string {
+	wanted := max(leastProbed, int(math.Ceil(share*float64(len(instances)))))
+	return ranked(order, instances)[:min(wanted, len(instances))]
+}
