Roll-outs in service: orders, links to deciders, the filter of versions

Change: orders of roll-outs come with the polls of orders where rollouts.exposure_share is set. Each attempt passes the roll-out of its service (gateway/versions.go); how often it chooses again is bounded. While an order runs, daemons link to the three that decide, and not to all. A daemon announces an instance beside it only once it knows the orders, if its version is new to the service.

--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -88,7 +88,7 @@
 // platformMode describes the distribution on a platform. The incarnation is random there: the
 // time of day may jump, and no order rests on it.
 func platformMode(d *Daemon, config *settings.Daemon, options Options) mode {
-	freshness := &configsource.Freshness{WithOrders: config.EvacuationBound > 0}
+	freshness := &configsource.Freshness{WithOrders: orderKindsOf(config).Any()}
 	return mode{
 		incarnation: rand.Uint64(), envelope: options.Platform.Envelope(),
 		timing: platformTiming(config, freshness), maintained: true,
--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -93,6 +93,8 @@
 	inForceAt atomic.Int64
 	// orders puts the operators' orders in force.
 	orders ordersState
+	// rollouts is nil where operators order none.
+	rollouts *rollouts
 	// members is the number of daemons known, this one included.
 	members atomic.Int64
 	// resumed is sent to after a suspension of the machine.
@@ -110,15 +112,16 @@
 	}
 	p.members.Store(1)
 	p.orders = ordersState{follow: p.followOrders, unknown: map[string]bool{}}
+	p.rollouts = newRollouts(p, d.incarnation)
 	p.fleet = fleet.New(fleet.Config{
 		Self:        fleet.Member{Node: values.Node, Address: d.listeners.peer.Addr().String(), Zone: values.Zone, Region: values.Region, Service: values.Service},
 		Incarnation: d.incarnation, Directory: platform.Directory(), Calls: p.path.calls, Observer: p,
-		InForce: p.inForce.Load, Orders: p.ordersInForce(), Suspects: p.path.suspects.Known, Freshness: p.freshness,
+		InForce: p.inForce.Load, Orders: p.ordersInForce(), Rollouts: p.rollouts.observer(), Suspects: p.path.suspects.Known, Freshness: p.freshness,
 		Withdrawn: p.path.origin.Withdrawn, Random: rand.Float64, Logger: p.path.logger,
 	})
 	p.follower = &configsource.Follower{
 		Source: platform.Source(), Apply: p.Offer, Freshness: p.freshness, Confirmed: p.fleet.SendHeartbeats,
-		ApplyOrders: p.ordersReader(), OrdersBound: p.ordersBound(),
+		ApplyOrders: p.ordersReader(), OrderKinds: p.orderKinds(), OrdersBound: p.ordersBound(),
 		Awaited: p.path.snapshots.Awaited, Bound: p.pollBound(), Daemons: func() int { return int(p.members.Load()) },
 		MinInterval: p.minInterval, Random: rand.Float64, Resumed: p.resumed, Logger: p.path.logger,
 	}
@@ -150,6 +153,9 @@
 	running.Go(func() { p.fleet.Run(ctx) })
 	running.Go(func() { p.follower.Run(ctx) })
 	running.Go(func() { p.path.suspects.run(ctx) })
+	if p.rollouts != nil {
+		running.Go(func() { p.rollouts.run(ctx) })
+	}
 	running.Go(func() { p.path.calls.WatchStalls(ctx, p.stall()) })
 	serve(listeners.instances, func(listener net.Listener) { p.platform.ServeInstances(ctx, listener, p.path.origin) })
 	serve(listeners.readiness, func(listener net.Listener) { p.platform.ServeReadiness(ctx, listener, p.ready) })
@@ -158,6 +164,9 @@
 
 // SetLocalEndpoints implements distribution.
 func (p *platformDistribution) SetLocalEndpoints(endpoints []*lapisv1.Endpoint) {
+	if p.rollouts != nil {
+		endpoints = p.rollouts.admit(endpoints)
+	}
 	p.fleet.SetLocalEndpoints(endpoints)
 }
 
--- a/internal/daemon/platform_distribution_test.go
+++ b/internal/daemon/platform_distribution_test.go
@@ -16,6 +16,7 @@
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
+	"github.com/lapisvane/lapisvane/internal/model/rollout"
 )
 
 // idlePlatform is a platform that says nothing.
@@ -27,6 +28,7 @@
 
 func (idlePlatform) Source() configsource.Source                                         { return nil }
 func (idlePlatform) Directory() fleet.Directory                                          { return nil }
+func (idlePlatform) Rollouts() rollout.Store                                             { return nil }
 func (idlePlatform) Envelope() callapi.Envelope                                          { return callapi.DefaultEnvelope }
 func (idlePlatform) Quarantine() quarantine.Store                                        { return nil }
 func (idlePlatform) ServeInstances(context.Context, net.Listener, platformapi.Instances) {}
--- a/internal/daemon/platform_orders.go
+++ b/internal/daemon/platform_orders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/daemon/settings"
 	"github.com/lapisvane/lapisvane/internal/model/orders"
 	"github.com/lapisvane/lapisvane/internal/model/position"
 )
@@ -28,10 +29,22 @@
 	held *lapisv1.Configuration
 }
 
+// orderKinds are the kinds of orders that operators give.
+func (p *platformDistribution) orderKinds() orders.Kinds { return orderKindsOf(p.path.settings.Load()) }
+
+// orderKindsOf are the kinds of orders that settings switch on.
+func orderKindsOf(values *settings.Daemon) orders.Kinds {
+	return orders.Kinds{Evacuations: values.EvacuationBound > 0, Rollouts: values.Rollouts.On()}
+}
+
 // ordersBound is the time within which orders must be in force, 0 where operators
-// give none.
+// give none. Roll-outs have no bound of their own and are as urgent as configurations.
 func (p *platformDistribution) ordersBound() time.Duration {
-	return p.path.settings.Load().EvacuationBound.Get()
+	values := p.path.settings.Load()
+	if values.EvacuationBound == 0 && values.Rollouts.On() {
+		return values.Platform.ApplyBound.Get()
+	}
+	return values.EvacuationBound.Get()
 }
 
 // pollBound is the time within which everything that polls read must be in force.
@@ -126,6 +139,9 @@
 // followOrders puts orders in force for the instances beside the daemon; attempts of calls
 // read the current set themselves.
 func (p *platformDistribution) followOrders(before, now *orders.Set, by string) {
+	if p.rollouts != nil {
+		p.rollouts.ordered(now)
+	}
 	p.path.origin.SetEvacuated(now.Evacuated(p.path.settings.Load().Zone))
 	p.path.logger.Info("orders.in_force", "revision", position.Position(now.Revision()), "before", position.Position(before.Revision()), "zones", strings.Join(now.Zones(), ","), "by", by)
 	for _, zone := range now.Zones() {
--- a/internal/daemon/platformapi/platform.go
+++ b/internal/daemon/platformapi/platform.go
@@ -12,6 +12,7 @@
 	"github.com/lapisvane/lapisvane/internal/distribution/fleet"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
+	"github.com/lapisvane/lapisvane/internal/model/rollout"
 	"github.com/lapisvane/lapisvane/internal/requestpath/origin"
 )
 
@@ -37,6 +38,9 @@
 type Platform interface {
 	// Source is where the configuration in force and the operators' orders come from.
 	Source() configsource.Source
+	// Rollouts is where the status of roll-outs is written, each time under the condition that
+	// the order's object is unchanged.
+	Rollouts() rollout.Store
 	// Directory is where daemons find each other.
 	Directory() fleet.Directory
 	// Quarantine stores the records of requests under which instances crashed, so that they
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -88,7 +88,7 @@
 		Local: p.origin, Remote: p.calls, DefaultDeadline: values.Calls.DefaultDeadline.Get(),
 		Envelope: mode.envelope, CallerService: p.callerService, Retries: retryLimits(values.Retries),
 		Decisions: decisions, Registry: d.registry, RepeatShare: p.origin.RepeatShare, Evacuated: p.orders.Evacuated,
-		SentAhead: sentAhead(values.SentAhead), Quarantine: p.suspects,
+		SentAhead: sentAhead(values.SentAhead), Quarantine: p.suspects, Rollout: trafficOf(d),
 	})
 	return p
 }
--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -57,6 +57,9 @@
 	EvacuationBound tunables.Duration `json:"evacuation_bound"`
 	// ColdStarts bounds what instances get that have just started.
 	ColdStarts ColdStarts `json:"cold_starts"`
+	// Rollouts bounds what the version that is rolled out gets; the zero value where operators
+	// order no roll-outs.
+	Rollouts Rollouts `json:"rollouts"`
 	// SentAhead bounds what is held for requests that callers send before
 	// earlier ones on their connection are answered.
 	SentAhead SentAhead `json:"sent_ahead"`
@@ -113,6 +116,21 @@
 	Slack float64 `json:"slack"`
 }
 
+// Rollouts bounds the calls of a version that is rolled out and not completed yet.
+type Rollouts struct {
+	// ExposureShare is the part of the service's calls, 0 where there are no roll-outs.
+	ExposureShare float64 `json:"exposure_share"`
+	// ExposureSlack is in calls beside that. It is for calls on their way while a daemon learns of
+	// an order; none of it is planned with.
+	ExposureSlack float64 `json:"exposure_slack"`
+	// RollBackBound is the time after its fiftieth bad answer in which a version may still get
+	// calls. A roll-back is as quick as it can be, whatever the bound.
+	RollBackBound tunables.Duration `json:"roll_back_bound"`
+}
+
+// On reports whether operators order roll-outs.
+func (r Rollouts) On() bool { return r.ExposureShare > 0 }
+
 // Backend is one back end beside the daemon.
 type Backend struct {
 	Service  string `json:"service"`
@@ -248,11 +266,16 @@
 		{"platform.reads_per_second", d.Platform.ReadsPerSecond}, {"platform.writes_per_second", d.Platform.WritesPerSecond},
 		{"link_mbit", d.LinkMegabits}, {"retries.fraction", d.Retries.Fraction}, {"retries.burst", d.Retries.Burst},
 		{"cold_starts.overshoot", d.ColdStarts.Overshoot}, {"cold_starts.slack", d.ColdStarts.Slack},
+		{"rollouts.exposure_share", d.Rollouts.ExposureShare}, {"rollouts.exposure_slack", d.Rollouts.ExposureSlack},
+		{"rollouts.roll_back_bound", float64(d.Rollouts.RollBackBound)},
 	} {
 		if bound.value < 0 {
 			check.faults.Add(result.SettingsBadNumber, "%s: %v is negative", bound.key, bound.value)
 		}
 	}
+	if d.Rollouts.ExposureShare >= 1 {
+		check.faults.Add(result.SettingsBadNumber, "rollouts.exposure_share: %v is not a part of the calls", d.Rollouts.ExposureShare)
+	}
 	check.positive("platform.contact", float64(d.Platform.Contact))
 	check.positive("platform.apply_bound", float64(d.Platform.ApplyBound))
 	if d.Platform.Form != "" && d.OperatorAddress != "" {
--- a/internal/daemon/settings/names_test.go
+++ b/internal/daemon/settings/names_test.go
@@ -34,6 +34,7 @@
 calls: {default_deadline: 9s, queue_length: 32, queue_time: 100ms}
 evacuation_bound: 5s
 cold_starts: {overshoot: 1.2, slack: 3}
+rollouts: {exposure_share: 0.1, exposure_slack: 50, roll_back_bound: 5s}
 sent_ahead: {requests_per_connection: 8, requests: 100, bytes_per_connection: 1000, bytes: 10000}
 profile: bytes
 no_seat: true
@@ -108,5 +109,5 @@
 		assert.Check(t, strings.Contains(everyKey, last+":"), "the file above lacks %s", key)
 	}
 	slices.Sort(keys)
-	assert.Equal(t, len(slices.Compact(keys)), 73, "%v", keys)
+	assert.Equal(t, len(slices.Compact(keys)), 77, "%v", keys)
 }
--- a/internal/distribution/configsource/configsource.go
+++ b/internal/distribution/configsource/configsource.go
@@ -28,8 +28,9 @@
 	// returns nil and the position up to which there was none. Errors: PlatformCompacted
 	// when the history after the given position is deleted.
 	Next(ctx context.Context, after Position, wait time.Duration) (*lapisv1.Configuration, Position, error)
-	// Orders returns all orders as they stand, at the revision that is the source's position.
-	Orders(ctx context.Context) (*orders.Set, error)
+	// Orders returns all orders of some kinds as they stand, at the revision that is the source's
+	// position.
+	Orders(ctx context.Context, kinds orders.Kinds) (*orders.Set, error)
 }
 
 // Follower follows a source. Its fields are set before Run and not changed afterwards; the
@@ -41,6 +42,8 @@
 	// ApplyOrders puts orders in force, which may be in force already; nil where operators
 	// give no orders.
 	ApplyOrders func(*orders.Set)
+	// OrderKinds are the kinds of orders that operators give.
+	OrderKinds orders.Kinds
 	// OrdersBound is the time within which orders must be in force.
 	OrdersBound time.Duration
 	// Freshness is shared with what receives other daemons' confirmations.
--- a/internal/distribution/configsource/counted_source_test.go
+++ b/internal/distribution/configsource/counted_source_test.go
@@ -106,7 +106,7 @@
 	return nil, s.position, nil
 }
 
-func (s reached) Orders(ctx context.Context) (*orders.Set, error) {
+func (s reached) Orders(ctx context.Context, _ orders.Kinds) (*orders.Set, error) {
 	if err := s.answer(ctx, true); err != nil {
 		return nil, err
 	}
--- a/internal/distribution/configsource/poll.go
+++ b/internal/distribution/configsource/poll.go
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout(f.Bound, f.failing))
 	defer cancel()
 	f.OrderRequests.Add(1)
-	set, err := f.Source.Orders(ctx)
+	set, err := f.Source.Orders(ctx, f.OrderKinds)
 	if err != nil {
 		return err
 	}
--- a/internal/distribution/configsource/scripted_source_test.go
+++ b/internal/distribution/configsource/scripted_source_test.go
@@ -114,6 +114,6 @@
 }
 
 // Orders implements configsource.Source; these sources keep none.
-func (s *scriptedSource) Orders(context.Context) (*orders.Set, error) {
+func (s *scriptedSource) Orders(context.Context, orders.Kinds) (*orders.Set, error) {
 	return nil, result.Errorf(result.PlatformBadAnswer, "orders were not to be asked for")
 }
--- a/internal/distribution/fleet/endpoints.go
+++ b/internal/distribution/fleet/endpoints.go
@@ -114,7 +114,7 @@
 	return &lapisv1.Endpoint{
 		Service: endpoint.GetService(), Instance: endpoint.GetInstance(), Node: endpoint.GetNode(),
 		Address: endpoint.GetAddress(), Zone: endpoint.GetZone(), Region: endpoint.GetRegion(), Incarnation: endpoint.GetIncarnation(),
-		Slots: endpoint.GetSlots(), State: lapisv1.Endpoint_STATE_SUSPECT,
+		Version: endpoint.GetVersion(), Slots: endpoint.GetSlots(), State: lapisv1.Endpoint_STATE_SUSPECT,
 	}
 }
 
--- a/internal/distribution/fleet/fleet.go
+++ b/internal/distribution/fleet/fleet.go
@@ -47,6 +47,8 @@
 	// Orders returns the operators' orders in force, nil before the first; it is nil
 	// itself where operators give none.
 	Orders func() *orders.Set
+	// Rollouts receives what others say of roll-outs; nil where operators order none.
+	Rollouts RolloutObserver
 	// Suspects returns all records of suspects; nil where they are not exchanged.
 	Suspects func() []quarantine.Record
 	// Freshness is how recently configuration and orders were confirmed to be the newest.
@@ -81,6 +83,9 @@
 	local   []*lapisv1.Endpoint
 	// withdrawn are the local instances that left for good.
 	withdrawn []string
+	// rankings choose further daemons that are linked to, firstRanked of each.
+	rankings    []Ranking
+	firstRanked int
 	// services are those reported to the observer before.
 	services map[string]bool
 }
--- a/internal/distribution/fleet/inbound.go
+++ b/internal/distribution/fleet/inbound.go
@@ -15,6 +15,7 @@
 	// announcementChanged and ordersChanged ask for these to be sent.
 	announcementChanged, ordersChanged chan struct{}
 	pendingSuspects                    pendingSuspects
+	pendingRollouts                    pendingRollouts
 }
 
 // Accepted starts to serve a link that another daemon opened, and returns what receives its
@@ -24,6 +25,7 @@
 	inbound := &inboundLink{
 		link: link, node: dialer.Node, place: dialer.place(),
 		announcementChanged: make(chan struct{}, 1), ordersChanged: make(chan struct{}, 1), pendingSuspects: newPendingSuspects(),
+		pendingRollouts: newPendingRollouts(),
 	}
 	f.mutex.Lock()
 	f.inbound[inbound] = true
@@ -46,6 +48,7 @@
 		f.mutex.Lock()
 		delete(f.inbound, inbound)
 		f.mutex.Unlock()
+		f.unlinked(inbound.node)
 	}()
 	if peer != nil {
 		f.sendWithdrawn(peer, inbound.link)
@@ -63,6 +66,8 @@
 			f.sendOrders(inbound.link)
 		case <-inbound.pendingSuspects.wake:
 			f.sendSuspects(inbound.link, &inbound.pendingSuspects)
+		case <-inbound.pendingRollouts.wake:
+			f.sendRollouts(inbound.link, &inbound.pendingRollouts)
 		}
 	}
 }
@@ -78,5 +83,7 @@
 		f.receiveOrders(inbound.node, body.Orders)
 	case *lapisv1.CallFrame_Suspects:
 		f.receiveSuspects(inbound.node, body.Suspects)
+	case *lapisv1.CallFrame_RolloutWord, *lapisv1.CallFrame_RolloutReport:
+		f.receiveRollout(inbound.node, frame)
 	}
 }
--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -74,6 +74,7 @@
 	incarnation := link.Welcome().GetIncarnation()
 	f.mutex.Lock()
 	peer.recordOpen(link, incarnation)
+	peer.pendingRollouts.clear()
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.connected", "member", peer.Node, "address", address, "incarnation", incarnation)
 	signal(f.reportDue)
@@ -114,6 +115,8 @@
 			f.sendOrders(link)
 		case <-peer.pendingSuspects.wake:
 			f.sendSuspects(link, &peer.pendingSuspects)
+		case <-peer.pendingRollouts.wake:
+			f.sendRollouts(link, &peer.pendingRollouts)
 		}
 	}
 }
@@ -135,6 +138,7 @@
 	peer.moveAsListed()
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.lost", "member", peer.Node)
+	f.unlinked(peer.Node)
 	signal(f.reportDue)
 	signal(f.reviewLinks)
 }
@@ -157,6 +161,8 @@
 		f.receiveOrders(peer.Node, body.Orders)
 	case *lapisv1.CallFrame_Suspects:
 		f.receiveSuspects(peer.Node, body.Suspects)
+	case *lapisv1.CallFrame_RolloutWord, *lapisv1.CallFrame_RolloutReport:
+		f.receiveRollout(peer.Node, frame)
 	}
 }
 
@@ -180,7 +186,9 @@
 func (f *Fleet) reconcileLinks(ctx context.Context) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	chosen := chooseLinks(f.config.Self, f.candidates(boottime.Now()))
+	candidates := f.candidates(boottime.Now())
+	chosen := chooseLinks(f.config.Self, candidates)
+	f.addFirstRanked(chosen, candidates)
 	for node, peer := range f.peers {
 		// Active is called only where its answer matters.
 		idle := !chosen[node] && (!peer.connected || peer.link.Active() == 0)
--- a/internal/distribution/fleet/peer.go
+++ b/internal/distribution/fleet/peer.go
@@ -41,6 +41,7 @@
 	// sent on the open one.
 	dialNow, ordersChanged chan struct{}
 	pendingSuspects        pendingSuspects
+	pendingRollouts        pendingRollouts
 	// displacedAt is when another daemon was found at the address, zero while none was.
 	displacedAt time.Time
 	// listed is the directory's entry where it differs from the address at which the peer is
@@ -54,7 +55,7 @@
 func newPeer(now time.Time) *peer {
 	return &peer{
 		dialNow: make(chan struct{}, 1), ordersChanged: make(chan struct{}, 1),
-		pendingSuspects: newPendingSuspects(), withdrawn: map[string]time.Time{}, lostAt: now,
+		pendingSuspects: newPendingSuspects(), pendingRollouts: newPendingRollouts(), withdrawn: map[string]time.Time{}, lostAt: now,
 	}
 }
 
--- a/internal/requestpath/gateway/attempts.go
+++ b/internal/requestpath/gateway/attempts.go
@@ -32,6 +32,10 @@
 	counts retry.Counts
 	// attemptID is that of the newest attempt.
 	attemptID string
+	// version is the newest attempt as a roll-out counts it, nil without one; versionChanges counts
+	// the choices of an instance whose version got no more calls by the time of the attempt.
+	version        *versionAttempt
+	versionChanges int
 	// kept is the first answer with a server error (5xx), kept while another instance is tried.
 	kept *instanceAnswer
 	// mayHaveRun is the error of the first attempt that an instance may have run; nil for none.
@@ -45,6 +49,8 @@
 type instanceAnswer struct {
 	answer *callapi.Answer
 	target *balance.Target
+	// version is the attempt as a roll-out counts it; nil without one.
+	version *versionAttempt
 }
 
 // run makes attempts until one is answered or the retry rule ends them. It may be called
@@ -63,14 +69,23 @@
 		}
 		a.opening.Service = pool
 		if a.hopeless(ctx, a.recentServiceTime(target)) {
+			a.version.giveBack()
 			return a.giveUp(result.Errorf(result.CallNotRunExpired, "too little time is left for an answer"))
 		}
+		allowed, err := a.mayBegin(target)
+		if err != nil {
+			return a.giveUp(err)
+		}
+		if !allowed {
+			continue
+		}
 		answer, err := a.once(ctx, target)
+		done := instanceAnswer{answer: answer, target: target, version: a.version}
 		if err == nil && !a.mayReplace(answer) {
-			return instanceAnswer{answer: answer, target: target}, nil
+			return done, nil
 		}
 		if err == nil {
-			err = a.setAside(instanceAnswer{answer: answer, target: target})
+			err = a.setAside(done)
 		}
 		lastErr = err
 		a.noteMayHaveRun(err)
@@ -103,10 +118,12 @@
 	if !ok {
 		return nil, result.Errorf(result.CallNoEndpoint, "route %s has no pool here", a.route.GetName())
 	}
-	return a.gateway.config.Balancer.Pick(service, balance.Choice{
-		Exclude: a.tried, Key: a.opening.GetIdempotencyKey(), Route: a.route.GetName(),
-		TargetLatency: a.targetLatency(), Spent: time.Since(a.started) + a.waitedBefore, Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
-		Constraints: a.constraints(),
+	return a.pickVersion(pool, func(version ...balance.Constraint) (*balance.Target, error) {
+		return a.gateway.config.Balancer.Pick(service, balance.Choice{
+			Exclude: a.tried, Key: a.opening.GetIdempotencyKey(), Route: a.route.GetName(),
+			TargetLatency: a.targetLatency(), Spent: time.Since(a.started) + a.waitedBefore, Bytes: a.gateway.sizes.of(a.route.GetName(), a.body),
+			Constraints: append(a.constraints(), version...),
+		})
 	})
 }
 
@@ -122,12 +139,14 @@
 		// Also after a panic: a call that never ends would count as load for ever.
 		if !answered {
 			target.End()
+			a.version.end()
 		}
 	}()
 	began := time.Now()
 	answer, err := a.gateway.handOver(ctx, target, call)
 	now := time.Now()
 	if err != nil {
+		a.version.notAnswered(err)
 		a.gateway.observe(target, err)
 		if a.unanswered(err, now.Sub(began)) {
 			target.AnsweredFailure(now)
@@ -135,6 +154,7 @@
 		return nil, err
 	}
 	answered = true
+	a.version.answered(answer.Head, target, now)
 	a.observeAnswer(target, answer, now)
 	return answer, nil
 }
@@ -183,6 +203,7 @@
 // returns the error of the failed attempt.
 func (a *attempter) setAside(failed instanceAnswer) error {
 	defer failed.target.End()
+	defer failed.version.end()
 	body, err := readWhole(failed.answer)
 	// An error of closing an answer adds nothing to that of reading it.
 	_ = failed.answer.Body.Close()
@@ -201,6 +222,8 @@
 	switch retry.EndingOf(a.kept != nil, a.mayHaveRun != nil, lastNotRun) {
 	case retry.KeptAnswer:
 		kept := *a.kept
+		// The attempt ended when its answer was set aside.
+		kept.version = nil
 		kept.target.Begin()
 		return kept, nil
 	case retry.FirstUnknown:
--- a/internal/requestpath/gateway/deliver.go
+++ b/internal/requestpath/gateway/deliver.go
@@ -49,6 +49,7 @@
 func (g *Gateway) deliver(ctx context.Context, exchange *pipeline.Exchange, attempt *attempter, done instanceAnswer) error {
 	rc := exchange.Request
 	defer done.target.End()
+	defer done.version.end()
 	// An error of closing an answer adds nothing to that of reading it.
 	defer func() { _ = done.answer.Body.Close() }()
 	head := done.answer.Head
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
+	"github.com/lapisvane/lapisvane/internal/model/rollout"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/balance"
 	"github.com/lapisvane/lapisvane/internal/requestpath/decision"
@@ -63,6 +64,9 @@
 	DefaultDeadline time.Duration
 	// Evacuated reports whether a zone is evacuated; nil where none ever is.
 	Evacuated func(zone string) bool
+	// Rollout returns what counts the calls of a service's roll-out, nil for a service without
+	// one; nil itself where operators order no roll-outs.
+	Rollout func(service string) *rollout.Traffic
 	// Quarantine holds back requests under which instances crashed; nil for none.
 	Quarantine Quarantine
 	// Quota bounds the calls of accounts; nil for no bound.
--- a/internal/requestpath/gateway/metrics.go
+++ b/internal/requestpath/gateway/metrics.go
@@ -19,6 +19,8 @@
 	retries     prometheus.Counter
 	latency     prometheus.Histogram
 	unserved    prometheus.Counter
+	// versions are the attempts at services with a roll-out.
+	versions *prometheus.CounterVec
 }
 
 // newMetrics returns the metrics, registered where registry is not nil.
@@ -33,6 +35,9 @@
 		retries: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lapisvane_call_retries_total", Help: "Attempts after the first of a call.",
 		}),
+		versions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lapisvane_rollout_attempts_total", Help: "Attempts at services with a roll-out, by service, version (ordered, other) and end.",
+		}, []string{"service", "version", "end"}),
 		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lapisvane_call_seconds", Help: "Time from a request's head to its answer's head.",
 			Buckets: prometheus.ExponentialBuckets(firstLatencyBucket, latencyBucketFactor, latencyBuckets),
@@ -42,7 +47,7 @@
 		}),
 	}
 	if registry != nil {
-		registry.MustRegister(metrics.calls, metrics.constrained, metrics.retries, metrics.latency, metrics.unserved)
+		registry.MustRegister(metrics.calls, metrics.constrained, metrics.retries, metrics.latency, metrics.unserved, metrics.versions)
 	}
 	return metrics
 }
--- a/internal/transport/callmux/session.go
+++ b/internal/transport/callmux/session.go
@@ -162,7 +162,7 @@
 		return nil
 	case *lapisv1.CallFrame_Announcement, *lapisv1.CallFrame_Introduction,
 		*lapisv1.CallFrame_ConfigurationRequest, *lapisv1.CallFrame_Configuration, *lapisv1.CallFrame_DeflatedConfiguration,
-		*lapisv1.CallFrame_Orders, *lapisv1.CallFrame_Suspects:
+		*lapisv1.CallFrame_Orders, *lapisv1.CallFrame_Suspects, *lapisv1.CallFrame_RolloutWord, *lapisv1.CallFrame_RolloutReport:
 		if s.control.Frame != nil {
 			s.control.Frame(frame)
 		}
