--- a/internal/daemon/platform_rollouts.go
+++ b/internal/daemon/platform_rollouts.go
@@ -26,8 +26,10 @@
 	// newest gives the revision of the newest state known of each order's object, by its name;
 	// ordersState.mutex protects it.
 	newest map[string]uint64
-	// linked are the orders for which links to deciders are kept; run owns it.
+	// linked are the orders for which links to deciders are kept, probed the daemons beside the
+	// instances that are probed for them; run owns both.
 	linked []rollout.Identity
+	probed []string
 
 	// mutex protects what is below: heard is the incarnation of each daemon from which a word came
 	// last, newcomers holds back the instances beside this daemon.
@@ -103,17 +105,19 @@
 	return decided
 }
 
-// linkToDeciders keeps links to the daemons that decide, so that these are in touch with all.
+// linkToDeciders keeps links to the daemons that decide, so that these are in touch with all, and to
+// those beside the instances that are probed.
 func (r *rollouts) linkToDeciders(running []rollout.Identity) {
-	if slices.Equal(running, r.linked) {
+	probed := r.runner.ProbedNodes()
+	if slices.Equal(running, r.linked) && slices.Equal(probed, r.probed) {
 		return
 	}
-	r.linked = running
+	r.linked, r.probed = running, probed
 	rankings := make([]fleet.Ranking, 0, len(running))
 	for _, order := range running {
 		rankings = append(rankings, order.Rank)
 	}
-	r.part.fleet.LinkToFirst(rankings, rollout.Deciders)
+	r.part.fleet.LinkToFirst(rankings, rollout.Deciders, probed)
 }
 
 // ordered takes in the orders that the set now in force states; ordersState.mutex is held. A set
@@ -201,6 +205,9 @@
 // Known implements rollout.Links.
 func (r *rollouts) Known() int { return r.part.fleet.Running() }
 
+// Serving implements rollout.Links.
+func (r *rollouts) Serving(service string) int { return r.part.fleet.Serving(service) }
+
 // Spread implements rollout.Links.
 func (r *rollouts) Spread(word rollout.Word, nodes []string) {
 	r.part.fleet.SpreadWord(rollout.WordMessage(word), nodes)
--- a/internal/distribution/fleet/fleet.go
+++ b/internal/distribution/fleet/fleet.go
@@ -86,6 +86,8 @@
 	// rankings choose further daemons that are linked to, firstRanked of each.
 	rankings    []Ranking
 	firstRanked int
+	// alsoLinked are daemons that are linked to by their names.
+	alsoLinked []string
 	// services are those reported to the observer before.
 	services map[string]bool
 }
--- a/internal/distribution/fleet/rollouts.go
+++ b/internal/distribution/fleet/rollouts.go
@@ -125,12 +125,29 @@
 	return running
 }
 
+// Serving returns the number of daemons known on whose machine a service runs.
+func (f *Fleet) Serving(service string) int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	serving := 0
+	if f.config.Self.Service == service {
+		serving++
+	}
+	for _, peer := range f.peers {
+		if peer.Service == service {
+			serving++
+		}
+	}
+	return serving
+}
+
 // LinkToFirst makes this daemon keep a link to the reachable daemons that rank first, count of each
-// ranking, beside those that its calls need. Each daemon that ranks first is then in touch with all.
-func (f *Fleet) LinkToFirst(rankings []Ranking, count int) {
+// ranking, and to those named also, beside those that its calls need. Each daemon that ranks first is
+// then in touch with all.
+func (f *Fleet) LinkToFirst(rankings []Ranking, count int, also []string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.rankings, f.firstRanked = rankings, count
+	f.rankings, f.firstRanked, f.alsoLinked = rankings, count, also
 	signal(f.reviewLinks)
 }
 
@@ -140,6 +157,11 @@
 	if len(f.rankings) == 0 {
 		return
 	}
+	for _, member := range candidates {
+		if slices.Contains(f.alsoLinked, member.Node) {
+			chosen[member.Node] = true
+		}
+	}
 	ranked := append(slices.Clone(candidates), candidate{Member: f.config.Self})
 	for _, ranking := range f.rankings {
 		slices.SortFunc(ranked, func(a, b candidate) int {
--- a/internal/model/rollout/message.go
+++ b/internal/model/rollout/message.go
@@ -49,7 +49,7 @@
 	return &lapisv1.RolloutWord{
 		Service: word.Service, Node: word.Node, Incarnation: word.Incarnation, Sequence: word.Sequence,
 		Order: identityMessage(word.Order), AgeNanos: int64(word.Age), Phase: uint32(word.Phase),
-		ShiftingNanos: int64(word.Shifting), Diverted: word.Diverted, Drained: word.Drained,
+		ShiftingNanos: int64(word.Shifting), Diverted: word.Diverted, Drained: word.Drained, Probed: probeMessages(word.Probed), Holding: word.Holding,
 	}
 }
 
@@ -58,10 +58,26 @@
 	return Word{
 		Service: message.GetService(), Node: message.GetNode(), Incarnation: message.GetIncarnation(), Sequence: message.GetSequence(),
 		Order: identityOf(message.GetOrder()), Age: time.Duration(message.GetAgeNanos()), Phase: Phase(message.GetPhase()),
-		Shifting: time.Duration(message.GetShiftingNanos()), Diverted: message.GetDiverted(), Drained: message.GetDrained(),
+		Shifting: time.Duration(message.GetShiftingNanos()), Diverted: message.GetDiverted(), Drained: message.GetDrained(), Probed: probesOf(message.GetProbed()), Holding: message.GetHolding(),
 	}
 }
 
+func probeMessages(probes []Probe) []*lapisv1.RolloutProbe {
+	var messages []*lapisv1.RolloutProbe
+	for _, probe := range probes {
+		messages = append(messages, &lapisv1.RolloutProbe{Instance: probe.Instance, Node: probe.Node})
+	}
+	return messages
+}
+
+func probesOf(messages []*lapisv1.RolloutProbe) []Probe {
+	var probes []Probe
+	for _, message := range messages {
+		probes = append(probes, Probe{Instance: message.GetInstance(), Node: message.GetNode()})
+	}
+	return probes
+}
+
 // names gives names an index each.
 type names struct {
 	list  []string
--- a/internal/model/rollout/message_test.go
+++ b/internal/model/rollout/message_test.go
@@ -22,6 +22,7 @@
 	word := Word{
 		Service: "desk", Node: "a", Incarnation: 4, Sequence: 5, Order: identity, Age: time.Second,
 		Phase: PhaseRollingBack, Shifting: time.Minute, Diverted: true, Drained: true,
+		Probed: []Probe{{Instance: "i-1", Node: "d-1"}}, Holding: true,
 	}
 	assert.DeepEqual(t, WordOf(WordMessage(word)), word)
 
