Merge: roll-outs in service

Cause: the decisions, their messages and the join with request path, orders and fleet are whole enough to keep the exposure of a version.

--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -92,7 +92,7 @@
 		Envelope: mode.envelope, CallerService: p.callerService, Retries: retryLimits(values.Retries),
 		Decisions: decisions, Registry: d.registry, RepeatShare: p.origin.RepeatShare, Evacuated: p.orders.Evacuated,
 		SentAhead: sentAhead(values.SentAhead), Quarantine: p.suspects, Identity: mode.identity,
-		Quota: p.rateLimits.quota(),
+		Quota: p.rateLimits.quota(), Rollout: trafficOf(d),
 	})
 	return p
 }
--- a/internal/distribution/fleet/fleet.go
+++ b/internal/distribution/fleet/fleet.go
@@ -46,6 +46,8 @@
 	InForce func() *lapisv1.Configuration
 	// Orders are the operators' orders in force; nil where operators give none.
 	Orders *orders.Current
+	// Rollouts receives what others say of roll-outs; nil where operators order none.
+	Rollouts RolloutObserver
 	// Suspects returns all records of suspects; nil where they are not exchanged.
 	Suspects func() []quarantine.Record
 	// Allowances keeps limits that daemons share; nil where there are none.
@@ -82,6 +84,11 @@
 	local   []*lapisv1.Endpoint
 	// withdrawn are the local instances that left for good.
 	withdrawn []string
+	// rankings choose further daemons that are linked to, firstRanked of each.
+	rankings    []Ranking
+	firstRanked int
+	// alsoLinked are daemons that are linked to by their names.
+	alsoLinked []string
 	// services are those reported to the observer before.
 	services map[string]bool
 }
--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -76,6 +76,7 @@
 	f.mutex.Lock()
 	peer.recordOpen(link, incarnation)
 	f.allowanceConnected(peer.Node)
+	peer.pendingRollouts.clear()
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.connected", "member", peer.Node, "address", address, "incarnation", incarnation)
 	signal(f.reportDue)
@@ -116,6 +117,8 @@
 			f.sendOrders(link)
 		case <-peer.pendingSuspects.wake:
 			f.sendSuspects(link, &peer.pendingSuspects)
+		case <-peer.pendingRollouts.wake:
+			f.sendRollouts(link, &peer.pendingRollouts)
 		}
 	}
 }
@@ -138,6 +141,7 @@
 	f.allowanceLost(peer.Node)
 	f.mutex.Unlock()
 	f.config.Logger.Info("fleet.lost", "member", peer.Node)
+	f.unlinked(peer.Node)
 	signal(f.reportDue)
 	signal(f.reviewLinks)
 }
@@ -162,6 +166,8 @@
 		f.receiveSuspects(peer.Node, body.Suspects)
 	case *lapisv1.CallFrame_AllowanceGrant:
 		f.receiveAllowanceGrant(peer.Node, body.AllowanceGrant)
+	case *lapisv1.CallFrame_RolloutWord, *lapisv1.CallFrame_RolloutReport:
+		f.receiveRollout(peer.Node, frame)
 	}
 }
 
@@ -185,8 +191,10 @@
 func (f *Fleet) reconcileLinks(ctx context.Context) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	chosen := chooseLinks(f.config.Self, f.candidates(boottime.Now()))
+	candidates := f.candidates(boottime.Now())
+	chosen := chooseLinks(f.config.Self, candidates)
 	f.addAllowanceOwners(chosen)
+	f.addFirstRanked(chosen, candidates)
 	for node, peer := range f.peers {
 		// Active is called only where its answer matters.
 		idle := !chosen[node] && (!peer.connected || peer.link.Active() == 0)
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
+	"github.com/lapisvane/lapisvane/internal/model/rollout"
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/balance"
 	"github.com/lapisvane/lapisvane/internal/requestpath/decision"
@@ -65,6 +66,9 @@
 	DefaultDeadline time.Duration
 	// Evacuated reports whether a zone is evacuated; nil where none ever is.
 	Evacuated func(zone string) bool
+	// Rollout returns what counts the calls of a service's roll-out, nil for a service without
+	// one; nil itself where operators order no roll-outs.
+	Rollout func(service string) *rollout.Traffic
 	// Quarantine holds back requests under which instances crashed; nil for none.
 	Quarantine Quarantine
 	// Identity decides on API keys.
--- a/internal/requestpath/gateway/metrics.go
+++ b/internal/requestpath/gateway/metrics.go
@@ -20,6 +20,8 @@
 	latency     prometheus.Histogram
 	unserved    prometheus.Counter
 	refusedKeys *prometheus.CounterVec
+	// versions are the attempts at services with a roll-out.
+	versions *prometheus.CounterVec
 }
 
 // newMetrics returns the metrics, registered where registry is not nil.
@@ -34,6 +36,9 @@
 		retries: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lapisvane_call_retries_total", Help: "Attempts after the first of a call.",
 		}),
+		versions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lapisvane_rollout_attempts_total", Help: "Attempts at services with a roll-out, by service, version (ordered, other) and end.",
+		}, []string{"service", "version", "end"}),
 		latency: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "lapisvane_call_seconds", Help: "Time from a request's head to its answer's head.",
 			Buckets: prometheus.ExponentialBuckets(firstLatencyBucket, latencyBucketFactor, latencyBuckets),
@@ -46,7 +51,7 @@
 		}, []string{"reason"}),
 	}
 	if registry != nil {
-		registry.MustRegister(metrics.calls, metrics.constrained, metrics.retries, metrics.latency, metrics.unserved, metrics.refusedKeys)
+		registry.MustRegister(metrics.calls, metrics.constrained, metrics.retries, metrics.latency, metrics.unserved, metrics.refusedKeys, metrics.versions)
 	}
 	return metrics
 }
