--- a/internal/model/rollout/controller.go
+++ b/internal/model/rollout/controller.go
@@ -8,13 +8,13 @@
 	"github.com/qmuntal/stateless"
 )
 
-// Bounds of the controller (design 0021).
+// Bounds of the controller.
 const (
 	// storeFresh is how recent the store's newest answer must be for a shift to begin: a
 	// version that turns bad in the shift can be taken back only through the store.
 	storeFresh = 2 * time.Second
-	// quietAfter is how long after the deadline words go on: several times the contact time
-	// of the users' sheets (3 s).
+	// quietAfter is how long after the deadline words go on: longer than a daemon that is cut
+	// off may take to be in touch again.
 	quietAfter = 10 * time.Second
 	// warmUp is how long a new instance is known before it is probed: the daemon beside it may
 	// have started with it, and takes this long to know the instances that it calls in turn.
--- a/internal/model/rollout/decider.go
+++ b/internal/model/rollout/decider.go
@@ -10,8 +10,8 @@
 	// work and two for when it is lost.
 	Deciders = 3
 	// TakeOverAfter is how much later than the one before it a decider writes, and
-	// AskAgainAfter how long it waits for the answer to a write: a store that is well
-	// answers in 4 ms (users' sheets), a slow one within some hundred.
+	// AskAgainAfter how long it waits for the answer to a write: a slow store answers
+	// within some hundred milliseconds.
 	TakeOverAfter = 400 * time.Millisecond
 	AskAgainAfter = 500 * time.Millisecond
 )
--- a/internal/model/rollout/evidence.go
+++ b/internal/model/rollout/evidence.go
@@ -6,7 +6,7 @@
 )
 
 // Bounds of the distribution of service times: classes grow by a factor of the square
-// root of two, from 8 ms to 8 s; the users' work takes 49 to 1,100 ms (their sheets).
+// root of two, from 8 ms to 8 s.
 const (
 	timeClasses   = 21
 	shortestClass = 8 * time.Millisecond
--- a/internal/model/rollout/exposure.go
+++ b/internal/model/rollout/exposure.go
@@ -1,6 +1,6 @@
 package rollout
 
-// Bounds of the limiter (design 0021).
+// Bounds of the limiter.
 const (
 	// bucketCalls is how many calls of the new version may be saved up.
 	bucketCalls = 4
--- a/internal/model/rollout/judge.go
+++ b/internal/model/rollout/judge.go
@@ -4,7 +4,7 @@
 	"math"
 )
 
-// Error rates and effects of the test (design 0021). The test is a cumulative sum of
+// Error rates and effects of the test. The test is a cumulative sum of
 // log likelihood ratios that does not fall below zero.
 const (
 	// FalseConviction bounds the chance that a version as good as the old one is
--- a/internal/model/rollout/order.go
+++ b/internal/model/rollout/order.go
@@ -81,7 +81,7 @@
 )
 
 // LeastDuration is the shortest time in which a version can be judged and the calls
-// be moved: ramp, confirmation and write with a few seconds of probing (design 0021).
+// be moved: ramp, confirmation and write with a few seconds of probing.
 const LeastDuration = 5 * time.Second
 
 // Read classifies the state of an object beside the one known before, nil for none.
--- a/internal/model/rollout/plan.go
+++ b/internal/model/rollout/plan.go
@@ -10,10 +10,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Bounds of the plan (design 0021).
+// Bounds of the plan.
 const (
 	// ExposureShare is the share of a service's calls that a bad version may get
-	// (exposure-share of the users' sheets).
+	// at most, also where the settings allow more.
 	ExposureShare = 0.1
 	// ProbeShare is the share that is used until the shift. The bound counts the calls until the
 	// deadline, so that what is not used while the version gets nothing, before its first
--- a/internal/model/rollout/runner.go
+++ b/internal/model/rollout/runner.go
@@ -23,7 +23,7 @@
 	ReportEvery = 200 * time.Millisecond
 	WordEvery   = time.Second
 	// settleTime is how long after its start a daemon may not have heard of all instances:
-	// longer than the interval of their heartbeats (1.5 s, the users' pages).
+	// longer than the interval of their heartbeats.
 	settleTime = 2 * time.Second
 )
 
