Rate limits: what an account may is spent on calls that can still be in time

Cause: an account that asks for more than its limit has refused callers return beside those that come for the first time. Each return took credit as well, for an answer that was late by then, so that most of those that came for the first time were refused and late in turn. Change: the gateway says whether a call can still be answered within its target, counted from its caller's first try. Late calls get credit last, and none of what the others need in the next 0.2 s.

--- a/internal/daemon/ratelimits.go
+++ b/internal/daemon/ratelimits.go
@@ -39,9 +39,9 @@
 }
 
 // Take implements gateway.Quota.
-func (r *rateLimits) Take(ctx context.Context, caller *account.Account) (giveBack func(), err error) {
+func (r *rateLimits) Take(ctx context.Context, caller *account.Account, late bool) (giveBack func(), err error) {
 	limit := allowance.Limit{Rate: caller.Rate, Burst: caller.Burst}
-	return r.service.Take(ctx, accountAllowance+caller.Name, limit, r.snapshots.Current().Revision)
+	return r.service.Take(ctx, accountAllowance+caller.Name, limit, r.snapshots.Current().Revision, late)
 }
 
 func allowanceBounds(values settings.RateLimits) allowance.Bounds {
--- a/internal/distribution/allowance/asker.go
+++ b/internal/distribution/allowance/asker.go
@@ -39,6 +39,8 @@
 	// Decided receives the outcome, once.
 	Decided chan Outcome
 	decided bool
+	// late calls get credit that others leave.
+	late    bool
 	granted credit
 }
 
@@ -94,8 +96,8 @@
 }
 
 // take decides on a call, or leaves its ticket undecided until an owner answers or giveUp ends it.
-func (a *asker) take(now time.Time, name string, limit Limit, revision uint64) *Ticket {
-	ticket := &Ticket{allowance: name, Decided: make(chan Outcome, 1)}
+func (a *asker) take(now time.Time, name string, limit Limit, revision uint64, late bool) *Ticket {
+	ticket := &Ticket{allowance: name, late: late, Decided: make(chan Outcome, 1)}
 	held := a.holding(now, name)
 	if held == nil {
 		a.refuse(ticket, longestReturn)
@@ -106,11 +108,13 @@
 		held.limit = limit
 	}
 	held.noteUse(now)
-	if from, ok := held.spend(now); ok {
-		a.allow(ticket, from)
-		return ticket
+	if !late {
+		if from, ok := held.spend(now); ok {
+			a.allow(ticket, from)
+			return ticket
+		}
 	}
-	if now.Before(held.refusedUntil) {
+	if now.Before(held.refusedUntil) || late && now.Before(held.lateRefusedUntil) {
 		a.refuse(ticket, held.returnAfter)
 		return ticket
 	}
@@ -217,19 +221,20 @@
 	a.setAside(now, held, back.owner, back.epoch, back.lent, 1)
 }
 
-// serveWaiting lets calls go that wait while there is credit.
+// serveWaiting lets calls go that wait while there is credit, late ones last.
 func (a *asker) serveWaiting(now time.Time, held *holding) {
-	for len(held.waiting) > 0 {
-		if held.waiting[0].decided {
-			held.waiting = held.waiting[1:]
-			continue
-		}
-		from, ok := held.spend(now)
-		if !ok {
-			return
+	held.dropDecided()
+	for _, late := range []bool{false, true} {
+		for _, ticket := range held.waiting {
+			if ticket.late != late {
+				continue
+			}
+			from, ok := held.spend(now)
+			if !ok {
+				return
+			}
+			a.allow(ticket, from)
 		}
-		a.allow(held.waiting[0], from)
-		held.waiting = held.waiting[1:]
 	}
 }
 
@@ -287,8 +292,8 @@
 	if added.calls > 0 {
 		held.put(added)
 	}
-	asked := held.asked
-	held.asked = 0
+	asked, askedLate := held.asked, held.askedLate
+	held.asked, held.askedLate = 0, 0
 	a.serveWaiting(now, held)
 	if lent.GetNotOwner() {
 		held.askAfter = now.Add(notOwnerPause)
@@ -299,24 +304,32 @@
 		return
 	}
 	held.lentBefore = added.owner
-	if lent.GetCredits() >= asked {
+	if lent.GetCredits() >= asked+askedLate {
 		return // Calls that came after the ask wait for the next one.
 	}
-	after := time.Duration(lent.GetRetryAfterMillis()) * time.Millisecond
-	held.refusedUntil = now.Add(min(after, refusalMemory))
-	held.returnAfter = after
-	held.dropDecided()
+	held.returnAfter = time.Duration(lent.GetRetryAfterMillis()) * time.Millisecond
+	held.lateRefusedUntil = now.Add(min(held.returnAfter, refusalMemory))
+	if lent.GetCredits() < asked {
+		held.refusedUntil = held.lateRefusedUntil
+	}
+	a.refuseWaiting(held, lent.GetCredits() < asked)
+}
+
+// refuseWaiting refuses the late calls that wait, or all.
+func (a *asker) refuseWaiting(held *holding, all bool) {
 	for _, ticket := range held.waiting {
-		a.refuse(ticket, after)
+		if !ticket.decided && (all || ticket.late) {
+			a.refuse(ticket, held.returnAfter)
+		}
 	}
-	held.waiting = nil
+	held.dropDecided()
 }
 
 // clearInFlight ends the wait for an answer.
 func (a *asker) clearInFlight(asked *channel) {
 	for _, need := range asked.inFlight.GetNeeds() {
-		if held := a.holdings[need.GetAllowance()]; held != nil && need.GetCredits() > 0 {
-			held.asked = 0
+		if held := a.holdings[need.GetAllowance()]; held != nil && need.GetCredits()+need.GetLateCredits() > 0 {
+			held.asked, held.askedLate = 0, 0
 		}
 	}
 	asked.inFlight = nil
@@ -435,8 +448,8 @@
 	for _, need := range ask.GetNeeds() {
 		held := a.holdings[need.GetAllowance()]
 		delete(held.unused, node)
-		if need.GetCredits() > 0 {
-			held.asked = need.GetCredits()
+		if need.GetCredits()+need.GetLateCredits() > 0 {
+			held.asked, held.askedLate = need.GetCredits(), need.GetLateCredits()
 			held.probe = false
 		}
 	}
--- a/internal/distribution/allowance/bucket.go
+++ b/internal/distribution/allowance/bucket.go
@@ -9,6 +9,9 @@
 	// longestReturn bounds how long a refused caller is told to stay away: most callers wait a few
 	// seconds altogether.
 	longestReturn = 2 * time.Second
+	// keptFromLate is for how long calls that can still be in time would be served from what late
+	// calls leave.
+	keptFromLate = 200 * time.Millisecond
 )
 
 // bucket is what the owner of an allowance may lend.
@@ -91,15 +94,25 @@
 	}
 }
 
-// lend takes up to so many credits out of the settled bucket.
-func (b *bucket) lend(now time.Time, wanted uint32) (lent uint32) {
-	lent = min(wanted, uint32(max(0, b.level())))
-	b.burstful.level -= float64(lent)
-	b.sustained.level -= float64(lent)
-	b.record.note(now, lent, wanted-lent)
+// lend takes up to so many credits out of the settled bucket. Calls that are late get none of the
+// last ones: an account that asks for more than its limit would otherwise spend it on calls that were
+// refused before, and have those that come for the first time refused and late in turn.
+func (b *bucket) lend(now time.Time, wanted, late uint32) (lent uint32) {
+	lent = b.takeAbove(wanted, 0)
+	kept := min(b.burstfulRate*b.share*keptFromLate.Seconds(), b.burstful.capacity/2)
+	lent += b.takeAbove(late, kept)
+	b.record.note(now, lent, wanted+late-lent)
 	return lent
 }
 
+// takeAbove takes up to so many credits and leaves so much.
+func (b *bucket) takeAbove(wanted uint32, left float64) (taken uint32) {
+	taken = min(wanted, uint32(max(0, b.level()-left)))
+	b.burstful.level -= float64(taken)
+	b.sustained.level -= float64(taken)
+	return taken
+}
+
 func (b *bucket) level() float64 { return max(b.burstful.level, b.sustained.level) }
 
 // takeBack puts credit back that was lent within returnTime and not used.
--- a/internal/distribution/allowance/holding.go
+++ b/internal/distribution/allowance/holding.go
@@ -34,9 +34,13 @@
 	// and not answered.
 	waiting []*Ticket
 	asked   uint32
+	// askedLate is the number of those for late calls.
+	askedLate uint32
 	// refusedUntil is the time until which the owner has nothing left, askAfter that until which the
 	// daemon asked does not see itself as the owner.
 	refusedUntil, askAfter time.Time
+	// lateRefusedUntil is the time until which it has nothing left for late calls.
+	lateRefusedUntil time.Time
 	// returnAfter is when refused callers may return, by the owner's last word.
 	returnAfter time.Duration
 	// lentBefore is the daemon that lent last, empty once it does not see itself as the owner.
@@ -88,7 +92,7 @@
 	h.usedAt = now
 }
 
-// wanted returns how many credits to ask for beyond those asked for: one for each call that waits,
+// wanted returns how many credits to ask for calls that can be in time: one for each that waits,
 // and as many as will be used while they are valid.
 func (h *holding) wanted(validity time.Duration) uint32 {
 	if len(h.waiting) == 0 {
@@ -97,8 +101,21 @@
 		}
 		return 0
 	}
-	ahead := uint32(h.recentUse / useMemory.Seconds() * validity.Seconds())
-	return uint32(len(h.waiting)) + ahead
+	inTime := uint32(len(h.waiting)) - h.waitingLate()
+	if inTime == 0 {
+		return 0
+	}
+	return inTime + uint32(h.recentUse/useMemory.Seconds()*validity.Seconds())
+}
+
+// waitingLate returns the number of late calls that wait.
+func (h *holding) waitingLate() (count uint32) {
+	for _, ticket := range h.waiting {
+		if ticket.late {
+			count++
+		}
+	}
+	return count
 }
 
 // dropDecided forgets calls that wait no longer.
@@ -109,10 +126,10 @@
 // need returns what to ask an owner for, nil for nothing.
 func (h *holding) need(name, owner string, validity time.Duration, ask bool) *lapisv1.AllowanceNeed {
 	need := &lapisv1.AllowanceNeed{Allowance: name, Returned: h.unused[owner], PerSecond: h.limit.Rate, Burst: h.limit.Burst}
-	if ask && h.asked == 0 {
-		need.Credits = h.wanted(validity)
+	if ask && h.asked+h.askedLate == 0 {
+		need.Credits, need.LateCredits = h.wanted(validity), h.waitingLate()
 	}
-	if need.Credits == 0 && need.Returned == 0 {
+	if need.Credits+need.LateCredits == 0 && need.Returned == 0 {
 		return nil
 	}
 	return need
@@ -120,5 +137,5 @@
 
 // idle reports whether nothing is lost by forgetting the holding.
 func (h *holding) idle(now time.Time, window time.Duration) bool {
-	return len(h.waiting) == 0 && h.asked == 0 && len(h.credits) == 0 && len(h.unused) == 0 && now.Sub(h.usedAt) > window
+	return len(h.waiting) == 0 && h.asked+h.askedLate == 0 && len(h.credits) == 0 && len(h.unused) == 0 && now.Sub(h.usedAt) > window
 }
--- a/internal/distribution/allowance/owner.go
+++ b/internal/distribution/allowance/owner.go
@@ -124,9 +124,9 @@
 	known.settle(now, o.bounds)
 	known.setLimit(limitOf(need), revision, o.bounds)
 	known.takeBack(need.GetReturned())
-	credit.Credits = known.lend(now, need.GetCredits())
-	if credit.GetCredits() < need.GetCredits() {
-		refused := need.GetCredits() - credit.GetCredits()
+	credit.Credits = known.lend(now, need.GetCredits(), need.GetLateCredits())
+	if wanted := need.GetCredits() + need.GetLateCredits(); credit.GetCredits() < wanted {
+		refused := wanted - credit.GetCredits()
 		credit.RetryAfterMillis = uint32(known.returnAfter(now, refused).Milliseconds()) + 1
 	}
 	return credit
--- a/internal/distribution/allowance/part.go
+++ b/internal/distribution/allowance/part.go
@@ -87,8 +87,8 @@
 
 // Take decides on a call, or leaves its ticket undecided until an owner answers or GiveUp ends the
 // wait. revision is that of the configuration which the limit is of.
-func (p *Part) Take(now time.Time, allowance string, limit Limit, revision uint64) *Ticket {
-	return p.asker.take(now, allowance, limit, revision)
+func (p *Part) Take(now time.Time, allowance string, limit Limit, revision uint64, late bool) *Ticket {
+	return p.asker.take(now, allowance, limit, revision, late)
 }
 
 // GiveUp decides on a call that has waited long enough.
--- a/internal/distribution/allowance/scaffold_test.go
+++ b/internal/distribution/allowance/scaffold_test.go
@@ -335,7 +335,7 @@
 			if p.asked != nil {
 				p.asked(name)
 			}
-			d.waiting = append(d.waiting, waitingCall{d.part.Take(p.now, name, p.limits[name], 1), p.now})
+			d.waiting = append(d.waiting, waitingCall{d.part.Take(p.now, name, p.limits[name], 1, len(d.waiting)%4 == 3), p.now})
 		}
 	}
 }
--- a/internal/distribution/allowance/service.go
+++ b/internal/distribution/allowance/service.go
@@ -72,12 +72,13 @@
 	}
 }
 
-// Take takes the credit for one call of an allowance, and waits for it at most answerPatience.
+// Take takes the credit for one call of an allowance, which is late where it can no longer be answered
+// in time, and waits for it at most answerPatience.
 // giveBack returns it; it is called once, for a call that did not run. Errors: CallRateLimited with
 // the time after which there is credit again.
-func (s *Service) Take(ctx context.Context, allowance string, limit Limit, revision uint64) (giveBack func(), err error) {
+func (s *Service) Take(ctx context.Context, allowance string, limit Limit, revision uint64, late bool) (giveBack func(), err error) {
 	var ticket *Ticket
-	s.do(func(now time.Time) { ticket = s.part.Take(now, allowance, limit, revision) })
+	s.do(func(now time.Time) { ticket = s.part.Take(now, allowance, limit, revision, late) })
 	outcome := s.await(ctx, ticket)
 	if outcome.Granted {
 		return func() { s.do(func(now time.Time) { s.part.GiveBack(now, ticket) }) }, nil
--- a/internal/requestpath/gateway/headers.go
+++ b/internal/requestpath/gateway/headers.go
@@ -58,6 +58,13 @@
 	return time.Duration(max(millis, 0)) * time.Millisecond, err == nil
 }
 
+// waitedBefore returns how long the caller of a request has been waiting since its first try. It is
+// called once for a request.
+func (g *Gateway) waitedBefore(rc *app.RequestContext, route *lapisv1.Route) time.Duration {
+	stated, _ := g.statedDeadline(rc)
+	return g.deadlines.waited(route.GetName(), stated)
+}
+
 // maxChainAttempt bounds the number of retries that a caller may state;
 // any number above 0 has the same effect on the retry rule.
 const maxChainAttempt = 1000
--- a/internal/requestpath/gateway/identity.go
+++ b/internal/requestpath/gateway/identity.go
@@ -119,6 +119,14 @@
 	current *snapshot.Snapshot
 	route   *lapisv1.Route
 	caller  caller
+	// waitedBefore is how long the caller has been waiting since its first try.
+	waitedBefore time.Duration
+}
+
+// late reports whether the request can no longer be answered within its route's target latency.
+func (a *admitted) late() bool {
+	target := time.Duration(a.route.GetCallClass().GetTargetLatencyMillis()) * time.Millisecond
+	return target > 0 && a.waitedBefore >= target
 }
 
 // admit finds the route and the caller of a request. A key that the configuration in force lacks waits
@@ -221,18 +229,19 @@
 
 // Quota bounds the calls of accounts at all daemons together. It is safe for concurrent use.
 type Quota interface {
-	// Take takes one call out of an account's allowance; giveBack returns it and is called once, for
+	// Take takes one call out of an account's allowance; a late call gets what calls that can still be
+	// in time leave. giveBack returns it and is called once, for
 	// a call that did not run. Errors: CallRateLimited with the time at which there is room again.
-	Take(ctx context.Context, caller *account.Account) (giveBack func(), err error)
+	Take(ctx context.Context, caller *account.Account, late bool) (giveBack func(), err error)
 }
 
 // withinQuota serves a call of an account within its quota; err is that of serve. Errors: those of
 // Quota.Take and of serve.
-func (g *Gateway) withinQuota(ctx context.Context, caller *account.Account, serve func() error) error {
-	if g.config.Quota == nil || !caller.Limited() {
+func (g *Gateway) withinQuota(ctx context.Context, found admitted, serve func() error) error {
+	if g.config.Quota == nil || !found.caller.account.Limited() {
 		return serve()
 	}
-	giveBack, err := g.config.Quota.Take(ctx, caller)
+	giveBack, err := g.config.Quota.Take(ctx, found.caller.account, found.late())
 	if err != nil {
 		return err
 	}
--- a/internal/requestpath/gateway/serve.go
+++ b/internal/requestpath/gateway/serve.go
@@ -88,8 +88,9 @@
 	}
 	callCtx, cancel := g.callContext(ctx, exchange, found.route.GetCallClass())
 	defer cancel()
-	return found.route, g.withinQuota(callCtx, found.caller.account, func() error {
-		return g.serveRoute(callCtx, exchange, found.current, found.route, found.caller)
+	found.waitedBefore = g.waitedBefore(exchange.Request, found.route)
+	return found.route, g.withinQuota(callCtx, found, func() error {
+		return g.serveRoute(callCtx, exchange, found)
 	})
 }
 
@@ -106,13 +107,13 @@
 // serveRoute serves a request of a route. One that may not be repeated waits until all earlier
 // answers of its connection are written: one of them might close the connection, and the caller
 // would send this request again.
-func (g *Gateway) serveRoute(ctx context.Context, exchange *pipeline.Exchange, current *snapshot.Snapshot, route *lapisv1.Route, caller caller) error {
-	if !route.GetCallClass().GetRepeatable() {
+func (g *Gateway) serveRoute(ctx context.Context, exchange *pipeline.Exchange, found admitted) error {
+	if !found.route.GetCallClass().GetRepeatable() {
 		if err := exchange.AwaitEarlierAnswers(ctx); err != nil {
 			return err
 		}
 	}
-	attempt := &attempter{gateway: g, call: g.callOf(exchange, current, route, caller)}
+	attempt := &attempter{gateway: g, call: g.callOf(exchange, found)}
 	done, err := g.checkQuarantine(ctx, exchange.Request, &attempt.call)
 	defer done()
 	if err != nil {
@@ -122,14 +123,14 @@
 }
 
 // callOf returns the call that a request makes.
-func (g *Gateway) callOf(exchange *pipeline.Exchange, current *snapshot.Snapshot, route *lapisv1.Route, caller caller) call {
+func (g *Gateway) callOf(exchange *pipeline.Exchange, found admitted) call {
 	rc, body := exchange.Request, bodyOf(exchange)
-	stated, _ := g.statedDeadline(rc)
 	return call{
-		current: current, route: route, opening: g.openingOf(rc, route, caller, current.Revision, body), body: body,
+		current: found.current, route: found.route, body: body,
+		opening:   g.openingOf(rc, found.route, found.caller, found.current.Revision, body),
 		attach:    func(call *callapi.Call) { body.attach(call, rc, &g.config.Envelope) },
 		requestID: g.requestID(rc), local: exchange.Local(),
 		started: exchange.Arrived, suspendedBefore: boottime.Suspended(),
-		waitedBefore: g.deadlines.waited(route.GetName(), stated),
+		waitedBefore: found.waitedBefore,
 	}
 }
