What an instance states counts once its answers have borne it out

Cause: the first statement was believed at once. One that stated anything at random could look so slow by its first two answers that it got no further call to be judged by: TestStatementsAgainstAnswers, row "anything", 0.002 of the calls in place of 0.1, in some 15 % of runs. Change: statements count from 16 answers on. Tests of what lasts, fades and comes late have answers bear the statements out first; that nothing counts before is asserted.

--- a/internal/requestpath/worktime/statements.go
+++ b/internal/requestpath/worktime/statements.go
@@ -32,6 +32,9 @@
 	// chance must not decide.
 	errorAssumed   = 0.5
 	answersAssumed = 10
+	// answersNeeded is the number of answers from which statements count: by the first few an instance
+	// that states anything could look so slow that it gets no further call to be judged by.
+	answersNeeded = 16
 )
 
 // statementMemories are the times in which a statement may lose what it says, of which the one
@@ -102,9 +105,10 @@
 	return statementMemories[best]
 }
 
-// Believed reports whether there are statements that explain service times no worse than none.
+// Believed reports whether there are statements that explained the service times of answersNeeded
+// answers no worse than none.
 func (s *Statements) Believed() bool {
-	return !s.at.IsZero() && s.believing <= mistrustAbove*s.doubting
+	return s.judged >= answersAssumed+answersNeeded && s.believing <= mistrustAbove*s.doubting
 }
 
 // Newest returns the time of the newest statement; ok is false before the first.
--- a/internal/requestpath/worktime/statements_test.go
+++ b/internal/requestpath/worktime/statements_test.go
@@ -22,6 +22,13 @@
 	return at
 }
 
+// bearOut has as many answers bear the statements out as it takes for them to count.
+func bearOut(s *Statements) {
+	for range answersNeeded {
+		s.Judge(0.1, 0.1, 0.1)
+	}
+}
+
 func always(percent uint32) func(int) uint32 { return func(int) uint32 { return percent } }
 
 func near(t *testing.T, got, want float64) {
@@ -43,6 +50,9 @@
 	var s Statements
 	last := stateEvery(&s, 100*time.Millisecond, 50, always(120))
 	near(t, s.lasting, 120)
+	assert.Equal(t, s.RatioNow(last), 1.0, "no answer has borne it out")
+	bearOut(&s)
+	near(t, s.RatioNow(last), 1.2)
 	slowed := last.Add(100 * time.Millisecond)
 	s.Add(300, slowed)
 	near(t, s.RatioNow(slowed), 3)
@@ -58,6 +68,7 @@
 		var s Statements
 		percents := rapid.SliceOfN(rapid.Uint32Range(50, 400), 1, 30).Draw(t, "percents")
 		last := stateEvery(&s, 200*time.Millisecond, len(percents), func(number int) uint32 { return percents[number] })
+		bearOut(&s)
 		ages := rapid.SliceOfN(rapid.IntRange(0, 60_000), 2, 2).Draw(t, "ages")
 		sooner, later := min(ages[0], ages[1]), max(ages[0], ages[1])
 		distance := func(millis int) float64 {
@@ -90,6 +101,7 @@
 	var s Statements
 	s.Add(100, begun)
 	s.Add(900, begun.Add(-time.Second))
+	bearOut(&s)
 	assert.Equal(t, s.RatioNow(begun), 1.0)
 }
 
