A call whose limit nobody in reach knows is refused with 503, not 429

Cause: while no owner answered, calls of an account within its limit got 429, which says that the account had used its limit up. That was not known.

--- a/internal/distribution/allowance/asker.go
+++ b/internal/distribution/allowance/asker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
 const (
@@ -33,6 +34,14 @@
 	Unreachable bool
 }
 
+// code returns the code of a call that may not go.
+func (o Outcome) code() result.Code {
+	if o.Unreachable {
+		return result.CallLimitUnknown
+	}
+	return result.CallRateLimited
+}
+
 // Ticket is one call that wants credit.
 type Ticket struct {
 	allowance string
--- a/internal/distribution/allowance/service.go
+++ b/internal/distribution/allowance/service.go
@@ -75,7 +75,7 @@
 // Take takes the credit for one call of an allowance, which is late where it can no longer be answered
 // in time, and waits for it at most answerPatience.
 // giveBack returns it; it is called once, for a call that did not run. Errors: CallRateLimited with
-// the time after which there is credit again.
+// the time after which there is credit again, CallLimitUnknown where no owner answers.
 func (s *Service) Take(ctx context.Context, allowance string, limit Limit, revision uint64, late bool) (giveBack func(), err error) {
 	var ticket *Ticket
 	s.do(func(now time.Time) { ticket = s.part.Take(now, allowance, limit, revision, late) })
@@ -83,7 +83,7 @@
 	if outcome.Granted {
 		return func() { s.do(func(now time.Time) { s.part.GiveBack(now, ticket) }) }, nil
 	}
-	refused := result.Errorf(result.CallRateLimited, "no credit of %s (owner unreachable: %t)", allowance, outcome.Unreachable)
+	refused := result.Errorf(outcome.code(), "no credit of %s", allowance)
 	refused.RetryAfter = outcome.RetryAfter + time.Duration(retrySpread*s.config.Random()*float64(outcome.RetryAfter))
 	return nil, refused
 }
--- a/internal/requestpath/gateway/identity.go
+++ b/internal/requestpath/gateway/identity.go
@@ -231,7 +231,8 @@
 type Quota interface {
 	// Take takes one call out of an account's allowance; a late call gets what calls that can still be
 	// in time leave. giveBack returns it and is called once, for
-	// a call that did not run. Errors: CallRateLimited with the time at which there is room again.
+	// a call that did not run. Errors: CallRateLimited with the time at which there is room again,
+	// CallLimitUnknown where that cannot be found out.
 	Take(ctx context.Context, caller *account.Account, late bool) (giveBack func(), err error)
 }
 
