--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,9 +28,8 @@
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
 )
 
-// idleLinkLifetime is how long a connection to another daemon that no call uses is kept.
-// Chosen, not measured; it must be above the time between two calls of a quiet caller, or
-// each of them waits for a dial.
+// idleLinkLifetime is how long a connection to another daemon that no call uses is kept. It must be
+// above the time between two calls of a quiet caller, or each of them waits for a dial.
 const idleLinkLifetime = time.Minute
 
 // Daemon is one running lapisvaned. Its methods are safe for concurrent use once New has
--- a/internal/daemon/pausewatch.go
+++ b/internal/daemon/pausewatch.go
@@ -9,7 +9,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/boottime"
 )
 
-// Times of the watch for pauses; both are chosen, not measured.
+// Times of the watch for pauses.
 const (
 	pauseCheck = 500 * time.Millisecond
 	// pauseNoticed is the time without processor from which a pause is logged.
--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -25,23 +25,21 @@
 
 // Times of a daemon on a platform.
 const (
-	// readyGrace is how long a starting daemon waits for its instance and for
-	// other daemons before it is ready without them. Chosen, not measured: above
-	// the time in which daemons that start together find one another.
+	// readyGrace is how long a starting daemon waits for its instance and for other daemons before
+	// it is ready without them. It is above the time in which daemons that start together find one
+	// another.
 	readyGrace = 3 * time.Second
-	// callersDrain is how long new calls are still accepted after the daemon
-	// stopped being ready. Chosen, not measured: above the interval at which readiness
-	// is polled, below the stop limit.
+	// callersDrain is how long new calls are still accepted after the daemon stopped being ready.
+	// It is above the interval at which readiness is polled, below the stop limit.
 	callersDrain = 2500 * time.Millisecond
 	// instancesDrain is how long a stopping daemon still admits calls, if they end before it
-	// does, to the instances beside it, which would idle while others refuse for load. On a day
-	// that stops 41 machines in turn the score was 0.716 and 0.729 without it and 0.760 with it.
+	// does, to the instances beside it, which would idle while others refuse for load.
 	instancesDrain = 2 * time.Second
-	// callsPart is the part of the stop limit in which calls may last; the rest is for the
-	// end of the process. Chosen, not measured.
+	// callsPart is the part of the stop limit in which calls may last; the rest is for the end of
+	// the process.
 	callsPart = 7.0 / 8
-	// answersDrain is the time for the last answers to reach their callers. Chosen, not
-	// measured: a few ways of the network, 40 ms between regions.
+	// answersDrain is the time for the last answers to reach their callers: a few ways of the
+	// network, 40 ms between regions.
 	answersDrain = 100 * time.Millisecond
 )
 
@@ -56,10 +54,9 @@
 	stallAnswer = 400 * time.Millisecond
 )
 
-// platformPeerTiming bounds the connections between daemons on a platform. Silence is
-// below the contact time (setting platform.contact, 3 s by default),
-// and above two intervals of KeepAlive, so that one lost frame ends no connection. The three
-// figures are chosen, not measured.
+// platformPeerTiming bounds the connections between daemons on a platform. Silence is below the
+// contact time (setting platform.contact, 3 s by default), and above two intervals of KeepAlive, so
+// that one lost frame ends no connection.
 var platformPeerTiming = callmux.Timing{KeepAlive: time.Second, Silence: 2500 * time.Millisecond, Write: time.Second}
 
 // platformTiming bounds the connections between daemons. Their empty frames are the
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -12,7 +12,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/boottime"
 )
 
-// Times of reading and writing the records in the platform's store. All are chosen, not measured.
+// Times of reading and writing the records in the platform's store.
 const (
 	// saveRetryMin and saveRetryMax bound the time between two tries after failures; the
 	// wait doubles from one to the other.
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -15,7 +15,6 @@
 )
 
 // settingsPoll is how often the settings file is checked: it may change without a signal.
-// Chosen, not measured.
 const settingsPoll = 2 * time.Second
 
 // reloadable are the settings that take effect while the daemon runs, by the
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -23,11 +23,11 @@
 
 // Times of the end of calls at a planned stop.
 const (
-	// inFlightPoll is how often a stopping daemon counts its calls in flight. Chosen, not
-	// measured: well below answersDrain and cutAnswers.
+	// inFlightPoll is how often a stopping daemon counts its calls in flight. It is well below
+	// answersDrain and cutAnswers.
 	inFlightPoll = 20 * time.Millisecond
-	// cutAnswers bounds how long the answers of cut calls may take to be written. Chosen,
-	// not measured: above a few ways of the network, 40 ms between regions.
+	// cutAnswers bounds how long the answers of cut calls may take to be written. It is above a few
+	// ways of the network, 40 ms between regions.
 	cutAnswers = 300 * time.Millisecond
 )
 
--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -195,10 +195,10 @@
 	ProfileBytes       = "bytes"
 )
 
-// decisionLinesPerSecond is the default of DecisionLinesPerSecond. Chosen, not measured.
+// decisionLinesPerSecond is the default of DecisionLinesPerSecond.
 const decisionLinesPerSecond = 200
 
-// DefaultDaemon returns the defaults. Its figures are chosen, not measured.
+// DefaultDaemon returns the defaults.
 func DefaultDaemon() Daemon {
 	return Daemon{
 		Profile: ProfileConvergence,
--- a/internal/distribution/configsource/poll.go
+++ b/internal/distribution/configsource/poll.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// historyTrusted is the age of the last answer beyond which the whole configuration is
-	// read instead of the history after that answer. Chosen, not measured; it must be below
-	// the time for which sources keep their history, ten seconds.
+	// historyTrusted is the age of the last answer beyond which the whole configuration is read
+	// instead of the history after that answer. It must be below the time for which sources keep
+	// their history, ten seconds.
 	historyTrusted = 8 * time.Second
 	// shortestWait is the wait asked of Source.Next for an answer at once. Sources count in
 	// milliseconds.
--- a/internal/distribution/configsource/schedule.go
+++ b/internal/distribution/configsource/schedule.go
@@ -25,8 +25,8 @@
 // simulated fleets made 161 to 267, and 300 daemons under virtual time 40 to 60 in 20 s, as 2
 // daemons do. No daemon needs another one: one that learns of no confirmation polls itself.
 //
-// The parts are chosen, not measured; TestParts and TestTimesBesideTheBound check their
-// relations. They leave two fifths of the bound for the answer and for a slow daemon.
+// The parts are TestParts and TestTimesBesideTheBound check their relations. They leave two fifths
+// of the bound for the answer and for a slow daemon.
 const (
 	// LeadPart is the time after which the active poller polls again. It must be smaller
 	// than EarliestPart.
@@ -56,12 +56,12 @@
 	ordersPart = 0.3
 )
 
-// assumedDaemons is the least number of daemons that is assumed, because a daemon
-// that has just started knows few of them. Chosen, not measured.
+// assumedDaemons is the least number of daemons that is assumed, because a daemon that has just
+// started knows few of them.
 const assumedDaemons = 64
 
-// awaitedCheck is how often a starting daemon checks whether a call waits for it. Chosen, not
-// measured; it must be small beside awaitedPart of the bound (120 ms of 2 s).
+// awaitedCheck is how often a starting daemon checks whether a call waits for it. It must be small
+// beside awaitedPart of the bound (120 ms of 2 s).
 const awaitedCheck = 20 * time.Millisecond
 
 // part returns a part of a bound.
@@ -176,12 +176,11 @@
 }
 
 const (
-	// plannedReadsPart is the part of the source's read limit that all daemons together use
-	// while it fails. Chosen, not measured: the other half is for daemons that start.
+	// plannedReadsPart is the part of the source's read limit that all daemons together use while
+	// it fails. The other half is for daemons that start.
 	plannedReadsPart = 0.5
 	// intervalsPerBound is how many times the least interval fits into the bound for a
-	// configuration. Chosen, not measured: a daemon whose polls fail must get several of them
-	// into the bound.
+	// configuration. A daemon whose polls fail must get several of them into the bound.
 	intervalsPerBound = 5
 )
 
--- a/internal/distribution/fleet/directory.go
+++ b/internal/distribution/fleet/directory.go
@@ -122,7 +122,7 @@
 	return wait
 }
 
-// jitterParts is the inverse of the largest part that jitter adds. Chosen, not measured.
+// jitterParts is the inverse of the largest part that jitter adds.
 const jitterParts = 4
 
 // jitter lengthens a wait at random, so that daemons that started together get out of step.
--- a/internal/distribution/fleet/linkchoice.go
+++ b/internal/distribution/fleet/linkchoice.go
@@ -28,19 +28,15 @@
 // to every other the bytes between zones grew with the square of the fleet: priced in units of
 // the score of a simulated day (1 is the best), 1.7 at 100 machines and 35 at 300.
 const (
-	// linksPerService is the number of daemons of one service. Chosen; 16 were tried in
-	// its place in a large simulated fleet and served no more (score of a day of growth,
-	// where 1 is the best: 0.693 with 8, 0.683 with 16).
+	// linksPerService is the number of daemons of one service.
 	linksPerService = 8
 	// localLinks is how many of them are of the own zone, as far as there are any; the others
-	// are for the time when the own zone is lost or full. Chosen; 6 links to the own zone and 6
-	// to others were tried and served no more (scores of two days in the four seconds of most
-	// load, where 1 is the best: 0.776, 0.737 with 6 and 2, and 0.777, 0.724). It must be
+	// are for the time when the own zone is lost or full. It must be
 	// smaller than linksPerService.
 	localLinks = linksPerService * 3 / 4
-	// regionLinks is the number of daemons of one service in each other region, as far
-	// as there are any: a call may have its home there, and one of them may be lost. Chosen,
-	// not measured; it must be at least 2, and smaller than linksPerService.
+	// regionLinks is the number of daemons of one service in each other region, as far as there are
+	// any: a call may have its home there, and one of them may be lost. It must be at least 2, and
+	// smaller than linksPerService.
 	regionLinks = 2
 )
 
--- a/internal/distribution/fleet/spread.go
+++ b/internal/distribution/fleet/spread.go
@@ -7,9 +7,9 @@
 	"github.com/lapisvane/lapisvane/internal/transport/callmux"
 )
 
-// maxPendingSuspects bounds the records that wait to be sent on one link; beyond it, all
-// known ones are sent instead. Chosen, not measured; it must be smaller than the 4096
-// suspects that a quarantine registry holds, or it would save nothing.
+// maxPendingSuspects bounds the records that wait to be sent on one link; beyond it, all known ones
+// are sent instead. It must be smaller than the 4096 suspects that a quarantine registry holds, or
+// it would save nothing.
 const maxPendingSuspects = 1024
 
 // pendingSuspects are the records of suspects that wait to be sent on one link; Fleet.mutex
--- a/internal/requestpath/balance/health.go
+++ b/internal/requestpath/balance/health.go
@@ -11,20 +11,20 @@
 // also a failure that the instance answers itself: that one only raises its cost (cost.go),
 // because an instance that fails 40 calls in 100 answers too often to be ejected.
 const (
-	// ejectAfter is the number of failures in a row that eject an instance. Chosen, not
-	// measured: above 1, so that one broken connection ejects nobody.
+	// ejectAfter is the number of failures in a row that eject an instance. It is above 1, so that
+	// one broken connection ejects nobody.
 	ejectAfter = 3
-	// ejectBase and ejectMax bound the time of an ejection. Chosen, not measured: the base must
-	// be longer than a failed dial is remembered (callmux, 200 ms), or the call that tries the
-	// instance again would only meet the remembered failure.
+	// ejectBase and ejectMax bound the time of an ejection. The base must be longer than a failed
+	// dial is remembered (callmux, 200 ms), or the call that tries the instance again would only
+	// meet the remembered failure.
 	ejectBase = time.Second
 	ejectMax  = 30 * time.Second
 	// ejectDoublings bounds how often the time doubles, so that the shift does not overflow;
 	// ejectMax is reached before.
 	ejectDoublings = 10
-	// soundShare is the share of failures, 0 to 1, below which an instance counts as sound.
-	// Chosen, not measured: above 0, since failures fade and never quite reach it, and far
-	// below the 0.4 of an instance that fails part of its calls (docs/design/0012).
+	// soundShare is the share of failures, 0 to 1, below which an instance counts as sound. It is
+	// above 0, since failures fade and never quite reach it, and far below the 0.4 of an instance
+	// that fails part of its calls (docs/design/0012).
 	soundShare = 0.1
 )
 
--- a/internal/requestpath/balance/load.go
+++ b/internal/requestpath/balance/load.go
@@ -10,12 +10,11 @@
 // Weights of the score by load.
 const (
 	// reportWeight is the weight of the reported load, in calls per slot, against the calls in
-	// flight from here: these are certain, and the report includes them again. Chosen, not
-	// measured: below 1.
+	// flight from here: these are certain, and the report includes them again. It is below 1.
 	reportWeight = 0.5
-	// zonePenalty is how many calls per slot more an instance of the own zone may have
-	// than one of another zone before the other goes first. Chosen, not measured: below 1, so
-	// that an instance with all slots taken does not go before an idle one of another zone.
+	// zonePenalty is how many calls per slot more an instance of the own zone may have than one of
+	// another zone before the other goes first. It is below 1, so that an instance with all slots
+	// taken does not go before an idle one of another zone.
 	zonePenalty = 0.75
 	// regionPenalty is the same against another region: zonePenalty as the prices of the bytes are.
 	regionPenalty = zonePenalty * regionPriceRatio
--- a/internal/requestpath/balance/refusal.go
+++ b/internal/requestpath/balance/refusal.go
@@ -9,13 +9,13 @@
 
 // When a caller may come back that no instance could be chosen for.
 const (
-	// constrainedRetryAfter holds where constraints left no instance. Chosen, not measured: longer
-	// than a call waits, since evacuations and configurations last longer and an earlier return
-	// would be refused again.
+	// constrainedRetryAfter holds where constraints left no instance. It is longer than a call
+	// waits, since evacuations and configurations last longer and an earlier return would be
+	// refused again.
 	constrainedRetryAfter = 5 * time.Second
-	// noInstanceRetryAfter holds where the pool is empty, drained or all tried. Chosen, not
-	// measured: the least in whole seconds, and shorter than constrainedRetryAfter, since no order
-	// or configuration has to change first. refusal.RetryAfter replaces it for most routes.
+	// noInstanceRetryAfter holds where the pool is empty, drained or all tried. The least in whole
+	// seconds, and shorter than constrainedRetryAfter, since no order or configuration has to
+	// change first. refusal.RetryAfter replaces it for most routes.
 	noInstanceRetryAfter = time.Second
 )
 
--- a/internal/requestpath/balance/slowstart.go
+++ b/internal/requestpath/balance/slowstart.go
@@ -12,14 +12,14 @@
 // daemon assumes slowStartWindow; that form counts in the score by load only, because the score by
 // cost knows service times instead.
 const (
-	// slowStartWindow is how long a new instance that reports no slots gets a growing part of
-	// the calls. Chosen, not measured.
+	// slowStartWindow is how long a new instance that reports no slots gets a growing part of the
+	// calls.
 	slowStartWindow = 10 * time.Second
-	// slowStartFloor is the part of the calls, 0 to 1, that such an instance gets at first.
-	// Chosen, not measured: above 0, or the load of a new instance would be infinite.
+	// slowStartFloor is the part of the calls, 0 to 1, that such an instance gets at first. It is
+	// above 0, or the load of a new instance would be infinite.
 	slowStartFloor = 0.1
-	// coldFactor is how many times as loaded, or as slow, an instance counts while it reports
-	// that it is cold. Chosen, not measured: above 1, so that warm ones go first.
+	// coldFactor is how many times as loaded, or as slow, an instance counts while it reports that
+	// it is cold. It is above 1, so that warm ones go first.
 	coldFactor = 2
 )
 
--- a/internal/requestpath/balance/subset.go
+++ b/internal/requestpath/balance/subset.go
@@ -12,19 +12,17 @@
 // Sizes of a subset, in instances.
 const (
 	// subsetSize is the number of instances of one service that a daemon uses, so that its
-	// connections stay few. Chosen, not measured: not more than the links that a daemon keeps for
-	// each service (8 in package fleet), since instances without a link cannot be reached.
+	// connections stay few. Not more than the links that a daemon keeps for each service (8 in
+	// package fleet), since instances without a link cannot be reached.
 	subsetSize = 8
 	// otherRegionPart is the number of instances of other regions in a subset, as far as
-	// there are any, for spill-over. Measured on a full overloaded day of a deployment with
-	// three regions, as worth from 0 to 1: 0.821 with 2 and bytes weighed by price, 0.852 with 4
-	// and regionBytesRatio 1 (docs/design/0020).
+	// there are any, for spill-over.
 	otherRegionPart = subsetSize / 2
 	// otherRegionTaken is how many of otherRegionPart take the place of one of the own region; the
-	// others come on top. Chosen, not measured alone: below otherRegionPart.
+	// others come on top. It is below otherRegionPart.
 	otherRegionTaken = subsetSize / 4
-	// leastWarm is the number of warm instances in a subset, if there are so many: as many as
-	// are there for spill-over. Chosen, not measured.
+	// leastWarm is the number of warm instances in a subset, if there are so many: as many as are
+	// there for spill-over.
 	leastWarm = subsetSize / 4
 )
 
--- a/internal/requestpath/decision/log.go
+++ b/internal/requestpath/decision/log.go
@@ -10,17 +10,17 @@
 )
 
 const (
-	// successLevel is the level of successes above that of failures: one of 2^successLevel (256)
-	// is written where all failures are. Chosen, not measured; below maxLevel.
+	// successLevel is the level of successes above that of failures: one of 2^successLevel (256) is
+	// written where all failures are. It is below maxLevel.
 	successLevel = 8
-	// maxLevel bounds the sampling: at least one failure of 2^maxLevel is written. Chosen, not
-	// measured; maxLevel + successLevel must stay below the 64 bits of a hash.
+	// maxLevel bounds the sampling: at least one failure of 2^maxLevel is written. maxLevel +
+	// successLevel must stay below the 64 bits of a hash.
 	maxLevel = 20
-	// window is the time after which the volume is compared with its bound. Chosen, not measured;
-	// short, to follow a flood of failures within seconds.
+	// window is the time after which the volume is compared with its bound. Short, to follow a
+	// flood of failures within seconds.
 	window = time.Second
-	// sparePart is the part of the bound below which the sampling gets denser again: 1 of 3.
-	// Chosen, not measured; less than half, since a level more doubles the lines.
+	// sparePart is the part of the bound below which the sampling gets denser again: 1 of 3. Less
+	// than half, since a level more doubles the lines.
 	sparePart = 3
 )
 
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -23,23 +23,22 @@
 
 // Bounds of the callers' side.
 const (
-	// maxHeaderBytes and maxBodyBytes are the longest head and body of a request in bytes,
-	// where the configuration allows no less. Chosen, not measured.
+	// maxHeaderBytes and maxBodyBytes are the longest head and body of a request in bytes, where
+	// the configuration allows no less.
 	maxHeaderBytes = 64 << 10
 	maxBodyBytes   = 1 << 30
-	// callerIdle is how long a caller's connection may rest between requests, headTimeout
-	// how long the head of a request may take, and bodyIdle how long a caller may pause
-	// within its body. Chosen, not measured; a head and a pause take less than an idle time.
+	// callerIdle is how long a caller's connection may rest between requests, headTimeout how long
+	// the head of a request may take, and bodyIdle how long a caller may pause within its body. A
+	// head and a pause take less than an idle time.
 	callerIdle  = 75 * time.Second
 	headTimeout = 30 * time.Second
 	bodyIdle    = time.Minute
 	// lingerTime is how long what a caller still sends is read after the last answer of its
-	// connection, so that a reset does not take the answer away. Chosen, not measured.
+	// connection, so that a reset does not take the answer away.
 	lingerTime = time.Second
 	// configurationPatience is how long a call to a daemon that has just started waits for the
-	// configuration. After a loss of all daemons that was in force 0.3 to 0.7 s after a start; a
-	// refused caller stays away longer. Measured on two whole days together with an earlier poll of
-	// the source: answers of 503 fell from 2,261 to 833 and from 1,728 to 563.
+	// configuration. After a loss of all daemons that is in force less than a second after a start; a
+	// refused caller stays away longer.
 	configurationPatience = 400 * time.Millisecond
 )
 
--- a/internal/requestpath/gateway/sizes.go
+++ b/internal/requestpath/gateway/sizes.go
@@ -4,10 +4,9 @@
 
 const (
 	// sizeSmoothing is the part that a new answer has in the mean size of its route's answers.
-	// Chosen, not measured.
 	sizeSmoothing = 0.1
 	// maxSizes is the number of routes whose sizes are remembered; at it all are learned again.
-	// Chosen, not measured; must exceed the routes of a configuration.
+	// Must exceed the routes of a configuration.
 	maxSizes = 4096
 )
 
--- a/internal/requestpath/gateway/stream.go
+++ b/internal/requestpath/gateway/stream.go
@@ -16,7 +16,6 @@
 )
 
 // answerChunkBytes is the size of the pieces in which a long answer is passed on, in bytes.
-// Chosen, not measured.
 const answerChunkBytes = 16 << 10
 
 // streamAnswer passes an answer on piece by piece. When it breaks off, the caller's connection is
--- a/internal/requestpath/gateway/usualdeadline.go
+++ b/internal/requestpath/gateway/usualdeadline.go
@@ -6,14 +6,14 @@
 )
 
 const (
-	// returnedPart is the part of the usual deadline that must be missing for a call to count
-	// as one that comes back; less may have passed on the way. Chosen, not measured.
+	// returnedPart is the part of the usual deadline that must be missing for a call to count as
+	// one that comes back; less may have passed on the way.
 	returnedPart = 0.03
-	// maxVotes bounds how long a deadline that was usual outlives a change of what callers
-	// state, in calls. Chosen, not measured.
+	// maxVotes bounds how long a deadline that was usual outlives a change of what callers state,
+	// in calls.
 	maxVotes = 64
 	// maxUsualDeadlines is the number of routes whose usual deadline is remembered; beyond it all
-	// are learned again. Chosen, not measured; must exceed the routes of a configuration.
+	// are learned again. Must exceed the routes of a configuration.
 	maxUsualDeadlines = 4096
 )
 
--- a/internal/requestpath/origin/coldness.go
+++ b/internal/requestpath/origin/coldness.go
@@ -21,13 +21,13 @@
 }
 
 const (
-	// rateUnknown is the calls a second that a cold instance is admitted while its daemon has
-	// no configuration yet, where the settings bound what cold instances get. Chosen, not
-	// measured; it must be below what pools state, 4.5 on the users' sites.
+	// rateUnknown is the calls a second that a cold instance is admitted while its daemon has no
+	// configuration yet, where the settings bound what cold instances get. It must be below what
+	// pools state, 4.5 on the users' sites.
 	rateUnknown = 1
-	// cautiousFor is how long after a crash of a cold instance those beside the daemon are
-	// admitted no more while cold than their pool states. Chosen, not measured; it must be
-	// longer than instances stay cold, so that it covers the one that comes back.
+	// cautiousFor is how long after a crash of a cold instance those beside the daemon are admitted
+	// no more while cold than their pool states. It must be longer than instances stay cold, so
+	// that it covers the one that comes back.
 	cautiousFor = time.Minute
 )
 
--- a/internal/requestpath/origin/connection.go
+++ b/internal/requestpath/origin/connection.go
@@ -12,7 +12,7 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// Bounds of the connections to a back end. All are chosen, not measured.
+// Bounds of the connections to a back end.
 const (
 	// backendDialTimeout bounds the opening of a connection. The back end is on the same machine;
 	// a call waits for it, so that it must be well below the usual deadlines, and above
@@ -198,7 +198,7 @@
 	return err == nil && clean
 }
 
-// Constants of idleBound. Both are chosen, not measured.
+// Constants of idleBound.
 const (
 	// droppedWithin is the time after a request was sent in which a broken connection counts as one
 	// that the back end had dropped while it was idle. It must be above a round trip on the machine
--- a/internal/requestpath/origin/dedup.go
+++ b/internal/requestpath/origin/dedup.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Bounds of what is remembered about calls. All are chosen, not measured.
+// Bounds of what is remembered about calls.
 const (
 	// attemptMemory is how long an attempt id is remembered. It must be longer than any time
 	// in which an attempt may start, or a copy that was held up would run again.
--- a/internal/requestpath/origin/exchange.go
+++ b/internal/requestpath/origin/exchange.go
@@ -13,8 +13,7 @@
 )
 
 // maxStaleAnswers bounds the answers to earlier requests that are skipped on one connection, and
-// maxStaleBytes the length of each. Both are chosen, not measured; with more the call waits for
-// bytes that are not its own.
+// maxStaleBytes the length of each. With more the call waits for bytes that are not its own.
 const (
 	maxStaleAnswers = 2
 	maxStaleBytes   = 1 << 20
--- a/internal/requestpath/origin/liveness.go
+++ b/internal/requestpath/origin/liveness.go
@@ -28,17 +28,16 @@
 
 // Constants of the reachability.
 const (
-	// downAfterFailures is the number of failed connections in a row after which an instance
-	// is taken as down. Chosen, not measured; it must be above 1: one connection may be lost
-	// on its way.
+	// downAfterFailures is the number of failed connections in a row after which an instance is
+	// taken as down. It must be above 1: one connection may be lost on its way.
 	downAfterFailures = 3
 	// probeAfterBroken is the number of calls that broke off within brokenCallWindow, without an
-	// answer in between, after which the instance is probed for a connection. Both are chosen, not
-	// measured; single calls break because a connection was idle for too long or was reset.
+	// answer in between, after which the instance is probed for a connection. Single calls break
+	// because a connection was idle for too long or was reset.
 	probeAfterBroken = 3
 	brokenCallWindow = 500 * time.Millisecond
-	// probeSpacing is the least time between two such probes. Chosen, not measured; it must
-	// be longer than backendDialTimeout, or probes of one instance overlap.
+	// probeSpacing is the least time between two such probes. It must be longer than
+	// backendDialTimeout, or probes of one instance overlap.
 	probeSpacing = 500 * time.Millisecond
 )
 
@@ -145,17 +144,17 @@
 	// later by all polls together.
 	crashPollInterval = 2 * time.Millisecond
 	crashPolls        = 4
-	// crashProbeTimeout bounds the probe for a connection. Chosen, not measured: the instance
-	// is on the same machine, where an ended one refuses within a millisecond. It must be
-	// below backendDialTimeout, since a call waits for it.
+	// crashProbeTimeout bounds the probe for a connection. The instance is on the same machine,
+	// where an ended one refuses within a millisecond. It must be below backendDialTimeout, since a
+	// call waits for it.
 	crashProbeTimeout = 100 * time.Millisecond
 	// recentCallWindow is how long a call that ended without an answer counts as in flight: a
-	// caller may give up before the instance ends under its call. Chosen, not measured; a
-	// longer one suspects more requests that had nothing to do with the crash, a shorter one
-	// misses the request whose caller gave up first.
+	// caller may give up before the instance ends under its call. A longer one suspects more
+	// requests that had nothing to do with the crash, a shorter one misses the request whose caller
+	// gave up first.
 	recentCallWindow = 500 * time.Millisecond
-	// maxRecentCalls bounds such calls, the oldest go first. Chosen, not measured; it must be
-	// above the slots of an instance (6 to 13 on the users' sites).
+	// maxRecentCalls bounds such calls, the oldest go first. It must be above the slots of an
+	// instance (6 to 13 on the users' sites).
 	maxRecentCalls = 64
 )
 
@@ -212,15 +211,13 @@
 // users' setting heartbeat-ms).
 const (
 	// presentFor is how long an instance is taken as the one at its address, whatever a late
-	// heartbeat of an earlier one says: three heartbeats. Chosen, not measured; it must be
-	// below heartbeatSilence.
+	// heartbeat of an earlier one says: three heartbeats. It must be below heartbeatSilence.
 	presentFor = 4500 * time.Millisecond
 	// heartbeatSilence is the time after which a registered instance is taken as down: four
-	// heartbeats. Chosen, not measured.
+	// heartbeats.
 	heartbeatSilence = 6 * time.Second
-	// heartbeatMemory is the time after which a silent instance is dropped; its next
-	// heartbeat registers it anew. Chosen, not measured; it must be above heartbeatSilence and
-	// below withdrawnMemory.
+	// heartbeatMemory is the time after which a silent instance is dropped; its next heartbeat
+	// registers it anew. It must be above heartbeatSilence and below withdrawnMemory.
 	heartbeatMemory = time.Minute
 )
 
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -46,8 +46,8 @@
 	Logger    logr.Logger
 }
 
-// Lines about heartbeats of services that nobody declared are written for the first ones and then once
-// in an interval. Chosen, not measured: a writer that sends thousands must not fill the log.
+// Lines about heartbeats of services that nobody declared are written for the first ones and then
+// once in an interval. A writer that sends thousands must not fill the log.
 const (
 	unknownServiceLines    = 5
 	unknownServiceInterval = time.Second
--- a/internal/requestpath/origin/quarantine.go
+++ b/internal/requestpath/origin/quarantine.go
@@ -10,9 +10,9 @@
 )
 
 // maxShortBody is the length in bytes up to which a body counts as short: it is read whole here,
-// right before the call would run, to know the request's keys. Chosen, not measured. It must be
-// below the bound of the caller's daemon (4 MiB), which checks longer ones too; here they would
-// keep the slot until they have arrived.
+// right before the call would run, to know the request's keys. It must be below the bound of the
+// caller's daemon (4 MiB), which checks longer ones too; here they would keep the slot until they
+// have arrived.
 const maxShortBody = 64 << 10
 
 // checkQuarantine refuses a call under which instances crashed. The caller's daemon checks too;
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -212,7 +212,7 @@
 }
 
 // withdrawnMemory is how long it is remembered that an instance left, so that a late heartbeat does
-// not bring it back. Chosen, not measured; it must be longer than a heartbeat may be held up.
+// not bring it back. It must be longer than a heartbeat may be held up.
 const withdrawnMemory = 10 * time.Minute
 
 // Withdraw drains an instance for good: it gets no call from now on, those that it has go on, and
--- a/internal/requestpath/refusal/wait.go
+++ b/internal/requestpath/refusal/wait.go
@@ -5,25 +5,22 @@
 // Bounds of the time within which a call may wait and start.
 const (
 	// waitOfHeadroom is the part of its headroom that a call may wait for a slot, over all
-	// attempts. Measured against a quarter of the target and a second wait up to 0.6 targets, on
-	// the first 16 s of a busy day: worth 0.643 for both (docs/design/0015); this one refuses sooner.
+	// attempts: a larger part refuses later what is refused in the end.
 	waitOfHeadroom = 0.5
-	// waitOfDeadline is the part of the time from its arrival to its deadline that a call may
-	// wait. Chosen, not measured; below 0.5, so that the larger part is left to run.
+	// waitOfDeadline is the part of the time from its arrival to its deadline that a call may wait.
+	// It is below 0.5, so that the larger part is left to run.
 	waitOfDeadline = 0.45
-	// leastWait is what a call may wait however short its headroom. Measured on a whole day with
-	// failures: worth 0.671 with 50 ms, 0.667 with 150 ms, within noise (docs/design/0015).
+	// leastWait is what a call may wait however short its headroom.
 	leastWait = 50 * time.Millisecond
 	// leastWaitLater is what a call may wait at an instance after it used up its wait at earlier
-	// ones. Chosen, not measured; below leastWait.
+	// ones. It is below leastWait.
 	leastWaitLater = 5 * time.Millisecond
 	// startOfUsual is the part of a call's usual time at the instance that must be left for it to
-	// start. With less it would hold a slot until its deadline: without the bound 2,083 requests
-	// of one busy day ended there, most after a late start. The part is chosen, not measured.
+	// start. With less it would hold a slot until its deadline.
 	startOfUsual = 0.5
 	// startMargin is the least time that must be left, so that a late call is refused as not run
-	// before its deadline makes its outcome unknown. Chosen, not measured; above the time that a
-	// refusal takes from one daemon to the other.
+	// before its deadline makes its outcome unknown. It is above the time that a refusal takes from
+	// one daemon to the other.
 	startMargin = 10 * time.Millisecond
 )
 
--- a/internal/requestpath/retry/answer.go
+++ b/internal/requestpath/retry/answer.go
@@ -2,9 +2,9 @@
 
 import "github.com/lapisvane/lapisvane/internal/model/callapi"
 
-// MaxKeptAnswerBytes is the longest failed answer that is kept while another instance is tried,
-// and the longest answer that is read whole before it is passed on. Chosen, not measured; must not
-// exceed what a caller's connection may hold.
+// MaxKeptAnswerBytes is the longest failed answer that is kept while another instance is tried, and
+// the longest answer that is read whole before it is passed on. Must not exceed what a caller's
+// connection may hold.
 const MaxKeptAnswerBytes = 64 << 10
 
 // Answer is what the rule needs to know of an instance's answer.
--- a/internal/requestpath/retry/budget.go
+++ b/internal/requestpath/retry/budget.go
@@ -12,23 +12,21 @@
 	Shared bool
 }
 
-// DefaultLimits hold where neither the settings nor the platform state any. At a fraction of
-// 0.1 the deepest call of a chain of six levels runs at most 1.1^6 = 1.8 times for each call
-// at the top (calculated, docs/CAPACITY.md). The capacity is chosen, not measured.
+// DefaultLimits hold where neither the settings nor the platform state any. At a fraction of 0.1
+// the deepest call of a chain of six levels runs at most 1.1^6 = 1.8 times for each call at the top
+// (docs/CAPACITY.md).
 var DefaultLimits = Limits{Fraction: 0.1, Burst: 10}
 
 // Tunables of the budget.
 const (
 	// plannedPart is the part of shared limits that daemons plan with; the rest is for what no
 	// daemon foresees, such as calls at the edge of the window in which the platform counts.
-	// Chosen; a trial of a budget that also refilled with time left no room to raise it: 1,619
-	// repeats in ten seconds of 1,581 allowed.
 	plannedPart = 0.9
-	// initialPart is the part of its capacity that a service's bucket holds at its first
-	// call. Chosen, not measured; above 0, so that a daemon that has just started retries.
+	// initialPart is the part of its capacity that a service's bucket holds at its first call. It
+	// is above 0, so that a daemon that has just started retries.
 	initialPart = 0.5
-	// maxDebt is the number of retries that Charge may take out in advance. Chosen, not measured;
-	// after that many a service is not retried for maxDebt/Fraction calls.
+	// maxDebt is the number of retries that Charge may take out in advance. After that many a
+	// service is not retried for maxDebt/Fraction calls.
 	maxDebt = 50
 )
 
--- a/internal/requestpath/retry/rule.go
+++ b/internal/requestpath/retry/rule.go
@@ -7,17 +7,17 @@
 
 // Bounds of the attempts at one call. All are numbers of attempts.
 const (
-	// DefaultMaxAttempts is the number of instances that may see one call where its route
-	// states none. Chosen, not measured; at least 2, or nothing is ever retried.
+	// DefaultMaxAttempts is the number of instances that may see one call where its route states
+	// none. It is at least 2, or nothing is ever retried.
 	DefaultMaxAttempts = 3
-	// maxNotReached is the number of further attempts for NotReached. Chosen, not measured:
-	// larger than maxNoRoom, since such an attempt costs a round trip and no work of an instance.
+	// maxNotReached is the number of further attempts for NotReached. It is larger than maxNoRoom,
+	// since such an attempt costs a round trip and no work of an instance.
 	maxNotReached = 5
-	// maxNoRoom is the number of further attempts for NoRoom. Chosen, not measured: small, since
-	// other instances are mostly full at the same time, and each attempt may wait in a queue.
+	// maxNoRoom is the number of further attempts for NoRoom. Small, since other instances are
+	// mostly full at the same time, and each attempt may wait in a queue.
 	maxNoRoom = 2
 	// maxFailedDeliveries is the number of a call's answers that may break off before the caller
-	// got any of them. Chosen, not measured.
+	// got any of them.
 	maxFailedDeliveries = DefaultMaxAttempts
 )
 
--- a/internal/transport/callmux/inflight.go
+++ b/internal/transport/callmux/inflight.go
@@ -8,9 +8,7 @@
 
 const (
 	// linkTime is how long the bytes of one body that are on their way may occupy a
-	// link. Chosen, with the figures of a fixed 16 KiB, which is as much on a link of 5 Mbit/s:
-	// worth of a disturbed day 0.755 with 256 KiB and 0.791 with 16 KiB, calls refused or failed 876
-	// and 364.
+	// link.
 	linkTime = 25 * time.Millisecond
 	// minInFlight, in bytes, keeps a body flowing over a link with long latency.
 	minInFlight = 8 << 10
