An attempt at a silent daemon goes on until another one is answered

What callers saw: repeatable requests answered 502 after 0.7 to 2.7 s of a deadline of 3 s, although an instance worked on them and answered.

Cause: a daemon that sends nothing for 0.65 s is taken for silent. The attempt was given up there and then, before it was known whether another one would bring an answer; where the other instances were full, silent too, or no further attempt was allowed, the caller got 502. Beside it, time in which the own process did not run counted as silence of its peers.

Evidence: nine runs at a time of TestRequestThatEndsInstancesIsStopped/read on three cores, GOMAXPROCS=12, beside 12 busy processes, with lines: 11 of 14 failed, and each of the 32 failed requests has an attempt that ended with 'the daemon beside the instance does not answer' (no lost connection, no broken exchange). Ruled out: load alone (18 runs beside 24 busy processes passed) and pauses of the whole process (19 runs passed; two false stalls, ended at the next check).

Change: such an attempt goes on beside the next ones (callapi.Silence); the first answer is the caller's, and it is cancelled with the call. A check that comes late by an interval or more gives peers so much more time to answer (ownPause). Why it works: nothing that may still be answered is given up before the call ends.

--- a/internal/model/callapi/callapi.go
+++ b/internal/model/callapi/callapi.go
@@ -69,11 +69,22 @@
 	// nil.
 	Trailers func() []*lapisv1.HeaderField
 	// StaysWithSilent reports, once the daemon beside the instance falls silent, whether the call
-	// goes on waiting there; nil means that it ends, so that another instance may be tried. It must
-	// not block.
+	// goes on waiting there; nil means that it ends with a Silence, so that another instance may be
+	// tried. It must not block.
 	StaysWithSilent func() bool
 }
 
+// Silence is the cause of an attempt's error where the daemon beside the instance fell silent. The
+// instance may be at work, and its answer may still come: the attempt goes on until its context ends.
+type Silence struct {
+	// Await waits on for the answer, until ctx or the attempt's context ends. It is called at most
+	// once. Errors: those of a Handler.
+	Await func(ctx context.Context) (*Answer, error)
+}
+
+// Error implements error.
+func (*Silence) Error() string { return "the daemon beside the instance is silent" }
+
 // Answer is a back end's answer.
 type Answer struct {
 	// Head holds the status, the header fields, the time that the instance took in microseconds
--- a/internal/requestpath/gateway/attempts.go
+++ b/internal/requestpath/gateway/attempts.go
@@ -40,6 +40,7 @@
 	kept *instanceAnswer
 	// mayHaveRun is the error of the first attempt that an instance may have run; nil for none.
 	mayHaveRun error
+	silent     silentAttempts
 	// earned is true once the call was counted in the retry budget, and inherited when it was
 	// charged there as a repeat (Gateway.inheritsRepeat).
 	earned, inherited bool
@@ -61,29 +62,32 @@
 	var lastErr error
 	for {
 		if err := a.checkKey(); err != nil {
-			return a.giveUp(err)
+			return a.giveUp(ctx, err)
 		}
 		target, err := a.pick(pool)
 		if err != nil {
 			if lastErr != nil {
 				err = lastErr
 			}
-			return a.giveUp(err)
+			return a.giveUp(ctx, err)
 		}
 		a.opening.Service = pool
 		if a.hopeless(ctx, a.recentServiceTime(target)) {
 			a.version.giveBack()
-			return a.giveUp(result.Errorf(result.CallNotRunExpired, "too little time is left for an answer"))
+			return a.giveUp(ctx, result.Errorf(result.CallNotRunExpired, "too little time is left for an answer"))
 		}
 		allowed, err := a.mayBegin(target)
 		if err != nil {
-			return a.giveUp(err)
+			return a.giveUp(ctx, err)
 		}
 		if !allowed {
 			continue
 		}
 		answer, err := a.once(ctx, target)
 		done := instanceAnswer{answer: answer, target: target, version: a.version}
+		if a.silent.answered != nil {
+			return a.takeSilent(), nil
+		}
 		if err == nil && !a.mayReplace(answer) {
 			return done, nil
 		}
@@ -92,11 +96,12 @@
 		}
 		lastErr = err
 		a.noteMayHaveRun(err)
+		a.noteSilent(ctx, target, err)
 		a.tried = append(a.tried, target)
 		again := a.tryAgain(a.failureOf(ctx, err))
 		a.logAttempt(ctx, target, err, again)
 		if !again {
-			return a.giveUp(err)
+			return a.giveUp(ctx, err)
 		}
 		a.gateway.metrics.retries.Inc()
 	}
@@ -146,7 +151,7 @@
 		}
 	}()
 	began := time.Now()
-	answer, err := a.gateway.handOver(ctx, target, call)
+	answer, err := a.handOver(ctx, target, call)
 	now := time.Now()
 	if err != nil {
 		a.version.notAnswered(err)
@@ -219,8 +224,15 @@
 	return result.Errorf(result.CallUnknownOutcome, "the instance answered %d", failed.answer.Head.GetStatus())
 }
 
-// giveUp ends the call with what retry.EndingOf chooses; last is the error of its last attempt.
-func (a *attempter) giveUp(last error) (instanceAnswer, error) {
+// giveUp ends the attempts; last is the error of the last one. The answer of a silent attempt ends the
+// call, if one comes, else what retry.EndingOf chooses.
+func (a *attempter) giveUp(ctx context.Context, last error) (instanceAnswer, error) {
+	if a.kept == nil && a.silent.open > 0 {
+		if a.awaitSilent(ctx) {
+			return a.takeSilent(), nil
+		}
+		last = lastWord(ctx, last)
+	}
 	lastNotRun := callapi.OutcomeOf(last) == callapi.OutcomeNotRun
 	switch retry.EndingOf(a.kept != nil, a.mayHaveRun != nil, lastNotRun) {
 	case retry.KeptAnswer:
--- a/internal/requestpath/gateway/attempts_test.go
+++ b/internal/requestpath/gateway/attempts_test.go
@@ -69,7 +69,7 @@
 	for index := range 3 {
 		endpoints = append(endpoints, &lapisv1.Endpoint{
 			Service: "desk", Instance: fmt.Sprint("desk-", index), Node: fmt.Sprint("node-", index),
-			Zone: "a", Slots: 6, State: lapisv1.Endpoint_STATE_READY,
+			Address: fmt.Sprint("10.0.0.", index, ":1"), Zone: "a", Slots: 6, State: lapisv1.Endpoint_STATE_READY,
 		})
 	}
 	balancer.Update("desk", endpoints)
--- /dev/null
+++ b/internal/requestpath/gateway/silent_test.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/callapi"
+	"github.com/lapisvane/lapisvane/internal/requestpath/retry"
+	"github.com/lapisvane/lapisvane/internal/shared/result"
+	"github.com/lapisvane/lapisvane/internal/transport/callmux"
+	"github.com/lapisvane/lapisvane/internal/transport/wire"
+)
+
+// silentFor is how long a peer of these tests sends nothing: longer than it takes to notice that
+// twice, and shorter than a connection outlasts.
+const silentFor = 1700 * time.Millisecond
+
+// arrival is what becomes of a call that arrives at a peer.
+type arrival int
+
+const (
+	// arrivesSilent: the peer sends nothing for silentFor, and the instance's answer then.
+	arrivesSilent arrival = iota
+	arrivesFull
+	arrivesAnswered
+)
+
+// silentPeers are the daemons beside the instances of a test. The calls meet the arrivals in the
+// order in which they come, whichever peer they come to.
+type silentPeers struct {
+	arrivals []arrival
+	arrived  atomic.Int64
+	// working counts the instances that are at work.
+	working atomic.Int64
+}
+
+// Dial implements wire.Network: each address is that of a peer of its own.
+func (p *silentPeers) Dial(ctx context.Context, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	peer := &silentPeer{Conn: far, peers: p, sending: make(chan struct{}, 1)}
+	conn := wire.NewConn(peer, nil)
+	server := &callmux.Server{Origin: peer, Timing: quietTiming}
+	go func() {
+		if conn.ReadPreface() == nil && conn.Receive(&lapisv1.ControlFrame{}) == nil {
+			_ = server.Serve(context.WithoutCancel(ctx), conn, &lapisv1.Hello{})
+		}
+	}()
+	return near, nil
+}
+
+// client returns one that notices silent peers as daemons do, until the test ends.
+func (p *silentPeers) client(t *testing.T) *callmux.Client {
+	client := &callmux.Client{Network: p, Hello: &lapisv1.Hello{}, Timing: quietTiming}
+	watching, stopWatching := context.WithCancel(context.Background())
+	go client.WatchStalls(watching, callmux.Stall{
+		Check: 100 * time.Millisecond, Quiet: 250 * time.Millisecond, Answer: 400 * time.Millisecond, Changed: func(string, bool) {},
+	})
+	t.Cleanup(func() {
+		stopWatching()
+		client.Close()
+		time.Sleep(2 * silentFor)
+	})
+	return client
+}
+
+// Listen implements wire.Network.
+func (p *silentPeers) Listen(string) (net.Listener, error) { return nil, net.ErrClosed }
+
+// silentPeer is one such daemon, and the connection on which it sends nothing while it is silent.
+type silentPeer struct {
+	net.Conn
+	peers *silentPeers
+	// sending holds a value while the peer sends, or is silent.
+	sending chan struct{}
+}
+
+// Write implements net.Conn.
+func (p *silentPeer) Write(content []byte) (int, error) {
+	p.sending <- struct{}{}
+	defer func() { <-p.sending }()
+	return p.Conn.Write(content)
+}
+
+// Fence implements callmux.Origin.
+func (p *silentPeer) Fence(string) bool { return true }
+
+// Handle implements callmux.Origin.
+func (p *silentPeer) Handle(ctx context.Context, _ *callapi.Call) (*callapi.Answer, error) {
+	number := int(p.peers.arrived.Add(1)) - 1
+	switch p.peers.arrivals[min(number, len(p.peers.arrivals)-1)] {
+	case arrivesFull:
+		return nil, result.Errorf(result.CallNotRunOverloaded, "no slot is free")
+	case arrivesSilent:
+		p.peers.working.Add(1)
+		defer p.peers.working.Add(-1)
+		p.sending <- struct{}{}
+		defer func() { <-p.sending }()
+		select {
+		case <-time.After(silentFor):
+		case <-ctx.Done():
+			return nil, result.Errorf(result.CallCancelled, "the caller gave up")
+		}
+	}
+	content := []byte("whole")
+	return &callapi.Answer{
+		Head: &lapisv1.CallHead{Status: 200, ContentLength: int64(len(content))}, Body: io.NopCloser(bytes.NewReader(content)),
+		Trailers: func() []*lapisv1.HeaderField { return nil },
+	}, nil
+}
+
+// quietTiming has no heartbeats within a test, so that only answers break a silence.
+var quietTiming = callmux.Timing{KeepAlive: time.Hour, Silence: 2 * time.Hour, Write: time.Minute}
+
+// The failure: a caller was answered 502 while the instance worked on its request and answered it
+// within the deadline. The order of events: the daemon beside the instance sent nothing for 0.65 s,
+// the attempt was given up, and no other attempt brought an answer, since the other daemon was silent
+// too, other instances were full, or the retry budget was spent. The cause: an attempt was given up
+// before it was known whether another one could take its place.
+func TestSilentPeerIsGivenUpOnlyForAnAnswer(t *testing.T) {
+	plenty := retry.Limits{Fraction: 1, Burst: 10}
+	for name, row := range map[string]struct {
+		arrivals []arrival
+		retries  retry.Limits
+		arrived  int64
+		// least is how long the call takes at least, most at most.
+		least, most time.Duration
+	}{
+		"all of them are silent":  {[]arrival{arrivesSilent}, plenty, 3, silentFor, silentFor + time.Millisecond},
+		"the others are full":     {[]arrival{arrivesSilent, arrivesFull}, plenty, 3, silentFor, silentFor + time.Millisecond},
+		"the budget is spent":     {[]arrival{arrivesSilent}, retry.Limits{Fraction: 0.1, Burst: 1}, 1, silentFor, silentFor + time.Millisecond},
+		"another one has answers": {[]arrival{arrivesSilent, arrivesAnswered}, plenty, 2, 0, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &silentPeers{arrivals: row.arrivals}
+				attempt := newAttempter(t, peers.client(t), true, row.retries)
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				done, err := attempt.run(ctx)
+				took := time.Since(attempt.started)
+				assert.NilError(t, err)
+				body, err := readWhole(done.answer)
+				assert.NilError(t, err)
+				assert.Equal(t, string(body), "whole")
+				assert.Equal(t, peers.arrived.Load(), row.arrived)
+				assert.Assert(t, took >= row.least && took <= row.most, "%s", took)
+				cancel()
+				synctest.Wait()
+				assert.Equal(t, peers.working.Load(), int64(0), "an instance works for nobody")
+			})
+		})
+	}
+}
--- a/internal/transport/callmux/call.go
+++ b/internal/transport/callmux/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -11,8 +12,12 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
+// errSilent ends the wait for an answer whose daemon fell silent.
+var errSilent = errors.New("no sign of life")
+
 // Handle carries out one attempt at the daemon at address. An attempt whose connection is lost is
-// fenced over a new one (fenceLost), and reported as not run only where that proves it. Errors:
+// fenced over a new one (fenceLost), and reported as not run only where that proves it. One whose
+// daemon falls silent ends with a *callapi.Silence and goes on until ctx ends. Errors:
 // CallNotRunUnreachable, CallUnknownOutcome, CallDeadline, CallCancelled, and what the peer answers
 // (5xxx).
 func (c *Client) Handle(ctx context.Context, address string, call *callapi.Call) (*callapi.Answer, error) {
@@ -26,18 +31,55 @@
 		return nil, result.Wrap(result.CallNotRunUnreachable, err, "the connection to %s closed", address)
 	}
 	bodyCtx, stopBody := context.WithCancel(ctx)
+	sent := &sentCall{client: c, address: address, stream: opened, attempt: call.Open.GetAttemptId(), stopBody: stopBody}
 	head, err := c.exchange(ctx, bodyCtx, opened, call)
+	if errors.Is(err, errSilent) {
+		return nil, result.Wrap(result.CallUnknownOutcome, sent.silence(ctx), "no answer yet")
+	}
+	return sent.finish(ctx, head, err)
+}
+
+// sentCall is a call whose opening was sent.
+type sentCall struct {
+	client  *Client
+	address string
+	stream  *stream
+	// attempt is its id, and stopBody ends the sending of its body.
+	attempt  string
+	stopBody context.CancelFunc
+}
+
+// finish returns what became of the call: the answer of which the head came, or the error.
+func (s *sentCall) finish(ctx context.Context, head *lapisv1.CallHead, err error) (*callapi.Answer, error) {
+	current := s.stream.session
 	if err != nil {
-		stopBody()
-		current.remove(opened.id)
+		s.stopBody()
+		current.remove(s.stream.id)
 		if current.isClosed() && callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
-			err = c.fenceLost(ctx, address, current.incarnation, call.Open.GetAttemptId(), err)
+			err = s.client.fenceLost(ctx, s.address, current.incarnation, s.attempt, err)
 		}
 		return nil, err
 	}
-	body := &answerStream{stream: opened, stop: stopBody}
-	body.release = context.AfterFunc(ctx, func() { opened.fail(result.Wrap(cancelCode(ctx), ctx.Err(), "waiting for the answer")) })
-	return &callapi.Answer{Head: head, Body: body, Trailers: opened.endTrailers}, nil
+	body := &answerStream{stream: s.stream, stop: s.stopBody}
+	body.release = context.AfterFunc(ctx, func() { s.stream.fail(result.Wrap(cancelCode(ctx), ctx.Err(), "waiting for the answer")) })
+	return &callapi.Answer{Head: head, Body: body, Trailers: s.stream.endTrailers}, nil
+}
+
+// silence returns the call as one that may still be answered. Unless its answer is awaited, it is
+// cancelled when ctx ends.
+func (s *sentCall) silence(ctx context.Context) *callapi.Silence {
+	release := context.AfterFunc(ctx, func() {
+		s.stream.session.notify(resetOf(s.stream.id, result.Errorf(result.CallCancelled, "the answer is not wanted any more")))
+		s.stopBody()
+		s.stream.session.remove(s.stream.id)
+	})
+	return &callapi.Silence{Await: func(ctx context.Context) (*callapi.Answer, error) {
+		if !release() {
+			return nil, result.Errorf(result.CallCancelled, "the caller gave up")
+		}
+		head, err := awaitHead(ctx, s.stream, nil, nil)
+		return s.finish(ctx, head, err)
+	}}
 }
 
 // exchange opens the call, sends its body and waits for the answer's head.
@@ -52,6 +94,12 @@
 	if call.Open.GetRepeatable() {
 		stall = opened.session.stall()
 	}
+	return awaitHead(ctx, opened, stall, call.StaysWithSilent)
+}
+
+// awaitHead waits for the head of the answer. When stall is closed the wait ends with errSilent,
+// unless the call stays, which may be nil.
+func awaitHead(ctx context.Context, opened *stream, stall <-chan struct{}, stays func() bool) (*lapisv1.CallHead, error) {
 	for {
 		select {
 		case head := <-opened.head:
@@ -59,13 +107,10 @@
 		case <-opened.done:
 			return nil, opened.cause()
 		case <-stall:
-			if call.StaysWithSilent != nil && call.StaysWithSilent() {
-				stall = nil
-				continue
+			if stays == nil || !stays() {
+				return nil, errSilent
 			}
-			// Sent in the background: the peer may not read.
-			go opened.session.notify(resetOf(opened.id, result.Errorf(result.CallCancelled, "the daemon does not answer")))
-			return nil, result.Errorf(result.CallUnknownOutcome, "the daemon beside the instance does not answer")
+			stall = nil
 		case <-ctx.Done():
 			// In the background: the peer may not read, and the caller of a call that is cut at
 			// the end of a stop has 300 ms to get its answer.
--- a/internal/transport/callmux/session.go
+++ b/internal/transport/callmux/session.go
@@ -199,3 +199,8 @@
 
 // noteReceived records the time of the newest frame.
 func (s *session) noteReceived() { s.receivedAfter.Store(int64(time.Since(s.openedAt))) }
+
+// receivedAt returns when the newest frame came, or the session was opened.
+func (s *session) receivedAt() time.Time {
+	return s.openedAt.Add(time.Duration(s.receivedAfter.Load()))
+}
--- a/internal/transport/callmux/stall.go
+++ b/internal/transport/callmux/stall.go
@@ -24,15 +24,39 @@
 
 // WatchStalls checks the sessions until ctx ends.
 func (c *Client) WatchStalls(ctx context.Context, bounds Stall) {
+	checkedAt := time.Now()
 	for sleep.For(ctx, bounds.Check) {
+		now := time.Now()
+		paused := ownPause(now.Sub(checkedAt), bounds)
+		checkedAt = now
 		for address, current := range c.sessions() {
-			if changed, stalled := current.checkStall(bounds, time.Now()); changed {
+			current.excusePause(paused)
+			if changed, stalled := current.checkStall(bounds, now); changed {
 				bounds.Changed(address, stalled)
 			}
 		}
 	}
 }
 
+// ownPause returns how long this process did not run between two checks, 0 where the second came
+// less than a whole interval late. In that time it could not have seen an answer.
+func ownPause(elapsed time.Duration, bounds Stall) time.Duration {
+	if late := elapsed - bounds.Check; late >= bounds.Check {
+		return late
+	}
+	return 0
+}
+
+// excusePause gives the peer so much more time to answer the ping that is open.
+func (s *session) excusePause(paused time.Duration) {
+	receivedAt := s.receivedAt()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.pingedAt.IsZero() && !receivedAt.After(s.pingedAt) {
+		s.pingedAt = s.pingedAt.Add(paused)
+	}
+}
+
 // sessions returns the open sessions by address.
 func (c *Client) sessions() map[string]*session {
 	c.mutex.Lock()
@@ -112,7 +136,7 @@
 
 // quietPeer returns the state of the peer; any frame since the ping answers it.
 func (s *session) quietPeer() quietPeer {
-	receivedAt := s.openedAt.Add(time.Duration(s.receivedAfter.Load()))
+	receivedAt := s.receivedAt()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if receivedAt.After(s.pingedAt) {
--- a/internal/transport/callmux/stall_test.go
+++ b/internal/transport/callmux/stall_test.go
@@ -79,3 +79,47 @@
 		})
 	}
 }
+
+// The failure: after this process had been kept from running, it took a daemon for silent whose answer
+// had arrived meanwhile, and gave up the calls that the instances there worked on. The evidence: peers
+// that stalled and answered again within one check, all right after a pause of the process itself. The
+// cause: the time in which this process did not run was counted against its peers.
+func TestOwnPauseIsNotASilenceOfPeers(t *testing.T) {
+	bounds := Stall{Check: 100 * time.Millisecond, Quiet: 250 * time.Millisecond, Answer: 400 * time.Millisecond}
+	for name, row := range map[string]struct {
+		// gaps are the milliseconds between the checks after the ping, answered is when its answer
+		// came, 0 for never.
+		gaps     []int
+		answered int
+		stalled  bool
+	}{
+		"the peer is silent":                              {gaps: []int{100, 100, 100, 100, 100}, stalled: true},
+		"checks come late by less than an interval":       {gaps: []int{150, 150, 150}, stalled: true},
+		"this process stood still":                        {gaps: []int{100, 900}},
+		"this process stood still time after time":        {gaps: []int{600, 600, 600}},
+		"it stood still, and the peer is silent after":    {gaps: []int{900, 100, 100, 100, 100}, stalled: true},
+		"it was answered before this process stood still": {gaps: []int{600, 100, 100}, answered: 50},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			opened := newSession(wire.NewConn(near, nil), 1, Timing{})
+			defer func() { opened.close(net.ErrClosed); _ = far.Close() }()
+			assert.NilError(t, opened.add(newStream(1, opened)))
+			now := opened.openedAt.Add(bounds.Quiet + bounds.Check)
+			_, _ = opened.checkStall(bounds, now)
+			if row.answered > 0 {
+				at := now.Add(time.Duration(row.answered) * time.Millisecond)
+				opened.receivedAfter.Store(int64(at.Sub(opened.openedAt)))
+			}
+			stalled := false
+			for _, gap := range row.gaps {
+				elapsed := time.Duration(gap) * time.Millisecond
+				now = now.Add(elapsed)
+				opened.excusePause(ownPause(elapsed, bounds))
+				_, stalled = opened.checkStall(bounds, now)
+			}
+			assert.Equal(t, stalled, row.stalled)
+		})
+	}
+}
