What an instance mostly states is counted in before instances are compared

What callers saw: an instance that always states ten times the usual time of work, and answers as quickly as the others, got no calls for over a minute, so that the others had its load as well.

Cause: the service time known of a believed instance is divided by what it states, so that it stands in a unit of that instance. With age it faded into the mean of all, which is in another unit, and was then multiplied by the statement: the expected time grew from 60 to 104 ms in 5 s without a call, which kept further calls away.

Change: what it mostly states goes into what is known of it, only the deviation from that is multiplied; the mean over all instances is in the same unit. Why it works: an instance without calls fades into the others' time, and not beyond it.

--- a/internal/requestpath/balance/cost.go
+++ b/internal/requestpath/balance/cost.go
@@ -29,10 +29,10 @@
 	// known is the service time of the route there, in seconds, and spread its spread
 	// (serviceTime).
 	known, spread mean
-	// longer is how much longer than usual work takes there now, in parts of the usual time, as the
-	// instance states it; freed is true where known is freed of that.
-	longer float64
-	freed  bool
+	// deviation is how much longer work takes there now than the instance mostly states, in parts of
+	// that; freed is true where known is the time that the route mostly takes, freed of deviations.
+	deviation float64
+	freed     bool
 	// load is the calls of all daemons there, running and waiting, and slots what runs at once.
 	load, slots float64
 	// failures is the share of failed attempts, 0 to 1.
--- a/internal/requestpath/balance/estimate.go
+++ b/internal/requestpath/balance/estimate.go
@@ -63,6 +63,9 @@
 	return kept*m.value + (1-kept)*other
 }
 
+// times returns the mean multiplied by a factor.
+func (m mean) times(factor float64) mean { return mean{value: m.value * factor, at: m.at} }
+
 // serviceTime is what is known of the time that calls of one route take at an instance.
 type serviceTime struct {
 	// mean is in seconds, spread the squared deviation from it in parts of it.
--- a/internal/requestpath/balance/expected.go
+++ b/internal/requestpath/balance/expected.go
@@ -20,7 +20,7 @@
 	if c.freed {
 		memory = workMemory
 	}
-	service = c.known.faded(typical, memory, now) * (1 + c.longer)
+	service = c.known.faded(typical, memory, now) * (1 + c.deviation)
 	if c.cold {
 		service *= coldFactor
 	}
@@ -74,8 +74,8 @@
 	return sum / float64(count)
 }
 
-// typicalService returns the mean of what is known of the route at all candidates, in
-// seconds; ok is false when nothing is.
+// typicalService returns the mean of the time that the route mostly takes at all candidates, in
+// seconds; ok is false when nothing is known of it.
 func typicalService(candidates []costState) (seconds float64, ok bool) {
 	sum, count := 0.0, 0
 	for index := range candidates {
--- a/internal/requestpath/balance/target.go
+++ b/internal/requestpath/balance/target.go
@@ -243,10 +243,13 @@
 	if service, ok := t.services[route]; ok {
 		seen.known, seen.spread = service.mean, service.spread
 		if t.work.Believed() {
-			seen.known, seen.spread, seen.freed = service.work, service.workSpread, true
+			// Only so can instances be compared: each may state how long work takes there against a
+			// usual time of its own.
+			seen.known = service.work.times(t.work.LastingRatio())
+			seen.spread, seen.freed = service.workSpread, true
 		}
 	}
-	seen.longer = t.work.RatioNow(now) - 1
+	seen.deviation = t.work.Deviation(now) - 1
 	if age := now.Sub(t.reportedAt); age < reportLifetime {
 		// The calls of other daemons count less the older the report is.
 		others := max(t.reported*slots-float64(t.reportedOwn), 0)
--- a/internal/requestpath/balance/work_test.go
+++ b/internal/requestpath/balance/work_test.go
@@ -59,3 +59,36 @@
 		})
 	}
 }
+
+// The failure: an instance that always states ten times the usual, and answers as quickly as the others,
+// got no calls for over a minute. The order of events: it was believed, it got no call for 0.2 s by
+// chance, and from then on looked slower with each moment. The cause: what is known of it is in units of
+// its own statements, and faded into what is known of the others, which is not.
+func TestInstanceThatAlwaysStatesTheSameIsNotLeft(t *testing.T) {
+	for _, percent := range []uint32{10, 50, 300, 1000} {
+		p := newPool("a", "a", "a", "a")
+		answer := func(chosen *balance.Target) {
+			stated := uint32(100)
+			if chosen.Endpoint.GetInstance() == "desk-0" {
+				stated = percent
+			}
+			chosen.Reported(0, p.clock.now)
+			chosen.StatedWork(stated, p.clock.now)
+			chosen.Answered(route, serviceTime, p.clock.now)
+		}
+		for range 40 {
+			for _, target := range p.Targets("desk") {
+				answer(target)
+			}
+			p.clock.now = p.clock.now.Add(5 * time.Millisecond)
+		}
+		for range 1000 {
+			for _, other := range p.Targets("desk")[1:] {
+				answer(other)
+			}
+			p.clock.now = p.clock.now.Add(5 * time.Millisecond)
+		}
+		share := p.share(t, "desk-0", answer)
+		assert.Assert(t, share >= 0.1 && share <= 0.4, "stating %d it got %.3f", percent, share)
+	}
+}
--- a/internal/requestpath/worktime/statements.go
+++ b/internal/requestpath/worktime/statements.go
@@ -132,6 +132,25 @@
 	return 1 + s.kept(lastingMemory, now)*(s.expected(s.memory(), now)/AsUsual-1)
 }
 
+// LastingRatio returns how many times as long as usual work mostly takes, as the instance states it; 1
+// where that is not believed.
+func (s *Statements) LastingRatio() float64 {
+	if !s.Believed() {
+		return 1
+	}
+	return s.lasting / AsUsual
+}
+
+// Deviation returns how many times as long work takes now as the instance mostly states, as far as the
+// statements still tell; 1 where they are not believed. Unlike RatioNow it says nothing of an instance
+// that always states the same.
+func (s *Statements) Deviation(now time.Time) float64 {
+	if !s.Believed() {
+		return 1
+	}
+	return s.expected(s.memory(), now) / s.lasting
+}
+
 // Judge compares a service time with those that were expected, all in seconds: with the
 // statements and without.
 func (s *Statements) Judge(took, with, without float64) {
