An order given again is named by its status

What callers saw: a good version whose order was given again after a roll-back was not completed by its deadline; calls stayed divided between two versions.

Cause: such an order was told from the one before by the revision at which each daemon first saw the object changed after its end. A daemon that saw it only after another one had written 'running' took that revision, so that the two meant different orders, dropped each other's words and evidence, and ranked the deciders differently.

Ruled out: a store that refuses, words that do not come.

Change: the status says which order it is about (Status.Again; on the platform 'given-again', only for an order given again), and readers take it from there. Why it works: what all daemons read in the store does not depend on what each has seen before.

--- a/internal/model/rollout/message.go
+++ b/internal/model/rollout/message.go
@@ -13,7 +13,7 @@
 	return &lapisv1.Rollout{
 		Name: name, Service: order.Service, TargetVersion: order.Target, DurationNanos: int64(order.Duration),
 		Revision: order.Revision, Created: order.Created,
-		State: string(order.Status.End), StatusTarget: order.Status.Target,
+		State: string(order.Status.End), StatusTarget: order.Status.Target, StatusAgain: order.Status.Again,
 	}
 }
 
@@ -25,7 +25,7 @@
 			Created: message.GetCreated(), Target: message.GetTargetVersion(), Duration: time.Duration(message.GetDurationNanos()),
 		},
 		Revision: message.GetRevision(),
-		Status:   Status{End: End(message.GetState()), Target: message.GetStatusTarget()},
+		Status:   Status{End: End(message.GetState()), Target: message.GetStatusTarget(), Again: message.GetStatusAgain()},
 	}
 }
 
--- a/internal/model/rollout/order.go
+++ b/internal/model/rollout/order.go
@@ -24,9 +24,11 @@
 // Status is what the system says of an order.
 type Status struct {
 	End End
-	// Target is the version that the status is about; that of an earlier order says
-	// nothing of a later one.
+	// Target and Again are those of the order that the status is about; that of an earlier
+	// order says nothing of a later one. Again is how daemons agree on which order is meant,
+	// whichever states of the object each of them has seen.
 	Target string
+	Again  uint64
 }
 
 // Identity tells one order from another one for the same service. The revision does
@@ -37,8 +39,8 @@
 	Target  string
 	// Duration is the time that the operator gives.
 	Duration time.Duration
-	// Again is the revision at which the same order was given again after its end, 0
-	// for the first time.
+	// Again is the revision at which the same order was given again after its end, 0 for the
+	// first time: that of the state that the first status of the order was written over.
 	Again uint64
 }
 
@@ -54,7 +56,7 @@
 
 // End returns the end that the store has for this order.
 func (o Order) End() End {
-	if o.Status.Target != o.Target {
+	if o.Status.Target != o.Target || o.Status.Again < o.Again {
 		return EndNone
 	}
 	return o.Status.End
@@ -102,33 +104,42 @@
 	}
 }
 
-// sameOrder reports whether a later state of the object belongs to the order known.
-// Nobody here writes after an end: a change after one that left the end as it was is
-// the same order given again. In another era of the store a revision says nothing of that:
-// the end may be gone because it was written after the copy.
+// sameOrder reports whether a later state of the object belongs to the order known: its status says so
+// where it is about a later order. Otherwise, as nobody here writes after an end, a change after one that
+// left the end as it was is the same order given again. In another era of the store a revision says
+// nothing of that: the end may be gone because it was written after the copy.
 func sameOrder(known, seen Order) bool {
-	same := known.Created == seen.Created && known.Target == seen.Target && known.Duration == seen.Duration
+	if !sameSpec(known, seen) || seen.statedAgain() > known.Again {
+		return false
+	}
 	sameEra := position.Position(known.Revision).Era() == position.Position(seen.Revision).Era()
-	given := known.End().Final() && sameEra && seen.Revision > known.Revision
-	return same && !given
+	return !known.End().Final() || !sameEra || seen.Revision == known.Revision
+}
+
+// sameSpec reports whether two states of an object ask for the same.
+func sameSpec(known, seen Order) bool {
+	return known.Created == seen.Created && known.Target == seen.Target && known.Duration == seen.Duration
+}
+
+// statedAgain returns the Again of the order that the status is about, 0 for one about another version.
+func (o Order) statedAgain() uint64 {
+	if o.Status.Target != o.Target {
+		return 0
+	}
+	return o.Status.Again
 }
 
 // Adopt returns the order as it is to be followed: with the identity of the known one
 // if it is the same, and marked as given again if it is that.
 func Adopt(known *Order, seen Order) Order {
-	if known == nil {
-		return seen
-	}
-	if sameOrder(*known, seen) {
+	seen.Again = seen.statedAgain()
+	switch {
+	case known == nil:
+	case sameOrder(*known, seen):
 		seen.Identity = known.Identity
-		if seen.Revision == known.Again {
-			seen.Status = Status{}
-		}
-		return seen
-	}
-	if known.Created == seen.Created && known.Target == seen.Target && known.Duration == seen.Duration {
+	case sameSpec(*known, seen) && seen.Again <= known.Again:
+		// No status of the new order is written yet.
 		seen.Again = seen.Revision
-		seen.Status = Status{}
 	}
 	return seen
 }
--- a/internal/model/rollout/runner.go
+++ b/internal/model/rollout/runner.go
@@ -214,7 +214,7 @@
 	reading := Read(nil, *order)
 	r.log(service, reading, order)
 	if reading != ReadingMalformed {
-		r.follow(service, *order)
+		r.follow(service, Adopt(nil, *order))
 	}
 }
 
