A panic in an attempt that runs beside another one ends that attempt only

Cause: attempts beside a silent one run in goroutines of their own, which the recovery of the call does not cover; a panic there would have ended the daemon with all its calls.

Change: each such goroutine recovers, logs call.panicked and ends its attempt as unknown.

--- a/internal/requestpath/gateway/silent.go
+++ b/internal/requestpath/gateway/silent.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,7 +48,7 @@
 	a.silent.open++
 	attempt := silentAttempt{id: a.attemptID, target: target}
 	go func() {
-		attempt.answer, attempt.err = silence.Await(ctx)
+		attempt.answer, attempt.err = a.recovering(func() (*callapi.Answer, error) { return silence.Await(ctx) })
 		select {
 		case a.silent.ended <- attempt:
 		case <-ctx.Done():
@@ -81,7 +83,7 @@
 	attemptCtx, cancel := context.WithCancel(ctx)
 	newest := make(chan silentAttempt, 1)
 	go func() {
-		answer, err := a.gateway.handOver(attemptCtx, target, call)
+		answer, err := a.recovering(func() (*callapi.Answer, error) { return a.gateway.handOver(attemptCtx, target, call) })
 		newest <- silentAttempt{answer: answer, err: err}
 	}()
 	for {
@@ -100,6 +102,18 @@
 	}
 }
 
+// recovering has a panic end its attempt only. The attempts of a call that run side by side are not
+// covered by the recovery of the call (handleRecovering).
+func (a *attempter) recovering(attempt func() (*callapi.Answer, error)) (answer *callapi.Answer, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			answer, err = nil, result.Errorf(result.CallUnknownOutcome, "panic: %v", cause)
+			a.gateway.config.Decisions.Failure(eventCallPanicked, a.requestID, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+		}
+	}()
+	return attempt()
+}
+
 // awaitSilent waits until a silent attempt is answered, which it reports, or all have ended or ctx has.
 func (a *attempter) awaitSilent(ctx context.Context) (answered bool) {
 	for a.silent.open > 0 {
