A call that the back end did not run teaches nothing of its service time

What callers saw: under load, waits in a queue were taken for shorter than they were, so that calls waited and were refused late that could have been refused as they came.

Cause: a slot whose call was fenced, quarantined, out of time, stopped or shed counted as a call served in no time, and each but the shed ones raised a lowered limit.

Change: Slot.Cancel for calls that no back end ran; a shed call lowers the limit, and is no service time.

--- a/internal/requestpath/admission/queue.go
+++ b/internal/requestpath/admission/queue.go
@@ -227,7 +227,7 @@
 	case err := <-waiting.outcome:
 		q.mutex.Unlock()
 		if err == nil {
-			q.slotFor(waiting).Release(false)
+			q.slotFor(waiting).Cancel()
 		}
 		return reason
 	default:
--- a/internal/requestpath/admission/slot.go
+++ b/internal/requestpath/admission/slot.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Slot is the right to have one call at the back end. Release gives it back; further calls of
-// Release do nothing. It is safe for concurrent use.
+// Slot is the right to have one call at the back end. Release or Cancel gives it back; further calls of
+// either do nothing. It is safe for concurrent use.
 type Slot struct {
 	queue   *Queue
 	group   *group
@@ -52,13 +52,37 @@
 // Ahead returns how many waiting calls went before this one as it came.
 func (s *Slot) Ahead() int { return s.found.ahead }
 
+// slotEnd is what became of the call of a slot.
+type slotEnd int
+
+const (
+	// endServed: the back end ran it, whatever its answer.
+	endServed slotEnd = iota
+	// endShed: the back end refused it for overload.
+	endShed
+	// endNotRun: no back end ran it, and not for overload.
+	endNotRun
+)
+
 // Release gives the slot back. shed tells that the back end refused the call
 // for overload, which lowers the limit.
 func (s *Slot) Release(shed bool) {
-	s.once.Do(func() { s.queue.release(s, shed) })
+	if shed {
+		s.end(endShed)
+		return
+	}
+	s.end(endServed)
 }
 
-func (q *Queue) release(slot *Slot, shed bool) {
+// Cancel gives the slot of a call back that the back end did not run, and did not refuse for overload.
+func (s *Slot) Cancel() { s.end(endNotRun) }
+
+func (s *Slot) end(how slotEnd) {
+	s.once.Do(func() { s.queue.release(s, how) })
+}
+
+// release takes a slot back. Only a call that was run shows how long calls take.
+func (q *Queue) release(slot *Slot, how slotEnd) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	now := q.now()
@@ -67,10 +91,13 @@
 	q.running--
 	if slot.upload {
 		q.uploads--
-	} else {
+	}
+	if how == endServed && !slot.upload {
 		q.noteService(now.Sub(slot.started))
 	}
-	q.limit.adapt(shed, max(slot.concurrent, q.running+1), q.running, now)
+	if how != endNotRun {
+		q.limit.adapt(how == endShed, max(slot.concurrent, q.running+1), q.running, now)
+	}
 	q.dispatch()
 	if q.running == 0 && q.idle != nil {
 		close(q.idle)
--- a/internal/requestpath/origin/handle.go
+++ b/internal/requestpath/origin/handle.go
@@ -123,7 +123,7 @@
 	defer func() {
 		if !handedOver {
 			// A panic must not keep the slot.
-			slot.Release(false)
+			slot.Cancel()
 		}
 	}()
 	waited := time.Since(came)
--- a/internal/requestpath/origin/handover.go
+++ b/internal/requestpath/origin/handover.go
@@ -31,11 +31,13 @@
 	if err != nil {
 		err = o.noteUnanswered(ctx, instance, sent, err)
 		o.noteCall(instance, err)
-		slot.Release(false)
-		if callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
-			o.counts.handedOver.Add(1)
-			o.counts.broken.Add(1)
+		if callapi.OutcomeOf(err) == callapi.OutcomeNotRun {
+			slot.Cancel()
+			return nil, err
 		}
+		slot.Release(false)
+		o.counts.handedOver.Add(1)
+		o.counts.broken.Add(1)
 		return nil, err
 	}
 	o.counts.handedOver.Add(1)
@@ -45,7 +47,11 @@
 	instance.work.note(workPercent, time.Now())
 	if refusal := o.refusalOf(instance, response, slot.HadRoom()); refusal != nil {
 		_ = response.Body.Close() // It only ends the exchange, and never fails.
-		slot.Release(result.Is(refusal, result.CallNotRunShed))
+		if result.Is(refusal, result.CallNotRunShed) {
+			slot.Release(true)
+		} else {
+			slot.Cancel()
+		}
 		return nil, refusal
 	}
 	o.noteRefuted(sent, response.StatusCode)
