The soak's caller reads nothing more once it gave up within an answer

Cause: a caller of the emulator whose time was over within a long answer read the rest of it as the next answer, 'malformed HTTP response', and entered that request as lost.

Change: such a caller ends its connection, as one does that gives up before an answer. The check of lost requests is unchanged.

--- a/internal/lab/emulator/client/kept.go
+++ b/internal/lab/emulator/client/kept.go
@@ -184,15 +184,37 @@
 		k.noteUnanswered(next, err.Error())
 		return err.Error()
 	}
+	body := &watchedBody{ReadCloser: response.Body}
+	response.Body = body
 	outcome, _, _ := k.load.evaluate(next.class, next.id, response)
 	_ = response.Body.Close()
 	k.load.Tally.add(outcome, time.Since(next.started))
-	if response.Close {
+	switch {
+	case isTimeout(body.err):
+		return "the caller gave up within an answer"
+	case body.err != nil:
+		return body.err.Error()
+	case response.Close:
 		return fmt.Sprintf("closed by the answer %d to a %s", response.StatusCode, next.class.Name)
 	}
 	return ""
 }
 
+// watchedBody remembers the error with which an answer ended before its end.
+type watchedBody struct {
+	io.ReadCloser
+	err error
+}
+
+// Read implements io.Reader.
+func (w *watchedBody) Read(buffer []byte) (int, error) {
+	count, err := w.ReadCloser.Read(buffer)
+	if err != nil && err != io.EOF {
+		w.err = err
+	}
+	return count, err
+}
+
 func (k *keptConn) noteUnanswered(request *aheadRequest, how string) {
 	k.load.Tally.add(Failed, time.Since(request.started))
 	sentAt := request.sentAt.Load()
--- /dev/null
+++ b/internal/lab/emulator/client/kept_test.go
@@ -0,0 +1,32 @@
+package client
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/lab/emulator/promise"
+)
+
+// A caller whose time is over within an answer reads nothing more on the connection: the rest of that
+// answer is not the next one. It was taken for one, so that a request counted as lost that was not.
+func TestCallerGivesUpWithinAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		load := &Load{Ledger: promise.NewLedger(promise.Bounds{}), Tally: NewTally()}
+		class := Class{Name: "look", Path: "/look/a", Host: "h", Safe: true, Deadline: time.Second, AnswerBytes: 1000}
+		conn := &keptConn{load: load, conn: near, target: Target{Service: func() string { return "desk" }}}
+		go func() {
+			_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nthe first part")
+		}()
+		assert.NilError(t, near.SetReadDeadline(time.Now().Add(class.Deadline)))
+		ended := conn.receiveOne(bufio.NewReader(near), conn.prepare(class))
+		assert.Equal(t, ended, "the caller gave up within an answer")
+		assert.NilError(t, far.Close())
+	})
+}
