--- a/internal/requestpath/gateway/attempts.go
+++ b/internal/requestpath/gateway/attempts.go
@@ -231,7 +231,7 @@
 		if a.awaitSilent(ctx) {
 			return a.takeSilent(), nil
 		}
-		last = lastWord(ctx, last)
+		last = deadlineOr(ctx, last)
 	}
 	lastNotRun := callapi.OutcomeOf(last) == callapi.OutcomeNotRun
 	switch retry.EndingOf(a.kept != nil, a.mayHaveRun != nil, lastNotRun) {
--- a/internal/requestpath/gateway/silent.go
+++ b/internal/requestpath/gateway/silent.go
@@ -139,9 +139,9 @@
 	return instanceAnswer{answer: attempt.answer, target: attempt.target}
 }
 
-// lastWord returns the error of a call that no silent attempt was answered for: the end of its time
+// deadlineOr returns the error of a call that no silent attempt was answered for: the end of its time
 // where that came first, else last.
-func lastWord(ctx context.Context, last error) error {
+func deadlineOr(ctx context.Context, last error) error {
 	if ctx.Err() == context.DeadlineExceeded {
 		return result.Wrap(result.CallDeadline, ctx.Err(), "waiting for a silent daemon")
 	}
