--- a/internal/requestpath/origin/handover.go
+++ b/internal/requestpath/origin/handover.go
@@ -31,13 +31,7 @@
 	if err != nil {
 		err = o.noteUnanswered(ctx, instance, sent, err)
 		o.noteCall(instance, err)
-		if callapi.OutcomeOf(err) == callapi.OutcomeNotRun {
-			slot.Cancel()
-			return nil, err
-		}
-		slot.Release(false)
-		o.counts.handedOver.Add(1)
-		o.counts.broken.Add(1)
+		o.endUnanswered(slot, err)
 		return nil, err
 	}
 	o.counts.handedOver.Add(1)
@@ -47,11 +41,7 @@
 	instance.work.note(workPercent, time.Now())
 	if refusal := o.refusalOf(instance, response, slot.HadRoom()); refusal != nil {
 		_ = response.Body.Close() // It only ends the exchange, and never fails.
-		if result.Is(refusal, result.CallNotRunShed) {
-			slot.Release(true)
-		} else {
-			slot.Cancel()
-		}
+		endRefused(slot, refusal)
 		return nil, refusal
 	}
 	o.noteRefuted(sent, response.StatusCode)
@@ -70,6 +60,26 @@
 	}, nil
 }
 
+// endUnanswered ends the slot of a call that its instance did not answer.
+func (o *Origin) endUnanswered(slot *admission.Slot, err error) {
+	if callapi.OutcomeOf(err) == callapi.OutcomeNotRun {
+		slot.Cancel()
+		return
+	}
+	slot.Release(false)
+	o.counts.handedOver.Add(1)
+	o.counts.broken.Add(1)
+}
+
+// endRefused ends the slot of a call that its instance refused.
+func endRefused(slot *admission.Slot, refusal error) {
+	if result.Is(refusal, result.CallNotRunShed) {
+		slot.Release(true)
+		return
+	}
+	slot.Cancel()
+}
+
 // refusalOf returns the error for an answer which states that the back end did not run the request,
 // nil for any other; hadRoom tells that the instance had a free slot. An instance that is not the one
 // the request was meant for (421) has taken its address.
