Tests of roll-outs share their site without races

Looking for the same, TestFrozenDeciderIsReplaced showed one in a run of the package's tests by hand: Serving read the members without the lock. Both are the tests' own faults.

--- a/internal/model/rollout/again_test.go
+++ b/internal/model/rollout/again_test.go
@@ -1,11 +1,9 @@
 package rollout
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 )
 
@@ -57,32 +55,21 @@
 	}
 }
 
-// restart ends a daemon and starts another process of it, which reads the order as it is now.
-func (s *testSite) restart(ctx context.Context, node string) {
-	s.cancel[node]()
-	s.change(func() {
-		s.runners[node] = NewRunner(RunnerConfig{
-			Node: node, Incarnation: 2, Store: s, Links: siteLinks{s, node}, Instances: s,
-			Logger: logr.Discard(), Now: time.Now,
-		})
-		s.show()
-	})
-	go s.runners[node].Run(ctx)
-}
-
 // The same failure as above, brought about each time: a daemon that starts while an order given again is
 // running has seen none of the states before.
 func TestOrderGivenAgainIsCompletedWithADaemonStartedSince(t *testing.T) {
 	inSite(t, instances("v1", 4), func(t *testing.T, site *testSite) {
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
+		site.change(func() { site.unread = "a" })
 		site.give(to("v2", 30*time.Second))
 		time.Sleep(30 * time.Second)
 		assert.Equal(t, site.end(), EndRolledBack)
 		site.change(func() { site.endpoints = both })
 		site.give(to("v2", 30*time.Second))
 		time.Sleep(5 * time.Second)
-		site.restart(ctx, "a")
+		site.change(func() {
+			site.unread = ""
+			site.show()
+		})
 		time.Sleep(25 * time.Second)
 		assert.Equal(t, site.end(), EndCompleted)
 	})
--- a/internal/model/rollout/runner_test.go
+++ b/internal/model/rollout/runner_test.go
@@ -32,8 +32,10 @@
 	down     bool
 	answered time.Time
 	members  []string
-	// cut is a daemon that reaches the store and no other daemon, empty for none.
+	// cut is a daemon that reaches the store and no other daemon, unread one that has read no
+	// order yet; empty for none.
 	cut       string
+	unread    string
 	endpoints []*lapisv1.Endpoint
 	ends      []End
 }
@@ -93,8 +95,10 @@
 		state := *s.order
 		shown = &state
 	}
-	for _, runner := range s.runners {
-		go runner.Ordered("desk", shown)
+	for node, runner := range s.runners {
+		if node != s.unread {
+			go runner.Ordered("desk", shown)
+		}
 	}
 }
 
@@ -221,7 +225,11 @@
 }
 
 // Serving implements Links.
-func (l siteLinks) Serving(string) int { return len(l.site.members) }
+func (l siteLinks) Serving(string) int {
+	l.site.mutex.Lock()
+	defer l.site.mutex.Unlock()
+	return len(l.site.members)
+}
 
 // Spread implements Links.
 func (l siteLinks) Spread(word Word, nodes []string) {
