A killed daemon of the emulator serves nobody any more

Cause: daemons of the emulator share a process, and a kill left their callers' connections open. The killed daemon went on reading requests from connections that callers kept, handed them to its instance with all calls cut, and answered 502, while its successor was running. A killed process does none of it; the product ends with its process, so no user can have met this.

Ruled out: a silent daemon (no fleet.stalled), an instance that broke off.

Change: a kill, and the end of Run, close the callers' connections (Gateway.Close, pipeline.Server.Close), and none is accepted after it. Where daemons are processes, they close in the same place a moment later.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -101,8 +101,8 @@
 }
 
 // Run serves until stop is closed, then drains (distribution.Drain). Closing force, or the
-// end of StopLimit, cuts what is still in flight, and tells callers so. It returns the number of
-// calls cut.
+// end of StopLimit, cuts what is still in flight, and tells callers so. Once it has returned no caller
+// is served. It returns the number of calls cut.
 func (d *Daemon) Run(stop, force <-chan struct{}) (cut int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.start(ctx)
@@ -120,6 +120,7 @@
 	d.running.Wait()
 	d.distribution.Close()
 	d.path.logStopped(cut)
+	d.path.gateway.Close()
 	return cut
 }
 
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -163,6 +163,7 @@
 // endByForce ends the calls in flight because the daemon is told to end at once.
 func (p *requestPath) endByForce() (cut int64) {
 	if p.killedByForce {
+		p.gateway.Close()
 		return p.inFlight()
 	}
 	return p.endCalls(forcedCause)
--- a/internal/requestpath/gateway/lifecycle.go
+++ b/internal/requestpath/gateway/lifecycle.go
@@ -127,5 +127,8 @@
 // read a request that it did not answer.
 func (g *Gateway) Unserved() int64 { return g.callers.Unserved() }
 
+// Close closes callers' connections, as the end of the process does: no caller gets an answer any more.
+func (g *Gateway) Close() { g.callers.Close() }
+
 // Cut ends the calls in flight; their callers get an answer that says so.
 func (g *Gateway) Cut() { g.cutAll() }
--- a/internal/requestpath/gateway/pipeline/connection.go
+++ b/internal/requestpath/gateway/pipeline/connection.go
@@ -67,7 +67,9 @@
 // have ended.
 func (c *connection) serve() {
 	defer c.cancel()
-	c.server.connections.add(c)
+	if !c.server.connections.add(c) {
+		return
+	}
 	defer c.server.connections.remove(c)
 	for c.next() {
 	}
--- a/internal/requestpath/gateway/pipeline/server.go
+++ b/internal/requestpath/gateway/pipeline/server.go
@@ -52,18 +52,35 @@
 
 // connections are those that are served. It is safe for concurrent use; the zero value is empty.
 type connections struct {
-	// mutex protects served.
+	// mutex protects everything below.
 	mutex  sync.Mutex
 	served map[*connection]bool
+	// closed is true once no connection is served any more.
+	closed bool
 }
 
-func (c *connections) add(served *connection) {
+// add reports false where no connection is served any more.
+func (c *connections) add(served *connection) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if c.closed {
+		return false
+	}
 	if c.served == nil {
 		c.served = map[*connection]bool{}
 	}
 	c.served[served] = true
+	return true
+}
+
+// closeAll closes all of them, and has add take no further one.
+func (c *connections) closeAll() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.closed = true
+	for connection := range c.served {
+		_ = connection.caller.Close() // One that cannot be closed is closed already.
+	}
 }
 
 func (c *connections) remove(served *connection) {
@@ -122,6 +139,10 @@
 // had been read that it did not answer.
 func (s *Server) Unserved() int64 { return s.unserved.Load() }
 
+// Close closes all connections, as the end of the process does: nothing is read from them or written
+// to them any more. Connections that are accepted later are closed.
+func (s *Server) Close() { s.connections.closeAll() }
+
 // Factory returns what the HTTP library registers under the name suite.HTTP1.
 func (s *Server) Factory() suite.ServerFactory { return factory{s} }
 
--- a/internal/requestpath/gateway/pipeline/stop_test.go
+++ b/internal/requestpath/gateway/pipeline/stop_test.go
@@ -202,3 +202,23 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// A server that is closed answers neither what is at work nor what comes later.
+func TestClosedServerAnswersNobody(t *testing.T) {
+	held := newGates()
+	opened := open(t, DefaultLimits, func(_ context.Context, exchange *Exchange) {
+		held.pass(pathOf(exchange))
+		reply(exchange, pathOf(exchange))
+	})
+	idle, atWork := opened.dial(t), opened.dial(t)
+	held.release("/idle")
+	idle.send(get("/idle"))
+	idle.answer()
+	atWork.send(get("/work"))
+	held.awaitEntered(t, 2)
+	opened.server.Close()
+	held.release("/work")
+	idle.ended()
+	atWork.ended()
+	opened.dial(t).ended()
+}
