The test of remembered quarantines waits until it holds for all callers

Cause: TestWhatEndsInstancesIsRememberedPastAllDaemons expects that after three ends no instance ends any more, whoever sends. A request is quarantined only for callers that had one in flight in an end (model/quarantine: so nobody can have the requests of others quarantined). The test sent six and took for granted that both services' callers were among them. On a starved machine the three daemons of one service refused all theirs as overloaded: the ends came from the other service alone, and the first caller of the first one had the fourth, which the rule allows (at most three more).

Change: the request is sent until the store has three ends with each calling service among them. What is checked is as before: no further end after all daemons were killed, 503 with the time to come back, and no promise broken.

--- a/internal/lab/emulator/day/poison_test.go
+++ b/internal/lab/emulator/day/poison_test.go
@@ -50,8 +50,7 @@
 	site, tally, stop := start(t)
 	poison := poisonRequests["read"]
 	awaitServed(t, tally, 50)
-	sendAll(t, site, poison, 0, 6)
-	awaitStored(t, site)
+	sent := sendUntilStored(t, site, poison)
 	killAll(t, site)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -59,7 +58,7 @@
 	awaitServed(t, tally, 50)
 	awaitQuarantined(t, site)
 	ended := site.Ledger.CrashesUnder("read")
-	last := sendAll(t, site, poison, 100, 12)
+	last := sendAll(t, site, poison, sent, 12)
 	stop()
 	assert.Equal(t, site.Ledger.CrashesUnder("read"), ended)
 	assert.Equal(t, last.StatusCode, http.StatusServiceUnavailable)
@@ -67,15 +66,39 @@
 	keepsPromises(t, site)
 }
 
-// awaitStored waits until the store has what ended three instances.
-func awaitStored(t *testing.T, site *day.Site) {
+// sendUntilStored sends the request to one daemon after the other until the store has what ended three
+// instances, with a request of each calling service among them: it is quarantined for those alone, and
+// an overloaded daemon refuses it before any instance gets it. It returns how often it was sent.
+func sendUntilStored(t *testing.T, site *day.Site, poison day.PoisonRequest) (sent int) {
 	t.Helper()
 	adapter := platform.New(site.Store.Address(), logr.Discard())
 	defer adapter.Close()
-	await(t, "three ends are stored", func() bool {
+	services := map[string]bool{}
+	for _, machine := range site.Machines {
+		services[machine.Service] = true
+	}
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		sendAll(t, site, poison, sent, len(site.Machines))
+		sent += len(site.Machines)
 		records, err := adapter.Quarantine().Load(t.Context())
-		return err == nil && slices.ContainsFunc(records, func(record quarantine.Record) bool { return record.Count() >= 3 })
-	})
+		stored := err == nil && slices.ContainsFunc(records, func(record quarantine.Record) bool {
+			return record.Count() >= 3 && len(callersOf(record)) == len(services)
+		})
+		if stored {
+			return sent
+		}
+	}
+	t.Fatal("three ends with each calling service among them are not stored")
+	return sent
+}
+
+// callersOf returns the services that had a request in flight when an instance ended.
+func callersOf(record quarantine.Record) map[string]bool {
+	callers := map[string]bool{}
+	for _, crash := range record.Crashes {
+		callers[crash.Caller] = true
+	}
+	return callers
 }
 
 // awaitQuarantined waits until all daemons hold it back.
