The test of unacknowledged bytes waits until something was written

Cause: the deadline of the write began before 64 MB were allocated for it. Where that took longer than 100 ms nothing was written at all, and nothing was unacknowledged.

Change: the bytes are allocated first, and writing goes on until some were written; that they count as unacknowledged is checked as before.

--- a/internal/shared/socket/socket_test.go
+++ b/internal/shared/socket/socket_test.go
@@ -1,7 +1,9 @@
 package socket_test
 
 import (
+	"errors"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -18,10 +20,13 @@
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	assert.Equal(t, socket.Unacknowledged(conn), 0)
-	assert.NilError(t, conn.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
 	// More than the buffers of both ends hold.
-	_, err = conn.Write(make([]byte, 64<<20))
-	assert.Assert(t, err != nil)
+	bytes := make([]byte, 64<<20)
+	for written := 0; written == 0; {
+		assert.NilError(t, conn.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+		written, err = conn.Write(bytes)
+		assert.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	}
 	assert.Assert(t, socket.Unacknowledged(conn) > 0)
 	assert.NilError(t, conn.Close())
 	assert.Equal(t, socket.Unacknowledged(conn), 0)
