Servers of instances, readiness and operators end with their daemon

Callers saw nothing: the fault needs a daemon that ends while its process goes on, as in the emulator.

Cause: the same as that of the killed daemon that answered callers. These servers closed their listener only; a connection that was open was served on. An instance whose heartbeat was acknowledged by a dead daemon, perhaps that of its drain, would be believed by nobody.

Change: socket.ClosedWith wraps their listeners and closes what they accepted with the context.

--- a/internal/lab/emulator/day/kill_test.go
+++ b/internal/lab/emulator/day/kill_test.go
@@ -11,7 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/lapisvane/lapisvane/internal/lab/emulator/day"
+	"github.com/lapisvane/lapisvane/platform"
 )
 
 // The failure: a daemon of the emulator that was killed went on serving the connections that its
@@ -21,23 +21,51 @@
 	awaitServed(t, tally, 50)
 	stop()
 	machine := site.Machines[0]
-	conn, err := net.Dial("tcp", machine.Caller())
+	addresses := machine.Daemon().Addresses()
+	connections := map[string]*keptConnection{
+		"callers":   keep(t, addresses.Caller, "GET", "/look/a", ""),
+		"readiness": keep(t, addresses.Readiness, "GET", platform.PathReadiness, ""),
+		"instances": keep(t, addresses.Instances, "PUT", platform.PathInstances+"i-kept", "{}"),
+		"metrics":   keep(t, addresses.Metrics, "GET", "/metrics", ""),
+	}
+	for name, kept := range connections {
+		_, err := kept.ask()
+		assert.NilError(t, err, name)
+	}
+	assert.NilError(t, machine.Kill(0))
+	for name, kept := range connections {
+		status, err := kept.ask()
+		assert.Check(t, err != nil, "%s: a killed daemon answered %d", name, status)
+	}
+}
+
+// keptConnection sends the same request again and again.
+type keptConnection struct {
+	conn    net.Conn
+	reader  *bufio.Reader
+	request string
+}
+
+// keep opens a connection for a request.
+func keep(t *testing.T, address, method, path, body string) *keptConnection {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
-	defer func() { _ = conn.Close() }()
+	t.Cleanup(func() { _ = conn.Close() })
 	assert.NilError(t, conn.SetDeadline(time.Now().Add(patience)))
-	kept := bufio.NewReader(conn)
-	request := fmt.Sprintf("GET /look/a HTTP/1.1\r\nHost: %s\r\n\r\n", day.StandardRoutes()[0].Host)
-	_, err = io.WriteString(conn, request)
-	assert.NilError(t, err)
-	answer, err := http.ReadResponse(kept, nil)
-	assert.NilError(t, err)
-	_, err = io.Copy(io.Discard, answer.Body)
-	assert.NilError(t, err)
-	assert.Assert(t, !answer.Close)
+	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s", method, path, routes[0].Host, len(body), body)
+	return &keptConnection{conn: conn, reader: bufio.NewReader(conn), request: request}
+}
 
-	assert.NilError(t, machine.Kill(0))
-	if _, err = io.WriteString(conn, request); err == nil {
-		answer, err = http.ReadResponse(kept, nil)
+// ask returns the status of the answer, an error where there is none.
+func (k *keptConnection) ask() (status int, err error) {
+	if _, err := io.WriteString(k.conn, k.request); err != nil {
+		return 0, err
 	}
-	assert.Assert(t, err != nil, "a killed daemon answered %v", answer)
+	answer, err := http.ReadResponse(k.reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode, err
 }
--- a/internal/operators/operator/server.go
+++ b/internal/operators/operator/server.go
@@ -19,6 +19,7 @@
 	"github.com/lapisvane/lapisvane/internal/distribution/objectapi"
 	"github.com/lapisvane/lapisvane/internal/operators/opapi"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
+	"github.com/lapisvane/lapisvane/internal/shared/socket"
 )
 
 // Bounds of the interface.
@@ -60,8 +61,10 @@
 	}
 }
 
-// Serve answers requests on listener until ctx ends, and closes listener then.
+// Serve answers requests on listener until ctx ends, and closes listener and its connections then.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
+	listener, stop := socket.ClosedWith(ctx, listener)
+	defer stop()
 	engine := server.New(
 		server.WithListener(listener), server.WithTransport(standard.NewTransporter),
 		server.WithMaxRequestBodySize(opapi.MaxRequestBytes), server.WithReadTimeout(opapi.ServeTimeout),
@@ -74,8 +77,6 @@
 	engine.POST(opapi.PathPropose, s.endpoint(opapi.ServeTimeout, decoded(s.propose)))
 	engine.POST(opapi.PathAccept, s.endpoint(opapi.ServeTimeout, decoded(s.accept)))
 	engine.POST(opapi.PathBackend, s.endpoint(opapi.ServeTimeout, decoded(s.changeBackend)))
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
 	// Run ends when the listener is closed, with an error that says only that.
 	_ = engine.Run()
 }
--- a/internal/shared/socket/socket_test.go
+++ b/internal/shared/socket/socket_test.go
@@ -1,6 +1,7 @@
 package socket_test
 
 import (
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -84,3 +85,34 @@
 	assert.Equal(t, socket.Unread(near), 0)
 	assert.NilError(t, far.Close())
 }
+
+// A server's connections end with its context, also one that nobody has accepted yet.
+func TestConnectionsCloseWithTheContext(t *testing.T) {
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, end := context.WithCancel(t.Context())
+	listener, stop := socket.ClosedWith(ctx, opened)
+	defer stop()
+	var callers []net.Conn
+	for range 3 {
+		caller, err := net.Dial("tcp", opened.Addr().String())
+		assert.NilError(t, err)
+		defer func() { _ = caller.Close() }()
+		assert.NilError(t, caller.SetDeadline(time.Now().Add(time.Minute)))
+		callers = append(callers, caller)
+	}
+	kept, err := listener.Accept()
+	assert.NilError(t, err)
+	closed, err := listener.Accept()
+	assert.NilError(t, err)
+	assert.NilError(t, closed.Close())
+	end()
+	for _, caller := range callers {
+		_, err := caller.Read(make([]byte, 1))
+		assert.Assert(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded), "%v", err)
+	}
+	_, err = kept.Write([]byte("a"))
+	assert.Assert(t, errors.Is(err, net.ErrClosed))
+	_, err = listener.Accept()
+	assert.Assert(t, errors.Is(err, net.ErrClosed))
+}
