A call that cannot be written costs no other call

Cause: a frame had 1 s to be written, a silent daemon has 2.5 s to be heard. A daemon that stood still for between the two lost all its calls as soon as another call filled the buffers to it. The bound was low because a call wrote its opening itself, and could neither end nor be tried elsewhere meanwhile.

Change: a call's opening is encoded at once and written in the background; the call waits for its answer, its deadline and the stall watch. Its reset follows its opening. Write is 2.4 s, so that silence decides. Answers to fences, refusals of too many calls and questions for a configuration are written in the background too, since those who wrote them had other work.

Why it works: nothing but the sender waits for a blocked write any more, and what ends the connection is the bound that says that the daemon is lost.

--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -56,8 +56,9 @@
 
 // platformPeerTiming bounds the connections between daemons on a platform. Silence is below the
 // contact time (setting platform.contact, 3 s by default), and above two intervals of KeepAlive, so
-// that one lost frame ends no connection.
-var platformPeerTiming = callmux.Timing{KeepAlive: time.Second, Silence: 2500 * time.Millisecond, Write: time.Second}
+// that one lost frame ends no connection. Write is so close to it that a daemon which stands still
+// loses its calls by its silence, and no sooner where frames to it fill the buffers.
+var platformPeerTiming = callmux.Timing{KeepAlive: time.Second, Silence: 2500 * time.Millisecond, Write: 2400 * time.Millisecond}
 
 // platformTiming bounds the connections between daemons. Their empty frames are the
 // heartbeats: what is in force here, and how recently that was confirmed.
--- a/internal/daemon/times_test.go
+++ b/internal/daemon/times_test.go
@@ -19,6 +19,7 @@
 		{"one lost frame ends no connection", 2 * platformPeerTiming.KeepAlive, platformPeerTiming.Silence},
 		{"a lost daemon is noticed within the contact time", platformPeerTiming.Silence, defaults.Platform.Contact.Get()},
 		{"a frame that cannot be sent does not outlast the silence", platformPeerTiming.Write, platformPeerTiming.Silence},
+		{"a daemon that stands still is lost by its silence", platformPeerTiming.Silence - platformPeerTiming.KeepAlive, platformPeerTiming.Write},
 		{"a stall is seen between two checks", stallCheck, stallQuiet},
 		{"a stalled daemon is suspect before its connection is lost", stallQuiet + stallAnswer, platformPeerTiming.Silence},
 		{"instances stop before callers are refused", instancesDrain, callersDrain},
--- a/internal/distribution/fleet/catchup.go
+++ b/internal/distribution/fleet/catchup.go
@@ -71,9 +71,12 @@
 	f.config.Logger.Info("fleet.configuration_asked", "member", peer.Node, "above", above)
 	request := &lapisv1.ConfigurationRequest{Above: above}
 	frame := &lapisv1.CallFrame{Body: &lapisv1.CallFrame_ConfigurationRequest{ConfigurationRequest: request}}
-	if err := link.Send(frame); err != nil {
-		f.config.Logger.Info("fleet.configuration_request_lost", "member", peer.Node, "error", err)
-	}
+	// In the background: another daemon is asked when no answer comes.
+	f.running.Go(func() {
+		if err := link.Send(frame); err != nil {
+			f.config.Logger.Info("fleet.configuration_request_lost", "member", peer.Node, "error", err)
+		}
+	})
 }
 
 // holder is a daemon that has a newer configuration than this one.
--- a/internal/transport/callmux/call.go
+++ b/internal/transport/callmux/call.go
@@ -10,6 +10,7 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
+	"github.com/lapisvane/lapisvane/internal/transport/wire"
 )
 
 // errSilent ends the wait for an answer whose daemon fell silent.
@@ -69,7 +70,7 @@
 // cancelled when ctx ends.
 func (s *sentCall) silence(ctx context.Context) *callapi.Silence {
 	release := context.AfterFunc(ctx, func() {
-		s.stream.session.notify(resetOf(s.stream.id, result.Errorf(result.CallCancelled, "the answer is not wanted any more")))
+		s.stream.sendReset(result.Errorf(result.CallCancelled, "the answer is not wanted any more"))
 		s.stopBody()
 		s.stream.session.remove(s.stream.id)
 	})
@@ -84,12 +85,12 @@
 
 // exchange opens the call, sends its body and waits for the answer's head.
 func (c *Client) exchange(ctx, bodyCtx context.Context, opened *stream, call *callapi.Call) (*lapisv1.CallHead, error) {
-	if err := sendOpening(opened, call); err != nil {
+	opening, err := encodeOpening(opened, call)
+	if err != nil {
 		return nil, result.Wrap(result.CallUnknownOutcome, err, "handing the call over")
 	}
-	if call.Body != nil && !sentWithOpening(call) {
-		go sendRequestBody(bodyCtx, opened, call)
-	}
+	// In the background: the peer may not read.
+	go sendCall(bodyCtx, opened, call, opening)
 	var stall <-chan struct{}
 	if call.Open.GetRepeatable() {
 		stall = opened.session.stall()
@@ -114,7 +115,7 @@
 		case <-ctx.Done():
 			// In the background: the peer may not read, and the caller of a call that is cut at
 			// the end of a stop has 300 ms to get its answer.
-			go opened.session.notify(resetOf(opened.id, result.Errorf(result.CallCancelled, "the caller gave up")))
+			go opened.sendReset(result.Errorf(result.CallCancelled, "the caller gave up"))
 			return nil, result.Wrap(cancelCode(ctx), ctx.Err(), "waiting for the answer")
 		}
 	}
@@ -134,18 +135,35 @@
 	return call.Buffered && call.Open.GetContentLength() <= openingBodyBytes
 }
 
-// sendOpening sends the head of the call, and a body that is sent along.
-func sendOpening(opened *stream, call *callapi.Call) error {
+// encodeOpening returns the head of the call, and a body that is sent along, as they are sent. The call
+// may be over and its parts reused before they are.
+func encodeOpening(opened *stream, call *callapi.Call) ([]byte, error) {
 	frames := []proto.Message{&lapisv1.CallFrame{Call: opened.id, Body: &lapisv1.CallFrame_Open{Open: call.Open}}}
 	if call.Body != nil && sentWithOpening(call) {
 		content, err := io.ReadAll(io.LimitReader(call.Body, openingBodyBytes))
 		if err != nil {
-			return err
+			return nil, err
 		}
 		data := &lapisv1.CallData{Data: content, End: true}
 		frames = append(frames, &lapisv1.CallFrame{Call: opened.id, Body: &lapisv1.CallFrame_Data{Data: data}})
 	}
-	return opened.session.send(frames...)
+	return wire.Encode(frames...)
+}
+
+// sendCall sends the opening, and then the body that was not sent with it.
+func sendCall(ctx context.Context, opened *stream, call *callapi.Call, opening []byte) {
+	err := opened.session.sendEncoded(opening)
+	close(opened.opened)
+	if err == nil && call.Body != nil && !sentWithOpening(call) {
+		sendRequestBody(ctx, opened, call)
+	}
+}
+
+// sendReset tells the peer why the call is over, behind its opening: else the peer would drop it, and
+// run the call afterwards.
+func (s *stream) sendReset(cause error) {
+	<-s.opened
+	s.session.notify(resetOf(s.id, cause))
 }
 
 // sendRequestBody streams the caller's body. The other side grants the first credit when the back
@@ -187,7 +205,7 @@
 	a.stream.session.remove(a.stream.id)
 	if !a.whole && a.stream.cause() == nil {
 		// In the background, as above.
-		go a.stream.session.notify(resetOf(a.stream.id, result.Errorf(result.CallCancelled, "the answer is not wanted any more")))
+		go a.stream.sendReset(result.Errorf(result.CallCancelled, "the answer is not wanted any more"))
 	}
 	return nil
 }
--- a/internal/transport/callmux/cancel_test.go
+++ b/internal/transport/callmux/cancel_test.go
@@ -44,3 +44,45 @@
 		session.close(net.ErrClosed)
 	})
 }
+
+// The failure: a call whose opening could not be written, since the peer stood still with full buffers,
+// was held up until the write was given up, past its own deadline and without another attempt.
+func TestCallDoesNotWaitForItsOpening(t *testing.T) {
+	for name, end := range map[string]func(session *session, cut context.CancelFunc){
+		"the caller gives up": func(_ *session, cut context.CancelFunc) { cut() },
+		"the peer stalls":     func(session *session, _ context.CancelFunc) { session.setStalled(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				defer func() { _ = far.Close() }()
+				timing := Timing{KeepAlive: time.Hour, Silence: time.Hour, Write: time.Minute}
+				session := newSession(wire.NewConn(near, nil), 1, timing)
+				go func() { _ = session.receive(nil) }()
+				client := &Client{Maintained: true, peers: map[string]*peerLink{"peer": {session: session}}}
+				ctx, cut := context.WithCancel(t.Context())
+				defer cut()
+				ended := make(chan error, 1)
+				go func() {
+					_, err := client.Handle(ctx, "peer", &callapi.Call{Open: &lapisv1.CallOpen{AttemptId: "a", Repeatable: true}})
+					ended <- err
+				}()
+				synctest.Wait()
+				began := time.Now()
+				end(session, cut)
+				assert.Assert(t, <-ended != nil)
+				assert.Equal(t, time.Since(began), time.Duration(0))
+				cut()
+
+				// The peer hears of the call and of its end, in this order.
+				peer := wire.NewConn(far, nil)
+				opening, reset := &lapisv1.CallFrame{}, &lapisv1.CallFrame{}
+				assert.NilError(t, peer.Receive(opening))
+				assert.Equal(t, opening.GetOpen().GetAttemptId(), "a")
+				assert.NilError(t, peer.Receive(reset))
+				assert.Equal(t, reset.GetReset_().GetCode(), uint32(result.CallCancelled))
+				session.close(net.ErrClosed)
+			})
+		})
+	}
+}
--- a/internal/transport/callmux/server.go
+++ b/internal/transport/callmux/server.go
@@ -75,13 +75,16 @@
 		answer := &lapisv1.CallFenced{
 			AttemptId: fence.GetAttemptId(), Started: s.Origin.Fence(fence.GetAttemptId()), Incarnation: s.Incarnation,
 		}
-		return session.send(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Fenced{Fenced: answer}})
+		// In the background, as below: this side reads on where the peer does not read.
+		go session.notify(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Fenced{Fenced: answer}})
+		return nil
 	}
 	if session.find(frame.GetCall()) != nil {
 		return result.Errorf(result.ProtocolUnexpected, "call %d was opened twice", frame.GetCall())
 	}
 	if session.active() >= maxStreams {
-		return session.send(resetOf(frame.GetCall(), result.Errorf(result.CallNotRunOverloaded, "too many calls on one connection")))
+		go session.notify(resetOf(frame.GetCall(), result.Errorf(result.CallNotRunOverloaded, "too many calls on one connection")))
+		return nil
 	}
 	stream := newStream(frame.GetCall(), session)
 	// Daemons of earlier releases send longer bodies along.
--- a/internal/transport/callmux/session.go
+++ b/internal/transport/callmux/session.go
@@ -57,9 +57,18 @@
 
 // send writes frames in one piece. An error has ended the session.
 func (s *session) send(frames ...proto.Message) error {
+	return s.write(func() error { return s.conn.SendAll(frames...) })
+}
+
+// sendEncoded writes frames that wire.Encode returned. An error has ended the session.
+func (s *session) sendEncoded(frames []byte) error {
+	return s.write(func() error { return s.conn.SendEncoded(frames) })
+}
+
+func (s *session) write(send func() error) error {
 	// It fails on a closed connection only, and so does what follows.
 	_ = s.conn.SetWriteDeadline(time.Now().Add(s.timing.Write))
-	err := s.conn.SendAll(frames...)
+	err := send()
 	if err != nil {
 		s.close(err)
 	}
--- a/internal/transport/wire/conn.go
+++ b/internal/transport/wire/conn.go
@@ -21,6 +21,7 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/internal/shared/result"
@@ -118,6 +119,30 @@
 	return result.Wrap(result.ProtocolTimeout, c.writer.Flush(), "flushing")
 }
 
+// Encode returns frames as SendEncoded sends them, for a sender whose frames change before they are
+// written. Errors: ProtocolBadFrame.
+func Encode(frames ...proto.Message) ([]byte, error) {
+	var encoded []byte
+	var err error
+	for _, frame := range frames {
+		encoded = protowire.AppendVarint(encoded, uint64(proto.Size(frame)))
+		if encoded, err = (proto.MarshalOptions{UseCachedSize: true}).MarshalAppend(encoded, frame); err != nil {
+			return nil, result.Wrap(result.ProtocolBadFrame, err, "encoding a frame")
+		}
+	}
+	return encoded, nil
+}
+
+// SendEncoded writes what Encode returned. Errors: those of SendAll.
+func (c *Conn) SendEncoded(encoded []byte) error {
+	c.writeMutex.Lock()
+	defer c.writeMutex.Unlock()
+	if _, err := c.writer.Write(encoded); err != nil {
+		return result.Wrap(result.ProtocolTimeout, err, "writing frames")
+	}
+	return result.Wrap(result.ProtocolTimeout, c.writer.Flush(), "flushing")
+}
+
 // Receive reads the next frame. io.EOF is returned unwrapped when the peer
 // closed between frames. Errors: ProtocolTooLarge, ProtocolBadFrame,
 // ProtocolTimeout.
