--- a/internal/transport/callmux/call.go
+++ b/internal/transport/callmux/call.go
@@ -153,7 +153,7 @@
 // sendCall sends the opening, and then the body that was not sent with it.
 func sendCall(ctx context.Context, opened *stream, call *callapi.Call, opening []byte) {
 	err := opened.session.sendEncoded(opening)
-	close(opened.opened)
+	close(opened.openingSent)
 	if err == nil && call.Body != nil && !sentWithOpening(call) {
 		sendRequestBody(ctx, opened, call)
 	}
@@ -162,7 +162,7 @@
 // sendReset tells the peer why the call is over, behind its opening: else the peer would drop it, and
 // run the call afterwards.
 func (s *stream) sendReset(cause error) {
-	<-s.opened
+	<-s.openingSent
 	s.session.notify(resetOf(s.id, cause))
 }
 
--- a/internal/transport/callmux/stream.go
+++ b/internal/transport/callmux/stream.go
@@ -16,8 +16,8 @@
 	session *session
 	// head delivers the answer's head on the calling side.
 	head chan *lapisv1.CallHead
-	// opened is closed on the calling side once the opening was written, or never will be.
-	opened chan struct{}
+	// openingSent is closed on the calling side once the opening was written, or never will be.
+	openingSent chan struct{}
 	// done is closed when the stream failed, with failure as the cause.
 	done chan struct{}
 
@@ -47,7 +47,7 @@
 func newStream(id uint64, session *session) *stream {
 	return &stream{
 		id: id, session: session,
-		head: make(chan *lapisv1.CallHead, 1), opened: make(chan struct{}), done: make(chan struct{}), changed: make(chan struct{}),
+		head: make(chan *lapisv1.CallHead, 1), openingSent: make(chan struct{}), done: make(chan struct{}), changed: make(chan struct{}),
 	}
 }
 
--- a/internal/transport/wire/wire_test.go
+++ b/internal/transport/wire/wire_test.go
@@ -95,3 +95,23 @@
 		_ = receiveFrom(t, content, func(conn *wire.Conn) error { return conn.Receive(&lapisv1.CallFrame{}) })
 	})
 }
+
+// Frames that were encoded earlier are read as those that are sent at once.
+func TestEncodedFramesAreReadLikeOthers(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	sender, receiver := wire.NewConn(near, nil), wire.NewConn(far, nil)
+	frames := []proto.Message{&lapisv1.CallFrame{Call: 7}, &lapisv1.CallFrame{}, &lapisv1.CallFrame{Call: 1 << 40, Ping: true}}
+	encoded, err := wire.Encode(frames...)
+	assert.NilError(t, err)
+	sent := make(chan error, 1)
+	go func() { sent <- sender.SendEncoded(encoded) }()
+	for _, frame := range frames {
+		received := &lapisv1.CallFrame{}
+		assert.NilError(t, receiver.Receive(received))
+		assert.Assert(t, proto.Equal(received, frame), "%v", received)
+	}
+	assert.NilError(t, <-sent)
+	assert.NilError(t, sender.Close())
+	assert.Assert(t, sender.SendEncoded(encoded) != nil)
+}
