--- a/internal/shared/socket/socket.go
+++ b/internal/shared/socket/socket.go
@@ -1,5 +1,6 @@
-// Package socket asks the operating system about connections. It keeps no state and relies on the
-// SIOCOUTQ, SIOCINQ and TCP_INFO requests of Linux; where a connection or a system does not know it, it says nothing.
+// Package socket asks the operating system about connections, and wraps listeners whose servers would
+// end too early (KeepAccepting) or leave connections behind (ClosedWith). It relies on the SIOCOUTQ,
+// SIOCINQ and TCP_INFO requests of Linux; where a connection or a system does not know it, it says nothing.
 package socket
 
 import (
--- a/internal/transport/callmux/doc.go
+++ b/internal/transport/callmux/doc.go
@@ -5,8 +5,8 @@
 // only its own call and a call's memory is bounded.
 //
 // The package owns the connections to other daemons (Client) and what runs on an accepted one
-// (Server): for each session a goroutine that reads and one that sends heartbeats, and one for each
-// call received. All of them end with the session. It relies on package wire for frames, on package
+// (Server): for each session a goroutine that reads and one that sends heartbeats, one for each call
+// received, and one for each call sent until it is written. All of them end with the session. It relies on package wire for frames, on package
 // peer for accepted connections and on the Origin to run the calls received.
 //
 // What must hold: a call whose connection is lost counts as not run only where the same process of
--- a/internal/transport/callmux/server.go
+++ b/internal/transport/callmux/server.go
@@ -75,7 +75,7 @@
 		answer := &lapisv1.CallFenced{
 			AttemptId: fence.GetAttemptId(), Started: s.Origin.Fence(fence.GetAttemptId()), Incarnation: s.Incarnation,
 		}
-		// In the background, as below: this side reads on where the peer does not read.
+		// In the background, as the refusal below: the peer may not read, and this goroutine reads on.
 		go session.notify(&lapisv1.CallFrame{Body: &lapisv1.CallFrame_Fenced{Fenced: answer}})
 		return nil
 	}
