--- a/internal/transport/callmux/cancel_test.go
+++ b/internal/transport/callmux/cancel_test.go
@@ -15,6 +15,17 @@
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
 )
 
+// clientOfUnreadPeer returns a client with a session to "peer", whose end far reads nothing by itself.
+func clientOfUnreadPeer(t *testing.T) (client *Client, opened *session, far net.Conn) {
+	t.Helper()
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	timing := Timing{KeepAlive: time.Hour, Silence: time.Hour, Write: time.Minute}
+	opened = newSession(wire.NewConn(near, nil), 1, timing)
+	go func() { _ = opened.receive(nil) }()
+	return &Client{Maintained: true, peers: map[string]*peerLink{"peer": {session: opened}}}, opened, far
+}
+
 // The failure: a stop ended with 12 requests read and unanswered, 0.3 s after their calls were cut.
 // The order of events: another daemon stood still and read nothing; calls to it outlasted the stop
 // limit and were cut; each told that daemon of its end before it returned, which waits for the
@@ -22,12 +33,7 @@
 // TestFaultsBreakNoPromise, daemon.calls_cut calls=12 and then daemon.stopped open=12.
 func TestEndOfACallDoesNotWaitForAPeerThatReadsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		near, far := net.Pipe()
-		defer func() { _ = far.Close() }()
-		timing := Timing{KeepAlive: time.Hour, Silence: time.Hour, Write: time.Minute}
-		session := newSession(wire.NewConn(near, nil), 1, timing)
-		go func() { _ = session.receive(nil) }()
-		client := &Client{Maintained: true, peers: map[string]*peerLink{"peer": {session: session}}}
+		client, session, far := clientOfUnreadPeer(t)
 		ctx, cut := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() {
@@ -54,12 +60,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				near, far := net.Pipe()
-				defer func() { _ = far.Close() }()
-				timing := Timing{KeepAlive: time.Hour, Silence: time.Hour, Write: time.Minute}
-				session := newSession(wire.NewConn(near, nil), 1, timing)
-				go func() { _ = session.receive(nil) }()
-				client := &Client{Maintained: true, peers: map[string]*peerLink{"peer": {session: session}}}
+				client, session, far := clientOfUnreadPeer(t)
 				ctx, cut := context.WithCancel(t.Context())
 				defer cut()
 				ended := make(chan error, 1)
