--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -287,7 +287,7 @@
 	}
 }
 
-// revisionPoll is how often watchRevisions looks. Chosen, not measured.
+// revisionPoll is how often watchRevisions looks.
 const revisionPoll = 200 * time.Millisecond
 
 // watchRevisions checks that no process goes back to an earlier configuration.
--- a/internal/transport/callmux/times.go
+++ b/internal/transport/callmux/times.go
@@ -14,9 +14,7 @@
 	dialRetry = 200 * time.Millisecond
 	// dialTimeout bounds the handshake of a connection, which takes two ways of the network, 40 ms
 	// between regions. A dial without answer is given up before the kernel sends the opening packet
-	// again, after 1 s: the peer may be back sooner. With it the worth of the worst window after a
-	// loss of power was 0.78 and 0.85 (two seeds); without it, in a trial whose first dials also
-	// did not wait, 0.69 and 0.83.
+	// again, after 1 s: the peer may be back sooner.
 	dialTimeout = 300 * time.Millisecond
 	// fenceTimeout bounds the fencing of a call whose connection was lost, the wait for a new
 	// connection included. It is above dialTimeout.
