Daemons read and log what instances state in their answers

Change: platform/ reads Server-Limit and Server-Leaving into callapi.Statement, once; an invalid value is logged, counted and ignored. The daemon beside the instance logs the start, the change and the end of a limit with what was sent, first attempts and repeats apart, and shows it as metrics. No decision uses the values yet.

--- a/internal/daemon/metrics/platform.go
+++ b/internal/daemon/metrics/platform.go
@@ -79,6 +79,7 @@
 	gauge(registry, "lapisvane_origin_slots", "Calls that the instances may work on at once.",
 		occupancy(func(o admission.Occupancy) int { return o.Limit }))
 	registerCold(registry, sources.Origin)
+	registerLimits(registry, sources.Origin)
 	gauge(registry, "lapisvane_origin_withdrawn", "Instances that left and are remembered.",
 		func() float64 { return float64(len(sources.Origin.Withdrawn())) })
 }
@@ -102,7 +103,7 @@
 }
 
 // entriesRefused describes the metric collected by refusedEntries.
-var entriesRefused = prometheus.NewDesc("lapisvane_entries_refused_total", "Entries of the store and heartbeats that could not be used, by kind and reason.", []string{"kind", "reason"}, nil)
+var entriesRefused = prometheus.NewDesc("lapisvane_entries_refused_total", "Entries of the store, heartbeats and fields of answers that could not be used, by kind and reason.", []string{"kind", "reason"}, nil)
 
 // refusedEntries collects the numbers of invalid store entries and heartbeats.
 type refusedEntries struct {
@@ -159,3 +160,22 @@
 	gauge(registry, "lapisvane_origin_cold_refused", "Calls that the present instances were refused because they were cold.",
 		sum(func(use admission.PaceUse) float64 { return float64(use.Refused) }))
 }
+
+// registerLimits adds the metrics of the rate limits that instances state.
+func registerLimits(registry *prometheus.Registry, instances *origin.Origin) {
+	sum := func(read func(origin.LimitUse) float64) func() float64 {
+		return func() float64 {
+			total := 0.0
+			for _, instance := range instances.Instances() {
+				total += read(instance.LimitUse())
+			}
+			return total
+		}
+	}
+	gauge(registry, "lapisvane_origin_limit_rate", "Calls a second that the instances beside the daemon state as their limit, 0 without one.",
+		sum(func(use origin.LimitUse) float64 { return use.PerSecond }))
+	gauge(registry, "lapisvane_origin_limit_sent", "Calls sent to the present instances under the latest limit that they stated.",
+		sum(func(use origin.LimitUse) float64 { return float64(use.Sent) }))
+	gauge(registry, "lapisvane_origin_limit_repeats", "Repeats among the calls sent to the present instances under that limit.",
+		sum(func(use origin.LimitUse) float64 { return float64(use.Repeats) }))
+}
--- a/internal/model/callapi/envelope.go
+++ b/internal/model/callapi/envelope.go
@@ -34,6 +34,9 @@
 	NotRun string
 	// Load is the field in which back ends report their load; nil if they do not report it.
 	Load *LoadField
+	// Statements reads what back ends state about themselves in their answers; nil if they state
+	// nothing.
+	Statements *StatementReader
 	// Result and Outcome are set on answers to callers.
 	Result, Outcome string
 	// PrivatePrefix is the prefix, in lower case, of the names of further fields that only lapisvane
--- a/internal/requestpath/origin/handover.go
+++ b/internal/requestpath/origin/handover.go
@@ -27,7 +27,12 @@
 			instance.inFlight.remove(tracked)
 		}
 	}()
-	response, err := instance.backend.roundTrip(ctx, call, func() { instance.inFlight.add(tracked) })
+	var sentAt time.Time
+	response, err := instance.backend.roundTrip(ctx, call, func() {
+		sentAt = time.Now()
+		instance.inFlight.add(tracked)
+		instance.countSent(call.Open.GetRepeat())
+	})
 	returned = true
 	if err != nil {
 		err = o.finishUnanswered(ctx, instance, tracked, err)
@@ -40,7 +45,12 @@
 	o.recordCallEnd(instance, nil)
 	workPercent := o.config.Envelope.WorkPercent(response.Header)
 	instance.reportedWork.record(workPercent, time.Now())
-	if refusal := o.responseRefusal(instance, response, slot.HadFreeSlot()); refusal != nil {
+	refusal := o.responseRefusal(instance, response, slot.HadFreeSlot())
+	if !result.Is(refusal, result.CallNotRunUnknownHere) {
+		// Any other answer is from the instance itself and not from its successor at the address.
+		instance.recordStatement(o.config.Envelope.Statement(response.Header), sentAt, refusal == nil)
+	}
+	if refusal != nil {
 		_ = response.Body.Close() // It only ends the exchange, and never fails.
 		releaseRefused(slot, refusal)
 		return nil, refusal
--- a/internal/requestpath/origin/instance.go
+++ b/internal/requestpath/origin/instance.go
@@ -58,8 +58,12 @@
 	sequence        uint64
 	lastHeartbeatAt time.Time
 	coldState       coldState
-	lifecycle       *stateless.StateMachine
-	drainReasons    map[DrainReason]bool
+	// stated is the rate limit that the instance states. statedLeaving is true once it has stated that
+	// it is about to leave.
+	stated        statedLimit
+	statedLeaving bool
+	lifecycle     *stateless.StateMachine
+	drainReasons  map[DrainReason]bool
 	// reachability holds what the results of calls show about the instance, and downByCalls is true
 	// while the instance is down because of them. downByCalls is not a state of the lifecycle, because
 	// it outlasts a drain: after the drain the instance is announced as ready only once a heartbeat
@@ -73,7 +77,7 @@
 		Service: service, Name: identity.Name(), identity: identity,
 		queue:     admission.NewQueue(limits, time.Now),
 		backend:   newBackend(address, identity.ID, envelope, connections),
-		startedAt: time.Now(), lifecycle: newLifecycle(), drainReasons: map[DrainReason]bool{}, logger: logr.Discard(),
+		startedAt: time.Now(), stated: newStatedLimit(), lifecycle: newLifecycle(), drainReasons: map[DrainReason]bool{}, logger: logr.Discard(),
 	}
 }
 
--- /dev/null
+++ b/internal/requestpath/origin/statement.go
@@ -0,0 +1,124 @@
+package origin
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/lapisvane/lapisvane/internal/model/callapi"
+)
+
+// This file handles what an instance states about itself in its answers (callapi.Statement): the rate
+// that it accepts, and that it is about to leave.
+
+// Limits of the log lines about changes of one instance's rate limit: an instance may state another
+// value in each answer.
+const (
+	limitChangeLines    = 5
+	limitChangeInterval = time.Second
+)
+
+// statedLimit is the rate limit that an instance states. It is not safe for concurrent use.
+type statedLimit struct {
+	current callapi.RateLimit
+	// statedAt is when the latest answer that states a limit was received, and since when the first of
+	// them was.
+	statedAt, since time.Time
+	// sent counts the calls that were sent to the instance under the limit, and repeats those of them
+	// that an instance may have received before.
+	sent, repeats int64
+	changeLog     rate.Sometimes
+}
+
+func newStatedLimit() statedLimit {
+	return statedLimit{changeLog: rate.Sometimes{First: limitChangeLines, Interval: limitChangeInterval}}
+}
+
+// record records the limit in an answer and reports whether the limit changed. sentAt is when the
+// request of the answer was sent, and ran is false for an answer that refuses the request.
+//
+// An answer without a limit ends the limit only if its request was sent after the latest answer with a
+// limit arrived, because answers of concurrent requests may be recorded in another order than the
+// instance wrote them. A refusal does not end it: instances under overload may refuse requests before
+// they consider what to state.
+func (l *statedLimit) record(stated callapi.RateLimit, sentAt, now time.Time, ran bool) (changed bool) {
+	previous := l.current
+	switch {
+	case stated.Stated:
+		l.statedAt = now
+		if !previous.Stated {
+			l.since, l.sent, l.repeats = now, 0, 0
+		}
+		l.current = stated
+	case ran && sentAt.After(l.statedAt):
+		l.current = callapi.RateLimit{}
+	}
+	return l.current != previous
+}
+
+// countSent counts a call that is sent to the instance.
+func (l *statedLimit) countSent(repeat bool) {
+	if !l.current.Stated {
+		return
+	}
+	l.sent++
+	if repeat {
+		l.repeats++
+	}
+}
+
+// recordStatement records what the instance states in an answer; see statedLimit.record for sentAt and
+// ran.
+func (i *Instance) recordStatement(statement callapi.Statement, sentAt time.Time, ran bool) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	now := time.Now()
+	wasLimited := i.stated.current.Stated
+	if i.stated.record(statement.Limit, sentAt, now, ran) {
+		i.logLimit(wasLimited, now)
+	}
+	if statement.Leaving && !i.statedLeaving {
+		i.statedLeaving = true
+		i.logger.Info("instance.leaving_stated", "instance", i.Name, "service", i.Service)
+	}
+}
+
+// logLimit logs a change of the stated limit; the caller holds mutex.
+func (i *Instance) logLimit(wasLimited bool, now time.Time) {
+	stated := &i.stated
+	switch {
+	case !wasLimited:
+		i.logger.Info("instance.limited", "instance", i.Name, "service", i.Service, "rate", stated.current.PerSecond)
+	case !stated.current.Stated:
+		i.logger.Info("instance.unlimited", "instance", i.Name, "service", i.Service,
+			"limited_ms", now.Sub(stated.since).Milliseconds(), "sent", stated.sent, "repeats", stated.repeats)
+	default:
+		stated.changeLog.Do(func() {
+			i.logger.Info("instance.limit_changed", "instance", i.Name, "service", i.Service, "rate", stated.current.PerSecond,
+				"sent", stated.sent, "repeats", stated.repeats)
+		})
+	}
+}
+
+// countSent counts a call that is sent to the instance.
+func (i *Instance) countSent(repeat bool) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.stated.countSent(repeat)
+}
+
+// LimitUse is the usage of the rate limit that an instance states.
+type LimitUse struct {
+	// PerSecond is the limit in calls per second; 0 without a limit.
+	PerSecond float64
+	// Sent is the number of calls that were sent to the instance since it states the limit, and Repeats
+	// the number of those that an instance may have received before. Both stay after the limit has ended.
+	Sent, Repeats int64
+}
+
+// LimitUse returns the usage of the rate limit that the instance states.
+func (i *Instance) LimitUse() LimitUse {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return LimitUse{PerSecond: i.stated.current.PerSecond, Sent: i.stated.sent, Repeats: i.stated.repeats}
+}
