Tests: an instance gets no more than the rate that it states, and nothing once it states that it leaves

Change: the emulator's instances state a rate or that they leave in all their answers; its ledger knows which daemon passed a statement on, counts deliveries of these daemons in sliding windows and excuses a daemon that ended or stood still since.

--- a/internal/lab/emulator/client/client.go
+++ b/internal/lab/emulator/client/client.go
@@ -245,8 +245,9 @@
 
 // evaluate checks an answer and enters it into the ledger. It returns the same values as attempt.
 func (l *Load) evaluate(class Class, id string, response *http.Response) (Outcome, time.Duration, bool) {
-	received, readErr := io.ReadAll(response.Body)
 	stamp := response.Header.Get(platform.HeaderStamp)
+	l.Ledger.StatementPassedOn(id, stamp, instance.StatementOf(response.Header), time.Now())
+	received, readErr := io.ReadAll(response.Body)
 	success := response.StatusCode/100 == 2
 	if success && readErr != nil {
 		// The client detects a truncated answer, so it counts as failed and breaks no promise.
--- a/internal/lab/emulator/day/machine.go
+++ b/internal/lab/emulator/day/machine.go
@@ -103,10 +103,12 @@
 func (m *Machine) Kill(down time.Duration) error {
 	m.daemonMutex.Lock()
 	defer m.daemonMutex.Unlock()
+	address := m.Caller()
 	if process := m.takeProcess(); process != nil {
 		m.site.Ledger.DaemonsKilled(time.Now())
 		process.Kill()
 		<-process.Done()
+		m.site.Ledger.DaemonInterrupted(address)
 	}
 	time.Sleep(down)
 	return m.start()
@@ -123,6 +125,7 @@
 		process.Stop()
 		<-process.Done()
 		cut = process.CutCalls()
+		m.site.Ledger.DaemonInterrupted(address)
 	}
 	time.Sleep(down)
 	return cut, m.start()
--- /dev/null
+++ b/internal/lab/emulator/day/statement_test.go
@@ -0,0 +1,93 @@
+package day_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/lab/emulator/client"
+	"github.com/lapisvane/lapisvane/internal/lab/emulator/day"
+	"github.com/lapisvane/lapisvane/internal/lab/emulator/instance"
+	"github.com/lapisvane/lapisvane/internal/lab/emulator/objectstore"
+)
+
+const (
+	// statedRate is well below the 33 requests per second that each instance of the site's first service
+	// receives.
+	statedRate = 5
+	// statementLoad is the length of the load: the time after which a limit applies and two windows.
+	statementLoad = 10 * time.Second
+)
+
+// disruptions are the disruptions during which a statement of an instance holds. Each is repeated while
+// the load runs; beside is the machine of the instance.
+var disruptions = map[string]func(t *testing.T, site *day.Site, beside *day.Machine){
+	"none": func(*testing.T, *day.Site, *day.Machine) { time.Sleep(time.Second) },
+	"the daemon beside the instance is killed": func(t *testing.T, _ *day.Site, beside *day.Machine) {
+		assert.Check(t, beside.Kill(50*time.Millisecond))
+		time.Sleep(time.Second)
+	},
+	"the daemon beside the instance is stopped": func(t *testing.T, _ *day.Site, beside *day.Machine) {
+		_, err := beside.RestartDaemon(50 * time.Millisecond)
+		assert.Check(t, err)
+		time.Sleep(time.Second)
+	},
+	"the store is silent and the daemon is killed": func(t *testing.T, site *day.Site, beside *day.Machine) {
+		site.Store.SetFaults(objectstore.Faults{Silent: true})
+		assert.Check(t, beside.Kill(50*time.Millisecond))
+		time.Sleep(2 * time.Second)
+		site.Store.SetFaults(objectstore.Faults{})
+		time.Sleep(time.Second)
+	},
+}
+
+// disrupt repeats a disruption for the length of the load.
+func disrupt(t *testing.T, site *day.Site, beside *day.Machine, disruption func(*testing.T, *day.Site, *day.Machine)) {
+	t.Helper()
+	for end := time.Now().Add(statementLoad); time.Now().Before(end); {
+		disruption(t, site, beside)
+	}
+}
+
+// Guards against instances that receive more requests than the rate that they state.
+func TestInstanceReceivesNoMoreThanItsStatedRate(t *testing.T) {
+	for name, disruption := range disruptions {
+		t.Run(name, func(t *testing.T) {
+			site, tally, stop := start(t)
+			awaitServed(t, tally, 50)
+			limited := site.Machines[0]
+			limited.Instance().Set(instance.Behaviour{StatedRate: statedRate})
+			disrupt(t, site, limited, disruption)
+			received := limited.Instance().Received()
+			limited.Instance().Set(instance.Behaviour{})
+			site.Ledger.StatedRateEnded(limited.Instance().Name())
+			awaitReceived(t, tally, limited.Instance(), received+100)
+			stop()
+			assertPromisesKept(t, site)
+		})
+	}
+}
+
+// awaitReceived waits until an instance has received the given number of requests in total.
+func awaitReceived(t *testing.T, tally *client.Tally, reached *instance.Instance, total int64) {
+	t.Helper()
+	for end := time.Now().Add(waitTimeout); reached.Received() < total; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "%d of %d received, %d served in all", reached.Received(), total, tally.Served.Load())
+	}
+}
+
+// Guards against instances that receive requests after a daemon has passed on that they leave.
+func TestInstanceThatStatesThatItLeavesReceivesNothing(t *testing.T) {
+	for name, disruption := range disruptions {
+		t.Run(name, func(t *testing.T) {
+			site, tally, stop := start(t)
+			awaitServed(t, tally, 50)
+			leaving := site.Machines[0]
+			leaving.Instance().Set(instance.Behaviour{Leaving: true})
+			disrupt(t, site, leaving, disruption)
+			stop()
+			assertPromisesKept(t, site)
+		})
+	}
+}
--- a/internal/lab/emulator/instance/instance.go
+++ b/internal/lab/emulator/instance/instance.go
@@ -54,6 +54,10 @@
 	Capacity int
 	// OnFull is the treatment of a request beyond the capacity.
 	OnFull OnFull
+	// StatedRate is the rate of requests per second that the instance states as its limit in its answers;
+	// 0 states none. Leaving makes it state in its answers that it is about to leave.
+	StatedRate float64
+	Leaving    bool
 	// Silent makes the instance stop answering requests and sending heartbeats.
 	Silent bool
 }
--- a/internal/lab/emulator/instance/serve.go
+++ b/internal/lab/emulator/instance/serve.go
@@ -260,7 +260,7 @@
 	id := parent.Header.Get(platform.HeaderRequestID) + ".1." + strconv.FormatUint(i.sequence.Add(1), 10)
 	i.options.Ledger.Sent(promise.Request{
 		ID: id, Safe: true, Caller: i.options.Service, SentAt: time.Now(),
-		Services: map[string]bool{parent.Header.Get(HeaderCall + "-Service"): true},
+		Services: map[string]bool{parent.Header.Get(HeaderCall + "-Service"): true}, DaemonAddress: i.options.OutboundAddress,
 	})
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.options.OutboundAddress+path, nil)
 	if err != nil {
@@ -279,6 +279,7 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
+	i.options.Ledger.StatementPassedOn(id, response.Header.Get(platform.HeaderStamp), StatementOf(response.Header), time.Now())
 	_, err = io.Copy(io.Discard, response.Body)
 	return err == nil && response.StatusCode == http.StatusOK
 }
@@ -302,13 +303,31 @@
 	if after == connectionClosed {
 		head += "Connection: close\r\n"
 	}
-	_, err := io.WriteString(conn, head+"\r\n")
+	_, err := io.WriteString(conn, head+statementFields(i.currentBehaviour())+"\r\n")
 	if err != nil {
 		return connectionClosed
 	}
 	return after
 }
 
+// statementFields returns the header fields in which the instance states something about itself.
+func statementFields(behaviour Behaviour) string {
+	fields := ""
+	if behaviour.StatedRate > 0 {
+		fields += fmt.Sprintf("%s: %g\r\n", platform.HeaderLimit, behaviour.StatedRate)
+	}
+	if behaviour.Leaving {
+		fields += platform.HeaderLeaving + ": 1\r\n"
+	}
+	return fields
+}
+
+// StatementOf returns what an instance states about itself in the header of an answer.
+func StatementOf(header http.Header) promise.Statement {
+	perSecond, _ := strconv.ParseFloat(header.Get(platform.HeaderLimit), 64)
+	return promise.Statement{PerSecond: perSecond, Leaving: header.Get(platform.HeaderLeaving) != ""}
+}
+
 // answer sends the answer with the faults that the behaviour injects.
 func (i *Instance) answer(conn net.Conn, request *http.Request, behaviour Behaviour, status int, stamp string) disposition {
 	size := defaultAnswerBytes
@@ -319,6 +338,7 @@
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n%s: %d,%d,%d\r\n", status, http.StatusText(status),
 		platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID), platform.HeaderStamp, stamp,
 		platform.HeaderLoad, i.running.Load(), i.waiting.Load(), i.options.Slots)
+	head += statementFields(behaviour)
 	framed := head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
 	switch {
 	case i.chance(behaviour.GarbageShare):
--- a/internal/lab/emulator/promise/delivery.go
+++ b/internal/lab/emulator/promise/delivery.go
@@ -58,6 +58,7 @@
 	l.checkRegion(delivery)
 	l.checkCold(delivery)
 	l.checkPoison(delivery)
+	l.checkStatement(delivery)
 }
 
 // checkEvacuation checks that the instance's zone is not evacuated. During a store outage daemons
--- a/internal/lab/emulator/promise/promise.go
+++ b/internal/lab/emulator/promise/promise.go
@@ -29,7 +29,8 @@
 	Mixed Kind = "mixed"
 	// Unasked: an instance ran a request that no client sent, or one with changed content.
 	Unasked Kind = "unasked"
-	// Drain: an instance received a request too long after its drain was acknowledged.
+	// Drain: an instance received a request too long after its drain was acknowledged, or after the
+	// daemon of the request had passed on that the instance leaves.
 	Drain Kind = "drain"
 	// Route: a request ran at a service that no configuration allows for it.
 	Route Kind = "route"
@@ -46,6 +47,8 @@
 	Evacuation Kind = "evacuation"
 	// Home: a request reached an instance outside the regions of its route.
 	Home Kind = "home"
+	// Limit: an instance received more requests than the rate that it had stated allows.
+	Limit Kind = "limit"
 	// Lost: a request that a daemon had accepted ended without its answer.
 	Lost Kind = "lost"
 )
@@ -140,6 +143,10 @@
 	syncedBy     time.Time
 	// coldDeliveries counts the recent deliveries to cold instances, by instance.
 	coldDeliveries map[string]*RateWindow
+	// statedInstances are the instances that have stated something about themselves, by name.
+	statedInstances map[string]*statedInstance
+	// interruptedAt is when a daemon, by its address for callers, last ended or stood still.
+	interruptedAt map[string]time.Time
 	// poisonRequests are the poison requests by name. disturbedAt is the end of the last disturbance of
 	// daemons.
 	poisonRequests map[string]*poisonRequest
@@ -186,7 +193,7 @@
 		bounds: bounds, requests: map[string]Request{}, runs: map[string][]Run{},
 		answers: map[string]Answer{}, arrivals: map[string]int{}, drainAckedAt: map[string]time.Time{},
 		evacuatedAt: map[string]time.Time{}, coldDeliveries: map[string]*RateWindow{}, poisonRequests: map[string]*poisonRequest{},
-		failedRuns: map[string]bool{}, endedInstances: map[string]bool{}, stopTimes: map[string][]time.Time{}, revokedAt: map[string]time.Time{}, excused: map[string]int{},
+		statedInstances: map[string]*statedInstance{}, interruptedAt: map[string]time.Time{}, failedRuns: map[string]bool{}, endedInstances: map[string]bool{}, stopTimes: map[string][]time.Time{}, revokedAt: map[string]time.Time{}, excused: map[string]int{},
 	}
 }
 
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -229,15 +229,18 @@
 // pauses suspends a daemon for 0.5 to 1.5 times the contact time.
 func (d *soakDay) pauses(ctx context.Context, random *rand.Rand) {
 	for sleepAround(ctx, random, 2*time.Second) {
-		running, isProcess := d.site.Machines[random.IntN(len(d.site.Machines))].Daemon().(*process)
+		machine := d.site.Machines[random.IntN(len(d.site.Machines))]
+		running, isProcess := machine.Daemon().(*process)
 		if !isProcess {
 			continue
 		}
+		address := running.Addresses().Caller
 		d.site.Ledger.DaemonsKilled(time.Now())
 		running.signal(syscall.SIGSTOP)
 		sleepAround(context.Background(), random, d.site.ContactTime())
 		running.signal(syscall.SIGCONT)
 		d.site.Ledger.DaemonsKilled(time.Now())
+		d.site.Ledger.DaemonInterrupted(address)
 	}
 }
 
