An instance gets no more calls a second than it states

What callers saw: nothing; an instance in need that stated 6.4 requests a second got 16. Its class: a word of an instance about itself that the path of its answers does not carry to where calls to it are admitted. Change: all calls to an instance pass the daemon beside it, so its queue alone keeps the rate with one token bucket, flat in the number of callers: no shares, no messages. A call beyond it is refused at once (5029, not run), also one that waits when the limit begins, and goes to another instance without the retry budget. Each daemon remembers what an instance last stated, past the life of the daemon beside it, and sends it along with its calls: a daemon that has just started keeps the limit before it has heard an answer, with an empty bucket. An answer without the field ends the limit if its request was sent after the last one that had it. Balancers send less to an instance whose limit is in use or has refused them. The reference of the retry rule gains the new code; no check of it changed.

--- a/internal/daemon/metrics/platform.go
+++ b/internal/daemon/metrics/platform.go
@@ -174,6 +174,10 @@
 	}
 	gauge(registry, "lapisvane_origin_limit_rate", "Calls a second that the instances beside the daemon state as their limit, 0 without one.",
 		sum(func(use origin.LimitUse) float64 { return use.PerSecond }))
+	gauge(registry, "lapisvane_origin_limit_tokens", "Calls that instances with a stated limit could be sent at once.",
+		sum(func(use origin.LimitUse) float64 { return use.Tokens }))
+	gauge(registry, "lapisvane_origin_limit_refused", "Calls that the present instances were refused because of the limit that they stated.",
+		sum(func(use origin.LimitUse) float64 { return float64(use.Refused) }))
 	gauge(registry, "lapisvane_origin_limit_sent", "Calls sent to the present instances under the latest limit that they stated.",
 		sum(func(use origin.LimitUse) float64 { return float64(use.Sent) }))
 	gauge(registry, "lapisvane_origin_limit_repeats", "Repeats among the calls sent to the present instances under that limit.",
--- a/internal/model/callapi/statement.go
+++ b/internal/model/callapi/statement.go
@@ -20,6 +20,11 @@
 	Stated bool
 }
 
+// MinRateLimit is the minimum rate, in calls per second, that daemons admit under any RateLimit: one call
+// in four seconds. Only an answer shows that a limit has ended, so a back end that accepts no calls must
+// still get one now and then.
+const MinRateLimit = 0.25
+
 // StatementReader reads the statement in the header of an answer. It is safe for concurrent use.
 type StatementReader struct {
 	Read func(header http.Header) Statement
--- a/internal/requestpath/admission/decision.go
+++ b/internal/requestpath/admission/decision.go
@@ -57,6 +57,8 @@
 	actionRefuseClosed
 	// actionRefuseExpired refuses the call because its latest start time has passed.
 	actionRefuseExpired
+	// actionRefuseRate refuses the call because the rate limit of the back end is exhausted.
+	actionRefuseRate
 	// actionRefuseNoSlot refuses the call because no slot is free and it does not wait.
 	actionRefuseNoSlot
 	// actionRefuseFull refuses the call because the queue is full or the wait would be too long.
@@ -67,6 +69,8 @@
 type queueState struct {
 	// closed is true if the back end accepts no calls, because it is draining or down.
 	closed bool
+	// rateExhausted is true if the rate limit leaves no token for this call.
+	rateExhausted bool
 	// slotFree is true if a slot and a token are available for this call.
 	slotFree bool
 	// othersWait is true if calls of any group are waiting.
@@ -74,7 +78,8 @@
 }
 
 // decideArrival makes the first decision on an arriving call: to start, to refuse, or to leave the
-// rest to decideWait. Calls that can never run are refused before any estimate. A call does not
+// rest to decideWait. Calls that can never run, or that the back end's rate limit leaves over, are refused
+// before any estimate. A call does not
 // overtake waiting ones even if a slot is free for it, because an upload may wait while slots are
 // reserved for other calls.
 func decideArrival(request Request, state queueState, now time.Time) action {
@@ -83,6 +88,8 @@
 		return actionRefuseClosed
 	case !request.LatestStart.IsZero() && !now.Before(request.LatestStart):
 		return actionRefuseExpired
+	case state.rateExhausted:
+		return actionRefuseRate
 	case state.slotFree && !state.othersWait:
 		return actionStart
 	default:
--- a/internal/requestpath/admission/doc.go
+++ b/internal/requestpath/admission/doc.go
@@ -6,7 +6,8 @@
 // ordered by urgency (order.go). If callers have accounts, the calls of all accounts wait in one
 // order, in which urgency goes before shares (account.go). Two limits apply in addition to the
 // number of slots: an adaptive concurrency limit (limit.go), which decreases when the back end
-// sheds load, and a token bucket (pace.go) for a back end in slow start. decision.go decides
+// sheds load, and token buckets for a back end in slow start (pace.go) and for one that states how many
+// calls per second it accepts (ratelimit.go). decision.go decides
 // whether an arriving call starts, waits or is refused, and when the caller of a refused call may
 // retry.
 //
--- a/internal/requestpath/admission/pace.go
+++ b/internal/requestpath/admission/pace.go
@@ -104,17 +104,17 @@
 	return use
 }
 
-// scheduleDispatch starts a timer that dispatches the waiting calls when the next token is
-// available or the pace ends. The caller must hold mutex.
+// scheduleDispatch starts a timer that dispatches the waiting calls when the next tokens are available
+// or the pace ends. The caller must hold mutex.
 func (q *Queue) scheduleDispatch(now time.Time) {
 	if q.tokenTimer != nil {
 		q.tokenTimer.Stop()
 		q.tokenTimer = nil
 	}
-	if q.waiting == 0 || q.bucket.allows(now) {
+	if q.waiting == 0 || (q.bucket.allows(now) && q.rateLimit.allows(now)) {
 		return
 	}
-	q.tokenTimer = time.AfterFunc(q.bucket.wait(0, now), q.onTokenTimer)
+	q.tokenTimer = time.AfterFunc(max(q.bucket.wait(0, now), q.rateLimit.wait(0, now)), q.onTokenTimer)
 }
 
 func (q *Queue) onTokenTimer() {
--- a/internal/requestpath/admission/queue.go
+++ b/internal/requestpath/admission/queue.go
@@ -40,6 +40,10 @@
 	bucket                   bucket
 	tokenTimer               *time.Timer
 	pacedCalls, paceRefusals int64
+	// rateLimit holds the rate limit that the back end states (ratelimit.go). rateRefusals counts the
+	// calls that it refused.
+	rateLimit    bucket
+	rateRefusals int64
 }
 
 // waiter is a call in the queue. Exactly one message is sent on outcome: nil if the call got a
@@ -133,8 +137,8 @@
 }
 
 // Acquire waits for a slot. All of its errors prove that the call did not start:
-// CallNotRunOverloaded, CallNotRunCold if the pace leaves no time for it, CallNotRunExpired, or the
-// reason given to Close.
+// CallNotRunOverloaded, CallNotRunCold if the pace leaves no time for it, CallNotRunLimited if the rate
+// limit is exhausted, CallNotRunExpired, or the reason given to Close.
 func (q *Queue) Acquire(ctx context.Context, request Request) (*Slot, error) {
 	waiting, slot, err := q.enter(request)
 	if err != nil || slot != nil {
@@ -160,12 +164,16 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	now := q.now()
-	found := queueState{closed: q.closed != nil, slotFree: q.mayRun(request, now), othersWait: q.waiting > 0}
+	found := queueState{
+		closed: q.closed != nil, rateExhausted: q.rateExhausted(now), slotFree: q.mayRun(request, now), othersWait: q.waiting > 0,
+	}
 	switch decideArrival(request, found, now) {
 	case actionRefuseClosed:
 		return nil, nil, q.closed
 	case actionRefuseExpired:
 		return nil, nil, result.Errorf(result.CallNotRunExpired, "the latest start time has passed")
+	case actionRefuseRate:
+		return nil, nil, q.refuseRateLimited(now)
 	case actionStart:
 		return nil, q.start(q.groupOf(request), request, now), nil
 	}
@@ -242,7 +250,7 @@
 
 // mayRun reports whether a free slot may be given to a request.
 func (q *Queue) mayRun(request Request, now time.Time) bool {
-	if q.running >= q.limit.current || !q.bucket.allows(now) {
+	if q.running >= q.limit.current || !q.bucket.allows(now) || !q.rateLimit.allows(now) {
 		return false
 	}
 	return !request.Upload || q.uploads < q.limit.uploads()
--- a/internal/requestpath/admission/slot.go
+++ b/internal/requestpath/admission/slot.go
@@ -19,7 +19,7 @@
 	once     sync.Once
 }
 
-// start gives a free slot, and a token if a pace is in force, to a request. The caller must hold
+// start gives a free slot, and a token of the pace and of the rate limit if they are in force, to a request. The caller must hold
 // mutex.
 func (q *Queue) start(g *group, request Request, now time.Time) *Slot {
 	g.decay(now)
@@ -31,6 +31,7 @@
 	if q.bucket.take(now) {
 		q.pacedCalls++
 	}
+	q.rateLimit.take(now)
 	return &Slot{queue: q, group: g, upload: request.Upload, started: now, concurrent: q.running}
 }
 
--- a/internal/requestpath/balance/balancer.go
+++ b/internal/requestpath/balance/balancer.go
@@ -17,9 +17,11 @@
 	now    func() time.Time
 	random Random
 
-	// mutex protects services. The slices in the map are replaced, never modified.
+	// mutex protects services and statements. The slices in services are replaced, never modified.
 	mutex    sync.RWMutex
 	services map[string][]*Target
+	// statements holds what the instances of each service stated about themselves.
+	statements map[string]statements
 	// created is the creation time of the balancer. Instances added shortly after it get no slow
 	// start.
 	created time.Time
@@ -31,7 +33,7 @@
 func New(daemon, zone, region string, now func() time.Time) *Balancer {
 	return &Balancer{
 		daemon: daemon, place: locality.Place{Zone: zone, Region: region},
-		now: now, random: globalRandom{}, services: map[string][]*Target{}, created: now(),
+		now: now, random: globalRandom{}, services: map[string][]*Target{}, statements: map[string]statements{}, created: now(),
 	}
 }
 
@@ -40,8 +42,8 @@
 // Pick is called concurrently.
 func (b *Balancer) SetRandom(random Random) { b.random = random }
 
-// Update replaces the instances of a service. The observations of an instance are kept as long as
-// its incarnation does not change.
+// Update replaces the instances of a service. The observations of an instance are kept as long as the
+// incarnation of its daemon does not change, and what it stated about itself for longer.
 func (b *Balancer) Update(service string, endpoints []*lapisv1.Endpoint) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -50,27 +52,38 @@
 		previous[target.Endpoint.GetInstance()] = target
 	}
 	now := b.now()
+	stated := b.statements[service]
+	if stated == nil {
+		stated = statements{}
+		b.statements[service] = stated
+	}
 	targets := make([]*Target, 0, len(endpoints))
+	listed := make(map[string]bool, len(endpoints))
 	for _, endpoint := range endpoints {
 		if endpoint.GetState() == lapisv1.Endpoint_STATE_GONE {
 			continue
 		}
-		targets = append(targets, b.updatedTarget(previous[endpoint.GetInstance()], endpoint, now))
+		instance := endpoint.GetInstance()
+		listed[instance] = true
+		targets = append(targets, b.updatedTarget(previous[instance], endpoint, stated.of(instance), now))
 	}
+	stated.prune(listed, now)
 	b.services[service] = targets
 }
 
 // updatedTarget returns the target for an endpoint. It reuses the observations of previous, which
 // may be nil, if both have the same incarnation.
-func (b *Balancer) updatedTarget(previous *Target, endpoint *lapisv1.Endpoint, now time.Time) *Target {
+func (b *Balancer) updatedTarget(previous *Target, endpoint *lapisv1.Endpoint, stated *statement, now time.Time) *Target {
 	if previous != nil && previous.Endpoint == endpoint {
 		return previous
 	}
 	if previous != nil && previous.Endpoint.GetIncarnation() == endpoint.GetIncarnation() {
 		previous.setColdUntil(endpoint, now)
-		return &Target{Endpoint: endpoint, observations: previous.observations}
+		return &Target{Endpoint: endpoint, observations: previous.observations, statement: stated}
+	}
+	target := &Target{
+		Endpoint: endpoint, observations: &observations{slowStartAt: slowStartTime(previous, endpoint, b.created, now)}, statement: stated,
 	}
-	target := &Target{Endpoint: endpoint, observations: &observations{slowStartAt: slowStartTime(previous, endpoint, b.created, now)}}
 	target.setColdUntil(endpoint, now)
 	return target
 }
--- a/internal/requestpath/balance/cost.go
+++ b/internal/requestpath/balance/cost.go
@@ -46,7 +46,11 @@
 	// coldRejectionSeconds.
 	cold                           bool
 	coldRate, coldRejectionSeconds float64
-	tier                           locality.Tier
+	// limited is true if the instance states that it accepts statedRate calls per second from all daemons.
+	// Its daemon rejects all calls for the next limitRejectionSeconds.
+	limited                           bool
+	statedRate, limitRejectionSeconds float64
+	tier                              locality.Tier
 }
 
 // callState is the input of the cost score for the call. All times are in seconds.
--- a/internal/requestpath/balance/expected.go
+++ b/internal/requestpath/balance/expected.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lapisvane/lapisvane/internal/model/callapi"
 )
 
 // Slowdown of an instance that is nearly at capacity.
@@ -31,21 +33,41 @@
 	if utilization > slowdownUtilization {
 		service *= 1 + maxUtilizationSlowdown*min((utilization-slowdownUtilization)/(1-slowdownUtilization), 1)
 	}
+	return max(c.expectedUnlimited(service), c.expectedLimited(service)), service
+}
+
+// expectedUnlimited returns the expected response time without the rate limit of the instance.
+func (c *costState) expectedUnlimited(service float64) (total float64) {
 	if c.cold && c.coldRate > 0 {
-		return c.expectedCold(service), service
+		return c.expectedCold(service)
 	}
 	waiting := max(c.load+1-c.slots, 0)
-	return service * (1 + waiting/c.slots), service
+	return service * (1 + waiting/c.slots)
+}
+
+// expectedLimited returns the expected response time at an instance with a rate limit. Calls beyond the
+// limit do not wait there, but a call that its daemon rejects loses the time of its attempt; the time
+// until the limit leaves a token for it stands for that and spreads the calls by the limits.
+func (c *costState) expectedLimited(service float64) (total float64) {
+	wait := c.limitRejectionSeconds
+	if c.limited {
+		wait = max(wait, c.waitAtRate(service, max(c.statedRate, callapi.MinRateLimit)))
+	}
+	return service + wait
+}
+
+// waitAtRate returns the expected wait at an instance that is admitted the given number of calls per
+// second. It runs as many calls concurrently as are admitted during one service time; the others wait.
+func (c *costState) waitAtRate(service, perSecond float64) float64 {
+	capacity := min(c.slots, max(1, perSecond*service))
+	return max(c.load+1-capacity, 0) / perSecond
 }
 
 // expectedCold returns the expected response time at an instance that is admitted coldRate calls
-// per second. It runs as many calls concurrently as are admitted during one service time; the
-// others wait in the queue of its daemon. That daemon may admit up to 2.5 times the rate within its
-// bound (docs/design/0019), so the result tends to be too long.
+// per second. Its daemon may admit up to 2.5 times the rate within its bound (docs/design/0019), so the
+// result tends to be too long.
 func (c *costState) expectedCold(service float64) (total float64) {
-	capacity := min(c.slots, max(1, c.coldRate*service))
-	waiting := max(c.load+1-capacity, 0)
-	return service + max(waiting/c.coldRate, c.coldRejectionSeconds)
+	return service + max(c.waitAtRate(service, c.coldRate), c.coldRejectionSeconds)
 }
 
 // lateness returns the probability, 0 to 1, that a service time of the given mean and squared
--- a/internal/requestpath/balance/target.go
+++ b/internal/requestpath/balance/target.go
@@ -17,6 +17,7 @@
 type Target struct {
 	Endpoint *lapisv1.Endpoint
 	*observations
+	statement *statement
 }
 
 // observations holds what this daemon observed of one incarnation of an instance. They are shared
@@ -33,6 +34,9 @@
 	// refusedUntil is the time until which the instance rejects calls because it is cold, as stated by
 	// its latest such rejection.
 	refusedUntil time.Time
+	// limitedUntil is the time until which the daemon of the instance rejects calls because of the rate
+	// limit of the instance, as stated by the latest such rejection.
+	limitedUntil time.Time
 	// consecutiveFailures counts the failures since the last answer, for ejection.
 	consecutiveFailures int
 	ejectedUntil        time.Time
@@ -99,6 +103,14 @@
 	t.refusedUntil = now.Add(retryAfter)
 }
 
+// RecordLimitRejection records that the daemon of the instance refused a call because of the rate limit
+// of the instance, and that it rejects further calls for retryAfter.
+func (t *Target) RecordLimitRejection(retryAfter time.Duration, now time.Time) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.limitedUntil = now.Add(retryAfter)
+}
+
 // RecordAnswer records the service time of an answered call of a route.
 func (t *Target) RecordAnswer(route string, service time.Duration, now time.Time) {
 	t.mutex.Lock()
@@ -239,8 +251,12 @@
 	defer t.mutex.Unlock()
 	state := costState{
 		slots: slots, load: float64(t.inFlight.Load()), cold: now.Before(t.coldUntil),
-		failureRate:          t.failureRate.decayed(0, failureDecay, now),
-		coldRejectionSeconds: max(t.refusedUntil.Sub(now).Seconds(), 0),
+		failureRate:           t.failureRate.decayed(0, failureDecay, now),
+		coldRejectionSeconds:  max(t.refusedUntil.Sub(now).Seconds(), 0),
+		limitRejectionSeconds: max(t.limitedUntil.Sub(now).Seconds(), 0),
+	}
+	if limit, _ := t.statement.load(); limit.Stated {
+		state.limited, state.statedRate = true, limit.PerSecond
 	}
 	if service, ok := t.serviceTimes[route]; ok {
 		state.serviceTime, state.scv = service.mean, service.scv
--- a/internal/requestpath/gateway/opening.go
+++ b/internal/requestpath/gateway/opening.go
@@ -44,6 +44,9 @@
 		Account: template.GetAccount(), AccountPriority: template.GetAccountPriority(), KeyDigest: template.GetKeyDigest(),
 		Trial: template.GetTrial(), Repeat: a.failureCounts.Seen > 0, AllowedRegions: a.route.GetAllowedRegions(),
 	}
+	if limit := target.StatedLimit(); limit.Stated {
+		open.StatedLimit = &limit.PerSecond
+	}
 	if a.targetLatency() > 0 {
 		bounds := a.waitBounds(ctx, target.ServiceTime(a.route.GetName()))
 		open.SlackMillis = millisWithMinimum(1, bounds.Headroom)
--- a/internal/requestpath/origin/handle.go
+++ b/internal/requestpath/origin/handle.go
@@ -115,6 +115,7 @@
 
 // admitAndRun waits for a slot and sends the call to the instance.
 func (o *Origin) admitAndRun(ctx context.Context, instance *Instance, call *callapi.Call) (*callapi.Answer, error) {
+	instance.adoptLimit(call.Open)
 	arrivedAt, suspendedBefore := time.Now(), boottime.Suspended()
 	slot, err := instance.queue.Acquire(ctx, instance.admissionRequest(call.Open, arrivedAt))
 	if err != nil {
--- a/internal/requestpath/origin/handover.go
+++ b/internal/requestpath/origin/handover.go
@@ -45,10 +45,11 @@
 	o.recordCallEnd(instance, nil)
 	workPercent := o.config.Envelope.WorkPercent(response.Header)
 	instance.reportedWork.record(workPercent, time.Now())
+	var stated callapi.Statement
 	refusal := o.responseRefusal(instance, response, slot.HadFreeSlot())
 	if !result.Is(refusal, result.CallNotRunUnknownHere) {
 		// Any other answer is from the instance itself and not from its successor at the address.
-		instance.recordStatement(o.config.Envelope.Statement(response.Header), sentAt, refusal == nil)
+		stated = instance.recordStatement(o.config.Envelope.Statement(response.Header), sentAt, refusal == nil)
 	}
 	if refusal != nil {
 		_ = response.Body.Close() // It only ends the exchange, and never fails.
@@ -60,6 +61,7 @@
 	head.Load = instance.queue.Load()
 	head.ServiceMicros = uint32(time.Since(startedAt).Microseconds())
 	head.WorkPercent = workPercent
+	setStatement(head, stated)
 	onError := func(err error) {
 		o.recordCallEnd(instance, err)
 		o.logFailure(call, err, startedAt)
--- a/internal/requestpath/origin/refusal.go
+++ b/internal/requestpath/origin/refusal.go
@@ -20,7 +20,8 @@
 //	                 the call may not run in this region (checkRegion)
 //	                 the attempt or the idempotency key was received before (dedup.go)
 //	in the queue     the instance drains or is down (drainRefusal, downRefusal), the call is too
-//	                 late, or its wait would be too long (package admission)
+//	                 late, the instance's rate limit is exhausted, or its wait would be too long
+//	                 (package admission)
 //	with its slot    the timeout of the call passed while the machine was suspended
 //	                 (checkSuspended)
 //	                 instances crashed during such calls (quarantine.go)
--- a/internal/requestpath/origin/response.go
+++ b/internal/requestpath/origin/response.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/requestpath/admission"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
@@ -21,6 +22,14 @@
 	return head
 }
 
+// setStatement sets what the instance states about itself.
+func setStatement(head *lapisv1.CallHead, stated callapi.Statement) {
+	if stated.Limit.Stated {
+		head.StatedLimit = &stated.Limit.PerSecond
+	}
+	head.Leaving = stated.Leaving
+}
+
 func headerFields(header http.Header) []*lapisv1.HeaderField {
 	fields := make([]*lapisv1.HeaderField, 0, len(header))
 	for name, values := range header {
--- a/internal/requestpath/origin/statement.go
+++ b/internal/requestpath/origin/statement.go
@@ -5,11 +5,13 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 )
 
 // This file handles what an instance states about itself in its answers (callapi.Statement): the rate
-// that it accepts, and that it is about to leave.
+// that it accepts from all daemons together, and that it is about to leave. All calls to an instance pass
+// through this daemon, so its queue alone keeps the rate, whatever the number of callers.
 
 // Limits of the log lines about changes of one instance's rate limit: an instance may state another
 // value in each answer.
@@ -24,6 +26,9 @@
 	// statedAt is when the latest answer that states a limit was received, and since when the first of
 	// them was.
 	statedAt, since time.Time
+	// answered is true once an answer of the instance showed whether it states a limit. Until then the
+	// limits that callers know are used (adopt).
+	answered bool
 	// sent counts the calls that were sent to the instance under the limit, and repeats those of them
 	// that an instance may have received before.
 	sent, repeats int64
@@ -46,16 +51,33 @@
 	switch {
 	case stated.Stated:
 		l.statedAt = now
-		if !previous.Stated {
-			l.since, l.sent, l.repeats = now, 0, 0
-		}
-		l.current = stated
+		l.answered = true
+		l.set(stated, now)
 	case ran && sentAt.After(l.statedAt):
+		l.answered = true
 		l.current = callapi.RateLimit{}
 	}
 	return l.current != previous
 }
 
+// adopt uses a limit that a caller knows from earlier answers, and reports whether the limit changed. It
+// has an effect only on a daemon that has not received an answer of the instance yet, such as after a
+// restart. Of several such limits the lowest is used, because it is not known which one is the latest.
+func (l *statedLimit) adopt(known callapi.RateLimit, now time.Time) (changed bool) {
+	if l.answered || !known.Stated || (l.current.Stated && l.current.PerSecond <= known.PerSecond) {
+		return false
+	}
+	l.set(known, now)
+	return true
+}
+
+func (l *statedLimit) set(limit callapi.RateLimit, now time.Time) {
+	if !l.current.Stated {
+		l.since, l.sent, l.repeats = now, 0, 0
+	}
+	l.current = limit
+}
+
 // countSent counts a call that is sent to the instance.
 func (l *statedLimit) countSent(repeat bool) {
 	if !l.current.Stated {
@@ -67,20 +89,45 @@
 	}
 }
 
-// recordStatement records what the instance states in an answer; see statedLimit.record for sentAt and
-// ran.
-func (i *Instance) recordStatement(statement callapi.Statement, sentAt time.Time, ran bool) {
+// recordStatement records what the instance states in an answer, and returns what it states now; see
+// statedLimit.record for sentAt and ran.
+func (i *Instance) recordStatement(statement callapi.Statement, sentAt time.Time, ran bool) callapi.Statement {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	now := time.Now()
 	wasLimited := i.stated.current.Stated
 	if i.stated.record(statement.Limit, sentAt, now, ran) {
-		i.logLimit(wasLimited, now)
+		i.applyLimit(wasLimited, now)
 	}
 	if statement.Leaving && !i.statedLeaving {
 		i.statedLeaving = true
 		i.logger.Info("instance.leaving_stated", "instance", i.Name, "service", i.Service)
 	}
+	return callapi.Statement{Limit: i.stated.current, Leaving: i.statedLeaving}
+}
+
+// adoptLimit uses the rate limit that the sender of a call knows of the instance (statedLimit.adopt).
+func (i *Instance) adoptLimit(open *lapisv1.CallOpen) {
+	if open.StatedLimit == nil || !(open.GetStatedLimit() >= 0) {
+		return
+	}
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	now := time.Now()
+	wasLimited := i.stated.current.Stated
+	if i.stated.adopt(callapi.RateLimit{PerSecond: open.GetStatedLimit(), Stated: true}, now) {
+		i.applyLimit(wasLimited, now)
+	}
+}
+
+// applyLimit applies a changed limit to the queue and logs it; the caller holds mutex.
+func (i *Instance) applyLimit(wasLimited bool, now time.Time) {
+	if limit := i.stated.current; limit.Stated {
+		i.queue.SetRateLimit(limit.PerSecond)
+	} else {
+		i.queue.ClearRateLimit()
+	}
+	i.logLimit(wasLimited, now)
 }
 
 // logLimit logs a change of the stated limit; the caller holds mutex.
@@ -88,10 +135,11 @@
 	stated := &i.stated
 	switch {
 	case !wasLimited:
-		i.logger.Info("instance.limited", "instance", i.Name, "service", i.Service, "rate", stated.current.PerSecond)
+		i.logger.Info("instance.limited", "instance", i.Name, "service", i.Service, "rate", stated.current.PerSecond, "answered", stated.answered)
 	case !stated.current.Stated:
 		i.logger.Info("instance.unlimited", "instance", i.Name, "service", i.Service,
-			"limited_ms", now.Sub(stated.since).Milliseconds(), "sent", stated.sent, "repeats", stated.repeats)
+			"limited_ms", now.Sub(stated.since).Milliseconds(), "sent", stated.sent, "repeats", stated.repeats,
+			"refused", i.queue.RateLimitUse().Refused)
 	default:
 		stated.changeLog.Do(func() {
 			i.logger.Info("instance.limit_changed", "instance", i.Name, "service", i.Service, "rate", stated.current.PerSecond,
@@ -111,6 +159,10 @@
 type LimitUse struct {
 	// PerSecond is the limit in calls per second; 0 without a limit.
 	PerSecond float64
+	// Tokens is the number of calls that may be sent now, and Refused the number of calls refused because
+	// of a limit since the daemon knows the instance.
+	Tokens  float64
+	Refused int64
 	// Sent is the number of calls that were sent to the instance since it states the limit, and Repeats
 	// the number of those that an instance may have received before. Both stay after the limit has ended.
 	Sent, Repeats int64
@@ -120,5 +172,8 @@
 func (i *Instance) LimitUse() LimitUse {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	return LimitUse{PerSecond: i.stated.current.PerSecond, Sent: i.stated.sent, Repeats: i.stated.repeats}
+	queued := i.queue.RateLimitUse()
+	return LimitUse{
+		PerSecond: i.stated.current.PerSecond, Tokens: queued.Tokens, Refused: queued.Refused, Sent: i.stated.sent, Repeats: i.stated.repeats,
+	}
 }
--- a/internal/requestpath/retry/doc.go
+++ b/internal/requestpath/retry/doc.go
@@ -6,7 +6,8 @@
 // themselves. Next step by failure reason:
 //
 //	reason      known facts                                    next step
-//	NotReached  no instance saw the call, not due to load      other instance, up to 5 times
+//	NotReached  no instance saw the call, not due to load or   other instance, up to 5 times
+//	            due to a limit of that instance alone
 //	NoCapacity  no instance saw the call: it is full or cold   other instance, up to 2 times
 //	Shed        the instance refused the call before it ran    retry within the budget
 //	MayHaveRun  call handed over, answer lost or incomplete    retry within the budget, if the call
--- a/internal/requestpath/retry/reference_test.go
+++ b/internal/requestpath/retry/reference_test.go
@@ -46,7 +46,7 @@
 	}
 	switch failure.code {
 	case result.CallNotRunDraining, result.CallNotRunStopping, result.CallNotRunUnknownHere, result.CallNotRunUnreachable,
-		result.CallNotRunEvacuated, result.CallNotRunRegion:
+		result.CallNotRunEvacuated, result.CallNotRunRegion, result.CallNotRunLimited:
 		c.notReached++
 		return c.notReached <= referenceNotReached
 	case result.CallNotRunOverloaded, result.CallNotRunCold:
--- a/internal/requestpath/retry/rule.go
+++ b/internal/requestpath/retry/rule.go
@@ -31,7 +31,8 @@
 	// Final is a failure that another attempt would not fix, or whose outcome is unclear, such as a
 	// passed deadline.
 	Final Reason = iota
-	// NotReached is a refusal that is not caused by load. No instance saw the call.
+	// NotReached is a refusal that is not caused by load, or by the rate limit that one instance states:
+	// neither shows that other instances are full. No instance saw the call.
 	NotReached
 	// NoCapacity is a refusal by the daemon of the instance, because of load or because the
 	// instance is in slow start. No instance saw the call.
@@ -46,7 +47,7 @@
 func ReasonOf(code result.Code) Reason {
 	switch code {
 	case result.CallNotRunDraining, result.CallNotRunStopping, result.CallNotRunUnknownHere,
-		result.CallNotRunUnreachable, result.CallNotRunEvacuated, result.CallNotRunRegion:
+		result.CallNotRunUnreachable, result.CallNotRunEvacuated, result.CallNotRunRegion, result.CallNotRunLimited:
 		return NotReached
 	case result.CallNotRunOverloaded, result.CallNotRunCold:
 		return NoCapacity
--- a/internal/requestpath/retry/rule_test.go
+++ b/internal/requestpath/retry/rule_test.go
@@ -19,6 +19,7 @@
 		result.CallNotRunUnreachable: NotReached,
 		result.CallNotRunEvacuated:   NotReached,
 		result.CallNotRunRegion:      NotReached,
+		result.CallNotRunLimited:     NotReached,
 		result.CallNotRunOverloaded:  NoCapacity,
 		result.CallNotRunCold:        NoCapacity,
 		result.CallNotRunShed:        Shed,
--- a/internal/shared/result/code.go
+++ b/internal/shared/result/code.go
@@ -96,6 +96,7 @@
 	CallRateLimited       Code = 5026
 	CallKeysUnconfirmed   Code = 5027
 	CallLimitUnknown      Code = 5028
+	CallNotRunLimited     Code = 5029
 
 	ProtocolBadFrame    Code = 6001
 	ProtocolTooLarge    Code = 6002
@@ -133,7 +134,7 @@
 		CallNotRunExpired, CallNotRunUnreachable, CallNotRunDuplicate, CallBadRequest,
 		CallNotRunShed, CallNotRunUnknownHere, CallNotRunStopping, CallHeadTooLarge, CallBodyTooLarge, CallRequestTimeout,
 		CallNotRunEvacuated, CallNotRunCold, CallNotRunRegion, CallNotRunQuarantined,
-		CallUnknownKey, CallRateLimited, CallKeysUnconfirmed, CallLimitUnknown:
+		CallUnknownKey, CallRateLimited, CallKeysUnconfirmed, CallLimitUnknown, CallNotRunLimited:
 		return true
 	default:
 		return false
--- a/internal/shared/result/table.go
+++ b/internal/shared/result/table.go
@@ -90,6 +90,7 @@
 	{CallRateLimited, "call-rate-limited", "The account has used up its rate limit. The call did not run.", "Repeat after the time given; see docs/operations/rate-limits.md."},
 	{CallKeysUnconfirmed, "call-keys-unconfirmed", "The daemon could not confirm which API keys are in force. The call did not run.", "Repeat after the time given."},
 	{CallLimitUnknown, "call-limit-unknown", "No daemon in reach knows whether the account is within its rate limit. The call did not run.", "Repeat after the time given; see docs/operations/rate-limits.md."},
+	{CallNotRunLimited, "call-not-run-limited", "The instances that could serve the call state how many calls per second they accept, and have received that many. The call did not run.", "Repeat after the time given; see docs/operations/instance-limits.md."},
 	{ProtocolBadFrame, "protocol-bad-frame", "Bytes received are not a frame of the protocol.", "None; the connection is closed."},
 	{ProtocolTooLarge, "protocol-too-large", "A frame is larger than allowed.", "None; the connection is closed."},
 	{ProtocolBadVersion, "protocol-bad-version", "The peer speaks another version of the protocol.", "Bring the releases closer together."},
