An instance that states in an answer that it leaves gets no more calls

Cause: the statement was not read. Same class as the limit: only heartbeats were heard. Change: the daemon beside the instance withdraws it, as for a heartbeat that says so: its queue closes, running calls end, the fleet is told. Each daemon that passed such an answer on leaves the instance out for good by itself: through a restart of the daemon beside it, a silent store, and an announcement as ready that was under way. Answers that were written before do not take the statement back. Fast tests of the choice and of the withdrawal.

--- a/internal/requestpath/balance/filter.go
+++ b/internal/requestpath/balance/filter.go
@@ -12,7 +12,8 @@
 //  1. the instance was not tried before for this call (Choice.Exclude);
 //  2. each constraint of the call (constraint.go). If one excludes the last instance, the call
 //     is refused, because a constraint is never relaxed;
-//  3. the instance is in service: neither drained or retired by operators nor draining itself;
+//  3. the instance is in service: neither drained or retired by operators nor draining or
+//     leaving itself;
 //  4. the instance is healthy: neither suspected because of missing heartbeats nor ejected by
 //     outlier detection (health.go). If no instance is healthy, the unhealthy ones are used, so
 //     that a false suspicion never empties a pool.
@@ -88,7 +89,10 @@
 }
 
 // inService reports whether an instance accepts new work: it is neither drained or retired by
-// operators nor draining itself.
+// operators nor draining itself, nor has it stated in an answer that it leaves.
 func (s *selector) inService(target *Target) bool {
+	if target.leaving() {
+		return false
+	}
 	return s.service.TakesNewWork(target.Endpoint.GetInstance()) && target.Endpoint.GetState() != lapisv1.Endpoint_STATE_DRAINING
 }
--- a/internal/requestpath/balance/statement.go
+++ b/internal/requestpath/balance/statement.go
@@ -83,3 +83,9 @@
 	limit, _ := t.statement.load()
 	return limit
 }
+
+// leaving reports whether the instance has stated that it is about to leave.
+func (t *Target) leaving() bool {
+	_, leaving := t.statement.load()
+	return leaving
+}
--- a/internal/requestpath/balance/statement_test.go
+++ b/internal/requestpath/balance/statement_test.go
@@ -9,6 +9,7 @@
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/requestpath/balance"
+	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
 // endpointOf returns instance desk-0 as announced by an incarnation of its daemon.
@@ -91,3 +92,18 @@
 	_, err := p.Pick(p.service, balance.Choice{Route: route, TargetLatency: target})
 	assert.NilError(t, err)
 }
+
+// Guards against calls to an instance that has stated that it leaves, also when its daemon restarts and
+// announces it as ready again.
+func TestInstanceThatLeavesIsNotChosen(t *testing.T) {
+	p := newPool()
+	p.Update("desk", endpointOf(1))
+	p.Targets("desk")[0].RecordStatement(callapi.RateLimit{}, true, p.clock.now)
+	for incarnation := range uint64(3) {
+		p.Update("desk", endpointOf(incarnation))
+		// An answer that the instance wrote before it began to leave.
+		p.Targets("desk")[0].RecordStatement(callapi.RateLimit{}, false, p.clock.now)
+		_, err := p.Pick(p.service, balance.Choice{Route: route, TargetLatency: target})
+		assert.Assert(t, result.Is(err, result.CallNoEndpoint), "%v", err)
+	}
+}
--- a/internal/requestpath/origin/handover.go
+++ b/internal/requestpath/origin/handover.go
@@ -51,6 +51,9 @@
 		// Any other answer is from the instance itself and not from its successor at the address.
 		stated = instance.recordStatement(o.config.Envelope.Statement(response.Header), sentAt, refusal == nil)
 	}
+	if stated.Leaving && !o.isWithdrawn(instance.Name) {
+		o.Withdraw(instance.Name)
+	}
 	if refusal != nil {
 		_ = response.Body.Close() // It only ends the exchange, and never fails.
 		releaseRefused(slot, refusal)
--- a/internal/requestpath/origin/statement_test.go
+++ b/internal/requestpath/origin/statement_test.go
@@ -174,3 +174,16 @@
 	assert.Assert(t, result.Is(err, result.CallNotRunUnknownHere), "%v", err)
 	assert.Equal(t, origin.Instances()[0].LimitUse().PerSecond, 0.0)
 }
+
+// Guards against calls to an instance that has stated in an answer that it leaves.
+func TestInstanceThatStatesThatItLeavesGetsNoCalls(t *testing.T) {
+	backend := newStatingBackend(t)
+	backend.leaving.Store("1")
+	origin := newStatingOrigin(backend)
+	head, err := origin.call(t, nil)
+	assert.NilError(t, err)
+	assert.Assert(t, head.GetLeaving())
+	_, err = origin.call(t, nil)
+	assert.Assert(t, result.Is(err, result.CallNotRunDraining), "%v", err)
+	assert.DeepEqual(t, origin.Withdrawn(), []string{"desk-1"})
+}
