Emulator and soak: instances state limits for a while, and that they leave in all answers

Change: a fault kind (an instance states 0.5 to 6.5 requests a second), a disturbance of the soak on real processes beside stops, kills, pauses, releases and faults of the store, and Server-Leaving in all answers of an instance that shuts down.

--- a/internal/lab/emulator/day/play.go
+++ b/internal/lab/emulator/day/play.go
@@ -43,6 +43,7 @@
 	FaultZoneEmptiedCold FaultKind = "zone-evacuated-back-cold"
 	FaultZoneCold        FaultKind = "zone-restarted-cold"
 	FaultInstanceHangs   FaultKind = "instance-hangs-when-full"
+	FaultInstanceLimited FaultKind = "instance-states-limit"
 	// FaultPoisonRequest repeatedly sends a poison request, under which each instance that runs it
 	// crashes.
 	FaultPoisonRequest FaultKind = "deadly-request"
@@ -52,7 +53,7 @@
 var FaultKinds = []FaultKind{
 	FaultDaemonKill, FaultDaemonStop, FaultHerdKill, FaultInstanceCrash, FaultInstanceRelease, FaultInstanceSlow,
 	FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten, FaultStoreDown, FaultStoreSilent, FaultStoreSlow, FaultStoreForgets, FaultStoreRefuses, FaultStoreIgnores,
-	FaultWritesLost, FaultConfigStorm, FaultZoneEvacuated, FaultZoneEmptiedCold, FaultZoneCold, FaultInstanceHangs,
+	FaultWritesLost, FaultConfigStorm, FaultZoneEvacuated, FaultZoneEmptiedCold, FaultZoneCold, FaultInstanceHangs, FaultInstanceLimited,
 	FaultPoisonRequest,
 }
 
@@ -215,6 +216,8 @@
 		p.sendPoison(ctx, random)
 	case FaultZoneEvacuated, FaultZoneEmptiedCold, FaultZoneCold:
 		p.injectZoneFault(ctx, fault, machine.Zone)
+	case FaultInstanceLimited:
+		machine.Instance().StateRate(ctx, minStatedRate+random.Float64()*statedRateSpread, limitFactor*fault.Duration)
 	case FaultInstanceSlow, FaultAnswersLost, FaultAnswersSpoiled, FaultAnswersFail, FaultIdleForgotten, FaultInstanceHangs:
 		machine.Instance().Set(behaviourOf(fault.Kind))
 		sleep.For(ctx, fault.Duration)
@@ -224,6 +227,15 @@
 	}
 }
 
+// Constants of the rate limits that instances state: between minStatedRate and statedRateSpread more, in
+// requests per second, both far below what an instance receives. A limit lasts limitFactor times as long as
+// other faults, because it applies only after Options.Contact and is checked over seconds.
+const (
+	minStatedRate    = 0.5
+	statedRateSpread = 6
+	limitFactor      = 4
+)
+
 // poisonInterval is the time between two sends of a poison request.
 const poisonInterval = 200 * time.Millisecond
 
--- a/internal/lab/emulator/day/statement_test.go
+++ b/internal/lab/emulator/day/statement_test.go
@@ -1,6 +1,7 @@
 package day_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/day"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/instance"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/objectstore"
+	"github.com/lapisvane/lapisvane/internal/lab/emulator/promise"
 )
 
 const (
@@ -56,13 +58,18 @@
 		t.Run(name, func(t *testing.T) {
 			site, tally, stop := start(t)
 			awaitServed(t, tally, 50)
-			limited := site.Machines[0]
-			limited.Instance().Set(instance.Behaviour{StatedRate: statedRate})
-			disrupt(t, site, limited, disruption)
-			received := limited.Instance().Received()
-			limited.Instance().Set(instance.Behaviour{})
-			site.Ledger.StatedRateEnded(limited.Instance().Name())
-			awaitReceived(t, tally, limited.Instance(), received+100)
+			beside := site.Machines[0]
+			limited := beside.Instance()
+			ctx, end := context.WithCancel(t.Context())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				limited.StateRate(ctx, statedRate, waitTimeout)
+			}()
+			disrupt(t, site, beside, disruption)
+			end()
+			<-ended
+			awaitReceived(t, tally, limited, limited.Received()+100)
 			stop()
 			assertPromisesKept(t, site)
 		})
@@ -84,7 +91,7 @@
 			site, tally, stop := start(t)
 			awaitServed(t, tally, 50)
 			leaving := site.Machines[0]
-			leaving.Instance().Set(instance.Behaviour{Leaving: true})
+			leaving.Instance().SetStatement(promise.Statement{Leaving: true})
 			disrupt(t, site, leaving, disruption)
 			stop()
 			assertPromisesKept(t, site)
--- a/internal/lab/emulator/instance/instance.go
+++ b/internal/lab/emulator/instance/instance.go
@@ -54,10 +54,6 @@
 	Capacity int
 	// OnFull is the treatment of a request beyond the capacity.
 	OnFull OnFull
-	// StatedRate is the rate of requests per second that the instance states as its limit in its answers;
-	// 0 states none. Leaving makes it state in its answers that it is about to leave.
-	StatedRate float64
-	Leaving    bool
 	// Silent makes the instance stop answering requests and sending heartbeats.
 	Silent bool
 }
@@ -131,6 +127,7 @@
 	// mutex protects everything below.
 	mutex     sync.Mutex
 	behaviour Behaviour
+	statement promise.Statement
 	random    *rand.Rand
 	conns     map[net.Conn]bool
 }
@@ -195,6 +192,31 @@
 	i.behaviour = behaviour
 }
 
+// SetStatement replaces what the instance states about itself in all its answers. While it shuts down, it
+// also states that it leaves.
+func (i *Instance) SetStatement(statement promise.Statement) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.statement = statement
+}
+
+// StateRate makes the instance state a rate limit, in requests per second, until ctx ends or the time has
+// passed.
+func (i *Instance) StateRate(ctx context.Context, perSecond float64, during time.Duration) {
+	i.SetStatement(promise.Statement{PerSecond: perSecond})
+	sleep.For(ctx, during)
+	i.SetStatement(promise.Statement{})
+	i.options.Ledger.StatedRateEnded(i.Name(), time.Now())
+}
+
+func (i *Instance) currentStatement() promise.Statement {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	current := i.statement
+	current.Leaving = current.Leaving || i.draining.Load()
+	return current
+}
+
 func (i *Instance) currentBehaviour() Behaviour {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
--- a/internal/lab/emulator/instance/serve.go
+++ b/internal/lab/emulator/instance/serve.go
@@ -303,20 +303,20 @@
 	if after == connectionClosed {
 		head += "Connection: close\r\n"
 	}
-	_, err := io.WriteString(conn, head+statementFields(i.currentBehaviour())+"\r\n")
+	_, err := io.WriteString(conn, head+statementFields(i.currentStatement())+"\r\n")
 	if err != nil {
 		return connectionClosed
 	}
 	return after
 }
 
-// statementFields returns the header fields in which the instance states something about itself.
-func statementFields(behaviour Behaviour) string {
+// statementFields returns the header fields of a statement.
+func statementFields(statement promise.Statement) string {
 	fields := ""
-	if behaviour.StatedRate > 0 {
-		fields += fmt.Sprintf("%s: %g\r\n", platform.HeaderLimit, behaviour.StatedRate)
+	if statement.PerSecond > 0 {
+		fields += fmt.Sprintf("%s: %g\r\n", platform.HeaderLimit, statement.PerSecond)
 	}
-	if behaviour.Leaving {
+	if statement.Leaving {
 		fields += platform.HeaderLeaving + ": 1\r\n"
 	}
 	return fields
@@ -338,7 +338,7 @@
 	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n%s: %d,%d,%d\r\n", status, http.StatusText(status),
 		platform.HeaderRequestID, request.Header.Get(platform.HeaderRequestID), platform.HeaderStamp, stamp,
 		platform.HeaderLoad, i.running.Load(), i.waiting.Load(), i.options.Slots)
-	head += statementFields(behaviour)
+	head += statementFields(i.currentStatement())
 	framed := head + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
 	switch {
 	case i.chance(behaviour.GarbageShare):
--- a/internal/lab/emulator/promise/statement.go
+++ b/internal/lab/emulator/promise/statement.go
@@ -30,8 +30,9 @@
 // statedInstance is the record of an instance that has stated something about itself.
 type statedInstance struct {
 	perSecond float64
-	// limitedAt is when a daemon first passed on an answer with the rate.
-	limitedAt time.Time
+	// limitedAt is when a daemon first passed on an answer with the rate, and endedAt when the instance
+	// last ended a limit.
+	limitedAt, endedAt time.Time
 	// limitPassedOn and leavingPassedOn are the times at which each daemon, by its address, first passed
 	// on an answer with a rate, or one with the statement that the instance leaves.
 	limitPassedOn, leavingPassedOn map[string]time.Time
@@ -44,13 +45,13 @@
 func (l *Ledger) StatementPassedOn(request, stamp string, statement Statement, at time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	daemon := l.requests[request].DaemonAddress
-	if !l.requests[request].SentAt.After(l.interruptedAt[daemon]) {
+	sent := l.requests[request]
+	if statement == (Statement{}) || sent.DaemonAddress == "" || !sent.SentAt.After(l.interruptedAt[sent.DaemonAddress]) {
 		return
 	}
 	for _, run := range l.runs[request] {
-		if run.Stamp == stamp && daemon != "" {
-			l.statedInstance(run.Instance).passedOn(daemon, statement, at)
+		if run.Stamp == stamp {
+			l.statedInstance(run.Instance).passedOn(sent, statement, at)
 		}
 	}
 }
@@ -65,30 +66,37 @@
 	return known
 }
 
-func (s *statedInstance) passedOn(daemon string, statement Statement, at time.Time) {
+// passedOn records that the daemon of a request passed on a statement. An answer to a request that was
+// sent before the instance ended a limit states nothing about a later one.
+func (s *statedInstance) passedOn(sent Request, statement Statement, at time.Time) {
+	daemon := sent.DaemonAddress
 	if _, before := s.leavingPassedOn[daemon]; statement.Leaving && !before {
 		s.leavingPassedOn[daemon] = at
 	}
-	if statement.PerSecond <= 0 {
+	if statement.PerSecond <= 0 || !sent.SentAt.After(s.endedAt) {
 		return
 	}
-	if s.perSecond == 0 {
-		s.limitedAt = at
+	if statement.PerSecond != s.perSecond {
+		s.startLimit(statement.PerSecond, at)
 	}
-	s.perSecond = statement.PerSecond
 	if _, before := s.limitPassedOn[daemon]; !before {
 		s.limitPassedOn[daemon] = at
 	}
 }
 
+// startLimit starts the count anew for a limit that no daemon has passed on before.
+func (s *statedInstance) startLimit(perSecond float64, at time.Time) {
+	s.perSecond, s.limitedAt, s.deliveries = perSecond, at, nil
+	clear(s.limitPassedOn)
+}
+
 // StatedRateEnded records that an instance states no rate any more.
-func (l *Ledger) StatedRateEnded(instance string) {
+func (l *Ledger) StatedRateEnded(instance string, at time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if known := l.statedInstances[instance]; known != nil {
-		known.perSecond, known.deliveries = 0, nil
-		clear(known.limitPassedOn)
-	}
+	known := l.statedInstance(instance)
+	known.startLimit(0, at)
+	known.endedAt = at
 }
 
 // DaemonInterrupted records that a daemon, which is identified by its address for callers, ended or
--- a/internal/lab/emulator/promise/statement_test.go
+++ b/internal/lab/emulator/promise/statement_test.go
@@ -41,7 +41,7 @@
 		"an uninformed daemon":      {daemon: "e", deliveries: 18, from: 2 * time.Second},
 		"an interrupted daemon":     {daemon: "d", deliveries: 18, from: 2 * time.Second, before: func(l *promise.Ledger) { l.DaemonInterrupted("d") }},
 		"another interrupted one":   {daemon: "d", deliveries: 18, from: 2 * time.Second, before: func(l *promise.Ledger) { l.DaemonInterrupted("e") }, breaches: 1},
-		"the rate is no longer set": {daemon: "d", deliveries: 18, from: 2 * time.Second, before: func(l *promise.Ledger) { l.StatedRateEnded("i") }},
+		"the rate is no longer set": {daemon: "d", deliveries: 18, from: 2 * time.Second, before: func(l *promise.Ledger) { l.StatedRateEnded("i", now) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ledger := statementLedger(now, promise.Statement{PerSecond: 2})
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -128,6 +128,8 @@
 	if extra != nil {
 		disturbances = append(disturbances, extra(played)...)
 	}
+	// Appended last, so that the draws of the others stay those of the same seed without it.
+	disturbances = append(disturbances, played.statedLimits)
 	for _, disturb := range disturbances {
 		random := rand.New(rand.NewPCG(seed, played.random.Uint64()))
 		running.Go(func() { disturb(dayCtx, random) })
@@ -171,6 +173,16 @@
 	}
 }
 
+// statedLimits makes instances state a rate limit, one after the other, each for three to nine seconds: a
+// limit applies only after the contact time and is checked over four seconds.
+func (d *soakDay) statedLimits(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		machine := d.site.Machines[random.IntN(len(d.site.Machines))]
+		during := time.Duration((3 + 6*random.Float64()) * float64(time.Second))
+		machine.Instance().StateRate(ctx, 0.3+5*random.Float64(), during)
+	}
+}
+
 // delayedSignal is a signal that is sent during a stop; after is its delay from the SIGTERM.
 type delayedSignal struct {
 	signal syscall.Signal
