A vote moves to another owner of a limit only once the previous one cannot count it

What callers saw: more calls of an account than its limit, one of 416 in the model. Cause: an owner was cut off at the moment at which a better-ranked one came back. The third daemon stated its new view at once; the old owner could not hear it and counted the vote for another 0.9 s, so that both lent the full rate. Change: a daemon whose owners change states a transition, which counts for allowances whose owner stays, and the new view only after each previous owner has confirmed it, has ended, or has let the vote expire. One more message to and from each owner a change; nothing at rest.

--- a/internal/distribution/allowance/answers.go
+++ b/internal/distribution/allowance/answers.go
@@ -14,6 +14,7 @@
 	if peer == nil {
 		return
 	}
+	peer.confirmedNumber = max(peer.confirmedNumber, grant.GetViewNumber())
 	if grant.GetViewWanted() {
 		peer.statedKey = ""
 	}
--- a/internal/distribution/allowance/asker.go
+++ b/internal/distribution/allowance/asker.go
@@ -63,8 +63,12 @@
 // peerState is the state of this daemon's requests to one daemon that may be an owner.
 type peerState struct {
 	connected bool
-	// statedKey is the key of the view that was last sent to the peer, empty if none counts there.
-	statedKey string
+	// statedKey is the key of the view that was last sent to the peer, empty if none counts there, and
+	// statedNumber its number. confirmedNumber is the number of the newest view that the peer confirmed.
+	statedKey                     string
+	statedNumber, confirmedNumber uint64
+	// voteExpiresAt is when the vote at the peer has expired, unless it is renewed.
+	voteExpiresAt time.Time
 	// lastSentAt is when an ask was last sent to the peer.
 	lastSentAt time.Time
 	// epoch numbers the connections to the peer. Credit of an earlier connection may come from an
@@ -92,7 +96,8 @@
 	allowances map[string]*localAllowance
 	peers      map[string]*peerState
 	sequence   uint64
-	// viewNumber is the number of the view sent last.
+	// ballot determines the view that is stated. viewNumber is the number of the view sent last.
+	ballot     ballot
 	viewNumber uint64
 	revision   uint64
 	counts     Counts
--- a/internal/distribution/allowance/asks.go
+++ b/internal/distribution/allowance/asks.go
@@ -11,17 +11,18 @@
 // outgoing returns the asks that are due, by daemon.
 func (c *client) outgoing(now time.Time) map[string]*lapisv1.AllowanceAsk {
 	needs := c.needs(now)
-	current := c.ranking.view(now)
+	c.ballot.update(now, c.ranking.view(now), c.peers)
+	stated := c.ballot.stated()
 	asks := map[string]*lapisv1.AllowanceAsk{}
 	for node, peer := range c.peers {
 		if !peer.connected {
 			continue
 		}
 		ask := &lapisv1.AllowanceAsk{Needs: needs[node], Revision: c.revision}
-		if peer.statedKey != current.key && !peer.unresponsive {
-			peer.statedKey = current.key
+		if peer.statedKey != stated.key && !peer.unresponsive {
 			c.viewNumber++
-			ask.View = &lapisv1.AllowanceView{Owners: current.owners, Number: c.viewNumber}
+			peer.statedKey, peer.statedNumber = stated.key, c.viewNumber
+			ask.View = &lapisv1.AllowanceView{Owners: stated.owners, PreviousOwners: stated.previous, Number: c.viewNumber}
 		}
 		if len(ask.GetNeeds()) > 0 {
 			c.sequence++
@@ -29,10 +30,14 @@
 			peer.inFlight, peer.sentAt = ask, now
 			c.recordSent(node, ask)
 		}
-		ask.Renew = !peer.unresponsive
+		// During a change the vote is renewed only where it is confirmed, so that it expires elsewhere.
+		ask.Renew = !peer.unresponsive && (len(stated.previous) == 0 || peer.hasConfirmed(stated.key))
 		renew := ask.GetRenew() && now.Sub(peer.lastSentAt) >= renewInterval
 		if renew || ask.GetView() != nil || len(ask.GetNeeds()) > 0 {
 			peer.lastSentAt = now
+			if ask.GetRenew() || ask.GetView() != nil {
+				peer.voteExpiresAt = now.Add(ownerReplaceTimeout)
+			}
 			asks[node] = ask
 		}
 	}
--- a/internal/distribution/allowance/owner.go
+++ b/internal/distribution/allowance/owner.go
@@ -115,14 +115,15 @@
 	return true
 }
 
-// requestView returns a grant that asks for the view of a daemon whose vote does not count, nil if
-// it counts. A daemon without calls would otherwise not learn that its vote expired, and never vote
-// again.
-func (o *owner) requestView(node string, ask *lapisv1.AllowanceAsk) *lapisv1.AllowanceGrant {
-	if !ask.GetRenew() || o.votes.byNode[node] != nil {
+// confirmView returns a grant that confirms the view of an ask, or that asks for the view of a daemon
+// whose vote does not count; nil if neither is due. A daemon without calls would otherwise not learn that
+// its vote expired, and never vote again.
+func (o *owner) confirmView(node string, link Link, ask *lapisv1.AllowanceAsk) *lapisv1.AllowanceGrant {
+	wanted := ask.GetRenew() && o.votes.byNode[node] == nil
+	if ask.GetView() == nil && !wanted {
 		return nil
 	}
-	return &lapisv1.AllowanceGrant{ViewWanted: true}
+	return &lapisv1.AllowanceGrant{ViewWanted: wanted, ViewNumber: o.lastViewNumbers[link]}
 }
 
 // grant answers an ask. It returns nil for an ask that was answered before or whose link has ended.
@@ -135,7 +136,7 @@
 	if now.Sub(o.expiryCheckedAt) >= voteExpiryInterval {
 		o.dropExpiredVotes(now)
 	}
-	grant := &lapisv1.AllowanceGrant{Sequence: ask.GetSequence(), ViewWanted: o.votes.byNode[node] == nil}
+	grant := &lapisv1.AllowanceGrant{Sequence: ask.GetSequence(), ViewWanted: o.votes.byNode[node] == nil, ViewNumber: o.lastViewNumbers[link]}
 	for _, need := range ask.GetNeeds() {
 		grant.Credits = append(grant.Credits, o.lend(now, need, ask.GetRevision()))
 	}
--- a/internal/distribution/allowance/part.go
+++ b/internal/distribution/allowance/part.go
@@ -59,6 +59,9 @@
 	}
 	p.ranking.setContact(now, node, state)
 	p.client.setConnected(node, false)
+	if processEnded {
+		p.client.peers[node].voteExpiresAt = now
+	}
 }
 
 // Joined records a link that another daemon opened.
@@ -73,12 +76,12 @@
 		p.owner.renewVote(now, node, link)
 	}
 	if stated := ask.GetView(); stated != nil && p.owner.acceptNewerView(link, stated.GetNumber()) {
-		p.owner.recordView(now, node, link, newView(stated.GetOwners()))
+		p.owner.recordView(now, node, link, newTransition(stated.GetPreviousOwners(), stated.GetOwners()))
 	}
-	if len(ask.GetNeeds()) == 0 {
-		return p.owner.requestView(node, ask)
+	if len(ask.GetNeeds()) > 0 {
+		return p.owner.grant(now, node, link, ask)
 	}
-	return p.owner.grant(now, node, link, ask)
+	return p.owner.confirmView(node, link, ask)
 }
 
 // ReceiveGrant processes an owner's answer.
