Daemons that a stated limit has refused return one after the other

What callers saw: a detour of a round trip for most calls that a balancer sends to a limited instance. Cause: all refused daemons were told to return at the next token, where all but one were refused again. Change: each refusal states a later time, two for each token, at most 2 s.

--- a/internal/requestpath/admission/queue.go
+++ b/internal/requestpath/admission/queue.go
@@ -41,9 +41,10 @@
 	tokenTimer               *time.Timer
 	pacedCalls, paceRefusals int64
 	// rateLimit holds the rate limit that the back end states (ratelimit.go). rateRefusals counts the
-	// calls that it refused.
-	rateLimit    bucket
-	rateRefusals int64
+	// calls that it refused, and nextRateRetry is when the next refused caller may retry.
+	rateLimit     bucket
+	rateRefusals  int64
+	nextRateRetry time.Time
 }
 
 // waiter is a call in the queue. Exactly one message is sent on outcome: nil if the call got a
--- a/internal/requestpath/admission/ratelimit.go
+++ b/internal/requestpath/admission/ratelimit.go
@@ -16,6 +16,17 @@
 // the back end states its limit.
 const rateLimitBurst = 500 * time.Millisecond
 
+// Parameters of the retry times of calls that a rate limit refuses. Callers that all return at the next
+// token would be refused again but for one.
+const (
+	// returnsPerToken is the number of refused callers that may return for each token. It is above 1,
+	// because some of them have no further call by then, and a token that nobody uses is lost.
+	returnsPerToken = 2
+	// maxRateRetryAfter is the maximum retry time, after which a caller learns whether the limit has
+	// changed.
+	maxRateRetryAfter = 2 * time.Second
+)
+
 // RateLimitUse is the usage of the rate limit of a queue.
 type RateLimitUse struct {
 	// Tokens is the number of calls that may start now; 0 without a limit.
@@ -75,17 +86,35 @@
 	return q.rateRefusal(now)
 }
 
-// rateRefusal returns the refusal of a call by the rate limit. Its retry time is the wait for the token
-// after those of the waiting calls. The caller must hold mutex.
+// rateRefusal returns the refusal of a call by the rate limit, with a retry time (rateRetryAfter). The
+// caller must hold mutex.
 func (q *Queue) rateRefusal(now time.Time) *result.Error {
 	refusal := result.Errorf(result.CallNotRunLimited, "the back end accepts %g calls per second", q.rateLimit.pace.PerSecond)
-	refusal.RetryAfter = max(q.rateLimit.wait(q.waiting, now), minRetryAfter)
+	refusal.RetryAfter = q.rateRetryAfter(now)
 	return refusal
 }
 
+// rateRetryAfter returns when the caller of a refused call may retry: at the token after those of the
+// waiting calls and of the callers that were refused before. The caller must hold mutex.
+func (q *Queue) rateRetryAfter(now time.Time) time.Duration {
+	next := now.Add(q.rateLimit.wait(q.waiting, now))
+	if q.nextRateRetry.Before(next) {
+		q.nextRateRetry = next
+	}
+	retryAfter := min(max(q.nextRateRetry.Sub(now), minRetryAfter), maxRateRetryAfter)
+	q.nextRateRetry = q.nextRateRetry.Add(durationOf(1 / (returnsPerToken * q.rateLimit.pace.PerSecond)))
+	if latest := now.Add(maxRateRetryAfter); q.nextRateRetry.After(latest) {
+		q.nextRateRetry = latest
+	}
+	return retryAfter
+}
+
 // refuseWaitingForRate refuses all waiting calls because a rate limit begins. The caller must hold
 // mutex.
 func (q *Queue) refuseWaitingForRate(now time.Time) {
+	if q.waiting == 0 {
+		return
+	}
 	q.rateRefusals += int64(q.waiting)
 	refusal := q.rateRefusal(now)
 	for _, g := range q.groups {
--- a/internal/requestpath/admission/ratelimit_test.go
+++ b/internal/requestpath/admission/ratelimit_test.go
@@ -158,3 +158,17 @@
 		running.Release(false)
 	})
 }
+
+// Guards against refused callers that all return at the next token and are refused again.
+func TestCallersRefusedByTheRateLimitReturnOneAfterTheOther(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	queue := newLimitedQueue(clock, 5)
+	var retryAfter []time.Duration
+	for range 40 {
+		_, err := queue.Acquire(context.Background(), admission.Request{})
+		assert.Assert(t, result.Is(err, result.CallNotRunLimited), "%v", err)
+		retryAfter = append(retryAfter, err.(*result.Error).RetryAfter.Round(time.Millisecond))
+	}
+	assert.DeepEqual(t, retryAfter[:4], []time.Duration{200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond, 500 * time.Millisecond})
+	assert.Equal(t, retryAfter[39], 2*time.Second)
+}
