What an instance stated is kept when its answer arrives after it is no longer listed

What callers saw: nothing so far; found by reading. Cause: the record of an instance without a statement was dropped as soon as it was not listed. The answer of a call in flight was then recorded where nobody looks, and the daemon that passed the answer on would have sent calls to the instance once it was listed again.

--- a/internal/requestpath/admission/decision.go
+++ b/internal/requestpath/admission/decision.go
@@ -78,10 +78,9 @@
 }
 
 // decideArrival makes the first decision on an arriving call: to start, to refuse, or to leave the
-// rest to decideWait. Calls that can never run, or that the back end's rate limit leaves over, are refused
-// before any estimate. A call does not
-// overtake waiting ones even if a slot is free for it, because an upload may wait while slots are
-// reserved for other calls.
+// rest to decideWait. Calls that can never run, or for which the back end's rate limit leaves no token,
+// are refused before any estimate. A call does not overtake waiting ones even if a slot is free for it,
+// because an upload may wait while slots are reserved for other calls.
 func decideArrival(request Request, state queueState, now time.Time) action {
 	switch {
 	case state.closed:
--- a/internal/requestpath/admission/doc.go
+++ b/internal/requestpath/admission/doc.go
@@ -18,6 +18,6 @@
 // and knows nothing about instances, routes or services.
 //
 // Invariants: the number of running calls never exceeds the limit; in any second at most the burst
-// plus the rate of the pace, and of the rate limit, are admitted; a refused call did not start; a waiting call is granted a
-// slot, refused or abandoned exactly once.
+// plus the rate of the pace, and of the rate limit, are admitted; a refused call did not start; a
+// waiting call is granted a slot, refused or abandoned exactly once.
 package admission
--- a/internal/requestpath/admission/slot.go
+++ b/internal/requestpath/admission/slot.go
@@ -19,8 +19,8 @@
 	once     sync.Once
 }
 
-// start gives a free slot, and a token of the pace and of the rate limit if they are in force, to a request. The caller must hold
-// mutex.
+// start gives a request a free slot, and a token of the pace and of the rate limit if they are in force.
+// The caller must hold mutex.
 func (q *Queue) start(g *group, request Request, now time.Time) *Slot {
 	g.decay(now)
 	g.running++
--- a/internal/requestpath/balance/balancer.go
+++ b/internal/requestpath/balance/balancer.go
@@ -52,25 +52,28 @@
 		previous[target.Endpoint.GetInstance()] = target
 	}
 	now := b.now()
-	stated := b.statements[service]
-	if stated == nil {
-		stated = statements{}
-		b.statements[service] = stated
-	}
+	stated := b.statementsOf(service).list(endpoints, now)
 	targets := make([]*Target, 0, len(endpoints))
-	listed := make(map[string]bool, len(endpoints))
 	for _, endpoint := range endpoints {
 		if endpoint.GetState() == lapisv1.Endpoint_STATE_GONE {
 			continue
 		}
 		instance := endpoint.GetInstance()
-		listed[instance] = true
-		targets = append(targets, b.updatedTarget(previous[instance], endpoint, stated.of(instance), now))
+		targets = append(targets, b.updatedTarget(previous[instance], endpoint, stated[instance], now))
 	}
-	stated.prune(listed, now)
 	b.services[service] = targets
 }
 
+// statementsOf returns the statements of the instances of a service. The caller must hold mutex.
+func (b *Balancer) statementsOf(service string) statements {
+	known := b.statements[service]
+	if known == nil {
+		known = statements{}
+		b.statements[service] = known
+	}
+	return known
+}
+
 // updatedTarget returns the target for an endpoint. It reuses the observations of previous, which
 // may be nil, if both have the same incarnation.
 func (b *Balancer) updatedTarget(previous *Target, endpoint *lapisv1.Endpoint, stated *statement, now time.Time) *Target {
--- a/internal/requestpath/balance/doc.go
+++ b/internal/requestpath/balance/doc.go
@@ -9,10 +9,9 @@
 //
 // The package holds this daemon's observations of each instance of each service, and what the
 // instances stated about themselves (statement.go). They are kept in memory only and are lost when the
-// daemon restarts. The package starts no goroutines and opens no
-// connections or files. Callers supply the endpoints (Balancer.Update, from the distribution
-// plane), the configuration in force (package snapshot) and the outcome of each call (the methods
-// of Target).
+// daemon restarts. The package starts no goroutines and opens no connections or files. Callers supply
+// the endpoints (Balancer.Update, from the distribution plane), the configuration in force (package
+// snapshot) and the outcome of each call (the methods of Target).
 //
 // Invariants: an instance that a constraint excludes is never selected; a pool is never emptied by
 // health checks alone; every daemon ranks the instances for an idempotency key in the same order.
--- a/internal/requestpath/gateway/observations.go
+++ b/internal/requestpath/gateway/observations.go
@@ -15,7 +15,7 @@
 // limit, whether the instance leaves, that it is reachable, and whether the answer is a failure. Service time and size are recorded only for
 // successful answers, since a fast failure does not mean a fast service.
 func (a *attempter) observeAnswer(target *balance.Target, answer *callapi.Answer, now time.Time) {
-	target.RecordStatement(statedLimit(answer.Head), answer.Head.GetLeaving(), now)
+	target.RecordStatement(statedLimit(answer.Head), answer.Head.GetLeaving())
 	target.RecordLoad(answer.Head.GetLoad(), now)
 	target.RecordSlowdown(answer.Head.GetWorkPercent(), now)
 	target.RecordSuccess()
