--- a/internal/distribution/allowance/asks.go
+++ b/internal/distribution/allowance/asks.go
@@ -36,6 +36,7 @@
 		if renew || ask.GetView() != nil || len(ask.GetNeeds()) > 0 {
 			peer.lastSentAt = now
 			if ask.GetRenew() || ask.GetView() != nil {
+				// This covers voteTTL, the time in transit and voteExpiryInterval.
 				peer.voteExpiresAt = now.Add(ownerReplaceTimeout)
 			}
 			asks[node] = ask
