--- a/internal/lab/emulator/day/statement_test.go
+++ b/internal/lab/emulator/day/statement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,8 +16,7 @@
 )
 
 const (
-	// statedRate is well below the 33 requests per second that each instance of the site's first service
-	// receives.
+	// statedRate is well below the 20 to 33 requests per second that each instance of the site receives.
 	statedRate = 5
 	// statementLoad is the length of the load: the time after which a limit applies and two windows.
 	statementLoad = 10 * time.Second
@@ -52,24 +52,30 @@
 	}
 }
 
+// statingInstances returns an instance that clients send requests to, and one that receives calls of other
+// instances.
+func statingInstances(site *day.Site) []*instance.Instance {
+	return []*instance.Instance{site.Machines[0].Instance(), site.Machines[3].Instance()}
+}
+
 // Guards against instances that receive more requests than the rate that they state.
 func TestInstanceReceivesNoMoreThanItsStatedRate(t *testing.T) {
 	for name, disruption := range disruptions {
 		t.Run(name, func(t *testing.T) {
 			site, tally, stop := start(t)
 			awaitServed(t, tally, 50)
-			beside := site.Machines[0]
-			limited := beside.Instance()
 			ctx, end := context.WithCancel(t.Context())
-			ended := make(chan struct{})
-			go func() {
-				defer close(ended)
-				limited.StateRate(ctx, statedRate, waitTimeout)
-			}()
-			disrupt(t, site, beside, disruption)
+			var stating sync.WaitGroup
+			limited := statingInstances(site)
+			for _, instance := range limited {
+				stating.Go(func() { instance.StateRate(ctx, statedRate, waitTimeout) })
+			}
+			disrupt(t, site, site.Machines[0], disruption)
 			end()
-			<-ended
-			awaitReceived(t, tally, limited, limited.Received()+100)
+			stating.Wait()
+			for _, instance := range limited {
+				awaitReceived(t, tally, instance, instance.Received()+100)
+			}
 			stop()
 			assertPromisesKept(t, site)
 		})
@@ -90,9 +96,10 @@
 		t.Run(name, func(t *testing.T) {
 			site, tally, stop := start(t)
 			awaitServed(t, tally, 50)
-			leaving := site.Machines[0]
-			leaving.Instance().SetStatement(promise.Statement{Leaving: true})
-			disrupt(t, site, leaving, disruption)
+			for _, instance := range statingInstances(site) {
+				instance.SetStatement(promise.Statement{Leaving: true})
+			}
+			disrupt(t, site, site.Machines[0], disruption)
 			stop()
 			assertPromisesKept(t, site)
 		})
