Lines tell each failed poll, where a version came from, and confirmations ahead of the clock

Change: source.poll_failed with the time taken and the time to the next poll; configuration.in_force says from which daemon or the store and how old the last confirmation was; fleet.confirmation_ahead, once per daemon until its confirmations are plausible again. No decision changes. All lines are at most as frequent as polls, versions and links. Measured: tests of distribution, daemon and explain pass.

--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -19,6 +19,7 @@
 	"github.com/lapisvane/lapisvane/internal/distribution/fleet"
 	"github.com/lapisvane/lapisvane/internal/model/account"
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
+	"github.com/lapisvane/lapisvane/internal/shared/boottime"
 	"github.com/lapisvane/lapisvane/internal/transport/callmux"
 	"github.com/lapisvane/lapisvane/internal/transport/peer"
 )
@@ -129,7 +130,7 @@
 	}
 	p.fleet = fleet.New(config)
 	p.follower = &configsource.Follower{
-		Source: platform.Source(), Apply: p.OfferConfiguration, Freshness: p.freshness, Confirmed: p.fleet.SendHeartbeats,
+		Source: platform.Source(), Apply: p.readConfiguration, Freshness: p.freshness, Confirmed: p.fleet.SendHeartbeats,
 		ApplyOrders: p.ordersReader(), OrderKinds: p.orderKinds(), OrdersBound: p.ordersBound(),
 		Awaited: p.path.snapshots.HasWaitingCalls, Bound: p.pollBound(), Daemons: func() int { return int(p.members.Load()) },
 		MinInterval: p.minInterval, Random: rand.Float64, Resumed: p.resumed, Logger: p.path.logger,
@@ -263,28 +264,43 @@
 	return p.fleet.ConnectedMembers() > 0 && p.path.origin.LocalService() != ""
 }
 
-// OfferConfiguration puts a configuration in force if it is newer than the current one. It implements
-// fleet.Observer.
-func (p *platformDistribution) OfferConfiguration(configuration *lapisv1.Configuration) {
+// readConfiguration puts a configuration in force that was read from the store.
+func (p *platformDistribution) readConfiguration(configuration *lapisv1.Configuration) {
+	p.OfferConfiguration(configuration, fromStore)
+}
+
+// OfferConfiguration puts a configuration in force if it is newer than the current one. from is its origin: a
+// daemon or the store. It implements fleet.Observer.
+func (p *platformDistribution) OfferConfiguration(configuration *lapisv1.Configuration, from string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	path := p.path
 	current := p.inForce.Load()
-	if configuration.GetRevision() <= current.GetRevision() || p.deferUntilOrders(configuration) {
+	if configuration.GetRevision() <= current.GetRevision() || p.deferUntilOrders(configuration, from) {
 		return
 	}
 	if err := path.snapshots.ReplaceConfiguration(configuration); err != nil {
-		path.logger.Error(err, "configuration.refused", "revision", configuration.GetRevision(), "in_force", current.GetRevision())
+		path.logger.Error(err, "configuration.refused", "revision", configuration.GetRevision(), "in_force", current.GetRevision(), "by", from)
 		return
 	}
 	p.inForce.Store(configuration)
 	p.freshness.Advance(configuration.GetRevision())
 	p.inForceAt.Store(int64(time.Since(p.started)))
 	path.origin.Configure(path.snapshots.Current())
-	path.logger.Info("configuration.in_force", "revision", configuration.GetRevision(), "before", current.GetRevision())
+	p.logInForce(configuration, current, from)
 	p.fleet.SendHeartbeats()
 }
 
+// logInForce logs that a configuration from a daemon or the store has replaced current, with the age of the
+// last confirmation of current; -1 if it was never confirmed.
+func (p *platformDistribution) logInForce(configuration, current *lapisv1.Configuration, from string) {
+	age := int64(-1)
+	if confirmed := p.freshness.Confirmed(); !confirmed.IsZero() {
+		age = boottime.Since(confirmed).Milliseconds()
+	}
+	p.path.logger.Info("configuration.in_force", "revision", configuration.GetRevision(), "before", current.GetRevision(), "by", from, "confirmed_age_ms", age)
+}
+
 // Endpoints implements fleet.Observer.
 func (p *platformDistribution) Endpoints(service string, endpoints []*lapisv1.Endpoint) {
 	p.path.balancer.Update(service, endpoints)
--- a/internal/daemon/platform_distribution_test.go
+++ b/internal/daemon/platform_distribution_test.go
@@ -63,7 +63,7 @@
 	assert.NilError(t, err)
 	defer running.listeners.close()
 	platform := platformDistributionOf(t, running)
-	offer := platform.OfferConfiguration
+	offer := platform.readConfiguration
 
 	offer(configurationOf(t, 7, "/new/"))
 	assert.Equal(t, running.Revision(), uint64(7))
--- a/internal/daemon/platform_orders.go
+++ b/internal/daemon/platform_orders.go
@@ -11,7 +11,7 @@
 	"github.com/lapisvane/lapisvane/internal/model/position"
 )
 
-// fromStore is the logged origin of orders that were read from the platform's store.
+// fromStore is the logged origin of configurations and orders that were read from the platform's store.
 const fromStore = "store"
 
 // ordersState is the state for applying the operators' orders.
@@ -24,9 +24,10 @@
 	// no daemon was known.
 	mutex        sync.Mutex
 	unknownZones map[string]bool
-	// deferred is the newest configuration that waits for the first orders. It is protected by
-	// platformDistribution.mutex.
-	deferred *lapisv1.Configuration
+	// deferred is the newest configuration that waits for the first orders, deferredFrom its origin. They
+	// are protected by platformDistribution.mutex.
+	deferred     *lapisv1.Configuration
+	deferredFrom string
 }
 
 // orderKinds returns the kinds of orders that are enabled.
@@ -80,12 +81,12 @@
 
 // deferUntilOrders defers a configuration until the first orders are known, so that no call is sent before,
 // and reports whether it did. The caller holds p.mutex.
-func (p *platformDistribution) deferUntilOrders(configuration *lapisv1.Configuration) bool {
+func (p *platformDistribution) deferUntilOrders(configuration *lapisv1.Configuration, from string) bool {
 	if p.ordersKnown() {
 		return false
 	}
 	if configuration.GetRevision() > p.orders.deferred.GetRevision() {
-		p.orders.deferred = configuration
+		p.orders.deferred, p.orders.deferredFrom = configuration, from
 	}
 	return true
 }
@@ -93,11 +94,11 @@
 // releaseDeferred offers the deferred configuration, if any.
 func (p *platformDistribution) releaseDeferred() {
 	p.mutex.Lock()
-	deferred := p.orders.deferred
+	deferred, from := p.orders.deferred, p.orders.deferredFrom
 	p.orders.deferred = nil
 	p.mutex.Unlock()
 	if deferred != nil {
-		p.OfferConfiguration(deferred)
+		p.OfferConfiguration(deferred, from)
 	}
 }
 
--- a/internal/daemon/platform_orders_test.go
+++ b/internal/daemon/platform_orders_test.go
@@ -54,13 +54,13 @@
 		t.Run(name, func(t *testing.T) {
 			platform, _ := newPlatformDaemon(t, 5*time.Second)
 			for _, revision := range []uint64{7, 5} {
-				platform.OfferConfiguration(configurationOf(t, revision, "/new/"))
+				platform.OfferConfiguration(configurationOf(t, revision, "/new/"), "near")
 			}
 			assert.Assert(t, !platform.ready())
 			assert.Equal(t, platform.path.revision(), uint64(0))
 			ordersFirst := false
 			platform.orders.follow = func(_, _ *orders.Set, _ string) {
-				platform.OfferConfiguration(configurationOf(t, 6, "/while/"))
+				platform.OfferConfiguration(configurationOf(t, 6, "/while/"), "near")
 				ordersFirst = platform.path.revision() == 0 && !platform.ready()
 			}
 			learn(platform, evacuationOrders(3, 3, "z"))
@@ -75,7 +75,7 @@
 // If orders are disabled, the daemon does not wait for them, poll them or send them.
 func TestNoOrdersWhereNoneAreGiven(t *testing.T) {
 	platform, lines := newPlatformDaemon(t, 0)
-	platform.OfferConfiguration(configurationOf(t, 7, "/new/"))
+	platform.OfferConfiguration(configurationOf(t, 7, "/new/"), "near")
 	assert.Assert(t, platform.ready())
 	assert.Assert(t, platform.follower.ApplyOrders == nil && platform.ordersInForce() == nil)
 	assert.Equal(t, len(*lines), 0)
--- a/internal/distribution/configsource/poll.go
+++ b/internal/distribution/configsource/poll.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		f.recordFailure(err)
 		plan.failed(boottime.Now(), f.MinInterval(), f.Freshness.Confirmed().IsZero())
+		f.logFailedPoll(err, began, plan)
 		return
 	}
 	if f.failing {
@@ -140,6 +141,12 @@
 	f.FailedPolls.Add(1)
 }
 
+// logFailedPoll logs a poll that was not answered, with the time that it took and the time until this daemon may
+// poll again. The line is at most as frequent as the polls.
+func (f *Follower) logFailedPoll(err error, began time.Time, plan *schedule) {
+	f.Logger.Info("source.poll_failed", "position", f.position, "took_ms", boottime.Since(began).Milliseconds(), "next_in_ms", boottime.Until(plan.notBefore).Milliseconds(), "error", err)
+}
+
 // logBecameActivePoller logs that this daemon becomes the active poller, with the age of the latest
 // confirmation known to it.
 func (f *Follower) logBecameActivePoller(began, confirmed time.Time) {
--- a/internal/distribution/fleet/catchup.go
+++ b/internal/distribution/fleet/catchup.go
@@ -122,8 +122,8 @@
 	return best, best.link
 }
 
-func (f *Fleet) receiveConfiguration(configuration *lapisv1.Configuration) {
-	f.config.Observer.OfferConfiguration(configuration)
+func (f *Fleet) receiveConfiguration(peer *peer, configuration *lapisv1.Configuration) {
+	f.config.Observer.OfferConfiguration(configuration, peer.name)
 	signal(f.configurationArrived)
 }
 
@@ -139,7 +139,7 @@
 		f.config.Logger.Error(err, "fleet.configuration_unreadable", "member", peer.name)
 		return
 	}
-	f.receiveConfiguration(configuration)
+	f.receiveConfiguration(peer, configuration)
 }
 
 // encodedConfiguration caches the encoded form of a configuration for all daemons that request it.
--- a/internal/distribution/fleet/heartbeat.go
+++ b/internal/distribution/fleet/heartbeat.go
@@ -5,6 +5,7 @@
 
 	"github.com/lapisvane/lapisvane/internal/distribution/configsource"
 	"github.com/lapisvane/lapisvane/internal/model/locality"
+	"github.com/lapisvane/lapisvane/internal/shared/boottime"
 	"github.com/lapisvane/lapisvane/internal/transport/callmux"
 )
 
@@ -17,12 +18,28 @@
 		f.recordRevision(peer, heartbeat.Revision)
 		f.mutex.Unlock()
 	}
+	f.logConfirmationAhead(peer, heartbeat.Confirmed)
 	versions := configsource.Versions{Configuration: heartbeat.Revision, Orders: heartbeat.Orders}
 	if !heartbeat.Confirmed.IsZero() && f.config.Freshness.Confirm(versions, heartbeat.Confirmed) {
 		f.SendHeartbeats()
 	}
 }
 
+// logConfirmationAhead logs the first of several confirmations in a row that are later than this daemon's clock.
+func (f *Fleet) logConfirmationAhead(peer *peer, confirmed time.Time) {
+	if peer == nil || confirmed.IsZero() {
+		return
+	}
+	ahead := -boottime.Since(confirmed)
+	f.mutex.Lock()
+	logged := peer.confirmsAhead
+	peer.confirmsAhead = ahead > 0
+	f.mutex.Unlock()
+	if ahead > 0 && !logged {
+		f.config.Logger.Info("fleet.confirmation_ahead", "member", peer.name, "by_ms", ahead.Milliseconds())
+	}
+}
+
 // SendHeartbeats sends the revisions in force and their confirmation ahead of the regular
 // heartbeats. It sends to linked daemons that lack a version, or whose last stated confirmation is
 // older than this daemon's by more than minConfirmationGain. It does not block.
--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -157,7 +157,7 @@
 		f.mutex.Unlock()
 		f.recordIntroduction(body.Introduction, link)
 	case *lapisv1.CallFrame_Configuration:
-		f.receiveConfiguration(body.Configuration)
+		f.receiveConfiguration(peer, body.Configuration)
 	case *lapisv1.CallFrame_DeflatedConfiguration:
 		f.receiveDeflatedConfiguration(peer, body.DeflatedConfiguration)
 	case *lapisv1.CallFrame_Orders:
--- a/internal/distribution/fleet/scaffold_test.go
+++ b/internal/distribution/fleet/scaffold_test.go
@@ -102,7 +102,9 @@
 // offerFunc is an observer that only receives configurations.
 type offerFunc func(*lapisv1.Configuration)
 
-func (f offerFunc) OfferConfiguration(configuration *lapisv1.Configuration) { f(configuration) }
+func (f offerFunc) OfferConfiguration(configuration *lapisv1.Configuration, _ string) {
+	f(configuration)
+}
 
 func (offerFunc) Endpoints(string, []*lapisv1.Endpoint) {}
 
