Tests: versions come into force in time on daemons that only the source can tell

A source whose answers take time for each version in them (D). The age in the first heartbeat after a suspension (B).

--- a/internal/distribution/configsource/scripted_source_test.go
+++ b/internal/distribution/configsource/scripted_source_test.go
@@ -23,6 +23,8 @@
 	requests int
 	// delay is how long an answer takes.
 	delay time.Duration
+	// perVersion is how much longer it takes for each version that it contains.
+	perVersion time.Duration
 	// unusable holds the revisions that are reported as invalid.
 	unusable map[uint64]bool
 }
@@ -49,6 +51,13 @@
 	return &lapisv1.Configuration{Revision: s.log[at-1]}, at, true
 }
 
+// versionsAfter returns the number of versions after a position. An answer about the history contains all of them.
+func (s *scriptedSource) versionsAfter(after configsource.Position) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.log) - int(after)
+}
+
 func (s *scriptedSource) check(configuration *lapisv1.Configuration) (*lapisv1.Configuration, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -69,9 +78,10 @@
 	return result.Errorf(result.PlatformUnavailable, "down")
 }
 
-func (s *scriptedSource) answerIn(ctx context.Context) error {
+// answerIn waits until an answer with the given number of versions has arrived.
+func (s *scriptedSource) answerIn(ctx context.Context, versions int) error {
 	s.mutex.Lock()
-	delay := s.delay
+	delay := s.delay + time.Duration(versions)*s.perVersion
 	s.mutex.Unlock()
 	select {
 	case <-time.After(delay):
@@ -82,7 +92,7 @@
 }
 
 func (s *scriptedSource) Latest(ctx context.Context) (*lapisv1.Configuration, configsource.Position, error) {
-	if err := s.answerIn(ctx); err != nil {
+	if err := s.answerIn(ctx, 1); err != nil {
 		return nil, 0, err
 	}
 	configuration, at, _ := s.newest(0)
@@ -90,7 +100,7 @@
 }
 
 func (s *scriptedSource) Next(ctx context.Context, after configsource.Position, wait time.Duration) (*lapisv1.Configuration, configsource.Position, error) {
-	if err := s.answerIn(ctx); err != nil {
+	if err := s.answerIn(ctx, s.versionsAfter(after)); err != nil {
 		return nil, after, err
 	}
 	if err := s.fail(); err != nil {
--- a/internal/transport/callmux/suspended_test.go
+++ b/internal/transport/callmux/suspended_test.go
@@ -25,6 +25,20 @@
 	})
 }
 
+// The first heartbeat after a suspension already states the whole age. The clock must not lag behind until its next
+// comparison with the kernel's.
+func TestResumedDaemonStatesTheWholeAgeAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gap := time.Duration(0)
+		defer boottime.Use(func() time.Duration { return gap })()
+		confirmed := boottime.Now()
+		sender := &session{timing: Timing{LocalState: func() Heartbeat { return Heartbeat{Revision: 3, Confirmed: confirmed} }}}
+		gap = 4 * time.Second
+		age := time.Duration(sender.heartbeat().GetFreshness().GetAgeMicros()) * time.Microsecond
+		assert.Assert(t, age >= 4*time.Second, "the age sent is %s", age)
+	})
+}
+
 // The time for which this machine was suspended counts towards the age of a received confirmation.
 func TestSuspensionAgesEchoedConfirmation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
