A daemon that may have missed several versions reads the newest one, not their history

Callers saw: the same 404 (CONFIG); the daemons that were cut off polled the store again and again and got no answer, though it served everybody. Cause: each poll after the first one asks for the history since the last answer, and a history contains each version as a whole. Its size grows with the number of versions missed times the size of the configuration. On a thin link in a storm of changes the transfer takes longer than the poll may (0.63 s, 1 s after a failure), each retry asks for more than the one before, and only after 8 s is the whole configuration read. Change: the history is requested by the active poller only, whose last answer is one poll interval old, and only if that answer brought nothing new. All other polls read the newest configuration, which is one version whatever was missed; a version that was read before is not applied again. The tests of the package pass.

--- a/internal/distribution/configsource/configsource.go
+++ b/internal/distribution/configsource/configsource.go
@@ -74,11 +74,15 @@
 	// The following fields are used by Run only. position is the position up to which the source's
 	// history has been read, valid while positionKnown. failing is true after a poll that was not
 	// answered, and failedAt is the end of the last such poll.
-	position       Position
-	positionKnown  bool
-	failing        bool
-	failedAt       time.Time
-	lastOrdersRead lastOrdersRead
+	position      Position
+	positionKnown bool
+	failing       bool
+	// readRevision is the configuration revision read last, changed is true after a poll that read another
+	// one than the poll before, and historyIsShort is true if the present poll may request the history.
+	readRevision            uint64
+	changed, historyIsShort bool
+	failedAt                time.Time
+	lastOrdersRead          lastOrdersRead
 }
 
 // Run follows the source until ctx ends.
--- a/internal/distribution/configsource/poll.go
+++ b/internal/distribution/configsource/poll.go
@@ -9,23 +9,16 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-const (
-	// historyMaxAge is the age of the last answer above which the whole configuration is read
-	// instead of the history after that answer. It must be shorter than the ten seconds for which
-	// sources keep their history.
-	historyMaxAge = 8 * time.Second
-	// minNextWait is the wait passed to Source.Next to get an answer immediately. It is the
-	// smallest positive wait, because sources use milliseconds.
-	minNextWait = time.Millisecond
-)
+// minNextWait is the wait passed to Source.Next to get an answer immediately. It is the smallest positive wait,
+// because sources use milliseconds.
+const minNextWait = time.Millisecond
 
 // poll polls the source once and records the outcome.
 func (f *Follower) poll(ctx context.Context, plan *schedule) {
 	began := boottime.Now()
 	confirmed := f.Freshness.Confirmed()
-	if !plan.activePoller && began.Sub(plan.polledAt) > historyMaxAge {
-		f.positionKnown = false
-	}
+	f.historyIsShort = plan.activePoller && !f.changed
+	f.changed = false
 	err := f.readOnce(ctx, began)
 	if ctx.Err() != nil {
 		return
@@ -73,12 +66,17 @@
 	return nil
 }
 
-// readConfiguration requests a newer configuration, or the whole one when the position is not
-// known. An unusable configuration counts as an answer.
+// readConfiguration requests the history after the last answer if it is short, else the newest configuration. An
+// unusable configuration counts as an answer.
+//
+// The history contains each version as a whole, so that its size grows with the number of versions, and its
+// transfer over a thin link soon takes longer than any poll may. It is short only for the active poller, whose
+// last answer is one poll interval old, and only while nothing changes. The newest configuration is one version,
+// whatever was missed.
 func (f *Follower) readConfiguration(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout(f.Bound, f.failing))
 	defer cancel()
-	next, err := f.request(ctx, f.position, f.positionKnown)
+	next, err := f.request(ctx, f.position, f.positionKnown && f.historyIsShort)
 	if result.Is(err, result.PlatformCompacted) {
 		f.Logger.Info("source.history_gone", "position", f.position)
 		next, err = f.request(ctx, f.position, false)
@@ -111,7 +109,9 @@
 	} else {
 		configuration, position, err = f.Source.Latest(ctx)
 	}
-	if err == nil && configuration != nil {
+	if err == nil && configuration != nil && configuration.GetRevision() != f.readRevision {
+		f.changed = true
+		f.readRevision = configuration.GetRevision()
 		f.Apply(configuration)
 	}
 	return position, err
