No confirmation looks newer than it is after a suspension

Cause: the clock that counts suspensions is compared with the kernel's each 100 ms at most. Until then a daemon that resumes states ages without the suspension, and a confirmation that it has just received is later than its own clock: the negative age was sent as an unsigned number, which the receiver turned into a time in the future. All daemons believe the newest confirmation and pass it on.

--- a/internal/distribution/fleet/heartbeat.go
+++ b/internal/distribution/fleet/heartbeat.go
@@ -5,7 +5,6 @@
 
 	"github.com/lapisvane/lapisvane/internal/distribution/configsource"
 	"github.com/lapisvane/lapisvane/internal/model/locality"
-	"github.com/lapisvane/lapisvane/internal/shared/boottime"
 	"github.com/lapisvane/lapisvane/internal/transport/callmux"
 )
 
@@ -18,25 +17,24 @@
 		f.recordRevision(peer, heartbeat.Revision)
 		f.mutex.Unlock()
 	}
-	f.logConfirmationAhead(peer, heartbeat.Confirmed)
+	f.logConfirmationAhead(peer, heartbeat.Ahead)
 	versions := configsource.Versions{Configuration: heartbeat.Revision, Orders: heartbeat.Orders}
 	if !heartbeat.Confirmed.IsZero() && f.config.Freshness.Confirm(versions, heartbeat.Confirmed) {
 		f.SendHeartbeats()
 	}
 }
 
-// logConfirmationAhead logs the first of several confirmations in a row that are later than this daemon's clock.
-func (f *Fleet) logConfirmationAhead(peer *peer, confirmed time.Time) {
-	if peer == nil || confirmed.IsZero() {
+// logConfirmationAhead logs the first of several heartbeats in a row whose confirmation is ahead of the clock.
+func (f *Fleet) logConfirmationAhead(peer *peer, ahead bool) {
+	if peer == nil {
 		return
 	}
-	ahead := -boottime.Since(confirmed)
 	f.mutex.Lock()
 	logged := peer.confirmsAhead
-	peer.confirmsAhead = ahead > 0
+	peer.confirmsAhead = ahead
 	f.mutex.Unlock()
-	if ahead > 0 && !logged {
-		f.config.Logger.Info("fleet.confirmation_ahead", "member", peer.name, "by_ms", ahead.Milliseconds())
+	if ahead && !logged {
+		f.config.Logger.Info("fleet.confirmation_ahead", "member", peer.name)
 	}
 }
 
--- a/internal/shared/boottime/boottime.go
+++ b/internal/shared/boottime/boottime.go
@@ -73,6 +73,19 @@
 	if since := now.Sub(c.refreshedAt); since >= 0 && since < refreshInterval {
 		return c.suspended
 	}
+	return c.compare(now)
+}
+
+// compared returns the total time for which the machine was suspended, after a comparison of the clocks.
+func (c *clock) compared() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.compare(time.Now())
+}
+
+// compare compares the kernel's clocks and returns the total time for which the machine was suspended. The caller
+// holds mutex.
+func (c *clock) compare(now time.Time) time.Duration {
 	c.refreshedAt = now
 	grown := c.gap() - c.initialGap
 	for reading := 1; reading < gapReadings && grown >= c.suspended+minSuspension; reading++ {
@@ -91,6 +104,10 @@
 // suspensions, which are detected at most refreshInterval after the machine resumes.
 func Now() time.Time { return time.Now().Add(Suspended()) }
 
+// Exact returns the current time like Now, and includes a suspension that has just ended. It compares the
+// kernel's clocks, which takes two system calls, and is for times that other daemons rely on.
+func Exact() time.Time { return time.Now().Add(process.Load().compared()) }
+
 // Since returns the time elapsed since an earlier result of Now.
 func Since(earlier time.Time) time.Duration { return Now().Sub(earlier) }
 
--- a/internal/transport/callmux/heartbeat.go
+++ b/internal/transport/callmux/heartbeat.go
@@ -17,6 +17,9 @@
 	// Confirmed is a time on this daemon's clock at which Revision and Orders were still the newest
 	// accepted ones. It is zero if unknown.
 	Confirmed time.Time
+	// Ahead is true if the sender stated times by which its confirmation would be later than this
+	// daemon's clock. Set on receipt.
+	Ahead bool
 }
 
 // receiveHeartbeat processes a frame without a body. If the peer has not received a heartbeat from
@@ -43,7 +46,9 @@
 	local := s.timing.LocalState()
 	frame.Revision = local.Revision
 	frame.OrdersRevision = local.Orders
-	frame.Freshness = s.echoes.next(local, boottime.Now())
+	// The exact clock: the first heartbeats after a suspension would else state an age without it, and other
+	// daemons would take an old confirmation for a new one.
+	frame.Freshness = s.echoes.next(local, boottime.Exact())
 	return frame
 }
 
--- a/internal/transport/callmux/heartbeat_test.go
+++ b/internal/transport/callmux/heartbeat_test.go
@@ -63,6 +63,33 @@
 	})
 }
 
+// A confirmation that is later than the clock, on a machine that has just resumed, must not reach other daemons as
+// a time in the future: none of them would poll until then.
+func TestConfirmationLaterThanTheClockIsNotBelieved(t *testing.T) {
+	start := time.Now()
+	var near, far echoes
+	far.receive(heartbeatFrame(&near, Heartbeat{}, start), start)
+	ahead := Heartbeat{Revision: 3, Confirmed: start.Add(3 * time.Second)}
+	received := near.receive(heartbeatFrame(&far, ahead, start.Add(time.Millisecond)), start.Add(2*time.Millisecond))
+	assert.Assert(t, received.Confirmed.IsZero(), "%s ahead of the clock", received.Confirmed.Sub(start))
+}
+
+// Ages that a peer states wrongly, such as a daemon of an earlier version below 0, confirm nothing later than their
+// arrival.
+func TestNoConfirmationIsLaterThanItsArrival(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Now()
+		var near echoes
+		near.next(Heartbeat{}, start)
+		arrival := start.Add(time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "round trip")))
+		frame := &lapisv1.CallFrame{Revision: 3, Freshness: &lapisv1.Freshness{
+			Sequence: 1, Echo: 1, Confirmed: true, HeldMicros: rapid.Uint64().Draw(t, "held"), AgeMicros: rapid.Uint64().Draw(t, "age"),
+		}}
+		received := near.receive(frame, arrival)
+		assert.Assert(t, !received.Confirmed.After(arrival), "%s after its arrival", received.Confirmed.Sub(arrival))
+	})
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
