An answer of the source that cannot be read confirms nothing

Cause: an answer whose envelope cannot be read (no items, no revision, not JSON, status 400) has the code of an unusable configuration, which counts as an answer. The poll then confirmed what was in force for the whole fleet, and as position 0 was stored as known, the next poll asked for the history since then. Change: an error stands for an unusable configuration only if the source returns a new position with it, as both sources do; else the poll was not answered, and other daemons take over. Measured: TestUnreadableAnswerConfirmsNothing fails before (confirmed 3.2 s further), passes after; tests of configsource and platform pass.

--- a/internal/distribution/configsource/configsource.go
+++ b/internal/distribution/configsource/configsource.go
@@ -19,7 +19,8 @@
 
 // Source provides configurations and the operators' orders (evacuations and roll-outs). An error with
 // a result code from 2000 to 2999, or with PlatformBadAnswer, means that the configuration at the
-// returned position is unusable; any other error means that the source did not answer.
+// returned position is unusable. Any other error, and any with a position that is not new, means that the source
+// did not answer or that its answer cannot be read.
 type Source interface {
 	// Latest returns the current configuration and its position; the configuration is nil when
 	// there is none yet.
--- a/internal/distribution/configsource/follower_test.go
+++ b/internal/distribution/configsource/follower_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/distribution/configsource"
 )
 
@@ -85,6 +86,24 @@
 	})
 }
 
+// An answer that cannot be read confirms nothing: other daemons would otherwise not poll, and nobody would learn of
+// a new version.
+func TestUnreadableAnswerConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &scriptedSource{log: []uint64{3}}
+		freshness := &configsource.Freshness{}
+		follower := newFollower(source, func(*lapisv1.Configuration) {}, func(follower *configsource.Follower) { follower.Freshness = freshness })
+		defer run(follower)()
+		time.Sleep(contactBound)
+		source.set(func(s *scriptedSource) { s.unreadable = true })
+		time.Sleep(bound)
+		confirmed := freshness.Confirmed()
+		time.Sleep(contactBound)
+		assert.Equal(t, freshness.Confirmed(), confirmed)
+		assert.Assert(t, follower.FailedPolls.Load() > 0)
+	})
+}
+
 // A source whose answers take longer than the usual timeout is still followed, including by a
 // daemon that has just started.
 func TestSlowSourceIsFollowed(t *testing.T) {
--- a/internal/distribution/configsource/poll.go
+++ b/internal/distribution/configsource/poll.go
@@ -76,12 +76,17 @@
 func (f *Follower) readConfiguration(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout(f.Bound, f.failing))
 	defer cancel()
-	next, err := f.request(ctx, f.position, f.positionKnown && f.historyIsShort)
+	after := Position(0)
+	if f.positionKnown && f.historyIsShort {
+		after = f.position
+	}
+	next, err := f.request(ctx, after)
 	if result.Is(err, result.PlatformCompacted) {
 		f.Logger.Info("source.history_gone", "position", f.position)
-		next, err = f.request(ctx, f.position, false)
+		after = 0
+		next, err = f.request(ctx, after)
 	}
-	if isUnusable(err) {
+	if next > after && isUnusable(err) {
 		f.Logger.Error(err, "configuration.refused", "position", next)
 		err = nil
 	}
@@ -92,20 +97,20 @@
 	return err
 }
 
-// isUnusable reports whether err means that the configuration is invalid, rather than that the
-// source did not answer.
+// isUnusable reports whether err means that the configuration at a new position is invalid, rather than that the
+// source did not answer. An answer without a new position could not be read and confirms nothing.
 func isUnusable(err error) bool {
 	code, ok := result.CodeOf(err)
 	return err != nil && ok && (code.Validation() || code == result.PlatformBadAnswer)
 }
 
-// request sends one request to the source and applies the configuration it returns.
-func (f *Follower) request(ctx context.Context, position Position, known bool) (Position, error) {
+// request requests the history after a position, or the newest configuration for position 0, and applies the
+// configuration that the source returns.
+func (f *Follower) request(ctx context.Context, after Position) (position Position, err error) {
 	var configuration *lapisv1.Configuration
-	var err error
 	f.ConfigurationRequests.Add(1)
-	if known {
-		configuration, position, err = f.Source.Next(ctx, position, minNextWait)
+	if after > 0 {
+		configuration, position, err = f.Source.Next(ctx, after, minNextWait)
 	} else {
 		configuration, position, err = f.Source.Latest(ctx)
 	}
--- a/internal/distribution/configsource/scripted_source_test.go
+++ b/internal/distribution/configsource/scripted_source_test.go
@@ -27,6 +27,8 @@
 	perVersion time.Duration
 	// unusable holds the revisions that are reported as invalid.
 	unusable map[uint64]bool
+	// unreadable makes all answers such that no position can be read from them.
+	unreadable bool
 }
 
 func (s *scriptedSource) add(revision uint64) {
@@ -71,6 +73,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.requests++
+	if s.unreadable {
+		return result.Errorf(result.PlatformBadAnswer, "the answer has no revision")
+	}
 	if s.failures == 0 {
 		return nil
 	}
@@ -95,8 +100,11 @@
 	if err := s.answerIn(ctx, 1); err != nil {
 		return nil, 0, err
 	}
+	if err := s.fail(); err != nil {
+		return nil, 0, err
+	}
 	configuration, at, _ := s.newest(0)
-	return configuration, at, s.fail()
+	return configuration, at, nil
 }
 
 func (s *scriptedSource) Next(ctx context.Context, after configsource.Position, wait time.Duration) (*lapisv1.Configuration, configsource.Position, error) {
