An invalid version does not hide the valid one accepted before it

Cause: of the versions that a watch returns only the newest was looked at. If it cannot be used, the poll advanced past a valid one before it, which then never came into force.

--- a/internal/distribution/configsource/configsource.go
+++ b/internal/distribution/configsource/configsource.go
@@ -26,7 +26,8 @@
 	// there is none yet.
 	Latest(ctx context.Context) (*lapisv1.Configuration, Position, error)
 	// Next waits for a configuration after a position. When the wait ends without one, it returns
-	// nil and the position up to which there was none. Errors: PlatformCompacted when the history
+	// nil and the position up to which there was none. If the newest one is unusable, it returns the
+	// newest usable one after the position, if any, together with the error. Errors: PlatformCompacted when the history
 	// after the given position was deleted.
 	Next(ctx context.Context, after Position, wait time.Duration) (*lapisv1.Configuration, Position, error)
 	// Orders returns all current orders of the given kinds. The revision of the set is the source's
--- a/internal/distribution/configsource/poll.go
+++ b/internal/distribution/configsource/poll.go
@@ -105,7 +105,7 @@
 }
 
 // request requests the history after a position, or the newest configuration for position 0, and applies the
-// configuration that the source returns.
+// configuration that the source returns. A source may return one before an unusable one with its error.
 func (f *Follower) request(ctx context.Context, after Position) (position Position, err error) {
 	var configuration *lapisv1.Configuration
 	f.ConfigurationRequests.Add(1)
@@ -114,7 +114,7 @@
 	} else {
 		configuration, position, err = f.Source.Latest(ctx)
 	}
-	if err == nil && configuration != nil && configuration.GetRevision() != f.readRevision {
+	if configuration != nil && configuration.GetRevision() != f.readRevision {
 		f.changed = true
 		f.readRevision = configuration.GetRevision()
 		f.Apply(configuration)
