Emulator and soak check configuration versions by what clients and instances see

Versions reports one that is late, under the excuses of the users' rules (a daemon or the store disrupted within the contact time; a longer bound while the store serves some daemons only or forgets its history), one that a process goes back to, any effect of an invalid version, and added routes that are not served. The store can send answers as over a thin link. Soaks write invalid configurations as well. The bounds are the site's own settings.

--- a/internal/lab/emulator/day/machine.go
+++ b/internal/lab/emulator/day/machine.go
@@ -70,6 +70,7 @@
 	}
 	m.process = started
 	m.addresses = started.Addresses()
+	m.site.Versions.DaemonStarted(m.addresses.Caller, time.Now())
 	return nil
 }
 
@@ -106,6 +107,7 @@
 	address := m.Caller()
 	if process := m.takeProcess(); process != nil {
 		m.site.Ledger.DaemonsKilled(time.Now())
+		m.site.Versions.DaemonDisturbed(address, time.Now())
 		process.Kill()
 		<-process.Done()
 		m.site.Ledger.DaemonInterrupted(address)
@@ -122,6 +124,7 @@
 	address := m.Caller()
 	if process := m.takeProcess(); process != nil {
 		m.site.Ledger.StopBegan(address, time.Now())
+		m.site.Versions.DaemonDisturbed(address, time.Now())
 		process.Stop()
 		<-process.Done()
 		cut = process.CutCalls()
--- a/internal/lab/emulator/day/play.go
+++ b/internal/lab/emulator/day/play.go
@@ -128,6 +128,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { load.Run(dayCtx) })
 	running.Go(func() { play.changeConfigurations(dayCtx) })
+	running.Go(func() { site.Probe(dayCtx, plan.Options.Seed) })
 	for index, fault := range plan.Faults {
 		random := rand.New(rand.NewPCG(plan.Options.Seed, uint64(index)))
 		running.Go(func() {
@@ -367,6 +368,7 @@
 	if p.site.AwaitInForce(restCtx, version) != nil {
 		p.site.Ledger.Record(promise.Config, "", "the last configuration is not in force on all daemons after the day")
 	}
+	p.site.Versions.Finish()
 	requests, repeats := p.site.Ledger.Repeats()
 	if float64(repeats) > 0.2*float64(requests)+64 {
 		p.site.Ledger.Record(promise.Budget, "", "more repeats than the budget allows")
--- a/internal/lab/emulator/day/site.go
+++ b/internal/lab/emulator/day/site.go
@@ -11,6 +11,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,8 @@
 	Store    *objectstore.Server
 	Machines []*Machine
 	Ledger   *promise.Ledger
+	// Versions checks which configuration versions are in force, by the outcomes of probes.
+	Versions *promise.Versions
 
 	options Options
 	// mutex protects everything below. version is the version of the newest configuration.
@@ -37,6 +41,8 @@
 	declaredConfig platform.Config
 	routes         []Route
 	accounts       []Account
+	// probes holds the probe routes that versions added, the oldest first.
+	probes []addedProbe
 	// coldCrashes counts the instances that crashed in slow start. restartErrors joins the errors of
 	// restarts after a crash.
 	coldCrashes   int
@@ -47,13 +53,16 @@
 // Start starts a site with a configuration of the given routes and waits until all daemons are ready.
 // After an error the returned site may be partially started and must be closed unless it is nil.
 func Start(ctx context.Context, options Options, routes []Route) (*Site, error) {
+	site := &Site{Ledger: promise.NewLedger(options.bounds()), options: options, accounts: options.Accounts}
+	site.Versions = promise.NewVersions(options.versionBounds(), func(request, detail string) { site.Ledger.Record(promise.Config, request, detail) })
 	store, err := objectstore.Start(objectstore.Options{
 		Address: "127.0.0.1:0", ReadsPerSecond: options.ReadsPerSecond, WritesPerSecond: options.WritesPerSecond, Seed: options.Seed,
+		Disrupted: site.storeDisrupted,
 	})
 	if err != nil {
 		return nil, err
 	}
-	site := &Site{Store: store, Ledger: promise.NewLedger(options.bounds()), options: options, accounts: options.Accounts}
+	site.Store = store
 	if _, err := site.Declare(routes); err != nil {
 		return nil, err
 	}
@@ -127,15 +136,34 @@
 // declareLocked writes the next version of the configuration. The caller holds mutex.
 func (s *Site) declareLocked() (version uint64, err error) {
 	s.version += 1 + s.version%3
-	config := Config(s.version, s.services(), s.routes)
+	probes := s.nextProbes(time.Now())
+	routes := slices.Clone(s.routes)
+	for _, name := range slices.Sorted(maps.Keys(probes)) {
+		routes = append(routes, probeRoute(name, probes[name]))
+	}
+	config := Config(s.version, s.services(), routes)
 	if s.options.ColdRate > 0 {
 		addColdRates(&config, s.options)
 	}
 	if s.accounts != nil {
-		addAccounts(&config, s.routes, s.accounts)
+		addAccounts(&config, routes, s.accounts)
 	}
 	s.declaredConfig = config
-	return s.version, s.Store.PutSpec(platform.KindConfig, platform.NameConfig, config)
+	s.Versions.Declare(s.version, probes, time.Now())
+	err = s.Store.PutSpec(platform.KindConfig, platform.NameConfig, config)
+	s.Versions.Acknowledge(time.Now())
+	return s.version, err
+}
+
+// storeDisrupted tells Versions of the disruptions of the store.
+func (s *Site) storeDisrupted(disruption objectstore.Disruption) {
+	now := time.Now()
+	switch disruption {
+	case objectstore.Undisturbed:
+		s.Versions.StoreUndisturbed(now)
+	default:
+		s.Versions.StoreDisrupted(now, disruption == objectstore.Outage)
+	}
 }
 
 // minKnownInstances is the minimum number of instances of a service that each daemon of a large site
--- a/internal/lab/emulator/objectstore/faults.go
+++ b/internal/lab/emulator/objectstore/faults.go
@@ -27,6 +27,9 @@
 	// DelayWrites these writes, and no others, are performed after a random delay.
 	DroppedAnswerShare float64
 	DelayWrites        bool
+	// BytesPerSecond is the rate at which each answer to a list or watch is sent, as over a thin link; 0 for no limit.
+	// It is not a disruption.
+	BytesPerSecond float64
 	// FreezeWatches makes watches report no changes.
 	FreezeWatches bool
 	// Addresses are the listen addresses at which the faults apply, as ListenAlso returned them; empty
@@ -34,6 +37,59 @@
 	Addresses map[string]bool
 }
 
+// throttled returns a writer for an answer that is sent at Faults.BytesPerSecond.
+func (s *Server) throttled(w http.ResponseWriter) http.ResponseWriter {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.BytesPerSecond <= 0 {
+		return w
+	}
+	return &throttledWriter{ResponseWriter: w, bytesPerSecond: s.faults.BytesPerSecond}
+}
+
+// throttledWriter limits the rate of an answer.
+type throttledWriter struct {
+	http.ResponseWriter
+	bytesPerSecond float64
+}
+
+// Write implements io.Writer.
+func (t *throttledWriter) Write(content []byte) (int, error) {
+	time.Sleep(time.Duration(float64(len(content)) / t.bytesPerSecond * float64(time.Second)))
+	return t.ResponseWriter.Write(content)
+}
+
+// Disruption is how a store is disrupted as a whole.
+type Disruption int
+
+// The disruptions of a store.
+const (
+	Undisturbed Disruption = iota
+	// Partial concerns some callers only, or watches.
+	Partial
+	// Outage concerns all callers: the store is down or slow, or loses answers.
+	Outage
+)
+
+// disruption returns the disruption that the faults are.
+func (f Faults) disruption() Disruption {
+	switch {
+	case !f.unavailable() && f.Delay == 0 && f.DroppedAnswerShare == 0 && !f.FreezeWatches:
+		return Undisturbed
+	case len(f.Addresses) > 0, f.FreezeWatches:
+		return Partial
+	default:
+		return Outage
+	}
+}
+
+// notifyDisruption calls Options.Disrupted.
+func (s *Server) notifyDisruption(disruption Disruption) {
+	if s.disrupted != nil {
+		s.disrupted(disruption)
+	}
+}
+
 // unavailable reports whether the store serves no calls.
 func (f Faults) unavailable() bool { return f.Down || f.Silent || f.Reset }
 
@@ -50,6 +106,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.faults = faults
+	s.notifyDisruption(faults.disruption())
 	if faults.Down || faults.Reset || faults.Silent {
 		s.endWatches(faults)
 	}
@@ -61,6 +118,8 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.endWatches(Faults{Reset: true})
+	s.notifyDisruption(Partial)
+	s.notifyDisruption(s.faults.disruption())
 }
 
 // endWatches ends the waiting watches at all addresses at which the faults make the store unavailable.
--- a/internal/lab/emulator/objectstore/server.go
+++ b/internal/lab/emulator/objectstore/server.go
@@ -39,6 +39,8 @@
 	Seed uint64
 	// WithoutEra omits the era header from all answers.
 	WithoutEra bool
+	// Disrupted is called when a disruption of the store begins or ends; nil if nobody wants to know.
+	Disrupted func(Disruption)
 }
 
 // Server is an emulated metadata store. Create it with Start and end it with Close.
@@ -51,6 +53,7 @@
 	// withoutEra is Options.WithoutEra.
 	withoutEra bool
 	traffic    traffic
+	disrupted  func(Disruption)
 
 	// mutex protects everything below.
 	mutex  sync.Mutex
@@ -71,7 +74,8 @@
 	server := &Server{
 		table: newTable(), listener: listener, withoutEra: options.WithoutEra,
 		reads: newLimiter(options.ReadsPerSecond), writes: newLimiter(options.WritesPerSecond),
-		random: rand.New(rand.NewPCG(options.Seed, 1)), watchCancels: map[string]chan struct{}{}, reported: map[string]uint64{},
+		disrupted: options.Disrupted,
+		random:    rand.New(rand.NewPCG(options.Seed, 1)), watchCancels: map[string]chan struct{}{}, reported: map[string]uint64{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathObjects, server.serve)
@@ -129,7 +133,7 @@
 
 // answerAtRevision answers a list or watch of a kind and records the revision as reported.
 func (s *Server) answerAtRevision(w http.ResponseWriter, kind string, revision uint64, value any) {
-	writeJSON(w, value)
+	writeJSON(s.throttled(w), value)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.reported[kind] = max(s.reported[kind], revision)
@@ -149,6 +153,8 @@
 	defer s.mutex.Unlock()
 	clear(s.reported)
 	s.endWatches(Faults{Reset: true})
+	s.notifyDisruption(Outage)
+	s.notifyDisruption(s.faults.disruption())
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
--- a/internal/lab/emulator/promise/promise.go
+++ b/internal/lab/emulator/promise/promise.go
@@ -307,6 +307,18 @@
 	l.addBreach(Mixed, answer.Request, "the stamp of a successful answer matches no run of the request")
 }
 
+// ServiceOf returns the service at which the run of a request with a stamp took place, empty if there is none.
+func (l *Ledger) ServiceOf(request, stamp string) string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, run := range l.runs[request] {
+		if run.Stamp == stamp {
+			return run.Service
+		}
+	}
+	return ""
+}
+
 // Record adds a breach that the caller detected.
 func (l *Ledger) Record(kind Kind, request, detail string) {
 	l.mutex.Lock()
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -121,6 +121,7 @@
 	var running sync.WaitGroup
 	running.Go(func() { load.Run(dayCtx) })
 	running.Go(func() { played.watchExits(dayCtx) })
+	running.Go(func() { site.Probe(dayCtx, seed) })
 	disturbances := []disturbance{played.sighups, played.configurationChanges, played.instanceReplacements, played.storeFaults, played.scaleIns, played.storeRestores, played.watchRevisions, played.malformedData}
 	for range max(2, *machines/4) {
 		disturbances = append(disturbances, played.stopInTurn)
@@ -129,14 +130,16 @@
 		disturbances = append(disturbances, extra(played)...)
 	}
 	// Appended last, so that the draws of the others stay those of the same seed without it.
-	disturbances = append(disturbances, played.statedLimits)
+	disturbances = append(disturbances, played.statedLimits, played.invalidConfigurations)
 	for _, disturb := range disturbances {
 		random := rand.New(rand.NewPCG(seed, played.random.Uint64()))
 		running.Go(func() { disturb(dayCtx, random) })
 	}
 	running.Wait()
 	played.awaitRecovery(ctx)
+	added, addedServed := site.Versions.Finish()
 	breaches := site.Ledger.Breaches()
+	t.Logf("requests on added routes: %d, served %d", added, addedServed)
 	t.Logf("served %d, refused %d, failed %d; stops %d, exits %v; broken promises %d",
 		tally.Served.Load(), tally.Refused.Load(), tally.Failed.Load(), played.stops, played.exits, len(breaches))
 	t.Logf("requests excused for ending without an answer: %v", site.Ledger.Excused())
@@ -248,10 +251,12 @@
 		}
 		address := running.Addresses().Caller
 		d.site.Ledger.DaemonsKilled(time.Now())
+		d.site.Versions.DaemonDisturbed(address, time.Now())
 		running.signal(syscall.SIGSTOP)
 		sleepAround(context.Background(), random, d.site.ContactTime())
 		running.signal(syscall.SIGCONT)
 		d.site.Ledger.DaemonsKilled(time.Now())
+		d.site.Versions.DaemonDisturbed(address, time.Now())
 		d.site.Ledger.DaemonInterrupted(address)
 	}
 }
@@ -286,6 +291,16 @@
 	}
 }
 
+// invalidConfigurations writes a configuration that cannot be used, and a valid one soon after.
+func (d *soakDay) invalidConfigurations(ctx context.Context, random *rand.Rand) {
+	for sleepAround(ctx, random, 2*time.Second) {
+		assert.Check(d.t, d.site.DeclareInvalid())
+		sleepAround(ctx, random, 100*time.Millisecond)
+		_, err := d.site.Declare(day.StandardRoutes())
+		assert.Check(d.t, err)
+	}
+}
+
 // storeRestores restores the store from a backup that is some seconds old, half of the times after an
 // outage.
 func (d *soakDay) storeRestores(ctx context.Context, random *rand.Rand) {
