The history is still requested where it is likely to be short

Change: any daemon whose last answer is at most 8 s old requests the history, unless that answer brought a new version, other daemons have brought a newer one since, or the last request for the history was not answered. The tests' followers advance Freshness when they put a version in force, as the package requires of Apply, and their source reports an unusable version as the newest one too.

--- a/internal/distribution/configsource/configsource.go
+++ b/internal/distribution/configsource/configsource.go
@@ -79,12 +79,12 @@
 	position      Position
 	positionKnown bool
 	failing       bool
-	// readRevision is the configuration revision read last, changed is true after a poll that read another
-	// one than the poll before, and historyIsShort is true if the present poll may request the history.
-	readRevision            uint64
-	changed, historyIsShort bool
-	failedAt                time.Time
-	lastOrdersRead          lastOrdersRead
+	// readRevision is the configuration revision read last, and changed is true if the last request brought it.
+	// historyUnanswered is true from a request for the history that was not answered to the next answer.
+	readRevision               uint64
+	changed, historyUnanswered bool
+	failedAt                   time.Time
+	lastOrdersRead             lastOrdersRead
 }
 
 // Run follows the source until ctx ends.
--- a/internal/distribution/configsource/poll.go
+++ b/internal/distribution/configsource/poll.go
@@ -9,16 +9,23 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// minNextWait is the wait passed to Source.Next to get an answer immediately. It is the smallest positive wait,
-// because sources use milliseconds.
-const minNextWait = time.Millisecond
+const (
+	// historyMaxAge is the age of the last answer above which the whole configuration is read
+	// instead of the history after that answer. It must be shorter than the ten seconds for which
+	// sources keep their history.
+	historyMaxAge = 8 * time.Second
+	// minNextWait is the wait passed to Source.Next to get an answer immediately. It is the
+	// smallest positive wait, because sources use milliseconds.
+	minNextWait = time.Millisecond
+)
 
 // poll polls the source once and records the outcome.
 func (f *Follower) poll(ctx context.Context, plan *schedule) {
 	began := boottime.Now()
 	confirmed := f.Freshness.Confirmed()
-	f.historyIsShort = plan.activePoller && !f.changed
-	f.changed = false
+	if !plan.activePoller && began.Sub(plan.polledAt) > historyMaxAge {
+		f.positionKnown = false
+	}
 	err := f.readOnce(ctx, began)
 	if ctx.Err() != nil {
 		return
@@ -66,20 +73,26 @@
 	return nil
 }
 
+// historyIsShort reports whether the history after the last answer is likely to be shorter than the newest
+// configuration. It contains each version since as a whole: its size grows with the number of versions, and over a
+// thin link its transfer soon takes longer than any poll may. The newest configuration is one version, whatever was
+// missed. The history is not requested when the last answer brought a new version, which more may follow; when other
+// daemons have brought a newer version since; and after a request for it that was not answered.
+func (f *Follower) historyIsShort() bool {
+	versions, _ := f.Freshness.InForce()
+	return f.positionKnown && !f.changed && !f.historyUnanswered && versions.Configuration == f.readRevision
+}
+
 // readConfiguration requests the history after the last answer if it is short, else the newest configuration. An
 // unusable configuration counts as an answer.
-//
-// The history contains each version as a whole, so that its size grows with the number of versions, and its
-// transfer over a thin link soon takes longer than any poll may. It is short only for the active poller, whose
-// last answer is one poll interval old, and only while nothing changes. The newest configuration is one version,
-// whatever was missed.
 func (f *Follower) readConfiguration(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout(f.Bound, f.failing))
 	defer cancel()
 	after := Position(0)
-	if f.positionKnown && f.historyIsShort {
+	if f.historyIsShort() {
 		after = f.position
 	}
+	f.changed = false
 	next, err := f.request(ctx, after)
 	if result.Is(err, result.PlatformCompacted) {
 		f.Logger.Info("source.history_gone", "position", f.position)
@@ -90,6 +103,7 @@
 		f.Logger.Error(err, "configuration.refused", "position", next)
 		err = nil
 	}
+	f.historyUnanswered = err != nil && (after > 0 || f.historyUnanswered)
 	if err == nil {
 		f.position = next
 		f.positionKnown = true
--- a/internal/distribution/configsource/scaffold_test.go
+++ b/internal/distribution/configsource/scaffold_test.go
@@ -46,6 +46,11 @@
 	for _, change := range adjust {
 		change(follower)
 	}
+	put := follower.Apply
+	follower.Apply = func(configuration *lapisv1.Configuration) {
+		put(configuration)
+		follower.Freshness.Advance(configuration.GetRevision())
+	}
 	return follower
 }
 
--- a/internal/distribution/configsource/schedule_parts_test.go
+++ b/internal/distribution/configsource/schedule_parts_test.go
@@ -44,7 +44,8 @@
 		why          string
 		lower, upper time.Duration
 	}{
-		{"the history after the active poller's last answer still exists when it is requested", fractionOf(longest, ActivePollFraction+AnswerTimeoutFraction), sourceHistory},
+		{"the history after the last answer still exists when it is requested", historyMaxAge, sourceHistory},
+		{"the active poller always continues from its last answer", fractionOf(longest, ActivePollFraction+AnswerTimeoutFraction), historyMaxAge},
 		{"a waiting call is detected before the shortened delay ends", awaitedCheckInterval, fractionOf(shortest, awaitedPollMaxFraction)},
 		{"the answer timeout is longer after an unanswered poll", answerTimeout(shortest, false), answerTimeout(shortest, true)},
 		{"the wait of a poll is negligible", minNextWait, answerTimeout(shortest, false) / 100},
--- a/internal/distribution/configsource/scripted_source_test.go
+++ b/internal/distribution/configsource/scripted_source_test.go
@@ -104,7 +104,8 @@
 		return nil, 0, err
 	}
 	configuration, at, _ := s.newest(0)
-	return configuration, at, nil
+	configuration, err := s.check(configuration)
+	return configuration, at, err
 }
 
 func (s *scriptedSource) Next(ctx context.Context, after configsource.Position, wait time.Duration) (*lapisv1.Configuration, configsource.Position, error) {
