--- a/internal/distribution/configsource/configsource.go
+++ b/internal/distribution/configsource/configsource.go
@@ -27,8 +27,8 @@
 	Latest(ctx context.Context) (*lapisv1.Configuration, Position, error)
 	// Next waits for a configuration after a position. When the wait ends without one, it returns
 	// nil and the position up to which there was none. If the newest one is unusable, it returns the
-	// newest usable one after the position, if any, together with the error. Errors: PlatformCompacted when the history
-	// after the given position was deleted.
+	// newest usable one after the position, if any, together with the error. Errors:
+	// PlatformCompacted when the history after the given position was deleted.
 	Next(ctx context.Context, after Position, wait time.Duration) (*lapisv1.Configuration, Position, error)
 	// Orders returns all current orders of the given kinds. The revision of the set is the source's
 	// position.
@@ -76,15 +76,15 @@
 	// The following fields are used by Run only. position is the position up to which the source's
 	// history has been read, valid while positionKnown. failing is true after a poll that was not
 	// answered, and failedAt is the end of the last such poll.
-	position      Position
-	positionKnown bool
-	failing       bool
+	position       Position
+	positionKnown  bool
+	failing        bool
+	failedAt       time.Time
+	lastOrdersRead lastOrdersRead
 	// readRevision is the configuration revision read last, and changed is true if the last request brought it.
-	// historyUnanswered is true from a request for the history that was not answered to the next answer.
+	// historyUnanswered is true after a request for the history that was not answered, until the next answer.
 	readRevision               uint64
 	changed, historyUnanswered bool
-	failedAt                   time.Time
-	lastOrdersRead             lastOrdersRead
 }
 
 // Run follows the source until ctx ends.
--- a/internal/distribution/configsource/poll.go
+++ b/internal/distribution/configsource/poll.go
@@ -118,8 +118,9 @@
 	return err != nil && ok && (code.Validation() || code == result.PlatformBadAnswer)
 }
 
-// request requests the history after a position, or the newest configuration for position 0, and applies the
-// configuration that the source returns. A source may return one before an unusable one with its error.
+// request asks the source for the history after a position, or for the newest configuration if the position is 0, and
+// applies the configuration that it returns. Together with the error of an unusable configuration, the source may
+// return a usable one before it.
 func (f *Follower) request(ctx context.Context, after Position) (position Position, err error) {
 	var configuration *lapisv1.Configuration
 	f.ConfigurationRequests.Add(1)
--- a/internal/distribution/fleet/fleet.go
+++ b/internal/distribution/fleet/fleet.go
@@ -21,7 +21,7 @@
 	Endpoints(service string, endpoints []*lapisv1.Endpoint)
 	// Members passes the number of daemons, including this one.
 	Members(count int)
-	// OfferConfiguration passes a configuration that the daemon from has in force.
+	// OfferConfiguration passes a configuration that another daemon has in force; from is its name.
 	OfferConfiguration(configuration *lapisv1.Configuration, from string)
 	// OfferOrders passes the operators' orders that another daemon follows.
 	OfferOrders(set *orders.Set, from string)
--- a/internal/distribution/fleet/peer.go
+++ b/internal/distribution/fleet/peer.go
@@ -42,7 +42,8 @@
 	announcement *lapisv1.Announcement
 	// revision is the newest configuration revision that the peer stated to have in force.
 	revision uint64
-	// confirmsAhead is true while the peer's confirmations are later than this daemon's clock.
+	// confirmsAhead is true while the peer states times by which its confirmations would be later than this
+	// daemon's clock.
 	confirmsAhead bool
 	// dialNow requests an immediate dial, ordersChanged that the orders be sent on the open link.
 	dialNow, ordersChanged chan struct{}
