Lines tell who said that an instance leaves, and how old the process is

Change: instance.leaving says by whom and at which age of the process, instance.registered its age, fleet.withdrawn_sent what another daemon was told. No decision changes.

--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -318,7 +318,9 @@
 }
 
 // Withdraw implements fleet.Observer.
-func (p *platformDistribution) Withdraw(instance string) { p.path.origin.Withdraw(instance) }
+func (p *platformDistribution) Withdraw(instance, from string) {
+	p.path.origin.Withdraw(instance, from)
+}
 
 // startDraining reports the daemon as not ready, so that callers are directed elsewhere, and refuses
 // calls that would not end by endsBy. The returned timer stops the local instances after
--- a/internal/distribution/fleet/fleet.go
+++ b/internal/distribution/fleet/fleet.go
@@ -28,8 +28,8 @@
 	// OfferSuspects passes another daemon's suspect records.
 	OfferSuspects(records []quarantine.Record, from string)
 	// Withdraw names an instance on this machine that left for good during an earlier incarnation
-	// of this daemon.
-	Withdraw(instance string)
+	// of this daemon; from is the name of the daemon that reports it.
+	Withdraw(instance, from string)
 }
 
 type Config struct {
--- a/internal/distribution/fleet/inbound.go
+++ b/internal/distribution/fleet/inbound.go
@@ -80,7 +80,7 @@
 func (f *Fleet) receiveInbound(inbound *inboundLink, frame *lapisv1.CallFrame) {
 	switch body := frame.GetBody().(type) {
 	case *lapisv1.CallFrame_Introduction:
-		f.recordIntroduction(body.Introduction, inbound.link)
+		f.recordIntroduction(body.Introduction, inbound.node, inbound.link)
 	case *lapisv1.CallFrame_ConfigurationRequest:
 		f.serveConfiguration(inbound.link, body.ConfigurationRequest.GetAbove())
 	case *lapisv1.CallFrame_Orders:
--- a/internal/distribution/fleet/introduction.go
+++ b/internal/distribution/fleet/introduction.go
@@ -21,6 +21,7 @@
 	withdrawn := slices.Sorted(maps.Keys(peer.withdrawn))
 	f.mutex.Unlock()
 	if len(withdrawn) > 0 {
+		f.config.Logger.Info("fleet.withdrawn_sent", "member", peer.name, "instances", len(withdrawn))
 		f.send(link, introductionFrame(&lapisv1.Introduction{Withdrawn: withdrawn}))
 	}
 }
@@ -57,15 +58,15 @@
 }
 
 // recordIntroduction records the members that another daemon names, and the withdrawn instances of
-// this machine. It answers over link if an introduction is requested.
-func (f *Fleet) recordIntroduction(introduction *lapisv1.Introduction, link callmux.Link) {
+// this machine. from is that daemon's name. It answers over link if an introduction is requested.
+func (f *Fleet) recordIntroduction(introduction *lapisv1.Introduction, from string, link callmux.Link) {
 	for _, member := range introduction.GetMembers() {
 		f.recordIntroduced(Member{
 			Node: member.GetNode(), Address: member.GetAddress(), Zone: member.GetZone(), Region: member.GetRegion(), Service: member.GetService(),
 		})
 	}
 	for _, instance := range introduction.GetWithdrawn() {
-		f.config.Observer.Withdraw(instance)
+		f.config.Observer.Withdraw(instance, from)
 	}
 	if introduction.GetWanted() {
 		go f.sendIntroductions(link, introduction.GetKnown())
--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -155,7 +155,7 @@
 		f.mutex.Lock()
 		link := peer.link
 		f.mutex.Unlock()
-		f.recordIntroduction(body.Introduction, link)
+		f.recordIntroduction(body.Introduction, peer.name, link)
 	case *lapisv1.CallFrame_Configuration:
 		f.receiveConfiguration(peer, body.Configuration)
 	case *lapisv1.CallFrame_DeflatedConfiguration:
--- a/internal/distribution/fleet/regions_test.go
+++ b/internal/distribution/fleet/regions_test.go
@@ -160,7 +160,7 @@
 	other.Zone = "b"
 	runAddressTest(t, []Member{asker, other}, entries, 4*time.Second, func(daemons map[string]*Fleet) {
 		receiver := newTestFleet(1)
-		receiver.recordIntroduction(daemons["asker"].introduction(nil), callmux.Link{})
+		receiver.recordIntroduction(daemons["asker"].introduction(nil), "sender", callmux.Link{})
 		assert.Equal(t, receiver.peers["other"].Region, "r2")
 		daemons["other"].mutex.Lock()
 		defer daemons["other"].mutex.Unlock()
--- a/internal/distribution/fleet/scaffold_test.go
+++ b/internal/distribution/fleet/scaffold_test.go
@@ -110,7 +110,7 @@
 
 func (offerFunc) Members(int) {}
 
-func (offerFunc) Withdraw(string) {}
+func (offerFunc) Withdraw(string, string) {}
 
 func (offerFunc) OfferSuspects([]quarantine.Record, string) {}
 
--- a/internal/requestpath/origin/evacuation_test.go
+++ b/internal/requestpath/origin/evacuation_test.go
@@ -152,7 +152,7 @@
 				slot.Release(false)
 			}
 		}()
-		o.Withdraw("desk-1")
+		o.Withdraw("desk-1", "machine-b")
 		o.SetEvacuated(true)
 		assertCode(t, <-startCall(o, "leaves"), result.CallNotRunDraining)
 		o.SetEvacuated(false)
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -59,6 +59,7 @@
 // Origin serves calls for the local instances. It is safe for concurrent use.
 type Origin struct {
 	config          Config
+	startedAt       time.Time
 	coldCrashes     coldCrashes
 	attempts        *dedupCache
 	idempotencyKeys *dedupCache
@@ -116,7 +117,7 @@
 		config.Changed = func() {}
 	}
 	origin := &Origin{
-		config: config, instances: map[instanceKey]*Instance{}, withdrawn: map[string]time.Time{},
+		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]time.Time{},
 		attempts: newDedupCache(attemptTTL, time.Now), idempotencyKeys: newDedupCache(idempotencyKeyTTL, time.Now),
 		unknownServiceLog: rate.Sometimes{First: unknownServiceLines, Interval: unknownServiceInterval},
 	}
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -37,7 +37,7 @@
 	instance, isNew := o.findOrRegister(registration)
 	changed := instance != nil && instance.applyHeartbeat(registration, isNew)
 	if registration.Draining {
-		o.Withdraw(registration.incarnation().Name())
+		o.withdraw(registration.incarnation().Name(), withdrawnByHeartbeat)
 		return
 	}
 	if instance == nil {
@@ -81,7 +81,7 @@
 	o.watch(instance)
 	o.config.Logger.Info("instance.registered", "instance", instance.Name, "service", instance.Service,
 		"address", registration.Address, "version", registration.Version, "slots", registration.Slots, "sequence", registration.Sequence,
-		"cold_ms", registration.ColdRemaining.Milliseconds())
+		"cold_ms", registration.ColdRemaining.Milliseconds(), "uptime_ms", time.Since(o.startedAt).Milliseconds())
 	return instance, true
 }
 
@@ -216,9 +216,21 @@
 // register it again. It must exceed the longest delay of a heartbeat.
 const withdrawnTTL = 10 * time.Minute
 
-// Withdraw drains an instance permanently: it gets no further calls, its running calls continue,
-// and no heartbeat brings it back.
-func (o *Origin) Withdraw(name string) {
+// Origins of the report that an instance left, for the log. The name of another daemon stands for
+// itself.
+const (
+	withdrawnByHeartbeat   = "heartbeat"
+	withdrawnByRetirement  = "retirement"
+	withdrawnByStatement   = "statement"
+	withdrawnByReplacement = "replacement"
+)
+
+// Withdraw drains an instance that left permanently, as reported by another daemon.
+func (o *Origin) Withdraw(name, daemon string) { o.withdraw(name, daemon) }
+
+// withdraw drains an instance permanently: it gets no further calls, its running calls continue,
+// and no heartbeat brings it back. by is the origin of the report.
+func (o *Origin) withdraw(name, by string) {
 	o.mutex.Lock()
 	_, alreadyWithdrawn := o.withdrawn[name]
 	o.withdrawn[name] = time.Now()
@@ -229,7 +241,7 @@
 		}
 	}
 	if !alreadyWithdrawn {
-		o.config.Logger.Info("instance.leaving", "instance", name)
+		o.config.Logger.Info("instance.leaving", "instance", name, "by", by, "uptime_ms", time.Since(o.startedAt).Milliseconds())
 		o.config.Changed()
 	}
 }
@@ -243,12 +255,12 @@
 		for _, instance := range o.Instances() {
 			if instance.identity.ID == id {
 				known = true
-				o.Withdraw(instance.Name)
+				o.withdraw(instance.Name, withdrawnByRetirement)
 			}
 		}
 	}
 	if !known {
-		o.Withdraw(named.Name())
+		o.withdraw(named.Name(), withdrawnByRetirement)
 	}
 }
 
@@ -297,5 +309,5 @@
 // markReplaced withdraws an instance whose address another instance has taken over.
 func (o *Origin) markReplaced(instance *Instance) {
 	instance.Drain(DrainReplaced)
-	o.Withdraw(instance.Name)
+	o.withdraw(instance.Name, withdrawnByReplacement)
 }
--- a/internal/requestpath/origin/registration_test.go
+++ b/internal/requestpath/origin/registration_test.go
@@ -35,7 +35,7 @@
 // An instance that left is dropped once it has no calls in flight.
 func TestInstancesThatLeftAreDropped(t *testing.T) {
 	for name, leave := range map[string]func(*origin.Origin){
-		"is withdrawn": func(o *origin.Origin) { o.Withdraw("desk-1") },
+		"is withdrawn": func(o *origin.Origin) { o.Withdraw("desk-1", "machine-b") },
 		"drains": func(o *origin.Origin) {
 			draining := registration("desk-1", "127.0.0.1:1")
 			draining.Draining = true
@@ -79,7 +79,7 @@
 		running, stop := startOrigin(t)
 		defer stop()
 		running.Register(registration("desk-1", "127.0.0.1:1"))
-		running.Withdraw("desk-1")
+		running.Withdraw("desk-1", "machine-b")
 		time.Sleep(settleTime)
 		late := registration("desk-1", "127.0.0.1:1")
 		late.Sequence = 9
--- a/internal/requestpath/origin/restart_test.go
+++ b/internal/requestpath/origin/restart_test.go
@@ -115,7 +115,7 @@
 		"of the earlier incarnation": {func(o *origin.Origin) { o.WithdrawIncarnation("desk-1", 1000) }, []string{"desk-1@2000"}},
 		"of the present incarnation": {func(o *origin.Origin) { o.WithdrawIncarnation("desk-1", 2000) }, []string{}},
 		"of the ID":                  {func(o *origin.Origin) { o.WithdrawIncarnation("desk-1", 0) }, []string{}},
-		"by name":                    {func(o *origin.Origin) { o.Withdraw("desk-1@1000") }, []string{"desk-1@2000"}},
+		"by name":                    {func(o *origin.Origin) { o.Withdraw("desk-1@1000", "machine-b") }, []string{"desk-1@2000"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/requestpath/origin/statement.go
+++ b/internal/requestpath/origin/statement.go
@@ -100,7 +100,7 @@
 	}
 	stated := instance.recordStatement(o.config.Envelope.Statement(response.Header), sentAt, refusal == nil)
 	if stated.Leaving && !o.isWithdrawn(instance.Name) {
-		o.Withdraw(instance.Name)
+		o.withdraw(instance.Name, withdrawnByStatement)
 	}
 	return stated
 }
