Tests: an acknowledged leave outlasts the daemons that know it

The emulator hid it: its instances stated in every answer that they leave, which a daemon without memory learns from its first call.

--- a/internal/lab/emulator/instance/instance.go
+++ b/internal/lab/emulator/instance/instance.go
@@ -88,6 +88,8 @@
 	// ServiceTime is the mean time that a request runs.
 	ServiceTime       time.Duration
 	HeartbeatInterval time.Duration
+	// LeavingUnstated is true if the instance does not state in its answers that it leaves.
+	LeavingUnstated bool
 	// ColdDuration is the time for which the instance is cold after its start. Work takes coldSlowdown
 	// times as long meanwhile.
 	ColdDuration time.Duration
@@ -193,7 +195,7 @@
 }
 
 // SetStatement replaces what the instance states about itself in all its answers. While it shuts down, it
-// also states that it leaves.
+// also states that it leaves, unless Options.LeavingUnstated is set.
 func (i *Instance) SetStatement(statement promise.Statement) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
@@ -213,7 +215,7 @@
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
 	current := i.statement
-	current.Leaving = current.Leaving || i.draining.Load()
+	current.Leaving = current.Leaving || (i.draining.Load() && !i.options.LeavingUnstated)
 	return current
 }
 
@@ -248,6 +250,18 @@
 // the acknowledgement, deregisters and ends. With skipDrain it deregisters first instead. It reports
 // whether the daemon acknowledged.
 func (i *Instance) Shutdown(ctx context.Context, linger time.Duration, skipDrain bool) (acknowledged bool) {
+	acknowledged = i.Leave(ctx, skipDrain)
+	sleep.For(ctx, linger)
+	if !skipDrain {
+		_ = i.deregister(ctx)
+	}
+	i.Crash()
+	return acknowledged
+}
+
+// Leave registers the instance as draining, or deregisters it with skipDrain, until the daemon
+// acknowledges it or ctx ends. The instance continues to serve.
+func (i *Instance) Leave(ctx context.Context, skipDrain bool) (acknowledged bool) {
 	i.draining.Store(true)
 	for !acknowledged && sleep.For(ctx, 0) {
 		if skipDrain {
@@ -262,11 +276,6 @@
 	if acknowledged {
 		i.options.Ledger.DrainAcknowledged(i.Name())
 	}
-	sleep.For(ctx, linger)
-	if !skipDrain {
-		_ = i.deregister(ctx)
-	}
-	i.Crash()
 	return acknowledged
 }
 
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -50,6 +50,8 @@
 	}
 	options.ServiceTime, options.Slots = 250*time.Millisecond, 24
 	options.Launch, options.Seed = launch, seed
+	// Where instances state in their answers that they leave, a daemon that has forgotten it learns of it again.
+	options.LeavingUnstated = seed%2 == 1
 	return options
 }
 
@@ -130,7 +132,7 @@
 		disturbances = append(disturbances, extra(played)...)
 	}
 	// Appended last, so that the draws of the others stay those of the same seed without it.
-	disturbances = append(disturbances, played.statedLimits, played.invalidConfigurations)
+	disturbances = append(disturbances, played.statedLimits, played.invalidConfigurations, played.leavesWithLateHeartbeats)
 	for _, disturb := range disturbances {
 		random := rand.New(rand.NewPCG(seed, played.random.Uint64()))
 		running.Go(func() { disturb(dayCtx, random) })
@@ -176,6 +178,29 @@
 	}
 }
 
+// leavesWithLateHeartbeats replaces instances that serve on for some seconds after their leave, while
+// heartbeats that they sent before it arrive.
+func (d *soakDay) leavesWithLateHeartbeats(ctx context.Context, random *rand.Rand) {
+	for sleepAround(ctx, random, time.Second) {
+		machine := d.site.Machines[random.IntN(len(d.site.Machines))]
+		leaving := machine.Instance()
+		skipDrain := random.IntN(2) == 0
+		meanDelay := time.Duration(100+random.IntN(900)) * time.Millisecond
+		heartbeatRandom := rand.New(rand.NewPCG(random.Uint64(), 1))
+		heartbeats, stop := context.WithCancel(ctx)
+		var sending sync.WaitGroup
+		sending.Go(func() {
+			for sleepAround(heartbeats, heartbeatRandom, meanDelay) {
+				leaving.SendLateHeartbeat(heartbeats)
+			}
+		})
+		_, err := machine.ReplaceInstance(ctx, 5*time.Second, skipDrain)
+		stop()
+		sending.Wait()
+		assert.Check(d.t, err)
+	}
+}
+
 // statedLimits makes instances state a rate limit, one after the other, each for three to nine seconds: a
 // limit applies only after the contact time and is checked over four seconds.
 func (d *soakDay) statedLimits(ctx context.Context, random *rand.Rand) {
