An acknowledged leave is stored before it is acknowledged

Callers saw orders sent to a back end that had said it was leaving, and lost where it ended (DRAIN). Cause: the daemon beside an instance and those with a link to it kept an acknowledged leave in memory only. Once all of them had ended, at once or in series, or while the store was down, a heartbeat that the instance had sent before it left was taken for the first one of a new instance. Change: package departure. In the ten minutes after its start a daemon looks an unknown instance up there before it registers it. If the store does not tell, the third heartbeat registers it: one that left sends no further ones. Departures are stored again after a restoration of the store, and expired ones are removed by daemons that store others.

--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -13,6 +13,7 @@
 	"github.com/lapisvane/lapisvane/internal/distribution/objectapi"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
+	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
 	"github.com/lapisvane/lapisvane/internal/requestpath/gateway"
 	"github.com/lapisvane/lapisvane/internal/transport/callmux"
 	"github.com/lapisvane/lapisvane/internal/transport/peer"
@@ -65,6 +66,8 @@
 	identity gateway.Identity
 	// quarantineStore persists quarantine records beyond the lifetime of all daemons; it may be nil.
 	quarantineStore quarantine.Store
+	// departures keeps the departures of instances beyond the lifetime of all daemons; it may be nil.
+	departures departure.Store
 	// build creates the distribution. It is called after Daemon.path is set.
 	build func(network wire.Network) distribution
 }
@@ -98,7 +101,7 @@
 		incarnation: rand.Uint64(), envelope: options.Platform.Envelope(),
 		timing: platformTiming(config, freshness), maintained: true,
 		identity:        identityOf(config, freshness, d.logger, d.registry),
-		quarantineStore: options.Platform.Quarantine(),
+		quarantineStore: options.Platform.Quarantine(), departures: options.Platform.Departures(),
 		build: func(wire.Network) distribution {
 			return newPlatformDistribution(d, options.Platform, freshness)
 		},
--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -138,6 +138,7 @@
 	platform.OnStoreRestored(func() {
 		p.fleet.DirectoryRestored()
 		p.path.suspects.storeRestored()
+		p.path.origin.DeparturesLost()
 	})
 	return p
 }
--- a/internal/daemon/platform_distribution_test.go
+++ b/internal/daemon/platform_distribution_test.go
@@ -17,6 +17,7 @@
 	"github.com/lapisvane/lapisvane/internal/model/meshconfig"
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
 	"github.com/lapisvane/lapisvane/internal/model/rollout"
+	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
 )
 
 // stubPlatform is a Platform without a store, a directory or any requests.
@@ -31,6 +32,7 @@
 func (stubPlatform) Rollouts() rollout.Store                                             { return nil }
 func (stubPlatform) Envelope() callapi.Envelope                                          { return callapi.DefaultEnvelope }
 func (stubPlatform) Quarantine() quarantine.Store                                        { return nil }
+func (stubPlatform) Departures() departure.Store                                         { return nil }
 func (stubPlatform) ServeInstances(context.Context, net.Listener, platformapi.Instances) {}
 func (stubPlatform) ServeReadiness(context.Context, net.Listener, func() bool)           {}
 func (stubPlatform) Close()                                                              {}
--- a/internal/daemon/platformapi/platform.go
+++ b/internal/daemon/platformapi/platform.go
@@ -13,17 +13,18 @@
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
 	"github.com/lapisvane/lapisvane/internal/model/rollout"
+	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
 	"github.com/lapisvane/lapisvane/internal/requestpath/origin"
 )
 
 // Instances receives the heartbeats of the local instances. An adapter acknowledges a message after the
-// method has returned.
+// method has returned without an error, and does not acknowledge it after an error.
 type Instances interface {
-	// Register records a heartbeat.
-	Register(registration origin.Registration)
-	// WithdrawIncarnation records that an incarnation of an instance retires. id and born, its start time
-	// in Unix milliseconds, identify it; if born is 0, the known incarnation with that id retires.
-	WithdrawIncarnation(id string, born uint64)
+	// Heartbeat handles a heartbeat.
+	Heartbeat(ctx context.Context, registration origin.Registration) error
+	// Retire handles that an incarnation of an instance retires. id and born, its start time in Unix
+	// milliseconds, identify it; if born is 0, the known incarnation with that id retires.
+	Retire(ctx context.Context, id string, born uint64) error
 }
 
 // RefusedEntry is a class of invalid entries in the platform's store, or of invalid heartbeats, which
@@ -47,6 +48,8 @@
 	// Quarantine returns the store for records of requests that are suspected of crashing instances. It
 	// persists them beyond the lifetime of all daemons.
 	Quarantine() quarantine.Store
+	// Departures returns the store for the departures of instances.
+	Departures() departure.Store
 	// RefusedEntries returns the numbers of invalid entries and heartbeats since the start.
 	RefusedEntries() map[RefusedEntry]int64
 	// OnStoreRestored registers a function that is called after each restoration of the platform's
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -70,7 +70,7 @@
 	}
 	p.rateLimits = newRateLimits(values.RateLimits, p.snapshots)
 	p.origin = origin.New(origin.Config{
-		Backends: backendsOf(values), Crashes: p.suspects,
+		Backends: backendsOf(values), Crashes: p.suspects, Departures: mode.departures,
 		QueueLength: values.Calls.QueueLength, QueueTime: values.Calls.QueueTime.Get(),
 		Envelope: mode.envelope, Changed: announce, Decisions: decisions, Logger: d.logger, Region: values.Region,
 		Cold: origin.ColdBound{Overshoot: values.ColdStarts.Overshoot, Allowance: values.ColdStarts.Slack},
--- /dev/null
+++ b/internal/requestpath/departure/departure.go
@@ -0,0 +1,83 @@
+// Package departure decides what a daemon may conclude about an instance that it doesn't know.
+//
+// An instance that leaves for good is acknowledged, and gets no calls from then on. Its daemon may end
+// right after that, alone or together with all others, and a heartbeat that the instance sent before it
+// left may arrive seconds late. A daemon that has just started therefore cannot tell by the heartbeat
+// alone whether the instance is in service. Departures are kept in a Store that outlasts all daemons:
+// a daemon acknowledges a departure once it is stored, and asks for a stored departure before it
+// registers an instance that it doesn't know.
+//
+// The package holds the rules, which are pure, and the heartbeats of instances whose departure could
+// not be looked up. It does no I/O except through Store. A Candidates value is safe for concurrent use.
+//
+// Growth: one write for each departure, and one read for each instance that registers within TTL of its
+// daemon's start. Stored departures are removed once they are older than TTL, by daemons that store
+// others, so their number follows the departures of the last TTL and not the age of the fleet.
+package departure
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// TTL is how long a departure is remembered. It must be longer than the longest delay of a
+	// heartbeat, because a delayed heartbeat must not bring the instance back.
+	TTL = 10 * time.Minute
+	// StoreTimeout limits the store's part in the answer to an instance. Instances take an answer
+	// within one second.
+	StoreTimeout = 800 * time.Millisecond
+	// continuationTime is how long the heartbeats of an instance must have continued, counted from the
+	// first one, to register it although the store doesn't answer. It is above one heartbeat interval
+	// (1.5 s) and below two, so that the third heartbeat registers the instance: an instance that left
+	// sends no further heartbeats, and single ones that were delayed do not suffice.
+	continuationTime = 2500 * time.Millisecond
+	// sweepInterval is the mean number of departures that this daemon stores between two sweeps, and
+	// maxSwept is the maximum number of expired ones that one sweep removes. maxSwept must be larger than
+	// sweepInterval, so that more are removed than added.
+	sweepInterval = 8
+	maxSwept      = 16
+)
+
+// Store keeps departures beyond the lifetime of all daemons. An error leaves unknown whether the
+// operation took effect; repeating it is safe. It is safe for concurrent use.
+type Store interface {
+	// Save stores that an instance, given by the name of its incarnation, has left for good.
+	Save(ctx context.Context, instance string) error
+	// Contains reports whether a departure is stored that is not older than TTL. The answer includes
+	// each departure that any daemon stored before the call.
+	Contains(ctx context.Context, instance string) (bool, error)
+	// Expired returns departures that are older than TTL, on one page of a list that begins after that
+	// of an instance, or with the first if it is empty, and may be some seconds old.
+	Expired(ctx context.Context, after string) ([]Stored, error)
+	// Remove removes a departure unless it was stored again since.
+	Remove(ctx context.Context, departure Stored) error
+}
+
+// Stored identifies one version of a stored departure. Name is its name in the store.
+type Stored struct {
+	Name     string
+	Revision uint64
+}
+
+// MustLookUp reports whether an unknown instance's departure must be looked up before the instance
+// registers. uptime is the age of this process. A departure that an earlier process acknowledged is
+// older than uptime, and so are the heartbeats that the instance sent before it left.
+func MustLookUp(uptime time.Duration) bool { return uptime < TTL }
+
+// SweepsAfterSave reports whether to sweep after storing a departure; random is between 0 and 1.
+func SweepsAfterSave(random float64) bool { return random < 1.0/sweepInterval }
+
+// Sweep removes expired departures from one page of the list (Store.Expired).
+func Sweep(ctx context.Context, store Store, after string) error {
+	expired, err := store.Expired(ctx, after)
+	if err != nil {
+		return err
+	}
+	for _, departure := range expired[:min(len(expired), maxSwept)] {
+		if err := store.Remove(ctx, departure); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/requestpath/origin/constants_test.go
+++ b/internal/requestpath/origin/constants_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/internal/requestpath/admission"
+	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
 )
 
 // The durations must keep these relations; each row states which one must be below which, and why.
@@ -25,7 +26,8 @@
 		{"one late heartbeat does not free the address", 2 * heartbeat, presenceTimeout},
 		{"an instance loses its address before it counts as silent", presenceTimeout, heartbeatTimeout},
 		{"a silent instance is dropped after it is marked as down", heartbeatTimeout, silentInstanceTTL},
-		{"a delayed heartbeat cannot bring back an instance that left", silentInstanceTTL, withdrawnTTL},
+		{"a delayed heartbeat cannot bring back an instance that left", silentInstanceTTL, departure.TTL},
+		{"an instance gets its answer within the second for which it waits", departure.StoreTimeout, time.Second},
 		{"silence is detected soon after it begins", checkInterval, heartbeatTimeout / 10},
 		{"the polls cover the failures of all calls of one crash", longestSpread, maxCrashPolls * crashPollInterval},
 		{"polls delay a broken call for a short time only", maxCrashPolls * crashPollInterval, crashProbeTimeout},
--- /dev/null
+++ b/internal/requestpath/origin/departure.go
@@ -0,0 +1,148 @@
+package origin
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
+)
+
+// departed is an instance that left permanently.
+type departed struct {
+	// at is when this daemon last learned of it.
+	at time.Time
+	// stored is true once the store has the departure.
+	stored bool
+}
+
+// Heartbeat handles a heartbeat of an instance. After it has returned for a draining instance, no
+// further call starts there, and without an error no later process of this daemon starts one either.
+// With an error the heartbeat must not be acknowledged. Errors: those of departure.Store.
+func (o *Origin) Heartbeat(ctx context.Context, registration Registration) error {
+	if registration.Draining {
+		o.Register(registration)
+		return o.storeDepartures(ctx, registration.incarnation().Name())
+	}
+	if o.mayRegister(ctx, registration) {
+		o.Register(registration)
+	}
+	return nil
+}
+
+// Retire withdraws an incarnation like WithdrawIncarnation. With an error the retirement must not be
+// acknowledged. Errors: those of departure.Store.
+func (o *Origin) Retire(ctx context.Context, id string, startUnixMillis uint64) error {
+	return o.storeDepartures(ctx, o.WithdrawIncarnation(id, startUnixMillis)...)
+}
+
+// storeDepartures stores the departures of withdrawn instances that are not stored yet.
+func (o *Origin) storeDepartures(ctx context.Context, names ...string) error {
+	if o.config.Departures == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, departure.StoreTimeout)
+	defer cancel()
+	for _, name := range names {
+		if o.isStored(name) {
+			continue
+		}
+		startedAt := time.Now()
+		if err := o.config.Departures.Save(ctx, name); err != nil {
+			o.config.Logger.Info("instance.departure_not_stored", "instance", name, "error", err)
+			return err
+		}
+		o.config.Logger.Info("instance.departure_stored", "instance", name, "took_ms", time.Since(startedAt).Milliseconds())
+		o.markStored(name)
+		o.sweepDepartures(name)
+	}
+	return nil
+}
+
+func (o *Origin) isStored(name string) bool {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	return o.withdrawn[name].stored
+}
+
+func (o *Origin) markStored(name string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if departed, known := o.withdrawn[name]; known {
+		departed.stored = true
+		o.withdrawn[name] = departed
+	}
+}
+
+// sweepDepartures removes expired departures from the store in the background, after some of the
+// departures that this daemon stores. Half of the sweeps begin at the first name, because few stored
+// names may follow that of the departed instance.
+func (o *Origin) sweepDepartures(name string) {
+	if !departure.SweepsAfterSave(rand.Float64()) {
+		return
+	}
+	if rand.IntN(2) == 0 {
+		name = ""
+	}
+	o.inBackground(func(ctx context.Context) {
+		if err := departure.Sweep(ctx, o.config.Departures, name); err != nil {
+			o.config.Logger.Info("instance.departures_not_swept", "error", err)
+		}
+	})
+}
+
+// DeparturesLost stores the known departures again, because the store may have lost them.
+func (o *Origin) DeparturesLost() {
+	o.mutex.Lock()
+	var names []string
+	for name, departed := range o.withdrawn {
+		if departed.stored {
+			departed.stored = false
+			o.withdrawn[name] = departed
+			names = append(names, name)
+		}
+	}
+	o.mutex.Unlock()
+	if len(names) == 0 {
+		return
+	}
+	o.inBackground(func(ctx context.Context) {
+		// An error is logged. The instance's next heartbeat, if it sends one, stores the rest.
+		_ = o.storeDepartures(ctx, names...)
+	})
+}
+
+// inBackground runs a function until the origin ends; it does nothing if the origin is not running.
+func (o *Origin) inBackground(run func(ctx context.Context)) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if ctx := o.runContext; ctx != nil && ctx.Err() == nil {
+		o.goroutines.Go(func() { run(ctx) })
+	}
+}
+
+// mayRegister reports whether a ready instance may be registered by a heartbeat. An instance that this
+// daemon doesn't know may have left while an earlier process ran here.
+func (o *Origin) mayRegister(ctx context.Context, registration Registration) bool {
+	name := registration.incarnation().Name()
+	if o.config.Departures == nil || !departure.MustLookUp(time.Since(o.startedAt)) || o.isWithdrawn(name) {
+		return true
+	}
+	if _, known := o.instance(registration.Service, name); known {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, departure.StoreTimeout)
+	defer cancel()
+	left, err := o.config.Departures.Contains(ctx, name)
+	if err != nil {
+		continued := o.candidates.Record(name, registration.Sequence, time.Now())
+		o.config.Logger.Info("instance.departure_unknown", "instance", name, "sequence", registration.Sequence, "continued", continued, "error", err)
+		return continued
+	}
+	o.candidates.Forget(name)
+	if left {
+		o.withdraw(name, withdrawnByStore)
+		o.markStored(name)
+	}
+	return !left
+}
--- /dev/null
+++ b/internal/requestpath/origin/departure_test.go
@@ -0,0 +1,225 @@
+package origin_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
+	"github.com/lapisvane/lapisvane/internal/requestpath/origin"
+)
+
+// memoryDepartures is a departure.Store that outlasts the origins that use it.
+type memoryDepartures struct {
+	mutex  sync.Mutex
+	stored map[string]bool
+	// fault is the error of all calls; nil for none. hangs is true if calls get no answer.
+	fault error
+	hangs bool
+	saves int
+}
+
+func newDepartures() *memoryDepartures { return &memoryDepartures{stored: map[string]bool{}} }
+
+func (m *memoryDepartures) begin(ctx context.Context) error {
+	if m.hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return m.fault
+}
+
+func (m *memoryDepartures) Save(ctx context.Context, instance string) error {
+	if err := m.begin(ctx); err != nil {
+		return err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.saves++
+	m.stored[instance] = true
+	return nil
+}
+
+func (m *memoryDepartures) Contains(ctx context.Context, instance string) (bool, error) {
+	if err := m.begin(ctx); err != nil {
+		return false, err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.stored[instance], nil
+}
+
+func (m *memoryDepartures) Expired(context.Context, string) ([]departure.Stored, error) {
+	return nil, nil
+}
+
+func (m *memoryDepartures) Remove(context.Context, departure.Stored) error { return nil }
+
+// startWithDepartures runs an origin with a store of departures in a synctest bubble until stop is called.
+func startWithDepartures(t *testing.T, store departure.Store) (running *origin.Origin, stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	running = origin.New(origin.Config{QueueLength: 8, QueueTime: time.Second, Departures: store})
+	done := make(chan struct{})
+	go func() { defer close(done); running.Run(ctx) }()
+	synctest.Wait()
+	return running, func() { cancel(); <-done }
+}
+
+// startedRegistration is a ready heartbeat of an incarnation.
+func startedRegistration(start, sequence uint64) origin.Registration {
+	heartbeat := registration("desk-1", "127.0.0.1:1")
+	heartbeat.StartUnixMillis, heartbeat.Sequence = start, sequence
+	return heartbeat
+}
+
+var errStoreDown = errors.New("the store is down")
+
+// leaves are the ways in which an instance announces that it leaves for good.
+var leaves = map[string]func(*origin.Origin, origin.Registration) error{
+	"drains": func(o *origin.Origin, heartbeat origin.Registration) error {
+		heartbeat.Draining = true
+		heartbeat.Sequence++
+		return o.Heartbeat(context.Background(), heartbeat)
+	},
+	"retires": func(o *origin.Origin, heartbeat origin.Registration) error {
+		return o.Retire(context.Background(), heartbeat.Instance, heartbeat.StartUnixMillis)
+	},
+	"retires without its start": func(o *origin.Origin, heartbeat origin.Registration) error {
+		return o.Retire(context.Background(), heartbeat.Instance, 0)
+	},
+}
+
+// A process that knows nothing of the leave that an earlier one acknowledged ignores late heartbeats, and
+// registers a later start of the same instance.
+func TestLateHeartbeatDoesNotBringBackAnInstanceThatLeftBeforeTheStart(t *testing.T) {
+	for name, leave := range leaves {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newDepartures()
+				earlier, stopEarlier := startWithDepartures(t, store)
+				assert.NilError(t, earlier.Heartbeat(t.Context(), startedRegistration(1000, 5)))
+				assert.NilError(t, leave(earlier, startedRegistration(1000, 5)))
+				stopEarlier()
+				later, stop := startWithDepartures(t, store)
+				defer stop()
+				for sequence := range uint64(4) {
+					assert.NilError(t, later.Heartbeat(t.Context(), startedRegistration(1000, 1+sequence)))
+					time.Sleep(time.Second)
+				}
+				assert.Equal(t, len(later.Advertised()), 0)
+				assert.NilError(t, later.Heartbeat(t.Context(), startedRegistration(2000, 1)))
+				assert.Equal(t, len(later.Advertised()), 1)
+			})
+		})
+	}
+}
+
+// A leave that is not stored is not acknowledged, but the instance gets no calls from then on.
+func TestLeaveIsAcknowledgedOnlyOnceItIsStored(t *testing.T) {
+	for name, leave := range leaves {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newDepartures()
+				running, stop := startWithDepartures(t, store)
+				defer stop()
+				heartbeat := startedRegistration(1000, 5)
+				assert.NilError(t, running.Heartbeat(t.Context(), heartbeat))
+				store.fault = errStoreDown
+				assert.ErrorIs(t, leave(running, heartbeat), errStoreDown)
+				assert.DeepEqual(t, running.Withdrawn(), []string{"desk-1@1000"})
+				store.fault, store.hangs = nil, true
+				assert.ErrorIs(t, leave(running, heartbeat), context.DeadlineExceeded)
+				store.hangs = false
+				assert.NilError(t, leaves["retires"](running, heartbeat))
+				assert.NilError(t, leaves["drains"](running, heartbeat))
+				assert.Equal(t, store.saves, 1)
+			})
+		})
+	}
+}
+
+// While the store does not answer, a process that has just started registers an instance once its
+// heartbeats have continued, and not by a single late one.
+func TestInstanceIsServedAfterAStartWithoutTheStore(t *testing.T) {
+	for name, disturb := range map[string]func(*memoryDepartures){
+		"refuses": func(store *memoryDepartures) { store.fault = errStoreDown },
+		"hangs":   func(store *memoryDepartures) { store.hangs = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newDepartures()
+				disturb(store)
+				running, stop := startWithDepartures(t, store)
+				defer stop()
+				for sequence := range uint64(2) {
+					assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(1000, 5+sequence)))
+					assert.Equal(t, len(running.Advertised()), 0)
+					time.Sleep(1500 * time.Millisecond)
+				}
+				assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(1000, 7)))
+				assert.Equal(t, len(running.Advertised()), 1)
+			})
+		})
+	}
+}
+
+// A process that has run for longer than a heartbeat can be late does not depend on the store to register
+// instances.
+func TestInstanceRegistersAtOnceLongAfterTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newDepartures()
+		store.hangs = true
+		running, stop := startWithDepartures(t, store)
+		defer stop()
+		time.Sleep(departure.TTL)
+		assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(1000, 1)))
+		assert.Equal(t, len(running.Advertised()), 1)
+	})
+}
+
+// A leave that overtakes the look-up of a ready heartbeat prevails.
+func TestLeaveDuringTheLookUpPrevails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &heldLookUp{memoryDepartures: newDepartures(), release: make(chan struct{})}
+		running, stop := startWithDepartures(t, store)
+		defer stop()
+		go func() { assert.Check(t, running.Heartbeat(context.Background(), startedRegistration(1000, 4))) }()
+		synctest.Wait()
+		assert.NilError(t, running.Retire(t.Context(), "desk-1", 1000))
+		close(store.release)
+		time.Sleep(settleTime)
+		assert.Equal(t, len(running.Advertised()), 0)
+	})
+}
+
+// heldLookUp answers look-ups as of their beginning, once release is closed.
+type heldLookUp struct {
+	*memoryDepartures
+	release chan struct{}
+}
+
+func (h *heldLookUp) Contains(ctx context.Context, instance string) (bool, error) {
+	left, err := h.memoryDepartures.Contains(ctx, instance)
+	<-h.release
+	return left, err
+}
+
+// Departures that a restored store may have lost are stored again.
+func TestDeparturesAreStoredAgainAfterTheStoreWasRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newDepartures()
+		running, stop := startWithDepartures(t, store)
+		defer stop()
+		assert.NilError(t, running.Retire(t.Context(), "desk-1", 1000))
+		clear(store.stored)
+		running.DeparturesLost()
+		synctest.Wait()
+		assert.Assert(t, store.stored["desk-1@1000"])
+	})
+}
--- a/internal/requestpath/origin/doc.go
+++ b/internal/requestpath/origin/doc.go
@@ -4,7 +4,8 @@
 //
 // The package owns the local instances (instance.go): the state, the queue (package admission), the
 // connections and the calls in flight of each one. It also owns the deduplication of attempts and
-// idempotency keys (dedup.go). All of this is kept in memory and is lost when the daemon ends. Run
+// idempotency keys (dedup.go). All of this is kept in memory and is lost when the daemon ends; only the
+// departures of instances outlast it (departure.go, with the rules of package departure). Run
 // starts one goroutine per instance, which monitors its state, and a short-lived one per probe; all
 // of them end with Run's context. A drain starts a goroutine that ends with the instance's last
 // call, and a streamed request body is written to the instance by a goroutine of its own.
@@ -13,7 +14,7 @@
 // and waits for a slot; handOver (handover.go) sends the call (backend.go, exchange.go) and returns
 // the response (response.go). The end of the response releases the slot. The result of each call
 // goes to health.go and crash.go, which apply the rules of liveness.go. Heartbeats arrive through
-// Register (registration.go, with the rules of incarnation.go) and determine whether an instance is
+// Heartbeat and Register (registration.go, with the rules of incarnation.go) and determine whether an instance is
 // up, drains (drain.go) or is in slow start (coldness.go). What an instance states about itself in its
 // responses (statement.go) limits the rate of its calls or drains it.
 //
--- a/internal/requestpath/origin/liveness.go
+++ b/internal/requestpath/origin/liveness.go
@@ -219,7 +219,7 @@
 	// as down: four heartbeats.
 	heartbeatTimeout = 6 * time.Second
 	// silentInstanceTTL is the time without a heartbeat after which an instance is dropped; its
-	// next heartbeat registers it again. It must be above heartbeatTimeout and below withdrawnTTL.
+	// next heartbeat registers it again. It must be above heartbeatTimeout and below departure.TTL.
 	silentInstanceTTL = time.Minute
 )
 
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -15,6 +15,7 @@
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/admission"
 	"github.com/lapisvane/lapisvane/internal/requestpath/decision"
+	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
@@ -39,6 +40,9 @@
 	Envelope callapi.Envelope
 	// Crashes receives the crashes of instances; nil disables crash reports.
 	Crashes CrashReporter
+	// Departures keeps the departures of instances beyond the lifetime of all daemons; nil if no
+	// instance announces its departure.
+	Departures departure.Store
 	// Changed is called, from any goroutine, when the result of Advertised changes.
 	Changed func()
 	// Decisions receives the log lines about requests (nil for none), Logger those about instances.
@@ -65,6 +69,8 @@
 	idempotencyKeys *dedupCache
 	goroutines      sync.WaitGroup
 	counts          counters
+	// candidates are the unknown instances whose departure could not be looked up.
+	candidates departure.Candidates
 	// executing counts the calls that run at instances, and executingRepeats the repeats among
 	// them.
 	executing, executingRepeats atomic.Int64
@@ -75,9 +81,8 @@
 	// mutex protects everything below.
 	mutex     sync.RWMutex
 	instances map[instanceKey]*Instance
-	// withdrawn maps the name of each instance that left permanently to the time at which this daemon
-	// learned of it.
-	withdrawn map[string]time.Time
+	// withdrawn holds the instances that left permanently, by name.
+	withdrawn map[string]departed
 	current   *snapshot.Snapshot
 	stopping  bool
 	// shutdownDeadline is when all calls here must have ended; zero while the daemon is not
@@ -117,7 +122,7 @@
 		config.Changed = func() {}
 	}
 	origin := &Origin{
-		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]time.Time{},
+		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]departed{},
 		attempts: newDedupCache(attemptTTL, time.Now), idempotencyKeys: newDedupCache(idempotencyKeyTTL, time.Now),
 		unknownServiceLog: rate.Sometimes{First: unknownServiceLines, Interval: unknownServiceInterval},
 	}
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -5,6 +5,7 @@
 
 	"github.com/lapisvane/lapisvane/internal/model/incarnation"
 	"github.com/lapisvane/lapisvane/internal/requestpath/admission"
+	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
 )
 
 // Registration is the content of one heartbeat of an instance.
@@ -147,9 +148,9 @@
 // permanently less than presenceTimeout ago; empty if there is none. Heartbeats of the earlier
 // incarnation are then delayed ones. The caller holds mutex.
 func (o *Origin) laterWithdrawnStart(identity incarnation.Incarnation) string {
-	for name, at := range o.withdrawn {
+	for name, departed := range o.withdrawn {
 		withdrawn := incarnation.Parse(name)
-		if withdrawn.ID == identity.ID && withdrawn.StartedAfter(identity) && isPresent(time.Since(at)) {
+		if withdrawn.ID == identity.ID && withdrawn.StartedAfter(identity) && isPresent(time.Since(departed.at)) {
 			return name
 		}
 	}
@@ -212,10 +213,6 @@
 	return changed || previousState != i.lifecycle.MustState()
 }
 
-// withdrawnTTL is how long a withdrawn instance is remembered, so that a delayed heartbeat does not
-// register it again. It must exceed the longest delay of a heartbeat.
-const withdrawnTTL = 10 * time.Minute
-
 // Origins of the report that an instance left, for the log. The name of another daemon stands for
 // itself.
 const (
@@ -223,6 +220,7 @@
 	withdrawnByRetirement  = "retirement"
 	withdrawnByStatement   = "statement"
 	withdrawnByReplacement = "replacement"
+	withdrawnByStore       = "store"
 )
 
 // Withdraw drains an instance that left permanently, as reported by another daemon.
@@ -232,8 +230,9 @@
 // and no heartbeat brings it back. by is the origin of the report.
 func (o *Origin) withdraw(name, by string) {
 	o.mutex.Lock()
-	_, alreadyWithdrawn := o.withdrawn[name]
-	o.withdrawn[name] = time.Now()
+	departed, alreadyWithdrawn := o.withdrawn[name]
+	departed.at = time.Now()
+	o.withdrawn[name] = departed
 	o.mutex.Unlock()
 	for _, instance := range o.Instances() {
 		if instance.Name == name {
@@ -247,21 +246,22 @@
 }
 
 // WithdrawIncarnation withdraws the incarnation with an ID and a start time; without a start time (0),
-// the known incarnations with the ID.
-func (o *Origin) WithdrawIncarnation(id string, startUnixMillis uint64) {
-	named := incarnation.Incarnation{ID: id, StartUnixMillis: startUnixMillis}
-	known := false
+// the known incarnations with the ID. It returns the names of the withdrawn incarnations.
+func (o *Origin) WithdrawIncarnation(id string, startUnixMillis uint64) (names []string) {
 	if startUnixMillis == 0 {
 		for _, instance := range o.Instances() {
 			if instance.identity.ID == id {
-				known = true
-				o.withdraw(instance.Name, withdrawnByRetirement)
+				names = append(names, instance.Name)
 			}
 		}
 	}
-	if !known {
-		o.withdraw(named.Name(), withdrawnByRetirement)
+	if len(names) == 0 {
+		names = []string{incarnation.Incarnation{ID: id, StartUnixMillis: startUnixMillis}.Name()}
+	}
+	for _, name := range names {
+		o.withdraw(name, withdrawnByRetirement)
 	}
+	return names
 }
 
 func (o *Origin) isWithdrawn(name string) bool {
@@ -282,10 +282,10 @@
 	return names
 }
 
-// pruneWithdrawn removes the entries older than withdrawnTTL; the caller holds mutex.
+// pruneWithdrawn removes the entries older than departure.TTL; the caller holds mutex.
 func (o *Origin) pruneWithdrawn() {
-	for name, at := range o.withdrawn {
-		if time.Since(at) > withdrawnTTL {
+	for name, departed := range o.withdrawn {
+		if time.Since(departed.at) > departure.TTL {
 			delete(o.withdrawn, name)
 		}
 	}
--- a/internal/requestpath/origin/restart_test.go
+++ b/internal/requestpath/origin/restart_test.go
@@ -61,7 +61,7 @@
 
 // The failure: heartbeats of an instance that restarted under the same ID counted as delayed ones
 // until its sequence had caught up, and after a withdrawal it was refused for ten minutes
-// (withdrawnTTL).
+// (departure.TTL).
 func TestInstanceStartsAgainUnderItsID(t *testing.T) {
 	const first, second = "desk-1@1000", "desk-1@2000"
 	for name, row := range map[string]struct {
