Announcements of local instances follow each other

Of two changes at once, the older state could be announced last: an instance that had left stayed announced as ready, and its leave unknown to the other daemons, until the next change. Change: the distribution reads the state itself, one announcement after the other.

--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -27,8 +27,9 @@
 type distribution interface {
 	// Run runs the distribution until ctx ends and serves its own subset of the listeners.
 	Run(ctx context.Context, listeners listeners)
-	// SetLocalEndpoints sets the local instances to announce.
-	SetLocalEndpoints(endpoints []*lapisv1.Endpoint)
+	// AnnounceEndpoints announces the local instances in their present state. Concurrent calls follow each
+	// other, so that no announcement replaces a later state.
+	AnnounceEndpoints()
 	// EndpointsOf returns the known instances of a service.
 	EndpointsOf(service string) []*lapisv1.Endpoint
 	// Handlers returns the handlers for connections from other daemons, except those for calls.
--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -105,6 +105,8 @@
 	// resumed receives a value after a suspension of the machine.
 	resumed chan struct{}
 
+	// announcing serializes announcements of the local instances.
+	announcing sync.Mutex
 	// mutex serializes the application of configurations.
 	mutex sync.Mutex
 }
@@ -176,8 +178,11 @@
 	running.Wait()
 }
 
-// SetLocalEndpoints implements distribution.
-func (p *platformDistribution) SetLocalEndpoints(endpoints []*lapisv1.Endpoint) {
+// AnnounceEndpoints implements distribution.
+func (p *platformDistribution) AnnounceEndpoints() {
+	p.announcing.Lock()
+	defer p.announcing.Unlock()
+	endpoints := p.path.origin.Advertised()
 	if p.rollouts != nil {
 		endpoints = p.rollouts.admit(endpoints)
 	}
@@ -333,7 +338,7 @@
 	path.origin.Drain(endsBy)
 	return time.AfterFunc(instanceDrainTime, func() {
 		path.origin.Stop()
-		p.SetLocalEndpoints(path.origin.Advertised())
+		p.AnnounceEndpoints()
 	})
 }
 
--- a/internal/daemon/platform_distribution_test.go
+++ b/internal/daemon/platform_distribution_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"sync"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -18,6 +20,7 @@
 	"github.com/lapisvane/lapisvane/internal/model/quarantine"
 	"github.com/lapisvane/lapisvane/internal/model/rollout"
 	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
+	"github.com/lapisvane/lapisvane/internal/requestpath/origin"
 )
 
 // stubPlatform is a Platform without a store, a directory or any requests.
@@ -83,3 +86,33 @@
 	offer(configurationOf(t, 9, "/newest/"))
 	assert.Equal(t, running.Revision(), uint64(9))
 }
+
+// The last announcement holds the state after the last change, however changes follow each other.
+func TestAnnouncementIsNotOvertakenByAnOlderOne(t *testing.T) {
+	config := settings.DefaultDaemon()
+	config.Node, config.Zone, config.PeerAddress = "a", "z", "127.0.0.1:0"
+	running, err := New(&config, Options{Logger: logr.Discard(), Platform: stubPlatform{}})
+	assert.NilError(t, err)
+	defer running.listeners.close()
+	platform := platformDistributionOf(t, running)
+	local := running.path.origin
+	for round := range 300 {
+		service := fmt.Sprintf("desk-%d", round)
+		instance := origin.Registration{Service: service, Instance: service, Address: fmt.Sprintf("127.0.0.1:%d", round+1), Slots: 1, Sequence: 1}
+		local.Register(instance)
+		var changing sync.WaitGroup
+		changing.Go(func() { local.Withdraw(service, "b") })
+		changing.Go(func() {
+			other := instance
+			other.Instance, other.Address = service+"-other", fmt.Sprintf("127.0.1.1:%d", round+1)
+			local.Register(other)
+		})
+		changing.Wait()
+		endpoints := platform.EndpointsOf(service)
+		assert.Equal(t, len(endpoints), 2, "round %d", round)
+		for _, endpoint := range endpoints {
+			leaves := endpoint.GetInstance() == service
+			assert.Equal(t, endpoint.GetState() == lapisv1.Endpoint_STATE_DRAINING, leaves, "round %d: %s is announced as %s", round, endpoint.GetInstance(), endpoint.GetState())
+		}
+	}
+}
--- a/internal/daemon/platform_rollouts.go
+++ b/internal/daemon/platform_rollouts.go
@@ -165,7 +165,7 @@
 	holding := r.newVersionGate.Holding()
 	r.mutex.Unlock()
 	if holding {
-		r.distribution.SetLocalEndpoints(r.distribution.path.origin.Advertised())
+		r.distribution.AnnounceEndpoints()
 	}
 }
 
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -60,7 +60,7 @@
 func newRequestPath(d *Daemon, network wire.Network, mode mode) *requestPath {
 	values := d.settings.Load()
 	decisions := decision.New(d.logger, values.DecisionLinesPerSecond, time.Now)
-	announce := func() { d.distribution.SetLocalEndpoints(d.path.origin.Advertised()) }
+	announce := func() { d.distribution.AnnounceEndpoints() }
 	spread := func(records []quarantine.Record, from string) { d.distribution.SpreadSuspects(records, from) }
 	p := &requestPath{
 		settings: &d.settings, logger: d.logger,
--- a/internal/daemon/tree_distribution.go
+++ b/internal/daemon/tree_distribution.go
@@ -31,6 +31,8 @@
 	path  *requestPath
 	node  *tree.Node
 	store *objectapi.Client
+	// announcing serializes announcements of the local instances.
+	announcing sync.Mutex
 }
 
 func newTreeDistribution(d *Daemon, store *objectapi.Client, network wire.Network) *treeDistribution {
@@ -62,9 +64,11 @@
 	running.Wait()
 }
 
-// SetLocalEndpoints implements distribution.
-func (t *treeDistribution) SetLocalEndpoints(endpoints []*lapisv1.Endpoint) {
-	t.node.SetLocalEndpoints(endpoints)
+// AnnounceEndpoints implements distribution.
+func (t *treeDistribution) AnnounceEndpoints() {
+	t.announcing.Lock()
+	defer t.announcing.Unlock()
+	t.node.SetLocalEndpoints(t.path.origin.Advertised())
 }
 
 // Apply implements tree.Observer: it puts a configuration version in force.
@@ -113,7 +117,7 @@
 func (t *treeDistribution) Drain(force <-chan struct{}) (cut int64) {
 	t.path.gateway.Stop()
 	t.path.origin.Stop()
-	t.SetLocalEndpoints(t.path.origin.Advertised())
+	t.AnnounceEndpoints()
 	t.node.Drain()
 	limit := time.NewTimer(t.path.settings.Load().StopLimit.Get())
 	defer limit.Stop()
--- a/internal/requestpath/origin/evacuation_test.go
+++ b/internal/requestpath/origin/evacuation_test.go
@@ -246,3 +246,30 @@
 		assert.Equal(t, o.InFlight(), 0)
 	})
 }
+
+// Calls that wait when the instance leaves, and later ones, are refused before the leave is acknowledged.
+func TestNoWaitingCallOutlastsTheLeave(t *testing.T) {
+	for name, leave := range map[string]func(*Origin) error{
+		"drains": func(o *Origin) error {
+			draining := newHeartbeat("desk-1", 2)
+			draining.Draining = true
+			return o.Heartbeat(t.Context(), draining)
+		},
+		"retires": func(o *Origin) error { return o.Retire(t.Context(), "desk-1", 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := newRunningOrigin(t)
+				slots := fillSlots(t, requireInstance(t, o, "desk-1"))
+				waiting := startCall(o, "waits")
+				synctest.Wait()
+				assert.NilError(t, leave(o))
+				slots[0].Release(true)
+				assertCode(t, <-waiting, result.CallNotRunDraining)
+				assertCode(t, <-startCall(o, "comes later"), result.CallNotRunDraining)
+				slots[1].Release(true)
+				assertCode(t, <-startCall(o, "comes after the last"), result.CallNotRunDraining)
+			})
+		})
+	}
+}
