A call that has ended ends its stream, and with it the reads of its body

Cause: a call that ended removed its stream from the session but did not end it. What still read the request body waited for good, with its buffers: no later frame, not the caller's reset and not the end of the session reaches a removed stream. Change: session.end removes a stream and ends it, at both daemons and for each end of a call.

--- a/internal/transport/callmux/call.go
+++ b/internal/transport/callmux/call.go
@@ -56,7 +56,7 @@
 	current := s.stream.session
 	if err != nil {
 		s.stopBody()
-		current.remove(s.stream.id)
+		current.end(s.stream)
 		if current.isClosed() && callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
 			err = s.client.fenceLost(ctx, s.address, current.incarnation, s.attempt, err)
 		}
@@ -73,7 +73,7 @@
 	release := context.AfterFunc(ctx, func() {
 		s.stream.sendReset(result.Errorf(result.CallCancelled, "the caller no longer wants the answer"))
 		s.stopBody()
-		s.stream.session.remove(s.stream.id)
+		s.stream.session.end(s.stream)
 	})
 	return &callapi.SilentPeerError{Await: func(ctx context.Context) (*callapi.Answer, error) {
 		if !release() {
@@ -202,8 +202,9 @@
 func (a *answerStream) Close() error {
 	a.release()
 	a.stop()
-	a.stream.session.remove(a.stream.id)
-	if !a.complete && a.stream.cause() == nil {
+	unfinished := !a.complete && a.stream.cause() == nil
+	a.stream.session.end(a.stream)
+	if unfinished {
 		// In the background, since the write blocks while the peer does not read.
 		go a.stream.sendReset(result.Errorf(result.CallCancelled, "the caller no longer wants the answer"))
 	}
--- a/internal/transport/callmux/server.go
+++ b/internal/transport/callmux/server.go
@@ -103,7 +103,7 @@
 // run executes one call and sends its answer or a reset.
 func (s *Server) run(ctx context.Context, session *session, stream *stream, open *lapisv1.CallOpen) {
 	defer s.delivery.end(session)
-	defer session.remove(stream.id)
+	defer session.end(stream)
 	ctx, cancel := withCallDeadline(ctx, open)
 	defer cancel()
 	go func() {
--- a/internal/transport/callmux/session.go
+++ b/internal/transport/callmux/session.go
@@ -124,10 +124,14 @@
 	return s.streams[id]
 }
 
-func (s *session) remove(id uint64) {
+// end ends a call's stream: later frames of it are dropped, and what still reads or writes its bodies
+// gets an error. Without that, a body that has not come in would be awaited for good, because no frame
+// and not even the end of the session reaches a stream that the session does not know.
+func (s *session) end(ended *stream) {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.streams, id)
+	delete(s.streams, ended.id)
+	s.mutex.Unlock()
+	ended.fail(result.Errorf(result.CallCancelled, "the call has ended"))
 }
 
 func (s *session) active() int {
