A daemon votes and lends only once it knows the fleet

Cause: an owner of limits divides its votes by the daemons that it knows. One that has just started knows none but itself, so it had all votes; its reserve was whole as well. Change: a daemon neither votes nor lends nor uses its reserve before it knows the fleet: by a list of the directory after which it needs no other, or by an introduction of a daemon that knows it (new field complete). The variant 'lends the full rate regardless of votes' set a share without its capacity, which the new gate leaves at 0; it sets both now and is found again, and a variant without the gate is found too.

--- a/internal/distribution/allowance/asker.go
+++ b/internal/distribution/allowance/asker.go
@@ -100,6 +100,8 @@
 	ballot     ballot
 	viewNumber uint64
 	revision   uint64
+	// fleetKnown is true once this daemon votes (Participant.FleetKnown).
+	fleetKnown bool
 	counts     Counts
 }
 
@@ -204,7 +206,7 @@
 func (c *client) takeReserve(now time.Time, ticket *Ticket, local *localAllowance) {
 	members := len(c.ranking.ordered)
 	total := c.bounds.reserveCalls()
-	membersSettled := c.ranking.membersSettled(now, c.bounds.Window)
+	membersSettled := c.fleetKnown && c.ranking.membersSettled(now, c.bounds.Window)
 	if membersSettled && local.reserve.take(now, total, c.ranking.reserveRank(ticket.allowance), members, c.bounds.Window) {
 		c.counts.Reserved++
 		ticket.decide(Outcome{Granted: true})
--- a/internal/distribution/allowance/asks.go
+++ b/internal/distribution/allowance/asks.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		ask := &lapisv1.AllowanceAsk{Needs: needs[node], Revision: c.revision}
-		if peer.statedKey != stated.key && !peer.unresponsive {
+		if c.fleetKnown && peer.statedKey != stated.key && !peer.unresponsive {
 			c.viewNumber++
 			peer.statedKey, peer.statedNumber = stated.key, c.viewNumber
 			ask.View = &lapisv1.AllowanceView{Owners: stated.owners, PreviousOwners: stated.previous, Number: c.viewNumber}
@@ -31,7 +31,7 @@
 			c.recordSent(node, ask)
 		}
 		// During a change the vote is renewed only where it is confirmed, so that it expires elsewhere.
-		ask.Renew = !peer.unresponsive && (len(stated.previous) == 0 || peer.hasConfirmed(stated.key))
+		ask.Renew = c.fleetKnown && !peer.unresponsive && (len(stated.previous) == 0 || peer.hasConfirmed(stated.key))
 		renew := ask.GetRenew() && now.Sub(peer.lastSentAt) >= renewInterval
 		if renew || ask.GetView() != nil || len(ask.GetNeeds()) > 0 {
 			peer.lastSentAt = now
--- a/internal/distribution/allowance/doc.go
+++ b/internal/distribution/allowance/doc.go
@@ -19,7 +19,8 @@
 // a machine is suspended. Clocks of different daemons are never compared.
 //
 // Invariants. In any window, all daemons together permit no more calls than Bounds allows. This
-// follows from these rules: an owner's bucket starts empty, holds at most the burst and fills at
+// follows from these rules: a daemon neither lends nor votes before it knows the fleet, by the directory
+// or by a daemon that knows it; an owner's bucket starts empty, holds at most the burst and fills at
 // the limit's rate; the rate is scaled by the fraction of daemons that see this owner in their
 // view, and each daemon states one view at a time (votes.go); credit expires soon after it was
 // lent; the reserves of all daemons together stay within a part of the slack and overshoot.
--- a/internal/distribution/allowance/owner.go
+++ b/internal/distribution/allowance/owner.go
@@ -68,6 +68,12 @@
 	}
 }
 
+// setFleetKnown records that the known members are the fleet.
+func (o *owner) setFleetKnown(now time.Time) {
+	o.dropExpiredVotes(now)
+	o.applyChange(now, func() { o.votes.fleetKnown = true })
+}
+
 // recordView counts a view as the vote of a daemon, or renews the vote if the view is unchanged.
 func (o *owner) recordView(now time.Time, node string, link Link, stated view) {
 	o.dropExpiredVotes(now)
--- a/internal/distribution/allowance/part.go
+++ b/internal/distribution/allowance/part.go
@@ -41,6 +41,16 @@
 	p.owner.setMembers(now, len(p.ranking.ordered))
 }
 
+// FleetKnown records that the members added so far are the fleet, by the directory or by a daemon that
+// knows it. Before that, this daemon neither votes nor lends, nor uses its reserve: it cannot tell how many
+// others do.
+func (p *Participant) FleetKnown(now time.Time) {
+	if !p.client.fleetKnown {
+		p.client.fleetKnown = true
+		p.owner.setFleetKnown(now)
+	}
+}
+
 // Candidates returns the daemons to keep connections to.
 func (p *Participant) Candidates(now time.Time) []string { return p.ranking.candidates(now) }
 
--- a/internal/distribution/allowance/scaffold_test.go
+++ b/internal/distribution/allowance/scaffold_test.go
@@ -16,6 +16,9 @@
 const (
 	simulatedTick    = 20 * time.Millisecond
 	simulatedSilence = 2500 * time.Millisecond
+	// directoryRetryTime is the maximum time between the end of an outage of the directory and its next
+	// read by a daemon.
+	directoryRetryTime = 2500 * time.Millisecond
 	// maxFrameDelay is the default of simulation.maxDelay.
 	maxFrameDelay = 60 * time.Millisecond
 )
@@ -53,6 +56,9 @@
 	pendingReturns []pendingReturn
 	variant        variant
 	overshoot      string
+	// directoryDown is true during an outage of the directory. A daemon that starts meanwhile learns of
+	// the others when it has ended and within directoryRetryTime.
+	directoryDown bool
 }
 
 type pendingReturn struct {
@@ -80,6 +86,9 @@
 	waiting       []waitingCall
 	startsAt      time.Time
 	resumesAt     time.Time
+	// missedDirectory is true for a daemon that has started during an outage of the directory, until it
+	// has read it.
+	missedDirectory bool
 }
 
 // simulatedLink is a connection that one daemon opened to another.
@@ -132,8 +141,9 @@
 	d.participant = NewParticipant(d.name, s.bounds, s.now)
 	d.inbound = nil
 	d.outbound, d.waiting, d.learnsAt = map[int]*simulatedLink{}, nil, map[string]time.Time{}
+	d.missedDirectory = s.directoryDown
 	for _, other := range s.daemons {
-		if other == d || other.generation == 0 {
+		if other == d || other.generation == 0 || s.directoryDown {
 			continue
 		}
 		d.learnsAt[other.name] = s.now.Add(time.Duration(s.random.IntN(400)) * time.Millisecond)
@@ -146,6 +156,23 @@
 	}
 }
 
+// endOutage ends an outage of the directory. Each daemon that missed it reads it at a time of its own.
+func (s *simulation) endOutage() {
+	s.directoryDown = false
+	for _, d := range s.daemons {
+		if !d.alive || !d.missedDirectory {
+			continue
+		}
+		d.missedDirectory = false
+		readsAt := s.now.Add(time.Duration(s.random.Int64N(int64(directoryRetryTime))))
+		for _, other := range s.daemons {
+			if other != d && other.generation > 0 {
+				d.learnsAt[other.name] = readsAt
+			}
+		}
+	}
+}
+
 // kill ends the process of a daemon.
 func (s *simulation) kill(d *simulatedDaemon, restart time.Duration) {
 	if !d.alive {
@@ -207,6 +234,10 @@
 			delete(d.learnsAt, name)
 		}
 	}
+	s.introduce(d)
+	if len(d.learnsAt) == 0 && !d.missedDirectory {
+		d.participant.FleetKnown(s.now)
+	}
 	if s.variant.before != nil {
 		s.variant.before(d.participant, s.now)
 	}
@@ -223,6 +254,24 @@
 	s.decide(d)
 }
 
+// introduce lets a daemon that missed the directory learn of the others from one that knows them and has
+// opened a connection to it.
+func (s *simulation) introduce(d *simulatedDaemon) {
+	introduces := func(link *simulatedLink) bool {
+		return link.serverOpen && link.client.alive && link.client.participant.client.fleetKnown && !s.isSplit(link.client, d)
+	}
+	if !d.missedDirectory || !slices.ContainsFunc(d.inbound, introduces) {
+		return
+	}
+	d.missedDirectory = false
+	learnsAt := s.now.Add(time.Duration(s.random.Int64N(int64(time.Second))))
+	for _, other := range s.daemons {
+		if other != d && other.generation > 0 {
+			d.learnsAt[other.name] = learnsAt
+		}
+	}
+}
+
 func sortedKeys(links map[int]*simulatedLink) []int {
 	keys := make([]int, 0, len(links))
 	for key := range links {
--- a/internal/distribution/allowance/service.go
+++ b/internal/distribution/allowance/service.go
@@ -119,6 +119,11 @@
 	s.update(func(now time.Time) { s.participant.Members(now, nodes) })
 }
 
+// FleetKnown records that the members added so far are the fleet (Participant.FleetKnown).
+func (s *Service) FleetKnown() {
+	s.update(func(now time.Time) { s.participant.FleetKnown(now) })
+}
+
 // Connected records that this daemon opened a connection to another one.
 func (s *Service) Connected(node string) {
 	s.update(func(now time.Time) { s.participant.Connected(now, node) })
--- a/internal/distribution/allowance/variants_test.go
+++ b/internal/distribution/allowance/variants_test.go
@@ -24,7 +24,10 @@
 		})
 	}},
 	{name: "an owner lends the full rate regardless of votes", before: func(participant *Participant, _ time.Time) {
-		eachBucket(participant, func(b *bucket) { b.share = 1 })
+		eachBucket(participant, func(b *bucket) {
+			b.share = 1
+			b.resize(participant.owner.bounds)
+		})
 	}},
 	{name: "credit is spent long after it was lent", started: func(participant *Participant) {
 		participant.client.bounds.Overshoot = 10
@@ -51,6 +54,9 @@
 			}
 		})
 	}},
+	{name: "a daemon that has just started takes itself for the fleet", started: func(participant *Participant) {
+		participant.FleetKnown(participant.owner.started)
+	}},
 	{name: "each vote counts twice", before: func(participant *Participant, _ time.Time) {
 		participant.owner.votes.members = max(1, len(participant.ranking.ordered)/2)
 	}},
@@ -67,6 +73,10 @@
 					t.Logf("seed %d: %s", seed, s.overshoot)
 					return
 				}
+				if s := simulateOutage(seed, 3+int(seed%7), restartsInAnOutage["all at once"], broken); s.overshoot != "" {
+					t.Logf("outage, seed %d: %s", seed, s.overshoot)
+					return
+				}
 			}
 			assert.Assert(t, false, "not detected with %d seeds", maxSeeds)
 		})
--- a/internal/distribution/allowance/votes.go
+++ b/internal/distribution/allowance/votes.go
@@ -44,8 +44,10 @@
 	byNode map[string]*vote
 	// counts holds the number of voters by the key of their view.
 	counts map[string]*viewCount
-	// members is the number of known daemons.
-	members int
+	// members is the number of known daemons. fleetKnown is true once these are the whole fleet as far as
+	// it can be known (Participant.FleetKnown).
+	members    int
+	fleetKnown bool
 }
 
 // viewCount is a view and the number of daemons that stated it.
@@ -136,7 +138,11 @@
 	return key, rateShareOf(v.voteShare(highest)) == 1
 }
 
-// voteShare returns the fraction of the daemons that a number of voters makes up.
+// voteShare returns the fraction of the daemons that a number of voters makes up; 0 while their number
+// is not known. A daemon that has just started would otherwise take itself for the whole fleet.
 func (v *votes) voteShare(voters int) float64 {
+	if !v.fleetKnown {
+		return 0
+	}
 	return float64(voters) / float64(max(v.members, len(v.byNode)))
 }
--- a/internal/distribution/fleet/allowances.go
+++ b/internal/distribution/fleet/allowances.go
@@ -15,6 +15,7 @@
 type Allowances interface {
 	Candidates() []string
 	Members(nodes []string)
+	FleetKnown()
 	Connected(node string)
 	Lost(node string, ended bool)
 	Joined(link allowance.Link)
@@ -68,6 +69,14 @@
 	}
 }
 
+// setFleetKnown records that the known daemons are the fleet, as far as it can be known.
+func (f *Fleet) setFleetKnown() {
+	if f.fleetKnown.Swap(true) || f.config.Allowances == nil {
+		return
+	}
+	f.config.Allowances.FleetKnown()
+}
+
 // allowanceConnected reports a link that this daemon opened. The caller holds mutex, so that the
 // end of an earlier link is not reported after it.
 func (f *Fleet) allowanceConnected(node string) {
--- a/internal/distribution/fleet/directory.go
+++ b/internal/distribution/fleet/directory.go
@@ -62,7 +62,11 @@
 			}
 			wait = schedule.afterFailure()
 		} else {
-			schedule.recordList(search.settled(found))
+			settled := search.settled(found)
+			schedule.recordList(settled)
+			if settled {
+				f.setFleetKnown()
+			}
 			search.advance(found)
 			wait = schedule.afterSuccess(f.KnownMembers())
 		}
--- a/internal/distribution/fleet/fleet.go
+++ b/internal/distribution/fleet/fleet.go
@@ -67,8 +67,10 @@
 type Fleet struct {
 	// entryLost is true if this daemon's directory entry may have been lost.
 	entryLost atomic.Bool
-	config    Config
-	running   sync.WaitGroup
+	// fleetKnown is true once the directory, or a daemon that knows the fleet, has named the others.
+	fleetKnown atomic.Bool
+	config     Config
+	running    sync.WaitGroup
 	// reportDue wakes report, reviewLinks wakes maintainLinks, and catchUpDue wakes catchUp.
 	reportDue   chan struct{}
 	reviewLinks chan struct{}
--- a/internal/distribution/fleet/introduction.go
+++ b/internal/distribution/fleet/introduction.go
@@ -68,16 +68,25 @@
 	for _, instance := range introduction.GetWithdrawn() {
 		f.config.Observer.Withdraw(instance, from)
 	}
+	if introduction.GetComplete() {
+		f.setFleetKnown()
+	}
 	if introduction.GetWanted() {
 		go f.sendIntroductions(link, introduction.GetKnown())
 	}
 }
 
-// sendIntroductions names the daemons that a daemon with the given digests may not know.
+// sendIntroductions names the daemons that a daemon with the given digests may not know. Only the last
+// message is complete, and it is sent without members as well if this daemon knows the fleet.
 func (f *Fleet) sendIntroductions(link callmux.Link, known []uint64) {
+	complete := f.fleetKnown.Load()
 	members := f.introduction(known).GetMembers()
-	for chunk := range slices.Chunk(members, maxIntroducedMembers) {
-		f.send(link, introductionFrame(&lapisv1.Introduction{Members: chunk}))
+	for len(members) > maxIntroducedMembers {
+		f.send(link, introductionFrame(&lapisv1.Introduction{Members: members[:maxIntroducedMembers]}))
+		members = members[maxIntroducedMembers:]
+	}
+	if complete || len(members) > 0 {
+		f.send(link, introductionFrame(&lapisv1.Introduction{Members: members, Complete: complete}))
 	}
 }
 
