--- a/internal/requestpath/origin/departure.go
+++ b/internal/requestpath/origin/departure.go
@@ -8,8 +8,8 @@
 	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
 )
 
-// departed is an instance that left permanently.
-type departed struct {
+// withdrawnInstance is an instance that left permanently.
+type withdrawnInstance struct {
 	// at is when this daemon last learned of it.
 	at time.Time
 	// stored is true once the store has the departure.
@@ -68,9 +68,9 @@
 func (o *Origin) markStored(name string) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if departed, known := o.withdrawn[name]; known {
-		departed.stored = true
-		o.withdrawn[name] = departed
+	if left, known := o.withdrawn[name]; known {
+		left.stored = true
+		o.withdrawn[name] = left
 	}
 }
 
@@ -95,10 +95,10 @@
 func (o *Origin) DeparturesLost() {
 	o.mutex.Lock()
 	var names []string
-	for name, departed := range o.withdrawn {
-		if departed.stored {
-			departed.stored = false
-			o.withdrawn[name] = departed
+	for name, left := range o.withdrawn {
+		if left.stored {
+			left.stored = false
+			o.withdrawn[name] = left
 			names = append(names, name)
 		}
 	}
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -82,7 +82,7 @@
 	mutex     sync.RWMutex
 	instances map[instanceKey]*Instance
 	// withdrawn holds the instances that left permanently, by name.
-	withdrawn map[string]departed
+	withdrawn map[string]withdrawnInstance
 	current   *snapshot.Snapshot
 	stopping  bool
 	// shutdownDeadline is when all calls here must have ended; zero while the daemon is not
@@ -122,7 +122,7 @@
 		config.Changed = func() {}
 	}
 	origin := &Origin{
-		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]departed{},
+		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]withdrawnInstance{},
 		attempts: newDedupCache(attemptTTL, time.Now), idempotencyKeys: newDedupCache(idempotencyKeyTTL, time.Now),
 		unknownServiceLog: rate.Sometimes{First: unknownServiceLines, Interval: unknownServiceInterval},
 	}
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -148,9 +148,9 @@
 // permanently less than presenceTimeout ago; empty if there is none. Heartbeats of the earlier
 // incarnation are then delayed ones. The caller holds mutex.
 func (o *Origin) laterWithdrawnStart(identity incarnation.Incarnation) string {
-	for name, departed := range o.withdrawn {
+	for name, left := range o.withdrawn {
 		withdrawn := incarnation.Parse(name)
-		if withdrawn.ID == identity.ID && withdrawn.StartedAfter(identity) && isPresent(time.Since(departed.at)) {
+		if withdrawn.ID == identity.ID && withdrawn.StartedAfter(identity) && isPresent(time.Since(left.at)) {
 			return name
 		}
 	}
@@ -230,9 +230,9 @@
 // and no heartbeat brings it back. by is the origin of the report.
 func (o *Origin) withdraw(name, by string) {
 	o.mutex.Lock()
-	departed, alreadyWithdrawn := o.withdrawn[name]
-	departed.at = time.Now()
-	o.withdrawn[name] = departed
+	left, alreadyWithdrawn := o.withdrawn[name]
+	left.at = time.Now()
+	o.withdrawn[name] = left
 	o.mutex.Unlock()
 	for _, instance := range o.Instances() {
 		if instance.Name == name {
@@ -284,8 +284,8 @@
 
 // pruneWithdrawn removes the entries older than departure.TTL; the caller holds mutex.
 func (o *Origin) pruneWithdrawn() {
-	for name, departed := range o.withdrawn {
-		if time.Since(departed.at) > departure.TTL {
+	for name, left := range o.withdrawn {
+		if time.Since(left.at) > departure.TTL {
 			delete(o.withdrawn, name)
 		}
 	}
