Calls of the store for departures are limited at each daemon

A client that invents instances could use up the calls that all daemons share. Change: two a second and sixteen at once. A look-up beyond that counts as one without an answer, a leave as one that is not stored yet. Measured: TestInventedInstancesCauseFewCallsOfTheStore: 1,000 messages in a second cause 19 calls at most; without the limit it would be one each (not run).

--- a/internal/requestpath/departure/departure.go
+++ b/internal/requestpath/departure/departure.go
@@ -33,6 +33,12 @@
 	// heartbeats, and neither one that was delayed nor several that arrive together suffice. Waiting for the
 	// third one as well left the instances of restarted daemons without calls for 3.0 to 4.1 s.
 	continuationTime = time.Second
+	// CallsPerSecond and CallBurst limit the calls of one daemon for departures, so that a client that
+	// sends messages of invented instances cannot use up the calls of the store, which all daemons share.
+	// An instance causes one call per heartbeat (1.5 s) at most; a machine has one, or a few while one
+	// replaces another.
+	CallsPerSecond = 2
+	CallBurst      = 16
 	// sweepInterval is the mean number of departures that this daemon stores between two sweeps, and
 	// maxSwept is the maximum number of expired ones that one sweep removes. maxSwept must be larger than
 	// sweepInterval, so that more are removed than added.
--- a/internal/requestpath/origin/departure.go
+++ b/internal/requestpath/origin/departure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
+	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
 // withdrawnInstance is an instance that left permanently.
@@ -16,6 +17,9 @@
 	stored bool
 }
 
+// errDepartureCalls is the error of a call for a departure beyond the limit of calls.
+var errDepartureCalls = result.Errorf(result.PlatformUnavailable, "too many calls for departures")
+
 // Heartbeat handles a heartbeat of an instance. After it has returned for a draining instance, no
 // further call starts there, and without an error no later process of this daemon starts one either.
 // With an error the heartbeat must not be acknowledged. Errors: those of departure.Store.
@@ -48,7 +52,7 @@
 			continue
 		}
 		startedAt := time.Now()
-		if err := o.config.Departures.Save(ctx, name); err != nil {
+		if err := o.saveDeparture(ctx, name); err != nil {
 			o.config.Logger.Info("instance.departure_not_stored", "instance", name, "error", err)
 			return err
 		}
@@ -59,6 +63,23 @@
 	return nil
 }
 
+func (o *Origin) saveDeparture(ctx context.Context, name string) error {
+	if !o.departureCalls.Allow() {
+		return errDepartureCalls
+	}
+	return o.config.Departures.Save(ctx, name)
+}
+
+// lookUpDeparture reports whether the store has the departure of an instance.
+func (o *Origin) lookUpDeparture(ctx context.Context, name string) (left bool, err error) {
+	if !o.departureCalls.Allow() {
+		return false, errDepartureCalls
+	}
+	ctx, cancel := context.WithTimeout(ctx, departure.StoreTimeout)
+	defer cancel()
+	return o.config.Departures.Contains(ctx, name)
+}
+
 func (o *Origin) isStored(name string) bool {
 	o.mutex.RLock()
 	defer o.mutex.RUnlock()
@@ -131,9 +152,7 @@
 	if _, known := o.instance(registration.Service, name); known {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, departure.StoreTimeout)
-	defer cancel()
-	left, err := o.config.Departures.Contains(ctx, name)
+	left, err := o.lookUpDeparture(ctx, name)
 	if err != nil {
 		continued := o.candidates.Record(name, registration.Sequence, time.Now())
 		o.config.Logger.Info("instance.departure_unknown", "instance", name, "sequence", registration.Sequence, "continued", continued, "error", err)
--- a/internal/requestpath/origin/departure_test.go
+++ b/internal/requestpath/origin/departure_test.go
@@ -22,11 +22,15 @@
 	fault error
 	hangs bool
 	saves int
+	calls int
 }
 
 func newDepartures() *memoryDepartures { return &memoryDepartures{stored: map[string]bool{}} }
 
 func (m *memoryDepartures) begin(ctx context.Context) error {
+	m.mutex.Lock()
+	m.calls++
+	m.mutex.Unlock()
 	if m.hangs {
 		<-ctx.Done()
 		return ctx.Err()
@@ -221,3 +225,27 @@
 		assert.Assert(t, store.stored["desk-1@1000"])
 	})
 }
+
+// Messages of invented instances do not use up the calls of the store, and a leave that is refused for
+// their number is stored later.
+func TestInventedInstancesCauseFewCallsOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newDepartures()
+		running, stop := startWithDepartures(t, store)
+		defer stop()
+		var refused int
+		for number := range 1000 {
+			invented := startedRegistration(uint64(1+number), 1)
+			invented.Draining = number%2 == 0
+			if running.Heartbeat(t.Context(), invented) != nil {
+				refused++
+			}
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, store.calls <= departure.CallBurst+departure.CallsPerSecond+1, "%d calls", store.calls)
+		assert.Assert(t, refused > 400, "%d refused", refused)
+		time.Sleep(time.Second)
+		assert.NilError(t, running.Retire(t.Context(), "desk-1", 1))
+		assert.Assert(t, store.stored["desk-1@1"])
+	})
+}
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -69,6 +69,8 @@
 	idempotencyKeys *dedupCache
 	goroutines      sync.WaitGroup
 	counts          counters
+	// departureCalls limits the calls of config.Departures.
+	departureCalls *rate.Limiter
 	// candidates are the unknown instances whose departure could not be looked up.
 	candidates departure.Candidates
 	// executing counts the calls that run at instances, and executingRepeats the repeats among
@@ -124,6 +126,7 @@
 	origin := &Origin{
 		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]withdrawnInstance{},
 		attempts: newDedupCache(attemptTTL, time.Now), idempotencyKeys: newDedupCache(idempotencyKeyTTL, time.Now),
+		departureCalls:    rate.NewLimiter(departure.CallsPerSecond, departure.CallBurst),
 		unknownServiceLog: rate.Sometimes{First: unknownServiceLines, Interval: unknownServiceInterval},
 	}
 	limits := admission.Limits{Slots: DefaultSlots, QueueLength: config.QueueLength, QueueTime: config.QueueTime}
