An instance that started after its daemon is not looked up

Change: no look-up for the first heartbeat of an instance that states a start after that of the daemon; it cannot have left before.

--- a/internal/requestpath/departure/departure.go
+++ b/internal/requestpath/departure/departure.go
@@ -11,7 +11,7 @@
 // not be looked up. It does no I/O except through Store. A Candidates value is safe for concurrent use.
 //
 // Growth: one write for each departure, and one read for each instance that registers within TTL of its
-// daemon's start. Stored departures are removed once they are older than TTL, by daemons that store
+// daemon's start and is not known to have started after it. Stored departures are removed once they are older than TTL, by daemons that store
 // others, so their number follows the departures of the last TTL and not the age of the fleet.
 package departure
 
@@ -68,9 +68,20 @@
 }
 
 // MustLookUp reports whether an unknown instance's departure must be looked up before the instance
-// registers. uptime is the age of this process. A departure that an earlier process acknowledged is
-// older than uptime, and so are the heartbeats that the instance sent before it left.
-func MustLookUp(uptime time.Duration) bool { return uptime < TTL }
+// registers. uptime is the age of this process, age that of the instance by the start that it states, or
+// UnknownAge, and sequence the number of its heartbeat.
+//
+// A departure that an earlier process acknowledged is older than uptime, and so are the heartbeats that
+// the instance sent before it left. An instance that started after this process cannot have left before.
+// Ages are differences of wall-clock times, which may be set; the first heartbeat is required as well,
+// because an instance that left has rarely just started.
+func MustLookUp(uptime, age time.Duration, sequence uint64) bool {
+	startedLater := age >= 0 && age < uptime && sequence == 1
+	return uptime < TTL && !startedLater
+}
+
+// UnknownAge is the age of an instance that states no start.
+const UnknownAge time.Duration = -1
 
 // SweepsAfterSave reports whether to sweep after storing a departure; random is between 0 and 1.
 func SweepsAfterSave(random float64) bool { return random < 1.0/sweepInterval }
--- a/internal/requestpath/origin/departure.go
+++ b/internal/requestpath/origin/departure.go
@@ -146,7 +146,10 @@
 // daemon doesn't know may have left while an earlier process ran here.
 func (o *Origin) mayRegister(ctx context.Context, registration Registration) bool {
 	name := registration.incarnation().Name()
-	if o.config.Departures == nil || !departure.MustLookUp(time.Since(o.startedAt)) || o.isWithdrawn(name) {
+	if o.config.Departures == nil || o.isWithdrawn(name) {
+		return true
+	}
+	if !departure.MustLookUp(time.Since(o.startedAt), registration.age(), registration.Sequence) {
 		return true
 	}
 	if _, known := o.instance(registration.Service, name); known {
