Tests: a stored departure is known although the store refuses later or a clock is set back

On related paths an acknowledged leave is still forgotten: a departure is looked up only when an unknown instance sends a heartbeat, and the store may refuse by then; and an instance counts as younger than the process by clocks that may be set back. The emulator's instances send delayed heartbeats with a sequence number.

--- a/internal/lab/emulator/day/leave_test.go
+++ b/internal/lab/emulator/day/leave_test.go
@@ -131,3 +131,26 @@
 	stop()
 	assertPromisesKept(t, site)
 }
+
+// Several heartbeats that were sent before an acknowledged leave arrive late, in order, at daemons that were all
+// killed and had the store for a second after their start.
+func TestAcknowledgedLeaveOutlastsAKillBeforeAnOutageOfTheStore(t *testing.T) {
+	site, tally, stop := startLeaves(t)
+	awaitServed(t, tally, 50)
+	leaving := site.Machines[0].Instance()
+	ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+	defer cancel()
+	assert.Assert(t, leaving.Leave(ctx, true))
+	killAtOnce(t, site.Machines)
+	awaitConfigured(t, site)
+	time.Sleep(time.Second)
+	site.Store.SetFaults(objectstore.Faults{Down: true})
+	for sequence := range uint64(3) {
+		leaving.SendDelayedHeartbeat(ctx, 1+sequence)
+		time.Sleep(1500 * time.Millisecond)
+	}
+	site.Store.SetFaults(objectstore.Faults{})
+	time.Sleep(2 * day.DefaultOptions().DrainBound)
+	stop()
+	assertPromisesKept(t, site)
+}
--- a/internal/lab/emulator/instance/instance.go
+++ b/internal/lab/emulator/instance/instance.go
@@ -318,7 +318,12 @@
 // SendLateHeartbeat sends an old heartbeat that reports the instance as ready, to emulate one that was
 // delayed until after the shutdown.
 func (i *Instance) SendLateHeartbeat(ctx context.Context) {
-	_ = i.sendHeartbeat(ctx, platform.StateReady, 1)
+	i.SendDelayedHeartbeat(ctx, 1)
+}
+
+// SendDelayedHeartbeat is like SendLateHeartbeat, for the heartbeat with the given sequence number.
+func (i *Instance) SendDelayedHeartbeat(ctx context.Context, sequence uint64) {
+	_ = i.sendHeartbeat(ctx, platform.StateReady, sequence)
 }
 
 // deregister reports the instance's retirement to the daemon.
--- a/internal/requestpath/origin/departure_test.go
+++ b/internal/requestpath/origin/departure_test.go
@@ -30,12 +30,20 @@
 func (m *memoryDepartures) begin(ctx context.Context) error {
 	m.mutex.Lock()
 	m.calls++
+	hangs, fault := m.hangs, m.fault
 	m.mutex.Unlock()
-	if m.hangs {
+	if hangs {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return m.fault
+	return fault
+}
+
+// setFault sets the error of all calls.
+func (m *memoryDepartures) setFault(fault error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.fault = fault
 }
 
 func (m *memoryDepartures) Save(ctx context.Context, instance string) error {
@@ -226,6 +234,48 @@
 	})
 }
 
+// Heartbeats that were sent before an acknowledged leave arrive late, one after the other, and the store refuses by
+// then. The process had the store for a second after its start.
+func TestSeveralLateHeartbeatsDuringAnOutageDoNotBringBackAnInstanceThatLeft(t *testing.T) {
+	for name, leave := range leaves {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newDepartures()
+				earlier, stopEarlier := startWithDepartures(t, store)
+				assert.NilError(t, earlier.Heartbeat(t.Context(), startedRegistration(1000, 5)))
+				assert.NilError(t, leave(earlier, startedRegistration(1000, 5)))
+				stopEarlier()
+				later, stop := startWithDepartures(t, store)
+				defer stop()
+				time.Sleep(time.Second)
+				store.setFault(errStoreDown)
+				for sequence := range uint64(3) {
+					time.Sleep(1500 * time.Millisecond)
+					assert.NilError(t, later.Heartbeat(t.Context(), startedRegistration(1000, 3+sequence)))
+				}
+				assert.Equal(t, len(later.Advertised()), 0)
+			})
+		})
+	}
+}
+
+// The clock was set back after an instance had started and left, so that by its stated start it seems younger than
+// the process that gets its first heartbeat late.
+func TestLateFirstHeartbeatAfterTheClockWasSetBackDoesNotBringBackAnInstanceThatLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newDepartures()
+		earlier, stopEarlier := startWithDepartures(t, store)
+		start := uint64(time.Now().Add(2 * time.Second).UnixMilli())
+		assert.NilError(t, earlier.Retire(t.Context(), "desk-1", start))
+		stopEarlier()
+		later, stop := startWithDepartures(t, store)
+		defer stop()
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, later.Heartbeat(t.Context(), startedRegistration(start, 1)))
+		assert.Equal(t, len(later.Advertised()), 0)
+	})
+}
+
 // Messages of invented instances do not use up the calls of the store, and a leave that is refused for
 // their number is stored later.
 func TestInventedInstancesCauseFewCallsOfTheStore(t *testing.T) {
