Departures are read once after a start, early, and daemons share the read

Callers' requests reached an instance after its leave had been acknowledged, once all daemons had been killed, the store refused from a second after their start on, and two heartbeats that were sent before the leave arrived late. Cause: a departure is stored before it is acknowledged, but a later process looked it up only when a heartbeat of the unknown instance arrived. The store had answered for a second by then and refused; so the second late heartbeat counted as one that continues. Change: a process reads the departures of its machine within 0.8 s of its start, or 0.1 s of a heartbeat that waits for them, and pursues that until it is known. A read that began after the start of a process has all departures that an earlier process acknowledged, whoever made it: daemons ask each other for it, and one that the store refuses asks another one to read. Objects are named by node and instance, so that those of a node follow each other in a list; those of earlier versions are found too. Why this works: the evidence is there before the store can refuse a second later, and no age is compared between clocks (TestHistoryFromAnotherDaemonMissesNoDeparture).

--- a/internal/daemon/distribution.go
+++ b/internal/daemon/distribution.go
@@ -102,7 +102,7 @@
 		incarnation: rand.Uint64(), envelope: options.Platform.Envelope(),
 		timing: platformTiming(config, freshness), maintained: true,
 		identity:        identityOf(config, freshness, d.logger, d.registry),
-		quarantineStore: options.Platform.Quarantine(), departures: options.Platform.Departures(),
+		quarantineStore: options.Platform.Quarantine(), departures: options.Platform.Departures(config.Node),
 		build: func(wire.Network) distribution {
 			return newPlatformDistribution(d, options.Platform, freshness)
 		},
--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -130,7 +130,13 @@
 	if p.allowances != nil {
 		config.Allowances = p.allowances
 	}
+	if p.path.history != nil {
+		config.Departures = p.path.history
+	}
 	p.fleet = fleet.New(config)
+	if p.path.history != nil {
+		p.path.history.Read, p.path.history.ReadFailed = p.fleet.AnswerDepartures, p.fleet.RequestDepartures
+	}
 	p.follower = &configsource.Follower{
 		Source: platform.Source(), Apply: p.readConfiguration, Freshness: p.freshness, Confirmed: p.fleet.SendHeartbeats,
 		ApplyOrders: p.ordersReader(), OrderKinds: p.orderKinds(), OrdersBound: p.ordersBound(),
@@ -169,6 +175,9 @@
 		running.Go(func() { p.allowances.Run(ctx) })
 	}
 	running.Go(func() { p.path.suspects.run(ctx) })
+	if p.path.history != nil {
+		running.Go(func() { p.path.history.Run(ctx) })
+	}
 	if p.rollouts != nil {
 		running.Go(func() { p.rollouts.run(ctx) })
 	}
--- a/internal/daemon/platform_distribution_test.go
+++ b/internal/daemon/platform_distribution_test.go
@@ -35,7 +35,7 @@
 func (stubPlatform) Rollouts() rollout.Store                                             { return nil }
 func (stubPlatform) Envelope() callapi.Envelope                                          { return callapi.DefaultEnvelope }
 func (stubPlatform) Quarantine() quarantine.Store                                        { return nil }
-func (stubPlatform) Departures() departure.Store                                         { return nil }
+func (stubPlatform) Departures(string) departure.Store                                   { return nil }
 func (stubPlatform) ServeInstances(context.Context, net.Listener, platformapi.Instances) {}
 func (stubPlatform) ServeReadiness(context.Context, net.Listener, func() bool)           {}
 func (stubPlatform) Close()                                                              {}
--- a/internal/daemon/platformapi/platform.go
+++ b/internal/daemon/platformapi/platform.go
@@ -48,8 +48,8 @@
 	// Quarantine returns the store for records of requests that are suspected of crashing instances. It
 	// persists them beyond the lifetime of all daemons.
 	Quarantine() quarantine.Store
-	// Departures returns the store for the departures of instances.
-	Departures() departure.Store
+	// Departures returns the store for the departures of instances beside the daemon with the given name.
+	Departures(node string) departure.Store
 	// RefusedEntries returns the numbers of invalid entries and heartbeats since the start.
 	RefusedEntries() map[RefusedEntry]int64
 	// OnStoreRestored registers a function that is called after each restoration of the platform's
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/lapisvane/lapisvane/internal/model/snapshot"
 	"github.com/lapisvane/lapisvane/internal/requestpath/balance"
 	"github.com/lapisvane/lapisvane/internal/requestpath/decision"
+	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
 	"github.com/lapisvane/lapisvane/internal/requestpath/gateway"
 	"github.com/lapisvane/lapisvane/internal/requestpath/gateway/pipeline"
 	"github.com/lapisvane/lapisvane/internal/requestpath/origin"
@@ -49,6 +51,8 @@
 	suspects   *suspects
 	// rateLimits is nil if the settings configure no rate limits.
 	rateLimits *rateLimits
+	// history knows the departures of earlier processes; nil if none are stored.
+	history *departure.History
 	// orders holds the operators' orders in force. It stays empty if orders are disabled.
 	orders *orders.Current
 	// killedByForce is Options.SimulateKill.
@@ -69,8 +73,11 @@
 		suspects: newSuspects(d.logger, mode.quarantineStore, spread),
 	}
 	p.rateLimits = newRateLimits(values.RateLimits, p.snapshots)
+	if mode.departures != nil {
+		p.history = departure.NewHistory(values.Node, mode.departures, rand.Float64, d.logger)
+	}
 	p.origin = origin.New(origin.Config{
-		Backends: backendsOf(values), Crashes: p.suspects, Departures: mode.departures,
+		Backends: backendsOf(values), Crashes: p.suspects, Departures: mode.departures, History: p.history,
 		QueueLength: values.Calls.QueueLength, QueueTime: values.Calls.QueueTime.Get(),
 		Envelope: mode.envelope, Changed: announce, Decisions: decisions, Logger: d.logger, Region: values.Region,
 		Cold: origin.ColdBound{Overshoot: values.ColdStarts.Overshoot, Allowance: values.ColdStarts.Slack},
--- /dev/null
+++ b/internal/distribution/fleet/departures.go
@@ -0,0 +1,114 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/shared/boottime"
+	"github.com/lapisvane/lapisvane/internal/transport/callmux"
+)
+
+// DepartureHistory knows which instances beside this daemon left while earlier processes of the daemon ran,
+// by a read of the store that began after the start of this process. Its methods must not block.
+type DepartureHistory interface {
+	// Missing reports whether the history is incomplete and still of use, and Uptime returns the time
+	// since the start of this process.
+	Missing() bool
+	Uptime() time.Duration
+	// Offer passes the result of a read by another daemon that began at began, a time of boottime, or later.
+	Offer(began time.Time, instances []string, from string)
+	// Answer returns what this daemon read of the instances beside another one, whose process asked at
+	// askedAt and had run for uptime then, and the time from askedAt to the beginning of the read.
+	Answer(node string, askedAt time.Time, uptime time.Duration) (instances []string, lead time.Duration, known bool)
+	// RequestRead makes this daemon read the store.
+	RequestRead()
+}
+
+// departureRequest is a request of another daemon that is not answered yet.
+//
+// Clocks are not compared: an answer states by how much the read of the store began after the receipt of
+// the request, which was not before it was sent. The sum of the time at which the request was sent and
+// that difference is therefore not later than the beginning of the read.
+type departureRequest struct {
+	receivedAt time.Time
+	uptime     time.Duration
+}
+
+// requestDepartures asks a peer for the departures of this daemon's instances on an outbound link, if they
+// are missing. read asks the peer to read the store. It blocks until the request is written.
+func (f *Fleet) requestDepartures(peer *peer, link callmux.Link, read bool) {
+	if f.config.Departures == nil || !f.config.Departures.Missing() {
+		return
+	}
+	f.mutex.Lock()
+	peer.departuresRequestedAt = boottime.Exact()
+	f.mutex.Unlock()
+	request := &lapisv1.DeparturesRequest{UptimeNanos: f.config.Departures.Uptime().Nanoseconds(), Read: read}
+	f.send(link, &lapisv1.CallFrame{Body: &lapisv1.CallFrame_DeparturesRequest{DeparturesRequest: request}})
+}
+
+// RequestDepartures asks one linked daemon to read the departures of this daemon's instances, because this
+// one could not. It doesn't block.
+func (f *Fleet) RequestDepartures() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, peer := range f.peers {
+		if peer.connected && !peer.stalled {
+			go f.requestDepartures(peer, peer.link, true)
+			return
+		}
+	}
+}
+
+// receiveDeparturesRequest records and answers a request of the daemon that opened a link.
+func (f *Fleet) receiveDeparturesRequest(inbound *inboundLink, request *lapisv1.DeparturesRequest) {
+	if f.config.Departures == nil {
+		return
+	}
+	received := &departureRequest{receivedAt: boottime.Exact(), uptime: time.Duration(request.GetUptimeNanos())}
+	f.mutex.Lock()
+	inbound.departureRequest = received
+	answered := f.answerDepartures(inbound)
+	f.mutex.Unlock()
+	if !answered && request.GetRead() {
+		f.config.Departures.RequestRead()
+	}
+}
+
+// AnswerDepartures answers the waiting requests that can be answered. It is called after each read of the
+// store and doesn't block.
+func (f *Fleet) AnswerDepartures() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for inbound := range f.inbound {
+		f.answerDepartures(inbound)
+	}
+}
+
+// answerDepartures answers the request on a link in the background, if there is one and the answer is
+// known. The caller holds mutex.
+func (f *Fleet) answerDepartures(inbound *inboundLink) (answered bool) {
+	request := inbound.departureRequest
+	if request == nil {
+		return false
+	}
+	instances, lead, known := f.config.Departures.Answer(inbound.node, request.receivedAt, request.uptime)
+	if !known {
+		return false
+	}
+	inbound.departureRequest = nil
+	answer := &lapisv1.Departures{LeadNanos: lead.Nanoseconds(), Instances: instances}
+	go f.send(inbound.link, &lapisv1.CallFrame{Body: &lapisv1.CallFrame_Departures{Departures: answer}})
+	return true
+}
+
+// receiveDepartures passes the answer of a peer to the history. An answer that arrives late on an earlier
+// link is dropped.
+func (f *Fleet) receiveDepartures(peer *peer, generation uint64, answer *lapisv1.Departures) {
+	f.mutex.Lock()
+	requestedAt, isCurrent := peer.departuresRequestedAt, generation == peer.generation
+	f.mutex.Unlock()
+	if f.config.Departures != nil && isCurrent && !requestedAt.IsZero() {
+		f.config.Departures.Offer(requestedAt.Add(time.Duration(answer.GetLeadNanos())), answer.GetInstances(), peer.name)
+	}
+}
--- a/internal/distribution/fleet/fleet.go
+++ b/internal/distribution/fleet/fleet.go
@@ -51,6 +51,8 @@
 	Suspects func() []quarantine.Record
 	// Allowances enforces rate limits that daemons share. It is nil if there are none.
 	Allowances Allowances
+	// Departures knows the departures of this daemon's instances. It is nil if none are announced.
+	Departures DepartureHistory
 	// Freshness tracks when configuration and orders were last confirmed as the newest.
 	Freshness *configsource.Freshness
 	// Withdrawn returns the instances on this machine that left for good.
--- a/internal/distribution/fleet/inbound.go
+++ b/internal/distribution/fleet/inbound.go
@@ -17,6 +17,9 @@
 	announcementChanged, ordersChanged chan struct{}
 	pendingSuspects                    pendingSuspects
 	pendingRollouts                    pendingRollouts
+	// departureRequest is the daemon's request for its departures; nil if none waits. Fleet.mutex
+	// protects it.
+	departureRequest *departureRequest
 }
 
 // Accepted starts to serve a link that another daemon opened and returns the handlers for its
@@ -81,6 +84,8 @@
 	switch body := frame.GetBody().(type) {
 	case *lapisv1.CallFrame_Introduction:
 		f.recordIntroduction(body.Introduction, inbound.node, inbound.link)
+	case *lapisv1.CallFrame_DeparturesRequest:
+		f.receiveDeparturesRequest(inbound, body.DeparturesRequest)
 	case *lapisv1.CallFrame_ConfigurationRequest:
 		f.serveConfiguration(inbound.link, body.ConfigurationRequest.GetAbove())
 	case *lapisv1.CallFrame_Orders:
--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -92,6 +92,7 @@
 	p.connected = true
 	p.stalled = false
 	p.displacedAt = time.Time{}
+	p.departuresRequestedAt = time.Time{}
 	p.link = link
 }
 
@@ -103,6 +104,7 @@
 		link.Close(result.Errorf(result.CallUnknownOutcome, "the connection is no longer needed"))
 	})
 	defer stop()
+	f.requestDepartures(peer, link, false)
 	f.sendWithdrawn(peer, link)
 	f.sendOrders(link)
 	f.mutex.Lock()
@@ -156,6 +158,8 @@
 		link := peer.link
 		f.mutex.Unlock()
 		f.recordIntroduction(body.Introduction, peer.name, link)
+	case *lapisv1.CallFrame_Departures:
+		f.receiveDepartures(peer, generation, body.Departures)
 	case *lapisv1.CallFrame_Configuration:
 		f.receiveConfiguration(peer, body.Configuration)
 	case *lapisv1.CallFrame_DeflatedConfiguration:
--- a/internal/requestpath/departure/departure.go
+++ b/internal/requestpath/departure/departure.go
@@ -1,22 +1,29 @@
 // Package departure decides what a daemon may conclude about an instance that it doesn't know.
 //
 // An instance that leaves for good is acknowledged, and gets no calls from then on. Its daemon may end
-// right after that, alone or together with all others, and a heartbeat that the instance sent before it
-// left may arrive seconds late. A daemon that has just started therefore cannot tell by the heartbeat
+// right after that, alone or together with all others, and heartbeats that the instance sent before it
+// left may arrive seconds late. A daemon that has just started therefore cannot tell by heartbeats
 // alone whether the instance is in service. Departures are kept in a Store that outlasts all daemons:
-// a daemon acknowledges a departure once it is stored, and asks for a stored departure before it
-// registers an instance that it doesn't know.
+// a daemon acknowledges a departure once it is stored, and a later process of the daemon reads the
+// stored ones once, early (History).
 //
-// The package holds the rules, which are pure, and the heartbeats of instances whose departure could
-// not be looked up. It does no I/O except through Store. A Candidates value is safe for concurrent use.
+// A read of the Store that began after the start of a process contains each departure that an earlier
+// process of its daemon acknowledged, whichever daemon made the read. So daemons that start together
+// share one read, and a daemon that the store refuses may use the read of another one.
 //
-// Growth: one write for each departure, and one read for each instance that registers within TTL of its
-// daemon's start and is not known to have started after it. Stored departures are removed once they are older than TTL, by daemons that store
-// others, so their number follows the departures of the last TTL and not the age of the fleet.
+// The package holds the rules, which are pure, the history, and the heartbeats of instances of which
+// nothing is known (Candidates). It does no I/O except through Store. Its values are safe for
+// concurrent use.
+//
+// Growth: one write for each departure, and at most one read for each start of a daemon, of one page
+// of a list; of two if more instances of the fleet left within TTL than fit on a page. Stored
+// departures are removed once they are older than TTL, by daemons that store others, so their number
+// follows the departures of the last TTL and not the age of the fleet.
 package departure
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -33,10 +40,10 @@
 	// heartbeats, and neither one that was delayed nor several that arrive together suffice. Waiting for the
 	// third one as well left the instances of restarted daemons without calls for 3.0 to 4.1 s.
 	continuationTime = time.Second
-	// CallsPerSecond and CallBurst limit the calls of one daemon for departures, so that a client that
-	// sends messages of invented instances cannot use up the calls of the store, which all daemons share.
-	// An instance causes one call per heartbeat (1.5 s) at most; a machine has one, or a few while one
-	// replaces another.
+	// CallsPerSecond and CallBurst limit the writes of one daemon for departures, and its reads, so that a
+	// client that sends messages of invented instances cannot use up the calls of the store, which all
+	// daemons share. An instance causes one call per heartbeat (1.5 s) at most; a machine has one, or a
+	// few while one replaces another.
 	CallsPerSecond = 2
 	CallBurst      = 16
 	// sweepInterval is the mean number of departures that this daemon stores between two sweeps, and
@@ -49,11 +56,12 @@
 // Store keeps departures beyond the lifetime of all daemons. An error leaves unknown whether the
 // operation took effect; repeating it is safe. It is safe for concurrent use.
 type Store interface {
-	// Save stores that an instance, given by the name of its incarnation, has left for good.
+	// Save stores that an instance beside this daemon, given by the name of its incarnation, has left
+	// for good.
 	Save(ctx context.Context, instance string) error
-	// Contains reports whether a departure is stored that is not older than TTL. The answer includes
-	// each departure that any daemon stored before the call.
-	Contains(ctx context.Context, instance string) (bool, error)
+	// List returns the departures that are not older than TTL. It includes each one that was stored
+	// before the call.
+	List(ctx context.Context) (Listing, error)
 	// Expired returns departures that are older than TTL, on one page of a list that begins after that
 	// of an instance, or with the first if it is empty, and may be some seconds old.
 	Expired(ctx context.Context, after string) ([]Stored, error)
@@ -67,6 +75,23 @@
 	Revision uint64
 }
 
+// Listing holds stored departures.
+type Listing struct {
+	// Instances are the names of the instances that left, by the node of the daemon beside them. Those
+	// under the empty name may have been beside any daemon.
+	Instances map[string][]string
+	// Node is the only node for which the listing is complete; empty if it is complete for all.
+	Node string
+}
+
+// of returns the instances that left beside a daemon, and whether the listing is complete for it.
+func (l Listing) of(node string) (instances []string, complete bool) {
+	if l.Node != "" && l.Node != node {
+		return nil, false
+	}
+	return slices.Concat(l.Instances[node], l.Instances[""]), true
+}
+
 // MustLookUp reports whether an unknown instance's departure must be looked up before the instance
 // registers. uptime is the age of this process, age that of the instance by the start that it states, or
 // UnknownAge, and sequence the number of its heartbeat.
--- a/internal/requestpath/departure/departure_test.go
+++ b/internal/requestpath/departure/departure_test.go
@@ -17,6 +17,8 @@
 	assert.Assert(t, continuationTime > heartbeatInterval/2, "heartbeats that arrive together register an instance")
 	assert.Assert(t, continuationTime < heartbeatInterval, "two heartbeats do not register an instance")
 	assert.Assert(t, maxSwept > sweepInterval, "stored departures become more and more")
+	assert.Assert(t, firstReadMax < time.Second, "a store that refuses a second after the start is not read before")
+	assert.Assert(t, awaitedReadMax <= StoreTimeout/4, "the wait for other daemons leaves the store little time")
 }
 
 // heartbeatAt is a heartbeat that arrives at a time.
--- a/internal/requestpath/origin/departure.go
+++ b/internal/requestpath/origin/departure.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
-	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
 // withdrawnInstance is an instance that left permanently.
@@ -17,9 +16,6 @@
 	stored bool
 }
 
-// errDepartureCalls is the error of a call for a departure beyond the limit of calls.
-var errDepartureCalls = result.Errorf(result.PlatformUnavailable, "too many calls for departures")
-
 // Heartbeat handles a heartbeat of an instance. After it has returned for a draining instance, no
 // further call starts there, and without an error no later process of this daemon starts one either.
 // With an error the heartbeat must not be acknowledged. Errors: those of departure.Store.
@@ -65,21 +61,11 @@
 
 func (o *Origin) saveDeparture(ctx context.Context, name string) error {
 	if !o.departureCalls.Allow() {
-		return errDepartureCalls
+		return departure.ErrTooManyCalls
 	}
 	return o.config.Departures.Save(ctx, name)
 }
 
-// lookUpDeparture reports whether the store has the departure of an instance.
-func (o *Origin) lookUpDeparture(ctx context.Context, name string) (left bool, err error) {
-	if !o.departureCalls.Allow() {
-		return false, errDepartureCalls
-	}
-	ctx, cancel := context.WithTimeout(ctx, departure.StoreTimeout)
-	defer cancel()
-	return o.config.Departures.Contains(ctx, name)
-}
-
 func (o *Origin) isStored(name string) bool {
 	o.mutex.RLock()
 	defer o.mutex.RUnlock()
@@ -142,11 +128,34 @@
 	}
 }
 
+// followHistory withdraws the instances that left before the start of this process, once they are known.
+// That may be after one of them registered because nothing was known.
+func (o *Origin) followHistory(ctx context.Context) {
+	if o.config.History == nil {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-o.config.History.Completed():
+		o.withdrawHistory()
+	}
+}
+
+// withdrawHistory withdraws the instances of a complete history.
+func (o *Origin) withdrawHistory() {
+	o.historyApplied.Do(func() {
+		for _, name := range o.config.History.Left() {
+			o.withdraw(name, withdrawnByStore)
+			o.markStored(name)
+		}
+	})
+}
+
 // mayRegister reports whether a ready instance may be registered by a heartbeat. An instance that this
 // daemon doesn't know may have left while an earlier process ran here.
 func (o *Origin) mayRegister(ctx context.Context, registration Registration) bool {
 	name := registration.incarnation().Name()
-	if o.config.Departures == nil || o.isWithdrawn(name) {
+	if o.config.History == nil || o.isWithdrawn(name) {
 		return true
 	}
 	if !departure.MustLookUp(time.Since(o.startedAt), registration.age(), registration.Sequence) {
@@ -155,16 +164,12 @@
 	if _, known := o.instance(registration.Service, name); known {
 		return true
 	}
-	left, err := o.lookUpDeparture(ctx, name)
-	if err != nil {
+	if err := o.config.History.Await(ctx); err != nil {
 		continued := o.candidates.Record(name, registration.Sequence, time.Now())
 		o.config.Logger.Info("instance.departure_unknown", "instance", name, "sequence", registration.Sequence, "continued", continued, "error", err)
 		return continued
 	}
+	o.withdrawHistory()
 	o.candidates.Forget(name)
-	if left {
-		o.withdraw(name, withdrawnByStore)
-		o.markStored(name)
-	}
-	return !left
+	return true
 }
--- a/internal/requestpath/origin/departure_test.go
+++ b/internal/requestpath/origin/departure_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
@@ -57,15 +60,18 @@
 	return nil
 }
 
-func (m *memoryDepartures) Contains(ctx context.Context, instance string) (bool, error) {
+func (m *memoryDepartures) List(ctx context.Context) (departure.Listing, error) {
 	if err := m.begin(ctx); err != nil {
-		return false, err
+		return departure.Listing{}, err
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.stored[instance], nil
+	return departure.Listing{Instances: map[string][]string{testNode: slices.Collect(maps.Keys(m.stored))}}, nil
 }
 
+// testNode is the name of the daemon in these tests.
+const testNode = "node-1"
+
 func (m *memoryDepartures) Expired(context.Context, string) ([]departure.Stored, error) {
 	return nil, nil
 }
@@ -76,11 +82,13 @@
 func startWithDepartures(t *testing.T, store departure.Store) (running *origin.Origin, stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	running = origin.New(origin.Config{QueueLength: 8, QueueTime: time.Second, Departures: store})
-	done := make(chan struct{})
-	go func() { defer close(done); running.Run(ctx) }()
+	history := departure.NewHistory(testNode, store, func() float64 { return 0.5 }, logr.Discard())
+	running = origin.New(origin.Config{QueueLength: 8, QueueTime: time.Second, Departures: store, History: history})
+	var goroutines sync.WaitGroup
+	goroutines.Go(func() { running.Run(ctx) })
+	goroutines.Go(func() { history.Run(ctx) })
 	synctest.Wait()
-	return running, func() { cancel(); <-done }
+	return running, func() { cancel(); goroutines.Wait() }
 }
 
 // startedRegistration is a ready heartbeat of an incarnation.
@@ -214,10 +222,10 @@
 	release chan struct{}
 }
 
-func (h *heldLookUp) Contains(ctx context.Context, instance string) (bool, error) {
-	left, err := h.memoryDepartures.Contains(ctx, instance)
+func (h *heldLookUp) List(ctx context.Context) (departure.Listing, error) {
+	listing, err := h.memoryDepartures.List(ctx)
 	<-h.release
-	return left, err
+	return listing, err
 }
 
 // Departures that a restored store may have lost are stored again.
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -43,6 +43,8 @@
 	// Departures keeps the departures of instances beyond the lifetime of all daemons; nil if no
 	// instance announces its departure.
 	Departures departure.Store
+	// History knows the departures of earlier processes; nil if Departures is.
+	History *departure.History
 	// Changed is called, from any goroutine, when the result of Advertised changes.
 	Changed func()
 	// Decisions receives the log lines about requests (nil for none), Logger those about instances.
@@ -71,7 +73,9 @@
 	counts          counters
 	// departureCalls limits the calls of config.Departures.
 	departureCalls *rate.Limiter
-	// candidates are the unknown instances whose departure could not be looked up.
+	// historyApplied is done once the instances of config.History are withdrawn.
+	historyApplied sync.Once
+	// candidates are the unknown instances of which the history says nothing because it is incomplete.
 	candidates departure.Candidates
 	// executing counts the calls that run at instances, and executingRepeats the repeats among
 	// them.
@@ -147,6 +151,7 @@
 		o.watch(instance)
 	}
 	o.mutex.Unlock()
+	o.followHistory(ctx)
 	<-ctx.Done()
 	o.goroutines.Wait()
 }
--- a/internal/transport/callmux/session.go
+++ b/internal/transport/callmux/session.go
@@ -177,7 +177,8 @@
 		*lapisv1.CallFrame_ConfigurationRequest, *lapisv1.CallFrame_Configuration, *lapisv1.CallFrame_DeflatedConfiguration,
 		*lapisv1.CallFrame_Orders, *lapisv1.CallFrame_Suspects,
 		*lapisv1.CallFrame_AllowanceAsk, *lapisv1.CallFrame_AllowanceGrant,
-		*lapisv1.CallFrame_RolloutWord, *lapisv1.CallFrame_RolloutReport:
+		*lapisv1.CallFrame_RolloutWord, *lapisv1.CallFrame_RolloutReport,
+		*lapisv1.CallFrame_DeparturesRequest, *lapisv1.CallFrame_Departures:
 		if s.control.Frame != nil {
 			s.control.Frame(frame)
 		}
