Whether an instance may have left is not concluded from its age

Callers' requests would reach an instance whose leave was acknowledged, if the clock of its machine is set back by seconds, its first heartbeat arrives late, and the store refuses since its daemon started again. Cause: an instance that seemed younger than the process, by the start that it states, was registered without evidence. Both ages are differences of the time of day. Change: the start does not matter any more; without evidence each unknown instance waits for its second heartbeat. With the store the evidence is there before the heartbeat as a rule, so that the shortcut saved nothing but calls that are no longer made. The table of the rule loses the rows that required the shortcut: the clock makes them wrong; what is left of it is stricter.

--- a/internal/requestpath/departure/departure.go
+++ b/internal/requestpath/departure/departure.go
@@ -92,21 +92,14 @@
 	return slices.Concat(l.Instances[node], l.Instances[""]), true
 }
 
-// MustLookUp reports whether an unknown instance's departure must be looked up before the instance
-// registers. uptime is the age of this process, age that of the instance by the start that it states, or
-// UnknownAge, and sequence the number of its heartbeat.
+// IsRequired reports whether an unknown instance may register only if its departure is known not to be
+// stored. uptime is the age of this process. A departure that an earlier process acknowledged is older
+// than uptime, and so are the heartbeats that the instance sent before it left.
 //
-// A departure that an earlier process acknowledged is older than uptime, and so are the heartbeats that
-// the instance sent before it left. An instance that started after this process cannot have left before.
-// Ages are differences of wall-clock times, which may be set; the first heartbeat is required as well,
-// because an instance that left has rarely just started.
-func MustLookUp(uptime, age time.Duration, sequence uint64) bool {
-	startedLater := age >= 0 && age < uptime && sequence == 1
-	return uptime < TTL && !startedLater
-}
-
-// UnknownAge is the age of an instance that states no start.
-const UnknownAge time.Duration = -1
+// The start that an instance states does not matter. Its age and uptime are differences of wall-clock
+// times, and after the clock was set back by seconds an instance that left seems younger than the
+// process that receives its first heartbeat late.
+func IsRequired(uptime time.Duration) bool { return uptime < TTL }
 
 // SweepsAfterSave reports whether to sweep after storing a departure; random is between 0 and 1.
 func SweepsAfterSave(random float64) bool { return random < 1.0/sweepInterval }
--- a/internal/requestpath/departure/departure_test.go
+++ b/internal/requestpath/departure/departure_test.go
@@ -61,23 +61,9 @@
 	assert.Equal(t, len(candidates.first), 1)
 }
 
-func TestDeparturesAreLookedUpAfterAStart(t *testing.T) {
-	for name, row := range map[string]struct {
-		uptime, age time.Duration
-		sequence    uint64
-		want        bool
-	}{
-		"at the start":                         {0, time.Minute, 40, true},
-		"started before":                       {time.Minute, time.Minute + time.Second, 1, true},
-		"started before, nearly TTL ago":       {TTL - time.Second, time.Hour, 40, true},
-		"started before, TTL ago":              {TTL, time.Hour, 40, false},
-		"no start stated":                      {time.Minute, UnknownAge, 1, true},
-		"no start stated, TTL ago":             {TTL, UnknownAge, 1, false},
-		"started after":                        {time.Minute, time.Second, 1, false},
-		"started after, by a clock that lags":  {time.Minute, time.Second, 40, true},
-		"starts later, by a clock that is off": {time.Minute, -time.Second, 1, true},
-	} {
-		assert.Check(t, MustLookUp(row.uptime, row.age, row.sequence) == row.want, name)
+func TestDeparturesAreRequiredAfterAStart(t *testing.T) {
+	for uptime, want := range map[time.Duration]bool{0: true, time.Minute: true, TTL - time.Second: true, TTL: false} {
+		assert.Check(t, IsRequired(uptime) == want, "%s", uptime)
 	}
 }
 
--- a/internal/requestpath/departure/history.go
+++ b/internal/requestpath/departure/history.go
@@ -208,7 +208,7 @@
 func (h *History) Missing() bool {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.left == nil && h.Uptime() < TTL
+	return h.left == nil && IsRequired(h.Uptime())
 }
 
 // Uptime returns the time since the start of this process.
--- a/internal/requestpath/origin/departure.go
+++ b/internal/requestpath/origin/departure.go
@@ -155,10 +155,7 @@
 // daemon doesn't know may have left while an earlier process ran here.
 func (o *Origin) mayRegister(ctx context.Context, registration Registration) bool {
 	name := registration.incarnation().Name()
-	if o.config.History == nil || o.isWithdrawn(name) {
-		return true
-	}
-	if !departure.MustLookUp(time.Since(o.startedAt), registration.age(), registration.Sequence) {
+	if o.config.History == nil || o.isWithdrawn(name) || !departure.IsRequired(time.Since(o.startedAt)) {
 		return true
 	}
 	if _, known := o.instance(registration.Service, name); known {
--- a/internal/requestpath/origin/departure_test.go
+++ b/internal/requestpath/origin/departure_test.go
@@ -270,18 +270,23 @@
 // The clock was set back after an instance had started and left, so that by its stated start it seems younger than
 // the process that gets its first heartbeat late.
 func TestLateFirstHeartbeatAfterTheClockWasSetBackDoesNotBringBackAnInstanceThatLeft(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		store := newDepartures()
-		earlier, stopEarlier := startWithDepartures(t, store)
-		start := uint64(time.Now().Add(2 * time.Second).UnixMilli())
-		assert.NilError(t, earlier.Retire(t.Context(), "desk-1", start))
-		stopEarlier()
-		later, stop := startWithDepartures(t, store)
-		defer stop()
-		time.Sleep(3 * time.Second)
-		assert.NilError(t, later.Heartbeat(t.Context(), startedRegistration(start, 1)))
-		assert.Equal(t, len(later.Advertised()), 0)
-	})
+	for name, fault := range map[string]error{"store answers": nil, "store refuses": errStoreDown} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newDepartures()
+				earlier, stopEarlier := startWithDepartures(t, store)
+				start := uint64(time.Now().Add(2 * time.Second).UnixMilli())
+				assert.NilError(t, earlier.Retire(t.Context(), "desk-1", start))
+				stopEarlier()
+				store.setFault(fault)
+				later, stop := startWithDepartures(t, store)
+				defer stop()
+				time.Sleep(3 * time.Second)
+				assert.NilError(t, later.Heartbeat(t.Context(), startedRegistration(start, 1)))
+				assert.Equal(t, len(later.Advertised()), 0)
+			})
+		})
+	}
 }
 
 // Messages of invented instances do not use up the calls of the store, and a leave that is refused for
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -32,14 +32,6 @@
 	return incarnation.Incarnation{ID: r.Instance, StartUnixMillis: r.StartUnixMillis}
 }
 
-// age returns the time since the start of the instance, or departure.UnknownAge.
-func (r Registration) age() time.Duration {
-	if r.StartUnixMillis == 0 {
-		return departure.UnknownAge
-	}
-	return time.Since(time.UnixMilli(int64(r.StartUnixMillis)))
-}
-
 // Register records a heartbeat; the first one registers the instance. After Register has returned
 // for a draining instance, no further call starts there.
 func (o *Origin) Register(registration Registration) {
