Departures that a restored store lost are stored again until it takes them

Callers' requests would reach an instance whose leave was acknowledged, if the store comes back from a copy without its departure, refuses the one attempt to store it again, and all daemons that know it end. Cause: one attempt in the background; after that only the instance's own messages. Change: attempts after 1 to 30 s, doubling and partly random, until each departure is stored or expired, within the limit of calls of a daemon. Measured: TestDeparturesAreStoredAgainOnceARestoredStoreAnswers, a store that refuses for 30 s after its restoration: not stored before, stored now, at most 15 calls meanwhile.

--- a/internal/requestpath/departure/plan.go
+++ b/internal/requestpath/departure/plan.go
@@ -15,13 +15,6 @@
 	// time for the links between daemons that start together, some tens of milliseconds, so that the
 	// first one that reads tells the others, and most of StoreTimeout for the answer.
 	awaitedReadMax = 100 * time.Millisecond
-	// retryMin and retryMax limit the wait after a failed read, which doubles from the one to the
-	// other, while no heartbeat waits.
-	retryMin = time.Second
-	retryMax = 30 * time.Second
-	// retryJitter is the part of that wait that is random, so that daemons that started together do not
-	// read together.
-	retryJitter = 0.5
 	// steepness shapes the random times of the reads: the density grows exponentially, so that about
 	// one of 64 daemons draws an early time (Nonnenmacher and Biersack, "Optimal multicast feedback",
 	// 1998). It is the logarithm of their number, plus 1.
@@ -35,9 +28,8 @@
 type plan struct {
 	random func() float64
 	// readAt is the time of the next read for this daemon itself.
-	readAt time.Time
-	// retry is the wait after the last failure, 0 before the first.
-	retry time.Duration
+	readAt  time.Time
+	retries Backoff
 	// requestedAt is the time of a request by another daemon, zero for none.
 	requestedAt time.Time
 }
@@ -83,6 +75,5 @@
 // failed records a read that failed at now.
 func (p *plan) failed(now time.Time) {
 	p.requestedAt = time.Time{}
-	p.retry = min(max(2*p.retry, retryMin), retryMax)
-	p.readAt = now.Add(time.Duration((1 - retryJitter*p.random()) * float64(p.retry)))
+	p.readAt = now.Add(p.retries.Next(p.random()))
 }
--- a/internal/requestpath/origin/departure.go
+++ b/internal/requestpath/origin/departure.go
@@ -6,14 +6,15 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
+	"github.com/lapisvane/lapisvane/internal/shared/sleep"
 )
 
 // withdrawnInstance is an instance that left permanently.
 type withdrawnInstance struct {
 	// at is when this daemon last learned of it.
 	at time.Time
-	// stored is true once the store has the departure.
-	stored bool
+	// stored is true once the store has the departure, and lost once it may have lost it.
+	stored, lost bool
 }
 
 // Heartbeat handles a heartbeat of an instance. After it has returned for a draining instance, no
@@ -76,7 +77,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if left, known := o.withdrawn[name]; known {
-		left.stored = true
+		left.stored, left.lost = true, false
 		o.withdrawn[name] = left
 	}
 }
@@ -98,25 +99,52 @@
 	})
 }
 
-// DeparturesLost stores the known departures again, because the store may have lost them.
+// DeparturesLost makes Run store the known departures again, because the store may have lost them. It
+// retries until each is stored or expired.
 func (o *Origin) DeparturesLost() {
 	o.mutex.Lock()
-	var names []string
 	for name, left := range o.withdrawn {
 		if left.stored {
-			left.stored = false
+			left.stored, left.lost = false, true
 			o.withdrawn[name] = left
-			names = append(names, name)
 		}
 	}
 	o.mutex.Unlock()
-	if len(names) == 0 {
-		return
+	select {
+	case o.departuresLost <- struct{}{}:
+	default:
 	}
-	o.inBackground(func(ctx context.Context) {
-		// An error is logged. The instance's next heartbeat, if it sends one, stores the rest.
-		_ = o.storeDepartures(ctx, names...)
-	})
+}
+
+// restoreDepartures stores lost departures again until ctx ends.
+func (o *Origin) restoreDepartures(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.departuresLost:
+		}
+		var retries departure.Backoff
+		for names := o.lostDepartures(); len(names) > 0; names = o.lostDepartures() {
+			// The error is logged.
+			if o.storeDepartures(ctx, names...) != nil && !sleep.For(ctx, retries.Next(rand.Float64())) {
+				return
+			}
+		}
+	}
+}
+
+// lostDepartures returns the names of the departures to store again.
+func (o *Origin) lostDepartures() (names []string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.pruneWithdrawn()
+	for name, left := range o.withdrawn {
+		if left.lost {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // inBackground runs a function until the origin ends; it does nothing if the origin is not running.
--- a/internal/requestpath/origin/departure_test.go
+++ b/internal/requestpath/origin/departure_test.go
@@ -49,6 +49,18 @@
 	m.fault = fault
 }
 
+func (m *memoryDepartures) contains(instance string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.stored[instance]
+}
+
+func (m *memoryDepartures) callCount() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.calls
+}
+
 func (m *memoryDepartures) Save(ctx context.Context, instance string) error {
 	if err := m.begin(ctx); err != nil {
 		return err
@@ -242,6 +254,25 @@
 	})
 }
 
+// Departures are stored again however long the store refuses after it was restored, with few calls.
+func TestDeparturesAreStoredAgainOnceARestoredStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newDepartures()
+		running, stop := startWithDepartures(t, store)
+		defer stop()
+		assert.NilError(t, running.Retire(t.Context(), "desk-1", 1000))
+		clear(store.stored)
+		store.setFault(errStoreDown)
+		before := store.callCount()
+		running.DeparturesLost()
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, store.callCount()-before <= 15, "%d calls", store.callCount()-before)
+		store.setFault(nil)
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, store.contains("desk-1@1000"))
+	})
+}
+
 // Heartbeats that were sent before an acknowledged leave arrive late, one after the other, and the store refuses by
 // then. The process had the store for a second after its start.
 func TestSeveralLateHeartbeatsDuringAnOutageDoNotBringBackAnInstanceThatLeft(t *testing.T) {
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -75,6 +75,8 @@
 	departureCalls *rate.Limiter
 	// historyApplied is done once the instances of config.History are withdrawn.
 	historyApplied sync.Once
+	// departuresLost makes Run store lost departures again.
+	departuresLost chan struct{}
 	// candidates are the unknown instances of which the history says nothing because it is incomplete.
 	candidates departure.Candidates
 	// executing counts the calls that run at instances, and executingRepeats the repeats among
@@ -130,6 +132,7 @@
 	origin := &Origin{
 		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]withdrawnInstance{},
 		attempts: newDedupCache(attemptTTL, time.Now), idempotencyKeys: newDedupCache(idempotencyKeyTTL, time.Now),
+		departuresLost:    make(chan struct{}, 1),
 		departureCalls:    rate.NewLimiter(departure.CallsPerSecond, departure.CallBurst),
 		unknownServiceLog: rate.Sometimes{First: unknownServiceLines, Interval: unknownServiceInterval},
 	}
@@ -151,6 +154,7 @@
 		o.watch(instance)
 	}
 	o.mutex.Unlock()
+	o.goroutines.Go(func() { o.restoreDepartures(ctx) })
 	o.followHistory(ctx)
 	<-ctx.Done()
 	o.goroutines.Wait()
