Tests: an acknowledged leave outlasts cuts from the daemons, the store or both

Cause: the class of forgotten-leave was tried with kills and outages only, not with cuts. Change: the emulator isolates a daemon from all others: what either side sends does not arrive, and connections that were open stay silent. A test cuts the daemon that gets the leave off from the others, from the store or from both at the leave and for the contact time, kills it or not, then kills all daemons, and sends late heartbeats.

--- a/internal/lab/emulator/day/leave_test.go
+++ b/internal/lab/emulator/day/leave_test.go
@@ -154,3 +154,52 @@
 	stop()
 	assertPromisesKept(t, site)
 }
+
+// The acknowledgement of a leave holds if its daemon is cut off from the other daemons, from the store or from both
+// at the leave and for the contact time, and ends then or not.
+func TestAcknowledgedLeaveOutlastsCuts(t *testing.T) {
+	for name, cut := range map[string]struct{ daemons, store bool }{
+		"from the daemons": {daemons: true}, "from the store": {store: true}, "from both": {true, true},
+	} {
+		for end, killed := range map[string]bool{"and killed": true, "and not killed": false} {
+			t.Run(name+" "+end, func(t *testing.T) {
+				options := day.DefaultOptions()
+				options.LeavingUnstated = true
+				isolation := day.NewIsolation()
+				options.Launch = day.LaunchIsolated(map[string]*day.Isolation{"machine-a-1": isolation})
+				site, tally, stop := startOptions(t, options, routes, day.StandardClasses(1))
+				awaitServed(t, tally, 50)
+				machine := site.Machines[0]
+				leaving := machine.Instance()
+				ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+				defer cancel()
+				if cut.daemons {
+					isolation.Begin()
+				}
+				if cut.store {
+					site.SetStoreFaults(objectstore.Faults{Silent: true}, machine)
+				}
+				left := make(chan bool, 1)
+				go func() { left <- leaving.Leave(ctx, true) }()
+				time.Sleep(site.ContactTime())
+				if killed {
+					assert.NilError(t, machine.Kill(restartTime))
+					leaving.SendDelayedHeartbeat(ctx, 1)
+				}
+				if cut.daemons {
+					isolation.End()
+				}
+				site.SetStoreFaults(objectstore.Faults{}, machine)
+				assert.Assert(t, <-left)
+				killAtOnce(t, site.Machines)
+				for sequence := range uint64(3) {
+					leaving.SendDelayedHeartbeat(ctx, 1+sequence)
+					time.Sleep(700 * time.Millisecond)
+				}
+				awaitServed(t, tally, 200)
+				stop()
+				assertPromisesKept(t, site)
+			})
+		}
+	}
+}
--- a/internal/lab/emulator/day/process.go
+++ b/internal/lab/emulator/day/process.go
@@ -5,6 +5,7 @@
 
 	"github.com/lapisvane/lapisvane/internal/daemon"
 	"github.com/lapisvane/lapisvane/internal/daemon/settings"
+	"github.com/lapisvane/lapisvane/internal/transport/wire"
 	"github.com/lapisvane/lapisvane/platform"
 )
 
@@ -41,8 +42,13 @@
 
 // launchEmbedded is the default Launch. It runs the daemon in the current process.
 func launchEmbedded(config *settings.Daemon, logger logr.Logger) (Process, error) {
+	return launchOn(nil, config, logger)
+}
+
+// launchOn runs a daemon in the current process, on a network; nil for plain TCP.
+func launchOn(network wire.Network, config *settings.Daemon, logger logr.Logger) (Process, error) {
 	adapter := platform.New(config.Platform.Addresses[0], logger)
-	started, err := daemon.New(config, daemon.Options{Logger: logger, Platform: adapter, SimulateKill: true})
+	started, err := daemon.New(config, daemon.Options{Logger: logger, Network: network, Platform: adapter, SimulateKill: true})
 	if err != nil {
 		return nil, err
 	}
