Callbacks of the history of departures are named as such

Cause: fields named Read and ReadFailed look like methods that read. Change: OnRead and OnReadFailed. Measured: tests of departure, fleet and daemon pass.

--- a/internal/daemon/platform_distribution.go
+++ b/internal/daemon/platform_distribution.go
@@ -135,7 +135,7 @@
 	}
 	p.fleet = fleet.New(config)
 	if p.path.history != nil {
-		p.path.history.Read, p.path.history.ReadFailed = p.fleet.AnswerDepartures, p.fleet.RequestDepartures
+		p.path.history.OnRead, p.path.history.OnReadFailed = p.fleet.AnswerDepartures, p.fleet.RequestDepartures
 	}
 	p.follower = &configsource.Follower{
 		Source: platform.Source(), Apply: p.readConfiguration, Freshness: p.freshness, Confirmed: p.fleet.SendHeartbeats,
--- a/internal/distribution/fleet/departures_test.go
+++ b/internal/distribution/fleet/departures_test.go
@@ -66,7 +66,7 @@
 	store := departuresStore{reads: &h.reads, refused: refused}
 	history := departure.NewHistory(nodeName(number), store, func() float64 { return draw }, logr.Discard())
 	daemon := h.start(numbered(number), func(config *Config) { config.Departures = history })
-	history.Read, history.ReadFailed = daemon.AnswerDepartures, daemon.RequestDepartures
+	history.OnRead, history.OnReadFailed = daemon.AnswerDepartures, daemon.RequestDepartures
 	h.running.Go(func() { history.Run(ctx) })
 	return history
 }
--- a/internal/requestpath/departure/history.go
+++ b/internal/requestpath/departure/history.go
@@ -18,10 +18,10 @@
 //
 // Create it with NewHistory at the start of the process. The exported fields may be set before Run.
 type History struct {
-	// Read is called after each successful read by this daemon, after which Answer may have an answer
-	// for more daemons. ReadFailed is called after each failed one while the history is incomplete.
+	// OnRead is called after each successful read by this daemon, after which Answer may have an answer
+	// for more daemons. OnReadFailed is called after each failed one while the history is incomplete.
 	// Both must not block.
-	Read, ReadFailed func()
+	OnRead, OnReadFailed func()
 
 	node   string
 	store  Store
@@ -53,7 +53,7 @@
 func NewHistory(node string, store Store, random func() float64, logger logr.Logger) *History {
 	now := boottime.Exact()
 	return &History{
-		Read: func() {}, ReadFailed: func() {},
+		OnRead: func() {}, OnReadFailed: func() {},
 		node: node, store: store, logger: logger, startedAt: now, calls: rate.NewLimiter(CallsPerSecond, CallBurst),
 		completed: make(chan struct{}), wake: make(chan struct{}, 1), attempt: make(chan struct{}),
 		reads: newPlan(now, random),
@@ -109,7 +109,7 @@
 	h.mutex.Unlock()
 	own, _ := listing.of(h.node)
 	h.complete(own, byStore, began)
-	h.Read()
+	h.OnRead()
 }
 
 func (h *History) list(ctx context.Context) (Listing, error) {
@@ -137,7 +137,7 @@
 	h.mutex.Unlock()
 	h.logger.Info("departures.not_read", "uptime_ms", began.Sub(h.startedAt).Milliseconds(), "complete", !incomplete, "error", err)
 	if incomplete {
-		h.ReadFailed()
+		h.OnReadFailed()
 	}
 }
 
