Soak: late heartbeats in a row while the store refuses, after kills that follow a leave

Change: the numbers rise; the store refuses the daemon beside the instance from its start on, or all daemons once they had it for a second.

--- a/internal/lab/soak/leaves_test.go
+++ b/internal/lab/soak/leaves_test.go
@@ -12,11 +12,12 @@
 
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/client"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/day"
+	"github.com/lapisvane/lapisvane/internal/lab/emulator/objectstore"
 )
 
 // TestAcknowledgedLeaveOutlastsProcesses plays days on which an instance leaves and daemons end right after
 // the acknowledgement: its own, some, all, at once or in series. Heartbeats that it sent before the leave
-// arrive late, and it must get no more requests.
+// arrive late, one after the other, while the store may refuse, and it must get no more requests.
 func TestAcknowledgedLeaveOutlastsProcesses(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playLeaves(t, seed) })
@@ -77,11 +78,22 @@
 			end(site.Machines[index], after, down)
 		}
 	}
+	// turnedAway and refused are the store's faults while the late heartbeats arrive: from the start of the daemons on
+	// for the daemon beside the instance only, or for all once the daemons had the store for a second.
+	turnedAway, refused := random.IntN(3) == 0, random.IntN(3) == 0
+	if turnedAway {
+		site.SetStoreFaults(objectstore.Faults{Down: true}, machine)
+	}
 	ending.Wait()
-	for range 5 {
-		leaving.SendLateHeartbeat(ctx)
+	if refused && !turnedAway {
+		time.Sleep(time.Second)
+		site.SetStoreFaults(objectstore.Faults{Down: true})
+	}
+	for sequence := range uint64(5) {
+		leaving.SendDelayedHeartbeat(ctx, 1+sequence)
 		time.Sleep(2 * drainBound / 5)
 	}
+	site.SetStoreFaults(objectstore.Faults{})
 	_, err := machine.ReplaceInstance(ctx, 0, false)
 	assert.NilError(t, err)
 	assert.NilError(t, site.AwaitReady(ctx))
