A first heartbeat suspends the instance at its address, the second one replaces it

Cause: a first heartbeat that arrived 5.5 s late, from an instance that had ended, registered it as the new one at the address. Change: the holder of the address is suspended by the first heartbeat of another instance. It is served again with its next heartbeat, or once a call shows by status 421 that the other one is not there or the other one is dropped; it is withdrawn by the other's second heartbeat. Why this works: an instance that has ended sends no further heartbeats, and one that is there does. Changed test: TestInstancesThatLeftAreDropped asked that an instance is dropped after a single heartbeat of another one at its address; that heartbeat may be a late one, so the row sends the second too.

--- a/internal/requestpath/origin/drain.go
+++ b/internal/requestpath/origin/drain.go
@@ -15,14 +15,16 @@
 	DrainEvacuated DrainReason = "evacuated"
 	// DrainInstance applies once the instance itself has reported that it leaves.
 	DrainInstance DrainReason = "instance"
-	// DrainReplaced applies to an instance whose address another instance has taken over.
-	DrainReplaced DrainReason = "replaced"
+	// DrainReplaced applies to an instance whose address another instance has taken over, and
+	// DrainSuspended while it is unknown whether one has (takeover.go).
+	DrainReplaced  DrainReason = "replaced"
+	DrainSuspended DrainReason = "suspended"
 )
 
 // drainReasonPrecedence lists all reasons in the order in which they are reported: calls are
 // refused with the first one that applies. The permanent reasons come first, so that no caller
 // returns to an instance that does not come back.
-var drainReasonPrecedence = []DrainReason{DrainReplaced, DrainInstance, DrainStop, DrainOperator, DrainMachineList, DrainEvacuated}
+var drainReasonPrecedence = []DrainReason{DrainReplaced, DrainInstance, DrainStop, DrainOperator, DrainMachineList, DrainSuspended, DrainEvacuated}
 
 // Drain adds a reason to get no new calls; calls in flight continue.
 func (i *Instance) Drain(reason DrainReason) {
--- a/internal/requestpath/origin/incarnation.go
+++ b/internal/requestpath/origin/incarnation.go
@@ -63,16 +63,17 @@
 	if !isPresent(heartbeatAge) {
 		return false
 	}
-	return state == StateReady || (reasons[DrainEvacuated] && !reasons[DrainInstance] && !reasons[DrainReplaced])
+	isLeaving := reasons[DrainInstance] || reasons[DrainReplaced] || reasons[DrainSuspended]
+	return state == StateReady || (reasons[DrainEvacuated] && !isLeaving)
 }
 
 // shouldDrop reports whether to drop a registered instance: it left permanently and has no call in
-// flight, or it is down and has been silent for longer than silentInstanceTTL. An instance that
-// drains for another reason stays, however long it is silent, because it may be resumed.
+// flight, or it is down or suspended and has been silent for longer than silentInstanceTTL. An instance
+// that drains for another reason stays, however long it is silent, because it may be resumed.
 func shouldDrop(heartbeatAge time.Duration, state State, reasons map[DrainReason]bool) bool {
 	switch state {
 	case StateDrained:
-		return reasons[DrainInstance] || reasons[DrainReplaced]
+		return reasons[DrainInstance] || reasons[DrainReplaced] || (reasons[DrainSuspended] && isExpired(heartbeatAge))
 	case StateDown:
 		return isExpired(heartbeatAge)
 	default:
--- a/internal/requestpath/origin/incarnation_test.go
+++ b/internal/requestpath/origin/incarnation_test.go
@@ -48,6 +48,7 @@
 		"evacuated and drained":  {0, StateDrained, evacuated, true},
 		"evacuated, not present": {presenceTimeout, StateDrained, evacuated, false},
 		"evacuated and leaving":  {0, StateDraining, map[DrainReason]bool{DrainEvacuated: true, DrainInstance: true}, false},
+		"evacuated, suspended":   {0, StateDraining, map[DrainReason]bool{DrainEvacuated: true, DrainSuspended: true}, false},
 		"evacuated and replaced": {0, StateDraining, map[DrainReason]bool{DrainEvacuated: true, DrainReplaced: true}, false},
 		"drained by an operator": {0, StateDrained, map[DrainReason]bool{DrainOperator: true}, false},
 	} {
@@ -71,6 +72,8 @@
 		"down for long":                    {long, StateDown, nil, true},
 		"left, calls in flight":            {0, StateDraining, map[DrainReason]bool{DrainInstance: true}, false},
 		"left, no calls in flight":         {0, StateDrained, map[DrainReason]bool{DrainInstance: true}, true},
+		"suspended":                        {0, StateDrained, map[DrainReason]bool{DrainSuspended: true}, false},
+		"suspended, silent for long":       {long, StateDrained, map[DrainReason]bool{DrainSuspended: true}, true},
 		"replaced":                         {0, StateDrained, map[DrainReason]bool{DrainReplaced: true}, true},
 		"evacuated, silent for long":       {long, StateDrained, map[DrainReason]bool{DrainEvacuated: true}, false},
 		"drained by an operator, for long": {long, StateDrained, map[DrainReason]bool{DrainOperator: true}, false},
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -91,8 +91,10 @@
 	instances map[instanceKey]*Instance
 	// withdrawn holds the instances that left permanently, by name.
 	withdrawn map[string]withdrawnInstance
-	current   *snapshot.Snapshot
-	stopping  bool
+	// successors holds the suspended instances, with the one for which each is suspended.
+	successors map[*Instance]*Instance
+	current    *snapshot.Snapshot
+	stopping   bool
 	// shutdownDeadline is when all calls here must have ended; zero while the daemon is not
 	// stopping.
 	shutdownDeadline time.Time
@@ -130,7 +132,7 @@
 		config.Changed = func() {}
 	}
 	origin := &Origin{
-		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]withdrawnInstance{},
+		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]withdrawnInstance{}, successors: map[*Instance]*Instance{},
 		attempts: newDedupCache(attemptTTL, time.Now), idempotencyKeys: newDedupCache(idempotencyKeyTTL, time.Now),
 		departuresLost:    make(chan struct{}, 1),
 		departureCalls:    rate.NewLimiter(departure.CallsPerSecond, departure.CallBurst),
@@ -179,7 +181,9 @@
 func (o *Origin) removeInstance(instance *Instance) {
 	o.mutex.Lock()
 	delete(o.instances, instanceKey{instance.Service, instance.Name})
+	delete(o.successors, instance)
 	o.mutex.Unlock()
+	o.endSuspensionsFor(instance)
 	o.config.Logger.Info("instance.dropped", "instance", instance.Name, "service", instance.Service, "state", string(instance.State()))
 	instance.queue.Close(result.Errorf(result.CallNotRunDraining, "instance %s has left", instance.Name))
 	instance.backend.pool.closeExpired(true)
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -36,6 +36,7 @@
 // for a draining instance, no further call starts there.
 func (o *Origin) Register(registration Registration) {
 	instance, isNew := o.findOrRegister(registration)
+	isFresh := instance != nil && (isNew || instance.isFresh(registration.Sequence))
 	changed := instance != nil && instance.applyHeartbeat(registration, isNew)
 	if registration.Draining {
 		o.withdraw(registration.incarnation().Name(), withdrawnByHeartbeat)
@@ -44,7 +45,7 @@
 	if instance == nil {
 		return
 	}
-	o.replaceConflicting(instance, isNew)
+	o.resolveConflicts(instance, isNew, isFresh)
 	if changed || isNew {
 		o.config.Changed()
 	}
@@ -290,24 +291,3 @@
 		}
 	}
 }
-
-// replaceConflicting withdraws the other incarnations with the ID or at the address of an instance
-// that sent a heartbeat: those that started earlier and, at its first heartbeat, those that cannot
-// be ordered by their start. An incarnation that started later stays: it has not sent a heartbeat
-// lately, and is the present one if it sends another.
-func (o *Origin) replaceConflicting(reporting *Instance, isNew bool) {
-	for _, instance := range o.Instances() {
-		if !instance.conflictsWith(reporting.identity, reporting.backend.address) || instance.identity.StartedAfter(reporting.identity) {
-			continue
-		}
-		if isNew || reporting.identity.StartedAfter(instance.identity) {
-			o.markReplaced(instance)
-		}
-	}
-}
-
-// markReplaced withdraws an instance whose address another instance has taken over.
-func (o *Origin) markReplaced(instance *Instance) {
-	instance.Drain(DrainReplaced)
-	o.withdraw(instance.Name, withdrawnByReplacement)
-}
--- a/internal/requestpath/origin/registration_test.go
+++ b/internal/requestpath/origin/registration_test.go
@@ -42,8 +42,13 @@
 			draining.Sequence = 2
 			o.Register(draining)
 		},
-		"its address is taken": func(o *origin.Origin) { o.Register(registration("desk-2", "127.0.0.1:1")) },
-		"its heartbeats stop":  func(*origin.Origin) { time.Sleep(2 * time.Minute) },
+		"its address is taken": func(o *origin.Origin) {
+			o.Register(registration("desk-2", "127.0.0.1:1"))
+			second := registration("desk-2", "127.0.0.1:1")
+			second.Sequence = 2
+			o.Register(second)
+		},
+		"its heartbeats stop": func(*origin.Origin) { time.Sleep(2 * time.Minute) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -126,6 +131,10 @@
 		"neither heartbeat is the first":    {[]origin.Registration{heartbeat("new", 5), heartbeat("old", 8), heartbeat("new", 6)}, "new"},
 		"a later one takes over":            {[]origin.Registration{heartbeat("old", 7), heartbeat("new", 1)}, "new"},
 		"a later one, first heartbeat lost": {[]origin.Registration{heartbeat("old", 7), heartbeat("new", 2), heartbeat("new", 3), heartbeat("new", 4)}, "new"},
+		"earlier one forgotten, its first":  {[]origin.Registration{heartbeat("new", 5), heartbeat("old", 1), heartbeat("new", 6)}, "new"},
+		"its first and second, late":        {[]origin.Registration{heartbeat("new", 5), heartbeat("old", 1), heartbeat("new", 6), heartbeat("old", 2), heartbeat("new", 7)}, "new"},
+		"its first, delivered twice":        {[]origin.Registration{heartbeat("new", 5), heartbeat("old", 1), heartbeat("old", 1), heartbeat("new", 6)}, "new"},
+		"a later one is confirmed":          {[]origin.Registration{heartbeat("old", 7), heartbeat("new", 1), heartbeat("new", 2), heartbeat("old", 8)}, "new"},
 		"earlier one leaves, delayed":       {[]origin.Registration{heartbeat("new", 1), {Service: "desk", Instance: "old", Address: "127.0.0.1:1", Slots: 2, Sequence: 9, Draining: true}, heartbeat("new", 2)}, "new"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/requestpath/origin/statement_test.go
+++ b/internal/requestpath/origin/statement_test.go
@@ -175,6 +175,24 @@
 	assert.Equal(t, origin.Instances()[0].LimitUse().PerSecond, 0.0)
 }
 
+// An instance whose address another one seems to have taken is served again once a call shows that the other one is
+// not there.
+func TestInstanceIsServedAgainOnceItsSuccessorIsNotFound(t *testing.T) {
+	backend := newStatingBackend(t)
+	backend.status.Store(http.StatusMisdirectedRequest)
+	origin := New(Config{QueueLength: 64, QueueTime: time.Second, Envelope: newStatingOrigin(backend).config.Envelope})
+	register := func(instance string, sequence uint64) {
+		origin.Register(Registration{Service: "desk", Instance: instance, Address: strings.TrimPrefix(backend.URL, "http://"), Slots: 2, Sequence: sequence})
+	}
+	register("present", 7)
+	register("desk-1", 1)
+	present, _ := origin.instance("desk", "present")
+	assert.Assert(t, present.State() != StateReady)
+	_, err := origin.call(t, nil)
+	assert.Assert(t, result.Is(err, result.CallNotRunUnknownHere), "%v", err)
+	assert.Equal(t, present.State(), StateReady)
+}
+
 // Guards against calls to an instance that has stated in an answer that it leaves.
 func TestInstanceThatStatesThatItLeavesGetsNoCalls(t *testing.T) {
 	backend := newStatingBackend(t)
--- /dev/null
+++ b/internal/requestpath/origin/takeover.go
@@ -0,0 +1,79 @@
+package origin
+
+// This file decides which of several incarnations with one ID or address is served. The one that started
+// later is, if starts are stated. Otherwise a new one takes over with its first heartbeat, because the
+// earlier one may have crashed without notice. That heartbeat may also be a delayed one of an incarnation
+// that has ended, so the other one is only suspended at first (DrainSuspended): it is served again with
+// its next heartbeat or once the new one is gone, and withdrawn once the new one has sent a second.
+
+// isFresh reports whether a heartbeat was sent after all others that this daemon received from the
+// instance.
+func (i *Instance) isFresh(sequence uint64) bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return sequence > i.sequence
+}
+
+// resolveConflicts applies a heartbeat of an instance to the other incarnations with its ID or at its
+// address. isFresh is true unless the heartbeat was delayed, and isNew if it is the first one. An
+// incarnation that started later stays: it has not sent a heartbeat lately, and is the present one if it
+// sends another.
+func (o *Origin) resolveConflicts(reporting *Instance, isNew, isFresh bool) {
+	for _, other := range o.Instances() {
+		if !other.conflictsWith(reporting.identity, reporting.backend.address) || other.identity.StartedAfter(reporting.identity) {
+			continue
+		}
+		switch {
+		case reporting.identity.StartedAfter(other.identity):
+			o.markReplaced(other)
+		case isNew:
+			o.suspend(other, reporting)
+		case isFresh && o.isSuspendedFor(other, reporting):
+			o.markReplaced(other)
+		case isFresh && o.isSuspendedFor(reporting, other):
+			o.endSuspension(reporting)
+			o.suspend(other, reporting)
+		}
+	}
+}
+
+// suspend drains an instance whose address or ID another one, its successor, seems to have taken over.
+func (o *Origin) suspend(instance, successor *Instance) {
+	o.mutex.Lock()
+	o.successors[instance] = successor
+	o.mutex.Unlock()
+	instance.Drain(DrainSuspended)
+	o.config.Logger.Info("instance.suspended", "instance", instance.Name, "by", successor.Name)
+}
+
+// isSuspendedFor reports whether an instance is suspended because of a successor.
+func (o *Origin) isSuspendedFor(instance, successor *Instance) bool {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	return o.successors[instance] == successor
+}
+
+// endSuspension lets a suspended instance be served again.
+func (o *Origin) endSuspension(instance *Instance) {
+	o.mutex.Lock()
+	delete(o.successors, instance)
+	o.mutex.Unlock()
+	instance.Resume(DrainSuspended)
+}
+
+// endSuspensionsFor lets the instances that are suspended for a successor be served again, because the
+// successor is not at the address, or not any more.
+func (o *Origin) endSuspensionsFor(successor *Instance) {
+	for _, instance := range o.Instances() {
+		if o.isSuspendedFor(instance, successor) {
+			o.endSuspension(instance)
+		}
+	}
+}
+
+// markReplaced withdraws an instance whose address another instance has taken over.
+func (o *Origin) markReplaced(instance *Instance) {
+	instance.Drain(DrainReplaced)
+	o.endSuspensionsFor(instance)
+	o.withdraw(instance.Name, withdrawnByReplacement)
+}
