Answers about departures state the uptime at which the read began

Cause: the asking daemon added the answer's time difference to the time of its last request on that link. An answer to an earlier request on the link then counted as if it were for the later one, and its read as later than it was. The answering daemon checked the same by the stated uptime, so that no such read was used; but the second check proved nothing. Change: the request states the uptime, the answer adds the difference to it. The asking daemon keeps no state for its requests.

--- a/internal/distribution/fleet/departures.go
+++ b/internal/distribution/fleet/departures.go
@@ -15,34 +15,32 @@
 	// since the start of this process.
 	Missing() bool
 	Uptime() time.Duration
-	// Offer passes the result of a read by another daemon that began at began, a time of boottime, or later.
-	Offer(began time.Time, instances []string, from string)
-	// Answer returns what this daemon read of the instances beside another one, whose process asked at
-	// askedAt and had run for uptime then, and the time from askedAt to the beginning of the read.
-	Answer(node string, askedAt time.Time, uptime time.Duration) (instances []string, lead time.Duration, known bool)
+	// Offer passes the result of a read by another daemon that began at the uptime readAt of this process,
+	// or later.
+	Offer(readAt time.Duration, instances []string, from string)
+	// Answer returns what this daemon read of the instances beside another one, whose request arrived at
+	// askedAt and states its uptime, and the uptime of that process when the read began, or an earlier one.
+	Answer(node string, askedAt time.Time, uptime time.Duration) (instances []string, readAt time.Duration, known bool)
 	// RequestRead makes this daemon read the store.
 	RequestRead()
 }
 
 // departureRequest is a request of another daemon that is not answered yet.
 //
-// Clocks are not compared: an answer states by how much the read of the store began after the receipt of
-// the request, which was not before it was sent. The sum of the time at which the request was sent and
-// that difference is therefore not later than the beginning of the read.
+// Clocks are not compared: the request states the uptime of the process that sends it, to which the answer
+// adds the time from the receipt of the request to the beginning of the read of the store. Since the request
+// was not received before it was sent, the sum is not later than the uptime at which the read began.
 type departureRequest struct {
 	receivedAt time.Time
 	uptime     time.Duration
 }
 
-// requestDepartures asks a peer for the departures of this daemon's instances on an outbound link, if they
-// are missing. read asks the peer to read the store. It blocks until the request is written.
-func (f *Fleet) requestDepartures(peer *peer, link callmux.Link, read bool) {
+// requestDepartures asks for the departures of this daemon's instances on an outbound link, if they are
+// missing. read asks the peer to read the store. It blocks until the request is written.
+func (f *Fleet) requestDepartures(link callmux.Link, read bool) {
 	if f.config.Departures == nil || !f.config.Departures.Missing() {
 		return
 	}
-	f.mutex.Lock()
-	peer.departuresRequestedAt = boottime.Exact()
-	f.mutex.Unlock()
 	request := &lapisv1.DeparturesRequest{UptimeNanos: f.config.Departures.Uptime().Nanoseconds(), Read: read}
 	f.send(link, &lapisv1.CallFrame{Body: &lapisv1.CallFrame_DeparturesRequest{DeparturesRequest: request}})
 }
@@ -54,7 +52,7 @@
 	defer f.mutex.Unlock()
 	for _, peer := range f.peers {
 		if peer.connected && !peer.stalled {
-			go f.requestDepartures(peer, peer.link, true)
+			go f.requestDepartures(peer.link, true)
 			return
 		}
 	}
@@ -92,23 +90,19 @@
 	if request == nil {
 		return false
 	}
-	instances, lead, known := f.config.Departures.Answer(inbound.node, request.receivedAt, request.uptime)
+	instances, readAt, known := f.config.Departures.Answer(inbound.node, request.receivedAt, request.uptime)
 	if !known {
 		return false
 	}
 	inbound.departureRequest = nil
-	answer := &lapisv1.Departures{LeadNanos: lead.Nanoseconds(), Instances: instances}
+	answer := &lapisv1.Departures{ReadUptimeNanos: readAt.Nanoseconds(), Instances: instances}
 	go f.send(inbound.link, &lapisv1.CallFrame{Body: &lapisv1.CallFrame_Departures{Departures: answer}})
 	return true
 }
 
-// receiveDepartures passes the answer of a peer to the history. An answer that arrives late on an earlier
-// link is dropped.
-func (f *Fleet) receiveDepartures(peer *peer, generation uint64, answer *lapisv1.Departures) {
-	f.mutex.Lock()
-	requestedAt, isCurrent := peer.departuresRequestedAt, generation == peer.generation
-	f.mutex.Unlock()
-	if f.config.Departures != nil && isCurrent && !requestedAt.IsZero() {
-		f.config.Departures.Offer(requestedAt.Add(time.Duration(answer.GetLeadNanos())), answer.GetInstances(), peer.name)
+// receiveDepartures passes the answer of another daemon to the history.
+func (f *Fleet) receiveDepartures(from string, answer *lapisv1.Departures) {
+	if f.config.Departures != nil {
+		f.config.Departures.Offer(time.Duration(answer.GetReadUptimeNanos()), answer.GetInstances(), from)
 	}
 }
--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -92,7 +92,6 @@
 	p.connected = true
 	p.stalled = false
 	p.displacedAt = time.Time{}
-	p.departuresRequestedAt = time.Time{}
 	p.link = link
 }
 
@@ -104,7 +103,7 @@
 		link.Close(result.Errorf(result.CallUnknownOutcome, "the connection is no longer needed"))
 	})
 	defer stop()
-	f.requestDepartures(peer, link, false)
+	f.requestDepartures(link, false)
 	f.sendWithdrawn(peer, link)
 	f.sendOrders(link)
 	f.mutex.Lock()
@@ -159,7 +158,7 @@
 		f.mutex.Unlock()
 		f.recordIntroduction(body.Introduction, peer.name, link)
 	case *lapisv1.CallFrame_Departures:
-		f.receiveDepartures(peer, generation, body.Departures)
+		f.receiveDepartures(peer.name, body.Departures)
 	case *lapisv1.CallFrame_Configuration:
 		f.receiveConfiguration(peer, body.Configuration)
 	case *lapisv1.CallFrame_DeflatedConfiguration:
--- a/internal/distribution/fleet/peer.go
+++ b/internal/distribution/fleet/peer.go
@@ -49,9 +49,6 @@
 	dialNow, ordersChanged chan struct{}
 	pendingSuspects        pendingSuspects
 	pendingRollouts        pendingRollouts
-	// departuresRequestedAt is when the peer was last asked for this daemon's departures on the open
-	// link, zero if it was not.
-	departuresRequestedAt time.Time
 	// displacedAt is when another daemon was found at the peer's address, zero if none was.
 	displacedAt time.Time
 	// listedMember is the directory's entry if it differs from the member data of the open
--- a/internal/requestpath/departure/history.go
+++ b/internal/requestpath/departure/history.go
@@ -108,7 +108,7 @@
 	h.listing, h.listedAt = listing, began
 	h.mutex.Unlock()
 	own, _ := listing.of(h.node)
-	h.complete(own, byStore, began)
+	h.complete(own, byStore, began.Sub(h.startedAt))
 	h.OnRead()
 }
 
@@ -141,9 +141,9 @@
 	}
 }
 
-// complete records the result of a read that began at began, or later. by is the name of the daemon that
-// made it, or byStore.
-func (h *History) complete(instances []string, by string, began time.Time) {
+// complete records the result of a read that began at the uptime readAt, or later. by is the name of the
+// daemon that made it, or byStore.
+func (h *History) complete(instances []string, by string, readAt time.Duration) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.left != nil {
@@ -154,7 +154,7 @@
 		h.left[instance] = true
 	}
 	h.logger.Info("departures.known", "by", by, "instances", len(instances), "uptime_ms", boottime.Since(h.startedAt).Milliseconds(),
-		"read_at_ms", began.Sub(h.startedAt).Milliseconds())
+		"read_at_ms", readAt.Milliseconds())
 	close(h.completed)
 	signal(h.wake)
 }
@@ -214,27 +214,27 @@
 // Uptime returns the time since the start of this process.
 func (h *History) Uptime() time.Duration { return boottime.Exact().Sub(h.startedAt) }
 
-// Offer passes what a read by another daemon found of the instances beside this one. The read began at
-// began or later, a time of boottime; it is ignored if that may have been before the start of this process.
-func (h *History) Offer(began time.Time, instances []string, from string) {
-	if !began.Before(h.startedAt) {
-		h.complete(instances, from, began)
+// Offer passes what a read by another daemon found of the instances beside this one. The read began at the
+// uptime readAt of this process or later; it is ignored if that may have been before the start.
+func (h *History) Offer(readAt time.Duration, instances []string, from string) {
+	if readAt >= 0 {
+		h.complete(instances, from, readAt)
 	}
 }
 
 // Answer returns what the last read by this daemon found of the instances beside another daemon, whose
-// process asked at askedAt and had run for uptime then. lead is the time from askedAt to the beginning of
-// the read, negative if it began before. known is false if there is no read that surely began after the
-// start of that process and is complete for its daemon.
-func (h *History) Answer(node string, askedAt time.Time, uptime time.Duration) (instances []string, lead time.Duration, known bool) {
+// request arrived at askedAt and states that its process had run for uptime. readAt is the uptime of that
+// process when the read began, or an earlier one, because the request took some time. known is false if
+// there is no read that surely began after the start of that process and is complete for its daemon.
+func (h *History) Answer(node string, askedAt time.Time, uptime time.Duration) (instances []string, readAt time.Duration, known bool) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.listedAt.IsZero() {
 		return nil, 0, false
 	}
-	lead = h.listedAt.Sub(askedAt)
+	readAt = uptime + h.listedAt.Sub(askedAt)
 	instances, complete := h.listing.of(node)
-	return instances, lead, complete && lead+uptime >= 0
+	return instances, readAt, complete && readAt >= 0
 }
 
 // RequestRead makes a read due for another daemon, which could not read the store itself.
--- a/internal/requestpath/departure/history_test.go
+++ b/internal/requestpath/departure/history_test.go
@@ -85,20 +85,20 @@
 			synctest.Wait()
 			asker := newTestHistory("asker", store, 0.5)
 			time.Sleep(requestAfter)
-			requestedAt, uptime := time.Now(), asker.Uptime()
+			uptime := asker.Uptime()
 			time.Sleep(requestTook)
 			receivedAt := time.Now()
 			var instances []string
-			var lead time.Duration
+			var readAt time.Duration
 			for known := false; !known; {
 				if time.Since(start) > 10*time.Second {
 					return
 				}
 				time.Sleep(100 * time.Millisecond)
-				instances, lead, known = reader.Answer("asker", receivedAt, uptime)
+				instances, readAt, known = reader.Answer("asker", receivedAt, uptime)
 			}
 			time.Sleep(answerTook)
-			asker.Offer(requestedAt.Add(lead), instances, "reader")
+			asker.Offer(readAt, instances, "reader")
 			assert.Check(t, asker.Missing() || len(asker.Left()) == 1)
 		})
 	})
@@ -114,9 +114,9 @@
 		assert.Assert(t, !known, "before any read")
 		reader.read(context.Background())
 		time.Sleep(time.Second)
-		instances, lead, known := reader.Answer("asker", time.Now(), 2*time.Second)
+		instances, readAt, known := reader.Answer("asker", time.Now(), 2*time.Second)
 		assert.Assert(t, known)
-		assert.Equal(t, lead, -time.Second)
+		assert.Equal(t, readAt, time.Second)
 		assert.DeepEqual(t, instances, []string{"i-1"})
 		_, _, known = reader.Answer("asker", time.Now(), 500*time.Millisecond)
 		assert.Assert(t, !known, "started after the read")
