A revision announced before its link is recorded as open is requested at once

Seen: TestConfigurationOccupiesAThinLinkOnceAtATime failed once beside eight busy processes: five of six daemons had the version after 20 s. With lines: all links open, the sixth request never made. Cause: the peer's announcement may arrive between the greeting and the record of the link. The request for its newer configuration is due then, finds no open link, and is due again only with the peer's next heartbeat: a daemon that has just started gets the version up to a second late. The test has no such heartbeats. Change: the request is due when the link is recorded too. Measured: TestRevisionAnnouncedBeforeTheLinkIsRecordedIsRequested red without the change, green with it; the other test unchanged, 12 series of 60 runs under the race detector: passed.

--- a/internal/distribution/fleet/catchup_test.go
+++ b/internal/distribution/fleet/catchup_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/transport/callmux"
 )
 
 // The configuration is requested from the own zone first, and there from the daemon with the
@@ -63,3 +65,19 @@
 	receiver.receiveDeflatedConfiguration(peerIn("sender", "a", 3), []byte("no deflate stream"))
 	assert.Assert(t, offered == nil)
 }
+
+// An announcement that arrives before its link is recorded as open leads to a request for the configuration all the
+// same.
+func TestRevisionAnnouncedBeforeTheLinkIsRecordedIsRequested(t *testing.T) {
+	ahead := newPeer("ahead", time.Now())
+	ahead.Member = Member{Node: "ahead", Zone: "a"}
+	fleet := newTestFleet(6, ahead)
+	fleet.recordAnnouncement(ahead, 0, &lapisv1.Announcement{Node: "ahead", Incarnation: 5, Revision: 7})
+	<-fleet.catchUpDue
+	asked, _ := fleet.nextHolder(map[string]bool{})
+	assert.Assert(t, asked == nil)
+	fleet.recordConnected(ahead, callmux.Link{}, 5)
+	assert.Equal(t, len(fleet.catchUpDue), 1)
+	asked, _ = fleet.nextHolder(map[string]bool{})
+	assert.Equal(t, asked, ahead)
+}
--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -73,14 +73,21 @@
 		return callmux.Link{}, err
 	}
 	incarnation := link.Welcome().GetIncarnation()
+	f.recordConnected(peer, link, incarnation)
+	f.config.Logger.Info("fleet.connected", "member", peer.name, "address", address, "incarnation", incarnation)
+	signal(f.reportDue)
+	return link, nil
+}
+
+// recordConnected records an open link to the given incarnation of a peer.
+func (f *Fleet) recordConnected(peer *peer, link callmux.Link, incarnation uint64) {
 	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	peer.recordOpen(link, incarnation)
+	// The peer's announcement may have arrived before, when its configuration could not be requested.
+	f.recordRevision(peer, peer.revision)
 	f.allowanceConnected(peer.name)
 	peer.pendingRollouts.clear()
-	f.mutex.Unlock()
-	f.config.Logger.Info("fleet.connected", "member", peer.name, "address", address, "incarnation", incarnation)
-	signal(f.reportDue)
-	return link, nil
 }
 
 // recordOpen records an open link to the given incarnation of the peer; Fleet.mutex is held.
