--- a/internal/distribution/fleet/catchup_test.go
+++ b/internal/distribution/fleet/catchup_test.go
@@ -66,8 +66,7 @@
 	assert.Assert(t, offered == nil)
 }
 
-// An announcement that arrives before its link is recorded as open leads to a request for the configuration all the
-// same.
+// The announcement arrives before its link is recorded as open.
 func TestRevisionAnnouncedBeforeTheLinkIsRecordedIsRequested(t *testing.T) {
 	ahead := newPeer("ahead", time.Now())
 	ahead.Member = Member{Node: "ahead", Zone: "a"}
--- a/internal/distribution/fleet/departures_test.go
+++ b/internal/distribution/fleet/departures_test.go
@@ -15,8 +15,7 @@
 	"github.com/lapisvane/lapisvane/internal/requestpath/departure"
 )
 
-// departuresStore is a departure.Store with one departure beside each daemon, which refuses the callers in
-// refused.
+// departuresStore is a departure.Store with one departure beside each daemon. With refused it fails.
 type departuresStore struct {
 	departure.Store
 	reads   *atomic.Int64
--- a/internal/lab/emulator/day/isolation.go
+++ b/internal/lab/emulator/day/isolation.go
@@ -14,8 +14,9 @@
 )
 
 // Isolation emulates cuts between the daemon of a machine and all other daemons. While it lasts, nothing
-// that either side sends arrives, and no connection opens; neither side gets an error. Connections that
-// were open when it began stay silent. It is safe for concurrent use.
+// that either side sends arrives, and neither side gets an error. Connections that were open when it began
+// stay silent, also after its end, and so do those that other daemons open meanwhile; dials of the isolated
+// daemon wait for their timeout. It is safe for concurrent use.
 type Isolation struct {
 	// mutex protects the fields below.
 	mutex  sync.Mutex
--- a/internal/lab/emulator/day/leave_test.go
+++ b/internal/lab/emulator/day/leave_test.go
@@ -132,8 +132,7 @@
 	assertPromisesKept(t, site)
 }
 
-// Several heartbeats that were sent before an acknowledged leave arrive late, in order, at daemons that were all
-// killed and had the store for a second after their start.
+// All daemons are killed and have the store for a second after their start; then several late heartbeats arrive.
 func TestAcknowledgedLeaveOutlastsAKillBeforeAnOutageOfTheStore(t *testing.T) {
 	site, tally, stop := startLeaves(t)
 	awaitServed(t, tally, 50)
@@ -155,8 +154,7 @@
 	assertPromisesKept(t, site)
 }
 
-// The acknowledgement of a leave holds if its daemon is cut off from the other daemons, from the store or from both
-// at the leave and for the contact time, and ends then or not.
+// The daemon that gets the leave is cut off at the leave and for the contact time, and is killed then or not.
 func TestAcknowledgedLeaveOutlastsCuts(t *testing.T) {
 	for name, cut := range map[string]struct{ daemons, store bool }{
 		"from the daemons": {daemons: true}, "from the store": {store: true}, "from both": {true, true},
--- a/internal/lab/emulator/day/poison_test.go
+++ b/internal/lab/emulator/day/poison_test.go
@@ -141,8 +141,7 @@
 	assertPromisesKept(t, site)
 }
 
-// Crashes that the store has not taken when all daemons end are forgotten. The request, which comes again from the
-// same calling service, then reaches at most three further instances.
+// The store has not taken the crashes when all daemons end; the request comes again from the same calling service.
 func TestForgottenCrashesCostAtMostThreeInstances(t *testing.T) {
 	for name, poison := range poisonRequests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/requestpath/origin/departure_test.go
+++ b/internal/requestpath/origin/departure_test.go
@@ -273,8 +273,7 @@
 	})
 }
 
-// Heartbeats that were sent before an acknowledged leave arrive late, one after the other, and the store refuses by
-// then. The process had the store for a second after its start.
+// The process has the store for a second after its start; the heartbeats arrive when it refuses.
 func TestSeveralLateHeartbeatsDuringAnOutageDoNotBringBackAnInstanceThatLeft(t *testing.T) {
 	for name, leave := range leaves {
 		t.Run(name, func(t *testing.T) {
@@ -298,8 +297,7 @@
 	}
 }
 
-// The clock was set back after an instance had started and left, so that by its stated start it seems younger than
-// the process that gets its first heartbeat late.
+// By its stated start the instance seems younger than the process that gets the heartbeat.
 func TestLateFirstHeartbeatAfterTheClockWasSetBackDoesNotBringBackAnInstanceThatLeft(t *testing.T) {
 	for name, fault := range map[string]error{"store answers": nil, "store refuses": errStoreDown} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/requestpath/origin/statement_test.go
+++ b/internal/requestpath/origin/statement_test.go
@@ -175,8 +175,7 @@
 	assert.Equal(t, origin.Instances()[0].LimitUse().PerSecond, 0.0)
 }
 
-// An instance whose address another one seems to have taken is served again once a call shows that the other one is
-// not there.
+// Status 421 shows that the instance that seemed to have taken the address is not there.
 func TestInstanceIsServedAgainOnceItsSuccessorIsNotFound(t *testing.T) {
 	backend := newStatingBackend(t)
 	backend.status.Store(http.StatusMisdirectedRequest)
--- a/internal/requestpath/origin/takeover_test.go
+++ b/internal/requestpath/origin/takeover_test.go
@@ -8,8 +8,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// A daemon that has started again knows none of the earlier instances at the address. The first heartbeat of one of
-// them arrives late, and the present one goes on sending its own.
+// A daemon that has started again knows none of the earlier instances at the address.
 func TestLateFirstHeartbeatDoesNotTakeThePresentInstanceAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		running, stop := startOrigin(t)
