Input of callers is held in one bounded buffer a connection

What callers saw: the daemon ran out of memory and ended, by trailers, one trailer field, or blanks behind a chunk's size without end, and by heads or trailers that arrive in single bytes.

Cause: the HTTP library's connection keeps all that its parser has peeked at until the request ends, without a limit, and copies it for each piece that arrives behind the first 4 kB. Its limit for heads does not hold for trailers and chunk lines.

Change: package httpinput replaces the reader of the library's connection by one contiguous buffer, bounded by the limit for heads, and by a budget that all callers' connections share (64 MiB by default; 4 KiB a connection are free). Short bodies are reserved there too, and streamed when it is exhausted; a long head is refused with 503 then, as it has not run. The parser stays the library's; where it needs the end of a section it is woken when that has arrived, so that a head in single bytes is parsed twice, not once a byte. Chunked bodies are decoded in pieces that the buffer holds.

--- a/internal/requestpath/gateway/framing.go
+++ b/internal/requestpath/gateway/framing.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/requestpath/gateway/pipeline"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
@@ -96,3 +97,8 @@
 	}
 	return nil
 }
+
+// headLimits returns the limits of heads.
+func (g *Gateway) headLimits() pipeline.HeadLimits {
+	return pipeline.HeadLimits{Bytes: maxHeaderBytes, Timeout: headerTimeout}
+}
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/lapisvane/lapisvane/internal/requestpath/gateway/pipeline"
 	"github.com/lapisvane/lapisvane/internal/requestpath/retry"
 	"github.com/lapisvane/lapisvane/internal/transport/callmux"
+	"github.com/lapisvane/lapisvane/internal/transport/httpinput"
 )
 
 // Limits and timeouts of callers' connections.
@@ -42,6 +43,10 @@
 	configurationTimeout = 400 * time.Millisecond
 )
 
+// DefaultInputBytes is the size in bytes of the budget for input that callers have not completed. 4,000
+// connections that each send a head of 16 KB, a common limit, stay below it.
+const DefaultInputBytes = 64 << 20
+
 // Config configures a Gateway.
 type Config struct {
 	// Node is the name of this daemon, and Incarnation the number of its current start; together they
@@ -80,6 +85,9 @@
 	// PipelineLimits limits the resources held for pipelined requests; the zero value stands for the
 	// default limits.
 	PipelineLimits pipeline.Limits
+	// InputMemory is the budget for input that callers have not completed; nil for one of
+	// DefaultInputBytes.
+	InputMemory *httpinput.Memory
 	// Decisions receives the log lines about requests and Registry the metrics; either may be nil.
 	Decisions *decision.Log
 	Registry  prometheus.Registerer
@@ -128,14 +136,17 @@
 	if config.Retries == (retry.Limits{}) {
 		config.Retries = retry.DefaultLimits
 	}
+	if config.InputMemory == nil {
+		config.InputMemory = httpinput.NewMemory(DefaultInputBytes)
+	}
 	gateway := &Gateway{
 		config: config, retryBudget: retry.NewBudget(config.Retries),
 		attemptPrefix: fmt.Sprintf("%s/%x/", config.Node, config.Incarnation),
 		metrics:       newMetrics(config.Registry),
 	}
 	gateway.callerServer = pipeline.New(pipeline.Config{
-		MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes, MaxBufferedBodyBytes: callmux.MaxBufferedBodyBytes,
-		IdleTimeout: callerIdleTimeout, HeaderTimeout: headerTimeout, BodyIdleTimeout: bodyIdleTimeout, LingerTimeout: lingerTimeout,
+		HeadLimits: gateway.headLimits, MaxBodyBytes: maxBodyBytes, MaxBufferedBodyBytes: callmux.MaxBufferedBodyBytes,
+		InputMemory: config.InputMemory, IdleTimeout: callerIdleTimeout, BodyIdleTimeout: bodyIdleTimeout, LingerTimeout: lingerTimeout,
 		Limits: config.PipelineLimits, Check: gateway.checkHead, Handle: gateway.serve, Stopping: gateway.stopping.Load,
 		OnUnserved: gateway.recordUnserved,
 	})
--- a/internal/requestpath/gateway/pipeline/body.go
+++ b/internal/requestpath/gateway/pipeline/body.go
@@ -51,9 +51,7 @@
 	if err := b.begin(); err != nil {
 		return 0, err
 	}
-	if int64(len(buffer)) > b.remaining {
-		buffer = buffer[:b.remaining]
-	}
+	buffer = b.limitRead(buffer)
 	count, err := b.stream.Read(buffer)
 	// The library's release of its buffer always returns nil.
 	_ = b.conn.conn.Release()
@@ -74,6 +72,15 @@
 	return count, err
 }
 
+// limitRead shortens the buffer of a read to the rest of the body, or for a chunked body to what the
+// library's decoder may hold: it reads a piece of a chunk as a whole before it returns it.
+func (b *Body) limitRead(buffer []byte) []byte {
+	if b.remaining > minChunkedRemaining {
+		return buffer[:b.conn.conn.Room(len(buffer))]
+	}
+	return buffer[:min(int64(len(buffer)), b.remaining)]
+}
+
 // begin checks that a read is allowed and sets its timeout. The timeout is set under mutex, so that
 // it cannot override the interrupt of a later stop.
 func (b *Body) begin() error {
@@ -186,7 +193,7 @@
 	buffer := make([]byte, discardBufferBytes)
 	for left := int64(maxDiscardBytes); b.remaining > 0 && left > 0; {
 		b.conn.caller.setReadTimeout(b.conn.server.config.BodyIdleTimeout)
-		count, err := b.stream.Read(buffer[:min(int64(len(buffer)), b.remaining)])
+		count, err := b.stream.Read(b.limitRead(buffer))
 		// The library's release of its buffer always returns nil.
 		_ = b.conn.conn.Release()
 		b.remaining -= int64(count)
--- a/internal/requestpath/gateway/pipeline/connection.go
+++ b/internal/requestpath/gateway/pipeline/connection.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
 
 	"github.com/lapisvane/lapisvane/internal/shared/socket"
+	"github.com/lapisvane/lapisvane/internal/transport/httpinput"
 )
 
 // connection serves one caller's connection. A single goroutine, the reader, reads from it; any
@@ -16,7 +17,9 @@
 type connection struct {
 	server *Server
 	core   suite.Core
-	conn   network.Conn
+	// conn reads through caller. secure is true if it uses TLS.
+	conn   *httpinput.Conn
+	secure bool
 	caller *callerConn
 	// ctx ends when the caller disconnects.
 	ctx    context.Context
@@ -61,7 +64,10 @@
 const maxSendingPause = time.Second
 
 func newConnection(server *Server, core suite.Core, conn network.Conn, caller *callerConn) *connection {
-	c := &connection{server: server, core: core, conn: conn, caller: caller, wakeUp: make(chan struct{}, 1)}
+	// The limit for sections is set anew for each request.
+	limits := httpinput.Limits{SectionBytes: httpinput.MinBufferBytes, Memory: server.config.InputMemory}
+	c := &connection{server: server, core: core, conn: httpinput.Wrap(conn, limits), caller: caller, wakeUp: make(chan struct{}, 1)}
+	_, c.secure = conn.(network.ConnTLSer)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.becameIdle = sync.NewCond(&c.mutex)
 	return c
@@ -71,6 +77,7 @@
 // been answered or abandoned.
 func (c *connection) serve() {
 	defer c.cancel()
+	defer c.conn.Discard()
 	if !c.server.connections.add(c) {
 		return
 	}
@@ -91,8 +98,7 @@
 	}
 	c.noteUnserved()
 	c.setLingering()
-	_, secure := c.conn.(network.ConnTLSer)
-	c.caller.linger(c.server.config.LingerTimeout, !secure)
+	c.caller.linger(c.server.config.LingerTimeout, !c.secure)
 }
 
 func (c *connection) setLingering() {
@@ -131,7 +137,7 @@
 // noteUnserved counts and reports a connection that ends with input that will not be answered. Only
 // the reader may call it.
 func (c *connection) noteUnserved() {
-	bytes := c.conn.Len() + c.caller.bufferedBytes()
+	bytes := c.conn.Buffered() + c.caller.bufferedBytes()
 	if bytes == 0 && !c.droppedRequest {
 		return
 	}
@@ -169,7 +175,9 @@
 
 // hasBufferedInput reports whether input was read from the socket that is not yet consumed. Only the
 // goroutine that reads the connection may call it.
-func (c *connection) hasBufferedInput() bool { return c.conn.Len() > 0 || c.caller.bufferedBytes() > 0 }
+func (c *connection) hasBufferedInput() bool {
+	return c.conn.Buffered() > 0 || c.caller.bufferedBytes() > 0
+}
 
 // setPendingInput records whether input behind the dispatched requests was read.
 func (c *connection) setPendingInput(pending bool) {
@@ -248,6 +256,7 @@
 	if exchange.sentAhead {
 		c.server.quota.releaseRequest()
 	}
+	exchange.releaseBody()
 	exchange.Request.Reset()
 	c.core.GetCtxPool().Put(exchange.Request)
 }
--- a/internal/requestpath/gateway/pipeline/exchange.go
+++ b/internal/requestpath/gateway/pipeline/exchange.go
@@ -19,7 +19,7 @@
 	// Fault, if not nil, is the reason why the request cannot be served. The handler must answer
 	// with its result code.
 	Fault error
-	// BufferedBody is the complete body if it is short.
+	// BufferedBody is the complete body if it is short. Its memory is reserved (reserveBody).
 	BufferedBody []byte
 	// Body streams a long or chunked body; nil if there is none.
 	Body *Body
@@ -46,6 +46,25 @@
 	earlierWritten chan struct{}
 }
 
+// reserveBody provides memory for a body of the given length in BufferedBody. It returns false if there
+// is none.
+func (e *Exchange) reserveBody(length int64) bool {
+	if !e.conn.server.config.InputMemory.Reserve(length) {
+		return false
+	}
+	e.BufferedBody = make([]byte, length)
+	return true
+}
+
+// releaseBody releases the memory of BufferedBody, if there is one.
+func (e *Exchange) releaseBody() {
+	if e.BufferedBody == nil {
+		return
+	}
+	e.conn.server.config.InputMemory.Release(int64(len(e.BufferedBody)))
+	e.BufferedBody = nil
+}
+
 // Local reports whether the caller is on this machine.
 func (e *Exchange) Local() bool { return e.conn.caller.isLocal() }
 
--- a/internal/requestpath/gateway/pipeline/faults.go
+++ b/internal/requestpath/gateway/pipeline/faults.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/lapisvane/lapisvane/internal/shared/result"
+	"github.com/lapisvane/lapisvane/internal/transport/httpinput"
 )
 
 // faultOf converts a read error of a request to an error with a result code, or returns nil if the
@@ -17,6 +18,8 @@
 	switch {
 	case errors.As(err, &coded):
 		return err
+	case errors.Is(err, httpinput.ErrNoMemory):
+		return result.Wrap(result.CallNotRunOverloaded, err, "reading the request")
 	case isTimeout(err):
 		return result.Wrap(result.CallRequestTimeout, err, "reading the request")
 	case errors.Is(err, hertzerrors.ErrHeaderTooLarge):
--- a/internal/requestpath/gateway/pipeline/reading.go
+++ b/internal/requestpath/gateway/pipeline/reading.go
@@ -87,15 +87,17 @@
 
 // readHead reads a request's head and checks it.
 func (c *connection) readHead(exchange *Exchange) error {
+	limits := c.server.config.HeadLimits()
+	c.conn.LimitSection(limits.Bytes)
 	c.mutex.Lock()
-	c.caller.setReadTimeout(c.server.config.HeaderTimeout)
+	c.caller.setReadTimeout(limits.Timeout)
 	sealed := c.sealed
 	c.mutex.Unlock()
 	if sealed {
 		return io.ErrClosedPipe
 	}
 	request := &exchange.Request.Request
-	if err := req.ReadHeaderWithLimit(&request.Header, c.conn, c.server.config.MaxHeaderBytes); err != nil {
+	if err := req.ReadHeaderWithLimit(&request.Header, c.conn, limits.Bytes); err != nil {
 		return err
 	}
 	exchange.ArrivedAt = time.Now()
@@ -120,11 +122,10 @@
 	if length > int64(c.server.config.MaxBodyBytes) {
 		return hertzerrors.ErrBodyTooLarge
 	}
-	if length > c.server.config.MaxBufferedBodyBytes {
+	if length > c.server.config.MaxBufferedBodyBytes || !exchange.reserveBody(length) {
 		exchange.Body = newBody(c, c.conn, length)
 		return nil
 	}
-	exchange.BufferedBody = make([]byte, length)
 	_, err := io.ReadFull(c.conn, exchange.BufferedBody)
 	return err
 }
--- a/internal/requestpath/gateway/pipeline/server.go
+++ b/internal/requestpath/gateway/pipeline/server.go
@@ -11,21 +11,26 @@
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
+
+	"github.com/lapisvane/lapisvane/internal/transport/httpinput"
 )
 
 // Config configures a Server.
 type Config struct {
-	// MaxHeaderBytes and MaxBodyBytes are the maximum sizes of a request's head and body, in bytes.
-	MaxHeaderBytes int
-	MaxBodyBytes   int
+	// HeadLimits returns the limits of the requests that are read from now on.
+	HeadLimits func() HeadLimits
+	// MaxBodyBytes is the maximum size of a request's body, in bytes.
+	MaxBodyBytes int
+	// InputMemory is the budget for input that callers have not completed. Beyond it, heads longer than
+	// httpinput.MinBufferBytes are refused and short bodies are streamed.
+	InputMemory *httpinput.Memory
 	// MaxBufferedBodyBytes is the longest body that is read into memory before its request is
 	// dispatched. Longer bodies are streamed.
 	MaxBufferedBodyBytes int64
 	// IdleTimeout is the maximum time that a connection stays open without a request.
-	// HeaderTimeout is the maximum time from the first byte of a request to the end of its head.
 	// BodyIdleTimeout is the maximum pause of a caller within a body. LingerTimeout is the maximum
 	// time for which input is read and discarded after the last answer.
-	IdleTimeout, HeaderTimeout, BodyIdleTimeout, LingerTimeout time.Duration
+	IdleTimeout, BodyIdleTimeout, LingerTimeout time.Duration
 	// Limits bound the resources held for pipelined requests; the zero value stands for
 	// DefaultLimits.
 	Limits Limits
@@ -41,6 +46,14 @@
 	OnUnserved func(bytes int)
 }
 
+// HeadLimits bound the heads of requests, and the trailer sections behind their bodies.
+type HeadLimits struct {
+	// Bytes is the maximum size of a head, and that of a trailer section.
+	Bytes int
+	// Timeout is the maximum time from the first byte of a request to the end of its head.
+	Timeout time.Duration
+}
+
 // Server serves callers' connections in place of the HTTP library's own server. It is safe for
 // concurrent use.
 type Server struct {
@@ -152,7 +165,7 @@
 
 // Listener wraps a listener so that its connections can be served by s.
 func (s *Server) Listener(listener net.Listener) net.Listener {
-	return callerListener{Listener: listener, headerTime: s.config.HeaderTimeout}
+	return callerListener{Listener: listener, headLimits: s.config.HeadLimits}
 }
 
 // OnAccept returns a context that carries conn, which Listener accepted, to the protocol server.
@@ -189,7 +202,7 @@
 
 type callerListener struct {
 	net.Listener
-	headerTime time.Duration
+	headLimits func() HeadLimits
 }
 
 // Accept implements net.Listener.
@@ -199,6 +212,6 @@
 		return nil, err
 	}
 	caller := &callerConn{Conn: conn}
-	caller.setReadTimeout(l.headerTime)
+	caller.setReadTimeout(l.headLimits().Timeout)
 	return caller, nil
 }
--- a/internal/requestpath/gateway/pipeline/site_test.go
+++ b/internal/requestpath/gateway/pipeline/site_test.go
@@ -23,6 +23,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/internal/shared/result"
+	"github.com/lapisvane/lapisvane/internal/transport/httpinput"
 )
 
 // testTimeout bounds every wait of a test; it is reached only if a test fails.
@@ -74,14 +75,21 @@
 
 // startServer starts a server that passes its requests to handle.
 func startServer(t testing.TB, limits Limits, handle func(context.Context, *Exchange)) *testServer {
+	t.Helper()
+	return startChanged(t, limits, handle, func(*Config) {})
+}
+
+// startChanged is startServer with a configuration that change changes.
+func startChanged(t testing.TB, limits Limits, handle func(context.Context, *Exchange), change func(*Config)) *testServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	srv := &testServer{address: listener.Addr().String()}
 	listener = countingListener{Listener: listener, server: srv}
-	srv.server = New(Config{
-		MaxHeaderBytes: 4 << 10, MaxBodyBytes: 4 << 20, MaxBufferedBodyBytes: 1 << 10,
-		IdleTimeout: testTimeout, HeaderTimeout: testTimeout, BodyIdleTimeout: testTimeout, LingerTimeout: testTimeout,
+	changed := Config{
+		HeadLimits:   func() HeadLimits { return HeadLimits{Bytes: 4 << 10, Timeout: testTimeout} },
+		MaxBodyBytes: 4 << 20, MaxBufferedBodyBytes: 1 << 10, InputMemory: httpinput.NewMemory(1 << 20),
+		IdleTimeout: testTimeout, BodyIdleTimeout: testTimeout, LingerTimeout: testTimeout,
 		Limits: limits, Handle: handle, Stopping: srv.stopping.Load,
 		Check: func(rc *app.RequestContext) error {
 			if len(rc.Request.Header.Peek("X-Refuse")) > 0 {
@@ -89,7 +97,9 @@
 			}
 			return nil
 		},
-	})
+	}
+	change(&changed)
+	srv.server = New(changed)
 	engine := server.New([]config.Option{
 		server.WithListener(srv.server.Listener(listener)), server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true), server.WithExitWaitTime(0), server.WithOnAccept(srv.server.OnAccept),
