Heads of callers are read within the limits of the configuration in force

What callers saw: by the code (not played), a daemon held a head that never ends for 30 s and up to 64 KiB, although the configuration allows 3 s and 16 KiB, and refused it only then.

Cause: the configuration's limit was checked on a complete head, and its timeout was not applied.

Change: the reader gets both limits with each request, so a new configuration holds at once. 8 KiB more are allowed for the request line, which the limit for header fields does not count. A client within the limits meets neither.

Evidence: TestHeadLimitsFollowTheConfiguration; the code before has no such function.

--- a/internal/requestpath/gateway/framing.go
+++ b/internal/requestpath/gateway/framing.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/requestpath/gateway/pipeline"
@@ -98,7 +99,22 @@
 	return nil
 }
 
-// headLimits returns the limits of heads.
+// headLimits returns the limits of heads that are in force.
 func (g *Gateway) headLimits() pipeline.HeadLimits {
-	return pipeline.HeadLimits{Bytes: maxHeaderBytes, Timeout: headerTimeout}
+	if current := g.config.Snapshots.Current(); current != nil {
+		return headLimitsOf(current.Limits)
+	}
+	return headLimitsOf(nil)
+}
+
+// headLimitsOf returns the limits of heads that a configuration sets, within those of this package.
+func headLimitsOf(configured *lapisv1.Limits) pipeline.HeadLimits {
+	limits := pipeline.HeadLimits{Bytes: maxHeaderBytes, Timeout: headerTimeout}
+	if allowed := int(configured.GetHeaderBytes()); allowed > 0 {
+		limits.Bytes = min(limits.Bytes, allowed+maxRequestLineBytes)
+	}
+	if millis := configured.GetHeaderTimeoutMillis(); millis > 0 {
+		limits.Timeout = min(limits.Timeout, time.Duration(millis)*time.Millisecond)
+	}
+	return limits
 }
--- a/internal/requestpath/gateway/framing_test.go
+++ b/internal/requestpath/gateway/framing_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/requestpath/gateway/pipeline"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
@@ -53,3 +55,18 @@
 		})
 	}
 }
+
+// Guards against heads that are held for longer, or grow larger, than the configuration allows.
+func TestHeadLimitsFollowTheConfiguration(t *testing.T) {
+	for name, row := range map[string]struct {
+		configured *lapisv1.Limits
+		want       pipeline.HeadLimits
+	}{
+		"no configuration":  {nil, pipeline.HeadLimits{Bytes: maxHeaderBytes, Timeout: headerTimeout}},
+		"no limits":         {&lapisv1.Limits{}, pipeline.HeadLimits{Bytes: maxHeaderBytes, Timeout: headerTimeout}},
+		"lower limits":      {&lapisv1.Limits{HeaderBytes: 16 << 10, HeaderTimeoutMillis: 3000}, pipeline.HeadLimits{Bytes: 24 << 10, Timeout: 3 * time.Second}},
+		"limits out of use": {&lapisv1.Limits{HeaderBytes: 1 << 30, HeaderTimeoutMillis: 1 << 30}, pipeline.HeadLimits{Bytes: maxHeaderBytes, Timeout: headerTimeout}},
+	} {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, headLimitsOf(row.configured), row.want) })
+	}
+}
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -28,9 +28,13 @@
 	// configuration may set lower limits.
 	maxHeaderBytes = 64 << 10
 	maxBodyBytes   = 1 << 30
+	// maxRequestLineBytes is the part of a head that the configuration's limit for header fields leaves
+	// to the request line. RFC 9112, section 3, asks for at least 8,000 bytes.
+	maxRequestLineBytes = 8 << 10
 	// callerIdleTimeout bounds the time between two requests of a connection, headerTimeout the time
 	// for the head of a request, and bodyIdleTimeout a pause of the caller within a body. headerTimeout
-	// and bodyIdleTimeout must be less than callerIdleTimeout.
+	// and bodyIdleTimeout must be less than callerIdleTimeout. The configuration may set a lower
+	// headerTimeout.
 	callerIdleTimeout = 75 * time.Second
 	headerTimeout     = 30 * time.Second
 	bodyIdleTimeout   = time.Minute
