The memory of incomplete requests is part of the machine's memory

What callers saw: 2,500 callers that leave a head or a short body unfinished, each within the limits, made the daemon hold more memory than its machine has; the platform ends it then.

Cause: the bounds held for each connection, and nothing told the process how much memory there is. The Go runtime lets garbage take as much again as what is in use. Each connection on which a body is discarded held a buffer of 16 KiB while it waited.

Change: the setting memory_mb, which the platform's template fills. Input of known length is discarded without a buffer.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -87,6 +87,7 @@
 		return cli.ExitOK
 	}
 	QuietHTTPLibrary()
+	limitRuntimeMemory(config)
 	output := logging.NewAsyncWriter(os.Stdout)
 	defer output.Close()
 	logger := logging.New(output, config.Verbosity)
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -20,6 +20,7 @@
 	"github.com/lapisvane/lapisvane/internal/requestpath/origin"
 	"github.com/lapisvane/lapisvane/internal/requestpath/retry"
 	"github.com/lapisvane/lapisvane/internal/transport/callmux"
+	"github.com/lapisvane/lapisvane/internal/transport/httpinput"
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
 )
 
@@ -99,7 +100,8 @@
 		Envelope: mode.envelope, CallerService: p.callerService, Retries: retryLimits(values.Retries),
 		Decisions: decisions, Registry: d.registry, RepeatFraction: p.origin.RepeatShare, Evacuated: p.orders.Evacuated,
 		PipelineLimits: sentAhead(values.SentAhead), Quarantine: p.suspects, Identity: mode.identity,
-		Quota: p.rateLimits.quota(), Rollout: trafficOf(d),
+		InputMemory: httpinput.NewMemory(inputBytes(values)),
+		Quota:       p.rateLimits.quota(), Rollout: trafficOf(d),
 	})
 	return p
 }
--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -41,6 +41,9 @@
 	// LinkMegabits is the rate of the machine's network link in Mbit/s, or 0 if unknown. It limits the
 	// bytes in flight of long bodies, so that they do not delay short calls.
 	LinkMegabits float64 `json:"link_mbit"`
+	// MemoryMegabytes is the memory of the machine in MiB that the process may use, or 0 if unknown. A
+	// eighth of it limits what callers' connections hold of incomplete requests.
+	MemoryMegabytes int64 `json:"memory_mb"`
 	// Retries limits the retries of each service.
 	Retries Retries `json:"retries"`
 	// Seeds are peer addresses of other daemons.
@@ -285,7 +288,7 @@
 		value float64
 	}{
 		{"platform.reads_per_second", d.Platform.ReadsPerSecond}, {"platform.writes_per_second", d.Platform.WritesPerSecond},
-		{"link_mbit", d.LinkMegabits}, {"retries.fraction", d.Retries.Fraction}, {"retries.burst", d.Retries.Burst},
+		{"link_mbit", d.LinkMegabits}, {"memory_mb", float64(d.MemoryMegabytes)}, {"retries.fraction", d.Retries.Fraction}, {"retries.burst", d.Retries.Burst},
 		{"cold_starts.overshoot", d.ColdStarts.Overshoot}, {"cold_starts.slack", d.ColdStarts.Slack},
 		{"rollouts.exposure_share", d.Rollouts.ExposureShare}, {"rollouts.exposure_slack", d.Rollouts.ExposureSlack},
 		{"retries.window", float64(d.Retries.Window)}, {"rollouts.roll_back_bound", float64(d.Rollouts.RollBackBound)},
--- a/internal/lab/soak/misuse_test.go
+++ b/internal/lab/soak/misuse_test.go
@@ -14,8 +14,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"github.com/lapisvane/lapisvane/internal/daemon/settings"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/day"
 	"github.com/lapisvane/lapisvane/platform"
 )
@@ -198,7 +200,11 @@
 	processes := newLauncher(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 4*waitTimeout)
 	defer cancel()
-	site, err := day.Start(ctx, options(processes.launch, 1, 3), day.StandardRoutes())
+	launch := func(config *settings.Daemon, logger logr.Logger) (day.Process, error) {
+		config.MemoryMegabytes = maxResidentBytes >> 20
+		return processes.launch(config, logger)
+	}
+	site, err := day.Start(ctx, options(launch, 1, 3), day.StandardRoutes())
 	if site != nil {
 		defer site.Close()
 	}
--- a/internal/requestpath/gateway/pipeline/body.go
+++ b/internal/requestpath/gateway/pipeline/body.go
@@ -190,14 +190,11 @@
 	}
 	b.readMutex.Lock()
 	defer b.readMutex.Unlock()
-	buffer := make([]byte, discardBufferBytes)
 	for left := int64(maxDiscardBytes); b.remaining > 0 && left > 0; {
 		b.conn.caller.setReadTimeout(b.conn.server.config.BodyIdleTimeout)
-		count, err := b.stream.Read(b.limitRead(buffer))
-		// The library's release of its buffer always returns nil.
-		_ = b.conn.conn.Release()
-		b.remaining -= int64(count)
-		left -= int64(count)
+		count, err := b.discardOnce()
+		b.remaining -= count
+		left -= count
 		switch {
 		case err == io.EOF && b.remaining > minChunkedRemaining:
 			return true
@@ -211,5 +208,19 @@
 	return b.remaining == 0
 }
 
-// discardBufferBytes is the size of the buffer into which discarded input is read, in bytes.
-const discardBufferBytes = 16 << 10
+// discardOnce reads and discards some bytes of the body and returns their number.
+func (b *Body) discardOnce() (int64, error) {
+	if b.remaining < minChunkedRemaining {
+		return b.conn.conn.SkipInput(b.remaining)
+	}
+	// The decoder of chunks needs a buffer to read into.
+	var buffer [discardBufferBytes]byte
+	count, err := b.stream.Read(b.limitRead(buffer[:]))
+	// The library's release of its buffer always returns nil.
+	_ = b.conn.conn.Release()
+	return int64(count), err
+}
+
+// discardBufferBytes is the size of the buffer into which discarded input is read, in bytes. Many
+// connections may wait for input to discard at the same time.
+const discardBufferBytes = 512
--- a/internal/transport/httpinput/conn.go
+++ b/internal/transport/httpinput/conn.go
@@ -210,6 +210,24 @@
 	return nil
 }
 
+// SkipInput discards between 1 and limit bytes of input and returns their number. While it waits for
+// input, it holds no buffer of its own.
+func (c *Conn) SkipInput(limit int64) (int64, error) {
+	if c.Len() > 0 {
+		count := min(limit, int64(c.Len()))
+		return count, c.Skip(int(count))
+	}
+	c.drop()
+	if _, err := c.Conn.Peek(1); err != nil {
+		return 0, err
+	}
+	count := min(limit, int64(c.Conn.Len()))
+	if err := c.Conn.Skip(int(count)); err != nil {
+		return 0, err
+	}
+	return count, c.Conn.Release()
+}
+
 // Release implements network.Reader. A connection without unread input holds no buffer afterwards.
 func (c *Conn) Release() error {
 	c.sawAll = false
