The metrics address bounds the heads of requests

What was seen: 300 clients that send 1 MB of a head each made the daemon hold 597 MiB.

Cause: the library allows 1 MB for a head, and no time was set for requests and idle connections.

Change: 4 KiB for a head (the library adds 4 KiB), 5 s for a request, 90 s between two.

--- a/internal/daemon/metrics/metrics.go
+++ b/internal/daemon/metrics/metrics.go
@@ -115,11 +115,20 @@
 	return 0
 }
 
+// Limits of the server for metrics.
+const (
+	// maxHeadBytes is the maximum size of a request's head. The library adds 4 KiB; its default is 1 MB.
+	maxHeadBytes = 4 << 10
+	// readTimeout bounds the time for a request, idleTimeout the time between two.
+	readTimeout = 5 * time.Second
+	idleTimeout = 90 * time.Second
+)
+
 // Serve serves GET /metrics on listener until ctx ends.
 func Serve(ctx context.Context, listener net.Listener, registry *prometheus.Registry) {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(ownFirst{registry}, promhttp.HandlerOpts{}))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	server := &http.Server{Handler: mux, MaxHeaderBytes: maxHeadBytes, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	_ = server.Serve(listener)
