Refused callers that send on are disconnected after 1 MiB

What was seen: callers that send heads without end made a daemon read 17.6 GB in 8 s (issue's play): what comes behind a refusal was read and discarded at full speed for a second, connection after connection.

Cause: discarding input behind the last answer, which keeps the answer from being lost by a reset, was bounded in time only.

Change: it is bounded by maxDiscardBytes as well, as the rest of an answered body is. A caller that has sent less reads its answer as before.

Evidence: TestRefusedCallerThatSendsOnIsDisconnected fails without the change (64 MiB were sent and read), passes with it in 5 runs with the race detector.

--- a/internal/requestpath/gateway/pipeline/body.go
+++ b/internal/requestpath/gateway/pipeline/body.go
@@ -142,8 +142,9 @@
 )
 
 // maxDiscardBytes is the maximum number of bytes that are discarded of a body whose request is
-// already answered, so that requests behind it are served. With more bytes left, the connection is
-// closed, so that the caller stops sending. The limit exceeds the largest known uploads, 360 kB.
+// already answered, so that requests behind it are served, and behind the last answer of a connection.
+// With more bytes left, the connection is closed, so that the caller stops sending. The limit exceeds
+// the largest known uploads, 360 kB.
 const maxDiscardBytes = 1 << 20
 
 // stop ends the use of the body and returns how its unread part is treated.
--- a/internal/requestpath/gateway/pipeline/caller.go
+++ b/internal/requestpath/gateway/pipeline/caller.go
@@ -145,7 +145,8 @@
 	_ = c.Conn.SetReadDeadline(time.Now().Add(duration))
 }
 
-// linger reads and discards input for at most duration. Closing a connection with unread input
+// linger reads and discards input for at most duration, and at most maxDiscardBytes, so that a caller
+// that never stops sending does not occupy the processor. Closing a connection with unread input
 // resets it, and the caller could lose the last answer. With halfClose the sending side is closed
 // first; for TLS the library sends a close alert instead when it closes the connection.
 func (c *callerConn) linger(duration time.Duration, halfClose bool) {
@@ -154,10 +155,12 @@
 		_ = half.CloseWrite()
 	}
 	c.setReadTimeout(duration)
-	buffer := make([]byte, initialLookaheadBytes)
-	for {
-		if _, err := c.Conn.Read(buffer); err != nil {
+	buffer := make([]byte, discardBufferBytes)
+	for discarded := 0; discarded < maxDiscardBytes; {
+		count, err := c.Conn.Read(buffer)
+		if err != nil {
 			return
 		}
+		discarded += count
 	}
 }
--- a/internal/requestpath/gateway/pipeline/memory_test.go
+++ b/internal/requestpath/gateway/pipeline/memory_test.go
@@ -55,3 +55,17 @@
 	assert.Assert(t, response.Close)
 	client.expectEOF()
 }
+
+// Guards against input that is discarded for as long as a refused caller sends it.
+func TestRefusedCallerThatSendsOnIsDisconnected(t *testing.T) {
+	srv := startServer(t, DefaultLimits, func(_ context.Context, exchange *Exchange) { reply(exchange, "") })
+	client := srv.dial(t)
+	client.send("no request\r\n\r\n")
+	piece := make([]byte, 64<<10)
+	sent, err := 0, error(nil)
+	for count := 0; err == nil && sent < 64*maxDiscardBytes; sent += count {
+		count, err = client.conn.Write(piece)
+	}
+	assert.Assert(t, err != nil, "%d bytes were sent", sent)
+	assert.Assert(t, srv.received.Load() < 2*maxDiscardBytes, "%d bytes were read", srv.received.Load())
+}
