The number of callers' connections is bounded by descriptors and memory

What callers saw: callers that open connections and leave them silent or unfinished occupied all descriptors of a daemon, and with short bodies unfinished its memory; others found no descriptor.

Cause: nothing bounds callers' connections but the operating system's limit of descriptors, which links to other daemons and to instances share.

Change: a limit of three quarters of the descriptors, and of one connection for 64 KiB of the machine's memory. At the limit idle connections are closed for a new one, first those that never had a request, then by the time of their rest; without an idle one the new connection is closed. Counted and logged.

--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"math"
 	"runtime/debug"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/lapisvane/lapisvane/internal/daemon/settings"
 	"github.com/lapisvane/lapisvane/internal/requestpath/gateway"
 )
@@ -20,6 +23,39 @@
 
 const bytesPerMegabyte = 1 << 20
 
+// Limits of the number of callers' connections.
+const (
+	// memoryPerConnection is the machine's memory in bytes for each connection. One with an open request
+	// needs about 20 KB besides its input; the rest is for garbage and everything else.
+	memoryPerConnection = 64 << 10
+	// otherDescriptorsPart is the part of the descriptors, as a divisor, that is left to connections to
+	// other daemons, to instances and to the platform, and to the other listeners.
+	otherDescriptorsPart = 4
+)
+
+// maxCallerConnections returns the maximum number of callers' connections. descriptors is the limit of the
+// operating system, or 0 if it is unknown. The result is 0 if nothing limits them.
+func maxCallerConnections(values *settings.Daemon, descriptors int64) int {
+	if values.MaxDescriptors > 0 {
+		descriptors = values.MaxDescriptors
+	}
+	limit := descriptors - descriptors/otherDescriptorsPart
+	if byMemory := values.MemoryMegabytes * bytesPerMegabyte / memoryPerConnection; byMemory > 0 && (limit == 0 || byMemory < limit) {
+		limit = byMemory
+	}
+	return int(limit)
+}
+
+// descriptorLimit returns the number of file descriptors that the operating system lets the process open,
+// or 0 if that is unknown.
+func descriptorLimit() int64 {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int64(limit.Cur)
+}
+
 // inputBytes returns the size in bytes of the budget for input that callers have not completed.
 func inputBytes(values *settings.Daemon) int64 {
 	if values.MemoryMegabytes == 0 {
--- a/internal/daemon/requestpath.go
+++ b/internal/daemon/requestpath.go
@@ -100,8 +100,8 @@
 		Envelope: mode.envelope, CallerService: p.callerService, Retries: retryLimits(values.Retries),
 		Decisions: decisions, Registry: d.registry, RepeatFraction: p.origin.RepeatShare, Evacuated: p.orders.Evacuated,
 		PipelineLimits: sentAhead(values.SentAhead), Quarantine: p.suspects, Identity: mode.identity,
-		InputMemory: httpinput.NewMemory(inputBytes(values)),
-		Quota:       p.rateLimits.quota(), Rollout: trafficOf(d),
+		InputMemory: httpinput.NewMemory(inputBytes(values)), MaxConnections: maxCallerConnections(values, descriptorLimit()),
+		Quota: p.rateLimits.quota(), Rollout: trafficOf(d),
 	})
 	return p
 }
--- a/internal/daemon/settings/names_test.go
+++ b/internal/daemon/settings/names_test.go
@@ -28,6 +28,7 @@
 service: desk
 link_mbit: 100
 memory_mb: 284
+max_descriptors: 4100
 retries: {fraction: 0.2, burst: 192, window: 10s}
 seeds: ["127.0.0.1:7410"]
 services: ["*"]
@@ -115,5 +116,5 @@
 		assert.Check(t, strings.Contains(allKeys, last+":"), "the test file does not contain %s", key)
 	}
 	slices.Sort(keys)
-	assert.Equal(t, len(slices.Compact(keys)), 86, "%v", keys)
+	assert.Equal(t, len(slices.Compact(keys)), 87, "%v", keys)
 }
--- a/internal/requestpath/gateway/gateway.go
+++ b/internal/requestpath/gateway/gateway.go
@@ -92,6 +92,8 @@
 	// InputMemory is the budget for input that callers have not completed; nil for one of
 	// DefaultInputBytes.
 	InputMemory *httpinput.Memory
+	// MaxConnections is the maximum number of callers' connections; 0 for no limit.
+	MaxConnections int
 	// Decisions receives the log lines about requests and Registry the metrics; either may be nil.
 	Decisions *decision.Log
 	Registry  prometheus.Registerer
@@ -152,7 +154,7 @@
 		HeadLimits: gateway.headLimits, MaxBodyBytes: maxBodyBytes, MaxBufferedBodyBytes: callmux.MaxBufferedBodyBytes,
 		InputMemory: config.InputMemory, IdleTimeout: callerIdleTimeout, BodyIdleTimeout: bodyIdleTimeout, LingerTimeout: lingerTimeout,
 		Limits: config.PipelineLimits, Check: gateway.checkHead, Handle: gateway.serve, Stopping: gateway.stopping.Load,
-		OnUnserved: gateway.recordUnserved,
+		OnUnserved: gateway.recordUnserved, MaxConnections: config.MaxConnections, OnConnectionLimit: gateway.recordConnectionLimit,
 	})
 	gateway.acceptContext, gateway.stopAccepting = context.WithCancel(context.Background())
 	gateway.callsContext, gateway.cancelCalls = context.WithCancel(context.Background())
--- a/internal/requestpath/gateway/lines.go
+++ b/internal/requestpath/gateway/lines.go
@@ -26,6 +26,9 @@
 	// eventCallerUnserved is logged for a connection that this daemon closed although it had read
 	// bytes of a request behind the last answer.
 	eventCallerUnserved = "caller.unserved"
+	// eventCallerOverLimit is logged for a connection that was closed because the daemon had as many as
+	// it may have.
+	eventCallerOverLimit = "caller.over_limit"
 	// eventKeyRefused is logged for a request that was refused because of its API key.
 	eventKeyRefused = "key.refused"
 )
@@ -36,6 +39,13 @@
 	g.config.Decisions.Failure(eventCallerUnserved, "", "bytes", bytes, "stopping", g.stopping.Load())
 }
 
+// recordConnectionLimit counts and logs a caller's connection that was closed because of
+// Config.MaxConnections.
+func (g *Gateway) recordConnectionLimit() {
+	g.metrics.connectionLimit.Inc()
+	g.config.Decisions.Failure(eventCallerOverLimit, "", "limit", g.config.MaxConnections)
+}
+
 // recordFailure counts and logs a call that no instance answered, with the reason.
 func (g *Gateway) recordFailure(rc *app.RequestContext, route *lapisv1.Route, err error, started time.Time) {
 	constraint := constraintOf(err)
--- a/internal/requestpath/gateway/metrics.go
+++ b/internal/requestpath/gateway/metrics.go
@@ -19,7 +19,9 @@
 	retries     prometheus.Counter
 	latency     prometheus.Histogram
 	unserved    prometheus.Counter
-	refusedKeys *prometheus.CounterVec
+	// connectionLimit counts the connections that were closed because of Config.MaxConnections.
+	connectionLimit prometheus.Counter
+	refusedKeys     *prometheus.CounterVec
 	// versions counts the attempts at services with a roll-out.
 	versions *prometheus.CounterVec
 }
@@ -46,12 +48,15 @@
 		unserved: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "lapisvane_callers_unserved_total", Help: "Callers' connections that the daemon ended although it had read a request that it did not answer.",
 		}),
+		connectionLimit: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "lapisvane_callers_over_limit_total", Help: "Callers' connections that the daemon closed because it had as many as it may have.",
+		}),
 		refusedKeys: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lapisvane_keys_refused_total", Help: "Requests refused by their API key, by reason.",
 		}, []string{"reason"}),
 	}
 	if registry != nil {
-		registry.MustRegister(metrics.calls, metrics.constrained, metrics.retries, metrics.latency, metrics.unserved, metrics.refusedKeys, metrics.versions)
+		registry.MustRegister(metrics.calls, metrics.constrained, metrics.retries, metrics.latency, metrics.unserved, metrics.connectionLimit, metrics.refusedKeys, metrics.versions)
 	}
 	return metrics
 }
--- a/internal/requestpath/gateway/pipeline/connection.go
+++ b/internal/requestpath/gateway/pipeline/connection.go
@@ -141,6 +141,36 @@
 	return unread || behind && now.Sub(receivedAt) < maxSendingPause
 }
 
+// idleState returns the state of a connection that waits for a request; idle is false if it does not.
+func (c *connection) idleState() (state idleState, idle bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.idleStateLocked()
+}
+
+// idleStateLocked is idleState for a caller that holds mutex.
+func (c *connection) idleStateLocked() (state idleState, idle bool) {
+	if !c.awaitingRequest || c.sealed || c.pendingInput || !c.idle() || c.caller.lastReceivedAt().After(c.awaitingSince) {
+		return idleState{}, false
+	}
+	state = idleState{served: !c.lastWrittenAt.IsZero(), since: c.awaitingSince}
+	if c.lastWrittenAt.After(state.since) {
+		state.since = c.lastWrittenAt
+	}
+	return state, true
+}
+
+// closeIdle ends the connection and returns true if it is idle and no request has arrived.
+func (c *connection) closeIdle() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if _, idle := c.idleStateLocked(); !idle || socket.Unread(c.caller.Conn) > 0 {
+		return false
+	}
+	c.disconnectLocked()
+	return true
+}
+
 // noteUnserved counts and reports a connection that ends with input that will not be answered. Only
 // the reader may call it.
 func (c *connection) noteUnserved() {
--- a/internal/requestpath/gateway/pipeline/server.go
+++ b/internal/requestpath/gateway/pipeline/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +33,13 @@
 	// Limits bound the resources held for pipelined requests; the zero value stands for
 	// DefaultLimits.
 	Limits Limits
+	// MaxConnections is the maximum number of connections that are served at the same time; 0 for no
+	// limit. At the limit, idle connections are closed for a new one; without an idle one, the new one is
+	// closed.
+	MaxConnections int
+	// OnConnectionLimit is called for each connection that is closed because of MaxConnections. The
+	// function may be nil.
+	OnConnectionLimit func()
 	// Check returns an error for a request that must be rejected; no later request of the connection
 	// is read then. It is called in request order, before the next request is read.
 	Check func(*app.RequestContext) error
@@ -66,78 +72,15 @@
 	connections         connectionSet
 }
 
-// connectionSet holds the connections that are being served. It is safe for concurrent use; the
-// zero value is empty.
-type connectionSet struct {
-	// mutex protects everything below.
-	mutex  sync.Mutex
-	active map[*connection]bool
-	// closed is true after closeAll; no connection is added after that.
-	closed bool
-}
-
-// add adds a connection and returns true. After closeAll it adds nothing and returns false.
-func (c *connectionSet) add(conn *connection) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.closed {
-		return false
-	}
-	if c.active == nil {
-		c.active = map[*connection]bool{}
-	}
-	c.active[conn] = true
-	return true
-}
-
-// closeAll closes all connections and makes add reject new ones.
-func (c *connectionSet) closeAll() {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.closed = true
-	for connection := range c.active {
-		_ = connection.caller.Close() // Close fails only for a connection that is already closed.
-	}
-}
-
-func (c *connectionSet) remove(conn *connection) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	delete(c.active, conn)
-}
-
-// countUndelivered returns the number of connections with an answer that may not have arrived.
-func (c *connectionSet) countUndelivered(now time.Time) int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	count := 0
-	for connection := range c.active {
-		if connection.hasUndelivered(now) {
-			count++
-		}
-	}
-	return count
-}
-
-// countReceiving returns the number of connections on which the caller is sending a request.
-func (c *connectionSet) countReceiving(now time.Time) int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	count := 0
-	for connection := range c.active {
-		if connection.isReceiving(now) {
-			count++
-		}
-	}
-	return count
-}
-
 // New returns a server for the given configuration.
 func New(config Config) *Server {
 	if config.Limits == (Limits{}) {
 		config.Limits = DefaultLimits
 	}
-	return &Server{config: config, quota: quota{limits: config.Limits}}
+	return &Server{
+		config: config, quota: quota{limits: config.Limits},
+		connections: connectionSet{limit: config.MaxConnections, onLimit: config.OnConnectionLimit},
+	}
 }
 
 // OpenRequests returns the number of requests that were dispatched and not yet answered.
