The operators' address bounds trailers and the memory of incomplete requests

What was seen: in a test, 64 MiB of trailers were taken from one connection, before any operator is authenticated; the connection is of use only to the platform-less form, which has this address.

Cause: as at the other addresses, the HTTP library bounds heads (1 MB by default) but no trailers.

Change: the transporter of package httpinput: heads of 16 KiB, a body's 8 MiB for everything that is read as a whole, 32 MiB for all connections, timeouts for the first request.

Evidence: TestInputWithoutEndIsRefused fails without the change for trailers (heads and empty lines held before), passes with it in 3 runs with the race detector.

--- a/internal/operators/operator/server.go
+++ b/internal/operators/operator/server.go
@@ -11,7 +11,6 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/go-logr/logr"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -20,6 +19,7 @@
 	"github.com/lapisvane/lapisvane/internal/operators/opapi"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 	"github.com/lapisvane/lapisvane/internal/shared/socket"
+	"github.com/lapisvane/lapisvane/internal/transport/httpinput"
 )
 
 // Limits of the operators' interface.
@@ -29,6 +29,11 @@
 	maxConcurrent = 16
 	// idleTimeout is the keep-alive time of an idle client connection.
 	idleTimeout = time.Minute
+	// maxHeadBytes is the maximum size of a request's head.
+	maxHeadBytes = 16 << 10
+	// inputBytes limits what all connections hold of incomplete requests, beyond the
+	// httpinput.MinBufferBytes that each of them may hold. It has room for two of the longest bodies.
+	inputBytes = 32 << 20
 )
 
 // EndpointSource returns the known instances of a service. It must be safe for concurrent use.
@@ -65,9 +70,11 @@
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
 	listener, stop := socket.CloseWithContext(ctx, listener)
 	defer stop()
+	limits := httpinput.Limits{SectionBytes: opapi.MaxRequestBytes + maxHeadBytes, Memory: httpinput.NewMemory(inputBytes)}
+	timeouts := httpinput.Timeouts{Idle: idleTimeout, Request: opapi.ServeTimeout}
 	engine := server.New(
-		server.WithListener(listener), server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(opapi.MaxRequestBytes), server.WithReadTimeout(opapi.ServeTimeout),
+		server.WithListener(listener), server.WithTransport(httpinput.NewTransporter(limits, timeouts)),
+		server.WithMaxHeaderBytes(maxHeadBytes), server.WithMaxRequestBodySize(opapi.MaxRequestBytes), server.WithReadTimeout(opapi.ServeTimeout),
 		server.WithIdleTimeout(idleTimeout), server.WithDisablePrintRoute(true), server.WithExitWaitTime(0),
 	)
 	engine.GET(opapi.PathShow, s.endpoint(opapi.ServeTimeout, s.serveShow))
--- a/internal/operators/operator/server_test.go
+++ b/internal/operators/operator/server_test.go
@@ -217,3 +217,35 @@
 		}
 	}
 }
+
+// Guards against memory that grows with input that never ends, which is held before the operator is
+// authenticated.
+func TestInputWithoutEndIsRefused(t *testing.T) {
+	server := startServer(t)
+	const chunked = "POST " + opapi.PathPropose + " HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, opening := range map[string]string{
+		"head":        "GET " + opapi.PathShow + " HTTP/1.1\r\nHost: a\r\n",
+		"trailers":    chunked + "1\r\nx\r\n0\r\n",
+		"empty lines": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", server.address)
+			assert.NilError(t, err)
+			defer func() { _ = conn.Close() }()
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(time.Minute)))
+			_, err = conn.Write([]byte(opening))
+			assert.NilError(t, err)
+			piece := []byte(strings.Repeat("X-Field: value\r\n", 4<<10))
+			if opening == "" {
+				piece = []byte(strings.Repeat("\r\n", 32<<10))
+			}
+			sent, count := 0, 0
+			for ; err == nil && sent < 8*opapi.MaxRequestBytes; sent += count {
+				count, err = conn.Write(piece)
+			}
+			assert.Assert(t, err != nil, "%d bytes were sent", sent)
+		})
+	}
+	_, err := server.run(operator.AdminGroup, "show versions")
+	assert.NilError(t, err)
+}
