Input within one read of the library's connection is used in place

Cause: the bounded reader copied every request to a buffer of its own, and released the library's connection with input left in it. The library then adds buffers and doubles their size, up to 512 KiB a connection (by reading its code; not shown by a run).

Change: while the parser needs no more than one read returned, input stays in the library's 4 KiB; only longer sections move to a buffer, from the pool that the library uses. The library's connection is released when all its input was used.

--- a/internal/transport/httpinput/conn.go
+++ b/internal/transport/httpinput/conn.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
-	"sync"
 
+	"github.com/bytedance/gopkg/lang/mcache"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/pkg/errors"
 )
@@ -31,13 +31,17 @@
 
 // Conn is a connection of the HTTP library whose input is bounded. Its reading methods must not be
 // called concurrently; the others are those of the library's connection.
+//
+// Input that one read of the library's connection returned is used in place. Only if the parser needs
+// more at a time, the input moves to a buffer of Conn. The library's connection is released only when
+// all of its input was used: otherwise it adds buffers, and doubles their size, up to 512 KiB.
 type Conn struct {
 	network.Conn
 	limits Limits
-	// buffer[start:end] is the input that was read and not skipped; buffer is nil while there is none.
-	// small is the array of a buffer without a reservation.
+	// buffer[start:end] is the input that was read and not skipped, before that in the library's
+	// connection; buffer is nil while all input is there. A buffer longer than MinBufferBytes is reserved
+	// in limits.Memory.
 	buffer     []byte
-	small      *smallBuffer
 	start, end int
 	// sawAll is true if the parser has peeked at all buffered input and skipped none of it. If it then
 	// needs one more byte, it needs the end of a section.
@@ -52,10 +56,15 @@
 func (c *Conn) LimitSection(bytes int) { c.limits.SectionBytes = bytes }
 
 // Buffered returns the number of bytes that were read from the network and not skipped.
-func (c *Conn) Buffered() int { return c.Len() + c.Conn.Len() }
+func (c *Conn) Buffered() int { return c.end - c.start + c.Conn.Len() }
 
 // Len implements network.Reader. Peek(Len()) does not block and does not fail.
-func (c *Conn) Len() int { return c.end - c.start }
+func (c *Conn) Len() int {
+	if c.buffer == nil {
+		return c.Conn.Len()
+	}
+	return c.end - c.start
+}
 
 // Peek implements network.Reader. The returned bytes are valid until the next call of a reading method.
 // Errors: ErrSectionTooLong, ErrNoMemory and those of the connection.
@@ -72,6 +81,14 @@
 		}
 	}
 	c.sawAll = count >= c.Len() || needsSection
+	return c.peekBuffered(count)
+}
+
+// peekBuffered returns count bytes of the buffered input, which has as many.
+func (c *Conn) peekBuffered(count int) ([]byte, error) {
+	if c.buffer == nil {
+		return c.Conn.Peek(count)
+	}
 	return c.buffer[c.start : c.start+count], nil
 }
 
@@ -80,6 +97,11 @@
 	if count > c.Len() && count > c.limits.SectionBytes {
 		return ErrSectionTooLong
 	}
+	if c.buffer == nil {
+		if err := c.awaitInput(); err != nil {
+			return err
+		}
+	}
 	for c.Len() < count {
 		if err := c.read(count); err != nil {
 			return err
@@ -88,11 +110,36 @@
 	return nil
 }
 
+// awaitInput waits for input in the library's connection, unless there is some.
+func (c *Conn) awaitInput() error {
+	if c.Conn.Len() > 0 {
+		return nil
+	}
+	// Otherwise the library's connection would keep what was skipped. Its release always returns nil.
+	_ = c.Conn.Release()
+	_, err := c.Conn.Peek(1)
+	return err
+}
+
+// take moves input of the library's connection to a buffer and returns the number of bytes.
+func (c *Conn) take(buffer []byte) (int, error) {
+	input, err := c.Conn.Peek(min(len(buffer), c.Conn.Len()))
+	if err != nil {
+		return 0, err
+	}
+	count := copy(buffer, input)
+	return count, c.Conn.Skip(count)
+}
+
 // fillSection reads until an empty line ends behind the first searched bytes of the input, or the limit
 // is reached.
 func (c *Conn) fillSection(searched int) error {
-	for !endsSection(c.buffer[c.start:c.end], searched) && c.Len() < c.limits.SectionBytes {
-		searched = c.Len()
+	for c.Len() < c.limits.SectionBytes {
+		input, err := c.peekBuffered(c.Len())
+		if err != nil || endsSection(input, searched) {
+			return err
+		}
+		searched = len(input)
 		if err := c.read(searched + 1); err != nil {
 			return err
 		}
@@ -110,29 +157,24 @@
 	return bytes.Contains(input, []byte("\n\r\n")) || bytes.Contains(input, []byte("\n\n"))
 }
 
-// read reads once, into a buffer that has room for needed bytes.
+// read reads once into a buffer that has room for needed bytes.
 func (c *Conn) read(needed int) error {
+	if c.buffer == nil {
+		c.buffer = mcache.Malloc(MinBufferBytes)
+	}
 	if err := c.makeRoom(needed); err != nil {
 		return err
 	}
-	count, err := c.Conn.Read(c.buffer[c.end:])
-	c.end += count
-	if count > 0 {
-		// The library's connection returns an error again with the next read.
-		return nil
+	if err := c.awaitInput(); err != nil {
+		return err
 	}
+	count, err := c.take(c.buffer[c.end:])
+	c.end += count
 	return err
 }
 
-// makeRoom provides a buffer with room for needed bytes and for at least one more than it holds.
+// makeRoom makes room in the buffer for needed bytes and for at least one more than it holds.
 func (c *Conn) makeRoom(needed int) error {
-	if c.buffer == nil {
-		// While an idle connection waits here, it holds only the buffer of the library's connection.
-		if _, err := c.Conn.Peek(1); err != nil {
-			return err
-		}
-		c.useSmallBuffer()
-	}
 	if c.start > 0 && c.start+needed > len(c.buffer) {
 		c.end = copy(c.buffer, c.buffer[c.start:c.end])
 		c.start = 0
@@ -143,13 +185,15 @@
 	return c.grow(needed)
 }
 
-// grow replaces the buffer by one that is at least twice as large, up to the limit of a section.
+// grow replaces the buffer by one that is at least twice as large, up to the limit of a section. The
+// library's pool rounds its size up to a power of two.
 func (c *Conn) grow(needed int) error {
-	size := max(needed, min(2*len(c.buffer), c.limits.SectionBytes))
-	if !c.limits.Memory.Reserve(int64(size)) {
+	grown := mcache.Malloc(max(needed, min(2*len(c.buffer), c.limits.SectionBytes)))
+	grown = grown[:cap(grown)]
+	if !c.limits.Memory.Reserve(int64(len(grown))) {
+		mcache.Free(grown)
 		return ErrNoMemory
 	}
-	grown := make([]byte, size)
 	end := copy(grown, c.buffer[c.start:c.end])
 	c.drop()
 	c.buffer, c.end = grown, end
@@ -162,8 +206,12 @@
 	if count <= max(MinBufferBytes, len(c.buffer)) {
 		return count
 	}
+	if c.buffer == nil && c.Conn.Len() > 0 {
+		// What has arrived is used in place first.
+		return MinBufferBytes
+	}
 	if c.buffer == nil {
-		c.useSmallBuffer()
+		c.buffer = mcache.Malloc(MinBufferBytes)
 	}
 	if c.grow(count) != nil {
 		return len(c.buffer)
@@ -173,12 +221,20 @@
 
 // Read implements io.Reader.
 func (c *Conn) Read(buffer []byte) (int, error) {
-	if c.Len() == 0 {
-		c.drop()
+	c.sawAll = false
+	if c.end > c.start {
+		count := copy(buffer, c.buffer[c.start:c.end])
+		return count, c.Skip(count)
+	}
+	c.drop()
+	if c.Conn.Len() == 0 && len(buffer) > MinBufferBytes {
+		_ = c.Conn.Release() // It always returns nil.
 		return c.Conn.Read(buffer)
 	}
-	count := copy(buffer, c.buffer[c.start:c.end])
-	return count, c.Skip(count)
+	if err := c.awaitInput(); err != nil {
+		return 0, err
+	}
+	return c.take(buffer)
 }
 
 // ReadByte implements network.Reader.
@@ -205,60 +261,50 @@
 	if count > c.Len() {
 		return errors.Errorf("%d bytes cannot be skipped of %d", count, c.Len())
 	}
-	c.start += count
 	c.sawAll = false
+	if c.buffer == nil {
+		return c.Conn.Skip(count)
+	}
+	c.start += count
 	return nil
 }
 
 // SkipInput discards between 1 and limit bytes of input and returns their number. While it waits for
-// input, it holds no buffer of its own.
+// input, it holds no buffer besides that of the library's connection.
 func (c *Conn) SkipInput(limit int64) (int64, error) {
-	if c.Len() > 0 {
-		count := min(limit, int64(c.Len()))
-		return count, c.Skip(int(count))
-	}
-	c.drop()
-	if _, err := c.Conn.Peek(1); err != nil {
-		return 0, err
-	}
-	count := min(limit, int64(c.Conn.Len()))
-	if err := c.Conn.Skip(int(count)); err != nil {
-		return 0, err
+	if c.Len() == 0 {
+		c.drop()
+		if err := c.awaitInput(); err != nil {
+			return 0, err
+		}
 	}
-	return count, c.Conn.Release()
+	count := min(limit, int64(c.Len()))
+	return count, c.Skip(int(count))
 }
 
-// Release implements network.Reader. A connection without unread input holds no buffer afterwards.
+// Release implements network.Reader. A connection without unread input holds no buffer afterwards
+// besides that of the library's connection.
 func (c *Conn) Release() error {
 	c.sawAll = false
-	if c.Len() == 0 {
+	if c.end == c.start {
 		c.drop()
 	}
-	return nil
+	if c.Conn.Len() > 0 {
+		return nil
+	}
+	return c.Conn.Release()
 }
 
 // Discard gives up the buffered input. It must not be called while a reading method runs.
 func (c *Conn) Discard() { c.drop() }
 
-// smallBuffer is the array of a buffer without a reservation.
-type smallBuffer [MinBufferBytes]byte
-
-// smallBuffers holds arrays for reuse.
-var smallBuffers = sync.Pool{New: func() any { return new(smallBuffer) }}
-
-// useSmallBuffer provides a buffer without a reservation.
-func (c *Conn) useSmallBuffer() {
-	c.small = smallBuffers.Get().(*smallBuffer)
-	c.buffer = c.small[:]
-}
-
 // drop gives the buffer back, with the input in it.
 func (c *Conn) drop() {
-	switch {
-	case c.small != nil:
-		smallBuffers.Put(c.small)
-	case c.buffer != nil:
+	if len(c.buffer) > MinBufferBytes {
 		c.limits.Memory.Release(int64(len(c.buffer)))
 	}
-	c.buffer, c.small, c.start, c.end = nil, nil, 0, 0
+	if c.buffer != nil {
+		mcache.Free(c.buffer)
+	}
+	c.buffer, c.start, c.end = nil, 0, 0
 }
--- a/internal/transport/httpinput/conn_test.go
+++ b/internal/transport/httpinput/conn_test.go
@@ -15,33 +15,33 @@
 // inputConn is a connection of the library whose input is a fixed text.
 type inputConn struct {
 	network.Conn
-	input io.Reader
-	// first holds a byte that Peek has read.
-	first []byte
+	input    io.Reader
+	buffered []byte
 }
 
-func (c *inputConn) Len() int { return len(c.first) }
+func (c *inputConn) Len() int { return len(c.buffered) }
 
-func (c *inputConn) Peek(int) ([]byte, error) {
-	if len(c.first) == 0 {
-		next := make([]byte, 1)
-		if _, err := c.input.Read(next); err != nil {
+func (c *inputConn) Peek(count int) ([]byte, error) {
+	if len(c.buffered) < count {
+		next := make([]byte, MinBufferBytes)
+		read, err := c.input.Read(next)
+		if err != nil {
 			return nil, err
 		}
-		c.first = next
+		c.buffered = append(c.buffered, next[:read]...)
 	}
-	return c.first, nil
+	return c.buffered[:count], nil
 }
 
-func (c *inputConn) Read(buffer []byte) (int, error) {
-	if len(c.first) > 0 {
-		count := copy(buffer, c.first)
-		c.first = c.first[count:]
-		return count, nil
-	}
-	return c.input.Read(buffer)
+func (c *inputConn) Skip(count int) error {
+	c.buffered = c.buffered[count:]
+	return nil
 }
 
+func (c *inputConn) Release() error { return nil }
+
+func (c *inputConn) Read(buffer []byte) (int, error) { return c.input.Read(buffer) }
+
 func wrapText(text string, limits Limits) *Conn {
 	return Wrap(&inputConn{input: iotest.OneByteReader(strings.NewReader(text))}, limits)
 }
@@ -131,7 +131,7 @@
 
 // An interrupted read keeps what has arrived.
 func TestInterruptedReadKeepsItsInput(t *testing.T) {
-	interrupted := iotest.TimeoutReader(strings.NewReader("GET / HTTP/1.1\r\n\r\n"))
+	interrupted := iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("GET / HTTP/1.1\r\n\r\n")))
 	conn := Wrap(&inputConn{input: interrupted}, Limits{SectionBytes: 1 << 10, Memory: NewMemory(0)})
 	_, err := conn.Peek(10)
 	assert.ErrorIs(t, err, iotest.ErrTimeout)
