--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -23,6 +23,9 @@
 
 const bytesPerMegabyte = 1 << 20
 
+// memoryBytes returns the machine's memory in bytes, or 0 if it is unknown.
+func memoryBytes(values *settings.Daemon) int64 { return int64(values.MemoryMegabytes * bytesPerMegabyte) }
+
 // Limits of the number of callers' connections.
 const (
 	// memoryPerConnection is the machine's memory in bytes for each connection. One with an open request
@@ -37,10 +40,10 @@
 // operating system, or 0 if it is unknown. The result is 0 if nothing limits them.
 func maxCallerConnections(values *settings.Daemon, descriptors int64) int {
 	if values.MaxDescriptors > 0 {
-		descriptors = values.MaxDescriptors
+		descriptors = int64(values.MaxDescriptors)
 	}
 	limit := descriptors - descriptors/otherDescriptorsPart
-	if byMemory := values.MemoryMegabytes * bytesPerMegabyte / memoryPerConnection; byMemory > 0 && (limit == 0 || byMemory < limit) {
+	if byMemory := memoryBytes(values) / memoryPerConnection; byMemory > 0 && (limit == 0 || byMemory < limit) {
 		limit = byMemory
 	}
 	return int(limit)
@@ -58,16 +61,16 @@
 
 // inputBytes returns the size in bytes of the budget for input that callers have not completed.
 func inputBytes(values *settings.Daemon) int64 {
-	if values.MemoryMegabytes == 0 {
-		return gateway.DefaultInputBytes
+	if memory := memoryBytes(values); memory > 0 {
+		return memory / inputMemoryPart
 	}
-	return values.MemoryMegabytes * bytesPerMegabyte / inputMemoryPart
+	return gateway.DefaultInputBytes
 }
 
 // limitRuntimeMemory makes the Go runtime collect garbage more often when the process comes near the
 // machine's memory. Without it, garbage may take as much again as what is in use.
 func limitRuntimeMemory(values *settings.Daemon) {
-	if memory := values.MemoryMegabytes * bytesPerMegabyte; memory > 0 {
+	if memory := memoryBytes(values); memory > 0 {
 		debug.SetMemoryLimit(memory - memory/nonRuntimeMemoryPart)
 	}
 }
--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -41,12 +41,12 @@
 	// LinkMegabits is the rate of the machine's network link in Mbit/s, or 0 if unknown. It limits the
 	// bytes in flight of long bodies, so that they do not delay short calls.
 	LinkMegabits float64 `json:"link_mbit"`
-	// MemoryMegabytes is the memory of the machine in MiB that the process may use, or 0 if unknown. A
-	// eighth of it limits what callers' connections hold of incomplete requests.
-	MemoryMegabytes int64 `json:"memory_mb"`
+	// MemoryMegabytes is the memory of the machine in MiB that the process may use, or 0 if unknown. It
+	// limits the Go runtime, what callers' connections hold of incomplete requests, and their number.
+	MemoryMegabytes float64 `json:"memory_mb"`
 	// MaxDescriptors is the number of file descriptors that the process may open, or 0 for the limit of
 	// the operating system. Callers' connections use at most three quarters of it.
-	MaxDescriptors int64 `json:"max_descriptors"`
+	MaxDescriptors float64 `json:"max_descriptors"`
 	// Retries limits the retries of each service.
 	Retries Retries `json:"retries"`
 	// Seeds are peer addresses of other daemons.
@@ -291,8 +291,8 @@
 		value float64
 	}{
 		{"platform.reads_per_second", d.Platform.ReadsPerSecond}, {"platform.writes_per_second", d.Platform.WritesPerSecond},
-		{"link_mbit", d.LinkMegabits}, {"memory_mb", float64(d.MemoryMegabytes)},
-		{"max_descriptors", float64(d.MaxDescriptors)}, {"retries.fraction", d.Retries.Fraction}, {"retries.burst", d.Retries.Burst},
+		{"link_mbit", d.LinkMegabits}, {"memory_mb", d.MemoryMegabytes},
+		{"max_descriptors", d.MaxDescriptors}, {"retries.fraction", d.Retries.Fraction}, {"retries.burst", d.Retries.Burst},
 		{"cold_starts.overshoot", d.ColdStarts.Overshoot}, {"cold_starts.slack", d.ColdStarts.Slack},
 		{"rollouts.exposure_share", d.Rollouts.ExposureShare}, {"rollouts.exposure_slack", d.Rollouts.ExposureSlack},
 		{"retries.window", float64(d.Retries.Window)}, {"rollouts.roll_back_bound", float64(d.Rollouts.RollBackBound)},
