--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -24,7 +24,9 @@
 const bytesPerMegabyte = 1 << 20
 
 // memoryBytes returns the machine's memory in bytes, or 0 if it is unknown.
-func memoryBytes(values *settings.Daemon) int64 { return int64(values.MemoryMegabytes * bytesPerMegabyte) }
+func memoryBytes(values *settings.Daemon) int64 {
+	return int64(values.MemoryMegabytes * bytesPerMegabyte)
+}
 
 // Limits of the number of callers' connections.
 const (
