A stop during a read of the departures ends

A daemon that is stopped while the store is silent soon after its start can so use a whole core and never end; the platform kills it after the grace time.

Cause: the dump shows History.Run running in nextRead, all else waiting. A read that the end of the daemon interrupts returns without recording anything, so that it stays due, and the loop read again without looking at its context.

Change: the loop ends with its context.

Evidence: TestStopDuringAReadOfTheStoreEnds fails without the change (Run has not returned after 20 s), passes with it in 5 runs with the race detector. Searched for the class: the loops of configsource and tree that go on without a wait check their context (read, not tested).

--- a/internal/requestpath/departure/history.go
+++ b/internal/requestpath/departure/history.go
@@ -64,7 +64,7 @@
 func (h *History) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for {
+	for ctx.Err() == nil {
 		wait, due := h.nextRead()
 		if due && wait <= 0 {
 			h.read(ctx)
--- a/internal/requestpath/departure/history_test.go
+++ b/internal/requestpath/departure/history_test.go
@@ -161,3 +161,31 @@
 		assert.Assert(t, !history.Missing())
 	})
 }
+
+// silentStore is a Store that never answers.
+type silentStore struct {
+	Store
+	// asked receives a value for each read.
+	asked chan struct{}
+}
+
+func (s silentStore) List(ctx context.Context) (Listing, error) {
+	signal(s.asked)
+	<-ctx.Done()
+	return Listing{}, ctx.Err()
+}
+
+// Guards against a stop that never ends because it began during a read of the store.
+func TestStopDuringAReadOfTheStoreEnds(t *testing.T) {
+	const timeout = 20 * time.Second
+	store := silentStore{asked: make(chan struct{}, 1)}
+	stop := runHistory(newTestHistory("node", store, 0))
+	<-store.asked
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); stop() }()
+	select {
+	case <-stopped:
+	case <-time.After(timeout):
+		t.Fatal("Run has not returned")
+	}
+}
