Lines tell under which name a leave is recorded, and late heartbeats after it

Cause: a leave and a registration of one instance under two names could not be told from a leave that was forgotten, or from another incarnation. Change: instance.retired has the stated start and the recorded name, instance.registered the names under which the id left, and instance.beat_after_leave the first ignored heartbeat. No decision changes.

--- a/internal/requestpath/origin/departure.go
+++ b/internal/requestpath/origin/departure.go
@@ -15,6 +15,8 @@
 	at time.Time
 	// stored is true once the store has the departure, and lost once it may have lost it.
 	stored, lost bool
+	// heartbeatLogged is true once a heartbeat that arrived after the leave was logged.
+	heartbeatLogged bool
 }
 
 // Heartbeat handles a heartbeat of an instance. After it has returned for a draining instance, no
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"strings"
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/model/incarnation"
@@ -70,6 +71,7 @@
 	conflicts := o.conflictsOf(identity, registration.Address)
 	switch kindOfHeartbeat(withdrawn, isKnown, conflicts, registration.Sequence) {
 	case heartbeatOfWithdrawn:
+		o.logHeartbeatAfterLeave(registration)
 		return nil, false
 	case heartbeatOfKnown:
 		return known, false
@@ -83,10 +85,34 @@
 	o.watch(instance)
 	o.config.Logger.Info("instance.registered", "instance", instance.Name, "service", instance.Service,
 		"address", registration.Address, "version", registration.Version, "slots", registration.Slots, "sequence", registration.Sequence,
-		"cold_ms", registration.ColdRemaining.Milliseconds(), "uptime_ms", time.Since(o.startedAt).Milliseconds())
+		"cold_ms", registration.ColdRemaining.Milliseconds(), "uptime_ms", time.Since(o.startedAt).Milliseconds(),
+		"left", strings.Join(o.withdrawnNames(identity.ID), ","))
 	return instance, true
 }
 
+// logHeartbeatAfterLeave logs the first heartbeat of an instance that left; the caller holds mutex.
+func (o *Origin) logHeartbeatAfterLeave(registration Registration) {
+	name := registration.incarnation().Name()
+	left := o.withdrawn[name]
+	if left.heartbeatLogged {
+		return
+	}
+	left.heartbeatLogged = true
+	o.withdrawn[name] = left
+	o.config.Logger.Info("instance.beat_after_leave", "instance", name, "sequence", registration.Sequence,
+		"known_ms", time.Since(left.at).Milliseconds())
+}
+
+// withdrawnNames returns the names under which incarnations of an ID left; the caller holds mutex.
+func (o *Origin) withdrawnNames(id string) (names []string) {
+	for name := range o.withdrawn {
+		if incarnation.Parse(name).ID == id {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // hasService reports whether the configuration in force names a service; before the first
 // configuration it is true for every service. An instance of an unconfigured service gets no calls
 // and could take the address of one that does, because its heartbeat may come from another sender.
@@ -260,6 +286,9 @@
 		names = []string{incarnation.Incarnation{ID: id, StartUnixMillis: startUnixMillis}.Name()}
 	}
 	for _, name := range names {
+		if !o.isWithdrawn(name) {
+			o.config.Logger.Info("instance.retired", "instance", id, "start", startUnixMillis, "recorded", name)
+		}
 		o.withdraw(name, withdrawnByRetirement)
 	}
 	return names
