Tests: an instance that retires without its start at a daemon that has just started; red

Cause of the failures: a retirement without a start is recorded under the bare id if the daemon does not know the incarnation; heartbeats have another name.

--- a/internal/lab/emulator/day/leave_test.go
+++ b/internal/lab/emulator/day/leave_test.go
@@ -201,3 +201,34 @@
 		}
 	}
 }
+
+// An instance retires, without its start, at a daemon that has just started and has had no heartbeat.
+func TestLeaveWithoutStartHoldsAfterAStartOfTheDaemon(t *testing.T) {
+	for name, endAgain := range map[string]bool{"": false, "that is killed again": true} {
+		t.Run("at a daemon "+name, func(t *testing.T) {
+			options := day.DefaultOptions()
+			options.LeavingUnstated, options.RetiresWithoutStart = true, true
+			site, tally, stop := startOptions(t, options, routes, day.StandardClasses(1))
+			awaitServed(t, tally, 50)
+			machine := site.Machines[0]
+			leaving := machine.Instance()
+			ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
+			defer cancel()
+			killing, ended := make(chan error, 1), machine.Daemon().Done()
+			go func() { killing <- machine.Kill(restartTime) }()
+			<-ended
+			assert.Assert(t, leaving.Leave(ctx, true))
+			assert.NilError(t, <-killing)
+			if endAgain {
+				killAtOnce(t, site.Machines)
+			}
+			for sequence := range uint64(3) {
+				leaving.SendDelayedHeartbeat(ctx, 1+sequence)
+				time.Sleep(day.DefaultOptions().DrainBound)
+			}
+			awaitServed(t, tally, 200)
+			stop()
+			assertPromisesKept(t, site)
+		})
+	}
+}
--- a/internal/lab/emulator/day/machine.go
+++ b/internal/lab/emulator/day/machine.go
@@ -213,7 +213,7 @@
 	started, err := instance.Start(instance.Options{
 		Service: service, Zone: m.Zone, Address: address, ID: id, RegistrationAddress: m.addresses.Instances, OutboundAddress: m.addresses.Caller, Host: m.host,
 		Slots: options.Slots, QueueLength: options.Slots, ServiceTime: options.ServiceTime, HeartbeatInterval: options.HeartbeatInterval,
-		LeavingUnstated: options.LeavingUnstated, ColdDuration: coldFor, Region: options.region(m.Zone), ColdCrashRate: options.coldCrashRate(), OnColdCrash: m.restartAfterColdCrash,
+		LeavingUnstated: options.LeavingUnstated, RetiresWithoutStart: options.RetiresWithoutStart, ColdDuration: coldFor, Region: options.region(m.Zone), ColdCrashRate: options.coldCrashRate(), OnColdCrash: m.restartAfterColdCrash,
 		OnPoisonCrash: func(ended *instance.Instance) { m.restart(ended, m.site.isOpen) }, Ledger: m.site.Ledger, Seed: options.Seed,
 	})
 	if err != nil {
@@ -271,6 +271,8 @@
 	HeartbeatInterval time.Duration
 	// LeavingUnstated is true if instances do not state in their answers that they leave.
 	LeavingUnstated bool
+	// RetiresWithoutStart is true if instances state their start in heartbeats, but not as they retire.
+	RetiresWithoutStart bool
 	// ColdDuration is the time for which an instance that starts during the day is cold.
 	ColdDuration time.Duration
 	// ColdRate is the capacity of a cold instance in requests per second, 0 for the capacity of a warm
--- a/internal/lab/emulator/instance/instance.go
+++ b/internal/lab/emulator/instance/instance.go
@@ -90,6 +90,9 @@
 	HeartbeatInterval time.Duration
 	// LeavingUnstated is true if the instance does not state in its answers that it leaves.
 	LeavingUnstated bool
+	// RetiresWithoutStart is true if the message that the instance retires has no body, and so does not
+	// state its start.
+	RetiresWithoutStart bool
 	// ColdDuration is the time for which the instance is cold after its start. Work takes coldSlowdown
 	// times as long meanwhile.
 	ColdDuration time.Duration
@@ -328,6 +331,9 @@
 
 // deregister reports the instance's retirement to the daemon.
 func (i *Instance) deregister(ctx context.Context) error {
+	if i.options.RetiresWithoutStart {
+		return i.callRegistration(ctx, http.MethodDelete, nil)
+	}
 	body, err := json.Marshal(platform.Start{Born: i.incarnation.StartUnixMillis})
 	if err != nil {
 		return err
--- a/internal/requestpath/origin/departure_test.go
+++ b/internal/requestpath/origin/departure_test.go
@@ -341,3 +341,39 @@
 		assert.Assert(t, store.stored["desk-1@1"])
 	})
 }
+
+// recentStart returns a start time, in milliseconds since 1970, that lies before now.
+func recentStart(age time.Duration) uint64 { return uint64(time.Now().Add(-age).UnixMilli()) }
+
+// The daemon does not know the incarnation that retires without its start: its process has just started, or has
+// heard of an earlier one only.
+func TestLateHeartbeatDoesNotBringBackAnInstanceThatLeftWithoutItsStart(t *testing.T) {
+	for name, known := range map[string]bool{"nothing is known": false, "an earlier incarnation is known": true} {
+		for ends, endsAfterwards := range map[string]bool{"": false, ", the daemon ends afterwards": true} {
+			t.Run(name+ends, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					store := newDepartures()
+					running, stop := startWithDepartures(t, store)
+					start := recentStart(time.Minute)
+					if known {
+						assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(start-3600_000, 5)))
+						time.Sleep(10 * time.Second)
+					}
+					assert.NilError(t, running.Retire(t.Context(), "desk-1", 0))
+					if endsAfterwards {
+						stop()
+						running, stop = startWithDepartures(t, store)
+					}
+					defer stop()
+					for sequence := range uint64(4) {
+						assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(start, 20+sequence)))
+						time.Sleep(time.Second)
+					}
+					assert.Equal(t, len(running.Advertised()), 0)
+					assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(recentStart(0), 1)))
+					assert.Equal(t, len(running.Advertised()), 1)
+				})
+			})
+		}
+	}
+}
