A leave without a start holds for each incarnation that may have sent it

What callers saw: requests reached an instance for seconds after its leave had been acknowledged. Cause: a retirement without a start was resolved to the incarnation that the daemon knew; a daemon that had just started knew none and recorded the bare id, in memory and in the store. A heartbeat sent before the leave, late or still waiting for the departures to be read, has a start, and so another name. Change: without a present incarnation the departure is recorded for all incarnations of the id that have started until now; registration, calls and drains ask whether a departure covers an incarnation instead of comparing names.

--- a/internal/lab/soak/leaves_test.go
+++ b/internal/lab/soak/leaves_test.go
@@ -17,7 +17,8 @@
 
 // TestAcknowledgedLeaveOutlastsProcesses plays days on which an instance leaves and daemons end right after
 // the acknowledgement: its own, some, all, at once or in series. Heartbeats that it sent before the leave
-// arrive late, one after the other, while the store may refuse, and it must get no more requests.
+// arrive late, one after the other, while the store may refuse, and it must get no more requests. On some days
+// instances retire without their start, and leave at a daemon that has just started.
 func TestAcknowledgedLeaveOutlastsProcesses(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playLeaves(t, seed) })
@@ -30,6 +31,7 @@
 	defer cancel()
 	siteOptions := options(processes.launch, seed, *machines)
 	siteOptions.LeavingUnstated = true
+	siteOptions.RetiresWithoutStart = seed%2 == 0
 	site, err := day.Start(ctx, siteOptions, day.StandardRoutes())
 	if site != nil {
 		defer site.Close()
@@ -62,9 +64,16 @@
 	// Each other daemon ends with this chance, after a random part of this time.
 	chance := []float64{0, 0.5, 1}[random.IntN(3)]
 	spread := time.Duration(random.IntN(3)) * 300 * time.Millisecond
-	acknowledged := leaving.Leave(ctx, random.IntN(2) == 0)
-	assert.Assert(t, acknowledged)
+	skipDrain := random.IntN(2) == 0
 	var ending sync.WaitGroup
+	if random.IntN(2) == 0 {
+		ended := machine.Daemon().Done()
+		ending.Go(func() { assert.Check(t, machine.Kill(time.Duration(random.Float64()*float64(100*time.Millisecond)))) })
+		<-ended
+	}
+	acknowledged := leaving.Leave(ctx, skipDrain)
+	assert.Assert(t, acknowledged)
+	ending.Wait()
 	end := func(machine *day.Machine, after, down time.Duration) {
 		ending.Go(func() {
 			time.Sleep(after)
--- a/internal/requestpath/origin/departure_test.go
+++ b/internal/requestpath/origin/departure_test.go
@@ -213,19 +213,24 @@
 	})
 }
 
-// A leave that overtakes the look-up of a ready heartbeat prevails.
+// A leave that overtakes the look-up of a ready heartbeat prevails, in each form.
 func TestLeaveDuringTheLookUpPrevails(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		store := &heldLookUp{memoryDepartures: newDepartures(), release: make(chan struct{})}
-		running, stop := startWithDepartures(t, store)
-		defer stop()
-		go func() { assert.Check(t, running.Heartbeat(context.Background(), startedRegistration(1000, 4))) }()
-		synctest.Wait()
-		assert.NilError(t, running.Retire(t.Context(), "desk-1", 1000))
-		close(store.release)
-		time.Sleep(settleTime)
-		assert.Equal(t, len(running.Advertised()), 0)
-	})
+	for name, leave := range leaves {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &heldLookUp{memoryDepartures: newDepartures(), release: make(chan struct{})}
+				running, stop := startWithDepartures(t, store)
+				defer stop()
+				heartbeat := startedRegistration(recentStart(time.Minute), 4)
+				go func() { assert.Check(t, running.Heartbeat(context.Background(), heartbeat)) }()
+				synctest.Wait()
+				assert.NilError(t, leave(running, heartbeat))
+				close(store.release)
+				time.Sleep(settleTime)
+				assert.Equal(t, len(running.Advertised()), 0)
+			})
+		})
+	}
 }
 
 // heldLookUp answers look-ups as of their beginning, once release is closed.
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -89,8 +89,10 @@
 	// mutex protects everything below.
 	mutex     sync.RWMutex
 	instances map[instanceKey]*Instance
-	// withdrawn holds the instances that left permanently, by name.
-	withdrawn map[string]withdrawnInstance
+	// withdrawn holds the instances that left permanently, by the name of their departure. departures
+	// holds the same departures by the ID of the instance.
+	withdrawn  map[string]withdrawnInstance
+	departures map[string][]incarnation.Departure
 	// successors holds the suspended instances, with the one for which each is suspended.
 	successors map[*Instance]*Instance
 	current    *snapshot.Snapshot
@@ -132,7 +134,7 @@
 		config.Changed = func() {}
 	}
 	origin := &Origin{
-		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]withdrawnInstance{}, successors: map[*Instance]*Instance{},
+		config: config, startedAt: time.Now(), instances: map[instanceKey]*Instance{}, withdrawn: map[string]withdrawnInstance{}, departures: map[string][]incarnation.Departure{}, successors: map[*Instance]*Instance{},
 		attempts: newDedupCache(attemptTTL, time.Now), idempotencyKeys: newDedupCache(idempotencyKeyTTL, time.Now),
 		departuresLost:    make(chan struct{}, 1),
 		departureCalls:    rate.NewLimiter(departure.CallsPerSecond, departure.CallBurst),
--- a/internal/requestpath/origin/withdrawal.go
+++ b/internal/requestpath/origin/withdrawal.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/model/incarnation"
@@ -9,6 +10,11 @@
 
 // This file keeps the departures of instances, by the names under which they are stored and told to other
 // daemons. An entry lives for departure.TTL.
+//
+// A message that an instance leaves may state its ID only. It then means the incarnation that is present. If
+// none is, because this process has just started or the instance has, a heartbeat of the incarnation that left
+// may still arrive, with a start that this daemon cannot know. The departure is then recorded for all
+// incarnations of the ID that have started by now (incarnation.Departure).
 
 // withdrawnInstance is an instance that left permanently.
 type withdrawnInstance struct {
@@ -16,6 +22,9 @@
 	at time.Time
 	// stored is true once the store has the departure, and lost once it may have lost it.
 	stored, lost bool
+	// messageAt is when the latest message of the instance arrived that stands for this departure; zero if
+	// this daemon knows of the departure from the store or from other daemons only.
+	messageAt time.Time
 	// heartbeatLogged is true once a heartbeat that arrived after the leave was logged.
 	heartbeatLogged bool
 }
@@ -40,9 +49,13 @@
 	left, alreadyWithdrawn := o.withdrawn[name]
 	left.at = time.Now()
 	o.withdrawn[name] = left
+	departed := incarnation.ParseDeparture(name)
+	if !alreadyWithdrawn {
+		o.departures[departed.ID] = append(o.departures[departed.ID], departed)
+	}
 	o.mutex.Unlock()
 	for _, instance := range o.Instances() {
-		if instance.Name == name {
+		if departed.Covers(instance.identity) {
 			instance.Drain(DrainInstance)
 		}
 	}
@@ -53,27 +66,74 @@
 }
 
 // WithdrawIncarnation withdraws the incarnation with an ID and a start time; without a start time (0),
-// the known incarnations with the ID. It returns the names of the withdrawn incarnations.
+// those that departureNames returns. It returns the names of the departures.
 func (o *Origin) WithdrawIncarnation(id string, startUnixMillis uint64) (names []string) {
-	if startUnixMillis == 0 {
-		for _, instance := range o.Instances() {
-			if instance.identity.ID == id {
-				names = append(names, instance.Name)
-			}
-		}
-	}
-	if len(names) == 0 {
-		names = []string{incarnation.Incarnation{ID: id, StartUnixMillis: startUnixMillis}.Name()}
-	}
+	names = o.departureNames(incarnation.Incarnation{ID: id, StartUnixMillis: startUnixMillis})
 	for _, name := range names {
-		if !o.isWithdrawn(name) {
+		if !o.isRecorded(name) {
 			o.config.Logger.Info("instance.retired", "instance", id, "start", startUnixMillis, "recorded", name)
 		}
 		o.withdraw(name, withdrawnByRetirement)
+		o.markMessage(name)
+	}
+	return names
+}
+
+// markMessage records that a message stands for a departure.
+func (o *Origin) markMessage(name string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if left, known := o.withdrawn[name]; known {
+		left.messageAt = time.Now()
+		o.withdrawn[name] = left
+	}
+}
+
+// departureNames returns the names under which to record a message that an incarnation leaves. A message without
+// a start stands for the present incarnations of its ID, or for all that may have sent it if none is present.
+func (o *Origin) departureNames(stated incarnation.Incarnation) []string {
+	if stated.StartUnixMillis != 0 {
+		return []string{stated.Name()}
+	}
+	if present := o.presentNames(stated.ID); len(present) > 0 {
+		return present
+	}
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	return []string{o.nameOfAll(stated.ID, time.Now())}
+}
+
+// nameOfAll returns the name for the departure of all incarnations of an ID. An instance repeats its message
+// until it is acknowledged, and may send another one as it ends; these have one name, because each name is a
+// write of the store. The caller holds mutex.
+func (o *Origin) nameOfAll(id string, now time.Time) string {
+	statesStarts := false
+	for _, departed := range o.departures[id] {
+		name := departed.Name()
+		if departed.Until && isPresent(now.Sub(o.withdrawn[name].messageAt)) {
+			return name
+		}
+		statesStarts = statesStarts || departed.StartUnixMillis != 0
+	}
+	all := incarnation.Incarnation{ID: id}
+	if _, left := o.withdrawn[all.Name()]; left && !statesStarts {
+		// An instance that states no starts is one incarnation.
+		return all.Name()
+	}
+	return incarnation.Departure{Incarnation: incarnation.Incarnation{ID: id, StartUnixMillis: uint64(now.UnixMilli())}, Until: true}.Name()
+}
+
+// presentNames returns the names of the incarnations with an ID that sent a heartbeat lately.
+func (o *Origin) presentNames(id string) (names []string) {
+	for _, instance := range o.Instances() {
+		if instance.identity.ID == id && isPresent(instance.heartbeatAge()) {
+			names = append(names, instance.Name)
+		}
 	}
 	return names
 }
 
+// isWithdrawn reports whether the incarnation with a name left permanently.
 func (o *Origin) isWithdrawn(name string) bool {
 	o.mutex.RLock()
 	defer o.mutex.RUnlock()
@@ -82,8 +142,15 @@
 
 // hasLeft reports whether an incarnation left permanently; the caller holds mutex.
 func (o *Origin) hasLeft(identity incarnation.Incarnation) bool {
-	_, withdrawn := o.withdrawn[identity.Name()]
-	return withdrawn
+	return slices.ContainsFunc(o.departures[identity.ID], func(d incarnation.Departure) bool { return d.Covers(identity) })
+}
+
+// isRecorded reports whether a departure is known by its name.
+func (o *Origin) isRecorded(name string) bool {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	_, recorded := o.withdrawn[name]
+	return recorded
 }
 
 // Withdrawn returns the names of the instances that left permanently.
@@ -102,42 +169,53 @@
 	for name, left := range o.withdrawn {
 		if time.Since(left.at) > departure.TTL {
 			delete(o.withdrawn, name)
+			o.forgetDeparture(incarnation.ParseDeparture(name))
 		}
 	}
 }
 
+// forgetDeparture removes an expired departure from departures; the caller holds mutex.
+func (o *Origin) forgetDeparture(expired incarnation.Departure) {
+	remaining := slices.DeleteFunc(o.departures[expired.ID], func(d incarnation.Departure) bool { return d == expired })
+	if len(remaining) == 0 {
+		delete(o.departures, expired.ID)
+		return
+	}
+	o.departures[expired.ID] = remaining
+}
+
 // laterWithdrawnStart returns the name of a later incarnation with the same ID that left
 // permanently less than presenceTimeout ago; empty if there is none. Heartbeats of the earlier
 // incarnation are then delayed ones. The caller holds mutex.
 func (o *Origin) laterWithdrawnStart(identity incarnation.Incarnation) string {
-	for name, left := range o.withdrawn {
-		withdrawn := incarnation.Parse(name)
-		if withdrawn.ID == identity.ID && withdrawn.StartedAfter(identity) && isPresent(time.Since(left.at)) {
-			return name
+	for _, departed := range o.departures[identity.ID] {
+		if departed.StartedAfter(identity) && isPresent(time.Since(o.withdrawn[departed.Name()].at)) {
+			return departed.Name()
 		}
 	}
 	return ""
 }
 
-// logHeartbeatAfterLeave logs the first heartbeat of an instance that left; the caller holds mutex.
+// logHeartbeatAfterLeave logs the first heartbeat that arrives after a departure that covers it; the caller
+// holds mutex.
 func (o *Origin) logHeartbeatAfterLeave(registration Registration) {
-	name := registration.incarnation().Name()
-	left := o.withdrawn[name]
-	if left.heartbeatLogged {
-		return
+	identity := registration.incarnation()
+	for _, departed := range o.departures[identity.ID] {
+		left := o.withdrawn[departed.Name()]
+		if !departed.Covers(identity) || left.heartbeatLogged {
+			continue
+		}
+		left.heartbeatLogged = true
+		o.withdrawn[departed.Name()] = left
+		o.config.Logger.Info("instance.beat_after_leave", "instance", identity.Name(), "sequence", registration.Sequence,
+			"left", departed.Name(), "known_ms", time.Since(left.at).Milliseconds())
 	}
-	left.heartbeatLogged = true
-	o.withdrawn[name] = left
-	o.config.Logger.Info("instance.beat_after_leave", "instance", name, "sequence", registration.Sequence,
-		"known_ms", time.Since(left.at).Milliseconds())
 }
 
 // withdrawnNames returns the names under which incarnations of an ID left; the caller holds mutex.
 func (o *Origin) withdrawnNames(id string) (names []string) {
-	for name := range o.withdrawn {
-		if incarnation.Parse(name).ID == id {
-			names = append(names, name)
-		}
+	for _, departed := range o.departures[id] {
+		names = append(names, departed.Name())
 	}
 	return names
 }
