A heartbeat without a start does not bring back an instance that left with one

Cause: the departure has the name of one incarnation, and a heartbeat that lacks the start, from another writer or cut short, has the bare id. Change: a departure of an id covers an incarnation whose start is not known. Measured: TestHeartbeatWithoutAStartDoesNotBringBackAnInstanceThatLeft failed before in its three cases and passes; the tests of the origin pass.

--- a/internal/model/incarnation/departure.go
+++ b/internal/model/incarnation/departure.go
@@ -38,14 +38,18 @@
 	return Departure{Incarnation: Incarnation{ID: name[:at], StartUnixMillis: until}, Until: true}
 }
 
-// Covers reports whether an incarnation has left with the departure. The times must be of one clock, that of the
-// machine. If that clock was set back since the departure, an incarnation that started since is covered too.
+// Covers reports whether an incarnation has left with the departure. One without a start may be any of its ID, and
+// so the one that left. The times must be of one clock, that of the machine. If that clock was set back since the
+// departure, an incarnation that started since is covered too.
 func (d Departure) Covers(i Incarnation) bool {
-	if i.ID != d.ID {
+	switch {
+	case i.ID != d.ID:
 		return false
-	}
-	if d.Until {
+	case i.StartUnixMillis == 0:
+		return true
+	case d.Until:
 		return i.StartUnixMillis <= d.StartUnixMillis
+	default:
+		return i == d.Incarnation
 	}
-	return i == d.Incarnation
 }
--- a/internal/model/incarnation/departure_test.go
+++ b/internal/model/incarnation/departure_test.go
@@ -25,7 +25,7 @@
 		covered   []string
 		not       []string
 	}{
-		"of one incarnation":  {"i-1@5", []string{"i-1@5"}, []string{"i-1@4", "i-1@6", "i-2@5"}},
+		"of one incarnation":  {"i-1@5", []string{"i-1@5", "i-1"}, []string{"i-1@4", "i-1@6", "i-2@5", "i-2"}},
 		"without a start":     {"i-1", []string{"i-1"}, []string{"i-1@5", "i-2"}},
 		"of all until a time": {"i-1@until-5", []string{"i-1@5", "i-1@4", "i-1"}, []string{"i-1@6", "i-2@4", "i-2"}},
 	} {
--- a/internal/requestpath/origin/departure_test.go
+++ b/internal/requestpath/origin/departure_test.go
@@ -382,3 +382,23 @@
 		}
 	}
 }
+
+// An instance leaves with its start, and a message without one follows.
+func TestHeartbeatWithoutAStartDoesNotBringBackAnInstanceThatLeft(t *testing.T) {
+	for name, leave := range leaves {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				running, stop := startWithDepartures(t, newDepartures())
+				defer stop()
+				heartbeat := startedRegistration(recentStart(time.Minute), 5)
+				assert.NilError(t, running.Heartbeat(t.Context(), heartbeat))
+				assert.NilError(t, leave(running, heartbeat))
+				for sequence := range uint64(4) {
+					assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(0, 20+sequence)))
+					time.Sleep(1500 * time.Millisecond)
+				}
+				assert.Equal(t, len(running.Advertised()), 0)
+			})
+		})
+	}
+}
