A drain without a start withdraws the instance that is known with one

Cause: a draining heartbeat without a start, from another writer or cut short, was recorded under the bare id and acknowledged; the instance that is known with its start stayed in service. Change: such a heartbeat stands for the same departures as a retirement without a start; repeated messages have one name and one write of the store. Measured: TestDrainWithoutAStartWithdrawsTheKnownInstance and TestDrainWithoutAStartHoldsForAnInstanceThatIsNotKnown failed before and pass.

--- a/internal/requestpath/origin/departure.go
+++ b/internal/requestpath/origin/departure.go
@@ -14,8 +14,7 @@
 // With an error the heartbeat must not be acknowledged. Errors: those of departure.Store.
 func (o *Origin) Heartbeat(ctx context.Context, registration Registration) error {
 	if registration.Draining {
-		o.Register(registration)
-		return o.storeDepartures(ctx, registration.incarnation().Name())
+		return o.storeDepartures(ctx, o.registerDraining(registration)...)
 	}
 	if o.mayRegister(ctx, registration) {
 		o.Register(registration)
--- a/internal/requestpath/origin/departure_test.go
+++ b/internal/requestpath/origin/departure_test.go
@@ -402,3 +402,40 @@
 		})
 	}
 }
+
+// The instance is registered with its start and drains without it.
+func TestDrainWithoutAStartWithdrawsTheKnownInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running, stop := startWithDepartures(t, newDepartures())
+		defer stop()
+		heartbeat := startedRegistration(recentStart(time.Minute), 5)
+		assert.NilError(t, running.Heartbeat(t.Context(), heartbeat))
+		draining := startedRegistration(0, 6)
+		draining.Draining = true
+		assert.NilError(t, running.Heartbeat(t.Context(), draining))
+		time.Sleep(settleTime)
+		assert.Equal(t, len(running.Advertised()), 0)
+		heartbeat.Sequence = 7
+		assert.NilError(t, running.Heartbeat(t.Context(), heartbeat))
+		assert.Equal(t, len(running.Advertised()), 0)
+	})
+}
+
+// The daemon has just started, and the heartbeat that is on its way has the start.
+func TestDrainWithoutAStartHoldsForAnInstanceThatIsNotKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newDepartures()
+		running, stop := startWithDepartures(t, store)
+		defer stop()
+		draining := startedRegistration(0, 6)
+		draining.Draining = true
+		for range 4 {
+			draining.Sequence++
+			assert.NilError(t, running.Heartbeat(t.Context(), draining))
+			time.Sleep(1500 * time.Millisecond)
+		}
+		assert.Equal(t, store.saves, 1)
+		assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(recentStart(time.Minute), 5)))
+		assert.Equal(t, len(running.Advertised()), 0)
+	})
+}
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -35,13 +35,13 @@
 // Register records a heartbeat; the first one registers the instance. After Register has returned
 // for a draining instance, no further call starts there.
 func (o *Origin) Register(registration Registration) {
-	instance, isNew := o.findOrRegister(registration)
-	isFresh := instance != nil && (isNew || instance.isFresh(registration.Sequence))
-	changed := instance != nil && instance.applyHeartbeat(registration, isNew)
 	if registration.Draining {
-		o.withdraw(registration.incarnation().Name(), withdrawnByHeartbeat)
+		o.registerDraining(registration)
 		return
 	}
+	instance, isNew := o.findOrRegister(registration)
+	isFresh := instance != nil && (isNew || instance.isFresh(registration.Sequence))
+	changed := instance != nil && instance.applyHeartbeat(registration, isNew)
 	if instance == nil {
 		return
 	}
@@ -51,6 +51,17 @@
 	}
 }
 
+// registerDraining records a heartbeat of an instance that leaves, and returns the names of its departure.
+func (o *Origin) registerDraining(registration Registration) (names []string) {
+	// The heartbeat itself must not make an incarnation present that was not known before.
+	names = o.departureNames(registration.incarnation())
+	if instance, isNew := o.findOrRegister(registration); instance != nil {
+		instance.applyHeartbeat(registration, isNew)
+	}
+	o.withdrawAnnounced(names, withdrawnByHeartbeat)
+	return names
+}
+
 // findOrRegister returns the instance that sent a heartbeat, and registers it if it is new; nil if
 // the heartbeat is ignored.
 func (o *Origin) findOrRegister(registration Registration) (instance *Instance, isNew bool) {
--- a/internal/requestpath/origin/withdrawal.go
+++ b/internal/requestpath/origin/withdrawal.go
@@ -73,24 +73,22 @@
 		if !o.isRecorded(name) {
 			o.config.Logger.Info("instance.retired", "instance", id, "start", startUnixMillis, "recorded", name)
 		}
-		o.withdraw(name, withdrawnByRetirement)
-		o.markMessage(name)
 	}
+	o.withdrawAnnounced(names, withdrawnByRetirement)
 	return names
 }
 
-// markMessage records that a message stands for a departure.
-func (o *Origin) markMessage(name string) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	if left, known := o.withdrawn[name]; known {
-		left.messageAt = time.Now()
-		o.withdrawn[name] = left
+// withdrawAnnounced withdraws the departures that a message of an instance stands for.
+func (o *Origin) withdrawAnnounced(names []string, by string) {
+	for _, name := range names {
+		o.withdraw(name, by)
+		o.markMessage(name)
 	}
 }
 
 // departureNames returns the names under which to record a message that an incarnation leaves. A message without
-// a start stands for the present incarnations of its ID, or for all that may have sent it if none is present.
+// a start stands for the present incarnations of its ID that have not left yet. If there are none, it repeats a
+// message that arrived shortly before, or stands for all incarnations that may have sent it.
 func (o *Origin) departureNames(stated incarnation.Incarnation) []string {
 	if stated.StartUnixMillis != 0 {
 		return []string{stated.Name()}
@@ -100,39 +98,56 @@
 	}
 	o.mutex.RLock()
 	defer o.mutex.RUnlock()
-	return []string{o.nameOfAll(stated.ID, time.Now())}
-}
-
-// nameOfAll returns the name for the departure of all incarnations of an ID. An instance repeats its message
-// until it is acknowledged, and may send another one as it ends; these have one name, because each name is a
-// write of the store. The caller holds mutex.
-func (o *Origin) nameOfAll(id string, now time.Time) string {
-	statesStarts := false
-	for _, departed := range o.departures[id] {
-		name := departed.Name()
-		if departed.Until && isPresent(now.Sub(o.withdrawn[name].messageAt)) {
-			return name
-		}
-		statesStarts = statesStarts || departed.StartUnixMillis != 0
-	}
-	all := incarnation.Incarnation{ID: id}
-	if _, left := o.withdrawn[all.Name()]; left && !statesStarts {
-		// An instance that states no starts is one incarnation.
-		return all.Name()
+	now := time.Now()
+	if repeated := o.announcedNames(stated.ID, now); len(repeated) > 0 {
+		return repeated
 	}
-	return incarnation.Departure{Incarnation: incarnation.Incarnation{ID: id, StartUnixMillis: uint64(now.UnixMilli())}, Until: true}.Name()
+	return []string{o.nameOfAll(stated.ID, now)}
 }
 
-// presentNames returns the names of the incarnations with an ID that sent a heartbeat lately.
+// presentNames returns the names of the incarnations with an ID that sent a heartbeat lately and have not left.
 func (o *Origin) presentNames(id string) (names []string) {
 	for _, instance := range o.Instances() {
-		if instance.identity.ID == id && isPresent(instance.heartbeatAge()) {
+		if instance.identity.ID == id && isPresent(instance.heartbeatAge()) && !o.isWithdrawn(instance.Name) {
 			names = append(names, instance.Name)
 		}
 	}
 	return names
 }
 
+// announcedNames returns the names of the departures of an ID that a message lately stood for. An instance
+// repeats its message until it is acknowledged, and may send another one as it ends; all have one name, because
+// each name is a write of the store. The caller holds mutex.
+func (o *Origin) announcedNames(id string, now time.Time) (names []string) {
+	for _, departed := range o.departures[id] {
+		if name := departed.Name(); isPresent(now.Sub(o.withdrawn[name].messageAt)) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// nameOfAll returns the name for the departure of all incarnations of an ID; the caller holds mutex.
+func (o *Origin) nameOfAll(id string, now time.Time) string {
+	all := incarnation.Departure{Incarnation: incarnation.Incarnation{ID: id, StartUnixMillis: uint64(now.UnixMilli())}, Until: true}
+	statesStarts := func(d incarnation.Departure) bool { return d.StartUnixMillis != 0 }
+	if departures := o.departures[id]; len(departures) > 0 && !slices.ContainsFunc(departures, statesStarts) {
+		// An instance that states no starts is one incarnation, which has left.
+		return departures[0].Name()
+	}
+	return all.Name()
+}
+
+// markMessage records that a message stands for a departure.
+func (o *Origin) markMessage(name string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if left, known := o.withdrawn[name]; known {
+		left.messageAt = time.Now()
+		o.withdrawn[name] = left
+	}
+}
+
 // isWithdrawn reports whether the incarnation with a name left permanently.
 func (o *Origin) isWithdrawn(name string) bool {
 	o.mutex.RLock()
