Response heads of instances are bounded

What callers saw: the daemon beside a faulty instance ended, with all requests that it carried. Cause: http.ReadResponse keeps a head, a field or a status line of any size, and its error quotes a malformed line whole. Change: what is read from an instance until the end of a head is limited to 64 KiB and 256 lines an exchange, interim answers to 16, the error's text to 200 bytes. Beyond that the call ends as one whose outcome is unknown, and the connection is closed. Bodies, chunk lines and trailers were bounded before.

--- a/internal/lab/emulator/instance/instance.go
+++ b/internal/lab/emulator/instance/instance.go
@@ -56,8 +56,20 @@
 	OnFull OnFull
 	// Silent makes the instance stop answering requests and sending heartbeats.
 	Silent bool
+	// Endless is what the instance answers to requests that it has run; the zero value is none.
+	Endless EndlessAnswer
 }
 
+// EndlessAnswer is an answer that goes on until the other side closes the connection.
+type EndlessAnswer struct {
+	// Opening is sent once, with the ID of the request in place of RequestIDPlaceholder, and Repeated
+	// again and again.
+	Opening, Repeated string
+}
+
+// RequestIDPlaceholder stands for the ID of the request in EndlessAnswer.Opening.
+const RequestIDPlaceholder = "{request-id}"
+
 // OnFull is the treatment of a request beyond the capacity of an instance.
 type OnFull int
 
--- a/internal/lab/emulator/instance/serve.go
+++ b/internal/lab/emulator/instance/serve.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/promise"
@@ -151,6 +152,11 @@
 	defer i.releaseSlot()
 	behaviour := i.currentBehaviour()
 	stamp := i.run(request, id, body)
+	if behaviour.Endless.Repeated != "" {
+		i.options.Ledger.RunFailed(stamp)
+		behaviour.Endless.write(conn, id)
+		return connectionClosed
+	}
 	status := http.StatusOK
 	if name := request.Header.Get(HeaderCrash); name != "" {
 		i.options.Ledger.RunFailed(stamp)
@@ -167,6 +173,14 @@
 	return i.answer(conn, request, behaviour, status, stamp)
 }
 
+// write sends the answer to the request with an ID until the connection ends.
+func (e EndlessAnswer) write(conn net.Conn, id string) {
+	_, err := io.WriteString(conn, strings.ReplaceAll(e.Opening, RequestIDPlaceholder, id))
+	for err == nil {
+		_, err = io.WriteString(conn, e.Repeated)
+	}
+}
+
 // crashUnder crashes the instance after it has worked on a poison request for a service time.
 func (i *Instance) crashUnder(name string) {
 	if !sleep.For(i.stopped, i.options.ServiceTime) {
--- a/internal/requestpath/origin/connection.go
+++ b/internal/requestpath/origin/connection.go
@@ -31,6 +31,8 @@
 // connection is one connection to a back end. It carries one exchange at a time.
 type connection struct {
 	net.Conn
+	// heads limits the response heads that reader reads.
+	heads  *headLimiter
 	reader *bufio.Reader
 	writer *bufio.Writer
 	// reused is true from the second exchange on.
@@ -121,8 +123,9 @@
 		}
 		return nil, result.Wrap(result.CallNotRunUnreachable, err, "connecting to %s", p.address)
 	}
+	heads := &headLimiter{source: raw}
 	return &connection{
-		Conn: raw, reader: bufio.NewReaderSize(raw, backendBufferBytes),
+		Conn: raw, heads: heads, reader: bufio.NewReaderSize(heads, backendBufferBytes),
 		writer: bufio.NewWriterSize(raw, backendBufferBytes), idleTimeout: backendIdleTimeout,
 	}, nil
 }
--- a/internal/requestpath/origin/exchange.go
+++ b/internal/requestpath/origin/exchange.go
@@ -52,6 +52,7 @@
 	} else {
 		go e.write()
 	}
+	e.conn.heads.beginExchange()
 	for range maxStaleResponses + 1 {
 		response, err := e.readHead()
 		if err != nil {
@@ -77,12 +78,31 @@
 
 // readHead reads a response head and skips informational (1xx) responses.
 func (e *exchange) readHead() (*http.Response, error) {
-	for {
+	for range maxInterimResponses + 1 {
+		e.conn.heads.beginHead()
 		response, err := http.ReadResponse(e.conn.reader, e.request)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if e.conn.heads.endHead() {
+			return nil, errResponseHeadTooLong
 		}
+		if err != nil {
+			return nil, shortened(err)
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, errTooManyInterimResponses
+}
+
+// maxFaultBytes limits the text of an error about a response head. net/http quotes all of a malformed line, and the
+// text goes into the log and to the daemon of the caller.
+const maxFaultBytes = 200
+
+func shortened(err error) error {
+	if text := err.Error(); len(text) > maxFaultBytes {
+		return errors.New(text[:maxFaultBytes] + "...")
 	}
+	return err
 }
 
 // matchesRequestID reports whether a response belongs to this request, by the request ID that the
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -11,6 +11,7 @@
 internal/model/meshconfig FuzzParseFile
 internal/model/meshconfig FuzzDecodeBundle
 internal/operators/query FuzzParse
+internal/requestpath/origin FuzzResponseHead
 internal/requestpath/gateway FuzzCheckFraming
 internal/requestpath/gateway/pipeline FuzzPipelinedBytes
 platform FuzzHeartbeat
