Soak: instances leave at a daemon that stops or has just started

Cause: leaves met daemons that ended after the acknowledgement only. Change: the daemon beside the instance may be killed or stopped as it leaves.

--- a/internal/lab/soak/leaves_test.go
+++ b/internal/lab/soak/leaves_test.go
@@ -18,7 +18,7 @@
 // TestAcknowledgedLeaveOutlastsProcesses plays days on which an instance leaves and daemons end right after
 // the acknowledgement: its own, some, all, at once or in series. Heartbeats that it sent before the leave
 // arrive late, one after the other, while the store may refuse, and it must get no more requests. On some days
-// instances retire without their start, and leave at a daemon that has just started.
+// instances retire without their start. They may leave at a daemon that stops or has just started.
 func TestAcknowledgedLeaveOutlastsProcesses(t *testing.T) {
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seedCount); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playLeaves(t, seed) })
@@ -66,10 +66,19 @@
 	spread := time.Duration(random.IntN(3)) * 300 * time.Millisecond
 	skipDrain := random.IntN(2) == 0
 	var ending sync.WaitGroup
-	if random.IntN(2) == 0 {
-		ended := machine.Daemon().Done()
-		ending.Go(func() { assert.Check(t, machine.Kill(time.Duration(random.Float64()*float64(100*time.Millisecond)))) })
-		<-ended
+	downtime := time.Duration(random.Float64() * float64(100*time.Millisecond))
+	switch process := machine.Daemon(); random.IntN(4) {
+	case 0:
+		ending.Go(func() { assert.Check(t, machine.Kill(downtime)) })
+		<-process.Done()
+	case 1:
+		ending.Go(func() {
+			_, err := machine.RestartDaemon(downtime)
+			assert.Check(t, err)
+		})
+		if random.IntN(2) == 0 {
+			<-process.Done()
+		}
 	}
 	acknowledged := leaving.Leave(ctx, skipDrain)
 	assert.Assert(t, acknowledged)
