--- a/internal/lab/emulator/day/site.go
+++ b/internal/lab/emulator/day/site.go
@@ -66,24 +66,29 @@
 	if _, err := site.Declare(routes); err != nil {
 		return nil, err
 	}
-	for index, placement := range options.Machines {
-		machine := &Machine{
-			Name: fmt.Sprintf("machine-%s-%d", placement.Zone, index+1), Zone: placement.Zone, Service: placement.Service, site: site, host: newHost(),
-		}
-		site.Machines = append(site.Machines, machine)
-		if machine.storeAddress, err = store.ListenAlso("127.0.0.1:0"); err != nil {
-			return site, err
-		}
-		if err := machine.start(); err != nil {
-			return site, err
-		}
-		if err := machine.startInstance(machine.Service, "", "", warm); err != nil {
+	for _, placement := range options.Machines {
+		if _, err := site.AddMachine(placement); err != nil {
 			return site, err
 		}
 	}
 	return site, site.AwaitReady(ctx)
 }
 
+// AddMachine starts a further machine. It must not be called while others use Machines.
+func (s *Site) AddMachine(placement Placement) (machine *Machine, err error) {
+	machine = &Machine{
+		Name: fmt.Sprintf("machine-%s-%d", placement.Zone, len(s.Machines)+1), Zone: placement.Zone, Service: placement.Service, site: s, host: newHost(),
+	}
+	s.Machines = append(s.Machines, machine)
+	if machine.storeAddress, err = s.Store.ListenAlso("127.0.0.1:0"); err != nil {
+		return machine, err
+	}
+	if err := machine.start(); err != nil {
+		return machine, err
+	}
+	return machine, machine.startInstance(machine.Service, "", "", warm)
+}
+
 // Close ends all daemons and instances and the store immediately.
 func (s *Site) Close() {
 	s.mutex.Lock()
--- a/internal/lab/emulator/objectstore/server.go
+++ b/internal/lab/emulator/objectstore/server.go
@@ -5,6 +5,7 @@
 package objectstore
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"math/rand/v2"
@@ -61,6 +62,8 @@
 	random *rand.Rand
 	// watchCancels holds a channel for each listen address; closing it ends the watches that wait there.
 	watchCancels map[string]chan struct{}
+	// texts holds the texts that stand for placeholders in specs (PutText).
+	texts map[string]string
 	// reported is the newest revision in an answer to a list or watch, by kind.
 	reported map[string]uint64
 }
@@ -75,7 +78,7 @@
 		table: newTable(), listener: listener, withoutEra: options.WithoutEra,
 		reads: newLimiter(options.ReadsPerSecond), writes: newLimiter(options.WritesPerSecond),
 		disrupted: options.Disrupted,
-		random:    rand.New(rand.NewPCG(options.Seed, 1)), watchCancels: map[string]chan struct{}{}, reported: map[string]uint64{},
+		random:    rand.New(rand.NewPCG(options.Seed, 1)), watchCancels: map[string]chan struct{}{}, reported: map[string]uint64{}, texts: map[string]string{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PathObjects, server.serve)
@@ -124,6 +127,16 @@
 	return nil
 }
 
+// PutText writes a text as an object's spec, which may be none that encoding/json accepts, such as one that is nested
+// too deep.
+func (s *Server) PutText(kind, name, text string) error {
+	placeholder := "text of " + kind + "/" + name
+	s.mutex.Lock()
+	s.texts[placeholder] = text
+	s.mutex.Unlock()
+	return s.PutSpec(kind, name, placeholder)
+}
+
 // ReportedRevision returns the newest revision in an answer to a list or watch of a kind.
 func (s *Server) ReportedRevision(kind string) uint64 {
 	s.mutex.Lock()
@@ -133,7 +146,7 @@
 
 // answerAtRevision answers a list or watch of a kind and records the revision as reported.
 func (s *Server) answerAtRevision(w http.ResponseWriter, kind string, revision uint64, value any) {
-	writeJSON(s.throttled(w), value)
+	s.writeJSON(s.throttled(w), value)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.reported[kind] = max(s.reported[kind], revision)
@@ -182,7 +195,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		writeJSON(w, object)
+		s.writeJSON(w, object)
 		return
 	}
 	query := r.URL.Query()
@@ -266,9 +279,9 @@
 	case outcome.conflict:
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusConflict)
-		_ = json.NewEncoder(w).Encode(outcome.object)
+		_, _ = w.Write(s.encode(outcome.object))
 	default:
-		writeJSON(w, outcome.object)
+		s.writeJSON(w, outcome.object)
 	}
 }
 
@@ -303,9 +316,23 @@
 	return pieces[0], pieces[1], pieces[2]
 }
 
-func writeJSON(w http.ResponseWriter, value any) {
+func (s *Server) writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
+	_, _ = w.Write(s.encode(value))
+}
+
+// encode encodes an answer, with texts in place of their placeholders.
+func (s *Server) encode(value any) []byte {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // Each answer consists of objects that were decoded, or encoded before.
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for placeholder, text := range s.texts {
+		encoded = bytes.ReplaceAll(encoded, []byte(strconv.Quote(placeholder)), []byte(text))
+	}
+	return encoded
 }
 
 // closeConnection closes the connection without an answer.
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -398,7 +398,10 @@
 	for number := 0; sleepAround(ctx, random, 300*time.Millisecond); number++ {
 		machine, other := d.site.Machines[random.IntN(len(d.site.Machines))], d.site.Machines[random.IntN(len(d.site.Machines))]
 		entry := malformedEntries[random.IntN(len(malformedEntries))]
-		assert.Check(d.t, d.site.Store.PutSpec("lapisvane-members", fmt.Sprintf("spoiled-%d", number%4), entry))
+		assert.Check(d.t, d.site.Store.PutSpec(kindMembers, fmt.Sprintf("spoiled-%d", number%4), entry))
+		if number%8 == 0 {
+			assert.Check(d.t, d.site.Store.PutText(kindMembers, "spoiled-nested", nestedEntry))
+		}
 		heartbeat := fmt.Sprintf(malformedHeartbeats[random.IntN(len(malformedHeartbeats))], other.Instance().Address())
 		d.putHeartbeat(ctx, machine, machine.Instance().ID(), heartbeat)
 	}
