--- a/internal/lab/soak/endlessanswer_test.go
+++ b/internal/lab/soak/endlessanswer_test.go
@@ -12,10 +12,8 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
-	"github.com/lapisvane/lapisvane/internal/daemon/settings"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/day"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/instance"
 	"github.com/lapisvane/lapisvane/platform"
@@ -69,18 +67,9 @@
 // on and hold its memory within the bound, and serve an ordinary request once the instance is sound again.
 func testEndlessAnswer(t *testing.T, opening, repeated string) {
 	t.Helper()
-	processes := newLauncher(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 4*waitTimeout)
 	defer cancel()
-	launch := func(config *settings.Daemon, logger logr.Logger) (day.Process, error) {
-		config.MemoryMegabytes = maxResidentBytes >> 20
-		return processes.launch(config, logger)
-	}
-	site, err := day.Start(ctx, options(launch, 1, 3), day.StandardRoutes())
-	if site != nil {
-		defer site.Close()
-	}
-	assert.NilError(t, err)
+	site := startSmallSite(ctx, t)
 	machine := site.Machines[0]
 	running := processOf(t, machine)
 	machine.Instance().Set(instance.Behaviour{Endless: instance.EndlessAnswer{Opening: opening, Repeated: repeated}})
--- a/internal/lab/soak/misuse_test.go
+++ b/internal/lab/soak/misuse_test.go
@@ -193,22 +193,29 @@
 func instanceAddress(running *process) string  { return running.addresses.Instances }
 func metricsAddress(running *process) string   { return running.addresses.Metrics }
 
-// testMisuse lets clients misuse one address of a daemon. The daemon must live on, hold its memory and
-// its descriptors within the bounds, and serve an ordinary request afterwards.
-func testMisuse(t *testing.T, addressOf func(*process) string, kind misuse) {
+// startSmallSite starts a site of three machines whose daemons are set to maxResidentBytes of memory.
+func startSmallSite(ctx context.Context, t *testing.T) *day.Site {
 	t.Helper()
 	processes := newLauncher(t)
-	ctx, cancel := context.WithTimeout(context.Background(), 4*waitTimeout)
-	defer cancel()
 	launch := func(config *settings.Daemon, logger logr.Logger) (day.Process, error) {
 		config.MemoryMegabytes = maxResidentBytes >> 20
 		return processes.launch(config, logger)
 	}
 	site, err := day.Start(ctx, options(launch, 1, 3), day.StandardRoutes())
 	if site != nil {
-		defer site.Close()
+		t.Cleanup(site.Close)
 	}
 	assert.NilError(t, err)
+	return site
+}
+
+// testMisuse lets clients misuse one address of a daemon. The daemon must live on, hold its memory and
+// its descriptors within the bounds, and serve an ordinary request afterwards.
+func testMisuse(t *testing.T, addressOf func(*process) string, kind misuse) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*waitTimeout)
+	defer cancel()
+	site := startSmallSite(ctx, t)
 	machine := site.Machines[0]
 	running := processOf(t, machine)
 	address := addressOf(running)
