Whether a machine is found no longer hangs on which of two instances a request goes to

Traced in a second case, 1 of 45 runs with lines (2,958 ms): the added machine was linked 0.2 s after its start and its instance registered after 0.3 s, and eleven single requests one after the other went to the other instance of the service, which is as near and as free. The test measured the chance of the choice, not the fault.

Change: eight requests wait for their answers at once, so that the choice by load takes both instances. The bound, the entries and the end-to-end check by a request that reached the added instance stay as they were.

--- a/internal/lab/soak/oddentry_test.go
+++ b/internal/lab/soak/oddentry_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -70,13 +72,27 @@
 	}
 }
 
+// requestsAtOnce is the number of requests that wait for their answers at the same time. A single one goes
+// to the other instance as often as chance has it, although the added one is known.
+const requestsAtOnce = 8
+
 // awaitFound sends requests to a machine until the instance of an added one gets one of them, and returns when.
 func awaitFound(ctx context.Context, t *testing.T, site *day.Site, machine, added *day.Machine) time.Time {
 	t.Helper()
 	before := added.Instance().Received()
-	for number := 0; ctx.Err() == nil; number++ {
-		status := requestStock(ctx, site, machine, fmt.Sprintf("%s-stock-%d", machine.Name, number))
-		if status == http.StatusOK && added.Instance().Received() > before {
+	for round := 0; ctx.Err() == nil; round++ {
+		var answered atomic.Int64
+		var sending sync.WaitGroup
+		for number := range requestsAtOnce {
+			sending.Go(func() {
+				id := fmt.Sprintf("%s-stock-%d-%d", machine.Name, round, number)
+				if requestStock(ctx, site, machine, id) == http.StatusOK {
+					answered.Add(1)
+				}
+			})
+		}
+		sending.Wait()
+		if answered.Load() > 0 && added.Instance().Received() > before {
 			return time.Now()
 		}
 		time.Sleep(20 * time.Millisecond)
