--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, err
 	}
-	path := filepath.Join(l.directory, config.Node+".yaml")
+	path := l.settingsPath(config.Node)
 	// The settings file is YAML, which includes JSON.
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, err
@@ -145,6 +145,9 @@
 	return started, nil
 }
 
+// settingsPath returns the path of a node's settings file.
+func (l *launcher) settingsPath(node string) string { return filepath.Join(l.directory, node+".yaml") }
+
 // killAll kills the processes that still run, and logs the output of each with -soak.verbose.
 func (l *launcher) killAll() {
 	l.mutex.Lock()
