A SIGHUP during a start does not end the daemon

Cause: the default action of SIGHUP ends a process, and the Go runtime catches SIGHUP and then ends the process by it until signal.Notify runs. Before that come the dynamic loader, the runtime and 201 package initialisations, 5 to 7 ms idle and more beside load. Callers of the platform who announce changed settings while a daemon starts saw it end with "signal: hangup" and no line.

Change: package ignorehangup, imported by lapisvaned, ignores SIGHUP from a C constructor, before the runtime; the runtime leaves an ignored SIGHUP until signal.Notify, after which Main reads the settings.

--- a/cmd/lapisvaned/main.go
+++ b/cmd/lapisvaned/main.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/lapisvane/lapisvane/internal/daemon"
+	_ "github.com/lapisvane/lapisvane/internal/daemon/ignorehangup"
 	"github.com/lapisvane/lapisvane/platform"
 )
 
--- /dev/null
+++ b/internal/daemon/ignorehangup/constructor.go
@@ -0,0 +1,5 @@
+//go:build cgo
+
+package ignorehangup
+
+import "C" // Compiles constructor.c.
--- a/internal/lab/soak/disposition_test.go
+++ b/internal/lab/soak/disposition_test.go
@@ -1,11 +1,15 @@
 package soak_test
 
 import (
+	"debug/buildinfo"
 	"fmt"
 	"os"
 	"strconv"
 	"strings"
 	"syscall"
+	"testing"
+
+	"gotest.tools/v3/assert"
 )
 
 // dispositions are the signals that a process ignores or catches, as bit sets of /proc/PID/status (see
@@ -35,3 +39,16 @@
 func (d dispositions) survives(signal syscall.Signal) bool {
 	return (d.ignored|d.caught)>>(signal-1)&1 == 1
 }
+
+// builtWithCgo reports whether lapisvaned was built with cgo.
+func builtWithCgo(t *testing.T) bool {
+	t.Helper()
+	info, err := buildinfo.ReadFile(program)
+	assert.NilError(t, err)
+	for _, setting := range info.Settings {
+		if setting.Key == "CGO_ENABLED" {
+			return setting.Value == "1"
+		}
+	}
+	return false
+}
