A start that fails leaves one log line with step, subject, code and exit status

Cause: a start that failed wrote one line of plain text to standard error, without time, node, event or step, so that collected logs could not tell a taken address from a settings file that was not whole, nor either from a process that had never been started at all.

The plain text on standard error and the exit code 2 stay. No decision changes; a command line that cannot be parsed still has the plain text only.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/lapisvane/lapisvane/internal/daemon/metrics"
 	"github.com/lapisvane/lapisvane/internal/daemon/platformapi"
 	"github.com/lapisvane/lapisvane/internal/daemon/settings"
+	"github.com/lapisvane/lapisvane/internal/daemon/startup"
 	"github.com/lapisvane/lapisvane/internal/distribution/objectapi"
 	"github.com/lapisvane/lapisvane/internal/distribution/tree"
 	"github.com/lapisvane/lapisvane/internal/transport/peer"
@@ -65,11 +66,12 @@
 	PlatformDial objectapi.DialFunc
 }
 
-// New assembles a daemon and opens its listeners. Errors name the setting at fault.
+// New assembles a daemon and opens its listeners. Errors: *startup.Error, whose text names the setting
+// at fault.
 func New(config *settings.Daemon, options Options) (*Daemon, error) {
 	network, err := networkOf(config, options)
 	if err != nil {
-		return nil, err
+		return nil, startup.Failed(startup.StepPeerTLS, config.PeerTLS.Certificate, err)
 	}
 	d := &Daemon{
 		logger:   options.Logger.WithValues("node", config.Node),
--- /dev/null
+++ b/internal/daemon/launch_test.go
@@ -0,0 +1,42 @@
+package daemon
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/lapisvane/lapisvane/internal/shared/cli"
+)
+
+func TestFailedStartIsLoggedOnOneLine(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = taken.Close() }()
+	address := taken.Addr().String()
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	for name, row := range map[string]struct{ content, want string }{
+		"two faults":       {"node: a\n", `node=a step=settings subject=` + path + ` code=1004 name=settings-missing detail="1004 settings-missing: zone\n`},
+		"unknown key":      {settingsText + "colour: red\n", `node="" step=settings subject=` + path + ` code=1002 `},
+		"unknown platform": {strings.Replace(settingsText, "{addresses", "{form: other, addresses", 1), `node=a step=platform subject=other code=1005 `},
+		"taken address":    {settingsText + "caller_address: " + address + "\n", `node=a step=caller_address subject=` + address + ` code=1003 `},
+		"no certificate":   {settingsText + "peer_tls: {certificate: /nowhere/c, key: k, authority: a}\n", `node=a step=peer_tls subject=/nowhere/c code=1006 `},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.NilError(t, os.WriteFile(path, []byte(row.content), 0o600))
+			var output, stderr bytes.Buffer
+			starting := newLaunch(&daemonFlags{Settings: path}, nil, &output)
+			_, err := starting.run()
+			assert.Assert(t, err != nil)
+			assert.Equal(t, starting.fail(&stderr, err), cli.ExitUsage)
+			assert.Equal(t, strings.Count(output.String(), "\n"), 1)
+			assert.Assert(t, strings.Contains(output.String(), "level=error event=daemon.start_failed "+row.want), output.String())
+			assert.Assert(t, strings.HasSuffix(output.String(), " status=2\n"), output.String())
+			assert.Equal(t, stderr.String(), err.Error()+"\n")
+		})
+	}
+}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -6,6 +6,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/lapisvane/lapisvane/internal/daemon/settings"
+	"github.com/lapisvane/lapisvane/internal/daemon/startup"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 	"github.com/lapisvane/lapisvane/internal/shared/socket"
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
@@ -17,10 +18,11 @@
 }
 
 // listen opens the sockets for the addresses in the settings. After an error no socket is left open.
-// Errors: SettingsBadAddress with the key, and those of the network between daemons.
+// Errors: *startup.Error with the key as its step and the address as its subject; its cause is
+// SettingsBadAddress, or an error of the network between daemons.
 func listen(network wire.Network, config *settings.Daemon, logger logr.Logger) (opened listeners, err error) {
 	if opened.peer, err = network.Listen(config.PeerAddress); err != nil {
-		return listeners{}, err
+		return listeners{}, startup.Failed("peer_address", config.PeerAddress, err)
 	}
 	opened.peer = socket.KeepAccepting(opened.peer, logger)
 	plain := []struct {
@@ -41,7 +43,8 @@
 		listener, err := net.Listen("tcp", entry.address)
 		if err != nil {
 			opened.close()
-			return listeners{}, result.Wrap(result.SettingsBadAddress, err, "%s", entry.key)
+			fault := result.Wrap(result.SettingsBadAddress, err, "%s", entry.key)
+			return listeners{}, startup.Failed(entry.key, entry.address, fault)
 		}
 		*entry.listener = socket.KeepAccepting(listener, logger)
 	}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -14,7 +14,6 @@
 	"github.com/lapisvane/lapisvane/internal/daemon/settings"
 	"github.com/lapisvane/lapisvane/internal/shared/cli"
 	"github.com/lapisvane/lapisvane/internal/shared/logging"
-	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
 // daemonFlags are the command line options. They override the settings file.
@@ -79,38 +78,33 @@
 	if _, code, done := cli.Parse(parser, arguments); done {
 		return code
 	}
-	config, err := settings.ReadDaemon(options.Settings, options.apply)
-	if err != nil {
-		return cli.Fail(os.Stderr, err, cli.ExitUsage)
-	}
 	if options.CheckOnly {
-		return cli.ExitOK
+		return checkSettings(options)
 	}
 	QuietHTTPLibrary()
-	limitRuntimeMemory(config)
 	output := logging.NewAsyncWriter(os.Stdout)
 	defer output.Close()
-	logger := logging.New(output, config.Verbosity)
-	daemonOptions := Options{Logger: logger}
-	if form := config.Platform.Form; form != "" {
-		adapter, known := adapters[form]
-		if !known {
-			return cli.Fail(os.Stderr, result.Errorf(result.SettingsBadNumber, "platform.form: unknown platform %q", form), cli.ExitUsage)
-		}
-		daemonOptions.Platform = adapter(config.Platform.Addresses[0], logger)
-	}
-	running, err := New(config, daemonOptions)
+	starting := newLaunch(options, adapters, output)
+	running, err := starting.run()
 	if err != nil {
-		return cli.Fail(os.Stderr, err, cli.ExitUsage)
+		return starting.fail(os.Stderr, err)
 	}
 	watchSettings(running, options, signals.Reload())
-	go logRepeated(logger, signals.Repeated())
+	go logRepeated(running.logger, signals.Repeated())
 	if cut := running.Run(signals.Stop(), signals.Force()); cut > 0 {
 		return cli.ExitFailed
 	}
 	return cli.ExitOK
 }
 
+// checkSettings checks the settings once and returns the exit code.
+func checkSettings(options *daemonFlags) int {
+	if _, err := settings.ReadDaemon(options.Settings, options.apply); err != nil {
+		return cli.Fail(os.Stderr, err, cli.ExitUsage)
+	}
+	return cli.ExitOK
+}
+
 // Adapter creates the adapter to the platform at an address.
 type Adapter func(address string, logger logr.Logger) platformapi.Platform
 
