--- a/internal/lab/soak/startsignals_test.go
+++ b/internal/lab/soak/startsignals_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net/http"
 	"os"
 	"strings"
 	"syscall"
@@ -10,8 +9,6 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/lapisvane/lapisvane/platform"
 )
 
 // Guards against a reload of the settings that ends a starting process: "signal: hangup" without a line.
@@ -28,7 +25,7 @@
 	t.Run("repeated until ready", func(t *testing.T) {
 		for range repeatedRounds {
 			reloadDuringStart(t, func(running *process) {
-				for !running.hasExited() && !isReady(running) {
+				for !running.hasExited() && !isReady(t.Context(), running) {
 					running.signal(syscall.SIGHUP)
 				}
 			})
@@ -89,21 +86,10 @@
 	assert.NilError(t, os.Rename(path+".new", path))
 }
 
-// isReady reports whether the readiness check of a daemon succeeds.
-func isReady(running *process) bool {
-	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + running.addresses.Readiness + platform.PathReadiness)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // awaitReady waits until a daemon is ready. It must not exit meanwhile.
 func awaitReady(t *testing.T, running *process) {
 	t.Helper()
-	awaitCondition(t, running, "is not ready", func() bool { return isReady(running) })
+	awaitCondition(t, running, "is not ready", func() bool { return isReady(t.Context(), running) })
 }
 
 // awaitLine returns the first line with event in the output beyond the byte offset.
