A start waits for addresses that are taken, all or none, up to start_limit

Cause: New opened each address once, and one failure ended the process with status 2, also where the predecessor on the same addresses was about to end or the machine got its address later.

Change: package startup classes the errors of the system and repeats the step after 5 to 100 ms until start_limit (1 min) from the start of the process; at the limit the exit code is 3. All addresses are opened in one attempt, the callers' last, and closed again if one is missing. A stop signal ends the wait with status 0. Lines daemon.start_waiting, _resumed and _stopped.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -64,10 +64,12 @@
 	SimulateKill bool
 	// PlatformDial overrides the dial function for the platform; nil means plain TCP.
 	PlatformDial objectapi.DialFunc
+	// Start repeats the steps that fail for a reason that may pass; nil makes one attempt of each.
+	Start *startup.Waiter
 }
 
-// New assembles a daemon and opens its listeners. Errors: *startup.Error, whose text names the setting
-// at fault.
+// New assembles a daemon and opens its listeners. Errors: startup.ErrStopped, or *startup.Error, whose
+// text names the setting at fault.
 func New(config *settings.Daemon, options Options) (*Daemon, error) {
 	network, err := networkOf(config, options)
 	if err != nil {
@@ -78,7 +80,11 @@
 		registry: prometheus.NewRegistry(), counters: &wire.Counters{}, callCounters: &wire.Counters{},
 	}
 	d.settings.Store(config)
-	if d.listeners, err = listen(network, config, d.logger); err != nil {
+	err = options.Start.Do(func() (err error) {
+		d.listeners, err = listen(network, config, d.logger)
+		return err
+	})
+	if err != nil {
 		return nil, err
 	}
 	mode := chooseMode(d, config, options)
--- a/internal/daemon/launch.go
+++ b/internal/daemon/launch.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -21,22 +22,27 @@
 	output   io.Writer
 	logger   logr.Logger
 	// node is the name of the machine, or empty while it is unknown.
-	node string
+	node   string
+	waiter startup.Waiter
 }
 
-// newLaunch returns a launch that logs events to output.
-func newLaunch(options *daemonFlags, adapters map[string]Adapter, output io.Writer) *launch {
-	return &launch{options: options, adapters: adapters, output: output, logger: logging.New(output, 0), node: options.Node}
+// newLaunch returns a launch that logs events to output and ends when stop or force is closed.
+func newLaunch(options *daemonFlags, adapters map[string]Adapter, output io.Writer, stop, force <-chan struct{}) *launch {
+	return &launch{
+		options: options, adapters: adapters, output: output, logger: logging.New(output, 0), node: options.Node,
+		waiter: startup.Waiter{Stop: stop, Force: force, Began: time.Now()},
+	}
 }
 
-// run performs the steps. Errors: *startup.Error.
+// run performs the steps. Errors: startup.ErrStopped, *startup.Error.
 func (l *launch) run() (*Daemon, error) {
 	config, err := l.readSettings()
 	if err != nil {
 		return nil, err
 	}
 	limitRuntimeMemory(config)
-	daemonOptions := Options{Logger: l.logger}
+	l.waiter.Logger, l.waiter.Limit = l.logger.WithValues("node", l.node), config.StartLimit.Get()
+	daemonOptions := Options{Logger: l.logger, Start: &l.waiter}
 	if form := config.Platform.Form; form != "" {
 		adapter, known := l.adapters[form]
 		if !known {
@@ -61,14 +67,21 @@
 	return config, nil
 }
 
-// fail logs the failure of the start, prints it to stderr and returns the exit code.
-func (l *launch) fail(stderr io.Writer, err error) int {
+// end logs why the start ended without a daemon, prints a failure to stderr and returns the exit code.
+func (l *launch) end(stderr io.Writer, err error) int {
+	if errors.Is(err, startup.ErrStopped) {
+		l.logger.Info("daemon.start_stopped", "node", l.node)
+		return cli.ExitOK
+	}
 	status := cli.ExitUsage
 	code, _ := result.CodeOf(err)
 	values := []any{"node", l.node}
 	var failed *startup.Error
 	if errors.As(err, &failed) {
 		values = append(values, "step", failed.Step, "subject", failed.Subject)
+		if failed.Expired {
+			status = cli.ExitUnavailable
+		}
 	}
 	values = append(values, "code", uint32(code), "name", code, "detail", err.Error(), "status", status)
 	l.logger.Error(nil, "daemon.start_failed", values...)
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -4,10 +4,10 @@
 	"net"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"github.com/lapisvane/lapisvane/internal/daemon/settings"
 	"github.com/lapisvane/lapisvane/internal/daemon/startup"
-	"github.com/lapisvane/lapisvane/internal/shared/result"
 	"github.com/lapisvane/lapisvane/internal/shared/socket"
 	"github.com/lapisvane/lapisvane/internal/transport/wire"
 )
@@ -17,34 +17,31 @@
 	peer, caller, callerTLS, operator, metrics, instances, readiness net.Listener
 }
 
-// listen opens the sockets for the addresses in the settings. After an error no socket is left open.
-// Errors: *startup.Error with the key as its step and the address as its subject; its cause is
-// SettingsBadAddress, or an error of the network between daemons.
+// listen opens the sockets for the addresses in the settings, all or none: callers' connections must not
+// wait in the accept queue of a daemon that still waits for another address. The callers' addresses are
+// opened last. Errors: *startup.Error with the key as its step and the address as its subject.
 func listen(network wire.Network, config *settings.Daemon, logger logr.Logger) (opened listeners, err error) {
-	if opened.peer, err = network.Listen(config.PeerAddress); err != nil {
-		return listeners{}, startup.Failed("peer_address", config.PeerAddress, err)
-	}
-	opened.peer = socket.KeepAccepting(opened.peer, logger)
-	plain := []struct {
+	plain := wire.TCP{}.Listen
+	for _, entry := range []struct {
 		key, address string
 		listener     *net.Listener
+		listen       func(address string) (net.Listener, error)
 	}{
-		{"caller_address", config.CallerAddress, &opened.caller},
-		{"caller_tls_address", config.CallerTLSAddress, &opened.callerTLS},
-		{"operator_address", config.OperatorAddress, &opened.operator},
-		{"metrics_address", config.MetricsAddress, &opened.metrics},
-		{"instance_address", config.InstanceAddress, &opened.instances},
-		{"readiness_address", config.ReadinessAddress, &opened.readiness},
-	}
-	for _, entry := range plain {
+		{"peer_address", config.PeerAddress, &opened.peer, network.Listen},
+		{"instance_address", config.InstanceAddress, &opened.instances, plain},
+		{"readiness_address", config.ReadinessAddress, &opened.readiness, plain},
+		{"operator_address", config.OperatorAddress, &opened.operator, plain},
+		{"metrics_address", config.MetricsAddress, &opened.metrics, plain},
+		{"caller_tls_address", config.CallerTLSAddress, &opened.callerTLS, plain},
+		{"caller_address", config.CallerAddress, &opened.caller, plain},
+	} {
 		if entry.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", entry.address)
+		listener, err := entry.listen(entry.address)
 		if err != nil {
 			opened.close()
-			fault := result.Wrap(result.SettingsBadAddress, err, "%s", entry.key)
-			return listeners{}, startup.Failed(entry.key, entry.address, fault)
+			return listeners{}, startup.Failed(entry.key, entry.address, errors.WithMessage(err, entry.key))
 		}
 		*entry.listener = socket.KeepAccepting(listener, logger)
 	}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -66,7 +66,8 @@
 }
 
 // Main runs the program and returns its exit code: 0 after a planned stop without cut calls, 1 if
-// calls were cut, 2 for invalid settings. adapters is keyed by the setting platform.form.
+// calls were cut, 2 for invalid settings, 3 for a start that gave up at its limit. adapters is keyed by
+// the setting platform.form.
 func Main(arguments []string, adapters map[string]Adapter) int {
 	signals := cli.CatchSignals()
 	options := &daemonFlags{}
@@ -84,10 +85,10 @@
 	QuietHTTPLibrary()
 	output := logging.NewAsyncWriter(os.Stdout)
 	defer output.Close()
-	starting := newLaunch(options, adapters, output)
+	starting := newLaunch(options, adapters, output, signals.Stop(), signals.Force())
 	running, err := starting.run()
 	if err != nil {
-		return starting.fail(os.Stderr, err)
+		return starting.end(os.Stderr, err)
 	}
 	watchSettings(running, options, signals.Reload())
 	go logRepeated(running.logger, signals.Repeated())
--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -79,6 +79,9 @@
 	NoSeat bool `json:"no_seat"`
 	// StopLimit is the maximum duration of a planned stop, which waits for calls in flight.
 	StopLimit tunables.Duration `json:"stop_limit"`
+	// StartLimit is the maximum duration of a start, which waits for addresses that are in use and files
+	// that are incomplete. It must be above StopLimit of a predecessor for a start that overlaps its stop.
+	StartLimit tunables.Duration `json:"start_limit"`
 	// Verbosity is the log level: 0 for events, 1 for debugging.
 	Verbosity int `json:"verbosity"`
 	// DecisionLinesPerSecond is the rate of log lines about requests above which they are sampled more
@@ -203,6 +206,10 @@
 // defaultDecisionLinesPerSecond is the default of DecisionLinesPerSecond.
 const defaultDecisionLinesPerSecond = 200
 
+// defaultStartLimit is the default of StartLimit. It is above the usual grace periods of supervisors, 10 to
+// 30 s, within which a predecessor on the same addresses ends.
+const defaultStartLimit = time.Minute
+
 // DefaultDaemon returns the default settings.
 func DefaultDaemon() Daemon {
 	return Daemon{
@@ -212,9 +219,10 @@
 			QueueLength:     64,
 			QueueTime:       tunables.Duration(250 * time.Millisecond),
 		},
-		SentAhead: SentAhead{RequestsPerConnection: 16, Requests: 2048, BytesPerConnection: 256 << 10, Bytes: 16 << 20},
-		Platform:  Platform{Contact: tunables.Duration(3 * time.Second), ApplyBound: tunables.Duration(2 * time.Second)},
-		StopLimit: tunables.Duration(10 * time.Minute),
+		SentAhead:  SentAhead{RequestsPerConnection: 16, Requests: 2048, BytesPerConnection: 256 << 10, Bytes: 16 << 20},
+		Platform:   Platform{Contact: tunables.Duration(3 * time.Second), ApplyBound: tunables.Duration(2 * time.Second)},
+		StopLimit:  tunables.Duration(10 * time.Minute),
+		StartLimit: tunables.Duration(defaultStartLimit),
 
 		DecisionLinesPerSecond: defaultDecisionLinesPerSecond,
 	}
@@ -274,6 +282,7 @@
 	}
 	d.checkAccounts(check)
 	check.positive("stop_limit", float64(d.StopLimit))
+	check.positive("start_limit", float64(d.StartLimit))
 	if d.DecisionLinesPerSecond < 0 {
 		check.faults.Add(result.SettingsBadNumber, "decision_lines_per_second: %d is negative", d.DecisionLinesPerSecond)
 	}
--- a/internal/daemon/settings/names_test.go
+++ b/internal/daemon/settings/names_test.go
@@ -44,6 +44,7 @@
 profile: bytes
 no_seat: true
 stop_limit: 6s
+start_limit: 20s
 verbosity: 1
 decision_lines_per_second: 50
 platform:
@@ -116,5 +117,5 @@
 		assert.Check(t, strings.Contains(allKeys, last+":"), "the test file does not contain %s", key)
 	}
 	slices.Sort(keys)
-	assert.Equal(t, len(slices.Compact(keys)), 87, "%v", keys)
+	assert.Equal(t, len(slices.Compact(keys)), 88, "%v", keys)
 }
--- a/internal/daemon/settings/settings_test.go
+++ b/internal/daemon/settings/settings_test.go
@@ -41,6 +41,7 @@
 		{"no request per connection", validSettings + "sent_ahead: {requests_per_connection: 0}", result.SettingsBadNumber, "sent_ahead.requests_per_connection"},
 		{"limit per connection above the total", validSettings + "sent_ahead: {bytes_per_connection: 9, bytes: 8}", result.SettingsBadNumber, "sent_ahead.bytes"},
 		{"negative duration", validSettings + "stop_limit: -3s", result.SettingsBadNumber, "stop_limit"},
+		{"no time for a start", validSettings + "start_limit: 0s", result.SettingsBadNumber, "start_limit"},
 		{"strict without a bound", validSettings + "accounts: {strict_revocation: true}", result.SettingsMissing, "accounts.revocation_bound"},
 		{"strict without a platform", validSettings + "accounts: {strict_revocation: true, revocation_bound: 5s}", result.SettingsMissing, "platform.form"},
 		{"negative revocation bound", validSettings + "accounts: {revocation_bound: -1s}", result.SettingsBadNumber, "accounts.revocation_bound"},
--- a/internal/lab/soak/starts_test.go
+++ b/internal/lab/soak/starts_test.go
@@ -171,9 +171,11 @@
 		// Its address is auxiliary: it delays nothing.
 		s.awaitReady(running, time.Now())
 	}
-	select {
-	case <-running.exited:
-	case <-time.After(takenFor):
+	for end := time.Now().Add(takenFor); !running.hasExited() && time.Now().Before(end); time.Sleep(pollInterval / 20) {
+		if name != "caller" && name != "metrics" {
+			_, err := net.Dial("tcp", addresses.Caller)
+			assert.Assert(s.t, err != nil, "a caller's connection waits at a daemon that does not serve")
+		}
 	}
 	freedAt := time.Now()
 	assert.NilError(s.t, taken.Close())
--- a/internal/shared/cli/cli.go
+++ b/internal/shared/cli/cli.go
@@ -20,6 +20,9 @@
 	ExitFailed = 1
 	// ExitUsage is the exit code for an invalid command line or invalid settings.
 	ExitUsage = 2
+	// ExitUnavailable is the exit code for a start that gave up at its limit, because something that it
+	// needs was still unavailable.
+	ExitUnavailable = 3
 )
 
 // Parse parses the command line. done is true if the program should exit with code, because help was
