A taken metrics address holds up no start: the daemon serves without it and goes on trying

Cause: the metrics address was one of the addresses that a start needs, although calls do not need it and other programs of the machine may use its port, which no platform keeps free.

Change: it is opened after the others; a failure is logged once (metrics.unavailable), and the address is tried again after 10 ms up to 1 s until it is open (metrics.available) or the end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -87,6 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.listeners.metrics = d.openMetrics(config.MetricsAddress)
 	mode := chooseMode(d, config, options)
 	d.incarnation = mode.incarnation
 	d.path = newRequestPath(d, network, mode)
@@ -142,7 +143,7 @@
 	gateway := d.path.gateway
 	d.serve(d.listeners.caller, func(listener net.Listener) { gateway.Serve(ctx, listener, nil) })
 	d.serve(d.listeners.callerTLS, func(listener net.Listener) { gateway.Serve(ctx, listener, gateway.TLSConfig()) })
-	d.serve(d.listeners.metrics, func(listener net.Listener) { metrics.Serve(ctx, listener, d.registry) })
+	d.running.Go(func() { d.serveMetrics(ctx) })
 }
 
 // serve runs a server on a listener in the background. It does nothing if the listener is not
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -17,7 +17,7 @@
 	peer, caller, callerTLS, operator, metrics, instances, readiness net.Listener
 }
 
-// listen opens the sockets for the addresses in the settings, all or none: callers' connections must not
+// listen opens the sockets for the addresses in the settings except the metrics address, all or none: callers' connections must not
 // wait in the accept queue of a daemon that still waits for another address. The callers' addresses are
 // opened last. Errors: *startup.Error with the key as its step and the address as its subject.
 func listen(network wire.Network, config *settings.Daemon, logger logr.Logger) (opened listeners, err error) {
@@ -31,7 +31,6 @@
 		{"instance_address", config.InstanceAddress, &opened.instances, plain},
 		{"readiness_address", config.ReadinessAddress, &opened.readiness, plain},
 		{"operator_address", config.OperatorAddress, &opened.operator, plain},
-		{"metrics_address", config.MetricsAddress, &opened.metrics, plain},
 		{"caller_tls_address", config.CallerTLSAddress, &opened.callerTLS, plain},
 		{"caller_address", config.CallerAddress, &opened.caller, plain},
 	} {
