A start waits for a settings file that is missing or being written, and refuses parts of one

Cause: the settings file was read once, at the start of the process; a file that the platform was about to lay, or had written half of, ended the process with status 2 and codes 1001 or 1004.

Change: a missing or empty file is waited for, and so is a fault in a file that was modified, or first seen as it is, within the last second; a fault in a settled file ends the start at once.

--- a/internal/daemon/launch.go
+++ b/internal/daemon/launch.go
@@ -28,9 +28,13 @@
 
 // newLaunch returns a launch that logs events to output and ends when stop or force is closed.
 func newLaunch(options *daemonFlags, adapters map[string]Adapter, output io.Writer, stop, force <-chan struct{}) *launch {
+	logger := logging.New(output, 0)
 	return &launch{
-		options: options, adapters: adapters, output: output, logger: logging.New(output, 0), node: options.Node,
-		waiter: startup.Waiter{Stop: stop, Force: force, Began: time.Now()},
+		options: options, adapters: adapters, output: output, logger: logger, node: options.Node,
+		waiter: startup.Waiter{
+			Stop: stop, Force: force, Logger: logger.WithValues("node", options.Node),
+			Began: time.Now(), Limit: settings.DefaultDaemon().StartLimit.Get(),
+		},
 	}
 }
 
@@ -54,14 +58,20 @@
 	return New(config, daemonOptions)
 }
 
-// readSettings reads the settings and sets the verbosity of the logger and the node.
-func (l *launch) readSettings() (*settings.Daemon, error) {
-	config, err := settings.ReadDaemon(l.options.Settings, l.options.apply)
+// readSettings reads the settings and sets the verbosity of the logger and the node. It waits for a file
+// that is not complete yet, for at most the default of settings.Daemon.StartLimit.
+func (l *launch) readSettings() (config *settings.Daemon, err error) {
+	path := l.options.Settings
+	files := startup.NewFiles(path)
+	err = l.waiter.Do(func() (err error) {
+		config, err = settings.ReadDaemon(path, l.options.apply)
+		return files.Failed(startup.StepSettings, path, err)
+	})
 	if config != nil {
 		l.node = config.Node
 	}
 	if err != nil {
-		return nil, startup.Failed(startup.StepSettings, l.options.Settings, err)
+		return nil, err
 	}
 	l.logger = logging.New(l.output, config.Verbosity)
 	return config, nil
--- a/internal/daemon/launch_test.go
+++ b/internal/daemon/launch_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -32,6 +33,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.NilError(t, os.WriteFile(path, []byte(row.content), 0o600))
+			// A fault in a file that has just been written is waited for.
+			assert.NilError(t, os.Chtimes(path, time.Time{}, time.Now().Add(-time.Hour)))
 			var output, stderr bytes.Buffer
 			starting := newLaunch(&daemonFlags{Settings: path}, nil, &output, nil, nil)
 			_, err := starting.run()
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 
@@ -22,6 +23,30 @@
 stop_limit: 5s
 `
 
+// Guards against a settings file that is read while it is written: where the required keys come last, no
+// part that is cut off is applied.
+func TestCutOffSettingsAreNotReloaded(t *testing.T) {
+	const whole = "zone: z\nplatform: {addresses: [127.0.0.1:1]}\npeer_address: 127.0.0.1:0\nstop_limit: 55s\nservice: desk\nnode: \"ab\"\n"
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) { assert.NilError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	read := func() (*settings.Daemon, error) { return settings.ReadDaemon(path, func(*settings.Daemon) {}) }
+	write(strings.Replace(whole, "55s", "5s", 1))
+	config, err := read()
+	assert.NilError(t, err)
+	running, err := New(config, Options{Logger: logr.Discard()})
+	assert.NilError(t, err)
+	defer running.listeners.close()
+	watcher := &reloader{daemon: running, path: path, read: read}
+	for length := range len(whole) - 1 {
+		write(whole[:length])
+		watcher.reload("signal")
+		assert.Assert(t, running.settings.Load() == config, "%q was applied", whole[:length])
+	}
+	write(whole)
+	watcher.reload("signal")
+	assert.Equal(t, running.settings.Load().StopLimit, tunables.Duration(55*time.Second))
+}
+
 func TestSettingsAreReloadedWholeOrNotAtAll(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	write := func(text string) { assert.NilError(t, os.WriteFile(path, []byte(text), 0o600)) }
