A change of the settings file during the start is seen by the first check after it

Cause: the state of the file that later checks compare with was taken when the reloader began, after the start; a change between the reading and that moment, now up to start_limit, was never seen until the next one or a SIGHUP.

Change: the state is taken before the file is read at the start, and handed to the reloader.

Measured: TestChangeDuringTheStartIsReloaded fails with the state taken where it was before (the retry burst stays 0), and passes now; internal/daemon passes with the race detector.

--- a/internal/daemon/launch.go
+++ b/internal/daemon/launch.go
@@ -24,6 +24,8 @@
 	// node is the name of the machine, or empty while it is unknown.
 	node   string
 	waiter startup.Waiter
+	// settingsStamp identifies the state of the settings file before it was read.
+	settingsStamp fileStamp
 }
 
 // newLaunch returns a launch that logs events to output and ends when stop or force is closed.
@@ -64,6 +66,7 @@
 	path := l.options.Settings
 	files := startup.NewFiles(path)
 	err = l.waiter.Do(func() (err error) {
+		l.settingsStamp = stampOf(path)
 		config, err = settings.ReadDaemon(path, l.options.apply)
 		return files.Failed(startup.StepSettings, path, err)
 	})
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return starting.end(os.Stderr, err)
 	}
-	watchSettings(running, options, signals.Reload())
+	go newReloader(running, options, starting.settingsStamp, signals.Reload()).run(context.Background())
 	go logRepeated(running.logger, signals.Repeated())
 	if cut := running.Run(signals.Stop(), signals.Force()); cut > 0 {
 		return cli.ExitFailed
@@ -109,13 +109,13 @@
 // Adapter creates the adapter to the platform at an address.
 type Adapter func(address string, logger logr.Logger) platformapi.Platform
 
-// watchSettings reloads the settings file on SIGHUP and when the file changes, until the process ends.
-func watchSettings(running *Daemon, options *daemonFlags, signals <-chan os.Signal) {
-	watcher := &reloader{
-		daemon: running, path: options.Settings, signals: signals,
+// newReloader returns the reloader of the settings file. stamp identifies the state of the file that the
+// daemon was started with; signals receives each SIGHUP.
+func newReloader(running *Daemon, options *daemonFlags, stamp fileStamp, signals <-chan os.Signal) *reloader {
+	return &reloader{
+		daemon: running, path: options.Settings, signals: signals, lastStamp: stamp,
 		read: func() (*settings.Daemon, error) { return settings.ReadDaemon(options.Settings, options.apply) },
 	}
-	go watcher.run(context.Background())
 }
 
 // logRepeated logs stop signals that had no effect because a stop was already in progress.
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -30,7 +30,7 @@
 	read func() (*settings.Daemon, error)
 	// signals receives each SIGHUP, which triggers a reload.
 	signals <-chan os.Signal
-	// lastStamp identifies the state of the file at the last reload.
+	// lastStamp identifies the state of the file at the last reload, at first that at the start.
 	lastStamp fileStamp
 }
 
@@ -50,7 +50,6 @@
 
 // run reloads the settings on signals and file changes until ctx ends.
 func (r *reloader) run(ctx context.Context) {
-	r.lastStamp = stampOf(r.path)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -1,10 +1,13 @@
 package daemon
 
 import (
+	"context"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -74,3 +77,23 @@
 	assert.Assert(t, len(lines) == 2)
 	assert.Assert(t, strings.Contains(lines[1], "settings.refused"), lines[1])
 }
+
+// Guards against a change of the file that is never seen: it came while the start waited for an address.
+func TestChangeDuringTheStartIsReloaded(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	assert.NilError(t, os.WriteFile(path, []byte(settingsText), 0o600))
+	starting := newLaunch(&daemonFlags{Settings: path}, nil, io.Discard, nil, nil)
+	running, err := starting.run()
+	assert.NilError(t, err)
+	defer running.listeners.close()
+	assert.NilError(t, os.WriteFile(path, []byte(settingsText+"retries: {fraction: 0.3, burst: 9}\n"), 0o600))
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		watcher := newReloader(running, &daemonFlags{Settings: path}, starting.settingsStamp, nil)
+		go watcher.run(ctx)
+		time.Sleep(settingsPollInterval + time.Millisecond)
+		synctest.Wait()
+		cancel()
+	})
+	assert.Equal(t, running.settings.Load().Retries.Burst, 9.0)
+}
