A start waits for certificates that are missing or being written

Cause: the files of peer_tls were read once; one that was missing, empty or half written ended the process with status 2 and code 1006, like the settings file before, and so did a whole certificate beside the key of the one before it.

Change: they follow the rule of the settings file: missing or empty ones are waited for up to start_limit, and a fault ends the start once all of them are unchanged for a second.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -73,7 +73,7 @@
 func New(config *settings.Daemon, options Options) (*Daemon, error) {
 	network, err := networkOf(config, options)
 	if err != nil {
-		return nil, startup.Failed(startup.StepPeerTLS, config.PeerTLS.Certificate, err)
+		return nil, err
 	}
 	d := &Daemon{
 		logger:   options.Logger.WithValues("node", config.Node),
@@ -101,11 +101,18 @@
 }
 
 // networkOf returns the network between daemons: plain TCP, or TLS if the settings name a certificate.
-func networkOf(config *settings.Daemon, options Options) (wire.Network, error) {
+// Files that are not complete yet are waited for.
+func networkOf(config *settings.Daemon, options Options) (network wire.Network, err error) {
 	if options.Network != nil {
 		return options.Network, nil
 	}
-	return tlssetup.Network(config.PeerTLS.Certificate, config.PeerTLS.Key, config.PeerTLS.Authority)
+	keys := config.PeerTLS
+	files := startup.NewFiles(keys.Certificate, keys.Key, keys.Authority)
+	err = options.Start.Do(func() (err error) {
+		network, err = tlssetup.Network(keys.Certificate, keys.Key, keys.Authority)
+		return files.Failed(startup.StepPeerTLS, keys.Certificate, err)
+	})
+	return network, err
 }
 
 // Run serves until stop is closed, then drains (distribution.Drain). Closing force, or the expiry of
