A listen address that cannot be opened has a result code of its own, 1007

Cause: it had 1003, which says that an address is not an IP number with a port and asks to write it otherwise; operators of a machine whose port was taken were sent to the wrong place.

Change: 1007 settings-address-unavailable for addresses that are well-formed and cannot be opened; 1003 stays for those of the wrong form.

--- a/internal/daemon/launch_test.go
+++ b/internal/daemon/launch_test.go
@@ -35,7 +35,7 @@
 		"two faults":       {"node: a\n", `node=a step=settings subject=` + path + ` code=1004 name=settings-missing detail="1004 settings-missing: zone\n`, cli.ExitUsage},
 		"unknown key":      {settingsText + "colour: red\n", `node="" step=settings subject=` + path + ` code=1002 `, cli.ExitUsage},
 		"unknown platform": {strings.Replace(settingsText, "{addresses", "{form: other, addresses", 1), `node=a step=platform subject=other code=1005 `, cli.ExitUsage},
-		"taken address":    {settingsText + "start_limit: 30ms\ncaller_address: " + address + "\n", `node=a step=caller_address subject=` + address + ` code=1003 `, cli.ExitUnavailable},
+		"taken address":    {settingsText + "start_limit: 30ms\ncaller_address: " + address + "\n", `node=a step=caller_address subject=` + address + ` code=1007 `, cli.ExitUnavailable},
 		"no certificate":   {settingsText + "start_limit: 30ms\npeer_tls: {certificate: /nowhere/c, key: k, authority: a}\n", `node=a step=peer_tls subject=/nowhere/c code=1006 `, cli.ExitUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/daemon/startup/wait_test.go
+++ b/internal/daemon/startup/wait_test.go
@@ -17,7 +17,7 @@
 
 // systemError returns an error as net.Listen returns it, in a numbered error.
 func systemError(number syscall.Errno) error {
-	return result.Wrap(result.SettingsBadAddress, &net.OpError{Op: "listen", Err: os.NewSyscallError("bind", number)}, "key")
+	return result.Wrap(result.SettingsAddressUnavailable, &net.OpError{Op: "listen", Err: os.NewSyscallError("bind", number)}, "key")
 }
 
 func TestWhichErrorsPass(t *testing.T) {
--- a/internal/shared/result/code.go
+++ b/internal/shared/result/code.go
@@ -17,12 +17,13 @@
 const (
 	OK Code = 0
 
-	SettingsUnreadable Code = 1001
-	SettingsUnknownKey Code = 1002
-	SettingsBadAddress Code = 1003
-	SettingsMissing    Code = 1004
-	SettingsBadNumber  Code = 1005
-	SettingsBadTLS     Code = 1006
+	SettingsUnreadable         Code = 1001
+	SettingsUnknownKey         Code = 1002
+	SettingsBadAddress         Code = 1003
+	SettingsMissing            Code = 1004
+	SettingsBadNumber          Code = 1005
+	SettingsBadTLS             Code = 1006
+	SettingsAddressUnavailable Code = 1007
 
 	ConfigBadName          Code = 2001
 	ConfigUnknownPool      Code = 2002
--- a/internal/shared/result/table.go
+++ b/internal/shared/result/table.go
@@ -21,6 +21,7 @@
 	{SettingsMissing, "settings-missing", "A required setting is absent.", "Set the named key."},
 	{SettingsBadNumber, "settings-bad-number", "A number is negative or out of its range.", "Correct the named key."},
 	{SettingsBadTLS, "settings-bad-tls", "A certificate, key or authority file cannot be used.", "Correct the named file."},
+	{SettingsAddressUnavailable, "settings-address-unavailable", "A listen address cannot be opened: another process has it, or this machine does not.", "End the other process or correct the address; a daemon retries until start_limit."},
 	{ConfigBadName, "config-bad-name", "An object's name has characters other than a-z, 0-9, '-' and '.', or is too long.", "Rename the object."},
 	{ConfigUnknownPool, "config-unknown-pool", "An object refers to a pool that does not exist.", "Add the pool to the proposal or correct the name."},
 	{ConfigUnknownSecret, "config-unknown-secret", "A route refers to a secret that does not exist.", "Add the secret to the proposal or correct the name."},
--- a/internal/transport/wire/network.go
+++ b/internal/transport/wire/network.go
@@ -18,7 +18,7 @@
 type Network interface {
 	// Dial opens a connection to an address of the form 10.0.0.1:7400.
 	Dial(ctx context.Context, address string) (net.Conn, error)
-	// Listen opens a listener at an address. Errors: SettingsBadAddress.
+	// Listen opens a listener at an address. Errors: SettingsAddressUnavailable.
 	Listen(address string) (net.Listener, error)
 }
 
@@ -46,7 +46,7 @@
 func (t TCP) Listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, result.Wrap(result.SettingsBadAddress, err, "listening on %s", address)
+		return nil, result.Wrap(result.SettingsAddressUnavailable, err, "listening on %s", address)
 	}
 	if t.Server != nil {
 		return tls.NewListener(listener, t.Server), nil
