A start that waits takes settings that change meanwhile

Cause: a start that waited for an address kept the settings that it had read first; where they were replaced, it went on waiting for an address that it was no longer to have, until its limit.

Change: while a step after the settings waits, the state of the file is compared before each pause; if there is another file, the steps begin again with it, within the same limit.

Measured: TestStartTakesSettingsThatChangeWhileItWaits fails after 60 s, at the limit, with the comparison taken out (an overlay of the build), and passes with it, with the race detector.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,8 +68,8 @@
 	Start *startup.Waiter
 }
 
-// New assembles a daemon and opens its listeners. Errors: startup.ErrStopped, or *startup.Error, whose
-// text names the setting at fault.
+// New assembles a daemon and opens its listeners. Errors: *startup.Error, whose text names the
+// setting at fault, and those of startup.Waiter.Do.
 func New(config *settings.Daemon, options Options) (*Daemon, error) {
 	network, err := networkOf(config, options)
 	if err != nil {
--- a/internal/daemon/launch.go
+++ b/internal/daemon/launch.go
@@ -40,14 +40,26 @@
 	}
 }
 
-// run performs the steps. Errors: startup.ErrStopped, *startup.Error.
+// run performs the steps, and begins again if the settings change while one of them waits. Errors:
+// startup.ErrStopped, *startup.Error.
 func (l *launch) run() (*Daemon, error) {
-	config, err := l.readSettings()
-	if err != nil {
-		return nil, err
+	for {
+		config, err := l.readSettings()
+		if err != nil {
+			return nil, err
+		}
+		running, err := l.open(config)
+		if !errors.Is(err, startup.ErrChanged) {
+			return running, err
+		}
 	}
+}
+
+// open performs the steps that follow the settings. Errors: as run, and startup.ErrChanged.
+func (l *launch) open(config *settings.Daemon) (*Daemon, error) {
 	limitRuntimeMemory(config)
 	l.waiter.Logger, l.waiter.Limit = l.logger.WithValues("node", l.node), config.StartLimit.Get()
+	l.waiter.Changed = l.settingsChanged
 	daemonOptions := Options{Logger: l.logger, Start: &l.waiter}
 	if form := config.Platform.Form; form != "" {
 		adapter, known := l.adapters[form]
@@ -60,10 +72,17 @@
 	return New(config, daemonOptions)
 }
 
+// settingsChanged reports whether there is another settings file than the one that was read.
+func (l *launch) settingsChanged() bool {
+	now := stampOf(l.options.Settings)
+	return now != fileStamp{} && now != l.settingsStamp
+}
+
 // readSettings reads the settings and sets the verbosity of the logger and the node. It waits for a file
 // that is not complete yet, for at most the default of settings.Daemon.StartLimit.
 func (l *launch) readSettings() (config *settings.Daemon, err error) {
 	path := l.options.Settings
+	l.waiter.Changed = nil
 	files := startup.NewFiles(path)
 	err = l.waiter.Do(func() (err error) {
 		l.settingsStamp = stampOf(path)
--- a/internal/daemon/launch_test.go
+++ b/internal/daemon/launch_test.go
@@ -110,3 +110,21 @@
 	}
 	return block("CERTIFICATE", signed), block("PRIVATE KEY", encoded)
 }
+
+// Guards against a start that waits for the addresses of settings which have been replaced.
+func TestStartTakesSettingsThatChangeWhileItWaits(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = taken.Close() }()
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) { assert.Check(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write(settingsText + "caller_address: " + taken.Addr().String() + "\n")
+	waiting := waitWriter{began: make(chan struct{})}
+	go func() {
+		<-waiting.began
+		write(settingsText + "caller_address: 127.0.0.1:0\n")
+	}()
+	running, err := newLaunch(&daemonFlags{Settings: path}, nil, &waiting, nil, nil).run()
+	assert.NilError(t, err)
+	running.listeners.close()
+}
--- a/internal/daemon/startup/error.go
+++ b/internal/daemon/startup/error.go
@@ -19,6 +19,9 @@
 // ErrStopped is returned for a start that a stop signal ended.
 var ErrStopped = errors.New("stopped before the start was complete")
 
+// ErrChanged is returned for a step that waited in vain while the settings changed.
+var ErrChanged = errors.New("the settings have changed")
+
 // Error is the failure of one step of a start. It must not be modified after it was returned.
 type Error struct {
 	// Step is the name of the step. For a listen address it is the key of the setting.
--- a/internal/daemon/startup/wait.go
+++ b/internal/daemon/startup/wait.go
@@ -39,10 +39,12 @@
 	// Began is the beginning of the start, from which Limit counts.
 	Began time.Time
 	Limit time.Duration
+	// Changed reports whether the settings that the steps use have changed; nil if they cannot.
+	Changed func() bool
 }
 
 // Do repeats attempt until it succeeds, fails permanently or the start ends. The last attempt is at the
-// limit. Errors: ErrStopped, or the error of the last attempt, with Expired set at the limit.
+// limit. Errors: ErrStopped, ErrChanged, or the error of the last attempt, with Expired set at the limit.
 func (w *Waiter) Do(attempt func() error) error {
 	if w == nil {
 		return attempt()
@@ -69,6 +71,9 @@
 			expired.Expired = true
 			return &expired
 		}
+		if w.Changed != nil && w.Changed() {
+			return ErrChanged
+		}
 		if waiting = failed; !logged[failed.Step] {
 			logged[failed.Step] = true
 			w.logWaiting(failed, remaining)
