The soak builds daemons with the race detector

Cause: the tests find data races in the lab's process only; daemons that run as separate processes were built without the detector, so that a race in their start, stop or exchange went unseen.

Change: -soak.race builds lapisvaned with -race, and GORACE makes a race an unexpected exit (status 66).

--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -8,13 +8,16 @@
 import (
 	"bytes"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -35,12 +38,13 @@
 
 // TestMain builds lapisvaned once for all tests.
 func TestMain(m *testing.M) {
+	flag.Parse()
 	directory, err := os.MkdirTemp("", "lapisvane-soak-")
 	if err != nil {
 		panic(err)
 	}
 	program = filepath.Join(directory, "lapisvaned")
-	build := exec.Command("go", "build", "-o", program, "github.com/lapisvane/lapisvane/cmd/lapisvaned")
+	build := exec.Command("go", "build", fmt.Sprintf("-race=%t", *raceEnabled), "-o", program, "github.com/lapisvane/lapisvane/cmd/lapisvaned")
 	if output, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("building lapisvaned: %v\n%s", err, output))
 	}
@@ -51,6 +55,7 @@
 
 // process is a running or ended lapisvaned. It implements day.Process.
 type process struct {
+	node      string
 	command   *exec.Cmd
 	addresses daemon.Addresses
 	output    *outputBuffer
@@ -61,6 +66,8 @@
 	hangupUnhandled bool
 	// waitError is the error of Wait, nil for exit status 0. It is valid once exited is closed.
 	waitError error
+	// peakMemory is the highest resident memory in kB that was read while the process ran.
+	peakMemory atomic.Int64
 }
 
 // outputBuffer records the output of a process. It is safe for concurrent use.
@@ -114,13 +121,15 @@
 		return nil, err
 	}
 	started := &process{
-		command: exec.Command(program, "--settings", path), output: &outputBuffer{}, exited: make(chan struct{}),
+		node: config.Node, command: exec.Command(program, "--settings", path), output: &outputBuffer{}, exited: make(chan struct{}),
 		addresses: daemon.Addresses{
 			Peer: config.PeerAddress, Caller: config.CallerAddress, Metrics: config.MetricsAddress,
 			Instances: config.InstanceAddress, Readiness: config.ReadinessAddress,
 		},
 	}
 	started.command.Stdout, started.command.Stderr = started.output, started.output
+	// A data race ends a process that is built with the race detector, with a status of its own.
+	started.command.Env = append(os.Environ(), "GORACE=halt_on_error=1 exitcode=66")
 	if l.blockedOutput[config.Node] {
 		// The pipe is never read, so writes block once it is full.
 		reader, writer, err := os.Pipe()
@@ -143,6 +152,7 @@
 		defer close(started.exited)
 		started.waitError = started.command.Wait()
 	}()
+	go started.watchMemory()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.started = append(l.started, started)
@@ -165,11 +175,49 @@
 	}
 }
 
+// memoryPollInterval is the interval between two reads of the peak memory of a process.
+const memoryPollInterval = 100 * time.Millisecond
+
+// watchMemory reads the peak memory of the process until it exits.
+func (p *process) watchMemory() {
+	for p.readPeakMemory(); !p.hasExited(); p.readPeakMemory() {
+		time.Sleep(memoryPollInterval)
+	}
+}
+
+// readPeakMemory records the peak resident memory of the process, unless it has exited. The kernel's
+// account of an ended process can't be used: it includes the memory of the test process until exec.
+func (p *process) readPeakMemory() {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	line, _, _ := strings.Cut(rest, "\n")
+	if kilobytes, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(line, "kB")), 10, 64); err == nil {
+		p.peakMemory.Store(max(p.peakMemory.Load(), kilobytes))
+	}
+}
+
+// peakMemory returns the highest resident memory in kB of all processes started so far, and of which
+// node it is.
+func (l *launcher) peakMemory() (kilobytes int64, node string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, started := range l.started {
+		if peak := started.peakMemory.Load(); peak > kilobytes {
+			kilobytes, node = peak, started.node
+		}
+	}
+	return kilobytes, node
+}
+
 // signal sends a signal to the process unless it has exited.
 func (p *process) signal(signal os.Signal) {
 	p.signalMutex.Lock()
 	defer p.signalMutex.Unlock()
 	if !p.hasExited() {
+		p.readPeakMemory()
 		if signal == syscall.SIGHUP {
 			p.hangupUnhandled = !p.handlesHangup()
 		}
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -28,6 +28,7 @@
 	dayLength           = flag.Duration("soak.length", 10*time.Second, "length of each day of the soak")
 	machines            = flag.Int("soak.machines", 6, "number of daemons of each day")
 	extraSignalsEnabled = flag.Bool("soak.repeated", true, "send signals during stops")
+	raceEnabled         = flag.Bool("soak.race", false, "build the daemons with the race detector; a data race ends them")
 	verbose             = flag.Bool("soak.verbose", false, "print the lines of the daemons")
 )
 
@@ -147,6 +148,8 @@
 	t.Logf("requests on added routes: %d, served %d", added, addedServed)
 	t.Logf("served %d, refused %d, failed %d; stops %d, exits %v, ended by a SIGHUP before the program handled it %d; broken promises %d",
 		tally.Served.Load(), tally.Refused.Load(), tally.Failed.Load(), played.stops, played.exits, played.unhandledHangups, len(breaches))
+	peak, node := processes.peakMemory()
+	t.Logf("processes started %d, peak memory %d kB at %s", len(processes.started), peak, node)
 	t.Logf("requests excused for ending without an answer: %v", site.Ledger.Excused())
 	for _, breach := range breaches[:min(len(breaches), 10)] {
 		t.Errorf("%+v", breach)
