A frame that arrives before its link is recorded ends no daemon

Callers saw: nothing before; a daemon that has connected to another one could end with status 2 and a stack. Cause: frames of a new session are read while the dialing side is still recording its link. A daemon that starts while the directory does not answer asks whoever has just connected to it for the members; that request was answered over the link recorded so far, which is the zero Link, in a goroutine of its own: a nil pointer dereference in session.write.

Change: Connect asks for the callbacks with the link that they belong to, as Server.Accepted does, and the fleet answers over the link on which the request came. A request on a new link is no longer answered over an earlier, ended one either.

How often real starts meet the moment is not known.

--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -64,9 +64,11 @@
 	f.mutex.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	receive := callmux.Control{
-		Frame:     func(frame *lapisv1.CallFrame) { f.receiveOutbound(peer, generation, frame) },
-		Heartbeat: func(heartbeat callmux.Heartbeat) { f.recordHeartbeat(peer, heartbeat) },
+	receive := func(link callmux.Link) callmux.Control {
+		return callmux.Control{
+			Frame:     func(frame *lapisv1.CallFrame) { f.receiveOutbound(peer, generation, link, frame) },
+			Heartbeat: func(heartbeat callmux.Heartbeat) { f.recordHeartbeat(peer, heartbeat) },
+		}
 	}
 	link, err := f.config.Calls.Connect(ctx, peer.name, address, receive)
 	if err != nil {
@@ -154,15 +156,13 @@
 	signal(f.reviewLinks)
 }
 
-// receiveOutbound handles a frame received on an outbound link.
-func (f *Fleet) receiveOutbound(peer *peer, generation uint64, frame *lapisv1.CallFrame) {
+// receiveOutbound handles a frame received on an outbound link. The first frames may arrive before the
+// link is recorded in peer.
+func (f *Fleet) receiveOutbound(peer *peer, generation uint64, link callmux.Link, frame *lapisv1.CallFrame) {
 	switch body := frame.GetBody().(type) {
 	case *lapisv1.CallFrame_Announcement:
 		f.recordAnnouncement(peer, generation, body.Announcement)
 	case *lapisv1.CallFrame_Introduction:
-		f.mutex.Lock()
-		link := peer.link
-		f.mutex.Unlock()
 		f.recordIntroduction(body.Introduction, peer.name, link)
 	case *lapisv1.CallFrame_Departures:
 		f.receiveDepartures(peer.name, body.Departures)
--- a/internal/distribution/fleet/membership_test.go
+++ b/internal/distribution/fleet/membership_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,7 +29,7 @@
 		var drawing sync.Mutex
 		site := &membershipTest{
 			directory: &scriptedDirectory{lag: time.Second, pageSize: 3, published: map[Member]time.Time{}},
-			network:   &memoryNetwork{accepting: map[string]chan net.Conn{}, dials: map[string]int{}},
+			network:   newMemoryNetwork(),
 		}
 		var running sync.WaitGroup
 		site.start = func(node string, directory Directory) {
--- a/internal/distribution/fleet/memory_network_test.go
+++ b/internal/distribution/fleet/memory_network_test.go
@@ -17,6 +17,10 @@
 	dials     map[string]int
 }
 
+func newMemoryNetwork() *memoryNetwork {
+	return &memoryNetwork{accepting: map[string]chan net.Conn{}, dials: map[string]int{}}
+}
+
 func (n *memoryNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
 	n.mutex.Lock()
 	n.dials[address]++
--- a/internal/distribution/fleet/scaffold_test.go
+++ b/internal/distribution/fleet/scaffold_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -33,6 +32,14 @@
 
 func (noInstances) Fence(string) bool { return false }
 
+// helloOf returns the greeting of a member.
+func helloOf(self Member) *lapisv1.Hello {
+	return &lapisv1.Hello{
+		ProtocolVersion: wire.ProtocolVersion, Purpose: lapisv1.Hello_PURPOSE_CALLS,
+		Node: self.Node, Zone: self.Zone, Region: self.Region, Address: self.Address, Service: self.Service,
+	}
+}
+
 // daemonAt runs a daemon of the fleet at the member's address until ctx ends. adjust changes its
 // configuration.
 func daemonAt(ctx context.Context, running *sync.WaitGroup, network *memoryNetwork, self Member, directory Directory, adjust ...func(*Config)) *Fleet {
@@ -40,11 +47,9 @@
 	timing := callmux.Timing{HeartbeatInterval: time.Second, SilenceTimeout: 2500 * time.Millisecond, WriteTimeout: time.Second}
 	calls := &callmux.Client{
 		Network: network, Maintained: true, Timing: timing,
-		Hello: &lapisv1.Hello{
-			ProtocolVersion: wire.ProtocolVersion, Purpose: lapisv1.Hello_PURPOSE_CALLS,
-			Node: self.Node, Incarnation: incarnation, Zone: self.Zone, Region: self.Region, Address: self.Address, Service: self.Service,
-		},
+		Hello: helloOf(self),
 	}
+	calls.Hello.Incarnation = incarnation
 	config := Config{
 		Self: self, Incarnation: incarnation, Directory: directory, Calls: calls, Observer: offerFunc(func(*lapisv1.Configuration) {}),
 		InForce: func() *lapisv1.Configuration { return nil }, Freshness: &configsource.Freshness{},
@@ -180,7 +185,7 @@
 		for _, entry := range entries {
 			directory.published[entry] = time.Now()
 		}
-		network := &memoryNetwork{accepting: map[string]chan net.Conn{}, dials: map[string]int{}}
+		network := newMemoryNetwork()
 		var running sync.WaitGroup
 		test(network, func(member Member, adjust ...func(*Config)) *Fleet {
 			return daemonAt(ctx, &running, network, member, directory, adjust...)
--- a/internal/transport/callmux/connect.go
+++ b/internal/transport/callmux/connect.go
@@ -23,8 +23,10 @@
 
 // Connect opens a session to the daemon node at address, which subsequent calls use. It replaces a
 // session to an earlier process of the daemon. An open session to the same process carries calls and
-// is kept. Errors: CallNotRunUnreachable, *OtherDaemonError.
-func (c *Client) Connect(ctx context.Context, node, address string, control Control) (Link, error) {
+// is kept. control returns the callbacks of the session; it is called before the first frame is read, so
+// that they may use the link although Connect has not returned yet. Errors: CallNotRunUnreachable,
+// *OtherDaemonError.
+func (c *Client) Connect(ctx context.Context, node, address string, control func(Link) Control) (Link, error) {
 	opened, err := c.open(ctx, address, control)
 	if err != nil {
 		return Link{}, err
@@ -48,8 +50,9 @@
 	return Link{opened}, nil
 }
 
-// open dials address and exchanges greetings, within openTimeout. Errors: CallNotRunUnreachable.
-func (c *Client) open(ctx context.Context, address string, control Control) (*session, error) {
+// open dials address and exchanges greetings, within openTimeout. control may be nil. Errors:
+// CallNotRunUnreachable.
+func (c *Client) open(ctx context.Context, address string, control func(Link) Control) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
@@ -71,7 +74,9 @@
 	opened := newSession(conn, welcome.GetIncarnation(), c.Timing)
 	opened.boundInFlight(welcome.GetInFlightBytes())
 	opened.welcome = welcome
-	opened.control = control
+	if control != nil {
+		opened.control = control(Link{opened})
+	}
 	go func() { _ = opened.receive(nil) }() // The error is kept as the cause of the session's end.
 	go opened.keepAlive()
 	return opened, nil
--- a/internal/transport/callmux/dial_test.go
+++ b/internal/transport/callmux/dial_test.go
@@ -28,7 +28,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		client := &Client{Network: unresponsiveNetwork{}}
 		began := time.Now()
-		_, err := client.Connect(t.Context(), "peer", "10.0.0.1:1", Control{})
+		_, err := client.Connect(t.Context(), "peer", "10.0.0.1:1", nil)
 		assert.Assert(t, result.Is(err, result.CallNotRunUnreachable), "%v", err)
 		assert.Assert(t, time.Since(began) <= dialTimeout, "%s", time.Since(began))
 		assert.Assert(t, dialTimeout < time.Second, "the kernel retransmits the SYN before the timeout")
