The return of an impossible loan ends no owner of rate limits

Callers saw: nothing; a daemon that owns rate limits could end with status 2 at one frame of another daemon. Cause: the age of a loan, which the other daemon states, was rounded up to slots before it was compared with their number. The distance of two arbitrary times saturates at the largest duration, the rounding overflowed, and the negative number became the bound of a slice.

Change: the age is compared first, so that a loan older than the recorded peaks is dropped whatever its stated time.

Result: TestReturnsOfImpossibleLoansAreDropped on the code before: "slice bounds out of range [:-]" in tokenBucket.takeBack; it passes now, with all tests of the package under the race detector.

--- a/internal/distribution/allowance/bucket_test.go
+++ b/internal/distribution/allowance/bucket_test.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -106,3 +107,21 @@
 	a.giveBack(now.Add(time.Second), ticket)
 	assert.Equal(t, len(a.allowances["account/a"].unused), 0)
 }
+
+// Guards against an end of the process by a loan whose stated time lies centuries away.
+func TestReturnsOfImpossibleLoansAreDropped(t *testing.T) {
+	for _, lentAt := range []uint64{0, 1, math.MaxInt64, math.MaxInt64 + 1, math.MaxUint64} {
+		start := time.Unix(1000, 0)
+		owning := newOwner("self", testBounds, start)
+		owning.setFleetKnown(start)
+		owning.openLink("link")
+		for sequence := uint64(1); sequence <= 3; sequence++ {
+			now := start.Add(time.Duration(sequence) * time.Minute)
+			owning.recordView(now, "self", "link", newView([]string{"self"}))
+			need := &lapisv1.AllowanceNeed{Allowance: "a", Credits: math.MaxUint32, Returned: math.MaxUint32, ReturnedLentAt: lentAt, PerSecond: 10, Burst: 10}
+			grant := owning.grant(now, "self", "link", &lapisv1.AllowanceAsk{Sequence: sequence, Needs: []*lapisv1.AllowanceNeed{need}})
+			credit := grant.GetCredits()[0]
+			assert.Assert(t, !credit.GetNotOwner() && credit.GetCredits() <= 100, "%d: %v", lentAt, credit)
+		}
+	}
+}
--- a/internal/distribution/allowance/tokenbucket.go
+++ b/internal/distribution/allowance/tokenbucket.go
@@ -54,13 +54,16 @@
 // takeBack returns unused credit that was lent at lentAt. It is dropped if the loan is older than
 // the recorded peaks.
 func (t *tokenBucket) takeBack(credits float64, lentAt time.Time) {
+	// The difference is compared before it is divided: another daemon states lentAt, and the distance of two
+	// arbitrary times saturates.
+	before := t.slotStarted.Sub(lentAt)
+	if before > (peakSlotCount-1)*peakSlotDuration {
+		return
+	}
 	slots := 1
-	if before := t.slotStarted.Sub(lentAt); before > 0 {
+	if before > 0 {
 		slots += int((before + peakSlotDuration - 1) / peakSlotDuration)
 	}
-	if slots > peakSlotCount {
-		return
-	}
 	highest := max(t.level, slices.Max(t.peaks[:slots]))
 	credited := max(0, min(credits, t.capacity-highest))
 	t.level += credited
