Numbers of the settings beyond the range of integers end no daemon

Callers saw: every connection reset, since the daemon ended at the first of them. Cause: max_descriptors and memory_mb are floating-point numbers that pass the check at any size and were converted to integers as they are. The result of such a conversion is negative on x86-64, and the number of callers' connections then became a negative limit, with which the set of connections cut a slice.

Change: the conversion is bounded above any real amount, so that a huge number means no limit, on all processors.

TestHugeNumbersOfTheSettingsLimitNothing failed before and passes now.

--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -23,9 +23,17 @@
 
 const bytesPerMegabyte = 1 << 20
 
+// maxSettingValue bounds the numbers of the settings that become integers. It is above any real amount of
+// bytes or descriptors, and sums and multiples of it stay in range.
+const maxSettingValue = 1 << 50
+
+// wholeNumber returns a number of the settings as an integer, at most maxSettingValue. The result of a
+// plain conversion of a number out of range differs between processors, and may be negative.
+func wholeNumber(value float64) int64 { return int64(min(value, maxSettingValue)) }
+
 // memoryBytes returns the machine's memory in bytes, or 0 if it is unknown.
 func memoryBytes(values *settings.Daemon) int64 {
-	return int64(values.MemoryMegabytes * bytesPerMegabyte)
+	return wholeNumber(values.MemoryMegabytes * bytesPerMegabyte)
 }
 
 // Limits of the number of callers' connections.
@@ -42,7 +50,7 @@
 // operating system, or 0 if it is unknown. The result is 0 if nothing limits them.
 func maxCallerConnections(values *settings.Daemon, descriptors int64) int {
 	if values.MaxDescriptors > 0 {
-		descriptors = int64(values.MaxDescriptors)
+		descriptors = wholeNumber(values.MaxDescriptors)
 	}
 	limit := descriptors - descriptors/otherDescriptorsPart
 	if byMemory := memoryBytes(values) / memoryPerConnection; byMemory > 0 && (limit == 0 || byMemory < limit) {
--- a/internal/daemon/memory_test.go
+++ b/internal/daemon/memory_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -14,6 +15,15 @@
 	assert.Equal(t, inputBytes(&settings.Daemon{MemoryMegabytes: 128}), int64(16<<20))
 }
 
+// Guards against an end of the process at the first connection of a caller, by a limit below zero.
+func TestHugeNumbersOfTheSettingsLimitNothing(t *testing.T) {
+	for _, huge := range []float64{1 << 50, 1e18, 9.3e18, 1e300, math.MaxFloat64} {
+		values := &settings.Daemon{MaxDescriptors: huge, MemoryMegabytes: huge}
+		assert.Check(t, maxCallerConnections(values, 0) >= 1<<30, "%g: %d connections", huge, maxCallerConnections(values, 0))
+		assert.Check(t, inputBytes(values) >= 1<<40, "%g: %d bytes", huge, inputBytes(values))
+	}
+}
+
 func TestCallerConnectionsAreLimitedByDescriptorsAndMemory(t *testing.T) {
 	for name, row := range map[string]struct {
 		settings    settings.Daemon
