A reader's intervals of a few nanoseconds end no daemon

Callers saw: nothing; only the distribution tree is concerned, which no platform uses. Cause: distribution.machines_interval may be any duration above 0, and the jitter drew from a fifth of it, which is 0 below 5 ns; the generator panics then, in a goroutine that nothing recovers.

Change: the range of the jitter includes both of its ends, so that it is never empty, and an interval is no longer multiplied before it is divided, which overflowed beyond 32 years.

--- a/internal/distribution/tree/reader.go
+++ b/internal/distribution/tree/reader.go
@@ -166,4 +166,10 @@
 
 // jittered returns a random time within 10% of interval, so that the readers of a site do not query
 // the object API at the same time.
-func jittered(interval time.Duration) time.Duration { return interval*9/10 + rand.N(interval/5) }
+func jittered(interval time.Duration) time.Duration {
+	jitter := interval / jitterDivisor
+	return interval - jitter + rand.N(2*jitter+1)
+}
+
+// jitterDivisor is the inverse of the jitter as a fraction of the interval.
+const jitterDivisor = 10
