An answer that cannot be encoded ends its call, not the connection between two daemons

Callers saw: 502 for all calls in flight between two daemons, and for a second attempt at the next daemon the same again. Cause: HTTP fields may hold any bytes above 127, the strings of frames only UTF-8. A head, a trailer or an error text of an instance that is not UTF-8 failed to encode while it was written, and every error of a write closes the session.

Change: frames are encoded before they are written. An error of the encoding reaches the call, which ends with an unknown outcome; the session and its other calls go on. The text of a reset, which may quote or cut what an instance sent, is made valid first, so that a reset always arrives.

Such answers are still not delivered: fields of frames are strings.

--- a/internal/transport/callmux/reset.go
+++ b/internal/transport/callmux/reset.go
@@ -1,6 +1,7 @@
 package callmux
 
 import (
+	"strings"
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -36,5 +37,7 @@
 		reset.WorkPercent = coded.WorkPercent
 		reset.WorkAgeMillis = uint32(coded.WorkAge.Milliseconds())
 	}
+	// The text may quote or cut what an instance sent.
+	reset.Reason = strings.ToValidUTF8(reset.GetReason(), "?")
 	return &lapisv1.CallFrame{Call: id, Body: &lapisv1.CallFrame_Reset_{Reset_: reset}}
 }
--- a/internal/transport/callmux/session.go
+++ b/internal/transport/callmux/session.go
@@ -55,28 +55,29 @@
 	}
 }
 
-// send writes frames contiguously. An error closes the session.
+// send writes frames contiguously. An error of the connection closes the session. Frames that cannot be
+// encoded (ProtocolBadFrame) are not written at all, and the calls of other frames go on.
 func (s *session) send(frames ...proto.Message) error {
-	return s.write(func() error { return s.conn.SendAll(frames...) })
+	encoded, err := wire.Encode(frames...)
+	if err != nil {
+		return err
+	}
+	return s.sendEncoded(encoded)
 }
 
 // sendEncoded writes frames encoded by wire.Encode. An error closes the session.
 func (s *session) sendEncoded(frames []byte) error {
-	return s.write(func() error { return s.conn.SendEncoded(frames) })
-}
-
-func (s *session) write(send func() error) error {
 	// This fails only on a closed connection, where the write fails as well.
 	_ = s.conn.SetWriteDeadline(time.Now().Add(s.timing.WriteTimeout))
-	err := send()
+	err := s.conn.SendEncoded(frames)
 	if err != nil {
 		s.close(err)
 	}
 	return err
 }
 
-// notify sends frames and ignores the error: it closes the session with all its streams, and the
-// goroutine that reads the session reports it.
+// notify sends frames and ignores the error: one of the connection closes the session with all its
+// streams, and the goroutine that reads the session reports it.
 func (s *session) notify(frames ...proto.Message) { _ = s.send(frames...) }
 
 // close ends the session and all its streams with cause. Later calls have no effect.
