A call goes to some instance although no cost is finite

Callers saw: 502 for each call to a service whose instances all had a cost that is infinite or no number; the daemon recovered from a nil pointer for each of them. Cause: the choice began with an infinite cost and took only what is below it, so that it returned no instance although the filter had left some. A cold rate near 0 in the configuration, or a load that is no number in another daemon's answer, makes all costs so.

Change: both kinds of choice begin with the first instance.

Result: TestSomeInstanceIsChosenAtAnyCost failed in its four cases before ("chosen is nil") and passes now with all tests of the package under the race detector.

--- a/internal/requestpath/balance/cost.go
+++ b/internal/requestpath/balance/cost.go
@@ -90,7 +90,7 @@
 	var best *Target
 	lowest := math.Inf(1)
 	for index := range states {
-		if cost := costOf(&call, &states[index], costJitter*s.random.Float64()); cost < lowest {
+		if cost := costOf(&call, &states[index], costJitter*s.random.Float64()); best == nil || cost < lowest {
 			lowest = cost
 			best = candidates[index]
 		}
--- a/internal/requestpath/balance/load.go
+++ b/internal/requestpath/balance/load.go
@@ -73,7 +73,7 @@
 	for tier, targets := range tiers {
 		target, score := s.powerOfTwoChoices(targets)
 		score += localityPenalty(locality.Tier(tier))
-		if score < lowest {
+		if target != nil && (best == nil || score < lowest) {
 			best, lowest = target, score
 		}
 	}
--- a/internal/requestpath/balance/statement_test.go
+++ b/internal/requestpath/balance/statement_test.go
@@ -1,6 +1,8 @@
 package balance_test
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -93,6 +95,27 @@
 	assert.NilError(t, err)
 }
 
+// Guards against calls that are sent to no instance because no cost is finite.
+func TestSomeInstanceIsChosenAtAnyCost(t *testing.T) {
+	for name, rate := range map[string]float64{"cold rate near 0": 1e-320, "load unknown": 0} {
+		for _, latency := range []time.Duration{0, target} {
+			t.Run(fmt.Sprint(name, latency), func(t *testing.T) {
+				p := newPool("a", "a")
+				p.service.Bundle.Pool.ColdCallsPerSecond = rate
+				for _, loaded := range p.Targets("desk") {
+					loaded.Endpoint.ColdMillis = math.MaxUint32
+					loaded.Begin()
+					loaded.RecordLoad(float32(math.NaN()), p.clock.now)
+				}
+				p.update([]string{"a", "a"}, nil)
+				chosen, err := p.Pick(p.service, balance.Choice{Route: route, TargetLatency: latency})
+				assert.NilError(t, err)
+				assert.Assert(t, chosen != nil)
+			})
+		}
+	}
+}
+
 // Guards against calls to an instance that has stated that it leaves, also when its daemon restarts and
 // announces it as ready again.
 func TestInstanceThatLeavesIsNotChosen(t *testing.T) {
