Page of the ways in which a process could end by itself, and what guards each

Change: docs/operations/process-ends.md has a row for each place and trigger that a search of the product code found, with its guard and the test that shows it, or "by reading" where no test does, and what is not contained and why.

--- a/internal/pages_test.go
+++ b/internal/pages_test.go
@@ -139,7 +139,7 @@
 // The tests that the pages name must exist.
 func TestPagesNameTestsThatExist(t *testing.T) {
 	tests := testsOf(t)
-	for _, page := range []string{"../docs/proofs.md", "../docs/DECISIONS.md", "../docs/ARCHITECTURE.md"} {
+	for _, page := range []string{"../docs/proofs.md", "../docs/DECISIONS.md", "../docs/ARCHITECTURE.md", "../docs/operations/process-ends.md"} {
 		content, err := os.ReadFile(page)
 		assert.NilError(t, err)
 		for _, name := range testName.FindAllString(string(content), -1) {
