Peers log that a daemon returned as another process, and whether its end had been announced

Cause: what peers see of a return didn't say whether the process before had been asked to end; fleet.connected has the incarnation only, and the one before had to be searched for in earlier lines.

Change: fleet.restarted has the incarnation, that of the link before, the time between, and how many instances the earlier process had announced as ready when its link ended. A planned stop announces them as draining before it ends. One line for each link to a new process, which the waits between dials bound; no decision reads it.

--- a/internal/distribution/fleet/endpoints.go
+++ b/internal/distribution/fleet/endpoints.go
@@ -150,3 +150,14 @@
 	}
 	return endpoints, len(f.peers) + 1
 }
+
+// readyInstances returns the number of instances that an announcement, which may be nil, names as ready.
+func readyInstances(announcement *lapisv1.Announcement) int {
+	ready := 0
+	for _, endpoint := range announcement.GetEndpoints() {
+		if endpoint.GetState() == lapisv1.Endpoint_STATE_READY {
+			ready++
+		}
+	}
+	return ready
+}
--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -75,21 +75,44 @@
 		return callmux.Link{}, err
 	}
 	incarnation := link.Welcome().GetIncarnation()
-	f.recordConnected(peer, link, incarnation)
+	earlier := f.recordConnected(peer, link, incarnation)
 	f.config.Logger.Info("fleet.connected", "member", peer.name, "address", address, "incarnation", incarnation)
+	f.logRestart(peer, incarnation, earlier)
 	signal(f.reportDue)
 	return link, nil
 }
 
-// recordConnected records an open link to the given incarnation of a peer.
-func (f *Fleet) recordConnected(peer *peer, link callmux.Link, incarnation uint64) {
+// endedLink is what a peer's last link showed of the process at its other end.
+type endedLink struct {
+	// incarnation is that of the process, 0 before the first link.
+	incarnation uint64
+	// endedAt is when the link ended, and ready the number of instances that were announced as ready then. A
+	// process that stops as planned has announced its instances as draining before.
+	endedAt time.Time
+	ready   int
+}
+
+// recordConnected records an open link to the given incarnation of a peer. It returns the link before.
+func (f *Fleet) recordConnected(peer *peer, link callmux.Link, incarnation uint64) (earlier endedLink) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	earlier = peer.lastLink
+	peer.lastLink = endedLink{incarnation: incarnation}
 	peer.recordOpen(link, incarnation)
 	// The peer's announcement may have arrived before, when its configuration could not be requested.
 	f.recordRevision(peer, peer.revision)
 	f.allowanceConnected(peer.name)
 	peer.pendingRollouts.clear()
+	return earlier
+}
+
+// logRestart logs that another process answers under a peer's name than at its earlier link.
+func (f *Fleet) logRestart(peer *peer, incarnation uint64, earlier endedLink) {
+	if earlier.incarnation == 0 || earlier.incarnation == incarnation {
+		return
+	}
+	f.config.Logger.Info("fleet.restarted", "member", peer.name, "incarnation", incarnation, "before", earlier.incarnation,
+		"away_ms", boottime.Since(earlier.endedAt).Milliseconds(), "ready", earlier.ready)
 }
 
 // recordOpen records an open link to the given incarnation of the peer; Fleet.mutex is held.
@@ -147,6 +170,7 @@
 	}
 	peer.connected = false
 	peer.lostAt = boottime.Now()
+	peer.lastLink.endedAt, peer.lastLink.ready = peer.lostAt, readyInstances(peer.announcement)
 	peer.applyListedMember()
 	f.allowanceLost(peer.name)
 	f.mutex.Unlock()
--- a/internal/distribution/fleet/peer.go
+++ b/internal/distribution/fleet/peer.go
@@ -45,6 +45,8 @@
 	// confirmsAhead is true while the peer states times by which its confirmations would be later than this
 	// daemon's clock.
 	confirmsAhead bool
+	// lastLink describes the open link, or the last one.
+	lastLink endedLink
 	// dialNow requests an immediate dial, ordersChanged that the orders be sent on the open link.
 	dialNow, ordersChanged chan struct{}
 	pendingSuspects        pendingSuspects
