Soak: processes start with the default action of SIGHUP, whatever the tests' own is

Cause: a process inherits an ignored SIGHUP, and the Go runtime keeps it until signal.Notify.

Change: the soak's test process catches SIGHUP, and exec resets what is caught. Both ways of starting a process share one function, so that those of the tests of starts are watched for memory and data races too.

--- a/internal/lab/soak/process_test.go
+++ b/internal/lab/soak/process_test.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -36,8 +37,10 @@
 // program is the path of the built lapisvaned.
 var program string
 
-// TestMain builds lapisvaned once for all tests.
+// TestMain builds lapisvaned once for all tests. It catches SIGHUP, which is reset for the processes that it
+// starts: an ignored one is inherited, and hides each process that a SIGHUP would end.
 func TestMain(m *testing.M) {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	flag.Parse()
 	directory, err := os.MkdirTemp("", "lapisvane-soak-")
 	if err != nil {
@@ -128,8 +131,6 @@
 		},
 	}
 	started.command.Stdout, started.command.Stderr = started.output, started.output
-	// A data race ends a process that is built with the race detector, with a status of its own.
-	started.command.Env = append(os.Environ(), "GORACE=halt_on_error=1 exitcode=66")
 	if l.blockedOutput[config.Node] {
 		// The pipe is never read, so writes block once it is full.
 		reader, writer, err := os.Pipe()
@@ -143,10 +144,20 @@
 	if l.output != nil {
 		started.command.Stdout, started.command.Stderr = l.output, l.output
 	}
+	if err := l.begin(started); err != nil {
+		return nil, err
+	}
+	return started, nil
+}
+
+// begin starts the process and follows it until it exits.
+func (l *launcher) begin(started *process) error {
+	// A data race ends a process that is built with the race detector, with a status of its own.
+	started.command.Env = append(os.Environ(), "GORACE=halt_on_error=1 exitcode=66")
 	// The kernel kills the process when the test process ends.
 	started.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := started.command.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	go func() {
 		defer close(started.exited)
@@ -156,7 +167,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.started = append(l.started, started)
-	return started, nil
+	return nil
 }
 
 // settingsPath returns the path of a node's settings file.
--- a/internal/lab/soak/starts_test.go
+++ b/internal/lab/soak/starts_test.go
@@ -72,17 +72,9 @@
 // run starts a process with a settings file.
 func (l *launcher) run(path string) *process {
 	l.t.Helper()
-	started := &process{command: exec.Command(program, "--settings", path), output: &outputBuffer{}, exited: make(chan struct{})}
+	started := &process{node: filepath.Base(path), command: exec.Command(program, "--settings", path), output: &outputBuffer{}, exited: make(chan struct{})}
 	started.command.Stdout, started.command.Stderr = started.output, started.output
-	started.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	assert.NilError(l.t, started.command.Start())
-	go func() {
-		defer close(started.exited)
-		started.waitError = started.command.Wait()
-	}()
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.started = append(l.started, started)
+	assert.NilError(l.t, l.begin(started))
 	return started
 }
 
