A settings file that is moved into place during an attempt to read it is read again

Cause: an attempt that finds a file missing or cut looks at the age of the file only afterwards. If a file with an older modification time (a rename of a file prepared earlier, a copy that keeps times) takes its place in between, the fault of the old state counted as a permanent fault of the new one, and the start ended with status 2 although the file was whole.

--- a/internal/daemon/startup/file.go
+++ b/internal/daemon/startup/file.go
@@ -29,12 +29,14 @@
 
 // settled records the state at a look and reports whether the file can be taken for complete: it is
 // neither missing nor empty, and was modified or first seen in this state a settleTime ago. A
-// modification time in the future, after a step of the clock, says nothing.
+// modification time in the future, after a step of the clock, says nothing. Neither does one in the past
+// at the first look after a change: the step may have read the file before the change.
 func (w *watchedFile) settled(state fileState, now time.Time) bool {
-	if w.since.IsZero() || state != w.last {
+	changed := !w.since.IsZero() && state != w.last
+	if changed || w.since.IsZero() {
 		w.last, w.since = state, now
 	}
-	if state.missing || state.size == 0 {
+	if changed || state.missing || state.size == 0 {
 		return false
 	}
 	return now.Sub(state.modified) >= settleTime || now.Sub(w.since) >= settleTime
@@ -47,15 +49,16 @@
 	watched []watchedFile
 }
 
-// NewFiles returns Files for the paths; empty ones are left out.
+// NewFiles returns Files for the paths; empty ones are left out. It must be called before the step reads
+// them.
 func NewFiles(paths ...string) *Files {
 	files := &Files{}
 	for _, path := range paths {
 		if path != "" {
 			files.paths = append(files.paths, path)
+			files.watched = append(files.watched, watchedFile{last: stateOf(path), since: time.Now()})
 		}
 	}
-	files.watched = make([]watchedFile, len(files.paths))
 	return files
 }
 
--- a/internal/daemon/startup/file_test.go
+++ b/internal/daemon/startup/file_test.go
@@ -27,6 +27,7 @@
 		"empty":                 {{0, written(0, -time.Hour), false}, {time.Hour, written(0, -time.Hour), false}},
 		"growing":               {{0, written(4, 0), false}, {900 * time.Millisecond, written(8, 900*time.Millisecond), false}, {1800 * time.Millisecond, written(8, 900*time.Millisecond), false}, {1900 * time.Millisecond, written(8, 900*time.Millisecond), true}},
 		"clock was ahead":       {{0, written(9, time.Hour), false}, {999 * time.Millisecond, written(9, time.Hour), false}, {time.Second, written(9, time.Hour), true}},
+		"old when it appeared":  {{0, fileState{missing: true}, false}, {time.Millisecond, written(9, -time.Hour), false}, {2 * time.Millisecond, written(9, -time.Hour), true}},
 		"state cannot be asked": {{0, fileState{size: -1}, true}},
 	} {
 		file := watchedFile{}
@@ -54,3 +55,17 @@
 	assert.Assert(t, transient(NewFiles(other)), "new")
 	assert.NilError(t, NewFiles(other).Failed(StepPeerTLS, "subject", nil))
 }
+
+// Guards against a start that ends because an older file is moved into place after the attempt to read it.
+func TestFileThatAppearsAfterItWasReadIsReadAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	files := NewFiles(path)
+	_, unread := os.ReadFile(path)
+	assert.NilError(t, os.WriteFile(path, []byte("a"), 0o600))
+	assert.NilError(t, os.Chtimes(path, time.Time{}, time.Now().Add(-time.Hour)))
+	var failed *Error
+	assert.Assert(t, errors.As(files.Failed(StepSettings, path, unread), &failed))
+	assert.Assert(t, failed.Transient, "the whole file has not been read yet")
+	assert.Assert(t, errors.As(files.Failed(StepSettings, path, errors.New("fault")), &failed))
+	assert.Assert(t, !failed.Transient, "it was read as it is")
+}
