No work of the origin begins once its end is awaited

Cause: heartbeats, withdrawals and calls, whose goroutines the origin does not count, add work to its wait group after they have seen that its context has not ended. At a stop the context could end between the two, so that work was added while the wait returned: sync.WaitGroup may answer that with a panic, which ends a draining process with status 2, or the work goes on after Run has returned.

Change: Run forgets its context under the mutex under which such work is added before it waits, so that whatever was added by then is awaited and nothing is added afterwards; the rule has a function of its own.

--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -104,7 +104,8 @@
 	evacuated bool
 	// evacuationMutex is held while evacuated changes and the instances are drained or resumed.
 	evacuationMutex sync.Mutex
-	// runContext is set by Run; its end stops the monitoring of instances.
+	// runContext is the context of Run, or nil while the origin does not run or is ending; its end stops the
+	// monitoring of instances.
 	runContext context.Context
 }
 
@@ -160,7 +161,16 @@
 	o.mutex.Unlock()
 	o.goroutines.Go(func() { o.restoreDepartures(ctx) })
 	o.followHistory(ctx)
+	o.awaitGoroutines(ctx)
+}
+
+// awaitGoroutines waits until ctx and all goroutines have ended. None is started any more once the wait
+// has begun: heartbeats and calls start them, and may still be served.
+func (o *Origin) awaitGoroutines(ctx context.Context) {
 	<-ctx.Done()
+	o.mutex.Lock()
+	o.runContext = nil
+	o.mutex.Unlock()
 	o.goroutines.Wait()
 }
 
