A stated deadline beyond the range of durations does not end a call at once

Cause: the milliseconds that a caller states were multiplied without a bound. Beyond 292 years, as in the largest 64-bit number for "no deadline", the product is negative, so that the call was out of time at once and its caller got a refusal; beyond 49 days the field for the origin kept the lowest 32 bits only.

Change: the number is bounded by the largest that the protocol between daemons carries before it becomes a duration, so that the route's own deadline or the default applies as for any other long one.

--- a/internal/requestpath/gateway/headers.go
+++ b/internal/requestpath/gateway/headers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -51,11 +52,15 @@
 	return fields
 }
 
-// statedDeadline returns the time that the caller will wait according to its header field. ok is false
-// if the field is missing or is not a number.
+// maxStatedMillis bounds the deadline that a caller may state. It is the largest that the protocol between
+// daemons can carry.
+const maxStatedMillis = math.MaxUint32
+
+// statedDeadline returns the time that the caller will wait according to its header field, at most
+// maxStatedMillis. ok is false if the field is missing or is not a number.
 func (g *Gateway) statedDeadline(rc *app.RequestContext) (stated time.Duration, ok bool) {
 	millis, err := strconv.ParseInt(string(rc.Request.Header.Peek(g.config.Envelope.Deadline)), 10, 64)
-	return time.Duration(max(millis, 0)) * time.Millisecond, err == nil
+	return time.Duration(min(max(millis, 0), maxStatedMillis)) * time.Millisecond, err == nil
 }
 
 // priorWait returns the time that the caller of a request has been waiting since its first try. It must
