A Retry-After of an instance stays within what the protocol between daemons carries

Cause: a delay that an instance states as negative, or as longer than 49 days, was cut to its lowest 32 bits of milliseconds in the reset of a call. A caller behind another daemon was told to come back in 49 days for a field of -1, while one at the same daemon got the default.

Change: the delay is bounded where the field is read, on both sides, so that a negative one counts as unknown for all callers and a long one stays the longest that the protocol has.

--- a/internal/requestpath/origin/response.go
+++ b/internal/requestpath/origin/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -68,14 +69,18 @@
 	return 0, false
 }
 
-// retryAfterOf returns the delay of a Retry-After field in seconds; 0, which means unknown, if the
-// field is missing or is not a number, such as a date.
+// maxStatedRetryAfter bounds the delay that an instance may state. It is the longest that the protocol
+// between daemons can carry.
+const maxStatedRetryAfter = math.MaxUint32 * time.Millisecond
+
+// retryAfterOf returns the delay of a Retry-After field in seconds, at most maxStatedRetryAfter; 0, which
+// means unknown, if the field is missing, negative or not a number, such as a date.
 func retryAfterOf(header http.Header) time.Duration {
 	seconds, err := time.ParseDuration(header.Get("Retry-After") + "s")
 	if err != nil {
 		return 0
 	}
-	return seconds
+	return min(max(seconds, 0), maxStatedRetryAfter)
 }
 
 // responseBody is a response body that releases the slot when it has been read or closed.
