Frames of another daemon at a reused address are not read

Cause: the dialing side began to read a connection, with the callbacks for the daemon it expected, before it had compared the name in the greeting. A daemon that answers at the address of an earlier machine sends its withdrawals, orders, announcement and heartbeat at once; those read before the close were attributed to the expected daemon, such as the revision in force that catching up relies on, and answers about departures.

Change: the name is compared right after the greeting, before a session, its callbacks or its goroutines exist, so that nothing of another daemon is read. The typed error and its content are as before.

--- a/internal/transport/callmux/client.go
+++ b/internal/transport/callmux/client.go
@@ -118,7 +118,7 @@
 	if now.Sub(link.failedAt) < dialFailureTTL {
 		return nil, link.failure
 	}
-	opened, err := c.open(ctx, address, nil)
+	opened, err := c.open(ctx, "", address, nil)
 	if err != nil {
 		link.failedAt = now
 		link.failure = err
--- a/internal/transport/callmux/connect.go
+++ b/internal/transport/callmux/connect.go
@@ -27,14 +27,10 @@
 // that they may use the link although Connect has not returned yet. Errors: CallNotRunUnreachable,
 // *OtherDaemonError.
 func (c *Client) Connect(ctx context.Context, node, address string, control func(Link) Control) (Link, error) {
-	opened, err := c.open(ctx, address, control)
+	opened, err := c.open(ctx, node, address, control)
 	if err != nil {
 		return Link{}, err
 	}
-	if found := opened.welcome.GetNode(); found != node {
-		opened.close(result.Errorf(result.CallNotRunUnreachable, "a different daemon answered"))
-		return Link{}, &OtherDaemonError{Address: address, Expected: node, Found: found}
-	}
 	link := c.link(address)
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
@@ -50,9 +46,10 @@
 	return Link{opened}, nil
 }
 
-// open dials address and exchanges greetings, within openTimeout. control may be nil. Errors:
-// CallNotRunUnreachable.
-func (c *Client) open(ctx context.Context, address string, control func(Link) Control) (*session, error) {
+// open dials address and exchanges greetings, within openTimeout. node is the daemon to expect, or empty
+// for any. No frame of another daemon is read, since control attributes frames to node. control may be nil.
+// Errors: CallNotRunUnreachable, *OtherDaemonError.
+func (c *Client) open(ctx context.Context, node, address string, control func(Link) Control) (*session, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	dialCtx, cancelDial := context.WithTimeout(ctx, dialTimeout)
@@ -70,6 +67,10 @@
 		_ = conn.Close() // The error of greet is the one to report.
 		return nil, result.Wrap(result.CallNotRunUnreachable, err, "greeting %s", address)
 	}
+	if found := welcome.GetNode(); node != "" && found != node {
+		_ = conn.Close() // The other daemon sees the end, whatever the error.
+		return nil, &OtherDaemonError{Address: address, Expected: node, Found: found}
+	}
 	_ = raw.SetDeadline(time.Time{})
 	opened := newSession(conn, welcome.GetIncarnation(), c.Timing)
 	opened.boundInFlight(welcome.GetInFlightBytes())
--- a/internal/transport/callmux/dial_test.go
+++ b/internal/transport/callmux/dial_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/internal/shared/result"
@@ -34,3 +35,17 @@
 		assert.Assert(t, dialTimeout < time.Second, "the kernel retransmits the SYN before the timeout")
 	})
 }
+
+// Guards against frames of a daemon at a reused address that are taken for those of the daemon expected there.
+func TestFramesOfAnotherDaemonAreNotRead(t *testing.T) {
+	client, address := serveOrigin(t, oddOrigin{}, nil)
+	read := 0
+	_, err := client.Connect(t.Context(), "expected", address, func(Link) Control { read++; return Control{} })
+	var other *OtherDaemonError
+	assert.Assert(t, errors.As(err, &other), "%v", err)
+	assert.DeepEqual(t, *other, OtherDaemonError{Address: address, Expected: "expected", Found: "b"})
+	assert.Equal(t, read, 0, "the session was given callbacks, and reads")
+	_, err = client.Connect(t.Context(), "b", address, func(Link) Control { read++; return Control{} })
+	assert.NilError(t, err)
+	assert.Equal(t, read, 1)
+}
