Emulator: a burst that gives up within an answer closes its connection

Change: an error within a body ends the connection, as it does for the callers with persistent connections; what the connection has not answered is handled as after any other broken connection.

--- a/internal/lab/emulator/client/burst.go
+++ b/internal/lab/emulator/client/burst.go
@@ -104,13 +104,11 @@
 	for index, pending := range requests {
 		response, err := http.ReadResponse(conn.reader, pending.request)
 		if err != nil {
-			_ = conn.Close()
-			if !isTimeout(err) {
-				s.recordUnanswered(requests[index:], err.Error())
-			}
-			s.retryBroken(target, requests[index:])
+			s.breakOff(target, conn, requests[index:], err)
 			return
 		}
+		body := &errorRecorder{ReadCloser: response.Body}
+		response.Body = body
 		outcome, _, retry := s.load.evaluate(pending.class, pending.id, response)
 		_ = response.Body.Close()
 		if outcome == Served || !retry {
@@ -118,6 +116,11 @@
 		} else {
 			s.retry(target, []Class{pending.class})
 		}
+		if body.err != nil {
+			// The rest of this answer would be taken for the next one.
+			s.breakOff(target, conn, requests[index+1:], body.err)
+			return
+		}
 		if response.Close {
 			_ = conn.Close()
 			s.recordUnanswered(requests[index+1:], fmt.Sprintf("closed by the answer %d to a %s", response.StatusCode, pending.class.Name))
@@ -128,6 +131,16 @@
 	s.release(address, conn)
 }
 
+// breakOff closes a connection that cannot be read further, and handles the requests that it has not
+// answered. A timeout means that the client gave them up.
+func (s *burstSender) breakOff(target Target, conn *pipelinedConn, requests []*burstRequest, cause error) {
+	_ = conn.Close()
+	if !isTimeout(cause) {
+		s.recordUnanswered(requests, cause.Error())
+	}
+	s.retryBroken(target, requests)
+}
+
 // recordUnanswered enters requests without an answer into the ledger.
 func (s *burstSender) recordUnanswered(requests []*burstRequest, cause string) {
 	for _, pending := range requests {
