A message to another daemon that cannot be encoded is logged

Cause: since a frame that cannot be encoded no longer ends the connection, a message between daemons with text that is not UTF-8 was dropped without any line. An announcement would be missing at all other daemons while this one believes it sent it; before, the connection's repeated end at least showed in the log.

Errors of the connection are dropped as before, since its end is reported and everything is sent again.

--- a/internal/distribution/fleet/earlyframe_test.go
+++ b/internal/distribution/fleet/earlyframe_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -46,3 +48,31 @@
 		running.Wait()
 	})
 }
+
+// Guards against an announcement that cannot be encoded, and is missing at other daemons without a trace.
+func TestFrameThatCannotBeEncodedIsLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		network := newMemoryNetwork()
+		server := &callmux.Server{Node: "other", Origin: noInstances{}}
+		listener, err := network.Listen("other:1")
+		assert.NilError(t, err)
+		accepting := &accept.Server{Logger: logr.Discard(), Handlers: map[lapisv1.Hello_Purpose]accept.Handler{lapisv1.Hello_PURPOSE_CALLS: server.Serve}}
+		var running sync.WaitGroup
+		running.Go(func() { accepting.Serve(ctx, listener) })
+		calls := &callmux.Client{Network: network, Maintained: true, Hello: helloOf(memberAt("self", "self:1"))}
+		link, err := calls.Connect(ctx, "other", "other:1", nil)
+		assert.NilError(t, err)
+		var lines []string
+		sending := newTestFleet(1)
+		sending.config.Logger = funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+		sending.send(link, introductionFrame(&lapisv1.Introduction{Withdrawn: []string{"caf\xe9"}}))
+		assert.Assert(t, len(lines) == 1 && strings.Contains(lines[0], "Introduction"), "%q", lines)
+		sending.send(link, introductionFrame(&lapisv1.Introduction{Withdrawn: []string{"cafe"}}))
+		calls.Close()
+		sending.send(link, introductionFrame(&lapisv1.Introduction{Withdrawn: []string{"cafe"}}))
+		assert.Equal(t, len(lines), 1, "a link that has ended is no such fault")
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/distribution/fleet/link.go
+++ b/internal/distribution/fleet/link.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/shared/boottime"
@@ -156,9 +156,14 @@
 	}
 }
 
-// send sends a frame on a link. An error means that the link has ended; it is dropped, because
-// link.Closed reports the end, and everything sent here is sent again when the next link opens.
-func (f *Fleet) send(link callmux.Link, frame proto.Message) { _ = link.Send(frame) }
+// send sends a frame on a link. An error of the connection is dropped, because link.Closed reports the end, and
+// everything sent here is sent again when the next link opens. A frame that cannot be encoded is logged: nothing
+// else shows that the other daemon lacks its content.
+func (f *Fleet) send(link callmux.Link, frame *lapisv1.CallFrame) {
+	if err := link.Send(frame); result.Is(err, result.ProtocolBadFrame) {
+		f.config.Logger.Error(err, "fleet.frame_unencodable", "kind", fmt.Sprintf("%T", frame.GetBody()))
+	}
+}
 
 // recordLost records that a link to a peer ended. It ignores a link that has been replaced, which
 // happens when the peer was dropped and chosen again before that link ended.
