Comments of the start: the limit of a second reading, and the width of lines

Cause: the comment of the reading of settings named the default limit only, although a start that begins again after a change of the settings keeps the limit of those it read before; one comment ran over the usual width.

Change: the comment names both limits, and the other one is wrapped. No code changes, so that there is nothing that a test could show before and after.

Result: gofmt reports nothing and the tests of internal/daemon passed once after the change, without the race detector, which is enough for a change of comments only.

--- a/internal/daemon/launch.go
+++ b/internal/daemon/launch.go
@@ -79,7 +79,8 @@
 }
 
 // readSettings reads the settings and sets the verbosity of the logger and the node. It waits for a file
-// that is not complete yet, for at most the default of settings.Daemon.StartLimit.
+// that is not complete yet, for at most the default of settings.Daemon.StartLimit, or the limit of the
+// settings that were read before.
 func (l *launch) readSettings() (config *settings.Daemon, err error) {
 	path := l.options.Settings
 	l.waiter.Changed = nil
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -17,9 +17,10 @@
 	peer, caller, callerTLS, operator, metrics, instances, readiness net.Listener
 }
 
-// listen opens the sockets for the addresses in the settings except the metrics address, all or none: callers' connections must not
-// wait in the accept queue of a daemon that still waits for another address. The callers' addresses are
-// opened last. Errors: *startup.Error with the key as its step and the address as its subject.
+// listen opens the sockets for the addresses in the settings except the metrics address, all or none:
+// callers' connections must not wait in the accept queue of a daemon that still waits for another address.
+// The callers' addresses are opened last. Errors: *startup.Error with the key as its step and the address as
+// its subject.
 func listen(network wire.Network, config *settings.Daemon, logger logr.Logger) (opened listeners, err error) {
 	plain := wire.TCP{}.Listen
 	for _, entry := range []struct {
