A start outlasts the stop of a predecessor with the same settings

Cause: start_limit was 1 min by default and stop_limit 10 min. A successor of a daemon that drains for longer than a minute gave up with status 3, which is an end by itself once more; found by the review of the change.

Change: the default of start_limit is a minute above that of stop_limit. The settings file, which is read before any setting is known, is waited for a minute as before, under a name of its own (settingsLimit).

Measured: TestDefaultStartOutlastsADefaultStop fails with the old default; the packages internal/daemon/... and internal pass with the race detector.

--- a/internal/daemon/launch.go
+++ b/internal/daemon/launch.go
@@ -28,6 +28,10 @@
 	settingsStamp fileStamp
 }
 
+// settingsLimit bounds the time from the start of the process in which the settings file is first waited for.
+// No setting can do so. Files that a platform lays at a start are there within seconds.
+const settingsLimit = time.Minute
+
 // newLaunch returns a launch that logs events to output and ends when stop or force is closed.
 func newLaunch(options *daemonFlags, adapters map[string]Adapter, output io.Writer, stop, force <-chan struct{}) *launch {
 	logger := logging.New(output, 0)
@@ -35,7 +39,7 @@
 		options: options, adapters: adapters, output: output, logger: logger, node: options.Node,
 		waiter: startup.Waiter{
 			Stop: stop, Force: force, Logger: logger.WithValues("node", options.Node),
-			Began: time.Now(), Limit: settings.DefaultDaemon().StartLimit.Get(),
+			Began: time.Now(), Limit: settingsLimit,
 		},
 	}
 }
@@ -79,8 +83,7 @@
 }
 
 // readSettings reads the settings and sets the verbosity of the logger and the node. It waits for a file
-// that is not complete yet, for at most the default of settings.Daemon.StartLimit, or the limit of the
-// settings that were read before.
+// that is not complete yet, for at most settingsLimit, or StartLimit of the settings that were read before.
 func (l *launch) readSettings() (config *settings.Daemon, err error) {
 	path := l.options.Settings
 	l.waiter.Changed = nil
--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -206,9 +206,12 @@
 // defaultDecisionLinesPerSecond is the default of DecisionLinesPerSecond.
 const defaultDecisionLinesPerSecond = 200
 
-// defaultStartLimit is the default of StartLimit. It is above the usual grace periods of supervisors, 10 to
-// 30 s, within which a predecessor on the same addresses ends.
-const defaultStartLimit = time.Minute
+// Defaults of StopLimit and StartLimit. A predecessor on the same addresses may drain for defaultStopLimit; a
+// start that gave up before that would end by itself although its addresses become free.
+const (
+	defaultStopLimit  = 10 * time.Minute
+	defaultStartLimit = defaultStopLimit + time.Minute
+)
 
 // DefaultDaemon returns the default settings.
 func DefaultDaemon() Daemon {
@@ -221,7 +224,7 @@
 		},
 		SentAhead:  SentAhead{RequestsPerConnection: 16, Requests: 2048, BytesPerConnection: 256 << 10, Bytes: 16 << 20},
 		Platform:   Platform{Contact: tunables.Duration(3 * time.Second), ApplyBound: tunables.Duration(2 * time.Second)},
-		StopLimit:  tunables.Duration(10 * time.Minute),
+		StopLimit:  tunables.Duration(defaultStopLimit),
 		StartLimit: tunables.Duration(defaultStartLimit),
 
 		DecisionLinesPerSecond: defaultDecisionLinesPerSecond,
--- a/internal/daemon/settings/settings_test.go
+++ b/internal/daemon/settings/settings_test.go
@@ -87,3 +87,9 @@
 		assert.NilError(t, err, path)
 	}
 }
+
+// Guards against a start that gives up while a predecessor with the same settings may still drain.
+func TestDefaultStartOutlastsADefaultStop(t *testing.T) {
+	defaults := settings.DefaultDaemon()
+	assert.Assert(t, defaults.StartLimit > defaults.StopLimit)
+}
