Soak of lives: the memory of processes is watched in one place

Cause: the soak of lives read the highest resident memory by functions of its own, beside the launcher's, which watches every process that it starts.

Change: the lives use the launcher's figure; about 50 lines less.

--- a/internal/lab/soak/lives_test.go
+++ b/internal/lab/soak/lives_test.go
@@ -8,8 +8,6 @@
 	"net"
 	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -23,7 +21,6 @@
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/client"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/day"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/objectstore"
-	"github.com/lapisvane/lapisvane/internal/shared/sleep"
 )
 
 var (
@@ -53,8 +50,6 @@
 	judging   sync.WaitGroup
 	// starts counts the processes, unhandledHangups those that a SIGHUP ended before the program handled it.
 	starts, unhandledHangups atomic.Int64
-	// peakKB is the highest resident memory of a process.
-	peakKB atomic.Int64
 }
 
 // node is a machine and its processes. One goroutine uses it.
@@ -89,7 +84,6 @@
 	loadCtx, endLoad := context.WithCancel(ctx)
 	var background sync.WaitGroup
 	background.Go(func() { load.Run(loadCtx) })
-	background.Go(func() { played.watchMemory(loadCtx) })
 	background.Go(func() { loseStore(loadCtx, site.Store, rand.New(rand.NewPCG(seed, 1))) })
 	played.onEachNode((*node).disturb)
 	played.startAllAtOnce()
@@ -103,10 +97,10 @@
 	for _, each := range played.nodes {
 		assert.Check(t, !each.newest.hasExited(), "%s has no process", each.path)
 	}
-	played.readMemory()
-	assert.Check(t, played.peakKB.Load() < memoryBoundKB, "%d kB", played.peakKB.Load())
+	peak, at := played.processes.peakMemory()
+	assert.Check(t, peak < memoryBoundKB, "%d kB at %s", peak, at)
 	t.Logf("processes %d, ended by a SIGHUP before the program handled it %d, peak memory %d kB, served %d",
-		played.starts.Load(), played.unhandledHangups.Load(), played.peakKB.Load(), load.Tally.Served.Load())
+		played.starts.Load(), played.unhandledHangups.Load(), peak, load.Tally.Served.Load())
 }
 
 // livesOptions returns the options of a site with two services in four zones.
@@ -196,47 +190,6 @@
 	}
 }
 
-// watchMemory reads the memory of all processes until ctx ends.
-func (d *livesDay) watchMemory(ctx context.Context) {
-	for sleep.For(ctx, pollInterval) {
-		d.readMemory()
-	}
-}
-
-// readMemory raises peakKB to the highest resident memory of the processes that run.
-func (d *livesDay) readMemory() {
-	d.processes.mutex.Lock()
-	started := slices.Clone(d.processes.started)
-	d.processes.mutex.Unlock()
-	for _, each := range started {
-		if !each.hasExited() {
-			d.raisePeak(each)
-		}
-	}
-}
-
-func (d *livesDay) raisePeak(running *process) {
-	peak := peakMemoryKB(running.command.Process.Pid)
-	for before := d.peakKB.Load(); peak > before && !d.peakKB.CompareAndSwap(before, peak); {
-		before = d.peakKB.Load()
-	}
-}
-
-// peakMemoryKB returns the highest resident memory of a process, 0 if it has ended.
-func peakMemoryKB(pid int) int64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	_, after, _ := strings.Cut(string(status), "VmHWM:")
-	fields := strings.Fields(after)
-	if len(fields) == 0 {
-		return 0
-	}
-	peak, _ := strconv.ParseInt(fields[0], 10, 64)
-	return peak
-}
-
 // loseStore makes the store unavailable for all daemons, again and again, until ctx ends.
 func loseStore(ctx context.Context, store *objectstore.Server, random *rand.Rand) {
 	faults := []objectstore.Faults{{Down: true}, {Silent: true}, {Reset: true}, {Delay: 300 * time.Millisecond}}
@@ -280,7 +233,6 @@
 	predecessor := n.newest
 	n.start()
 	n.pause(300 * time.Millisecond)
-	n.day.raisePeak(predecessor.process)
 	predecessor.ask(syscall.SIGKILL)
 	predecessor.exitStatus(n.day.t)
 }
