Soak of lives: a settings file stays in the state of being written until its start runs

Cause: the first piece of a settings file was written once, before a start that may wait for its turn to fork. On a busy machine the piece was over a second old at the first look of the process, which then rightly ended with status 2.

Change: the piece is written again every 50 ms until the process runs, then the rest. The check is unchanged: no end with status 2 is excused. The target soak-processes of the Makefile plays the lives too.

--- a/Makefile
+++ b/Makefile
@@ -43,4 +43,4 @@
 SEEDS ?= 50
 MACHINES ?= 6
 soak-processes:
-	$(GO) test -count=1 -timeout 3h -v ./internal/lab/soak -run 'Planned|Faults' -soak.seed $(SEED) -soak.seeds $(SEEDS) -soak.machines $(MACHINES)
+	$(GO) test -count=1 -timeout 3h -v ./internal/lab/soak -run 'Planned|Faults|Unasked' -soak.seed $(SEED) -soak.seeds $(SEEDS) -soak.lives $(SEEDS) -soak.machines $(MACHINES)
--- a/internal/lab/soak/lives_test.go
+++ b/internal/lab/soak/lives_test.go
@@ -21,6 +21,7 @@
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/client"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/day"
 	"github.com/lapisvane/lapisvane/internal/lab/emulator/objectstore"
+	"github.com/lapisvane/lapisvane/internal/shared/sleep"
 )
 
 var (
@@ -327,16 +328,27 @@
 }
 
 // rewriteSettings writes the settings file in two pieces and calls meanwhile while it is empty or half
-// written.
+// written. The first piece is written again and again until meanwhile returns, as a start of a process may
+// wait long for its turn to fork, and takes a file that has not changed for a second for whole.
 func (n *node) rewriteSettings(meanwhile func()) {
-	file, err := os.Create(n.path)
-	assert.Check(n.day.t, err)
-	written := len(n.text) * n.random.IntN(2) / 2
-	_, err = file.Write(n.text[:written])
-	assert.Check(n.day.t, err)
+	const interval = 50 * time.Millisecond
+	part := n.text[:len(n.text)*n.random.IntN(2)/2]
+	n.writeSettings(part)
+	ctx, end := context.WithCancel(context.Background())
+	var writing sync.WaitGroup
+	writing.Go(func() {
+		for sleep.For(ctx, interval) {
+			n.writeSettings(part)
+		}
+	})
 	meanwhile()
+	end()
+	writing.Wait()
+	n.writeSettings(part)
 	n.pause(150 * time.Millisecond)
-	_, err = file.Write(n.text[written:])
-	assert.Check(n.day.t, err)
-	assert.Check(n.day.t, file.Close())
+	n.writeSettings(n.text)
+}
+
+func (n *node) writeSettings(text []byte) {
+	assert.Check(n.day.t, os.WriteFile(n.path, text, 0o600))
 }
