Defaults of the settings stand in one block

Change: one block of constants, the reason beside the one that it is of.

Measured: internal/daemon and its settings pass with the race detector.

--- a/internal/daemon/settings/daemon.go
+++ b/internal/daemon/settings/daemon.go
@@ -203,13 +203,12 @@
 	ProfileBytes       = "bytes"
 )
 
-// defaultDecisionLinesPerSecond is the default of DecisionLinesPerSecond.
-const defaultDecisionLinesPerSecond = 200
-
-// Defaults of StopLimit and StartLimit. A predecessor on the same addresses may drain for defaultStopLimit; a
-// start that gave up before that would end by itself although its addresses become free.
+// Defaults of settings.
 const (
-	defaultStopLimit  = 10 * time.Minute
+	defaultDecisionLinesPerSecond = 200
+	defaultStopLimit              = 10 * time.Minute
+	// defaultStartLimit is above defaultStopLimit, for which a predecessor on the same addresses may drain. A
+	// start that gave up before would end by itself although its addresses become free.
 	defaultStartLimit = defaultStopLimit + time.Minute
 )
 
