A read of the departures that began at the start of a process is not taken for a later one

Cause: a daemon answers another one that has just started with what it read of the store, if the read surely began after that start. It took one that began at the same moment too, which may have missed a departure that was stored right after it and acknowledged by the process before.

Change: the read must have begun later. A daemon that is not answered asks another one or reads the store itself, as for any earlier read.

--- a/internal/requestpath/departure/history.go
+++ b/internal/requestpath/departure/history.go
@@ -234,7 +234,8 @@
 	}
 	readAt = uptime + h.listedAt.Sub(askedAt)
 	instances, complete := h.listing.of(node)
-	return instances, readAt, complete && readAt >= 0
+	// A read that began at the same moment may have missed a departure that was stored right after it.
+	return instances, readAt, complete && readAt > 0
 }
 
 // RequestRead makes a read due for another daemon, which could not read the store itself.
--- a/internal/requestpath/departure/history_test.go
+++ b/internal/requestpath/departure/history_test.go
@@ -120,6 +120,8 @@
 		assert.DeepEqual(t, instances, []string{"i-1"})
 		_, _, known = reader.Answer("asker", time.Now(), 500*time.Millisecond)
 		assert.Assert(t, !known, "started after the read")
+		_, _, known = reader.Answer("asker", time.Now(), time.Second)
+		assert.Assert(t, !known, "started at the moment of the read")
 		reader.listing.Node = "reader"
 		_, _, known = reader.Answer("asker", time.Now(), 2*time.Second)
 		assert.Assert(t, !known, "a listing of another node")
