A leave of a later start ends the earlier ones of its id

Cause: a departure was applied to the incarnation that it names and to no other. An instance that starts again under its id, and of whose second start only the leave arrives, stayed registered and ready with its first start after the leave was acknowledged. 4.5 s after the departure a single late heartbeat of the first start registered it, also in a process that knew only the departure.

Change: package incarnation states what one start says about the others of its id, and Departure.Ends asks it. A departure, whoever tells of it, drains and drops the earlier starts that were registered when it was first learned, and so does a draining heartbeat with earlier starts at its address. They are not recorded as withdrawn, because the machine's clock may have been set back: until the departure expires, an earlier start registers by heartbeats that go on for a second, the first of them 4.5 s after the departure or later. Calls for an earlier start are refused as for one that left.

--- a/internal/model/incarnation/departure.go
+++ b/internal/model/incarnation/departure.go
@@ -53,3 +53,9 @@
 		return i == d.Incarnation
 	}
 }
+
+// Ends reports whether the departure says that an incarnation is not there any more: it left with it, or is
+// earlier than the one that left. See the package comment.
+func (d Departure) Ends(i Incarnation) bool {
+	return d.Covers(i) || (i.ID == d.ID && d.StartedAfter(i))
+}
--- a/internal/model/incarnation/departure_test.go
+++ b/internal/model/incarnation/departure_test.go
@@ -40,3 +40,25 @@
 		})
 	}
 }
+
+func TestDeparturesEndEarlierIncarnations(t *testing.T) {
+	for name, row := range map[string]struct {
+		departure string
+		ended     []string
+		not       []string
+	}{
+		"of one incarnation":  {"i-1@5", []string{"i-1@5", "i-1@4", "i-1@1", "i-1"}, []string{"i-1@6", "i-2@4", "i-2"}},
+		"without a start":     {"i-1", []string{"i-1"}, []string{"i-1@5", "i-2"}},
+		"of all until a time": {"i-1@until-5", []string{"i-1@5", "i-1@4", "i-1"}, []string{"i-1@6", "i-2@4", "i-2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			departure := incarnation.ParseDeparture(row.departure)
+			for _, ended := range row.ended {
+				assert.Check(t, departure.Ends(incarnation.Parse(ended)), ended)
+			}
+			for _, not := range row.not {
+				assert.Check(t, !departure.Ends(incarnation.Parse(not)), not)
+			}
+		})
+	}
+}
--- a/internal/model/incarnation/incarnation.go
+++ b/internal/model/incarnation/incarnation.go
@@ -3,6 +3,20 @@
 // distinguishes the starts: registrations, drains, ejections, speed statistics of instances, the
 // instances tried by a call, and announcements between daemons.
 //
+// One process at a time runs under an id. So what is known of one start says something about the others
+// of the id on its machine:
+//
+//   - A later start, whether it is present or has left, ends each earlier one. Its departure says that no
+//     earlier one is there, whoever tells of it (Departure.Ends).
+//   - An earlier start says nothing about a later one, and its departure ends it alone.
+//   - The order is that of the machine's clock, which may have been set back between two starts. An
+//     incarnation that a later one ended is therefore the present one after all if its heartbeats go on for
+//     longer than late ones arrive. Only a departure of its own is final.
+//   - Starts that are equal or not stated have no order.
+//
+// All that is kept by the name of an incarnation ends with the incarnation: its registration, with calls that
+// wait, limits and connections, and by the announcement without it what callers keep.
+//
 // The package is pure and owns no state. Invariant: instances are compared by name; an id alone is
 // used only towards the instance itself and in objects written by operators.
 package incarnation
--- a/internal/requestpath/departure/candidates.go
+++ b/internal/requestpath/departure/candidates.go
@@ -9,8 +9,8 @@
 // memory. A machine has one instance, or a few while one replaces another.
 const maxCandidates = 64
 
-// Candidates records the heartbeats of unknown instances whose departure could not be looked up. The zero
-// value is ready to use.
+// Candidates records the heartbeats of instances that may have ended, because their departure could not be
+// looked up or a later incarnation left. The zero value is ready to use.
 type Candidates struct {
 	mutex sync.Mutex
 	first map[string]firstHeartbeat
--- a/internal/requestpath/origin/drain.go
+++ b/internal/requestpath/origin/drain.go
@@ -15,8 +15,9 @@
 	DrainEvacuated DrainReason = "evacuated"
 	// DrainInstance applies once the instance itself has reported that it leaves.
 	DrainInstance DrainReason = "instance"
-	// DrainReplaced applies to an instance whose address another instance has taken over, and
-	// DrainSuspended while it is unknown whether one has (takeover.go).
+	// DrainReplaced applies to an instance whose address another instance has taken over, or that
+	// started earlier than one that left; DrainSuspended while it is unknown whether another one has
+	// taken over (takeover.go).
 	DrainReplaced  DrainReason = "replaced"
 	DrainSuspended DrainReason = "suspended"
 )
@@ -68,6 +69,13 @@
 	i.queue.Reopen()
 }
 
+// hasEnded reports whether the instance left permanently or another one has taken its place.
+func (i *Instance) hasEnded() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.drainReasons[DrainInstance] || i.drainReasons[DrainReplaced]
+}
+
 // firstDrainReason returns the first reason that applies, in order of precedence; the caller holds
 // mutex.
 func (i *Instance) firstDrainReason() (reason DrainReason, draining bool) {
--- a/internal/requestpath/origin/handle.go
+++ b/internal/requestpath/origin/handle.go
@@ -72,7 +72,7 @@
 func (o *Origin) checkArrival(open *lapisv1.CallOpen) (*Instance, error) {
 	instance, ok := o.instance(open.GetService(), open.GetInstance())
 	if !ok {
-		return nil, unknownRefusal(open, o.isWithdrawn(open.GetInstance()))
+		return nil, unknownRefusal(open, o.hasEnded(open.GetInstance()))
 	}
 	if err := checkShutdown(open, time.Now(), o.currentShutdownDeadline()); err != nil {
 		return nil, err
--- a/internal/requestpath/origin/incarnation.go
+++ b/internal/requestpath/origin/incarnation.go
@@ -11,7 +11,8 @@
 type heartbeatKind int
 
 const (
-	// heartbeatOfWithdrawn: the instance left permanently; the heartbeat is ignored.
+	// heartbeatOfWithdrawn: the instance left permanently, or is known and was ended by a later incarnation; the
+	// heartbeat is ignored.
 	heartbeatOfWithdrawn heartbeatKind = iota
 	// heartbeatOfKnown: the instance is known.
 	heartbeatOfKnown
@@ -24,15 +25,15 @@
 
 // incarnationConflicts describes other incarnations with the ID or the address of a heartbeat.
 type incarnationConflicts struct {
-	// laterStartPresent is true if an incarnation that started later is present. addressHeld is
-	// true if one that cannot be ordered by its start holds the address or the ID (holdsAddress).
+	// laterStartPresent is true if an incarnation that started later is present, or left and the
+	// heartbeats of this one have not continued since (hasContinuedAfter). addressHeld is true if one that cannot be ordered by its start holds the address or the ID (holdsAddress).
 	laterStartPresent, addressHeld bool
 	// holder is the name of that incarnation, for the log.
 	holder string
 }
 
-// kindOfHeartbeat classifies a heartbeat. withdrawn and known state whether its incarnation left
-// permanently and whether it is known, conflicts describes other incarnations, and sequence is the
+// kindOfHeartbeat classifies a heartbeat. ended and known state whether its incarnation left
+// permanently or was ended by a later one, and whether it is known, conflicts describes other incarnations, and sequence is the
 // number of the heartbeat since the start of its instance.
 //
 // The conditions apply in the order of the code. Start times, if stated, decide while the later
@@ -41,9 +42,9 @@
 // is not its first counts as an earlier one that this daemon has forgotten, and the address stays
 // with its holder. If it is the later one after all, because its first heartbeat was lost, it is
 // accepted once the other is no longer present.
-func kindOfHeartbeat(withdrawn, known bool, conflicts incarnationConflicts, sequence uint64) heartbeatKind {
+func kindOfHeartbeat(ended, known bool, conflicts incarnationConflicts, sequence uint64) heartbeatKind {
 	switch {
-	case withdrawn:
+	case ended:
 		return heartbeatOfWithdrawn
 	case known:
 		return heartbeatOfKnown
--- a/internal/requestpath/origin/origin.go
+++ b/internal/requestpath/origin/origin.go
@@ -79,6 +79,8 @@
 	departuresLost chan struct{}
 	// candidates are the unknown instances of which the history says nothing because it is incomplete.
 	candidates departure.Candidates
+	// superseded are the incarnations that send heartbeats after the departure of one that started later.
+	superseded departure.Candidates
 	// executing counts the calls that run at instances, and executingRepeats the repeats among
 	// them.
 	executing, executingRepeats atomic.Int64
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -57,6 +57,7 @@
 	names = o.departureNames(registration.incarnation())
 	if instance, isNew := o.findOrRegister(registration); instance != nil {
 		instance.applyHeartbeat(registration, isNew)
+		o.supersedeEarlier(instance)
 	}
 	o.withdrawAnnounced(names, withdrawnByHeartbeat)
 	return names
@@ -69,9 +70,9 @@
 	defer o.mutex.Unlock()
 	o.pruneWithdrawn()
 	identity := registration.incarnation()
-	withdrawn := o.hasLeft(identity)
 	key := instanceKey{registration.Service, identity.Name()}
 	known, isKnown := o.instances[key]
+	ended := o.hasLeft(identity) || (isKnown && known.hasEnded())
 	if !isKnown && !o.hasService(registration.Service) {
 		o.unknownServiceLog.Do(func() {
 			o.config.Logger.Info("instance.service_unknown", "instance", identity.Name(), "service", registration.Service)
@@ -79,7 +80,10 @@
 		return nil, false
 	}
 	conflicts := o.conflictsOf(identity, registration.Address)
-	switch kindOfHeartbeat(withdrawn, isKnown, conflicts, registration.Sequence) {
+	if later := o.laterWithdrawnStart(identity); later != "" && !o.hasContinuedAfter(later, registration) {
+		conflicts.laterStartPresent, conflicts.holder = true, later
+	}
+	switch kindOfHeartbeat(ended, isKnown, conflicts, registration.Sequence) {
 	case heartbeatOfWithdrawn:
 		o.logHeartbeatAfterLeave(registration)
 		return nil, false
@@ -152,9 +156,6 @@
 			conflicts.addressHeld, conflicts.holder = true, instance.Name
 		}
 	}
-	if laterStart := o.laterWithdrawnStart(identity); laterStart != "" {
-		conflicts.laterStartPresent, conflicts.holder = true, laterStart
-	}
 	return conflicts
 }
 
--- a/internal/requestpath/origin/takeover.go
+++ b/internal/requestpath/origin/takeover.go
@@ -77,3 +77,23 @@
 	o.endSuspensionsFor(instance)
 	o.withdraw(instance.Name, withdrawnByReplacement)
 }
+
+// supersede drains an instance because a later start has left, by the name of that departure. It is not recorded
+// as withdrawn: if the clock was set back it is the present one, and registers again once it is dropped.
+func (o *Origin) supersede(instance *Instance, departed string) {
+	if instance.hasEnded() {
+		return
+	}
+	instance.Drain(DrainReplaced)
+	o.config.Logger.Info("instance.superseded", "instance", instance.Name, "by", departed, "beat_age_ms", instance.heartbeatAge().Milliseconds())
+}
+
+// supersedeEarlier drains the incarnations that a leaving instance shows to be over: those with its ID or at its
+// address that started earlier.
+func (o *Origin) supersedeEarlier(leaving *Instance) {
+	for _, other := range o.Instances() {
+		if other.conflictsWith(leaving.identity, leaving.backend.address) && leaving.identity.StartedAfter(other.identity) {
+			o.supersede(other, leaving.Name)
+		}
+	}
+}
--- a/internal/requestpath/origin/withdrawal.go
+++ b/internal/requestpath/origin/withdrawal.go
@@ -15,11 +15,15 @@
 // none is, because this process has just started or the instance has, a heartbeat of the incarnation that left
 // may still arrive, with a start that this daemon cannot know. The departure is then recorded for all
 // incarnations of the ID that have started by now (incarnation.Departure).
+//
+// A departure also ends the incarnations that are earlier than the one that left (incarnation.Departure.Ends):
+// they are drained and dropped, but not recorded, because the machine's clock may have been set back. Until the
+// departure expires, an earlier one registers only by heartbeats that continue (hasContinuedAfter).
 
 // withdrawnInstance is an instance that left permanently.
 type withdrawnInstance struct {
-	// at is when this daemon last learned of it.
-	at time.Time
+	// at is when this daemon last learned of it, and firstAt when it first did.
+	at, firstAt time.Time
 	// stored is true once the store has the departure, and lost once it may have lost it.
 	stored, lost bool
 	// messageAt is when the latest message of the instance arrived that stands for this departure; zero if
@@ -48,6 +52,9 @@
 	o.mutex.Lock()
 	left, alreadyWithdrawn := o.withdrawn[name]
 	left.at = time.Now()
+	if !alreadyWithdrawn {
+		left.firstAt = left.at
+	}
 	o.withdrawn[name] = left
 	departed := incarnation.ParseDeparture(name)
 	if !alreadyWithdrawn {
@@ -55,8 +62,11 @@
 	}
 	o.mutex.Unlock()
 	for _, instance := range o.Instances() {
-		if departed.Covers(instance.identity) {
+		switch {
+		case departed.Covers(instance.identity):
 			instance.Drain(DrainInstance)
+		case departed.Ends(instance.identity) && !instance.startedAt.After(left.firstAt):
+			o.supersede(instance, name)
 		}
 	}
 	if !alreadyWithdrawn {
@@ -108,7 +118,7 @@
 // presentNames returns the names of the incarnations with an ID that sent a heartbeat lately and have not left.
 func (o *Origin) presentNames(id string) (names []string) {
 	for _, instance := range o.Instances() {
-		if instance.identity.ID == id && isPresent(instance.heartbeatAge()) && !o.isWithdrawn(instance.Name) {
+		if instance.identity.ID == id && isPresent(instance.heartbeatAge()) && !o.isWithdrawn(instance.Name) && !instance.hasEnded() {
 			names = append(names, instance.Name)
 		}
 	}
@@ -160,6 +170,15 @@
 	return slices.ContainsFunc(o.departures[identity.ID], func(d incarnation.Departure) bool { return d.Covers(identity) })
 }
 
+// hasEnded reports whether the incarnation with a name, which is not registered, left permanently or is earlier
+// than one that did.
+func (o *Origin) hasEnded(name string) bool {
+	o.mutex.RLock()
+	defer o.mutex.RUnlock()
+	identity := incarnation.Parse(name)
+	return slices.ContainsFunc(o.departures[identity.ID], func(d incarnation.Departure) bool { return d.Ends(identity) })
+}
+
 // isRecorded reports whether a departure is known by its name.
 func (o *Origin) isRecorded(name string) bool {
 	o.mutex.RLock()
@@ -199,25 +218,37 @@
 	o.departures[expired.ID] = remaining
 }
 
-// laterWithdrawnStart returns the name of a later incarnation with the same ID that left
-// permanently less than presenceTimeout ago; empty if there is none. Heartbeats of the earlier
-// incarnation are then delayed ones. The caller holds mutex.
-func (o *Origin) laterWithdrawnStart(identity incarnation.Incarnation) string {
+// laterWithdrawnStart returns the name of the later incarnation with the same ID of whose departure this daemon
+// learned last; empty if there is none. The caller holds mutex.
+func (o *Origin) laterWithdrawnStart(identity incarnation.Incarnation) (latest string) {
 	for _, departed := range o.departures[identity.ID] {
-		if departed.StartedAfter(identity) && isPresent(time.Since(o.withdrawn[departed.Name()].at)) {
-			return departed.Name()
+		name := departed.Name()
+		if departed.StartedAfter(identity) && (latest == "" || o.withdrawn[name].at.After(o.withdrawn[latest].at)) {
+			latest = name
 		}
 	}
-	return ""
+	return latest
+}
+
+// hasContinuedAfter reports whether the heartbeats of an incarnation have gone on after the departure of one that
+// started later, so that it is the present one and the clock was set back. Those within presenceTimeout of the
+// departure show nothing, and neither does a single one after that: they may be late. The caller holds mutex.
+func (o *Origin) hasContinuedAfter(departed string, registration Registration) bool {
+	if isPresent(time.Since(o.withdrawn[departed].at)) {
+		return false
+	}
+	// A heartbeat counts after the departure that it followed, and not after another one.
+	candidate := registration.incarnation().Name() + " after " + departed
+	return o.superseded.Record(candidate, registration.Sequence, time.Now())
 }
 
-// logHeartbeatAfterLeave logs the first heartbeat that arrives after a departure that covers it; the caller
-// holds mutex.
+// logHeartbeatAfterLeave logs the first heartbeat that arrives after a departure that ends its incarnation; the
+// caller holds mutex.
 func (o *Origin) logHeartbeatAfterLeave(registration Registration) {
 	identity := registration.incarnation()
 	for _, departed := range o.departures[identity.ID] {
 		left := o.withdrawn[departed.Name()]
-		if !departed.Covers(identity) || left.heartbeatLogged {
+		if !departed.Ends(identity) || left.heartbeatLogged {
 			continue
 		}
 		left.heartbeatLogged = true
