--- a/internal/requestpath/origin/incarnation.go
+++ b/internal/requestpath/origin/incarnation.go
@@ -25,16 +25,17 @@
 
 // incarnationConflicts describes other incarnations with the ID or the address of a heartbeat.
 type incarnationConflicts struct {
-	// laterStartPresent is true if an incarnation that started later is present, or left and the
-	// heartbeats of this one have not continued since (hasContinuedAfter). addressHeld is true if one that cannot be ordered by its start holds the address or the ID (holdsAddress).
+	// laterStartPresent is true if an incarnation that started later is present, or left and the heartbeats of
+	// this one have not continued since (hasContinuedAfter). addressHeld is true if one that cannot be ordered
+	// by its start holds the address or the ID (holdsAddress).
 	laterStartPresent, addressHeld bool
 	// holder is the name of that incarnation, for the log.
 	holder string
 }
 
-// kindOfHeartbeat classifies a heartbeat. ended and known state whether its incarnation left
-// permanently or was ended by a later one, and whether it is known, conflicts describes other incarnations, and sequence is the
-// number of the heartbeat since the start of its instance.
+// kindOfHeartbeat classifies a heartbeat. ended and known state whether its incarnation left permanently or was
+// ended by a later one, and whether it is known, conflicts describes other incarnations, and sequence is the number
+// of the heartbeat since the start of its instance.
 //
 // The conditions apply in the order of the code. Start times, if stated, decide while the later
 // incarnation is present. After that either the later incarnation has ended, or the clock was set
