Soak: an instance starts again under its id and only its leave arrives

The ready heartbeats of the second start are lost, one of the first start arrives right before the leave and others after it; in one case the daemon ends after the acknowledgement.

--- a/internal/lab/emulator/day/machine.go
+++ b/internal/lab/emulator/day/machine.go
@@ -199,6 +199,11 @@
 // startInstance starts an instance of a service on the machine. An empty address stands for a new one,
 // an empty id for a new id; an id that is not empty belongs to an earlier instance.
 func (m *Machine) startInstance(service, address, id string, isCold bool) error {
+	return m.startBehaving(service, address, id, isCold, instance.Behaviour{})
+}
+
+// startBehaving is like startInstance, for an instance with a behaviour from its start on.
+func (m *Machine) startBehaving(service, address, id string, isCold bool, behaviour instance.Behaviour) error {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	options := m.site.options
@@ -215,6 +220,7 @@
 		Slots: options.Slots, QueueLength: options.Slots, ServiceTime: options.ServiceTime, HeartbeatInterval: options.HeartbeatInterval,
 		LeavingUnstated: options.LeavingUnstated, RetiresWithoutStart: options.RetiresWithoutStart, ColdDuration: coldFor, Region: options.region(m.Zone), ColdCrashRate: options.coldCrashRate(), OnColdCrash: m.restartAfterColdCrash,
 		OnPoisonCrash: func(ended *instance.Instance) { m.restart(ended, m.site.isOpen) }, Ledger: m.site.Ledger, Seed: options.Seed,
+		Behaviour: behaviour,
 	})
 	if err != nil {
 		return fmt.Errorf("instance of %s: %w", service, err)
@@ -234,6 +240,17 @@
 	return m.startInstance(m.Service, ended.Address(), ended.ID(), cold)
 }
 
+// RestartInstanceUnheard is like CrashInstance without the slow start, for an instance of which no ready
+// heartbeat arrives.
+func (m *Machine) RestartInstanceUnheard(down time.Duration) error {
+	m.instanceMutex.Lock()
+	defer m.instanceMutex.Unlock()
+	ended := m.Instance()
+	ended.Crash()
+	time.Sleep(down)
+	return m.startBehaving(m.Service, ended.Address(), ended.ID(), warm, instance.Behaviour{Unheard: true})
+}
+
 // ReplaceInstance shuts the instance down gracefully and starts a new one. It reports whether the drain
 // was acknowledged.
 func (m *Machine) ReplaceInstance(ctx context.Context, keep time.Duration, abrupt bool) (acknowledged bool, err error) {
--- a/internal/lab/emulator/instance/instance.go
+++ b/internal/lab/emulator/instance/instance.go
@@ -56,6 +56,8 @@
 	OnFull OnFull
 	// Silent makes the instance stop answering requests and sending heartbeats.
 	Silent bool
+	// Unheard makes the heartbeats be lost that report the instance as ready.
+	Unheard bool
 	// Endless is what the instance answers to requests that it has run; the zero value is none.
 	Endless EndlessAnswer
 }
@@ -120,6 +122,8 @@
 	OnPoisonCrash func(*Instance)
 	Ledger        *promise.Ledger
 	Seed          uint64
+	// Behaviour is how the instance behaves from its start on.
+	Behaviour Behaviour
 }
 
 // Instance is a running instance: one incarnation of an instance id.
@@ -177,7 +181,7 @@
 	started := &Instance{
 		options: options, incarnation: newIncarnation(options.ID), listener: listener,
 		slots: make(chan struct{}, options.Slots), stopped: ctx, stop: cancel,
-		random: rand.New(rand.NewPCG(options.Seed, nextID.Load())), conns: map[net.Conn]bool{},
+		random: rand.New(rand.NewPCG(options.Seed, nextID.Load())), conns: map[net.Conn]bool{}, behaviour: options.Behaviour,
 	}
 	started.slowStart.endsAt = time.Now().Add(options.ColdDuration)
 	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(options.Host)}}
@@ -296,7 +300,7 @@
 
 func (i *Instance) sendHeartbeats() {
 	for {
-		if !i.currentBehaviour().Silent && !i.draining.Load() {
+		if behaviour := i.currentBehaviour(); !behaviour.Silent && !behaviour.Unheard && !i.draining.Load() {
 			_ = i.heartbeat(i.stopped)
 		}
 		if !sleep.For(i.stopped, i.options.HeartbeatInterval) {
