A leave without a start holds for a later start that was not heard

Cause: a message of a leave that states no start was taken to be of the present incarnation alone. If that one is an earlier start, of which a late heartbeat was heard last, a late heartbeat of the start that sent the message registered it after the acknowledgement.

Change: the departure remembers when the message arrived. An incarnation of the id that started until then registers only by heartbeats that go on, like one that is earlier than one that left. This is in memory only: a process that starts afterwards knows the name of the departure and not the time.

--- a/internal/requestpath/origin/earlierstart_test.go
+++ b/internal/requestpath/origin/earlierstart_test.go
@@ -210,3 +210,49 @@
 		assert.DeepEqual(t, readyNames(running), []string{"desk-1@1000"})
 	})
 }
+
+// The message may come from a later incarnation than the one that is present, and a heartbeat of that one follows.
+func TestLeaveWithoutAStartHoldsForALaterStartThatWasNotHeard(t *testing.T) {
+	for name, leave := range map[string]func(*testing.T, *origin.Origin){
+		"drains": func(t *testing.T, running *origin.Origin) {
+			assert.NilError(t, running.Heartbeat(t.Context(), withDraining(startedRegistration(0, 3))))
+		},
+		"retires": func(t *testing.T, running *origin.Origin) {
+			assert.NilError(t, running.Retire(t.Context(), "desk-1", 0))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				running, stop := startWithDepartures(t, newDepartures())
+				defer stop()
+				assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(recentStart(time.Minute), 5)))
+				later := recentStart(0)
+				time.Sleep(100 * time.Millisecond)
+				leave(t, running)
+				for sequence, at := range []time.Duration{200 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+					time.Sleep(at)
+					assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(later, 1+uint64(sequence))))
+					assert.Equal(t, len(readyNames(running)), 0)
+				}
+				assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(recentStart(0), 1)))
+				assert.Equal(t, len(readyNames(running)), 1)
+			})
+		})
+	}
+}
+
+// By its start the instance began before the message arrived, but it is a new one.
+func TestInstanceThatStartsAfterAMessageWithoutAStartIsServedThoughTheClockWasSetBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running, stop := startWithDepartures(t, newDepartures())
+		defer stop()
+		assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(recentStart(time.Minute), 5)))
+		assert.NilError(t, running.Retire(t.Context(), "desk-1", 0))
+		start := recentStart(30 * time.Second)
+		for sequence := range uint64(6) {
+			time.Sleep(heartbeatInterval)
+			assert.NilError(t, running.Heartbeat(t.Context(), startedRegistration(start, 1+sequence)))
+		}
+		assert.Equal(t, len(readyNames(running)), 1)
+	})
+}
--- a/internal/requestpath/origin/incarnation.go
+++ b/internal/requestpath/origin/incarnation.go
@@ -25,8 +25,8 @@
 
 // incarnationConflicts describes other incarnations with the ID or the address of a heartbeat.
 type incarnationConflicts struct {
-	// laterStartPresent is true if an incarnation that started later is present, or left and the
-	// heartbeats of this one have not continued since (hasContinuedAfter). addressHeld is true if one that cannot be ordered by its start holds the address or the ID (holdsAddress).
+	// laterStartPresent is true if an incarnation that started later is present, or if this one may be over
+	// by a departure and its heartbeats have not continued since (hasContinuedAfter). addressHeld is true if one that cannot be ordered by its start holds the address or the ID (holdsAddress).
 	laterStartPresent, addressHeld bool
 	// holder is the name of that incarnation, for the log.
 	holder string
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -59,7 +59,7 @@
 		instance.applyHeartbeat(registration, isNew)
 		o.supersedeEarlier(instance)
 	}
-	o.withdrawAnnounced(names, withdrawnByHeartbeat)
+	o.withdrawAnnounced(names, registration.StartUnixMillis == 0, withdrawnByHeartbeat)
 	return names
 }
 
@@ -80,8 +80,8 @@
 		return nil, false
 	}
 	conflicts := o.conflictsOf(identity, registration.Address)
-	if later := o.laterWithdrawnStart(identity); later != "" && !o.hasContinuedAfter(later, registration) {
-		conflicts.laterStartPresent, conflicts.holder = true, later
+	if departed := o.departureAfter(identity); departed != "" && !o.hasContinuedAfter(departed, registration) {
+		conflicts.laterStartPresent, conflicts.holder = true, departed
 	}
 	switch kindOfHeartbeat(ended, isKnown, conflicts, registration.Sequence) {
 	case heartbeatOfWithdrawn:
--- a/internal/requestpath/origin/withdrawal.go
+++ b/internal/requestpath/origin/withdrawal.go
@@ -29,6 +29,9 @@
 	// messageAt is when the latest message of the instance arrived that stands for this departure; zero if
 	// this daemon knows of the departure from the store or from other daemons only.
 	messageAt time.Time
+	// until is when the first message without a start that stands for this departure arrived, in milliseconds
+	// since 1970; 0 if none did. An incarnation that started until then may be the one that sent it.
+	until uint64
 	// heartbeatLogged is true once a heartbeat that arrived after the leave was logged.
 	heartbeatLogged bool
 }
@@ -84,15 +87,16 @@
 			o.config.Logger.Info("instance.retired", "instance", id, "start", startUnixMillis, "recorded", name)
 		}
 	}
-	o.withdrawAnnounced(names, withdrawnByRetirement)
+	o.withdrawAnnounced(names, startUnixMillis == 0, withdrawnByRetirement)
 	return names
 }
 
-// withdrawAnnounced withdraws the departures that a message of an instance stands for.
-func (o *Origin) withdrawAnnounced(names []string, by string) {
+// withdrawAnnounced withdraws the departures that a message of an instance stands for. unstated is true if the
+// message states no start.
+func (o *Origin) withdrawAnnounced(names []string, unstated bool, by string) {
 	for _, name := range names {
 		o.withdraw(name, by)
-		o.markMessage(name)
+		o.markMessage(name, unstated)
 	}
 }
 
@@ -149,11 +153,14 @@
 }
 
 // markMessage records that a message stands for a departure.
-func (o *Origin) markMessage(name string) {
+func (o *Origin) markMessage(name string, unstated bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if left, known := o.withdrawn[name]; known {
 		left.messageAt = time.Now()
+		if unstated && left.until == 0 {
+			left.until = uint64(left.messageAt.UnixMilli())
+		}
 		o.withdrawn[name] = left
 	}
 }
@@ -218,20 +225,23 @@
 	o.departures[expired.ID] = remaining
 }
 
-// laterWithdrawnStart returns the name of the later incarnation with the same ID of whose departure this daemon
-// learned last; empty if there is none. The caller holds mutex.
-func (o *Origin) laterWithdrawnStart(identity incarnation.Incarnation) (latest string) {
+// departureAfter returns the name of the departure of which this daemon learned last, of those after which an
+// incarnation may be over: a later one left, or a message without a start arrived that this one may have sent. It
+// is empty if there is none. The caller holds mutex.
+func (o *Origin) departureAfter(identity incarnation.Incarnation) (latest string) {
 	for _, departed := range o.departures[identity.ID] {
 		name := departed.Name()
-		if departed.StartedAfter(identity) && (latest == "" || o.withdrawn[name].at.After(o.withdrawn[latest].at)) {
+		left := o.withdrawn[name]
+		mayBeOver := departed.StartedAfter(identity) || identity.StartUnixMillis <= left.until
+		if mayBeOver && (latest == "" || left.at.After(o.withdrawn[latest].at)) {
 			latest = name
 		}
 	}
 	return latest
 }
 
-// hasContinuedAfter reports whether the heartbeats of an incarnation have gone on after the departure of one that
-// started later, so that it is the present one and the clock was set back. Those within presenceTimeout of the
+// hasContinuedAfter reports whether the heartbeats of an incarnation have gone on after such a departure, so that it
+// is the present one and the clock was set back. Those within presenceTimeout of the
 // departure show nothing, and neither does a single one after that: they may be late. The caller holds mutex.
 func (o *Origin) hasContinuedAfter(departed string, registration Registration) bool {
 	if isPresent(time.Since(o.withdrawn[departed].at)) {
