A peer ends no call before the deadline of its caller

Cause: a call's remaining time goes to the daemon beside the instance in whole milliseconds, rounded down. That daemon ended the call up to 1 ms before the deadline, and the daemon of the caller passed its error on as a 504, at a time at which the caller still waited and an instance worked on the request.

Change: the context at the daemon beside the instance lasts one millisecond longer. The instance is given no more time than before: the rounding is taken off its Deadline header. The caller's daemon still ends the call at the caller's deadline.

Measured: TestPeerEndsNoCallBeforeItsDeadline was red without the change in two of three rows (2.999 s instead of 2.999999 s, 100 ms instead of 100.001 ms), green with it, 20 times with the race detector. The tests of gateway, origin and callmux pass with the race detector, once.

--- a/internal/model/callapi/callapi.go
+++ b/internal/model/callapi/callapi.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
@@ -72,6 +73,9 @@
 	// instance has stopped responding. If it is nil, the call ends with a SilentPeerError, so that
 	// another instance may be tried. It must not block.
 	KeepWaitingWhenSilent func() bool
+	// DeadlineRounding is by how much the deadline of the call's context may exceed the deadline of its
+	// caller. The instance is given that much less time.
+	DeadlineRounding time.Duration
 }
 
 // SilentPeerError is the cause of an attempt's error if the daemon beside the instance stopped
--- a/internal/requestpath/gateway/silent_test.go
+++ b/internal/requestpath/gateway/silent_test.go
@@ -32,6 +32,8 @@
 	arrivesSilent arrival = iota
 	arrivesFull
 	arrivesAnswered
+	// arrivesUnanswered: the instance works until the call's context at its daemon ends.
+	arrivesUnanswered
 )
 
 // silentPeers are the daemons beside the instances of a test. Calls are treated in the order of arrivals,
@@ -99,6 +101,9 @@
 	switch p.peers.arrivals[min(number, len(p.peers.arrivals)-1)] {
 	case arrivesFull:
 		return nil, result.Errorf(result.CallNotRunOverloaded, "no slot is free")
+	case arrivesUnanswered:
+		<-ctx.Done()
+		return nil, result.Wrap(result.CallDeadline, ctx.Err(), "waiting for the instance")
 	case arrivesSilent:
 		p.peers.working.Add(1)
 		defer p.peers.working.Add(-1)
@@ -159,3 +164,21 @@
 		})
 	}
 }
+
+// Guards against an answer 504 ahead of the deadline: the daemon beside the instance ended the call up to a
+// millisecond early, since the protocol carries the remaining time in whole milliseconds.
+func TestPeerEndsNoCallBeforeItsDeadline(t *testing.T) {
+	for _, remaining := range []time.Duration{3 * time.Second, 3*time.Second - time.Microsecond, 100*time.Millisecond + time.Microsecond} {
+		t.Run(remaining.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &silentPeers{arrivals: []arrival{arrivesUnanswered}}
+				attempt := newAttempter(t, peers.client(t), false, retry.Limits{})
+				ctx, cancel := context.WithTimeout(t.Context(), remaining)
+				defer cancel()
+				_, err := attempt.run(ctx)
+				assert.Assert(t, result.Is(err, result.CallDeadline), "%v", err)
+				assert.Equal(t, time.Since(attempt.startedAt), remaining)
+			})
+		})
+	}
+}
--- a/internal/requestpath/origin/backend.go
+++ b/internal/requestpath/origin/backend.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/lapisvane/lapisvane/api/lapisv1"
 	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
@@ -96,7 +95,7 @@
 		// Keeps net/http from adding its own User-Agent.
 		request.Header["User-Agent"] = []string{""}
 	}
-	b.setEnvelopeHeaders(ctx, request, open)
+	b.setEnvelopeHeaders(ctx, request, call)
 	if call.Trailers != nil && open.GetContentLength() < 0 {
 		announceTrailers(request, call)
 	}
@@ -104,10 +103,10 @@
 }
 
 // setEnvelopeHeaders sets the header fields of the envelope.
-func (b *backend) setEnvelopeHeaders(ctx context.Context, request *http.Request, open *lapisv1.CallOpen) {
-	envelope := b.envelope
+func (b *backend) setEnvelopeHeaders(ctx context.Context, request *http.Request, call *callapi.Call) {
+	envelope, open := b.envelope, call.Open
 	if deadline, ok := ctx.Deadline(); ok {
-		remaining := max(time.Until(deadline).Milliseconds(), 1)
+		remaining := max((time.Until(deadline) - call.DeadlineRounding).Milliseconds(), 1)
 		request.Header.Set(envelope.Deadline, strconv.FormatInt(remaining, 10))
 	}
 	if envelope.Attempt != "" {
--- a/internal/transport/callmux/server.go
+++ b/internal/transport/callmux/server.go
@@ -115,7 +115,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	call := &callapi.Call{Open: open}
+	call := &callapi.Call{Open: open, DeadlineRounding: deadlineUnit}
 	if open.GetContentLength() != 0 {
 		call.Body = stream
 		call.Trailers = stream.endTrailers
@@ -130,12 +130,17 @@
 	}
 }
 
-// withCallDeadline returns a context that ends when the call's remaining deadline expires.
+// deadlineUnit is the unit of CallOpen.deadline_millis, which is rounded down.
+const deadlineUnit = time.Millisecond
+
+// withCallDeadline returns a context that ends once the call's deadline has expired at the daemon of its
+// caller too, at most deadlineUnit and the opening's transit later: if it ended earlier, that daemon would
+// answer 504 before the deadline.
 func withCallDeadline(ctx context.Context, open *lapisv1.CallOpen) (context.Context, context.CancelFunc) {
 	if open.GetDeadlineMillis() == 0 {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, time.Duration(open.GetDeadlineMillis())*time.Millisecond)
+	return context.WithTimeout(ctx, (time.Duration(open.GetDeadlineMillis())+1)*deadlineUnit)
 }
 
 // sendAnswer sends the head and the body of an answer. A body of known length up to
