An answer that arrived before its session ended is used

Cause: a call waits for the head of its answer and for the end of its stream in one select. Where its goroutine ran only after both had happened, as on a machine short of processor when a daemon has answered its last calls of a planned stop and ended, it took the end in half of the cases: 502, though the whole answer had been read from the connection.

Change: on the end of the stream, a head that has arrived is taken first. Its body already preferred what had arrived to the error.

Measured: TestAnswerAheadOfTheEndOfItsSessionIsUsed was red before, green since, 50 times with the race detector; the tests of callmux pass with it, once.

--- a/internal/transport/callmux/call.go
+++ b/internal/transport/callmux/call.go
@@ -107,7 +107,13 @@
 		case head := <-opened.head:
 			return head, nil
 		case <-opened.done:
-			return nil, opened.cause()
+			// The answer may have arrived before the stream ended, while this goroutine did not run.
+			select {
+			case head := <-opened.head:
+				return head, nil
+			default:
+				return nil, opened.cause()
+			}
 		case <-stall:
 			if staysWithSilent == nil || !staysWithSilent() {
 				return nil, errStalled
