A failed write drops no answer that has arrived

Cause: any error of a write closed the session at once, and with it the connection. A daemon that ends its planned stop has delivered its answers to the kernel of its peer, which counts as received. Where that peer wrote to it, a heartbeat or a new call, before it had read them, its write failed and it threw them away: the calls ended with an unknown outcome, 502, although their instances had answered.

Change: after an error other than a timeout no call is opened on the session any more, and the goroutine that reads it closes it behind the last frame that has arrived, at the latest after the silence timeout. A write that timed out closes it at once, as before. A request body whose write fails leaves the end of its call to that goroutine.

Measured: TestFailedWriteDropsNoAnswerThatArrived was red before, green since, 50 times with the race detector; the tests of callmux with it, and those of fleet and daemon without, pass once.

--- a/internal/transport/callmux/call.go
+++ b/internal/transport/callmux/call.go
@@ -177,7 +177,7 @@
 // starts to read, so a refused call has consumed none of the body.
 func sendRequestBody(ctx context.Context, opened *stream, call *callapi.Call) {
 	err := opened.sendBody(ctx, call.Body, call.Trailers)
-	if err == nil || opened.cause() != nil || ctx.Err() != nil {
+	if err == nil || opened.cause() != nil || ctx.Err() != nil || !opened.session.canWrite() {
 		return
 	}
 	cancelled := result.Wrap(result.CallCancelled, err, "the request body ended early")
--- a/internal/transport/callmux/link.go
+++ b/internal/transport/callmux/link.go
@@ -13,7 +13,7 @@
 type Link struct{ session *session }
 
 // Send writes the frames contiguously and blocks until they are written, for at most
-// Timing.WriteTimeout. After an error the session is closed.
+// Timing.WriteTimeout. An error ends the session.
 func (l Link) Send(frames ...proto.Message) error { return l.session.send(frames...) }
 
 // ActiveCalls returns the number of calls in flight on the session.
--- a/internal/transport/callmux/session.go
+++ b/internal/transport/callmux/session.go
@@ -1,10 +1,12 @@
 package callmux
 
 import (
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
@@ -41,9 +43,11 @@
 	stalled  chan struct{}
 	streams  map[uint64]*stream
 	fences   map[string]chan *lapisv1.CallFenced
-	// lastID is the correlation id of the newest call. err is the cause of the session's end.
-	lastID uint64
-	err    error
+	// lastID is the correlation id of the newest call. err is the cause of the session's end, and writeErr
+	// that of the end of its writes (writeFailed).
+	lastID   uint64
+	err      error
+	writeErr error
 }
 
 func newSession(conn *wire.Conn, incarnation uint64, timing Timing) *session {
@@ -55,7 +59,7 @@
 	}
 }
 
-// send writes frames contiguously. An error of the connection closes the session. Frames that cannot be
+// send writes frames contiguously. An error of the connection ends the session (writeFailed). Frames that cannot be
 // encoded (ProtocolBadFrame) are not written at all, and the calls of other frames go on.
 func (s *session) send(frames ...proto.Message) error {
 	encoded, err := wire.Encode(frames...)
@@ -65,18 +69,39 @@
 	return s.sendEncoded(encoded)
 }
 
-// sendEncoded writes frames encoded by wire.Encode. An error closes the session.
+// sendEncoded writes frames encoded by wire.Encode. An error ends the session (writeFailed).
 func (s *session) sendEncoded(frames []byte) error {
 	// This fails only on a closed connection, where the write fails as well.
 	_ = s.conn.SetWriteDeadline(time.Now().Add(s.timing.WriteTimeout))
 	err := s.conn.SendEncoded(frames)
 	if err != nil {
-		s.close(err)
+		s.writeFailed(err)
 	}
 	return err
 }
 
-// notify sends frames and ignores the error: one of the connection closes the session with all its
+// writeFailed ends the session after an error of a write. A peer that does not read is given up at once.
+// One that has ended may have sent answers that are not read yet: no call is opened any more, and the
+// goroutine that reads the session closes it behind them, at the latest after Timing.SilenceTimeout.
+func (s *session) writeFailed(cause error) {
+	var network net.Error
+	if errors.As(cause, &network) && network.Timeout() {
+		s.close(cause)
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.writeErr = cause
+}
+
+// canWrite reports whether no write of the session has failed.
+func (s *session) canWrite() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.writeErr == nil
+}
+
+// notify sends frames and ignores the error: one of the connection ends the session with all its
 // streams, and the goroutine that reads the session reports it.
 func (s *session) notify(frames ...proto.Message) { _ = s.send(frames...) }
 
@@ -101,13 +126,16 @@
 
 func (s *session) isClosed() bool { return isDone(s.closed) }
 
-// add registers a stream under its id. It fails if the session is closed.
+// add registers a stream under its id. It fails if the session is closed or cannot write.
 func (s *session) add(stream *stream) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.err != nil {
 		return s.err
 	}
+	if s.writeErr != nil {
+		return s.writeErr
+	}
 	s.streams[stream.id] = stream
 	return nil
 }
