--- a/internal/transport/callmux/call.go
+++ b/internal/transport/callmux/call.go
@@ -107,7 +107,13 @@
 		case head := <-opened.head:
 			return head, nil
 		case <-opened.done:
-			return nil, opened.cause()
+			// The answer may have arrived before the stream ended, while this goroutine did not run.
+			select {
+			case head := <-opened.head:
+				return head, nil
+			default:
+				return nil, opened.cause()
+			}
 		case <-stall:
 			if staysWithSilent == nil || !staysWithSilent() {
 				return nil, errStalled
@@ -171,7 +177,7 @@
 // starts to read, so a refused call has consumed none of the body.
 func sendRequestBody(ctx context.Context, opened *stream, call *callapi.Call) {
 	err := opened.sendBody(ctx, call.Body, call.Trailers)
-	if err == nil || opened.cause() != nil || ctx.Err() != nil {
+	if err == nil || opened.cause() != nil || ctx.Err() != nil || !opened.session.canWrite() {
 		return
 	}
 	cancelled := result.Wrap(result.CallCancelled, err, "the request body ended early")
