A crash is counted although the next process listens already

Cause: the end of an instance was told from that of a connection by its port, which refuses. A daemon that is short of processor may notice the break when the next process listens there already: its probe is accepted, and no crash is counted. In TestForgottenCrashesCostAtMostThreeInstances/upload the third instance's end was noticed at 51.807, the next process had registered at 51.729; so the request reached a fourth instance. The spread of records between daemons had no part in it.

Change: the registration of the next incarnation at the same address (or a 421 from there) proves that the process ended, unless the instance had said that it leaves. Its calls that broke off, from 0.5 s before the stated start of the next one, count as in flight at a crash; so do those that break off later. A call is suspected of one crash only.

--- a/internal/requestpath/origin/crash.go
+++ b/internal/requestpath/origin/crash.go
@@ -70,7 +70,7 @@
 		case crashPoll:
 			time.Sleep(crashPollInterval)
 			seen.polls++
-			seen.inFlight, seen.crashReported = instance.inFlight.poll()
+			seen.inFlight, seen.crashReported, seen.takenOver = instance.inFlight.poll()
 		case crashProbe:
 			seen.probed, seen.refused = true, o.probeCrash(ctx, instance)
 		case crashConfirmed:
@@ -81,13 +81,18 @@
 	}
 }
 
-// probeCrash reports whether the port of an instance refuses connections, and marks the instance as
-// crashed if so. Any other error of the probe, including a timeout, is no proof. If several calls
-// broke off, one of them probes and the others use its result.
+// probeCrash reports whether the port of an instance refuses connections or another process has its
+// address, and marks the instance as crashed if so. Any other error of the probe, including a timeout,
+// is no proof. If several calls broke off, one of them probes and the others use its result.
 func (o *Origin) probeCrash(ctx context.Context, instance *Instance) (refused bool) {
 	instance.inFlight.probeMutex.Lock()
 	defer instance.inFlight.probeMutex.Unlock()
-	if _, crashed := instance.inFlight.poll(); crashed {
+	_, crashed, takenOver := instance.inFlight.poll()
+	if crashed {
+		return true
+	}
+	if takenOver {
+		o.reportCrash(instance)
 		return true
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), crashProbeTimeout)
@@ -100,6 +105,14 @@
 	return true
 }
 
+// noteTakeover records that another process has had the address of an instance since a time. An
+// instance that has not said that it leaves has crashed then, and its port does not refuse any more.
+func (o *Origin) noteTakeover(instance *Instance, since time.Time) {
+	if !instance.announcedLeave() && instance.inFlight.recordTakeover(since) {
+		o.reportCrash(instance)
+	}
+}
+
 // reportCrash reports that an instance crashed with its calls in flight, once for each crash.
 func (o *Origin) reportCrash(instance *Instance) {
 	calls, first := instance.inFlight.markCrashed(time.Now())
--- a/internal/requestpath/origin/crash_test.go
+++ b/internal/requestpath/origin/crash_test.go
@@ -92,6 +92,11 @@
 
 func (b *crashingBackend) end() {
 	_ = b.listener.Close()
+	b.breakAll()
+}
+
+// breakAll closes all connections, while the port still accepts others.
+func (b *crashingBackend) breakAll() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	for _, conn := range b.conns {
@@ -100,9 +105,11 @@
 }
 
 // sendCall sends a call to the instance and returns its error.
-func sendCall(origin *Origin, path string) error {
+func sendCall(origin *Origin, path string) error { return sendCallTo(origin, "desk", "desk-1", path) }
+
+func sendCallTo(origin *Origin, service, instance, path string) error {
 	answer, err := origin.Handle(context.Background(), &callapi.Call{Open: &lapisv1.CallOpen{
-		Service: "desk", Instance: "desk-1", Method: http.MethodGet, Target: path, Host: "a.example",
+		Service: service, Instance: instance, Method: http.MethodGet, Target: path, Host: "a.example",
 		AttemptId: path + time.Now().String(), CallerService: "shop",
 	}})
 	if err == nil {
@@ -181,3 +188,60 @@
 	line := fingerprint.RequestLine{Method: http.MethodGet, Host: "a.example", Target: "/wait"}
 	assert.DeepEqual(t, seen[0][0].Keys, fingerprint.Of(line, nil).Whole())
 }
+
+// Guards against crashes that are not counted because the next process listens at the port before the
+// daemon has noticed that the calls broke off.
+func TestCrashIsNoticedThoughTheNextProcessListens(t *testing.T) {
+	for name, row := range map[string]struct {
+		steps         []string
+		startUnstated bool
+		crashes       int
+	}{
+		"the call breaks, the next one registers":         {steps: []string{"break", "next"}, crashes: 1},
+		"the next one registers, the call breaks":         {steps: []string{"next", "break"}, crashes: 1},
+		"the next one registers, and sends a heartbeat":   {steps: []string{"break", "next", "next"}, crashes: 1},
+		"the first heartbeat of the next one is late":     {steps: []string{"break", "delay", "next"}, crashes: 1},
+		"no starts are stated":                            {steps: []string{"break", "next"}, startUnstated: true, crashes: 0},
+		"no starts are stated, the next one is confirmed": {steps: []string{"break", "next", "next"}, startUnstated: true, crashes: 1},
+		"it said that it leaves":                          {steps: []string{"leave", "break", "next"}, crashes: 0},
+		"it sends a heartbeat again":                      {steps: []string{"break", "present"}, crashes: 0},
+		"the next one is at another address":              {steps: []string{"break", "elsewhere"}, crashes: 0},
+		"nothing broke":                                   {steps: []string{"next"}, crashes: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			backend, origin, crashes := newOriginWithCrashingBackend(t)
+			address, sequences := backend.listener.Addr().String(), map[string]uint64{}
+			beat := func(id, address string, startMillis uint64, draining bool) (name string) {
+				sequences[id]++
+				sent := Registration{Service: "yard", Instance: id, Address: address, Slots: 2, Sequence: sequences[id], Draining: draining}
+				if !row.startUnstated {
+					sent.StartUnixMillis = startMillis
+				}
+				origin.Register(sent)
+				return sent.incarnation().Name()
+			}
+			crashing := beat("yard-1", address, 1000, false)
+			ended := make(chan error, 1)
+			go func() { ended <- sendCallTo(origin, "yard", crashing, "/wait") }()
+			<-backend.waiting
+			for _, step := range row.steps {
+				switch step {
+				case "break":
+					backend.breakAll()
+					assert.Equal(t, callapi.OutcomeOf(<-ended), callapi.OutcomeUnknown)
+				case "delay":
+					time.Sleep(recentCallWindow + 100*time.Millisecond)
+				case "present":
+					beat("yard-1", address, 1000, false)
+				case "leave":
+					beat("yard-1", address, 1000, true)
+				case "next":
+					beat("yard-2", address, 2000, false)
+				case "elsewhere":
+					beat("yard-2", "127.0.0.1:1", 2000, false)
+				}
+			}
+			assert.Equal(t, len(crashes.recorded()), row.crashes)
+		})
+	}
+}
--- a/internal/requestpath/origin/handover.go
+++ b/internal/requestpath/origin/handover.go
@@ -100,6 +100,7 @@
 // 421 means that another instance has taken over the address, so this one is marked as replaced.
 func (o *Origin) responseRefusal(instance *Instance, response *http.Response, hadFreeSlot bool) error {
 	if o.config.Envelope.ExpectedInstance != "" && response.StatusCode == http.StatusMisdirectedRequest {
+		o.noteTakeover(instance, time.Now())
 		o.markReplaced(instance)
 		return result.Errorf(result.CallNotRunUnknownHere, "another instance listens at the address of %s", instance.Name)
 	}
--- a/internal/requestpath/origin/inflight.go
+++ b/internal/requestpath/origin/inflight.go
@@ -3,6 +3,7 @@
 import (
 	"hash"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,10 @@
 	// its end.
 	bodyBytesRead int64
 	bodyComplete  bool
-	// endedAt is when the call ended without a response; inFlightCalls.mutex protects it.
-	endedAt time.Time
+	// endedAt is when the call ended without a response. suspected is true once the call was returned
+	// by markCrashed, since one process ends only once. inFlightCalls.mutex protects both.
+	endedAt   time.Time
+	suspected bool
 }
 
 // trackCall returns the record of a call, and wraps its body so that it is hashed while it is sent.
@@ -93,6 +96,9 @@
 	recentlyUnanswered []*inFlightCall
 	// crashed is true from the detection of a crash until the instance is up again.
 	crashed bool
+	// takenOverAt is the time by which the process had ended without notice, because another one has
+	// its address; zero if there is none.
+	takenOverAt time.Time
 	// probeMutex is held while one call checks whether the instance crashed, so that one probe
 	// serves all calls that broke off together.
 	probeMutex sync.Mutex
@@ -126,11 +132,23 @@
 	}
 }
 
-// poll returns the number of calls in flight, and whether a crash of the instance was detected.
-func (c *inFlightCalls) poll() (count int, crashed bool) {
+// poll returns the number of calls in flight, whether a crash of the instance was detected, and whether
+// another process has its address.
+func (c *inFlightCalls) poll() (count int, crashed, takenOver bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return len(c.calls), c.crashed
+	return len(c.calls), c.crashed, !c.takenOverAt.IsZero()
+}
+
+// recordTakeover records that another process has had the address since a time. It reports whether calls
+// ended without a response when the instance's own process ended.
+func (c *inFlightCalls) recordTakeover(since time.Time) (unanswered bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.takenOverAt.IsZero() {
+		c.takenOverAt = since
+	}
+	return slices.ContainsFunc(c.recentlyUnanswered, func(call *inFlightCall) bool { return wasInFlight(call.endedAt, c.takenOverAt) })
 }
 
 // markCrashed records a crash and returns the calls that were in flight; first is false if the
@@ -142,15 +160,23 @@
 		return nil, false
 	}
 	c.crashed = true
+	endedBy := now
+	if !c.takenOverAt.IsZero() {
+		endedBy = c.takenOverAt
+	}
 	for call := range c.calls {
 		calls = append(calls, call)
 	}
 	for _, call := range c.recentlyUnanswered {
-		if wasInFlight(call.endedAt, now) {
+		if wasInFlight(call.endedAt, endedBy) {
 			calls = append(calls, call)
 		}
 	}
 	c.recentlyUnanswered = nil
+	calls = slices.DeleteFunc(calls, func(call *inFlightCall) bool { return call.suspected })
+	for _, call := range calls {
+		call.suspected = true
+	}
 	return calls, true
 }
 
--- a/internal/requestpath/origin/inflight_test.go
+++ b/internal/requestpath/origin/inflight_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -49,3 +50,32 @@
 		})
 	}
 }
+
+// A call is suspected of one crash, although a late answer of its process clears the crash.
+func TestCallIsSuspectedOnce(t *testing.T) {
+	now := time.Now()
+	calls, call := &inFlightCalls{}, trackCall(&callapi.Call{Open: &lapisv1.CallOpen{}})
+	calls.add(call)
+	suspects, first := calls.markCrashed(now)
+	assert.Assert(t, first && len(suspects) == 1)
+	calls.clearCrash()
+	calls.removeUnanswered(call, now)
+	assert.Assert(t, calls.recordTakeover(now))
+	suspects, first = calls.markCrashed(now)
+	assert.Assert(t, first && len(suspects) == 0)
+}
+
+// A call counts as in flight at a takeover by the time that the next process has run.
+func TestCallsInFlightAtATakeover(t *testing.T) {
+	end := time.Now()
+	for since, want := range map[time.Duration]bool{
+		-time.Second: true, 0: true, recentCallWindow: true, recentCallWindow + 1: false,
+	} {
+		calls, call := &inFlightCalls{}, trackCall(&callapi.Call{Open: &lapisv1.CallOpen{}})
+		calls.add(call)
+		calls.removeUnanswered(call, end)
+		assert.Equal(t, calls.recordTakeover(end.Add(since)), want, "%s", since)
+		suspects, _ := calls.markCrashed(end.Add(time.Minute))
+		assert.Equal(t, len(suspects) == 1, want, "%s", since)
+	}
+}
--- a/internal/requestpath/origin/liveness.go
+++ b/internal/requestpath/origin/liveness.go
@@ -164,11 +164,13 @@
 type crashEvidence struct {
 	// polls is the number of polls of the instance's calls. inFlight and crashReported are from the
 	// last poll: the number of calls still in flight, and whether another call detected a crash.
+	// takenOver is true if another process has the instance's address.
 	polls         int
 	inFlight      int
 	crashReported bool
+	takenOver     bool
 	// probed is true once the port was probed; refused is true if it refused the connection, then
-	// or in an earlier probe of another call.
+	// or in an earlier probe of another call, or if another process has the address.
 	probed, refused bool
 }
 
@@ -186,8 +188,8 @@
 )
 
 // nextCrashCheck returns the next step. An instance crashed if all its calls broke off and its port
-// refuses connections. Calls are polled first because that is cheap, and because usually one call
-// breaks off while others continue.
+// refuses connections, or if a call broke off and another process has its address. Calls are polled
+// first because that is cheap, and because usually one call breaks off while others continue.
 func nextCrashCheck(seen crashEvidence) crashCheck {
 	switch {
 	case seen.probed && seen.refused:
@@ -196,7 +198,7 @@
 		return crashExcluded
 	case seen.polls == 0:
 		return crashPoll
-	case seen.inFlight == 0 || seen.crashReported:
+	case seen.inFlight == 0 || seen.crashReported || seen.takenOver:
 		return crashProbe
 	case seen.polls < maxCrashPolls:
 		return crashPoll
--- a/internal/requestpath/origin/liveness_test.go
+++ b/internal/requestpath/origin/liveness_test.go
@@ -87,6 +87,7 @@
 		"all calls broke off":                 {crashEvidence{polls: 1}, crashProbe},
 		"all broke off at the last poll":      {crashEvidence{polls: maxCrashPolls}, crashProbe},
 		"another call found the crash":        {crashEvidence{polls: 1, inFlight: 2, crashReported: true}, crashProbe},
+		"another process has the address":     {crashEvidence{polls: 1, inFlight: 2, takenOver: true}, crashProbe},
 		"the port refuses":                    {crashEvidence{polls: 1, probed: true, refused: true}, crashConfirmed},
 		"the port accepts":                    {crashEvidence{polls: 1, probed: true}, crashExcluded},
 		"found by another call, port accepts": {crashEvidence{polls: 1, crashReported: true, probed: true}, crashExcluded},
--- a/internal/requestpath/origin/takeover.go
+++ b/internal/requestpath/origin/takeover.go
@@ -1,5 +1,7 @@
 package origin
 
+import "time"
+
 // This file decides which of several incarnations with one ID or address is served. The one that started
 // later is, if starts are stated. Otherwise a new one takes over with its first heartbeat, because the
 // earlier one may have crashed without notice. That heartbeat may also be a delayed one of an incarnation
@@ -25,11 +27,11 @@
 		}
 		switch {
 		case reporting.identity.StartedAfter(other.identity):
-			o.markReplaced(other)
+			o.replace(other, reporting)
 		case isNew:
 			o.suspend(other, reporting)
 		case isFresh && o.isSuspendedFor(other, reporting):
-			o.markReplaced(other)
+			o.replace(other, reporting)
 		case isFresh && o.isSuspendedFor(reporting, other):
 			o.endSuspension(reporting)
 			o.suspend(other, reporting)
@@ -71,6 +73,31 @@
 	}
 }
 
+// replace withdraws an instance whose address or ID a successor has taken over.
+func (o *Origin) replace(instance, successor *Instance) {
+	if instance.backend.address == successor.backend.address {
+		o.noteTakeover(instance, successor.runningSince())
+	}
+	o.markReplaced(instance)
+}
+
+// runningSince returns the stated start of the instance, or the time of its first heartbeat if that is
+// earlier. A start long before that heartbeat is of a clock that was set, and is not used in full.
+func (i *Instance) runningSince() time.Time {
+	stated := time.UnixMilli(int64(i.identity.StartUnixMillis))
+	if i.identity.StartUnixMillis == 0 || !stated.Before(i.startedAt) {
+		return i.startedAt
+	}
+	return i.startedAt.Add(-min(i.startedAt.Sub(stated), presenceTimeout))
+}
+
+// announcedLeave reports whether the instance has said that it leaves.
+func (i *Instance) announcedLeave() bool {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	return i.drainReasons[DrainInstance]
+}
+
 // markReplaced withdraws an instance whose address another instance has taken over.
 func (o *Origin) markReplaced(instance *Instance) {
 	instance.Drain(DrainReplaced)
