Heartbeats of instances that are known or left are no candidates

Cause: each heartbeat that follows a departure was recorded as one that may continue, also where the answer did not matter. The record is bounded, so such heartbeats could take the place of an instance that is present.

Change: only heartbeats that would register an instance are recorded.

Measured: package origin with -race.

--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -80,7 +80,7 @@
 		return nil, false
 	}
 	conflicts := o.conflictsOf(identity, registration.Address)
-	if departed := o.departureAfter(identity); departed != "" && !o.hasContinuedAfter(departed, registration) {
+	if departed := o.departureAfter(identity); departed != "" && !ended && !isKnown && !o.hasContinuedAfter(departed, registration) {
 		conflicts.laterStartPresent, conflicts.holder = true, departed
 	}
 	switch kindOfHeartbeat(ended, isKnown, conflicts, registration.Sequence) {
