An attempt that a silent daemon refuses in the end has not run

Cause: an attempt at a daemon that sends nothing for 0.65 s goes on beside the next ones, and was recorded at once as one that an instance may have run. Where the daemon refused it as soon as it was scheduled again (its queue was full), that record stayed: the caller got 502, outcome unknown, for a request that every daemon had refused.

Change: such an attempt counts by how it ends. One that has not ended when the call does may have run, as before. If the last attempt was the silent one, the call ends with its refusal, so with 503 and a time to come back.

Measured: TestRefusalOfASilentPeerCountsAsNotRun, 8 rows under virtual time: before, 4 failed; after, 100 runs passed with the race detector, as did the existing tests of silent daemons and, twice, the package.

--- a/internal/requestpath/gateway/attempts.go
+++ b/internal/requestpath/gateway/attempts.go
@@ -97,8 +97,9 @@
 			err = a.keepFailedAnswer(done)
 		}
 		lastErr = err
-		a.recordUncertainAttempt(err)
-		a.awaitIfSilent(ctx, target, err)
+		if !a.awaitIfSilent(ctx, target, err) {
+			a.recordUncertainAttempt(err)
+		}
 		a.tried = append(a.tried, target)
 		again := a.tryAgain(a.failureOf(ctx, err))
 		a.logAttempt(ctx, target, err, again)
@@ -236,6 +237,7 @@
 		}
 		last = deadlineErrorOr(ctx, last)
 	}
+	last = a.resolveSilence(last)
 	lastNotRun := callapi.OutcomeOf(last) == callapi.OutcomeNotRun
 	switch retry.EndingOf(a.keptAnswer != nil, a.mayHaveRunErr != nil, lastNotRun) {
 	case retry.KeptAnswer:
--- a/internal/requestpath/gateway/silent.go
+++ b/internal/requestpath/gateway/silent.go
@@ -23,6 +23,8 @@
 	results chan silentAttempt
 	// answered is the silent attempt that was answered, nil if there is none.
 	answered *silentAttempt
+	// lastErr is the error of the silent attempt that ended last without an answer, nil if there is none.
+	lastErr error
 }
 
 // silentAttempt is an attempt together with its result.
@@ -37,11 +39,12 @@
 var errEarlierAttemptAnswered = errors.New("an earlier attempt was answered")
 
 // awaitIfSilent continues to wait in the background, until ctx ends, for the answer to the latest attempt if
-// the attempt failed because its daemon became silent.
-func (a *attempter) awaitIfSilent(ctx context.Context, target *balance.Target, err error) {
+// the attempt failed because its daemon became silent. It reports whether it does: whether the attempt may
+// have run is known once it ends.
+func (a *attempter) awaitIfSilent(ctx context.Context, target *balance.Target, err error) (awaited bool) {
 	var silence *callapi.SilentPeerError
 	if !errors.As(err, &silence) {
-		return
+		return false
 	}
 	if a.silent.results == nil {
 		a.silent.results = make(chan silentAttempt)
@@ -56,6 +59,7 @@
 			attempt.closeAnswer()
 		}
 	}()
+	return true
 }
 
 // closeAnswer closes an answer that is not used, which ends its call.
@@ -69,6 +73,7 @@
 func (a *attempter) recordSilentResult(attempt silentAttempt) (answered bool) {
 	a.silent.pending--
 	if attempt.err != nil {
+		a.silent.lastErr = attempt.err
 		a.recordUncertainAttempt(attempt.err)
 		return false
 	}
@@ -143,6 +148,20 @@
 	return instanceAnswer{answer: attempt.answer, target: attempt.target}
 }
 
+// resolveSilence returns the error of the last attempt of a call: if that is its silence and the attempt has
+// ended since, the error that it ended with. A silent attempt that has not ended may have run.
+func (a *attempter) resolveSilence(last error) error {
+	if a.silent.pending > 0 {
+		a.recordUncertainAttempt(result.Errorf(result.CallUnknownOutcome, "the daemon beside the instance is silent"))
+		return last
+	}
+	var silence *callapi.SilentPeerError
+	if errors.As(last, &silence) {
+		return a.silent.lastErr
+	}
+	return last
+}
+
 // deadlineErrorOr returns the error of a call without an answer of a silent attempt: CallDeadline if the
 // deadline of ctx has passed, otherwise last.
 func deadlineErrorOr(ctx context.Context, last error) error {
--- a/internal/requestpath/gateway/silent_test.go
+++ b/internal/requestpath/gateway/silent_test.go
@@ -32,6 +32,10 @@
 	arrivesSilent arrival = iota
 	arrivesFull
 	arrivesAnswered
+	// arrivesSilentFull and arrivesSilentBroken: the peer sends nothing for silenceDuration. Then it refuses
+	// the call, or says that its outcome is unknown.
+	arrivesSilentFull
+	arrivesSilentBroken
 )
 
 // silentPeers are the daemons beside the instances of a test. Calls are treated in the order of arrivals,
@@ -96,10 +100,11 @@
 // Handle implements callmux.Origin.
 func (p *silentPeer) Handle(ctx context.Context, _ *callapi.Call) (*callapi.Answer, error) {
 	number := int(p.peers.arrived.Add(1)) - 1
-	switch p.peers.arrivals[min(number, len(p.peers.arrivals)-1)] {
+	arrives := p.peers.arrivals[min(number, len(p.peers.arrivals)-1)]
+	switch arrives {
 	case arrivesFull:
 		return nil, result.Errorf(result.CallNotRunOverloaded, "no slot is free")
-	case arrivesSilent:
+	case arrivesSilent, arrivesSilentFull, arrivesSilentBroken:
 		p.peers.working.Add(1)
 		defer p.peers.working.Add(-1)
 		p.sending <- struct{}{}
@@ -110,6 +115,12 @@
 			return nil, result.Errorf(result.CallCancelled, "the caller gave up")
 		}
 	}
+	switch arrives {
+	case arrivesSilentFull:
+		return nil, result.Errorf(result.CallNotRunOverloaded, "no slot was free")
+	case arrivesSilentBroken:
+		return nil, result.Errorf(result.CallUnknownOutcome, "the instance broke off")
+	}
 	content := []byte("whole")
 	return &callapi.Answer{
 		Head: &lapisv1.CallHead{Status: 200, ContentLength: int64(len(content))}, Body: io.NopCloser(bytes.NewReader(content)),
@@ -159,3 +170,41 @@
 		})
 	}
 }
+
+// Guards against a 502 answer to a request that no instance has run, because an attempt at a silent daemon
+// counted as one that may have run after the daemon had refused it.
+func TestRefusalOfASilentPeerCountsAsNotRun(t *testing.T) {
+	plenty := retry.Limits{Fraction: 1, Burst: 10}
+	const deadline = 5 * time.Second
+	for name, row := range map[string]struct {
+		arrivals []arrival
+		retries  retry.Limits
+		// cancelAfter is when the caller gives up.
+		cancelAfter time.Duration
+		outcome     string
+	}{
+		"it refuses in the end, others are full": {[]arrival{arrivesSilentFull, arrivesFull}, plenty, deadline, callapi.OutcomeNotRun},
+		"all are silent and refuse in the end":   {[]arrival{arrivesSilentFull}, plenty, deadline, callapi.OutcomeNotRun},
+		"the budget is spent":                    {[]arrival{arrivesSilentFull}, retry.Limits{Fraction: 0.1, Burst: 1}, deadline, callapi.OutcomeNotRun},
+		"the last one is silent":                 {[]arrival{arrivesFull, arrivesFull, arrivesSilentFull}, plenty, deadline, callapi.OutcomeNotRun},
+		"it may have run in the end":             {[]arrival{arrivesSilentBroken, arrivesFull}, plenty, deadline, callapi.OutcomeUnknown},
+		"one of two may have run":                {[]arrival{arrivesSilentBroken, arrivesSilentFull}, plenty, deadline, callapi.OutcomeUnknown},
+		"one of two may have run, the later one": {[]arrival{arrivesSilentFull, arrivesSilentBroken}, plenty, deadline, callapi.OutcomeUnknown},
+		"the caller gives up before":             {[]arrival{arrivesSilentFull, arrivesFull}, plenty, time.Second, callapi.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &silentPeers{arrivals: row.arrivals}
+				attempt := newAttempter(t, peers.client(t), true, row.retries)
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				time.AfterFunc(row.cancelAfter, cancel)
+				_, err := attempt.run(ctx)
+				cancel()
+				synctest.Wait()
+				assert.Equal(t, callapi.OutcomeOf(err), row.outcome, "%v", err)
+				assert.Equal(t, result.Is(err, result.CallNotRunOverloaded), row.outcome == callapi.OutcomeNotRun, "%v", err)
+			})
+		})
+	}
+}
