--- a/internal/lab/emulator/client/kept_test.go
+++ b/internal/lab/emulator/client/kept_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"io"
 	"net"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,3 +32,55 @@
 		assert.NilError(t, far.Close())
 	})
 }
+
+// Guards against requests that count as lost because their own caller closed the connection: it gave up an
+// answer that it read slower than it had planned. An answer of which nothing arrives any more is given up, and
+// the forwarded requests behind it count.
+func TestCallerReadsAnAnswerThatGoesOnArriving(t *testing.T) {
+	for name, row := range map[string]struct {
+		pause time.Duration
+		lost  bool
+	}{"slowly": {answerTimeoutSlack / 2, false}, "it stalls": {time.Minute, true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				near, far := net.Pipe()
+				ledger := promise.NewLedger(promise.Bounds{LossSlack: 200 * time.Millisecond})
+				conn := &persistentConn{
+					load: &Load{Ledger: ledger, Tally: NewTally()}, conn: near, target: Target{Service: func() string { return "desk" }},
+					inFlight: make(chan struct{}, 2), pending: make(chan *pipelinedRequest, 2),
+				}
+				class := Class{Name: "look", Path: "/look/a", Host: "h", Safe: true, Services: []string{"desk"}, Deadline: 3 * time.Second}
+				for number := range cap(conn.pending) {
+					time.Sleep(time.Duration(number) * class.Deadline)
+					next := conn.prepare(class)
+					next.sentAt.Store(time.Now().UnixNano())
+					ledger.Ran(promise.Run{Request: next.id, Service: "desk", Caller: "desk", Timeout: time.Second})
+					conn.inFlight <- struct{}{}
+					conn.pending <- next
+				}
+				close(conn.pending)
+				var answering sync.WaitGroup
+				answering.Go(func() { answerInPieces(far, 2, row.pause) })
+				stopped := false
+				conn.receive(func() { stopped = true })
+				assert.NilError(t, near.Close())
+				answering.Wait()
+				assert.Check(t, stopped == row.lost)
+				lost := slices.ContainsFunc(ledger.Breaches(), func(breach promise.Breach) bool { return breach.Kind == promise.Lost })
+				assert.Check(t, lost == row.lost, "%+v", ledger.Breaches())
+			})
+		})
+	}
+}
+
+// answerInPieces sends answers of ten bytes, with a pause before each byte, until the caller has closed the
+// connection.
+func answerInPieces(conn net.Conn, answers int, pause time.Duration) {
+	for range answers {
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n")
+		for piece := 0; piece < 10 && err == nil; piece++ {
+			time.Sleep(pause)
+			_, err = io.WriteString(conn, "x")
+		}
+	}
+}
