A heartbeat that arrives again replaces no present instance

Cause: a heartbeat of a later start withdrew each earlier one, whatever its number. After the clock was set back and the later start ended without a word, the earlier one is the present one; a heartbeat of the ended one that arrives late or is delivered again withdrew it, and nothing brings a withdrawn instance back for ten minutes.

Change: only a heartbeat that was sent after all others of its instance replaces earlier starts.

Measured: TestHeartbeatThatIsDeliveredAgainDoesNotReplaceThePresentInstance, red before and green after; the tests of package origin with the race detector, GOMAXPROCS=2, once: pass. No soak was run.

--- a/internal/requestpath/origin/takeover.go
+++ b/internal/requestpath/origin/takeover.go
@@ -19,7 +19,7 @@
 // resolveConflicts applies a heartbeat of an instance to the other incarnations with its ID or at its
 // address. isFresh is true unless the heartbeat was delayed, and isNew if it is the first one. An
 // incarnation that started later stays: it has not sent a heartbeat lately, and is the present one if it
-// sends another.
+// sends another, but not if an earlier heartbeat of it arrives late or again.
 func (o *Origin) resolveConflicts(reporting *Instance, isNew, isFresh bool) {
 	for _, other := range o.Instances() {
 		if !other.conflictsWith(reporting.identity, reporting.backend.address) || other.identity.StartedAfter(reporting.identity) {
@@ -27,7 +27,9 @@
 		}
 		switch {
 		case reporting.identity.StartedAfter(other.identity):
-			o.replace(other, reporting)
+			if isFresh {
+				o.replace(other, reporting)
+			}
 		case isNew:
 			o.suspend(other, reporting)
 		case isFresh && o.isSuspendedFor(other, reporting):
