Repeated word of a departure keeps no present instance away

Cause: an earlier start registers once its heartbeats go on for 4.5 s after the departure of a later one was last learned. Each daemon names the departures that it remembers on each link, so each link that opened began that time anew: with one every 4.5 s or less the present instance, whose clock was set back, got no calls at all.

Change: the time runs from when the departure was first learned, or from the latest message of the instance that left.

Measured: TestRepeatedWordOfADepartureDoesNotKeepThePresentInstanceAway, red before and green after; the tests of package origin with the race detector, GOMAXPROCS=2, once: pass. No soak was run.

--- a/internal/requestpath/origin/superseded_test.go
+++ b/internal/requestpath/origin/superseded_test.go
@@ -29,6 +29,22 @@
 	return known && instance.State() == StateReady
 }
 
+// Guards against a present instance that stays without calls while links open: each daemon names the departures
+// that it remembers on each link.
+func TestRepeatedWordOfADepartureDoesNotKeepThePresentInstanceAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		running, stop := runOrigin()
+		defer stop()
+		running.Withdraw("desk-1@2000", "machine-b")
+		for sequence := range uint64(5) {
+			time.Sleep(1500 * time.Millisecond)
+			running.Withdraw("desk-1@2000", "machine-c")
+			running.Register(beatOf(1000, 1+sequence))
+		}
+		assert.Assert(t, isReady(running, "desk-1@1000"))
+	})
+}
+
 // Guards against a present instance that is withdrawn for good: the clock was set back, a later start ended without a
 // word, and one of its heartbeats is delivered again.
 func TestHeartbeatThatIsDeliveredAgainDoesNotReplaceThePresentInstance(t *testing.T) {
--- a/internal/requestpath/origin/withdrawal.go
+++ b/internal/requestpath/origin/withdrawal.go
@@ -228,7 +228,16 @@
 	o.departures[expired.ID] = remaining
 }
 
-// departureAfter returns the name of the departure of which this daemon learned last, of those after which an
+// latestWordAt returns when the instance itself last said that it leaves, or when this daemon first learned of it. That
+// another daemon tells of it again, as each does on each link, shows nothing new.
+func (w withdrawnInstance) latestWordAt() time.Time {
+	if w.messageAt.After(w.firstAt) {
+		return w.messageAt
+	}
+	return w.firstAt
+}
+
+// departureAfter returns the name of the departure with the latest word (latestWordAt), of those after which an
 // incarnation may be over: a later one left, or a message without a start arrived that this one may have sent. It
 // is empty if there is none. The caller holds mutex.
 func (o *Origin) departureAfter(identity incarnation.Incarnation) (latest string) {
@@ -236,7 +245,7 @@
 		name := departed.Name()
 		left := o.withdrawn[name]
 		mayBeOver := departed.StartedAfter(identity) || identity.StartUnixMillis <= left.until
-		if mayBeOver && (latest == "" || left.at.After(o.withdrawn[latest].at)) {
+		if mayBeOver && (latest == "" || left.latestWordAt().After(o.withdrawn[latest].latestWordAt())) {
 			latest = name
 		}
 	}
@@ -247,7 +256,7 @@
 // is the present one and the clock was set back. Those within presenceTimeout of the
 // departure show nothing, and neither does a single one after that: they may be late. The caller holds mutex.
 func (o *Origin) hasContinuedAfter(departed string, registration Registration) bool {
-	if isPresent(time.Since(o.withdrawn[departed].at)) {
+	if isPresent(time.Since(o.withdrawn[departed].latestWordAt())) {
 		return false
 	}
 	// A heartbeat counts after the departure that it followed, and not after another one.
