A present instance that a departure ended is served again during its calls

Cause: the departure of a later start drains an earlier one, which is the present one if the clock was set back. Its heartbeats were ignored until it was dropped, and it is dropped once no call runs there: during a long call it got no other calls, for as long as that took, in place of 6 to 7.5 s.

Change: once its heartbeats have continued after the departure, by the rule for one that isn't registered, it is served again. The same departure doesn't end it a second time; another one does.

No soak was run.

--- a/internal/requestpath/origin/instance.go
+++ b/internal/requestpath/origin/instance.go
@@ -57,7 +57,9 @@
 	slots           int
 	sequence        uint64
 	lastHeartbeatAt time.Time
-	coldState       coldState
+	// resumedAt is when it was last served again after supersede; zero if it was not.
+	resumedAt time.Time
+	coldState coldState
 	// stated is the rate limit that the instance states. statedLeaving is true once it has stated that
 	// it is about to leave.
 	stated        statedLimit
--- a/internal/requestpath/origin/registration.go
+++ b/internal/requestpath/origin/registration.go
@@ -72,7 +72,6 @@
 	identity := registration.incarnation()
 	key := instanceKey{registration.Service, identity.Name()}
 	known, isKnown := o.instances[key]
-	ended := o.hasLeft(identity) || (isKnown && known.hasEnded())
 	if !isKnown && !o.hasService(registration.Service) {
 		o.unknownServiceLog.Do(func() {
 			o.config.Logger.Info("instance.service_unknown", "instance", identity.Name(), "service", registration.Service)
@@ -80,9 +79,10 @@
 		return nil, false
 	}
 	conflicts := o.conflictsOf(identity, registration.Address)
-	if departed := o.departureAfter(identity); departed != "" && !ended && !isKnown && !o.hasContinuedAfter(departed, registration) {
-		conflicts.laterStartPresent, conflicts.holder = true, departed
+	if o.mayBeOver(known, registration, conflicts.laterStartPresent) {
+		conflicts.laterStartPresent, conflicts.holder = true, o.departureAfter(identity)
 	}
+	ended := o.hasLeft(identity) || (isKnown && known.hasEnded())
 	switch kindOfHeartbeat(ended, isKnown, conflicts, registration.Sequence) {
 	case heartbeatOfWithdrawn:
 		o.logHeartbeatAfterLeave(registration)
@@ -104,6 +104,24 @@
 	return instance, true
 }
 
+// mayBeOver reports whether a departure shows that an incarnation may be over, which has not left itself, and its
+// heartbeats have not continued since. One that a departure ended (supersede) is served again once they have, since
+// a call that runs there would keep it drained until it ends. known is nil if the incarnation is not registered. The
+// caller holds mutex.
+func (o *Origin) mayBeOver(known *Instance, registration Registration, laterStartPresent bool) bool {
+	departed := o.departureAfter(registration.incarnation())
+	if departed == "" || o.hasLeft(registration.incarnation()) || (known != nil && !known.hasEnded()) {
+		return false
+	}
+	if !o.hasContinuedAfter(departed, registration) {
+		return true
+	}
+	if known != nil && !registration.Draining && !laterStartPresent {
+		known.resumeSuperseded()
+	}
+	return false
+}
+
 // hasService reports whether the configuration in force names a service; before the first
 // configuration it is true for every service. An instance of an unconfigured service gets no calls
 // and could take the address of one that does, because its heartbeat may come from another sender.
--- a/internal/requestpath/origin/takeover.go
+++ b/internal/requestpath/origin/takeover.go
@@ -108,7 +108,8 @@
 }
 
 // supersede drains an instance because a later start has left, by the name of that departure. It is not recorded
-// as withdrawn: if the clock was set back it is the present one, and registers again once it is dropped.
+// as withdrawn: if the clock was set back it is the present one, and registers again once it is dropped, or is served
+// again before that (resumeSuperseded).
 func (o *Origin) supersede(instance *Instance, departed string) {
 	if instance.hasEnded() {
 		return
@@ -117,6 +118,24 @@
 	o.config.Logger.Info("instance.superseded", "instance", instance.Name, "by", departed, "beat_age_ms", instance.heartbeatAge().Milliseconds())
 }
 
+// resumeSuperseded ends supersede: the instance is the present one.
+func (i *Instance) resumeSuperseded() {
+	i.mutex.Lock()
+	i.resumedAt = time.Now()
+	i.mutex.Unlock()
+	i.Resume(DrainReplaced)
+}
+
+// presentSince returns when the instance was first shown to be present, or again after supersede.
+func (i *Instance) presentSince() time.Time {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	if i.resumedAt.IsZero() {
+		return i.startedAt
+	}
+	return i.resumedAt
+}
+
 // supersedeEarlier drains the incarnations that a leaving instance shows to be over: those with its ID or at its
 // address that started earlier.
 func (o *Origin) supersedeEarlier(leaving *Instance) {
--- a/internal/requestpath/origin/withdrawal.go
+++ b/internal/requestpath/origin/withdrawal.go
@@ -18,7 +18,8 @@
 //
 // A departure also ends the incarnations that are earlier than the one that left (incarnation.Departure.Ends):
 // they are drained and dropped, but not recorded, because the machine's clock may have been set back. Until the
-// departure expires, an earlier one registers only by heartbeats that continue (hasContinuedAfter).
+// departure expires, an earlier one registers, or is served again before it is dropped, only by heartbeats that
+// continue (hasContinuedAfter).
 
 // withdrawnInstance is an instance that left permanently.
 type withdrawnInstance struct {
@@ -71,7 +72,7 @@
 		switch {
 		case departed.Covers(instance.identity):
 			instance.Drain(DrainInstance)
-		case departed.Ends(instance.identity) && !instance.startedAt.After(left.firstAt):
+		case departed.Ends(instance.identity) && !instance.presentSince().After(left.firstAt):
 			o.supersede(instance, name)
 		}
 	}
