--- a/internal/requestpath/origin/withdrawal.go
+++ b/internal/requestpath/origin/withdrawal.go
@@ -18,7 +18,8 @@
 //
 // A departure also ends the incarnations that are earlier than the one that left (incarnation.Departure.Ends):
 // they are drained and dropped, but not recorded, because the machine's clock may have been set back. Until the
-// departure expires, an earlier one registers only by heartbeats that continue (hasContinuedAfter).
+// departure expires, an earlier one registers, or is served again before it is dropped, only by heartbeats that
+// continue (hasContinuedAfter).
 
 // withdrawnInstance is an instance that left permanently.
 type withdrawnInstance struct {
@@ -71,7 +72,7 @@
 		switch {
 		case departed.Covers(instance.identity):
 			instance.Drain(DrainInstance)
-		case departed.Ends(instance.identity) && !instance.startedAt.After(left.firstAt):
+		case departed.Ends(instance.identity) && !instance.presentSince().After(left.firstAt):
 			o.supersede(instance, name)
 		}
 	}
@@ -228,7 +229,16 @@
 	o.departures[expired.ID] = remaining
 }
 
-// departureAfter returns the name of the departure of which this daemon learned last, of those after which an
+// latestWordAt returns when the instance itself last said that it leaves, or when this daemon first learned of it. That
+// another daemon tells of it again, as each does on each link, shows nothing new.
+func (w withdrawnInstance) latestWordAt() time.Time {
+	if w.messageAt.After(w.firstAt) {
+		return w.messageAt
+	}
+	return w.firstAt
+}
+
+// departureAfter returns the name of the departure with the latest word (latestWordAt), of those after which an
 // incarnation may be over: a later one left, or a message without a start arrived that this one may have sent. It
 // is empty if there is none. The caller holds mutex.
 func (o *Origin) departureAfter(identity incarnation.Incarnation) (latest string) {
@@ -236,7 +246,7 @@
 		name := departed.Name()
 		left := o.withdrawn[name]
 		mayBeOver := departed.StartedAfter(identity) || identity.StartUnixMillis <= left.until
-		if mayBeOver && (latest == "" || left.at.After(o.withdrawn[latest].at)) {
+		if mayBeOver && (latest == "" || left.latestWordAt().After(o.withdrawn[latest].latestWordAt())) {
 			latest = name
 		}
 	}
@@ -247,7 +257,7 @@
 // is the present one and the clock was set back. Those within presenceTimeout of the
 // departure show nothing, and neither does a single one after that: they may be late. The caller holds mutex.
 func (o *Origin) hasContinuedAfter(departed string, registration Registration) bool {
-	if isPresent(time.Since(o.withdrawn[departed].at)) {
+	if isPresent(time.Since(o.withdrawn[departed].latestWordAt())) {
 		return false
 	}
 	// A heartbeat counts after the departure that it followed, and not after another one.
