--- a/internal/transport/callmux/session.go
+++ b/internal/transport/callmux/session.go
@@ -82,7 +82,7 @@
 
 // writeFailed ends the session after an error of a write. A peer that does not read is given up at once.
 // One that has ended may have sent answers that are not read yet: no call is opened any more, and the
-// goroutine that reads the session closes it behind them, at the latest after Timing.SilenceTimeout.
+// goroutine that reads the session closes it behind them, or once nothing has arrived for Timing.SilenceTimeout.
 func (s *session) writeFailed(cause error) {
 	var network net.Error
 	if errors.As(cause, &network) && network.Timeout() {
