--- a/review/standin2/cutoff.go
+++ b/review/standin2/cutoff.go
@@ -43,7 +43,7 @@
 	served := 0
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	for range 8 {
+	for range 12 {
 		clients.Go(func() {
 			c := &client{machine: front}
 			for kept := false; ; time.Sleep(50 * time.Millisecond) {
@@ -70,15 +70,15 @@
 	}
 	time.Sleep(4 * time.Second)
 	if trouble() {
-		for round := range 2 {
+		for round := range 4 {
 			victim := s.machines[round%2]
 			victim.kill()
 			time.Sleep(500 * time.Millisecond)
 			victim.start()
-			time.Sleep(8 * time.Second)
+			time.Sleep(5 * time.Second)
 		}
 	} else {
-		time.Sleep(17 * time.Second)
+		time.Sleep(22 * time.Second)
 	}
 	close(stop)
 	clients.Wait()
