Gateway: 503 only for codes that prove that a call did not run

Cause: statusOf gave 503 to each code that it did not list, also to those that prove nothing (6001 protocol-bad-frame after the run). A reset from another daemon passed such codes on, and the retry rule took them for final. Change: 503 follows Code.NotRun, all other codes get 502. A reset with a code that is not one of calls is an unknown outcome, so that safe requests are tried again.

--- a/internal/requestpath/gateway/refused.go
+++ b/internal/requestpath/gateway/refused.go
@@ -34,7 +34,8 @@
 	return &adjusted
 }
 
-// statusOf maps a result code to an HTTP status.
+// statusOf maps a result code to an HTTP status. Status 503 promises that the call did not run, so a code that
+// does not prove it gets 502, whatever failed.
 func statusOf(code result.Code) int {
 	switch code {
 	case result.CallNoRoute:
@@ -55,11 +56,11 @@
 		return http.StatusConflict
 	case result.CallDeadline:
 		return http.StatusGatewayTimeout
-	case result.CallUnknownOutcome, result.CallTruncated, result.CallCancelled, result.CallInstanceCrashed:
-		return http.StatusBadGateway
-	default:
+	}
+	if code.NotRun() {
 		return http.StatusServiceUnavailable
 	}
+	return http.StatusBadGateway
 }
 
 // failureBody is the JSON body of an error answer that the gateway generates.
--- a/internal/shared/result/code.go
+++ b/internal/shared/result/code.go
@@ -127,6 +127,9 @@
 // Validation reports whether the code belongs to the validation of configurations.
 func (c Code) Validation() bool { return c >= ConfigBadName && c < OperatorUnauthenticated }
 
+// Call reports whether the code is one of calls (5xxx), including those of later releases.
+func (c Code) Call() bool { return c >= CallNoRoute && c < ProtocolBadFrame }
+
 // NotRun reports whether the code proves that a call did not run, so that it may be retried even if the
 // call is not repeatable.
 func (c Code) NotRun() bool {
--- a/internal/transport/callmux/reset.go
+++ b/internal/transport/callmux/reset.go
@@ -9,10 +9,11 @@
 )
 
 // errorOf converts a reset frame to an error. A code that means not run is honored only if the reset
-// also states NotRun.
+// also states NotRun. A code that is not one of calls says why the peer could not pass the answer on, not
+// what became of the call.
 func errorOf(reset *lapisv1.CallReset) error {
 	code := result.Code(reset.GetCode())
-	if code.NotRun() && !reset.GetNotRun() {
+	if !code.Call() || code.NotRun() && !reset.GetNotRun() {
 		code = result.CallUnknownOutcome
 	}
 	converted := result.Errorf(code, "%s", reset.GetReason())
