Callmux: values of header fields need not be UTF-8 between daemons

Cause: values are in string fields of the frames, which cannot be encoded then. What else cannot be encoded is chosen by the caller (target, host) and was not sent: 400 in place of 502.

--- a/internal/lab/testsite/site.go
+++ b/internal/lab/testsite/site.go
@@ -101,6 +101,15 @@
 	return s.start(config)
 }
 
+// StartDaemonBeside runs a daemon in zone that holds all services and serves back ends that the site does not
+// know, such as those of a single test.
+func (s *Site) StartDaemonBeside(node, zone string, backends ...settings.Backend) (*Member, error) {
+	config := s.baseSettings(node, zone)
+	config.Services = []string{"*"}
+	config.Backends = backends
+	return s.start(config)
+}
+
 // StartTLSDaemon runs a daemon that also accepts callers over HTTPS.
 func (s *Site) StartTLSDaemon(node, zone string) (*Member, error) {
 	config := s.baseSettings(node, zone)
--- a/internal/transport/callmux/call.go
+++ b/internal/transport/callmux/call.go
@@ -88,7 +88,8 @@
 func (c *Client) exchange(ctx, bodyCtx context.Context, opened *stream, call *callapi.Call) (*lapisv1.CallHead, error) {
 	opening, err := encodeOpening(opened, call)
 	if err != nil {
-		return nil, result.Wrap(result.CallUnknownOutcome, err, "encoding the opening frame")
+		// Nothing was sent. Only what the caller chose can be unencodable, such as its request target.
+		return nil, result.Wrap(result.CallBadRequest, err, "encoding the opening frame")
 	}
 	// In the background, since the write blocks while the peer does not read.
 	go sendCall(bodyCtx, opened, call, opening)
@@ -145,6 +146,7 @@
 // encodeOpening encodes the opening frame, and the body if it is sent with the opening. They are
 // encoded up front because the call may end, and its buffers be reused, before they are written.
 func encodeOpening(opened *stream, call *callapi.Call) ([]byte, error) {
+	call.Open.Headers = packFields(call.Open.GetHeaders())
 	frames := []proto.Message{&lapisv1.CallFrame{Call: opened.id, Body: &lapisv1.CallFrame_Open{Open: call.Open}}}
 	if call.Body != nil && sentWithOpening(call) {
 		content, err := io.ReadAll(io.LimitReader(call.Body, maxOpeningBodyBytes))
--- a/internal/transport/callmux/server.go
+++ b/internal/transport/callmux/server.go
@@ -148,6 +148,7 @@
 // before a slow link has carried the answer. A body that fits into one chunk is written together with
 // the head.
 func sendAnswer(ctx context.Context, session *session, stream *stream, answer *callapi.Answer) error {
+	answer.Head.Headers = packFields(answer.Head.GetHeaders())
 	head := &lapisv1.CallFrame{Call: stream.id, Body: &lapisv1.CallFrame_Head{Head: answer.Head}}
 	length := answer.Head.GetContentLength()
 	if length < 0 || length > MaxBufferedBodyBytes {
@@ -166,6 +167,6 @@
 		}
 		return stream.sendBody(ctx, bytes.NewReader(body), answer.Trailers)
 	}
-	data := &lapisv1.CallData{Data: body, End: true, Trailers: answer.Trailers()}
+	data := &lapisv1.CallData{Data: body, End: true, Trailers: packFields(answer.Trailers())}
 	return session.send(head, &lapisv1.CallFrame{Call: stream.id, Body: &lapisv1.CallFrame_Data{Data: data}})
 }
--- a/internal/transport/callmux/stream.go
+++ b/internal/transport/callmux/stream.go
@@ -158,7 +158,7 @@
 		}
 		data := &lapisv1.CallData{Data: buffer[:count], End: err == io.EOF}
 		if data.End && trailers != nil {
-			data.Trailers = trailers()
+			data.Trailers = packFields(trailers())
 		}
 		if count > 0 || data.End {
 			if sendErr := s.session.send(&lapisv1.CallFrame{Call: s.id, Body: &lapisv1.CallFrame_Data{Data: data}}); sendErr != nil {
