Pipeline: a body that waits to be read is read ahead, so that a close behind it is seen

Cause: while a long body waited for its slot, nobody read the connection. The close is behind the body: of 150 kB unread on loopback it does not even arrive (poll shows no POLLRDHUP; of 100 kB it does), so asking the kernel would not do. Change: the reader reads at most 512 KiB ahead until the handler's first read; beyond 32 KiB reserved in InputMemory. The lookahead is a queue of pieces, each released as it is consumed.

--- a/internal/requestpath/gateway/pipeline/body.go
+++ b/internal/requestpath/gateway/pipeline/body.go
@@ -13,6 +13,8 @@
 	conn *connection
 	// released is closed when the body was read to its end or its use has ended (stop).
 	released chan struct{}
+	// watched is closed when the connection's reader no longer reads ahead, which it does until the first Read.
+	watched chan struct{}
 
 	// readMutex is held during a read from the connection. It protects stream and remaining.
 	readMutex sync.Mutex
@@ -41,7 +43,7 @@
 )
 
 func newBody(conn *connection, stream io.Reader, length int64) *Body {
-	return &Body{conn: conn, stream: stream, remaining: length, released: make(chan struct{})}
+	return &Body{conn: conn, stream: stream, remaining: length, released: make(chan struct{}), watched: make(chan struct{})}
 }
 
 // Read implements io.Reader. Errors: CallCancelled after the request has ended.
@@ -84,9 +86,9 @@
 // begin checks that a read is allowed and sets its timeout. The timeout is set under mutex, so that
 // it cannot override the interrupt of a later stop.
 func (b *Body) begin() error {
+	b.claim()
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.started = true
 	if b.stopped {
 		return result.Errorf(result.CallCancelled, "the request has ended")
 	}
@@ -97,6 +99,25 @@
 	return nil
 }
 
+// claim takes the input from the connection's reader, which reads ahead until then.
+func (b *Body) claim() {
+	b.mutex.Lock()
+	claimed := b.started || b.stopped
+	b.started = true
+	b.mutex.Unlock()
+	if !claimed {
+		b.conn.wake()
+		<-b.watched
+	}
+}
+
+// isClaimed reports whether a read was started or the body is no longer used.
+func (b *Body) isClaimed() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.started || b.stopped
+}
+
 // OnEOF sets a function that is called when the body has been read to its end. The function copies
 // data that is complete only then, such as trailers, because the request may be reused for another
 // one as soon as Read has returned. OnEOF must be called before the first Read.
@@ -157,6 +178,7 @@
 	b.stopped = true
 	started := b.started
 	b.mutex.Unlock()
+	b.conn.wake()
 	b.conn.caller.interruptRead()
 	b.readMutex.Lock()
 	defer b.readMutex.Unlock()
--- a/internal/requestpath/gateway/pipeline/caller.go
+++ b/internal/requestpath/gateway/pipeline/caller.go
@@ -6,14 +6,6 @@
 	"time"
 )
 
-// Sizes in bytes of the input that is read ahead to detect a disconnect of the caller. The buffer
-// starts at initialLookaheadBytes and doubles up to maxLookaheadBytes. While maxLookaheadBytes are
-// buffered, a disconnect is not detected until some of them are consumed.
-const (
-	initialLookaheadBytes = 512
-	maxLookaheadBytes     = 32 << 10
-)
-
 // callerConn is the network connection underneath the HTTP library. It can read ahead of the library
 // to detect a disconnect of the caller, and its reads can be interrupted.
 type callerConn struct {
@@ -23,7 +15,7 @@
 	mutex sync.Mutex
 	// lookahead holds bytes that were read before the library asked for them, and lookaheadErr the
 	// read error that followed them.
-	lookahead    []byte
+	lookahead    lookahead
 	lookaheadErr error
 	// receivedAt is the time of the last read that returned bytes.
 	receivedAt time.Time
@@ -58,18 +50,20 @@
 func (c *callerConn) bufferedBytes() int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return len(c.lookahead)
+	return c.lookahead.held
+}
+
+// discardLookahead drops the bytes that were read ahead. The connection must not be read afterwards.
+func (c *callerConn) discardLookahead() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.lookahead.discard()
 }
 
 // Read implements net.Conn. It returns the bytes that were read ahead before it reads more.
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	c.mutex.Lock()
-	if len(c.lookahead) > 0 {
-		count := copy(buffer, c.lookahead)
-		c.lookahead = c.lookahead[count:]
-		if len(c.lookahead) == 0 {
-			c.lookahead = nil
-		}
+	if count := c.lookahead.take(buffer); count > 0 {
 		c.mutex.Unlock()
 		return count, nil
 	}
@@ -83,52 +77,50 @@
 	return count, err
 }
 
-// readAhead reads into the lookahead buffer until it is interrupted, the buffer holds
-// maxLookaheadBytes (full is true) or the caller disconnects (an error). Only the goroutine that
-// reads the connection may call it.
-func (c *callerConn) readAhead() (full bool, err error) {
-	c.mutex.Lock()
-	held, err := len(c.lookahead), c.lookaheadErr
-	c.mutex.Unlock()
-	if err != nil {
-		return false, err
-	}
-	for size := initialLookaheadBytes; held < maxLookaheadBytes; size *= 2 {
-		buffer := make([]byte, min(size, maxLookaheadBytes-held))
-		count, err := c.fill(buffer)
-		held += count
-		if err == nil {
-			continue
+// readAhead reads into the lookahead buffer until it is interrupted, no more than limit bytes can be held
+// (full is true) or the caller disconnects (an error). Only the goroutine that reads the connection may call
+// it.
+func (c *callerConn) readAhead(limit int) (full bool, err error) {
+	for size := initialLookaheadBytes; ; size = min(2*size, maxLookaheadPieceBytes) {
+		c.mutex.Lock()
+		if c.lookaheadErr != nil {
+			defer c.mutex.Unlock()
+			return false, c.lookaheadErr
 		}
-		if timeout, isNetwork := err.(net.Error); isNetwork && timeout.Timeout() {
+		piece, ok := c.lookahead.newPiece(size, limit)
+		c.mutex.Unlock()
+		if !ok {
+			return true, nil
+		}
+		switch err := c.fill(piece); {
+		case err == nil:
+		case isTimeout(err):
 			return false, nil
+		default:
+			return false, err
 		}
-		return false, err
 	}
-	return true, nil
 }
 
-// fill reads until buffer is full or a read fails, and appends the bytes to lookahead. It returns the
-// number of bytes and the read error.
-func (c *callerConn) fill(buffer []byte) (int, error) {
+// fill reads until piece is full or a read fails, and adds what was read to lookahead. It returns the read
+// error.
+func (c *callerConn) fill(piece lookaheadPiece) error {
 	filled := 0
 	var err error
-	for filled < len(buffer) && err == nil {
+	for filled < len(piece.content) && err == nil {
 		var count int
-		count, err = c.Conn.Read(buffer[filled:])
+		count, err = c.Conn.Read(piece.content[filled:])
 		c.recordReceived(count)
 		filled += count
 	}
+	piece.content = piece.content[:filled]
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.lookahead = append(c.lookahead, buffer[:filled]...)
-	if err == nil {
-		return filled, nil
-	}
-	if timeout, isNetwork := err.(net.Error); !isNetwork || !timeout.Timeout() {
+	c.lookahead.add(piece)
+	if err != nil && !isTimeout(err) {
 		c.lookaheadErr = err
 	}
-	return filled, err
+	return err
 }
 
 // interruptRead makes a read in progress return with a timeout. The error of SetReadDeadline is
--- a/internal/requestpath/gateway/pipeline/connection.go
+++ b/internal/requestpath/gateway/pipeline/connection.go
@@ -79,6 +79,7 @@
 // been answered or abandoned.
 func (c *connection) serve() {
 	defer c.cancel()
+	defer c.caller.discardLookahead()
 	defer c.conn.Discard()
 	if !c.server.connections.add(c) {
 		return
@@ -87,7 +88,7 @@
 	for c.serveNext() {
 	}
 	c.seal()
-	c.watchUntil(c.idle)
+	c.watchUntil(maxLookaheadBytes, c.idle)
 	c.mutex.Lock()
 	for !c.idle() {
 		c.becameIdle.Wait()
--- a/internal/requestpath/gateway/pipeline/reading.go
+++ b/internal/requestpath/gateway/pipeline/reading.go
@@ -21,7 +21,7 @@
 
 // serveNext reads one request and dispatches it. It reports whether another one may follow.
 func (c *connection) serveNext() bool {
-	if !c.awaitRequest() || !c.watchUntil(c.hasRoom) {
+	if !c.awaitRequest() || !c.watchUntil(maxLookaheadBytes, c.hasRoom) {
 		return false
 	}
 	exchange := c.newExchange()
@@ -154,7 +154,7 @@
 // sendContinue sends the interim answer that a caller expects before it sends a body. It first waits
 // until all earlier answers have been written.
 func (c *connection) sendContinue() error {
-	if !c.watchUntil(c.idle) {
+	if !c.watchUntil(maxLookaheadBytes, c.idle) {
 		return io.ErrClosedPipe
 	}
 	c.caller.setReadTimeout(c.server.config.BodyIdleTimeout)
@@ -164,9 +164,13 @@
 	return c.conn.Flush()
 }
 
-// awaitBody waits until the handler is done with a body, and discards its unread part. It reports
-// whether another request can be read behind the body.
+// awaitBody waits until the handler is done with a body, and discards its unread part. Until the handler
+// reads the body, which may take long while the request waits for an instance, it detects a disconnect of
+// the caller. It reports whether another request can be read behind the body.
 func (c *connection) awaitBody(body *Body) bool {
+	// A disconnect cancels the request, so that its handler releases the body.
+	c.watchUntil(maxBodyLookaheadBytes, body.isClaimed)
+	close(body.watched)
 	<-body.released
 	if c.isSealed() {
 		return false
--- a/internal/requestpath/gateway/pipeline/server.go
+++ b/internal/requestpath/gateway/pipeline/server.go
@@ -20,8 +20,9 @@
 	HeadLimits func() HeadLimits
 	// MaxBodyBytes is the maximum size of a request's body, in bytes.
 	MaxBodyBytes int
-	// InputMemory is the budget for input that callers have not completed. Beyond it, heads longer than
-	// httpinput.MinBufferBytes are refused and short bodies are streamed.
+	// InputMemory is the budget for input that callers have not completed and for bodies that wait to be
+	// read. Beyond it, heads longer than httpinput.MinBufferBytes are refused, short bodies are streamed, and a
+	// caller that leaves behind a long body that waits is not noticed.
 	InputMemory *httpinput.Memory
 	// MaxBufferedBodyBytes is the longest body that is read into memory before its request is
 	// dispatched. Longer bodies are streamed.
@@ -108,7 +109,7 @@
 
 // Listener wraps a listener so that its connections can be served by s.
 func (s *Server) Listener(listener net.Listener) net.Listener {
-	return callerListener{Listener: listener, headLimits: s.config.HeadLimits}
+	return callerListener{Listener: listener, server: s}
 }
 
 // OnAccept returns a context that carries conn, which Listener accepted, to the protocol server.
@@ -145,7 +146,7 @@
 
 type callerListener struct {
 	net.Listener
-	headLimits func() HeadLimits
+	server *Server
 }
 
 // Accept implements net.Listener.
@@ -154,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	caller := &callerConn{Conn: conn}
-	caller.setReadTimeout(l.headLimits().Timeout)
+	caller := &callerConn{Conn: conn, lookahead: lookahead{memory: l.server.config.InputMemory}}
+	caller.setReadTimeout(l.server.config.HeadLimits().Timeout)
 	return caller, nil
 }
--- a/internal/requestpath/gateway/pipeline/watching.go
+++ b/internal/requestpath/gateway/pipeline/watching.go
@@ -14,9 +14,9 @@
 	return c.nextSentAhead
 }
 
-// watchUntil reads ahead until condition returns true, to detect a disconnect of the caller. It calls
-// condition with mutex held. It reports false if the caller disconnected.
-func (c *connection) watchUntil(condition func() bool) bool {
+// watchUntil reads at most limit bytes ahead until condition returns true, to detect a disconnect of the
+// caller. It calls condition with mutex held. It reports false if the caller disconnected.
+func (c *connection) watchUntil(limit int, condition func() bool) bool {
 	for {
 		c.mutex.Lock()
 		if c.disconnected {
@@ -30,7 +30,7 @@
 		c.watching = true
 		c.caller.setReadTimeout(0)
 		c.mutex.Unlock()
-		full, err := c.caller.readAhead()
+		full, err := c.caller.readAhead(limit)
 		if full {
 			c.awaitWake()
 		}
