Origin: a request whose body cannot be read on ends at once

Callers saw: 504 at the deadline after a body in chunks broke off, if the instance was on the same machine; the instance waited for the rest that long. Cause: a failed read of the body ended the write of the request, and nothing ended the exchange. Between daemons the reset of the call does. Change: the connection to the instance is closed then.

--- a/internal/requestpath/origin/backend.go
+++ b/internal/requestpath/origin/backend.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	request, err := b.request(ctx, call)
+	request, body, err := b.request(ctx, call)
 	if err != nil {
 		b.pool.put(conn)
 		return nil, err
@@ -56,7 +56,7 @@
 		b.pool.put(conn)
 		return nil, result.Wrap(result.CallNotRunExpired, ctx.Err(), "the call ended before it was sent to the instance")
 	}
-	current := &exchange{backend: b, conn: conn, request: request, writeDone: make(chan struct{})}
+	current := &exchange{backend: b, conn: conn, request: request, body: body, writeDone: make(chan struct{})}
 	current.stopCancelWatch = context.AfterFunc(ctx, func() { _ = conn.Close() }) // Closed to interrupt the exchange, which reports why.
 	sentAt := time.Now()
 	beforeSend()
@@ -72,16 +72,18 @@
 	return response, nil
 }
 
-// request builds the HTTP request of a call. Errors: CallBadRequest.
-func (b *backend) request(ctx context.Context, call *callapi.Call) (*http.Request, error) {
+// request builds the HTTP request of a call; body is nil if the call has none or has it in memory. Errors:
+// CallBadRequest.
+func (b *backend) request(ctx context.Context, call *callapi.Call) (request *http.Request, body *requestBody, err error) {
 	open := call.Open
-	var body io.Reader
-	if call.Body != nil {
-		body = call.Body
+	content := call.Body
+	if call.Body != nil && !call.Buffered {
+		body = &requestBody{Reader: call.Body}
+		content = body
 	}
-	request, err := http.NewRequest(open.GetMethod(), "http://"+b.address+open.GetTarget(), body)
+	request, err = http.NewRequest(open.GetMethod(), "http://"+b.address+open.GetTarget(), content)
 	if err != nil {
-		return nil, result.Wrap(result.CallBadRequest, err, "building the request")
+		return nil, nil, result.Wrap(result.CallBadRequest, err, "building the request")
 	}
 	request.Host = open.GetHost()
 	request.ContentLength = open.GetContentLength()
@@ -97,9 +99,9 @@
 	}
 	b.setEnvelopeHeaders(ctx, request, call)
 	if call.Trailers != nil && open.GetContentLength() < 0 {
-		announceTrailers(request, call)
+		announceTrailers(request, call, content)
 	}
-	return request, nil
+	return request, body, nil
 }
 
 // setEnvelopeHeaders sets the header fields of the envelope.
@@ -128,7 +130,7 @@
 }
 
 // announceTrailers declares the trailers that the caller announced, so that the request sends them.
-func announceTrailers(request *http.Request, call *callapi.Call) {
+func announceTrailers(request *http.Request, call *callapi.Call, body io.Reader) {
 	names := request.Header.Values("Trailer")
 	if len(names) == 0 {
 		return
@@ -138,7 +140,7 @@
 	for _, name := range names {
 		request.Trailer.Set(name, "")
 	}
-	request.Body = &trailerBody{Reader: call.Body, call: call, request: request}
+	request.Body = &trailerBody{Reader: body, call: call, request: request}
 }
 
 // trailerBody sets the trailer values at the end of the body, before net/http reads them.
--- a/internal/requestpath/origin/exchange.go
+++ b/internal/requestpath/origin/exchange.go
@@ -33,6 +33,8 @@
 	backend *backend
 	conn    *connection
 	request *http.Request
+	// body is the streamed body of request, nil if there is none.
+	body *requestBody
 	// stopCancelWatch keeps the end of the context from closing the connection.
 	stopCancelWatch func() bool
 	// writeDone is closed when the write of the request has ended; writeErr is its result.
@@ -79,8 +81,30 @@
 	if e.writeErr = e.request.Write(e.conn.writer); e.writeErr == nil {
 		e.writeErr = e.conn.writer.Flush()
 	}
+	if e.body.brokeOff() {
+		_ = e.conn.Close() // Closed to interrupt the exchange: the instance would wait for the rest of the request.
+	}
+}
+
+// requestBody is the body of a request to a back end. It records whether reading it failed, which net/http
+// does not tell apart from a failed write to the back end.
+type requestBody struct {
+	io.Reader
+	readErr error
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(buffer []byte) (int, error) {
+	count, err := b.Reader.Read(buffer)
+	if err != nil && err != io.EOF {
+		b.readErr = err
+	}
+	return count, err
 }
 
+// brokeOff reports whether the body ended before it was whole. b may be nil.
+func (b *requestBody) brokeOff() bool { return b != nil && b.readErr != nil }
+
 // readHead reads a response head and skips informational (1xx) responses.
 func (e *exchange) readHead() (*http.Response, error) {
 	for range maxInterimResponses + 1 {
--- a/internal/requestpath/origin/revocation_test.go
+++ b/internal/requestpath/origin/revocation_test.go
@@ -120,7 +120,7 @@
 			Method: "GET", Target: "/", Account: name, KeyDigest: keyDigest[:],
 			Headers: []*lapisv1.HeaderField{{Name: "mesh-account", Value: "smuggled"}, {Name: "Other", Value: "kept"}},
 		}
-		request, err := newBackend(unreachableAddress, "desk-1", envelope, 1).request(t.Context(), &callapi.Call{Open: open})
+		request, _, err := newBackend(unreachableAddress, "desk-1", envelope, 1).request(t.Context(), &callapi.Call{Open: open})
 		assert.NilError(t, err)
 		assert.Equal(t, request.Header.Get("Mesh-Account"), name)
 		assert.Assert(t, len(request.Header.Values("Mesh-Account")) <= 1)
