Gateway: only one attempt at a call gets a streamed request body

Cause: an attempt whose daemon is silent goes on beside the next one, and both read one stream. What the later one got, the end of the body, was passed on as such. Change: each attempt has a reader of its own; the first to read owns the body, others get an error. A failed attempt is withdrawn before the next one begins. Body.OnEOF is an argument of the reader, because the last attempt that was attached got the trailers of another one. Tests read by a reader now.

--- a/internal/requestpath/gateway/attempts.go
+++ b/internal/requestpath/gateway/attempts.go
@@ -30,8 +30,10 @@
 	tried []*balance.Target
 	// failureCounts counts the failed attempts for the retry rule.
 	failureCounts retry.Counts
-	// attemptID is the ID of the latest attempt.
-	attemptID string
+	// attemptID is the ID of the latest attempt, and withdrawBody keeps it from reading the request's body
+	// (requestBody.attach).
+	attemptID    string
+	withdrawBody func()
 	// version tracks the latest attempt for a roll-out, nil without one. versionChanges counts the chosen
 	// instances whose version was no longer allowed any calls when the attempt began.
 	version        *versionAttempt
@@ -98,7 +100,7 @@
 		}
 		lastErr = err
 		if !a.awaitIfSilent(ctx, target, err) {
-			a.recordUncertainAttempt(err)
+			a.endAttempt(err)
 		}
 		a.tried = append(a.tried, target)
 		again := a.tryAgain(a.failureOf(ctx, err))
@@ -143,7 +145,7 @@
 	open := a.newOpening(ctx, target)
 	a.attemptID = open.GetAttemptId()
 	call := &callapi.Call{Open: open, KeepWaitingWhenSilent: a.gateway.draining}
-	a.attach(call)
+	a.withdrawBody = a.attach(call)
 	target.Begin()
 	answered := false
 	defer func() {
@@ -170,6 +172,13 @@
 	return answer, nil
 }
 
+// endAttempt ends the latest attempt, which failed with err and gets no answer any more.
+func (a *attempter) endAttempt(err error) {
+	a.recordUncertainAttempt(err)
+	// The attempt may still be about to send the body, which the next one needs.
+	a.withdrawBody()
+}
+
 // recordUncertainAttempt stores the error of an attempt that an instance may have run.
 func (a *attempter) recordUncertainAttempt(err error) {
 	if a.mayHaveRunErr == nil && callapi.OutcomeOf(err) == callapi.OutcomeUnknown {
--- a/internal/requestpath/gateway/attempts_test.go
+++ b/internal/requestpath/gateway/attempts_test.go
@@ -76,7 +76,7 @@
 	gateway := New(Config{Node: "here", Snapshots: snapshots, Balancer: balancer, Remote: remote, Retries: retries})
 	return &attempter{gateway: gateway, call: call{
 		current: snapshots.Current(), route: route, body: &requestBody{}, startedAt: time.Now(),
-		opening: &lapisv1.CallOpen{Repeatable: repeatable}, attach: func(*callapi.Call) {},
+		opening: &lapisv1.CallOpen{Repeatable: repeatable}, attach: func(*callapi.Call) func() { return func() {} },
 	}}
 }
 
--- a/internal/requestpath/gateway/call.go
+++ b/internal/requestpath/gateway/call.go
@@ -23,8 +23,8 @@
 	// attempt copies it. Its service is the pool that was chosen last.
 	opening *lapisv1.CallOpen
 	body    *requestBody
-	// attach attaches the body to an attempt.
-	attach func(*callapi.Call)
+	// attach attaches the body to an attempt, as requestBody.attach does.
+	attach func(*callapi.Call) (withdraw func())
 	// requestID is the caller's ID of the request; empty if there is none.
 	requestID string
 	// keys identify the request in the quarantine; empty if no instance has crashed under the
--- a/internal/requestpath/gateway/pipeline/body.go
+++ b/internal/requestpath/gateway/pipeline/body.go
@@ -7,13 +7,13 @@
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
 
-// Body streams a long or chunked request body; it can be read once. A Read after the request has
-// ended fails without accessing the connection.
+// Body is a long or chunked request body on its connection. It can be read once, by the BodyReader that reads
+// first. A read after the request has ended fails without accessing the connection.
 type Body struct {
 	conn *connection
 	// released is closed when the body was read to its end or its use has ended (stop).
 	released chan struct{}
-	// watched is closed when the connection's reader no longer reads ahead, which it does until the first Read.
+	// watched is closed when the connection's reader no longer reads ahead, which it does until the first read.
 	watched chan struct{}
 
 	// readMutex is held during a read from the connection. It protects stream and remaining.
@@ -23,17 +23,47 @@
 	// end of a body of known length.
 	remaining int64
 
-	// mutex protects everything below. started is true once a Read began, ended once the body was read
-	// to its end, and stopped once the request no longer uses the body (stop).
-	mutex sync.Mutex
-	// onEOF, if not nil, is called once when the body has been read to its end, before the request
-	// can be reused for another one.
-	onEOF   func()
-	started bool
+	// mutex protects everything below. owner is the reader that reads the body, nil before the first
+	// read. ended is true once the body was read to its end, and stopped once the request no longer uses the
+	// body (stop).
+	mutex   sync.Mutex
+	owner   *BodyReader
 	ended   bool
 	stopped bool
 }
 
+// BodyReader reads a Body for one attempt at a call. An attempt may outlast the start of the next one. If both
+// read from the body, each would get a part of it, or the later one nothing, and could not tell that from the
+// end of the body. Therefore only the reader that reads first gets the body, and all others get an error.
+type BodyReader struct {
+	body *Body
+	// onEOF, if not nil, is called once when the body has been read to its end.
+	onEOF func()
+	// withdrawn is true if the reader may no longer become the owner. It is protected by body.mutex.
+	withdrawn bool
+}
+
+// NewReader returns a reader of the body. onEOF, if not nil, is called when the reader has read the body to
+// its end. It copies data that is complete only then, such as trailers, because the request may be reused for
+// another one as soon as Read has returned.
+func (b *Body) NewReader(onEOF func()) *BodyReader { return &BodyReader{body: b, onEOF: onEOF} }
+
+// Read implements io.Reader. Errors: CallCancelled after the request has ended, if another reader has the
+// body or the reader was withdrawn, and those of reading the connection.
+func (r *BodyReader) Read(buffer []byte) (int, error) {
+	if err := r.body.claim(r); err != nil {
+		return 0, err
+	}
+	return r.body.read(buffer)
+}
+
+// Withdraw makes the reader fail unless it has already read from the body, so that another one can have it.
+func (r *BodyReader) Withdraw() {
+	r.body.mutex.Lock()
+	defer r.body.mutex.Unlock()
+	r.withdrawn = true
+}
+
 // lengthUnknown is the initial number of remaining bytes of a chunked body, whose length is not known
 // in advance. A chunked body always has more than minChunkedRemaining bytes remaining, a body of known
 // length always has fewer.
@@ -46,8 +76,8 @@
 	return &Body{conn: conn, stream: stream, remaining: length, released: make(chan struct{}), watched: make(chan struct{})}
 }
 
-// Read implements io.Reader. Errors: CallCancelled after the request has ended.
-func (b *Body) Read(buffer []byte) (int, error) {
+// read reads the next part of the body for its owner.
+func (b *Body) read(buffer []byte) (int, error) {
 	b.readMutex.Lock()
 	defer b.readMutex.Unlock()
 	if err := b.begin(); err != nil {
@@ -83,48 +113,46 @@
 	return buffer[:min(int64(len(buffer)), b.remaining)]
 }
 
-// begin checks that a read is allowed and sets its timeout. The timeout is set under mutex, so that
-// it cannot override the interrupt of a later stop.
-func (b *Body) begin() error {
-	b.claim()
+// claim makes reader the owner of the body unless there is another one, and takes the input over from the
+// connection's reader, which reads ahead until then. Errors: CallCancelled.
+func (b *Body) claim(reader *BodyReader) error {
 	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.stopped {
-		return result.Errorf(result.CallCancelled, "the request has ended")
-	}
-	if b.ended {
-		return io.EOF
+	isFirst := b.owner == nil && !reader.withdrawn && !b.stopped
+	if isFirst {
+		b.owner = reader
 	}
-	b.conn.caller.setReadTimeout(b.conn.server.config.BodyIdleTimeout)
-	return nil
-}
-
-// claim takes the input from the connection's reader, which reads ahead until then.
-func (b *Body) claim() {
-	b.mutex.Lock()
-	claimed := b.started || b.stopped
-	b.started = true
+	isOwner := b.owner == reader
 	b.mutex.Unlock()
-	if !claimed {
+	if isFirst {
 		b.conn.wake()
 		<-b.watched
 	}
+	if !isOwner {
+		return result.Errorf(result.CallCancelled, "the body belongs to another attempt, or the request has ended")
+	}
+	return nil
 }
 
-// isClaimed reports whether a read was started or the body is no longer used.
+// isClaimed reports whether a reader has the body or the body is no longer used.
 func (b *Body) isClaimed() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.started || b.stopped
+	return b.owner != nil || b.stopped
 }
 
-// OnEOF sets a function that is called when the body has been read to its end. The function copies
-// data that is complete only then, such as trailers, because the request may be reused for another
-// one as soon as Read has returned. OnEOF must be called before the first Read.
-func (b *Body) OnEOF(callback func()) {
+// begin checks that a read is allowed and sets its timeout. The timeout is set under mutex, so that
+// it cannot override the interrupt of a later stop.
+func (b *Body) begin() error {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.onEOF = callback
+	if b.stopped {
+		return result.Errorf(result.CallCancelled, "the request has ended")
+	}
+	if b.ended {
+		return io.EOF
+	}
+	b.conn.caller.setReadTimeout(b.conn.server.config.BodyIdleTimeout)
+	return nil
 }
 
 // finish records that the body was read to its end.
@@ -135,17 +163,17 @@
 	if b.stopped {
 		return
 	}
-	if b.onEOF != nil {
-		b.onEOF()
+	if b.owner.onEOF != nil {
+		b.owner.onEOF()
 	}
 	close(b.released)
 }
 
-// ReadStarted reports whether a read was started. The body cannot be sent again after that.
+// ReadStarted reports whether a reader has the body. The body cannot be sent by another attempt after that.
 func (b *Body) ReadStarted() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.started
+	return b.owner != nil
 }
 
 // unreadBody describes the treatment of the unread part of a body.
@@ -176,7 +204,7 @@
 		return unreadNone
 	}
 	b.stopped = true
-	started := b.started
+	started := b.owner != nil
 	b.mutex.Unlock()
 	b.conn.wake()
 	b.conn.caller.interruptRead()
--- a/internal/requestpath/gateway/pipeline/body_test.go
+++ b/internal/requestpath/gateway/pipeline/body_test.go
@@ -81,7 +81,7 @@
 	srv := startServer(t, DefaultLimits, func(_ context.Context, exchange *Exchange) {
 		length := len(exchange.BufferedBody)
 		if exchange.Body != nil {
-			body, err := io.ReadAll(exchange.Body)
+			body, err := io.ReadAll(exchange.Body.NewReader(nil))
 			assert.Check(t, err)
 			length = len(body)
 		}
@@ -116,10 +116,10 @@
 			return
 		}
 		copied := ""
-		exchange.Body.OnEOF(func() { copied = pathOf(exchange) })
+		reader := exchange.Body.NewReader(func() { copied = pathOf(exchange) })
 		ended := make(chan struct{})
 		go func() {
-			_, _ = io.ReadAll(exchange.Body)
+			_, _ = io.ReadAll(reader)
 			close(ended)
 			// Wait until the handler has returned and further requests have been read.
 			time.Sleep(50 * time.Millisecond)
@@ -142,7 +142,7 @@
 func TestBrokenChunksAreAnswered(t *testing.T) {
 	srv := startServer(t, DefaultLimits, func(_ context.Context, exchange *Exchange) {
 		if exchange.Body != nil {
-			_, err := io.ReadAll(exchange.Body)
+			_, err := io.ReadAll(exchange.Body.NewReader(nil))
 			assert.Check(t, err != nil)
 		}
 		reply(exchange, pathOf(exchange))
--- a/internal/requestpath/gateway/pipeline/bodywatch_test.go
+++ b/internal/requestpath/gateway/pipeline/bodywatch_test.go
@@ -87,7 +87,7 @@
 				srv := startChanged(t, DefaultLimits, func(_ context.Context, exchange *Exchange) {
 					if exchange.Body != nil {
 						<-begin
-						body, err := io.ReadAll(exchange.Body)
+						body, err := io.ReadAll(exchange.Body.NewReader(nil))
 						assert.Check(t, err)
 						bodies <- string(body)
 					}
--- a/internal/requestpath/gateway/pipeline/memory_test.go
+++ b/internal/requestpath/gateway/pipeline/memory_test.go
@@ -24,7 +24,7 @@
 			faults <- code
 			reply(exchange, "")
 		case exchange.Body != nil:
-			body, err := io.ReadAll(exchange.Body)
+			body, err := io.ReadAll(exchange.Body.NewReader(nil))
 			assert.Check(t, err)
 			reply(exchange, fmt.Sprintf("streamed %d", len(body)))
 		default:
--- a/internal/requestpath/gateway/pipeline/sequence_test.go
+++ b/internal/requestpath/gateway/pipeline/sequence_test.go
@@ -30,7 +30,7 @@
 	content := exchange.BufferedBody
 	if exchange.Body != nil {
 		content = make([]byte, fuzzBodyBytes)
-		count, _ := io.ReadFull(exchange.Body, content)
+		count, _ := io.ReadFull(exchange.Body.NewReader(nil), content)
 		content = content[:count]
 	}
 	reply(exchange, fmt.Sprintf("%s %s %q", exchange.Request.Request.Header.Method(), exchange.Request.Request.Header.RequestURI(), content))
@@ -119,7 +119,7 @@
 func answerModel(ctx context.Context, exchange *Exchange) {
 	length := len(exchange.BufferedBody)
 	if exchange.Body != nil {
-		body, _ := io.ReadAll(exchange.Body)
+		body, _ := io.ReadAll(exchange.Body.NewReader(nil))
 		length = len(body)
 	}
 	for range rand.IntN(20) {
--- a/internal/requestpath/gateway/quarantine.go
+++ b/internal/requestpath/gateway/quarantine.go
@@ -114,8 +114,8 @@
 		return done, nil
 	}
 	done = func() { g.heldBodies.release(room) }
-	body.streamed.OnEOF(func() { body.trailers = trailersOf(rc, &g.config.Envelope) })
-	content, err := io.ReadAll(io.LimitReader(body.streamed, room+1))
+	reader := body.streamed.NewReader(func() { body.trailers = trailersOf(rc, &g.config.Envelope) })
+	content, err := io.ReadAll(io.LimitReader(reader, room+1))
 	if err != nil {
 		return done, err
 	}
--- a/internal/requestpath/gateway/requestbody.go
+++ b/internal/requestpath/gateway/requestbody.go
@@ -31,14 +31,16 @@
 	return &requestBody{content: exchange.BufferedBody, length: int64(len(exchange.BufferedBody))}
 }
 
-// attach attaches the body to an attempt.
-func (b *requestBody) attach(call *callapi.Call, rc *app.RequestContext, envelope *callapi.Envelope) {
+// attach attaches the body to an attempt. withdraw keeps the attempt from reading a streamed body later, unless
+// it has begun to.
+func (b *requestBody) attach(call *callapi.Call, rc *app.RequestContext, envelope *callapi.Envelope) (withdraw func()) {
 	switch {
 	case b.streamed != nil:
 		var trailers []*lapisv1.HeaderField
-		b.streamed.OnEOF(func() { trailers = trailersOf(rc, envelope) })
-		call.Body = b.streamed
+		reader := b.streamed.NewReader(func() { trailers = trailersOf(rc, envelope) })
+		call.Body = reader
 		call.Trailers = func() []*lapisv1.HeaderField { return trailers }
+		return reader.Withdraw
 	case b.held:
 		call.Body = bytes.NewReader(b.content)
 		call.Trailers = func() []*lapisv1.HeaderField { return b.trailers }
@@ -46,6 +48,7 @@
 		call.Body = bytes.NewReader(b.content)
 		call.Buffered = true
 	}
+	return func() {}
 }
 
 // replayable reports whether another attempt can send the whole body.
--- a/internal/requestpath/gateway/serve.go
+++ b/internal/requestpath/gateway/serve.go
@@ -130,7 +130,7 @@
 	return call{
 		current: found.current, route: found.route, body: body,
 		opening:   g.openingTemplate(rc, found.route, found.caller, found.current.Revision, body),
-		attach:    func(call *callapi.Call) { body.attach(call, rc, &g.config.Envelope) },
+		attach:    func(call *callapi.Call) func() { return body.attach(call, rc, &g.config.Envelope) },
 		requestID: g.requestID(rc), local: exchange.Local(),
 		startedAt: exchange.ArrivedAt, suspendedAtStart: boottime.Suspended(),
 		priorWait: found.priorWait,
