Gateway: an answer counts as begun with its first byte

Cause: the response was handed to the streaming writer before the first byte of the body was there. The library writes the head with that byte, but the writer's presence counted as an answer begun, so there was neither another attempt nor a 502. Change: the first part of the body is read before the response is touched; a failure until then is one of the attempt. The buffer of the copy is used for it.

--- a/internal/requestpath/gateway/deliver.go
+++ b/internal/requestpath/gateway/deliver.go
@@ -86,8 +86,11 @@
 			return nil
 		}
 	}
-	g.writeHead(rc, head)
-	err := streamAnswer(ctx, exchange, done.answer)
+	first, err := readFirstPiece(ctx, exchange, done.answer)
+	if err == nil {
+		g.writeHead(rc, head)
+		err = streamAnswer(ctx, exchange, done.answer, first)
+	}
 	if err != nil {
 		g.observeFailure(done.target, err)
 	}
--- a/internal/requestpath/gateway/stream.go
+++ b/internal/requestpath/gateway/stream.go
@@ -18,10 +18,43 @@
 // answerChunkBytes is the size in bytes of the pieces in which a streamed answer is copied.
 const answerChunkBytes = 16 << 10
 
-// streamAnswer copies an answer to the caller piece by piece. If the answer breaks off, the caller's
-// connection is closed without a proper end of the answer, which shows that it is incomplete. Errors:
-// CallCancelled, CallTruncated and those of the call.
-func streamAnswer(ctx context.Context, exchange *pipeline.Exchange, answer *callapi.Answer) error {
+// answerPiece is a part of an answer's body that is read but not yet written to the caller.
+type answerPiece struct {
+	buffer []byte
+	// filled is the number of bytes in buffer. isLast is true if the body ends behind them.
+	filled int
+	isLast bool
+}
+
+// read reads the next part of body, which is empty only if the body ends. Errors: those of the call.
+func (p *answerPiece) read(body io.Reader) error {
+	p.filled = 0
+	for p.filled == 0 && !p.isLast {
+		count, err := body.Read(p.buffer)
+		if err != nil && err != io.EOF {
+			return err
+		}
+		p.filled, p.isLast = count, err == io.EOF
+	}
+	return nil
+}
+
+// readFirstPiece waits for the first part of an answer's body, once all earlier answers are written. The caller
+// has received nothing until then, so that an answer that breaks off can still be replaced by that of another
+// instance, or by an error answer instead of the close of the connection. Errors: CallCancelled and those of
+// the call.
+func readFirstPiece(ctx context.Context, exchange *pipeline.Exchange, answer *callapi.Answer) (*answerPiece, error) {
+	if err := exchange.AwaitEarlierAnswers(ctx); err != nil {
+		return nil, result.Wrap(result.CallCancelled, err, "waiting for earlier answers")
+	}
+	piece := &answerPiece{buffer: make([]byte, answerChunkBytes)}
+	return piece, piece.read(answer.Body)
+}
+
+// streamAnswer copies an answer to the caller piece by piece, from its first piece on. If the answer breaks off,
+// the caller's connection is closed without a proper end of the answer, which shows that it is incomplete.
+// Errors: CallCancelled, CallTruncated and those of the call.
+func streamAnswer(ctx context.Context, exchange *pipeline.Exchange, answer *callapi.Answer, first *answerPiece) error {
 	if err := exchange.BeginAnswer(ctx); err != nil {
 		return err
 	}
@@ -42,7 +75,7 @@
 	}
 	stream := &streamWriter{ExtWriter: body}
 	rc.Response.HijackWriter(stream)
-	stream.err = copyAnswer(stream, answer)
+	stream.err = copyAnswer(stream, answer.Body, first)
 	if stream.err == nil && length < 0 {
 		for _, field := range answer.Trailers() {
 			_ = rc.Response.Header.Trailer().Set(field.GetName(), field.GetValue())
@@ -51,25 +84,23 @@
 	return stream.err
 }
 
-// copyAnswer copies the body of an answer to writer, and flushes each piece. Errors: CallCancelled if writing
-// fails, and those of the call.
-func copyAnswer(writer network.ExtWriter, answer *callapi.Answer) error {
-	buffer := make([]byte, answerChunkBytes)
+// copyAnswer copies the body of an answer to writer, beginning with piece, and flushes each piece. Errors:
+// CallCancelled if writing fails, and those of the call.
+func copyAnswer(writer network.ExtWriter, body io.Reader, piece *answerPiece) error {
 	for {
-		count, err := answer.Body.Read(buffer)
-		if count > 0 {
-			if _, writeErr := writer.Write(buffer[:count]); writeErr != nil {
-				return result.Wrap(result.CallCancelled, writeErr, "writing to the caller")
+		if piece.filled > 0 {
+			if _, err := writer.Write(piece.buffer[:piece.filled]); err != nil {
+				return result.Wrap(result.CallCancelled, err, "writing to the caller")
 			}
-			// The library may refer to buffer until it is flushed.
-			if flushErr := writer.Flush(); flushErr != nil {
-				return result.Wrap(result.CallCancelled, flushErr, "writing to the caller")
+			// The library may refer to the buffer until it is flushed.
+			if err := writer.Flush(); err != nil {
+				return result.Wrap(result.CallCancelled, err, "writing to the caller")
 			}
 		}
-		if err == io.EOF {
+		if piece.isLast {
 			return nil
 		}
-		if err != nil {
+		if err := piece.read(body); err != nil {
 			return err
 		}
 	}
