Gateway: names of request fields must be tokens

Cause: only blanks and tabs in names were refused. By reading: net/http drops a field whose name is no token when it writes the request to an instance, and a name that is not UTF-8 cannot be encoded in a frame to another daemon. Change: 400 for a name that is no token (RFC 9110, section 5.1). Measured: TestNamesOfRequestFieldsAreTokens fails on the code before for four of nine names (a control byte, DEL, a byte above 127, parentheses), passes now.

--- a/internal/requestpath/gateway/framing.go
+++ b/internal/requestpath/gateway/framing.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lapisvane/lapisvane/api/lapisv1"
+	"github.com/lapisvane/lapisvane/internal/model/callapi"
 	"github.com/lapisvane/lapisvane/internal/requestpath/gateway/pipeline"
 	"github.com/lapisvane/lapisvane/internal/shared/result"
 )
@@ -52,7 +53,7 @@
 		return result.Errorf(result.CallBadRequest, "a header line has a control character")
 	}
 	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found || len(name) == 0 || bytes.ContainsAny(name, " \t") {
+	if !found || !callapi.IsToken(name) {
 		return result.Errorf(result.CallBadRequest, "a header line has no valid field name")
 	}
 	value = bytes.TrimSpace(value)
--- a/internal/requestpath/gateway/framing_test.go
+++ b/internal/requestpath/gateway/framing_test.go
@@ -70,3 +70,12 @@
 		t.Run(name, func(t *testing.T) { assert.Equal(t, headLimitsOf(row.configured), row.want) })
 	}
 }
+
+// Guards against request fields that are dropped on their way, or refused between daemons only, because of their name.
+func TestNamesOfRequestFieldsAreTokens(t *testing.T) {
+	for _, name := range []string{"", "X Odd", "X-Odd ", " X-Odd", "X\tOdd", "X\x01Odd", "X\x7fOdd", "X\xe9Odd", "X(Odd)"} {
+		err := checkFraming([]byte("Host: a\r\n"+name+": 1\r\n\r\n"), true)
+		assert.Check(t, result.Is(err, result.CallBadRequest), "%q: %v", name, err)
+	}
+	assert.NilError(t, checkFraming([]byte("Host: a\r\nx-1_a.b~|'`^#$%&*+!: 1\r\n\r\n"), true))
+}
