Origin: a response that is not HTTP/1.x is not passed on

Cause: http.ReadResponse takes any three characters that are a number as the status, any version, and names with blanks; a status below 200 was skipped as interim. Change: version, status and names of fields and trailers are checked behind it; such a response is an attempt that may have run.

--- a/internal/requestpath/origin/exchange.go
+++ b/internal/requestpath/origin/exchange.go
@@ -116,6 +116,9 @@
 		if err != nil {
 			return nil, shortened(err)
 		}
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -168,15 +171,27 @@
 	exchange *exchange
 	body     io.ReadCloser
 	response *http.Response
+	// end is the error of all reads after the end; nil before it.
+	end error
 }
 
+// Read implements io.Reader. It returns io.EOF only if the response is whole.
 func (b *exchangeBody) Read(buffer []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
 	count, err := b.body.Read(buffer)
+	if err == io.EOF {
+		if fault := b.exchange.checkEnd(b.response); fault != nil {
+			err = fault
+		}
+	}
 	if err == io.EOF {
 		b.finish()
 	} else if err != nil {
 		b.exchange.release(false)
 	}
+	b.end = err
 	return count, err
 }
 
