--- a/internal/requestpath/gateway/pipeline/body.go
+++ b/internal/requestpath/gateway/pipeline/body.go
@@ -206,6 +206,7 @@
 	b.stopped = true
 	started := b.owner != nil
 	b.mutex.Unlock()
+	// Ends the reading ahead, or a read in progress.
 	b.conn.wake()
 	b.conn.caller.interruptRead()
 	b.readMutex.Lock()
