Callmux: received fields are unpacked where frames are received

Change: the call moved to the loop that receives frames, right before it; no behaviour changes. The tests of callmux and the UTF-8 tests of testsite passed after it.

--- a/internal/transport/callmux/session.go
+++ b/internal/transport/callmux/session.go
@@ -179,6 +179,7 @@
 		err := s.conn.Receive(frame)
 		if err == nil {
 			s.noteReceived()
+			unpackFields(frame)
 			err = s.handle(frame, accept)
 		}
 		if err != nil {
@@ -190,7 +191,6 @@
 
 // handle processes one received frame. An error ends the session.
 func (s *session) handle(frame *lapisv1.CallFrame, accept func(*lapisv1.CallFrame) error) error {
-	unpackFields(frame)
 	switch body := frame.GetBody().(type) {
 	case nil:
 		if frame.GetPing() {
