Gateway: the record of a failed attempt is a function of its own

Change: recordFailedAttempt split from it, endAttempt is abandonAttempt; no behaviour changes. The tests of package gateway passed after it.

--- a/internal/requestpath/gateway/attempts.go
+++ b/internal/requestpath/gateway/attempts.go
@@ -99,19 +99,25 @@
 			err = a.keepFailedAnswer(done)
 		}
 		lastErr = err
-		if !a.awaitIfSilent(ctx, target, err) {
-			a.endAttempt(err)
-		}
-		a.tried = append(a.tried, target)
-		again := a.tryAgain(a.failureOf(ctx, err))
-		a.logAttempt(ctx, target, err, again)
-		if !again {
+		if !a.recordFailedAttempt(ctx, target, err) {
 			return a.endAttempts(ctx, err)
 		}
 		a.gateway.metrics.retries.Inc()
 	}
 }
 
+// recordFailedAttempt records that the latest attempt, at target, failed with err. It reports whether another
+// one follows.
+func (a *attempter) recordFailedAttempt(ctx context.Context, target *balance.Target, err error) (again bool) {
+	if !a.awaitIfSilent(ctx, target, err) {
+		a.abandonAttempt(err)
+	}
+	a.tried = append(a.tried, target)
+	again = a.tryAgain(a.failureOf(ctx, err))
+	a.logAttempt(ctx, target, err, again)
+	return again
+}
+
 // enterBudget counts the call once in the retry budget of the first pool that it is sent to.
 func (a *attempter) enterBudget(pool string) {
 	if a.inBudget {
@@ -172,8 +178,8 @@
 	return answer, nil
 }
 
-// endAttempt ends the latest attempt, which failed with err and gets no answer any more.
-func (a *attempter) endAttempt(err error) {
+// abandonAttempt gives up the latest attempt, which failed with err.
+func (a *attempter) abandonAttempt(err error) {
 	a.recordUncertainAttempt(err)
 	// The attempt may still be about to send the body, which the next one needs.
 	a.withdrawBody()
--- a/internal/requestpath/gateway/deliver.go
+++ b/internal/requestpath/gateway/deliver.go
@@ -32,7 +32,7 @@
 		if err == nil {
 			return nil
 		}
-		attempt.endAttempt(err)
+		attempt.abandonAttempt(err)
 		failure := attempt.failureOf(ctx, err)
 		failure.ResponseInterrupted = true
 		failure.AnswerBegun = exchange.Request.Response.GetHijackWriter() != nil
