Pipeline: all that is read ahead of a waiting body is in the budget for input

Seen: TestCallerUnfinishedBodies, the soak package alone on: 153 MiB resident, 128 allowed. Cause: the first 32 KiB of each connection were read ahead without a reservation; 2,500 unfinished bodies are 64 MiB and more. Change: a piece read ahead of a body is reserved, or not read.

--- a/internal/requestpath/gateway/pipeline/lookahead.go
+++ b/internal/requestpath/gateway/pipeline/lookahead.go
@@ -13,14 +13,14 @@
 	// maxLookaheadBytes is the limit behind a request that was read. It needs no reservation.
 	maxLookaheadBytes = 32 << 10
 	// maxBodyLookaheadBytes is the limit while a body waits to be read. It holds the usual uploads, so that
-	// those whose callers have left do not reach an instance. What exceeds maxLookaheadBytes is reserved in
-	// Config.InputMemory.
+	// those whose callers have left do not reach an instance. All of it is reserved in Config.InputMemory: many
+	// callers may leave long bodies unfinished.
 	maxBodyLookaheadBytes = 512 << 10
 )
 
 // lookahead holds input that was read ahead of the HTTP library, in the order of its arrival.
 type lookahead struct {
-	// memory may be nil: then no more than maxLookaheadBytes are held.
+	// memory may be nil: then nothing is read ahead of a body.
 	memory *httpinput.Memory
 	pieces []lookaheadPiece
 	// held is the total length of pieces.
@@ -38,16 +38,15 @@
 // filled. ok is false if there is no room for another byte.
 func (l *lookahead) newPiece(size, limit int) (piece lookaheadPiece, ok bool) {
 	size = min(size, limit-l.held)
-	if beyond := l.held + size - maxLookaheadBytes; beyond > 0 {
-		if l.memory == nil || !l.memory.Reserve(int64(size)) {
-			size = min(size, maxLookaheadBytes-l.held)
-		} else {
-			piece.reserved = int64(size)
-		}
-	}
 	if size <= 0 {
 		return lookaheadPiece{}, false
 	}
+	if limit > maxLookaheadBytes {
+		if l.memory == nil || !l.memory.Reserve(int64(size)) {
+			return lookaheadPiece{}, false
+		}
+		piece.reserved = int64(size)
+	}
 	piece.content = make([]byte, size)
 	return piece, true
 }
